--- /dev/null
+++ b/include/tamarackgw/store.h
@@ -0,0 +1,121 @@
+/**
+ * @file store.h
+ * The platform's key-value service: one key, one compare-and-swap, watches.
+ *
+ * Every callback runs later, on the thread that drives the owner's agents,
+ * and never from inside the call that asked for it. Each operation calls its
+ * callback exactly once.
+ */
+#ifndef TAMARACKGW_STORE_H
+#define TAMARACKGW_STORE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "tamarackgw/status.h"
+
+/** Version that a key has while it does not exist. */
+#define TGW_STORE_ABSENT INT64_C(0)
+
+/** Largest value that the store takes, in bytes. */
+#define TGW_STORE_VALUE_MAX_BYTES (1000 * 1000)
+
+/** One key as it was read. Valid only during the callback. */
+struct tgw_store_entry {
+	const char *key;
+	const uint8_t *value; /**< NULL when the key does not exist */
+	size_t value_size;
+	int64_t version; /**< grows with each write; TGW_STORE_ABSENT */
+};
+
+/**
+ * Result of an operation. Valid only during the callback.
+ *
+ * get:  OK with one entry (version ABSENT when there is none).
+ * list: OK with any number of entries.
+ * swap: OK with one entry (value NULL, the new version); CONFLICT with one
+ *       entry, the current one; UNAVAILABLE when it surely had no effect;
+ *       UNKNOWN when it may have had, so that the owner has to read back.
+ */
+struct tgw_store_result {
+	enum tgw_status status;
+	const struct tgw_store_entry *entries;
+	size_t entry_count;
+	const char *message; /**< for people; never NULL */
+};
+
+/** Where a result goes. */
+struct tgw_store_callback {
+	void (*done)(void *arg, const struct tgw_store_result *result);
+	void *arg;
+};
+
+/** Receiver of changes under a prefix. */
+struct tgw_store_watcher {
+	/** A key was written or deleted (version ABSENT). */
+	void (*changed)(void *arg, const struct tgw_store_entry *entry);
+	/** Changes may have been missed: read anew. Watching goes on. */
+	void (*lost)(void *arg);
+	void *arg;
+};
+
+struct tgw_store;
+
+/** Operations of a store binding. */
+struct tgw_store_ops {
+	void (*get)(struct tgw_store *store, const char *key,
+		    struct tgw_store_callback callback);
+	void (*list)(struct tgw_store *store, const char *prefix,
+		     struct tgw_store_callback callback);
+	/**
+	 * Writes the value if the key still has the expected version.
+	 * @param value NULL deletes the key; copied before the call returns
+	 */
+	void (*swap)(struct tgw_store *store, const char *key,
+		     int64_t expected_version, const void *value,
+		     size_t value_size, struct tgw_store_callback callback);
+	/** @return a handle for unwatch, never 0 */
+	uint64_t (*watch)(struct tgw_store *store, const char *prefix,
+			  struct tgw_store_watcher watcher);
+	void (*unwatch)(struct tgw_store *store, uint64_t handle);
+};
+
+/** A store; bindings embed it as their first member. */
+struct tgw_store {
+	const struct tgw_store_ops *ops;
+};
+
+static inline void tgw_store_get(struct tgw_store *store, const char *key,
+				 struct tgw_store_callback callback)
+{
+	store->ops->get(store, key, callback);
+}
+
+static inline void tgw_store_list(struct tgw_store *store, const char *prefix,
+				  struct tgw_store_callback callback)
+{
+	store->ops->list(store, prefix, callback);
+}
+
+static inline void tgw_store_swap(struct tgw_store *store, const char *key,
+				  int64_t expected_version, const void *value,
+				  size_t value_size,
+				  struct tgw_store_callback callback)
+{
+	store->ops->swap(store, key, expected_version, value, value_size,
+			 callback);
+}
+
+static inline uint64_t tgw_store_watch(struct tgw_store *store,
+				       const char *prefix,
+				       struct tgw_store_watcher watcher)
+{
+	return store->ops->watch(store, prefix, watcher);
+}
+
+static inline void tgw_store_unwatch(struct tgw_store *store, uint64_t handle)
+{
+	store->ops->unwatch(store, handle);
+}
+
+#endif
--- /dev/null
+++ b/src/base/buffer.c
@@ -0,0 +1,75 @@
+#include "base/buffer.h"
+
+#include <assert.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+
+#define BUFFER_FIRST_CAPACITY 256
+
+static void buffer_reserve(struct buffer *buffer, size_t more)
+{
+	size_t needed = buffer->size + more + 1;
+
+	if (needed <= buffer->capacity)
+		return;
+	if (!buffer->capacity)
+		buffer->capacity = BUFFER_FIRST_CAPACITY;
+	while (buffer->capacity < needed)
+		buffer->capacity *= 2;
+	buffer->data = xrealloc(buffer->data, buffer->capacity);
+}
+
+void buffer_add(struct buffer *buffer, const void *data, size_t size)
+{
+	buffer_reserve(buffer, size);
+	if (size)
+		memcpy(buffer->data + buffer->size, data, size);
+	buffer->size += size;
+	buffer->data[buffer->size] = '\0';
+}
+
+void buffer_add_text(struct buffer *buffer, const char *text)
+{
+	buffer_add(buffer, text, strlen(text));
+}
+
+void buffer_add_format(struct buffer *buffer, const char *format, ...)
+{
+	va_list args;
+	char *text = NULL;
+	int length;
+
+	va_start(args, format);
+	length = vasprintf(&text, format, args);
+	va_end(args);
+	if (length < 0)
+		abort();
+	buffer_add(buffer, text, (size_t)length);
+	free(text);
+}
+
+void buffer_consume(struct buffer *buffer, size_t size)
+{
+	assert(size <= buffer->size);
+	if (!buffer->data)
+		return;
+	memmove(buffer->data, buffer->data + size, buffer->size - size + 1);
+	buffer->size -= size;
+}
+
+void buffer_clear(struct buffer *buffer)
+{
+	buffer->size = 0;
+	if (buffer->data)
+		buffer->data[0] = '\0';
+}
+
+void buffer_free(struct buffer *buffer)
+{
+	free(buffer->data);
+	memset(buffer, 0, sizeof(*buffer));
+}
--- /dev/null
+++ b/src/base/buffer.h
@@ -0,0 +1,30 @@
+/**
+ * @file buffer.h
+ * A byte string that grows. The bytes are followed by a terminator.
+ */
+#ifndef BASE_BUFFER_H
+#define BASE_BUFFER_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct buffer {
+	char *data; /**< never NULL once something was added */
+	size_t size;
+	size_t capacity;
+};
+
+void buffer_add(struct buffer *buffer, const void *data, size_t size);
+void buffer_add_text(struct buffer *buffer, const char *text);
+void buffer_add_format(struct buffer *buffer, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/** Drops the first bytes. */
+void buffer_consume(struct buffer *buffer, size_t size);
+
+/** Empties the buffer and keeps its memory. */
+void buffer_clear(struct buffer *buffer);
+
+void buffer_free(struct buffer *buffer);
+
+#endif
--- /dev/null
+++ b/src/daemon/log.h
@@ -0,0 +1,40 @@
+/**
+ * @file log.h
+ * Log lines by log4c: short sentences, one prefix for each part.
+ */
+#ifndef DAEMON_LOG_H
+#define DAEMON_LOG_H
+
+#include <stdbool.h>
+
+/** Parts of the daemon that write log lines. */
+enum log_part {
+	LOG_DAEMON,
+	LOG_CALLER,
+	LOG_BACKEND,
+	LOG_BUDGET,
+	LOG_CLAIM,
+	LOG_CONFIG,
+	LOG_MEMBERS,
+	LOG_STORE,
+	LOG_PEER,
+	LOG_PART_COUNT
+};
+
+enum log_level { LOG_ERROR, LOG_WARNING, LOG_INFO, LOG_DEBUG };
+
+bool log_level_parse(const char *name, enum log_level *level);
+
+void log_open(enum log_level level);
+void log_close(void);
+
+/** Thread-safe; takes effect with the next line. */
+void log_set_level(enum log_level level);
+
+bool log_enabled(enum log_level level);
+
+/** @param request_id NULL for lines that belong to no request */
+void log_line(enum log_part part, enum log_level level, const char *request_id,
+	      const char *format, ...) __attribute__((format(printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/src/daemon/runtime.h
@@ -0,0 +1,54 @@
+/**
+ * @file runtime.h
+ * The parts of a running host and the thread that drives its agents.
+ *
+ * The agents belong to the coordination thread: other threads reach them
+ * only by executor_post(runtime->coordination, ...). The configuration and
+ * the view of the hosts are read by any registered thread under
+ * read-copy-update.
+ */
+#ifndef DAEMON_RUNTIME_H
+#define DAEMON_RUNTIME_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+
+#include "base/executor.h"
+#include "daemon/settings.h"
+#include "protocol/http.h"
+#include "tamarackgw/budget.h"
+#include "tamarackgw/claim.h"
+#include "tamarackgw/config_follower.h"
+#include "tamarackgw/membership.h"
+#include "tamarackgw/quarantine.h"
+#include "tamarackgw/router.h"
+
+struct runtime {
+	const struct settings *settings;
+	const struct tgw_clock *clock;
+	struct tgw_host self;
+	struct executor *coordination;
+	struct http_sender *backend_http;  /**< towards backend servers */
+	struct http_sender *platform_http; /**< towards store, list, hosts */
+
+	/* Read under RCU: rcu_dereference(). Never NULL once running. */
+	struct tgw_config_snapshot *config;
+	struct tgw_host_view *hosts;
+
+	/* Owned by the coordination thread. */
+	struct tgw_store *store;
+	struct tgw_peer *peer;
+	struct tgw_budget_agent *budget;
+	struct tgw_claim_agent *claims;
+	struct tgw_router *router;
+	struct tgw_quarantine *quarantine;
+	struct tgw_membership *membership;
+	struct tgw_config_follower *follower;
+
+	/** A planned stop is under way: not ready, and nothing new. */
+	atomic_bool stopping;
+	/** Requests that callers wait for, all kinds. */
+	atomic_long open_requests;
+};
+
+#endif
--- /dev/null
+++ b/src/daemon/settings.h
@@ -0,0 +1,73 @@
+/**
+ * @file settings.h
+ * The daemon's settings, read from an INI file and checked as a whole.
+ */
+#ifndef DAEMON_SETTINGS_H
+#define DAEMON_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "tamarackgw/host_view.h"
+#include "tamarackgw/status.h"
+
+#define SETTINGS_PATH_SIZE 256
+
+struct settings {
+	/* [host] */
+	char name[TGW_NAME_SIZE];
+	char failure_domain[TGW_NAME_SIZE];
+	char caller_address[TGW_NAME_SIZE]; /**< IP number and port */
+	char peer_address[TGW_NAME_SIZE];   /**< IP number and port */
+	/* [platform] */
+	char store_url[TGW_URL_SIZE];
+	char list_url[TGW_URL_SIZE];
+	int64_t store_timeout_ms;
+	int64_t list_interval_ms;
+	/* [limits] */
+	int64_t request_threads;
+	int64_t max_connections;
+	int64_t max_open_requests;
+	int64_t max_body_bytes;
+	int64_t max_header_bytes;
+	int64_t max_answer_bytes;    /**< of a plain service */
+	int64_t stream_buffer_bytes; /**< kept for a slow caller */
+	int64_t caller_idle_ms;
+	int64_t default_deadline_ms;
+	int64_t max_deadline_ms;
+	int64_t replay_memory_bytes;
+	int64_t replay_keep_s;
+	int64_t stop_grace_s; /**< a planned stop waits this long */
+	/* [budget] */
+	int64_t ledger_buckets;
+	int64_t ledger_flush_ms;
+	int64_t ride_out_s;
+	/* [claims] */
+	int64_t claim_buckets;
+	int64_t claim_batch_ms;
+	int64_t claim_keep_s;
+	/* [membership] */
+	int64_t heartbeat_ms;
+	int64_t silent_after_ms;
+	int64_t gone_after_ms;
+	/* [backend] */
+	int64_t load_poll_ms;
+	int64_t connect_timeout_ms;
+	int64_t stream_idle_ms;
+	/* [security] */
+	char peer_secret_file[SETTINGS_PATH_SIZE]; /**< CURVE key pair */
+	char operator_keys_file[SETTINGS_PATH_SIZE];
+	/* [log] */
+	char log_level[TGW_NAME_SIZE];
+};
+
+void settings_set_defaults(struct settings *settings);
+
+/** Reads and checks a file. The message names file, line, key and remedy. */
+enum tgw_status settings_read(struct settings *settings, const char *path,
+			      struct tgw_error *error);
+
+/** Writes all settings with their explanations, as a sample to start from. */
+void settings_print(const struct settings *settings);
+
+#endif
--- /dev/null
+++ b/src/transport/mailbox.c
@@ -0,0 +1,79 @@
+#include "transport/mailbox.h"
+
+#include <assert.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <urcu/wfcqueue.h>
+
+#include "base/xalloc.h"
+
+struct letter {
+	struct cds_wfcq_node node; /* first member */
+	void (*run)(void *arg);
+	void *arg;
+};
+
+struct mailbox {
+	struct executor executor; /* first member */
+	struct cds_wfcq_head head;
+	struct cds_wfcq_tail tail;
+	void (*wake)(void *arg);
+	void *arg;
+};
+
+static void mailbox_post(struct executor *executor, void (*run)(void *arg),
+			 void *arg)
+{
+	struct mailbox *mailbox = (struct mailbox *)executor;
+	struct letter *letter = xmalloc(sizeof(*letter));
+
+	cds_wfcq_node_init(&letter->node);
+	letter->run = run;
+	letter->arg = arg;
+	if (!cds_wfcq_enqueue(&mailbox->head, &mailbox->tail, &letter->node))
+		mailbox->wake(mailbox->arg);
+}
+
+static const struct executor_ops mailbox_ops = {.post = mailbox_post};
+
+struct mailbox *mailbox_new(void (*wake)(void *arg), void *arg)
+{
+	struct mailbox *mailbox = xcalloc(1, sizeof(*mailbox));
+
+	mailbox->executor.ops = &mailbox_ops;
+	cds_wfcq_init(&mailbox->head, &mailbox->tail);
+	mailbox->wake = wake;
+	mailbox->arg = arg;
+	return mailbox;
+}
+
+void mailbox_free(struct mailbox *mailbox)
+{
+	if (!mailbox)
+		return;
+	assert(cds_wfcq_empty(&mailbox->head, &mailbox->tail));
+	cds_wfcq_destroy(&mailbox->head, &mailbox->tail);
+	free(mailbox);
+}
+
+struct executor *mailbox_executor(struct mailbox *mailbox)
+{
+	return &mailbox->executor;
+}
+
+bool mailbox_run(struct mailbox *mailbox)
+{
+	bool ran = false;
+
+	for (;;) {
+		struct cds_wfcq_node *node = __cds_wfcq_dequeue_blocking(
+			&mailbox->head, &mailbox->tail);
+		struct letter *letter = (struct letter *)node;
+
+		if (!letter)
+			return ran;
+		letter->run(letter->arg);
+		free(letter);
+		ran = true;
+	}
+}
--- /dev/null
+++ b/tests/fakes/fake_store.c
@@ -0,0 +1,505 @@
+#include "fakes/fake_store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+
+#define DEFAULT_LATENCY_US INT64_C(3000)
+#define OUTAGE_ANSWER_US (INT64_C(200) * TGW_US_PER_MS)
+#define PAUSED_RETRY_US (INT64_C(50) * TGW_US_PER_MS)
+
+enum operation_kind { OPERATION_GET, OPERATION_LIST, OPERATION_SWAP };
+
+struct operation {
+	struct fake_store *client;
+	uint64_t client_generation;
+	enum operation_kind kind;
+	char *key;
+	int64_t expected_version;
+	uint8_t *value;
+	size_t value_size;
+	struct tgw_store_callback callback;
+	/* Filled in when the request reaches the server. */
+	enum tgw_status status;
+	struct fake_store_key *found;
+	size_t found_count;
+};
+
+struct fake_store_watch {
+	struct fake_store_watch *next;
+	uint64_t handle;
+	char *prefix;
+	struct tgw_store_watcher watcher;
+};
+
+struct notice {
+	struct fake_store *client;
+	uint64_t client_generation;
+	uint64_t handle;
+	bool lost;
+	struct fake_store_key key;
+};
+
+static bool has_prefix(const char *text, const char *prefix)
+{
+	return !strncmp(text, prefix, strlen(prefix));
+}
+
+static bool is_unreachable(const struct fake_store *client)
+{
+	return client->cut || client->server->out;
+}
+
+static struct fake_store_key copy_key(const struct fake_store_key *key)
+{
+	struct fake_store_key copy = *key;
+
+	copy.name = xstrdup(key->name);
+	copy.value = key->value ? xmemdup(key->value, key->value_size) : NULL;
+	return copy;
+}
+
+static void clear_key(struct fake_store_key *key)
+{
+	free(key->name);
+	free(key->value);
+}
+
+static size_t lower_bound(const struct fake_store_server *server,
+			  const char *name)
+{
+	size_t low = 0;
+	size_t high = server->key_count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (strcmp(server->keys[middle].name, name) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static struct fake_store_key *find_any(const struct fake_store_server *server,
+				       const char *name)
+{
+	size_t at = lower_bound(server, name);
+
+	if (at == server->key_count || strcmp(server->keys[at].name, name))
+		return NULL;
+	return &server->keys[at];
+}
+
+const struct fake_store_key *fake_store_server_find(
+	const struct fake_store_server *server, const char *name)
+{
+	const struct fake_store_key *key = find_any(server, name);
+
+	return key && key->value ? key : NULL;
+}
+
+static struct fake_store_key *obtain(struct fake_store_server *server,
+				     const char *name)
+{
+	size_t at = lower_bound(server, name);
+
+	if (at < server->key_count && !strcmp(server->keys[at].name, name))
+		return &server->keys[at];
+	server->keys = xrealloc(server->keys, (server->key_count + 1) *
+						      sizeof(server->keys[0]));
+	memmove(&server->keys[at + 1], &server->keys[at],
+		(server->key_count - at) * sizeof(server->keys[0]));
+	server->key_count++;
+	memset(&server->keys[at], 0, sizeof(server->keys[at]));
+	server->keys[at].name = xstrdup(name);
+	return &server->keys[at];
+}
+
+static struct fake_store_watch *find_watch(struct fake_store *client,
+					   uint64_t handle)
+{
+	struct fake_store_watch *watch = client->watches;
+
+	while (watch && watch->handle != handle)
+		watch = watch->next;
+	return watch;
+}
+
+static void deliver_notice(void *arg)
+{
+	struct notice *notice = arg;
+	struct fake_store *client = notice->client;
+	struct fake_store_watch *watch;
+	struct tgw_store_entry entry = {
+		.key = notice->key.name,
+		.value = notice->key.value,
+		.value_size = notice->key.value_size,
+		.version = notice->key.value ? notice->key.version
+					     : TGW_STORE_ABSENT,
+	};
+
+	if (client->generation == notice->client_generation && client->paused) {
+		fake_world_after(client->server->world, PAUSED_RETRY_US,
+				 deliver_notice, notice);
+		return;
+	}
+	watch = find_watch(client, notice->handle);
+	if (client->generation == notice->client_generation && watch) {
+		if (notice->lost)
+			watch->watcher.lost(watch->watcher.arg);
+		else if (!is_unreachable(client))
+			watch->watcher.changed(watch->watcher.arg, &entry);
+	}
+	clear_key(&notice->key);
+	free(notice);
+}
+
+static void send_notice(struct fake_store *client,
+			const struct fake_store_watch *watch, bool lost,
+			const struct fake_store_key *key)
+{
+	struct notice *notice = xcalloc(1, sizeof(*notice));
+
+	notice->client = client;
+	notice->client_generation = client->generation;
+	notice->handle = watch->handle;
+	notice->lost = lost;
+	if (key)
+		notice->key = copy_key(key);
+	fake_world_after(client->server->world, client->server->latency_us,
+			 deliver_notice, notice);
+}
+
+static void tell_watchers(struct fake_store_server *server,
+			  const struct fake_store_key *key)
+{
+	struct fake_store *client;
+	struct fake_store_watch *watch;
+
+	for (client = server->clients; client; client = client->next) {
+		if (client->watch_broken || is_unreachable(client))
+			continue;
+		for (watch = client->watches; watch; watch = watch->next)
+			if (has_prefix(key->name, watch->prefix))
+				send_notice(client, watch, false, key);
+	}
+}
+
+static void write_key(struct fake_store_server *server,
+		      struct fake_store_key *key, const void *value,
+		      size_t value_size)
+{
+	free(key->value);
+	key->value = value ? xmemdup(value, value_size) : NULL;
+	key->value_size = value ? value_size : 0;
+	key->version = ++server->revision;
+	tell_watchers(server, key);
+}
+
+int64_t fake_store_server_put(struct fake_store_server *server,
+			      const char *name, const void *value,
+			      size_t value_size)
+{
+	struct fake_store_key *key = obtain(server, name);
+
+	write_key(server, key, value, value_size);
+	return key->version;
+}
+
+static void add_found(struct operation *operation,
+		      const struct fake_store_key *key)
+{
+	operation->found =
+		xrealloc(operation->found, (operation->found_count + 1) *
+						   sizeof(operation->found[0]));
+	operation->found[operation->found_count++] = copy_key(key);
+}
+
+static void add_found_or_absent(struct operation *operation)
+{
+	const struct fake_store_key *key = fake_store_server_find(
+		operation->client->server, operation->key);
+	struct fake_store_key absent = {.name = operation->key};
+
+	add_found(operation, key ? key : &absent);
+}
+
+static void run_list(struct operation *operation)
+{
+	const struct fake_store_server *server = operation->client->server;
+
+	for (size_t i = lower_bound(server, operation->key);
+	     i < server->key_count &&
+	     has_prefix(server->keys[i].name, operation->key);
+	     i++)
+		if (server->keys[i].value)
+			add_found(operation, &server->keys[i]);
+}
+
+static void run_swap(struct operation *operation)
+{
+	struct fake_store_server *server = operation->client->server;
+	const struct fake_store_key *current =
+		fake_store_server_find(server, operation->key);
+	int64_t version = current ? current->version : TGW_STORE_ABSENT;
+	struct fake_store_key written = {.name = operation->key};
+	struct fake_store_key *key;
+
+	server->writes++;
+	if (version != operation->expected_version) {
+		server->conflicts++;
+		operation->status = TGW_CONFLICT;
+		add_found_or_absent(operation);
+		return;
+	}
+	key = obtain(server, operation->key);
+	write_key(server, key, operation->value, operation->value_size);
+	written.version = operation->value ? key->version : TGW_STORE_ABSENT;
+	add_found(operation, &written);
+}
+
+static void free_operation(struct operation *operation)
+{
+	for (size_t i = 0; i < operation->found_count; i++)
+		clear_key(&operation->found[i]);
+	free(operation->found);
+	free(operation->key);
+	free(operation->value);
+	free(operation);
+}
+
+static void deliver_answer(void *arg)
+{
+	struct operation *operation = arg;
+	struct fake_store *client = operation->client;
+	struct tgw_store_result result = {.status = operation->status};
+	struct tgw_store_entry *entries = NULL;
+
+	if (client->generation != operation->client_generation) {
+		free_operation(operation);
+		return;
+	}
+	if (client->paused) {
+		fake_world_after(client->server->world, PAUSED_RETRY_US,
+				 deliver_answer, operation);
+		return;
+	}
+	entries = xcalloc(operation->found_count, sizeof(entries[0]));
+	for (size_t i = 0; i < operation->found_count; i++) {
+		entries[i].key = operation->found[i].name;
+		entries[i].value = operation->found[i].value;
+		entries[i].value_size = operation->found[i].value_size;
+		entries[i].version = operation->found[i].version;
+	}
+	result.entries = entries;
+	result.entry_count = operation->found_count;
+	result.message = tgw_status_name(operation->status);
+	operation->callback.done(operation->callback.arg, &result);
+	free(entries);
+	free_operation(operation);
+}
+
+static void answer_later(struct operation *operation, enum tgw_status status,
+			 int64_t delay_us)
+{
+	operation->status = status;
+	fake_world_after(operation->client->server->world, delay_us,
+			 deliver_answer, operation);
+}
+
+static void drop_found(struct operation *operation)
+{
+	for (size_t i = 0; i < operation->found_count; i++)
+		clear_key(&operation->found[i]);
+	operation->found_count = 0;
+}
+
+/* The request reaches the server, or does not. */
+static void arrive(void *arg)
+{
+	struct operation *operation = arg;
+	struct fake_store *client = operation->client;
+	struct fake_store_server *server = client->server;
+
+	if (is_unreachable(client)) {
+		answer_later(operation,
+			     operation->kind == OPERATION_SWAP
+				     ? TGW_UNKNOWN
+				     : TGW_UNAVAILABLE,
+			     OUTAGE_ANSWER_US);
+		return;
+	}
+	if (operation->kind == OPERATION_SWAP && client->lose_requests) {
+		client->lose_requests--;
+		answer_later(operation, TGW_UNKNOWN, OUTAGE_ANSWER_US);
+		return;
+	}
+	operation->status = TGW_OK;
+	switch (operation->kind) {
+	case OPERATION_GET:
+		server->reads++;
+		add_found_or_absent(operation);
+		break;
+	case OPERATION_LIST:
+		server->reads++;
+		run_list(operation);
+		break;
+	case OPERATION_SWAP:
+		run_swap(operation);
+		if (client->lose_answers) {
+			client->lose_answers--;
+			drop_found(operation);
+			answer_later(operation, TGW_UNKNOWN, OUTAGE_ANSWER_US);
+			return;
+		}
+		break;
+	}
+	answer_later(operation, operation->status, server->latency_us / 2);
+}
+
+static struct operation *start(struct tgw_store *store,
+			       enum operation_kind kind, const char *key,
+			       struct tgw_store_callback callback)
+{
+	struct operation *operation = xcalloc(1, sizeof(*operation));
+
+	operation->client = (struct fake_store *)store;
+	operation->client_generation = operation->client->generation;
+	operation->kind = kind;
+	operation->key = xstrdup(key);
+	operation->callback = callback;
+	fake_world_after(operation->client->server->world,
+			 operation->client->server->latency_us / 2, arrive,
+			 operation);
+	return operation;
+}
+
+static void fake_get(struct tgw_store *store, const char *key,
+		     struct tgw_store_callback callback)
+{
+	start(store, OPERATION_GET, key, callback);
+}
+
+static void fake_list(struct tgw_store *store, const char *prefix,
+		      struct tgw_store_callback callback)
+{
+	start(store, OPERATION_LIST, prefix, callback);
+}
+
+static void fake_swap(struct tgw_store *store, const char *key,
+		      int64_t expected_version, const void *value,
+		      size_t value_size, struct tgw_store_callback callback)
+{
+	struct operation *operation =
+		start(store, OPERATION_SWAP, key, callback);
+
+	operation->expected_version = expected_version;
+	operation->value = value ? xmemdup(value, value_size) : NULL;
+	operation->value_size = value_size;
+}
+
+static uint64_t fake_watch(struct tgw_store *store, const char *prefix,
+			   struct tgw_store_watcher watcher)
+{
+	struct fake_store *client = (struct fake_store *)store;
+	struct fake_store_watch *watch = xcalloc(1, sizeof(*watch));
+
+	watch->handle = ++client->next_handle;
+	watch->prefix = xstrdup(prefix);
+	watch->watcher = watcher;
+	watch->next = client->watches;
+	client->watches = watch;
+	return watch->handle;
+}
+
+static void fake_unwatch(struct tgw_store *store, uint64_t handle)
+{
+	struct fake_store *client = (struct fake_store *)store;
+	struct fake_store_watch **link = &client->watches;
+
+	while (*link && (*link)->handle != handle)
+		link = &(*link)->next;
+	if (*link) {
+		struct fake_store_watch *watch = *link;
+
+		*link = watch->next;
+		free(watch->prefix);
+		free(watch);
+	}
+}
+
+static const struct tgw_store_ops fake_store_ops = {
+	.get = fake_get,
+	.list = fake_list,
+	.swap = fake_swap,
+	.watch = fake_watch,
+	.unwatch = fake_unwatch,
+};
+
+void fake_store_server_init(struct fake_store_server *server,
+			    struct fake_world *world)
+{
+	memset(server, 0, sizeof(*server));
+	server->world = world;
+	server->latency_us = DEFAULT_LATENCY_US;
+}
+
+void fake_store_server_clear(struct fake_store_server *server)
+{
+	for (size_t i = 0; i < server->key_count; i++)
+		clear_key(&server->keys[i]);
+	free(server->keys);
+	server->keys = NULL;
+	server->key_count = 0;
+}
+
+void fake_store_init(struct fake_store *store, struct fake_store_server *server)
+{
+	memset(store, 0, sizeof(*store));
+	store->store.ops = &fake_store_ops;
+	store->server = server;
+	store->next = server->clients;
+	server->clients = store;
+}
+
+void fake_store_reset(struct fake_store *store)
+{
+	while (store->watches)
+		fake_unwatch(&store->store, store->watches->handle);
+	store->generation++;
+	store->paused = false;
+	store->watch_broken = false;
+}
+
+static void tell_lost(struct fake_store *store)
+{
+	struct fake_store_watch *watch;
+
+	for (watch = store->watches; watch; watch = watch->next)
+		send_notice(store, watch, true, NULL);
+}
+
+void fake_store_set_cut(struct fake_store *store, bool cut)
+{
+	bool was_unreachable = is_unreachable(store);
+
+	store->cut = cut;
+	if (was_unreachable && !is_unreachable(store))
+		tell_lost(store);
+}
+
+void fake_store_server_set_out(struct fake_store_server *server, bool out)
+{
+	struct fake_store *client;
+	bool was_out = server->out;
+
+	server->out = out;
+	if (!was_out || out)
+		return;
+	for (client = server->clients; client; client = client->next)
+		if (!client->cut)
+			tell_lost(client);
+}
--- /dev/null
+++ b/tools/run-tests.sh
@@ -0,0 +1,56 @@
+#!/bin/bash
+# Runs every test of a finished build: tools/run-tests.sh BUILD_DIR
+#   unit tests       BUILD_DIR/tests/test_*      exit code 0 is a pass
+#   scenarios        tests/scenarios/AREA/*.scn  output equals the .expected
+#   command lines    tests/cram/*.t              by cram
+# A failure that KNOWN-RED.txt lists by its test name is printed, not counted.
+set -u
+cd "$(dirname "$0")/.."
+build=$(realpath "${1:-build}")
+jobs=${TGW_TEST_JOBS:-4}
+work=$build/test-output
+rm -rf "$work"
+mkdir -p "$work"
+
+run_one() {
+	local kind=$1 path=$2 name log
+	name=$kind/$(basename "$path")
+	[ "$kind" = scenario ] && name=$kind/$(basename "$(dirname "$path")")/$(basename "$path")
+	log=$work/$(echo "$name" | tr / .).log
+	local status=0
+	case $kind in
+	unit)
+		timeout 300 "$path" >"$log" 2>&1 || status=1 ;;
+	scenario)
+		local area
+		area=$(basename "$(dirname "$path")")
+		timeout 120 "$build/tests/scenario_$area" "$path" >"$log.actual" 2>&1
+		diff -u "${path%.scn}.expected" "$log.actual" >"$log" 2>&1 || status=1 ;;
+	cram)
+		BUILD=$build SOURCE=$PWD timeout 300 cram3 --shell=/bin/bash "$path" >"$log" 2>&1 || status=1 ;;
+	esac
+	if [ $status = 0 ]; then
+		echo "pass $name" >>"$work/results"
+	elif grep -qE "^test: $name\$" KNOWN-RED.txt 2>/dev/null; then
+		echo "known $name" >>"$work/results"
+		echo "known red: $name"
+	else
+		echo "fail $name" >>"$work/results"
+		echo "FAILED: $name"
+		tail -n 60 "$log"
+	fi
+}
+export -f run_one
+export work build
+
+{
+	for t in "$build"/tests/test_*; do [ -x "$t" ] && [ ! -d "$t" ] && echo "unit $t"; done
+	for t in tests/scenarios/*/*.scn; do [ -e "$t" ] && echo "scenario $t"; done
+	for t in tests/cram/*.t; do [ -e "$t" ] && echo "cram $t"; done
+} | xargs -P "$jobs" -L 1 bash -c 'run_one "$0" "$1"'
+
+touch "$work/results"
+passed=$(grep -c '^pass ' "$work/results")
+failed=$(grep -c '^fail ' "$work/results")
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ] && [ "$passed" != 0 ]
