--- /dev/null
+++ b/src/protocol/etcd_store.h
@@ -0,0 +1,44 @@
+/**
+ * @file etcd_store.h
+ * The platform's store over the etcd v3 JSON mapping.
+ *
+ * Results are delivered on the given executor. Before etcd_store_free() the
+ * sender has to be gone and the executor's queue has to be empty.
+ */
+#ifndef PROTOCOL_ETCD_STORE_H
+#define PROTOCOL_ETCD_STORE_H
+
+#include <stdint.h>
+
+#include "base/executor.h"
+#include "protocol/http.h"
+#include "tamarackgw/store.h"
+
+struct etcd_store;
+
+/** Calls made to the store, cumulative. */
+struct etcd_store_counters {
+	uint64_t reads;
+	uint64_t writes;
+	uint64_t watches_opened;
+	uint64_t failures;
+	uint64_t bytes_sent;
+	uint64_t bytes_received;
+};
+
+/** @param url HTTP base of the store, no slash at the end */
+struct etcd_store *etcd_store_new(struct http_sender *sender,
+				  struct executor *executor, const char *url,
+				  int64_t timeout_us);
+
+void etcd_store_free(struct etcd_store *store);
+
+struct tgw_store *etcd_store_store(struct etcd_store *store);
+
+/** Opens broken watches again. @return the next due time */
+int64_t etcd_store_tick(struct etcd_store *store, int64_t now_us);
+
+const struct etcd_store_counters *etcd_store_counters(
+	const struct etcd_store *store);
+
+#endif
