--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -37,7 +37,8 @@
 	int64_t max_deadline_ms;
 	int64_t replay_memory_bytes;
 	int64_t replay_keep_s;
-	int64_t stop_grace_s; /**< a planned stop waits this long */
+	int64_t stop_notice_ms; /**< still takes requests while stopping */
+	int64_t stop_grace_s;	/**< a planned stop waits this long */
 	/* [budget] */
 	int64_t ledger_buckets;
 	int64_t ledger_flush_ms;
--- /dev/null
+++ b/src/protocol/host_list.c
@@ -0,0 +1,203 @@
+#include "protocol/host_list.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/buffer.h"
+#include "base/xalloc.h"
+
+#define HTTP_STATUS_OK 200
+#define LIST_MAX_BYTES (4u * 1024 * 1024)
+
+struct host_list_poller {
+	struct http_sender *sender;
+	struct executor *executor;
+	char *url;
+	int64_t interval_us;
+	int64_t timeout_us;
+	int64_t next_us;
+	void (*took)(void *arg, const struct host_list_reading *reading);
+	void *arg;
+	bool busy;
+	/* Filled in by the sender's thread while busy. */
+	int32_t http_status;
+	enum http_outcome outcome;
+	struct buffer body;
+};
+
+static bool copy_text(const json_t *object, const char *name, char *text,
+		      size_t size)
+{
+	const char *value = json_string_value(json_object_get(object, name));
+
+	if (!value || !*value || strlen(value) >= size)
+		return false;
+	strcpy(text, value);
+	return true;
+}
+
+static bool read_host(const json_t *object, struct tgw_listed_host *host)
+{
+	memset(host, 0, sizeof(*host));
+	host->leaving = json_is_true(json_object_get(object, "leaving"));
+	return copy_text(object, "name", host->name, sizeof(host->name)) &&
+	       copy_text(object, "failure_domain", host->failure_domain,
+			 sizeof(host->failure_domain)) &&
+	       copy_text(object, "peer_url", host->peer_url,
+			 sizeof(host->peer_url)) &&
+	       copy_text(object, "caller_url", host->caller_url,
+			 sizeof(host->caller_url));
+}
+
+static bool read_server(const json_t *object, struct listed_server *server)
+{
+	memset(server, 0, sizeof(*server));
+	server->leaving = json_is_true(json_object_get(object, "leaving"));
+	return copy_text(object, "name", server->name, sizeof(server->name));
+}
+
+static bool read_list(struct host_list_reading *reading, const json_t *root)
+{
+	const json_t *hosts = json_object_get(root, "hosts");
+	const json_t *servers = json_object_get(root, "servers");
+	size_t index;
+	json_t *item;
+
+	if (!json_is_array(hosts))
+		return false;
+	reading->hosts =
+		xcalloc(json_array_size(hosts), sizeof(reading->hosts[0]));
+	reading->servers =
+		xcalloc(json_array_size(servers), sizeof(reading->servers[0]));
+	json_array_foreach(hosts, index, item) if (
+		!read_host(
+			item,
+			&reading->hosts[reading->host_count++])) return false;
+	json_array_foreach(servers, index, item) if (
+		!read_server(item,
+			     &reading->servers
+				      [reading->server_count++])) return false;
+	return true;
+}
+
+enum tgw_status host_list_decode(struct host_list_reading *reading,
+				 const char *text, size_t size,
+				 struct tgw_error *error)
+{
+	json_t *root = json_loadb(text, size, 0, NULL);
+	enum tgw_status status = TGW_OK;
+
+	memset(reading, 0, sizeof(*reading));
+	if (!read_list(reading, root)) {
+		host_list_reading_clear(reading);
+		status = tgw_error_set(error, TGW_CORRUPT,
+				       "the platform's list has another "
+				       "form; check [platform] list_url");
+	}
+	json_decref(root);
+	return status;
+}
+
+void host_list_reading_clear(struct host_list_reading *reading)
+{
+	free(reading->hosts);
+	free(reading->servers);
+	memset(reading, 0, sizeof(*reading));
+}
+
+static void list_started(void *arg, int32_t status, const char *content_type)
+{
+	((struct host_list_poller *)arg)->http_status = status;
+}
+
+static bool list_data(void *arg, const void *data, size_t size)
+{
+	struct host_list_poller *poller = arg;
+
+	if (poller->body.size + size <= LIST_MAX_BYTES)
+		buffer_add(&poller->body, data, size);
+	return true;
+}
+
+static void finish_reading(void *arg)
+{
+	struct host_list_poller *poller = arg;
+	struct host_list_reading reading;
+
+	poller->busy = false;
+	if (poller->outcome != HTTP_COMPLETE ||
+	    poller->http_status != HTTP_STATUS_OK || !poller->body.data)
+		return;
+	if (host_list_decode(&reading, poller->body.data, poller->body.size,
+			     NULL) != TGW_OK)
+		return;
+	poller->took(poller->arg, &reading);
+	host_list_reading_clear(&reading);
+}
+
+static void list_ended(void *arg, enum http_outcome outcome,
+		       const char *message)
+{
+	struct host_list_poller *poller = arg;
+
+	poller->outcome = outcome;
+	executor_post(poller->executor, finish_reading, poller);
+}
+
+static void start_reading(struct host_list_poller *poller)
+{
+	struct http_request request = {
+		.method = "GET",
+		.url = poller->url,
+		.connect_timeout_us = poller->timeout_us,
+		.total_timeout_us = poller->timeout_us,
+	};
+	struct http_handler handler = {
+		.started = list_started,
+		.data = list_data,
+		.ended = list_ended,
+		.arg = poller,
+	};
+
+	poller->busy = true;
+	poller->http_status = 0;
+	buffer_clear(&poller->body);
+	http_start(poller->sender, &request, handler);
+}
+
+struct host_list_poller *host_list_poller_new(
+	struct http_sender *sender, struct executor *executor, const char *url,
+	int64_t interval_us, int64_t timeout_us,
+	void (*took)(void *arg, const struct host_list_reading *reading),
+	void *arg)
+{
+	struct host_list_poller *poller = xcalloc(1, sizeof(*poller));
+
+	poller->sender = sender;
+	poller->executor = executor;
+	poller->url = xasprintf("%s/hosts", url);
+	poller->interval_us = interval_us;
+	poller->timeout_us = timeout_us;
+	poller->took = took;
+	poller->arg = arg;
+	return poller;
+}
+
+void host_list_poller_free(struct host_list_poller *poller)
+{
+	if (!poller)
+		return;
+	buffer_free(&poller->body);
+	free(poller->url);
+	free(poller);
+}
+
+int64_t host_list_poller_tick(struct host_list_poller *poller, int64_t now_us)
+{
+	if (!poller->busy && poller->next_us <= now_us) {
+		poller->next_us = now_us + poller->interval_us;
+		start_reading(poller);
+	}
+	return poller->busy ? now_us + poller->interval_us : poller->next_us;
+}
