Add the HTTP client towards backend servers and the platform

Cause: the store binding and the calls to backend servers need one sender whose outcomes can be trusted: "not connected" has to mean that no byte was sent.

Ruled out: judging by libcurl's error codes alone. libcurl sends a request again by itself when a reused connection dies without an answer; the second send may end in "connection refused" although the server had run the first. A callback before the first byte now marks the request as sent and refuses a second send, unless the request says may_resend. Calls that run at most once can ask for a fresh connection besides.

Test: test_curl_client, 7 checks pass. With the refusal off, a_request_is_never_sent_twice_behind_the_callers_back fails (the server counts 3 requests, 2 wanted).

--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -37,6 +37,10 @@
 	int64_t connect_timeout_us; /**< 0 for the sender's default */
 	int64_t total_timeout_us;   /**< 0 for none */
 	int64_t idle_timeout_us;    /**< longest silence; 0 for none */
+	/** Don't reuse a connection that the server may be closing. */
+	bool fresh_connection;
+	/** May be sent again when a reused connection turns out dead. */
+	bool may_resend;
 };
 
 /** Receiver of an answer; called on the sender's own thread. */
--- /dev/null
+++ b/src/transport/curl_client.c
@@ -0,0 +1,435 @@
+#include "transport/curl_client.h"
+
+#include <assert.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+#include <time.h>
+
+#include "base/xalloc.h"
+#include "tamarackgw/clock.h"
+#include "transport/mailbox.h"
+
+#define POLL_MS 1000
+#define SWEEP_INTERVAL_MS 50
+#define DEFAULT_CONNECT_TIMEOUT_US (1 * TGW_US_PER_S)
+#define DEFAULT_IDLE_CONNECTIONS 256
+#define FIRST_FINAL_STATUS 200
+
+struct http_exchange {
+	struct curl_client *client;
+	LIST_ENTRY(http_exchange) link;
+	atomic_int references; /* the client's, and one a posted letter */
+	CURL *easy;
+	struct curl_slist *headers;
+	void *body;
+	struct http_handler handler;
+	int64_t idle_timeout_us;
+	int64_t last_activity_us;
+	bool may_resend;
+	bool sending; /* a connection was made, so bytes may be out */
+	bool started;
+	bool paused;
+	bool finished;
+};
+
+struct curl_client {
+	struct http_sender sender; /* first member */
+	struct curl_client_settings settings;
+	CURLM *multi;
+	struct mailbox *mailbox;
+	pthread_t thread;
+	atomic_bool stopping;
+	LIST_HEAD(, http_exchange) exchanges;
+	size_t timed_count; /* exchanges with an idle timeout */
+	int64_t next_sweep_us;
+};
+
+static int64_t now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return now.tv_sec * TGW_US_PER_S + now.tv_nsec / 1000;
+}
+
+static void exchange_unref(struct http_exchange *exchange)
+{
+	if (atomic_fetch_sub(&exchange->references, 1) > 1)
+		return;
+	curl_easy_cleanup(exchange->easy);
+	curl_slist_free_all(exchange->headers);
+	free(exchange->body);
+	free(exchange);
+}
+
+static void exchange_end(struct http_exchange *exchange,
+			 enum http_outcome outcome, const char *message)
+{
+	struct curl_client *client = exchange->client;
+
+	assert(!exchange->finished);
+	exchange->finished = true;
+	if (exchange->idle_timeout_us)
+		client->timed_count--;
+	curl_multi_remove_handle(client->multi, exchange->easy);
+	LIST_REMOVE(exchange, link);
+	exchange->handler.ended(exchange->handler.arg, outcome, message);
+	exchange_unref(exchange);
+}
+
+static void exchange_start_answer(struct http_exchange *exchange)
+{
+	long status = 0;
+	char *content_type = NULL;
+
+	if (exchange->started)
+		return;
+	curl_easy_getinfo(exchange->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status < FIRST_FINAL_STATUS)
+		return;
+	exchange->started = true;
+	curl_easy_getinfo(exchange->easy, CURLINFO_CONTENT_TYPE, &content_type);
+	exchange->handler.started(exchange->handler.arg, (int32_t)status,
+				  content_type ? content_type : "");
+}
+
+static size_t on_header(char *line, size_t size, size_t count, void *arg)
+{
+	struct http_exchange *exchange = arg;
+	size_t length = size * count;
+
+	exchange->last_activity_us = now_us();
+	if (length <= 2 && (length == 0 || line[0] == '\r' || line[0] == '\n'))
+		exchange_start_answer(exchange);
+	return length;
+}
+
+static size_t on_data(char *data, size_t size, size_t count, void *arg)
+{
+	struct http_exchange *exchange = arg;
+
+	exchange->last_activity_us = now_us();
+	exchange_start_answer(exchange);
+	if (exchange->handler.data(exchange->handler.arg, data, size * count))
+		return size * count;
+	exchange->paused = true;
+	return CURL_WRITEFUNC_PAUSE;
+}
+
+/* Called when a connection stands and before the first byte goes out. libcurl
+ * would send a request anew when a reused connection dies without an answer:
+ * that has to be refused, since the server may have run the first one. */
+static int on_before_request(void *arg, char *remote_ip, char *local_ip,
+			     int remote_port, int local_port)
+{
+	struct http_exchange *exchange = arg;
+
+	if (exchange->sending && !exchange->may_resend)
+		return CURL_PREREQFUNC_ABORT;
+	exchange->sending = true;
+	return CURL_PREREQFUNC_OK;
+}
+
+static void run_start(void *arg)
+{
+	struct http_exchange *exchange = arg;
+	struct curl_client *client = exchange->client;
+
+	LIST_INSERT_HEAD(&client->exchanges, exchange, link);
+	exchange->last_activity_us = now_us();
+	if (exchange->idle_timeout_us)
+		client->timed_count++;
+	if (curl_multi_add_handle(client->multi, exchange->easy) != CURLM_OK)
+		exchange_end(exchange, HTTP_NOT_CONNECTED,
+			     "the request can't be started; check its address");
+}
+
+static void run_resume(void *arg)
+{
+	struct http_exchange *exchange = arg;
+
+	if (!exchange->finished && exchange->paused) {
+		exchange->paused = false;
+		exchange->last_activity_us = now_us();
+		curl_easy_pause(exchange->easy, CURLPAUSE_CONT);
+	}
+	exchange_unref(exchange);
+}
+
+static void run_cancel(void *arg)
+{
+	struct http_exchange *exchange = arg;
+
+	if (!exchange->finished)
+		exchange_end(exchange, HTTP_WAS_CANCELLED, "cancelled");
+	exchange_unref(exchange);
+}
+
+static void set_body(struct http_exchange *exchange,
+		     const struct http_request *request)
+{
+	if (strcmp(request->method, "HEAD") == 0) {
+		curl_easy_setopt(exchange->easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (!request->body_size && (strcmp(request->method, "GET") == 0)) {
+		curl_easy_setopt(exchange->easy, CURLOPT_HTTPGET, 1L);
+		return;
+	}
+	exchange->body = xmemdup(request->body_size ? request->body : "",
+				 request->body_size ? request->body_size : 1);
+	curl_easy_setopt(exchange->easy, CURLOPT_POSTFIELDS, exchange->body);
+	curl_easy_setopt(exchange->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+			 (curl_off_t)request->body_size);
+	curl_easy_setopt(exchange->easy, CURLOPT_CUSTOMREQUEST,
+			 request->method);
+}
+
+static void set_headers(struct http_exchange *exchange,
+			const struct http_request *request)
+{
+	bool has_type = false;
+
+	for (size_t i = 0; i < request->header_count; i++) {
+		const struct http_header *header = &request->headers[i];
+		char *line = xasprintf("%s: %s", header->name, header->value);
+
+		if (strcasecmp(header->name, "content-type") == 0)
+			has_type = true;
+		exchange->headers = curl_slist_append(exchange->headers, line);
+		free(line);
+	}
+	exchange->headers = curl_slist_append(exchange->headers, "Expect:");
+	if (!has_type)
+		exchange->headers =
+			curl_slist_append(exchange->headers, "Content-Type:");
+	curl_easy_setopt(exchange->easy, CURLOPT_HTTPHEADER, exchange->headers);
+}
+
+static void set_limits(struct http_exchange *exchange,
+		       const struct http_request *request)
+{
+	const struct curl_client *client = exchange->client;
+	int64_t connect_us = request->connect_timeout_us;
+	CURL *easy = exchange->easy;
+
+	if (!connect_us)
+		connect_us = client->settings.connect_timeout_us;
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)(connect_us / TGW_US_PER_MS + 1));
+	if (request->total_timeout_us)
+		curl_easy_setopt(
+			easy, CURLOPT_TIMEOUT_MS,
+			(long)(request->total_timeout_us / TGW_US_PER_MS + 1));
+	exchange->idle_timeout_us = request->idle_timeout_us;
+	exchange->may_resend = request->may_resend;
+	if (request->fresh_connection)
+		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+static void set_callbacks(struct http_exchange *exchange)
+{
+	CURL *easy = exchange->easy;
+
+	curl_easy_setopt(easy, CURLOPT_PRIVATE, exchange);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, exchange);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_request);
+	curl_easy_setopt(easy, CURLOPT_PREREQDATA, exchange);
+}
+
+static struct http_exchange *curl_client_start(
+	struct http_sender *sender, const struct http_request *request,
+	struct http_handler handler)
+{
+	struct curl_client *client = (struct curl_client *)sender;
+	struct http_exchange *exchange = xcalloc(1, sizeof(*exchange));
+	CURL *easy = curl_easy_init();
+
+	if (!easy)
+		abort();
+	exchange->client = client;
+	exchange->easy = easy;
+	exchange->handler = handler;
+	atomic_init(&exchange->references, 1);
+	curl_easy_setopt(easy, CURLOPT_URL, request->url);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	set_body(exchange, request);
+	set_headers(exchange, request);
+	set_limits(exchange, request);
+	set_callbacks(exchange);
+	executor_post(mailbox_executor(client->mailbox), run_start, exchange);
+	return exchange;
+}
+
+static void curl_client_resume(struct http_sender *sender,
+			       struct http_exchange *exchange)
+{
+	struct curl_client *client = (struct curl_client *)sender;
+
+	atomic_fetch_add(&exchange->references, 1);
+	executor_post(mailbox_executor(client->mailbox), run_resume, exchange);
+}
+
+static void curl_client_cancel(struct http_sender *sender,
+			       struct http_exchange *exchange)
+{
+	struct curl_client *client = (struct curl_client *)sender;
+
+	atomic_fetch_add(&exchange->references, 1);
+	executor_post(mailbox_executor(client->mailbox), run_cancel, exchange);
+}
+
+static const struct http_sender_ops curl_client_ops = {
+	.start = curl_client_start,
+	.resume = curl_client_resume,
+	.cancel = curl_client_cancel,
+};
+
+static enum http_outcome outcome_of(const struct http_exchange *exchange,
+				    CURLcode code)
+{
+	if (code == CURLE_OK)
+		return HTTP_COMPLETE;
+	if (!exchange->sending)
+		return HTTP_NOT_CONNECTED;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return HTTP_TIMED_OUT;
+	return HTTP_BROKEN;
+}
+
+static void end_finished(struct curl_client *client)
+{
+	CURLMsg *message;
+	int left;
+
+	while ((message = curl_multi_info_read(client->multi, &left))) {
+		struct http_exchange *exchange;
+		CURLcode code = message->data.result;
+		char *arg = NULL;
+
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &arg);
+		exchange = (struct http_exchange *)(void *)arg;
+		if (code == CURLE_OK)
+			exchange_start_answer(exchange);
+		exchange_end(exchange, outcome_of(exchange, code),
+			     curl_easy_strerror(code));
+	}
+}
+
+static void end_idle(struct curl_client *client)
+{
+	int64_t now = now_us();
+	struct http_exchange *next;
+
+	if (now < client->next_sweep_us)
+		return;
+	client->next_sweep_us = now + SWEEP_INTERVAL_MS * TGW_US_PER_MS;
+	for (struct http_exchange *e = LIST_FIRST(&client->exchanges); e;
+	     e = next) {
+		next = LIST_NEXT(e, link);
+		if (!e->idle_timeout_us || e->paused ||
+		    now - e->last_activity_us < e->idle_timeout_us)
+			continue;
+		exchange_end(e,
+			     e->sending ? HTTP_TIMED_OUT : HTTP_NOT_CONNECTED,
+			     "the server was silent for too long");
+	}
+}
+
+static void end_all(struct curl_client *client)
+{
+	struct http_exchange *exchange = LIST_FIRST(&client->exchanges);
+
+	while (exchange) {
+		struct http_exchange *next = LIST_NEXT(exchange, link);
+
+		exchange_end(exchange, HTTP_WAS_CANCELLED,
+			     "the client was stopped");
+		exchange = next;
+	}
+}
+
+static void wake(void *arg)
+{
+	struct curl_client *client = arg;
+
+	curl_multi_wakeup(client->multi);
+}
+
+static void *run_client(void *arg)
+{
+	struct curl_client *client = arg;
+
+	while (!atomic_load(&client->stopping)) {
+		int running;
+		int poll_ms = client->timed_count ? SWEEP_INTERVAL_MS : POLL_MS;
+
+		curl_multi_poll(client->multi, NULL, 0, poll_ms, NULL);
+		mailbox_run(client->mailbox);
+		curl_multi_perform(client->multi, &running);
+		end_finished(client);
+		end_idle(client);
+	}
+	do {
+		end_all(client);
+	} while (mailbox_run(client->mailbox));
+	return NULL;
+}
+
+struct curl_client_settings curl_client_settings_default(void)
+{
+	return (struct curl_client_settings){
+		.connect_timeout_us = DEFAULT_CONNECT_TIMEOUT_US,
+		.idle_connections = DEFAULT_IDLE_CONNECTIONS,
+	};
+}
+
+struct curl_client *curl_client_new(const struct curl_client_settings *settings)
+{
+	struct curl_client *client = xcalloc(1, sizeof(*client));
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	client->sender.ops = &curl_client_ops;
+	client->settings = *settings;
+	atomic_init(&client->stopping, false);
+	client->multi = curl_multi_init();
+	if (!client->multi)
+		abort();
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+			  (long)settings->idle_connections);
+	client->mailbox = mailbox_new(wake, client);
+	if (pthread_create(&client->thread, NULL, run_client, client) != 0)
+		abort();
+	return client;
+}
+
+struct http_sender *curl_client_sender(struct curl_client *client)
+{
+	return &client->sender;
+}
+
+void curl_client_free(struct curl_client *client)
+{
+	if (!client)
+		return;
+	atomic_store(&client->stopping, true);
+	curl_multi_wakeup(client->multi);
+	pthread_join(client->thread, NULL);
+	mailbox_free(client->mailbox);
+	curl_multi_cleanup(client->multi);
+	curl_global_cleanup();
+	free(client);
+}
--- /dev/null
+++ b/src/transport/curl_client.h
@@ -0,0 +1,33 @@
+/**
+ * @file curl_client.h
+ * HTTP exchanges by libcurl's multi interface, all on one thread.
+ */
+#ifndef TRANSPORT_CURL_CLIENT_H
+#define TRANSPORT_CURL_CLIENT_H
+
+#include <stdint.h>
+
+#include "protocol/http.h"
+
+struct curl_client;
+
+struct curl_client_settings {
+	int64_t connect_timeout_us; /**< for requests that name none */
+	int64_t idle_connections;   /**< kept open for reuse at most */
+};
+
+struct curl_client_settings curl_client_settings_default(void);
+
+/** Starts the client's thread. */
+struct curl_client *curl_client_new(
+	const struct curl_client_settings *settings);
+
+struct http_sender *curl_client_sender(struct curl_client *client);
+
+/**
+ * Ends all exchanges as cancelled, then the thread. No exchange may be
+ * started from another thread while this runs.
+ */
+void curl_client_free(struct curl_client *client);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_curl_client.c
@@ -0,0 +1,309 @@
+#include "transport/curl_client.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/buffer.h"
+#include "base/xalloc.h"
+#include "tamarackgw/clock.h"
+#include "unit/unit_main.h"
+
+#define PAUSES 3
+
+/* A server that does to each connection what the path asks for. */
+struct server {
+	int listener;
+	uint16_t port;
+	pthread_t thread;
+	atomic_int requests;
+};
+
+struct reply {
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	struct buffer body;
+	int32_t status;
+	int pauses_left;
+	int paused;
+	bool ended;
+	enum http_outcome outcome;
+};
+
+static struct server server;
+static struct curl_client *client;
+static struct reply reply;
+
+static void send_text(int fd, const char *text)
+{
+	ck_assert_int_ge(send(fd, text, strlen(text), MSG_NOSIGNAL), 0);
+}
+
+/* @return whether the connection stays open */
+static bool answer(int fd, const char *request)
+{
+	int n = atomic_fetch_add(&server.requests, 1);
+
+	if (strstr(request, "/whole"))
+		send_text(fd, "HTTP/1.1 201 Created\r\nContent-Length: 5\r\n"
+			      "\r\nwhole");
+	if (strstr(request, "/short"))
+		send_text(fd,
+			  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+	if (strstr(request, "/silent"))
+		send_text(fd,
+			  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+	if (strstr(request, "/once") && n == 0)
+		send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	if (strstr(request, "/once"))
+		return n == 0;
+	return !strstr(request, "/short") && !strstr(request, "/die");
+}
+
+static void *serve_connection(void *arg)
+{
+	int fd = *(int *)arg;
+	struct buffer input = {0};
+	char chunk[1024];
+	ssize_t size;
+
+	free(arg);
+	while ((size = recv(fd, chunk, sizeof(chunk), 0)) > 0) {
+		bool stay;
+
+		buffer_add(&input, chunk, (size_t)size);
+		if (!strstr(input.data, "\r\n\r\n"))
+			continue;
+		stay = answer(fd, input.data);
+		buffer_clear(&input);
+		if (!stay)
+			break;
+	}
+	buffer_free(&input);
+	close(fd);
+	return NULL;
+}
+
+static void *serve(void *arg)
+{
+	for (;;) {
+		int fd = accept(server.listener, NULL, NULL);
+		int *copy;
+		pthread_t thread;
+
+		if (fd < 0)
+			return NULL;
+		copy = xmalloc(sizeof(*copy));
+		*copy = fd;
+		pthread_create(&thread, NULL, serve_connection, copy);
+		pthread_detach(thread);
+	}
+}
+
+static void setup(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t size = sizeof(address);
+	struct curl_client_settings settings = curl_client_settings_default();
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server.listener = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(server.listener, (struct sockaddr *)&address,
+			      sizeof(address)),
+			 0);
+	ck_assert_int_eq(listen(server.listener, 16), 0);
+	getsockname(server.listener, (struct sockaddr *)&address, &size);
+	server.port = ntohs(address.sin_port);
+	pthread_create(&server.thread, NULL, serve, NULL);
+	pthread_mutex_init(&reply.lock, NULL);
+	pthread_cond_init(&reply.changed, NULL);
+	client = curl_client_new(&settings);
+}
+
+static void teardown(void)
+{
+	curl_client_free(client);
+	shutdown(server.listener, SHUT_RDWR);
+	pthread_join(server.thread, NULL);
+	close(server.listener);
+	buffer_free(&reply.body);
+}
+
+static void on_started(void *arg, int32_t status, const char *content_type)
+{
+	reply.status = status;
+}
+
+static bool on_data(void *arg, const void *data, size_t size)
+{
+	bool taken = true;
+
+	pthread_mutex_lock(&reply.lock);
+	if (reply.pauses_left > 0) {
+		reply.pauses_left--;
+		reply.paused++;
+		taken = false;
+	} else {
+		buffer_add(&reply.body, data, size);
+	}
+	pthread_cond_broadcast(&reply.changed);
+	pthread_mutex_unlock(&reply.lock);
+	return taken;
+}
+
+static void on_ended(void *arg, enum http_outcome outcome, const char *message)
+{
+	pthread_mutex_lock(&reply.lock);
+	reply.ended = true;
+	reply.outcome = outcome;
+	pthread_cond_broadcast(&reply.changed);
+	pthread_mutex_unlock(&reply.lock);
+}
+
+static struct http_exchange *start(const char *path, uint16_t port,
+				   const struct http_request *like)
+{
+	struct http_request request = *like;
+	struct http_handler handler = {
+		.started = on_started, .data = on_data, .ended = on_ended};
+	char *url = xasprintf("http://127.0.0.1:%d%s", port, path);
+	struct http_exchange *exchange;
+
+	buffer_clear(&reply.body);
+	reply.ended = false;
+	reply.status = 0;
+	request.method = request.body ? "POST" : "GET";
+	request.url = url;
+	exchange = http_start(curl_client_sender(client), &request, handler);
+	free(url);
+	return exchange;
+}
+
+static enum http_outcome wait_for_end(void)
+{
+	pthread_mutex_lock(&reply.lock);
+	while (!reply.ended)
+		pthread_cond_wait(&reply.changed, &reply.lock);
+	pthread_mutex_unlock(&reply.lock);
+	return reply.outcome;
+}
+
+static enum http_outcome run(const char *path, const struct http_request *like)
+{
+	start(path, server.port, like);
+	return wait_for_end();
+}
+
+START_TEST(a_whole_answer_is_handed_over)
+{
+	struct http_request request = {.body = "x", .body_size = 1};
+
+	ck_assert_int_eq(run("/whole", &request), HTTP_COMPLETE);
+	ck_assert_int_eq(reply.status, 201);
+	ck_assert_str_eq(reply.body.data, "whole");
+}
+END_TEST
+
+START_TEST(a_refused_connection_means_that_nothing_was_sent)
+{
+	struct http_request request = {0};
+	uint16_t port = server.port;
+
+	shutdown(server.listener, SHUT_RDWR);
+	pthread_join(server.thread, NULL);
+	close(server.listener);
+	start("/whole", port, &request);
+	ck_assert_int_eq(wait_for_end(), HTTP_NOT_CONNECTED);
+	setup();
+}
+END_TEST
+
+/* The second request of a connection dies without an answer. */
+START_TEST(a_request_is_never_sent_twice_behind_the_callers_back)
+{
+	struct http_request request = {.body = "x", .body_size = 1};
+
+	ck_assert_int_eq(run("/once", &request), HTTP_COMPLETE);
+	ck_assert_int_eq(run("/once", &request), HTTP_BROKEN);
+	ck_assert_int_eq(atomic_load(&server.requests), 2);
+}
+END_TEST
+
+START_TEST(a_repeatable_request_may_be_sent_again)
+{
+	struct http_request request = {.may_resend = true};
+
+	ck_assert_int_eq(run("/once", &request), HTTP_COMPLETE);
+	ck_assert_int_eq(run("/once", &request), HTTP_BROKEN);
+	ck_assert_int_eq(atomic_load(&server.requests), 3);
+}
+END_TEST
+
+START_TEST(cut_off_answers_are_told_from_whole_ones)
+{
+	struct http_request request = {.idle_timeout_us = TGW_US_PER_S / 20};
+
+	ck_assert_int_eq(run("/short", &request), HTTP_BROKEN);
+	ck_assert_int_eq(run("/die", &request), HTTP_BROKEN);
+	ck_assert_int_eq(run("/silent", &request), HTTP_TIMED_OUT);
+	request.idle_timeout_us = 0;
+	request.total_timeout_us = TGW_US_PER_S / 20;
+	ck_assert_int_eq(run("/silent", &request), HTTP_TIMED_OUT);
+}
+END_TEST
+
+START_TEST(a_paused_answer_goes_on_without_loss)
+{
+	struct http_request request = {0};
+	struct http_exchange *exchange;
+
+	reply.pauses_left = PAUSES;
+	exchange = start("/whole", server.port, &request);
+	for (int i = 1; i <= PAUSES; i++) {
+		pthread_mutex_lock(&reply.lock);
+		while (reply.paused < i)
+			pthread_cond_wait(&reply.changed, &reply.lock);
+		ck_assert(!reply.ended);
+		pthread_mutex_unlock(&reply.lock);
+		http_resume(curl_client_sender(client), exchange);
+	}
+	ck_assert_int_eq(wait_for_end(), HTTP_COMPLETE);
+	ck_assert_str_eq(reply.body.data, "whole");
+}
+END_TEST
+
+START_TEST(cancelling_and_freeing_end_what_is_open)
+{
+	struct http_request request = {0};
+	struct http_exchange *exchange =
+		start("/silent", server.port, &request);
+
+	http_cancel(curl_client_sender(client), exchange);
+	ck_assert_int_eq(wait_for_end(), HTTP_WAS_CANCELLED);
+	start("/silent", server.port, &request);
+	curl_client_free(client);
+	client = NULL;
+	ck_assert_int_eq(wait_for_end(), HTTP_WAS_CANCELLED);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("curl_client");
+	TCase *tcase = tcase_create("exchanges");
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_test(tcase, a_whole_answer_is_handed_over);
+	tcase_add_test(tcase, a_refused_connection_means_that_nothing_was_sent);
+	tcase_add_test(tcase,
+		       a_request_is_never_sent_twice_behind_the_callers_back);
+	tcase_add_test(tcase, a_repeatable_request_may_be_sent_again);
+	tcase_add_test(tcase, cut_off_answers_are_told_from_whole_ones);
+	tcase_add_test(tcase, a_paused_answer_goes_on_without_loss);
+	tcase_add_test(tcase, cancelling_and_freeing_end_what_is_open);
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
