--- /dev/null
+++ b/src/state/record_reader.c
@@ -0,0 +1,176 @@
+#include "state/record_reader.h"
+
+#include <string.h>
+
+static const msgpack_object_array no_elements;
+
+void record_reader_open_part(struct record_reader *reader, const char *what,
+			     const msgpack_object *object)
+{
+	memset(reader, 0, sizeof(*reader));
+	reader->what = what;
+	reader->status = TGW_OK;
+	if (object->type != MSGPACK_OBJECT_ARRAY) {
+		reader->status = TGW_CORRUPT;
+		return;
+	}
+	reader->fields = object->via.array.ptr;
+	reader->field_count = object->via.array.size;
+}
+
+void record_reader_open(struct record_reader *reader, const char *what,
+			const msgpack_object *object, uint64_t newest_format)
+{
+	uint64_t format;
+
+	record_reader_open_part(reader, what, object);
+	format = record_reader_u64(reader);
+	if (reader->status != TGW_OK)
+		return;
+	if (format == 0)
+		reader->status = TGW_CORRUPT;
+	else if (format > newest_format)
+		reader->status = TGW_NEWER_FORMAT;
+}
+
+static const msgpack_object *next_field(struct record_reader *reader)
+{
+	if (reader->status != TGW_OK)
+		return NULL;
+	if (reader->next == reader->field_count) {
+		reader->status = TGW_CORRUPT;
+		return NULL;
+	}
+	return &reader->fields[reader->next++];
+}
+
+static const msgpack_object *next_typed(struct record_reader *reader,
+					msgpack_object_type type)
+{
+	const msgpack_object *field = next_field(reader);
+
+	if (field && field->type != type) {
+		reader->status = TGW_CORRUPT;
+		return NULL;
+	}
+	return field;
+}
+
+uint64_t record_reader_u64(struct record_reader *reader)
+{
+	const msgpack_object *field =
+		next_typed(reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	return field ? field->via.u64 : 0;
+}
+
+int64_t record_reader_i64(struct record_reader *reader)
+{
+	const msgpack_object *field = next_field(reader);
+
+	if (!field)
+		return 0;
+	if (field->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		return field->via.i64;
+	if (field->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	    field->via.u64 <= INT64_MAX)
+		return (int64_t)field->via.u64;
+	reader->status = TGW_CORRUPT;
+	return 0;
+}
+
+bool record_reader_bool(struct record_reader *reader)
+{
+	const msgpack_object *field =
+		next_typed(reader, MSGPACK_OBJECT_BOOLEAN);
+
+	return field && field->via.boolean;
+}
+
+void record_reader_text(struct record_reader *reader, char *text, size_t size)
+{
+	const msgpack_object *field = next_typed(reader, MSGPACK_OBJECT_STR);
+
+	text[0] = '\0';
+	if (!field)
+		return;
+	if (field->via.str.size >= size ||
+	    (field->via.str.size &&
+	     memchr(field->via.str.ptr, '\0', field->via.str.size))) {
+		reader->status = TGW_CORRUPT;
+		return;
+	}
+	if (field->via.str.size)
+		memcpy(text, field->via.str.ptr, field->via.str.size);
+	text[field->via.str.size] = '\0';
+}
+
+const char *record_reader_blob(struct record_reader *reader, size_t *size)
+{
+	const msgpack_object *field = next_typed(reader, MSGPACK_OBJECT_BIN);
+
+	*size = field ? field->via.bin.size : 0;
+	return field ? field->via.bin.ptr : NULL;
+}
+
+void record_reader_bytes(struct record_reader *reader, void *bytes, size_t size)
+{
+	size_t found;
+	const char *blob = record_reader_blob(reader, &found);
+
+	memset(bytes, 0, size);
+	if (reader->status != TGW_OK)
+		return;
+	if (found != size) {
+		reader->status = TGW_CORRUPT;
+		return;
+	}
+	memcpy(bytes, blob, size);
+}
+
+const msgpack_object_array *record_reader_array(struct record_reader *reader,
+						size_t max_count)
+{
+	const msgpack_object *field = next_typed(reader, MSGPACK_OBJECT_ARRAY);
+
+	if (!field)
+		return &no_elements;
+	if (field->via.array.size > max_count) {
+		reader->status = TGW_CORRUPT;
+		return &no_elements;
+	}
+	return &field->via.array;
+}
+
+enum tgw_status record_reader_finish(const struct record_reader *reader,
+				     struct tgw_error *error)
+{
+	switch (reader->status) {
+	case TGW_OK:
+		return TGW_OK;
+	case TGW_NEWER_FORMAT:
+		return tgw_error_set(error, TGW_NEWER_FORMAT,
+				     "%s was written by a newer version; "
+				     "upgrade this program",
+				     reader->what);
+	default:
+		return tgw_error_set(error, reader->status,
+				     "%s does not decode at field %zu; "
+				     "restore it from an earlier generation",
+				     reader->what, reader->next);
+	}
+}
+
+void record_pack_text(msgpack_packer *packer, const char *text)
+{
+	size_t size = strlen(text);
+
+	msgpack_pack_str(packer, size);
+	msgpack_pack_str_body(packer, text, size);
+}
+
+void record_pack_bytes(msgpack_packer *packer, const void *bytes, size_t size)
+{
+	msgpack_pack_bin(packer, size);
+	msgpack_pack_bin_body(packer, bytes, size);
+}
--- /dev/null
+++ b/src/state/record_reader.h
@@ -0,0 +1,59 @@
+/**
+ * @file record_reader.h
+ * Reads the fields of a MessagePack array one after the other. The first
+ * field that has the wrong type, or does not fit, ends the reading.
+ */
+#ifndef STATE_RECORD_READER_H
+#define STATE_RECORD_READER_H
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "tamarackgw/status.h"
+
+struct record_reader {
+	const char *what; /**< named in the error message */
+	const msgpack_object *fields;
+	size_t field_count;
+	size_t next;
+	enum tgw_status status; /**< OK until a field was wrong */
+};
+
+/** Opens an array that begins with a format version.
+ * NEWER_FORMAT when that version is above the newest known one. */
+void record_reader_open(struct record_reader *reader, const char *what,
+			const msgpack_object *object, uint64_t newest_format);
+
+/** Opens an array without a format version, such as one within another. */
+void record_reader_open_part(struct record_reader *reader, const char *what,
+			     const msgpack_object *object);
+
+uint64_t record_reader_u64(struct record_reader *reader);
+int64_t record_reader_i64(struct record_reader *reader);
+bool record_reader_bool(struct record_reader *reader);
+
+/** Copies a string; one that does not fit is an error. */
+void record_reader_text(struct record_reader *reader, char *text, size_t size);
+
+/** Copies a byte string of exactly this size. */
+void record_reader_bytes(struct record_reader *reader, void *bytes,
+			 size_t size);
+
+/** @return the bytes of a field, which live as long as the object */
+const char *record_reader_blob(struct record_reader *reader, size_t *size);
+
+/** @return the array in the next field; with no elements when it is wrong */
+const msgpack_object_array *record_reader_array(struct record_reader *reader,
+						size_t max_count);
+
+/** @return the status, with a message when it is not OK */
+enum tgw_status record_reader_finish(const struct record_reader *reader,
+				     struct tgw_error *error);
+
+/** Adds a string, or a byte string, to a packer. */
+void record_pack_text(msgpack_packer *packer, const char *text);
+void record_pack_bytes(msgpack_packer *packer, const void *bytes, size_t size);
+
+#endif
