--- /dev/null
+++ b/src/daemon/pages.c
@@ -0,0 +1,243 @@
+#include "daemon/pages.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <urcu.h>
+
+#include "base/xalloc.h"
+#include "daemon/log.h"
+#include "daemon/metrics_page.h"
+#include "daemon/status_page.h"
+
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_FORBIDDEN 403
+#define HTTP_UNAVAILABLE 503
+
+#define PAGE_WAIT_S 2
+#define STUCK_AFTER_US (5 * TGW_US_PER_S)
+
+struct pages {
+	struct runtime *runtime;
+	const struct etcd_store *etcd;
+	const struct zmq_channel *channel;
+	const struct gateway *gateway;
+	struct operator_keys *operators; /* NULL: no operators' pages */
+	_Atomic int64_t alive_us;
+};
+
+/** A page that the coordination thread writes while a request waits. */
+struct page_job {
+	const struct pages *pages;
+	void (*write)(const struct pages *pages, struct buffer *text);
+	pthread_mutex_t lock;
+	pthread_cond_t written_signal;
+	bool written;
+	int holders; /* the waiting thread and the posted letter */
+	struct buffer text;
+};
+
+static void job_release(struct page_job *job)
+{
+	int holders;
+
+	pthread_mutex_lock(&job->lock);
+	holders = --job->holders;
+	pthread_mutex_unlock(&job->lock);
+	if (holders)
+		return;
+	pthread_cond_destroy(&job->written_signal);
+	pthread_mutex_destroy(&job->lock);
+	buffer_free(&job->text);
+	free(job);
+}
+
+static void run_job(void *arg)
+{
+	struct page_job *job = arg;
+
+	pthread_mutex_lock(&job->lock);
+	job->write(job->pages, &job->text);
+	job->written = true;
+	pthread_cond_signal(&job->written_signal);
+	pthread_mutex_unlock(&job->lock);
+	job_release(job);
+}
+
+static bool job_wait(struct page_job *job)
+{
+	struct timespec until;
+	int failed = 0;
+	bool written;
+
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_sec += PAGE_WAIT_S;
+	pthread_mutex_lock(&job->lock);
+	while (!job->written && !failed)
+		failed = pthread_cond_timedwait(&job->written_signal,
+						&job->lock, &until);
+	written = job->written;
+	pthread_mutex_unlock(&job->lock);
+	return written;
+}
+
+static int32_t write_on_coordination(const struct pages *pages,
+				     void (*write)(const struct pages *pages,
+						   struct buffer *text),
+				     struct buffer *answer)
+{
+	struct page_job *job = xcalloc(1, sizeof(*job));
+	int32_t status = HTTP_UNAVAILABLE;
+
+	job->pages = pages;
+	job->write = write;
+	job->holders = 2;
+	pthread_mutex_init(&job->lock, NULL);
+	pthread_cond_init(&job->written_signal, NULL);
+	executor_post(pages->runtime->coordination, run_job, job);
+	if (job_wait(job)) {
+		buffer_add(answer, job->text.data, job->text.size);
+		status = HTTP_OK;
+	} else {
+		buffer_add_text(answer, "the host is overloaded\n");
+	}
+	job_release(job);
+	return status;
+}
+
+static void write_metrics(const struct pages *pages, struct buffer *text)
+{
+	metrics_page_write(pages->runtime, pages->etcd, pages->channel, text);
+	if (pages->gateway)
+		gateway_write_metrics(pages->gateway, text);
+}
+
+static void write_status(const struct pages *pages, struct buffer *text)
+{
+	status_page_write(pages->runtime, text);
+}
+
+static bool is_alive(const struct pages *pages)
+{
+	int64_t now_us = tgw_clock_monotonic_us(pages->runtime->clock);
+
+	return now_us - pages->alive_us < STUCK_AFTER_US;
+}
+
+static int32_t serve_health(const struct pages *pages, struct buffer *answer)
+{
+	if (!is_alive(pages)) {
+		buffer_add_text(answer, "stuck\n");
+		return HTTP_UNAVAILABLE;
+	}
+	buffer_add_text(answer, "ok\n");
+	return HTTP_OK;
+}
+
+static int32_t serve_readiness(const struct pages *pages, struct buffer *answer)
+{
+	const struct tgw_config_snapshot *config;
+	uint64_t generation;
+
+	if (atomic_load(&pages->runtime->stopping)) {
+		buffer_add_text(answer, "stopping\n");
+		return HTTP_UNAVAILABLE;
+	}
+	rcu_read_lock();
+	config = rcu_dereference(pages->runtime->config);
+	generation = config->generation;
+	rcu_read_unlock();
+	if (!generation || !is_alive(pages)) {
+		buffer_add_text(answer, "no configuration yet\n");
+		return HTTP_UNAVAILABLE;
+	}
+	buffer_add_text(answer, "ready\n");
+	return HTTP_OK;
+}
+
+static int32_t serve_log_level(const char *body, size_t size,
+			       struct buffer *answer)
+{
+	enum log_level level;
+	char name[TGW_NAME_SIZE];
+
+	if (size >= sizeof(name))
+		size = sizeof(name) - 1;
+	memcpy(name, body, size);
+	name[size] = '\0';
+	name[strcspn(name, "\r\n ")] = '\0';
+	if (!log_level_parse(name, &level)) {
+		buffer_add_text(answer, "give error, warning, info or debug\n");
+		return HTTP_BAD_REQUEST;
+	}
+	log_set_level(level);
+	log_line(LOG_DAEMON, LOG_INFO, NULL, "The log level is %s.", name);
+	buffer_add_text(answer, "ok\n");
+	return HTTP_OK;
+}
+
+static int32_t serve_operator(struct pages *pages, const char *method,
+			      const char *path, const char *body, size_t size,
+			      struct buffer *answer, const char **type)
+{
+	if (!strcmp(path, "/status") && !strcmp(method, "GET")) {
+		*type = "application/json";
+		return write_on_coordination(pages, write_status, answer);
+	}
+	if (!strcmp(path, "/log-level") && !strcmp(method, "POST"))
+		return serve_log_level(body, size, answer);
+	return 0;
+}
+
+static int32_t serve(void *arg, const char *method, const char *path,
+		     const char *authorization, const char *body,
+		     size_t body_size, struct buffer *answer,
+		     const char **content_type)
+{
+	struct pages *pages = arg;
+
+	*content_type = "text/plain";
+	if (!strcmp(path, "/healthz"))
+		return serve_health(pages, answer);
+	if (!strcmp(path, "/readyz"))
+		return serve_readiness(pages, answer);
+	if (!strcmp(path, "/metrics"))
+		return write_on_coordination(pages, write_metrics, answer);
+	return serve_operator(pages, method, path, body, body_size, answer,
+			      content_type);
+}
+
+struct pages *pages_new(struct runtime *runtime, const struct etcd_store *etcd,
+			const struct zmq_channel *channel,
+			struct tgw_error *error)
+{
+	struct pages *pages = xcalloc(1, sizeof(*pages));
+
+	pages->runtime = runtime;
+	pages->etcd = etcd;
+	pages->channel = channel;
+	pages_note_alive(pages);
+	return pages;
+}
+
+void pages_free(struct pages *pages)
+{
+	free(pages);
+}
+
+void pages_set_gateway(struct pages *pages, const struct gateway *gateway)
+{
+	pages->gateway = gateway;
+}
+
+void pages_note_alive(struct pages *pages)
+{
+	pages->alive_us = tgw_clock_monotonic_us(pages->runtime->clock);
+}
+
+struct gateway_pages pages_table(struct pages *pages)
+{
+	return (struct gateway_pages){.serve = serve, .arg = pages};
+}
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -198,7 +198,7 @@
 			 setting->size - 1);
 		return refuse(reading, setting->section, setting->key, remedy);
 	}
-	strcpy(text_of(reading->settings, setting), value);
+	memcpy(text_of(reading->settings, setting), value, strlen(value) + 1);
 	return 1;
 }
 
@@ -249,6 +249,17 @@
 	return end != colon + 1 && !*end && port >= 0 && port <= UINT16_MAX;
 }
 
+static bool is_log_level(const char *name)
+{
+	static const char *const levels[] = {"error", "warning", "info",
+					     "debug"};
+
+	for (size_t i = 0; i < sizeof(levels) / sizeof(levels[0]); i++)
+		if (!strcmp(levels[i], name))
+			return true;
+	return false;
+}
+
 static enum tgw_status check_together(const struct settings *settings,
 				      const char *path, struct tgw_error *error)
 {
@@ -274,6 +285,11 @@
 				     "%s: [limits] default_deadline_ms must "
 				     "not be above max_deadline_ms",
 				     path);
+	if (!is_log_level(settings->log_level))
+		return tgw_error_set(error, TGW_INVALID,
+				     "%s: [log] level: '%s' is not one of "
+				     "error, warning, info, debug",
+				     path, settings->log_level);
 	return TGW_OK;
 }
 
@@ -321,7 +337,8 @@
 		section = setting->section;
 		printf("; %s\n", setting->help);
 		if (setting->type == SETTING_TEXT)
-			printf("%s = %s\n", setting->key,
+			printf("%s =%s%s\n", setting->key,
+			       *text_of(settings, setting) ? " " : "",
 			       text_of(settings, setting));
 		else
 			printf("; %" PRId64 " to %" PRId64 "\n%s = %" PRId64
--- a/src/protocol/etcd_store.c
+++ b/src/protocol/etcd_store.c
@@ -173,6 +173,7 @@
 		.body_size = strlen(body),
 		.connect_timeout_us = owner->timeout_us,
 		.total_timeout_us = owner->timeout_us,
+		.may_resend = kind != CALL_SWAP,
 	};
 	struct http_handler handler = {
 		.started = call_started,
--- a/src/protocol/host_list.c
+++ b/src/protocol/host_list.c
@@ -33,7 +33,7 @@
 
 	if (!value || !*value || strlen(value) >= size)
 		return false;
-	strcpy(text, value);
+	memcpy(text, value, strlen(value) + 1);
 	return true;
 }
 
--- a/src/transport/zmq_channel.c
+++ b/src/transport/zmq_channel.c
@@ -193,6 +193,12 @@
 	return &channel->peer;
 }
 
+void zmq_channel_bound_url(const struct zmq_channel *channel, char *url,
+			   size_t url_size)
+{
+	zmq_getsockopt(channel->receiver, ZMQ_LAST_ENDPOINT, url, &url_size);
+}
+
 static void want_host(struct zmq_channel *channel, const struct tgw_host *host)
 {
 	struct link *link = find_link(channel, host->name);
--- a/src/transport/zmq_channel.h
+++ b/src/transport/zmq_channel.h
@@ -51,6 +51,10 @@
 
 struct tgw_peer *zmq_channel_peer(struct zmq_channel *channel);
 
+/** The address that hosts reach, also when the port was left open. */
+void zmq_channel_bound_url(const struct zmq_channel *channel, char *url,
+			   size_t url_size);
+
 /** Takes over addresses; connections to hosts that are gone are closed. */
 void zmq_channel_set_hosts(struct zmq_channel *channel,
 			   const struct tgw_host_view *view);
--- /dev/null
+++ b/tests/unit/test_zmq_channel.c
@@ -0,0 +1,199 @@
+/* The peer channel on real sockets. */
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "protocol/peer_frame.h"
+#include "transport/zmq_channel.h"
+#include "unit/unit_main.h"
+
+#define ROUNDS 200
+#define ROUND_MS 10
+
+struct end {
+	struct zmq_channel *channel;
+	struct tgw_host host;
+	int received;
+	char last[64];
+	char last_from[TGW_NAME_SIZE];
+};
+
+static void note(void *arg, const struct tgw_peer_message *message)
+{
+	struct end *end = arg;
+
+	end->received++;
+	snprintf(end->last, sizeof(end->last), "%.*s",
+		 (int)message->payload_size, (const char *)message->payload);
+	snprintf(end->last_from, sizeof(end->last_from), "%s",
+		 message->from_host);
+}
+
+static void make_keys(struct zmq_channel_keys *keys)
+{
+	ck_assert_int_eq(zmq_curve_keypair(keys->public_key, keys->secret_key),
+			 0);
+}
+
+/* Listens on a port that the system chooses. */
+static void open_end(struct end *end, const char *name,
+		     const struct zmq_channel_keys *keys)
+{
+	struct zmq_channel_settings settings = {
+		.bind_url = "tcp://127.0.0.1:*",
+		.host_name = name,
+		.incarnation = 42,
+		.receive = note,
+		.arg = end,
+	};
+	struct tgw_error error;
+
+	memset(end, 0, sizeof(*end));
+	snprintf(end->host.name, sizeof(end->host.name), "%s", name);
+	if (keys)
+		settings.keys = *keys;
+	end->channel = zmq_channel_new(&settings, &error);
+	ck_assert_msg(end->channel != NULL, "%s", error.message);
+	zmq_channel_bound_url(end->channel, end->host.peer_url,
+			      sizeof(end->host.peer_url));
+}
+
+static void introduce(struct end *from, struct end *to)
+{
+	struct tgw_host hosts[2] = {from->host, to->host};
+	struct tgw_host_view view = {.host_count = 2, .hosts = hosts};
+
+	zmq_channel_set_hosts(from->channel, &view);
+}
+
+static void say(struct end *from, struct end *to, const char *text)
+{
+	ck_assert_int_eq(tgw_peer_send(zmq_channel_peer(from->channel),
+				       to->host.name, TGW_PEER_BUDGET, text,
+				       strlen(text)),
+			 TGW_OK);
+}
+
+static void exchange(struct end *a, struct end *b, int until_received)
+{
+	for (int i = 0; i < ROUNDS && b->received < until_received; i++) {
+		zmq_channel_receive(a->channel);
+		zmq_channel_receive(b->channel);
+		poll(NULL, 0, ROUND_MS);
+	}
+}
+
+static void close_ends(struct end *a, struct end *b)
+{
+	zmq_channel_free(a->channel);
+	zmq_channel_free(b->channel);
+}
+
+START_TEST(a_host_of_the_fleet_is_heard)
+{
+	struct zmq_channel_keys keys;
+	struct end a;
+	struct end b;
+
+	make_keys(&keys);
+	open_end(&a, "a", _i ? &keys : NULL);
+	open_end(&b, "b", _i ? &keys : NULL);
+	introduce(&a, &b);
+	say(&a, &b, "hello");
+	exchange(&a, &b, 1);
+	ck_assert_int_eq(b.received, 1);
+	ck_assert_str_eq(b.last, "hello");
+	ck_assert_str_eq(b.last_from, "a");
+	close_ends(&a, &b);
+}
+END_TEST
+
+START_TEST(a_stranger_is_refused)
+{
+	struct zmq_channel_keys keys;
+	struct zmq_channel_keys other;
+	struct end a;
+	struct end b;
+	struct end c;
+
+	make_keys(&keys);
+	make_keys(&other);
+	/* The stranger knows the fleet's public key but not its secret. */
+	memcpy(other.public_key, _i ? keys.public_key : other.public_key,
+	       sizeof(other.public_key));
+	open_end(&a, "stranger", &other);
+	open_end(&b, "b", &keys);
+	open_end(&c, "c", &keys);
+	introduce(&a, &b);
+	introduce(&c, &b);
+	say(&a, &b, "let me in");
+	say(&c, &b, "hello");
+	for (int i = 0; i < ROUNDS && b.received < 1; i++) {
+		zmq_channel_receive(a.channel);
+		zmq_channel_receive(b.channel);
+		poll(NULL, 0, ROUND_MS);
+	}
+	ck_assert_int_eq(b.received, 1);
+	ck_assert_str_eq(b.last_from, "c");
+	zmq_channel_free(c.channel);
+	close_ends(&a, &b);
+}
+END_TEST
+
+START_TEST(an_unknown_host_has_no_address)
+{
+	struct end a;
+	struct end b;
+
+	open_end(&a, "a", NULL);
+	open_end(&b, "b", NULL);
+	ck_assert_int_eq(tgw_peer_send(zmq_channel_peer(a.channel), "nobody",
+				       TGW_PEER_BUDGET, "x", 1),
+			 TGW_NOT_FOUND);
+	close_ends(&a, &b);
+}
+END_TEST
+
+static const struct frame_case {
+	const char *name;
+	size_t size;
+	const char *bytes;
+	enum tgw_status status;
+} frames[] = {
+	{"empty", 0, "", TGW_CORRUPT},
+	{"no array", 1, "\x01", TGW_CORRUPT},
+	{"a newer format", 2, "\x91\x02", TGW_NEWER_FORMAT},
+	{"too few fields", 3, "\x92\x01\xa1", TGW_CORRUPT},
+	{"an empty name", 5, "\x94\x01\xa0\x05\x01", TGW_CORRUPT},
+	{"topic zero", 6, "\x94\x01\xa1h\x05\x00", TGW_CORRUPT},
+	{"an unknown topic", 6, "\x94\x01\xa1h\x05\x63", TGW_CORRUPT},
+	{"bytes left over", 7, "\x94\x01\xa1h\x05\x01\x01", TGW_CORRUPT},
+	{"a sound head", 6, "\x94\x01\xa1h\x05\x01", TGW_OK},
+};
+
+START_TEST(heads_are_checked)
+{
+	struct peer_frame frame;
+	struct tgw_error error = {0};
+
+	ck_assert_msg(peer_frame_decode(&frame, frames[_i].bytes,
+					frames[_i].size,
+					&error) == frames[_i].status,
+		      "%s: %s", frames[_i].name, error.message);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("zmq_channel");
+	TCase *tcase = tcase_create("channel");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(tcase, a_host_of_the_fleet_is_heard, 0, 2);
+	tcase_add_loop_test(tcase, a_stranger_is_refused, 0, 2);
+	tcase_add_test(tcase, an_unknown_host_has_no_address);
+	tcase_add_loop_test(tcase, heads_are_checked, 0,
+			    sizeof(frames) / sizeof(frames[0]));
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
