Add stand-ins of the platform, model engines and plain services

Tests, the quickstart and the measures need something to talk to that speaks docs/design/interfaces.md and fails on order.

The answer of the engine is derived from the prompt, so that a client can tell whether it got the whole answer to its own request. Cutting single clients off by a header is left out: no interface carries such a header.

tests/cram/standins.t is the contract test. With the fencing check, the priority order, lost answers, the list's lag and the watches' range switched off in turn it was seen to fail on the lines that name them.

--- /dev/null
+++ b/tests/standins/platform/base64.h
@@ -0,0 +1,23 @@
+/**
+ * @file base64.h
+ * Byte strings inside JSON values.
+ */
+#ifndef STANDINS_PLATFORM_BASE64_H
+#define STANDINS_PLATFORM_BASE64_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+/** @return a JSON string of the bytes in base64 */
+json_t *base64_encode(const char *data, size_t size);
+
+/**
+ * Decodes a field. A field that is missing gives NULL and size 0.
+ * @param bytes to be released with free()
+ * @return false when the field is not base64
+ */
+bool base64_field(const json_t *object, const char *name, char **bytes,
+		  size_t *size);
+
+#endif
--- /dev/null
+++ b/tests/standins/platform/platform.h
@@ -0,0 +1,69 @@
+/**
+ * @file platform.h
+ * Stand-in of the platform: its key-value service and its list of hosts,
+ * with faults to order and a count of every call.
+ */
+#ifndef STANDINS_PLATFORM_PLATFORM_H
+#define STANDINS_PLATFORM_PLATFORM_H
+
+#include <pthread.h>
+
+#include "standins/common/standin_http.h"
+#include "standins/platform/host_list.h"
+#include "standins/platform/kv.h"
+
+/** Kinds of calls that are counted. */
+enum platform_call {
+	CALL_RANGE,
+	CALL_PUT,
+	CALL_TXN,
+	CALL_DELETE,
+	CALL_WATCH,
+	CALL_LEASE,
+	CALL_HOSTS,
+	CALL_KIND_COUNT
+};
+
+struct platform {
+	pthread_mutex_t lock;
+	pthread_cond_t changed; /* the revision, or the faults */
+	struct kv *kv;
+	struct host_list *hosts;
+	int64_t calls[CALL_KIND_COUNT];
+	int64_t watches_waiting;
+	int64_t bytes_in;
+	int64_t bytes_out;
+	/* Faults */
+	bool outage;	    /* the store answers nothing */
+	bool list_outage;   /* the list answers nothing */
+	int64_t slow_us;    /* added to each call of the store */
+	int64_t lose_count; /* writes whose answers will be lost */
+};
+
+/** Answers /v3/... */
+enum MHD_Result store_api_serve(struct platform *platform,
+				struct standin_call *call);
+
+/** Answers /v3/watch with a stream that goes on until it is cut off. */
+enum MHD_Result store_watch_serve(struct platform *platform,
+				  struct standin_call *call,
+				  const json_t *request);
+
+/** Answers /admin/... */
+enum MHD_Result admin_serve(struct platform *platform,
+			    struct standin_call *call);
+
+/** The JSON form of a key. */
+json_t *store_api_entry(const struct kv_entry *entry, bool keys_only);
+
+/** Reads key and range_end. @return false when they are malformed */
+bool store_api_range(const json_t *request, struct kv_range *range);
+
+void store_api_range_free(struct kv_range *range);
+
+/** A 64-bit number, as string or as number; 0 when missing. */
+int64_t store_api_number(const json_t *object, const char *name);
+
+json_t *store_api_number_text(int64_t number);
+
+#endif
