Keep the configuration in shards under one manifest

Changes must be in force everywhere in seconds, never revert, and carry their audit entry. One value for all was ruled out (35,000 teams are over 4 MB), one key for each object too (no single commit point). The manifest holds shard references and the latest deltas with their audit entries, so that one compare-and-swap commits both; followers step by deltas and read only shards that they miss, from the store or from two agreeing hosts.

--- a/include/tamarackgw/config_snapshot.h
+++ b/include/tamarackgw/config_snapshot.h
@@ -61,7 +61,8 @@
 	size_t key_count;
 	/** BLAKE2b of each caller key; the key itself is kept nowhere. */
 	uint8_t key_hashes[TGW_TEAM_KEYS_MAX][TGW_KEY_HASH_BYTES];
-	const struct tgw_template *template; /**< in the same snapshot */
+	/** In the same snapshot; the team's own parameters are worked in. */
+	const struct tgw_template *template;
 };
 
 /** What runs on a backend server. */
@@ -107,6 +108,9 @@
 	struct tgw_config_index *index; /**< for the look-ups below */
 };
 
+const struct tgw_template *tgw_config_find_template(
+	const struct tgw_config_snapshot *config, const char *name);
+
 const struct tgw_team *tgw_config_find_team(
 	const struct tgw_config_snapshot *config, const char *name);
 
--- /dev/null
+++ b/src/coordination/config_fetch.c
@@ -0,0 +1,133 @@
+#include "coordination/config_fetch.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+
+static bool has_shard(const struct config_fetch *fetch, uint32_t shard,
+		      const struct config_set *sorted)
+{
+	const struct config_shard_ref *ref = &fetch->manifest.shards[shard];
+	uint8_t digest[CONFIG_DIGEST_BYTES];
+	msgpack_sbuffer value;
+	size_t count;
+
+	msgpack_sbuffer_init(&value);
+	count = config_shard_encode(sorted, shard, &value);
+	config_digest(value.data, value.size, digest);
+	msgpack_sbuffer_destroy(&value);
+	if (!ref->generation || !count)
+		return !ref->generation && !count;
+	return !memcmp(digest, ref->digest, sizeof(digest));
+}
+
+static void find_missing(struct config_fetch *fetch)
+{
+	fetch->missing_count = 0;
+	memset(fetch->shards, 0, sizeof(fetch->shards));
+	for (uint32_t i = 0; i < CONFIG_SHARD_COUNT; i++) {
+		if (has_shard(fetch, i, &fetch->base))
+			continue;
+		config_set_drop_shard(&fetch->base, i);
+		if (!fetch->manifest.shards[i].generation)
+			continue;
+		fetch->shards[i].missing = true;
+		fetch->missing_count++;
+	}
+}
+
+void config_fetch_start(struct config_fetch *fetch,
+			struct config_manifest *manifest, const void *value,
+			size_t value_size, const struct config_set *set)
+{
+	if (!fetch->active)
+		config_set_copy(&fetch->base, set);
+	fetch->active = true;
+	config_manifest_clear(&fetch->manifest);
+	fetch->manifest = *manifest;
+	memset(manifest, 0, sizeof(*manifest));
+	free(fetch->value);
+	fetch->value = xmemdup(value, value_size);
+	fetch->value_size = value_size;
+	config_set_sort(&fetch->base);
+	find_missing(fetch);
+}
+
+static bool is_under_way(const struct config_fetch_shard *shard, int64_t now_us,
+			 int64_t timeout_us)
+{
+	return shard->missing && shard->asked_at_us &&
+	       now_us - shard->asked_at_us < timeout_us;
+}
+
+int32_t config_fetch_next(const struct config_fetch *fetch, int64_t now_us,
+			  int64_t timeout_us)
+{
+	for (uint32_t i = 0; i < CONFIG_SHARD_COUNT; i++)
+		if (fetch->shards[i].missing &&
+		    !is_under_way(&fetch->shards[i], now_us, timeout_us))
+			return (int32_t)i;
+	return -1;
+}
+
+size_t config_fetch_under_way(const struct config_fetch *fetch, int64_t now_us,
+			      int64_t timeout_us)
+{
+	size_t count = 0;
+
+	for (uint32_t i = 0; i < CONFIG_SHARD_COUNT; i++)
+		count += is_under_way(&fetch->shards[i], now_us, timeout_us);
+	return count;
+}
+
+enum tgw_status config_fetch_take(struct config_fetch *fetch, uint32_t shard,
+				  const void *value, size_t value_size,
+				  struct tgw_error *error)
+{
+	struct config_fetch_shard *wanted = &fetch->shards[shard];
+	uint8_t digest[CONFIG_DIGEST_BYTES];
+	enum tgw_status status;
+
+	if (!wanted->missing)
+		return TGW_OK;
+	config_digest(value, value_size, digest);
+	if (sodium_memcmp(digest, fetch->manifest.shards[shard].digest,
+			  sizeof(digest)) != 0)
+		return tgw_error_set(error, TGW_CORRUPT,
+				     "shard %u is not the one that the "
+				     "manifest names",
+				     shard);
+	status = config_shard_decode(&fetch->base, shard, value, value_size,
+				     error);
+	if (status != TGW_OK) {
+		config_set_drop_shard(&fetch->base, shard);
+		return status;
+	}
+	wanted->missing = false;
+	fetch->missing_count--;
+	return TGW_OK;
+}
+
+enum tgw_status config_fetch_finish(struct config_fetch *fetch,
+				    struct config_set *set,
+				    struct tgw_error *error)
+{
+	if (!config_set_sort(&fetch->base))
+		return tgw_error_set(error, TGW_CORRUPT,
+				     "an object stands in a shard twice; "
+				     "publish the configuration anew");
+	config_set_copy(set, &fetch->base);
+	return config_manifest_apply(&fetch->manifest,
+				     fetch->manifest.folded_generation, set,
+				     error);
+}
+
+void config_fetch_clear(struct config_fetch *fetch)
+{
+	config_manifest_clear(&fetch->manifest);
+	config_set_clear(&fetch->base);
+	free(fetch->value);
+	memset(fetch, 0, sizeof(*fetch));
+}
--- /dev/null
+++ b/src/coordination/config_peers.c
@@ -0,0 +1,132 @@
+#include "coordination/config_peers.h"
+
+#include <string.h>
+
+static bool may_help(const struct tgw_host_view *view,
+		     const struct tgw_host *host, uint64_t generation)
+{
+	return host != tgw_host_view_self(view) &&
+	       (host->state == TGW_HOST_ALIVE ||
+		host->state == TGW_HOST_LEAVING) &&
+	       host->config_generation >= generation;
+}
+
+const struct tgw_host *config_peers_pick(const struct tgw_host_view *view,
+					 struct tgw_random *random,
+					 uint64_t generation)
+{
+	const struct tgw_host *self = tgw_host_view_self(view);
+	const struct tgw_host *near = NULL;
+	const struct tgw_host *far = NULL;
+	uint64_t near_count = 0;
+	uint64_t far_count = 0;
+
+	for (size_t i = 0; i < view->host_count; i++) {
+		const struct tgw_host *host = &view->hosts[i];
+
+		if (!may_help(view, host, generation))
+			continue;
+		if (!strcmp(host->failure_domain, self->failure_domain)) {
+			if (!tgw_random_below(random, ++near_count))
+				near = host;
+		} else if (!tgw_random_below(random, ++far_count)) {
+			far = host;
+		}
+	}
+	return near ? near : far;
+}
+
+uint64_t config_peers_newest(const struct tgw_host_view *view)
+{
+	uint64_t newest = 0;
+
+	for (size_t i = 0; i < view->host_count; i++) {
+		const struct tgw_host *host = &view->hosts[i];
+
+		if (may_help(view, host, 0) && host->config_generation > newest)
+			newest = host->config_generation;
+	}
+	return newest;
+}
+
+size_t config_peers_count(const struct tgw_host_view *view)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < view->host_count; i++)
+		count += may_help(view, &view->hosts[i], 0);
+	return count;
+}
+
+size_t config_peers_send(struct tgw_peer *peer, const char *to,
+			 const struct config_message *message)
+{
+	msgpack_sbuffer payload;
+	size_t sent = 0;
+
+	msgpack_sbuffer_init(&payload);
+	config_message_encode(message, &payload);
+	if (payload.size <= TGW_PEER_PAYLOAD_MAX_BYTES &&
+	    tgw_peer_send(peer, to, TGW_PEER_CONFIG, payload.data,
+			  payload.size) == TGW_OK)
+		sent = payload.size;
+	msgpack_sbuffer_destroy(&payload);
+	return sent;
+}
+
+static size_t answer_manifest(struct tgw_peer *peer,
+			      const struct config_state *state, const char *to)
+{
+	struct config_message message = {
+		.kind = CONFIG_MANIFEST,
+		.value = state->value,
+		.value_size = state->value_size,
+	};
+
+	if (!state->manifest.generation)
+		return 0;
+	return config_peers_send(peer, to, &message);
+}
+
+static size_t answer_shard(struct tgw_peer *peer,
+			   const struct config_state *state, const char *to,
+			   const struct config_message *question)
+{
+	const struct config_shard_ref *ref =
+		&state->manifest.shards[question->shard];
+	struct config_message message = {
+		.kind = CONFIG_SHARD,
+		.shard = question->shard,
+	};
+	size_t sent = 0;
+	msgpack_sbuffer value;
+
+	if (!ref->generation ||
+	    memcmp(ref->digest, question->digest, sizeof(ref->digest)) != 0)
+		return 0;
+	memcpy(message.digest, ref->digest, sizeof(ref->digest));
+	msgpack_sbuffer_init(&value);
+	if (config_manifest_encode_shard(&state->manifest, &state->set,
+					 question->shard, &value,
+					 NULL) == TGW_OK) {
+		message.value = value.data;
+		message.value_size = value.size;
+		sent = config_peers_send(peer, to, &message);
+	}
+	msgpack_sbuffer_destroy(&value);
+	return sent;
+}
+
+size_t config_peers_answer(struct tgw_peer *peer,
+			   const struct config_state *state, const char *to,
+			   const struct config_message *question)
+{
+	switch (question->kind) {
+	case CONFIG_WANT_MANIFEST:
+		return answer_manifest(peer, state, to);
+	case CONFIG_WANT_SHARD:
+		return answer_shard(peer, state, to, question);
+	default:
+		return 0;
+	}
+}
--- /dev/null
+++ b/src/coordination/member.c
@@ -0,0 +1,138 @@
+#include "coordination/member.h"
+
+#include <string.h>
+
+#include "state/heartbeat.h"
+#include "tamarackgw/clock.h"
+
+/* A host that fell silent must show steady life this long to be alive. */
+#define RETURN_HOLD_US (2 * TGW_US_PER_S)
+#define RETURN_HOLD_MAX_US (60 * TGW_US_PER_S)
+
+/* Drops that are further apart don't lengthen the hold. */
+#define DROP_MEMORY_US (600 * TGW_US_PER_S)
+
+void member_init(struct member *member, const char *name, int64_t now_us)
+{
+	memset(member, 0, sizeof(*member));
+	strncpy(member->host.name, name, sizeof(member->host.name) - 1);
+	member->name_hash = heartbeat_name_hash(name);
+	member->host.state = TGW_HOST_SILENT;
+	member->silent_at_us = now_us;
+	member->unlisted_at_us = now_us;
+}
+
+bool member_on_incarnation(struct member *member, uint64_t incarnation)
+{
+	if (incarnation == member->host.incarnation)
+		return true;
+	if (incarnation == member->former_incarnation)
+		return false;
+	member->former_incarnation = member->host.incarnation;
+	member->host.incarnation = incarnation;
+	member->has_beat = false;
+	member->was_alive = false;
+	member->said_leaving = false;
+	member->deaf = false;
+	member->drops = 0;
+	return true;
+}
+
+void member_on_beat(struct member *member, uint32_t beat, int64_t now_us)
+{
+	if (member->has_beat && !heartbeat_is_newer(beat, member->beat))
+		return;
+	member->has_beat = true;
+	member->beat = beat;
+	member->last_heard_us = now_us;
+}
+
+static bool is_fresh(const struct member *member,
+		     const struct member_limits *limits, int64_t now_us)
+{
+	return member->has_beat && !member->deaf &&
+	       now_us - member->last_heard_us <= limits->silent_after_us;
+}
+
+bool member_is_suspect(const struct member *member,
+		       const struct member_limits *limits, int64_t now_us)
+{
+	if (member->host.state == TGW_HOST_GONE)
+		return false;
+	return member->host.state == TGW_HOST_SILENT || !member->has_beat ||
+	       now_us - member->last_heard_us > limits->silent_after_us / 2;
+}
+
+static int64_t return_hold_us(const struct member *member)
+{
+	int64_t hold_us = RETURN_HOLD_US;
+
+	for (uint32_t i = 1; i < member->drops; i++) {
+		hold_us *= 2;
+		if (hold_us >= RETURN_HOLD_MAX_US)
+			return RETURN_HOLD_MAX_US;
+	}
+	return hold_us;
+}
+
+static enum tgw_host_state state_when_silent(struct member *member,
+					     const struct member_limits *limits,
+					     int64_t now_us)
+{
+	int64_t since_us = member->unlisted_at_us > member->silent_at_us
+				   ? member->unlisted_at_us
+				   : member->silent_at_us;
+
+	member->return_at_us = 0;
+	if (member->host.state == TGW_HOST_GONE && !member->listed)
+		return TGW_HOST_GONE;
+	if (member->host.state != TGW_HOST_ALIVE &&
+	    member->host.state != TGW_HOST_LEAVING) {
+		if (!member->listed &&
+		    now_us - since_us >= limits->gone_after_us)
+			return TGW_HOST_GONE;
+		return TGW_HOST_SILENT;
+	}
+	if (now_us - member->last_drop_us > DROP_MEMORY_US)
+		member->drops = 0;
+	member->drops++;
+	member->last_drop_us = now_us;
+	member->silent_at_us = now_us;
+	return TGW_HOST_SILENT;
+}
+
+static enum tgw_host_state state_when_fresh(struct member *member,
+					    int64_t now_us)
+{
+	bool is_silent = member->host.state == TGW_HOST_SILENT ||
+			 member->host.state == TGW_HOST_GONE;
+
+	if (is_silent && member->was_alive) {
+		if (!member->return_at_us)
+			member->return_at_us = now_us;
+		if (now_us - member->return_at_us < return_hold_us(member))
+			return member->host.state;
+	}
+	member->return_at_us = 0;
+	member->was_alive = true;
+	if (member->said_leaving || member->listed_as_leaving)
+		return TGW_HOST_LEAVING;
+	return TGW_HOST_ALIVE;
+}
+
+bool member_evaluate(struct member *member, const struct member_limits *limits,
+		     int64_t now_us)
+{
+	enum tgw_host_state before = member->host.state;
+
+	if (member->is_self)
+		member->host.state = member->said_leaving ||
+						     member->listed_as_leaving
+					     ? TGW_HOST_LEAVING
+					     : TGW_HOST_ALIVE;
+	else if (is_fresh(member, limits, now_us))
+		member->host.state = state_when_fresh(member, now_us);
+	else
+		member->host.state = state_when_silent(member, limits, now_us);
+	return member->host.state != before;
+}
--- a/src/state/audit_entry.c
+++ b/src/state/audit_entry.c
@@ -7,7 +7,7 @@
 #include "state/record_reader.h"
 
 #define AUDIT_ENTRY_FORMAT 1
-#define AUDIT_ENTRY_FIELDS 12
+#define AUDIT_ENTRY_FIELDS 13
 
 /* All that the hash covers: every field but the hash itself. */
 static void pack_covered(const struct audit_entry *entry,
@@ -23,6 +23,7 @@
 	record_pack_text(packer, entry->before);
 	record_pack_text(packer, entry->after);
 	record_pack_text(packer, entry->reason);
+	record_pack_bytes(packer, entry->change_digest, AUDIT_HASH_BYTES);
 	record_pack_bytes(packer, entry->previous_hash, AUDIT_HASH_BYTES);
 }
 
@@ -113,6 +114,7 @@
 	record_reader_text(&reader, entry->before, sizeof(entry->before));
 	record_reader_text(&reader, entry->after, sizeof(entry->after));
 	record_reader_text(&reader, entry->reason, sizeof(entry->reason));
+	record_reader_bytes(&reader, entry->change_digest, AUDIT_HASH_BYTES);
 	record_reader_bytes(&reader, entry->previous_hash, AUDIT_HASH_BYTES);
 	record_reader_bytes(&reader, entry->hash, AUDIT_HASH_BYTES);
 	return record_reader_finish(&reader, error);
--- a/src/state/audit_entry.h
+++ b/src/state/audit_entry.h
@@ -26,6 +26,8 @@
 	char before[AUDIT_TEXT_SIZE];
 	char after[AUDIT_TEXT_SIZE];
 	char reason[AUDIT_TEXT_SIZE];
+	/** Of the whole change; zeros when before and after say it all. */
+	uint8_t change_digest[AUDIT_HASH_BYTES];
 	uint8_t previous_hash[AUDIT_HASH_BYTES];
 	uint8_t hash[AUDIT_HASH_BYTES]; /**< over all of the above */
 };
--- /dev/null
+++ b/src/state/config_builder.c
@@ -0,0 +1,199 @@
+#include "state/config_builder.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/xalloc.h"
+#include "state/config_index.h"
+#include "state/config_rules.h"
+
+#define SMALLEST_TABLE 64
+
+/* Templates with parameters worked in, so that like teams share one. */
+struct derived_table {
+	size_t mask;
+	struct derived {
+		uint64_t hash; /* 0: free */
+		const struct tgw_template *base;
+		const struct config_parameters *parameters;
+		const struct tgw_template *template;
+	} * entries;
+};
+
+static size_t count_kind(const struct config_set *set, enum config_kind kind)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < set->count; i++)
+		count += set->objects[i]->kind == kind;
+	return count;
+}
+
+/* Objects are sorted by kind, then name, so copies are sorted by name. */
+static void copy_objects(struct tgw_config_snapshot *config,
+			 const struct config_set *set)
+{
+	size_t templates = 0;
+	size_t teams = 0;
+	size_t servers = 0;
+	size_t services = 0;
+
+	for (size_t i = 0; i < set->count; i++) {
+		const struct config_object *object = set->objects[i];
+
+		switch (object->kind) {
+		case CONFIG_TEMPLATE:
+			config->templates[templates++] = *object->template;
+			break;
+		case CONFIG_TEAM:
+			config->teams[teams++] = *object->team;
+			break;
+		case CONFIG_SERVER:
+			config->servers[servers++] = *object->server;
+			break;
+		default:
+			config->services[services++] = *object->service;
+			break;
+		}
+	}
+}
+
+static struct tgw_config_snapshot *allocate(const struct config_set *set)
+{
+	struct tgw_config_snapshot *config = xcalloc(1, sizeof(*config));
+
+	config->template_count = count_kind(set, CONFIG_TEMPLATE);
+	config->templates =
+		xcalloc(config->template_count, sizeof(config->templates[0]));
+	config->team_count = count_kind(set, CONFIG_TEAM);
+	config->teams = xcalloc(config->team_count, sizeof(config->teams[0]));
+	config->server_count = count_kind(set, CONFIG_SERVER);
+	config->servers =
+		xcalloc(config->server_count, sizeof(config->servers[0]));
+	config->service_count = count_kind(set, CONFIG_SERVICE);
+	config->services =
+		xcalloc(config->service_count, sizeof(config->services[0]));
+	return config;
+}
+
+static struct tgw_template *derive(const struct tgw_template *base,
+				   const struct config_parameters *own)
+{
+	struct tgw_template *template = xmemdup(base, sizeof(*base));
+
+	if (own->has_models)
+		template->models = own->models;
+	if (own->has_services)
+		template->services = own->services;
+	if (own->has_work_kinds) {
+		template->work_kind_count = own->work_kind_count;
+		memcpy(template->work_kinds, own->work_kinds,
+		       sizeof(own->work_kinds));
+	}
+	if (own->max_output_tokens)
+		template->max_output_tokens = own->max_output_tokens;
+	if (own->max_open_requests)
+		template->max_open_requests = own->max_open_requests;
+	return template;
+}
+
+static const struct tgw_template *find_or_derive(
+	struct derived_table *table, struct tgw_config_index *index,
+	const struct tgw_template *base, const struct config_parameters *own)
+{
+	uint64_t hash = XXH64(own, sizeof(*own), (uint64_t)(uintptr_t)base) | 1;
+	size_t at = (size_t)(hash >> 1) & table->mask;
+	struct derived *entry;
+	struct tgw_template *template;
+
+	for (entry = &table->entries[at]; entry->hash;
+	     entry = &table->entries[at]) {
+		if (entry->hash == hash && entry->base == base &&
+		    !memcmp(entry->parameters, own, sizeof(*own)))
+			return entry->template;
+		at = (at + 1) & table->mask;
+	}
+	template = derive(base, own);
+	config_index_own(index, template);
+	entry->hash = hash;
+	entry->base = base;
+	entry->parameters = own;
+	entry->template = template;
+	return template;
+}
+
+static size_t count_own(const struct config_set *set)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < set->count; i++)
+		count += set->objects[i]->parameters != NULL;
+	return count;
+}
+
+/* The set's teams stand in the order of the snapshot's. */
+static void link_teams(struct tgw_config_snapshot *config,
+		       const struct config_set *set)
+{
+	struct derived_table table;
+	size_t size = SMALLEST_TABLE;
+	size_t at = 0;
+
+	while (size < count_own(set) * 2)
+		size *= 2;
+	table.mask = size - 1;
+	table.entries = xcalloc(size, sizeof(table.entries[0]));
+	for (size_t i = 0; i < set->count; i++) {
+		const struct config_object *object = set->objects[i];
+		struct tgw_team *team;
+
+		if (object->kind != CONFIG_TEAM)
+			continue;
+		team = &config->teams[at++];
+		team->template =
+			tgw_config_find_template(config, team->template_name);
+		if (object->parameters)
+			team->template = find_or_derive(&table, config->index,
+							team->template,
+							object->parameters);
+	}
+	free(table.entries);
+}
+
+struct tgw_config_snapshot *config_build_snapshot(const struct config_set *set,
+						  uint64_t generation,
+						  struct tgw_error *error)
+{
+	struct tgw_config_snapshot *config;
+	const struct tgw_team *duplicate;
+
+	for (size_t i = 0; i < set->count; i++) {
+		const struct config_object *object = set->objects[i];
+		struct tgw_error cause;
+
+		if (config_rules_check_object(object, &cause) != TGW_OK ||
+		    config_rules_check_references(set, object, &cause) !=
+			    TGW_OK) {
+			tgw_error_set(error, cause.status, "%s %s: %s",
+				      config_kind_name(object->kind),
+				      object->name, cause.message);
+			return NULL;
+		}
+	}
+	config = allocate(set);
+	copy_objects(config, set);
+	config->generation = generation;
+	config->index =
+		config_index_new(config->teams, config->team_count, &duplicate);
+	if (duplicate) {
+		tgw_error_set(error, TGW_INVALID,
+			      "team %s has a key of another team; give each "
+			      "team keys of its own",
+			      duplicate->name);
+		tgw_config_snapshot_free(config);
+		return NULL;
+	}
+	link_teams(config, set);
+	return config;
+}
--- /dev/null
+++ b/src/state/config_index.c
@@ -0,0 +1,106 @@
+#include "state/config_index.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+
+#define SMALLEST_TABLE 16
+
+/* Open addressing; a slot is 0, or 1 + team * TGW_TEAM_KEYS_MAX + key. */
+struct tgw_config_index {
+	size_t mask;
+	uint32_t *slots;
+	size_t owned_count;
+	struct tgw_template **owned;
+};
+
+static size_t first_slot(const struct tgw_config_index *index,
+			 const uint8_t hash[TGW_KEY_HASH_BYTES])
+{
+	uint64_t start;
+
+	memcpy(&start, hash, sizeof(start));
+	return (size_t)start & index->mask;
+}
+
+static const struct tgw_team *team_at(const struct tgw_team *teams,
+				      uint32_t slot)
+{
+	return &teams[(slot - 1) / TGW_TEAM_KEYS_MAX];
+}
+
+static const uint8_t *hash_at(const struct tgw_team *teams, uint32_t slot)
+{
+	return team_at(teams, slot)->key_hashes[(slot - 1) % TGW_TEAM_KEYS_MAX];
+}
+
+const struct tgw_team *config_index_find(const struct tgw_config_index *index,
+					 const struct tgw_team *teams,
+					 const uint8_t hash[TGW_KEY_HASH_BYTES])
+{
+	size_t at = first_slot(index, hash);
+
+	while (index->slots[at]) {
+		if (sodium_memcmp(hash_at(teams, index->slots[at]), hash,
+				  TGW_KEY_HASH_BYTES) == 0)
+			return team_at(teams, index->slots[at]);
+		at = (at + 1) & index->mask;
+	}
+	return NULL;
+}
+
+static const struct tgw_team *add_team(struct tgw_config_index *index,
+				       const struct tgw_team *teams,
+				       size_t team)
+{
+	for (size_t key = 0; key < teams[team].key_count; key++) {
+		const uint8_t *hash = teams[team].key_hashes[key];
+		size_t at = first_slot(index, hash);
+
+		if (config_index_find(index, teams, hash))
+			return &teams[team];
+		while (index->slots[at])
+			at = (at + 1) & index->mask;
+		index->slots[at] =
+			(uint32_t)(1 + team * TGW_TEAM_KEYS_MAX + key);
+	}
+	return NULL;
+}
+
+struct tgw_config_index *config_index_new(const struct tgw_team *teams,
+					  size_t team_count,
+					  const struct tgw_team **duplicate)
+{
+	struct tgw_config_index *index = xcalloc(1, sizeof(*index));
+	size_t size = SMALLEST_TABLE;
+
+	while (size < team_count * TGW_TEAM_KEYS_MAX * 2)
+		size *= 2;
+	index->mask = size - 1;
+	index->slots = xcalloc(size, sizeof(index->slots[0]));
+	*duplicate = NULL;
+	for (size_t i = 0; i < team_count && !*duplicate; i++)
+		*duplicate = add_team(index, teams, i);
+	return index;
+}
+
+void config_index_own(struct tgw_config_index *index,
+		      struct tgw_template *template)
+{
+	index->owned = xrealloc(index->owned, (index->owned_count + 1) *
+						      sizeof(index->owned[0]));
+	index->owned[index->owned_count++] = template;
+}
+
+void config_index_free(struct tgw_config_index *index)
+{
+	if (!index)
+		return;
+	for (size_t i = 0; i < index->owned_count; i++)
+		free(index->owned[i]);
+	free(index->owned);
+	free(index->slots);
+	free(index);
+}
--- a/tests/unit/test_audit_entry.c
+++ b/tests/unit/test_audit_entry.c
@@ -55,6 +55,7 @@
 		(uint8_t *)entry->reason,
 		entry->previous_hash,
 		entry->hash,
+		entry->change_digest,
 	};
 
 	ck_assert_int_eq(verify(1, 0), TGW_OK);
@@ -120,7 +121,7 @@
 
 	tcase_add_checked_fixture(tcase, setup, NULL);
 	tcase_add_test(tcase, an_untouched_chain_verifies);
-	tcase_add_loop_test(tcase, an_altered_field_is_seen, 0, 11);
+	tcase_add_loop_test(tcase, an_altered_field_is_seen, 0, 12);
 	tcase_add_test(tcase, a_removed_or_replaced_entry_is_seen);
 	tcase_add_test(tcase, packs_and_unpacks);
 	suite_add_tcase(suite, tcase);
