Add first rules for routing and for crashing requests

Change: a router that queues by urgency and by deficit round robin between teams, picks by load, prefix match and two random choices; a quarantine whose table merges in any order, with a lift or a served attempt starting a new epoch. A suspected request runs once at a time in a failure domain and on a server without another suspected one, so that a second crash blames one request; one host of the domain hands out these places.

--- a/include/tamarackgw/quarantine.h
+++ b/include/tamarackgw/quarantine.h
@@ -51,12 +51,73 @@
 void tgw_fingerprint_of(struct tgw_fingerprint *fingerprint, const char *team,
 			const void *body, size_t body_size);
 
-/** Announces that an attempt starts, and asks whether it may.
- * @return false when the request is refused */
+/** Asks whether an attempt may start, without waiting for the other hosts:
+ * a suspected request may then run on two hosts at once. The request path
+ * uses tgw_quarantine_enter().
+ * @return false when the request is refused, or suspected and running */
 bool tgw_quarantine_admit(struct tgw_quarantine *quarantine,
 			  const struct tgw_fingerprint *fingerprint);
 
-/** The server broke while this request, and alone_count others, ran on it. */
+/** Whether an attempt may run, and where. */
+enum tgw_quarantine_verdict {
+	TGW_QUARANTINE_ADMITTED,  /**< not suspected: any server */
+	TGW_QUARANTINE_PROBATION, /**< suspected: only on the named server */
+	TGW_QUARANTINE_BUSY,	  /**< suspected, and no server is free for it;
+				       not run, come back */
+	TGW_QUARANTINE_REFUSED,	  /**< it crashed servers; not run */
+};
+
+/** An attempt that wants to run, and the servers that could run it. */
+struct tgw_quarantine_ask {
+	struct tgw_fingerprint fingerprint;
+	size_t server_count;
+	const char *const *servers;
+};
+
+/** Valid only during the callback. */
+struct tgw_quarantine_answer {
+	enum tgw_quarantine_verdict verdict;
+	const char *server; /**< for PROBATION, else empty */
+	int64_t retry_after_us;
+	const char *message;
+};
+
+struct tgw_quarantine_callback {
+	void (*done)(void *arg, const struct tgw_quarantine_answer *answer);
+	void *arg;
+};
+
+struct tgw_quarantine_counters {
+	uint64_t admitted;
+	uint64_t refused;
+	uint64_t probations;
+	uint64_t probations_busy;
+	uint64_t crashes;
+	uint64_t cleared; /**< suspicions ended by a served attempt */
+	uint64_t store_reads;
+	uint64_t store_writes;
+	uint64_t peer_messages_sent;
+};
+
+/**
+ * Asks whether an attempt may run. What is not suspected is admitted from
+ * inside this call. A suspected request runs once at a time in the failure
+ * domain, and on a server that runs no other suspected one, so that a
+ * further crash blames one request only. The attempt is ended by
+ * on_served, on_crash or on_ended.
+ */
+void tgw_quarantine_enter(struct tgw_quarantine *quarantine,
+			  const struct tgw_quarantine_ask *ask,
+			  struct tgw_quarantine_callback callback);
+
+/** An admitted attempt ended in a way that says nothing of the request. */
+void tgw_quarantine_on_ended(struct tgw_quarantine *quarantine,
+			     const struct tgw_fingerprint *fingerprint);
+
+const struct tgw_quarantine_counters *tgw_quarantine_counters(
+	const struct tgw_quarantine *quarantine);
+
+/** The server broke while this request, and others_running more, ran on it. */
 void tgw_quarantine_on_crash(struct tgw_quarantine *quarantine,
 			     const struct tgw_fingerprint *fingerprint,
 			     const char *team, const char *server,
--- /dev/null
+++ b/src/coordination/route_running.h
@@ -0,0 +1,40 @@
+/**
+ * @file route_running.h
+ * The attempts that were given a server and have not ended, by ticket.
+ */
+#ifndef COORDINATION_ROUTE_RUNNING_H
+#define COORDINATION_ROUTE_RUNNING_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "state/server_state.h"
+
+struct route_pool;
+
+struct route_running {
+	uint64_t ticket; /**< 0 when the place is free */
+	struct server_state *server;
+	struct route_pool *pool;
+	bool is_write;
+	int64_t cost_units;
+	int64_t started_us;
+};
+
+struct route_running_table {
+	struct route_running *places;
+	size_t capacity;
+	uint64_t next_serial;
+};
+
+void route_running_table_free(struct route_running_table *table);
+
+/** @return a place with its ticket set; valid until the next add */
+struct route_running *route_running_add(struct route_running_table *table);
+
+/** @return the attempt, or NULL when it has ended already */
+struct route_running *route_running_find(struct route_running_table *table,
+					 uint64_t ticket);
+
+#endif
--- /dev/null
+++ b/src/state/msgpack_field.h
@@ -0,0 +1,31 @@
+/**
+ * @file msgpack_field.h
+ * Reads single fields of decoded MessagePack arrays, checking each.
+ */
+#ifndef STATE_MSGPACK_FIELD_H
+#define STATE_MSGPACK_FIELD_H
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** @return the elements of an array of at least so many, or NULL */
+const msgpack_object *msgpack_field_array(const msgpack_object *object,
+					  size_t at_least);
+
+bool msgpack_field_u64(const msgpack_object *object, uint64_t *value);
+bool msgpack_field_i64(const msgpack_object *object, int64_t *value);
+
+/** Copies text that fits, and terminates it. */
+bool msgpack_field_text(const msgpack_object *object, char *text, size_t size);
+
+/** Copies bytes of exactly this size. */
+bool msgpack_field_bytes(const msgpack_object *object, void *bytes,
+			 size_t size);
+
+void msgpack_field_pack_text(msgpack_packer *packer, const char *text);
+void msgpack_field_pack_bytes(msgpack_packer *packer, const void *bytes,
+			      size_t size);
+
+#endif
--- /dev/null
+++ b/src/state/quarantine_table.c
@@ -0,0 +1,197 @@
+#include "state/quarantine_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "state/msgpack_field.h"
+
+/* Crashes of one server this close are one, seen by two hosts. */
+#define SAME_CRASH_US (INT64_C(5) * TGW_US_PER_S)
+#define ITEM_FIELDS 4
+#define CRASH_FIELDS 2
+
+void quarantine_table_free(struct quarantine_table *table)
+{
+	free(table->items);
+	memset(table, 0, sizeof(*table));
+}
+
+struct quarantine_item *quarantine_table_find(
+	const struct quarantine_table *table,
+	const struct tgw_fingerprint *fingerprint)
+{
+	for (size_t i = 0; i < table->count; i++)
+		if (!memcmp(&table->items[i].fingerprint, fingerprint,
+			    sizeof(*fingerprint)))
+			return &table->items[i];
+	return NULL;
+}
+
+/* Prefers few crashes, then age. */
+static struct quarantine_item *least_needed(struct quarantine_table *table)
+{
+	struct quarantine_item *least = &table->items[0];
+
+	for (size_t i = 1; i < table->count; i++) {
+		struct quarantine_item *item = &table->items[i];
+
+		if (item->crash_count < least->crash_count ||
+		    (item->crash_count == least->crash_count &&
+		     item->learnt_us < least->learnt_us))
+			least = item;
+	}
+	return least;
+}
+
+static struct quarantine_item *new_place(struct quarantine_table *table)
+{
+	if (table->count == QUARANTINE_ENTRIES_MAX)
+		return least_needed(table);
+	if (table->count == table->capacity) {
+		table->capacity = table->capacity * 2 + 16;
+		table->items =
+			xrealloc(table->items,
+				 table->capacity * sizeof(table->items[0]));
+	}
+	return &table->items[table->count++];
+}
+
+struct quarantine_item *quarantine_table_obtain(
+	struct quarantine_table *table,
+	const struct tgw_fingerprint *fingerprint, int64_t now_us)
+{
+	struct quarantine_item *item =
+		quarantine_table_find(table, fingerprint);
+
+	if (item)
+		return item;
+	item = new_place(table);
+	memset(item, 0, sizeof(*item));
+	item->fingerprint = *fingerprint;
+	item->learnt_us = now_us;
+	return item;
+}
+
+static bool is_same_crash(const struct quarantine_crash *a,
+			  const struct quarantine_crash *b)
+{
+	int64_t apart_us = a->wall_us - b->wall_us;
+
+	return a->server_hash == b->server_hash && apart_us < SAME_CRASH_US &&
+	       apart_us > -SAME_CRASH_US;
+}
+
+bool quarantine_item_add_crash(struct quarantine_item *item,
+			       const struct quarantine_crash *crash)
+{
+	for (size_t i = 0; i < item->crash_count; i++)
+		if (is_same_crash(&item->crashes[i], crash))
+			return false;
+	if (item->crash_count == QUARANTINE_CRASHES_MAX)
+		return false;
+	item->crashes[item->crash_count++] = *crash;
+	return true;
+}
+
+bool quarantine_item_is_refused(const struct quarantine_item *item,
+				uint32_t crashes_until_refused)
+{
+	return item && item->crash_count >= crashes_until_refused;
+}
+
+void quarantine_item_clear(struct quarantine_item *item)
+{
+	item->crash_count = 0;
+	item->epoch++;
+}
+
+bool quarantine_table_merge(struct quarantine_table *table,
+			    const struct quarantine_item *news, int64_t now_us)
+{
+	struct quarantine_item *item;
+	bool changed = false;
+
+	item = quarantine_table_find(table, &news->fingerprint);
+	if (item && news->epoch < item->epoch)
+		return false;
+	if (!item || news->epoch > item->epoch) {
+		item = quarantine_table_obtain(table, &news->fingerprint,
+					       now_us);
+		*item = *news;
+		item->learnt_us = now_us;
+		return true;
+	}
+	for (size_t i = 0; i < news->crash_count; i++)
+		if (quarantine_item_add_crash(item, &news->crashes[i]))
+			changed = true;
+	if (changed)
+		item->learnt_us = now_us;
+	return changed;
+}
+
+void quarantine_table_fade(struct quarantine_table *table, int64_t before_us,
+			   uint32_t crashes_until_refused)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < table->count; i++) {
+		const struct quarantine_item *item = &table->items[i];
+
+		if (item->learnt_us >= before_us ||
+		    item->crash_count >= crashes_until_refused)
+			table->items[kept++] = *item;
+	}
+	table->count = kept;
+}
+
+void quarantine_item_pack(const struct quarantine_item *item,
+			  msgpack_packer *packer)
+{
+	msgpack_pack_array(packer, ITEM_FIELDS);
+	msgpack_field_pack_bytes(packer, item->fingerprint.bytes,
+				 sizeof(item->fingerprint.bytes));
+	msgpack_field_pack_text(packer, item->team);
+	msgpack_pack_uint64(packer, item->epoch);
+	msgpack_pack_array(packer, item->crash_count);
+	for (size_t i = 0; i < item->crash_count; i++) {
+		msgpack_pack_array(packer, CRASH_FIELDS);
+		msgpack_pack_uint64(packer, item->crashes[i].server_hash);
+		msgpack_pack_int64(packer, item->crashes[i].wall_us);
+	}
+}
+
+static bool unpack_crash(struct quarantine_crash *crash,
+			 const msgpack_object *object)
+{
+	const msgpack_object *fields =
+		msgpack_field_array(object, CRASH_FIELDS);
+
+	return fields && msgpack_field_u64(&fields[0], &crash->server_hash) &&
+	       msgpack_field_i64(&fields[1], &crash->wall_us);
+}
+
+bool quarantine_item_unpack(struct quarantine_item *item,
+			    const msgpack_object *object)
+{
+	const msgpack_object *fields = msgpack_field_array(object, ITEM_FIELDS);
+	const msgpack_object *crashes;
+
+	memset(item, 0, sizeof(*item));
+	if (!fields ||
+	    !msgpack_field_bytes(&fields[0], item->fingerprint.bytes,
+				 sizeof(item->fingerprint.bytes)) ||
+	    !msgpack_field_text(&fields[1], item->team, sizeof(item->team)) ||
+	    !msgpack_field_u64(&fields[2], &item->epoch))
+		return false;
+	crashes = msgpack_field_array(&fields[3], 0);
+	if (!crashes && fields[3].type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	if (fields[3].via.array.size > QUARANTINE_CRASHES_MAX)
+		return false;
+	item->crash_count = fields[3].via.array.size;
+	for (size_t i = 0; i < item->crash_count; i++)
+		if (!unpack_crash(&item->crashes[i], &crashes[i]))
+			return false;
+	return true;
+}
--- /dev/null
+++ b/src/state/retry_budget.h
@@ -0,0 +1,24 @@
+/**
+ * @file retry_budget.h
+ * Keeps retries to a share of the first attempts, so that they can't grow
+ * into a storm.
+ */
+#ifndef STATE_RETRY_BUDGET_H
+#define STATE_RETRY_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+struct retry_budget {
+	int64_t credit_thousandths;
+	int64_t refilled_us;
+};
+
+void retry_budget_init(struct retry_budget *budget, int64_t now_us);
+
+void retry_budget_on_first_attempt(struct retry_budget *budget);
+
+/** @return whether one more retry may run; it is then spent */
+bool retry_budget_take(struct retry_budget *budget, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/state/route_choice.c
@@ -0,0 +1,217 @@
+#include "state/route_choice.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define RANDOM_CHOICES 2
+#define HOME_CHOICES 2
+#define CANDIDATES_MAX (RANDOM_CHOICES + HOME_CHOICES + 1)
+#define ELIGIBLE_MAX 1024
+/* One request ahead weighs as much as this many blocks of prompt. */
+#define BLOCKS_PER_LOAD 6
+#define WHOLE_BLOCK 1000
+/* The first blocks name the group of prompts that share a server. */
+#define HOME_BLOCK_MAX 4
+/* Slots that writes leave free for reads, as a divisor. */
+#define READ_RESERVE_DIVISOR 4
+
+struct candidates {
+	size_t count;
+	struct server_state *states[ELIGIBLE_MAX];
+};
+
+static bool is_excluded(const struct tgw_route_request *request,
+			const char *server)
+{
+	for (size_t i = 0; i < request->excluded_count; i++)
+		if (!strcmp(request->excluded[i], server))
+			return true;
+	return false;
+}
+
+bool route_choice_allows(const struct server_state *state,
+			 const struct tgw_route_request *request,
+			 int64_t now_us)
+{
+	return server_state_takes_work(state) &&
+	       !server_state_is_ejected(state, now_us) &&
+	       !is_excluded(request, state->server.name);
+}
+
+/* Urgent work may wait in the server's own queue, which honours priorities;
+ * the rest waits here, where it can still go elsewhere. */
+static int64_t room_beyond_slots(const struct tgw_route_request *request,
+				 int64_t slots)
+{
+	switch (request->urgency) {
+	case TGW_URGENCY_IMMEDIATE:
+		return 2 + slots / 4;
+	case TGW_URGENCY_HIGH:
+		return 1 + slots / 8;
+	case TGW_URGENCY_NORMAL:
+		return 0;
+	default:
+		return -(slots / 8);
+	}
+}
+
+static bool has_room(const struct server_state *state,
+		     const struct tgw_route_request *request, int64_t now_us)
+{
+	int64_t slots = server_state_slots(state, now_us);
+	int64_t load = server_state_load(state);
+
+	if (!request->model) {
+		int64_t reserve = 1 + slots / READ_RESERVE_DIVISOR;
+
+		if (!request->is_write)
+			return load < 2 * slots;
+		return load < slots &&
+		       (state->writes_in_flight < slots - reserve ||
+			!state->writes_in_flight);
+	}
+	if (request->urgency == TGW_URGENCY_BATCH && !load)
+		return true;
+	return load < slots + room_beyond_slots(request, slots);
+}
+
+static bool is_local(const struct route_choice *choice,
+		     const struct server_state *state)
+{
+	return !strcmp(state->server.failure_domain, choice->failure_domain);
+}
+
+/* Collects the allowed servers of this domain, or of the others. */
+static size_t collect(const struct route_choice *choice,
+		      const struct tgw_route_request *request, bool local,
+		      struct candidates *roomy)
+{
+	size_t allowed = 0;
+
+	roomy->count = 0;
+	for (size_t i = 0; i < choice->server_count; i++) {
+		struct server_state *state = choice->servers[i];
+
+		if (is_local(choice, state) != local ||
+		    !route_choice_allows(state, request, choice->now_us))
+			continue;
+		allowed++;
+		if (roomy->count < ELIGIBLE_MAX &&
+		    has_room(state, request, choice->now_us))
+			roomy->states[roomy->count++] = state;
+	}
+	return allowed;
+}
+
+static int64_t match(const struct server_state *state,
+		     const struct tgw_route_request *request)
+{
+	return prefix_index_match(&state->prefix, request->prefix_hashes,
+				  request->prefix_count);
+}
+
+/* Load in thousandths of a block; a match is worth its blocks. */
+static int64_t cost(const struct server_state *state,
+		    const struct tgw_route_request *request, int64_t now_us)
+{
+	int64_t slots = server_state_slots(state, now_us);
+	int64_t load = server_state_load(state);
+	int64_t over = load > slots ? load - slots : 0;
+
+	return (load + 4 * over) * BLOCKS_PER_LOAD * WHOLE_BLOCK -
+	       match(state, request);
+}
+
+/* Routers that don't talk to each other send like prompts to like servers. */
+static struct server_state *home_of(const struct candidates *roomy,
+				    uint64_t group, uint64_t rank)
+{
+	struct server_state *home = NULL;
+	uint64_t best = 0;
+
+	for (size_t i = 0; i < roomy->count; i++) {
+		const char *name = roomy->states[i]->server.name;
+		uint64_t weight = XXH64(name, strlen(name), group + rank);
+
+		if (!home || weight > best) {
+			home = roomy->states[i];
+			best = weight;
+		}
+	}
+	return home;
+}
+
+static struct server_state *best_match(const struct candidates *roomy,
+				       const struct tgw_route_request *request)
+{
+	struct server_state *best = roomy->states[0];
+	int64_t most = -1;
+
+	for (size_t i = 0; i < roomy->count; i++) {
+		int64_t matched = match(roomy->states[i], request);
+
+		if (matched > most ||
+		    (matched == most && server_state_load(roomy->states[i]) <
+						server_state_load(best))) {
+			most = matched;
+			best = roomy->states[i];
+		}
+	}
+	return best;
+}
+
+static uint64_t group_of(const struct tgw_route_request *request)
+{
+	size_t block = request->prefix_count < HOME_BLOCK_MAX
+			       ? request->prefix_count
+			       : HOME_BLOCK_MAX;
+
+	return request->prefix_hashes[block - 1];
+}
+
+static struct server_state *cheapest(const struct route_choice *choice,
+				     const struct tgw_route_request *request,
+				     const struct candidates *roomy)
+{
+	struct server_state *tried[CANDIDATES_MAX];
+	struct server_state *best = NULL;
+	size_t count = 0;
+	int64_t least = 0;
+
+	for (int i = 0; i < RANDOM_CHOICES; i++)
+		tried[count++] = roomy->states[tgw_random_below(choice->random,
+								roomy->count)];
+	if (request->prefix_count) {
+		tried[count++] = best_match(roomy, request);
+		for (uint64_t i = 0; i < HOME_CHOICES; i++)
+			tried[count++] = home_of(roomy, group_of(request), i);
+	}
+	for (size_t i = 0; i < count; i++) {
+		int64_t own = cost(tried[i], request, choice->now_us);
+
+		if (!best || own < least) {
+			best = tried[i];
+			least = own;
+		}
+	}
+	return best;
+}
+
+enum route_choice_result route_choice_pick(
+	const struct route_choice *choice,
+	const struct tgw_route_request *request, struct server_state **picked,
+	int64_t *matched)
+{
+	struct candidates roomy;
+	size_t allowed = collect(choice, request, true, &roomy);
+
+	if (!allowed)
+		allowed = collect(choice, request, false, &roomy);
+	if (!allowed)
+		return ROUTE_CHOICE_NONE;
+	if (!roomy.count)
+		return ROUTE_CHOICE_FULL;
+	*picked = cheapest(choice, request, &roomy);
+	*matched = match(*picked, request);
+	return ROUTE_CHOICE_OK;
+}
