--- a/include/tamarackgw/budget.h
+++ b/include/tamarackgw/budget.h
@@ -34,11 +34,14 @@
 
 /** Settings of the agent. */
 struct tgw_budget_settings {
-	uint32_t bucket_count;	     /**< ledger keys; fixed for a fleet */
-	int64_t flush_interval_us;   /**< shortest time between ledger writes */
-	int64_t reserve_timeout_us;  /**< wait for a holder's answer */
-	int64_t ride_out_us;	     /**< demand held against an outage */
-	int64_t death_loss_us;	     /**< demand a host's death may strand */
+	uint32_t bucket_count;	    /**< ledger keys; fixed for a fleet */
+	int64_t flush_interval_us;  /**< shortest time between ledger writes */
+	int64_t reserve_timeout_us; /**< wait for a holder's answer */
+	int64_t ride_out_us;	    /**< demand held against an outage */
+	int64_t death_loss_us;	    /**< demand a host's death may strand */
+	/** As death_loss_us while the store is out: what a holder may spend
+	 * when its witness is lost, too. */
+	int64_t outage_loss_us;
 	int64_t duplicate_memory_us; /**< how long settled keys are kept */
 };
 
--- /dev/null
+++ b/src/coordination/budget_agent.c
@@ -0,0 +1,393 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "coordination/budget_claims.h"
+#include "coordination/budget_entry.h"
+#include "coordination/budget_exchange.h"
+#include "coordination/budget_holder.h"
+#include "coordination/budget_ledger.h"
+#include "coordination/budget_plan.h"
+#include "coordination/budget_recall.h"
+#include "coordination/budget_settle_queue.h"
+#include "coordination/budget_share.h"
+#include "coordination/budget_state.h"
+#include "coordination/budget_witness.h"
+#include "state/name_copy.h"
+
+#define DEFAULT_BUCKETS 4096
+#define DEFAULT_FLUSH_S 600
+#define DEFAULT_RESERVE_TIMEOUT_MS 2000
+#define DEFAULT_RIDE_OUT_S 3600
+#define DEFAULT_DEATH_LOSS_S 2
+#define DEFAULT_OUTAGE_LOSS_S 600
+#define DEFAULT_DUPLICATE_MEMORY_S 7200
+/* Longest time between two ticks. */
+#define TICK_MAX_US BUDGET_S(1)
+/* With no other call, the store is asked this often whether it is there. */
+#define PROBE_INTERVAL_US BUDGET_S(10)
+
+struct tgw_budget_settings tgw_budget_settings_default(void)
+{
+	return (struct tgw_budget_settings){
+		.bucket_count = DEFAULT_BUCKETS,
+		.flush_interval_us = BUDGET_S(DEFAULT_FLUSH_S),
+		.reserve_timeout_us = BUDGET_MS(DEFAULT_RESERVE_TIMEOUT_MS),
+		.ride_out_us = BUDGET_S(DEFAULT_RIDE_OUT_S),
+		.death_loss_us = BUDGET_S(DEFAULT_DEATH_LOSS_S),
+		.outage_loss_us = BUDGET_S(DEFAULT_OUTAGE_LOSS_S),
+		.duplicate_memory_us = BUDGET_S(DEFAULT_DUPLICATE_MEMORY_S),
+	};
+}
+
+static void see_incarnation(struct budget_peer *peer, uint64_t incarnation)
+{
+	if (!incarnation || peer->seen_incarnation == incarnation)
+		return;
+	peer->previous_incarnation = peer->seen_incarnation;
+	peer->seen_incarnation = incarnation;
+}
+
+static void take_view(struct tgw_budget_agent *agent,
+		      const struct tgw_host_view *view)
+{
+	tgw_host_view_free(agent->view);
+	agent->view = tgw_host_view_copy(view);
+	for (size_t i = 0; i < view->host_count; i++)
+		see_incarnation(budget_peer_obtain(agent, view->hosts[i].name),
+				view->hosts[i].incarnation);
+}
+
+struct tgw_budget_agent *tgw_budget_agent_new(const struct tgw_budget_env *env,
+					      const struct tgw_host_view *view)
+{
+	struct tgw_budget_agent *agent = xcalloc(1, sizeof(*agent));
+	const struct tgw_host *self = tgw_host_view_self(view);
+
+	agent->env = *env;
+	name_copy(agent->name, self->name);
+	name_copy(agent->domain, self->failure_domain);
+	agent->incarnation = self->incarnation;
+	agent->started_us = tgw_clock_monotonic_us(env->clock);
+	tgw_random_init(&agent->random, env->random_seed);
+	/* Late answers to an earlier process must not fit. */
+	agent->next_request_id = tgw_random_below(&agent->random, UINT32_MAX);
+	agent->by_index =
+		xcalloc(env->settings.bucket_count, sizeof(agent->by_index[0]));
+	agent->ended_end = &agent->ended_first;
+	agent->done_end = &agent->done_first;
+	agent->ready_end = &agent->ready;
+	agent->self = budget_peer_obtain(agent, agent->name);
+	take_view(agent, view);
+	return agent;
+}
+
+static void free_bucket(struct budget_bucket *bucket)
+{
+	while (bucket->askers) {
+		struct budget_asker *asker = bucket->askers;
+
+		bucket->askers = asker->next;
+		free(asker);
+	}
+	budget_witness_free_all(bucket);
+	holder_line_free_all(bucket);
+	budget_exchange_free(bucket);
+	ledger_bucket_clear(&bucket->known);
+	ledger_bucket_clear(&bucket->draft);
+	free(bucket);
+}
+
+void tgw_budget_agent_free(struct tgw_budget_agent *agent)
+{
+	if (!agent)
+		return;
+	budget_settle_queue_free_all(agent);
+	budget_claims_free_all(agent);
+	budget_entry_free_all(agent);
+	budget_holder_free_all(agent);
+	for (size_t i = 0; i < agent->bucket_count; i++)
+		free_bucket(agent->buckets[i]);
+	while (agent->peers) {
+		struct budget_peer *peer = agent->peers;
+
+		agent->peers = peer->next;
+		free(peer);
+	}
+	free(agent->buckets);
+	free(agent->by_index);
+	tgw_host_view_free(agent->view);
+	free(agent);
+}
+
+void tgw_budget_reserve(struct tgw_budget_agent *agent,
+			const struct tgw_budget_request *request,
+			struct tgw_budget_callback callback)
+{
+	budget_entry_reserve(agent, request, callback);
+}
+
+void tgw_budget_settle(struct tgw_budget_agent *agent, const char *budget,
+		       const struct tgw_request_key *key, int64_t spent_tokens,
+		       enum tgw_settle_basis basis)
+{
+	budget_entry_settle(agent, key, spent_tokens, basis);
+}
+
+void tgw_budget_set_hosts(struct tgw_budget_agent *agent,
+			  const struct tgw_host_view *view)
+{
+	take_view(agent, view);
+	for (size_t i = 0; i < agent->bucket_count; i++) {
+		struct budget_bucket *bucket = agent->buckets[i];
+
+		budget_bucket_rank(bucket);
+		budget_witness_watch(bucket);
+		if (budget_witness_is_lost(bucket))
+			budget_bucket_due(bucket, budget_now_us(agent));
+	}
+	budget_holder_settle_gone(agent);
+	budget_settle_queue_on_view(agent);
+	budget_entry_on_view(agent);
+}
+
+static void acknowledge_settlements(struct tgw_budget_agent *agent,
+				    const struct budget_peer *to,
+				    const struct budget_message *message)
+{
+	struct budget_message settled = {
+		.kind = BUDGET_MESSAGE_SETTLED,
+		.sequence = message->sequence,
+	};
+
+	budget_send(agent, to->name, &settled);
+}
+
+static void handle_items(struct tgw_budget_agent *agent,
+			 struct budget_peer *from, uint64_t incarnation,
+			 const struct budget_message *message)
+{
+	for (size_t i = 0; i < message->item_count; i++) {
+		const struct budget_message_item *item = &message->items[i];
+
+		if (message->kind == BUDGET_MESSAGE_RESERVE)
+			budget_holder_reserve(agent, from, incarnation, item);
+		else if (message->kind == BUDGET_MESSAGE_RESERVED)
+			budget_entry_on_reserved(agent, from, incarnation,
+						 message->line, item);
+		else if (message->kind == BUDGET_MESSAGE_SETTLE)
+			budget_holder_settle(agent, from, incarnation, item);
+		else
+			budget_holder_register(agent, from, incarnation,
+					       message->bucket, item);
+	}
+}
+
+static void handle(struct tgw_budget_agent *agent, struct budget_peer *from,
+		   uint64_t incarnation, const struct budget_message *message)
+{
+	switch (message->kind) {
+	case BUDGET_MESSAGE_SETTLE:
+		handle_items(agent, from, incarnation, message);
+		acknowledge_settlements(agent, from, message);
+		break;
+	case BUDGET_MESSAGE_RESERVE:
+	case BUDGET_MESSAGE_RESERVED:
+	case BUDGET_MESSAGE_REGISTER:
+		handle_items(agent, from, incarnation, message);
+		break;
+	case BUDGET_MESSAGE_SETTLED:
+		budget_settle_queue_on_settled(from, message->sequence);
+		break;
+	case BUDGET_MESSAGE_RAISE:
+		budget_witness_on_raise(agent, from, incarnation, message);
+		break;
+	case BUDGET_MESSAGE_RAISED:
+		budget_witness_on_raised(agent, from, incarnation, message);
+		budget_holder_serve_waiters(
+			budget_bucket_obtain(agent, message->bucket));
+		break;
+	case BUDGET_MESSAGE_WANT:
+		budget_recall_on_want(agent, from, message);
+		break;
+	case BUDGET_MESSAGE_RELEASED:
+		budget_recall_on_released(agent, message);
+		break;
+	case BUDGET_MESSAGE_CLAIM:
+		budget_claims_on_claim(agent, from, incarnation, message);
+		break;
+	case BUDGET_MESSAGE_CLAIMED:
+		budget_claims_on_claimed(agent, message);
+		break;
+	case BUDGET_MESSAGE_KEYS:
+		budget_exchange_on_keys(agent, from, message);
+		break;
+	case BUDGET_MESSAGE_KEYS_SEEN:
+		budget_exchange_on_keys_seen(agent, from, incarnation, message);
+		break;
+	case BUDGET_MESSAGE_DUPLICATE:
+		budget_exchange_on_duplicate(agent, from, message);
+		break;
+	case BUDGET_MESSAGE_KIND_END:
+		break;
+	}
+}
+
+static bool needs_budget(enum budget_message_kind kind)
+{
+	return kind == BUDGET_MESSAGE_RESERVE || kind == BUDGET_MESSAGE_RAISE ||
+	       kind == BUDGET_MESSAGE_WANT || kind == BUDGET_MESSAGE_CLAIM;
+}
+
+static bool needs_key(enum budget_message_kind kind)
+{
+	return kind == BUDGET_MESSAGE_RESERVE ||
+	       kind == BUDGET_MESSAGE_SETTLE ||
+	       kind == BUDGET_MESSAGE_REGISTER ||
+	       kind == BUDGET_MESSAGE_DUPLICATE;
+}
+
+static bool is_sound(const struct tgw_budget_agent *agent,
+		     const struct budget_message *message)
+{
+	if (message->bucket >= agent->env.settings.bucket_count)
+		return false;
+	for (size_t i = 0; i < message->item_count; i++) {
+		const struct budget_message_item *item = &message->items[i];
+
+		if ((needs_budget(message->kind) && !item->budget[0]) ||
+		    (needs_key(message->kind) && !item->has_key) ||
+		    (message->kind == BUDGET_MESSAGE_RESERVE && !item->tokens))
+			return false;
+	}
+	return true;
+}
+
+void tgw_budget_on_message(struct tgw_budget_agent *agent,
+			   const struct tgw_peer_message *incoming)
+{
+	struct budget_message message;
+	struct budget_peer *from;
+
+	if (budget_message_decode(&message, incoming->payload,
+				  incoming->payload_size) != TGW_OK)
+		return;
+	if (is_sound(agent, &message)) {
+		from = budget_peer_obtain(agent, incoming->from_host);
+		from->heard_incarnation = incoming->from_incarnation;
+		from->heard_us = budget_now_us(agent);
+		handle(agent, from, incoming->from_incarnation, &message);
+	}
+	budget_message_clear(&message);
+}
+
+static int64_t min_time(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t tick_bucket(struct budget_bucket *bucket)
+{
+	int64_t now_us = budget_now_us(bucket->agent);
+	int64_t due_us;
+
+	budget_ledger_tick(bucket);
+	if (bucket->waiters_due_us <= now_us)
+		budget_holder_serve_waiters(bucket);
+	if (bucket->ceiling_due_us <= now_us)
+		budget_witness_raise(bucket);
+	due_us = min_time(bucket->waiters_due_us, bucket->ceiling_due_us);
+	return bucket->io == BUCKET_IDLE ? min_time(due_us, bucket->due_us)
+					 : due_us;
+}
+
+/* A read of any key of ours that is due anyhow tells as much. */
+static void probe_store(struct tgw_budget_agent *agent)
+{
+	int64_t now_us = budget_now_us(agent);
+	struct budget_bucket *oldest = NULL;
+
+	if (now_us - agent->store_answered_us < PROBE_INTERVAL_US ||
+	    now_us - agent->probed_us < PROBE_INTERVAL_US)
+		return;
+	for (size_t i = 0; i < agent->bucket_count; i++) {
+		struct budget_bucket *bucket = agent->buckets[i];
+
+		if (budget_plan_is_active(bucket) &&
+		    (!oldest || bucket->read_us < oldest->read_us))
+			oldest = bucket;
+	}
+	agent->probed_us = now_us;
+	if (oldest)
+		budget_bucket_due(oldest, now_us);
+}
+
+static void count_held(struct tgw_budget_agent *agent)
+{
+	int64_t held = 0;
+
+	for (size_t i = 0; i < agent->bucket_count; i++) {
+		const struct holder_line *line = agent->buckets[i]->line;
+
+		for (size_t j = 0; line && j < line->share_count; j++)
+			held += line->shares[j]->usable_tokens -
+				holder_share_used(line->shares[j]);
+	}
+	agent->counters.held_tokens = held;
+}
+
+int64_t tgw_budget_tick(struct tgw_budget_agent *agent)
+{
+	int64_t now_us = budget_now_us(agent);
+	int64_t due_us = now_us + TICK_MAX_US;
+
+	probe_store(agent);
+	for (size_t i = 0; i < agent->bucket_count; i++)
+		due_us = min_time(due_us, tick_bucket(agent->buckets[i]));
+	due_us = min_time(due_us, budget_claims_tick(agent));
+	due_us = min_time(due_us, budget_settle_queue_tick(agent));
+	budget_exchange_tick(agent);
+	budget_holder_expire(agent);
+	due_us = min_time(due_us, budget_entry_tick(agent));
+	return due_us > now_us ? due_us : now_us + TGW_US_PER_MS;
+}
+
+void tgw_budget_drain(struct tgw_budget_agent *agent)
+{
+	if (agent->is_draining)
+		return;
+	agent->is_draining = true;
+	budget_holder_hand_over(agent);
+	for (size_t i = 0; i < agent->bucket_count; i++) {
+		budget_holder_serve_waiters(agent->buckets[i]);
+		if (budget_plan_is_active(agent->buckets[i]))
+			budget_bucket_due(agent->buckets[i],
+					  budget_now_us(agent));
+	}
+}
+
+bool tgw_budget_is_drained(const struct tgw_budget_agent *agent)
+{
+	if (!agent->is_draining || budget_entry_is_busy(agent) ||
+	    !budget_settle_queue_is_empty(agent))
+		return false;
+	for (size_t i = 0; i < agent->bucket_count; i++) {
+		const struct budget_bucket *bucket = agent->buckets[i];
+
+		if (bucket->io != BUCKET_IDLE ||
+		    (bucket->line && bucket->line->is_in_ledger))
+			return false;
+		for (const struct holder_line *line = bucket->closed_lines;
+		     line; line = line->next)
+			if (!line->is_settled_up)
+				return false;
+	}
+	return true;
+}
+
+const struct tgw_budget_counters *tgw_budget_agent_counters(
+	const struct tgw_budget_agent *agent)
+{
+	count_held((struct tgw_budget_agent *)agent);
+	return &agent->counters;
+}
--- /dev/null
+++ b/src/coordination/budget_ceiling.c
@@ -0,0 +1,256 @@
+/* The holder's side of witnessing. */
+#include <string.h>
+
+#include "coordination/budget_share.h"
+#include "coordination/budget_witness.h"
+#include "state/name_copy.h"
+
+/* An unanswered question is asked again after this. */
+#define RAISE_RETRY_US BUDGET_MS(100)
+/* Ceilings that nobody waits for are raised together, this far apart. */
+#define RAISE_INTERVAL_US BUDGET_MS(500)
+/* A witness that has not answered for this long is worked around by the
+ * ledger, which holds a ceiling too. */
+#define RAISE_BYPASS_US BUDGET_MS(250)
+/* A share that was idle for this long needs nothing ahead. */
+#define LOWER_AFTER_US BUDGET_S(1)
+
+static const struct tgw_host *find_candidate(const struct budget_bucket *bucket)
+{
+	const struct tgw_budget_agent *agent = bucket->agent;
+
+	for (size_t i = 0; i < bucket->rank_count; i++)
+		if (bucket->ranked[i] != agent->self)
+			return tgw_host_view_find(agent->view,
+						  bucket->ranked[i]->name);
+	return NULL;
+}
+
+/* Until the change is known to have landed or not, neither witness's word
+ * counts: only what each write says that may land. */
+static void freeze_ceilings(struct holder_line *line)
+{
+	if (!line->is_changing_witness)
+		for (size_t i = 0; i < line->share_count; i++)
+			line->shares[i]->changing_tokens = LEDGER_TOKENS_MAX;
+	line->is_changing_witness = true;
+}
+
+bool budget_witness_choose(struct budget_bucket *bucket,
+			   struct ledger_line *line)
+{
+	const struct tgw_host *candidate = find_candidate(bucket);
+
+	if (line->witness[0] &&
+	    budget_peer_state(bucket->agent, line->witness,
+			      line->witness_incarnation) == TGW_HOST_ALIVE)
+		return false;
+	if (!candidate && line->epoch && !line->witness[0])
+		return false;
+	if (candidate && !candidate->incarnation)
+		candidate = NULL;
+	if (!candidate && line->epoch && !line->witness[0])
+		return false;
+	memset(line->witness, 0, sizeof(line->witness));
+	line->witness_incarnation = 0;
+	if (candidate) {
+		name_copy(line->witness, candidate->name);
+		line->witness_incarnation = candidate->incarnation;
+	}
+	line->epoch++;
+	freeze_ceilings(bucket->line);
+	return true;
+}
+
+bool budget_witness_is_lost(const struct budget_bucket *bucket)
+{
+	const struct holder_line *line = bucket->line;
+	const struct tgw_host *candidate;
+
+	if (!line || !line->is_in_ledger)
+		return false;
+	if (line->witness[0])
+		return budget_peer_state(bucket->agent, line->witness,
+					 line->witness_incarnation) !=
+		       TGW_HOST_ALIVE;
+	candidate = find_candidate(bucket);
+	return candidate && candidate->incarnation;
+}
+
+/* What the share may be raised to: what it uses and needs, and some ahead. */
+static int64_t wished_ceiling(const struct holder_share *share)
+{
+	int64_t wished = holder_share_used(share) +
+			 holder_share_waiting(share) +
+			 holder_share_run_ahead(share);
+
+	return wished > share->usable_tokens ? share->usable_tokens : wished;
+}
+
+static void wish_for(struct holder_share *share, int64_t wished)
+{
+	share->ceiling_wished_tokens = wished;
+	share->ceiling_is_dirty = true;
+}
+
+/* Looks at one share. @return whether a request waits for the answer */
+static bool look_at(struct holder_share *share)
+{
+	int64_t now_us = budget_now_us(share->line->bucket->agent);
+	int64_t wished = wished_ceiling(share);
+	int64_t ceiling = holder_share_ceiling(share);
+	int64_t ahead = holder_share_run_ahead(share);
+	bool is_idle = now_us - share->touched_us >= LOWER_AFTER_US;
+
+	if (share->waiters && wished > ceiling) {
+		if (share->ceiling_is_dirty &&
+		    wished <= share->ceiling_sent_tokens)
+			return false;
+		wish_for(share, wished);
+		return true;
+	}
+	if (share->ceiling_is_dirty)
+		return false;
+	if (wished > ceiling && ceiling - holder_share_used(share) < ahead / 2)
+		wish_for(share, wished);
+	/* A rest that nobody asks for would be lost with this host. */
+	else if (is_idle && share->witnessed_tokens > share->floor_tokens &&
+		 share->witnessed_tokens > wished)
+		wish_for(share, wished);
+	else if (is_idle && !share->waiters)
+		share->is_touched = false;
+	return false;
+}
+
+static bool look_at_shares(struct holder_line *line, bool *any)
+{
+	bool is_urgent = false;
+
+	for (size_t i = 0; i < line->share_count; i++) {
+		struct holder_share *share = line->shares[i];
+
+		if (share->is_touched)
+			is_urgent |= look_at(share);
+		*any |= share->is_touched || share->ceiling_is_dirty;
+	}
+	return is_urgent;
+}
+
+static bool any_is_dirty(const struct holder_line *line)
+{
+	for (size_t i = 0; i < line->share_count; i++)
+		if (line->shares[i]->ceiling_is_dirty)
+			return true;
+	return false;
+}
+
+static void send_raise(struct holder_line *line)
+{
+	struct tgw_budget_agent *agent = line->bucket->agent;
+	int64_t now_us = budget_now_us(agent);
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_RAISE,
+		.bucket = line->bucket->index,
+		.line = line->id,
+		.epoch = line->epoch,
+		.sequence = ++line->raise_sequence,
+	};
+
+	for (size_t i = 0; i < line->share_count; i++) {
+		struct holder_share *share = line->shares[i];
+		struct budget_message_item *item;
+
+		if (!share->ceiling_is_dirty)
+			continue;
+		share->ceiling_sent_tokens = share->ceiling_wished_tokens;
+		share->ceiling_sequence = line->raise_sequence;
+		/* A lower ceiling binds from now on. */
+		if (share->witnessed_tokens > share->ceiling_sent_tokens)
+			share->witnessed_tokens = share->ceiling_sent_tokens;
+		item = budget_message_add(&message);
+		name_copy(item->budget, share->budget);
+		item->tokens = share->ceiling_sent_tokens;
+		item->other =
+			(int64_t)demand_forecast_per_s(&share->demand, now_us);
+	}
+	line->raise_sent_us = now_us;
+	if (!line->raise_first_sent_us)
+		line->raise_first_sent_us = now_us;
+	budget_send(agent, line->witness, &message);
+	budget_message_clear(&message);
+}
+
+static bool is_unanswered(const struct holder_line *line)
+{
+	return line->raise_acked != line->raise_sequence;
+}
+
+/* A witness that does not answer is worked around by the ledger. */
+static void bypass_witness(struct budget_bucket *bucket)
+{
+	const struct holder_line *line = bucket->line;
+	int64_t now_us = budget_now_us(bucket->agent);
+
+	if (is_unanswered(line) && !bucket->failures &&
+	    (line->raise_refused ||
+	     now_us - line->raise_first_sent_us > RAISE_BYPASS_US))
+		budget_bucket_due(bucket, now_us + RAISE_RETRY_US);
+}
+
+void budget_witness_raise(struct budget_bucket *bucket)
+{
+	struct holder_line *line = bucket->line;
+	int64_t now_us = budget_now_us(bucket->agent);
+	int64_t interval_us;
+	bool is_urgent;
+	bool any = false;
+
+	bucket->ceiling_due_us = BUDGET_NEVER_US;
+	if (!line || !line->is_in_ledger || !line->witness[0] ||
+	    line->is_changing_witness)
+		return;
+	bypass_witness(bucket);
+	is_urgent = look_at_shares(line, &any);
+	if (!any)
+		return;
+	interval_us = is_unanswered(line) ? RAISE_RETRY_US : RAISE_INTERVAL_US;
+	bucket->ceiling_due_us = now_us + interval_us;
+	if (any_is_dirty(line) &&
+	    (is_urgent || now_us - line->raise_sent_us >= interval_us))
+		send_raise(line);
+}
+
+void budget_witness_on_raised(struct tgw_budget_agent *agent,
+			      struct budget_peer *from,
+			      uint64_t from_incarnation,
+			      const struct budget_message *message)
+{
+	struct budget_bucket *bucket =
+		budget_bucket_obtain(agent, message->bucket);
+	struct holder_line *line = bucket->line;
+
+	if (!line || line->id != message->line ||
+	    line->epoch != message->epoch || line->is_changing_witness ||
+	    line->raise_sequence != message->sequence ||
+	    line->witness_incarnation != from_incarnation ||
+	    strcmp(line->witness, from->name))
+		return;
+	if (message->code) {
+		line->raise_refused = true;
+		budget_bucket_due(bucket, budget_now_us(agent));
+		return;
+	}
+	line->raise_acked = line->raise_sequence;
+	line->raise_first_sent_us = 0;
+	for (size_t i = 0; i < line->share_count; i++) {
+		struct holder_share *share = line->shares[i];
+
+		if (!share->ceiling_is_dirty ||
+		    share->ceiling_sequence != message->sequence)
+			continue;
+		share->witnessed_tokens = share->ceiling_sent_tokens;
+		share->ceiling_is_dirty = share->ceiling_wished_tokens !=
+					  share->ceiling_sent_tokens;
+	}
+	bucket->ceiling_due_us = budget_now_us(agent);
+}
--- /dev/null
+++ b/src/coordination/budget_entry.c
@@ -0,0 +1,568 @@
+#include "coordination/budget_entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "coordination/budget_claims.h"
+#include "coordination/budget_holder.h"
+#include "coordination/budget_settle_queue.h"
+#include "state/name_copy.h"
+
+/* A holder is asked this many times before its answer is given up. */
+#define ASK_TRIES 5
+#define BUSY_RETRY_US BUDGET_MS(50)
+#define ASKED_MAX 3
+#define CANCELLED_RETRY_US BUDGET_S(1)
+
+enum entry_state {
+	ENTRY_ASKING,
+	ENTRY_OPEN,
+	ENTRY_DONE,
+};
+
+/** A holder that may have granted. */
+struct asked_holder {
+	struct budget_peer *peer;
+	uint64_t incarnation;
+};
+
+struct entry_caller {
+	struct entry_caller *next;
+	struct tgw_budget_callback callback;
+};
+
+/** A request as its entry host knows it. */
+struct entry_request {
+	struct tgw_request_key key; /**< first member */
+	struct entry_request *next_asking;
+	struct entry_request *next_done;
+	char *budget;
+	int64_t bound_tokens;
+	int64_t spent_tokens;
+	enum entry_state state;
+	enum tgw_settle_basis basis;
+	bool is_owner;
+	bool is_queued; /**< among those done */
+	uint64_t request_id;
+	uint64_t line;
+	struct asked_holder holder; /**< that granted */
+	struct budget_peer *registered_at;
+	size_t asked_count;
+	struct asked_holder asked[ASKED_MAX];
+	struct entry_caller *callers;
+	int64_t deadline_us;
+	int64_t retry_us;
+	int64_t done_us;
+};
+
+/** An answer that waits for the next tick. */
+struct entry_answer {
+	struct entry_answer *next;
+	struct tgw_budget_callback callback;
+	struct tgw_budget_answer answer;
+};
+
+static const char *status_message(enum tgw_status status)
+{
+	switch (status) {
+	case TGW_OK:
+		return "reserved";
+	case TGW_EXHAUSTED:
+		return "the budget has too few tokens left; top it up";
+	case TGW_NOT_FOUND:
+		return "there is no such budget; top it up to create it";
+	case TGW_INVALID:
+		return "name a budget, and a bound within the ledger's range";
+	default:
+		return "the budget can't be reached now; try again later";
+	}
+}
+
+static void answer_later(struct tgw_budget_agent *agent,
+			 struct tgw_budget_callback callback,
+			 const struct tgw_budget_answer *answer)
+{
+	struct entry_answer *ready = xcalloc(1, sizeof(*ready));
+
+	ready->callback = callback;
+	ready->answer = *answer;
+	ready->answer.message = status_message(answer->status);
+	*agent->ready_end = ready;
+	agent->ready_end = &ready->next;
+}
+
+static void run_ready(struct tgw_budget_agent *agent)
+{
+	while (agent->ready) {
+		struct entry_answer *ready = agent->ready;
+
+		agent->ready = ready->next;
+		if (!agent->ready)
+			agent->ready_end = &agent->ready;
+		ready->callback.done(ready->callback.arg, &ready->answer);
+		free(ready);
+	}
+}
+
+static void queue_done(struct tgw_budget_agent *agent,
+		       struct entry_request *entry)
+{
+	entry->done_us = budget_now_us(agent);
+	if (entry->is_queued)
+		return;
+	entry->is_queued = true;
+	entry->next_done = NULL;
+	*agent->done_end = entry;
+	agent->done_end = &entry->next_done;
+}
+
+static void leave_asking(struct tgw_budget_agent *agent,
+			 const struct entry_request *entry)
+{
+	struct entry_request **link = &agent->asking;
+
+	while (*link != entry)
+		link = &(*link)->next_asking;
+	*link = entry->next_asking;
+}
+
+static struct settle_order *make_order(const struct entry_request *entry,
+				       const struct asked_holder *holder,
+				       enum tgw_settle_basis basis)
+{
+	struct settle_order *order = xcalloc(1, sizeof(*order));
+
+	order->key = entry->key;
+	name_copy(order->budget, entry->budget);
+	order->request_id = entry->request_id;
+	order->holder_incarnation = holder->incarnation;
+	order->bound_tokens = entry->bound_tokens;
+	order->spent_tokens = basis == TGW_SETTLE_NOT_RUN ? 0
+							  : entry->spent_tokens;
+	order->basis = basis;
+	return order;
+}
+
+/* A holder whose answer did not count may have granted all the same. */
+static void cancel_others(struct tgw_budget_agent *agent,
+			  struct entry_request *entry,
+			  const struct budget_peer *granted)
+{
+	for (size_t i = 0; i < entry->asked_count; i++)
+		if (entry->asked[i].peer != granted)
+			budget_settle_queue_add(agent, entry->asked[i].peer,
+						make_order(entry,
+							   &entry->asked[i],
+							   TGW_SETTLE_NOT_RUN));
+}
+
+static void answer_callers(struct tgw_budget_agent *agent,
+			   struct entry_request *entry,
+			   struct tgw_budget_answer *answer)
+{
+	while (entry->callers) {
+		struct entry_caller *caller = entry->callers;
+
+		entry->callers = caller->next;
+		answer_later(agent, caller->callback, answer);
+		/* The others share the one reservation. */
+		if (answer->status == TGW_OK && !answer->already_settled)
+			answer->already_reserved = true;
+		free(caller);
+	}
+}
+
+static void end_refused(struct tgw_budget_agent *agent,
+			struct entry_request *entry, enum tgw_status status,
+			int64_t retry_after_us)
+{
+	struct tgw_budget_answer answer = {
+		.status = status,
+		.retry_after_us = retry_after_us,
+	};
+
+	leave_asking(agent, entry);
+	entry->state = ENTRY_DONE;
+	entry->basis = TGW_SETTLE_NOT_RUN;
+	entry->spent_tokens = 0;
+	queue_done(agent, entry);
+	answer_callers(agent, entry, &answer);
+}
+
+static void add_asked(struct tgw_budget_agent *agent,
+		      struct entry_request *entry, struct budget_peer *peer)
+{
+	const struct tgw_host *host =
+		tgw_host_view_find(agent->view, peer->name);
+
+	for (size_t i = 0; i < entry->asked_count; i++)
+		if (entry->asked[i].peer == peer)
+			return;
+	if (entry->asked_count == ASKED_MAX)
+		return;
+	entry->asked[entry->asked_count].peer = peer;
+	entry->asked[entry->asked_count++].incarnation =
+		host ? host->incarnation : 0;
+}
+
+static void ask(struct tgw_budget_agent *agent, struct entry_request *entry)
+{
+	struct budget_bucket *bucket = budget_bucket_obtain(
+		agent, ledger_bucket_of(entry->budget,
+					agent->env.settings.bucket_count));
+	struct budget_message message = {.kind = BUDGET_MESSAGE_RESERVE};
+	struct budget_message_item *item;
+
+	entry->retry_us = budget_now_us(agent) +
+			  agent->env.settings.reserve_timeout_us / ASK_TRIES;
+	if (!bucket->rank_count || entry->asked_count == ASKED_MAX)
+		return;
+	add_asked(agent, entry, bucket->ranked[0]);
+	item = budget_message_add(&message);
+	item->id = entry->request_id;
+	item->key = entry->key;
+	item->has_key = true;
+	name_copy(item->budget, entry->budget);
+	item->tokens = entry->bound_tokens;
+	if (bucket->ranked[0] == agent->self)
+		budget_holder_reserve(agent, agent->self, agent->incarnation,
+				      item);
+	else
+		budget_send(agent, bucket->ranked[0]->name, &message);
+	budget_message_clear(&message);
+}
+
+static void add_caller(struct entry_request *entry,
+		       struct tgw_budget_callback callback)
+{
+	struct entry_caller **link = &entry->callers;
+
+	while (*link)
+		link = &(*link)->next;
+	*link = xcalloc(1, sizeof(**link));
+	(*link)->callback = callback;
+}
+
+static struct entry_request *obtain_entry(struct tgw_budget_agent *agent,
+					  const struct tgw_request_key *key)
+{
+	struct entry_request *entry = key_table_find(&agent->entries, key);
+
+	if (entry)
+		return entry;
+	entry = xcalloc(1, sizeof(*entry));
+	entry->key = *key;
+	entry->state = ENTRY_DONE;
+	entry->basis = TGW_SETTLE_NOT_RUN;
+	key_table_add(&agent->entries, entry);
+	return entry;
+}
+
+static void start_asking(struct tgw_budget_agent *agent,
+			 struct entry_request *entry,
+			 const struct tgw_budget_request *request)
+{
+	free(entry->budget);
+	entry->budget = xstrdup(request->budget);
+	entry->bound_tokens = request->bound_tokens;
+	entry->state = ENTRY_ASKING;
+	entry->basis = TGW_SETTLE_USAGE;
+	entry->request_id = ++agent->next_request_id;
+	entry->asked_count = 0;
+	entry->registered_at = NULL;
+	entry->deadline_us =
+		budget_now_us(agent) + agent->env.settings.reserve_timeout_us;
+	entry->next_asking = agent->asking;
+	agent->asking = entry;
+	ask(agent, entry);
+}
+
+static bool is_valid(const struct tgw_budget_request *request)
+{
+	size_t length = request->budget ? strlen(request->budget) : 0;
+
+	return length && length < TGW_NAME_SIZE && request->bound_tokens > 0 &&
+	       request->bound_tokens <= LEDGER_TOKENS_MAX;
+}
+
+void budget_entry_reserve(struct tgw_budget_agent *agent,
+			  const struct tgw_budget_request *request,
+			  struct tgw_budget_callback callback)
+{
+	struct tgw_budget_answer answer = {.status = TGW_OK};
+	struct entry_request *entry;
+
+	if (!is_valid(request))
+		answer.status = TGW_INVALID;
+	else if (agent->is_draining)
+		answer.status = TGW_UNAVAILABLE;
+	if (answer.status != TGW_OK) {
+		answer_later(agent, callback, &answer);
+		return;
+	}
+	entry = obtain_entry(agent, &request->key);
+	if (entry->state == ENTRY_ASKING) {
+		add_caller(entry, callback);
+		return;
+	}
+	if (entry->state == ENTRY_DONE && entry->basis == TGW_SETTLE_NOT_RUN) {
+		add_caller(entry, callback);
+		start_asking(agent, entry, request);
+		return;
+	}
+	agent->counters.duplicate_keys++;
+	answer.already_reserved = entry->state == ENTRY_OPEN;
+	answer.already_settled = entry->state == ENTRY_DONE;
+	answer.settled_tokens = entry->spent_tokens;
+	answer_later(agent, callback, &answer);
+}
+
+static struct entry_request *find_asking(const struct tgw_budget_agent *agent,
+					 uint64_t request_id)
+{
+	struct entry_request *entry = agent->asking;
+
+	while (entry && entry->request_id != request_id)
+		entry = entry->next_asking;
+	return entry;
+}
+
+static void accept(struct tgw_budget_agent *agent, struct entry_request *entry,
+		   const struct asked_holder *holder, uint64_t line,
+		   const struct budget_message_item *item)
+{
+	struct tgw_budget_answer answer = {
+		.status = TGW_OK,
+		.already_reserved = item->flags & BUDGET_FLAG_ALREADY_RESERVED,
+		.already_settled = item->flags & BUDGET_FLAG_ALREADY_SETTLED,
+		.settled_tokens = item->tokens,
+	};
+
+	leave_asking(agent, entry);
+	entry->holder = *holder;
+	entry->line = line;
+	entry->is_owner = !answer.already_reserved && !answer.already_settled;
+	entry->state = ENTRY_OPEN;
+	entry->spent_tokens = 0;
+	if (answer.already_settled) {
+		entry->state = ENTRY_DONE;
+		entry->basis = TGW_SETTLE_USAGE;
+		entry->spent_tokens = item->tokens;
+		queue_done(agent, entry);
+	} else {
+		agent->open_entries++;
+	}
+	cancel_others(agent, entry, holder->peer);
+	answer_callers(agent, entry, &answer);
+}
+
+void budget_entry_on_reserved(struct tgw_budget_agent *agent,
+			      struct budget_peer *from,
+			      uint64_t from_incarnation, uint64_t line,
+			      const struct budget_message_item *item)
+{
+	struct entry_request *entry = find_asking(agent, item->id);
+	struct asked_holder holder = {from, from_incarnation};
+
+	if (!entry)
+		return;
+	if (item->code == TGW_OK) {
+		accept(agent, entry, &holder, line, item);
+		return;
+	}
+	if (item->code == TGW_BUSY) {
+		entry->retry_us = budget_now_us(agent) + BUSY_RETRY_US;
+		return;
+	}
+	cancel_others(agent, entry, from);
+	end_refused(agent, entry, (enum tgw_status)item->code, item->other);
+}
+
+static bool is_gone(const struct tgw_budget_agent *agent,
+		    const struct asked_holder *holder)
+{
+	return budget_peer_state(agent, holder->peer->name,
+				 holder->incarnation) == TGW_HOST_GONE;
+}
+
+static void send_settlement(struct tgw_budget_agent *agent,
+			    struct entry_request *entry)
+{
+	struct settle_order *order =
+		make_order(entry, &entry->holder, entry->basis);
+
+	order->line = entry->line;
+	order->is_owner = entry->is_owner;
+	if (!is_gone(agent, &entry->holder)) {
+		budget_settle_queue_add(agent, entry->holder.peer, order);
+		return;
+	}
+	budget_claims_add(agent, order);
+	free(order);
+}
+
+/* The successor of a gone holder keeps the key, for retries. */
+static void tell_successor(struct tgw_budget_agent *agent,
+			   struct entry_request *entry)
+{
+	struct asked_holder successor = {.peer = entry->registered_at};
+	const struct tgw_host *host;
+
+	if (!successor.peer)
+		return;
+	host = tgw_host_view_find(agent->view, successor.peer->name);
+	successor.incarnation = host ? host->incarnation : 0;
+	budget_settle_queue_add(agent, successor.peer,
+				make_order(entry, &successor, entry->basis));
+}
+
+void budget_entry_settle(struct tgw_budget_agent *agent,
+			 const struct tgw_request_key *key,
+			 int64_t spent_tokens, enum tgw_settle_basis basis)
+{
+	struct entry_request *entry = key_table_find(&agent->entries, key);
+
+	if (!entry || entry->state != ENTRY_OPEN)
+		return;
+	if (basis == TGW_SETTLE_BOUND || spent_tokens < 0 ||
+	    spent_tokens > entry->bound_tokens)
+		spent_tokens = entry->bound_tokens;
+	entry->spent_tokens = basis == TGW_SETTLE_NOT_RUN ? 0 : spent_tokens;
+	entry->basis = basis;
+	entry->state = ENTRY_DONE;
+	agent->open_entries--;
+	queue_done(agent, entry);
+	send_settlement(agent, entry);
+	tell_successor(agent, entry);
+}
+
+static void register_at(struct tgw_budget_agent *agent,
+			struct entry_request *entry,
+			struct budget_bucket *bucket)
+{
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_REGISTER,
+		.bucket = bucket->index,
+	};
+	struct budget_message_item *item = budget_message_add(&message);
+
+	entry->registered_at = bucket->ranked[0];
+	item->id = entry->request_id;
+	item->key = entry->key;
+	item->has_key = true;
+	item->code = entry->state == ENTRY_DONE;
+	item->tokens = entry->state == ENTRY_DONE ? entry->spent_tokens
+						  : entry->bound_tokens;
+	if (bucket->ranked[0] == agent->self)
+		budget_holder_register(agent, agent->self, agent->incarnation,
+				       bucket->index, item);
+	else
+		budget_send(agent, bucket->ranked[0]->name, &message);
+	budget_message_clear(&message);
+}
+
+void budget_entry_on_view(struct tgw_budget_agent *agent)
+{
+	for (size_t i = 0; i < agent->entries.capacity; i++) {
+		struct entry_request *entry = agent->entries.slots[i];
+		struct budget_bucket *bucket;
+
+		if (!entry || entry->state == ENTRY_ASKING ||
+		    entry->basis == TGW_SETTLE_NOT_RUN || !entry->holder.peer ||
+		    !is_gone(agent, &entry->holder))
+			continue;
+		bucket = budget_bucket_obtain(
+			agent,
+			ledger_bucket_of(entry->budget,
+					 agent->env.settings.bucket_count));
+		if (bucket->rank_count &&
+		    bucket->ranked[0] != entry->registered_at)
+			register_at(agent, entry, bucket);
+	}
+}
+
+static void expire_done(struct tgw_budget_agent *agent)
+{
+	int64_t before_us =
+		budget_now_us(agent) - agent->env.settings.duplicate_memory_us;
+
+	while (agent->done_first && (agent->done_first->state != ENTRY_DONE ||
+				     agent->done_first->done_us < before_us)) {
+		struct entry_request *entry = agent->done_first;
+
+		agent->done_first = entry->next_done;
+		if (!agent->done_first)
+			agent->done_end = &agent->done_first;
+		entry->is_queued = false;
+		if (entry->state != ENTRY_DONE)
+			continue;
+		key_table_remove(&agent->entries, &entry->key);
+		free(entry->budget);
+		free(entry);
+	}
+}
+
+static void tick_asking(struct tgw_budget_agent *agent,
+			struct entry_request *entry)
+{
+	int64_t now_us = budget_now_us(agent);
+
+	if (entry->state != ENTRY_ASKING)
+		return;
+	if (now_us >= entry->deadline_us) {
+		cancel_others(agent, entry, NULL);
+		end_refused(agent, entry, TGW_UNAVAILABLE, CANCELLED_RETRY_US);
+	} else if (now_us >= entry->retry_us) {
+		ask(agent, entry);
+	}
+}
+
+int64_t budget_entry_tick(struct tgw_budget_agent *agent)
+{
+	struct entry_request *entry = agent->asking;
+	int64_t due_us = BUDGET_NEVER_US;
+
+	while (entry) {
+		struct entry_request *next = entry->next_asking;
+
+		tick_asking(agent, entry);
+		entry = next;
+	}
+	expire_done(agent);
+	run_ready(agent);
+	for (entry = agent->asking; entry; entry = entry->next_asking)
+		if (entry->retry_us < due_us)
+			due_us = entry->retry_us;
+	return agent->ready ? budget_now_us(agent) : due_us;
+}
+
+bool budget_entry_is_busy(const struct tgw_budget_agent *agent)
+{
+	return agent->asking || agent->ready || agent->open_entries;
+}
+
+void budget_entry_free_all(struct tgw_budget_agent *agent)
+{
+	for (size_t i = 0; i < agent->entries.capacity; i++) {
+		struct entry_request *entry = agent->entries.slots[i];
+
+		if (!entry)
+			continue;
+		while (entry->callers) {
+			struct entry_caller *caller = entry->callers;
+
+			entry->callers = caller->next;
+			free(caller);
+		}
+		free(entry->budget);
+		free(entry);
+	}
+	key_table_free(&agent->entries);
+	while (agent->ready) {
+		struct entry_answer *ready = agent->ready;
+
+		agent->ready = ready->next;
+		free(ready);
+	}
+}
--- /dev/null
+++ b/src/coordination/budget_ledger.c
@@ -0,0 +1,253 @@
+#include "coordination/budget_ledger.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/budget_holder.h"
+#include "coordination/budget_plan.h"
+#include "coordination/budget_recall.h"
+#include "coordination/budget_share.h"
+#include "coordination/budget_witness.h"
+#include "state/ledger_codec.h"
+
+#define RETRY_MIN_US BUDGET_MS(20)
+#define RETRY_MAX_US BUDGET_S(5)
+/* Fresh values are looked through for a refill this often in a flush. */
+#define LOOKS_PER_FLUSH 8
+#define LOOK_US BUDGET_S(1)
+/* A share is refilled early when this part of its allotment is left. */
+#define REFILL_PART 4
+
+static void start_read(struct budget_bucket *bucket);
+
+static int64_t retry_delay_us(struct budget_bucket *bucket)
+{
+	int64_t delay_us = RETRY_MIN_US;
+
+	for (uint32_t i = 0; i < bucket->failures && delay_us < RETRY_MAX_US;
+	     i++)
+		delay_us *= 2;
+	return delay_us + (int64_t)tgw_random_below(&bucket->agent->random,
+						    (uint64_t)delay_us);
+}
+
+static void note_store(struct tgw_budget_agent *agent, bool answered)
+{
+	int64_t now_us = budget_now_us(agent);
+
+	if (answered) {
+		agent->store_failing_since_us = 0;
+		agent->store_answered_us = now_us;
+	} else if (!agent->store_failing_since_us) {
+		agent->store_failing_since_us = now_us;
+	}
+}
+
+static int64_t next_look_us(const struct budget_bucket *bucket)
+{
+	const struct tgw_budget_agent *agent = bucket->agent;
+	int64_t flush_us = agent->env.settings.flush_interval_us;
+
+	if (!budget_plan_is_active(bucket))
+		return BUDGET_NEVER_US;
+	return budget_now_us(agent) + flush_us;
+}
+
+/* Called last in each operation's callback, so that the next can start. */
+static void finish(struct budget_bucket *bucket, enum tgw_status status)
+{
+	ledger_bucket_clear(&bucket->draft);
+	bucket->io = BUCKET_IDLE;
+	if (status == TGW_OK) {
+		bucket->failures = 0;
+		bucket->operations++;
+		budget_bucket_due(bucket, next_look_us(bucket));
+		budget_recall_answer(bucket);
+	} else {
+		budget_bucket_due(bucket, budget_now_us(bucket->agent) +
+						  retry_delay_us(bucket));
+		bucket->failures++;
+	}
+	bucket->ceiling_due_us = budget_now_us(bucket->agent);
+	budget_holder_serve_waiters(bucket);
+}
+
+/* Takes the draft over as what the store holds at that version. */
+static void become_known(struct budget_bucket *bucket, int64_t version)
+{
+	ledger_bucket_clear(&bucket->known);
+	bucket->known = bucket->draft;
+	memset(&bucket->draft, 0, sizeof(bucket->draft));
+	bucket->version = version;
+	bucket->is_read = true;
+	bucket->read_us = bucket->began_us;
+	budget_plan_adopt(bucket);
+}
+
+/* A write that is known to have had no effect: what it was to give back may
+ * be granted again. */
+static void revert_plan(struct budget_bucket *bucket)
+{
+	if (!bucket->is_uncertain)
+		budget_plan_adopt(bucket);
+}
+
+static enum tgw_status take_entry(struct budget_bucket *bucket,
+				  const struct tgw_store_entry *entry)
+{
+	enum tgw_status status = ledger_codec_decode(
+		&bucket->draft, entry->value, entry->value_size, NULL);
+
+	if (status != TGW_OK)
+		return status;
+	if (bucket->is_uncertain && entry->version != bucket->uncertain_version)
+		bucket->is_uncertain = false;
+	become_known(bucket, entry->version);
+	return ledger_codec_decode(&bucket->draft, entry->value,
+				   entry->value_size, NULL);
+}
+
+static void on_written(void *arg, const struct tgw_store_result *result);
+
+/* Plans on the value just read, and writes when it is worth it. */
+static void plan_and_write(struct budget_bucket *bucket)
+{
+	struct tgw_budget_agent *agent = bucket->agent;
+	struct buffer bytes = {0};
+
+	if (!budget_plan_write(bucket)) {
+		revert_plan(bucket);
+		finish(bucket, TGW_OK);
+		return;
+	}
+	ledger_codec_encode(&bucket->draft, &bytes);
+	agent->counters.ledger_writes++;
+	bucket->io = BUCKET_WRITING;
+	tgw_store_swap(agent->env.store, bucket->key, bucket->version,
+		       bytes.data, bytes.size,
+		       (struct tgw_store_callback){on_written, bucket});
+	buffer_free(&bytes);
+}
+
+static void on_conflict(struct budget_bucket *bucket,
+			const struct tgw_store_result *result)
+{
+	bucket->agent->counters.ledger_conflicts++;
+	ledger_bucket_clear(&bucket->draft);
+	bucket->is_uncertain = false;
+	if (result->entry_count == 1 &&
+	    take_entry(bucket, &result->entries[0]) == TGW_OK) {
+		finish(bucket, TGW_CONFLICT);
+		return;
+	}
+	finish(bucket, TGW_UNAVAILABLE);
+}
+
+static void on_written(void *arg, const struct tgw_store_result *result)
+{
+	struct budget_bucket *bucket = arg;
+	struct tgw_budget_agent *agent = bucket->agent;
+
+	note_store(agent,
+		   result->status == TGW_OK || result->status == TGW_CONFLICT);
+	switch (result->status) {
+	case TGW_OK:
+		bucket->is_uncertain = false;
+		bucket->written_us = budget_now_us(agent);
+		become_known(bucket, result->entries[0].version);
+		finish(bucket, TGW_OK);
+		return;
+	case TGW_CONFLICT:
+		on_conflict(bucket, result);
+		return;
+	case TGW_UNAVAILABLE:
+		revert_plan(bucket);
+		break;
+	default:
+		bucket->is_uncertain = true;
+		bucket->uncertain_version = bucket->version;
+		agent->counters.ledger_read_backs++;
+		break;
+	}
+	finish(bucket, result->status);
+}
+
+static void on_read(void *arg, const struct tgw_store_result *result)
+{
+	struct budget_bucket *bucket = arg;
+	enum tgw_status status = result->status;
+
+	note_store(bucket->agent, status == TGW_OK);
+	if (status == TGW_OK)
+		status = take_entry(bucket, &result->entries[0]);
+	if (status == TGW_OK)
+		plan_and_write(bucket);
+	else
+		finish(bucket, status);
+}
+
+static void start_read(struct budget_bucket *bucket)
+{
+	struct tgw_budget_agent *agent = bucket->agent;
+
+	bucket->io = BUCKET_READING;
+	bucket->began_us = budget_now_us(agent);
+	bucket->due_us = BUDGET_NEVER_US;
+	agent->counters.ledger_reads++;
+	tgw_store_get(agent->env.store, bucket->key,
+		      (struct tgw_store_callback){on_read, bucket});
+}
+
+/* Whether a share runs low enough to be refilled ahead of its time. */
+static bool is_low(const struct budget_bucket *bucket)
+{
+	const struct holder_line *line = bucket->line;
+
+	for (size_t i = 0; line && i < line->share_count; i++) {
+		const struct holder_share *share = line->shares[i];
+		int64_t left = share->usable_tokens - holder_share_used(share);
+
+		if (left < share->filled_tokens / REFILL_PART)
+			return true;
+	}
+	return false;
+}
+
+static void look_for_refill(struct budget_bucket *bucket)
+{
+	int64_t now_us = budget_now_us(bucket->agent);
+	int64_t interval_us =
+		bucket->agent->env.settings.flush_interval_us / LOOKS_PER_FLUSH;
+
+	if (!bucket->line || bucket->failures ||
+	    now_us - bucket->read_us < interval_us || !is_low(bucket))
+		return;
+	budget_bucket_due(bucket, now_us);
+}
+
+/* With the store out, ceilings cover more; afterwards less again. */
+static void look_at_outage(struct budget_bucket *bucket)
+{
+	bool is_out = budget_store_is_out(bucket->agent);
+	struct holder_line *line = bucket->line;
+
+	if (bucket->is_for_outage == is_out)
+		return;
+	bucket->is_for_outage = is_out;
+	for (size_t i = 0; line && i < line->share_count; i++)
+		holder_share_touch(line->shares[i]);
+}
+
+void budget_ledger_tick(struct budget_bucket *bucket)
+{
+	if (bucket->io != BUCKET_IDLE)
+		return;
+	if (bucket->look_us <= budget_now_us(bucket->agent)) {
+		bucket->look_us = budget_now_us(bucket->agent) + LOOK_US;
+		look_for_refill(bucket);
+		look_at_outage(bucket);
+		budget_witness_watch(bucket);
+	}
+	if (bucket->due_us <= budget_now_us(bucket->agent))
+		start_read(bucket);
+}
--- /dev/null
+++ b/src/coordination/budget_plan.c
@@ -0,0 +1,383 @@
+#include "coordination/budget_plan.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/budget_claims.h"
+#include "coordination/budget_recall.h"
+#include "coordination/budget_share.h"
+#include "coordination/budget_witness.h"
+#include "state/allotment_policy.h"
+#include "state/name_copy.h"
+
+/* A closed line with reservations open is reconciled after this. */
+#define RECONCILE_AFTER_US BUDGET_S(600)
+/* The second-ranked host holds this part of the time to ride out. */
+#define RESERVE_PART 6.0
+/* A change of less than this part of the allotment can wait. */
+#define MINOR_CHANGE_PART 8
+
+/* What a plan found worth writing. */
+struct plan {
+	struct budget_bucket *bucket;
+	bool is_worth; /**< now */
+	bool is_minor; /**< with the next regular write */
+};
+
+static int64_t wall_us(const struct budget_bucket *bucket)
+{
+	return tgw_clock_wall_us(bucket->agent->env.clock);
+}
+
+/* Lines of this host that were written off: return what was not spent. */
+static void plan_reconciliation(struct plan *plan)
+{
+	struct budget_bucket *bucket = plan->bucket;
+	int64_t now_us = budget_now_us(bucket->agent);
+
+	for (struct holder_line *own = bucket->closed_lines; own;
+	     own = own->next) {
+		struct ledger_line *line;
+
+		if (own->is_settled_up ||
+		    (holder_line_open_tokens(own) &&
+		     now_us - own->closed_us < RECONCILE_AFTER_US))
+			continue;
+		line = ledger_bucket_find_line(&bucket->draft, own->id);
+		if (!line || line->state != LEDGER_LINE_CLOSED)
+			continue;
+		for (size_t i = 0; i < line->share_count; i++) {
+			struct ledger_share *share = &line->shares[i];
+			const struct holder_share *held =
+				holder_line_find_share(
+					own,
+					bucket->draft
+						.budgets[share->budget_index]
+						.name);
+			int64_t used = held ? holder_share_used(held) : 0;
+			int64_t taken = ledger_share_taken(line, share);
+
+			share->allotted_tokens = used < taken ? used : taken;
+			share->refund_count = 0;
+		}
+		ledger_bucket_fold_line(&bucket->draft, own->id);
+		plan->is_worth = true;
+	}
+}
+
+/* Fills in the other lines' part of the inputs. */
+static void survey_others(const struct ledger_bucket *draft, uint64_t own_id,
+			  uint32_t index, struct allotment_inputs *inputs)
+{
+	for (size_t i = 0; i < draft->line_count; i++) {
+		const struct ledger_line *line = &draft->lines[i];
+		const struct ledger_share *share =
+			ledger_line_find_share(line, index);
+
+		if (!share || line->id == own_id ||
+		    line->state != LEDGER_LINE_OPEN)
+			continue;
+		inputs->others_count++;
+		inputs->others_demand_per_s +=
+			(double)share->demand_tokens_per_s;
+		inputs->asked_tokens += share->wanted_tokens;
+		if (share->allotted_tokens > share->settled_tokens)
+			inputs->others_left_tokens +=
+				share->allotted_tokens - share->settled_tokens;
+	}
+}
+
+static uint32_t count_domains(const struct tgw_host_view *view)
+{
+	uint32_t count = 0;
+
+	for (size_t i = 0; i < view->host_count; i++) {
+		size_t earlier = 0;
+
+		while (earlier < i &&
+		       strcmp(view->hosts[earlier].failure_domain,
+			      view->hosts[i].failure_domain))
+			earlier++;
+		if (earlier == i)
+			count++;
+	}
+	return count;
+}
+
+static int64_t decide(const struct holder_share *share, uint32_t index,
+		      double demand_per_s, double ride_out_s)
+{
+	const struct budget_bucket *bucket = share->line->bucket;
+	struct allotment_inputs inputs = {
+		.free_tokens = ledger_bucket_free_tokens(&bucket->draft, index),
+		.allotted_tokens = share->confirmed_tokens,
+		.used_tokens = holder_share_used(share),
+		.needed_tokens = holder_share_waiting(share),
+		.asked_tokens = share->asked_tokens,
+		.demand_per_s = demand_per_s,
+		.ride_out_s = ride_out_s,
+	};
+	uint32_t domains = count_domains(bucket->agent->view);
+
+	survey_others(&bucket->draft, share->line->id, index, &inputs);
+	if (domains > inputs.others_count + 1)
+		inputs.absent_domains = domains - inputs.others_count - 1;
+	if (bucket->agent->is_draining)
+		return inputs.used_tokens;
+	return allotment_policy_decide(&inputs);
+}
+
+/* Demand of the domain's first holder, of which a reserve keeps a part. */
+static double first_holders_demand(const struct budget_bucket *bucket,
+				   const char *budget)
+{
+	const struct witness_line *witnessed = bucket->witnessed;
+
+	for (; witnessed; witnessed = witnessed->next)
+		for (size_t i = 0; i < witnessed->share_count; i++)
+			if (!strcmp(witnessed->shares[i].budget, budget))
+				return (double)witnessed->shares[i]
+					.demand_tokens_per_s;
+	return 0;
+}
+
+static int64_t plan_allotment(const struct holder_share *share, uint32_t index)
+{
+	const struct tgw_budget_agent *agent = share->line->bucket->agent;
+	double ride_out_s =
+		(double)agent->env.settings.ride_out_us / (double)TGW_US_PER_S;
+	double own =
+		demand_forecast_per_s(&share->demand, budget_now_us(agent));
+	double first =
+		first_holders_demand(share->line->bucket, share->budget) /
+		RESERVE_PART;
+
+	return decide(share, index, own > first ? own : first, ride_out_s);
+}
+
+static bool is_large_change(int64_t before, int64_t after)
+{
+	int64_t change = after > before ? after - before : before - after;
+
+	return change > before / MINOR_CHANGE_PART;
+}
+
+static void plan_share(struct plan *plan, struct ledger_line *line,
+		       struct holder_share *held, uint32_t index)
+{
+	struct budget_bucket *bucket = plan->bucket;
+	struct ledger_share *share = ledger_line_obtain_share(line, index);
+	int64_t allotted = plan_allotment(held, index);
+	int64_t ceiling = holder_share_used(held) + holder_share_waiting(held) +
+			  holder_share_run_ahead(held);
+	int64_t wanted = held->want_mark ? holder_share_waiting(held) : 0;
+	int64_t short_tokens = holder_share_used(held) +
+			       holder_share_waiting(held) - held->usable_tokens;
+
+	if (ceiling > allotted)
+		ceiling = allotted;
+	if (ceiling < share->ceiling_tokens)
+		ceiling = share->ceiling_tokens;
+	if (held->line->is_changing_witness && ceiling < held->changing_tokens)
+		held->changing_tokens = ceiling;
+	if ((held->asked_tokens || short_tokens > 0 ||
+	     is_large_change(share->allotted_tokens, allotted)) &&
+	    allotted != share->allotted_tokens)
+		plan->is_worth = true;
+	if (wanted != share->wanted_tokens ||
+	    (held->waiters && ceiling > holder_share_ceiling(held) &&
+	     line->witness[0]))
+		plan->is_worth = true;
+	if (share->settled_tokens != held->settled_tokens ||
+	    allotted != share->allotted_tokens)
+		plan->is_minor = true;
+	held->asked_tokens = 0;
+	share->allotted_tokens = allotted;
+	share->settled_tokens = held->settled_tokens;
+	share->ceiling_tokens = ceiling;
+	share->wanted_tokens = wanted;
+	share->demand_tokens_per_s = (int64_t)demand_forecast_per_s(
+		&held->demand, budget_now_us(bucket->agent));
+}
+
+/* Tokens that the write gives back may no longer be granted. */
+static void reserve_returns(struct budget_bucket *bucket,
+			    const struct ledger_line *line)
+{
+	for (size_t i = 0; i < line->share_count; i++) {
+		const struct ledger_share *share = &line->shares[i];
+		struct holder_share *held = holder_line_find_share(
+			bucket->line,
+			bucket->draft.budgets[share->budget_index].name);
+
+		if (held && held->usable_tokens > share->allotted_tokens)
+			held->usable_tokens = share->allotted_tokens;
+	}
+}
+
+static bool wants_line(const struct budget_bucket *bucket)
+{
+	const struct holder_line *line = bucket->line;
+
+	if (!line || line->is_in_ledger || bucket->agent->is_draining)
+		return false;
+	for (size_t i = 0; i < line->share_count; i++)
+		if (ledger_bucket_find_budget(&bucket->draft,
+					      line->shares[i]->budget) >= 0)
+			return true;
+	return false;
+}
+
+static struct ledger_line *obtain_line(struct plan *plan)
+{
+	struct budget_bucket *bucket = plan->bucket;
+	struct tgw_budget_agent *agent = bucket->agent;
+	struct ledger_line *line =
+		ledger_bucket_find_line(&bucket->draft, bucket->line->id);
+
+	if (line)
+		return line;
+	if (!wants_line(bucket))
+		return NULL;
+	line = ledger_bucket_add_line(&bucket->draft, bucket->line->id);
+	name_copy(line->host, agent->name);
+	name_copy(line->domain, agent->domain);
+	line->incarnation = agent->incarnation;
+	plan->is_worth = true;
+	return line;
+}
+
+static void plan_own_line(struct plan *plan)
+{
+	struct budget_bucket *bucket = plan->bucket;
+	struct holder_line *own = bucket->line;
+	struct ledger_line *line;
+
+	if (!own)
+		return;
+	line = obtain_line(plan);
+	if (!line || line->state != LEDGER_LINE_OPEN)
+		return;
+	if (budget_witness_choose(bucket, line))
+		plan->is_worth = true;
+	for (size_t i = 0; i < own->share_count; i++) {
+		int found = ledger_bucket_find_budget(&bucket->draft,
+						      own->shares[i]->budget);
+
+		if (found >= 0)
+			plan_share(plan, line, own->shares[i], (uint32_t)found);
+	}
+	line->sequence = ++own->sequence;
+	reserve_returns(bucket, line);
+	if (bucket->agent->is_draining && !holder_line_open_tokens(own)) {
+		for (size_t i = 0; i < own->share_count; i++)
+			own->shares[i]->usable_tokens = 0;
+		for (size_t i = 0; i < line->share_count; i++)
+			line->shares[i].allotted_tokens =
+				line->shares[i].settled_tokens;
+		ledger_bucket_fold_line(&bucket->draft, own->id);
+		plan->is_worth = true;
+	}
+}
+
+bool budget_plan_write(struct budget_bucket *bucket)
+{
+	struct plan plan = {.bucket = bucket};
+	int64_t flush_us = bucket->agent->env.settings.flush_interval_us;
+	struct tgw_error error;
+
+	if (budget_witness_plan_closings(bucket, wall_us(bucket)))
+		plan.is_worth = true;
+	plan_reconciliation(&plan);
+	if (budget_claims_plan(bucket))
+		plan.is_worth = true;
+	ledger_bucket_trim(&bucket->draft);
+	plan_own_line(&plan);
+	if (ledger_bucket_check(&bucket->draft, &error) != TGW_OK) {
+		assert(!"a plan breaks the rule of the ledger");
+		return false;
+	}
+	if (plan.is_minor &&
+	    budget_now_us(bucket->agent) - bucket->written_us >= flush_us)
+		plan.is_worth = true;
+	return plan.is_worth;
+}
+
+static void adopt_share(struct budget_bucket *bucket, struct holder_share *held,
+			const struct ledger_share *share)
+{
+	int64_t before = held->confirmed_tokens;
+
+	held->confirmed_tokens = share ? share->allotted_tokens : 0;
+	if (held->confirmed_tokens != before)
+		held->filled_tokens =
+			held->confirmed_tokens - holder_share_used(held);
+	held->floor_tokens = share ? share->ceiling_tokens : 0;
+	if (!bucket->is_uncertain ||
+	    held->usable_tokens > held->confirmed_tokens)
+		held->usable_tokens = held->confirmed_tokens;
+}
+
+static void adopt_line(struct budget_bucket *bucket, struct holder_line *own,
+		       const struct ledger_line *line)
+{
+	own->is_in_ledger = true;
+	if (own->epoch != line->epoch) {
+		own->epoch = line->epoch;
+		own->raise_sequence = 0;
+		own->raise_acked = 0;
+		own->raise_first_sent_us = 0;
+		for (size_t i = 0; i < own->share_count; i++) {
+			own->shares[i]->witnessed_tokens = 0;
+			own->shares[i]->ceiling_is_dirty = false;
+			holder_share_touch(own->shares[i]);
+		}
+	}
+	name_copy(own->witness, line->witness);
+	own->witness_incarnation = line->witness_incarnation;
+	own->raise_refused = false;
+	if (!bucket->is_uncertain)
+		own->is_changing_witness = false;
+	for (size_t i = 0; i < own->share_count; i++) {
+		int found = ledger_bucket_find_budget(&bucket->known,
+						      own->shares[i]->budget);
+		const struct ledger_share *share = NULL;
+
+		if (found >= 0)
+			share = ledger_line_find_share(line, (uint32_t)found);
+		adopt_share(bucket, own->shares[i], share);
+	}
+}
+
+static void adopt_own_line(struct budget_bucket *bucket)
+{
+	struct holder_line *own = bucket->line;
+	const struct ledger_line *line;
+
+	if (!own)
+		return;
+	line = ledger_bucket_find_line(&bucket->known, own->id);
+	if (line && line->state == LEDGER_LINE_OPEN)
+		adopt_line(bucket, own, line);
+	else if (line || own->is_in_ledger)
+		holder_line_set_closed(own);
+}
+
+void budget_plan_adopt(struct budget_bucket *bucket)
+{
+	adopt_own_line(bucket);
+	for (struct holder_line *own = bucket->closed_lines; own;
+	     own = own->next)
+		if (!ledger_bucket_find_line(&bucket->known, own->id))
+			own->is_settled_up = true;
+	holder_line_sweep(bucket);
+	budget_witness_adopt(bucket);
+	budget_claims_adopt(bucket);
+}
+
+bool budget_plan_is_active(const struct budget_bucket *bucket)
+{
+	return bucket->line || bucket->closed_lines || bucket->witnessed ||
+	       bucket->claims;
+}
--- /dev/null
+++ b/src/coordination/budget_recall.c
@@ -0,0 +1,213 @@
+#include "coordination/budget_recall.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "coordination/budget_share.h"
+#include "state/name_copy.h"
+
+/* Shortest time between two questions to the other holders. */
+#define WANT_INTERVAL_US BUDGET_MS(100)
+/* Asked beyond what is short, so that the next request finds some. */
+#define WANT_AHEAD_S 5.0
+
+static int64_t left_of(const struct ledger_share *share)
+{
+	int64_t left = share->allotted_tokens - share->settled_tokens;
+
+	return left > 0 ? left : 0;
+}
+
+static bool may_give(const struct ledger_line *line,
+		     const struct holder_share *share)
+{
+	return line->state == LEDGER_LINE_OPEN && line->id != share->line->id;
+}
+
+static int64_t others_left(const struct holder_share *share, uint32_t index)
+{
+	const struct ledger_bucket *known = &share->line->bucket->known;
+	int64_t tokens = 0;
+
+	for (size_t i = 0; i < known->line_count; i++) {
+		const struct ledger_line *line = &known->lines[i];
+		const struct ledger_share *other =
+			ledger_line_find_share(line, index);
+
+		if (other && may_give(line, share))
+			tokens += left_of(other);
+	}
+	return tokens;
+}
+
+static void send_want(struct holder_share *share, uint32_t index,
+		      int64_t short_tokens)
+{
+	struct budget_bucket *bucket = share->line->bucket;
+	struct tgw_budget_agent *agent = bucket->agent;
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_WANT,
+		.bucket = bucket->index,
+	};
+	struct budget_message_item *item = budget_message_add(&message);
+
+	name_copy(item->budget, share->budget);
+	item->tokens = short_tokens +
+		       (int64_t)(WANT_AHEAD_S *
+				 demand_forecast_per_s(&share->demand,
+						       budget_now_us(agent)));
+	share->want_sent_us = budget_now_us(agent);
+	share->want_answers_due = 0;
+	share->want_operation = bucket->operations;
+	for (size_t i = 0; i < bucket->known.line_count; i++) {
+		const struct ledger_line *line = &bucket->known.lines[i];
+		const struct ledger_share *other =
+			ledger_line_find_share(line, index);
+
+		if (!other || !may_give(line, share) || !left_of(other))
+			continue;
+		share->want_answers_due++;
+		budget_send(agent, line->host, &message);
+	}
+	budget_message_clear(&message);
+}
+
+bool budget_recall_is_hopeless(struct holder_share *share,
+			       const struct budget_waiter *waiter)
+{
+	struct budget_bucket *bucket = share->line->bucket;
+	int64_t now_us = budget_now_us(bucket->agent);
+	int64_t short_tokens = waiter->bound_tokens + holder_share_used(share) -
+			       share->usable_tokens;
+	int64_t free_tokens;
+	int found;
+
+	if (!bucket->is_read || bucket->read_us < waiter->started_us) {
+		budget_bucket_due(bucket, now_us);
+		return false;
+	}
+	found = ledger_bucket_find_budget(&bucket->known, share->budget);
+	if (found < 0)
+		return false;
+	free_tokens =
+		ledger_bucket_free_tokens(&bucket->known, (uint32_t)found);
+	if (free_tokens >= short_tokens) {
+		budget_bucket_due(bucket, now_us);
+		return false;
+	}
+	if (free_tokens + others_left(share, (uint32_t)found) < short_tokens)
+		return true;
+	if (share->want_sent_us < waiter->started_us) {
+		if (now_us - share->want_sent_us >= WANT_INTERVAL_US)
+			send_want(share, (uint32_t)found, short_tokens);
+		return false;
+	}
+	if (share->want_answers_due) {
+		share->want_mark = now_us >= waiter->deadline_us;
+		return false;
+	}
+	if (bucket->operations > share->want_operation)
+		return true;
+	budget_bucket_due(bucket, now_us);
+	return false;
+}
+
+static void answer(struct budget_bucket *bucket, struct budget_peer *to,
+		   const char *budget)
+{
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_RELEASED,
+		.bucket = bucket->index,
+	};
+	struct budget_message_item *item = budget_message_add(&message);
+	int found = ledger_bucket_find_budget(&bucket->known, budget);
+	int64_t free_tokens = 0;
+
+	if (found >= 0)
+		free_tokens = ledger_bucket_free_tokens(&bucket->known,
+							(uint32_t)found);
+	name_copy(item->budget, budget);
+	item->tokens = free_tokens;
+	budget_send(bucket->agent, to->name, &message);
+	budget_message_clear(&message);
+}
+
+static void add_asker(struct budget_bucket *bucket, struct budget_peer *from,
+		      const char *budget)
+{
+	struct budget_asker *asker = xcalloc(1, sizeof(*asker));
+
+	asker->from = from;
+	name_copy(asker->budget, budget);
+	/* An operation under way may have been planned without this. */
+	asker->operation =
+		bucket->operations + (bucket->io == BUCKET_IDLE ? 0 : 1);
+	asker->next = bucket->askers;
+	bucket->askers = asker;
+}
+
+void budget_recall_on_want(struct tgw_budget_agent *agent,
+			   struct budget_peer *from,
+			   const struct budget_message *message)
+{
+	struct budget_bucket *bucket =
+		budget_bucket_obtain(agent, message->bucket);
+
+	for (size_t i = 0; i < message->item_count; i++) {
+		const struct budget_message_item *item = &message->items[i];
+		struct holder_share *share =
+			holder_line_find_share(bucket->line, item->budget);
+		int64_t left = 0;
+
+		if (share)
+			left = share->usable_tokens - holder_share_used(share) -
+			       holder_share_waiting(share);
+		if (left <= 0) {
+			answer(bucket, from, item->budget);
+			continue;
+		}
+		if (share->asked_tokens < item->tokens)
+			share->asked_tokens = item->tokens;
+		add_asker(bucket, from, item->budget);
+		budget_bucket_due(bucket, budget_now_us(agent));
+	}
+}
+
+void budget_recall_on_released(struct tgw_budget_agent *agent,
+			       const struct budget_message *message)
+{
+	struct budget_bucket *bucket =
+		budget_bucket_obtain(agent, message->bucket);
+
+	for (size_t i = 0; i < message->item_count; i++) {
+		struct holder_share *share = holder_line_find_share(
+			bucket->line, message->items[i].budget);
+
+		if (!share)
+			continue;
+		if (share->want_answers_due)
+			share->want_answers_due--;
+		share->want_operation = bucket->operations +
+					(bucket->io == BUCKET_IDLE ? 0 : 1);
+		if (message->items[i].tokens > 0 || !share->want_answers_due)
+			budget_bucket_due(bucket, budget_now_us(agent));
+	}
+}
+
+void budget_recall_answer(struct budget_bucket *bucket)
+{
+	struct budget_asker **link = &bucket->askers;
+
+	while (*link) {
+		struct budget_asker *asker = *link;
+
+		if (asker->operation >= bucket->operations) {
+			link = &asker->next;
+			continue;
+		}
+		*link = asker->next;
+		answer(bucket, asker->from, asker->budget);
+		free(asker);
+	}
+}
--- /dev/null
+++ b/src/coordination/budget_settle_queue.c
@@ -0,0 +1,186 @@
+#include "coordination/budget_settle_queue.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/budget_claims.h"
+#include "coordination/budget_holder.h"
+#include "state/name_copy.h"
+
+/* Settlements gather for this long. */
+#define BATCH_INTERVAL_US BUDGET_MS(250)
+#define RETRY_US BUDGET_MS(500)
+#define BATCH_MAX 400
+
+static void free_orders(struct settle_order **orders)
+{
+	while (*orders) {
+		struct settle_order *order = *orders;
+
+		*orders = order->next;
+		free(order);
+	}
+}
+
+static void fill_item(struct budget_message_item *item,
+		      const struct settle_order *order)
+{
+	item->id = order->request_id;
+	item->key = order->key;
+	item->has_key = true;
+	item->tokens = order->spent_tokens;
+	item->code = order->basis;
+	/* Only the memory of a cancelled request needs the budget's name. */
+	if (order->basis == TGW_SETTLE_NOT_RUN)
+		name_copy(item->budget, order->budget);
+}
+
+void budget_settle_queue_add(struct tgw_budget_agent *agent,
+			     struct budget_peer *holder,
+			     struct settle_order *order)
+{
+	order->next = NULL;
+	if (holder == agent->self) {
+		struct budget_message_item item = {0};
+
+		fill_item(&item, order);
+		budget_holder_settle(agent, holder, agent->incarnation, &item);
+		free(order);
+		return;
+	}
+	if (!holder->queue)
+		holder->settle_due_us =
+			budget_now_us(agent) + BATCH_INTERVAL_US;
+	*holder->queue_end = order;
+	holder->queue_end = &order->next;
+}
+
+static void start_batch(struct tgw_budget_agent *agent,
+			struct budget_peer *holder)
+{
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_SETTLE,
+		.sequence = ++holder->settle_sequence,
+	};
+	struct settle_order **end = &holder->sent;
+
+	while (holder->queue && message.item_count < BATCH_MAX) {
+		struct settle_order *order = holder->queue;
+
+		holder->queue = order->next;
+		order->next = NULL;
+		*end = order;
+		end = &order->next;
+		fill_item(budget_message_add(&message), order);
+	}
+	if (!holder->queue)
+		holder->queue_end = &holder->queue;
+	buffer_clear(&holder->settle_bytes);
+	budget_message_encode(&message, &holder->settle_bytes);
+	budget_message_clear(&message);
+}
+
+static void send_batch(struct tgw_budget_agent *agent,
+		       struct budget_peer *holder)
+{
+	holder->settle_sent_us = budget_now_us(agent);
+	agent->counters.peer_messages_sent++;
+	agent->counters.peer_bytes_sent += holder->settle_bytes.size;
+	tgw_peer_send(agent->env.peer, holder->name, TGW_PEER_BUDGET,
+		      holder->settle_bytes.data, holder->settle_bytes.size);
+}
+
+static int64_t tick_holder(struct tgw_budget_agent *agent,
+			   struct budget_peer *holder)
+{
+	int64_t now_us = budget_now_us(agent);
+
+	if (!holder->sent && !holder->queue)
+		return BUDGET_NEVER_US;
+	if (!holder->sent && now_us >= holder->settle_due_us) {
+		start_batch(agent, holder);
+		send_batch(agent, holder);
+	} else if (holder->sent &&
+		   now_us - holder->settle_sent_us >= RETRY_US) {
+		send_batch(agent, holder);
+	}
+	return holder->sent ? holder->settle_sent_us + RETRY_US
+			    : holder->settle_due_us;
+}
+
+int64_t budget_settle_queue_tick(struct tgw_budget_agent *agent)
+{
+	int64_t due_us = BUDGET_NEVER_US;
+
+	for (struct budget_peer *peer = agent->peers; peer; peer = peer->next) {
+		int64_t peer_due_us = tick_holder(agent, peer);
+
+		if (peer_due_us < due_us)
+			due_us = peer_due_us;
+	}
+	return due_us;
+}
+
+void budget_settle_queue_on_settled(struct budget_peer *holder,
+				    uint64_t sequence)
+{
+	if (sequence != holder->settle_sequence)
+		return;
+	free_orders(&holder->sent);
+}
+
+static bool is_gone(const struct tgw_budget_agent *agent,
+		    const struct budget_peer *holder, uint64_t incarnation)
+{
+	return budget_peer_state(agent, holder->name, incarnation) ==
+	       TGW_HOST_GONE;
+}
+
+/* Takes the orders to a gone process out of a list. What was sent may have
+ * been taken in by it: only the rest can be claimed. */
+static struct settle_order **give_up_on(struct tgw_budget_agent *agent,
+					const struct budget_peer *holder,
+					struct settle_order **link,
+					bool was_sent)
+{
+	while (*link) {
+		struct settle_order *order = *link;
+
+		if (!is_gone(agent, holder, order->holder_incarnation)) {
+			link = &order->next;
+			continue;
+		}
+		*link = order->next;
+		if (!was_sent)
+			budget_claims_add(agent, order);
+		free(order);
+	}
+	return link;
+}
+
+void budget_settle_queue_on_view(struct tgw_budget_agent *agent)
+{
+	for (struct budget_peer *peer = agent->peers; peer; peer = peer->next) {
+		give_up_on(agent, peer, &peer->sent, true);
+		peer->queue_end = give_up_on(agent, peer, &peer->queue, false);
+	}
+}
+
+bool budget_settle_queue_is_empty(const struct tgw_budget_agent *agent)
+{
+	for (const struct budget_peer *peer = agent->peers; peer;
+	     peer = peer->next)
+		if (peer->sent || peer->queue)
+			return false;
+	return true;
+}
+
+void budget_settle_queue_free_all(struct tgw_budget_agent *agent)
+{
+	for (struct budget_peer *peer = agent->peers; peer; peer = peer->next) {
+		free_orders(&peer->sent);
+		free_orders(&peer->queue);
+		peer->queue_end = &peer->queue;
+		buffer_free(&peer->settle_bytes);
+	}
+}
--- /dev/null
+++ b/src/coordination/budget_witness.c
@@ -0,0 +1,329 @@
+#include "coordination/budget_witness.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "coordination/budget_share.h"
+#include "state/name_copy.h"
+
+/* A holder that its witness does not hear for this long is given up. */
+#define CLOSE_SILENT_AFTER_US BUDGET_S(10)
+/* Budgets that a reserve is to be kept of gather for this long. */
+#define RESERVE_WAIT_US BUDGET_S(10)
+
+static struct witness_line *find_record(const struct budget_bucket *bucket,
+					uint64_t line)
+{
+	struct witness_line *record = bucket->witnessed;
+
+	while (record && record->line != line)
+		record = record->next;
+	return record;
+}
+
+static struct witness_line *add_record(struct budget_bucket *bucket,
+				       uint64_t line, const char *holder,
+				       uint64_t holder_incarnation,
+				       uint64_t epoch)
+{
+	struct witness_line *record = xcalloc(1, sizeof(*record));
+
+	record->line = line;
+	name_copy(record->holder, holder);
+	record->holder_incarnation = holder_incarnation;
+	record->epoch = epoch;
+	record->known_since_us = budget_now_us(bucket->agent);
+	record->next = bucket->witnessed;
+	bucket->witnessed = record;
+	return record;
+}
+
+static void drop_record(struct budget_bucket *bucket,
+			struct witness_line *record)
+{
+	struct witness_line **link = &bucket->witnessed;
+
+	while (*link != record)
+		link = &(*link)->next;
+	*link = record->next;
+	free(record->shares);
+	free(record);
+}
+
+static struct witness_share *find_share(const struct witness_line *record,
+					const char *budget)
+{
+	for (size_t i = 0; i < record->share_count; i++)
+		if (!strcmp(record->shares[i].budget, budget))
+			return &record->shares[i];
+	return NULL;
+}
+
+static struct witness_share *obtain_share(struct witness_line *record,
+					  const char *budget)
+{
+	struct witness_share *share = find_share(record, budget);
+
+	if (share)
+		return share;
+	record->shares = xrealloc(record->shares,
+				  (record->share_count + 1) * sizeof(*share));
+	share = &record->shares[record->share_count++];
+	memset(share, 0, sizeof(*share));
+	name_copy(share->budget, budget);
+	return share;
+}
+
+static void send_raised(struct tgw_budget_agent *agent,
+			const struct budget_peer *to,
+			const struct budget_message *message, bool refused)
+{
+	struct budget_message answer = {
+		.kind = BUDGET_MESSAGE_RAISED,
+		.bucket = message->bucket,
+		.line = message->line,
+		.epoch = message->epoch,
+		.sequence = message->sequence,
+		.code = refused,
+	};
+
+	budget_send(agent, to->name, &answer);
+}
+
+static void take_ceilings(struct witness_line *record,
+			  const struct budget_message *message)
+{
+	record->sequence = message->sequence;
+	for (size_t i = 0; i < message->item_count; i++) {
+		struct witness_share *share =
+			obtain_share(record, message->items[i].budget);
+
+		share->ceiling_tokens = message->items[i].tokens;
+		share->demand_tokens_per_s = message->items[i].other;
+	}
+}
+
+void budget_witness_on_raise(struct tgw_budget_agent *agent,
+			     struct budget_peer *from,
+			     uint64_t from_incarnation,
+			     const struct budget_message *message)
+{
+	struct budget_bucket *bucket =
+		budget_bucket_obtain(agent, message->bucket);
+	struct witness_line *record = find_record(bucket, message->line);
+
+	if (agent->is_draining)
+		return;
+	if (!record)
+		record = add_record(bucket, message->line, from->name,
+				    from_incarnation, message->epoch);
+	if (record->holder_incarnation != from_incarnation ||
+	    message->epoch < record->epoch)
+		return;
+	if (record->is_closing) {
+		send_raised(agent, from, message, true);
+		return;
+	}
+	if (message->epoch > record->epoch) {
+		record->epoch = message->epoch;
+		record->sequence = 0;
+		record->share_count = 0;
+		record->known_since_us = budget_now_us(agent);
+	}
+	if (message->sequence < record->sequence)
+		return;
+	if (message->sequence > record->sequence)
+		take_ceilings(record, message);
+	send_raised(agent, from, message, false);
+}
+
+/* Whether the ledger names this process for this epoch of the line. */
+static bool is_mine(const struct budget_bucket *bucket,
+		    const struct ledger_line *line)
+{
+	return line->state == LEDGER_LINE_OPEN &&
+	       line->witness_incarnation == bucket->agent->incarnation &&
+	       !strcmp(line->witness, bucket->agent->name);
+}
+
+static bool is_given_up(const struct budget_bucket *bucket,
+			const struct witness_line *record)
+{
+	const struct tgw_budget_agent *agent = bucket->agent;
+	enum tgw_host_state state = budget_peer_state(
+		agent, record->holder, record->holder_incarnation);
+
+	if (state == TGW_HOST_GONE)
+		return true;
+	return state == TGW_HOST_SILENT && record->silent_since_us &&
+	       budget_now_us(agent) - record->silent_since_us >=
+		       CLOSE_SILENT_AFTER_US;
+}
+
+static void raise_to_record(const struct ledger_bucket *draft,
+			    struct ledger_line *line,
+			    const struct witness_line *record)
+{
+	for (size_t i = 0; i < line->share_count; i++) {
+		struct ledger_share *share = &line->shares[i];
+		const struct witness_share *known = find_share(
+			record, draft->budgets[share->budget_index].name);
+
+		if (known && known->ceiling_tokens > share->ceiling_tokens)
+			share->ceiling_tokens = known->ceiling_tokens;
+	}
+}
+
+static bool close_witnessed(struct budget_bucket *bucket, int64_t wall_us)
+{
+	bool changed = false;
+
+	for (struct witness_line *record = bucket->witnessed; record;
+	     record = record->next) {
+		struct ledger_line *line =
+			ledger_bucket_find_line(&bucket->draft, record->line);
+		bool closes = is_given_up(bucket, record) && line &&
+			      is_mine(bucket, line) &&
+			      line->epoch == record->epoch;
+
+		if (!closes) {
+			if (!bucket->is_uncertain)
+				record->is_closing = false;
+			continue;
+		}
+		record->is_closing = true;
+		raise_to_record(&bucket->draft, line, record);
+		ledger_line_close(line, LEDGER_CLOSE_BY_WITNESS, wall_us);
+		changed = true;
+	}
+	return changed;
+}
+
+static bool domain_is_empty(const struct tgw_host_view *view,
+			    const char *domain)
+{
+	for (size_t i = 0; i < view->host_count; i++)
+		if (!strcmp(view->hosts[i].failure_domain, domain) &&
+		    view->hosts[i].state != TGW_HOST_GONE)
+			return false;
+	return true;
+}
+
+/* Nobody knows what such a line has spent: it is charged all it had. */
+static bool is_unwitnessed_and_gone(const struct budget_bucket *bucket,
+				    const struct ledger_line *line)
+{
+	const struct tgw_budget_agent *agent = bucket->agent;
+
+	if (line->state != LEDGER_LINE_OPEN ||
+	    budget_peer_state(agent, line->host, line->incarnation) !=
+		    TGW_HOST_GONE)
+		return false;
+	if (line->witness[0] &&
+	    budget_peer_state(agent, line->witness,
+			      line->witness_incarnation) != TGW_HOST_GONE)
+		return false;
+	return !strcmp(line->domain, agent->domain) ||
+	       domain_is_empty(agent->view, line->domain);
+}
+
+bool budget_witness_plan_closings(struct budget_bucket *bucket, int64_t wall_us)
+{
+	bool changed = close_witnessed(bucket, wall_us);
+
+	if (!budget_bucket_is_first(bucket))
+		return changed;
+	for (size_t i = 0; i < bucket->draft.line_count; i++) {
+		struct ledger_line *line = &bucket->draft.lines[i];
+
+		if (!is_unwitnessed_and_gone(bucket, line))
+			continue;
+		ledger_line_close(line, LEDGER_CLOSE_AT_ALLOTTED, wall_us);
+		changed = true;
+	}
+	return changed;
+}
+
+/* A read that began before the record can't tell that it is outdated. */
+static bool is_outdated(struct budget_bucket *bucket,
+			const struct witness_line *record)
+{
+	const struct ledger_line *line =
+		ledger_bucket_find_line(&bucket->known, record->line);
+
+	if (!line)
+		return bucket->read_us > record->known_since_us;
+	return line->state == LEDGER_LINE_CLOSED || line->epoch > record->epoch;
+}
+
+void budget_witness_adopt(struct budget_bucket *bucket)
+{
+	struct witness_line *record = bucket->witnessed;
+
+	while (record) {
+		struct witness_line *next = record->next;
+
+		if (is_outdated(bucket, record)) {
+			if (record->is_closing)
+				bucket->agent->counters.write_offs++;
+			drop_record(bucket, record);
+		}
+		record = next;
+	}
+	for (size_t i = 0; i < bucket->known.line_count; i++) {
+		const struct ledger_line *line = &bucket->known.lines[i];
+
+		if (is_mine(bucket, line) && !find_record(bucket, line->id))
+			add_record(bucket, line->id, line->host,
+				   line->incarnation, line->epoch);
+	}
+}
+
+/* The second-ranked host keeps a part for itself, for the time when the first
+ * is lost and the store is out. */
+static void keep_reserve(struct budget_bucket *bucket,
+			 const struct witness_line *record)
+{
+	struct tgw_budget_agent *agent = bucket->agent;
+
+	for (size_t i = 0; i < record->share_count; i++) {
+		const struct witness_share *share = &record->shares[i];
+		struct holder_line *line;
+
+		if (!share->demand_tokens_per_s ||
+		    holder_line_find_share(bucket->line, share->budget))
+			continue;
+		line = holder_line_obtain(bucket);
+		holder_line_obtain_share(line, share->budget);
+		budget_bucket_due(bucket,
+				  budget_now_us(agent) + RESERVE_WAIT_US);
+	}
+}
+
+void budget_witness_watch(struct budget_bucket *bucket)
+{
+	struct tgw_budget_agent *agent = bucket->agent;
+	int64_t now_us = budget_now_us(agent);
+
+	for (struct witness_line *record = bucket->witnessed; record;
+	     record = record->next) {
+		enum tgw_host_state state = budget_peer_state(
+			agent, record->holder, record->holder_incarnation);
+
+		if (state == TGW_HOST_ALIVE || state == TGW_HOST_LEAVING)
+			record->silent_since_us = 0;
+		else if (!record->silent_since_us)
+			record->silent_since_us = now_us;
+		if (is_given_up(bucket, record) && !bucket->failures)
+			budget_bucket_due(bucket, now_us);
+		else if (!agent->is_draining)
+			keep_reserve(bucket, record);
+	}
+}
+
+void budget_witness_free_all(struct budget_bucket *bucket)
+{
+	while (bucket->witnessed)
+		drop_record(bucket, bucket->witnessed);
+}
--- /dev/null
+++ b/src/state/allotment_policy.c
@@ -0,0 +1,50 @@
+#include "state/allotment_policy.h"
+
+#include <math.h>
+
+/* A domain without a line may turn up; it is counted as this part of ours. */
+#define ABSENT_DOMAIN_WEIGHT 0.25
+/* What is needed now is taken this many times over, if there is plenty. */
+#define NEEDED_MARGIN 4.0
+/* Surplus below this part of the wish is not worth a return. */
+#define KEEP_MARGIN 1.5
+
+static int64_t min_tokens(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t max_tokens(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+/* The part of all unspent tokens that falls to this line by demand. */
+static double fair_part(const struct allotment_inputs *in, int64_t left)
+{
+	double pool = (double)(in->free_tokens + left + in->others_left_tokens);
+	double weight = 1.0 / (1.0 + in->others_count);
+	double total = in->demand_per_s * (1.0 + ABSENT_DOMAIN_WEIGHT *
+							 in->absent_domains) +
+		       in->others_demand_per_s;
+
+	if (total > 0)
+		weight = in->demand_per_s / total;
+	return pool * weight;
+}
+
+int64_t allotment_policy_decide(const struct allotment_inputs *in)
+{
+	int64_t left = max_tokens(in->allotted_tokens - in->used_tokens, 0);
+	int64_t available = max_tokens(in->free_tokens, 0) + left;
+	double comfort = fmax(in->demand_per_s * in->ride_out_s,
+			      NEEDED_MARGIN * (double)in->needed_tokens);
+	int64_t wish = (int64_t)fmin(comfort, fair_part(in, left));
+
+	wish = max_tokens(wish, in->needed_tokens);
+	if (in->asked_tokens)
+		wish = min_tokens(wish, max_tokens(left - in->asked_tokens, 0));
+	else if (wish < left && (double)left < (double)wish * KEEP_MARGIN)
+		wish = left;
+	return in->used_tokens + min_tokens(wish, available);
+}
--- /dev/null
+++ b/src/state/demand_forecast.h
@@ -0,0 +1,25 @@
+/**
+ * @file demand_forecast.h
+ * How many tokens a second a budget will need, from what it needed: the
+ * larger of a fast and a slow moving average.
+ */
+#ifndef STATE_DEMAND_FORECAST_H
+#define STATE_DEMAND_FORECAST_H
+
+#include <stdint.h>
+
+struct demand_forecast {
+	int64_t started_us; /**< 0 before the first tokens */
+	int64_t updated_us;
+	double fast_per_s;
+	double slow_per_s;
+};
+
+void demand_forecast_add(struct demand_forecast *forecast, int64_t now_us,
+			 int64_t tokens);
+
+/** @return tokens a second; 0 when nothing was needed for long */
+double demand_forecast_per_s(const struct demand_forecast *forecast,
+			     int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/state/key_table.c
@@ -0,0 +1,112 @@
+#include "state/key_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/xalloc.h"
+
+#define FIRST_CAPACITY 64
+
+/* By its start only, so that a key is found by that, too. */
+static size_t home_slot(const struct key_table *table, const void *key)
+{
+	return XXH64(key, sizeof(uint64_t), 0) & (table->capacity - 1);
+}
+
+static size_t next_slot(const struct key_table *table, size_t slot)
+{
+	return (slot + 1) & (table->capacity - 1);
+}
+
+/* The slot of the key, or the empty one where it belongs. */
+static size_t find_slot(const struct key_table *table,
+			const struct tgw_request_key *key)
+{
+	size_t slot = home_slot(table, key);
+
+	while (table->slots[slot] &&
+	       memcmp(table->slots[slot], key, sizeof(*key)))
+		slot = next_slot(table, slot);
+	return slot;
+}
+
+void *key_table_find(const struct key_table *table,
+		     const struct tgw_request_key *key)
+{
+	if (!table->count)
+		return NULL;
+	return table->slots[find_slot(table, key)];
+}
+
+uint64_t key_table_prefix(const struct tgw_request_key *key)
+{
+	uint64_t prefix;
+
+	memcpy(&prefix, key->bytes, sizeof(prefix));
+	return prefix;
+}
+
+void *key_table_find_prefix(const struct key_table *table, uint64_t prefix)
+{
+	size_t slot;
+
+	if (!table->count)
+		return NULL;
+	slot = home_slot(table, &prefix);
+	while (table->slots[slot] &&
+	       memcmp(table->slots[slot], &prefix, sizeof(prefix)))
+		slot = next_slot(table, slot);
+	return table->slots[slot];
+}
+
+static void grow(struct key_table *table)
+{
+	struct key_table larger = {.count = table->count};
+
+	larger.capacity = table->capacity ? table->capacity * 2
+					  : FIRST_CAPACITY;
+	larger.slots = xcalloc(larger.capacity, sizeof(larger.slots[0]));
+	for (size_t i = 0; i < table->capacity; i++)
+		if (table->slots[i])
+			larger.slots[find_slot(&larger, table->slots[i])] =
+				table->slots[i];
+	if (table->capacity)
+		free(table->slots);
+	*table = larger;
+}
+
+void key_table_add(struct key_table *table, void *record)
+{
+	if (table->count * 4 >= table->capacity * 3)
+		grow(table);
+	table->slots[find_slot(table, record)] = record;
+	table->count++;
+}
+
+/* Later records of the run move up, so that no gap hides them. */
+void key_table_remove(struct key_table *table,
+		      const struct tgw_request_key *key)
+{
+	size_t gap;
+	size_t slot;
+
+	if (!key_table_find(table, key))
+		return;
+	gap = find_slot(table, key);
+	table->slots[gap] = NULL;
+	table->count--;
+	for (slot = next_slot(table, gap); table->slots[slot];
+	     slot = next_slot(table, slot)) {
+		void *record = table->slots[slot];
+
+		table->slots[slot] = NULL;
+		table->slots[find_slot(table, record)] = record;
+	}
+}
+
+void key_table_free(struct key_table *table)
+{
+	free(table->slots);
+	memset(table, 0, sizeof(*table));
+}
--- /dev/null
+++ b/src/state/ledger_bucket.h
@@ -0,0 +1,162 @@
+/**
+ * @file ledger_bucket.h
+ * One key of the ledger: some budgets, and the lines of their holders.
+ *
+ * The rule that every writer keeps: for each budget, what open lines are
+ * allotted plus what closed lines are charged is at most what was paid in.
+ */
+#ifndef STATE_LEDGER_BUCKET_H
+#define STATE_LEDGER_BUCKET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "tamarackgw/host_view.h"
+#include "tamarackgw/status.h"
+
+/** Largest amount that the ledger takes, in tokens. */
+#define LEDGER_TOKENS_MAX INT64_C(1000000000000000)
+/** Ids of top-ups that are remembered for each budget. */
+#define LEDGER_TOP_UPS_KEPT 16
+/** Closed lines that wait for a late reconciliation, for each bucket. */
+#define LEDGER_CLOSED_LINES_KEPT 24
+#define LEDGER_KEY_SIZE 32
+
+/** A payment into a budget. */
+struct ledger_top_up {
+	char id[TGW_NAME_SIZE]; /**< chosen by the operator; applied once */
+	int64_t tokens;
+	int64_t wall_us;
+};
+
+struct ledger_budget {
+	char name[TGW_NAME_SIZE];
+	int64_t paid_in_tokens;
+	int64_t folded_tokens; /**< charged by lines that are no longer kept */
+	size_t top_up_count;
+	struct ledger_top_up *top_ups; /**< oldest first */
+};
+
+/** Tokens of a written-off line that an entry host did not spend. */
+struct ledger_refund {
+	uint64_t entry_incarnation;
+	int64_t tokens; /**< cumulative, so that a repeat changes nothing */
+};
+
+/** A line's part in one budget. All amounts are cumulative. */
+struct ledger_share {
+	uint32_t budget_index;
+	int64_t allotted_tokens; /**< of a closed line: what it is charged */
+	int64_t settled_tokens;
+	int64_t ceiling_tokens; /**< the line spent at most this so far */
+	int64_t demand_tokens_per_s;
+	int64_t wanted_tokens; /**< asked of the other lines; 0 for none */
+	size_t refund_count;
+	struct ledger_refund *refunds;
+};
+
+enum ledger_line_state {
+	LEDGER_LINE_OPEN,
+	LEDGER_LINE_CLOSED, /**< written off; may be reconciled */
+};
+
+/** Why a line was written off. */
+enum ledger_close_reason {
+	LEDGER_CLOSE_NONE,
+	LEDGER_CLOSE_BY_WITNESS,  /**< at the witnessed ceiling */
+	LEDGER_CLOSE_AT_ALLOTTED, /**< no witness: as if all were spent */
+};
+
+/** What one holder has taken out of the bucket's budgets. */
+struct ledger_line {
+	uint64_t id; /**< random, never used again */
+	char host[TGW_NAME_SIZE];
+	char domain[TGW_NAME_SIZE];
+	uint64_t incarnation;
+	uint64_t sequence; /**< of the holder's last write */
+	enum ledger_line_state state;
+	char witness[TGW_NAME_SIZE]; /**< empty for none */
+	uint64_t witness_incarnation;
+	uint64_t epoch; /**< grows with each change of the witness */
+	int64_t closed_wall_us;
+	enum ledger_close_reason reason;
+	size_t share_count;
+	struct ledger_share *shares;
+};
+
+struct ledger_bucket {
+	size_t budget_count;
+	struct ledger_budget *budgets;
+	size_t line_count;
+	struct ledger_line *lines;
+	/** Packed audit entries; only the operators' tool looks inside. */
+	uint8_t *audit;
+	size_t audit_size;
+};
+
+/** Writes the store's key of a bucket. */
+void ledger_bucket_key(char key[LEDGER_KEY_SIZE], uint32_t index);
+
+/** @return the bucket that a budget lies in */
+uint32_t ledger_bucket_of(const char *budget, uint32_t bucket_count);
+
+/** Ranking key of a bucket, for tgw_host_view_rank(). */
+uint64_t ledger_bucket_hash(uint32_t index);
+
+void ledger_bucket_clear(struct ledger_bucket *bucket);
+
+/** @return the index, or -1 */
+int ledger_bucket_find_budget(const struct ledger_bucket *bucket,
+			      const char *name);
+
+/** Applies a payment once for each id; creates the budget when new.
+ * @param applied false when this id was applied before
+ * @return INVALID for a bad name or amount, or an id used differently */
+enum tgw_status ledger_bucket_top_up(struct ledger_bucket *bucket,
+				     const char *budget, const char *id,
+				     int64_t tokens, int64_t wall_us,
+				     bool *applied, struct tgw_error *error);
+
+struct ledger_line *ledger_bucket_find_line(struct ledger_bucket *bucket,
+					    uint64_t id);
+
+/** Appends an open line; pointers to other lines become invalid. */
+struct ledger_line *ledger_bucket_add_line(struct ledger_bucket *bucket,
+					   uint64_t id);
+
+/** Charges the line to its budgets for good and removes it. */
+void ledger_bucket_fold_line(struct ledger_bucket *bucket, uint64_t id);
+
+/** Folds the oldest closed lines above the number that is kept. */
+void ledger_bucket_trim(struct ledger_bucket *bucket);
+
+/** @return the share, or NULL */
+struct ledger_share *ledger_line_find_share(const struct ledger_line *line,
+					    uint32_t budget_index);
+
+/** @return the share, added when it is new */
+struct ledger_share *ledger_line_obtain_share(struct ledger_line *line,
+					      uint32_t budget_index);
+
+/** Raises an entry host's cumulative refund; a lower one changes nothing. */
+void ledger_share_refund(struct ledger_share *share, uint64_t incarnation,
+			 int64_t tokens);
+
+/** What a share takes out of its budget: allotted, or charged. */
+int64_t ledger_share_taken(const struct ledger_line *line,
+			   const struct ledger_share *share);
+
+/** Closes a line at its ceilings, or at all that it was allotted. */
+void ledger_line_close(struct ledger_line *line,
+		       enum ledger_close_reason reason, int64_t wall_us);
+
+/** @return tokens that no line has taken; negative only if broken */
+int64_t ledger_bucket_free_tokens(const struct ledger_bucket *bucket,
+				  uint32_t budget_index);
+
+/** Checks the rule above, and that all amounts are in range. */
+enum tgw_status ledger_bucket_check(const struct ledger_bucket *bucket,
+				    struct tgw_error *error);
+
+#endif
--- /dev/null
+++ b/src/state/ledger_codec.h
@@ -0,0 +1,30 @@
+/**
+ * @file ledger_codec.h
+ * A ledger bucket as bytes: a MessagePack array that begins with the version
+ * of the format.
+ */
+#ifndef STATE_LEDGER_CODEC_H
+#define STATE_LEDGER_CODEC_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/buffer.h"
+#include "state/ledger_bucket.h"
+#include "tamarackgw/status.h"
+
+#define LEDGER_FORMAT_VERSION 1
+
+/** Appends the encoded bucket. */
+void ledger_codec_encode(const struct ledger_bucket *bucket,
+			 struct buffer *bytes);
+
+/**
+ * Decodes into a cleared bucket; no bytes make an empty one.
+ * @return CORRUPT, or NEWER_FORMAT; the bucket is then empty
+ */
+enum tgw_status ledger_codec_decode(struct ledger_bucket *bucket,
+				    const void *bytes, size_t size,
+				    struct tgw_error *error);
+
+#endif
--- /dev/null
+++ b/src/state/request_key.c
@@ -0,0 +1,24 @@
+#include <sodium.h>
+#include <string.h>
+
+#include "state/request_key.h"
+
+void tgw_request_key_derive(struct tgw_request_key *key, const char *team,
+			    const char *caller_key, size_t caller_key_size)
+{
+	crypto_generichash_state state;
+
+	if (!caller_key || !caller_key_size) {
+		randombytes_buf(key->bytes, sizeof(key->bytes));
+		key->bytes[0] |= REQUEST_KEY_UNIQUE_BIT;
+		return;
+	}
+	crypto_generichash_init(&state, NULL, 0, sizeof(key->bytes));
+	/* The terminator keeps team and key apart. */
+	crypto_generichash_update(&state, (const unsigned char *)team,
+				  strlen(team) + 1);
+	crypto_generichash_update(&state, (const unsigned char *)caller_key,
+				  caller_key_size);
+	crypto_generichash_final(&state, key->bytes, sizeof(key->bytes));
+	key->bytes[0] &= (uint8_t)~REQUEST_KEY_UNIQUE_BIT;
+}
