Bill duplicates once across deaths; let only the ledger make a witness

Now a message alone makes no witness; the ledger's line has to name it for that epoch. Open pairs are asked again until one copy is known to be reversed. Now the copy that stays is marked as kept before the other is reversed. - A refused request that the network doubled was granted the second time.

--- a/src/coordination/budget_agent.c
+++ b/src/coordination/budget_agent.c
@@ -9,6 +9,7 @@
 #include "coordination/budget_ledger.h"
 #include "coordination/budget_plan.h"
 #include "coordination/budget_recall.h"
+#include "coordination/budget_reservation.h"
 #include "coordination/budget_settle_queue.h"
 #include "coordination/budget_share.h"
 #include "coordination/budget_state.h"
@@ -106,6 +107,7 @@
 	budget_claims_free_all(agent);
 	budget_entry_free_all(agent);
 	budget_holder_free_all(agent);
+	budget_exchange_free_all(agent);
 	for (size_t i = 0; i < agent->bucket_count; i++)
 		free_bucket(agent->buckets[i]);
 	while (agent->peers) {
@@ -347,7 +349,7 @@
 	due_us = min_time(due_us, budget_claims_tick(agent));
 	due_us = min_time(due_us, budget_settle_queue_tick(agent));
 	budget_exchange_tick(agent);
-	budget_holder_expire(agent);
+	reservation_expire(agent);
 	due_us = min_time(due_us, budget_entry_tick(agent));
 	return due_us > now_us ? due_us : now_us + TGW_US_PER_MS;
 }
--- a/src/coordination/budget_ceiling.c
+++ b/src/coordination/budget_ceiling.c
@@ -7,6 +7,7 @@
 
 /* An unanswered question is asked again after this. */
 #define RAISE_RETRY_US BUDGET_MS(100)
+#define RAISE_RETRY_MAX_US BUDGET_S(2)
 /* Ceilings that nobody waits for are raised together, this far apart. */
 #define RAISE_INTERVAL_US BUDGET_MS(500)
 /* A witness that has not answered for this long is worked around by the
@@ -185,6 +186,16 @@
 	return line->raise_acked != line->raise_sequence;
 }
 
+/* The longer there was no answer, the less often it is asked again. */
+static int64_t retry_interval_us(const struct holder_line *line)
+{
+	int64_t waited_us = line->raise_sent_us - line->raise_first_sent_us;
+
+	if (waited_us < RAISE_RETRY_US)
+		return RAISE_RETRY_US;
+	return waited_us < RAISE_RETRY_MAX_US ? waited_us : RAISE_RETRY_MAX_US;
+}
+
 /* A witness that does not answer is worked around by the ledger. */
 static void bypass_witness(struct budget_bucket *bucket)
 {
@@ -211,11 +222,12 @@
 		return;
 	bypass_witness(bucket);
 	is_urgent = look_at_shares(line, &any);
-	if (!any)
+	if (!any && !line->needs_greeting)
 		return;
-	interval_us = is_unanswered(line) ? RAISE_RETRY_US : RAISE_INTERVAL_US;
+	interval_us = is_unanswered(line) ? retry_interval_us(line)
+					  : RAISE_INTERVAL_US;
 	bucket->ceiling_due_us = now_us + interval_us;
-	if (any_is_dirty(line) &&
+	if ((any_is_dirty(line) || line->needs_greeting) &&
 	    (is_urgent || now_us - line->raise_sent_us >= interval_us))
 		send_raise(line);
 }
@@ -241,6 +253,7 @@
 		return;
 	}
 	line->raise_acked = line->raise_sequence;
+	line->needs_greeting = false;
 	line->raise_first_sent_us = 0;
 	for (size_t i = 0; i < line->share_count; i++) {
 		struct holder_share *share = line->shares[i];
--- a/src/coordination/budget_exchange.c
+++ b/src/coordination/budget_exchange.c
@@ -43,18 +43,19 @@
 	memmove(log->keys, log->keys + old, log->count * sizeof(log->keys[0]));
 }
 
-static struct key_cursor *obtain_cursor(struct key_log *log, const char *domain)
+static struct key_cursor *obtain_cursor(struct key_log *log,
+					struct budget_peer *holder)
 {
 	struct key_cursor *cursor;
 
 	for (size_t i = 0; i < log->cursor_count; i++)
-		if (!strcmp(log->cursors[i].domain, domain))
+		if (log->cursors[i].holder == holder)
 			return &log->cursors[i];
 	log->cursors = xrealloc(log->cursors,
 				(log->cursor_count + 1) * sizeof(*cursor));
 	cursor = &log->cursors[log->cursor_count++];
 	memset(cursor, 0, sizeof(*cursor));
-	name_copy(cursor->domain, domain);
+	cursor->holder = holder;
 	return cursor;
 }
 
@@ -79,24 +80,60 @@
 	budget_message_clear(&message);
 }
 
-static void tell_domain(struct budget_bucket *bucket, const char *domain)
+/* The domain's best host but this one: in the own domain, too, a key may
+ * have been settled by another host while this one was not heard. */
+static const struct tgw_host *find_listener(struct budget_bucket *bucket,
+					    const char *domain)
 {
-	struct tgw_budget_agent *agent = bucket->agent;
-	struct key_cursor *cursor = obtain_cursor(&bucket->log, domain);
-	const struct tgw_host *ranked[1];
+	const struct tgw_budget_agent *agent = bucket->agent;
+	const struct tgw_host *ranked[2];
+	size_t count = tgw_host_view_rank(agent->view, domain,
+					  ledger_bucket_hash(bucket->index),
+					  ranked, 2);
+
+	for (size_t i = 0; i < count; i++)
+		if (strcmp(ranked[i]->name, agent->name))
+			return ranked[i];
+	return NULL;
+}
 
-	if (!tgw_host_view_rank(agent->view, domain,
-				ledger_bucket_hash(bucket->index), ranked, 1))
-		return;
-	if (!cursor->holder || strcmp(cursor->holder->name, ranked[0]->name) ||
-	    cursor->holder_incarnation != ranked[0]->incarnation) {
-		cursor->holder = budget_peer_obtain(agent, ranked[0]->name);
-		cursor->holder_incarnation = ranked[0]->incarnation;
+static void tell_host(struct budget_bucket *bucket, const struct tgw_host *host)
+{
+	struct key_cursor *cursor = obtain_cursor(
+		&bucket->log, budget_peer_obtain(bucket->agent, host->name));
+
+	if (cursor->holder_incarnation != host->incarnation) {
+		cursor->holder_incarnation = host->incarnation;
 		cursor->acked = 0;
 	}
 	send_keys(bucket, cursor);
 }
 
+static void tell_domain(struct budget_bucket *bucket, const char *domain)
+{
+	const struct tgw_host *listener = find_listener(bucket, domain);
+
+	if (listener)
+		tell_host(bucket, listener);
+}
+
+/* A host that granted while its domain's first was not heard has to meet
+ * others of its kind, too. */
+static void tell_lines(struct budget_bucket *bucket)
+{
+	const struct tgw_budget_agent *agent = bucket->agent;
+
+	for (size_t i = 0; i < bucket->known.line_count; i++) {
+		const struct ledger_line *line = &bucket->known.lines[i];
+		const struct tgw_host *host =
+			tgw_host_view_find(agent->view, line->host);
+
+		if (host && strcmp(host->name, agent->name) &&
+		    host->state == TGW_HOST_ALIVE)
+			tell_host(bucket, host);
+	}
+}
+
 static void tell_domains(struct budget_bucket *bucket)
 {
 	const struct tgw_host_view *view = bucket->agent->view;
@@ -108,37 +145,18 @@
 		while (earlier < i &&
 		       strcmp(view->hosts[earlier].failure_domain, domain))
 			earlier++;
-		if (earlier == i && strcmp(domain, bucket->agent->domain))
+		if (earlier == i)
 			tell_domain(bucket, domain);
 	}
 }
 
-void budget_exchange_tick(struct tgw_budget_agent *agent)
-{
-	int64_t now_us = budget_now_us(agent);
-
-	if (now_us < agent->exchange_due_us)
-		return;
-	agent->exchange_due_us = now_us + EXCHANGE_INTERVAL_US;
-	for (size_t i = 0; i < agent->bucket_count; i++) {
-		struct budget_bucket *bucket = agent->buckets[i];
-
-		expire(bucket);
-		if (bucket->log.count)
-			tell_domains(bucket);
-	}
-}
-
 static enum budget_copy_state copy_state(const struct reservation *reservation)
 {
-	const struct holder_share *share = reservation->share;
-
 	if (reservation->state == RESERVATION_REVERSED)
 		return BUDGET_COPY_REVERSED;
-	if (!share || share->line->is_closed ||
-	    reservation->bucket->agent->is_draining)
+	if (!reservation->share || reservation->bucket->agent->is_draining)
 		return BUDGET_COPY_FINAL;
-	return BUDGET_COPY_REVERSIBLE;
+	return reservation->is_kept ? BUDGET_COPY_KEPT : BUDGET_COPY_REVERSIBLE;
 }
 
 static bool has_ended(const struct reservation *reservation)
@@ -148,7 +166,7 @@
 }
 
 static void send_duplicate(const struct reservation *reservation,
-			   const struct budget_peer *to)
+			   const struct budget_peer *to, bool is_reply)
 {
 	struct budget_message message = {
 		.kind = BUDGET_MESSAGE_DUPLICATE,
@@ -160,12 +178,90 @@
 	item->has_key = true;
 	item->tokens = reservation->spent_tokens;
 	item->code = copy_state(reservation);
+	item->flags = is_reply ? BUDGET_FLAG_REPLY : 0;
 	budget_send(reservation->bucket->agent, to->name, &message);
 	budget_message_clear(&message);
 }
 
+static struct open_duplicate **find_open(struct tgw_budget_agent *agent,
+					 const struct tgw_request_key *key,
+					 const struct budget_peer *peer)
+{
+	struct open_duplicate **link = &agent->open_duplicates;
+
+	while (*link && ((*link)->peer != peer ||
+			 memcmp(&(*link)->key, key, sizeof(*key))))
+		link = &(*link)->next;
+	return link;
+}
+
+static void open_duplicate(struct tgw_budget_agent *agent,
+			   const struct reservation *reservation,
+			   struct budget_peer *peer)
+{
+	struct open_duplicate **link =
+		find_open(agent, &reservation->key, peer);
+
+	if (*link)
+		return;
+	*link = xcalloc(1, sizeof(**link));
+	(*link)->key = reservation->key;
+	(*link)->peer = peer;
+}
+
+static void close_duplicate(struct tgw_budget_agent *agent,
+			    const struct tgw_request_key *key,
+			    const struct budget_peer *peer)
+{
+	struct open_duplicate **link = find_open(agent, key, peer);
+	struct open_duplicate *closed = *link;
+
+	if (!closed)
+		return;
+	*link = closed->next;
+	free(closed);
+}
+
+/* Repeats the questions that were not answered. */
+static void ask_again(struct tgw_budget_agent *agent)
+{
+	struct open_duplicate *open = agent->open_duplicates;
+
+	while (open) {
+		struct open_duplicate *next = open->next;
+		const struct reservation *reservation =
+			key_table_find(&agent->reservations, &open->key);
+
+		if (has_ended(reservation))
+			send_duplicate(reservation, open->peer, false);
+		else
+			close_duplicate(agent, &open->key, open->peer);
+		open = next;
+	}
+}
+
+void budget_exchange_tick(struct tgw_budget_agent *agent)
+{
+	int64_t now_us = budget_now_us(agent);
+
+	if (now_us < agent->exchange_due_us)
+		return;
+	agent->exchange_due_us = now_us + EXCHANGE_INTERVAL_US;
+	ask_again(agent);
+	for (size_t i = 0; i < agent->bucket_count; i++) {
+		struct budget_bucket *bucket = agent->buckets[i];
+
+		expire(bucket);
+		if (!bucket->log.count)
+			continue;
+		tell_domains(bucket);
+		if (!budget_bucket_is_first(bucket))
+			tell_lines(bucket);
+	}
+}
+
 void budget_exchange_on_keys(struct tgw_budget_agent *agent,
-			     const struct budget_peer *from,
+			     struct budget_peer *from,
 			     const struct budget_message *message)
 {
 	struct budget_message seen = {
@@ -178,8 +274,10 @@
 		const struct reservation *reservation = key_table_find_prefix(
 			&agent->reservations, message->items[i].id);
 
-		if (has_ended(reservation))
-			send_duplicate(reservation, from);
+		if (!has_ended(reservation))
+			continue;
+		open_duplicate(agent, reservation, from);
+		send_duplicate(reservation, from, false);
 	}
 	budget_send(agent, from->name, &seen);
 }
@@ -214,6 +312,32 @@
 	return order > 0;
 }
 
+/* Of two copies that can be reversed, the one that sorts first is kept, for
+ * good, before the other is reversed: so one copy always stays charged.
+ * @return whether nothing is left to be done about this pair of copies */
+static bool settle_pair(struct tgw_budget_agent *agent,
+			const struct budget_peer *from,
+			struct reservation *reservation,
+			enum budget_copy_state theirs)
+{
+	enum budget_copy_state mine = copy_state(reservation);
+
+	if (theirs == BUDGET_COPY_REVERSED || mine == BUDGET_COPY_REVERSED)
+		return true;
+	if (mine == BUDGET_COPY_FINAL)
+		return theirs != BUDGET_COPY_REVERSIBLE;
+	if (mine == BUDGET_COPY_KEPT && theirs == BUDGET_COPY_FINAL)
+		return true;
+	if (mine == theirs && !sorts_last(agent, from)) {
+		reservation->is_kept = true;
+		return false;
+	}
+	if (theirs == BUDGET_COPY_REVERSIBLE)
+		return false;
+	budget_holder_reverse(reservation);
+	return true;
+}
+
 void budget_exchange_on_duplicate(struct tgw_budget_agent *agent,
 				  const struct budget_peer *from,
 				  const struct budget_message *message)
@@ -222,22 +346,24 @@
 		const struct budget_message_item *item = &message->items[i];
 		struct reservation *reservation =
 			key_table_find(&agent->reservations, &item->key);
-		enum budget_copy_state mine;
 
 		if (!has_ended(reservation))
 			continue;
-		mine = copy_state(reservation);
-		if (item->code == BUDGET_COPY_REVERSED ||
-		    mine == BUDGET_COPY_REVERSED ||
-		    (mine == BUDGET_COPY_FINAL &&
-		     item->code == BUDGET_COPY_FINAL))
-			continue;
-		if (mine == BUDGET_COPY_REVERSIBLE &&
-		    (item->code == BUDGET_COPY_FINAL ||
-		     sorts_last(agent, from)))
-			budget_holder_reverse(reservation);
-		else
-			send_duplicate(reservation, from);
+		if (settle_pair(agent, from, reservation,
+				(enum budget_copy_state)item->code))
+			close_duplicate(agent, &item->key, from);
+		if (!(item->flags & BUDGET_FLAG_REPLY))
+			send_duplicate(reservation, from, true);
+	}
+}
+
+void budget_exchange_free_all(struct tgw_budget_agent *agent)
+{
+	while (agent->open_duplicates) {
+		struct open_duplicate *open = agent->open_duplicates;
+
+		agent->open_duplicates = open->next;
+		free(open);
 	}
 }
 
--- a/src/coordination/budget_exchange.h
+++ b/src/coordination/budget_exchange.h
@@ -2,9 +2,10 @@
  * @file budget_exchange.h
  * Finds requests that two domains have settled, and reverses one of them.
  *
- * Holders of a bucket in different domains tell each other which keys they
- * have settled. Where both have, the copy of the domain whose name sorts last
- * is reversed, unless its line is closed: then the other one is.
+ * Holders of a bucket tell each other which keys they have settled. Where
+ * two have, the copy of the domain whose name sorts first is marked as kept,
+ * and then the other is reversed. A copy of a holder that is gone can't be
+ * reversed: then the other one is, unless it was kept.
  */
 #ifndef COORDINATION_BUDGET_EXCHANGE_H
 #define COORDINATION_BUDGET_EXCHANGE_H
@@ -19,7 +20,7 @@
 void budget_exchange_tick(struct tgw_budget_agent *agent);
 
 void budget_exchange_on_keys(struct tgw_budget_agent *agent,
-			     const struct budget_peer *from,
+			     struct budget_peer *from,
 			     const struct budget_message *message);
 
 void budget_exchange_on_keys_seen(struct tgw_budget_agent *agent,
@@ -31,6 +32,10 @@
 				  const struct budget_peer *from,
 				  const struct budget_message *message);
 
+/** Frees the questions under way. */
+void budget_exchange_free_all(struct tgw_budget_agent *agent);
+
+/** Frees the keys of a bucket. */
 void budget_exchange_free(struct budget_bucket *bucket);
 
 #endif
--- a/src/coordination/budget_holder.h
+++ b/src/coordination/budget_holder.h
@@ -34,9 +34,6 @@
 /** Tells the successors of a planned stop which keys were settled. */
 void budget_holder_hand_over(struct tgw_budget_agent *agent);
 
-/** Forgets keys that ended too long ago. */
-void budget_holder_expire(struct tgw_budget_agent *agent);
-
 void budget_holder_free_all(struct tgw_budget_agent *agent);
 
 #endif
--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -248,6 +248,27 @@
 	return line;
 }
 
+/* The planned stop's last write: the line is charged what it settled. */
+static void plan_return(struct plan *plan, struct ledger_line *line)
+{
+	struct budget_bucket *bucket = plan->bucket;
+	struct holder_line *own = bucket->line;
+
+	for (size_t i = 0; i < own->share_count; i++)
+		own->shares[i]->usable_tokens = 0;
+	for (size_t i = 0; i < line->share_count; i++) {
+		struct ledger_share *share = &line->shares[i];
+		const struct holder_share *held = holder_line_find_share(
+			own, bucket->draft.budgets[share->budget_index].name);
+
+		share->allotted_tokens = share->settled_tokens;
+		if (held)
+			share->allotted_tokens -= held->credit_tokens;
+	}
+	ledger_bucket_fold_line(&bucket->draft, own->id);
+	plan->is_worth = true;
+}
+
 static void plan_own_line(struct plan *plan)
 {
 	struct budget_bucket *bucket = plan->bucket;
@@ -270,15 +291,8 @@
 	}
 	line->sequence = ++own->sequence;
 	reserve_returns(bucket, line);
-	if (bucket->agent->is_draining && !holder_line_open_tokens(own)) {
-		for (size_t i = 0; i < own->share_count; i++)
-			own->shares[i]->usable_tokens = 0;
-		for (size_t i = 0; i < line->share_count; i++)
-			line->shares[i].allotted_tokens =
-				line->shares[i].settled_tokens;
-		ledger_bucket_fold_line(&bucket->draft, own->id);
-		plan->is_worth = true;
-	}
+	if (bucket->agent->is_draining && !holder_line_open_tokens(own))
+		plan_return(plan, line);
 }
 
 bool budget_plan_write(struct budget_bucket *bucket)
@@ -328,6 +342,7 @@
 		own->raise_sequence = 0;
 		own->raise_acked = 0;
 		own->raise_first_sent_us = 0;
+		own->needs_greeting = true;
 		for (size_t i = 0; i < own->share_count; i++) {
 			own->shares[i]->witnessed_tokens = 0;
 			own->shares[i]->ceiling_is_dirty = false;
--- a/src/coordination/budget_recall.c
+++ b/src/coordination/budget_recall.c
@@ -154,6 +154,8 @@
 	struct budget_bucket *bucket =
 		budget_bucket_obtain(agent, message->bucket);
 
+	if (!message->item_count)
+		budget_bucket_due(bucket, budget_now_us(agent));
 	for (size_t i = 0; i < message->item_count; i++) {
 		const struct budget_message_item *item = &message->items[i];
 		struct holder_share *share =
--- /dev/null
+++ b/src/coordination/budget_reservation.c
@@ -0,0 +1,79 @@
+#include "coordination/budget_reservation.h"
+
+#include <stdlib.h>
+
+#include "base/xalloc.h"
+
+struct reservation *reservation_obtain(struct tgw_budget_agent *agent,
+				       const struct tgw_request_key *key)
+{
+	struct reservation *reservation =
+		key_table_find(&agent->reservations, key);
+
+	if (reservation)
+		return reservation;
+	reservation = xcalloc(1, sizeof(*reservation));
+	reservation->key = *key;
+	key_table_add(&agent->reservations, reservation);
+	return reservation;
+}
+
+void reservation_set_share(struct reservation *reservation,
+			   struct holder_share *share)
+{
+	if (reservation->share)
+		reservation->share->line->reference_count--;
+	reservation->share = share;
+	if (share)
+		share->line->reference_count++;
+}
+
+void reservation_queue_ended(struct tgw_budget_agent *agent,
+			     struct reservation *reservation)
+{
+	reservation->ended_us = budget_now_us(agent);
+	if (reservation->is_queued)
+		return;
+	reservation->is_queued = true;
+	reservation->next_ended = NULL;
+	*agent->ended_end = reservation;
+	agent->ended_end = &reservation->next_ended;
+}
+
+void reservation_set_not_run(struct budget_bucket *bucket,
+			     const struct tgw_request_key *key,
+			     struct budget_peer *owner,
+			     uint64_t owner_incarnation, uint64_t request_id)
+{
+	struct reservation *reservation =
+		reservation_obtain(bucket->agent, key);
+
+	reservation->bucket = bucket;
+	reservation->owner = owner;
+	reservation->owner_incarnation = owner_incarnation;
+	reservation->request_id = request_id;
+	reservation->state = RESERVATION_NOT_RUN;
+	reservation_queue_ended(bucket->agent, reservation);
+}
+
+void reservation_expire(struct tgw_budget_agent *agent)
+{
+	int64_t before_us =
+		budget_now_us(agent) - agent->env.settings.duplicate_memory_us;
+
+	while (agent->ended_first &&
+	       (agent->ended_first->state == RESERVATION_OPEN ||
+		agent->ended_first->ended_us < before_us)) {
+		struct reservation *reservation = agent->ended_first;
+
+		agent->ended_first = reservation->next_ended;
+		if (!agent->ended_first)
+			agent->ended_end = &agent->ended_first;
+		reservation->is_queued = false;
+		if (reservation->state == RESERVATION_OPEN)
+			continue;
+		key_table_remove(&agent->reservations, &reservation->key);
+		reservation_set_share(reservation, NULL);
+		free(reservation);
+	}
+}
--- a/src/coordination/budget_settle_queue.c
+++ b/src/coordination/budget_settle_queue.c
@@ -9,7 +9,8 @@
 
 /* Settlements gather for this long. */
 #define BATCH_INTERVAL_US BUDGET_MS(250)
-#define RETRY_US BUDGET_MS(500)
+#define RETRY_MIN_US BUDGET_MS(500)
+#define RETRY_MAX_US BUDGET_S(4)
 #define BATCH_MAX 400
 
 static void free_orders(struct settle_order **orders)
@@ -75,6 +76,7 @@
 	}
 	if (!holder->queue)
 		holder->queue_end = &holder->queue;
+	holder->settle_retry_us = RETRY_MIN_US;
 	buffer_clear(&holder->settle_bytes);
 	budget_message_encode(&message, &holder->settle_bytes);
 	budget_message_clear(&message);
@@ -101,11 +103,14 @@
 		start_batch(agent, holder);
 		send_batch(agent, holder);
 	} else if (holder->sent &&
-		   now_us - holder->settle_sent_us >= RETRY_US) {
+		   now_us - holder->settle_sent_us >= holder->settle_retry_us) {
+		if (holder->settle_retry_us < RETRY_MAX_US)
+			holder->settle_retry_us *= 2;
 		send_batch(agent, holder);
 	}
-	return holder->sent ? holder->settle_sent_us + RETRY_US
-			    : holder->settle_due_us;
+	if (!holder->sent)
+		return holder->settle_due_us;
+	return holder->settle_sent_us + holder->settle_retry_us;
 }
 
 int64_t budget_settle_queue_tick(struct tgw_budget_agent *agent)
--- /dev/null
+++ b/src/coordination/budget_settlement.c
@@ -0,0 +1,274 @@
+#include "coordination/budget_holder.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coordination/budget_exchange.h"
+#include "coordination/budget_reservation.h"
+#include "coordination/budget_share.h"
+#include "state/name_copy.h"
+#include "state/request_key.h"
+
+/* Settlements on a closed line gather for this long. */
+#define CLOSED_LINE_WAIT_US BUDGET_S(1)
+
+/* Reversed charges are taken off as far as there are charges. */
+static void take_credit(struct holder_share *share)
+{
+	int64_t tokens = share->credit_tokens < share->settled_tokens
+				 ? share->credit_tokens
+				 : share->settled_tokens;
+
+	share->credit_tokens -= tokens;
+	share->settled_tokens -= tokens;
+}
+
+static void apply_settlement(struct reservation *reservation, int64_t spent,
+			     enum tgw_settle_basis basis, bool by_owner)
+{
+	struct budget_bucket *bucket = reservation->bucket;
+	struct tgw_budget_agent *agent = bucket->agent;
+	struct holder_share *share = reservation->share;
+	int64_t bound = reservation->bound_tokens;
+
+	if (basis == TGW_SETTLE_BOUND || spent > bound)
+		spent = bound;
+	if (basis == TGW_SETTLE_NOT_RUN)
+		spent = 0;
+	reservation->state = basis == TGW_SETTLE_NOT_RUN ? RESERVATION_NOT_RUN
+							 : RESERVATION_SETTLED;
+	reservation->spent_tokens = spent;
+	reservation->owner_is_done |= by_owner;
+	reservation_queue_ended(agent, reservation);
+	if (share) {
+		share->open_tokens -= bound;
+		share->settled_tokens += spent;
+		take_credit(share);
+		holder_share_touch(share);
+		if (!reservation->owner_is_done)
+			reservation->parked_tokens = bound - spent;
+		share->parked_tokens += reservation->parked_tokens;
+		demand_forecast_add(&share->demand, budget_now_us(agent),
+				    spent);
+		agent->counters.reserved_tokens -= bound;
+		if (share->line->is_closed)
+			budget_bucket_due(bucket, budget_now_us(agent) +
+							  CLOSED_LINE_WAIT_US);
+	}
+	if (reservation->state != RESERVATION_SETTLED)
+		return;
+	if (basis == TGW_SETTLE_BOUND)
+		agent->counters.settled_bound++;
+	else
+		agent->counters.settled_usage++;
+	if (!request_key_is_unique(&reservation->key))
+		budget_exchange_log(bucket, &reservation->key);
+}
+
+/* The owner has given up its right to claim: the parked rest is free. */
+static void unpark(struct reservation *reservation)
+{
+	reservation->owner_is_done = true;
+	if (reservation->share)
+		reservation->share->parked_tokens -= reservation->parked_tokens;
+	reservation->parked_tokens = 0;
+}
+
+/* A cancelled request that comes later, late by the network, is dropped. */
+static void remember_cancelled(struct tgw_budget_agent *agent,
+			       struct budget_peer *from,
+			       uint64_t from_incarnation,
+			       const struct budget_message_item *item)
+{
+	struct budget_bucket *bucket = budget_bucket_obtain(
+		agent, ledger_bucket_of(item->budget,
+					agent->env.settings.bucket_count));
+
+	reservation_set_not_run(bucket, &item->key, from, from_incarnation,
+				item->id);
+}
+
+static void drop_waiter(struct tgw_budget_agent *agent,
+			struct budget_peer *from,
+			const struct budget_message_item *item)
+{
+	struct budget_bucket *bucket = budget_bucket_obtain(
+		agent, ledger_bucket_of(item->budget,
+					agent->env.settings.bucket_count));
+	struct holder_share *share =
+		holder_line_find_share(bucket->line, item->budget);
+	struct budget_waiter **link = share ? &share->waiters : NULL;
+
+	while (link && *link) {
+		struct budget_waiter *waiter = *link;
+
+		if (waiter->from != from || waiter->request_id != item->id) {
+			link = &waiter->next;
+			continue;
+		}
+		*link = waiter->next;
+		free(waiter);
+	}
+}
+
+void budget_holder_settle(struct tgw_budget_agent *agent,
+			  struct budget_peer *from, uint64_t from_incarnation,
+			  const struct budget_message_item *item)
+{
+	struct reservation *known =
+		key_table_find(&agent->reservations, &item->key);
+	enum tgw_settle_basis basis = (enum tgw_settle_basis)item->code;
+	bool by_owner;
+
+	if (basis == TGW_SETTLE_NOT_RUN)
+		drop_waiter(agent, from, item);
+	if (!known || known->state == RESERVATION_NOT_RUN) {
+		if (basis == TGW_SETTLE_NOT_RUN)
+			remember_cancelled(agent, from, from_incarnation, item);
+		return;
+	}
+	by_owner = known->owner == from &&
+		   known->owner_incarnation == from_incarnation &&
+		   known->request_id == item->id;
+	if (known->state != RESERVATION_OPEN) {
+		if (by_owner)
+			unpark(known);
+		return;
+	}
+	if (basis == TGW_SETTLE_NOT_RUN && !by_owner) {
+		known->taker = NULL;
+		return;
+	}
+	if (basis == TGW_SETTLE_NOT_RUN && known->taker) {
+		known->owner_is_done = true;
+		return;
+	}
+	apply_settlement(known, item->tokens, basis, by_owner);
+	budget_holder_serve_waiters(known->bucket);
+}
+
+/* A retry that came before the successor knew the key was charged too. */
+static void meet_registered(struct reservation *known, bool is_settled)
+{
+	if (!is_settled || known->state != RESERVATION_SETTLED ||
+	    !known->share || known->is_kept)
+		return;
+	budget_holder_reverse(known);
+}
+
+void budget_holder_register(struct tgw_budget_agent *agent,
+			    struct budget_peer *from, uint64_t from_incarnation,
+			    uint32_t index,
+			    const struct budget_message_item *item)
+{
+	struct reservation *reservation =
+		key_table_find(&agent->reservations, &item->key);
+
+	if (reservation && reservation->state != RESERVATION_NOT_RUN) {
+		meet_registered(reservation, item->code);
+		return;
+	}
+	reservation = reservation_obtain(agent, &item->key);
+	reservation_set_share(reservation, NULL);
+	reservation->bucket = budget_bucket_obtain(agent, index);
+	reservation->owner = from;
+	reservation->owner_incarnation = from_incarnation;
+	reservation->request_id = item->id;
+	reservation->owner_is_done = true;
+	if (!item->code) {
+		reservation->state = RESERVATION_OPEN;
+		reservation->bound_tokens = item->tokens;
+		return;
+	}
+	reservation->state = RESERVATION_SETTLED;
+	reservation->spent_tokens = item->tokens;
+	reservation_queue_ended(agent, reservation);
+	if (!request_key_is_unique(&item->key))
+		budget_exchange_log(reservation->bucket, &item->key);
+}
+
+static void hand_over_key(struct tgw_budget_agent *agent,
+			  const struct reservation *reservation)
+{
+	const struct budget_bucket *bucket = reservation->bucket;
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_REGISTER,
+		.bucket = bucket->index,
+	};
+	struct budget_message_item *item;
+
+	if (!bucket->rank_count || bucket->ranked[0] == agent->self)
+		return;
+	item = budget_message_add(&message);
+	item->id = reservation->request_id;
+	item->key = reservation->key;
+	item->has_key = true;
+	item->code = 1;
+	item->tokens = reservation->spent_tokens;
+	budget_send(agent, bucket->ranked[0]->name, &message);
+	budget_message_clear(&message);
+}
+
+void budget_holder_hand_over(struct tgw_budget_agent *agent)
+{
+	for (size_t i = 0; i < agent->reservations.capacity; i++) {
+		const struct reservation *reservation =
+			agent->reservations.slots[i];
+
+		if (reservation && reservation->state == RESERVATION_SETTLED)
+			hand_over_key(agent, reservation);
+	}
+}
+
+void budget_holder_free_all(struct tgw_budget_agent *agent)
+{
+	for (size_t i = 0; i < agent->reservations.capacity; i++)
+		free(agent->reservations.slots[i]);
+	key_table_free(&agent->reservations);
+}
+
+static bool is_abandoned(const struct tgw_budget_agent *agent,
+			 const struct reservation *reservation)
+{
+	const struct budget_peer *peer = reservation->taker;
+	uint64_t incarnation = reservation->taker_incarnation;
+
+	if (!peer) {
+		peer = reservation->owner;
+		incarnation = reservation->owner_incarnation;
+	}
+	return budget_peer_state(agent, peer->name, incarnation) ==
+	       TGW_HOST_GONE;
+}
+
+void budget_holder_settle_gone(struct tgw_budget_agent *agent)
+{
+	for (size_t i = 0; i < agent->reservations.capacity; i++) {
+		struct reservation *reservation = agent->reservations.slots[i];
+
+		if (!reservation || reservation->state != RESERVATION_OPEN ||
+		    !is_abandoned(agent, reservation))
+			continue;
+		apply_settlement(reservation, reservation->bound_tokens,
+				 TGW_SETTLE_BOUND, false);
+	}
+}
+
+void budget_holder_reverse(struct reservation *reservation)
+{
+	struct holder_share *share;
+
+	assert(reservation->state == RESERVATION_SETTLED && reservation->share);
+	/* The line that it was charged to may be closed. */
+	share = holder_line_obtain_share(
+		holder_line_obtain(reservation->bucket),
+		reservation->share->budget);
+	share->credit_tokens += reservation->spent_tokens;
+	take_credit(share);
+	budget_bucket_due(reservation->bucket,
+			  budget_now_us(reservation->bucket->agent) +
+				  CLOSED_LINE_WAIT_US);
+	reservation->state = RESERVATION_REVERSED;
+	reservation->bucket->agent->counters.reversed_duplicates++;
+}
--- a/src/coordination/budget_share.c
+++ b/src/coordination/budget_share.c
@@ -131,6 +131,8 @@
 		share->demand = old->demand;
 		share->waiters = old->waiters;
 		old->waiters = NULL;
+		share->credit_tokens = old->credit_tokens;
+		old->credit_tokens = 0;
 		holder_share_touch(share);
 	}
 }
--- a/src/coordination/budget_state.h
+++ b/src/coordination/budget_state.h
@@ -71,6 +71,7 @@
 	uint64_t settle_sequence;
 	int64_t settle_sent_us;
 	int64_t settle_due_us;
+	int64_t settle_retry_us;
 };
 
 /** A reservation that can't be granted yet. */
@@ -92,6 +93,7 @@
 	int64_t settled_tokens;
 	int64_t open_tokens;	  /**< reserved */
 	int64_t parked_tokens;	  /**< settled lower, may still be claimed */
+	int64_t credit_tokens;	  /**< reversed, to be taken off what settles */
 	int64_t confirmed_tokens; /**< allotted by the ledger as last read */
 	int64_t usable_tokens;	  /**< lowered before a write that lowers */
 	int64_t filled_tokens;	  /**< left after the last write that raised */
@@ -138,6 +140,7 @@
 	int64_t raise_sent_us;
 	int64_t raise_first_sent_us; /**< of those not acknowledged */
 	bool raise_refused;
+	bool needs_greeting; /**< the witness may not know of the line */
 	size_t share_count;
 	struct holder_share **shares;
 };
@@ -160,6 +163,7 @@
 	enum reservation_state state;
 	struct budget_peer *taker; /**< host of the last retry; may be NULL */
 	uint64_t taker_incarnation;
+	bool is_kept;	    /**< not to be reversed: another copy was */
 	bool owner_is_done; /**< the owner will not claim any more */
 	bool is_queued;	    /**< in the agent's queue of ended ones */
 	int64_t bound_tokens;
@@ -184,8 +188,7 @@
 	uint64_t holder_incarnation;
 	uint64_t epoch;
 	uint64_t sequence;
-	bool is_closing; /**< nothing more is acknowledged */
-	int64_t known_since_us;
+	bool is_closing;	 /**< nothing more is acknowledged */
 	int64_t silent_since_us; /**< 0 while the holder is heard */
 	size_t share_count;
 	struct witness_share *shares;
@@ -209,15 +212,21 @@
 	uint64_t operation; /**< answer after this many operations */
 };
 
-/** How far another domain knows the settled keys of a bucket. */
+/** How far another host knows the settled keys of a bucket. */
 struct key_cursor {
-	char domain[TGW_NAME_SIZE];
 	struct budget_peer *holder;
 	uint64_t holder_incarnation;
 	uint64_t acked;
 	int64_t sent_us;
 };
 
+/** A key that another host settled, too; asked until one copy is reversed. */
+struct open_duplicate {
+	struct open_duplicate *next;
+	struct tgw_request_key key;
+	struct budget_peer *peer;
+};
+
 struct logged_key {
 	struct tgw_request_key key;
 	int64_t settled_us;
@@ -265,7 +274,8 @@
 	int64_t due_us;
 	int64_t ceiling_due_us; /**< of the next look at touched shares */
 	int64_t waiters_due_us;
-	bool is_for_outage; /**< ceilings are those for an outage */
+	int64_t gone_look_us; /**< of the next look for lines of the gone */
+	bool is_for_outage;   /**< ceilings are those for an outage */
 	int64_t look_us; /**< of the next look for refills and gone holders */
 	/* Roles. */
 	struct holder_line *line;
@@ -319,6 +329,7 @@
 	struct entry_claim *claims;
 	bool is_draining;
 	int64_t exchange_due_us;
+	struct open_duplicate *open_duplicates;
 	struct tgw_budget_counters counters;
 };
 
--- a/src/coordination/budget_witness.c
+++ b/src/coordination/budget_witness.c
@@ -9,6 +9,7 @@
 
 /* A holder that its witness does not hear for this long is given up. */
 #define CLOSE_SILENT_AFTER_US BUDGET_S(10)
+#define GONE_LOOK_US BUDGET_S(10)
 /* Budgets that a reserve is to be kept of gather for this long. */
 #define RESERVE_WAIT_US BUDGET_S(10)
 
@@ -33,7 +34,6 @@
 	name_copy(record->holder, holder);
 	record->holder_incarnation = holder_incarnation;
 	record->epoch = epoch;
-	record->known_since_us = budget_now_us(bucket->agent);
 	record->next = bucket->witnessed;
 	bucket->witnessed = record;
 	return record;
@@ -115,9 +115,12 @@
 
 	if (agent->is_draining)
 		return;
-	if (!record)
-		record = add_record(bucket, message->line, from->name,
-				    from_incarnation, message->epoch);
+	/* Only the ledger makes a witness: a message may be older than the
+	 * closing of its line. */
+	if (!record || record->epoch < message->epoch) {
+		budget_bucket_due(bucket, budget_now_us(agent));
+		return;
+	}
 	if (record->holder_incarnation != from_incarnation ||
 	    message->epoch < record->epoch)
 		return;
@@ -125,12 +128,6 @@
 		send_raised(agent, from, message, true);
 		return;
 	}
-	if (message->epoch > record->epoch) {
-		record->epoch = message->epoch;
-		record->sequence = 0;
-		record->share_count = 0;
-		record->known_since_us = budget_now_us(agent);
-	}
 	if (message->sequence < record->sequence)
 		return;
 	if (message->sequence > record->sequence)
@@ -200,16 +197,6 @@
 	return changed;
 }
 
-static bool domain_is_empty(const struct tgw_host_view *view,
-			    const char *domain)
-{
-	for (size_t i = 0; i < view->host_count; i++)
-		if (!strcmp(view->hosts[i].failure_domain, domain) &&
-		    view->hosts[i].state != TGW_HOST_GONE)
-			return false;
-	return true;
-}
-
 /* Nobody knows what such a line has spent: it is charged all it had. */
 static bool is_unwitnessed_and_gone(const struct budget_bucket *bucket,
 				    const struct ledger_line *line)
@@ -220,12 +207,9 @@
 	    budget_peer_state(agent, line->host, line->incarnation) !=
 		    TGW_HOST_GONE)
 		return false;
-	if (line->witness[0] &&
-	    budget_peer_state(agent, line->witness,
-			      line->witness_incarnation) != TGW_HOST_GONE)
-		return false;
-	return !strcmp(line->domain, agent->domain) ||
-	       domain_is_empty(agent->view, line->domain);
+	return !line->witness[0] ||
+	       budget_peer_state(agent, line->witness,
+				 line->witness_incarnation) == TGW_HOST_GONE;
 }
 
 bool budget_witness_plan_closings(struct budget_bucket *bucket, int64_t wall_us)
@@ -245,16 +229,14 @@
 	return changed;
 }
 
-/* A read that began before the record can't tell that it is outdated. */
 static bool is_outdated(struct budget_bucket *bucket,
 			const struct witness_line *record)
 {
 	const struct ledger_line *line =
 		ledger_bucket_find_line(&bucket->known, record->line);
 
-	if (!line)
-		return bucket->read_us > record->known_since_us;
-	return line->state == LEDGER_LINE_CLOSED || line->epoch > record->epoch;
+	return !line || line->state == LEDGER_LINE_CLOSED ||
+	       line->epoch > record->epoch;
 }
 
 void budget_witness_adopt(struct budget_bucket *bucket)
@@ -301,6 +283,43 @@
 	}
 }
 
+/* A holder that died early may not have told its witness of the line. */
+static void remind_witness(struct budget_bucket *bucket,
+			   const struct ledger_line *line)
+{
+	struct tgw_budget_agent *agent = bucket->agent;
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_WANT,
+		.bucket = bucket->index,
+	};
+
+	if (!strcmp(line->witness, agent->name))
+		return;
+	budget_send(agent, line->witness, &message);
+	budget_bucket_due(bucket, budget_now_us(agent) + GONE_LOOK_US);
+}
+
+static void look_for_gone(struct budget_bucket *bucket)
+{
+	const struct tgw_budget_agent *agent = bucket->agent;
+	int64_t now_us = budget_now_us(agent);
+
+	if (now_us < bucket->gone_look_us || bucket->failures ||
+	    !budget_bucket_is_first(bucket))
+		return;
+	bucket->gone_look_us = now_us + GONE_LOOK_US;
+	for (size_t i = 0; i < bucket->known.line_count; i++) {
+		const struct ledger_line *line = &bucket->known.lines[i];
+
+		if (is_unwitnessed_and_gone(bucket, line))
+			budget_bucket_due(bucket, now_us);
+		else if (line->state == LEDGER_LINE_OPEN &&
+			 budget_peer_state(agent, line->host,
+					   line->incarnation) == TGW_HOST_GONE)
+			remind_witness(bucket, line);
+	}
+}
+
 void budget_witness_watch(struct budget_bucket *bucket)
 {
 	struct tgw_budget_agent *agent = bucket->agent;
@@ -320,6 +339,7 @@
 		else if (!agent->is_draining)
 			keep_reserve(bucket, record);
 	}
+	look_for_gone(bucket);
 }
 
 void budget_witness_free_all(struct budget_bucket *bucket)
--- a/src/state/budget_message.h
+++ b/src/state/budget_message.h
@@ -38,7 +38,7 @@
 	/** Answer: the same head; code 1 when refused. */
 	BUDGET_MESSAGE_RAISED,
 	/** Holder asks other holders for tokens. bucket; item: budget,
-	 * tokens. */
+	 * tokens. Without an item: only to look at the ledger's key. */
 	BUDGET_MESSAGE_WANT,
 	/** Answer when the ledger has them: bucket; item: budget, tokens. */
 	BUDGET_MESSAGE_RELEASED,
@@ -53,7 +53,7 @@
 	/** Acknowledges KEYS: bucket, sequence. */
 	BUDGET_MESSAGE_KEYS_SEEN,
 	/** Both settled the key. bucket; item: key, tokens, code (enum
-	 * budget_copy_state). */
+	 * budget_copy_state), flags: a reply, or to be replied to. */
 	BUDGET_MESSAGE_DUPLICATE,
 	/** Tells a new holder of keys of its predecessor. bucket; item: key,
 	 * budget, tokens (spent or bound), code (1 when settled). */
@@ -64,12 +64,14 @@
 /** What became of one copy of a request that was settled twice. */
 enum budget_copy_state {
 	BUDGET_COPY_REVERSIBLE,
-	BUDGET_COPY_FINAL, /**< its line is closed */
+	BUDGET_COPY_FINAL, /**< another host's, or returned for good */
 	BUDGET_COPY_REVERSED,
+	BUDGET_COPY_KEPT, /**< others were or will be reversed for it */
 };
 
 #define BUDGET_FLAG_ALREADY_RESERVED 1u
 #define BUDGET_FLAG_ALREADY_SETTLED 2u
+#define BUDGET_FLAG_REPLY 4u
 
 struct budget_message_item {
 	uint64_t id;
--- a/src/state/key_table.c
+++ b/src/state/key_table.c
@@ -71,16 +71,18 @@
 		if (table->slots[i])
 			larger.slots[find_slot(&larger, table->slots[i])] =
 				table->slots[i];
-	if (table->capacity)
-		free(table->slots);
+	free(table->slots);
 	*table = larger;
 }
 
 void key_table_add(struct key_table *table, void *record)
 {
+	struct tgw_request_key key;
+
+	memcpy(&key, record, sizeof(key));
 	if (table->count * 4 >= table->capacity * 3)
 		grow(table);
-	table->slots[find_slot(table, record)] = record;
+	table->slots[find_slot(table, &key)] = record;
 	table->count++;
 }
 
