--- a/src/coordination/budget_agent.c
+++ b/src/coordination/budget_agent.c
@@ -25,6 +25,8 @@
 #define DEFAULT_DUPLICATE_MEMORY_S 7200
 /* Longest time between two ticks. */
 #define TICK_MAX_US BUDGET_S(1)
+/* Times are watched this closely; what was touched is looked at at once. */
+#define SCAN_INTERVAL_US BUDGET_MS(20)
 /* With no other call, the store is asked this often whether it is there. */
 #define PROBE_INTERVAL_US BUDGET_S(10)
 
@@ -117,6 +119,7 @@
 		free(peer);
 	}
 	free(agent->buckets);
+	free(agent->busy);
 	free(agent->by_index);
 	tgw_host_view_free(agent->view);
 	free(agent);
@@ -288,19 +291,88 @@
 	return a < b ? a : b;
 }
 
+/* @return when the bucket has to be looked at again */
 static int64_t tick_bucket(struct budget_bucket *bucket)
 {
 	int64_t now_us = budget_now_us(bucket->agent);
 	int64_t due_us;
 
+	if (!budget_plan_is_active(bucket) && bucket->due_us == BUDGET_NEVER_US)
+		return BUDGET_NEVER_US;
 	budget_ledger_tick(bucket);
 	if (bucket->waiters_due_us <= now_us)
 		budget_holder_serve_waiters(bucket);
 	if (bucket->ceiling_due_us <= now_us)
 		budget_witness_raise(bucket);
 	due_us = min_time(bucket->waiters_due_us, bucket->ceiling_due_us);
-	return bucket->io == BUCKET_IDLE ? min_time(due_us, bucket->due_us)
-					 : due_us;
+	if (bucket->io == BUCKET_IDLE)
+		due_us = min_time(due_us, bucket->due_us);
+	return min_time(due_us, bucket->look_us);
+}
+
+static void add_busy(struct tgw_budget_agent *agent,
+		     struct budget_bucket *bucket)
+{
+	if (bucket->is_scanned)
+		return;
+	bucket->is_scanned = true;
+	agent->busy = xrealloc(agent->busy, (agent->busy_count + 1) *
+						    sizeof(agent->busy[0]));
+	agent->busy[agent->busy_count++] = bucket;
+}
+
+static int64_t tick_touched(struct tgw_budget_agent *agent)
+{
+	int64_t due_us = BUDGET_NEVER_US;
+	struct budget_bucket *bucket = agent->touched;
+
+	agent->touched = NULL;
+	while (bucket) {
+		struct budget_bucket *next = bucket->next_touched;
+
+		bucket->is_touched = false;
+		add_busy(agent, bucket);
+		due_us = min_time(due_us, tick_bucket(bucket));
+		bucket = next;
+	}
+	return due_us;
+}
+
+static int64_t scan_busy(struct tgw_budget_agent *agent)
+{
+	int64_t due_us = BUDGET_NEVER_US;
+	size_t kept = 0;
+
+	for (size_t i = 0; i < agent->busy_count; i++) {
+		struct budget_bucket *bucket = agent->busy[i];
+		int64_t bucket_due_us = tick_bucket(bucket);
+
+		due_us = min_time(due_us, bucket_due_us);
+		bucket->is_scanned = bucket_due_us != BUDGET_NEVER_US;
+		if (bucket->is_scanned)
+			agent->busy[kept++] = bucket;
+	}
+	agent->busy_count = kept;
+	return due_us;
+}
+
+static int64_t tick_buckets(struct tgw_budget_agent *agent)
+{
+	int64_t now_us = budget_now_us(agent);
+
+	if (now_us >= agent->scan_due_us &&
+	    now_us - agent->scanned_us >= SCAN_INTERVAL_US) {
+		agent->scanned_us = now_us;
+		agent->scan_due_us = scan_busy(agent);
+	}
+	if (agent->touched)
+		agent->scan_due_us =
+			min_time(agent->scan_due_us, tick_touched(agent));
+	if (agent->touched)
+		return now_us;
+	if (agent->scan_due_us < agent->scanned_us + SCAN_INTERVAL_US)
+		return agent->scanned_us + SCAN_INTERVAL_US;
+	return agent->scan_due_us;
 }
 
 /* A read of any key of ours that is due anyhow tells as much. */
@@ -344,8 +416,7 @@
 	int64_t due_us = now_us + TICK_MAX_US;
 
 	probe_store(agent);
-	for (size_t i = 0; i < agent->bucket_count; i++)
-		due_us = min_time(due_us, tick_bucket(agent->buckets[i]));
+	due_us = min_time(due_us, tick_buckets(agent));
 	due_us = min_time(due_us, budget_claims_tick(agent));
 	due_us = min_time(due_us, budget_settle_queue_tick(agent));
 	budget_exchange_tick(agent);
--- a/src/coordination/budget_ceiling.c
+++ b/src/coordination/budget_ceiling.c
@@ -266,4 +266,5 @@
 					  share->ceiling_sent_tokens;
 	}
 	bucket->ceiling_due_us = budget_now_us(agent);
+	budget_bucket_touch(bucket);
 }
--- a/src/coordination/budget_holder.c
+++ b/src/coordination/budget_holder.c
@@ -187,9 +187,11 @@
 		if (!line->shares[i]->waiters)
 			continue;
 		serve_share(line->shares[i]);
-		if (line->shares[i]->waiters)
-			bucket->waiters_due_us = budget_now_us(bucket->agent) +
-						 WAITERS_INTERVAL_US;
+		if (!line->shares[i]->waiters)
+			continue;
+		budget_bucket_touch(bucket);
+		bucket->waiters_due_us =
+			budget_now_us(bucket->agent) + WAITERS_INTERVAL_US;
 	}
 }
 
--- a/src/coordination/budget_ledger.c
+++ b/src/coordination/budget_ledger.c
@@ -15,8 +15,6 @@
 /* Fresh values are looked through for a refill this often in a flush. */
 #define LOOKS_PER_FLUSH 8
 #define LOOK_US BUDGET_S(1)
-/* A share is refilled early when this part of its allotment is left. */
-#define REFILL_PART 4
 
 static void start_read(struct budget_bucket *bucket);
 
@@ -69,6 +67,7 @@
 		bucket->failures++;
 	}
 	bucket->ceiling_due_us = budget_now_us(bucket->agent);
+	budget_bucket_touch(bucket);
 	budget_holder_serve_waiters(bucket);
 }
 
--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -15,7 +15,7 @@
 #define RECONCILE_AFTER_US BUDGET_S(600)
 /* The second-ranked host holds this part of the time to ride out. */
 #define RESERVE_PART 6.0
-/* A change of less than this part of the allotment can wait. */
+/* A return of less than this part of the allotment can wait. */
 #define MINOR_CHANGE_PART 8
 
 /* What a plan found worth writing. */
@@ -156,11 +156,21 @@
 	return decide(share, index, own > first ? own : first, ride_out_s);
 }
 
-static bool is_large_change(int64_t before, int64_t after)
+/* Whether a new allotment is worth a write of its own. */
+static bool is_worth(const struct holder_share *held, int64_t before,
+		     int64_t after)
 {
-	int64_t change = after > before ? after - before : before - after;
+	int64_t used = holder_share_used(held);
+	int64_t left = held->usable_tokens - used;
 
-	return change > before / MINOR_CHANGE_PART;
+	if (before == after)
+		return false;
+	if (held->asked_tokens || !before)
+		return true;
+	if (after > before)
+		return holder_share_waiting(held) > left ||
+		       left < held->filled_tokens / REFILL_PART;
+	return before - after > before / MINOR_CHANGE_PART;
 }
 
 static void plan_share(struct plan *plan, struct ledger_line *line,
@@ -172,8 +182,6 @@
 	int64_t ceiling = holder_share_used(held) + holder_share_waiting(held) +
 			  holder_share_run_ahead(held);
 	int64_t wanted = held->want_mark ? holder_share_waiting(held) : 0;
-	int64_t short_tokens = holder_share_used(held) +
-			       holder_share_waiting(held) - held->usable_tokens;
 
 	if (ceiling > allotted)
 		ceiling = allotted;
@@ -181,9 +189,7 @@
 		ceiling = share->ceiling_tokens;
 	if (held->line->is_changing_witness && ceiling < held->changing_tokens)
 		held->changing_tokens = ceiling;
-	if ((held->asked_tokens || short_tokens > 0 ||
-	     is_large_change(share->allotted_tokens, allotted)) &&
-	    allotted != share->allotted_tokens)
+	if (is_worth(held, share->allotted_tokens, allotted))
 		plan->is_worth = true;
 	if (wanted != share->wanted_tokens ||
 	    (held->waiters && ceiling > holder_share_ceiling(held) &&
--- a/src/coordination/budget_share.c
+++ b/src/coordination/budget_share.c
@@ -79,6 +79,7 @@
 	share->is_touched = true;
 	share->touched_us = budget_now_us(bucket->agent);
 	bucket->ceiling_due_us = share->touched_us;
+	budget_bucket_touch(bucket);
 }
 
 struct holder_share *holder_line_find_share(const struct holder_line *line,
--- a/src/coordination/budget_share.h
+++ b/src/coordination/budget_share.h
@@ -7,6 +7,9 @@
 
 #include "coordination/budget_state.h"
 
+/** A share is refilled early when this part of its allotment is left. */
+#define REFILL_PART 4
+
 /** Settled, reserved or parked: what the line may have spent. */
 int64_t holder_share_used(const struct holder_share *share);
 
--- a/src/coordination/budget_state.c
+++ b/src/coordination/budget_state.c
@@ -147,8 +147,19 @@
 		       STORE_OUT_AFTER_US;
 }
 
+void budget_bucket_touch(struct budget_bucket *bucket)
+{
+	if (bucket->is_touched)
+		return;
+	bucket->is_touched = true;
+	bucket->next_touched = bucket->agent->touched;
+	bucket->agent->touched = bucket;
+}
+
 void budget_bucket_due(struct budget_bucket *bucket, int64_t due_us)
 {
-	if (due_us < bucket->due_us)
-		bucket->due_us = due_us;
+	if (due_us >= bucket->due_us)
+		return;
+	bucket->due_us = due_us;
+	budget_bucket_touch(bucket);
 }
--- a/src/coordination/budget_state.h
+++ b/src/coordination/budget_state.h
@@ -252,6 +252,9 @@
 
 struct budget_bucket {
 	struct tgw_budget_agent *agent;
+	struct budget_bucket *next_touched;
+	bool is_touched; /**< to be looked at by the next tick */
+	bool is_scanned; /**< among the agent's busy ones */
 	uint32_t index;
 	char key[LEDGER_KEY_SIZE];
 	/** The domain's best hosts for this bucket, by the current view. */
@@ -311,6 +314,11 @@
 	struct budget_bucket **by_index;
 	size_t bucket_count;
 	struct budget_bucket **buckets;
+	struct budget_bucket *touched;
+	size_t busy_count; /**< those that have times to watch */
+	struct budget_bucket **busy;
+	int64_t scanned_us;
+	int64_t scan_due_us; /**< the earliest time of any busy bucket */
 	/* Holder. */
 	struct key_table reservations;
 	struct reservation *ended_first;
@@ -358,6 +366,9 @@
 /** Whether the store has not answered for some time. */
 bool budget_store_is_out(const struct tgw_budget_agent *agent);
 
+/** Has the next tick look at the bucket. */
+void budget_bucket_touch(struct budget_bucket *bucket);
+
 /** Asks for an operation on the bucket's key at that time or earlier. */
 void budget_bucket_due(struct budget_bucket *bucket, int64_t due_us);
 
--- a/src/state/allotment_policy.c
+++ b/src/state/allotment_policy.c
@@ -1,11 +1,14 @@
 #include "state/allotment_policy.h"
 
 #include <math.h>
+#include <stdbool.h>
 
 /* A domain without a line may turn up; it is counted as this part of ours. */
 #define ABSENT_DOMAIN_WEIGHT 0.25
 /* What is needed now is taken this many times over, if there is plenty. */
 #define NEEDED_MARGIN 4.0
+/* With this part of what is unspent still free, nothing is returned unasked. */
+#define PLENTY_PART 4
 /* Surplus below this part of the wish is not worth a return. */
 #define KEEP_MARGIN 1.5
 
@@ -33,6 +36,12 @@
 	return pool * weight;
 }
 
+static bool is_plenty(const struct allotment_inputs *in, int64_t left)
+{
+	return in->free_tokens >=
+	       (in->free_tokens + left + in->others_left_tokens) / PLENTY_PART;
+}
+
 int64_t allotment_policy_decide(const struct allotment_inputs *in)
 {
 	int64_t left = max_tokens(in->allotted_tokens - in->used_tokens, 0);
@@ -44,7 +53,8 @@
 	wish = max_tokens(wish, in->needed_tokens);
 	if (in->asked_tokens)
 		wish = min_tokens(wish, max_tokens(left - in->asked_tokens, 0));
-	else if (wish < left && (double)left < (double)wish * KEEP_MARGIN)
+	else if (wish < left && (is_plenty(in, left) ||
+				 (double)left < (double)wish * KEEP_MARGIN))
 		wish = left;
 	return in->used_tokens + min_tokens(wish, available);
 }
--- a/tests/fakes/budget_fleet.c
+++ b/tests/fakes/budget_fleet.c
@@ -354,6 +354,13 @@
 		request->changed(request->arg, request);
 }
 
+/* An ended request that is not kept is freed. */
+static void forget(struct fleet_request *request)
+{
+	if (!request->host->fleet->keeps_requests)
+		free(request);
+}
+
 void budget_fleet_settle(struct fleet_request *request, int64_t tokens,
 			 enum tgw_settle_basis basis)
 {
@@ -368,6 +375,7 @@
 	tgw_budget_settle(host->agent, request->budget, &request->key, tokens,
 			  basis);
 	tell_change(request);
+	forget(request);
 	tick_now(host);
 }
 
@@ -402,6 +410,8 @@
 	tell_change(request);
 	if (request->state == FLEET_RUNNING && request->run_us)
 		fake_world_after(world, request->run_us, finish, request);
+	else if (request->state != FLEET_RUNNING)
+		forget(request);
 }
 
 static void make_key(struct tgw_request_key *key, uint64_t number)
@@ -412,6 +422,14 @@
 	tgw_request_key_derive(key, "team", text, strlen(text));
 }
 
+static void keep(struct budget_fleet *fleet, struct fleet_request *request)
+{
+	fleet->requests =
+		xrealloc(fleet->requests, (fleet->request_count + 1) *
+						  sizeof(fleet->requests[0]));
+	fleet->requests[fleet->request_count++] = request;
+}
+
 struct fleet_request *budget_fleet_request(struct fleet_host *host,
 					   const char *budget, uint64_t number,
 					   int64_t bound_tokens,
@@ -434,10 +452,8 @@
 	request->asked_us = fleet->world.now_us;
 	make_key(&request->key, number);
 	ask.key = request->key;
-	fleet->requests =
-		xrealloc(fleet->requests, (fleet->request_count + 1) *
-						  sizeof(fleet->requests[0]));
-	fleet->requests[fleet->request_count++] = request;
+	if (fleet->keeps_requests)
+		keep(fleet, request);
 	tgw_budget_reserve(host->agent, &ask,
 			   (struct tgw_budget_callback){answered, request});
 	tick_now(host);
--- a/tests/fakes/budget_fleet.h
+++ b/tests/fakes/budget_fleet.h
@@ -87,7 +87,8 @@
 	int64_t gone_after_us;
 	size_t request_count;
 	struct fleet_request **requests;
-	bool keeps_requests; /**< else they are freed once ended */
+	/** Else requests are freed once they ended; no host may be killed. */
+	bool keeps_requests;
 };
 
 void budget_fleet_init(struct budget_fleet *fleet, uint64_t seed,
