Lower the ledger's ceilings once the witness covers them

Cause: with hosts dying a death stranded 58.52 s of a host's demand. Of 446,079 tokens of slack at 11 deaths, 424,784 were ceilings in the ledger, which only ever rose: written while large bounds were open, and never used up by holders that were first only for a time.

Change: a ledger write holds a ceiling only for what the witness has not acknowledged; a lower one binds the holder before the write goes out.

--- a/src/coordination/budget_ceiling.c
+++ b/src/coordination/budget_ceiling.c
@@ -114,9 +114,11 @@
 		return false;
 	if (wished > ceiling && ceiling - holder_share_used(share) < ahead / 2)
 		wish_for(share, wished);
-	/* A rest that nobody asks for would be lost with this host. */
-	else if (is_idle && share->witnessed_tokens > share->floor_tokens &&
-		 share->witnessed_tokens > wished)
+	/* A rest that nobody asks for would be lost with this host, and so
+	 * would the ledger's ceiling until the witness covers it. */
+	else if (is_idle &&
+		 (share->witnessed_tokens > wished ||
+		  share->witnessed_tokens < holder_share_used(share)))
 		wish_for(share, wished);
 	else if (is_idle && !share->waiters)
 		share->is_touched = false;
--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -173,20 +173,32 @@
 	return before - after > before / MINOR_CHANGE_PART;
 }
 
+/* The ledger's ceiling is for what the witness does not cover. */
+static int64_t plan_ceiling(const struct holder_share *held,
+			    const struct ledger_line *line)
+{
+	int64_t needed = holder_share_used(held) + holder_share_waiting(held);
+
+	if (line->witness[0] && !held->line->is_changing_witness &&
+	    held->witnessed_tokens >= needed)
+		return 0;
+	return needed + holder_share_run_ahead(held);
+}
+
 static void plan_share(struct plan *plan, struct ledger_line *line,
 		       struct holder_share *held, uint32_t index)
 {
 	struct budget_bucket *bucket = plan->bucket;
 	struct ledger_share *share = ledger_line_obtain_share(line, index);
 	int64_t allotted = plan_allotment(held, index);
-	int64_t ceiling = holder_share_used(held) + holder_share_waiting(held) +
-			  holder_share_run_ahead(held);
+	int64_t ceiling = plan_ceiling(held, line);
 	int64_t wanted = held->want_mark ? holder_share_waiting(held) : 0;
 
 	if (ceiling > allotted)
 		ceiling = allotted;
-	if (ceiling < share->ceiling_tokens)
-		ceiling = share->ceiling_tokens;
+	/* A lower one binds before the write that has it goes out. */
+	if (ceiling < held->floor_tokens)
+		held->floor_tokens = ceiling;
 	if (held->line->is_changing_witness && ceiling < held->changing_tokens)
 		held->changing_tokens = ceiling;
 	if (is_worth(held, share->allotted_tokens, allotted))
@@ -328,12 +340,15 @@
 			const struct ledger_share *share)
 {
 	int64_t before = held->confirmed_tokens;
+	int64_t floor_tokens;
 
 	held->confirmed_tokens = share ? share->allotted_tokens : 0;
 	if (held->confirmed_tokens != before)
 		held->filled_tokens =
 			held->confirmed_tokens - holder_share_used(held);
-	held->floor_tokens = share ? share->ceiling_tokens : 0;
+	floor_tokens = share ? share->ceiling_tokens : 0;
+	if (!bucket->is_uncertain || held->floor_tokens > floor_tokens)
+		held->floor_tokens = floor_tokens;
 	if (!bucket->is_uncertain ||
 	    held->usable_tokens > held->confirmed_tokens)
 		held->usable_tokens = held->confirmed_tokens;
