--- a/tools/lib-fleet.sh
+++ b/tools/lib-fleet.sh
@@ -79,3 +79,112 @@
 fleet_stop_all() {
 	fleet_stop $(cd "$FLEET" && ls -t -- *.pid 2>/dev/null | sed 's/\.pid$//')
 }
+
+# A port that nobody listens on, below the range that the kernel hands out.
+fleet_free_port() {
+	local port
+	while :; do
+		port=$((20000 + (RANDOM * 32768 + RANDOM) % 12000))
+		(exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null || break
+	done
+	echo "$port"
+}
+
+# One answer of an HTTP base: fleet_get URL [CURL OPTION...]
+fleet_get() {
+	curl -sS -m 30 "$@"
+}
+
+fleet_ready() {
+	curl -sf -m 2 "$(fleet_url "$1")/readyz"
+}
+
+fleet_listening() {
+	curl -s -m 2 "$(fleet_url "$1")/healthz"
+}
+
+# Keys of the fleet's operator, once: the key itself and its hash for hosts.
+fleet_operator_key() {
+	[ -e "$FLEET/operator.key" ] && return
+	(
+		umask 077
+		head -c 24 /dev/urandom | base64 -w0 | tr '+/' '-_' \
+			>"$FLEET/operator.key"
+		echo "operator:admin:$(b2sum -l 256 <"$FLEET/operator.key" |
+			cut -d' ' -f1)" >"$FLEET/operators"
+	)
+}
+
+# fleet_write_settings NAME DOMAIN: settings with fresh ports. Lines of the
+# form "[section] key = value" in FLEET_SETTINGS are added.
+fleet_write_settings() {
+	local name=$1 domain=$2 caller peer
+	caller=$(fleet_free_port)
+	peer=$(fleet_free_port)
+	fleet_operator_key
+	echo "$caller" >"$FLEET/$name.port"
+	echo "$peer" >"$FLEET/$name.peer-port"
+	{
+		echo "[host]"
+		echo "name = $name"
+		echo "failure_domain = $domain"
+		echo "caller_address = 127.0.0.1:$caller"
+		echo "peer_address = 127.0.0.1:$peer"
+		echo "[platform]"
+		echo "store_url = $(fleet_url platform)"
+		echo "list_url = $(fleet_url platform)"
+		echo "list_interval_ms = 500"
+		echo "[security]"
+		echo "operator_keys_file = $FLEET/operators"
+		[ -z "${FLEET_SETTINGS:-}" ] || printf '%s\n' "$FLEET_SETTINGS" |
+			sed -E 's/^(\[[a-z]+\]) +/\1\n/'
+	} >"$FLEET/$name.ini"
+}
+
+# fleet_host NAME DOMAIN: starts an entry host and waits until it listens.
+# A port that was taken in between is replaced by another.
+fleet_host() {
+	local attempt
+	for attempt in 1 2 3 4 5; do
+		fleet_write_settings "$1" "$2"
+		fleet_register "$1" "$2"
+		fleet_start "$1" "$BUILD/tamarackgwd" \
+			--settings "$FLEET/$1.ini"
+		until fleet_gone "$1"; do
+			fleet_listening "$1" >/dev/null && return 0
+			sleep 0.05
+		done
+	done
+	tail -n 5 "$FLEET/$1.log" >&2
+	return 1
+}
+
+# Starts a host again with the settings that it had.
+fleet_host_again() {
+	fleet_start "$1" "$BUILD/tamarackgwd" --settings "$FLEET/$1.ini"
+	fleet_wait 20 fleet_ready "$1"
+}
+
+# fleet_register NAME DOMAIN: puts a host on the platform's list.
+fleet_register() {
+	fleet_get "$(fleet_url platform)/admin/hosts" -d '{"register":{"hosts":[
+		{"name":"'"$1"'","failure_domain":"'"$2"'","leaving":false,
+		"peer_url":"tcp://127.0.0.1:'"$(cat "$FLEET/$1.peer-port")"'",
+		"caller_url":"'"$(fleet_url "$1")"'"}]}}' >/dev/null
+}
+
+# fleet_fault JSON: orders a fault of the platform.
+fleet_fault() {
+	fleet_get "$(fleet_url platform)/admin/fault" -d "$1" >/dev/null
+}
+
+# The operators' tool, for the hosts in FLEET_HOSTS.
+fleet_ctl() {
+	local name hosts=
+	for name in ${FLEET_HOSTS:-}; do
+		hosts="$hosts $(fleet_url "$name")"
+	done
+	TGW_STORE=$(fleet_url platform) TGW_HOSTS=$hosts \
+		TGW_OPERATOR=${TGW_OPERATOR:-operator} \
+		"$BUILD/tamarackgwctl" --key-file "$FLEET/operator.key" "$@"
+}
