Forward completions, streams and plain service calls

Change: callers' requests are taken by libmicrohttpd threads, authenticated under read-copy-update, admitted on the coordination thread (join, replay, quarantine, reserve, route), and streamed on the backend client's thread straight into the caller's answer. Tokens never touch the coordination thread. An answer is one object with one writer and any number of readers, so that joining a running stream and replaying a kept answer are the same thing. Non-repeatable calls are claimed before the first byte.

Ruled out: one thread a stream; forwarding non-streamed requests as such to the engine (nothing could be checked, resumed or cut at the bound): the engine always streams, and the document is put together here.

--- /dev/null
+++ b/src/daemon/backend_exchange.c
@@ -0,0 +1,99 @@
+#include "daemon/backend_exchange.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+
+#include "base/xalloc.h"
+
+struct backend_exchange {
+	const struct backend_exchange_ops *ops;
+	void *arg;
+	struct http_sender *sender;
+	struct executor *coordination;
+	pthread_mutex_t lock;
+	struct http_exchange *http; /* NULL once it ended */
+	enum http_outcome outcome;
+};
+
+static void on_started(void *arg, int32_t status, const char *content_type)
+{
+	struct backend_exchange *exchange = arg;
+
+	exchange->ops->started(exchange->arg, status, content_type);
+}
+
+static bool on_data(void *arg, const void *data, size_t size)
+{
+	struct backend_exchange *exchange = arg;
+
+	switch (exchange->ops->data(exchange->arg, exchange, data, size)) {
+	case BACKEND_PAUSE:
+		return false;
+	case BACKEND_STOP:
+		backend_exchange_cancel(exchange);
+		return true;
+	default:
+		return true;
+	}
+}
+
+static void run_ended(void *arg)
+{
+	struct backend_exchange *exchange = arg;
+
+	exchange->ops->ended(exchange->arg, exchange->outcome);
+	pthread_mutex_destroy(&exchange->lock);
+	free(exchange);
+}
+
+static void on_ended(void *arg, enum http_outcome outcome, const char *message)
+{
+	struct backend_exchange *exchange = arg;
+
+	if (exchange->ops->closing)
+		exchange->ops->closing(exchange->arg);
+	pthread_mutex_lock(&exchange->lock);
+	exchange->http = NULL;
+	exchange->outcome = outcome;
+	pthread_mutex_unlock(&exchange->lock);
+	executor_post(exchange->coordination, run_ended, exchange);
+}
+
+struct backend_exchange *backend_exchange_start(
+	struct http_sender *sender, struct executor *coordination,
+	const struct http_request *request,
+	const struct backend_exchange_ops *ops, void *arg)
+{
+	struct backend_exchange *exchange = xcalloc(1, sizeof(*exchange));
+	struct http_handler handler = {.started = on_started,
+				       .data = on_data,
+				       .ended = on_ended,
+				       .arg = exchange};
+
+	exchange->ops = ops;
+	exchange->arg = arg;
+	exchange->sender = sender;
+	exchange->coordination = coordination;
+	pthread_mutex_init(&exchange->lock, NULL);
+	/* Callbacks that look for the exchange wait until it is known. */
+	pthread_mutex_lock(&exchange->lock);
+	exchange->http = http_start(sender, request, handler);
+	pthread_mutex_unlock(&exchange->lock);
+	return exchange;
+}
+
+void backend_exchange_cancel(struct backend_exchange *exchange)
+{
+	pthread_mutex_lock(&exchange->lock);
+	if (exchange->http)
+		http_cancel(exchange->sender, exchange->http);
+	pthread_mutex_unlock(&exchange->lock);
+}
+
+void backend_exchange_resume(struct backend_exchange *exchange)
+{
+	pthread_mutex_lock(&exchange->lock);
+	if (exchange->http)
+		http_resume(exchange->sender, exchange->http);
+	pthread_mutex_unlock(&exchange->lock);
+}
--- /dev/null
+++ b/src/daemon/caller_request.c
@@ -0,0 +1,207 @@
+#include "daemon/caller_request.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define CHAT_PATH "/v1/chat/completions"
+#define SERVICES_PATH "/services/"
+#define BEARER "Bearer "
+#define KEY_MAX_BYTES 255
+
+static const char *const urgency_names[TGW_URGENCY_COUNT] = {
+	[TGW_URGENCY_IMMEDIATE] = "immediate",
+	[TGW_URGENCY_HIGH] = "high",
+	[TGW_URGENCY_NORMAL] = "normal",
+	[TGW_URGENCY_BATCH] = "batch",
+};
+
+bool caller_request_is_chat(const char *target)
+{
+	size_t size = strlen(CHAT_PATH);
+
+	return strncmp(target, CHAT_PATH, size) == 0 &&
+	       (target[size] == '\0' || target[size] == '?');
+}
+
+bool caller_request_is_service(const char *target)
+{
+	return strncmp(target, SERVICES_PATH, strlen(SERVICES_PATH)) == 0;
+}
+
+const char *caller_request_bearer(struct server_exchange *exchange)
+{
+	const char *value = server_exchange_header(exchange, "Authorization");
+
+	if (!value || strncasecmp(value, BEARER, strlen(BEARER)) != 0)
+		return NULL;
+	value += strlen(BEARER);
+	return *value ? value : NULL;
+}
+
+/* Whether a part of a path is "." or "..", also when written as %2e. */
+static bool is_dots(const char *part, size_t size)
+{
+	size_t dots = 0;
+	size_t i = 0;
+
+	while (i < size) {
+		if (part[i] == '.')
+			i++;
+		else if (size - i >= 3 && strncasecmp(part + i, "%2e", 3) == 0)
+			i += 3;
+		else
+			return false;
+		dots++;
+	}
+	return dots == 1 || dots == 2;
+}
+
+static bool is_plain_path(const char *path)
+{
+	const char *end = path + strcspn(path, "?");
+
+	while (path < end) {
+		const char *part = path + 1;
+		size_t size = strcspn(part, "/?");
+
+		if (is_dots(part, size))
+			return false;
+		path = part + size;
+	}
+	return true;
+}
+
+static bool is_printable(const char *text)
+{
+	for (; *text; text++)
+		if (*text <= ' ' || *text > '~' || *text == '#')
+			return false;
+	return true;
+}
+
+const char *caller_request_service_path(const char *target,
+					char name[TGW_NAME_SIZE])
+{
+	const char *start = target + strlen(SERVICES_PATH);
+	size_t size = strcspn(start, "/?");
+
+	if (!caller_request_is_service(target) || size == 0 ||
+	    size >= TGW_NAME_SIZE || start[size] != '/')
+		return NULL;
+	memcpy(name, start, size);
+	name[size] = '\0';
+	if (!is_printable(start) || !is_plain_path(start + size))
+		return NULL;
+	return start + size;
+}
+
+void caller_request_plain_path(const char *target, char path[CALLER_PATH_SIZE])
+{
+	snprintf(path, CALLER_PATH_SIZE, "%.*s", (int)strcspn(target, "?"),
+		 target);
+}
+
+static bool read_key(struct caller_request *request, const char *value,
+		     struct problem *problem)
+{
+	request->caller_key = value;
+	if (!value)
+		return true;
+	if (*value && strlen(value) <= KEY_MAX_BYTES && is_printable(value))
+		return true;
+	problem->kind = PROBLEM_INVALID;
+	problem->detail = "Idempotency-Key must be 1 to 255 printable "
+			  "characters without spaces and '#'";
+	return false;
+}
+
+static const struct tgw_work_kind *find_kind(
+	const struct tgw_template *template, const char *name)
+{
+	if (name)
+		return tgw_template_find_work_kind(template, name);
+	return template->work_kind_count ? &template->work_kinds[0] : NULL;
+}
+
+static bool read_urgency(struct caller_request *request, const char *value,
+			 struct problem *problem)
+{
+	if (!value)
+		return true;
+	for (int u = 0; u < TGW_URGENCY_COUNT; u++) {
+		if (strcasecmp(value, urgency_names[u]) != 0)
+			continue;
+		if (u > (int)request->urgency)
+			request->urgency = (enum tgw_urgency)u;
+		return true;
+	}
+	problem->kind = PROBLEM_INVALID;
+	problem->detail = "X-Urgency must be immediate, high, normal or batch";
+	return false;
+}
+
+static bool read_deadline(struct caller_request *request, const char *value,
+			  const struct settings *settings,
+			  struct problem *problem)
+{
+	char *end = NULL;
+	long long wanted_ms;
+
+	if (value) {
+		errno = 0;
+		wanted_ms = strtoll(value, &end, 10);
+		if (end == value || *end || errno || wanted_ms <= 0) {
+			problem->kind = PROBLEM_INVALID;
+			problem->detail = "X-Deadline-Ms must be a number of "
+					  "milliseconds above 0";
+			return false;
+		}
+		request->deadline_ms = wanted_ms;
+	}
+	if (request->deadline_ms > settings->max_deadline_ms)
+		request->deadline_ms = settings->max_deadline_ms;
+	return true;
+}
+
+bool caller_request_read(struct caller_request *request,
+			 struct server_exchange *exchange,
+			 const struct tgw_config_snapshot *config,
+			 const struct settings *settings,
+			 struct problem *problem)
+{
+	const char *key = caller_request_bearer(exchange);
+	const char *kind_name = server_exchange_header(exchange, "X-Work-Kind");
+	const struct tgw_work_kind *kind;
+
+	memset(request, 0, sizeof(*request));
+	if (key && config)
+		request->team =
+			tgw_config_find_team_by_key(config, key, strlen(key));
+	if (!request->team) {
+		problem->kind = PROBLEM_UNAUTHORIZED;
+		return false;
+	}
+	kind = find_kind(request->team->template, kind_name);
+	if (kind_name && !kind) {
+		problem->kind = PROBLEM_FORBIDDEN;
+		problem->detail = "X-Work-Kind must be a kind of the team's "
+				  "template";
+		return false;
+	}
+	request->urgency = kind ? kind->urgency : TGW_URGENCY_NORMAL;
+	request->deadline_ms = kind && kind->deadline_ms
+				       ? kind->deadline_ms
+				       : settings->default_deadline_ms;
+	return read_key(request,
+			server_exchange_header(exchange, "Idempotency-Key"),
+			problem) &&
+	       read_urgency(request,
+			    server_exchange_header(exchange, "X-Urgency"),
+			    problem) &&
+	       read_deadline(request,
+			     server_exchange_header(exchange, "X-Deadline-Ms"),
+			     settings, problem);
+}
--- /dev/null
+++ b/src/daemon/gateway.c
@@ -0,0 +1,423 @@
+#include "daemon/gateway.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu.h>
+
+#include "base/xalloc.h"
+#include "daemon/backend_monitor.h"
+#include "daemon/call.h"
+#include "daemon/caller_request.h"
+#include "daemon/log.h"
+#include "daemon/model_call.h"
+#include "daemon/service_call.h"
+#include "transport/http_server.h"
+#include "transport/rcu_reader.h"
+
+#define TICK_US (50 * TGW_US_PER_MS)
+#define STOPPING_RETRY_US (1 * TGW_US_PER_S)
+#define LIMIT_RETRY_US (1 * TGW_US_PER_S)
+#define SERVICE_UNAVAILABLE 503
+
+struct gateway {
+	struct runtime *runtime;
+	struct gateway_core *core;
+	struct backend_monitor *monitor;
+	struct gateway_pages pages;
+	struct http_server *server;
+	atomic_bool tick_pending;
+};
+
+/* An admission on its way to the coordination thread. */
+struct admission {
+	struct call *call;
+	struct caller *caller;
+};
+
+/* ---- refusals on the request thread ---- */
+
+static void refuse(struct gateway *gateway, struct server_exchange *exchange,
+		   struct problem problem)
+{
+	struct answer *answer = server_exchange_answer(exchange);
+	struct tgw_request_key key;
+	char id[CALL_ID_SIZE];
+
+	tgw_request_key_derive(&key, "", NULL, 0);
+	sodium_bin2hex(id, sizeof(id), key.bytes, sizeof(key.bytes));
+	problem.request_id = id;
+	log_line(LOG_CALLER, LOG_INFO, id, "refused: %s%s%s",
+		 problem_name(problem.kind), problem.detail ? ": " : "",
+		 problem.detail ? problem.detail : "");
+	answer_add_header(answer, "X-Request-Id", id);
+	call_answer_problem(gateway->core, answer, &problem);
+}
+
+static void refuse_plain(struct gateway *gateway,
+			 struct server_exchange *exchange,
+			 enum problem_kind kind, const char *detail)
+{
+	refuse(gateway, exchange,
+	       (struct problem){.kind = kind,
+				.not_run = NOT_RUN_TRUE,
+				.detail = detail});
+}
+
+static void refuse_for_now(struct gateway *gateway,
+			   struct server_exchange *exchange,
+			   enum problem_kind kind, int64_t retry_after_us)
+{
+	refuse(gateway, exchange,
+	       (struct problem){.kind = kind,
+				.not_run = NOT_RUN_TRUE,
+				.retry_after_us = retry_after_us});
+}
+
+/* ---- heads ---- */
+
+static bool is_api(const char *target)
+{
+	return caller_request_is_chat(target) ||
+	       caller_request_is_service(target);
+}
+
+static bool is_known_caller(struct gateway *gateway,
+			    struct server_exchange *exchange)
+{
+	const char *key = caller_request_bearer(exchange);
+	const struct tgw_config_snapshot *config;
+	bool known;
+
+	if (!key)
+		return false;
+	rcu_reader_enter();
+	config = rcu_dereference(gateway->runtime->config);
+	known = config && tgw_config_find_team_by_key(config, key, strlen(key));
+	rcu_reader_exit();
+	return known;
+}
+
+static bool on_head(void *arg, struct server_exchange *exchange)
+{
+	struct gateway *gateway = arg;
+	struct runtime *runtime = gateway->runtime;
+	const char *target = server_exchange_target(exchange);
+
+	if (!is_api(target))
+		return true;
+	if (atomic_load(&runtime->stopping)) {
+		refuse_for_now(gateway, exchange, PROBLEM_STOPPING,
+			       STOPPING_RETRY_US);
+		return false;
+	}
+	if (!is_known_caller(gateway, exchange)) {
+		refuse_plain(gateway, exchange, PROBLEM_UNAUTHORIZED, NULL);
+		return false;
+	}
+	if (caller_request_is_chat(target) &&
+	    strcmp(server_exchange_method(exchange), "POST") != 0) {
+		refuse_plain(gateway, exchange, PROBLEM_METHOD, "use POST");
+		return false;
+	}
+	if (atomic_load(&runtime->open_requests) >=
+	    runtime->settings->max_open_requests) {
+		refuse_for_now(gateway, exchange, PROBLEM_OVERLOADED,
+			       LIMIT_RETRY_US);
+		return false;
+	}
+	return true;
+}
+
+/* ---- requests ---- */
+
+static void run_admission(void *arg)
+{
+	struct admission *admission = arg;
+
+	call_admit(admission->call, admission->caller);
+	free(admission);
+}
+
+static void hand_over(struct gateway *gateway, struct server_exchange *exchange,
+		      struct call *call)
+{
+	struct admission *admission = xcalloc(1, sizeof(*admission));
+	struct caller *caller = xcalloc(1, sizeof(*caller));
+
+	caller->answer = answer_ref(server_exchange_answer(exchange));
+	admission->call = call;
+	admission->caller = caller;
+	server_exchange_set_context(exchange, caller);
+	atomic_fetch_add(&gateway->runtime->open_requests, 1);
+	executor_post(gateway->runtime->coordination, run_admission, admission);
+}
+
+static struct call *make_chat_call(struct gateway *gateway,
+				   struct server_exchange *exchange,
+				   const struct caller_request *request)
+{
+	struct tgw_error error = {0};
+	struct chat_request chat;
+	struct call *call = NULL;
+	size_t size;
+	const char *body = server_exchange_body(exchange, &size);
+	struct model_call_input input = {
+		.team = request->team,
+		.caller_key = request->caller_key,
+		.urgency = request->urgency,
+		.deadline_ms = request->deadline_ms,
+		.chat = &chat,
+		.body = body,
+		.body_size = size,
+	};
+
+	if (chat_request_parse(&chat, body, size, &error) != TGW_OK) {
+		refuse_plain(gateway, exchange, PROBLEM_INVALID, error.message);
+		return NULL;
+	}
+	if (tgw_name_list_has(&request->team->template->models, chat.model))
+		call = model_call_new(gateway->core, &input);
+	else
+		refuse_plain(gateway, exchange, PROBLEM_FORBIDDEN,
+			     "the team's template does not permit the model");
+	chat_request_clear(&chat);
+	return call;
+}
+
+static struct call *make_service_call(struct gateway *gateway,
+				      struct server_exchange *exchange,
+				      const struct caller_request *request,
+				      const struct tgw_config_snapshot *config)
+{
+	struct service_call_input input = {
+		.team = request->team,
+		.caller_key = request->caller_key,
+		.urgency = request->urgency,
+		.deadline_ms = request->deadline_ms,
+		.method = server_exchange_method(exchange),
+		.content_type =
+			server_exchange_header(exchange, "Content-Type"),
+		.accept = server_exchange_header(exchange, "Accept"),
+	};
+	char name[TGW_NAME_SIZE];
+
+	input.body = server_exchange_body(exchange, &input.body_size);
+	input.path = caller_request_service_path(
+		server_exchange_target(exchange), name);
+	if (!input.path) {
+		refuse_plain(gateway, exchange, PROBLEM_INVALID,
+			     "the path must be /services/NAME/PATH, without "
+			     "\".\" and \"..\" parts");
+		return NULL;
+	}
+	if (strlen(input.method) >= TGW_METHOD_SIZE) {
+		refuse_plain(gateway, exchange, PROBLEM_METHOD, NULL);
+		return NULL;
+	}
+	input.service = tgw_config_find_service(config, name);
+	if (!input.service) {
+		refuse_plain(gateway, exchange, PROBLEM_NOT_FOUND,
+			     "no service has this name");
+		return NULL;
+	}
+	if (!tgw_name_list_has(&request->team->template->services, name)) {
+		refuse_plain(gateway, exchange, PROBLEM_FORBIDDEN,
+			     "the team's template does not permit the service");
+		return NULL;
+	}
+	return service_call_new(gateway->core, &input);
+}
+
+static struct call *make_call(struct gateway *gateway,
+			      struct server_exchange *exchange)
+{
+	const struct tgw_config_snapshot *config =
+		rcu_dereference(gateway->runtime->config);
+	struct caller_request request;
+	struct problem problem = {.not_run = NOT_RUN_TRUE};
+
+	if (!caller_request_read(&request, exchange, config,
+				 gateway->runtime->settings, &problem)) {
+		refuse(gateway, exchange, problem);
+		return NULL;
+	}
+	if (caller_request_is_chat(server_exchange_target(exchange)))
+		return make_chat_call(gateway, exchange, &request);
+	return make_service_call(gateway, exchange, &request, config);
+}
+
+static void serve_page(struct gateway *gateway,
+		       struct server_exchange *exchange)
+{
+	struct buffer text = {0};
+	const char *content_type = "text/plain";
+	char path[CALLER_PATH_SIZE];
+	size_t size;
+	const char *body = server_exchange_body(exchange, &size);
+	int32_t status = 0;
+
+	caller_request_plain_path(server_exchange_target(exchange), path);
+	if (gateway->pages.serve)
+		status = gateway->pages.serve(
+			gateway->pages.arg, server_exchange_method(exchange),
+			path, server_exchange_header(exchange, "Authorization"),
+			body, size, &text, &content_type);
+	if (status)
+		answer_set(server_exchange_answer(exchange), status,
+			   content_type, text.data ? text.data : "", text.size);
+	else
+		refuse_plain(gateway, exchange, PROBLEM_NOT_FOUND, NULL);
+	buffer_free(&text);
+}
+
+static void on_request(void *arg, struct server_exchange *exchange)
+{
+	struct gateway *gateway = arg;
+	struct call *call;
+
+	if (!is_api(server_exchange_target(exchange))) {
+		serve_page(gateway, exchange);
+		return;
+	}
+	rcu_reader_enter();
+	call = make_call(gateway, exchange);
+	rcu_reader_exit();
+	if (call)
+		hand_over(gateway, exchange, call);
+}
+
+static void on_too_large(void *arg, struct server_exchange *exchange)
+{
+	refuse_plain(arg, exchange, PROBLEM_TOO_LARGE, NULL);
+}
+
+static void run_closed(void *arg)
+{
+	call_caller_left(arg);
+}
+
+static void on_closed(void *arg, struct server_exchange *exchange)
+{
+	struct gateway *gateway = arg;
+	struct caller *caller = server_exchange_context(exchange);
+
+	if (!caller)
+		return;
+	atomic_fetch_sub(&gateway->runtime->open_requests, 1);
+	executor_post(gateway->runtime->coordination, run_closed, caller);
+}
+
+/* ---- time ---- */
+
+static void run_tick(void *arg)
+{
+	struct gateway *gateway = arg;
+
+	atomic_store(&gateway->tick_pending, false);
+	if (gateway->core->ending)
+		return;
+	gateway_core_tick(gateway->core);
+	backend_monitor_tick(gateway->monitor);
+}
+
+static void on_tick(void *arg)
+{
+	struct gateway *gateway = arg;
+
+	if (!atomic_exchange(&gateway->tick_pending, true))
+		executor_post(gateway->runtime->coordination, run_tick,
+			      gateway);
+}
+
+/* ---- the whole ---- */
+
+static struct http_server *start_server(struct gateway *gateway,
+					struct tgw_error *error)
+{
+	const struct settings *settings = gateway->runtime->settings;
+	struct http_server_settings server_settings = {
+		.address = settings->caller_address,
+		.threads = settings->request_threads,
+		.max_connections = settings->max_connections,
+		.max_body_bytes = settings->max_body_bytes,
+		.max_header_bytes = settings->max_header_bytes,
+		.caller_idle_us = settings->caller_idle_ms * TGW_US_PER_MS,
+		.tick_us = TICK_US,
+	};
+	struct http_server_handler handler = {
+		.head = on_head,
+		.request = on_request,
+		.too_large = on_too_large,
+		.closed = on_closed,
+		.tick = on_tick,
+		.arg = gateway,
+	};
+
+	return http_server_new(&server_settings, &handler, error);
+}
+
+struct gateway *gateway_new(struct runtime *runtime, struct gateway_pages pages,
+			    struct tgw_error *error)
+{
+	struct gateway *gateway = xcalloc(1, sizeof(*gateway));
+
+	gateway->runtime = runtime;
+	gateway->pages = pages;
+	gateway->core = gateway_core_new(runtime);
+	gateway->monitor = backend_monitor_new(runtime);
+	gateway->server = start_server(gateway, error);
+	if (gateway->server)
+		return gateway;
+	backend_monitor_free(gateway->monitor);
+	gateway_core_unref(gateway->core);
+	free(gateway);
+	return NULL;
+}
+
+uint16_t gateway_port(const struct gateway *gateway)
+{
+	return http_server_port(gateway->server);
+}
+
+void gateway_stop_accepting(struct gateway *gateway)
+{
+	atomic_store(&gateway->runtime->stopping, true);
+	http_server_stop_keeping_alive(gateway->server);
+}
+
+/* Runs after everything that the gateway posted before. */
+static void run_release(void *arg)
+{
+	struct gateway *gateway = arg;
+
+	backend_monitor_free(gateway->monitor);
+	gateway_core_unref(gateway->core);
+	free(gateway);
+}
+
+void gateway_free(struct gateway *gateway)
+{
+	if (!gateway)
+		return;
+	gateway->core->ending = true;
+	http_server_free(gateway->server);
+	gateway->server = NULL;
+	executor_post(gateway->runtime->coordination, run_release, gateway);
+}
+
+void gateway_write_metrics(const struct gateway *gateway, struct buffer *text)
+{
+	gateway_metrics_write(&gateway->core->metrics, text);
+	buffer_add_format(text,
+			  "# TYPE tamarackgw_caller_bytes_sent_total counter\n"
+			  "tamarackgw_caller_bytes_sent_total %" PRIu64 "\n"
+			  "# TYPE tamarackgw_caller_connections gauge\n"
+			  "tamarackgw_caller_connections %" PRId64 "\n",
+			  http_server_bytes_sent(gateway->server),
+			  http_server_connections(gateway->server));
+}
--- /dev/null
+++ b/src/daemon/model_attempt.c
@@ -0,0 +1,204 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "daemon/backend_fetch.h"
+#include "daemon/log.h"
+#include "daemon/model_call_private.h"
+
+#define ORDER_TIMEOUT_US (2 * TGW_US_PER_S)
+#define ORDER_ANSWER_MAX_BYTES (16 * 1024)
+#define NUMBER_SIZE 24
+#define STATUS_OK 200
+
+/* Room for what http_start() copies from. */
+struct engine_request {
+	char number[NUMBER_SIZE];
+	char *url;
+	struct http_request http;
+};
+
+static void add_header(struct http_request *http, const char *name,
+		       const char *value)
+{
+	http->headers[http->header_count].name = name;
+	http->headers[http->header_count].value = value;
+	http->header_count++;
+}
+
+static void engine_request_init(struct engine_request *request,
+				const struct model_call *mc, const char *method,
+				char *url)
+{
+	const struct settings *settings = mc->call.core->runtime->settings;
+	struct http_request *http = &request->http;
+
+	memset(request, 0, sizeof(*request));
+	snprintf(request->number, sizeof(request->number), "%" PRId64,
+		 mc->attempt);
+	request->url = url;
+	http->method = method;
+	http->url = url;
+	http->connect_timeout_us = settings->connect_timeout_ms * TGW_US_PER_MS;
+	add_header(http, "X-Request-Id", mc->call.id);
+	add_header(http, "X-Attempt", request->number);
+	add_header(http, "X-Fencing", request->number);
+}
+
+/* ---- the attempt's stream, on the backend client's thread ---- */
+
+static void on_started(void *arg, int32_t status, const char *content_type)
+{
+	struct model_call *mc = arg;
+
+	model_stream_head(&mc->stream, status, content_type);
+}
+
+/* A reader took enough; runs on whatever thread reads. */
+static void on_room(void *arg)
+{
+	backend_exchange_resume(arg);
+}
+
+static enum backend_data on_data(void *arg, struct backend_exchange *exchange,
+				 const void *data, size_t size)
+{
+	struct model_call *mc = arg;
+
+	if (!answer_may_write(mc->call.answer, on_room, exchange)) {
+		metrics_add(&mc->call.core->metrics.paused, 1);
+		return BACKEND_PAUSE;
+	}
+	if (!model_stream_feed(&mc->stream, data, size))
+		return BACKEND_STOP;
+	return BACKEND_TAKEN;
+}
+
+static void on_closing(void *arg)
+{
+	struct model_call *mc = arg;
+
+	answer_forget_writer(mc->call.answer);
+}
+
+/* ---- on the coordination thread ---- */
+
+static void on_ended(void *arg, enum http_outcome outcome)
+{
+	struct model_call *mc = arg;
+
+	mc->exchange = NULL;
+	model_call_attempt_ended(mc, outcome);
+	call_unref(&mc->call);
+}
+
+static const struct backend_exchange_ops stream_ops = {
+	.started = on_started,
+	.data = on_data,
+	.closing = on_closing,
+	.ended = on_ended,
+};
+
+void model_attempt_start(struct model_call *mc, bool resume)
+{
+	struct runtime *runtime = mc->call.core->runtime;
+	struct engine_request request;
+	char *url;
+
+	mc->attempt++;
+	mc->attempt_count++;
+	metrics_add(&mc->call.core->metrics.attempts, 1);
+	model_stream_begin(&mc->stream, mc->attempt, !resume);
+	if (resume)
+		url = xasprintf("%s/v1/requests/%s/resume?from=%" PRId64,
+				mc->engine.url, mc->call.id,
+				model_stream_tokens(&mc->stream));
+	else
+		url = xasprintf("%s/v1/chat/completions", mc->engine.url);
+	engine_request_init(&request, mc, "POST", url);
+	add_header(&request.http, "Content-Type", "application/json");
+	add_header(&request.http, "Accept", "text/event-stream");
+	request.http.body = mc->body;
+	request.http.body_size = mc->body_size;
+	request.http.idle_timeout_us =
+		runtime->settings->stream_idle_ms * TGW_US_PER_MS;
+	log_line(LOG_BACKEND, LOG_DEBUG, mc->call.id,
+		 "attempt %" PRId64 " at %s from token %" PRId64, mc->attempt,
+		 mc->engine.name, model_stream_tokens(&mc->stream));
+	call_ref(&mc->call);
+	mc->exchange = backend_exchange_start(runtime->backend_http,
+					      runtime->coordination,
+					      &request.http, &stream_ops, mc);
+	free(url);
+}
+
+static void start_order(struct model_call *mc, const char *method, char *url,
+			void (*done)(void *arg,
+				     const struct backend_fetch_result *result))
+{
+	struct runtime *runtime = mc->call.core->runtime;
+	struct engine_request request;
+
+	engine_request_init(&request, mc, method, url);
+	request.http.total_timeout_us = ORDER_TIMEOUT_US;
+	request.http.may_resend = true;
+	mc->orders_pending++;
+	call_ref(&mc->call);
+	backend_fetch_start(runtime->backend_http, runtime->coordination,
+			    &request.http, ORDER_ANSWER_MAX_BYTES, done, mc);
+	free(url);
+}
+
+static void learn_usage(struct model_call *mc,
+			const struct backend_fetch_result *result)
+{
+	if (result->outcome == HTTP_COMPLETE && result->status == STATUS_OK)
+		chat_usage_parse(&mc->learnt, result->body, result->body_size);
+}
+
+static void on_cancelled(void *arg, const struct backend_fetch_result *result)
+{
+	struct model_call *mc = arg;
+
+	mc->orders_pending--;
+	learn_usage(mc, result);
+	model_call_cancel_done(mc);
+	call_unref(&mc->call);
+}
+
+void model_attempt_cancel(struct model_call *mc)
+{
+	if (!mc->engine.can_cancel || mc->call.core->ending) {
+		model_call_cancel_done(mc);
+		return;
+	}
+	metrics_add(&mc->call.core->metrics.cancelled, 1);
+	log_line(LOG_BACKEND, LOG_INFO, mc->call.id,
+		 "cancelling attempt %" PRId64 " at %s", mc->attempt,
+		 mc->engine.name);
+	start_order(mc, "POST",
+		    xasprintf("%s/v1/requests/%s/cancel", mc->engine.url,
+			      mc->call.id),
+		    on_cancelled);
+}
+
+static void on_inquired(void *arg, const struct backend_fetch_result *result)
+{
+	struct model_call *mc = arg;
+	bool known = result->outcome == HTTP_COMPLETE &&
+		     result->status == STATUS_OK &&
+		     !strstr(result->body, "\"unknown\"");
+
+	mc->orders_pending--;
+	model_call_inquiry_done(mc, known);
+	call_unref(&mc->call);
+}
+
+void model_attempt_inquire(struct model_call *mc)
+{
+	start_order(mc, "GET",
+		    xasprintf("%s/v1/requests/%s", mc->engine.url, mc->call.id),
+		    on_inquired);
+}
--- /dev/null
+++ b/src/daemon/model_stream.c
@@ -0,0 +1,351 @@
+#include "daemon/model_stream.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#define EVENT_MAX_BYTES (256 * 1024)
+#define STATUS_OK 200
+#define EVENT_STREAM "text/event-stream"
+
+void model_stream_init(struct model_stream *stream, int64_t token_limit)
+{
+	sse_parser_init(&stream->parser, EVENT_MAX_BYTES);
+	stream_guard_init(&stream->guard, stream->id, 0, token_limit);
+}
+
+void model_stream_clear(struct model_stream *stream)
+{
+	sse_parser_free(&stream->parser);
+	buffer_free(&stream->tail);
+	buffer_free(&stream->content);
+}
+
+static void forget_content(struct model_stream *stream, size_t keep)
+{
+	if (stream->content.size <= keep)
+		return;
+	stream->content.size = keep;
+	stream->content.data[keep] = '\0';
+}
+
+/* Takes back the last events, which the caller never got. */
+static void drop_tail(struct model_stream *stream)
+{
+	if (!stream->tail.size)
+		return;
+	stream->guard.next_index = stream->tail_index;
+	forget_content(stream, stream->tail_content_size);
+	buffer_clear(&stream->tail);
+}
+
+void model_stream_begin(struct model_stream *stream, int64_t attempt,
+			bool from_start)
+{
+	sse_parser_reset(&stream->parser);
+	drop_tail(stream);
+	if (from_start) {
+		stream_guard_restart(&stream->guard, attempt);
+		forget_content(stream, 0);
+	} else {
+		stream_guard_resume(&stream->guard, attempt);
+	}
+	stream->status = 0;
+	stream->is_event_stream = false;
+	stream->stopped = false;
+	stream->verdict = STREAM_DELIVER;
+	memset(&stream->usage, 0, sizeof(stream->usage));
+}
+
+int64_t model_stream_tokens(const struct model_stream *stream)
+{
+	if (stream->tail.size)
+		return stream->tail_index;
+	return stream->guard.next_index;
+}
+
+void model_stream_head(struct model_stream *stream, int32_t status,
+		       const char *content_type)
+{
+	stream->status = status;
+	stream->is_event_stream = strncasecmp(content_type, EVENT_STREAM,
+					      strlen(EVENT_STREAM)) == 0;
+}
+
+static void start_answer(struct model_stream *stream)
+{
+	if (stream->caller_has_some)
+		return;
+	stream->caller_has_some = true;
+	answer_start(stream->answer, STATUS_OK, EVENT_STREAM);
+}
+
+static void count_token(struct model_stream *stream)
+{
+	if (stream->guard.next_index == 1)
+		gateway_metrics_first_token(
+			stream->metrics, tgw_clock_monotonic_us(stream->clock) -
+						 stream->started_us);
+	metrics_add(&stream->metrics->streamed_tokens, 1);
+}
+
+/* A line break in an event is white space between JSON tokens. */
+static void add_event(struct buffer *text, const char *data, size_t size)
+{
+	size_t at;
+
+	buffer_add_text(text, "data: ");
+	at = text->size;
+	buffer_add(text, data, size);
+	for (size_t i = at; i < text->size; i++)
+		if (text->data[i] == '\n')
+			text->data[i] = ' ';
+	buffer_add_text(text, "\n\n");
+}
+
+static void pass_event(struct model_stream *stream, const char *data,
+		       size_t size)
+{
+	struct buffer text = {0};
+
+	add_event(&text, data, size);
+	start_answer(stream);
+	answer_append(stream->answer, text.data, text.size);
+	buffer_free(&text);
+}
+
+static void describe(const struct model_stream *stream,
+		     struct chat_answer *answer)
+{
+	memset(answer, 0, sizeof(*answer));
+	answer->id = stream->id;
+	answer->model = stream->model;
+	answer->created_s = tgw_clock_wall_us(stream->clock) / TGW_US_PER_S;
+	answer->content = stream->content.data;
+	answer->content_size = stream->content.size;
+	answer->finish_reason = stream->finish_reason[0] ? stream->finish_reason
+							 : "stop";
+	answer->usage = stream->usage;
+}
+
+static void finish_document(struct model_stream *stream)
+{
+	struct chat_answer answer;
+	struct buffer text = {0};
+
+	describe(stream, &answer);
+	chat_answer_write(&answer, &text);
+	answer_set(stream->answer, STATUS_OK, "application/json", text.data,
+		   text.size);
+	buffer_free(&text);
+}
+
+static void finish_events(struct model_stream *stream)
+{
+	static const char done[] = "data: " CHAT_DONE_MARK "\n\n";
+
+	start_answer(stream);
+	if (stream->tail.size)
+		answer_append(stream->answer, stream->tail.data,
+			      stream->tail.size);
+	answer_append(stream->answer, done, strlen(done));
+	answer_finish(stream->answer, true);
+}
+
+static bool stop(struct model_stream *stream, enum stream_verdict verdict)
+{
+	stream->stopped = true;
+	stream->verdict = verdict;
+	return false;
+}
+
+static bool on_end_mark(struct model_stream *stream)
+{
+	stream_guard_end(&stream->guard);
+	if (!stream_guard_is_whole(&stream->guard))
+		return stop(stream, STREAM_GAP);
+	if (stream->to_events)
+		finish_events(stream);
+	else
+		finish_document(stream);
+	buffer_clear(&stream->tail);
+	return true;
+}
+
+/* The answer ends where the limit is, whatever the engine goes on to say. */
+static void finish_at_limit(struct model_stream *stream)
+{
+	struct chat_answer answer;
+	struct buffer text = {0};
+
+	snprintf(stream->finish_reason, sizeof(stream->finish_reason),
+		 "length");
+	stream->usage.known = true;
+	stream->usage.prompt_tokens = stream->prompt_bound_tokens;
+	stream->usage.completion_tokens = stream->guard.token_limit;
+	if (!stream->to_events) {
+		finish_document(stream);
+		return;
+	}
+	describe(stream, &answer);
+	chat_answer_write_last_event(&answer, &text);
+	start_answer(stream);
+	answer_append(stream->answer, text.data, text.size);
+	answer_finish(stream->answer, true);
+	buffer_free(&text);
+}
+
+static bool take_content(struct model_stream *stream,
+			 const struct chat_event *event)
+{
+	if (stream->to_events || !event->content)
+		return true;
+	if (stream->content.size + event->content_size >
+	    stream->max_content_bytes) {
+		stream->content_too_large = true;
+		return false;
+	}
+	buffer_add(&stream->content, event->content, event->content_size);
+	return true;
+}
+
+static void hold_back(struct model_stream *stream, const char *data,
+		      size_t size)
+{
+	add_event(&stream->tail, data, size);
+}
+
+static void take_final_fields(struct model_stream *stream,
+			      const struct chat_event *event)
+{
+	if (event->finish_reason)
+		snprintf(stream->finish_reason, sizeof(stream->finish_reason),
+			 "%s", event->finish_reason);
+	if (event->usage.known)
+		stream->usage = event->usage;
+}
+
+static bool deliver(struct model_stream *stream, const struct chat_event *event,
+		    const char *data, size_t size)
+{
+	if (event->stream.index != STREAM_NO_INDEX)
+		count_token(stream);
+	take_final_fields(stream, event);
+	if (!take_content(stream, event))
+		return stop(stream, STREAM_MALFORMED);
+	if (stream->guard.final_seen)
+		hold_back(stream, data, size);
+	else if (stream->to_events)
+		pass_event(stream, data, size);
+	return true;
+}
+
+static bool judge(struct model_stream *stream, const struct chat_event *event,
+		  const char *data, size_t size)
+{
+	int64_t index = stream->guard.next_index;
+	size_t content_size = stream->content.size;
+	enum stream_verdict verdict =
+		stream_guard_judge(&stream->guard, &event->stream);
+
+	metrics_add(&stream->metrics->verdicts[verdict], 1);
+	switch (verdict) {
+	case STREAM_DELIVER:
+		if (!stream->tail.size) {
+			stream->tail_index = index;
+			stream->tail_content_size = content_size;
+		}
+		return deliver(stream, event, data, size);
+	case STREAM_LATE:
+	case STREAM_DOUBLED:
+		return true;
+	case STREAM_PAST_LIMIT:
+		finish_at_limit(stream);
+		return stop(stream, verdict);
+	default:
+		return stop(stream, verdict);
+	}
+}
+
+static bool on_event(void *arg, const char *data, size_t size)
+{
+	struct model_stream *stream = arg;
+	struct chat_event event;
+	bool goes_on;
+
+	if (stream->guard.done)
+		return true;
+	if (strcmp(data, CHAT_DONE_MARK) == 0)
+		return on_end_mark(stream);
+	if (!chat_event_parse(&event, data, size)) {
+		metrics_add(&stream->metrics->verdicts[STREAM_MALFORMED], 1);
+		return stop(stream, STREAM_MALFORMED);
+	}
+	goes_on = judge(stream, &event, data, size);
+	chat_event_clear(&event);
+	return goes_on;
+}
+
+bool model_stream_feed(struct model_stream *stream, const char *data,
+		       size_t size)
+{
+	struct sse_handler handler = {.event = on_event, .arg = stream};
+
+	if (stream->stopped)
+		return false;
+	if (stream->status != STATUS_OK || !stream->is_event_stream)
+		return true;
+	if (sse_parser_feed(&stream->parser, data, size, handler) ==
+	    SSE_TOO_LARGE)
+		return stop(stream, STREAM_MALFORMED);
+	answer_flush(stream->answer);
+	return !stream->stopped;
+}
+
+static enum attempt_end end_by_status(int32_t status)
+{
+	switch (status) {
+	case 404:
+	case 410:
+		return ATTEMPT_FORGOTTEN;
+	case 409:
+		return ATTEMPT_OVERTAKEN;
+	case 408:
+	case 429:
+	case 503:
+		return ATTEMPT_BUSY;
+	default:
+		return status >= 400 && status < 500 ? ATTEMPT_REFUSED
+						     : ATTEMPT_ERROR;
+	}
+}
+
+enum attempt_end model_stream_end(const struct model_stream *stream)
+{
+	if (stream_guard_is_whole(&stream->guard))
+		return ATTEMPT_WHOLE;
+	if (stream->verdict == STREAM_PAST_LIMIT)
+		return ATTEMPT_PAST_LIMIT;
+	if (stream->verdict == STREAM_OVERTAKEN)
+		return ATTEMPT_OVERTAKEN;
+	if (stream->stopped)
+		return ATTEMPT_FAULTY;
+	if (stream->status && stream->status != STATUS_OK)
+		return end_by_status(stream->status);
+	if (stream->status && !stream->is_event_stream)
+		return ATTEMPT_ERROR;
+	return ATTEMPT_BROKEN;
+}
+
+void model_stream_add_error(struct model_stream *stream,
+			    const struct problem *problem)
+{
+	struct buffer text = {0};
+
+	buffer_add_text(&text, "event: error\ndata: ");
+	problem_write(problem, &text);
+	buffer_add_text(&text, "\n\n");
+	answer_append(stream->answer, text.data, text.size);
+	answer_finish(stream->answer, true);
+	buffer_free(&text);
+}
--- /dev/null
+++ b/src/protocol/chat_event.h
@@ -0,0 +1,63 @@
+/**
+ * @file chat_event.h
+ * Events of an engine's chat-completions stream, and the documents that
+ * callers get which are made from them.
+ */
+#ifndef PROTOCOL_CHAT_EVENT_H
+#define PROTOCOL_CHAT_EVENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/buffer.h"
+#include "state/stream_guard.h"
+
+#define CHAT_FINISH_SIZE 24
+#define CHAT_DONE_MARK "[DONE]"
+
+/** Tokens that a request cost. */
+struct chat_usage {
+	bool known;
+	int64_t prompt_tokens;
+	int64_t completion_tokens;
+};
+
+/** One event, for as long as it is not cleared. */
+struct chat_event {
+	struct stream_event stream;
+	const char *content; /**< of the first choice; NULL for none */
+	size_t content_size;
+	const char *finish_reason; /**< NULL for none */
+	bool has_choices;
+	struct chat_usage usage;
+	void *document; /**< parsed JSON, of this module */
+};
+
+/** @return false when the bytes are not an event */
+bool chat_event_parse(struct chat_event *event, const char *data, size_t size);
+
+void chat_event_clear(struct chat_event *event);
+
+/** Reads the usage of an answer to a cancel or a look-up. */
+bool chat_usage_parse(struct chat_usage *usage, const char *body, size_t size);
+
+/** What a whole answer consists of. */
+struct chat_answer {
+	const char *id;
+	const char *model;
+	int64_t created_s;
+	const char *content;
+	size_t content_size;
+	const char *finish_reason;
+	struct chat_usage usage;
+};
+
+/** Adds the document of an answer that is not streamed. */
+void chat_answer_write(const struct chat_answer *answer, struct buffer *text);
+
+/** Adds the last event of an answer that ends at its limit. */
+void chat_answer_write_last_event(const struct chat_answer *answer,
+				  struct buffer *text);
+
+#endif
--- /dev/null
+++ b/src/protocol/chat_request.h
@@ -0,0 +1,45 @@
+/**
+ * @file chat_request.h
+ * A caller's chat-completions request: checked, measured, and rewritten for
+ * the engine.
+ */
+#ifndef PROTOCOL_CHAT_REQUEST_H
+#define PROTOCOL_CHAT_REQUEST_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "tamarackgw/host_view.h"
+#include "tamarackgw/router.h"
+#include "tamarackgw/status.h"
+
+#define CHAT_PREFIX_BLOCK_BYTES 256
+
+struct chat_request {
+	char model[TGW_NAME_SIZE];
+	bool stream; /**< the caller wants events */
+	/** Limit that the request carries; 0 for none. */
+	int64_t max_tokens;
+	/** Upper bound of the prompt's tokens, without the chat frame. */
+	int64_t prompt_bytes;
+	size_t prefix_count;
+	uint64_t prefix_hashes[TGW_PREFIX_HASHES_MAX];
+	void *document; /**< parsed JSON, of this module */
+};
+
+/** Parses and checks a body. The message names the field and the remedy. */
+enum tgw_status chat_request_parse(struct chat_request *request,
+				   const char *body, size_t body_size,
+				   struct tgw_error *error);
+
+void chat_request_clear(struct chat_request *request);
+
+/**
+ * Writes the body for the engine, which always streams.
+ * @return text to be released with free()
+ */
+char *chat_request_for_engine(const struct chat_request *request,
+			      int64_t max_tokens, int64_t priority);
+
+#endif
--- /dev/null
+++ b/src/protocol/sse_parser.c
@@ -0,0 +1,112 @@
+#include "protocol/sse_parser.h"
+
+#include <string.h>
+
+static const char data_field[] = "data";
+
+void sse_parser_init(struct sse_parser *parser, size_t max_event_bytes)
+{
+	memset(parser, 0, sizeof(*parser));
+	parser->max_event_bytes = max_event_bytes;
+}
+
+void sse_parser_reset(struct sse_parser *parser)
+{
+	buffer_clear(&parser->line);
+	buffer_clear(&parser->data);
+	parser->has_data = false;
+	parser->after_cr = false;
+}
+
+void sse_parser_free(struct sse_parser *parser)
+{
+	buffer_free(&parser->line);
+	buffer_free(&parser->data);
+}
+
+static void add_data(struct sse_parser *parser, const char *value, size_t size)
+{
+	if (parser->has_data)
+		buffer_add(&parser->data, "\n", 1);
+	buffer_add(&parser->data, value, size);
+	parser->has_data = true;
+}
+
+static void end_field(struct sse_parser *parser)
+{
+	const char *line = parser->line.data;
+	size_t size = parser->line.size;
+	const char *colon = memchr(line, ':', size);
+	size_t name_size = colon ? (size_t)(colon - line) : size;
+	size_t value_at = name_size + 1;
+
+	if (name_size != strlen(data_field) ||
+	    memcmp(line, data_field, name_size) != 0)
+		return;
+	if (value_at < size && line[value_at] == ' ')
+		value_at++;
+	if (value_at > size)
+		value_at = size;
+	add_data(parser, line + value_at, size - value_at);
+}
+
+static bool end_event(struct sse_parser *parser, struct sse_handler handler)
+{
+	bool goes_on;
+
+	if (!parser->has_data)
+		return true;
+	goes_on = handler.event(handler.arg, parser->data.data,
+				parser->data.size);
+	buffer_clear(&parser->data);
+	parser->has_data = false;
+	return goes_on;
+}
+
+static bool end_line(struct sse_parser *parser, struct sse_handler handler)
+{
+	bool goes_on = true;
+
+	if (parser->line.size == 0)
+		goes_on = end_event(parser, handler);
+	else
+		end_field(parser);
+	buffer_clear(&parser->line);
+	return goes_on;
+}
+
+static size_t plain_size(const char *bytes, size_t size)
+{
+	size_t n = 0;
+
+	while (n < size && bytes[n] != '\n' && bytes[n] != '\r')
+		n++;
+	return n;
+}
+
+enum sse_result sse_parser_feed(struct sse_parser *parser, const char *bytes,
+				size_t size, struct sse_handler handler)
+{
+	while (size) {
+		size_t plain = plain_size(bytes, size);
+
+		if (parser->line.size + parser->data.size + plain >
+		    parser->max_event_bytes)
+			return SSE_TOO_LARGE;
+		if (plain) {
+			buffer_add(&parser->line, bytes, plain);
+			parser->after_cr = false;
+		}
+		if (plain == size)
+			return SSE_OK;
+		if (bytes[plain] == '\n' && parser->after_cr)
+			parser->after_cr = false;
+		else if (!end_line(parser, handler))
+			return SSE_STOPPED;
+		else
+			parser->after_cr = bytes[plain] == '\r';
+		bytes += plain + 1;
+		size -= plain + 1;
+	}
+	return SSE_OK;
+}
--- /dev/null
+++ b/tests/fakes/agents/fake_agents.h
@@ -0,0 +1,55 @@
+/**
+ * @file fake_agents.h
+ * Stand-ins for the agents and the look-ups of the configuration, for tests
+ * of the daemon's own parts. Their knobs are set before the test's requests.
+ */
+#ifndef FAKES_AGENTS_FAKE_AGENTS_H
+#define FAKES_AGENTS_FAKE_AGENTS_H
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "tamarackgw/budget.h"
+#include "tamarackgw/claim.h"
+#include "tamarackgw/config_snapshot.h"
+#include "tamarackgw/router.h"
+
+struct fake_agents {
+	/* Knobs. */
+	enum tgw_status reserve_status;
+	bool already_reserved;
+	bool already_settled;
+	enum tgw_claim_state claim_state;
+	enum tgw_status route_status; /**< when no server is left, or always */
+	bool route_never;	      /**< attempts stay queued */
+	bool refuse_fingerprint;
+	const struct tgw_config_snapshot *config;
+
+	/* What was seen. */
+	atomic_int reserves;
+	_Atomic int64_t last_bound_tokens;
+	atomic_int settles;
+	_Atomic int64_t last_settled_tokens;
+	atomic_int last_settle_basis;
+	atomic_int submits;
+	atomic_int retries;
+	atomic_int finishes;
+	atomic_int last_route_outcome;
+	atomic_int routes_open;
+	atomic_int claims;
+	atomic_int claim_finishes;
+	atomic_int last_claim_outcome;
+	atomic_int crashes;
+	atomic_int last_others_running;
+	atomic_int load_reports;
+	atomic_int cache_events;
+	atomic_int route_cancels;
+};
+
+extern struct fake_agents fake_agents;
+
+/** Back to agents that agree to everything. */
+void fake_agents_reset(const struct tgw_config_snapshot *config);
+
+#endif
