Claim calls that may not be repeated, with tickets for domains cut off

Cause: a booking must run at most once whatever is cut, paused or dead, and a domain cut off from the store still has to book.

Change: claims go to one host of the domain for each bucket, which brings many to the store with one compare-and-swap; whoever's record is in the value runs, and each decision can be made again after a lost answer. A ticket is a key that a living process issued ahead of the call: its memory alone says who runs, so that no store is needed. An owner that gave an ask up takes a late grant back.

Ruled out so far by argument: a key range lent to a domain (its holder's death makes the whole range unanswerable).

A first scenario run had one host admit a suspected request because the news was lost, which is why own news is repeated.

--- a/include/tamarackgw/claim.h
+++ b/include/tamarackgw/claim.h
@@ -11,6 +11,8 @@
 #include "tamarackgw/budget.h"
 
 #define TGW_BODY_HASH_BYTES 16
+/** Room for a ticket's text, terminator included. */
+#define TGW_CLAIM_TICKET_SIZE 128
 
 /** What a claim's owner, or a retry, is told. */
 enum tgw_claim_state {
@@ -44,11 +46,25 @@
 struct tgw_claim_request {
 	struct tgw_request_key key;
 	uint8_t body_hash[TGW_BODY_HASH_BYTES];
+	const char *team; /**< whose call it is */
+	/** The caller's key when it is a ticket, see
+	 * tgw_claim_issue_ticket(); else NULL. */
+	const char *ticket;
+	/** The caller gave no key of its own, so that there can't have been
+	 * an earlier attempt: then a claim that can't be confirmed is
+	 * REFUSED, and otherwise UNKNOWN. */
+	bool is_first_attempt;
 };
 
 /** Valid only during the callback. */
 struct tgw_claim_answer {
 	enum tgw_claim_state state;
+	/** Of UNKNOWN: an earlier attempt surely was granted. Else none is
+	 * known of, but that could not be made sure. Either way this
+	 * attempt was not run. */
+	bool earlier_attempt_known;
+	/** Of RECORDED: the body was too large to keep. */
+	bool body_not_kept;
 	int32_t http_status; /**< of a recorded answer */
 	const char *content_type;
 	const uint8_t *body;
@@ -69,6 +85,11 @@
 	uint64_t unknown;
 	uint64_t store_writes;
 	uint64_t store_reads;
+	uint64_t store_conflicts;
+	uint64_t store_read_backs; /**< after an answer was lost */
+	uint64_t tickets_issued;
+	uint64_t tickets_granted; /**< part of granted: without the store */
+	uint64_t peer_messages_sent;
 };
 
 struct tgw_claim_agent;
@@ -80,11 +101,29 @@
 
 void tgw_claim_agent_free(struct tgw_claim_agent *agent);
 
-/** Claims a call; the callback runs later, exactly once. */
+/** Claims a call; the callback runs exactly once, from this call or later.
+ * Each GRANTED is followed by one tgw_claim_finish(). */
 void tgw_claim_begin(struct tgw_claim_agent *agent,
 		     const struct tgw_claim_request *request,
 		     struct tgw_claim_callback callback);
 
+/**
+ * Issues a single-use key to a caller ahead of its call. Only this process
+ * says whether the call may run, so that it needs no store: also a domain
+ * that is cut off from the store runs it. The caller gives the text as its
+ * key, to any host. When this process is gone, what it did not record is
+ * UNKNOWN. A text that was made up runs nothing.
+ * @param team who may use it
+ * @return OK; BUSY when too many are open; CANCELLED when stopping
+ */
+enum tgw_status tgw_claim_issue_ticket(struct tgw_claim_agent *agent,
+				       const char *team,
+				       char text[TGW_CLAIM_TICKET_SIZE],
+				       struct tgw_error *error);
+
+/** @return whether a caller's key has the form of a ticket */
+bool tgw_claim_is_ticket(const char *text);
+
 /** Records how a granted call ended. */
 void tgw_claim_finish(struct tgw_claim_agent *agent,
 		      const struct tgw_request_key *key,
--- a/include/tamarackgw/router.h
+++ b/include/tamarackgw/router.h
@@ -41,6 +41,9 @@
 	/** Servers that this request has already failed on. */
 	size_t excluded_count;
 	char excluded[TGW_EXCLUDED_MAX][TGW_NAME_SIZE];
+	/** The only server to run on, as for a request on probation; empty
+	 * when any will do. */
+	char required_server[TGW_NAME_SIZE];
 };
 
 /** Decision for an attempt. Valid only during the callback. */
@@ -115,6 +118,13 @@
 			   const struct tgw_route_request *request,
 			   struct tgw_route_callback callback);
 
+/** The servers that could run a request now, room aside, to be offered to
+ * tgw_quarantine_enter(). Names are valid until the next configuration.
+ * @return the number written */
+size_t tgw_router_candidates(struct tgw_router *router,
+			     const struct tgw_route_request *request,
+			     const char **names, size_t capacity);
+
 /** Takes a queued attempt back; its callback does not run any more. */
 void tgw_router_cancel(struct tgw_router *router, uint64_t id);
 
--- /dev/null
+++ b/src/coordination/claim_agent.c
@@ -0,0 +1,595 @@
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "coordination/claim_issuer.h"
+#include "coordination/claim_keeper.h"
+#include "coordination/claim_run.h"
+#include "state/claim_message.h"
+#include "state/claim_text.h"
+#include "state/claim_ticket.h"
+#include "tamarackgw/claim.h"
+
+#define DEFAULT_BUCKETS 64
+#define DEFAULT_BATCH_US (INT64_C(50) * TGW_US_PER_MS)
+#define DEFAULT_KEEP_US (INT64_C(24) * 3600 * TGW_US_PER_S)
+#define DEFAULT_TIMEOUT_US (INT64_C(3) * TGW_US_PER_S)
+#define DEFAULT_ANSWER_MAX_BYTES (8 * 1024)
+#define RUNS_MAX 8192
+#define ASK_AGAIN_US (INT64_C(400) * TGW_US_PER_MS)
+#define END_AGAIN_US TGW_US_PER_S
+#define END_DOUBLINGS_MAX 5
+#define RETRY_AFTER_US (INT64_C(5) * TGW_US_PER_S)
+#define TICKET_KEEP_US (INT64_C(3600) * TGW_US_PER_S)
+#define TICK_US (INT64_C(10) * TGW_US_PER_MS)
+#define KEEPERS_TRIED 2
+
+struct tgw_claim_agent {
+	struct tgw_claim_env env;
+	struct tgw_host_view *view;
+	struct claim_keeper *keeper;
+	struct claim_ticket_table tickets;
+	struct claim_run_list runs;
+	struct tgw_claim_counters counters;
+	uint64_t next_ask_id;
+	bool draining;
+};
+
+static int64_t now_of(const struct tgw_claim_agent *agent)
+{
+	return tgw_clock_monotonic_us(agent->env.clock);
+}
+
+static const struct tgw_host *self_of(const struct tgw_claim_agent *agent)
+{
+	return tgw_host_view_self(agent->view);
+}
+
+struct tgw_claim_env tgw_claim_env_default(void)
+{
+	struct tgw_claim_env env = {
+		.bucket_count = DEFAULT_BUCKETS,
+		.batch_interval_us = DEFAULT_BATCH_US,
+		.keep_us = DEFAULT_KEEP_US,
+		.claim_timeout_us = DEFAULT_TIMEOUT_US,
+		.answer_max_bytes = DEFAULT_ANSWER_MAX_BYTES,
+	};
+
+	return env;
+}
+
+static void handle(struct tgw_claim_agent *agent, const char *from,
+		   const struct claim_message *message);
+
+static void send_to(struct tgw_claim_agent *agent, const char *host,
+		    const struct claim_message *message)
+{
+	struct buffer payload = {0};
+
+	if (!strcmp(host, self_of(agent)->name)) {
+		handle(agent, host, message);
+		return;
+	}
+	claim_message_pack(message, &payload);
+	agent->counters.peer_messages_sent++;
+	tgw_peer_send(agent->env.peer, host, TGW_PEER_CLAIM, payload.data,
+		      payload.size);
+	buffer_free(&payload);
+}
+
+static void reply_for_keeper(void *arg, const char *host,
+			     const struct claim_message *message)
+{
+	send_to(arg, host, message);
+}
+
+static bool is_process_gone(const struct tgw_claim_agent *agent,
+			    const char *name, uint64_t incarnation)
+{
+	const struct tgw_host *host = tgw_host_view_find(agent->view, name);
+
+	if (!host || host->state == TGW_HOST_GONE)
+		return true;
+	return host->incarnation && host->incarnation != incarnation;
+}
+
+static bool is_owner_gone(void *arg, const struct claim_owner *owner)
+{
+	return is_process_gone(arg, owner->host, owner->incarnation);
+}
+
+struct tgw_claim_agent *tgw_claim_agent_new(const struct tgw_claim_env *env,
+					    const struct tgw_host_view *view)
+{
+	struct tgw_claim_agent *agent = xcalloc(1, sizeof(*agent));
+	struct claim_keeper_env keeper_env = {
+		.claims = &agent->env,
+		.counters = &agent->counters,
+		.reply = reply_for_keeper,
+		.is_gone = is_owner_gone,
+		.arg = agent,
+	};
+
+	agent->env = *env;
+	agent->view = tgw_host_view_copy(view);
+	keeper_env.incarnation = self_of(agent)->incarnation;
+	agent->keeper = claim_keeper_new(&keeper_env);
+	return agent;
+}
+
+void tgw_claim_agent_free(struct tgw_claim_agent *agent)
+{
+	if (!agent)
+		return;
+	while (agent->runs.first)
+		claim_run_remove(&agent->runs, agent->runs.first);
+	claim_ticket_table_clear(&agent->tickets);
+	claim_keeper_free(agent->keeper);
+	tgw_host_view_free(agent->view);
+	free(agent);
+}
+
+static void count(struct tgw_claim_agent *agent, const struct claim_run *run,
+		  enum tgw_claim_state state)
+{
+	switch (state) {
+	case TGW_CLAIM_GRANTED:
+		agent->counters.granted++;
+		agent->counters.tickets_granted += run->has_ticket;
+		return;
+	case TGW_CLAIM_RECORDED:
+		agent->counters.replayed++;
+		return;
+	case TGW_CLAIM_UNKNOWN:
+		agent->counters.unknown++;
+		return;
+	case TGW_CLAIM_REFUSED:
+	case TGW_CLAIM_KEY_REUSED:
+		agent->counters.refused++;
+		return;
+	case TGW_CLAIM_RUNNING:
+		return;
+	}
+}
+
+/* Answers an ask; it is out of the list unless it was granted. */
+static void answer(struct tgw_claim_agent *agent, struct claim_run *run,
+		   const struct claim_message *tell)
+{
+	const struct claim_result *result = &tell->record.result;
+	struct tgw_claim_callback callback = run->callback;
+	struct tgw_claim_answer what = {
+		.state = tell->state,
+		.earlier_attempt_known = tell->earlier_attempt_known,
+		.body_not_kept = result->body_not_kept,
+		.http_status = result->http_status,
+		.content_type = result->content_type,
+		.body = result->body,
+		.body_size = result->body_size,
+		.retry_after_us = tell->retry_after_us,
+		.message = claim_state_message(tell->state),
+	};
+
+	count(agent, run, tell->state);
+	if (tell->state == TGW_CLAIM_GRANTED)
+		run->phase = CLAIM_RUN_RUNNING;
+	else
+		claim_run_remove(&agent->runs, run);
+	callback.done(callback.arg, &what);
+}
+
+/* Ends an ask that nobody answered. It will never run: an answer that still
+ * comes finds no ask. But an earlier attempt may have run. */
+static void give_up(struct tgw_claim_agent *agent, struct claim_run *run)
+{
+	struct claim_message tell = {
+		.state = run->is_first_attempt ? TGW_CLAIM_REFUSED
+					       : TGW_CLAIM_UNKNOWN,
+		.retry_after_us = RETRY_AFTER_US,
+	};
+
+	answer(agent, run, &tell);
+}
+
+static const char *keeper_of(const struct tgw_claim_agent *agent,
+			     const struct claim_run *run)
+{
+	const struct tgw_host *ranked[KEEPERS_TRIED];
+	uint32_t bucket =
+		claim_keeper_bucket_of(agent->keeper, &run->message.record.key);
+	size_t found = tgw_host_view_rank(agent->view,
+					  self_of(agent)->failure_domain,
+					  bucket, ranked, KEEPERS_TRIED);
+
+	if (!found)
+		return self_of(agent)->name;
+	return ranked[run->sent_count % found]->name;
+}
+
+/* A ticket's issuer decides while it lives; after that, what is recorded. */
+static const char *authority_of(struct tgw_claim_agent *agent,
+				struct claim_run *run)
+{
+	run->message.authority = run->is_record ? CLAIM_BY_RECORD
+						: CLAIM_BY_STORE;
+	if (!run->has_ticket)
+		return keeper_of(agent, run);
+	run->message.authority = CLAIM_BY_ISSUER;
+	if (!is_process_gone(agent, run->ticket.host, run->ticket.incarnation))
+		return run->ticket.host;
+	run->message.authority = CLAIM_BY_RECORD;
+	return keeper_of(agent, run);
+}
+
+static int64_t resend_after_us(const struct claim_run *run)
+{
+	uint32_t doublings = run->sent_count < END_DOUBLINGS_MAX
+				     ? run->sent_count
+				     : END_DOUBLINGS_MAX;
+
+	if (run->phase != CLAIM_RUN_ENDED)
+		return ASK_AGAIN_US;
+	return END_AGAIN_US << doublings;
+}
+
+static void send_run(struct tgw_claim_agent *agent, struct claim_run *run)
+{
+	const char *host = authority_of(agent, run);
+
+	run->send_us = now_of(agent) + resend_after_us(run);
+	run->sent_count++;
+	send_to(agent, host, &run->message);
+}
+
+static void fill_record(struct tgw_claim_agent *agent,
+			struct claim_record *record,
+			const struct tgw_claim_request *request)
+{
+	record->key = request->key;
+	memcpy(record->body_hash, request->body_hash,
+	       sizeof(record->body_hash));
+	snprintf(record->owner.host, sizeof(record->owner.host), "%s",
+		 self_of(agent)->name);
+	record->owner.incarnation = self_of(agent)->incarnation;
+	record->owner.ask_id = ++agent->next_ask_id;
+	record->wall_us = tgw_clock_wall_us(agent->env.clock);
+}
+
+static void fill_run(struct tgw_claim_agent *agent, struct claim_run *run,
+		     const struct tgw_claim_request *request,
+		     struct tgw_claim_callback callback)
+{
+	run->message.kind = CLAIM_ASK;
+	run->callback = callback;
+	run->is_first_attempt = request->is_first_attempt;
+	run->due_us = now_of(agent) + agent->env.claim_timeout_us;
+	run->has_ticket =
+		request->ticket &&
+		claim_ticket_name_parse(&run->ticket, request->ticket);
+	run->message.serial = run->ticket.serial;
+	if (request->team)
+		snprintf(run->message.team, sizeof(run->message.team), "%s",
+			 request->team);
+	fill_record(agent, &run->message.record, request);
+}
+
+/* What this host knows of the call without asking anyone. */
+static bool answer_from_memory(struct tgw_claim_agent *agent,
+			       struct claim_run *run)
+{
+	const struct claim_run *granted =
+		claim_run_find_granted(&agent->runs, &run->message.record.key);
+	struct claim_message tell = {.earlier_attempt_known = true,
+				     .retry_after_us = RETRY_AFTER_US};
+
+	if (!granted)
+		return false;
+	if (memcmp(granted->message.record.body_hash,
+		   run->message.record.body_hash, TGW_BODY_HASH_BYTES)) {
+		tell.state = TGW_CLAIM_KEY_REUSED;
+	} else if (granted->phase == CLAIM_RUN_RUNNING) {
+		tell.state = TGW_CLAIM_RUNNING;
+	} else if (granted->message.record.phase == CLAIM_PHASE_DONE) {
+		tell.state = TGW_CLAIM_RECORDED;
+		tell.record.result = granted->message.record.result;
+	} else if (granted->message.record.phase == CLAIM_PHASE_LOST) {
+		tell.state = TGW_CLAIM_UNKNOWN;
+	} else {
+		return false;
+	}
+	answer(agent, run, &tell);
+	return true;
+}
+
+void tgw_claim_begin(struct tgw_claim_agent *agent,
+		     const struct tgw_claim_request *request,
+		     struct tgw_claim_callback callback)
+{
+	bool full = agent->runs.count >= RUNS_MAX;
+	struct claim_run *run = claim_run_add(&agent->runs);
+
+	fill_run(agent, run, request, callback);
+	if (answer_from_memory(agent, run))
+		return;
+	if (full)
+		give_up(agent, run);
+	else
+		send_run(agent, run);
+}
+
+bool tgw_claim_is_ticket(const char *text)
+{
+	struct claim_ticket_name name;
+
+	return claim_ticket_name_parse(&name, text);
+}
+
+enum tgw_status tgw_claim_issue_ticket(struct tgw_claim_agent *agent,
+				       const char *team,
+				       char text[TGW_CLAIM_TICKET_SIZE],
+				       struct tgw_error *error)
+{
+	struct claim_ticket_name name = {
+		.incarnation = self_of(agent)->incarnation,
+	};
+
+	if (agent->draining)
+		return tgw_error_set(error, TGW_CANCELLED,
+				     "this host is stopping; ask another one");
+	name.serial =
+		claim_ticket_table_issue(&agent->tickets, team, now_of(agent));
+	if (!name.serial)
+		return tgw_error_set(error, TGW_BUSY,
+				     "too many tickets are open; use the ones "
+				     "at hand, or ask another host");
+	snprintf(name.host, sizeof(name.host), "%s", self_of(agent)->name);
+	claim_ticket_name_print(&name, text);
+	agent->counters.tickets_issued++;
+	return TGW_OK;
+}
+
+/* Turns a granted run into one that has ended, to be told until recorded. */
+static void end_run(struct tgw_claim_agent *agent, struct claim_run *run,
+		    enum claim_phase phase)
+{
+	run->phase = CLAIM_RUN_ENDED;
+	run->message.kind = CLAIM_END;
+	run->message.record.phase = phase;
+	run->sent_count = 0;
+	send_run(agent, run);
+}
+
+void tgw_claim_finish(struct tgw_claim_agent *agent,
+		      const struct tgw_request_key *key,
+		      enum tgw_claim_outcome outcome, int32_t http_status,
+		      const char *content_type, const void *body,
+		      size_t body_size)
+{
+	struct claim_run *run = claim_run_find_granted(&agent->runs, key);
+
+	if (!run || run->phase != CLAIM_RUN_RUNNING)
+		return;
+	switch (outcome) {
+	case TGW_CLAIM_DONE:
+		claim_result_set(&run->message.record.result, http_status,
+				 content_type, body, body_size,
+				 agent->env.answer_max_bytes);
+		end_run(agent, run, CLAIM_PHASE_DONE);
+		return;
+	case TGW_CLAIM_NOT_SENT:
+		end_run(agent, run, CLAIM_PHASE_RUNNING);
+		return;
+	case TGW_CLAIM_LOST:
+		end_run(agent, run, CLAIM_PHASE_LOST);
+		return;
+	}
+}
+
+void tgw_claim_set_hosts(struct tgw_claim_agent *agent,
+			 const struct tgw_host_view *view)
+{
+	tgw_host_view_free(agent->view);
+	agent->view = tgw_host_view_copy(view);
+}
+
+/* A claim of this host that it knows nothing of was granted after its ask
+ * had been given up: nothing was sent, and nothing will be. */
+static void disown(struct tgw_claim_agent *agent, const char *from,
+		   const struct claim_message *message)
+{
+	const struct claim_owner *owner = &message->record.owner;
+	const struct tgw_host *host = tgw_host_view_find(agent->view, from);
+	struct claim_run *run;
+
+	if (strcmp(owner->host, self_of(agent)->name) ||
+	    owner->incarnation != self_of(agent)->incarnation ||
+	    claim_run_find(&agent->runs, owner))
+		return;
+	run = claim_run_add(&agent->runs);
+	run->message = *message;
+	memset(&run->message.record.result, 0,
+	       sizeof(run->message.record.result));
+	run->has_ticket = message->authority == CLAIM_BY_ISSUER;
+	run->ticket.serial = message->serial;
+	snprintf(run->ticket.host, sizeof(run->ticket.host), "%s", from);
+	run->ticket.incarnation = host ? host->incarnation : 0;
+	end_run(agent, run, CLAIM_PHASE_RUNNING);
+}
+
+static void on_tell(struct tgw_claim_agent *agent, const char *from,
+		    const struct claim_message *tell)
+{
+	struct claim_run *run =
+		claim_run_find(&agent->runs, &tell->record.owner);
+
+	if (run && run->phase == CLAIM_RUN_ASKING)
+		answer(agent, run, tell);
+	else if (!run && tell->state == TGW_CLAIM_GRANTED)
+		disown(agent, from, tell);
+}
+
+static void on_ended(struct tgw_claim_agent *agent,
+		     const struct claim_record *record)
+{
+	struct claim_run *run = claim_run_find(&agent->runs, &record->owner);
+
+	if (run && run->phase == CLAIM_RUN_ENDED)
+		claim_run_remove(&agent->runs, run);
+}
+
+static void ask_issuer(struct tgw_claim_agent *agent, const char *from,
+		       const struct claim_message *ask)
+{
+	struct claim_message tell;
+	const struct claim_record *running =
+		claim_issuer_answer(&agent->tickets, ask, &tell);
+
+	if (running && is_owner_gone(agent, &running->owner)) {
+		tell.state = TGW_CLAIM_UNKNOWN;
+		tell.earlier_attempt_known = true;
+	} else if (running) {
+		struct claim_message check = tell;
+
+		check.kind = CLAIM_CHECK;
+		check.record = *running;
+		send_to(agent, running->owner.host, &check);
+	}
+	send_to(agent, from, &tell);
+}
+
+static void on_ask(struct tgw_claim_agent *agent, const char *from,
+		   const struct claim_message *ask)
+{
+	if (ask->authority == CLAIM_BY_ISSUER)
+		ask_issuer(agent, from, ask);
+	else
+		claim_keeper_take(agent->keeper, from, ask);
+}
+
+/* Notes in the store how a ticket's call ended, for the time when its issuer
+ * is gone. Under an outage the oldest notes are dropped. */
+static void record_later(struct tgw_claim_agent *agent,
+			 const struct claim_message *end)
+{
+	struct claim_run *run;
+
+	if (agent->runs.count >= RUNS_MAX) {
+		run = claim_run_oldest_record(&agent->runs);
+		if (!run)
+			return;
+		claim_run_remove(&agent->runs, run);
+	}
+	run = claim_run_add(&agent->runs);
+	run->message = *end;
+	claim_result_copy(&run->message.record.result, &end->record.result);
+	run->is_record = true;
+	end_run(agent, run, end->record.phase);
+}
+
+static void end_at_issuer(struct tgw_claim_agent *agent, const char *from,
+			  const struct claim_message *end)
+{
+	struct claim_message ended = {.kind = CLAIM_ENDED,
+				      .record = end->record};
+
+	if (claim_issuer_end(&agent->tickets, end) &&
+	    end->record.phase != CLAIM_PHASE_RUNNING)
+		record_later(agent, end);
+	ended.record.phase = CLAIM_PHASE_RUNNING;
+	memset(&ended.record.result, 0, sizeof(ended.record.result));
+	send_to(agent, from, &ended);
+}
+
+static void on_end(struct tgw_claim_agent *agent, const char *from,
+		   const struct claim_message *end)
+{
+	if (end->authority == CLAIM_BY_ISSUER)
+		end_at_issuer(agent, from, end);
+	else
+		claim_keeper_take(agent->keeper, from, end);
+}
+
+static void handle(struct tgw_claim_agent *agent, const char *from,
+		   const struct claim_message *message)
+{
+	switch (message->kind) {
+	case CLAIM_ASK:
+		on_ask(agent, from, message);
+		return;
+	case CLAIM_TELL:
+		on_tell(agent, from, message);
+		return;
+	case CLAIM_END:
+		on_end(agent, from, message);
+		return;
+	case CLAIM_ENDED:
+		on_ended(agent, &message->record);
+		return;
+	case CLAIM_CHECK:
+		disown(agent, from, message);
+		return;
+	case CLAIM_KIND_COUNT:
+		return;
+	}
+}
+
+void tgw_claim_on_message(struct tgw_claim_agent *agent,
+			  const struct tgw_peer_message *message)
+{
+	struct claim_message decoded;
+
+	if (claim_message_unpack(&decoded, message->payload,
+				 message->payload_size))
+		handle(agent, message->from_host, &decoded);
+	claim_message_clear(&decoded);
+}
+
+static struct claim_run *next_due(const struct tgw_claim_agent *agent)
+{
+	int64_t now_us = now_of(agent);
+
+	for (struct claim_run *run = agent->runs.first; run; run = run->next) {
+		if (run->phase == CLAIM_RUN_RUNNING)
+			continue;
+		if (run->send_us <= now_us)
+			return run;
+		if (run->phase == CLAIM_RUN_ASKING && run->due_us <= now_us)
+			return run;
+	}
+	return NULL;
+}
+
+int64_t tgw_claim_tick(struct tgw_claim_agent *agent)
+{
+	int64_t now_us = now_of(agent);
+	struct claim_run *run;
+
+	while ((run = next_due(agent))) {
+		if (run->phase == CLAIM_RUN_ASKING && run->due_us <= now_us)
+			give_up(agent, run);
+		else
+			send_run(agent, run);
+	}
+	claim_ticket_table_expire(&agent->tickets, now_us - agent->env.keep_us);
+	claim_keeper_tick(agent->keeper);
+	return now_us + TICK_US;
+}
+
+void tgw_claim_drain(struct tgw_claim_agent *agent)
+{
+	agent->draining = true;
+}
+
+bool tgw_claim_is_drained(const struct tgw_claim_agent *agent)
+{
+	return agent->draining && !agent->runs.count &&
+	       claim_keeper_is_idle(agent->keeper);
+}
+
+const struct tgw_claim_counters *tgw_claim_agent_counters(
+	const struct tgw_claim_agent *agent)
+{
+	return &agent->counters;
+}
--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -15,6 +15,9 @@
 #define DEFAULT_CRASHES_UNTIL_REFUSED 2
 #define DEFAULT_KEEP_US (INT64_C(3600) * TGW_US_PER_S)
 #define NEWS_INTERVAL_US (INT64_C(5) * TGW_US_PER_S)
+/* Own news is told again for so long, in case a message was lost. */
+#define OWN_NEWS_US (INT64_C(2) * TGW_US_PER_S)
+#define OWN_NEWS_INTERVAL_US (INT64_C(250) * TGW_US_PER_MS)
 #define TICK_US (INT64_C(200) * TGW_US_PER_MS)
 #define DOMAINS_MAX 64
 
@@ -26,6 +29,7 @@
 	struct quarantine_sync sync;
 	struct tgw_quarantine_counters counters;
 	int64_t next_news_us;
+	int64_t next_own_news_us;
 	uint64_t news_turn;
 };
 
@@ -145,6 +149,8 @@
 		      struct quarantine_item *item)
 {
 	quarantine->sync.dirty = true;
+	item->learnt_us = now_of(quarantine);
+	item->is_own_news = true;
 	tell_domain(quarantine, item, 1);
 	tell_other_domains(quarantine, item);
 }
@@ -213,7 +219,6 @@
 		&quarantine->table, fingerprint, now_of(quarantine));
 
 	snprintf(item->team, sizeof(item->team), "%s", team);
-	item->learnt_us = now_of(quarantine);
 	quarantine->counters.crashes++;
 	if (quarantine_item_add_crash(item, &crash))
 		on_change(quarantine, item);
@@ -251,7 +256,6 @@
 	if (!item || !item->crash_count)
 		return;
 	quarantine_item_clear(item);
-	item->learnt_us = now_of(quarantine);
 	on_change(quarantine, item);
 }
 
@@ -349,6 +353,25 @@
 	quarantine_message_free(decoded);
 }
 
+static void repeat_own_news(struct tgw_quarantine *quarantine)
+{
+	int64_t now_us = now_of(quarantine);
+
+	if (now_us < quarantine->next_own_news_us)
+		return;
+	quarantine->next_own_news_us = now_us + OWN_NEWS_INTERVAL_US;
+	for (size_t i = 0; i < quarantine->table.count; i++) {
+		struct quarantine_item *item = &quarantine->table.items[i];
+
+		if (!item->is_own_news)
+			continue;
+		if (now_us - item->learnt_us > OWN_NEWS_US)
+			item->is_own_news = false;
+		else
+			tell_domain(quarantine, item, 1);
+	}
+}
+
 /* Repairs what lost messages left behind: all is told to one host a turn. */
 static void repair_news(struct tgw_quarantine *quarantine)
 {
@@ -387,6 +410,7 @@
 		tell_domain(quarantine, quarantine->table.items,
 			    quarantine->table.count);
 	}
+	repeat_own_news(quarantine);
 	repair_news(quarantine);
 	return now_us + TICK_US;
 }
--- a/src/coordination/quarantine_probation.c
+++ b/src/coordination/quarantine_probation.c
@@ -11,7 +11,7 @@
 #define HOLD_INTERVAL_US (INT64_C(2) * TGW_US_PER_S)
 #define HOLD_EXPIRY_US (5 * HOLD_INTERVAL_US)
 /* A new arbiter first hears which attempts run. */
-#define ARBITER_GRACE_US TGW_US_PER_S
+#define ARBITER_GRACE_US (HOLD_INTERVAL_US + TGW_US_PER_S)
 #define ARBITER_KEY_HASH UINT64_C(0x71617262)
 #define ASKS_MAX 1024
 
@@ -68,7 +68,6 @@
 	probation->arbiter_incarnation = arbiter->incarnation;
 	probation->arbiter_since_us = now_of(probation);
 	probation->next_hold_us = now_of(probation);
-	probation->permits.count = 0;
 }
 
 void quarantine_probation_init(struct quarantine_probation *probation,
--- a/src/coordination/route_running.h
+++ b/src/coordination/route_running.h
@@ -17,7 +17,6 @@
 	uint64_t ticket; /**< 0 when the place is free */
 	struct server_state *server;
 	struct route_pool *pool;
-	bool is_write;
 	int64_t cost_units;
 	int64_t started_us;
 };
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -15,6 +15,7 @@
 #define IDLE_TICK_US TGW_US_PER_S
 #define RETRY_AFTER_MIN_US (INT64_C(500) * TGW_US_PER_MS)
 #define RETRY_AFTER_MAX_US (INT64_C(30) * TGW_US_PER_S)
+#define NO_SERVER_RETRY_US (INT64_C(2) * TGW_US_PER_S)
 #define RETRY_STORM_US (INT64_C(2) * TGW_US_PER_S)
 
 struct tgw_router {
@@ -160,10 +161,9 @@
 
 	running->server = server;
 	running->pool = pool;
-	running->is_write = request->is_write;
 	running->cost_units = entry->cost_units;
 	running->started_us = now_us;
-	server_state_on_start(server, request->is_write, now_us);
+	server_state_on_start(server, now_us);
 	prefix_index_add(&server->prefix, request->prefix_hashes,
 			 request->prefix_count, now_us);
 	route_pace_on_start(&pool->pace, entry->cost_units,
@@ -178,7 +178,7 @@
 
 static enum route_choice_result pick(struct tgw_router *router,
 				     const struct route_pool *pool,
-				     const struct tgw_route_request *request,
+				     const struct route_entry *entry,
 				     struct server_state **server,
 				     int64_t *matched)
 {
@@ -188,9 +188,10 @@
 		.failure_domain = router->failure_domain,
 		.random = &router->random,
 		.now_us = now_of(router),
+		.waited_us = now_of(router) - entry->submitted_us,
 	};
 
-	return route_choice_pick(&choice, request, server, matched);
+	return route_choice_pick(&choice, &entry->request, server, matched);
 }
 
 static bool start_next(struct tgw_router *router, struct route_pool *pool)
@@ -198,15 +199,21 @@
 	for (int u = 0; u < TGW_URGENCY_COUNT; u++) {
 		struct route_entry *entry = route_queue_peek(&pool->queue, u);
 		struct server_state *server = NULL;
+		enum route_choice_result result;
 		int64_t matched = 0;
 
 		if (!entry)
 			continue;
-		if (pick(router, pool, &entry->request, &server, &matched) !=
-		    ROUTE_CHOICE_OK)
-			return false;
+		result = pick(router, pool, entry, &server, &matched);
+		if (result == ROUTE_CHOICE_FULL)
+			continue;
 		route_queue_pop(&pool->queue, u);
-		start(router, pool, entry, server, matched);
+		if (result == ROUTE_CHOICE_OK)
+			start(router, pool, entry, server, matched);
+		else
+			answer_busy(router, entry, NO_SERVER_RETRY_US,
+				    "no server may run this now; come back "
+				    "later");
 		return true;
 	}
 	return false;
@@ -263,6 +270,12 @@
 	dispatch_all(router);
 }
 
+static bool is_local(const struct tgw_router *router,
+		     const struct server_state *state)
+{
+	return !strcmp(state->server.failure_domain, router->failure_domain);
+}
+
 static struct route_pool *find_pool(const struct tgw_router *router,
 				    const struct tgw_route_request *request)
 {
@@ -374,6 +387,26 @@
 	return id;
 }
 
+size_t tgw_router_candidates(struct tgw_router *router,
+			     const struct tgw_route_request *request,
+			     const char **names, size_t capacity)
+{
+	const struct route_pool *pool = obtain_pool(router, request);
+	size_t count = 0;
+
+	for (int local = 1; local >= 0 && !count && pool; local--)
+		for (size_t i = 0; i < pool->server_count; i++) {
+			const struct server_state *state = pool->servers[i];
+
+			if (is_local(router, state) == (bool)local &&
+			    route_choice_allows(state, request,
+						now_of(router)) &&
+			    count < capacity)
+				names[count++] = state->server.name;
+		}
+	return count;
+}
+
 void tgw_router_cancel(struct tgw_router *router, uint64_t id)
 {
 	for (struct route_pool *pool = router->pools; pool; pool = pool->next) {
@@ -424,7 +457,7 @@
 		return;
 	running = *found;
 	found->ticket = 0;
-	server_state_on_finish(running.server, running.is_write, now_us);
+	server_state_on_finish(running.server, now_us);
 	note_outcome(router, &running, outcome, now_us);
 	if (!running.server->configured)
 		drop_unused_servers(router);
--- /dev/null
+++ b/src/state/claim_bucket.c
@@ -0,0 +1,257 @@
+#include "state/claim_bucket.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "state/msgpack_field.h"
+
+#define FORMAT_VERSION 1
+#define VALUE_FIELDS 4
+/* Packed size of a record beside its texts and its body. */
+#define RECORD_BYTES 96
+
+void claim_bucket_clear(struct claim_bucket *bucket)
+{
+	for (size_t i = 0; i < bucket->count; i++)
+		claim_result_clear(&bucket->records[i].result);
+	free(bucket->records);
+	memset(bucket, 0, sizeof(*bucket));
+}
+
+static size_t size_of(const struct claim_record *record)
+{
+	return RECORD_BYTES + strlen(record->owner.host) +
+	       strlen(record->result.content_type) + record->result.body_size;
+}
+
+static struct claim_record *find(const struct claim_bucket *bucket,
+				 const struct tgw_request_key *key)
+{
+	for (size_t i = 0; i < bucket->count; i++)
+		if (!memcmp(&bucket->records[i].key, key, sizeof(*key)))
+			return &bucket->records[i];
+	return NULL;
+}
+
+const struct claim_record *claim_bucket_find(const struct claim_bucket *bucket,
+					     const struct tgw_request_key *key)
+{
+	return find(bucket, key);
+}
+
+static void remove_record(struct claim_bucket *bucket,
+			  struct claim_record *record)
+{
+	bucket->packed_bytes -= size_of(record);
+	claim_result_clear(&record->result);
+	bucket->count--;
+	memmove(record, record + 1,
+		(size_t)(bucket->records + bucket->count - record) *
+			sizeof(*record));
+}
+
+static struct claim_record *append(struct claim_bucket *bucket)
+{
+	if (bucket->count == bucket->capacity) {
+		bucket->capacity = bucket->capacity * 2 + 16;
+		bucket->records =
+			xrealloc(bucket->records,
+				 bucket->capacity * sizeof(bucket->records[0]));
+	}
+	return &bucket->records[bucket->count++];
+}
+
+/* Makes room by giving up the oldest kept bodies; not records. */
+static bool has_room(struct claim_bucket *bucket, size_t bytes)
+{
+	if (bucket->count == CLAIM_BUCKET_RECORDS_MAX)
+		return false;
+	for (size_t i = 0; i < bucket->count; i++) {
+		struct claim_result *result = &bucket->records[i].result;
+
+		if (bucket->packed_bytes + bytes <= CLAIM_BUCKET_BYTES_MAX)
+			return true;
+		if (!result->body)
+			continue;
+		bucket->packed_bytes -= result->body_size;
+		free(result->body);
+		result->body = NULL;
+		result->body_size = 0;
+		result->body_not_kept = true;
+	}
+	return bucket->packed_bytes + bytes <= CLAIM_BUCKET_BYTES_MAX;
+}
+
+enum claim_decision claim_bucket_look_up(const struct claim_bucket *bucket,
+					 const struct claim_record *ask)
+{
+	const struct claim_record *record = find(bucket, &ask->key);
+
+	if (!record)
+		return CLAIM_DECISION_ABSENT;
+	if (memcmp(record->body_hash, ask->body_hash,
+		   sizeof(record->body_hash)))
+		return CLAIM_DECISION_KEY_REUSED;
+	if (record->phase == CLAIM_PHASE_DONE)
+		return CLAIM_DECISION_DONE;
+	if (record->phase == CLAIM_PHASE_LOST)
+		return CLAIM_DECISION_LOST;
+	if (claim_owner_equals(&record->owner, &ask->owner))
+		return CLAIM_DECISION_GRANTED;
+	return CLAIM_DECISION_RUNNING;
+}
+
+enum claim_decision claim_bucket_claim(struct claim_bucket *bucket,
+				       const struct claim_record *ask,
+				       bool *changed)
+{
+	enum claim_decision decision = claim_bucket_look_up(bucket, ask);
+	struct claim_record *record;
+
+	if (decision != CLAIM_DECISION_ABSENT)
+		return decision;
+	if (!has_room(bucket, size_of(ask)))
+		return CLAIM_DECISION_FULL;
+	record = append(bucket);
+	*record = *ask;
+	record->phase = CLAIM_PHASE_RUNNING;
+	memset(&record->result, 0, sizeof(record->result));
+	bucket->packed_bytes += size_of(record);
+	*changed = true;
+	return CLAIM_DECISION_GRANTED;
+}
+
+static void set_end(struct claim_bucket *bucket, struct claim_record *record,
+		    const struct claim_record *end)
+{
+	bucket->packed_bytes -= size_of(record);
+	record->phase = end->phase;
+	claim_result_clear(&record->result);
+	claim_result_copy(&record->result, &end->result);
+	if (!has_room(bucket, size_of(record)) && record->result.body) {
+		free(record->result.body);
+		record->result.body = NULL;
+		record->result.body_size = 0;
+		record->result.body_not_kept = true;
+	}
+	bucket->packed_bytes += size_of(record);
+}
+
+void claim_bucket_end(struct claim_bucket *bucket,
+		      const struct claim_record *end, bool insert,
+		      bool *changed)
+{
+	struct claim_record *record = find(bucket, &end->key);
+
+	if (!record && insert && has_room(bucket, size_of(end))) {
+		record = append(bucket);
+		*record = *end;
+		record->phase = CLAIM_PHASE_RUNNING;
+		memset(&record->result, 0, sizeof(record->result));
+		bucket->packed_bytes += size_of(record);
+	}
+	if (!record || record->phase != CLAIM_PHASE_RUNNING ||
+	    !claim_owner_equals(&record->owner, &end->owner))
+		return;
+	*changed = true;
+	if (end->phase == CLAIM_PHASE_RUNNING)
+		remove_record(bucket, record);
+	else
+		set_end(bucket, record, end);
+}
+
+void claim_bucket_expire(struct claim_bucket *bucket, int64_t wall_us,
+			 int64_t keep_us, bool *changed)
+{
+	for (size_t i = bucket->count; i > 0; i--) {
+		struct claim_record *record = &bucket->records[i - 1];
+		int64_t kept_us = record->phase == CLAIM_PHASE_RUNNING
+					  ? 2 * keep_us
+					  : keep_us;
+
+		if (wall_us - record->wall_us <= kept_us)
+			continue;
+		remove_record(bucket, record);
+		*changed = true;
+	}
+}
+
+static int write_buffer(void *data, const char *bytes, size_t size)
+{
+	buffer_add(data, bytes, size);
+	return 0;
+}
+
+void claim_bucket_pack(const struct claim_bucket *bucket, struct buffer *value)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, value, write_buffer);
+	msgpack_pack_array(&packer, VALUE_FIELDS);
+	msgpack_pack_uint64(&packer, FORMAT_VERSION);
+	msgpack_pack_uint64(&packer, bucket->writer_incarnation);
+	msgpack_pack_uint64(&packer, bucket->writer_sequence);
+	msgpack_pack_array(&packer, bucket->count);
+	for (size_t i = 0; i < bucket->count; i++)
+		claim_record_pack(&bucket->records[i], &packer);
+}
+
+static bool unpack_records(struct claim_bucket *bucket,
+			   const msgpack_object *object)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	for (size_t i = 0; i < object->via.array.size; i++) {
+		struct claim_record *record = append(bucket);
+
+		if (!claim_record_unpack(record, &object->via.array.ptr[i]))
+			return false;
+		bucket->packed_bytes += size_of(record);
+	}
+	return true;
+}
+
+static enum tgw_status unpack_value(struct claim_bucket *bucket,
+				    const msgpack_object *object)
+{
+	const msgpack_object *fields = msgpack_field_array(object, 1);
+	uint64_t version;
+
+	if (!fields || !msgpack_field_u64(&fields[0], &version))
+		return TGW_CORRUPT;
+	if (version > FORMAT_VERSION)
+		return TGW_NEWER_FORMAT;
+	fields = msgpack_field_array(object, VALUE_FIELDS);
+	if (!fields ||
+	    !msgpack_field_u64(&fields[1], &bucket->writer_incarnation) ||
+	    !msgpack_field_u64(&fields[2], &bucket->writer_sequence) ||
+	    !unpack_records(bucket, &fields[3]))
+		return TGW_CORRUPT;
+	return TGW_OK;
+}
+
+enum tgw_status claim_bucket_unpack(struct claim_bucket *bucket,
+				    const void *value, size_t size,
+				    struct tgw_error *error)
+{
+	enum tgw_status status = TGW_CORRUPT;
+	msgpack_unpacked unpacked;
+
+	claim_bucket_clear(bucket);
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, value, size, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		status = unpack_value(bucket, &unpacked.data);
+	msgpack_unpacked_destroy(&unpacked);
+	if (!status)
+		return TGW_OK;
+	claim_bucket_clear(bucket);
+	return tgw_error_set(error, status,
+			     status == TGW_NEWER_FORMAT
+				     ? "claims were written by a newer "
+				       "version; upgrade this program"
+				     : "claims do not decode; restore the key "
+				       "from a backup: without it calls could "
+				       "run twice");
+}
--- /dev/null
+++ b/src/state/claim_message.h
@@ -0,0 +1,50 @@
+/**
+ * @file claim_message.h
+ * What hosts tell each other about calls that may not be repeated.
+ */
+#ifndef STATE_CLAIM_MESSAGE_H
+#define STATE_CLAIM_MESSAGE_H
+
+#include "base/buffer.h"
+#include "state/claim_record.h"
+
+enum claim_message_kind {
+	CLAIM_ASK,   /**< may this ask run the call? */
+	CLAIM_TELL,  /**< the answer to an ask */
+	CLAIM_END,   /**< how a granted call ended */
+	CLAIM_ENDED, /**< the end is recorded */
+	CLAIM_CHECK, /**< does this ask still run? */
+	CLAIM_KIND_COUNT
+};
+
+/** Whose word decides an ask. */
+enum claim_authority {
+	CLAIM_BY_STORE,	 /**< the record in the store */
+	CLAIM_BY_ISSUER, /**< the process that issued the ticket */
+	CLAIM_BY_RECORD, /**< the issuer is gone: only what is recorded */
+	CLAIM_AUTHORITY_COUNT
+};
+
+struct claim_message {
+	enum claim_message_kind kind;
+	enum claim_authority authority; /**< ASK, END */
+	uint64_t serial;		/**< of the ticket */
+	char team[TGW_NAME_SIZE];	/**< of the ticket's user */
+	/** Key, body and ask; of an END also the phase and the result, where
+	 * RUNNING means that no byte was sent. */
+	struct claim_record record;
+	enum tgw_claim_state state; /**< TELL */
+	bool earlier_attempt_known; /**< TELL */
+	int64_t retry_after_us;	    /**< TELL */
+};
+
+void claim_message_pack(const struct claim_message *message,
+			struct buffer *payload);
+
+/** @return whether it decodes; to be cleared in any case */
+bool claim_message_unpack(struct claim_message *message, const void *payload,
+			  size_t size);
+
+void claim_message_clear(struct claim_message *message);
+
+#endif
--- a/src/state/quarantine_table.h
+++ b/src/state/quarantine_table.h
@@ -31,7 +31,9 @@
 	uint64_t epoch;
 	size_t crash_count;
 	struct quarantine_crash crashes[QUARANTINE_CRASHES_MAX];
-	int64_t learnt_us; /**< on this host's monotonic clock; not exchanged */
+	/* Not exchanged: */
+	int64_t learnt_us; /**< on this host's monotonic clock */
+	bool is_own_news;  /**< the change happened at this host */
 };
 
 struct quarantine_table {
--- a/src/state/route_choice.c
+++ b/src/state/route_choice.c
@@ -14,6 +14,10 @@
 #define HOME_BLOCK_MAX 4
 /* Slots that writes leave free for reads, as a divisor. */
 #define READ_RESERVE_DIVISOR 4
+/* A write that waited this long may use those slots too. */
+#define WRITE_PATIENCE_US (INT64_C(500) * TGW_US_PER_MS)
+/* A failure since the last success weighs as much as this load. */
+#define LOAD_PER_FAILURE 4
 
 struct candidates {
 	size_t count;
@@ -35,7 +39,9 @@
 {
 	return server_state_takes_work(state) &&
 	       !server_state_is_ejected(state, now_us) &&
-	       !is_excluded(request, state->server.name);
+	       !is_excluded(request, state->server.name) &&
+	       (!*request->required_server ||
+		!strcmp(request->required_server, state->server.name));
 }
 
 /* Urgent work may wait in the server's own queue, which honours priorities;
@@ -56,7 +62,8 @@
 }
 
 static bool has_room(const struct server_state *state,
-		     const struct tgw_route_request *request, int64_t now_us)
+		     const struct tgw_route_request *request, int64_t now_us,
+		     int64_t waited_us)
 {
 	int64_t slots = server_state_slots(state, now_us);
 	int64_t load = server_state_load(state);
@@ -66,9 +73,9 @@
 
 		if (!request->is_write)
 			return load < 2 * slots;
-		return load < slots &&
-		       (state->writes_in_flight < slots - reserve ||
-			!state->writes_in_flight);
+		if (waited_us >= WRITE_PATIENCE_US)
+			return load < slots;
+		return load < slots - reserve || !load;
 	}
 	if (request->urgency == TGW_URGENCY_BATCH && !load)
 		return true;
@@ -97,7 +104,7 @@
 			continue;
 		allowed++;
 		if (roomy->count < ELIGIBLE_MAX &&
-		    has_room(state, request, choice->now_us))
+		    has_room(state, request, choice->now_us, choice->waited_us))
 			roomy->states[roomy->count++] = state;
 	}
 	return allowed;
@@ -118,6 +125,7 @@
 	int64_t load = server_state_load(state);
 	int64_t over = load > slots ? load - slots : 0;
 
+	load += LOAD_PER_FAILURE * state->failures_in_a_row;
 	return (load + 4 * over) * BLOCKS_PER_LOAD * WHOLE_BLOCK -
 	       match(state, request);
 }
--- a/src/state/route_choice.h
+++ b/src/state/route_choice.h
@@ -20,6 +20,7 @@
 	const char *failure_domain; /**< whose servers come first */
 	struct tgw_random *random;
 	int64_t now_us;
+	int64_t waited_us; /**< by the attempt */
 };
 
 /** Why no server was picked. */
--- a/src/state/server_state.c
+++ b/src/state/server_state.c
@@ -115,19 +115,15 @@
 	return ramped > 1 ? ramped : 1;
 }
 
-void server_state_on_start(struct server_state *state, bool is_write,
-			   int64_t now_us)
+void server_state_on_start(struct server_state *state, int64_t now_us)
 {
 	state->in_flight++;
-	state->writes_in_flight += is_write;
 	note(&state->started, now_us);
 }
 
-void server_state_on_finish(struct server_state *state, bool is_write,
-			    int64_t now_us)
+void server_state_on_finish(struct server_state *state, int64_t now_us)
 {
 	state->in_flight--;
-	state->writes_in_flight -= is_write;
 	note(&state->finished, now_us);
 }
 
--- a/src/state/server_state.h
+++ b/src/state/server_state.h
@@ -26,7 +26,6 @@
 	bool configured;	  /**< false: removed, but with work running */
 	bool leaving;		  /**< by the platform's list */
 	int64_t in_flight;	  /**< of this router */
-	int64_t writes_in_flight;
 	bool has_report;
 	struct tgw_load_report report;
 	struct server_recent started;
@@ -60,11 +59,9 @@
 /** Slots that may be used now; fewer during a slow start. */
 int64_t server_state_slots(const struct server_state *state, int64_t now_us);
 
-void server_state_on_start(struct server_state *state, bool is_write,
-			   int64_t now_us);
+void server_state_on_start(struct server_state *state, int64_t now_us);
 
-void server_state_on_finish(struct server_state *state, bool is_write,
-			    int64_t now_us);
+void server_state_on_finish(struct server_state *state, int64_t now_us);
 
 /** @return whether the failures now call for an ejection */
 bool server_state_on_failure(struct server_state *state);
