Add the operators' tool: publish, show, roll back, audit

Operators need one tool that works with every host down: it talks to the store, and to hosts for their status only. Options may stand anywhere; each command reads its own words. A change is checked as a whole, shown on a dry run, and committed by one compare-and-swap; a lost answer is settled by reading back and swapping the same bytes again, so that it lands once.

Audit entries are found in any stored value by their shape, so that the tool needs no codec of the ledger or the quarantine.

--- a/include/tamarackgw/config_snapshot.h
+++ b/include/tamarackgw/config_snapshot.h
@@ -27,6 +27,9 @@
 	TGW_URGENCY_COUNT
 };
 
+/** @return "immediate", "high", "normal" or "batch" */
+const char *tgw_urgency_name(enum tgw_urgency urgency);
+
 /** A short list of names. */
 struct tgw_name_list {
 	size_t count;
--- /dev/null
+++ b/src/ctl/audit_scan.c
@@ -0,0 +1,152 @@
+#include "ctl/audit_scan.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "state/config_manifest.h"
+
+#define DEPTH_MAX 8
+
+/* Shortest packed value that could hold an entry. */
+#define ENTRY_LEAST_BYTES 100
+
+static const char *const places[] = {
+	CONFIG_MANIFEST_KEY,
+	"tgw/audit/",
+	"tgw/ledger/",
+	"tgw/quarantine/",
+};
+
+static void add_entry(struct audit_scan *scan, const char *key,
+		      const struct audit_entry *entry)
+{
+	struct audit_found *found;
+
+	scan->found = xrealloc(scan->found,
+			       (scan->count + 1) * sizeof(scan->found[0]));
+	found = &scan->found[scan->count++];
+	memset(found, 0, sizeof(*found));
+	found->entry = *entry;
+	snprintf(found->key, sizeof(found->key), "%s", key);
+	found->altered = audit_entry_verify(entry, NULL, NULL) != TGW_OK;
+}
+
+static void scan_object(struct audit_scan *scan, const char *key,
+			const msgpack_object *object, int depth)
+{
+	struct audit_entry entry;
+	const msgpack_object_array *array = &object->via.array;
+
+	if (depth == DEPTH_MAX)
+		return;
+	if (object->type == MSGPACK_OBJECT_BIN) {
+		if (object->via.bin.size >= ENTRY_LEAST_BYTES)
+			audit_scan_value(scan, key, object->via.bin.ptr,
+					 object->via.bin.size);
+		return;
+	}
+	if (object->type != MSGPACK_OBJECT_ARRAY)
+		return;
+	if (audit_entry_unpack(&entry, object, NULL) == TGW_OK) {
+		add_entry(scan, key, &entry);
+		return;
+	}
+	for (size_t i = 0; i < array->size; i++)
+		scan_object(scan, key, &array->ptr[i], depth + 1);
+}
+
+void audit_scan_value(struct audit_scan *scan, const char *key,
+		      const void *value, size_t size)
+{
+	msgpack_unpacked unpacked;
+	size_t end = 0;
+
+	msgpack_unpacked_init(&unpacked);
+	/* Entries may stand one after the other, without an array. */
+	while (end < size &&
+	       msgpack_unpack_next(&unpacked, value, size, &end) ==
+		       MSGPACK_UNPACK_SUCCESS)
+		scan_object(scan, key, &unpacked.data, 0);
+	msgpack_unpacked_destroy(&unpacked);
+}
+
+static void take_value(void *arg, const char *key, const void *value,
+		       size_t size, int64_t version)
+{
+	if (value)
+		audit_scan_value(arg, key, value, size);
+}
+
+static int compare_found(const void *a, const void *b)
+{
+	const struct audit_entry *left =
+		&((const struct audit_found *)a)->entry;
+	const struct audit_entry *right =
+		&((const struct audit_found *)b)->entry;
+
+	if (left->wall_us != right->wall_us)
+		return left->wall_us < right->wall_us ? -1 : 1;
+	if (left->sequence != right->sequence)
+		return left->sequence < right->sequence ? -1 : 1;
+	return memcmp(left->hash, right->hash, AUDIT_HASH_BYTES);
+}
+
+static int compare_hashes(const void *a, const void *b)
+{
+	return memcmp(*(const uint8_t *const *)a, *(const uint8_t *const *)b,
+		      AUDIT_HASH_BYTES);
+}
+
+static void mark_orphans(struct audit_scan *scan)
+{
+	const uint8_t **hashes = xcalloc(scan->count, sizeof(hashes[0]));
+
+	for (size_t i = 0; i < scan->count; i++)
+		hashes[i] = scan->found[i].entry.hash;
+	if (scan->count > 1)
+		qsort(hashes, scan->count, sizeof(hashes[0]), compare_hashes);
+	for (size_t i = 0; i < scan->count; i++) {
+		struct audit_found *found = &scan->found[i];
+		const uint8_t *wanted = found->entry.previous_hash;
+
+		found->orphaned = found->entry.sequence > 1 &&
+				  !bsearch(&wanted, hashes, scan->count,
+					   sizeof(hashes[0]), compare_hashes);
+	}
+	free(hashes);
+}
+
+void audit_scan_finish(struct audit_scan *scan)
+{
+	size_t kept = 0;
+
+	if (scan->count > 1)
+		qsort(scan->found, scan->count, sizeof(scan->found[0]),
+		      compare_found);
+	for (size_t i = 0; i < scan->count; i++)
+		if (!kept ||
+		    compare_found(&scan->found[kept - 1], &scan->found[i]) != 0)
+			scan->found[kept++] = scan->found[i];
+	scan->count = kept;
+	mark_orphans(scan);
+}
+
+enum tgw_status audit_scan_run(struct audit_scan *scan, struct ctl *ctl,
+			       struct tgw_error *error)
+{
+	enum tgw_status status = TGW_OK;
+
+	for (size_t i = 0;
+	     i < sizeof(places) / sizeof(places[0]) && status == TGW_OK; i++)
+		status = ctl_list(ctl, places[i], take_value, scan, error);
+	audit_scan_finish(scan);
+	return status;
+}
+
+void audit_scan_clear(struct audit_scan *scan)
+{
+	free(scan->found);
+	memset(scan, 0, sizeof(*scan));
+}
--- /dev/null
+++ b/src/ctl/config_file.c
@@ -0,0 +1,130 @@
+#include "ctl/config_file.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "state/config_rules.h"
+
+#define CHUNK_BYTES 65536
+
+static bool read_text(struct buffer *text, const char *path)
+{
+	char chunk[CHUNK_BYTES];
+	bool is_input = !strcmp(path, "-");
+	FILE *file = is_input ? stdin : fopen(path, "re");
+	size_t size;
+
+	if (!file) {
+		fprintf(stderr, "tamarackgwctl: %s: %s\n", path,
+			strerror(errno));
+		return false;
+	}
+	while ((size = fread(chunk, 1, sizeof(chunk), file)) > 0)
+		buffer_add(text, chunk, size);
+	if (!is_input)
+		fclose(file);
+	return true;
+}
+
+static bool print_errors(const struct config_ini *ini)
+{
+	for (size_t i = 0; i < ini->error_count; i++)
+		fprintf(stderr, "%s\n", ini->errors[i]);
+	return ini->error_count > 0;
+}
+
+bool config_file_read(struct config_file *file, const char *path)
+{
+	memset(file, 0, sizeof(*file));
+	if (!read_text(&file->text, path))
+		return false;
+	if (!file->text.size)
+		buffer_add_text(&file->text, "");
+	config_ini_parse(&file->ini, path, file->text.data, file->text.size);
+	if (!file->ini.error_count && !file->ini.section_count)
+		config_ini_add_error(&file->ini, 1,
+				     "there is no section; write such as "
+				     "[team NAME]");
+	return !print_errors(&file->ini);
+}
+
+static struct config_object *join_team(const struct config_object *team,
+				       const struct config_object *before)
+{
+	struct tgw_team joined = *team->team;
+
+	joined.key_count = before->team->key_count;
+	memcpy(joined.key_hashes, before->team->key_hashes,
+	       sizeof(joined.key_hashes));
+	return config_object_from_team(&joined, team->parameters);
+}
+
+static struct config_object *join_server(const struct config_object *server,
+					 const struct config_object *before)
+{
+	struct tgw_server joined = *server->server;
+
+	joined.draining = before->server->draining;
+	return config_object_from_server(&joined);
+}
+
+/* Keeps what the section says nothing of. */
+static struct config_object *join(const struct config_ini_section *section,
+				  const struct config_set *set)
+{
+	struct config_object *object = section->object;
+	const struct config_object *before =
+		config_set_find(set, object->kind, object->name);
+
+	if (before && object->kind == CONFIG_TEAM && !section->has_keys)
+		return join_team(object, before);
+	if (before && object->kind == CONFIG_SERVER && !section->has_draining)
+		return join_server(object, before);
+	return config_object_ref(object);
+}
+
+static void check_whole(struct config_file *file,
+			const struct config_repository *repository,
+			const struct config_proposal *proposal)
+{
+	struct config_set after = {0};
+	const struct config_object *offender = NULL;
+	const struct config_ini_section *section = NULL;
+	struct tgw_error error;
+
+	config_set_copy(&after, &repository->set);
+	for (size_t i = 0; i < proposal->wanted.count; i++)
+		config_set_put(&after,
+			       config_object_ref(proposal->wanted.objects[i]));
+	if (config_rules_check_set(&after, &offender, &error) != TGW_OK) {
+		if (offender)
+			section = config_ini_find(&file->ini, offender);
+		config_ini_add_error(&file->ini, section ? section->line : 1,
+				     "%s", error.message);
+	}
+	config_set_clear(&after);
+}
+
+bool config_file_propose(struct config_file *file,
+			 const struct config_repository *repository,
+			 const bool kinds[CONFIG_KIND_COUNT],
+			 struct config_proposal *proposal)
+{
+	for (size_t i = 0; i < file->ini.section_count; i++) {
+		const struct config_ini_section *section =
+			&file->ini.sections[i];
+
+		if (kinds[section->object->kind])
+			config_proposal_put(proposal, repository,
+					    join(section, &repository->set));
+	}
+	check_whole(file, repository, proposal);
+	return !print_errors(&file->ini);
+}
+
+void config_file_clear(struct config_file *file)
+{
+	config_ini_clear(&file->ini);
+	buffer_free(&file->text);
+}
--- /dev/null
+++ b/src/state/config_ini.h
@@ -0,0 +1,54 @@
+/**
+ * @file config_ini.h
+ * The INI form in which operators write configuration objects. Sections are
+ * [template NAME], [team NAME], [server NAME] and [service NAME].
+ */
+#ifndef STATE_CONFIG_INI_H
+#define STATE_CONFIG_INI_H
+
+#include <stddef.h>
+
+#include "base/buffer.h"
+#include "state/config_set.h"
+
+#define CONFIG_INI_ERROR_SIZE 512
+
+/** One section of a file. */
+struct config_ini_section {
+	struct config_object *object;
+	int line;
+	bool has_keys;	   /**< a team's section names key hashes */
+	bool has_draining; /**< a server's section says whether it drains */
+};
+
+/** A file that was read. */
+struct config_ini {
+	const char *file;
+	size_t section_count;
+	struct config_ini_section *sections;
+	size_t error_count;
+	char (*errors)[CONFIG_INI_ERROR_SIZE]; /**< "FILE:LINE: message" */
+};
+
+/**
+ * Reads a whole file and collects all errors.
+ * @param file named in the errors; must outlive the result
+ * @return false when there are errors
+ */
+bool config_ini_parse(struct config_ini *ini, const char *file,
+		      const char *text, size_t size);
+
+/** Adds an error at a line. */
+void config_ini_add_error(struct config_ini *ini, int line, const char *format,
+			  ...) __attribute__((format(printf, 3, 4)));
+
+/** @return the section of an object, or NULL */
+const struct config_ini_section *config_ini_find(
+	const struct config_ini *ini, const struct config_object *of);
+
+void config_ini_clear(struct config_ini *ini);
+
+/** Writes an object as a section, from which it can be read again. */
+void config_ini_write(const struct config_object *object, struct buffer *text);
+
+#endif
