--- a/src/ctl/config_commands.c
+++ b/src/ctl/config_commands.c
@@ -19,7 +19,6 @@
 static enum ctl_exit run_check(struct ctl *ctl, int argc, char **argv)
 {
 	struct config_file file;
-	struct tgw_error error;
 	enum ctl_exit result = CTL_EXIT_FAILED;
 
 	if (argc != 1)
@@ -34,16 +33,22 @@
 			       file.ini.section_count);
 	}
 	config_file_clear(&file);
-	tgw_error_clear(&error);
 	return result;
 }
 
+static const char *base_name(const char *path)
+{
+	const char *slash = strrchr(path, '/');
+
+	return slash ? slash + 1 : path;
+}
+
 static enum ctl_exit publish_file(struct ctl *ctl, const char *path,
 				  const bool *kinds)
 {
 	struct config_proposal proposal = {
 		.action = "config.publish",
-		.object = path,
+		.object = base_name(path),
 	};
 	struct config_repository repository = {0};
 	struct config_file file;
