--- a/src/daemon/pages.c
+++ b/src/daemon/pages.c
@@ -10,6 +10,8 @@
 #include "daemon/log.h"
 #include "daemon/metrics_page.h"
 #include "daemon/status_page.h"
+#include "state/operator_keys.h"
+#include "transport/secret_file.h"
 
 #define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
@@ -178,17 +180,47 @@
 	return HTTP_OK;
 }
 
-static int32_t serve_operator(struct pages *pages, const char *method,
-			      const char *path, const char *body, size_t size,
-			      struct buffer *answer, const char **type)
+static int32_t serve_status(const struct pages *pages, struct buffer *answer,
+			    const char **type)
+{
+	*type = "application/json";
+	return write_on_coordination(pages, write_status, answer);
+}
+
+static bool is_operator(const struct pages *pages, const char *authorization,
+			enum operator_role role, struct buffer *answer)
 {
-	if (!strcmp(path, "/status") && !strcmp(method, "GET")) {
-		*type = "application/json";
-		return write_on_coordination(pages, write_status, answer);
+	if (!pages->operators) {
+		buffer_add_text(answer,
+				"operators' pages are off; name a file in "
+				"[security] operator_keys_file\n");
+		return false;
 	}
-	if (!strcmp(path, "/log-level") && !strcmp(method, "POST"))
-		return serve_log_level(body, size, answer);
-	return 0;
+	if (operator_keys_check(pages->operators, authorization, role))
+		return true;
+	buffer_add_format(answer, "needs the key of an operator as %s\n",
+			  operator_role_name(role));
+	return false;
+}
+
+static int32_t serve_operator(const struct pages *pages, const char *method,
+			      const char *path, const char *authorization,
+			      const char *body, size_t size,
+			      struct buffer *answer, const char **type)
+{
+	bool is_status = !strcmp(path, "/status") && !strcmp(method, "GET");
+	bool is_log_level = !strcmp(path, "/log-level") &&
+			    !strcmp(method, "POST");
+	enum operator_role role = is_status ? OPERATOR_VIEWER
+					    : OPERATOR_OPERATOR;
+
+	if (!is_status && !is_log_level)
+		return 0;
+	if (!is_operator(pages, authorization, role, answer))
+		return HTTP_FORBIDDEN;
+	if (is_status)
+		return serve_status(pages, answer, type);
+	return serve_log_level(body, size, answer);
 }
 
 static int32_t serve(void *arg, const char *method, const char *path,
@@ -205,8 +237,28 @@
 		return serve_readiness(pages, answer);
 	if (!strcmp(path, "/metrics"))
 		return write_on_coordination(pages, write_metrics, answer);
-	return serve_operator(pages, method, path, body, body_size, answer,
-			      content_type);
+	return serve_operator(pages, method, path, authorization, body,
+			      body_size, answer, content_type);
+}
+
+static enum tgw_status read_operators(struct pages *pages,
+				      struct tgw_error *error)
+{
+	const char *path = pages->runtime->settings->operator_keys_file;
+	struct buffer content = {0};
+	enum tgw_status status;
+
+	if (!*path)
+		return TGW_OK;
+	status = secret_file_read(path, &content, error);
+	if (status == TGW_OK) {
+		pages->operators = operator_keys_parse(path, content.data,
+						       content.size, error);
+		if (!pages->operators)
+			status = error->status;
+	}
+	buffer_free(&content);
+	return status;
 }
 
 struct pages *pages_new(struct runtime *runtime, const struct etcd_store *etcd,
@@ -219,11 +271,18 @@
 	pages->etcd = etcd;
 	pages->channel = channel;
 	pages_note_alive(pages);
+	if (read_operators(pages, error) != TGW_OK) {
+		pages_free(pages);
+		return NULL;
+	}
 	return pages;
 }
 
 void pages_free(struct pages *pages)
 {
+	if (!pages)
+		return;
+	operator_keys_free(pages->operators);
 	free(pages);
 }
 
--- a/src/transport/zmq_channel_keys.c
+++ b/src/transport/zmq_channel_keys.c
@@ -1,52 +1,36 @@
-#include "transport/zmq_channel.h"
-
-#include <stdio.h>
 #include <string.h>
-#include <sys/stat.h>
 
-static bool read_key(FILE *file, char key[ZMQ_CHANNEL_KEY_SIZE])
+#include "transport/secret_file.h"
+#include "transport/zmq_channel.h"
+
+/* Takes one line off the text. */
+static bool take_key(const char **text, char key[ZMQ_CHANNEL_KEY_SIZE])
 {
-	char line[ZMQ_CHANNEL_KEY_SIZE + 2];
+	size_t length = strcspn(*text, "\r\n");
 
-	if (!fgets(line, sizeof(line), file))
+	if (length != ZMQ_CHANNEL_KEY_SIZE - 1)
 		return false;
-	line[strcspn(line, "\r\n")] = '\0';
-	if (strlen(line) != ZMQ_CHANNEL_KEY_SIZE - 1)
-		return false;
-	memcpy(key, line, ZMQ_CHANNEL_KEY_SIZE);
+	memcpy(key, *text, length);
+	key[length] = '\0';
+	*text += length;
+	*text += strspn(*text, "\r\n");
 	return true;
 }
 
 enum tgw_status zmq_channel_keys_read(struct zmq_channel_keys *keys,
 				      const char *path, struct tgw_error *error)
 {
-	enum tgw_status status = TGW_OK;
-	struct stat info;
-	FILE *file = fopen(path, "r");
+	struct buffer content = {0};
+	enum tgw_status status = secret_file_read(path, &content, error);
+	const char *text = content.data ? content.data : "";
 
-	if (!file || fstat(fileno(file), &info)) {
-		status = tgw_error_set(error, TGW_NOT_FOUND,
-				       "can't read the peer key file %s; "
-				       "check [security] peer_secret_file",
-				       path);
-		goto done;
-	}
-	if (info.st_mode & (S_IRWXG | S_IRWXO)) {
-		status = tgw_error_set(error, TGW_DENIED,
-				       "the peer key file %s is open to "
-				       "group or others; run chmod 600 on it",
-				       path);
-		goto done;
-	}
-	if (!read_key(file, keys->public_key) ||
-	    !read_key(file, keys->secret_key))
+	if (status == TGW_OK && (!take_key(&text, keys->public_key) ||
+				 !take_key(&text, keys->secret_key)))
 		status = tgw_error_set(error, TGW_INVALID,
 				       "the peer key file %s needs two lines "
 				       "of 40 characters, public key then "
 				       "secret key",
 				       path);
-done:
-	if (file)
-		fclose(file);
+	buffer_free(&content);
 	return status;
 }
