Check every order of events around a claim on a small model

Cause: the argument that no schedule of partition, pause, death and retry runs a call twice has to be more than an argument.

Change: a unit test explores all orders for five asks of three processes, one of which dies, with claim_bucket and claim_ticket deciding: messages that are lost, late or doubled, writes decided on any value, grants that come after their ask was given up. A look-up by record can no longer grant.

--- a/src/coordination/claim_keeper.c
+++ b/src/coordination/claim_keeper.c
@@ -310,6 +310,17 @@
 	buffer_free(&value);
 }
 
+/* A look-up never grants. */
+static enum claim_decision look_up(const struct keeper_bucket *bucket,
+				   const struct claim_record *ask)
+{
+	enum claim_decision decision =
+		claim_bucket_look_up(&bucket->value, ask);
+
+	return decision == CLAIM_DECISION_GRANTED ? CLAIM_DECISION_RUNNING
+						  : decision;
+}
+
 /* Decides what waits, by the value as it is known here. */
 static bool decide(struct keeper_bucket *bucket)
 {
@@ -328,8 +339,7 @@
 			operation->decision = claim_bucket_claim(
 				&bucket->value, &message->record, &changed);
 		else
-			operation->decision = claim_bucket_look_up(
-				&bucket->value, &message->record);
+			operation->decision = look_up(bucket, &message->record);
 	}
 	if (changed)
 		claim_bucket_expire(
--- /dev/null
+++ b/tests/unit/test_claim_model.c
@@ -0,0 +1,464 @@
+/*
+ * Explores every order of asks, store writes, lost, late and doubled
+ * messages, pauses, deaths and retries around one call, with the rules of
+ * claim_bucket and claim_ticket deciding, and counts how often it runs.
+ *
+ * A message that was sent once may arrive at any later time, any number of
+ * times, or never: so each sent message stays in the state as a bit. A
+ * compare-and-swap applies only to the version that it was decided on, so
+ * that deciding and applying are one step; a paused process just takes no
+ * step for a while.
+ */
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "state/claim_bucket.h"
+#include "state/claim_ticket.h"
+#include "unit/unit_main.h"
+
+#define OWNERS 5
+#define TABLE_SLOTS (1 << 22)
+#define VALUES (1 + 3 * OWNERS)
+#define ISSUER_HOST 0
+
+/* Asks of two processes of host 0, which dies once, and of one of host 1. */
+static const struct {
+	int host;
+	int incarnation;
+} owners[OWNERS] = {{0, 1}, {0, 1}, {1, 1}, {1, 1}, {0, 2}};
+
+enum phase { NEW, ASKING, GIVEN_UP, GRANTED, SENT, ENDED };
+
+enum authority { BY_STORE, BY_TICKET };
+
+/* What is broken on purpose, to see the check find it. */
+enum fault {
+	NO_FAULT,
+	GRANT_BEFORE_STORED,
+	WRITE_WITHOUT_COMPARE,
+	LATE_GRANT_RUNS,
+	NOT_SENT_AFTER_SENT,
+	CLAIM_OF_DEAD_OWNER_REUSED,
+	TICKET_OF_DEAD_ISSUER_CLAIMED,
+	TICKET_RUNS_UNASKED,
+};
+
+/* A record as a number: 0 for none, else phase * OWNERS + owner + 1. */
+struct state {
+	uint8_t phases[OWNERS];
+	uint8_t stored; /**< the store's record */
+	uint8_t memory; /**< the issuer's record of its ticket */
+	uint8_t dead;	/**< host 0's first process has died */
+	uint8_t runs;
+	uint8_t unused[3]; /**< states are compared as bytes */
+	uint32_t granted;  /**< owners whose grant was ever true */
+	uint32_t not_sent; /**< owners that ever said so */
+	uint32_t done;
+	uint32_t lost;
+	uint32_t values; /**< all records that the store ever held */
+};
+
+struct exploration {
+	enum authority authority;
+	enum fault fault;
+	struct state *states; /**< in order of discovery */
+	uint32_t *slots;      /**< index into states, plus one */
+	size_t count;
+	int most_runs;
+	bool false_record; /**< "recorded" of a call that never ran */
+};
+
+static uint8_t number_of(enum claim_phase phase, int owner)
+{
+	return (uint8_t)(phase * OWNERS + owner + 1);
+}
+
+static struct claim_record record_of(uint8_t number)
+{
+	struct claim_record record = {
+		.phase = (enum claim_phase)((number - 1) / OWNERS)};
+	int owner = (number - 1) % OWNERS;
+
+	record.owner.host[0] = (char)('a' + owners[owner].host);
+	record.owner.incarnation = (uint64_t)owners[owner].incarnation;
+	record.owner.ask_id = (uint64_t)owner + 1;
+	return record;
+}
+
+static uint8_t number_of_record(const struct claim_record *record)
+{
+	return number_of(record->phase, (int)record->owner.ask_id - 1);
+}
+
+static uint64_t hash_of(const struct state *state)
+{
+	const uint8_t *bytes = (const uint8_t *)state;
+	uint64_t hash = 14695981039346656037U;
+
+	for (size_t i = 0; i < sizeof(*state); i++)
+		hash = (hash ^ bytes[i]) * 1099511628211U;
+	return hash ^ (hash >> 29);
+}
+
+static void discover(struct exploration *exploration, const struct state *state)
+{
+	size_t at = hash_of(state) % TABLE_SLOTS;
+
+	while (exploration->slots[at]) {
+		if (!memcmp(&exploration->states[exploration->slots[at] - 1],
+			    state, sizeof(*state)))
+			return;
+		at = (at + 1) % TABLE_SLOTS;
+	}
+	ck_assert_uint_lt(exploration->count, TABLE_SLOTS / 2);
+	exploration->states[exploration->count++] = *state;
+	exploration->slots[at] = (uint32_t)exploration->count;
+	if (state->runs > exploration->most_runs)
+		exploration->most_runs = state->runs;
+}
+
+static bool is_up(const struct state *state, int owner)
+{
+	if (owners[owner].host != ISSUER_HOST)
+		return true;
+	return owners[owner].incarnation == (state->dead ? 2 : 1);
+}
+
+static void fill_bucket(struct claim_bucket *bucket, uint8_t number)
+{
+	bool changed;
+	struct claim_record record;
+
+	if (!number)
+		return;
+	record = record_of(number);
+	claim_bucket_claim(bucket, &record, &changed);
+	if (record.phase != CLAIM_PHASE_RUNNING)
+		claim_bucket_end(bucket, &record, false, &changed);
+}
+
+static uint8_t number_of_bucket(const struct claim_bucket *bucket)
+{
+	return bucket->count ? number_of_record(&bucket->records[0]) : 0;
+}
+
+static void store(struct state *state, uint8_t number)
+{
+	state->stored = number;
+	state->values |= 1U << number;
+}
+
+/* An ask is decided on a value and written. */
+static void claim_in_store(struct exploration *exploration,
+			   const struct state *from, int owner, uint8_t value)
+{
+	struct claim_record ask =
+		record_of(number_of(CLAIM_PHASE_RUNNING, owner));
+	struct claim_bucket bucket = {0};
+	struct state next = *from;
+	bool changed = false;
+	enum claim_decision decision;
+
+	fill_bucket(&bucket, value);
+	decision = claim_bucket_claim(&bucket, &ask, &changed);
+	if (exploration->fault == CLAIM_OF_DEAD_OWNER_REUSED &&
+	    decision == CLAIM_DECISION_RUNNING && from->dead) {
+		claim_bucket_clear(&bucket);
+		decision = claim_bucket_claim(&bucket, &ask, &changed);
+	}
+	if (decision == CLAIM_DECISION_GRANTED) {
+		store(&next, number_of_bucket(&bucket));
+		next.granted |= 1U << owner;
+		discover(exploration, &next);
+	}
+	if (decision == CLAIM_DECISION_DONE && !from->runs)
+		exploration->false_record = true;
+	claim_bucket_clear(&bucket);
+}
+
+static void end_in_store(struct exploration *exploration,
+			 const struct state *from, int owner,
+			 enum claim_phase phase, bool insert)
+{
+	struct claim_record end = record_of(number_of(phase, owner));
+	struct claim_bucket bucket = {0};
+	struct state next = *from;
+	bool changed = false;
+
+	fill_bucket(&bucket, from->stored);
+	claim_bucket_end(&bucket, &end, insert, &changed);
+	if (changed) {
+		store(&next, number_of_bucket(&bucket));
+		discover(exploration, &next);
+	}
+	claim_bucket_clear(&bucket);
+}
+
+static struct claim_ticket ticket_of(uint8_t number)
+{
+	struct claim_ticket ticket = {.serial = 1, .used = number != 0};
+
+	if (number)
+		ticket.record = record_of(number);
+	return ticket;
+}
+
+static void claim_at_issuer(struct exploration *exploration,
+			    const struct state *from, int owner)
+{
+	struct claim_record ask =
+		record_of(number_of(CLAIM_PHASE_RUNNING, owner));
+	struct claim_ticket ticket = ticket_of(from->memory);
+	struct state next = *from;
+	enum claim_decision decision = claim_ticket_claim(&ticket, "", &ask);
+
+	if (decision == CLAIM_DECISION_GRANTED) {
+		next.memory = number_of_record(&ticket.record);
+		next.granted |= 1U << owner;
+		discover(exploration, &next);
+	}
+	if (decision == CLAIM_DECISION_DONE && !from->runs)
+		exploration->false_record = true;
+}
+
+static void end_at_issuer(struct exploration *exploration,
+			  const struct state *from, int owner,
+			  enum claim_phase phase)
+{
+	struct claim_record end = record_of(number_of(phase, owner));
+	struct claim_ticket ticket = ticket_of(from->memory);
+	struct state next = *from;
+
+	if (!claim_ticket_end(&ticket, &end))
+		return;
+	next.memory = ticket.used ? number_of_record(&ticket.record) : 0;
+	discover(exploration, &next);
+}
+
+/* Without its issuer, a ticket's ask is only looked up. */
+static void look_up_record(struct exploration *exploration,
+			   const struct state *from, int owner)
+{
+	struct claim_record ask =
+		record_of(number_of(CLAIM_PHASE_RUNNING, owner));
+	struct claim_bucket bucket = {0};
+	enum claim_decision decision;
+
+	fill_bucket(&bucket, from->stored);
+	decision = claim_bucket_look_up(&bucket, &ask);
+	if (decision == CLAIM_DECISION_DONE && !from->runs)
+		exploration->false_record = true;
+	claim_bucket_clear(&bucket);
+}
+
+static void deliver_ask(struct exploration *exploration,
+			const struct state *from, int owner)
+{
+	struct state next = *from;
+
+	if (exploration->authority == BY_TICKET) {
+		look_up_record(exploration, from, owner);
+		if (!from->dead)
+			claim_at_issuer(exploration, from, owner);
+		else if (exploration->fault == TICKET_OF_DEAD_ISSUER_CLAIMED)
+			claim_in_store(exploration, from, owner, from->stored);
+		return;
+	}
+	claim_in_store(exploration, from, owner, from->stored);
+	if (exploration->fault == GRANT_BEFORE_STORED) {
+		next.granted |= 1U << owner;
+		discover(exploration, &next);
+	}
+	if (exploration->fault == WRITE_WITHOUT_COMPARE)
+		for (uint8_t old = 0; old < VALUES; old++)
+			if (from->values & (1U << old))
+				claim_in_store(exploration, from, owner, old);
+}
+
+static void deliver_end(struct exploration *exploration,
+			const struct state *from, int owner,
+			enum claim_phase phase)
+{
+	if (exploration->authority == BY_STORE) {
+		end_in_store(exploration, from, owner, phase, false);
+		return;
+	}
+	if (!from->dead)
+		end_at_issuer(exploration, from, owner, phase);
+	if (phase != CLAIM_PHASE_RUNNING)
+		end_in_store(exploration, from, owner, phase, true);
+}
+
+static void deliver_messages(struct exploration *exploration,
+			     const struct state *from, int owner)
+{
+	uint32_t bit = 1U << owner;
+
+	if (from->phases[owner] != NEW)
+		deliver_ask(exploration, from, owner);
+	if (from->not_sent & bit)
+		deliver_end(exploration, from, owner, CLAIM_PHASE_RUNNING);
+	if (from->done & bit)
+		deliver_end(exploration, from, owner, CLAIM_PHASE_DONE);
+	if (from->lost & bit)
+		deliver_end(exploration, from, owner, CLAIM_PHASE_LOST);
+}
+
+static void move(struct exploration *exploration, const struct state *from,
+		 int owner, enum phase phase)
+{
+	struct state next = *from;
+
+	next.phases[owner] = (uint8_t)phase;
+	if (phase == SENT)
+		next.runs++;
+	discover(exploration, &next);
+}
+
+static void say(struct exploration *exploration, const struct state *from,
+		int owner, uint32_t *word)
+{
+	struct state next = *from;
+
+	*(uint32_t *)((char *)&next + ((char *)word - (char *)from)) |=
+		1U << owner;
+	next.phases[owner] = ENDED;
+	discover(exploration, &next);
+}
+
+/* A grant reaches the process that asked. */
+static void hear_grant(struct exploration *exploration,
+		       const struct state *from, int owner)
+{
+	struct state next = *from;
+
+	if (!(from->granted & (1U << owner)))
+		return;
+	if (from->phases[owner] == ASKING)
+		move(exploration, from, owner, GRANTED);
+	if (from->phases[owner] != GIVEN_UP)
+		return;
+	next.not_sent |= 1U << owner;
+	discover(exploration, &next);
+	if (exploration->fault == LATE_GRANT_RUNS)
+		move(exploration, from, owner, GRANTED);
+}
+
+static void step_process(struct exploration *exploration,
+			 const struct state *from, int owner)
+{
+	struct state *state = (struct state *)from;
+
+	hear_grant(exploration, from, owner);
+	switch (from->phases[owner]) {
+	case NEW:
+		move(exploration, from, owner, ASKING);
+		return;
+	case ASKING:
+		move(exploration, from, owner, GIVEN_UP);
+		if (exploration->fault == TICKET_RUNS_UNASKED)
+			move(exploration, from, owner, GRANTED);
+		return;
+	case GRANTED:
+		move(exploration, from, owner, SENT);
+		say(exploration, from, owner, &state->not_sent);
+		return;
+	case SENT:
+		say(exploration, from, owner, &state->done);
+		say(exploration, from, owner, &state->lost);
+		if (exploration->fault == NOT_SENT_AFTER_SENT)
+			say(exploration, from, owner, &state->not_sent);
+		return;
+	default:
+		return;
+	}
+}
+
+static void step(struct exploration *exploration, const struct state *from)
+{
+	struct state next = *from;
+
+	for (int owner = 0; owner < OWNERS; owner++) {
+		deliver_messages(exploration, from, owner);
+		if (is_up(from, owner))
+			step_process(exploration, from, owner);
+	}
+	if (from->dead)
+		return;
+	next.dead = 1;
+	discover(exploration, &next);
+}
+
+/* @return how often the call ran in the worst order */
+static int explore(enum authority authority, enum fault fault)
+{
+	struct exploration exploration = {.authority = authority,
+					  .fault = fault};
+	struct state start;
+
+	memset(&start, 0, sizeof(start));
+	start.values = 1;
+	exploration.states =
+		xmalloc(TABLE_SLOTS / 2 * sizeof(exploration.states[0]));
+	exploration.slots = xcalloc(TABLE_SLOTS, sizeof(uint32_t));
+	discover(&exploration, &start);
+	for (size_t at = 0; at < exploration.count; at++) {
+		struct state from = exploration.states[at];
+
+		step(&exploration, &from);
+		if (exploration.most_runs > 1)
+			break;
+	}
+	ck_assert(!exploration.false_record);
+	ck_assert_uint_gt(exploration.count, 10);
+	free(exploration.states);
+	free(exploration.slots);
+	return exploration.most_runs;
+}
+
+START_TEST(no_order_of_events_runs_a_claimed_call_twice)
+{
+	ck_assert_int_eq(explore(BY_STORE, NO_FAULT), 1);
+}
+END_TEST
+
+START_TEST(no_order_of_events_runs_a_ticket_twice)
+{
+	ck_assert_int_eq(explore(BY_TICKET, NO_FAULT), 1);
+}
+END_TEST
+
+static const struct {
+	enum authority authority;
+	enum fault fault;
+} broken[] = {
+	{BY_STORE, GRANT_BEFORE_STORED},
+	{BY_STORE, WRITE_WITHOUT_COMPARE},
+	{BY_STORE, LATE_GRANT_RUNS},
+	{BY_STORE, NOT_SENT_AFTER_SENT},
+	{BY_STORE, CLAIM_OF_DEAD_OWNER_REUSED},
+	{BY_TICKET, LATE_GRANT_RUNS},
+	{BY_TICKET, NOT_SENT_AFTER_SENT},
+	{BY_TICKET, TICKET_OF_DEAD_ISSUER_CLAIMED},
+	{BY_TICKET, TICKET_RUNS_UNASKED},
+};
+
+START_TEST(each_broken_mechanism_runs_a_call_twice)
+{
+	ck_assert_int_eq(explore(broken[_i].authority, broken[_i].fault), 2);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("claim_model");
+	TCase *tcase = tcase_create("orders");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_test(tcase, no_order_of_events_runs_a_claimed_call_twice);
+	tcase_add_test(tcase, no_order_of_events_runs_a_ticket_twice);
+	tcase_add_loop_test(tcase, each_broken_mechanism_runs_a_call_twice, 0,
+			    sizeof(broken) / sizeof(broken[0]));
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
