--- a/tests/measure/measure_path.c
+++ b/tests/measure/measure_path.c
@@ -111,6 +111,29 @@
 	usage->resident_mb = resident_mb(usage->pid);
 }
 
+static void print_run(const struct path_run *run)
+{
+	const struct load_client_report *report = &run->report;
+
+	printf("%-8s %5.0f %8llu %9.2f %9.2f %9.2f %9.2f %6.2f %7.1f %6llu\n",
+	       run->name, run->settings.requests_per_s,
+	       (unsigned long long)report->requests,
+	       MS(latency_histogram_at(report->first_token, 0.5)),
+	       MS(latency_histogram_at(report->first_token, 0.99)),
+	       MS(latency_histogram_at(report->between_tokens, 0.5)),
+	       MS(latency_histogram_at(report->between_tokens, 0.99)),
+	       run->usage.cores, run->usage.resident_mb,
+	       (unsigned long long)load_client_errors(report));
+	if (load_client_errors(report))
+		printf("         refused %llu, wrong %llu, broken %llu, "
+		       "unended %llu\n",
+		       (unsigned long long)report->refused,
+		       (unsigned long long)report->wrong,
+		       (unsigned long long)report->broken,
+		       (unsigned long long)report->unended);
+	fflush(stdout);
+}
+
 static void *run(void *arg)
 {
 	struct path_run *run = arg;
@@ -142,29 +165,6 @@
 	run->settings.target_count = (size_t)targets->count;
 }
 
-static void print_run(const struct path_run *run)
-{
-	const struct load_client_report *report = &run->report;
-
-	printf("%-8s %5.0f %8llu %9.2f %9.2f %9.2f %9.2f %6.2f %7.1f %6llu\n",
-	       run->name, run->settings.requests_per_s,
-	       (unsigned long long)report->requests,
-	       MS(latency_histogram_at(report->first_token, 0.5)),
-	       MS(latency_histogram_at(report->first_token, 0.99)),
-	       MS(latency_histogram_at(report->between_tokens, 0.5)),
-	       MS(latency_histogram_at(report->between_tokens, 0.99)),
-	       run->usage.cores, run->usage.resident_mb,
-	       (unsigned long long)load_client_errors(report));
-	if (load_client_errors(report))
-		printf("         refused %llu, wrong %llu, broken %llu, "
-		       "unended %llu\n",
-		       (unsigned long long)report->refused,
-		       (unsigned long long)report->wrong,
-		       (unsigned long long)report->broken,
-		       (unsigned long long)report->unended);
-	fflush(stdout);
-}
-
 static double added_ms(const struct latency_histogram *routed,
 		       const struct latency_histogram *direct)
 {
