--- a/src/daemon/log.c
+++ b/src/daemon/log.c
@@ -68,6 +68,18 @@
 	.format = format_event,
 };
 
+/* The library's own appenders put their name before each line. */
+static int append_line(log4c_appender_t *appender,
+		       const log4c_logging_event_t *event)
+{
+	return fputs(event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t appender_type = {
+	.name = "tamarackgw",
+	.append = append_line,
+};
+
 bool log_level_parse(const char *name, enum log_level *level)
 {
 	for (size_t i = 0; i < LEVEL_COUNT; i++) {
@@ -86,9 +98,11 @@
 
 	log4c_init();
 	log4c_layout_type_set(&layout_type);
+	log4c_appender_type_set(&appender_type);
 	layout = log4c_layout_get("tamarackgw");
 	log4c_layout_set_type(layout, &layout_type);
-	appender = log4c_appender_get("stderr");
+	appender = log4c_appender_get("tamarackgw");
+	log4c_appender_set_type(appender, &appender_type);
 	log4c_appender_set_layout(appender, layout);
 	for (size_t i = 0; i < LOG_PART_COUNT; i++) {
 		char name[TIME_SIZE];
