--- /dev/null
+++ b/tests/cram/host_killed.t
@@ -0,0 +1,49 @@
+An entry host is killed with streams open: its callers see a break, their
+retries elsewhere get the whole answer, and nothing is billed past the budget.
+
+  $ . "$SOURCE/tests/cram/lib/small-fleet.sh"
+  $ small_fleet_up 100000 --inter-token-ms 20
+  $ for i in 1 2 3 4 5 6; do stream host-a1 key-$i "visit $i ANSWER-TOKENS=100" >cut-$i 2>error-$i & pids="$pids $!"; done
+  $ for i in 1 2 3 4 5 6; do fleet_wait 10 grep -q '"index":3,' cut-$i; done
+  $ fleet_signal host-a1 KILL
+  $ for pid in $pids; do wait $pid || echo "broken"; done
+  broken
+  broken
+  broken
+  broken
+  broken
+  broken
+  $ cat cut-* | grep -c DONE
+  0
+  [1]
+
+Each caller sends its request again, with the same key, through another host of
+the domain or of the other one.
+
+  $ hosts=(host-a2 host-b1 host-b2)
+  $ for i in 1 2 3 4 5 6; do stream ${hosts[i % 3]} key-$i "visit $i ANSWER-TOKENS=100" --retry 5 --retry-all-errors -f >again-$i 2>error-$i & pids_2="$pids_2 $!"; done
+  $ wait $pids_2
+  $ for i in 1 2 3 4 5 6; do is_whole again-$i "visit $i ANSWER-TOKENS=100" && echo whole; done
+  whole
+  whole
+  whole
+  whole
+  whole
+  whole
+
+The other hosts note that it is gone, and what they spent adds up: at least the
+six answers, and never more than what was paid in.
+
+  $ gone() { FLEET_HOSTS=host-b1 fleet_ctl --json hosts | grep -Eq '"(silent|gone)"'; }
+  $ fleet_wait 10 gone
+  $ spent=0; for i in 1 2 3 4 5 6; do spent=$((spent + $(tokens_of again-$i))); done
+  $ settled() { [ $(budget_field settled_tokens) -ge $spent ]; }
+  $ fleet_wait 20 settled
+  $ [ $(budget_field allotted_tokens) -le 100000 ]
+
+The host comes back under its name and serves.
+
+  $ FLEET_HOSTS="host-a2 host-b1 host-b2"
+  $ fleet_host_again host-a1
+  $ stream host-a1 key-7 "visit 7 ANSWER-TOKENS=5" >last
+  $ is_whole last "visit 7 ANSWER-TOKENS=5"
--- a/tests/cram/standins.t
+++ b/tests/cram/standins.t
@@ -156,6 +156,8 @@
 
   $ curl -sS $E/load | jq -c .cache_used_ratio
   1
+  $ curl -sS $E/admin/totals; echo
+  {"submitted":4}
   $ ask r5 1 '{"model":"m","messages":[{"role":"user","content":"CRASH-ENGINE"}]}' 2>&1 | grep -o 'Empty reply'
   Empty reply
   $ fleet_wait 5 fleet_gone engine
--- /dev/null
+++ b/tests/cram/store_outage.t
@@ -0,0 +1,48 @@
+The platform's store is out. Model requests and reads go on from what the hosts
+hold; changes are refused and say so; when it is back, all is as before.
+
+  $ . "$SOURCE/tests/cram/lib/small-fleet.sh"
+  $ small_fleet_up 100000 --inter-token-ms 2
+  $ stream host-a1 warm-a "visit a ANSWER-TOKENS=20" >warm-a
+  $ stream host-b1 warm-b "visit b ANSWER-TOKENS=20" >warm-b
+  $ settled() { [ $(budget_field settled_tokens) = $1 ]; }
+  $ spent=$(($(tokens_of warm-a) + $(tokens_of warm-b)))
+  $ fleet_wait 20 settled $spent
+  $ fleet_fault '{"outage":true}'
+  $ for i in 1 2 3 4; do name=$(echo $FLEET_HOSTS | cut -d' ' -f$i); stream $name out-$i "outage $i ANSWER-TOKENS=20" >out-$i; is_whole out-$i "outage $i ANSWER-TOKENS=20" && echo whole; done
+  whole
+  whole
+  whole
+  whole
+  $ call host-a1 /services/visits/schedule | jq -c '[.method, .path]'
+  ["GET","/schedule"]
+
+A booking either runs once, or is refused as not run and did not run.
+
+  $ verdict() { if jq -e .run $1 >/dev/null; then [ $(runs_of $2) = 1 ] && echo good; else [ $(jq .not_run $1) = true ] && [ $(runs_of $2) = 0 ] && echo good; fi; }
+  $ for i in 1 2 3; do book host-a1 booking-$i >booking-$i; verdict booking-$i booking-$i; done
+  good
+  good
+  good
+
+Operators' changes are refused: 4 or 5, never 0.
+
+  $ fleet_ctl --reason test config publish "$FLEET/fleet.ini" >/dev/null 2>&1 || [ $? -ge 4 ]
+
+A host that starts during the outage takes its configuration from the others.
+
+  $ fleet_signal host-a2 KILL
+  $ fleet_wait 5 fleet_gone host-a2
+  $ fleet_host_again host-a2
+  $ stream host-a2 boot "boot ANSWER-TOKENS=20" --retry 5 --retry-all-errors -f >boot 2>/dev/null
+  $ is_whole boot "boot ANSWER-TOKENS=20"
+
+The store returns: what was spent during the outage is settled to the token
+(the killed host's part is not: nothing was spent through it).
+
+  $ fleet_fault '{"outage":false}'
+  $ for file in out-? boot; do spent=$((spent + $(tokens_of $file))); done
+  $ for i in 1 2 3; do [ $(runs_of booking-$i) = 0 ] || spent=$((spent + 5)); done
+  $ fleet_wait 5 fleet_ctl config status
+  $ spent=$((spent + 5))
+  $ fleet_wait 20 settled $spent
--- a/tests/standins/engine/engine.c
+++ b/tests/standins/engine/engine.c
@@ -33,6 +33,7 @@
 	struct run_list running;
 	struct run_list waiting;
 	uint64_t arrivals;
+	int64_t submitted;
 	int64_t load_taken_us;
 	int64_t load_running;
 	int64_t load_waiting;
@@ -298,6 +299,7 @@
 	run = find_or_add(engine, request);
 	if (!run)
 		return NULL;
+	engine->submitted++;
 	run->model = xstrdup(request->model);
 	run->priority = request->priority;
 	run->order = ++engine->arrivals;
@@ -330,6 +332,11 @@
 			 prefix_cache_used_ratio(engine->cache));
 }
 
+json_t *engine_totals(const struct engine *engine)
+{
+	return json_pack("{s:I}", "submitted", (json_int_t)engine->submitted);
+}
+
 json_t *engine_cache_events(struct engine *engine, int64_t since)
 {
 	return prefix_cache_events(engine->cache, since, standin_now_us());
--- a/tests/standins/engine/engine.h
+++ b/tests/standins/engine/engine.h
@@ -85,6 +85,9 @@
 /** @return {"running","waiting","cache_used_ratio"} as of some time ago */
 json_t *engine_load(struct engine *engine);
 
+/** @return {"submitted"}: requests that were taken, since the start */
+json_t *engine_totals(const struct engine *engine);
+
 json_t *engine_cache_events(struct engine *engine, int64_t since);
 
 /** A reader's connection, in stream.c. */
--- a/tests/standins/engine/engine_api.c
+++ b/tests/standins/engine/engine_api.c
@@ -137,6 +137,17 @@
 	return standin_reply_json(call, 200, answer);
 }
 
+static enum MHD_Result serve_totals(struct engine *engine,
+				    struct standin_call *call)
+{
+	json_t *answer;
+
+	engine_lock(engine);
+	answer = engine_totals(engine);
+	engine_unlock(engine);
+	return standin_reply_json(call, 200, answer);
+}
+
 static enum MHD_Result serve_cache_events(struct engine *engine,
 					  struct standin_call *call)
 {
@@ -160,5 +171,7 @@
 		return serve_load(arg, call);
 	if (!strcmp(call->path, "/cache/events"))
 		return serve_cache_events(arg, call);
+	if (!strcmp(call->path, "/admin/totals"))
+		return serve_totals(arg, call);
 	return standin_reply_error(call, 404, "no such path");
 }
