Let ThreadSanitizer see the hand-over in the mailbox

Cause: liburcu's queue uses barriers that ThreadSanitizer does not see, so that each function posted to another thread was reported as a race: 125 warnings in the streams of the gateway alone, all behind mailbox_run().

Ruled out: a suppression of mailbox_run(), which would hide real races of the functions it runs.

Change: each letter is handed over by a release store and an acquire load besides.

--- a/src/protocol/problem.c
+++ b/src/protocol/problem.c
@@ -3,7 +3,6 @@
 #include <assert.h>
 #include <jansson.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "tamarackgw/clock.h"
 
@@ -122,11 +121,10 @@
 			    json_sprintf("urn:tamarackgw:%s", known->name));
 	json_object_set_new(document, "title", json_string(known->title));
 	json_object_set_new(document, "status", json_integer(known->status));
+	/* A detail that is no UTF-8 is left out. */
 	if (problem->detail)
-		json_object_set_new(
-			document, "detail",
-			json_stringn_nocheck(problem->detail,
-					     strlen(problem->detail)));
+		json_object_set_new(document, "detail",
+				    json_string(problem->detail));
 	json_object_set_new(document, "remedy", json_string(known->remedy));
 	json_object_set_new(document, "not_run",
 			    not_run_json(problem->not_run));
--- a/src/transport/mailbox.c
+++ b/src/transport/mailbox.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <urcu/wfcqueue.h>
 
@@ -9,6 +10,9 @@
 
 struct letter {
 	struct cds_wfcq_node node; /* first member */
+	/* Hands the letter over once more, in a way that ThreadSanitizer
+	 * understands: it does not see the queue's own barriers. */
+	atomic_bool sealed;
 	void (*run)(void *arg);
 	void *arg;
 };
@@ -30,6 +34,7 @@
 	cds_wfcq_node_init(&letter->node);
 	letter->run = run;
 	letter->arg = arg;
+	atomic_store_explicit(&letter->sealed, true, memory_order_release);
 	if (!cds_wfcq_enqueue(&mailbox->head, &mailbox->tail, &letter->node))
 		mailbox->wake(mailbox->arg);
 }
@@ -72,6 +77,9 @@
 
 		if (!letter)
 			return ran;
+		if (!atomic_load_explicit(&letter->sealed,
+					  memory_order_acquire))
+			abort();
 		letter->run(letter->arg);
 		free(letter);
 		ran = true;
--- a/tests/fakes/agents/fake_backend.c
+++ b/tests/fakes/agents/fake_backend.c
@@ -162,6 +162,7 @@
 		request->broken = true;
 		return;
 	}
+	usleep((useconds_t)request->script.service_delay_us);
 	body = xcalloc(1, (size_t)request->script.service_bytes + 1);
 	memset(body, 'b', (size_t)request->script.service_bytes);
 	send_answer(request, request->script.service_status, body);
--- a/tests/fakes/agents/fake_backend.h
+++ b/tests/fakes/agents/fake_backend.h
@@ -34,6 +34,7 @@
 	int service_status;
 	bool service_dies; /**< closes after the request came */
 	int service_bytes;
+	int service_delay_us;
 };
 
 struct fake_backend {
--- /dev/null
+++ b/tests/unit/test_gateway_streams.c
@@ -0,0 +1,403 @@
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "fakes/agents/gateway_rig.h"
+#include "unit/unit_main.h"
+
+#define STREAM ",\"stream\":true,\"max_tokens\":200"
+#define DOCUMENT ",\"max_tokens\":200"
+/* More than the sockets on the way take. */
+#define SLOW_TOKENS 400
+#define SLOW_PAD_BYTES (64 * 1024)
+#define KEYED "Idempotency-Key: k1\r\n"
+#define WHOLE_TEXT "\"content\":\"t0 t1 t2 t3 t4 \""
+
+static struct gateway_rig rig;
+static struct fake_backend *const engine = &rig.engines[0];
+static struct fake_backend *const second = &rig.engines[1];
+static struct buffer input;
+
+static void setup(void)
+{
+	gateway_rig_init(&rig);
+	gateway_rig_start(&rig);
+}
+
+static void teardown(void)
+{
+	gateway_rig_stop(&rig);
+	buffer_free(&input);
+}
+
+static bool has(const char *text)
+{
+	return input.data && strstr(input.data, text);
+}
+
+static int count(const char *text)
+{
+	int found = 0;
+
+	for (const char *at = input.data; (at = strstr(at, text)); at++)
+		found++;
+	return found;
+}
+
+/* Each of the tokens came once, in order, and then the end. */
+static void check_whole_stream(void)
+{
+	const char *at = input.data;
+
+	for (int i = 0; i < 5; i++) {
+		char token[16];
+
+		snprintf(token, sizeof(token), "\"t%d ", i);
+		ck_assert_msg(count(token) == 1, "%s in %s", token, input.data);
+		ck_assert_ptr_nonnull(at = strstr(at, token));
+	}
+	ck_assert_ptr_nonnull(strstr(at, "data: [DONE]"));
+	ck_assert(!has("event: error"));
+}
+
+static void check_settled(enum tgw_settle_basis basis, int64_t tokens)
+{
+	RIG_WAIT(fake_agents.settles == 1);
+	ck_assert_int_eq(fake_agents.last_settle_basis, basis);
+	ck_assert_int_eq(fake_agents.last_settled_tokens, tokens);
+	ck_assert_int_eq(fake_agents.routes_open, 0);
+}
+
+/* ---- streams that go wrong, and are mended ---- */
+
+struct fault_case {
+	const char *name;
+	size_t knob; /* offset in struct fake_script */
+	int at;
+	int streams; /* at the first engine */
+	int resumes; /* of them */
+	int from;
+};
+
+#define KNOB(name) offsetof(struct fake_script, name)
+
+static const struct fault_case faults[] = {
+	{"break", KNOB(break_at), 3, 2, 1, 3},
+	{"crossed", KNOB(cross_at), 2, 2, 1, 2},
+	{"gap", KNOB(skip_at), 3, 2, 1, 3},
+	{"truncated", KNOB(end_at), 3, 2, 1, 3},
+	{"late", KNOB(late_at), 2, 1, 0, 0},
+	{"doubled", KNOB(double_at), 2, 1, 0, 0},
+};
+
+static void set_knob(const struct fault_case *fault)
+{
+	*(int *)((char *)&engine->script + fault->knob) = fault->at;
+}
+
+static void check_fault(const struct fault_case *fault)
+{
+	ck_assert_msg(engine->streams == fault->streams, "%s: %d streams",
+		      fault->name, engine->streams);
+	ck_assert_int_eq(engine->resumes, fault->resumes);
+	ck_assert_int_eq(engine->last_from, fault->from);
+	ck_assert_int_eq(second->streams, 0);
+	check_settled(TGW_SETTLE_USAGE, 10);
+}
+
+START_TEST(a_faulty_stream_reaches_the_caller_whole)
+{
+	set_knob(&faults[_i]);
+	ck_assert_int_eq(rig_chat(&rig, "", STREAM, &input), 200);
+	check_whole_stream();
+	check_fault(&faults[_i]);
+}
+END_TEST
+
+START_TEST(a_faulty_stream_makes_a_whole_document)
+{
+	set_knob(&faults[_i]);
+	ck_assert_int_eq(rig_chat(&rig, "", DOCUMENT, &input), 200);
+	ck_assert_msg(has(WHOLE_TEXT), "%s", input.data);
+	check_fault(&faults[_i]);
+}
+END_TEST
+
+START_TEST(a_stream_that_cant_go_on_ends_with_an_error)
+{
+	engine->script.break_at = 3;
+	rig.servers[0].can_resume = false;
+	rig.servers[1].can_resume = false;
+	ck_assert_int_eq(rig_chat(&rig, "", STREAM, &input), 200);
+	ck_assert(has("event: error\ndata: {\"type\":\"urn:tamarackgw:"
+		      "stream-broken\""));
+	ck_assert(has("\"not_run\":false"));
+	ck_assert(!has("[DONE]"));
+	/* The engine was told to stop and said what it had done. */
+	check_settled(TGW_SETTLE_USAGE, 7);
+}
+END_TEST
+
+START_TEST(a_lost_engine_costs_the_bound_when_nobody_can_go_on)
+{
+	engine->script.break_at = 3;
+	engine->script.forgets = true;
+	rig.servers[1].can_resume = false;
+	rig_chat(&rig, "", STREAM, &input);
+	ck_assert(has("event: error"));
+	ck_assert(!has("[DONE]"));
+	check_settled(TGW_SETTLE_BOUND, 200 + RIG_FIXED_TOKENS + 20);
+	ck_assert_int_eq(fake_agents.crashes, 1);
+}
+END_TEST
+
+START_TEST(a_lost_engine_is_replaced_from_the_next_token)
+{
+	engine->script.break_at = 3;
+	engine->script.forgets = true;
+	rig_chat(&rig, "", STREAM, &input);
+	check_whole_stream();
+	ck_assert_int_eq(second->last_from, 3);
+	ck_assert_int_eq(fake_agents.retries, 1);
+	ck_assert_int_eq(fake_agents.crashes, 1);
+	ck_assert_int_eq(fake_agents.last_others_running, 0);
+}
+END_TEST
+
+START_TEST(nothing_delivered_yet_means_a_new_start_elsewhere)
+{
+	engine->script.break_at = 0;
+	engine->script.forgets = true;
+	rig_chat(&rig, "", STREAM, &input);
+	check_whole_stream();
+	ck_assert_int_eq(second->streams, 1);
+	ck_assert_int_eq(second->resumes, 0);
+}
+END_TEST
+
+struct status_case {
+	int status;
+	int answer;
+	const char *text;
+	int second_streams;
+};
+
+static const struct status_case statuses[] = {
+	{503, 200, WHOLE_TEXT, 1},
+	{500, 200, WHOLE_TEXT, 1},
+	{429, 200, WHOLE_TEXT, 1},
+	{400, 502, "backend-refused", 0},
+};
+
+START_TEST(an_engines_refusal_is_retried_unless_it_is_final)
+{
+	engine->script.status = statuses[_i].status;
+	ck_assert_int_eq(rig_chat(&rig, "", DOCUMENT, &input),
+			 statuses[_i].answer);
+	ck_assert(has(statuses[_i].text));
+	ck_assert_int_eq(second->streams, statuses[_i].second_streams);
+	RIG_WAIT(fake_agents.settles == 1);
+}
+END_TEST
+
+START_TEST(unreachable_engines_mean_not_run)
+{
+	gateway_rig_stop(&rig);
+	gateway_rig_init(&rig);
+	for (int i = 0; i < RIG_ENGINES; i++)
+		snprintf(rig.servers[i].url, TGW_URL_SIZE,
+			 "http://127.0.0.1:1");
+	gateway_rig_start(&rig);
+	ck_assert_int_ge(rig_chat(&rig, "", DOCUMENT, &input), 502);
+	ck_assert(has("\"not_run\":true"));
+	check_settled(TGW_SETTLE_NOT_RUN, 0);
+}
+END_TEST
+
+START_TEST(an_engine_past_the_limit_is_stopped_and_the_caller_told)
+{
+	engine->script.tokens = 50;
+	engine->script.ignore_limit = true;
+	rig_chat(&rig, "", ",\"stream\":true,\"max_tokens\":3", &input);
+	ck_assert_int_eq(count("\"index\":2,"), 1);
+	ck_assert_int_eq(count("\"index\":3,"), 0);
+	ck_assert(has("\"finish_reason\":\"length\""));
+	ck_assert(has("data: [DONE]"));
+	check_settled(TGW_SETTLE_BOUND, 3 + RIG_FIXED_TOKENS + 20);
+	RIG_WAIT(engine->cancels == 1);
+}
+END_TEST
+
+/* ---- callers that go away, stall, or ask again ---- */
+
+START_TEST(a_caller_that_goes_away_cancels_and_pays_what_ran)
+{
+	int fd = rig_connect(&rig);
+
+	engine->script.hang_at = 2;
+	rig_send_chat(fd, "", STREAM);
+	ck_assert(rig_read_until(fd, &input, "\"index\":1,"));
+	close(fd);
+	RIG_WAIT(engine->cancels == 1);
+	check_settled(TGW_SETTLE_USAGE, 7);
+	RIG_WAIT(rig.runtime.open_requests == 0);
+}
+END_TEST
+
+START_TEST(a_caller_that_goes_away_while_queued_pays_nothing)
+{
+	int fd = rig_connect(&rig);
+
+	fake_agents.route_never = true;
+	rig_send_chat(fd, "", STREAM);
+	RIG_WAIT(fake_agents.submits == 1);
+	close(fd);
+	RIG_WAIT(fake_agents.route_cancels == 1);
+	check_settled(TGW_SETTLE_NOT_RUN, 0);
+}
+END_TEST
+
+START_TEST(a_slow_caller_holds_the_engine_back)
+{
+	int64_t sent;
+	int fd = rig_connect(&rig);
+	int small = 128 * 1024;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	engine->script.tokens = SLOW_TOKENS;
+	engine->script.pad_bytes = SLOW_PAD_BYTES;
+	rig_send_chat(fd, "", ",\"stream\":true");
+	ck_assert(rig_read_until(fd, &input, "\"index\":0,"));
+	/* Waits until nothing moves any more. */
+	do {
+		sent = engine->bytes_sent;
+		usleep(300000);
+	} while (sent != engine->bytes_sent);
+	ck_assert_int_lt(sent, SLOW_TOKENS * SLOW_PAD_BYTES);
+	buffer_clear(&input);
+	rig_read_all(fd, &input);
+	ck_assert(has("\"index\":399,"));
+	ck_assert(has("data: [DONE]"));
+	close(fd);
+}
+END_TEST
+
+START_TEST(a_caller_that_takes_nothing_is_dropped)
+{
+	int fd;
+
+	gateway_rig_stop(&rig);
+	gateway_rig_init(&rig);
+	rig.settings.caller_idle_ms = 300;
+	gateway_rig_start(&rig);
+	engine->script.tokens = 150;
+	engine->script.pad_bytes = 64 * 1024;
+	fd = rig_connect(&rig);
+	rig_send_chat(fd, "", STREAM);
+	RIG_WAIT(engine->cancels == 1);
+	RIG_WAIT(rig.runtime.open_requests == 0);
+	close(fd);
+}
+END_TEST
+
+START_TEST(a_retry_joins_the_running_stream_from_its_start)
+{
+	int first = rig_connect(&rig);
+
+	engine->script.delay_us = 100000;
+	rig_send_chat(first, KEYED, STREAM);
+	ck_assert(rig_read_until(first, &input, "\"index\":1,"));
+	close(first);
+	ck_assert_int_eq(rig_chat(&rig, KEYED, STREAM, &input), 200);
+	check_whole_stream();
+	ck_assert_int_eq(engine->streams, 1);
+	check_settled(TGW_SETTLE_USAGE, 10);
+	ck_assert_int_eq(engine->cancels, 0);
+}
+END_TEST
+
+START_TEST(a_retry_of_a_finished_request_gets_the_same_bytes)
+{
+	struct buffer first = {0};
+
+	rig_chat(&rig, KEYED, STREAM, &first);
+	RIG_WAIT(fake_agents.settles == 1);
+	rig_chat(&rig, KEYED, STREAM, &input);
+	rig_dechunk(&first);
+	rig_dechunk(&input);
+	ck_assert_str_eq(first.data, input.data);
+	ck_assert_int_eq(engine->streams, 1);
+	ck_assert_int_eq(fake_agents.reserves, 1);
+	ck_assert_int_eq(rig_chat(&rig, KEYED, DOCUMENT, &input), 422);
+	ck_assert(has("key-reused"));
+	buffer_free(&first);
+}
+END_TEST
+
+START_TEST(a_keyed_request_left_alone_is_cancelled_after_a_while)
+{
+	int fd = rig_connect(&rig);
+
+	engine->script.hang_at = 2;
+	rig_send_chat(fd, KEYED, STREAM);
+	ck_assert(rig_read_until(fd, &input, "\"index\":1,"));
+	close(fd);
+	RIG_WAIT(engine->cancels == 1);
+	check_settled(TGW_SETTLE_USAGE, 7);
+}
+END_TEST
+
+START_TEST(an_engine_that_hangs_is_left)
+{
+	gateway_rig_stop(&rig);
+	gateway_rig_init(&rig);
+	rig.settings.stream_idle_ms = 200;
+	gateway_rig_start(&rig);
+	engine->script.hang_at = 2;
+	rig_chat(&rig, "", STREAM, &input);
+	check_whole_stream();
+	ck_assert_int_eq(engine->last_from, 2);
+}
+END_TEST
+
+int main(void)
+{
+	int fault_count = (int)(sizeof(faults) / sizeof(faults[0]));
+	Suite *suite = suite_create("gateway_streams");
+	TCase *tcase = tcase_create("streams");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_add_loop_test(tcase, a_faulty_stream_reaches_the_caller_whole, 0,
+			    fault_count);
+	tcase_add_loop_test(tcase, a_faulty_stream_makes_a_whole_document, 0,
+			    fault_count);
+	tcase_add_test(tcase, a_stream_that_cant_go_on_ends_with_an_error);
+	tcase_add_test(tcase,
+		       a_lost_engine_costs_the_bound_when_nobody_can_go_on);
+	tcase_add_test(tcase, a_lost_engine_is_replaced_from_the_next_token);
+	tcase_add_test(tcase,
+		       nothing_delivered_yet_means_a_new_start_elsewhere);
+	tcase_add_loop_test(tcase,
+			    an_engines_refusal_is_retried_unless_it_is_final, 0,
+			    (int)(sizeof(statuses) / sizeof(statuses[0])));
+	tcase_add_test(tcase, unreachable_engines_mean_not_run);
+	tcase_add_test(tcase,
+		       an_engine_past_the_limit_is_stopped_and_the_caller_told);
+	tcase_add_test(tcase,
+		       a_caller_that_goes_away_cancels_and_pays_what_ran);
+	tcase_add_test(tcase,
+		       a_caller_that_goes_away_while_queued_pays_nothing);
+	tcase_add_test(tcase, a_slow_caller_holds_the_engine_back);
+	tcase_add_test(tcase, a_caller_that_takes_nothing_is_dropped);
+	tcase_add_test(tcase, a_retry_joins_the_running_stream_from_its_start);
+	tcase_add_test(tcase,
+		       a_retry_of_a_finished_request_gets_the_same_bytes);
+	tcase_add_test(tcase,
+		       a_keyed_request_left_alone_is_cancelled_after_a_while);
+	tcase_add_test(tcase, an_engine_that_hangs_is_left);
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
