Test what can go wrong with streams, calls and callers

Cause: the properties of the callers' side are only as good as the runs that were seen to fail without them.

Change: tables for the stream rules, the recovery, the parsers and the documents; tests of the running gateway before fake backend servers for faults of streams, callers that leave, stall, ask again, send too much, too little, too slowly or nonsense, for claims and their retries, and for a planned stop.

--- a/tests/fakes/agents/fake_backend.c
+++ b/tests/fakes/agents/fake_backend.c
@@ -62,17 +62,21 @@
 	buffer_free(&text);
 }
 
+/* Tokens that must not reach a caller say so. */
 static void send_token(struct fake_request *request, const char *id,
 		       long attempt, int index)
 {
+	bool is_own = strcmp(id, request->id) == 0 &&
+		      attempt == request->attempt;
+
 	struct buffer event = {0};
 
 	buffer_add_format(&event,
 			  "data: {\"id\":\"%s\",\"attempt\":%ld,\"index\":%d,"
 			  "\"choices\":[{\"index\":0,\"delta\":{\"content\":"
-			  "\"t%d%*s \"}}]}\n\n",
-			  id, attempt, index, index, request->script.pad_bytes,
-			  "");
+			  "\"%s%d%*s \"}}]}\n\n",
+			  id, attempt, index, is_own ? "t" : "wrong", index,
+			  request->script.pad_bytes, "");
 	send_chunk(request, event.data);
 	buffer_free(&event);
 }
--- a/tests/unit/test_chat_request.c
+++ b/tests/unit/test_chat_request.c
@@ -107,8 +107,12 @@
 	uint64_t first;
 
 	/* "user", line end, then 'a's: the block's bytes. */
-	memcpy(text, "user\n", 5);
-	memset(text + 5, 'a', sizeof(text) - 5);
+	memset(text, 'a', sizeof(text));
+	text[0] = 'u';
+	text[1] = 's';
+	text[2] = 'e';
+	text[3] = 'r';
+	text[4] = '\n';
 	buffer_add_text(&body, "{\"model\":\"m\",\"messages\":[{\"role\":"
 			       "\"user\",\"content\":\"");
 	buffer_add(&body, text + 5, sizeof(text) - 5);
--- a/tests/unit/test_curl_client.c
+++ b/tests/unit/test_curl_client.c
@@ -109,6 +109,8 @@
 	socklen_t size = sizeof(address);
 	struct curl_client_settings settings = curl_client_settings_default();
 
+	atomic_store(&server.requests, 0);
+	memset(&reply, 0, sizeof(reply));
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	server.listener = socket(AF_INET, SOCK_STREAM, 0);
 	ck_assert_int_eq(bind(server.listener, (struct sockaddr *)&address,
--- a/tests/unit/test_gateway_limits.c
+++ b/tests/unit/test_gateway_limits.c
@@ -4,12 +4,14 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "base/xalloc.h"
 #include "fakes/agents/gateway_rig.h"
 #include "unit/unit_main.h"
 
 #define DOCUMENT ",\"max_tokens\":20"
 #define STREAM ",\"stream\":true,\"max_tokens\":20"
+#define PATIENT_MS 60000
+#define IMPATIENT_MS 300
+#define OVERSIZE (128 * 1024)
 #define CHAT_HEAD                                           \
 	"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" \
 	"Authorization: Bearer " RIG_TEAM "\r\n"
@@ -17,15 +19,26 @@
 static struct gateway_rig rig;
 static struct buffer input;
 
-static void setup(void)
+static void start(int64_t caller_idle_ms)
 {
 	gateway_rig_init(&rig);
-	rig.settings.caller_idle_ms = 1000;
+	rig.settings.caller_idle_ms = caller_idle_ms;
 	rig.settings.max_open_requests = 4;
 	rig.settings.max_connections = 16;
 	gateway_rig_start(&rig);
 }
 
+static void setup(void)
+{
+	start(PATIENT_MS);
+}
+
+static void restart_impatiently(void)
+{
+	gateway_rig_stop(&rig);
+	start(IMPATIENT_MS);
+}
+
 static void teardown(void)
 {
 	gateway_rig_stop(&rig);
@@ -190,45 +203,44 @@
 
 START_TEST(an_oversized_body_is_refused)
 {
-	char *text = xcalloc(1, 256 * 1024);
-	size_t head;
+	struct buffer text = {0};
 
 	ck_assert_int_eq(send_raw(CHAT_HEAD "Content-Length: 9999999\r\n\r\n"),
 			 413);
 	ck_assert(has("\"not_run\":true"));
-	head = (size_t)sprintf(text,
-			       CHAT_HEAD "Connection: close\r\n"
-					 "Transfer-Encoding: chunked\r\n\r\n"
-					 "20000\r\n");
-	memset(text + head, 'x', 0x20000);
-	strcpy(text + head + 0x20000, "\r\n0\r\n\r\n");
-	ck_assert_int_eq(send_raw(text), 413);
-	free(text);
+	buffer_add_format(&text,
+			  CHAT_HEAD "Connection: close\r\n"
+				    "Transfer-Encoding: chunked\r\n\r\n"
+				    "%x\r\n%*s\r\n0\r\n\r\n",
+			  OVERSIZE, OVERSIZE, "x");
+	ck_assert_int_eq(send_raw(text.data), 413);
+	buffer_free(&text);
 }
 END_TEST
 
 START_TEST(oversized_headers_are_refused)
 {
-	char *text = xcalloc(1, 128 * 1024);
-	size_t head = (size_t)sprintf(text, CHAT_HEAD "X-Long: ");
+	struct buffer text = {0};
 	int status;
 
-	memset(text + head, 'x', 64 * 1024);
-	strcpy(text + head + 64 * 1024, "\r\n\r\n");
-	status = send_raw(text);
+	buffer_add_format(&text, CHAT_HEAD "X-Long: %*s\r\n\r\n", OVERSIZE,
+			  "x");
+	status = send_raw(text.data);
 	ck_assert_msg(status == 0 || status == 431 || status == 413,
 		      "status %d", status);
 	ck_assert_int_eq(fake_agents.reserves, 0);
-	free(text);
+	buffer_free(&text);
 }
 END_TEST
 
 /* One byte now and then keeps a connection alive, but not for ever. */
 START_TEST(a_caller_that_sends_too_slowly_is_dropped)
 {
-	int fd = rig_connect(&rig);
 	int sent = 0;
+	int fd;
 
+	restart_impatiently();
+	fd = rig_connect(&rig);
 	while (send(fd, "G", 1, MSG_NOSIGNAL) == 1 && sent < 100) {
 		char byte;
 
@@ -249,8 +261,10 @@
 
 START_TEST(an_idle_connection_is_closed)
 {
-	int fd = rig_connect(&rig);
+	int fd;
 
+	restart_impatiently();
+	fd = rig_connect(&rig);
 	ck_assert_int_eq(rig_read_all(fd, &input), 0);
 	close(fd);
 }
@@ -392,7 +406,7 @@
 	Suite *suite = suite_create("gateway_limits");
 	TCase *tcase = tcase_create("limits");
 
-	tcase_set_timeout(tcase, 60);
+	tcase_set_timeout(tcase, 30);
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_loop_test(tcase, a_bad_request_is_refused_as_not_run, 0,
 			    (int)(sizeof(refusals) / sizeof(refusals[0])));
--- a/tests/unit/test_gateway_path.c
+++ b/tests/unit/test_gateway_path.c
@@ -107,7 +107,7 @@
 	Suite *suite = suite_create("gateway_path");
 	TCase *tcase = tcase_create("path");
 
-	tcase_set_timeout(tcase, 60);
+	tcase_set_timeout(tcase, 30);
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_test(tcase, a_completion_is_forwarded_and_settled);
 	tcase_add_test(tcase, a_stream_is_forwarded_whole);
--- a/tests/unit/test_gateway_services.c
+++ b/tests/unit/test_gateway_services.c
@@ -227,7 +227,7 @@
 	Suite *suite = suite_create("gateway_services");
 	TCase *tcase = tcase_create("services");
 
-	tcase_set_timeout(tcase, 60);
+	tcase_set_timeout(tcase, 30);
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_loop_test(tcase, a_claim_decides_whether_the_call_runs, 0,
 			    (int)(sizeof(claims) / sizeof(claims[0])));
--- a/tests/unit/test_gateway_streams.c
+++ b/tests/unit/test_gateway_streams.c
@@ -60,6 +60,7 @@
 	}
 	ck_assert_ptr_nonnull(strstr(at, "data: [DONE]"));
 	ck_assert(!has("event: error"));
+	ck_assert(!has("wrong"));
 }
 
 static void check_settled(enum tgw_settle_basis basis, int64_t tokens)
@@ -368,7 +369,7 @@
 	Suite *suite = suite_create("gateway_streams");
 	TCase *tcase = tcase_create("streams");
 
-	tcase_set_timeout(tcase, 60);
+	tcase_set_timeout(tcase, 30);
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_loop_test(tcase, a_faulty_stream_reaches_the_caller_whole, 0,
 			    fault_count);
--- a/tests/unit/test_stream_guard.c
+++ b/tests/unit/test_stream_guard.c
@@ -145,37 +145,37 @@
 END_TEST
 
 struct recovery_case {
-	enum attempt_end end;
 	struct stream_progress progress;
+	enum attempt_end end;
 	enum stream_recovery recovery;
 };
 
 /* tokens, caller_has_some, server_can_resume, resumes, restarts */
 static const struct recovery_case recovery_cases[] = {
-	{ATTEMPT_WHOLE, {5, true, true, 0, 0}, RECOVERY_NONE},
-	{ATTEMPT_PAST_LIMIT, {5, true, true, 0, 0}, RECOVERY_NONE},
-	{ATTEMPT_NOT_SENT, {0, false, true, 0, 0}, RECOVERY_RESTART},
-	{ATTEMPT_BUSY, {0, false, true, 0, 0}, RECOVERY_RESTART},
-	{ATTEMPT_ERROR, {0, false, true, 0, 0}, RECOVERY_RESTART},
-	{ATTEMPT_REFUSED, {0, false, true, 0, 0}, RECOVERY_FAIL},
-	{ATTEMPT_OVERTAKEN, {2, true, true, 0, 0}, RECOVERY_FAIL},
-	{ATTEMPT_BROKEN, {0, false, true, 0, 0}, RECOVERY_RESTART},
-	{ATTEMPT_BROKEN, {2, true, true, 0, 0}, RECOVERY_RESUME},
-	{ATTEMPT_BROKEN, {2, false, true, 0, 0}, RECOVERY_RESUME},
-	{ATTEMPT_BROKEN, {2, true, false, 0, 0}, RECOVERY_RESUME_ELSEWHERE},
-	{ATTEMPT_BROKEN, {2, false, false, 0, 0}, RECOVERY_RESTART},
-	{ATTEMPT_BROKEN,
-	 {2, true, true, STREAM_RESUMES_MAX, 0},
+	{{5, true, true, 0, 0}, ATTEMPT_WHOLE, RECOVERY_NONE},
+	{{5, true, true, 0, 0}, ATTEMPT_PAST_LIMIT, RECOVERY_NONE},
+	{{0, false, true, 0, 0}, ATTEMPT_NOT_SENT, RECOVERY_RESTART},
+	{{0, false, true, 0, 0}, ATTEMPT_BUSY, RECOVERY_RESTART},
+	{{0, false, true, 0, 0}, ATTEMPT_ERROR, RECOVERY_RESTART},
+	{{0, false, true, 0, 0}, ATTEMPT_REFUSED, RECOVERY_FAIL},
+	{{2, true, true, 0, 0}, ATTEMPT_OVERTAKEN, RECOVERY_FAIL},
+	{{0, false, true, 0, 0}, ATTEMPT_BROKEN, RECOVERY_RESTART},
+	{{2, true, true, 0, 0}, ATTEMPT_BROKEN, RECOVERY_RESUME},
+	{{2, false, true, 0, 0}, ATTEMPT_BROKEN, RECOVERY_RESUME},
+	{{2, true, false, 0, 0}, ATTEMPT_BROKEN, RECOVERY_RESUME_ELSEWHERE},
+	{{2, false, false, 0, 0}, ATTEMPT_BROKEN, RECOVERY_RESTART},
+	{{2, true, true, STREAM_RESUMES_MAX, 0},
+	 ATTEMPT_BROKEN,
 	 RECOVERY_RESUME_ELSEWHERE},
-	{ATTEMPT_BROKEN,
-	 {2, true, true, STREAM_RESUMES_MAX, STREAM_RESTARTS_MAX},
+	{{2, true, true, STREAM_RESUMES_MAX, STREAM_RESTARTS_MAX},
+	 ATTEMPT_BROKEN,
 	 RECOVERY_FAIL},
-	{ATTEMPT_FAULTY, {2, true, true, 0, 0}, RECOVERY_RESUME},
-	{ATTEMPT_LOST, {2, true, true, 0, 0}, RECOVERY_RESUME_ELSEWHERE},
-	{ATTEMPT_LOST, {2, false, true, 0, 0}, RECOVERY_RESTART},
-	{ATTEMPT_FORGOTTEN, {2, true, true, 1, 0}, RECOVERY_RESUME_ELSEWHERE},
-	{ATTEMPT_NOT_SENT, {2, true, true, 1, 0}, RECOVERY_RESUME_ELSEWHERE},
-	{ATTEMPT_LOST, {0, false, true, 0, STREAM_RESTARTS_MAX}, RECOVERY_FAIL},
+	{{2, true, true, 0, 0}, ATTEMPT_FAULTY, RECOVERY_RESUME},
+	{{2, true, true, 0, 0}, ATTEMPT_LOST, RECOVERY_RESUME_ELSEWHERE},
+	{{2, false, true, 0, 0}, ATTEMPT_LOST, RECOVERY_RESTART},
+	{{2, true, true, 1, 0}, ATTEMPT_FORGOTTEN, RECOVERY_RESUME_ELSEWHERE},
+	{{2, true, true, 1, 0}, ATTEMPT_NOT_SENT, RECOVERY_RESUME_ELSEWHERE},
+	{{0, false, true, 0, STREAM_RESTARTS_MAX}, ATTEMPT_LOST, RECOVERY_FAIL},
 };
 
 START_TEST(each_end_has_its_recovery)
