--- a/src/coordination/heartbeat_plan.c
+++ b/src/coordination/heartbeat_plan.c
@@ -1,5 +1,6 @@
 #include "coordination/heartbeat_plan.h"
 
+#include <assert.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
@@ -65,6 +66,7 @@
 	size_t stride = stride_of(ring_count, round);
 	size_t count = 0;
 
+	assert(ring_count > 0); /* this host is in it */
 	for (size_t i = 1; i <= 2; i++) {
 		size_t at = (*self_at + i * stride) % ring_count;
 
@@ -119,6 +121,7 @@
 	for (size_t i = 0; i < member_count; i++)
 		size += takes_heartbeats(&members[i]) &&
 			!strcmp(members[i].host.failure_domain, domain);
+	assert(size > 0); /* the domain was found by one of its hosts */
 	wanted = (size_t)((self_at + turn) % size);
 	for (size_t i = 0; i < member_count; i++) {
 		if (!takes_heartbeats(&members[i]) ||
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/heartbeat_plan.h"
 #include "coordination/member.h"
@@ -339,9 +340,12 @@
 	    strcmp(member->host.caller_url, line->caller_url) != 0 ||
 	    strcmp(member->host.failure_domain, line->failure_domain) != 0)
 		membership->view_is_stale = true;
-	strcpy(member->host.failure_domain, line->failure_domain);
-	strcpy(member->host.peer_url, line->peer_url);
-	strcpy(member->host.caller_url, line->caller_url);
+	text_copy(member->host.failure_domain,
+		  sizeof(member->host.failure_domain), line->failure_domain);
+	text_copy(member->host.peer_url, sizeof(member->host.peer_url),
+		  line->peer_url);
+	text_copy(member->host.caller_url, sizeof(member->host.caller_url),
+		  line->caller_url);
 	member->is_local = !strcmp(line->failure_domain,
 				   membership->env.self.failure_domain);
 }
--- a/src/ctl/config_repository.c
+++ b/src/ctl/config_repository.c
@@ -161,14 +161,10 @@
 			 size_t size, int64_t version)
 {
 	struct segments *segments = arg;
-	uint64_t first;
-	uint64_t last;
+	const char *dash = strrchr(key, '-');
 
-	if (segments->status != TGW_OK || !value)
-		return;
-	if (sscanf(key, CONFIG_SEGMENT_PREFIX "%" SCNu64 "-%" SCNu64, &first,
-		   &last) != 2 ||
-	    last <= segments->above)
+	if (segments->status != TGW_OK || !value || !dash ||
+	    strtoull(dash + 1, NULL, 10) <= segments->above)
 		return;
 	segments->status = config_segment_decode(value, size, &segments->deltas,
 						 &segments->count,
--- a/src/ctl/config_status.c
+++ b/src/ctl/config_status.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "ctl/config_print.h"
 #include "ctl/config_repository.h"
 #include "ctl/ctl_session.h"
@@ -60,7 +61,7 @@
 
 	line->reachable = root != NULL;
 	if (!root) {
-		strcpy(line->message, error.message);
+		text_copy(line->message, sizeof(line->message), error.message);
 		return;
 	}
 	name = json_string_value(json_object_get(root, "name"));
--- a/src/ctl/host_commands.c
+++ b/src/ctl/host_commands.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "ctl/config_print.h"
@@ -127,12 +128,14 @@
 	for (char *line = strtok_r(text, "\n", &rest); line;
 	     line = strtok_r(NULL, "\n", &rest)) {
 		char *space = strrchr(line, ' ');
+		char *end = NULL;
 		double value;
 
 		if (*line == '#' || !space)
 			continue;
 		*space++ = '\0';
-		if (sscanf(space, "%lf", &value) == 1)
+		value = strtod(space, &end);
+		if (end != space)
 			json_object_set_new(metrics, line, json_real(value));
 	}
 	return metrics;
--- a/src/ctl/team_commands.c
+++ b/src/ctl/team_commands.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "ctl/object_commands.h"
 #include "ctl/object_edit.h"
 #include "transport/secret_file.h"
@@ -50,7 +51,7 @@
 				     "without spaces; leave it out to have one "
 				     "made",
 				     KEY_LEAST_LENGTH, KEY_SIZE - 1);
-	strcpy(key->text, text);
+	text_copy(key->text, sizeof(key->text), text);
 	return TGW_OK;
 }
 
@@ -110,9 +111,10 @@
 			      "'_' and '-'");
 		return NULL;
 	}
-	strcpy(team.name, request->name);
-	strcpy(team.template_name, request->template_name);
-	strcpy(team.budget, request->budget);
+	text_copy(team.name, sizeof(team.name), request->name);
+	text_copy(team.template_name, sizeof(team.template_name),
+		  request->template_name);
+	text_copy(team.budget, sizeof(team.budget), request->budget);
 	team.key_count = 1;
 	tgw_key_hash(request->key.text, strlen(request->key.text),
 		     team.key_hashes[0]);
--- a/src/state/config_builder.c
+++ b/src/state/config_builder.c
@@ -98,6 +98,16 @@
 	return template;
 }
 
+/* Both are of zeroed memory, so that padding is equal too. */
+static bool is_same(const struct config_parameters *a,
+		    const struct config_parameters *b)
+{
+	const void *left = a;
+	const void *right = b;
+
+	return !memcmp(left, right, sizeof(*a));
+}
+
 static const struct tgw_template *find_or_derive(
 	struct derived_table *table, struct tgw_config_index *index,
 	const struct tgw_template *base, const struct config_parameters *own)
@@ -110,7 +120,7 @@
 	for (entry = &table->entries[at]; entry->hash;
 	     entry = &table->entries[at]) {
 		if (entry->hash == hash && entry->base == base &&
-		    !memcmp(entry->parameters, own, sizeof(*own)))
+		    is_same(entry->parameters, own))
 			return entry->template;
 		at = (at + 1) & table->mask;
 	}
--- a/src/state/config_change.c
+++ b/src/state/config_change.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "state/config_shard.h"
 #include "state/record_reader.h"
@@ -36,7 +37,7 @@
 	struct config_change *change = add_change(list);
 
 	change->kind = either->kind;
-	strcpy(change->name, either->name);
+	text_copy(change->name, sizeof(change->name), either->name);
 	if (before)
 		set_body(&change->before, before->body, before->body_size);
 	if (after)
--- a/src/state/config_fields.c
+++ b/src/state/config_fields.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
+
 #define WORK_PREFIX "work."
 #define LIST_SEPARATORS ", \t"
 #define VALUE_SIZE 256
@@ -62,7 +64,7 @@
 		return tgw_error_set(error, TGW_INVALID,
 				     "%s is over %zu characters; shorten it",
 				     key, size - 1);
-	strcpy(text, value);
+	text_copy(text, size, value);
 	return TGW_OK;
 }
 
@@ -79,7 +81,7 @@
 				     "%s is too long; split it over several "
 				     "lines of the same key",
 				     key);
-	strcpy(copy, value);
+	text_copy(copy, sizeof(copy), value);
 	for (char *word = strtok_r(copy, LIST_SEPARATORS, &rest); word;
 	     word = strtok_r(NULL, LIST_SEPARATORS, &rest)) {
 		if (*count == TGW_LIST_MAX)
@@ -92,7 +94,7 @@
 					     "%s: '%.64s' is over %zu "
 					     "characters; shorten it",
 					     key, word, word_size - 1);
-		strcpy(words + word_size * (*count)++, word);
+		text_copy(words + word_size * (*count)++, word_size, word);
 	}
 	return TGW_OK;
 }
@@ -341,10 +343,10 @@
 {
 	memset(fields, 0, sizeof(*fields));
 	fields->kind = kind;
-	strcpy(fields->template.name, name);
-	strcpy(fields->team.name, name);
-	strcpy(fields->server.name, name);
-	strcpy(fields->service.name, name);
+	text_copy(fields->template.name, sizeof(fields->template.name), name);
+	text_copy(fields->team.name, sizeof(fields->team.name), name);
+	text_copy(fields->server.name, sizeof(fields->server.name), name);
+	text_copy(fields->service.name, sizeof(fields->service.name), name);
 }
 
 static struct config_object *missing(const char *key, const char *example,
--- a/src/state/config_object.c
+++ b/src/state/config_object.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "state/config_codec.h"
 #include "state/config_shard.h"
@@ -134,23 +135,26 @@
 	switch (object->kind) {
 	case CONFIG_TEMPLATE:
 		object->template = xcalloc(1, sizeof(*object->template));
-		strcpy(object->template->name, name);
+		text_copy(object->template->name,
+			  sizeof(object->template->name), name);
 		object->name = object->template->name;
 		return config_unpack_template(object->template, fields, error);
 	case CONFIG_TEAM:
 		object->team = xcalloc(1, sizeof(*object->team));
-		strcpy(object->team->name, name);
+		text_copy(object->team->name, sizeof(object->team->name), name);
 		object->name = object->team->name;
 		return config_unpack_team(object->team, &object->parameters,
 					  fields, error);
 	case CONFIG_SERVER:
 		object->server = xcalloc(1, sizeof(*object->server));
-		strcpy(object->server->name, name);
+		text_copy(object->server->name, sizeof(object->server->name),
+			  name);
 		object->name = object->server->name;
 		return config_unpack_server(object->server, fields, error);
 	case CONFIG_SERVICE:
 		object->service = xcalloc(1, sizeof(*object->service));
-		strcpy(object->service->name, name);
+		text_copy(object->service->name, sizeof(object->service->name),
+			  name);
 		object->name = object->service->name;
 		return config_unpack_service(object->service, fields, error);
 	default:
--- a/src/state/operator_keys.c
+++ b/src/state/operator_keys.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "state/config_object.h"
 #include "tamarackgw/config_snapshot.h"
@@ -63,7 +64,7 @@
 				     "%s has no valid name; use letters, "
 				     "digits, '.', '_' and '-'",
 				     place);
-	strcpy(key->name, line);
+	text_copy(key->name, sizeof(key->name), line);
 	if (!operator_role_parse(role, &key->role))
 		return tgw_error_set(error, TGW_INVALID,
 				     "%s has no known role; use viewer, "
--- /dev/null
+++ b/tests/fakes/config_fleet.h
@@ -0,0 +1,105 @@
+/**
+ * @file config_fleet.h
+ * Hosts that follow membership and configuration over the fakes, and an
+ * operator that publishes, for tests and measurements.
+ */
+#ifndef FAKES_CONFIG_FLEET_H
+#define FAKES_CONFIG_FLEET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "fakes/fake_net.h"
+#include "fakes/fake_store.h"
+#include "state/config_commit.h"
+#include "tamarackgw/config_follower.h"
+#include "tamarackgw/membership.h"
+
+#define CONFIG_FLEET_HOSTS_MAX 400
+#define CONFIG_FLEET_GENERATIONS_MAX 4096
+
+struct config_fleet;
+
+struct fleet_host {
+	struct config_fleet *fleet;
+	struct fake_net_end end;
+	struct fake_store store;
+	char domain[TGW_NAME_SIZE];
+	uint64_t incarnation;
+	uint64_t life; /**< grows with each start; late events are dropped */
+	bool up;
+	bool paused;
+	struct tgw_membership *membership;
+	struct tgw_config_follower *follower; /**< NULL when not followed */
+	struct tgw_config_snapshot *config;
+	uint64_t newest; /**< highest generation ever in force here */
+	uint64_t refused;
+	char refusal[TGW_ERROR_MESSAGE_SIZE];
+	int64_t started_us;
+	int64_t first_config_us; /**< -1 until a configuration is in force */
+};
+
+struct config_fleet {
+	struct fake_world world;
+	struct fake_net net;
+	struct fake_store_server store;
+	bool follows_config;
+	int64_t list_interval_us;
+	struct tgw_membership_env membership_env;
+	size_t host_count;
+	struct fleet_host *hosts[CONFIG_FLEET_HOSTS_MAX];
+	size_t listed_count;
+	struct tgw_listed_host listed[CONFIG_FLEET_HOSTS_MAX];
+	/* The operator's side. */
+	struct config_set objects;
+	struct config_manifest manifest;
+	uint64_t reverted;
+	int64_t accepted_us[CONFIG_FLEET_GENERATIONS_MAX];
+	/** Called when a host has a generation in force; may be NULL. */
+	void (*in_force)(void *arg, struct fleet_host *host,
+			 uint64_t generation);
+	void *arg;
+};
+
+void config_fleet_init(struct config_fleet *fleet, uint64_t seed,
+		       bool follows_config);
+void config_fleet_clear(struct config_fleet *fleet);
+
+/** Adds a host to the list, and starts it. */
+struct fleet_host *config_fleet_add(struct config_fleet *fleet,
+				    const char *name, const char *domain);
+
+struct fleet_host *config_fleet_find(struct config_fleet *fleet,
+				     const char *name);
+
+void fleet_host_start(struct fleet_host *host);
+void fleet_host_kill(struct fleet_host *host);
+void fleet_host_set_paused(struct fleet_host *host, bool paused);
+
+/** How one host sees another. */
+enum tgw_host_state fleet_host_sees(const struct fleet_host *host,
+				    const char *name);
+
+/** Lists a host, or takes it off the list. */
+void config_fleet_set_listed(struct config_fleet *fleet, const char *name,
+			     bool listed, bool leaving);
+
+/** Hands the list to all hosts now. */
+void config_fleet_send_list(struct config_fleet *fleet);
+
+/** Publishes changes as an operator; clears the list. */
+void config_fleet_publish(struct config_fleet *fleet,
+			  struct config_change_list *list);
+
+/** Publishes a team, of template "staff", with a budget. */
+void config_fleet_publish_team(struct config_fleet *fleet, const char *team,
+			       const char *budget);
+
+/** Publishes the template "staff" with many teams. */
+void config_fleet_publish_teams(struct config_fleet *fleet, size_t count);
+
+/** Hosts that are up and have the newest generation in force. */
+size_t config_fleet_count_current(const struct config_fleet *fleet);
+
+#endif
--- a/tests/unit/test_audit_entry.c
+++ b/tests/unit/test_audit_entry.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/text.h"
 #include "unit/unit_main.h"
 
 #define ENTRIES 4
@@ -13,12 +14,15 @@
 	memset(chain, 0, sizeof(chain));
 	for (int i = 0; i < ENTRIES; i++) {
 		chain[i].wall_us = 1000 + i;
-		strcpy(chain[i].who, "ana");
-		strcpy(chain[i].action, "budget.top-up");
-		strcpy(chain[i].object, "field-staff");
-		strcpy(chain[i].before, "100");
-		strcpy(chain[i].after, "200");
-		strcpy(chain[i].reason, "invoice 17");
+		text_copy(chain[i].who, sizeof(chain[i].who), "ana");
+		text_copy(chain[i].action, sizeof(chain[i].action),
+			  "budget.top-up");
+		text_copy(chain[i].object, sizeof(chain[i].object),
+			  "field-staff");
+		text_copy(chain[i].before, sizeof(chain[i].before), "100");
+		text_copy(chain[i].after, sizeof(chain[i].after), "200");
+		text_copy(chain[i].reason, sizeof(chain[i].reason),
+			  "invoice 17");
 		audit_entry_chain(&chain[i], i ? &chain[i - 1] : NULL);
 	}
 }
@@ -72,7 +76,7 @@
 			 TGW_CORRUPT);
 	ck_assert_ptr_nonnull(strstr(error.message, "removed"));
 	/* Altered, and its own hash made to fit again. */
-	strcpy(chain[1].after, "900");
+	text_copy(chain[1].after, sizeof(chain[1].after), "900");
 	audit_entry_chain(&chain[1], &chain[0]);
 	ck_assert_int_eq(verify(1, 0), TGW_OK);
 	ck_assert_int_eq(audit_entry_verify(&chain[2], &chain[1], &error),
--- a/tests/unit/test_config_state.c
+++ b/tests/unit/test_config_state.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/config_fetch.h"
 #include "state/config_commit.h"
@@ -40,7 +41,7 @@
 		.max_open_requests = 10,
 	};
 
-	strcpy(template.name, name);
+	text_copy(template.name, sizeof(template.name), name);
 	return config_object_from_template(&template);
 }
 
@@ -71,7 +72,8 @@
 
 		ck_assert_uint_lt(value_count, VALUES_MAX);
 		ck_assert_ptr_null(find_value(commit->writes[i].key));
-		strcpy(value->key, commit->writes[i].key);
+		text_copy(value->key, sizeof(value->key),
+			  commit->writes[i].key);
 		value->data = xmemdup(commit->writes[i].value,
 				      commit->writes[i].value_size);
 		value->size = commit->writes[i].value_size;
