--- a/src/coordination/config_follower.c
+++ b/src/coordination/config_follower.c
@@ -330,18 +330,15 @@
 static void ask_hosts(struct tgw_config_follower *follower)
 {
 	struct config_message message = {.kind = CONFIG_WANT_MANIFEST};
-	uint64_t above = follower->state.manifest.generation;
+	const struct tgw_host *hosts[ASK_HOSTS];
+	size_t count = config_peers_pick_several(
+		follower->view, &follower->random,
+		follower->state.manifest.generation, hosts, ASK_HOSTS);
 
 	follower->next_ask_us = now_us(follower) + ASK_INTERVAL_US;
 	follower->offers_until_us = now_us(follower) + OFFERS_KEEP_US;
-	for (size_t i = 0; i < ASK_HOSTS; i++) {
-		const struct tgw_host *host = pick_host(follower, above + 1);
-
-		if (!host)
-			host = pick_host(follower, 0);
-		if (host)
-			send_message(follower, host->name, &message);
-	}
+	for (size_t i = 0; i < count; i++)
+		send_message(follower, hosts[i]->name, &message);
 }
 
 static void ask_for_shard(struct tgw_config_follower *follower, uint32_t shard,
--- a/src/coordination/config_peers.c
+++ b/src/coordination/config_peers.c
@@ -1,5 +1,6 @@
 #include "coordination/config_peers.h"
 
+#include <assert.h>
 #include <string.h>
 
 static bool may_help(const struct tgw_host_view *view,
@@ -36,6 +37,52 @@
 	return near ? near : far;
 }
 
+/* How much a host is worth asking; the low bits are random. */
+static uint64_t ask_weight(const struct tgw_host_view *view,
+			   struct tgw_random *random,
+			   const struct tgw_host *host,
+			   uint64_t above_generation)
+{
+	const struct tgw_host *self = tgw_host_view_self(view);
+	uint64_t weight = tgw_random_u64(random) >> 2;
+
+	if (host->config_generation > above_generation)
+		weight |= UINT64_C(1) << 63;
+	if (!strcmp(host->failure_domain, self->failure_domain))
+		weight |= UINT64_C(1) << 62;
+	return weight;
+}
+
+size_t config_peers_pick_several(const struct tgw_host_view *view,
+				 struct tgw_random *random,
+				 uint64_t above_generation,
+				 const struct tgw_host **hosts, size_t capacity)
+{
+	uint64_t weights[CONFIG_PEERS_PICK_MAX];
+	size_t count = 0;
+
+	assert(capacity <= CONFIG_PEERS_PICK_MAX);
+	for (size_t i = 0; i < view->host_count; i++) {
+		const struct tgw_host *host = &view->hosts[i];
+		uint64_t weight;
+		size_t at;
+
+		if (!may_help(view, host, 0))
+			continue;
+		weight = ask_weight(view, random, host, above_generation);
+		if (count == capacity && weight <= weights[count - 1])
+			continue;
+		at = count < capacity ? count++ : count - 1;
+		for (; at > 0 && weights[at - 1] < weight; at--) {
+			weights[at] = weights[at - 1];
+			hosts[at] = hosts[at - 1];
+		}
+		weights[at] = weight;
+		hosts[at] = host;
+	}
+	return count;
+}
+
 uint64_t config_peers_newest(const struct tgw_host_view *view)
 {
 	uint64_t newest = 0;
--- a/src/coordination/config_peers.h
+++ b/src/coordination/config_peers.h
@@ -14,12 +14,25 @@
 #include "tamarackgw/peer.h"
 #include "tamarackgw/random.h"
 
+#define CONFIG_PEERS_PICK_MAX 8
+
 /** A random host with at least this generation, of the own domain first;
  * NULL when there is none. */
 const struct tgw_host *config_peers_pick(const struct tgw_host_view *view,
 					 struct tgw_random *random,
 					 uint64_t generation);
 
+/**
+ * Picks different hosts to ask for what they have in force: those that are
+ * above a generation first, then those of the own domain, else at random.
+ * @return the number of hosts written
+ */
+size_t config_peers_pick_several(const struct tgw_host_view *view,
+				 struct tgw_random *random,
+				 uint64_t above_generation,
+				 const struct tgw_host **hosts,
+				 size_t capacity);
+
 /** The newest generation that another live host has in force. */
 uint64_t config_peers_newest(const struct tgw_host_view *view);
 
