Let an idle host sleep

Cause: an idle host woke 120 times a second: the claim agent asked for a tick each 10 ms whether or not a claim waited, and the caller side posted a tick each 50 ms. Found by strace over 5 s: 5452 system calls, 2705 of them polls. Ruled out: heartbeats and the watch, which wake it about 10 times a second.

--- a/src/coordination/claim_agent.c
+++ b/src/coordination/claim_agent.c
@@ -24,6 +24,7 @@
 #define RETRY_AFTER_US (INT64_C(5) * TGW_US_PER_S)
 #define TICKET_KEEP_US (INT64_C(3600) * TGW_US_PER_S)
 #define TICK_US (INT64_C(10) * TGW_US_PER_MS)
+#define IDLE_TICK_US TGW_US_PER_S
 #define KEEPERS_TRIED 2
 
 struct tgw_claim_agent {
@@ -574,6 +575,8 @@
 	}
 	claim_ticket_table_expire(&agent->tickets, now_us - agent->env.keep_us);
 	claim_keeper_tick(agent->keeper);
+	if (!agent->runs.count && claim_keeper_is_idle(agent->keeper))
+		return now_us + IDLE_TICK_US;
 	return now_us + TICK_US;
 }
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -19,7 +19,7 @@
 #include "transport/http_server.h"
 #include "transport/rcu_reader.h"
 
-#define TICK_US (50 * TGW_US_PER_MS)
+#define TICK_US (250 * TGW_US_PER_MS)
 #define STOPPING_RETRY_US (1 * TGW_US_PER_S)
 #define LIMIT_RETRY_US (1 * TGW_US_PER_S)
 #define SERVICE_UNAVAILABLE 503
--- a/tools/lib-fleet.sh
+++ b/tools/lib-fleet.sh
@@ -133,7 +133,7 @@
 		echo "[platform]"
 		echo "store_url = $(fleet_url platform)"
 		echo "list_url = $(fleet_url platform)"
-		echo "list_interval_ms = 500"
+		echo "list_interval_ms = ${FLEET_LIST_INTERVAL_MS:-500}"
 		echo "[security]"
 		echo "operator_keys_file = $FLEET/operators"
 		[ -z "${FLEET_SETTINGS:-}" ] || printf '%s\n' "$FLEET_SETTINGS" |
