Measure the router against random and least reported load

Cause: the routing policy was written without a figure.

Change: measure_route runs Monday's burst of both users (10 model and 4 service servers, 8 routers) and a tenth of the design size (88 model servers, 33 routers) in virtual time: engines with continuous batching, a queue by priority, a prefix cache of limited memory, load reports 100 to 400 ms late, cache events late and with gaps, every fifth server slower. Each router sees only its own requests and the reports.

--- /dev/null
+++ b/tests/measure/measure_route.c
@@ -0,0 +1,166 @@
+/*
+ * Monday's burst through the router, against a random choice and the least
+ * reported load on the same arrivals; then the same with faults.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "measure/route_run.h"
+
+#define SEEDS 3
+
+static const char *const policy_names[POLICY_COUNT] = {"router", "random",
+						       "least load"};
+static const struct route_faults no_faults;
+
+struct totals {
+	struct route_result policies[POLICY_COUNT];
+	struct route_result faulty;
+	uint64_t servers_lost_most;
+	double best_hits; /**< sum over runs */
+	double hits;
+	int runs;
+};
+
+static void add(struct route_result *sum, const struct route_result *one)
+{
+	uint64_t *to = (uint64_t *)sum;
+	const uint64_t *from = (const uint64_t *)one;
+
+	for (size_t i = 0; i < sizeof(*sum) / sizeof(uint64_t); i++)
+		to[i] += from[i];
+}
+
+static double share(uint64_t part, uint64_t whole)
+{
+	return whole ? (double)part / (double)whole : 0;
+}
+
+static double late_pct(const struct route_result *result)
+{
+	uint64_t arrived = result->arrived[TGW_URGENCY_IMMEDIATE] +
+			   result->arrived[TGW_URGENCY_HIGH];
+	uint64_t in_time = result->in_time[TGW_URGENCY_IMMEDIATE] +
+			   result->in_time[TGW_URGENCY_HIGH];
+
+	return 100 * (1 - share(in_time, arrived));
+}
+
+static uint64_t completed(const struct route_result *result)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < TGW_URGENCY_COUNT; i++)
+		sum += result->in_time[i];
+	return sum;
+}
+
+static void print_line(const char *shape, const char *policy,
+		       const struct route_result *result, double best_hits)
+{
+	printf("%-10s %-10s", shape, policy);
+	for (int i = 0; i < TGW_URGENCY_COUNT; i++)
+		printf(" %6.2f", 100 * (1 - share(result->in_time[i],
+						  result->arrived[i])));
+	printf(" %6.2f %6.2f %6.2f %7llu %5.3f %5.3f\n", late_pct(result),
+	       100 * (1 - share(result->reads_in_time, result->reads_arrived)),
+	       100 * (1 - share(result->small_in_time, result->small_arrived)),
+	       (unsigned long long)completed(result),
+	       share(result->found_blocks, result->looked_up_blocks),
+	       best_hits);
+}
+
+static void run_shape(const struct fleet_shape *shape, struct totals *totals)
+{
+	struct route_result sums[POLICY_COUNT];
+	double best_hits = 0;
+
+	memset(sums, 0, sizeof(sums));
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct workload workload;
+
+		workload_make(&workload, shape, seed);
+		best_hits += workload_best_hit_ratio(&workload) / SEEDS;
+		for (int policy = 0; policy < POLICY_COUNT; policy++)
+			route_run(&workload, (enum route_policy)policy,
+				  &no_faults, seed, &sums[policy]);
+		workload_free(&workload);
+	}
+	for (int policy = 0; policy < POLICY_COUNT; policy++) {
+		print_line(shape->name, policy_names[policy], &sums[policy],
+			   best_hits);
+		add(&totals->policies[policy], &sums[policy]);
+	}
+	totals->hits += share(sums[POLICY_ROUTER].found_blocks,
+			      sums[POLICY_ROUTER].looked_up_blocks);
+	totals->best_hits += best_hits;
+	totals->runs++;
+}
+
+/* A crashing request and a drain at once, in the burst. */
+static void run_faults(const struct fleet_shape *shape, struct totals *totals)
+{
+	static const struct route_faults faults = {.crashing_request = true,
+						   .drain = true};
+
+	for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+		struct route_result result;
+		struct workload workload;
+
+		memset(&result, 0, sizeof(result));
+		workload_make(&workload, shape, seed);
+		route_run(&workload, POLICY_ROUTER, &faults, seed, &result);
+		workload_free(&workload);
+		printf("%-10s seed %llu: servers lost %llu, others refused "
+		       "%llu, cut off %llu, new work until %.2f s after "
+		       "the drain, urgent late %.2f%%\n",
+		       shape->name, (unsigned long long)seed,
+		       (unsigned long long)result.servers_lost,
+		       (unsigned long long)result.innocents_refused,
+		       (unsigned long long)result.cut_off,
+		       (double)result.new_work_after_drain_us / TGW_US_PER_S,
+		       late_pct(&result));
+		totals->faulty.cut_off += result.cut_off;
+		if (result.servers_lost > totals->servers_lost_most)
+			totals->servers_lost_most = result.servers_lost;
+		if (result.new_work_after_drain_us >
+		    totals->faulty.new_work_after_drain_us)
+			totals->faulty.new_work_after_drain_us =
+				result.new_work_after_drain_us;
+	}
+}
+
+int main(void)
+{
+	struct totals totals;
+	uint64_t best_baseline;
+
+	memset(&totals, 0, sizeof(totals));
+	printf("late: share not answered within the deadline, in %%\n");
+	printf("%-10s %-10s %6s %6s %6s %6s %6s %6s %6s %7s %5s %5s\n", "fleet",
+	       "policy", "immed", "high", "normal", "batch", "urgent", "reads",
+	       "small", "in time", "hits", "best");
+	for (size_t i = 0; i < fleet_shape_count; i++)
+		run_shape(&fleet_shapes[i], &totals);
+	printf("\na crashing request, sent again to two hosts at a time, and a "
+	       "drain\n");
+	for (size_t i = 0; i < fleet_shape_count; i++)
+		run_faults(&fleet_shapes[i], &totals);
+	best_baseline = completed(&totals.policies[POLICY_RANDOM]);
+	if (completed(&totals.policies[POLICY_LEAST_LOAD]) > best_baseline)
+		best_baseline = completed(&totals.policies[POLICY_LEAST_LOAD]);
+	printf("late_urgent_pct=%.3f late_urgent_pct_random=%.3f "
+	       "late_urgent_pct_least_load=%.3f prefix_hit_ratio=%.3f "
+	       "prefix_hit_ratio_best=%.3f completed_ratio_vs_best_baseline="
+	       "%.3f cut_off=%llu servers_lost_to_crashing_request=%llu "
+	       "new_work_after_drain_s=%.2f\n",
+	       late_pct(&totals.policies[POLICY_ROUTER]),
+	       late_pct(&totals.policies[POLICY_RANDOM]),
+	       late_pct(&totals.policies[POLICY_LEAST_LOAD]),
+	       totals.hits / totals.runs, totals.best_hits / totals.runs,
+	       share(completed(&totals.policies[POLICY_ROUTER]), best_baseline),
+	       (unsigned long long)totals.faulty.cut_off,
+	       (unsigned long long)totals.servers_lost_most,
+	       (double)totals.faulty.new_work_after_drain_us / TGW_US_PER_S);
+	return 0;
+}
--- /dev/null
+++ b/tests/measure/route_run.c
@@ -0,0 +1,730 @@
+#include "measure/route_run.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "fakes/fake_net.h"
+#include "fakes/fake_store.h"
+#include "fakes/fake_world.h"
+#include "tamarackgw/quarantine.h"
+
+#define REPORT_INTERVAL_US (INT64_C(250) * TGW_US_PER_MS)
+#define REPORT_LAG_US (INT64_C(100) * TGW_US_PER_MS)
+#define REPORT_LAG_SPREAD_US (INT64_C(300) * TGW_US_PER_MS)
+#define EVENT_LAG_US (INT64_C(300) * TGW_US_PER_MS)
+#define EVENT_LAG_SPREAD_US (INT64_C(700) * TGW_US_PER_MS)
+#define EVENTS_LOST_PER_1000 30
+#define EVENT_HASHES_MAX 64
+#define ROUTER_TICK_US (INT64_C(20) * TGW_US_PER_MS)
+#define CONFIG_SPREAD_US TGW_US_PER_S
+#define STOP_AFTER_DRAIN_US (INT64_C(30) * TGW_US_PER_S)
+#define DRAIN_AT 0.3
+#define CRASH_AT 0.2
+#define CRASH_RETRIES 200
+#define CRASH_RETRY_US (INT64_C(50) * TGW_US_PER_MS)
+#define ATTEMPTS_MAX 3
+/* The longest deadline of all kinds: the run goes on until all have ended. */
+#define PATIENCE_MAX_US (INT64_C(150) * TGW_US_PER_S)
+/* Every so many servers one is slower by this much. */
+#define SLOW_SERVER_EACH 5
+#define SLOW_SERVER_PCT 150
+
+struct server {
+	struct engine engine;
+	struct run *run;
+	size_t number;
+	uint64_t next_sequence;
+	bool batch_stored;
+	size_t batch_count;
+	uint64_t batch[EVENT_HASHES_MAX];
+};
+
+struct router {
+	struct run *run;
+	size_t number;
+	struct tgw_router *router;
+	struct tgw_quarantine *quarantine;
+	struct fake_store store;
+	struct fake_net_end end;
+	struct tgw_host_view view;
+	struct tgw_load_report *reports; /**< for the baseline */
+};
+
+struct request {
+	const struct arrival *arrival;
+	struct run *run;
+	struct router *router;
+	struct tgw_fingerprint fingerprint;
+	int attempts;
+	bool open; /**< its caller still waits */
+	bool queued;
+	uint64_t queue_id;
+	uint64_t ticket;
+	struct server *server; /**< NULL while it runs nowhere */
+	struct engine_job job;
+	size_t excluded_count;
+	char excluded[TGW_EXCLUDED_MAX][TGW_NAME_SIZE];
+};
+
+struct run {
+	const struct workload *workload;
+	const struct fleet_shape *shape;
+	enum route_policy policy;
+	const struct route_faults *faults;
+	struct route_result *result;
+	struct fake_world world;
+	struct fake_store_server store;
+	struct fake_net net;
+	struct tgw_host *hosts;
+	size_t server_count;
+	struct server *servers;
+	struct router *routers;
+	struct tgw_server *configured;
+	struct tgw_config_snapshot config;
+	int64_t start_us;
+	int64_t drained_us; /**< 0 before */
+	struct arrival crashing;
+	int crash_attempts;
+};
+
+static int64_t jitter(struct run *run, int64_t spread_us)
+{
+	return (int64_t)tgw_random_below(&run->world.random,
+					 (uint64_t)spread_us);
+}
+
+/* Cache events: late, in order, with gaps. */
+struct cache_news {
+	struct server *server;
+	struct tgw_cache_event event;
+	uint64_t hashes[EVENT_HASHES_MAX];
+};
+
+static bool is_near(const struct router *router, const struct server *server)
+{
+	size_t domains = router->run->shape->domains;
+
+	return router->number % domains == server->number % domains;
+}
+
+static void deliver_cache_news(void *arg)
+{
+	struct cache_news *news = arg;
+	struct run *run = news->server->run;
+
+	news->event.hashes = news->hashes;
+	for (size_t i = 0; i < run->shape->routers; i++)
+		if (is_near(&run->routers[i], news->server))
+			tgw_router_on_cache_event(
+				run->routers[i].router,
+				run->configured[news->server->number].name,
+				&news->event);
+	free(news);
+}
+
+static void flush_cache_news(struct server *server)
+{
+	struct run *run = server->run;
+	struct cache_news *news;
+
+	if (!server->batch_count)
+		return;
+	server->next_sequence++;
+	if (run->policy == POLICY_ROUTER &&
+	    tgw_random_below(&run->world.random, 1000) >=
+		    EVENTS_LOST_PER_1000) {
+		news = xcalloc(1, sizeof(*news));
+		news->server = server;
+		news->event.sequence = server->next_sequence;
+		news->event.stored = server->batch_stored;
+		news->event.hash_count = server->batch_count;
+		memcpy(news->hashes, server->batch,
+		       server->batch_count * sizeof(server->batch[0]));
+		fake_world_after(&run->world, EVENT_LAG_US, deliver_cache_news,
+				 news);
+	}
+	server->batch_count = 0;
+}
+
+static void on_cache_changed(void *arg, bool stored, const uint64_t *hashes,
+			     size_t count)
+{
+	struct server *server = arg;
+
+	if (server->batch_count &&
+	    (server->batch_stored != stored ||
+	     server->batch_count + count > EVENT_HASHES_MAX))
+		flush_cache_news(server);
+	server->batch_stored = stored;
+	memcpy(&server->batch[server->batch_count], hashes,
+	       count * sizeof(hashes[0]));
+	server->batch_count += count;
+}
+
+/* Load reports, each to one router. */
+struct load_news {
+	struct server *server;
+	struct router *router;
+	struct tgw_load_report report;
+};
+
+static void deliver_load_news(void *arg)
+{
+	struct load_news *news = arg;
+	struct run *run = news->server->run;
+
+	news->report.taken_at_us = run->world.now_us;
+	news->router->reports[news->server->number] = news->report;
+	if (run->policy == POLICY_ROUTER)
+		tgw_router_on_load(news->router->router,
+				   run->configured[news->server->number].name,
+				   &news->report);
+	free(news);
+}
+
+static void report_load(void *arg)
+{
+	struct server *server = arg;
+	struct run *run = server->run;
+
+	for (size_t i = 0; i < run->shape->routers; i++) {
+		struct load_news *news = xcalloc(1, sizeof(*news));
+
+		news->server = server;
+		news->router = &run->routers[i];
+		news->report.running = server->engine.running_count;
+		news->report.waiting = server->engine.waiting_count;
+		fake_world_after(&run->world,
+				 REPORT_LAG_US +
+					 jitter(run, REPORT_LAG_SPREAD_US),
+				 deliver_load_news, news);
+	}
+	fake_world_after(&run->world, REPORT_INTERVAL_US, report_load, server);
+}
+
+/* The way of one request. */
+
+static void send_crashing_again(struct run *run);
+
+static void give_to(struct request *request, struct server *server)
+{
+	struct run *run = request->run;
+	const struct arrival *arrival = request->arrival;
+
+	request->server = server;
+	memset(&request->job, 0, sizeof(request->job));
+	request->job.priority = (int)arrival->kind->urgency;
+	request->job.prefix = arrival->prefix;
+	request->job.prefix_count = arrival->prefix_count;
+	request->job.blocks_left = (double)arrival->prefix_count;
+	request->job.tokens_left = arrival->tokens;
+	request->job.crashes = arrival->crashes;
+	request->job.owner = request;
+	if (server->number == 0 && run->drained_us)
+		run->result->new_work_after_drain_us =
+			run->world.now_us - run->drained_us;
+	engine_submit(&server->engine, &request->job);
+}
+
+static struct server *server_named(struct run *run, const char *name)
+{
+	for (size_t i = 0; i < run->server_count; i++)
+		if (!strcmp(run->configured[i].name, name))
+			return &run->servers[i];
+	return NULL;
+}
+
+static void on_routed(void *arg, const struct tgw_route_answer *answer)
+{
+	struct request *request = arg;
+
+	request->queued = false;
+	if (answer->status) {
+		request->open = false;
+		request->run->result->refused++;
+		if (request->arrival->crashes)
+			send_crashing_again(request->run);
+		tgw_quarantine_on_ended(request->router->quarantine,
+					&request->fingerprint);
+		return;
+	}
+	request->ticket = answer->ticket;
+	give_to(request, server_named(request->run, answer->server->name));
+}
+
+static void fill_route(struct request *request, struct tgw_route_request *route,
+		       char *team)
+{
+	const struct arrival *arrival = request->arrival;
+
+	snprintf(team, TGW_NAME_SIZE, "team%zu", arrival->team);
+	memset(route, 0, sizeof(*route));
+	route->team = team;
+	route->model = arrival->kind->is_service ? NULL : "model";
+	route->service = arrival->kind->is_service ? "service" : NULL;
+	route->urgency = arrival->kind->urgency;
+	route->deadline_us = request->run->start_us + arrival->at_us +
+			     arrival->kind->deadline_us;
+	route->prompt_tokens = (int64_t)arrival->prefix_count * 64;
+	route->output_tokens = arrival->kind->tokens_max;
+	route->is_retry = request->attempts > 1;
+	route->is_write = arrival->kind->is_write;
+	route->prefix_count = arrival->prefix_count;
+	memcpy(route->prefix_hashes, arrival->prefix,
+	       arrival->prefix_count * sizeof(arrival->prefix[0]));
+	route->excluded_count = request->excluded_count;
+	memcpy(route->excluded, request->excluded, sizeof(route->excluded));
+}
+
+static void on_verdict(void *arg, const struct tgw_quarantine_answer *answer)
+{
+	struct request *request = arg;
+	struct tgw_route_callback callback = {.done = on_routed,
+					      .arg = request};
+	struct tgw_route_request route;
+	char team[TGW_NAME_SIZE];
+	uint64_t id;
+
+	if (!request->open)
+		return;
+	if (answer->verdict == TGW_QUARANTINE_BUSY ||
+	    answer->verdict == TGW_QUARANTINE_REFUSED) {
+		request->open = false;
+		request->run->result->innocents_refused +=
+			!request->arrival->crashes;
+		if (request->arrival->crashes)
+			send_crashing_again(request->run);
+		return;
+	}
+	fill_route(request, &route, team);
+	snprintf(route.required_server, sizeof(route.required_server), "%s",
+		 answer->server);
+	request->queued = true;
+	id = tgw_router_submit(request->router->router, &route, callback);
+	request->queue_id = id;
+}
+
+static void try_router(struct request *request)
+{
+	struct tgw_quarantine_callback callback = {.done = on_verdict,
+						   .arg = request};
+	struct tgw_route_request route;
+	char team[TGW_NAME_SIZE];
+	const char *names[TGW_PREFIX_HASHES_MAX];
+	struct tgw_quarantine_ask ask = {.servers = names};
+
+	request->attempts++;
+	fill_route(request, &route, team);
+	ask.fingerprint = request->fingerprint;
+	ask.server_count = tgw_router_candidates(
+		request->router->router, &route, names, TGW_PREFIX_HASHES_MAX);
+	tgw_quarantine_enter(request->router->quarantine, &ask, callback);
+}
+
+static bool serves(const struct run *run, size_t server,
+		   const struct arrival *arrival)
+{
+	return (server >= run->shape->models) == arrival->kind->is_service;
+}
+
+static struct server *pick_random(struct run *run,
+				  const struct arrival *arrival)
+{
+	size_t at;
+
+	do
+		at = tgw_random_below(&run->world.random, run->server_count);
+	while (!serves(run, at, arrival));
+	return &run->servers[at];
+}
+
+static struct server *pick_least(struct run *run, const struct router *router,
+				 const struct arrival *arrival)
+{
+	struct server *best = pick_random(run, arrival);
+
+	for (size_t i = 0; i < run->server_count; i++) {
+		const struct tgw_load_report *a = &router->reports[i];
+		const struct tgw_load_report *b =
+			&router->reports[best->number];
+
+		if (serves(run, i, arrival) &&
+		    a->running + a->waiting < b->running + b->waiting)
+			best = &run->servers[i];
+	}
+	return best;
+}
+
+static void try_request(struct request *request)
+{
+	struct run *run = request->run;
+
+	if (run->policy == POLICY_ROUTER)
+		try_router(request);
+	else if (run->policy == POLICY_RANDOM)
+		give_to(request, pick_random(run, request->arrival));
+	else
+		give_to(request,
+			pick_least(run, request->router, request->arrival));
+}
+
+static void note_in_time(struct request *request)
+{
+	struct route_result *result = request->run->result;
+	const struct arrival *arrival = request->arrival;
+	const struct work_shape *kind = arrival->kind;
+
+	result->in_time[kind->urgency]++;
+	if (kind->is_service && !kind->is_write)
+		result->reads_in_time++;
+	if (kind->is_backlog &&
+	    arrival->team >= request->run->shape->large_teams)
+		result->small_in_time++;
+}
+
+/* The caller's patience is over. */
+static void expire(void *arg)
+{
+	struct request *request = arg;
+	struct run *run = request->run;
+
+	if (!request->open)
+		return;
+	request->open = false;
+	if (request->queued)
+		tgw_router_cancel(request->router->router, request->queue_id);
+	if (request->server) {
+		engine_cancel(&request->server->engine, &request->job);
+		request->server = NULL;
+		if (run->policy == POLICY_ROUTER)
+			tgw_router_finish(request->router->router,
+					  request->ticket, TGW_ROUTE_CANCELLED,
+					  0);
+	}
+	if (run->policy == POLICY_ROUTER)
+		tgw_quarantine_on_ended(request->router->quarantine,
+					&request->fingerprint);
+}
+
+static void arrive(struct run *run, const struct arrival *arrival,
+		   struct router *router)
+{
+	struct request *request = xcalloc(1, sizeof(*request));
+	int64_t due_us = run->start_us + arrival->at_us +
+			 arrival->kind->deadline_us - run->world.now_us;
+
+	request->arrival = arrival;
+	request->run = run;
+	request->router = router;
+	request->open = true;
+	tgw_fingerprint_of(&request->fingerprint, "team",
+			   arrival->crashes ? "crash" : (const char *)&arrival,
+			   arrival->crashes ? 5 : sizeof(arrival));
+	fake_world_after(&run->world, due_us, expire, request);
+	try_request(request);
+}
+
+/* The crashing request's caller sends it again when it heard nothing good,
+ * to two hosts at once. */
+static void send_crashing(void *arg)
+{
+	struct run *run = arg;
+	int copies = run->crash_attempts ? 2 : 1;
+
+	run->crashing.at_us = run->world.now_us - run->start_us;
+	for (int i = 0; i < copies; i++)
+		arrive(run, &run->crashing,
+		       &run->routers[tgw_random_below(&run->world.random,
+						      run->shape->routers)]);
+	run->crash_attempts++;
+}
+
+static void send_crashing_again(struct run *run)
+{
+	if (run->crash_attempts < CRASH_RETRIES)
+		fake_world_after(&run->world, CRASH_RETRY_US, send_crashing,
+				 run);
+}
+
+static void retry_elsewhere(void *arg)
+{
+	struct request *request = arg;
+
+	if (request->open && request->attempts < ATTEMPTS_MAX)
+		try_request(request);
+	else
+		request->open = false;
+}
+
+static void on_broken(struct request *request, struct server *server)
+{
+	struct run *run = request->run;
+	const char *name = run->configured[server->number].name;
+
+	tgw_quarantine_on_crash(request->router->quarantine,
+				&request->fingerprint, "team", name, 0);
+	tgw_router_finish(request->router->router, request->ticket,
+			  TGW_ROUTE_BROKEN, 0);
+	snprintf(
+		request->excluded[request->excluded_count++ % TGW_EXCLUDED_MAX],
+		TGW_NAME_SIZE, "%s", name);
+	if (request->arrival->crashes) {
+		request->open = false;
+		send_crashing_again(run);
+	} else {
+		fake_world_after(&run->world, 0, retry_elsewhere, request);
+	}
+}
+
+static void on_ended(void *arg, struct engine_job *job, bool broke)
+{
+	struct server *server = arg;
+	struct request *request = job->owner;
+	struct run *run = request->run;
+
+	request->server = NULL;
+	if (broke) {
+		run->result->servers_lost += job->crashes;
+		on_broken(request, server);
+		return;
+	}
+	request->open = false;
+	note_in_time(request);
+	if (run->policy != POLICY_ROUTER)
+		return;
+	tgw_router_finish(request->router->router, request->ticket,
+			  TGW_ROUTE_SERVED, (int64_t)request->arrival->tokens);
+	tgw_quarantine_on_served(request->router->quarantine,
+				 &request->fingerprint);
+}
+
+/* The fleet. */
+
+static void receive(void *arg, const struct tgw_peer_message *message)
+{
+	struct router *router = arg;
+
+	tgw_quarantine_on_message(router->quarantine, message);
+}
+
+static void tick_router(void *arg)
+{
+	struct router *router = arg;
+
+	tgw_router_tick(router->router);
+	tgw_quarantine_tick(router->quarantine);
+	fake_world_after(&router->run->world, ROUTER_TICK_US, tick_router,
+			 router);
+}
+
+static void add_router(struct run *run, size_t number)
+{
+	struct router *router = &run->routers[number];
+	struct tgw_quarantine_env quarantine = tgw_quarantine_env_default();
+	struct tgw_router_env env = {
+		.clock = &run->world.clock,
+		.failure_domain = run->hosts[number].failure_domain,
+		.random_seed = tgw_random_u64(&run->world.random),
+	};
+
+	router->run = run;
+	router->number = number;
+	router->view.self_index = number;
+	router->view.host_count = run->shape->routers;
+	router->view.hosts = run->hosts;
+	router->reports =
+		xcalloc(run->server_count, sizeof(router->reports[0]));
+	fake_store_init(&router->store, &run->store);
+	fake_net_add(&run->net, &router->end, run->hosts[number].name,
+		     number + 1, receive, router);
+	quarantine.clock = &run->world.clock;
+	quarantine.store = &router->store.store;
+	quarantine.peer = &router->end.peer;
+	router->quarantine = tgw_quarantine_new(&quarantine, &router->view);
+	router->router = tgw_router_new(&env);
+	tgw_router_set_config(router->router, &run->config);
+	fake_world_after(&run->world, jitter(run, ROUTER_TICK_US), tick_router,
+			 router);
+}
+
+static void slow_down(struct engine_settings *settings)
+{
+	settings->token_us = settings->token_us * SLOW_SERVER_PCT / 100;
+	settings->token_us_per_running =
+		settings->token_us_per_running * SLOW_SERVER_PCT / 100;
+}
+
+static void add_server(struct run *run, size_t number)
+{
+	const struct fleet_shape *shape = run->shape;
+	bool service = number >= shape->models;
+	const struct engine_settings *settings = service ? &shape->service
+							 : &shape->model;
+	struct server *server = &run->servers[number];
+	struct tgw_server *configured = &run->configured[number];
+
+	snprintf(configured->name, sizeof(configured->name), "server%zu",
+		 number);
+	snprintf(configured->failure_domain, sizeof(configured->failure_domain),
+		 "domain%zu", number % shape->domains);
+	configured->kind = service ? TGW_SERVER_SERVICE : TGW_SERVER_MODEL;
+	configured->slots = settings->slots;
+	snprintf(configured->service, sizeof(configured->service), "service");
+	configured->models.count = 1;
+	snprintf(configured->models.names[0], TGW_NAME_SIZE, "model");
+	server->run = run;
+	server->number = number;
+	engine_init(&server->engine, settings);
+	if (!service && number % SLOW_SERVER_EACH == SLOW_SERVER_EACH - 1)
+		slow_down(&server->engine.settings);
+	server->engine.ended = on_ended;
+	server->engine.cache_changed = on_cache_changed;
+	server->engine.arg = server;
+}
+
+static void set_up(struct run *run, uint64_t seed)
+{
+	const struct fleet_shape *shape = run->shape;
+
+	fake_world_init(&run->world, seed);
+	fake_store_server_init(&run->store, &run->world);
+	fake_net_init(&run->net, &run->world);
+	run->server_count = shape->models + shape->services;
+	run->hosts = xcalloc(shape->routers, sizeof(run->hosts[0]));
+	run->routers = xcalloc(shape->routers, sizeof(run->routers[0]));
+	run->servers = xcalloc(run->server_count, sizeof(run->servers[0]));
+	run->configured =
+		xcalloc(run->server_count, sizeof(run->configured[0]));
+	for (size_t i = 0; i < run->server_count; i++)
+		add_server(run, i);
+	run->config.servers = run->configured;
+	run->config.server_count = run->server_count;
+	for (size_t i = 0; i < shape->routers; i++) {
+		snprintf(run->hosts[i].name, TGW_NAME_SIZE, "host%zu", i);
+		snprintf(run->hosts[i].failure_domain, TGW_NAME_SIZE,
+			 "domain%zu", i % shape->domains);
+		run->hosts[i].incarnation = i + 1;
+	}
+	for (size_t i = 0; i < shape->routers; i++)
+		add_router(run, i);
+	for (size_t i = 0; i < run->server_count; i++)
+		fake_world_after(&run->world, jitter(run, REPORT_INTERVAL_US),
+				 report_load, &run->servers[i]);
+	/* The arbiters of probation take office before work comes. */
+	fake_world_advance(&run->world, 4 * TGW_US_PER_S);
+	run->start_us = run->world.now_us;
+}
+
+static void tear_down(struct run *run)
+{
+	for (size_t i = 0; i < run->shape->routers; i++) {
+		tgw_router_free(run->routers[i].router);
+		tgw_quarantine_free(run->routers[i].quarantine);
+		free(run->routers[i].reports);
+	}
+	for (size_t i = 0; i < run->server_count; i++)
+		engine_clear(&run->servers[i].engine);
+	fake_store_server_clear(&run->store);
+	fake_world_clear(&run->world);
+	free(run->hosts);
+	free(run->routers);
+	free(run->servers);
+	free(run->configured);
+}
+
+static void apply_config(void *arg)
+{
+	struct router *router = arg;
+
+	tgw_router_set_config(router->router, &router->run->config);
+}
+
+static void drain_one(struct run *run)
+{
+	run->drained_us = run->world.now_us;
+	run->configured[0].draining = true;
+	for (size_t i = 0; i < run->shape->routers; i++)
+		fake_world_after(&run->world, jitter(run, CONFIG_SPREAD_US),
+				 apply_config, &run->routers[i]);
+}
+
+static void inject_faults(struct run *run, int64_t since_us)
+{
+	double at = (double)since_us / (double)run->shape->length_us;
+
+	if (run->faults->crashing_request && !run->crash_attempts &&
+	    at >= CRASH_AT) {
+		run->crashing = run->workload->arrivals[0];
+		run->crashing.kind = &run->shape->kinds[2];
+		run->crashing.tokens = 20;
+		run->crashing.crashes = true;
+		send_crashing(run);
+	}
+	if (run->faults->drain && !run->drained_us && at >= DRAIN_AT)
+		drain_one(run);
+	if (run->drained_us &&
+	    run->world.now_us - run->drained_us == STOP_AFTER_DRAIN_US)
+		run->result->cut_off +=
+			(uint64_t)(run->servers[0].engine.running_count +
+				   run->servers[0].engine.waiting_count);
+}
+
+static void count_arrival(struct run *run, const struct arrival *arrival)
+{
+	struct route_result *result = run->result;
+	const struct work_shape *kind = arrival->kind;
+
+	result->arrived[kind->urgency]++;
+	if (kind->is_service && !kind->is_write)
+		result->reads_arrived++;
+	if (kind->is_backlog && arrival->team >= run->shape->large_teams)
+		result->small_arrived++;
+}
+
+static void step(struct run *run, size_t *next)
+{
+	const struct workload *workload = run->workload;
+	int64_t since_us = run->world.now_us - run->start_us;
+
+	inject_faults(run, since_us);
+	while (*next < workload->count &&
+	       workload->arrivals[*next].at_us <= since_us) {
+		const struct arrival *arrival = &workload->arrivals[(*next)++];
+
+		count_arrival(run, arrival);
+		arrive(run, arrival, &run->routers[arrival->router]);
+	}
+	for (size_t i = 0; i < run->server_count; i++) {
+		engine_step(&run->servers[i].engine, run->world.now_us);
+		flush_cache_news(&run->servers[i]);
+	}
+	fake_world_advance(&run->world, ENGINE_STEP_US);
+}
+
+void route_run(const struct workload *workload, enum route_policy policy,
+	       const struct route_faults *faults, uint64_t seed,
+	       struct route_result *result)
+{
+	struct run *run = xcalloc(1, sizeof(*run));
+	int64_t until_us;
+	size_t next = 0;
+
+	run->workload = workload;
+	run->shape = workload->shape;
+	run->policy = policy;
+	run->faults = faults;
+	run->result = result;
+	set_up(run, seed);
+	until_us = run->start_us + run->shape->length_us + PATIENCE_MAX_US;
+	while (run->world.now_us < until_us)
+		step(run, &next);
+	for (size_t i = 0; i < run->shape->models; i++) {
+		result->looked_up_blocks +=
+			run->servers[i].engine.looked_up_blocks;
+		result->found_blocks += run->servers[i].engine.found_blocks;
+	}
+	tear_down(run);
+	free(run);
+}
