Let one host decide on suspected requests for all failure domains

Cause: a crashing request took up to 4 servers. Its retries landed in two failure domains at once, and each domain's arbiter let one run; and 40 to 160 requests that had merely run beside it were refused, because each found all servers taken by other suspected ones.

Ruled out: refusing at the first crash (it would blame all that ran there).

Change: one arbiter among all hosts that reach each other; a suspected attempt may wait, until its deadline rules it out, for a server of its own; the servers of other domains are offered too. Each ask has its own id, so that a late answer to an earlier one is taken back.

Hosts that are cut apart have an arbiter on each side, so that each side may lose servers until they meet.

--- a/include/tamarackgw/quarantine.h
+++ b/include/tamarackgw/quarantine.h
@@ -70,6 +70,9 @@
 /** An attempt that wants to run, and the servers that could run it. */
 struct tgw_quarantine_ask {
 	struct tgw_fingerprint fingerprint;
+	/** A suspected attempt waits until then for a server of its own: the
+	 * last moment at which a start still meets the deadline. 0 for now. */
+	int64_t wait_until_us;
 	size_t server_count;
 	const char *const *servers;
 };
@@ -101,9 +104,9 @@
 
 /**
  * Asks whether an attempt may run. What is not suspected is admitted from
- * inside this call. A suspected request runs once at a time in the failure
- * domain, and on a server that runs no other suspected one, so that a
- * further crash blames one request only. The attempt is ended by
+ * inside this call. A suspected request runs once at a time among all hosts
+ * that reach each other, and on a server that runs no other suspected one,
+ * so that a further crash blames one request only. The attempt is ended by
  * on_served, on_crash or on_ended.
  */
 void tgw_quarantine_enter(struct tgw_quarantine *quarantine,
--- a/src/coordination/quarantine_probation.c
+++ b/src/coordination/quarantine_probation.c
@@ -3,10 +3,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/xalloc.h"
 
 #define ASK_TIMEOUT_US (INT64_C(500) * TGW_US_PER_MS)
+#define ASK_AGAIN_US (INT64_C(100) * TGW_US_PER_MS)
 #define BUSY_RETRY_US (INT64_C(2) * TGW_US_PER_S)
 #define HOLD_INTERVAL_US (INT64_C(2) * TGW_US_PER_S)
 #define HOLD_EXPIRY_US (5 * HOLD_INTERVAL_US)
@@ -18,9 +20,12 @@
 struct pending_ask {
 	struct pending_ask *next;
 	uint64_t ask_id;
-	struct tgw_fingerprint fingerprint;
-	int64_t due_us;
 	struct tgw_quarantine_callback callback;
+	int64_t due_us;	  /**< BUSY from then on */
+	int64_t again_us; /**< asked again then */
+	bool waits;	  /**< for a server, when none is free */
+	struct quarantine_message message;
+	char names[QUARANTINE_SERVERS_MAX][TGW_NAME_SIZE];
 };
 
 static int64_t now_of(const struct quarantine_probation *probation)
@@ -53,13 +58,22 @@
 	buffer_free(&payload);
 }
 
+static uint64_t weight_of(const struct tgw_host *host)
+{
+	if (host->state != TGW_HOST_ALIVE)
+		return 0;
+	return XXH64(host->name, strlen(host->name), ARBITER_KEY_HASH);
+}
+
 static void choose_arbiter(struct quarantine_probation *probation)
 {
-	const struct tgw_host *self = self_of(probation);
-	const struct tgw_host *arbiter = self;
+	const struct tgw_host_view *view = probation->view;
+	const struct tgw_host *arbiter = self_of(probation);
 
-	tgw_host_view_rank(probation->view, self->failure_domain,
-			   ARBITER_KEY_HASH, &arbiter, 1);
+	for (size_t i = 0; i < view->host_count; i++)
+		if (view->hosts[i].state == TGW_HOST_ALIVE &&
+		    weight_of(&view->hosts[i]) > weight_of(arbiter))
+			arbiter = &view->hosts[i];
 	if (!strcmp(arbiter->name, probation->arbiter) &&
 	    arbiter->incarnation == probation->arbiter_incarnation)
 		return;
@@ -135,7 +149,7 @@
 	callback.done(callback.arg, &what);
 }
 
-/* Decides as the domain's arbiter. @return the server of a PROBATION */
+/* Decides as the arbiter. @return the server of a PROBATION */
 static const char *arbitrate(struct quarantine_probation *probation,
 			     struct quarantine_permit *permit,
 			     const struct quarantine_message *ask,
@@ -247,25 +261,118 @@
 	answer(probation, callback, verdict, server);
 }
 
-static void ask_arbiter(struct quarantine_probation *probation,
-			const struct quarantine_message *message,
-			struct tgw_quarantine_callback callback)
+static struct pending_ask *find_ask(
+	const struct quarantine_probation *probation, uint64_t ask_id)
 {
-	struct pending_ask *ask;
+	struct pending_ask *ask = probation->asks;
 
-	if (probation->ask_count == ASKS_MAX) {
-		answer(probation, callback, TGW_QUARANTINE_BUSY, "");
+	while (ask && ask->message.ask_id != ask_id)
+		ask = ask->next;
+	return ask;
+}
+
+static void take_ask(struct quarantine_probation *probation,
+		     struct pending_ask *ask)
+{
+	struct pending_ask **link = &probation->asks;
+
+	while (*link != ask)
+		link = &(*link)->next;
+	*link = ask->next;
+	probation->ask_count--;
+}
+
+static bool holds(const struct quarantine_probation *probation,
+		  const struct quarantine_message *tell)
+{
+	const struct quarantine_permit *held =
+		quarantine_permits_find(&probation->held, &tell->fingerprint);
+
+	return held && held->ask_id == tell->ask_id;
+}
+
+static void on_tell(struct quarantine_probation *probation,
+		    const struct quarantine_message *tell)
+{
+	struct quarantine_permit permit =
+		own_permit(probation, tell->ask_id, &tell->fingerprint);
+	struct pending_ask *ask = find_ask(probation, tell->ask_id);
+	const char *server = tell->server_count ? tell->servers[0] : "";
+	struct tgw_quarantine_callback callback;
+
+	if (!ask) {
+		/* Too late, or twice: what this host holds stays held. */
+		if (tell->verdict == TGW_QUARANTINE_PROBATION &&
+		    !holds(probation, tell))
+			release(probation, &permit);
 		return;
 	}
-	ask = xcalloc(1, sizeof(*ask));
-	ask->ask_id = message->ask_id;
-	ask->fingerprint = message->fingerprint;
+	if (tell->verdict == TGW_QUARANTINE_BUSY && ask->waits)
+		return;
+	callback = ask->callback;
+	take_ask(probation, ask);
+	free(ask);
+	conclude(probation, callback, &permit, tell->verdict, server);
+}
+
+static void keep_names(struct pending_ask *ask,
+		       const struct tgw_quarantine_ask *from)
+{
+	struct quarantine_message *message = &ask->message;
+
+	while (message->server_count < from->server_count &&
+	       message->server_count < QUARANTINE_SERVERS_MAX) {
+		size_t at = message->server_count++;
+
+		snprintf(ask->names[at], TGW_NAME_SIZE, "%s",
+			 from->servers[at]);
+		message->servers[at] = ask->names[at];
+	}
+}
+
+/* Asks under a new id each time, so that a late answer to an earlier one is
+ * taken back and can't be mistaken. */
+static void send_ask(struct quarantine_probation *probation,
+		     struct pending_ask *ask)
+{
+	struct quarantine_message *message = &ask->message;
+	enum tgw_quarantine_verdict verdict;
+	struct quarantine_message tell = {.kind = QUARANTINE_TELL,
+					  .server_count = 1};
+	struct quarantine_permit permit;
+
+	message->ask_id = ++probation->next_ask_id;
+	ask->again_us = now_of(probation) + ASK_AGAIN_US;
+	if (!quarantine_probation_is_arbiter(probation)) {
+		send_message(probation, probation->arbiter, message);
+		return;
+	}
+	permit = own_permit(probation, message->ask_id, &message->fingerprint);
+	tell.ask_id = message->ask_id;
+	tell.fingerprint = message->fingerprint;
+	tell.servers[0] = arbitrate(probation, &permit, message, &verdict);
+	tell.verdict = verdict;
+	on_tell(probation, &tell);
+}
+
+static struct pending_ask *add_ask(struct quarantine_probation *probation,
+				   const struct tgw_quarantine_ask *from,
+				   struct tgw_quarantine_callback callback)
+{
+	struct pending_ask *ask = xcalloc(1, sizeof(*ask));
+
+	ask->message.kind = QUARANTINE_ASK;
+	ask->message.fingerprint = from->fingerprint;
+	keep_names(ask, from);
 	ask->due_us = now_of(probation) + ASK_TIMEOUT_US;
+	ask->waits = from->wait_until_us != 0;
+	if (ask->waits)
+		ask->due_us = from->wait_until_us;
 	ask->callback = callback;
 	ask->next = probation->asks;
 	probation->asks = ask;
 	probation->ask_count++;
-	send_message(probation, probation->arbiter, message);
+	return ask;
 }
 
 void quarantine_probation_enter(struct quarantine_probation *probation,
@@ -274,15 +381,6 @@
 {
 	const struct quarantine_item *item =
 		quarantine_table_find(probation->table, &ask->fingerprint);
-	struct quarantine_message message = {
-		.kind = QUARANTINE_ASK,
-		.ask_id = ++probation->next_ask_id,
-		.fingerprint = ask->fingerprint,
-	};
-	struct quarantine_permit permit =
-		own_permit(probation, message.ask_id, &ask->fingerprint);
-	enum tgw_quarantine_verdict verdict;
-	const char *server;
 
 	if (!item || !item->crash_count) {
 		answer(probation, callback, TGW_QUARANTINE_ADMITTED, "");
@@ -293,15 +391,10 @@
 		answer(probation, callback, TGW_QUARANTINE_REFUSED, "");
 		return;
 	}
-	for (size_t i = 0; i < ask->server_count && i < QUARANTINE_SERVERS_MAX;
-	     i++)
-		message.servers[message.server_count++] = ask->servers[i];
-	if (!quarantine_probation_is_arbiter(probation)) {
-		ask_arbiter(probation, &message, callback);
-		return;
-	}
-	server = arbitrate(probation, &permit, &message, &verdict);
-	conclude(probation, callback, &permit, verdict, server);
+	if (probation->ask_count == ASKS_MAX)
+		answer(probation, callback, TGW_QUARANTINE_BUSY, "");
+	else
+		send_ask(probation, add_ask(probation, ask, callback));
 }
 
 static void on_ask(struct quarantine_probation *probation,
@@ -326,44 +419,6 @@
 	send_message(probation, from->from_host, &tell);
 }
 
-static struct pending_ask *take_ask(struct quarantine_probation *probation,
-				    uint64_t ask_id)
-{
-	struct pending_ask **link = &probation->asks;
-	struct pending_ask *ask;
-
-	while (*link && (*link)->ask_id != ask_id)
-		link = &(*link)->next;
-	ask = *link;
-	if (ask) {
-		*link = ask->next;
-		probation->ask_count--;
-	}
-	return ask;
-}
-
-static void on_tell(struct quarantine_probation *probation,
-		    const struct quarantine_message *tell)
-{
-	struct quarantine_permit permit =
-		own_permit(probation, tell->ask_id, &tell->fingerprint);
-	struct pending_ask *ask = take_ask(probation, tell->ask_id);
-	const char *server = tell->server_count ? tell->servers[0] : "";
-	struct tgw_quarantine_callback callback;
-
-	if (!ask) {
-		/* Too late, or twice: what this host holds stays held. */
-		if (tell->verdict == TGW_QUARANTINE_PROBATION &&
-		    !quarantine_permits_find(&probation->held,
-					     &tell->fingerprint))
-			release(probation, &permit);
-		return;
-	}
-	callback = ask->callback;
-	free(ask);
-	conclude(probation, callback, &permit, tell->verdict, server);
-}
-
 static void on_hold(struct quarantine_probation *probation,
 		    const struct tgw_peer_message *from,
 		    const struct quarantine_message *message)
@@ -385,21 +440,28 @@
 		quarantine_permits_release(&probation->permits, &permit);
 }
 
-static struct pending_ask *take_due_ask(struct quarantine_probation *probation)
+static struct pending_ask *due_ask(const struct quarantine_probation *probation)
 {
+	int64_t now_us = now_of(probation);
+
 	for (struct pending_ask *ask = probation->asks; ask; ask = ask->next)
-		if (ask->due_us <= now_of(probation))
-			return take_ask(probation, ask->ask_id);
+		if (ask->due_us <= now_us || ask->again_us <= now_us)
+			return ask;
 	return NULL;
 }
 
-static void expire_asks(struct quarantine_probation *probation)
+static void renew_asks(struct quarantine_probation *probation)
 {
 	struct pending_ask *ask;
 
-	while ((ask = take_due_ask(probation))) {
+	while ((ask = due_ask(probation))) {
 		struct tgw_quarantine_callback callback = ask->callback;
 
+		if (ask->due_us > now_of(probation)) {
+			send_ask(probation, ask);
+			continue;
+		}
+		take_ask(probation, ask);
 		free(ask);
 		answer(probation, callback, TGW_QUARANTINE_BUSY, "");
 	}
@@ -449,6 +511,6 @@
 
 void quarantine_probation_tick(struct quarantine_probation *probation)
 {
-	expire_asks(probation);
+	renew_asks(probation);
 	renew_holds(probation);
 }
--- a/src/coordination/quarantine_probation.h
+++ b/src/coordination/quarantine_probation.h
@@ -1,7 +1,8 @@
 /**
  * @file quarantine_probation.h
  * Runs suspected requests one at a time, each on a server without another
- * suspected one. One host of each failure domain, the arbiter, decides.
+ * suspected one. One host of all that reach each other, the arbiter, decides:
+ * a request's retries may land in any failure domain.
  */
 #ifndef COORDINATION_QUARANTINE_PROBATION_H
 #define COORDINATION_QUARANTINE_PROBATION_H
@@ -23,7 +24,7 @@
 	const struct quarantine_table *table;
 	struct tgw_quarantine_counters *counters;
 	const struct tgw_host_view *view;
-	struct quarantine_permits permits; /**< as this domain's arbiter */
+	struct quarantine_permits permits; /**< as the arbiter */
 	struct quarantine_permits held;	   /**< this host's own attempts */
 	struct pending_ask *asks;
 	size_t ask_count;
@@ -47,7 +48,7 @@
 void quarantine_probation_set_hosts(struct quarantine_probation *probation,
 				    const struct tgw_host_view *view);
 
-/** @return whether this host decides for its failure domain */
+/** @return whether this host decides */
 bool quarantine_probation_is_arbiter(
 	const struct quarantine_probation *probation);
 
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -394,7 +394,7 @@
 	const struct route_pool *pool = obtain_pool(router, request);
 	size_t count = 0;
 
-	for (int local = 1; local >= 0 && !count && pool; local--)
+	for (int local = 1; local >= 0 && pool; local--)
 		for (size_t i = 0; i < pool->server_count; i++) {
 			const struct server_state *state = pool->servers[i];
 
--- a/tests/measure/route_run.c
+++ b/tests/measure/route_run.c
@@ -25,6 +25,7 @@
 #define CRASH_RETRIES 200
 #define CRASH_RETRY_US (INT64_C(50) * TGW_US_PER_MS)
 #define ATTEMPTS_MAX 3
+#define LEAST_RUN_US TGW_US_PER_S
 /* The longest deadline of all kinds: the run goes on until all have ended. */
 #define PATIENCE_MAX_US (INT64_C(150) * TGW_US_PER_S)
 /* Every so many servers one is slower by this much. */
@@ -320,6 +321,7 @@
 	ask.fingerprint = request->fingerprint;
 	ask.server_count = tgw_router_candidates(
 		request->router->router, &route, names, TGW_PREFIX_HASHES_MAX);
+	ask.wait_until_us = route.deadline_us - LEAST_RUN_US;
 	tgw_quarantine_enter(request->router->quarantine, &ask, callback);
 }
 
--- a/tests/scenario/requests_quarantine.c
+++ b/tests/scenario/requests_quarantine.c
@@ -28,12 +28,14 @@
 	       answer->server);
 }
 
-/* enter HOST BODY SERVER...: an attempt that these servers could run. */
+/* enter HOST BODY SERVER... [wait_ms=N]: an attempt that these servers could
+ * run, and how long it waits for one. */
 static void do_enter(void *world, const struct scenario_step *step)
 {
 	static struct entering all[FLEET_CALLS_MAX];
 	static size_t used;
 	struct entering *entering = &all[used++ % FLEET_CALLS_MAX];
+	int64_t wait_us = fleet_option(step, "wait_ms", "0") * TGW_US_PER_MS;
 	struct tgw_quarantine_ask ask = {
 		.fingerprint = fingerprint_of(step->words[2]),
 		.server_count = step->word_count - 3,
@@ -44,6 +46,11 @@
 
 	entering->host = fleet_host_find(world, step, 1);
 	snprintf(entering->body, sizeof(entering->body), "%s", step->words[2]);
+	if (wait_us) {
+		ask.wait_until_us =
+			entering->host->fleet->world.now_us + wait_us;
+		ask.server_count--;
+	}
 	tgw_quarantine_enter(entering->host->quarantine, &ask, callback);
 }
 
