Check MessagePack from others before it is unpacked

Fuzzing showed that a message of ten bytes makes the library ask for 137 GB: it allocates what an array or map announces before it looks for the elements. Limits on sizes were ruled out, since a short value can lie. The guard walks the bytes first and wants each announced element to be there; all decoders call it in place of msgpack_unpack_next().

--- a/src/ctl/audit_scan.c
+++ b/src/ctl/audit_scan.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/config_manifest.h"
 
@@ -65,9 +66,8 @@
 
 	msgpack_unpacked_init(&unpacked);
 	/* Entries may stand one after the other, without an array. */
-	while (end < size &&
-	       msgpack_unpack_next(&unpacked, value, size, &end) ==
-		       MSGPACK_UNPACK_SUCCESS)
+	while (end < size && msgpack_guard_next(&unpacked, value, size, &end) ==
+				     MSGPACK_UNPACK_SUCCESS)
 		scan_object(scan, key, &unpacked.data, 0);
 	msgpack_unpacked_destroy(&unpacked);
 }
--- a/src/ctl/config_repository.c
+++ b/src/ctl/config_repository.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/config_commit.h"
 #include "tamarackgw/store.h"
@@ -184,7 +185,7 @@
 	msgpack_unpacked_init(&unpacked);
 	msgpack_packer_init(&packer, &bytes, msgpack_sbuffer_write);
 	config_delta_pack(delta, &packer);
-	if (msgpack_unpack_next(&unpacked, bytes.data, bytes.size, NULL) ==
+	if (msgpack_guard_next(&unpacked, bytes.data, bytes.size, NULL) ==
 	    MSGPACK_UNPACK_SUCCESS)
 		status = config_delta_unpack(copy, &unpacked.data, error);
 	msgpack_unpacked_destroy(&unpacked);
@@ -238,9 +239,9 @@
 		config_part_key(key, &delta->audit, i);
 		status = ctl_get(ctl, key, &value, &version, error);
 		if (status == TGW_OK &&
-		    msgpack_unpack_next(&unpacked, value.data ? value.data : "",
-					value.size,
-					NULL) != MSGPACK_UNPACK_SUCCESS)
+		    msgpack_guard_next(&unpacked, value.data ? value.data : "",
+				       value.size,
+				       NULL) != MSGPACK_UNPACK_SUCCESS)
 			status = tgw_error_set(error, TGW_CORRUPT,
 					       "%s does not decode; restore it "
 					       "from a backup of the store",
--- a/src/protocol/peer_frame.c
+++ b/src/protocol/peer_frame.c
@@ -4,6 +4,8 @@
 #include <msgpack.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
+
 #define PEER_FRAME_FORMAT 1
 #define PEER_FRAME_FIELDS 4
 
@@ -69,7 +71,7 @@
 	size_t offset = 0;
 
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, bytes, size, &offset) !=
+	if (msgpack_guard_next(&unpacked, bytes, size, &offset) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    offset != size)
 		status = tgw_error_set(error, TGW_CORRUPT,
--- a/src/state/budget_message.c
+++ b/src/state/budget_message.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/wire_reader.h"
 
@@ -190,7 +191,7 @@
 
 	memset(message, 0, sizeof(*message));
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, bytes, size, &at) !=
+	if (msgpack_guard_next(&unpacked, bytes, size, &at) !=
 	    MSGPACK_UNPACK_SUCCESS) {
 		status = TGW_CORRUPT;
 		goto out;
--- a/src/state/claim_bucket.c
+++ b/src/state/claim_bucket.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/msgpack_field.h"
 
@@ -240,7 +241,7 @@
 
 	claim_bucket_clear(bucket);
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, value, size, NULL) ==
+	if (msgpack_guard_next(&unpacked, value, size, NULL) ==
 	    MSGPACK_UNPACK_SUCCESS)
 		status = unpack_value(bucket, &unpacked.data);
 	msgpack_unpacked_destroy(&unpacked);
--- a/src/state/claim_message.c
+++ b/src/state/claim_message.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "state/msgpack_field.h"
 
 #define FORMAT_VERSION 1
@@ -64,7 +65,7 @@
 
 	memset(message, 0, sizeof(*message));
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, payload, size, NULL) ==
+	if (msgpack_guard_next(&unpacked, payload, size, NULL) ==
 	    MSGPACK_UNPACK_SUCCESS) {
 		fields = msgpack_field_array(&unpacked.data, MESSAGE_FIELDS);
 		sound = fields && unpack_fields(message, fields);
--- a/src/state/config_commit.c
+++ b/src/state/config_commit.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/record_reader.h"
 #include "tamarackgw/store.h"
@@ -357,7 +358,7 @@
 	size_t end = 0;
 
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, value, value_size, &end) !=
+	if (msgpack_guard_next(&unpacked, value, value_size, &end) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    end != value_size) {
 		status = tgw_error_set(error, TGW_CORRUPT,
--- a/src/state/config_manifest.c
+++ b/src/state/config_manifest.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/record_reader.h"
 
@@ -126,7 +127,7 @@
 
 	memset(manifest, 0, sizeof(*manifest));
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, value, value_size, &end) !=
+	if (msgpack_guard_next(&unpacked, value, value_size, &end) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    end != value_size) {
 		status = tgw_error_set(error, TGW_CORRUPT,
--- a/src/state/config_message.c
+++ b/src/state/config_message.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "state/record_reader.h"
 
 #define MESSAGE_FORMAT 1
@@ -31,7 +32,7 @@
 	uint64_t shard;
 
 	memset(message, 0, sizeof(*message));
-	if (msgpack_unpack_next(unpacked, payload, payload_size, NULL) !=
+	if (msgpack_guard_next(unpacked, payload, payload_size, NULL) !=
 	    MSGPACK_UNPACK_SUCCESS)
 		return tgw_error_set(error, TGW_CORRUPT,
 				     "a configuration message does not decode; "
--- a/src/state/config_object.c
+++ b/src/state/config_object.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/msgpack_guard.h"
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "state/config_codec.h"
@@ -180,7 +181,7 @@
 		goto out;
 	}
 	if (body_size > CONFIG_BODY_MAX_BYTES ||
-	    msgpack_unpack_next(&unpacked, body, body_size, &end) !=
+	    msgpack_guard_next(&unpacked, body, body_size, &end) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    end != body_size)
 		goto out;
--- a/src/state/config_shard.c
+++ b/src/state/config_shard.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/msgpack_guard.h"
 #include "state/record_reader.h"
 
 #define SHARD_FORMAT 1
@@ -90,7 +91,7 @@
 	size_t end = 0;
 
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, value, value_size, &end) !=
+	if (msgpack_guard_next(&unpacked, value, value_size, &end) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    end != value_size) {
 		status = tgw_error_set(error, TGW_CORRUPT,
--- a/src/state/heartbeat.c
+++ b/src/state/heartbeat.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "base/msgpack_guard.h"
 #include "state/record_reader.h"
 
 #define HEARTBEAT_FORMAT 1
@@ -119,7 +120,7 @@
 
 	memset(heartbeat, 0, sizeof(*heartbeat));
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, payload, payload_size, NULL) !=
+	if (msgpack_guard_next(&unpacked, payload, payload_size, NULL) !=
 	    MSGPACK_UNPACK_SUCCESS) {
 		status = tgw_error_set(error, TGW_CORRUPT,
 				       "a heartbeat does not decode; check "
--- a/src/state/ledger_codec.c
+++ b/src/state/ledger_codec.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/wire_reader.h"
 
@@ -201,7 +202,7 @@
 	if (!size)
 		return TGW_OK;
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, bytes, size, &at) !=
+	if (msgpack_guard_next(&unpacked, bytes, size, &at) !=
 		    MSGPACK_UNPACK_SUCCESS ||
 	    at != size) {
 		status = tgw_error_set(error, TGW_CORRUPT,
--- a/src/state/quarantine_message.c
+++ b/src/state/quarantine_message.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/msgpack_field.h"
 
@@ -130,7 +131,7 @@
 	bool sound;
 
 	msgpack_unpacked_init(&unpacked);
-	sound = msgpack_unpack_next(&unpacked, payload, size, NULL) ==
+	sound = msgpack_guard_next(&unpacked, payload, size, NULL) ==
 			MSGPACK_UNPACK_SUCCESS &&
 		unpack_message(decoded, &unpacked.data);
 	msgpack_unpacked_destroy(&unpacked);
--- a/src/state/quarantine_value.c
+++ b/src/state/quarantine_value.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "state/msgpack_field.h"
 
 #define FORMAT_VERSION 1
@@ -59,7 +60,7 @@
 
 	*changed = false;
 	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, value, size, NULL) !=
+	if (msgpack_guard_next(&unpacked, value, size, NULL) !=
 	    MSGPACK_UNPACK_SUCCESS)
 		goto out;
 	fields = msgpack_field_array(&unpacked.data, 1);
