--- a/src/coordination/config_follower.c
+++ b/src/coordination/config_follower.c
@@ -11,9 +11,10 @@
 #include "state/config_state.h"
 #include "tamarackgw/random.h"
 
-/* One host of a domain checks often whether the watch misses changes. */
-#define CHECK_FIRST_US (6 * TGW_US_PER_S)
-#define CHECK_OTHERS_US (60 * TGW_US_PER_S)
+/* Checks whether the watch misses changes: one of a domain's hosts does so
+ * about this often, and no host more often than the least. */
+#define CHECK_SHARE_US TGW_US_PER_S
+#define CHECK_LEAST_US (6 * TGW_US_PER_S)
 #define RETRY_US (4 * TGW_US_PER_S)
 
 /* Others have a newer generation: the watch has this long to bring it. */
@@ -188,22 +189,29 @@
 	free(call);
 }
 
-static bool is_first_of_domain(const struct tgw_config_follower *follower)
+/* The hosts of a domain share the checks: each checks the more seldom the
+ * more there are, and all hear of it by heartbeats when one finds a change. */
+static int64_t check_interval_us(const struct tgw_config_follower *follower)
 {
 	const struct tgw_host *self = tgw_host_view_self(follower->view);
-	const struct tgw_host *first;
+	int64_t interval_us = 0;
 
-	return tgw_host_view_rank(follower->view, self->failure_domain, 0,
-				  &first, 1) == 1 &&
-	       first == self;
+	for (size_t i = 0; i < follower->view->host_count; i++) {
+		const struct tgw_host *host = &follower->view->hosts[i];
+
+		if (host->state == TGW_HOST_ALIVE &&
+		    !strcmp(host->failure_domain, self->failure_domain))
+			interval_us += CHECK_SHARE_US;
+	}
+	return interval_us > CHECK_LEAST_US ? interval_us : CHECK_LEAST_US;
 }
 
-/* Between three quarters and the whole, so that hosts don't go in step. */
+/* Between half and one and a half, so that hosts don't go in step. */
 static int64_t spread(struct tgw_config_follower *follower, int64_t interval_us)
 {
-	return interval_us -
+	return interval_us / 2 +
 	       (int64_t)tgw_random_below(&follower->random,
-					 (uint64_t)(interval_us / 4));
+					 (uint64_t)interval_us);
 }
 
 static void on_manifest(void *arg, const struct tgw_store_result *result)
@@ -223,10 +231,8 @@
 			now_us(follower) + spread(follower, RETRY_US);
 		return;
 	}
-	follower->next_read_us =
-		now_us(follower) + spread(follower, is_first_of_domain(follower)
-							    ? CHECK_FIRST_US
-							    : CHECK_OTHERS_US);
+	follower->next_read_us = now_us(follower) +
+				 spread(follower, check_interval_us(follower));
 	if (result->entry_count && result->entries[0].value)
 		consider(follower, result->entries[0].value,
 			 result->entries[0].value_size);
--- a/src/coordination/heartbeat_plan.c
+++ b/src/coordination/heartbeat_plan.c
@@ -94,17 +94,24 @@
 	return count + 1;
 }
 
-/* The other failure domains take turns. */
+/* The other failure domains take turns; each domain starts at another one,
+ * so that no host gets all messages of a round and then none for long. */
 static const char *remote_domain(const struct member *members,
 				 size_t member_count, uint64_t turn)
 {
 	const char *domains[REMOTE_DOMAINS_MAX + 1];
+	const char *own = "";
 	size_t count = 0;
 
-	for (size_t i = 0; i < member_count; i++)
+	for (size_t i = 0; i < member_count; i++) {
+		if (members[i].is_self)
+			own = members[i].host.failure_domain;
 		if (!members[i].is_local && takes_heartbeats(&members[i]))
 			count = add_domain(domains, count,
 					   members[i].host.failure_domain);
+	}
+	for (size_t i = 0; i < count && strcmp(domains[i], own) < 0; i++)
+		turn++;
 	return count ? domains[turn % count] : NULL;
 }
 
--- a/src/state/config_builder.c
+++ b/src/state/config_builder.c
@@ -171,6 +171,18 @@
 	free(table.entries);
 }
 
+/* Objects are immutable and live through many generations. */
+static enum tgw_status check_once(struct config_object *object,
+				  struct tgw_error *error)
+{
+	enum tgw_status status = TGW_OK;
+
+	if (!object->is_checked)
+		status = config_rules_check_object(object, error);
+	object->is_checked = status == TGW_OK;
+	return status;
+}
+
 struct tgw_config_snapshot *config_build_snapshot(const struct config_set *set,
 						  uint64_t generation,
 						  struct tgw_error *error)
@@ -179,10 +191,10 @@
 	const struct tgw_team *duplicate;
 
 	for (size_t i = 0; i < set->count; i++) {
-		const struct config_object *object = set->objects[i];
+		struct config_object *object = set->objects[i];
 		struct tgw_error cause;
 
-		if (config_rules_check_object(object, &cause) != TGW_OK ||
+		if (check_once(object, &cause) != TGW_OK ||
 		    config_rules_check_references(set, object, &cause) !=
 			    TGW_OK) {
 			tgw_error_set(error, cause.status, "%s %s: %s",
--- a/src/state/config_object.h
+++ b/src/state/config_object.h
@@ -43,6 +43,7 @@
 	uint32_t references;
 	enum config_kind kind;
 	uint32_t shard;
+	bool is_checked;  /**< obeys the rules that it can break by itself */
 	const char *name; /**< of the member in use below */
 	uint8_t *body;	  /**< packed fields without kind and name */
 	size_t body_size;
--- a/tests/fakes/config_fleet.c
+++ b/tests/fakes/config_fleet.c
@@ -282,6 +282,18 @@
 	return host;
 }
 
+/* The calls that the operators' tool makes for a change. */
+static uint64_t count_calls(const struct config_fleet *fleet,
+			    const struct config_change_list *list,
+			    const struct config_commit *commit)
+{
+	uint64_t calls = 2; /* the manifest, read and swapped */
+
+	for (uint32_t i = 0; i < CONFIG_SHARD_COUNT; i++)
+		calls += config_commit_needs_shard(&fleet->manifest, list, i);
+	return calls + commit->write_count + 2 * commit->retired_count;
+}
+
 void config_fleet_publish(struct config_fleet *fleet,
 			  struct config_change_list *list)
 {
@@ -299,12 +311,14 @@
 		fprintf(stderr, "%s\n", error.message);
 		abort();
 	}
+	fleet->operator_calls += count_calls(fleet, list, &commit);
 	for (size_t i = 0; i < commit.write_count; i++)
 		fake_store_server_put(&fleet->store, commit.writes[i].key,
 				      commit.writes[i].value,
 				      commit.writes[i].value_size);
 	msgpack_sbuffer_init(&value);
 	config_manifest_encode(&commit.manifest, &value);
+	fleet->manifest_bytes += value.size;
 	assert(commit.manifest.generation < CONFIG_FLEET_GENERATIONS_MAX);
 	fleet->accepted_us[commit.manifest.generation] = fleet->world.now_us;
 	fake_store_server_put(&fleet->store, CONFIG_MANIFEST_KEY, value.data,
--- a/tests/fakes/config_fleet.h
+++ b/tests/fakes/config_fleet.h
@@ -55,6 +55,8 @@
 	struct config_set objects;
 	struct config_manifest manifest;
 	uint64_t reverted;
+	uint64_t operator_calls; /**< that the tool makes to the store */
+	uint64_t manifest_bytes; /**< of all manifests that were written */
 	int64_t accepted_us[CONFIG_FLEET_GENERATIONS_MAX];
 	/** Called when a host has a generation in force; may be NULL. */
 	void (*in_force)(void *arg, struct fleet_host *host,
