--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -387,15 +387,16 @@
 		member->listed = member->is_self;
 	}
 	/* Members move when new ones are added: settle the old ones first. */
-	for (size_t i = 0; i < membership->member_count; i++) {
-		struct member *member = &membership->members[i];
+	for (size_t i = 0; i < count; i++) {
+		struct member *member = find_member(membership, hosts[i].name);
 
-		for (size_t j = 0; j < count && !member->listed; j++)
-			member->listed =
-				!strcmp(hosts[j].name, member->host.name);
-		if (was_listed[i] && !member->listed)
-			member->unlisted_at_us = now_us(membership);
+		if (member)
+			member->listed = true;
 	}
+	for (size_t i = 0; i < membership->member_count; i++)
+		if (was_listed[i] && !membership->members[i].listed)
+			membership->members[i].unlisted_at_us =
+				now_us(membership);
 	for (size_t i = 0; i < count; i++)
 		take_list_line(membership, &hosts[i]);
 	for (size_t i = 0; i < membership->member_count; i++) {
