Don't take a slow page for a silent caller; spread callers' keys

Cause: a request whose answer is made by another thread counted its caller's silence from time zero, so the next tick cut it off; and since each shutdown is an event of its own, the watching thread then spun on it. Found when a host with 20,000 teams stayed busy: /metrics came back empty. It was busy because the index of callers' keys took the first bytes of a hash as they are, and the made-up keys of that run share them. Change: silence counts from when the request was whole; a connection that is cut off is no longer watched; the index hashes what it is given.

--- a/include/tamarackgw/router.h
+++ b/include/tamarackgw/router.h
@@ -119,7 +119,8 @@
 			   struct tgw_route_callback callback);
 
 /** The servers that could run a request now, room aside, to be offered to
- * tgw_quarantine_enter(); those of the own failure domain first. Names are valid until the next configuration.
+ * tgw_quarantine_enter(); those of the own failure domain first. Names are
+ * valid until the next configuration.
  * @return the number written */
 size_t tgw_router_candidates(struct tgw_router *router,
 			     const struct tgw_route_request *request,
--- a/src/state/config_index.c
+++ b/src/state/config_index.c
@@ -3,6 +3,7 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/xalloc.h"
 
@@ -19,10 +20,8 @@
 static size_t first_slot(const struct tgw_config_index *index,
 			 const uint8_t hash[TGW_KEY_HASH_BYTES])
 {
-	uint64_t start;
-
-	memcpy(&start, hash, sizeof(start));
-	return (size_t)start & index->mask;
+	/* Keys that an operator chose need not be spread evenly. */
+	return (size_t)XXH64(hash, TGW_KEY_HASH_BYTES, 0) & index->mask;
 }
 
 static const struct tgw_team *team_at(const struct tgw_team *teams,
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -300,6 +300,7 @@
 
 	pthread_mutex_lock(&server->lock);
 	event.data.u64 = ++server->next_serial;
+	atomic_store(&exchange->last_read_us, now_us());
 	connection->exchange = exchange;
 	connection->read_deadline_us = 0;
 	if (epoll_ctl(server->epoll_fd, EPOLL_CTL_ADD, connection->fd,
@@ -426,6 +427,16 @@
 	return now - atomic_load(&exchange->last_read_us) > idle_us;
 }
 
+/* The server's lock is held. Each shutdown() is an event of its own, so the
+ * connection must not be watched any more. */
+static void cut_off(struct http_server *server, struct connection *connection)
+{
+	unwatch(server, connection);
+	if (connection->exchange)
+		abort_exchange(connection->exchange);
+	shutdown(connection->fd, SHUT_RDWR);
+}
+
 static void drop_stuck(struct http_server *server)
 {
 	struct connection *connection;
@@ -436,9 +447,7 @@
 	{
 		if (!is_stuck(connection, now))
 			continue;
-		if (connection->exchange)
-			abort_exchange(connection->exchange);
-		shutdown(connection->fd, SHUT_RDWR);
+		cut_off(server, connection);
 	}
 	pthread_mutex_unlock(&server->lock);
 }
@@ -450,10 +459,8 @@
 	pthread_mutex_lock(&server->lock);
 	LIST_FOREACH(connection, &server->connections, link)
 	{
-		if (connection->watch_serial != serial)
-			continue;
-		abort_exchange(connection->exchange);
-		shutdown(connection->fd, SHUT_RDWR);
+		if (connection->watch_serial == serial)
+			cut_off(server, connection);
 	}
 	pthread_mutex_unlock(&server->lock);
 }
