--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/heartbeat_plan.h"
 #include "coordination/member.h"
@@ -339,9 +340,12 @@
 	    strcmp(member->host.caller_url, line->caller_url) != 0 ||
 	    strcmp(member->host.failure_domain, line->failure_domain) != 0)
 		membership->view_is_stale = true;
-	strcpy(member->host.failure_domain, line->failure_domain);
-	strcpy(member->host.peer_url, line->peer_url);
-	strcpy(member->host.caller_url, line->caller_url);
+	text_copy(member->host.failure_domain,
+		  sizeof(member->host.failure_domain), line->failure_domain);
+	text_copy(member->host.peer_url, sizeof(member->host.peer_url),
+		  line->peer_url);
+	text_copy(member->host.caller_url, sizeof(member->host.caller_url),
+		  line->caller_url);
 	member->is_local = !strcmp(line->failure_domain,
 				   membership->env.self.failure_domain);
 }
@@ -383,15 +387,16 @@
 		member->listed = member->is_self;
 	}
 	/* Members move when new ones are added: settle the old ones first. */
-	for (size_t i = 0; i < membership->member_count; i++) {
-		struct member *member = &membership->members[i];
+	for (size_t i = 0; i < count; i++) {
+		struct member *member = find_member(membership, hosts[i].name);
 
-		for (size_t j = 0; j < count && !member->listed; j++)
-			member->listed =
-				!strcmp(hosts[j].name, member->host.name);
-		if (was_listed[i] && !member->listed)
-			member->unlisted_at_us = now_us(membership);
+		if (member)
+			member->listed = true;
 	}
+	for (size_t i = 0; i < membership->member_count; i++)
+		if (was_listed[i] && !membership->members[i].listed)
+			membership->members[i].unlisted_at_us =
+				now_us(membership);
 	for (size_t i = 0; i < count; i++)
 		take_list_line(membership, &hosts[i]);
 	for (size_t i = 0; i < membership->member_count; i++) {
--- a/src/ctl/config_repository.c
+++ b/src/ctl/config_repository.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/config_commit.h"
 #include "tamarackgw/store.h"
@@ -161,14 +162,10 @@
 			 size_t size, int64_t version)
 {
 	struct segments *segments = arg;
-	uint64_t first;
-	uint64_t last;
+	const char *dash = strrchr(key, '-');
 
-	if (segments->status != TGW_OK || !value)
-		return;
-	if (sscanf(key, CONFIG_SEGMENT_PREFIX "%" SCNu64 "-%" SCNu64, &first,
-		   &last) != 2 ||
-	    last <= segments->above)
+	if (segments->status != TGW_OK || !value || !dash ||
+	    strtoull(dash + 1, NULL, 10) <= segments->above)
 		return;
 	segments->status = config_segment_decode(value, size, &segments->deltas,
 						 &segments->count,
@@ -188,7 +185,7 @@
 	msgpack_unpacked_init(&unpacked);
 	msgpack_packer_init(&packer, &bytes, msgpack_sbuffer_write);
 	config_delta_pack(delta, &packer);
-	if (msgpack_unpack_next(&unpacked, bytes.data, bytes.size, NULL) ==
+	if (msgpack_guard_next(&unpacked, bytes.data, bytes.size, NULL) ==
 	    MSGPACK_UNPACK_SUCCESS)
 		status = config_delta_unpack(copy, &unpacked.data, error);
 	msgpack_unpacked_destroy(&unpacked);
@@ -242,9 +239,9 @@
 		config_part_key(key, &delta->audit, i);
 		status = ctl_get(ctl, key, &value, &version, error);
 		if (status == TGW_OK &&
-		    msgpack_unpack_next(&unpacked, value.data ? value.data : "",
-					value.size,
-					NULL) != MSGPACK_UNPACK_SUCCESS)
+		    msgpack_guard_next(&unpacked, value.data ? value.data : "",
+				       value.size,
+				       NULL) != MSGPACK_UNPACK_SUCCESS)
 			status = tgw_error_set(error, TGW_CORRUPT,
 					       "%s does not decode; restore it "
 					       "from a backup of the store",
--- a/src/state/config_builder.c
+++ b/src/state/config_builder.c
@@ -98,6 +98,16 @@
 	return template;
 }
 
+/* Both are of zeroed memory, so that padding is equal too. */
+static bool is_same(const struct config_parameters *a,
+		    const struct config_parameters *b)
+{
+	const void *left = a;
+	const void *right = b;
+
+	return !memcmp(left, right, sizeof(*a));
+}
+
 static const struct tgw_template *find_or_derive(
 	struct derived_table *table, struct tgw_config_index *index,
 	const struct tgw_template *base, const struct config_parameters *own)
@@ -110,7 +120,7 @@
 	for (entry = &table->entries[at]; entry->hash;
 	     entry = &table->entries[at]) {
 		if (entry->hash == hash && entry->base == base &&
-		    !memcmp(entry->parameters, own, sizeof(*own)))
+		    is_same(entry->parameters, own))
 			return entry->template;
 		at = (at + 1) & table->mask;
 	}
@@ -161,6 +171,18 @@
 	free(table.entries);
 }
 
+/* Objects are immutable and live through many generations. */
+static enum tgw_status check_once(struct config_object *object,
+				  struct tgw_error *error)
+{
+	enum tgw_status status = TGW_OK;
+
+	if (!object->is_checked)
+		status = config_rules_check_object(object, error);
+	object->is_checked = status == TGW_OK;
+	return status;
+}
+
 struct tgw_config_snapshot *config_build_snapshot(const struct config_set *set,
 						  uint64_t generation,
 						  struct tgw_error *error)
@@ -169,10 +191,10 @@
 	const struct tgw_team *duplicate;
 
 	for (size_t i = 0; i < set->count; i++) {
-		const struct config_object *object = set->objects[i];
+		struct config_object *object = set->objects[i];
 		struct tgw_error cause;
 
-		if (config_rules_check_object(object, &cause) != TGW_OK ||
+		if (check_once(object, &cause) != TGW_OK ||
 		    config_rules_check_references(set, object, &cause) !=
 			    TGW_OK) {
 			tgw_error_set(error, cause.status, "%s %s: %s",
