Release what fakes hold at the end; keep an ask until its verdict is taken

Parcels and answers under way when a test ends were never released, which hid one real fault: the quarantine read a server's name out of an ask that it had just freed. Change: events may carry a release; a store ends what is under way before its owner goes, as the real binding does; the ask is freed last.

--- a/src/coordination/quarantine_probation.c
+++ b/src/coordination/quarantine_probation.c
@@ -311,8 +311,9 @@
 		return;
 	callback = ask->callback;
 	take_ask(probation, ask);
-	free(ask);
+	/* The server's name may stand in the ask itself. */
 	conclude(probation, callback, &permit, tell->verdict, server);
+	free(ask);
 }
 
 static void keep_names(struct pending_ask *ask,
--- a/tests/fakes/config_fleet.c
+++ b/tests/fakes/config_fleet.c
@@ -29,7 +29,8 @@
 		timer->host = host;
 		timer->life = host->life;
 	}
-	fake_world_after(&host->fleet->world, delay_us, run, timer);
+	fake_world_after_or_drop(&host->fleet->world, delay_us, run, free,
+				 timer);
 }
 
 static void on_tick(void *arg)
@@ -172,6 +173,7 @@
 		return;
 	host->up = false;
 	host->end.up = false;
+	fake_store_end_operations(&host->store);
 	tgw_config_follower_free(host->follower);
 	host->follower = NULL;
 	fake_store_reset(&host->store);
--- a/tests/fakes/fake_net.c
+++ b/tests/fakes/fake_net.c
@@ -40,8 +40,8 @@
 	};
 
 	if (to->up && to->incarnation == parcel->to_incarnation && to->paused) {
-		fake_world_after(to->net->world, PAUSED_RETRY_US, deliver,
-				 parcel);
+		fake_world_after_or_drop(to->net->world, PAUSED_RETRY_US,
+					 deliver, free, parcel);
 		return;
 	}
 	if (to->up && to->incarnation == parcel->to_incarnation && !to->deaf &&
@@ -68,7 +68,7 @@
 	if (net->jitter_us)
 		delay_us += (int64_t)tgw_random_below(&net->world->random,
 						      (uint64_t)net->jitter_us);
-	fake_world_after(net->world, delay_us, deliver, parcel);
+	fake_world_after_or_drop(net->world, delay_us, deliver, free, parcel);
 }
 
 static bool happens(struct fake_net *net, uint32_t per_1000)
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -12,6 +12,7 @@
 enum operation_kind { OPERATION_GET, OPERATION_LIST, OPERATION_SWAP };
 
 struct operation {
+	struct operation *next;
 	struct fake_store *client;
 	uint64_t client_generation;
 	enum operation_kind kind;
@@ -128,6 +129,14 @@
 	return watch;
 }
 
+static void drop_notice(void *arg)
+{
+	struct notice *notice = arg;
+
+	clear_key(&notice->key);
+	free(notice);
+}
+
 static void deliver_notice(void *arg)
 {
 	struct notice *notice = arg;
@@ -142,8 +151,8 @@
 	};
 
 	if (client->generation == notice->client_generation && client->paused) {
-		fake_world_after(client->server->world, PAUSED_RETRY_US,
-				 deliver_notice, notice);
+		fake_world_after_or_drop(client->server->world, PAUSED_RETRY_US,
+					 deliver_notice, drop_notice, notice);
 		return;
 	}
 	watch = find_watch(client, notice->handle);
@@ -153,8 +162,7 @@
 		else if (!is_unreachable(client))
 			watch->watcher.changed(watch->watcher.arg, &entry);
 	}
-	clear_key(&notice->key);
-	free(notice);
+	drop_notice(notice);
 }
 
 static void send_notice(struct fake_store *client,
@@ -169,8 +177,9 @@
 	notice->lost = lost;
 	if (key)
 		notice->key = copy_key(key);
-	fake_world_after(client->server->world, client->server->latency_us,
-			 deliver_notice, notice);
+	fake_world_after_or_drop(client->server->world,
+				 client->server->latency_us, deliver_notice,
+				 drop_notice, notice);
 }
 
 static void tell_watchers(struct fake_store_server *server,
@@ -261,8 +270,15 @@
 	add_found(operation, &written);
 }
 
-static void free_operation(struct operation *operation)
+static void free_operation(void *arg)
 {
+	struct operation *operation = arg;
+	struct operation **link = &operation->client->operations;
+
+	while (*link && *link != operation)
+		link = &(*link)->next;
+	if (*link)
+		*link = operation->next;
 	for (size_t i = 0; i < operation->found_count; i++)
 		clear_key(&operation->found[i]);
 	free(operation->found);
@@ -283,8 +299,9 @@
 		return;
 	}
 	if (client->paused) {
-		fake_world_after(client->server->world, PAUSED_RETRY_US,
-				 deliver_answer, operation);
+		fake_world_after_or_drop(client->server->world, PAUSED_RETRY_US,
+					 deliver_answer, free_operation,
+					 operation);
 		return;
 	}
 	entries = xcalloc(operation->found_count, sizeof(entries[0]));
@@ -306,8 +323,8 @@
 			 int64_t delay_us)
 {
 	operation->status = status;
-	fake_world_after(operation->client->server->world, delay_us,
-			 deliver_answer, operation);
+	fake_world_after_or_drop(operation->client->server->world, delay_us,
+				 deliver_answer, free_operation, operation);
 }
 
 static void drop_found(struct operation *operation)
@@ -367,13 +384,15 @@
 	struct operation *operation = xcalloc(1, sizeof(*operation));
 
 	operation->client = (struct fake_store *)store;
+	operation->next = operation->client->operations;
+	operation->client->operations = operation;
 	operation->client_generation = operation->client->generation;
 	operation->kind = kind;
 	operation->key = xstrdup(key);
 	operation->callback = callback;
-	fake_world_after(operation->client->server->world,
-			 operation->client->server->latency_us / 2, arrive,
-			 operation);
+	fake_world_after_or_drop(operation->client->server->world,
+				 operation->client->server->latency_us / 2,
+				 arrive, free_operation, operation);
 	return operation;
 }
 
@@ -465,6 +484,24 @@
 	server->clients = store;
 }
 
+void fake_store_end_operations(struct fake_store *store)
+{
+	const struct tgw_store_result result = {
+		.status = TGW_UNAVAILABLE,
+		.message = "ended",
+	};
+	struct operation *operation = store->operations;
+
+	store->operations = NULL;
+	store->generation++;
+	while (operation) {
+		struct operation *next = operation->next;
+
+		operation->callback.done(operation->callback.arg, &result);
+		operation = next;
+	}
+}
+
 void fake_store_reset(struct fake_store *store)
 {
 	while (store->watches)
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -36,13 +36,15 @@
 };
 
 struct fake_store_watch;
+struct operation;
 
 struct fake_store {
 	struct tgw_store store; /**< first member */
 	struct fake_store_server *server;
 	struct fake_store *next;
 	struct fake_store_watch *watches;
-	bool cut;	   /**< this host does not reach the store */
+	struct operation *operations; /**< under way */
+	bool cut;		      /**< this host does not reach the store */
 	bool paused;	   /**< answers wait until the host runs again */
 	bool watch_broken; /**< changes are silently not told */
 	/** The next writes take effect, but answer UNKNOWN. */
@@ -72,6 +74,10 @@
 /** Forgets watches and answers under way, as a killed host does. */
 void fake_store_reset(struct fake_store *store);
 
+/** Answers all that is under way with UNAVAILABLE, as a store binding does
+ * before its owner is released. */
+void fake_store_end_operations(struct fake_store *store);
+
 /** Cuts or joins; joining tells the watchers that changes were lost. */
 void fake_store_set_cut(struct fake_store *store, bool cut);
 
--- a/tests/fakes/fake_world.h
+++ b/tests/fakes/fake_world.h
@@ -26,13 +26,19 @@
 
 void fake_world_init(struct fake_world *world, uint64_t seed);
 
-/** Frees the events that are left without running them. */
+/** Drops the events that are left without running them. */
 void fake_world_clear(struct fake_world *world);
 
 /** Runs a function after a delay; events of one time run in order. */
 void fake_world_after(struct fake_world *world, int64_t delay_us,
 		      void (*run)(void *arg), void *arg);
 
+/** As fake_world_after(), for an argument that needs its release when the
+ * event never runs. */
+void fake_world_after_or_drop(struct fake_world *world, int64_t delay_us,
+			      void (*run)(void *arg), void (*drop)(void *arg),
+			      void *arg);
+
 /** Runs the next event. @return false when none is due until then */
 bool fake_world_step(struct fake_world *world, int64_t until_us);
 
--- a/tests/scenario/scenario_config.c
+++ b/tests/scenario/scenario_config.c
@@ -288,6 +288,7 @@
 	if (is_on(step, 2, "forged", "older"))
 		forge_manifest();
 	host->end.receive = rogue_receive;
+	fake_store_end_operations(&host->store);
 	tgw_config_follower_free(host->follower);
 	host->follower = NULL;
 	tgw_membership_set_self(host->membership, false,
