Ask the quarantine where a suspected request may run

Cause: a suspected request may run only once at a time and on a server that it shares with no other suspected one, and the claims want to know whether an earlier attempt can have been. Also, a planned stop refused requests from its first moment, while the balancer still sends them, and it did not wait for a booking whose caller had gone away.

Change: each attempt enters the quarantine with the router's candidates, runs on the server that it is told, and leaves by served, crash or ended, each once. Claims carry the team, the ticket and whether the caller brought a key. New requests are refused from gateway_stop_accepting() on, and calls that run on without a caller count as open.

Test: a_suspected_request_runs_where_it_is_told; each_refusal_of_an_agent with the two further verdicts; every stream test now also checks that what entered the quarantine has left it.

--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -60,6 +60,20 @@
 	buffer_free(&text);
 }
 
+/* A call that runs on without a caller holds up a planned stop, too. */
+static void set_orphan(struct call *call, bool is_orphan)
+{
+	atomic_long *open = &call->core->runtime->open_requests;
+
+	if (call->is_orphan == is_orphan)
+		return;
+	call->is_orphan = is_orphan;
+	if (is_orphan)
+		atomic_fetch_add(open, 1);
+	else
+		atomic_fetch_sub(open, 1);
+}
+
 static struct call_bucket *bucket_of(struct gateway_core *core,
 				     const struct tgw_request_key *key)
 {
@@ -106,6 +120,7 @@
 	if (--call->references > 0)
 		return;
 	assert(!call->is_linked && LIST_EMPTY(&call->callers));
+	set_orphan(call, false);
 	answer_unref(call->answer);
 	call->ops->free(call);
 	gateway_core_unref(core);
@@ -158,6 +173,7 @@
 {
 	caller->call = call;
 	call->left_at_us = 0;
+	set_orphan(call, false);
 	LIST_INSERT_HEAD(&call->callers, caller, link);
 	answer_join(caller->answer, call->answer);
 }
@@ -250,6 +266,7 @@
 		return;
 	log_line(LOG_CALLER, LOG_INFO, call->id, "the caller went away");
 	call->left_at_us = gateway_core_now_us(call->core);
+	set_orphan(call, true);
 	if (!call->linger_us || call->core->ending)
 		tell_abandoned(call);
 }
@@ -258,6 +275,7 @@
 {
 	if (caller->call)
 		take_caller_off(caller->call, caller);
+	atomic_fetch_sub(&caller->core->runtime->open_requests, 1);
 	answer_unref(caller->answer);
 	free(caller);
 }
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -44,6 +44,7 @@
 /** A caller's exchange that waits for a call's answer. */
 struct caller {
 	LIST_ENTRY(caller) link;
+	struct gateway_core *core;
 	struct call *call;     /**< NULL before and after */
 	struct answer *answer; /**< the exchange's own; a reference */
 };
@@ -70,6 +71,7 @@
 	int64_t linger_us;   /**< goes on this long without a caller */
 	int64_t left_at_us;  /**< when the last caller went; 0 while one is */
 	bool told_abandoned;
+	bool is_orphan; /**< counted as open although no caller waits */
 	struct tgw_request_key key;
 	char id[CALL_ID_SIZE]; /**< the key as text: the request id */
 	uint8_t body_hash[TGW_BODY_HASH_BYTES];
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -31,6 +31,7 @@
 	struct gateway_pages pages;
 	struct http_server *server;
 	atomic_bool tick_pending;
+	atomic_bool refusing; /* takes nothing new */
 };
 
 /* An admission on its way to the coordination thread. */
@@ -110,7 +111,7 @@
 
 	if (!is_api(target))
 		return true;
-	if (atomic_load(&runtime->stopping)) {
+	if (atomic_load(&gateway->refusing)) {
 		refuse_for_now(gateway, exchange, PROBLEM_STOPPING,
 			       STOPPING_RETRY_US);
 		return false;
@@ -149,6 +150,7 @@
 	struct admission *admission = xcalloc(1, sizeof(*admission));
 	struct caller *caller = xcalloc(1, sizeof(*caller));
 
+	caller->core = gateway->core;
 	caller->answer = answer_ref(server_exchange_answer(exchange));
 	admission->call = call;
 	admission->caller = caller;
@@ -308,7 +310,6 @@
 
 	if (!caller)
 		return;
-	atomic_fetch_sub(&gateway->runtime->open_requests, 1);
 	executor_post(gateway->runtime->coordination, run_closed, caller);
 }
 
@@ -386,7 +387,7 @@
 
 void gateway_stop_accepting(struct gateway *gateway)
 {
-	atomic_store(&gateway->runtime->stopping, true);
+	atomic_store(&gateway->refusing, true);
 	http_server_stop_keeping_alive(gateway->server);
 }
 
--- a/src/daemon/model_call.c
+++ b/src/daemon/model_call.c
@@ -14,8 +14,9 @@
 /* Attempts that take a request over from another host are numbered by the
  * seconds since 2023-11-14, so that they outrank the attempts before. */
 #define TAKE_OVER_EPOCH_S INT64_C(1700000000)
+#define CANDIDATES_MAX 128
 
-static void submit(struct model_call *mc, bool is_retry);
+static void enter(struct model_call *mc, bool is_retry);
 
 static struct model_call *of_call(struct call *call)
 {
@@ -35,6 +36,16 @@
 			  model_stream_tokens(&mc->stream));
 }
 
+/* The attempt ended in a way that says nothing of the request. */
+static void leave_quarantine(struct model_call *mc)
+{
+	if (!mc->is_entered)
+		return;
+	mc->is_entered = false;
+	tgw_quarantine_on_ended(mc->call.core->runtime->quarantine,
+				&mc->fingerprint);
+}
+
 static void settle_usage(struct model_call *mc, const struct chat_usage *usage)
 {
 	int64_t tokens = usage->prompt_tokens + usage->completion_tokens;
@@ -79,6 +90,7 @@
 				  .request_id = mc->call.id,
 				  .retry_after_us = retry_after_us};
 
+	leave_quarantine(mc);
 	mc->failed = true;
 	if (mc->engine_may_run)
 		model_attempt_cancel(mc);
@@ -100,9 +112,11 @@
 /* No caller is left, and nothing is under way any more. */
 static void end_abandoned(struct model_call *mc)
 {
-	if (mc->exchange || mc->orders_pending || mc->call.ended)
+	if (mc->exchange || mc->orders_pending || mc->is_entering ||
+	    mc->call.ended)
 		return;
 	release_server(mc, TGW_ROUTE_CANCELLED);
+	leave_quarantine(mc);
 	settle_unfinished(mc);
 	if (!answer_is_finished(mc->call.answer))
 		answer_finish(mc->call.answer, false);
@@ -136,7 +150,7 @@
 	} else {
 		if (answer->already_reserved)
 			mc->attempt = wall_s - TAKE_OVER_EPOCH_S;
-		submit(mc, false);
+		enter(mc, false);
 	}
 	call_unref(call);
 }
@@ -150,10 +164,6 @@
 					     .bound_tokens = mc->bound_tokens};
 	struct tgw_budget_callback callback = {.done = on_reserved, .arg = mc};
 
-	if (!tgw_quarantine_admit(runtime->quarantine, &mc->fingerprint)) {
-		call_refuse(call, PROBLEM_QUARANTINED, NOT_RUN_TRUE, 0, NULL);
-		return;
-	}
 	call_ref(call);
 	tgw_budget_reserve(runtime->budget, &request, callback);
 }
@@ -187,21 +197,14 @@
 
 static void start_at_server(struct model_call *mc)
 {
-	struct runtime *runtime = mc->call.core->runtime;
-
 	if (mc->must_resume && !mc->engine.can_resume) {
 		release_server(mc, TGW_ROUTE_CANCELLED);
+		leave_quarantine(mc);
 		exclude_server(mc);
 		if (mc->route.excluded_count == TGW_EXCLUDED_MAX)
 			fail(mc, PROBLEM_BACKEND_FAILED, 0, NULL);
 		else
-			submit(mc, false);
-		return;
-	}
-	if (mc->attempt_count &&
-	    !tgw_quarantine_admit(runtime->quarantine, &mc->fingerprint)) {
-		release_server(mc, TGW_ROUTE_CANCELLED);
-		fail(mc, PROBLEM_QUARANTINED, 0, NULL);
+			enter(mc, false);
 		return;
 	}
 	model_attempt_start(mc, mc->must_resume);
@@ -248,6 +251,52 @@
 		mc->route_id = id;
 }
 
+/* ---- whether the request may run at all ---- */
+
+static void on_entered(void *arg, const struct tgw_quarantine_answer *answer)
+{
+	struct model_call *mc = arg;
+
+	mc->is_entered = answer->verdict == TGW_QUARANTINE_ADMITTED ||
+			 answer->verdict == TGW_QUARANTINE_PROBATION;
+	mc->is_entering = false;
+	if (mc->cancelling) {
+		end_abandoned(mc);
+	} else if (answer->verdict == TGW_QUARANTINE_REFUSED) {
+		fail(mc, PROBLEM_QUARANTINED, 0, answer->message);
+	} else if (answer->verdict == TGW_QUARANTINE_BUSY) {
+		fail(mc, PROBLEM_OVERLOADED, answer->retry_after_us,
+		     answer->message);
+	} else {
+		snprintf(mc->route.required_server,
+			 sizeof(mc->route.required_server), "%s",
+			 answer->server ? answer->server : "");
+		submit(mc, mc->route.is_retry);
+	}
+	call_unref(&mc->call);
+}
+
+static void enter(struct model_call *mc, bool is_retry)
+{
+	struct runtime *runtime = mc->call.core->runtime;
+	const char *names[CANDIDATES_MAX];
+	struct tgw_quarantine_ask ask = {
+		.fingerprint = mc->fingerprint,
+		.wait_until_us = mc->call.deadline_us,
+		.servers = names,
+	};
+	struct tgw_quarantine_callback callback = {.done = on_entered,
+						   .arg = mc};
+
+	mc->route.is_retry = is_retry;
+	mc->route.required_server[0] = '\0';
+	ask.server_count = tgw_router_candidates(runtime->router, &mc->route,
+						 names, CANDIDATES_MAX);
+	mc->is_entering = true;
+	call_ref(&mc->call);
+	tgw_quarantine_enter(runtime->quarantine, &ask, callback);
+}
+
 /* ---- the end of an attempt ---- */
 
 static const enum tgw_route_outcome route_outcomes[ATTEMPT_END_COUNT] = {
@@ -298,6 +347,7 @@
 		settle_usage(mc, &mc->stream.usage);
 	else
 		call_settle(&mc->call, mc->bound_tokens, TGW_SETTLE_BOUND);
+	mc->is_entered = false;
 	tgw_quarantine_on_served(runtime->quarantine, &mc->fingerprint);
 	call_end(&mc->call, CALL_ANSWERED);
 	if (end == ATTEMPT_PAST_LIMIT)
@@ -312,9 +362,10 @@
 		model_attempt_cancel(mc);
 	mc->progress.restarts++;
 	metrics_add(resume ? &metrics->resumed : &metrics->restarted, 1);
+	leave_quarantine(mc);
 	mc->must_resume = resume;
 	exclude_server(mc);
-	submit(mc, true);
+	enter(mc, true);
 }
 
 static void recover(struct model_call *mc, enum attempt_end end)
@@ -396,10 +447,12 @@
 		end_abandoned(mc);
 		return;
 	}
-	if (!known)
+	if (!known) {
+		mc->is_entered = false;
 		tgw_quarantine_on_crash(mc->call.core->runtime->quarantine,
 					&mc->fingerprint, mc->call.team,
 					mc->engine.name, mc->others_running);
+	}
 	recover(mc, known ? ATTEMPT_BROKEN : ATTEMPT_LOST);
 }
 
--- a/src/daemon/model_call_private.h
+++ b/src/daemon/model_call_private.h
@@ -29,7 +29,9 @@
 	int64_t token_limit;
 	int64_t bound_tokens;
 	bool is_reserved;
-	bool maybe_ran; /**< an engine may have worked on it */
+	bool is_entering; /**< the quarantine is asked */
+	bool is_entered;  /**< the quarantine was told of the attempt */
+	bool maybe_ran;	  /**< an engine may have worked on it */
 	/** The engine may go on with the last attempt, unless told. */
 	bool engine_may_run;
 	bool failed;	  /**< to be settled when the engine was told */
--- a/src/daemon/service_call.c
+++ b/src/daemon/service_call.c
@@ -331,6 +331,12 @@
 			  const struct tgw_claim_answer *answer)
 {
 	metrics_add(&sc->call.core->metrics.replayed, 1);
+	if (answer->body_not_kept) {
+		call_refuse(&sc->call, PROBLEM_ALREADY_SETTLED, NOT_RUN_FALSE,
+			    0,
+			    "the call ran; its answer was too large to keep");
+		return;
+	}
 	answer_set(sc->call.answer, answer->http_status,
 		   answer->content_type ? answer->content_type : "",
 		   answer->body, answer->body_size);
@@ -377,12 +383,18 @@
 {
 	struct service_call *sc = of_call(call);
 	struct tgw_claim_callback callback = {.done = on_claimed, .arg = sc};
-	struct tgw_claim_request request = {.key = call->key};
+	struct tgw_claim_request request = {
+		.key = call->key,
+		.team = call->team,
+		.is_first_attempt = !call->has_caller_key,
+	};
 
 	if (sc->may_repeat) {
 		reserve(sc);
 		return;
 	}
+	if (sc->caller_key && tgw_claim_is_ticket(sc->caller_key))
+		request.ticket = sc->caller_key;
 	memcpy(request.body_hash, call->body_hash, sizeof(request.body_hash));
 	call_ref(call);
 	tgw_claim_begin(runtime_of(sc)->claims, &request, callback);
--- a/tests/fakes/agents/fake_agents.c
+++ b/tests/fakes/agents/fake_agents.c
@@ -7,8 +7,8 @@
 #include <string.h>
 
 #include "daemon/log.h"
-#include "tamarackgw/quarantine.h"
 
+#define TICKET "ticket-"
 #define RETRY_AFTER_US INT64_C(2500000)
 
 struct fake_agents fake_agents;
@@ -76,6 +76,7 @@
 	static const char body[] = "recorded";
 	struct tgw_claim_answer answer = {
 		.state = fake_agents.claim_state,
+		.body_not_kept = fake_agents.body_not_kept,
 		.http_status = 201,
 		.content_type = "text/plain",
 		.body = (const uint8_t *)body,
@@ -85,6 +86,10 @@
 	};
 
 	fake_agents.claims++;
+	if (request->ticket)
+		fake_agents.claims_with_ticket++;
+	if (request->is_first_attempt)
+		fake_agents.first_attempts++;
 	callback.done(callback.arg, &answer);
 }
 
@@ -98,6 +103,23 @@
 	fake_agents.claim_finishes++;
 }
 
+bool tgw_claim_is_ticket(const char *text)
+{
+	return strncmp(text, TICKET, strlen(TICKET)) == 0;
+}
+
+enum tgw_status tgw_claim_issue_ticket(struct tgw_claim_agent *agent,
+				       const char *team,
+				       char text[TGW_CLAIM_TICKET_SIZE],
+				       struct tgw_error *error)
+{
+	if (fake_agents.ticket_status != TGW_OK)
+		return tgw_error_set(error, fake_agents.ticket_status,
+				     "fake tickets");
+	snprintf(text, TGW_CLAIM_TICKET_SIZE, TICKET "%s", team);
+	return TGW_OK;
+}
+
 /* ---- router ---- */
 
 static bool is_excluded(const struct tgw_route_request *request,
@@ -114,6 +136,9 @@
 {
 	if (is_excluded(request, server->name))
 		return false;
+	if (request->required_server[0] &&
+	    strcmp(request->required_server, server->name) != 0)
+		return false;
 	if (request->model)
 		return tgw_name_list_has(&server->models, request->model);
 	return strcmp(server->service, request->service) == 0;
@@ -146,6 +171,13 @@
 	return 1;
 }
 
+size_t tgw_router_candidates(struct tgw_router *router,
+			     const struct tgw_route_request *request,
+			     const char **names, size_t capacity)
+{
+	return 0;
+}
+
 void tgw_router_cancel(struct tgw_router *router, uint64_t id)
 {
 	fake_agents.route_cancels++;
@@ -180,10 +212,27 @@
 			   body_size, NULL, 0);
 }
 
-bool tgw_quarantine_admit(struct tgw_quarantine *quarantine,
-			  const struct tgw_fingerprint *fingerprint)
+void tgw_quarantine_enter(struct tgw_quarantine *quarantine,
+			  const struct tgw_quarantine_ask *ask,
+			  struct tgw_quarantine_callback callback)
+{
+	struct tgw_quarantine_answer answer = {
+		.verdict = fake_agents.verdict,
+		.server = fake_agents.probation_server,
+		.retry_after_us = RETRY_AFTER_US,
+		.message = "fake quarantine",
+	};
+
+	if (answer.verdict == TGW_QUARANTINE_ADMITTED ||
+	    answer.verdict == TGW_QUARANTINE_PROBATION)
+		fake_agents.entered++;
+	callback.done(callback.arg, &answer);
+}
+
+void tgw_quarantine_on_ended(struct tgw_quarantine *quarantine,
+			     const struct tgw_fingerprint *fingerprint)
 {
-	return !fake_agents.refuse_fingerprint;
+	fake_agents.entered--;
 }
 
 void tgw_quarantine_on_crash(struct tgw_quarantine *quarantine,
@@ -191,6 +240,7 @@
 			     const char *team, const char *server,
 			     uint32_t others_running)
 {
+	fake_agents.entered--;
 	fake_agents.last_others_running = (int)others_running;
 	fake_agents.crashes++;
 }
@@ -198,6 +248,7 @@
 void tgw_quarantine_on_served(struct tgw_quarantine *quarantine,
 			      const struct tgw_fingerprint *fingerprint)
 {
+	fake_agents.entered--;
 }
 
 /* ---- configuration ---- */
--- a/tests/fakes/agents/fake_agents.h
+++ b/tests/fakes/agents/fake_agents.h
@@ -13,6 +13,7 @@
 #include "tamarackgw/budget.h"
 #include "tamarackgw/claim.h"
 #include "tamarackgw/config_snapshot.h"
+#include "tamarackgw/quarantine.h"
 #include "tamarackgw/router.h"
 
 struct fake_agents {
@@ -21,9 +22,12 @@
 	bool already_reserved;
 	bool already_settled;
 	enum tgw_claim_state claim_state;
+	bool body_not_kept;
+	enum tgw_status ticket_status;
 	enum tgw_status route_status; /**< when no server is left, or always */
 	bool route_never;	      /**< attempts stay queued */
-	bool refuse_fingerprint;
+	enum tgw_quarantine_verdict verdict;
+	const char *probation_server;
 	const struct tgw_config_snapshot *config;
 
 	/* What was seen. */
@@ -38,8 +42,11 @@
 	atomic_int last_route_outcome;
 	atomic_int routes_open;
 	atomic_int claims;
+	atomic_int claims_with_ticket;
+	atomic_int first_attempts;
 	atomic_int claim_finishes;
 	atomic_int last_claim_outcome;
+	atomic_int entered; /**< now */
 	atomic_int crashes;
 	atomic_int last_others_running;
 	atomic_int load_reports;
--- a/tests/unit/test_gateway_limits.c
+++ b/tests/unit/test_gateway_limits.c
@@ -122,28 +122,33 @@
 	enum tgw_status reserve;
 	enum tgw_status route;
 	bool settled;
-	bool quarantined;
+	enum tgw_quarantine_verdict verdict;
 	int status;
 	const char *kind;
 	const char *text;
 };
 
 static const struct agent_case agents[] = {
-	{TGW_EXHAUSTED, TGW_OK, false, false, 402, "budget-exhausted",
-	 "\"not_run\":true"},
-	{TGW_UNAVAILABLE, TGW_OK, false, false, 503, "budget-unavailable",
+	{TGW_EXHAUSTED, TGW_OK, false, TGW_QUARANTINE_ADMITTED, 402,
+	 "budget-exhausted", "\"not_run\":true"},
+	{TGW_UNAVAILABLE, TGW_OK, false, TGW_QUARANTINE_ADMITTED, 503,
+	 "budget-unavailable", "Retry-After: 3"},
+	{TGW_NOT_FOUND, TGW_OK, false, TGW_QUARANTINE_ADMITTED, 403,
+	 "forbidden", "\"not_run\":true"},
+	{TGW_OK, TGW_BUSY, false, TGW_QUARANTINE_ADMITTED, 503, "overloaded",
 	 "Retry-After: 3"},
-	{TGW_NOT_FOUND, TGW_OK, false, false, 403, "forbidden",
-	 "\"not_run\":true"},
-	{TGW_OK, TGW_BUSY, false, false, 503, "overloaded", "Retry-After: 3"},
-	{TGW_OK, TGW_BUSY, false, false, 503, "overloaded", "\"not_run\":true"},
-	{TGW_OK, TGW_TIMEOUT, false, false, 504, "deadline",
+	{TGW_OK, TGW_BUSY, false, TGW_QUARANTINE_ADMITTED, 503, "overloaded",
 	 "\"not_run\":true"},
-	{TGW_OK, TGW_NOT_FOUND, false, false, 503, "no-server",
+	{TGW_OK, TGW_TIMEOUT, false, TGW_QUARANTINE_ADMITTED, 504, "deadline",
 	 "\"not_run\":true"},
-	{TGW_OK, TGW_OK, true, false, 409, "already-settled",
+	{TGW_OK, TGW_NOT_FOUND, false, TGW_QUARANTINE_ADMITTED, 503,
+	 "no-server", "\"not_run\":true"},
+	{TGW_OK, TGW_OK, true, TGW_QUARANTINE_ADMITTED, 409, "already-settled",
 	 "\"not_run\":false"},
-	{TGW_OK, TGW_OK, false, true, 422, "quarantined", "\"not_run\":true"},
+	{TGW_OK, TGW_OK, false, TGW_QUARANTINE_REFUSED, 422, "quarantined",
+	 "\"not_run\":true"},
+	{TGW_OK, TGW_OK, false, TGW_QUARANTINE_BUSY, 503, "overloaded",
+	 "Retry-After: 3"},
 };
 
 START_TEST(each_refusal_of_an_agent_is_told_truly)
@@ -153,12 +158,13 @@
 	fake_agents.reserve_status = c->reserve;
 	fake_agents.route_status = c->route;
 	fake_agents.already_settled = c->settled;
-	fake_agents.refuse_fingerprint = c->quarantined;
+	fake_agents.verdict = c->verdict;
 	ck_assert_int_eq(rig_chat(&rig, "", DOCUMENT, &input), c->status);
 	ck_assert(has(c->kind));
 	ck_assert_msg(has(c->text), "%s", input.data);
 	ck_assert_int_eq(rig.engines[0].streams, 0);
-	if (c->route != TGW_OK) {
+	ck_assert_int_eq(fake_agents.entered, 0);
+	if (c->route != TGW_OK || c->verdict != TGW_QUARANTINE_ADMITTED) {
 		RIG_WAIT(fake_agents.settles == 1);
 		ck_assert_int_eq(fake_agents.last_settle_basis,
 				 TGW_SETTLE_NOT_RUN);
--- a/tests/unit/test_gateway_streams.c
+++ b/tests/unit/test_gateway_streams.c
@@ -69,6 +69,7 @@
 	ck_assert_int_eq(fake_agents.last_settle_basis, basis);
 	ck_assert_int_eq(fake_agents.last_settled_tokens, tokens);
 	ck_assert_int_eq(fake_agents.routes_open, 0);
+	ck_assert_int_eq(fake_agents.entered, 0);
 }
 
 /* ---- streams that go wrong, and are mended ---- */
@@ -178,6 +179,18 @@
 }
 END_TEST
 
+START_TEST(a_suspected_request_runs_where_it_is_told)
+{
+	fake_agents.verdict = TGW_QUARANTINE_PROBATION;
+	fake_agents.probation_server = "engine1";
+	rig_chat(&rig, "", STREAM, &input);
+	check_whole_stream();
+	ck_assert_int_eq(engine->streams, 0);
+	ck_assert_int_eq(second->streams, 1);
+	check_settled(TGW_SETTLE_USAGE, 10);
+}
+END_TEST
+
 struct status_case {
 	int status;
 	int answer;
@@ -385,6 +398,7 @@
 			    an_engines_refusal_is_retried_unless_it_is_final, 0,
 			    (int)(sizeof(statuses) / sizeof(statuses[0])));
 	tcase_add_test(tcase, unreachable_engines_mean_not_run);
+	tcase_add_test(tcase, a_suspected_request_runs_where_it_is_told);
 	tcase_add_test(tcase,
 		       an_engine_past_the_limit_is_stopped_and_the_caller_told);
 	tcase_add_test(tcase,
