Issue tickets to callers, and name each answer

Cause: a domain that is cut off from the store can run a call that may not be repeated only for a key that was issued ahead, and callers had no way to ask for one. Answers that belong to no call had no request id.

Change: POST /v1/tickets, an X-Request-Id on every answer, and the parsing of addresses in a file of its own.

Test: a_ticket_is_issued_and_handed_to_the_claims and a_recorded_answer_that_was_not_kept_is_no_refusal.

--- a/src/daemon/caller_request.c
+++ b/src/daemon/caller_request.c
@@ -8,6 +8,7 @@
 
 #define CHAT_PATH "/v1/chat/completions"
 #define SERVICES_PATH "/services/"
+#define TICKETS_PATH "/v1/tickets"
 #define BEARER "Bearer "
 #define KEY_MAX_BYTES 255
 
@@ -18,14 +19,24 @@
 	[TGW_URGENCY_BATCH] = "batch",
 };
 
-bool caller_request_is_chat(const char *target)
+static bool is_path(const char *target, const char *path)
 {
-	size_t size = strlen(CHAT_PATH);
+	size_t size = strlen(path);
 
-	return strncmp(target, CHAT_PATH, size) == 0 &&
+	return strncmp(target, path, size) == 0 &&
 	       (target[size] == '\0' || target[size] == '?');
 }
 
+bool caller_request_is_chat(const char *target)
+{
+	return is_path(target, CHAT_PATH);
+}
+
+bool caller_request_is_ticket(const char *target)
+{
+	return is_path(target, TICKETS_PATH);
+}
+
 bool caller_request_is_service(const char *target)
 {
 	return strncmp(target, SERVICES_PATH, strlen(SERVICES_PATH)) == 0;
@@ -77,7 +88,7 @@
 static bool is_printable(const char *text)
 {
 	for (; *text; text++)
-		if (*text <= ' ' || *text > '~' || *text == '#')
+		if (*text <= ' ' || *text > '~')
 			return false;
 	return true;
 }
@@ -93,7 +104,8 @@
 		return NULL;
 	memcpy(name, start, size);
 	name[size] = '\0';
-	if (!is_printable(start) || !is_plain_path(start + size))
+	if (!is_printable(start) || strchr(start, '#') ||
+	    !is_plain_path(start + size))
 		return NULL;
 	return start + size;
 }
@@ -114,7 +126,7 @@
 		return true;
 	problem->kind = PROBLEM_INVALID;
 	problem->detail = "Idempotency-Key must be 1 to 255 printable "
-			  "characters without spaces and '#'";
+			  "characters without spaces";
 	return false;
 }
 
--- a/src/daemon/caller_request.h
+++ b/src/daemon/caller_request.h
@@ -25,6 +25,7 @@
 
 bool caller_request_is_chat(const char *target);
 bool caller_request_is_service(const char *target);
+bool caller_request_is_ticket(const char *target);
 
 /** @return the caller's key, or NULL */
 const char *caller_request_bearer(struct server_exchange *exchange);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -16,6 +16,7 @@
 #include "daemon/log.h"
 #include "daemon/model_call.h"
 #include "daemon/service_call.h"
+#include "daemon/ticket_request.h"
 #include "transport/http_server.h"
 #include "transport/rcu_reader.h"
 
@@ -42,20 +43,27 @@
 
 /* ---- refusals on the request thread ---- */
 
+/* Gives an answer that belongs to no call an id of its own. */
+static void name_answer(struct answer *answer, char id[CALL_ID_SIZE])
+{
+	struct tgw_request_key key;
+
+	tgw_request_key_derive(&key, "", NULL, 0);
+	sodium_bin2hex(id, CALL_ID_SIZE, key.bytes, sizeof(key.bytes));
+	answer_add_header(answer, "X-Request-Id", id);
+}
+
 static void refuse(struct gateway *gateway, struct server_exchange *exchange,
 		   struct problem problem)
 {
 	struct answer *answer = server_exchange_answer(exchange);
-	struct tgw_request_key key;
 	char id[CALL_ID_SIZE];
 
-	tgw_request_key_derive(&key, "", NULL, 0);
-	sodium_bin2hex(id, sizeof(id), key.bytes, sizeof(key.bytes));
+	name_answer(answer, id);
 	problem.request_id = id;
 	log_line(LOG_CALLER, LOG_INFO, id, "refused: %s%s%s",
 		 problem_name(problem.kind), problem.detail ? ": " : "",
 		 problem.detail ? problem.detail : "");
-	answer_add_header(answer, "X-Request-Id", id);
 	call_answer_problem(gateway->core, answer, &problem);
 }
 
@@ -84,6 +92,7 @@
 static bool is_api(const char *target)
 {
 	return caller_request_is_chat(target) ||
+	       caller_request_is_ticket(target) ||
 	       caller_request_is_service(target);
 }
 
@@ -120,7 +129,7 @@
 		refuse_plain(gateway, exchange, PROBLEM_UNAUTHORIZED, NULL);
 		return false;
 	}
-	if (caller_request_is_chat(target) &&
+	if (!caller_request_is_service(target) &&
 	    strcmp(server_exchange_method(exchange), "POST") != 0) {
 		refuse_plain(gateway, exchange, PROBLEM_METHOD, "use POST");
 		return false;
@@ -242,12 +251,19 @@
 		rcu_dereference(gateway->runtime->config);
 	struct caller_request request;
 	struct problem problem = {.not_run = NOT_RUN_TRUE};
+	char id[CALL_ID_SIZE];
 
 	if (!caller_request_read(&request, exchange, config,
 				 gateway->runtime->settings, &problem)) {
 		refuse(gateway, exchange, problem);
 		return NULL;
 	}
+	if (caller_request_is_ticket(server_exchange_target(exchange))) {
+		name_answer(server_exchange_answer(exchange), id);
+		ticket_request_post(gateway->core, request.team->name,
+				    server_exchange_answer(exchange));
+		return NULL;
+	}
 	if (caller_request_is_chat(server_exchange_target(exchange)))
 		return make_chat_call(gateway, exchange, &request);
 	return make_service_call(gateway, exchange, &request, config);
@@ -259,6 +275,7 @@
 	struct buffer text = {0};
 	const char *content_type = "text/plain";
 	char path[CALLER_PATH_SIZE];
+	char id[CALL_ID_SIZE];
 	size_t size;
 	const char *body = server_exchange_body(exchange, &size);
 	int32_t status = 0;
@@ -269,11 +286,13 @@
 			gateway->pages.arg, server_exchange_method(exchange),
 			path, server_exchange_header(exchange, "Authorization"),
 			body, size, &text, &content_type);
-	if (status)
+	if (status) {
+		name_answer(server_exchange_answer(exchange), id);
 		answer_set(server_exchange_answer(exchange), status,
 			   content_type, text.data ? text.data : "", text.size);
-	else
+	} else {
 		refuse_plain(gateway, exchange, PROBLEM_NOT_FOUND, NULL);
+	}
 	buffer_free(&text);
 }
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -1,6 +1,5 @@
 #include "transport/http_server.h"
 
-#include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
 #include <microhttpd.h>
@@ -19,12 +18,12 @@
 #include "base/buffer.h"
 #include "base/xalloc.h"
 #include "tamarackgw/clock.h"
+#include "transport/socket_address.h"
 
 #define BLOCK_BYTES 8192
 #define POOL_EXTRA_BYTES 8192 /* for the answer's head and chunks */
 #define WATCH_EVENTS 64
 #define FREE_PATIENCE_US 1000
-#define ADDRESS_SIZE 64
 #define WAKE_SERIAL 0
 
 /* A caller's connection. */
@@ -481,40 +480,8 @@
 	return NULL;
 }
 
-union address {
-	struct sockaddr any;
-	struct sockaddr_in v4;
-	struct sockaddr_in6 v6;
-};
-
-static bool parse_address(const char *text, union address *address)
-{
-	char ip[ADDRESS_SIZE];
-	const char *colon = strrchr(text, ':');
-	size_t size = colon ? (size_t)(colon - text) : 0;
-	char *end;
-	long port;
-
-	memset(address, 0, sizeof(*address));
-	if (!size || size >= sizeof(ip))
-		return false;
-	port = strtol(colon + 1, &end, 10);
-	if (end == colon + 1 || *end || port < 0 || port > UINT16_MAX)
-		return false;
-	if (text[0] == '[' && text[size - 1] == ']') {
-		snprintf(ip, sizeof(ip), "%.*s", (int)size - 2, text + 1);
-		address->v6.sin6_family = AF_INET6;
-		address->v6.sin6_port = htons((uint16_t)port);
-		return inet_pton(AF_INET6, ip, &address->v6.sin6_addr) == 1;
-	}
-	snprintf(ip, sizeof(ip), "%.*s", (int)size, text);
-	address->v4.sin_family = AF_INET;
-	address->v4.sin_port = htons((uint16_t)port);
-	return inet_pton(AF_INET, ip, &address->v4.sin_addr) == 1;
-}
-
 static struct MHD_Daemon *start_daemon(struct http_server *server,
-				       const union address *address)
+				       const union socket_address *address)
 {
 	const struct http_server_settings *settings = &server->settings;
 	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD |
@@ -549,9 +516,9 @@
 				    struct tgw_error *error)
 {
 	struct http_server *server;
-	union address address;
+	union socket_address address;
 
-	if (!parse_address(settings->address, &address)) {
+	if (!socket_address_parse(settings->address, &address)) {
 		tgw_error_set(error, TGW_INVALID,
 			      "\"%s\" is no IP number with a port, such as "
 			      "127.0.0.1:8080",
--- /dev/null
+++ b/src/transport/socket_address.h
@@ -0,0 +1,21 @@
+/**
+ * @file socket_address.h
+ * IP numbers with ports, as settings name them.
+ */
+#ifndef TRANSPORT_SOCKET_ADDRESS_H
+#define TRANSPORT_SOCKET_ADDRESS_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <sys/socket.h>
+
+union socket_address {
+	struct sockaddr any;
+	struct sockaddr_in v4;
+	struct sockaddr_in6 v6;
+};
+
+/** Reads "127.0.0.1:8080" or "[::1]:8080". @return false when it is neither */
+bool socket_address_parse(const char *text, union socket_address *address);
+
+#endif
--- a/tests/unit/test_gateway_services.c
+++ b/tests/unit/test_gateway_services.c
@@ -151,6 +151,34 @@
 }
 END_TEST
 
+START_TEST(a_ticket_is_issued_and_handed_to_the_claims)
+{
+	ck_assert_int_eq(rig_call(&rig, "POST", "/v1/tickets", "", "", &input),
+			 201);
+	ck_assert(has("{\"ticket\":\"ticket-" RIG_TEAM "\"}"));
+	ck_assert_int_eq(book("Idempotency-Key: ticket-" RIG_TEAM "\r\n", ""),
+			 200);
+	ck_assert_int_eq(fake_agents.claims_with_ticket, 1);
+	ck_assert_int_eq(fake_agents.first_attempts, 0);
+	ck_assert_int_eq(rig_call(&rig, "GET", "/v1/tickets", "", "", &input),
+			 405);
+	fake_agents.ticket_status = TGW_BUSY;
+	ck_assert_int_eq(rig_call(&rig, "POST", "/v1/tickets", "", "", &input),
+			 503);
+	ck_assert(has("Retry-After: 1"));
+}
+END_TEST
+
+START_TEST(a_recorded_answer_that_was_not_kept_is_no_refusal)
+{
+	fake_agents.claim_state = TGW_CLAIM_RECORDED;
+	fake_agents.body_not_kept = true;
+	ck_assert_int_eq(book(KEYED, "{}"), 409);
+	ck_assert(has("already-settled"));
+	ck_assert(has("\"not_run\":false"));
+}
+END_TEST
+
 START_TEST(a_booking_without_a_key_gets_one_and_runs_each_time)
 {
 	ck_assert_int_eq(book("", "{}"), 200);
@@ -159,6 +187,7 @@
 	ck_assert_int_eq(book("", "{}"), 200);
 	ck_assert_int_eq(office->service_runs, 2);
 	ck_assert_int_eq(fake_agents.claims, 2);
+	ck_assert_int_eq(fake_agents.first_attempts, 2);
 }
 END_TEST
 
@@ -240,6 +269,9 @@
 	tcase_add_test(tcase,
 		       a_booking_without_a_key_gets_one_and_runs_each_time);
 	tcase_add_test(tcase, a_booking_whose_caller_left_is_still_recorded);
+	tcase_add_test(tcase, a_ticket_is_issued_and_handed_to_the_claims);
+	tcase_add_test(tcase,
+		       a_recorded_answer_that_was_not_kept_is_no_refusal);
 	tcase_add_test(tcase, an_answer_over_the_limit_is_refused_as_run);
 	tcase_add_test(tcase, the_services_own_answer_is_passed_on);
 	tcase_add_loop_test(tcase, a_path_is_checked_before_it_is_passed_on, 0,
