--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -16,6 +16,7 @@
 #include "daemon/log.h"
 #include "daemon/model_call.h"
 #include "daemon/service_call.h"
+#include "daemon/ticket_request.h"
 #include "transport/http_server.h"
 #include "transport/rcu_reader.h"
 
@@ -31,6 +32,7 @@
 	struct gateway_pages pages;
 	struct http_server *server;
 	atomic_bool tick_pending;
+	atomic_bool refusing; /* takes nothing new */
 };
 
 /* An admission on its way to the coordination thread. */
@@ -41,20 +43,27 @@
 
 /* ---- refusals on the request thread ---- */
 
+/* Gives an answer that belongs to no call an id of its own. */
+static void name_answer(struct answer *answer, char id[CALL_ID_SIZE])
+{
+	struct tgw_request_key key;
+
+	tgw_request_key_derive(&key, "", NULL, 0);
+	sodium_bin2hex(id, CALL_ID_SIZE, key.bytes, sizeof(key.bytes));
+	answer_add_header(answer, "X-Request-Id", id);
+}
+
 static void refuse(struct gateway *gateway, struct server_exchange *exchange,
 		   struct problem problem)
 {
 	struct answer *answer = server_exchange_answer(exchange);
-	struct tgw_request_key key;
 	char id[CALL_ID_SIZE];
 
-	tgw_request_key_derive(&key, "", NULL, 0);
-	sodium_bin2hex(id, sizeof(id), key.bytes, sizeof(key.bytes));
+	name_answer(answer, id);
 	problem.request_id = id;
 	log_line(LOG_CALLER, LOG_INFO, id, "refused: %s%s%s",
 		 problem_name(problem.kind), problem.detail ? ": " : "",
 		 problem.detail ? problem.detail : "");
-	answer_add_header(answer, "X-Request-Id", id);
 	call_answer_problem(gateway->core, answer, &problem);
 }
 
@@ -83,6 +92,7 @@
 static bool is_api(const char *target)
 {
 	return caller_request_is_chat(target) ||
+	       caller_request_is_ticket(target) ||
 	       caller_request_is_service(target);
 }
 
@@ -110,7 +120,7 @@
 
 	if (!is_api(target))
 		return true;
-	if (atomic_load(&runtime->stopping)) {
+	if (atomic_load(&gateway->refusing)) {
 		refuse_for_now(gateway, exchange, PROBLEM_STOPPING,
 			       STOPPING_RETRY_US);
 		return false;
@@ -119,7 +129,7 @@
 		refuse_plain(gateway, exchange, PROBLEM_UNAUTHORIZED, NULL);
 		return false;
 	}
-	if (caller_request_is_chat(target) &&
+	if (!caller_request_is_service(target) &&
 	    strcmp(server_exchange_method(exchange), "POST") != 0) {
 		refuse_plain(gateway, exchange, PROBLEM_METHOD, "use POST");
 		return false;
@@ -149,6 +159,7 @@
 	struct admission *admission = xcalloc(1, sizeof(*admission));
 	struct caller *caller = xcalloc(1, sizeof(*caller));
 
+	caller->core = gateway->core;
 	caller->answer = answer_ref(server_exchange_answer(exchange));
 	admission->call = call;
 	admission->caller = caller;
@@ -240,12 +251,19 @@
 		rcu_dereference(gateway->runtime->config);
 	struct caller_request request;
 	struct problem problem = {.not_run = NOT_RUN_TRUE};
+	char id[CALL_ID_SIZE];
 
 	if (!caller_request_read(&request, exchange, config,
 				 gateway->runtime->settings, &problem)) {
 		refuse(gateway, exchange, problem);
 		return NULL;
 	}
+	if (caller_request_is_ticket(server_exchange_target(exchange))) {
+		name_answer(server_exchange_answer(exchange), id);
+		ticket_request_post(gateway->core, request.team->name,
+				    server_exchange_answer(exchange));
+		return NULL;
+	}
 	if (caller_request_is_chat(server_exchange_target(exchange)))
 		return make_chat_call(gateway, exchange, &request);
 	return make_service_call(gateway, exchange, &request, config);
@@ -257,6 +275,7 @@
 	struct buffer text = {0};
 	const char *content_type = "text/plain";
 	char path[CALLER_PATH_SIZE];
+	char id[CALL_ID_SIZE];
 	size_t size;
 	const char *body = server_exchange_body(exchange, &size);
 	int32_t status = 0;
@@ -267,11 +286,13 @@
 			gateway->pages.arg, server_exchange_method(exchange),
 			path, server_exchange_header(exchange, "Authorization"),
 			body, size, &text, &content_type);
-	if (status)
+	if (status) {
+		name_answer(server_exchange_answer(exchange), id);
 		answer_set(server_exchange_answer(exchange), status,
 			   content_type, text.data ? text.data : "", text.size);
-	else
+	} else {
 		refuse_plain(gateway, exchange, PROBLEM_NOT_FOUND, NULL);
+	}
 	buffer_free(&text);
 }
 
@@ -308,7 +329,6 @@
 
 	if (!caller)
 		return;
-	atomic_fetch_sub(&gateway->runtime->open_requests, 1);
 	executor_post(gateway->runtime->coordination, run_closed, caller);
 }
 
@@ -386,7 +406,7 @@
 
 void gateway_stop_accepting(struct gateway *gateway)
 {
-	atomic_store(&gateway->runtime->stopping, true);
+	atomic_store(&gateway->refusing, true);
 	http_server_stop_keeping_alive(gateway->server);
 }
 
