--- a/src/coordination/config_follower.c
+++ b/src/coordination/config_follower.c
@@ -231,8 +231,6 @@
 			now_us(follower) + spread(follower, RETRY_US);
 		return;
 	}
-	follower->next_read_us = now_us(follower) +
-				 spread(follower, check_interval_us(follower));
 	if (result->entry_count && result->entries[0].value)
 		consider(follower, result->entries[0].value,
 			 result->entries[0].value_size);
@@ -243,7 +241,6 @@
 	if (follower->manifest_under_way)
 		return;
 	follower->manifest_under_way = true;
-	follower->next_read_us = now_us(follower) + RETRY_US;
 	follower->counters.store_reads++;
 	tgw_store_get(follower->env.store, CONFIG_MANIFEST_KEY,
 		      (struct tgw_store_callback){
@@ -516,8 +513,14 @@
 {
 	int64_t next_us = now_us(follower) + TGW_US_PER_S;
 
-	if (now_us(follower) >= follower->next_read_us)
+	/* Only checks set the time of the next one: after a change all hosts
+	 * read at once, and must not go in step from there. */
+	if (now_us(follower) >= follower->next_read_us) {
+		follower->next_read_us =
+			now_us(follower) +
+			spread(follower, check_interval_us(follower));
 		read_manifest(follower);
+	}
 	check_gossip(follower);
 	if (needs_hosts(follower) && now_us(follower) >= follower->next_ask_us)
 		ask_hosts(follower);
--- a/src/state/config_ini.c
+++ b/src/state/config_ini.c
@@ -24,6 +24,7 @@
 	int section_line;
 	bool in_section;
 	struct config_fields fields;
+	struct config_set seen;
 };
 
 void config_ini_add_error(struct config_ini *ini, int line, const char *format,
@@ -57,19 +58,20 @@
 static void add_section(struct reader *reader, struct config_object *object)
 {
 	struct config_ini *ini = reader->ini;
-	const struct config_ini_section *same = config_ini_find(ini, object);
 	struct config_ini_section *section;
 
-	if (same) {
+	if (config_set_find(&reader->seen, object->kind, object->name)) {
 		config_ini_add_error(ini, reader->section_line,
 				     "[%s] stands in line %d already; keep one",
-				     reader->section, same->line);
+				     reader->section,
+				     config_ini_find(ini, object)->line);
 		config_object_unref(object);
 		return;
 	}
 	ini->sections = xrealloc(ini->sections,
 				 (ini->section_count + 1) * sizeof(*section));
 	section = &ini->sections[ini->section_count++];
+	config_set_put(&reader->seen, config_object_ref(object));
 	section->object = object;
 	section->line = reader->section_line;
 	section->has_keys = reader->fields.has_keys;
@@ -211,6 +213,7 @@
 	bad_line = ini_parse_stream(read_line, &reader, take_key, &reader);
 	end_section(&reader);
 	config_fields_clear(&reader.fields);
+	config_set_clear(&reader.seen);
 	if (bad_line > 0 && !ini->error_count)
 		config_ini_add_error(ini, bad_line,
 				     "this is no 'key = value'; write it so");
--- a/tests/fakes/config_fleet.c
+++ b/tests/fakes/config_fleet.c
@@ -9,6 +9,7 @@
 #include "base/xalloc.h"
 
 #define DEFAULT_LIST_INTERVAL_US (5 * TGW_US_PER_S)
+#define DRAIN_US (10 * TGW_US_PER_S)
 #define START_WALL_US (INT64_C(1700000000) * TGW_US_PER_S)
 
 struct timer {
@@ -174,7 +175,8 @@
 	host->end.up = false;
 	tgw_config_follower_free(host->follower);
 	host->follower = NULL;
-	fake_store_reset(&host->store);
+	host->store.paused = false;
+	host->store.watch_broken = false;
 	tgw_membership_free(host->membership);
 	host->membership = NULL;
 	tgw_config_snapshot_free(host->config);
@@ -213,6 +215,8 @@
 {
 	for (size_t i = 0; i < fleet->host_count; i++)
 		fleet_host_kill(fleet->hosts[i]);
+	/* What is under way ends, and frees what it holds. */
+	fake_world_advance(&fleet->world, DRAIN_US);
 	fake_world_clear(&fleet->world);
 	fake_store_server_clear(&fleet->store);
 	for (size_t i = 0; i < fleet->host_count; i++)
