Fit the patience of membership to the size of the domain

News of a host takes log3(n) rounds of heartbeats: a limit of four heartbeats, which suits two hosts, makes a dozen suspect each other. The limit is raised to the rounds that the domain's size needs and four to spare; a fixed larger default was ruled out, since small fleets then see a death late. A host that is alone in its domain calls itself deaf later, as it hears other domains only.

--- a/include/tamarackgw/membership.h
+++ b/include/tamarackgw/membership.h
@@ -28,6 +28,7 @@
 	struct tgw_host self; /**< name, domain, addresses, incarnation */
 	uint64_t random_seed;
 	int64_t heartbeat_interval_us;
+	/** Raised where the size of the domain needs more. */
 	int64_t silent_after_us;
 	int64_t gone_after_us; /**< silent and off the list for this long */
 	/** The view changed; valid until the next change. */
--- a/src/coordination/heartbeat_plan.c
+++ b/src/coordination/heartbeat_plan.c
@@ -34,17 +34,20 @@
 	return count;
 }
 
+size_t heartbeat_plan_rounds(size_t host_count)
+{
+	size_t rounds = 1;
+
+	for (size_t reach = 3; reach < host_count; reach *= 3)
+		rounds++;
+	return rounds;
+}
+
 static size_t stride_of(size_t ring_count, uint64_t round)
 {
-	size_t levels = 1;
-	size_t reach = 3;
 	size_t stride = 1;
 
-	while (reach < ring_count) {
-		reach *= 3;
-		levels++;
-	}
-	for (uint64_t i = 0; i < round % levels; i++)
+	for (uint64_t i = 0; i < round % heartbeat_plan_rounds(ring_count); i++)
 		stride *= 3;
 	return stride;
 }
--- a/src/coordination/heartbeat_plan.h
+++ b/src/coordination/heartbeat_plan.h
@@ -14,6 +14,9 @@
 
 #define HEARTBEAT_PLAN_MAX 3
 
+/** Rounds until news of one host has reached all hosts of its domain. */
+size_t heartbeat_plan_rounds(size_t host_count);
+
 /** Chooses the members to send to in a round; the sender is among them.
  * @return the number of targets */
 size_t heartbeat_plan(const struct member *members, size_t member_count,
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -11,9 +11,12 @@
 #include "tamarackgw/random.h"
 
 #define DEFAULT_HEARTBEAT_US TGW_US_PER_S
-#define DEFAULT_SILENT_US (8 * TGW_US_PER_S)
+#define DEFAULT_SILENT_US (4 * TGW_US_PER_S)
 #define DEFAULT_GONE_US (60 * TGW_US_PER_S)
 
+/* Heartbeats that may be lost or late beyond the rounds that news takes. */
+#define SPARE_ROUNDS 4
+
 /* Hosts of other failure domains are heard from less often. */
 #define REMOTE_PATIENCE 4
 
@@ -35,6 +38,8 @@
 	uint32_t beat;
 	uint64_t round;
 	int64_t next_beat_us;
+	int64_t silent_after_us; /* as set, or what the domain's size needs */
+	int64_t deaf_after_us;
 	int64_t last_tick_us;
 	int64_t last_heard_any_us;
 	uint64_t newest_generation;
@@ -61,7 +66,7 @@
 				       const struct member *member)
 {
 	struct member_limits limits = {
-		.silent_after_us = membership->env.silent_after_us,
+		.silent_after_us = membership->silent_after_us,
 		.gone_after_us = membership->env.gone_after_us,
 	};
 
@@ -70,6 +75,25 @@
 	return limits;
 }
 
+/* The larger the domain, the more rounds a sign of life takes. */
+static void fit_to_size(struct tgw_membership *membership)
+{
+	size_t count = 0;
+	int64_t least_us;
+
+	for (size_t i = 0; i < membership->member_count; i++)
+		count += membership->members[i].is_local &&
+			 membership->members[i].host.state != TGW_HOST_GONE;
+	least_us = (int64_t)(heartbeat_plan_rounds(count) + SPARE_ROUNDS) *
+		   membership->env.heartbeat_interval_us;
+	membership->silent_after_us = membership->env.silent_after_us;
+	if (membership->silent_after_us < least_us)
+		membership->silent_after_us = least_us;
+	membership->deaf_after_us = membership->silent_after_us;
+	if (count == 1) /* only other domains are there to be heard */
+		membership->deaf_after_us *= REMOTE_PATIENCE;
+}
+
 static struct member *find_member(struct tgw_membership *membership,
 				  const char *name)
 {
@@ -217,6 +241,7 @@
 	membership->last_heard_any_us = now_us(membership);
 	membership->next_beat_us = now_us(membership);
 	add_self(membership);
+	fit_to_size(membership);
 	publish_view(membership);
 	return membership;
 }
@@ -247,7 +272,7 @@
 {
 	return membership->member_count > 1 &&
 	       now_us(membership) - membership->last_heard_any_us >
-		       membership->env.silent_after_us;
+		       membership->deaf_after_us;
 }
 
 static void fill_heartbeat(struct tgw_membership *membership,
@@ -280,7 +305,7 @@
 			return;
 		if (member->is_self || !member->is_local || !member->has_beat ||
 		    now_us(membership) - member->last_heard_us >
-			    membership->env.silent_after_us)
+			    membership->silent_after_us)
 			continue;
 		entry = &heartbeat->entries[heartbeat->entry_count++];
 		entry->name_hash = member->name_hash;
@@ -399,6 +424,7 @@
 				now_us(membership);
 	for (size_t i = 0; i < count; i++)
 		take_list_line(membership, &hosts[i]);
+	fit_to_size(membership);
 	for (size_t i = 0; i < membership->member_count; i++) {
 		struct member *member = &membership->members[i];
 
@@ -560,6 +586,7 @@
 int64_t tgw_membership_tick(struct tgw_membership *membership)
 {
 	discount_own_pause(membership);
+	fit_to_size(membership);
 	for (size_t i = 0; i < membership->member_count; i++)
 		evaluate(membership, &membership->members[i]);
 	forget_gone(membership);
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -13,9 +13,11 @@
 
 static struct config_fleet fleet;
 
-static void build(size_t per_domain)
+static void build_with(size_t per_domain, int64_t silent_after_us)
 {
 	config_fleet_init(&fleet, 11, false);
+	if (silent_after_us)
+		fleet.membership_env.silent_after_us = silent_after_us;
 	fleet.net.jitter_us = 2000;
 	for (size_t i = 0; i < per_domain * DOMAINS; i++) {
 		char name[TGW_NAME_SIZE];
@@ -28,6 +30,11 @@
 	fake_world_advance(&fleet.world, SETTLE_US);
 }
 
+static void build(size_t per_domain)
+{
+	build_with(per_domain, 0);
+}
+
 static void teardown(void)
 {
 	config_fleet_clear(&fleet);
@@ -79,6 +86,16 @@
 }
 END_TEST
 
+/* A limit that two hosts can keep is too short for news of a dozen. */
+START_TEST(a_short_limit_is_fitted_to_the_size_of_the_domain)
+{
+	build_with(12, 2 * TGW_US_PER_S);
+	fleet.net.lose_per_1000 = 10;
+	fake_world_advance(&fleet.world, 600 * TGW_US_PER_S);
+	ck_assert_uint_eq(sum_silent(), 0);
+}
+END_TEST
+
 START_TEST(a_dead_host_is_silent_soon_and_gone_off_the_list)
 {
 	size_t others;
@@ -289,6 +306,8 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, a_quiet_fleet_suspects_nobody, 0,
 			    size_count);
+	tcase_add_test(tcase,
+		       a_short_limit_is_fitted_to_the_size_of_the_domain);
 	tcase_add_loop_test(tcase,
 			    a_dead_host_is_silent_soon_and_gone_off_the_list, 0,
 			    size_count);
