--- /dev/null
+++ b/src/coordination/config_follower_load.c
@@ -0,0 +1,191 @@
+#include <string.h>
+
+#include "coordination/config_follower_private.h"
+
+#define SHARD_TIMEOUT_US TGW_US_PER_S
+#define SHARDS_UNDER_WAY 8
+#define STORE_SHARDS_UNDER_WAY 2
+
+/* Up to so many missing shards are read from the store at once. */
+#define FEW_SHARDS 8
+
+/* When all hosts need many shards at once, the first ones of each domain read
+ * them and the others get them from there. */
+#define LOAD_TURN_US (600 * TGW_US_PER_MS)
+#define LOAD_TURNS 10
+
+static void finish_fetch(struct tgw_config_follower *follower)
+{
+	struct config_fetch *fetch = &follower->fetch;
+	uint64_t generation = fetch->manifest.generation;
+	struct tgw_config_snapshot *snapshot = NULL;
+	struct config_set set = {0};
+	struct tgw_error error;
+	enum tgw_status status;
+
+	status = config_fetch_finish(fetch, &set, &error);
+	if (status == TGW_OK)
+		status = config_state_replace(&follower->state,
+					      &fetch->manifest, fetch->value,
+					      fetch->value_size, &set,
+					      &snapshot, &error);
+	config_set_clear(&set);
+	config_fetch_clear(fetch);
+	if (status == TGW_OK)
+		config_follower_announce(follower, snapshot);
+	else
+		config_follower_refuse(follower, generation, &error);
+}
+
+static void on_shard(void *arg, const struct tgw_store_result *result)
+{
+	struct store_call *call = arg;
+	struct tgw_config_follower *follower = call->follower;
+	uint32_t shard = (uint32_t)call->shard;
+	uint8_t digest[CONFIG_DIGEST_BYTES];
+	struct tgw_error error;
+
+	if (!follower) {
+		free(call);
+		return;
+	}
+	memcpy(digest, call->digest, sizeof(digest));
+	config_follower_end_call(call);
+	follower->store_shards_under_way--;
+	follower->store_failed = result->status != TGW_OK;
+	if (!follower->fetch.active || follower->store_failed ||
+	    memcmp(follower->fetch.manifest.shards[shard].digest, digest,
+		   sizeof(digest)) != 0)
+		return;
+	if (!result->entry_count || !result->entries[0].value) {
+		/* Replaced since: there is a newer manifest. */
+		follower->next_read_us = config_follower_now_us(follower);
+		return;
+	}
+	if (config_fetch_take(&follower->fetch, shard, result->entries[0].value,
+			      result->entries[0].value_size, &error) != TGW_OK)
+		config_follower_refuse(
+			follower, follower->fetch.manifest.generation, &error);
+	config_follower_load(follower);
+}
+
+static void read_shard(struct tgw_config_follower *follower, uint32_t shard)
+{
+	const struct config_shard_ref *ref =
+		&follower->fetch.manifest.shards[shard];
+	struct store_call *call =
+		config_follower_new_call(follower, (int32_t)shard);
+	char key[CONFIG_KEY_SIZE];
+
+	memcpy(call->digest, ref->digest, sizeof(call->digest));
+	config_shard_key(key, shard, ref);
+	follower->store_shards_under_way++;
+	follower->counters.store_reads++;
+	tgw_store_get(follower->env.store, key,
+		      (struct tgw_store_callback){
+			      .done = on_shard,
+			      .arg = call,
+		      });
+}
+
+static void ask_for_shard(struct tgw_config_follower *follower, uint32_t shard,
+			  const struct tgw_host *host)
+{
+	struct config_message message = {
+		.kind = CONFIG_WANT_SHARD,
+		.shard = shard,
+	};
+
+	memcpy(message.digest, follower->fetch.manifest.shards[shard].digest,
+	       CONFIG_DIGEST_BYTES);
+	config_follower_send(follower, host->name, &message);
+}
+
+void config_follower_on_shard(struct tgw_config_follower *follower,
+			      const struct config_message *message)
+{
+	struct tgw_error error;
+
+	if (!follower->fetch.active ||
+	    memcmp(message->digest,
+		   follower->fetch.manifest.shards[message->shard].digest,
+		   sizeof(message->digest)) != 0)
+		return;
+	if (config_fetch_take(&follower->fetch, message->shard, message->value,
+			      message->value_size, &error) != TGW_OK)
+		follower->counters.generations_refused++;
+	config_follower_load(follower);
+}
+
+static bool prefers_store(const struct tgw_config_follower *follower,
+			  const struct config_fetch_shard *shard)
+{
+	bool store_first = follower->fetch.missing_count <= FEW_SHARDS;
+
+	if (follower->store_failed)
+		return false;
+	return shard->asked % 2 ? !store_first : store_first;
+}
+
+/* Whether this host is among those that read many shards from the store. */
+static bool is_turn_to_load(const struct tgw_config_follower *follower)
+{
+	const struct tgw_host *ranked[LOAD_TURNS];
+	const struct tgw_host *self = tgw_host_view_self(follower->view);
+	size_t count = tgw_host_view_rank(follower->view, self->failure_domain,
+					  0, ranked, LOAD_TURNS);
+	int64_t turn = 0;
+
+	if (follower->fetch.missing_count <= FEW_SHARDS)
+		return true;
+	while ((size_t)turn < count && ranked[turn] != self)
+		turn++;
+	return config_follower_now_us(follower) - follower->fetch_started_us >=
+	       turn * LOAD_TURN_US;
+}
+
+/* Asks for one shard. @return false when there is nobody to ask now */
+static bool ask_one(struct tgw_config_follower *follower, uint32_t shard)
+{
+	struct config_fetch_shard *wanted = &follower->fetch.shards[shard];
+	const struct tgw_host *host =
+		config_peers_pick(follower->view, &follower->random,
+				  follower->fetch.manifest.folded_generation);
+	bool by_store = prefers_store(follower, wanted) || !host;
+
+	if (by_store &&
+	    (follower->store_shards_under_way >= STORE_SHARDS_UNDER_WAY ||
+	     !is_turn_to_load(follower))) {
+		if (!host)
+			return false;
+		by_store = false;
+	}
+	wanted->asked++;
+	wanted->asked_at_us = config_follower_now_us(follower);
+	if (by_store)
+		read_shard(follower, shard);
+	else
+		ask_for_shard(follower, shard, host);
+	return true;
+}
+
+void config_follower_load(struct tgw_config_follower *follower)
+{
+	struct config_fetch *fetch = &follower->fetch;
+
+	if (!fetch->active)
+		return;
+	if (!fetch->missing_count) {
+		finish_fetch(follower);
+		return;
+	}
+	while (config_fetch_under_way(fetch, config_follower_now_us(follower),
+				      SHARD_TIMEOUT_US) < SHARDS_UNDER_WAY) {
+		int32_t shard = config_fetch_next(
+			fetch, config_follower_now_us(follower),
+			SHARD_TIMEOUT_US);
+
+		if (shard < 0 || !ask_one(follower, (uint32_t)shard))
+			return;
+	}
+}
--- a/tests/measure/measure_config.c
+++ b/tests/measure/measure_config.c
@@ -51,6 +51,7 @@
 	double cpu_ms_per_change;
 	double mb_per_host;
 	double first_load_s;
+	uint64_t load_reads; /* of all hosts, until then */
 	double calls_per_change;
 	uint64_t calls_before;
 	double reads_per_s; /* of the whole fleet, none of it per change */
@@ -132,9 +133,22 @@
 	*seen = generation;
 }
 
+static uint64_t sum_reads(const struct run *run)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < run->host_count; i++)
+		if (run->fleet.hosts[i]->up)
+			sum += tgw_config_follower_counters(
+				       run->fleet.hosts[i]->follower)
+				       ->store_reads;
+	return sum;
+}
+
 static void build(struct run *run, size_t host_count, size_t team_count)
 {
 	double heap_before_mb = heap_mb();
+	uint64_t reads;
 
 	memset(run, 0, sizeof(*run));
 	run->host_count = host_count;
@@ -154,12 +168,14 @@
 		config_fleet_add(&run->fleet, name, domain);
 	}
 	fake_world_advance(&run->fleet.world, SETTLE_US);
+	reads = sum_reads(run);
 	config_fleet_publish_teams(&run->fleet, team_count);
 	while (config_fleet_count_current(&run->fleet) < host_count)
 		fake_world_advance(&run->fleet.world, 100 * TGW_US_PER_MS);
 	run->first_load_s =
 		(double)(run->fleet.world.now_us - run->fleet.accepted_us[1]) /
 		1e6;
+	run->load_reads = sum_reads(run) - reads;
 	/* The operator's own copy is one host's worth. */
 	run->mb_per_host =
 		(heap_mb() - heap_before_mb) / (double)(host_count + 1);
@@ -177,18 +193,6 @@
 	config_fleet_publish_team(&run->fleet, team, budget);
 }
 
-static uint64_t sum_reads(const struct run *run)
-{
-	uint64_t sum = 0;
-
-	for (size_t i = 0; i < run->host_count; i++)
-		if (run->fleet.hosts[i]->up)
-			sum += tgw_config_follower_counters(
-				       run->fleet.hosts[i]->follower)
-				       ->store_reads;
-	return sum;
-}
-
 static uint64_t sum_peer_bytes(const struct run *run)
 {
 	uint64_t sum = 0;
@@ -397,21 +401,21 @@
 
 static void print_head(void)
 {
-	printf("%5s %6s %7s %7s %8s %8s %7s %7s %7s %8s %7s %8s %8s %6s\n",
-	       "hosts", "teams", "load_s", "p99_s", "max_s", "broken_s",
-	       "cpu_ms", "MB/host", "calls", "reads/s", "boot_s", "member_B",
-	       "config_B", "false");
+	printf("%5s %6s %6s %6s %7s %6s %8s %6s %7s %6s %7s %6s %8s %8s %5s\n",
+	       "hosts", "teams", "load_s", "load_r", "p99_s", "max_s",
+	       "broken_s", "cpu_ms", "MB/host", "calls", "reads/s", "boot_s",
+	       "member_B", "config_B", "false");
 }
 
 static void print_run(struct run *run)
 {
-	printf("%5zu %6zu %7.2f %7.3f %8.3f %8.2f %7.2f %7.1f %7.2f %8.2f "
-	       "%7.2f %8.0f %8.0f %6" PRIu64 "\n",
+	printf("%5zu %6zu %6.2f %6" PRIu64 " %7.3f %6.3f %8.2f %6.2f %7.1f "
+	       "%6.2f %7.2f %6.2f %8.0f %8.0f %5" PRIu64 "\n",
 	       run->host_count, run->team_count, run->first_load_s,
-	       quantile(&run->in_force_s, 0.99), quantile(&run->in_force_s, 1),
-	       quantile(&run->broken_watch_s, 1), run->cpu_ms_per_change,
-	       run->mb_per_host, run->calls_per_change, run->reads_per_s,
-	       run->boot_s, run->membership_bytes_per_s,
+	       run->load_reads, quantile(&run->in_force_s, 0.99),
+	       quantile(&run->in_force_s, 1), quantile(&run->broken_watch_s, 1),
+	       run->cpu_ms_per_change, run->mb_per_host, run->calls_per_change,
+	       run->reads_per_s, run->boot_s, run->membership_bytes_per_s,
 	       run->config_bytes_per_s, run->false_suspicions);
 	fflush(stdout);
 }
@@ -449,8 +453,9 @@
 	uint64_t suspicions = 0;
 	double host_hours = 0;
 
-	printf("Virtual time; 0.5%% of peer messages lost. load_s: until all "
-	       "teams at once are in force;\np99_s, max_s: in force at each "
+	printf("Virtual time; 0.5%% of peer messages lost. load_s, load_r: "
+	       "until all teams at once are\nin force, and the reads of all "
+	       "hosts for it; p99_s, max_s: in force at each "
 	       "host; broken_s: the same, longest, with every watch silently\n"
 	       "broken; cpu_ms: a change at one host; calls: of the tool for a "
 	       "change; reads/s: of all hosts\ntogether; member_B, config_B: "
--- a/tests/scenario/scenario_config.c
+++ b/tests/scenario/scenario_config.c
@@ -13,8 +13,10 @@
  *   damage manifest|shards [newer]   in the store; "restore" takes it back
  *   keep, put-back               an older manifest into the store
  *   rogue HOST older|forged      the host offers a bad manifest to others
- *   show TEAM                    what each host has in force
- *   within TIME                  advances until all have the newest, or fails
+ *   publish-broken TEAM          publishes a team of a template that is not
+ * there reads TIME                   advances, and prints the reads of all
+ * hosts show TEAM                    what each host has in force within TIME
+ * advances until all have the newest, or fails
  */
 #include "scenario/scenario.h"
 
@@ -24,6 +26,7 @@
 #include <string.h>
 
 #include "base/buffer.h"
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "fakes/config_fleet.h"
 #include "state/config_message.h"
@@ -294,6 +297,30 @@
 				fleet.manifest.generation + 1);
 }
 
+/* As a faulty tool might, which checks nothing. */
+static void run_publish_broken(void *world, const struct scenario_step *step)
+{
+	struct tgw_team team = {.template_name = "none", .budget = "b"};
+	struct config_change_list list = {0};
+	struct config_object *object;
+
+	text_copy(team.name, sizeof(team.name), step->words[1]);
+	object = config_object_from_team(&team, NULL);
+	config_change_list_add(
+		&list, config_set_find(&fleet.objects, CONFIG_TEAM, team.name),
+		object);
+	config_fleet_publish(&fleet, &list);
+	config_object_unref(object);
+}
+
+static void run_reads(void *world, const struct scenario_step *step)
+{
+	uint64_t before = fleet.store.reads;
+
+	fake_world_advance(&fleet.world, scenario_time_us(step, 1));
+	printf("%" PRIu64 " reads\n", fleet.store.reads - before);
+}
+
 static void run_show(void *world, const struct scenario_step *step)
 {
 	for (size_t i = 0; i < fleet.host_count; i++) {
@@ -314,16 +341,28 @@
 }
 
 static const struct scenario_verb verbs[] = {
-	{"hosts", 1, 20, run_hosts},	  {"teams", 1, 1, run_teams},
-	{"publish", 2, 3, run_publish},	  {"advance", 1, 1, run_advance},
-	{"within", 1, 1, run_within},	  {"outage", 1, 1, run_outage},
-	{"store", 2, 2, run_store},	  {"watch", 2, 2, run_watch},
-	{"pause", 1, 1, run_pause},	  {"wake", 1, 1, run_wake},
-	{"kill", 1, 1, run_kill},	  {"start", 1, 1, run_start},
-	{"group", 2, 20, run_group},	  {"damage", 1, 2, run_damage},
-	{"restore", 0, 0, run_restore},	  {"keep", 0, 0, run_keep},
-	{"put-back", 0, 0, run_put_back}, {"rogue", 2, 2, run_rogue},
-	{"show", 1, 1, run_show},	  {NULL, 0, 0, NULL},
+	{"hosts", 1, 20, run_hosts},
+	{"teams", 1, 1, run_teams},
+	{"publish", 2, 3, run_publish},
+	{"advance", 1, 1, run_advance},
+	{"within", 1, 1, run_within},
+	{"outage", 1, 1, run_outage},
+	{"store", 2, 2, run_store},
+	{"watch", 2, 2, run_watch},
+	{"pause", 1, 1, run_pause},
+	{"wake", 1, 1, run_wake},
+	{"kill", 1, 1, run_kill},
+	{"start", 1, 1, run_start},
+	{"group", 2, 20, run_group},
+	{"damage", 1, 2, run_damage},
+	{"restore", 0, 0, run_restore},
+	{"keep", 0, 0, run_keep},
+	{"put-back", 0, 0, run_put_back},
+	{"rogue", 2, 2, run_rogue},
+	{"publish-broken", 1, 1, run_publish_broken},
+	{"reads", 1, 1, run_reads},
+	{"show", 1, 1, run_show},
+	{NULL, 0, 0, NULL},
 };
 
 int main(int argc, char **argv)
