--- /dev/null
+++ b/tools/settings-page.sh
@@ -0,0 +1,23 @@
+#!/bin/sh
+# Writes the reference of the daemon's settings from the program itself:
+#   tools/settings-page.sh [BUILD_DIR] > docs/operations/settings.md
+set -eu
+cd "$(dirname "$0")/.."
+build=${1:-build}
+cat <<'END'
+# Settings of tamarackgwd
+
+Written by `tools/settings-page.sh` from `tamarackgwd --print-settings`; a test
+compares them. A key without a default has to be given, but for those of
+`[security]`. Settings are read at start; all are checked, and a message names file,
+line, key and remedy.
+END
+"$build/tamarackgwd" --print-settings | awk '
+/^\[/ { printf "\n## %s\n\n| key | default | from, to | what |\n|---|---|---|---|\n", $0; next }
+/^; -?[0-9]+ to -?[0-9]+$/ { range = $2 ", " $4; next }
+/^; / { what = substr($0, 3); next }
+/ =/ {
+	split($0, part, / *= */)
+	printf "| `%s` | %s | %s | %s |\n", part[1], part[2], range, what
+	range = ""
+}'
