--- a/src/coordination/config_peers.c
+++ b/src/coordination/config_peers.c
@@ -70,7 +70,8 @@
 		if (!may_help(view, host, 0))
 			continue;
 		weight = ask_weight(view, random, host, above_generation);
-		if (count == capacity && weight <= weights[count - 1])
+		if (count == capacity &&
+		    (!count || weight <= weights[count - 1]))
 			continue;
 		at = count < capacity ? count++ : count - 1;
 		for (; at > 0 && weights[at - 1] < weight; at--) {
