Let changes need an operator's key with a role

Changes were made under whatever name --as gave. Once the store lists operators (tgw/operators, one line each as in the hosts' file, its own audit entries in the same value), every write of the tool needs the key of an operator, changing the list that of an admin, and the audit trail has the name that the key belongs to. Checked in ctl_swap(), so that no command can forget it; signing each change was weighed and left, since custody of signing keys is the operators' to decide.

--- a/src/ctl/audit_scan.c
+++ b/src/ctl/audit_scan.c
@@ -14,10 +14,8 @@
 #define ENTRY_LEAST_BYTES 100
 
 static const char *const places[] = {
-	CONFIG_MANIFEST_KEY,
-	"tgw/audit/",
-	"tgw/ledger/",
-	"tgw/quarantine/",
+	CONFIG_MANIFEST_KEY, "tgw/audit/",    "tgw/ledger/",
+	"tgw/quarantine/",   "tgw/operators",
 };
 
 static void add_entry(struct audit_scan *scan, const char *key,
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -26,6 +26,7 @@
 };
 
 struct ctl_session;
+struct ctl_authority;
 
 /** What is the same for all commands of one run. */
 struct ctl {
@@ -37,6 +38,7 @@
 	const char *operator_key; /**< NULL when none was given */
 	size_t host_count;
 	const char *hosts[CTL_HOSTS_MAX]; /**< HTTP bases */
+	struct ctl_authority *authority;  /**< NULL until it is needed */
 };
 
 /** A command, such as group "budget", name "show". */
@@ -67,7 +69,8 @@
 				      int64_t version),
 			 void *arg, struct tgw_error *error);
 
-/** Compare-and-swap; UNKNOWN when the answer was lost: read back. */
+/** Compare-and-swap; UNKNOWN when the answer was lost: read back. DENIED
+ * when the store lists operators and the run's key is none of theirs. */
 enum tgw_status ctl_swap(struct ctl *ctl, const char *key,
 			 int64_t expected_version, const void *value,
 			 size_t value_size, struct tgw_error *error);
--- a/src/ctl/ctl_report.c
+++ b/src/ctl/ctl_report.c
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "ctl/ctl.h"
+#include "ctl/ctl_authority.h"
 #include "ctl/ctl_session.h"
 
 #define HOST_NAME_SIZE 40
@@ -12,13 +13,13 @@
 		     const char *action, const char *object)
 {
 	const struct passwd *user = getpwuid(getuid());
+	const char *who = ctl_authority_name((struct ctl *)ctl);
 	char host[HOST_NAME_SIZE] = "";
 
 	memset(entry, 0, sizeof(*entry));
 	gethostname(host, sizeof(host) - 1);
 	entry->wall_us = ctl_session_wall_us();
-	snprintf(entry->who, sizeof(entry->who), "%s",
-		 ctl->who ? ctl->who : "");
+	snprintf(entry->who, sizeof(entry->who), "%s", who ? who : "");
 	snprintf(entry->from, sizeof(entry->from), "%.20s@%s",
 		 user ? user->pw_name : "unknown", host);
 	snprintf(entry->action, sizeof(entry->action), "%s", action);
--- a/src/ctl/ctl_session.c
+++ b/src/ctl/ctl_session.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include "base/xalloc.h"
+#include "ctl/ctl_authority.h"
 #include "protocol/etcd_store.h"
 #include "tamarackgw/clock.h"
 #include "transport/curl_client.h"
@@ -206,6 +207,8 @@
 
 	if (!store)
 		return error->status;
+	if (ctl_authority_check(ctl, OPERATOR_OPERATOR, error) != TGW_OK)
+		return error->status;
 	tgw_store_swap(store, key, expected_version, value, value_size,
 		       callback_for(&call));
 	wait_until(ctl->session, &call.done);
--- a/src/ctl/host_commands.c
+++ b/src/ctl/host_commands.c
@@ -7,6 +7,7 @@
 #include "ctl/config_print.h"
 #include "ctl/config_status.h"
 #include "ctl/ctl.h"
+#include "ctl/ctl_authority.h"
 #include "state/operator_keys.h"
 #include "tamarackgw/config_snapshot.h"
 
@@ -251,5 +252,9 @@
 	 "error|warning|info|debug", run_log_level},
 	{"operator", "new-key", "make an operator's key",
 	 "NAME viewer|operator|admin", run_new_key},
+	{"operator", "list", "list the operators that may change things", "",
+	 operator_list_run},
+	{"operator", "publish", "publish who may change things", "FILE",
+	 operator_publish_run},
 	{0},
 };
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -2,6 +2,7 @@
 
 #include "ctl/command_line.h"
 #include "ctl/command_table.h"
+#include "ctl/ctl_authority.h"
 #include "ctl/ctl_session.h"
 
 static enum ctl_exit run(struct ctl *ctl, const struct command_line *line)
@@ -35,6 +36,7 @@
 	ctl->session = ctl_session_new(line->store_url);
 	result = command->run(ctl, line->word_count - words,
 			      line->words + words);
+	ctl_authority_free(ctl->authority);
 	ctl_session_free(ctl->session);
 	if (result == CTL_EXIT_USAGE)
 		command_table_usage(command);
--- a/tests/cram/ctl_store.t
+++ b/tests/cram/ctl_store.t
@@ -129,6 +129,40 @@
   $ $CTL --json audit --object dispatch-office --who ana | jq -c '.[0] | {sequence, who, action, reason, before, after}'
   {"sequence":2,"who":"ana","action":"team.add-key","reason":"rotate","before":"","after":"key_hash = 1e213a89"}
 
+Once the store lists operators, changes need a key with a role, and the trail
+has the name that the key belongs to.
+
+  $ mkkey() { $CTL --json operator new-key $1 $2 >made; jq -r .key made >$1.key; chmod 600 $1.key; jq -r .line made >>operators; }
+  $ mkkey root admin; mkkey dora operator; mkkey vida viewer
+  $ $CTL --key-file dora.key --reason x operator publish operators
+  tamarackgwctl: your key is no admin's in operators; give yours with --key-file and add its line
+  [1]
+  $ $CTL --key-file root.key --reason "first list" operator publish operators
+  The list of operators is accepted.
+  $ $CTL operator list | tr -s ' '
+  root admin
+  dora operator
+  vida viewer
+  $ $CTL --reason x server drain lm-mb-1
+  tamarackgwctl: this needs the key of an operator with role operator; give it with --key-file
+  [1]
+  $ $CTL --key-file vida.key --reason x server drain lm-mb-1
+  tamarackgwctl: this needs the key of an operator with role operator; give it with --key-file
+  [1]
+  $ $CTL --key-file dora.key --as somebody --reason heat server drain lm-mb-1 | cut -d' ' -f3-
+  is accepted.
+  $ $CTL --json audit --object lm-mb-1 | jq -r '.[-1] | .who, .reason'
+  dora
+  heat
+  $ sed -i 's/^dora:operator/dora:admin/' operators
+  $ $CTL --key-file dora.key --reason x operator publish operators
+  tamarackgwctl: this needs the key of an operator with role admin; give it with --key-file
+  [1]
+  $ $CTL --json audit --action operator | jq -r '.[].who'
+  ana
+  $ $CTL audit verify | cut -d' ' -f2-
+  entries, 0 bad
+
 An altered entry and a removed segment are seen.
 
   $ segments() { curl -s -d '{"key":"dGd3L2F1ZGl0L2NvbmZpZy8=","range_end":"dGd3L2F1ZGl0L2NvbmZpZzA="}' $TGW_STORE/v3/kv/range; }
--- a/tests/fakes/config_fleet.c
+++ b/tests/fakes/config_fleet.c
@@ -291,7 +291,7 @@
 			    const struct config_change_list *list,
 			    const struct config_commit *commit)
 {
-	uint64_t calls = 2; /* the manifest, read and swapped */
+	uint64_t calls = 3; /* the manifest, read and swapped; operators */
 
 	for (uint32_t i = 0; i < CONFIG_SHARD_COUNT; i++)
 		calls += config_commit_needs_shard(&fleet->manifest, list, i);
