Top up by budget and amount; keep bucket counts out of the settings

Cause: the number of keys that the ledger and the claims are spread over was a setting of each host and another one of the tool. Hosts that differ look for a budget under different keys; hosts that differ on claims could run one call twice. Both are constants now. A top-up names the budget and the amount, and its id only to repeat it.

--- a/src/ctl/budget_commands.c
+++ b/src/ctl/budget_commands.c
@@ -10,18 +10,15 @@
 #include "ctl/ctl.h"
 #include "state/ledger_codec.h"
 #include "tamarackgw/budget.h"
+#include "tamarackgw/random.h"
 
 /* Hosts write the same keys; a change that lost a race is made again. */
 #define TRIES_MAX 16
 
 /* Must be the hosts' number of ledger keys. */
+/* The same for all fleets: a host and the tool must never differ on it. */
 static uint32_t bucket_count(void)
 {
-	const char *text = getenv("TGW_LEDGER_BUCKETS");
-	unsigned long count = text ? strtoul(text, NULL, 10) : 0;
-
-	if (count > 0 && count <= UINT32_MAX)
-		return (uint32_t)count;
 	return tgw_budget_settings_default().bucket_count;
 }
 
@@ -155,11 +152,13 @@
 {
 	struct tgw_error error = {0};
 	struct top_up top_up;
+	char fresh_id[TGW_NAME_SIZE];
 	bool applied;
 
-	if (argc != 3 || !parse_tokens(argv[2], &top_up.tokens)) {
-		fprintf(stderr, "tamarackgwctl: give BUDGET, ID and a number "
-				"of tokens\n");
+	if ((argc != 2 && (argc != 4 || strcmp(argv[2], "--id") != 0)) ||
+	    !parse_tokens(argv[1], &top_up.tokens)) {
+		fprintf(stderr, "tamarackgwctl: give BUDGET, a number of "
+				"tokens and, for a repeat, --id ID\n");
 		return CTL_EXIT_USAGE;
 	}
 	if (!ctl->dry_run && (!ctl->reason || !*ctl->reason || !ctl->who)) {
@@ -168,7 +167,9 @@
 		return CTL_EXIT_USAGE;
 	}
 	top_up.budget = argv[0];
-	top_up.id = argv[1];
+	snprintf(fresh_id, sizeof(fresh_id), "%016" PRIx64,
+		 tgw_random_incarnation());
+	top_up.id = argc == 4 ? argv[3] : fresh_id;
 	if (do_top_up(ctl, &top_up, &applied, &error) != TGW_OK)
 		return ctl_report(&error);
 	if (!applied)
@@ -263,7 +264,7 @@
 	{"budget", "show", "Shows where every token of a budget is", "BUDGET",
 	 run_show},
 	{"budget", "top-up", "Pays tokens in, once for each id",
-	 "BUDGET ID TOKENS", run_top_up},
+	 "BUDGET TOKENS [--id ID]", run_top_up},
 	{"budget", "list", "Lists all budgets", "", run_list},
 	{"budget", "write-offs", "Lists what gone hosts were charged", "",
 	 run_write_offs},
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -250,7 +250,6 @@
 		.settings = tgw_budget_settings_default(),
 	};
 
-	env.settings.bucket_count = (uint32_t)settings->ledger_buckets;
 	env.settings.flush_interval_us =
 		settings->ledger_flush_ms * TGW_US_PER_MS;
 	env.settings.ride_out_us = settings->ride_out_s * TGW_US_PER_S;
@@ -266,7 +265,6 @@
 	env.store = runtime->store;
 	env.peer = runtime->peer;
 	env.random_seed = runtime->self.incarnation;
-	env.bucket_count = (uint32_t)settings->claim_buckets;
 	env.batch_interval_us = settings->claim_batch_ms * TGW_US_PER_MS;
 	env.keep_us = settings->claim_keep_s * TGW_US_PER_S;
 	runtime->claims = tgw_claim_agent_new(&env, runtime->hosts);
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -40,11 +40,9 @@
 	int64_t stop_notice_ms; /**< still takes requests while stopping */
 	int64_t stop_grace_s;	/**< a planned stop waits this long */
 	/* [budget] */
-	int64_t ledger_buckets;
 	int64_t ledger_flush_ms;
 	int64_t ride_out_s;
 	/* [claims] */
-	int64_t claim_buckets;
 	int64_t claim_batch_ms;
 	int64_t claim_keep_s;
 	/* [membership] */
--- a/tests/cram/budget.t
+++ b/tests/cram/budget.t
@@ -9,31 +9,31 @@
 
 A payment needs a reason, and is applied once for each id.
 
-  $ $CTL budget top-up acme pay-1 5000
+  $ $CTL budget top-up acme 5000 --id pay-1
   tamarackgwctl: each change needs a reason and a name; give --reason TEXT and --as NAME
-  Usage: tamarackgwctl [OPTIONS] budget top-up BUDGET ID TOKENS
+  Usage: tamarackgwctl [OPTIONS] budget top-up BUDGET TOKENS [--id ID]
   [2]
-  $ $CTL --dry-run budget top-up acme pay-1 5000
+  $ $CTL --dry-run budget top-up acme 5000 --id pay-1
   Would add 5000 tokens to acme by top-up pay-1.
   $ $CTL budget show acme
   tamarackgwctl: there is no budget acme; top it up to create it
   [1]
-  $ $CTL --reason invoice budget top-up acme pay-1 5000
+  $ $CTL --reason invoice budget top-up acme 5000 --id pay-1
   Added 5000 tokens to acme by top-up pay-1.
-  $ $CTL --reason invoice budget top-up acme pay-1 5000
+  $ $CTL --reason invoice budget top-up acme 5000 --id pay-1
   Top-up pay-1 was applied before; nothing changes.
-  $ $CTL --reason invoice budget top-up acme pay-1 6000
+  $ $CTL --reason invoice budget top-up acme 6000 --id pay-1
   tamarackgwctl: top-up id 'pay-1' was used for 5000 tokens; choose another id
   [1]
 
 Amounts that can't be are refused.
 
-  $ $CTL --reason x budget top-up acme pay-2 0
+  $ $CTL --reason x budget top-up acme 0 --id pay-2
   tamarackgwctl: a top-up is 1 to 1000000000000000 tokens
   [1]
-  $ $CTL --reason x budget top-up acme pay-2 99999999999999999999 2>/dev/null
+  $ $CTL --reason x budget top-up acme 99999999999999999999 --id pay-2 2>/dev/null
   [2]
-  $ $CTL --reason x budget top-up acme pay-2 1000000000000000
+  $ $CTL --reason x budget top-up acme 1000000000000000 --id pay-2
   tamarackgwctl: the budget would pass 1000000000000000 tokens; top up less
   [1]
 
@@ -46,7 +46,7 @@
   $ $CTL --json budget list | jq -c '.[]'
   {"budget":"acme","paid_in_tokens":5000,"charged_tokens":0,"held_tokens":0,"free_tokens":5000}
   $ $CTL budget write-offs
-  $ for i in 2 3 4 5 6 7 8 9 10; do $CTL --reason more budget top-up acme pay-$i 10 >/dev/null; done
+  $ for i in 2 3 4 5 6 7 8 9 10; do $CTL --reason more budget top-up acme 10 --id pay-$i >/dev/null; done
   $ $CTL --json audit --action budget.top-up | jq length
   10
   $ kill $PLATFORM
