--- a/tests/cram/host_killed.t
+++ b/tests/cram/host_killed.t
@@ -40,10 +40,3 @@
   $ settled() { [ $(budget_field settled_tokens) -ge $spent ]; }
   $ fleet_wait 20 settled
   $ [ $(budget_field allotted_tokens) -le 100000 ]
-
-The host comes back under its name and serves.
-
-  $ FLEET_HOSTS="host-a2 host-b1 host-b2"
-  $ fleet_host_again host-a1
-  $ stream host-a1 key-7 "visit 7 ANSWER-TOKENS=5" >last
-  $ is_whole last "visit 7 ANSWER-TOKENS=5"
