--- a/tests/cram/caller_returns.t
+++ b/tests/cram/caller_returns.t
@@ -8,9 +8,9 @@
   [28]
   $ went_away() { grep -q 'caller went away' $FLEET/host-a1.log; }
   $ fleet_wait 10 went_away
-  $ part_settled() { [ $(budget_field settled_tokens) -gt 0 ]; }
+  $ part_settled() { [ $(budget_field charged_tokens) -gt 0 ]; }
   $ fleet_wait 20 part_settled
   $ again() { stream host-a1 key "visit ANSWER-TOKENS=100" >again; is_whole again "visit ANSWER-TOKENS=100"; }
   $ fleet_wait 5 again || head -c 300 again
-  $ settled() { [ $(budget_field settled_tokens) = $(tokens_of again) ]; }
+  $ settled() { [ $(budget_field charged_tokens) = $(tokens_of again) ]; }
   $ fleet_wait 5 settled
--- a/tests/cram/holder_paused.t
+++ b/tests/cram/holder_paused.t
@@ -6,7 +6,7 @@
   $ stream host-a1 first "visit 0 ANSWER-TOKENS=20" >first
   $ tokens_of first
   28
-  $ holds() { [ -n "$(holder)" ] && [ $(budget_field settled_tokens) = 28 ]; }
+  $ holds() { [ -n "$(holder)" ] && [ $(budget_field charged_tokens) = 28 ]; }
   $ fleet_wait 20 holds
   $ paused=$(holder)
   $ for name in $FLEET_HOSTS; do [ $name = $paused ] || others="$others $name"; done
@@ -28,5 +28,5 @@
 The ledger comes to exactly what the answers used.
 
   $ spent=0; for file in first late a-? b-?; do spent=$((spent + $(tokens_of $file))); done
-  $ adds_up() { [ $(budget_field settled_tokens) = $spent ]; }
+  $ adds_up() { [ $(budget_field charged_tokens) = $spent ]; }
   $ fleet_wait 20 adds_up
--- a/tests/cram/host_killed.t
+++ b/tests/cram/host_killed.t
@@ -37,6 +37,6 @@
   $ gone() { FLEET_HOSTS=host-b1 fleet_ctl --json hosts | grep -Eq '"(silent|gone)"'; }
   $ fleet_wait 10 gone
   $ spent=0; for i in 1 2 3 4 5 6; do spent=$((spent + $(tokens_of again-$i))); done
-  $ settled() { [ $(budget_field settled_tokens) -ge $spent ]; }
+  $ settled() { [ $(budget_field charged_tokens) -ge $spent ]; }
   $ fleet_wait 20 settled
-  $ [ $(budget_field allotted_tokens) -le 100000 ]
+  $ [ $(budget_field free_tokens) -ge 0 ]
--- a/tests/cram/planned_stop.t
+++ b/tests/cram/planned_stop.t
@@ -29,5 +29,5 @@
 
   $ spent=0; for file in open-? late; do t=$(tokens_of $file 2>/dev/null); spent=$((spent + ${t:-0})); done
   $ fleet_stop host-a2 host-b1 host-b2
-  $ [ $(budget_field settled_tokens) = $spent ] || echo "settled $(budget_field settled_tokens), spent $spent"
-  $ [ $(budget_field allotted_tokens) = $spent ] || echo "allotted $(budget_field allotted_tokens), spent $spent"
+  $ [ $(budget_field charged_tokens) = $spent ] || echo "settled $(budget_field charged_tokens), spent $spent"
+  $ [ $(budget_field held_tokens) = 0 ] || echo "held $(budget_field held_tokens)"
--- a/tests/cram/store_outage.t
+++ b/tests/cram/store_outage.t
@@ -5,7 +5,7 @@
   $ small_fleet_up 100000 --inter-token-ms 2
   $ stream host-a1 warm-a "visit a ANSWER-TOKENS=20" >warm-a
   $ stream host-b1 warm-b "visit b ANSWER-TOKENS=20" >warm-b
-  $ settled() { [ $(budget_field settled_tokens) = $1 ]; }
+  $ settled() { [ $(budget_field charged_tokens) = $1 ]; }
   $ spent=$(($(tokens_of warm-a) + $(tokens_of warm-b)))
   $ fleet_wait 20 settled $spent
   $ fleet_fault '{"outage":true}'
--- a/tools/quickstart.sh
+++ b/tools/quickstart.sh
@@ -204,7 +204,7 @@
 ledger_adds_up() {
 	fleet_ctl --json budget show "$BUDGET" >"$FLEET/balance" &&
 		jq -e --argjson spent "$SPENT" --argjson paid $PAID \
-			'.settled_tokens == $spent and .paid_tokens == $paid' \
+			'.charged_tokens == $spent and .paid_in_tokens == $paid' \
 			"$FLEET/balance"
 }
 
@@ -224,7 +224,7 @@
 # After a planned stop nothing is left with a host.
 nothing_is_held() {
 	ledger_adds_up &&
-		jq -e '.allotted_tokens == .settled_tokens' "$FLEET/balance"
+		jq -e '.held_tokens == 0' "$FLEET/balance"
 }
 
 stop_in_order() {
