Drive the HTTP client by events in place of polls over all sockets

Cause: with 1,500 open streams each wake-up looked at every socket and every exchange.

Change: epoll with libcurl's socket actions and timer.

--- a/src/transport/curl_client.c
+++ b/src/transport/curl_client.c
@@ -2,12 +2,16 @@
 
 #include <assert.h>
 #include <curl/curl.h>
+#include <errno.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <sys/queue.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "base/xalloc.h"
 #include "tamarackgw/clock.h"
@@ -16,6 +20,8 @@
 
 #define POLL_MS 1000
 #define SWEEP_INTERVAL_MS 50
+#define EVENTS_MAX 256
+#define NO_TIMER INT64_MAX
 #define DEFAULT_CONNECT_TIMEOUT_US (1 * TGW_US_PER_S)
 #define DEFAULT_IDLE_CONNECTIONS 256
 #define FIRST_FINAL_STATUS 200
@@ -41,6 +47,9 @@
 	struct http_sender sender; /* first member */
 	struct curl_client_settings settings;
 	CURLM *multi;
+	int epoll_fd;
+	int wake_fd;
+	int64_t timer_due_us; /* of libcurl; NO_TIMER */
 	struct curl_poller poller;
 	struct mailbox *mailbox;
 	pthread_t thread;
@@ -367,20 +376,108 @@
 static void wake(void *arg)
 {
 	struct curl_client *client = arg;
+	uint64_t one = 1;
 
-	curl_poller_wake(&client->poller);
+	/* A full counter wakes as well. */
+	if (write(client->wake_fd, &one, sizeof(one)) < 0 && errno != EAGAIN)
+		abort();
+}
+
+/* libcurl wants to know when the socket is ready, or no more. */
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *arg,
+		     void *known)
+{
+	struct curl_client *client = arg;
+	struct epoll_event event = {.data.fd = fd};
+
+	if (what == CURL_POLL_REMOVE) {
+		epoll_ctl(client->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+		return 0;
+	}
+	if (what & CURL_POLL_IN)
+		event.events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		event.events |= EPOLLOUT;
+	if (known) {
+		epoll_ctl(client->epoll_fd, EPOLL_CTL_MOD, fd, &event);
+		return 0;
+	}
+	epoll_ctl(client->epoll_fd, EPOLL_CTL_ADD, fd, &event);
+	curl_multi_assign(client->multi, fd, client);
+	return 0;
+}
+
+static int on_timer(CURLM *multi, long timeout_ms, void *arg)
+{
+	struct curl_client *client = arg;
+
+	client->timer_due_us = NO_TIMER;
+	if (timeout_ms >= 0)
+		client->timer_due_us = now_us() + timeout_ms * TGW_US_PER_MS;
+	return 0;
+}
+
+static int wait_ms(const struct curl_client *client)
+{
+	int64_t ms = client->timed_count ? SWEEP_INTERVAL_MS : POLL_MS;
+	int64_t timer_ms;
+
+	if (client->timer_due_us == NO_TIMER)
+		return (int)ms;
+	timer_ms = (client->timer_due_us - now_us() + TGW_US_PER_MS - 1) /
+		   TGW_US_PER_MS;
+	if (timer_ms < 0)
+		timer_ms = 0;
+	return (int)(timer_ms < ms ? timer_ms : ms);
+}
+
+static void run_socket(struct curl_client *client,
+		       const struct epoll_event *event)
+{
+	uint64_t count;
+	int running;
+	int flags = 0;
+
+	if (event->data.fd == client->wake_fd) {
+		if (read(client->wake_fd, &count, sizeof(count)) < 0 &&
+		    errno != EAGAIN)
+			abort();
+		return;
+	}
+	if (event->events & EPOLLIN)
+		flags |= CURL_CSELECT_IN;
+	if (event->events & EPOLLOUT)
+		flags |= CURL_CSELECT_OUT;
+	if (event->events & (EPOLLERR | EPOLLHUP))
+		flags |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(client->multi, event->data.fd, flags,
+				 &running);
+}
+
+static void run_timer(struct curl_client *client)
+{
+	int running;
+
+	if (client->timer_due_us == NO_TIMER || now_us() < client->timer_due_us)
+		return;
+	client->timer_due_us = NO_TIMER;
+	curl_multi_socket_action(client->multi, CURL_SOCKET_TIMEOUT, 0,
+				 &running);
 }
 
 static void *run_client(void *arg)
 {
 	struct curl_client *client = arg;
+	struct epoll_event events[EVENTS_MAX];
 
 	while (!atomic_load(&client->stopping)) {
-		int64_t wait_ms = client->timed_count ? SWEEP_INTERVAL_MS
-						      : POLL_MS;
+		int count = epoll_wait(client->epoll_fd, events, EVENTS_MAX,
+				       wait_ms(client));
 
-		curl_poller_run(&client->poller, wait_ms * TGW_US_PER_MS);
+		for (int i = 0; i < count; i++)
+			run_socket(client, &events[i]);
 		mailbox_run(client->mailbox);
+		run_timer(client);
 		end_finished(client);
 		end_idle(client);
 	}
@@ -390,6 +487,23 @@
 	return NULL;
 }
 
+static void open_events(struct curl_client *client)
+{
+	struct epoll_event event = {.events = EPOLLIN};
+
+	client->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	client->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+	if (client->epoll_fd < 0 || client->wake_fd < 0)
+		abort();
+	event.data.fd = client->wake_fd;
+	epoll_ctl(client->epoll_fd, EPOLL_CTL_ADD, client->wake_fd, &event);
+	client->timer_due_us = NO_TIMER;
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
+	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
+}
+
 struct curl_client_settings curl_client_settings_default(void)
 {
 	return (struct curl_client_settings){
@@ -411,6 +525,7 @@
 		abort();
 	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
 			  (long)settings->idle_connections);
+	open_events(client);
 	client->mailbox = mailbox_new(wake, client);
 	if (pthread_create(&client->thread, NULL, run_client, client) != 0)
 		abort();
@@ -431,6 +546,8 @@
 	pthread_join(client->thread, NULL);
 	mailbox_free(client->mailbox);
 	curl_multi_cleanup(client->multi);
+	close(client->epoll_fd);
+	close(client->wake_fd);
 	curl_poller_close(&client->poller);
 	curl_global_cleanup();
 	free(client);
