--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -121,6 +121,7 @@
 	uint32_t domains = count_domains(bucket->agent->view);
 
 	survey_others(&bucket->draft, share->line->id, index, &inputs);
+	inputs.domains = domains;
 	if (domains > inputs.others_count + 1)
 		inputs.absent_domains = domains - inputs.others_count - 1;
 	if (bucket->agent->is_draining)
@@ -287,6 +288,15 @@
 	plan->is_worth = true;
 }
 
+/* A first part of each budget, so that most first requests find some, and
+ * one write serves the whole bucket. */
+static void obtain_shares(struct budget_bucket *bucket)
+{
+	for (size_t i = 0; i < bucket->draft.budget_count; i++)
+		holder_line_obtain_share(bucket->line,
+					 bucket->draft.budgets[i].name);
+}
+
 static void plan_own_line(struct plan *plan)
 {
 	struct budget_bucket *bucket = plan->bucket;
@@ -298,6 +308,8 @@
 	line = obtain_line(plan);
 	if (!line || line->state != LEDGER_LINE_OPEN)
 		return;
+	if (!bucket->agent->is_draining)
+		obtain_shares(bucket);
 	if (budget_witness_choose(bucket, line))
 		plan->is_worth = true;
 	for (size_t i = 0; i < own->share_count; i++) {
--- a/src/state/allotment_policy.c
+++ b/src/state/allotment_policy.c
@@ -9,6 +9,10 @@
 #define NEEDED_MARGIN 4.0
 /* With this part of what is unspent still free, nothing is returned unasked. */
 #define PLENTY_PART 4
+/* All domains' first parts together take this part of what is free, and none
+ * more than this many tokens. */
+#define STARTER_PART 4
+#define STARTER_TOKENS 20000
 /* Surplus below this part of the wish is not worth a return. */
 #define KEEP_MARGIN 1.5
 
@@ -36,6 +40,17 @@
 	return pool * weight;
 }
 
+/* A line's first part of a budget that nobody has asked it for yet. */
+static int64_t starter(const struct allotment_inputs *in)
+{
+	int64_t part;
+
+	if (in->allotted_tokens || !in->domains)
+		return 0;
+	part = in->free_tokens / (STARTER_PART * (int64_t)in->domains);
+	return min_tokens(part, STARTER_TOKENS);
+}
+
 static bool is_plenty(const struct allotment_inputs *in, int64_t left)
 {
 	return in->free_tokens >=
@@ -51,6 +66,7 @@
 	int64_t wish = (int64_t)fmin(comfort, fair_part(in, left));
 
 	wish = max_tokens(wish, in->needed_tokens);
+	wish = max_tokens(wish, starter(in));
 	if (in->asked_tokens)
 		wish = min_tokens(wish, max_tokens(left - in->asked_tokens, 0));
 	else if (wish < left && (is_plenty(in, left) ||
--- a/src/state/allotment_policy.h
+++ b/src/state/allotment_policy.h
@@ -20,6 +20,7 @@
 	uint32_t others_count;	    /**< other lines with a share */
 	uint32_t absent_domains;    /**< domains that have no line yet */
 	double ride_out_s;	    /**< demand to hold against an outage */
+	uint32_t domains;
 };
 
 /** @return what the line should be allotted: at least used_tokens, and at
