Take a holder's spare ceilings in the ledger back within seconds

Cause: 223,953 of 238,893 tokens of slack at 11 deaths were ceilings in the ledger of hosts that had been first for a bucket for a time only.

Change: once the witness covers a share, its ceiling in the ledger is written away after ten seconds without use.

--- a/src/coordination/budget_ceiling.c
+++ b/src/coordination/budget_ceiling.c
@@ -15,6 +15,7 @@
 #define RAISE_BYPASS_US BUDGET_MS(250)
 /* A share that was idle for this long needs nothing ahead. */
 #define LOWER_AFTER_US BUDGET_S(1)
+#define FLOOR_WAIT_US BUDGET_S(10)
 
 static const struct tgw_host *find_candidate(const struct budget_bucket *bucket)
 {
@@ -94,6 +95,17 @@
 	share->ceiling_is_dirty = true;
 }
 
+/* A ceiling in the ledger above what the witness covers is taken back. */
+static void end_look(struct holder_share *share, int64_t wished)
+{
+	struct budget_bucket *bucket = share->line->bucket;
+
+	share->is_touched = false;
+	if (share->floor_tokens > wished)
+		budget_bucket_due(bucket,
+				  budget_now_us(bucket->agent) + FLOOR_WAIT_US);
+}
+
 /* Looks at one share. @return whether a request waits for the answer */
 static bool look_at(struct holder_share *share)
 {
@@ -121,7 +133,7 @@
 		  share->witnessed_tokens < holder_share_used(share)))
 		wish_for(share, wished);
 	else if (is_idle && !share->waiters)
-		share->is_touched = false;
+		end_look(share, wished);
 	return false;
 }
 
--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -197,6 +197,10 @@
 
 	if (ceiling > allotted)
 		ceiling = allotted;
+	if (!ceiling &&
+	    share->ceiling_tokens >
+		    holder_share_used(held) + holder_share_run_ahead(held))
+		plan->is_worth = true;
 	/* A lower one binds before the write that has it goes out. */
 	if (ceiling < held->floor_tokens)
 		held->floor_tokens = ceiling;
--- a/tests/measure/measure_budget.c
+++ b/tests/measure/measure_budget.c
@@ -378,8 +378,8 @@
 #define DESIGN_BUDGETS 120000
 #define DESIGN_BUCKETS 4096
 #define DESIGN_REQUESTS_PER_S 7600
-#define DESIGN_WARM_UP_US (180 * TGW_US_PER_S)
-#define DESIGN_LENGTH_US (480 * TGW_US_PER_S)
+#define DESIGN_WARM_UP_US (300 * TGW_US_PER_S)
+#define DESIGN_LENGTH_US (900 * TGW_US_PER_S)
 
 static const struct arrival_kind design_kinds[] = {
 	{20, 4000, 700, 20 * TGW_US_PER_S},
