--- /dev/null
+++ b/src/coordination/budget_exchange.c
@@ -0,0 +1,374 @@
+#include "coordination/budget_exchange.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "coordination/budget_holder.h"
+#include "coordination/budget_share.h"
+#include "state/name_copy.h"
+
+#define EXCHANGE_INTERVAL_US BUDGET_S(30)
+#define KEYS_MAX 500
+
+void budget_exchange_log(struct budget_bucket *bucket,
+			 const struct tgw_request_key *key)
+{
+	struct key_log *log = &bucket->log;
+	struct logged_key *logged;
+
+	if (log->count == log->capacity) {
+		log->capacity = log->capacity * 2 + 16;
+		log->keys = xrealloc(log->keys,
+				     log->capacity * sizeof(log->keys[0]));
+	}
+	logged = &log->keys[log->count++];
+	logged->key = *key;
+	logged->settled_us = budget_now_us(bucket->agent);
+}
+
+static void expire(struct budget_bucket *bucket)
+{
+	struct key_log *log = &bucket->log;
+	int64_t before_us = budget_now_us(bucket->agent) -
+			    bucket->agent->env.settings.duplicate_memory_us;
+	size_t old = 0;
+
+	while (old < log->count && log->keys[old].settled_us < before_us)
+		old++;
+	if (!old)
+		return;
+	log->count -= old;
+	log->first += old;
+	memmove(log->keys, log->keys + old, log->count * sizeof(log->keys[0]));
+}
+
+static struct key_cursor *obtain_cursor(struct key_log *log,
+					struct budget_peer *holder)
+{
+	struct key_cursor *cursor;
+
+	for (size_t i = 0; i < log->cursor_count; i++)
+		if (log->cursors[i].holder == holder)
+			return &log->cursors[i];
+	log->cursors = xrealloc(log->cursors,
+				(log->cursor_count + 1) * sizeof(*cursor));
+	cursor = &log->cursors[log->cursor_count++];
+	memset(cursor, 0, sizeof(*cursor));
+	cursor->holder = holder;
+	return cursor;
+}
+
+static void send_keys(struct budget_bucket *bucket, struct key_cursor *cursor)
+{
+	struct key_log *log = &bucket->log;
+	uint64_t next = cursor->acked + 1;
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_KEYS,
+		.bucket = bucket->index,
+	};
+
+	if (next < log->first)
+		next = log->first;
+	for (; next < log->first + log->count && message.item_count < KEYS_MAX;
+	     next++)
+		budget_message_add(&message)->id =
+			key_table_prefix(&log->keys[next - log->first].key);
+	message.sequence = next - 1;
+	if (message.item_count)
+		budget_send(bucket->agent, cursor->holder->name, &message);
+	budget_message_clear(&message);
+}
+
+/* The domain's best host but this one: in the own domain, too, a key may
+ * have been settled by another host while this one was not heard. */
+static const struct tgw_host *find_listener(struct budget_bucket *bucket,
+					    const char *domain)
+{
+	const struct tgw_budget_agent *agent = bucket->agent;
+	const struct tgw_host *ranked[2];
+	size_t count = tgw_host_view_rank(agent->view, domain,
+					  ledger_bucket_hash(bucket->index),
+					  ranked, 2);
+
+	for (size_t i = 0; i < count; i++)
+		if (strcmp(ranked[i]->name, agent->name))
+			return ranked[i];
+	return NULL;
+}
+
+static void tell_host(struct budget_bucket *bucket, const struct tgw_host *host)
+{
+	struct key_cursor *cursor = obtain_cursor(
+		&bucket->log, budget_peer_obtain(bucket->agent, host->name));
+
+	if (cursor->holder_incarnation != host->incarnation) {
+		cursor->holder_incarnation = host->incarnation;
+		cursor->acked = 0;
+	}
+	send_keys(bucket, cursor);
+}
+
+static void tell_domain(struct budget_bucket *bucket, const char *domain)
+{
+	const struct tgw_host *listener = find_listener(bucket, domain);
+
+	if (listener)
+		tell_host(bucket, listener);
+}
+
+/* A host that granted while its domain's first was not heard has to meet
+ * others of its kind, too. */
+static void tell_lines(struct budget_bucket *bucket)
+{
+	const struct tgw_budget_agent *agent = bucket->agent;
+
+	for (size_t i = 0; i < bucket->known.line_count; i++) {
+		const struct ledger_line *line = &bucket->known.lines[i];
+		const struct tgw_host *host =
+			tgw_host_view_find(agent->view, line->host);
+
+		if (host && strcmp(host->name, agent->name) &&
+		    host->state == TGW_HOST_ALIVE)
+			tell_host(bucket, host);
+	}
+}
+
+static void tell_domains(struct budget_bucket *bucket)
+{
+	const struct tgw_host_view *view = bucket->agent->view;
+
+	for (size_t i = 0; i < view->host_count; i++) {
+		const char *domain = view->hosts[i].failure_domain;
+		size_t earlier = 0;
+
+		while (earlier < i &&
+		       strcmp(view->hosts[earlier].failure_domain, domain))
+			earlier++;
+		if (earlier == i)
+			tell_domain(bucket, domain);
+	}
+}
+
+static enum budget_copy_state copy_state(const struct reservation *reservation)
+{
+	if (reservation->state == RESERVATION_REVERSED)
+		return BUDGET_COPY_REVERSED;
+	if (!reservation->share || reservation->bucket->agent->is_draining)
+		return BUDGET_COPY_FINAL;
+	return reservation->is_kept ? BUDGET_COPY_KEPT : BUDGET_COPY_REVERSIBLE;
+}
+
+static bool has_ended(const struct reservation *reservation)
+{
+	return reservation && (reservation->state == RESERVATION_SETTLED ||
+			       reservation->state == RESERVATION_REVERSED);
+}
+
+static void send_duplicate(const struct reservation *reservation,
+			   const struct budget_peer *to, bool is_reply)
+{
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_DUPLICATE,
+		.bucket = reservation->bucket->index,
+	};
+	struct budget_message_item *item = budget_message_add(&message);
+
+	item->key = reservation->key;
+	item->has_key = true;
+	item->tokens = reservation->spent_tokens;
+	item->code = copy_state(reservation);
+	item->flags = is_reply ? BUDGET_FLAG_REPLY : 0;
+	budget_send(reservation->bucket->agent, to->name, &message);
+	budget_message_clear(&message);
+}
+
+static struct open_duplicate **find_open(struct tgw_budget_agent *agent,
+					 const struct tgw_request_key *key,
+					 const struct budget_peer *peer)
+{
+	struct open_duplicate **link = &agent->open_duplicates;
+
+	while (*link && ((*link)->peer != peer ||
+			 memcmp(&(*link)->key, key, sizeof(*key))))
+		link = &(*link)->next;
+	return link;
+}
+
+static void open_duplicate(struct tgw_budget_agent *agent,
+			   const struct reservation *reservation,
+			   struct budget_peer *peer)
+{
+	struct open_duplicate **link =
+		find_open(agent, &reservation->key, peer);
+
+	if (*link)
+		return;
+	*link = xcalloc(1, sizeof(**link));
+	(*link)->key = reservation->key;
+	(*link)->peer = peer;
+}
+
+static void close_duplicate(struct tgw_budget_agent *agent,
+			    const struct tgw_request_key *key,
+			    const struct budget_peer *peer)
+{
+	struct open_duplicate **link = find_open(agent, key, peer);
+	struct open_duplicate *closed = *link;
+
+	if (!closed)
+		return;
+	*link = closed->next;
+	free(closed);
+}
+
+/* Repeats the questions that were not answered. */
+static void ask_again(struct tgw_budget_agent *agent)
+{
+	struct open_duplicate *open = agent->open_duplicates;
+
+	while (open) {
+		struct open_duplicate *next = open->next;
+		const struct reservation *reservation =
+			key_table_find(&agent->reservations, &open->key);
+
+		if (has_ended(reservation))
+			send_duplicate(reservation, open->peer, false);
+		else
+			close_duplicate(agent, &open->key, open->peer);
+		open = next;
+	}
+}
+
+void budget_exchange_tick(struct tgw_budget_agent *agent)
+{
+	int64_t now_us = budget_now_us(agent);
+
+	if (now_us < agent->exchange_due_us)
+		return;
+	agent->exchange_due_us = now_us + EXCHANGE_INTERVAL_US;
+	ask_again(agent);
+	for (size_t i = 0; i < agent->bucket_count; i++) {
+		struct budget_bucket *bucket = agent->buckets[i];
+
+		expire(bucket);
+		if (!bucket->log.count)
+			continue;
+		tell_domains(bucket);
+		if (!budget_bucket_is_first(bucket))
+			tell_lines(bucket);
+	}
+}
+
+void budget_exchange_on_keys(struct tgw_budget_agent *agent,
+			     struct budget_peer *from,
+			     const struct budget_message *message)
+{
+	struct budget_message seen = {
+		.kind = BUDGET_MESSAGE_KEYS_SEEN,
+		.bucket = message->bucket,
+		.sequence = message->sequence,
+	};
+
+	for (size_t i = 0; i < message->item_count; i++) {
+		const struct reservation *reservation = key_table_find_prefix(
+			&agent->reservations, message->items[i].id);
+
+		if (!has_ended(reservation))
+			continue;
+		open_duplicate(agent, reservation, from);
+		send_duplicate(reservation, from, false);
+	}
+	budget_send(agent, from->name, &seen);
+}
+
+void budget_exchange_on_keys_seen(struct tgw_budget_agent *agent,
+				  const struct budget_peer *from,
+				  uint64_t from_incarnation,
+				  const struct budget_message *message)
+{
+	struct key_log *log =
+		&budget_bucket_obtain(agent, message->bucket)->log;
+
+	for (size_t i = 0; i < log->cursor_count; i++) {
+		struct key_cursor *cursor = &log->cursors[i];
+
+		if (cursor->holder == from &&
+		    cursor->holder_incarnation == from_incarnation &&
+		    cursor->acked < message->sequence)
+			cursor->acked = message->sequence;
+	}
+}
+
+static bool sorts_last(const struct tgw_budget_agent *agent,
+		       const struct budget_peer *other)
+{
+	const struct tgw_host *host =
+		tgw_host_view_find(agent->view, other->name);
+	int order = host ? strcmp(agent->domain, host->failure_domain) : 0;
+
+	if (!order)
+		order = strcmp(agent->name, other->name);
+	return order > 0;
+}
+
+/* Of two copies that can be reversed, the one that sorts first is kept, for
+ * good, before the other is reversed: so one copy always stays charged.
+ * @return whether nothing is left to be done about this pair of copies */
+static bool settle_pair(struct tgw_budget_agent *agent,
+			const struct budget_peer *from,
+			struct reservation *reservation,
+			enum budget_copy_state theirs)
+{
+	enum budget_copy_state mine = copy_state(reservation);
+
+	if (theirs == BUDGET_COPY_REVERSED || mine == BUDGET_COPY_REVERSED)
+		return true;
+	if (mine == BUDGET_COPY_FINAL)
+		return theirs != BUDGET_COPY_REVERSIBLE;
+	if (mine == BUDGET_COPY_KEPT && theirs == BUDGET_COPY_FINAL)
+		return true;
+	if (mine == theirs && !sorts_last(agent, from)) {
+		reservation->is_kept = true;
+		return false;
+	}
+	if (theirs == BUDGET_COPY_REVERSIBLE)
+		return false;
+	budget_holder_reverse(reservation);
+	return true;
+}
+
+void budget_exchange_on_duplicate(struct tgw_budget_agent *agent,
+				  const struct budget_peer *from,
+				  const struct budget_message *message)
+{
+	for (size_t i = 0; i < message->item_count; i++) {
+		const struct budget_message_item *item = &message->items[i];
+		struct reservation *reservation =
+			key_table_find(&agent->reservations, &item->key);
+
+		if (!has_ended(reservation))
+			continue;
+		if (settle_pair(agent, from, reservation,
+				(enum budget_copy_state)item->code))
+			close_duplicate(agent, &item->key, from);
+		if (!(item->flags & BUDGET_FLAG_REPLY))
+			send_duplicate(reservation, from, true);
+	}
+}
+
+void budget_exchange_free_all(struct tgw_budget_agent *agent)
+{
+	while (agent->open_duplicates) {
+		struct open_duplicate *open = agent->open_duplicates;
+
+		agent->open_duplicates = open->next;
+		free(open);
+	}
+}
+
+void budget_exchange_free(struct budget_bucket *bucket)
+{
+	free(bucket->log.keys);
+	free(bucket->log.cursors);
+}
--- a/src/coordination/heartbeat_plan.c
+++ b/src/coordination/heartbeat_plan.c
@@ -1,5 +1,6 @@
 #include "coordination/heartbeat_plan.h"
 
+#include <assert.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
@@ -33,17 +34,20 @@
 	return count;
 }
 
+size_t heartbeat_plan_rounds(size_t host_count)
+{
+	size_t rounds = 1;
+
+	for (size_t reach = 3; reach < host_count; reach *= 3)
+		rounds++;
+	return rounds;
+}
+
 static size_t stride_of(size_t ring_count, uint64_t round)
 {
-	size_t levels = 1;
-	size_t reach = 3;
 	size_t stride = 1;
 
-	while (reach < ring_count) {
-		reach *= 3;
-		levels++;
-	}
-	for (uint64_t i = 0; i < round % levels; i++)
+	for (uint64_t i = 0; i < round % heartbeat_plan_rounds(ring_count); i++)
 		stride *= 3;
 	return stride;
 }
@@ -65,6 +69,7 @@
 	size_t stride = stride_of(ring_count, round);
 	size_t count = 0;
 
+	assert(ring_count > 0); /* this host is in it */
 	for (size_t i = 1; i <= 2; i++) {
 		size_t at = (*self_at + i * stride) % ring_count;
 
@@ -92,17 +97,24 @@
 	return count + 1;
 }
 
-/* The other failure domains take turns. */
+/* The other failure domains take turns; each domain starts at another one,
+ * so that no host gets all messages of a round and then none for long. */
 static const char *remote_domain(const struct member *members,
 				 size_t member_count, uint64_t turn)
 {
 	const char *domains[REMOTE_DOMAINS_MAX + 1];
+	const char *own = "";
 	size_t count = 0;
 
-	for (size_t i = 0; i < member_count; i++)
+	for (size_t i = 0; i < member_count; i++) {
+		if (members[i].is_self)
+			own = members[i].host.failure_domain;
 		if (!members[i].is_local && takes_heartbeats(&members[i]))
 			count = add_domain(domains, count,
 					   members[i].host.failure_domain);
+	}
+	for (size_t i = 0; i < count && strcmp(domains[i], own) < 0; i++)
+		turn++;
 	return count ? domains[turn % count] : NULL;
 }
 
@@ -119,6 +131,7 @@
 	for (size_t i = 0; i < member_count; i++)
 		size += takes_heartbeats(&members[i]) &&
 			!strcmp(members[i].host.failure_domain, domain);
+	assert(size > 0); /* the domain was found by one of its hosts */
 	wanted = (size_t)((self_at + turn) % size);
 	for (size_t i = 0; i < member_count; i++) {
 		if (!takes_heartbeats(&members[i]) ||
--- a/tests/cram/standins.t
+++ b/tests/cram/standins.t
@@ -3,7 +3,7 @@
 
   $ FLEET=$PWD/fleet
   $ . "$SOURCE/tools/lib-fleet.sh"
-  $ trap fleet_stop_all EXIT
+  $ trap fleet_kill_all EXIT
   $ fleet_standin platform platform --list-lag-ms 50
   $ P=$(fleet_url platform)
   $ k() { printf %s "$1" | base64 -w0; }
@@ -156,6 +156,8 @@
 
   $ curl -sS $E/load | jq -c .cache_used_ratio
   1
+  $ curl -sS $E/admin/totals; echo
+  {"submitted":4}
   $ ask r5 1 '{"model":"m","messages":[{"role":"user","content":"CRASH-ENGINE"}]}' 2>&1 | grep -o 'Empty reply'
   Empty reply
   $ fleet_wait 5 fleet_gone engine
