--- a/src/coordination/budget_ceiling.c
+++ b/src/coordination/budget_ceiling.c
@@ -15,6 +15,7 @@
 #define RAISE_BYPASS_US BUDGET_MS(250)
 /* A share that was idle for this long needs nothing ahead. */
 #define LOWER_AFTER_US BUDGET_S(1)
+#define FLOOR_WAIT_US BUDGET_S(10)
 
 static const struct tgw_host *find_candidate(const struct budget_bucket *bucket)
 {
@@ -94,6 +95,17 @@
 	share->ceiling_is_dirty = true;
 }
 
+/* A ceiling in the ledger above what the witness covers is taken back. */
+static void end_look(struct holder_share *share, int64_t wished)
+{
+	struct budget_bucket *bucket = share->line->bucket;
+
+	share->is_touched = false;
+	if (share->floor_tokens > wished)
+		budget_bucket_due(bucket,
+				  budget_now_us(bucket->agent) + FLOOR_WAIT_US);
+}
+
 /* Looks at one share. @return whether a request waits for the answer */
 static bool look_at(struct holder_share *share)
 {
@@ -114,12 +126,14 @@
 		return false;
 	if (wished > ceiling && ceiling - holder_share_used(share) < ahead / 2)
 		wish_for(share, wished);
-	/* A rest that nobody asks for would be lost with this host. */
-	else if (is_idle && share->witnessed_tokens > share->floor_tokens &&
-		 share->witnessed_tokens > wished)
+	/* A rest that nobody asks for would be lost with this host, and so
+	 * would the ledger's ceiling until the witness covers it. */
+	else if (is_idle &&
+		 (share->witnessed_tokens > wished ||
+		  share->witnessed_tokens < holder_share_used(share)))
 		wish_for(share, wished);
 	else if (is_idle && !share->waiters)
-		share->is_touched = false;
+		end_look(share, wished);
 	return false;
 }
 
@@ -266,4 +280,5 @@
 					  share->ceiling_sent_tokens;
 	}
 	bucket->ceiling_due_us = budget_now_us(agent);
+	budget_bucket_touch(bucket);
 }
--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -15,7 +15,7 @@
 #define RECONCILE_AFTER_US BUDGET_S(600)
 /* The second-ranked host holds this part of the time to ride out. */
 #define RESERVE_PART 6.0
-/* A change of less than this part of the allotment can wait. */
+/* A return of less than this part of the allotment can wait. */
 #define MINOR_CHANGE_PART 8
 
 /* What a plan found worth writing. */
@@ -121,6 +121,7 @@
 	uint32_t domains = count_domains(bucket->agent->view);
 
 	survey_others(&bucket->draft, share->line->id, index, &inputs);
+	inputs.domains = domains;
 	if (domains > inputs.others_count + 1)
 		inputs.absent_domains = domains - inputs.others_count - 1;
 	if (bucket->agent->is_draining)
@@ -156,11 +157,33 @@
 	return decide(share, index, own > first ? own : first, ride_out_s);
 }
 
-static bool is_large_change(int64_t before, int64_t after)
+/* Whether a new allotment is worth a write of its own. */
+static bool is_worth(const struct holder_share *held, int64_t before,
+		     int64_t after)
 {
-	int64_t change = after > before ? after - before : before - after;
+	int64_t used = holder_share_used(held);
+	int64_t left = held->usable_tokens - used;
 
-	return change > before / MINOR_CHANGE_PART;
+	if (before == after)
+		return false;
+	if (held->asked_tokens || !before)
+		return true;
+	if (after > before)
+		return holder_share_waiting(held) > left ||
+		       left < held->filled_tokens / REFILL_PART;
+	return before - after > before / MINOR_CHANGE_PART;
+}
+
+/* The ledger's ceiling is for what the witness does not cover. */
+static int64_t plan_ceiling(const struct holder_share *held,
+			    const struct ledger_line *line)
+{
+	int64_t needed = holder_share_used(held) + holder_share_waiting(held);
+
+	if (line->witness[0] && !held->line->is_changing_witness &&
+	    held->witnessed_tokens >= needed)
+		return 0;
+	return needed + holder_share_run_ahead(held);
 }
 
 static void plan_share(struct plan *plan, struct ledger_line *line,
@@ -169,21 +192,21 @@
 	struct budget_bucket *bucket = plan->bucket;
 	struct ledger_share *share = ledger_line_obtain_share(line, index);
 	int64_t allotted = plan_allotment(held, index);
-	int64_t ceiling = holder_share_used(held) + holder_share_waiting(held) +
-			  holder_share_run_ahead(held);
+	int64_t ceiling = plan_ceiling(held, line);
 	int64_t wanted = held->want_mark ? holder_share_waiting(held) : 0;
-	int64_t short_tokens = holder_share_used(held) +
-			       holder_share_waiting(held) - held->usable_tokens;
 
 	if (ceiling > allotted)
 		ceiling = allotted;
-	if (ceiling < share->ceiling_tokens)
-		ceiling = share->ceiling_tokens;
+	if (!ceiling &&
+	    share->ceiling_tokens >
+		    holder_share_used(held) + holder_share_run_ahead(held))
+		plan->is_worth = true;
+	/* A lower one binds before the write that has it goes out. */
+	if (ceiling < held->floor_tokens)
+		held->floor_tokens = ceiling;
 	if (held->line->is_changing_witness && ceiling < held->changing_tokens)
 		held->changing_tokens = ceiling;
-	if ((held->asked_tokens || short_tokens > 0 ||
-	     is_large_change(share->allotted_tokens, allotted)) &&
-	    allotted != share->allotted_tokens)
+	if (is_worth(held, share->allotted_tokens, allotted))
 		plan->is_worth = true;
 	if (wanted != share->wanted_tokens ||
 	    (held->waiters && ceiling > holder_share_ceiling(held) &&
@@ -269,6 +292,15 @@
 	plan->is_worth = true;
 }
 
+/* A first part of each budget, so that most first requests find some, and
+ * one write serves the whole bucket. */
+static void obtain_shares(struct budget_bucket *bucket)
+{
+	for (size_t i = 0; i < bucket->draft.budget_count; i++)
+		holder_line_obtain_share(bucket->line,
+					 bucket->draft.budgets[i].name);
+}
+
 static void plan_own_line(struct plan *plan)
 {
 	struct budget_bucket *bucket = plan->bucket;
@@ -280,6 +312,8 @@
 	line = obtain_line(plan);
 	if (!line || line->state != LEDGER_LINE_OPEN)
 		return;
+	if (!bucket->agent->is_draining)
+		obtain_shares(bucket);
 	if (budget_witness_choose(bucket, line))
 		plan->is_worth = true;
 	for (size_t i = 0; i < own->share_count; i++) {
@@ -322,12 +356,15 @@
 			const struct ledger_share *share)
 {
 	int64_t before = held->confirmed_tokens;
+	int64_t floor_tokens;
 
 	held->confirmed_tokens = share ? share->allotted_tokens : 0;
 	if (held->confirmed_tokens != before)
 		held->filled_tokens =
 			held->confirmed_tokens - holder_share_used(held);
-	held->floor_tokens = share ? share->ceiling_tokens : 0;
+	floor_tokens = share ? share->ceiling_tokens : 0;
+	if (!bucket->is_uncertain || held->floor_tokens > floor_tokens)
+		held->floor_tokens = floor_tokens;
 	if (!bucket->is_uncertain ||
 	    held->usable_tokens > held->confirmed_tokens)
 		held->usable_tokens = held->confirmed_tokens;
