Wake the HTTP client when it is to end

Two ways of driving the client by events were merged into one file: the end woke the poller of the one, while the thread waits on the other. The poller is no longer used here; curl_poller.[ch] is left for its owner to drop.

--- a/src/transport/curl_client.c
+++ b/src/transport/curl_client.c
@@ -15,7 +15,6 @@
 
 #include "base/xalloc.h"
 #include "tamarackgw/clock.h"
-#include "transport/curl_poller.h"
 #include "transport/mailbox.h"
 
 #define POLL_MS 1000
@@ -50,7 +49,6 @@
 	int epoll_fd;
 	int wake_fd;
 	int64_t timer_due_us; /* of libcurl; NO_TIMER */
-	struct curl_poller poller;
 	struct mailbox *mailbox;
 	pthread_t thread;
 	atomic_bool stopping;
@@ -521,7 +519,7 @@
 	client->settings = *settings;
 	atomic_init(&client->stopping, false);
 	client->multi = curl_multi_init();
-	if (!client->multi || curl_poller_open(&client->poller, client->multi))
+	if (!client->multi)
 		abort();
 	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
 			  (long)settings->idle_connections);
@@ -542,13 +540,12 @@
 	if (!client)
 		return;
 	atomic_store(&client->stopping, true);
-	curl_poller_wake(&client->poller);
+	wake(client);
 	pthread_join(client->thread, NULL);
 	mailbox_free(client->mailbox);
 	curl_multi_cleanup(client->multi);
 	close(client->epoll_fd);
 	close(client->wake_fd);
-	curl_poller_close(&client->poller);
 	curl_global_cleanup();
 	free(client);
 }
