--- a/src/transport/curl_client.c
+++ b/src/transport/curl_client.c
@@ -15,7 +15,6 @@
 
 #include "base/xalloc.h"
 #include "tamarackgw/clock.h"
-#include "transport/curl_poller.h"
 #include "transport/mailbox.h"
 
 #define POLL_MS 1000
@@ -49,7 +48,6 @@
 	int epoll_fd;
 	int wake_fd;
 	int64_t timer_due_us; /* of libcurl; NO_TIMER */
-	struct curl_poller poller;
 	struct mailbox *mailbox;
 	pthread_t thread;
 	atomic_bool stopping;
