Let owners claim until the answer came; never lower below what is used

Cause: a settlement that was under way when its holder died was lost, and with it the rest of its bound.

Change: a holder keeps the rest of a settlement parked until its owner has seen the answer; until then the owner may claim it. The wish for a ceiling is raised to what is used when it is sent. A host that is no more the first for a bucket tells all hosts of the keys it settled lately, and a key that still ran when another domain told of it is asked about once it has ended.

--- a/src/coordination/budget_agent.c
+++ b/src/coordination/budget_agent.c
@@ -181,7 +181,8 @@
 			budget_entry_on_reserved(agent, from, incarnation,
 						 message->line, item);
 		else if (message->kind == BUDGET_MESSAGE_SETTLE)
-			budget_holder_settle(agent, from, incarnation, item);
+			budget_holder_settle(agent, from, incarnation,
+					     message->sequence, item);
 		else
 			budget_holder_register(agent, from, incarnation,
 					       message->bucket, item);
@@ -193,8 +194,10 @@
 {
 	switch (message->kind) {
 	case BUDGET_MESSAGE_SETTLE:
+		budget_holder_confirm(agent, from, incarnation, message->epoch);
 		handle_items(agent, from, incarnation, message);
-		acknowledge_settlements(agent, from, message);
+		if (message->sequence)
+			acknowledge_settlements(agent, from, message);
 		break;
 	case BUDGET_MESSAGE_RESERVE:
 	case BUDGET_MESSAGE_RESERVED:
@@ -202,7 +205,7 @@
 		handle_items(agent, from, incarnation, message);
 		break;
 	case BUDGET_MESSAGE_SETTLED:
-		budget_settle_queue_on_settled(from, message->sequence);
+		budget_settle_queue_on_settled(agent, from, message->sequence);
 		break;
 	case BUDGET_MESSAGE_RAISE:
 		budget_witness_on_raise(agent, from, incarnation, message);
--- a/src/coordination/budget_ceiling.c
+++ b/src/coordination/budget_ceiling.c
@@ -177,6 +177,9 @@
 
 		if (!share->ceiling_is_dirty)
 			continue;
+		/* More may have been granted since the wish was made. */
+		if (share->ceiling_wished_tokens < holder_share_used(share))
+			share->ceiling_wished_tokens = holder_share_used(share);
 		share->ceiling_sent_tokens = share->ceiling_wished_tokens;
 		share->ceiling_sequence = line->raise_sequence;
 		/* A lower ceiling binds from now on. */
--- a/src/coordination/budget_claims.h
+++ b/src/coordination/budget_claims.h
@@ -4,8 +4,9 @@
  *
  * A line that its witness closes is charged the bounds of all that was open.
  * The entry host that reserved knows what each request cost in the end and
- * claims the rest. It may do so only for settlements that it never sent to
- * the holder: sending gives the right up, so that no rest is returned twice.
+ * claims the rest, as long as the holder has not answered its settlement. The
+ * holder keeps the rest parked until it hears that its answer came, so that no
+ * rest is returned twice.
  * Claims are cumulative for each line, budget and entry process.
  */
 #ifndef COORDINATION_BUDGET_CLAIMS_H
--- a/src/coordination/budget_exchange.c
+++ b/src/coordination/budget_exchange.c
@@ -10,6 +10,8 @@
 
 #define EXCHANGE_INTERVAL_US BUDGET_S(30)
 #define KEYS_MAX 500
+/* A host that is no more the first tells all hosts for this long. */
+#define TELL_ALL_US BUDGET_S(900)
 
 void budget_exchange_log(struct budget_bucket *bucket,
 			 const struct tgw_request_key *key)
@@ -118,17 +120,15 @@
 }
 
 /* A host that granted while its domain's first was not heard has to meet
- * others of its kind, too. */
-static void tell_lines(struct budget_bucket *bucket)
+ * others of its kind, who may be any. */
+static void tell_all(struct budget_bucket *bucket)
 {
 	const struct tgw_budget_agent *agent = bucket->agent;
 
-	for (size_t i = 0; i < bucket->known.line_count; i++) {
-		const struct ledger_line *line = &bucket->known.lines[i];
-		const struct tgw_host *host =
-			tgw_host_view_find(agent->view, line->host);
+	for (size_t i = 0; i < agent->view->host_count; i++) {
+		const struct tgw_host *host = &agent->view->hosts[i];
 
-		if (host && strcmp(host->name, agent->name) &&
+		if (strcmp(host->name, agent->name) &&
 		    host->state == TGW_HOST_ALIVE)
 			tell_host(bucket, host);
 	}
@@ -232,14 +232,19 @@
 		const struct reservation *reservation =
 			key_table_find(&agent->reservations, &open->key);
 
-		if (has_ended(reservation))
-			send_duplicate(reservation, open->peer, false);
-		else
+		if (!reservation || reservation->state == RESERVATION_NOT_RUN)
 			close_duplicate(agent, &open->key, open->peer);
+		else if (has_ended(reservation))
+			send_duplicate(reservation, open->peer, false);
 		open = next;
 	}
 }
 
+static int64_t newest_us(const struct key_log *log)
+{
+	return log->keys[log->count - 1].settled_us;
+}
+
 void budget_exchange_tick(struct tgw_budget_agent *agent)
 {
 	int64_t now_us = budget_now_us(agent);
@@ -255,8 +260,9 @@
 		if (!bucket->log.count)
 			continue;
 		tell_domains(bucket);
-		if (!budget_bucket_is_first(bucket))
-			tell_lines(bucket);
+		if (!budget_bucket_is_first(bucket) &&
+		    now_us - newest_us(&bucket->log) < TELL_ALL_US)
+			tell_all(bucket);
 	}
 }
 
@@ -274,10 +280,12 @@
 		const struct reservation *reservation = key_table_find_prefix(
 			&agent->reservations, message->items[i].id);
 
-		if (!has_ended(reservation))
+		if (!reservation || reservation->state == RESERVATION_NOT_RUN)
 			continue;
+		/* One that still runs is asked about once it has ended. */
 		open_duplicate(agent, reservation, from);
-		send_duplicate(reservation, from, false);
+		if (has_ended(reservation))
+			send_duplicate(reservation, from, false);
 	}
 	budget_send(agent, from->name, &seen);
 }
--- a/src/coordination/budget_holder.c
+++ b/src/coordination/budget_holder.c
@@ -79,6 +79,7 @@
 	reservation->request_id = ask->request_id;
 	reservation->state = RESERVATION_OPEN;
 	reservation->taker = NULL;
+	reservation->parked_tokens = 0;
 	reservation->owner_is_done = false;
 	reservation->is_kept = false;
 	reservation->bound_tokens = ask->bound_tokens;
@@ -238,7 +239,9 @@
 			       BUDGET_FLAG_ALREADY_SETTLED);
 		return true;
 	case RESERVATION_NOT_RUN:
-		return is_same;
+		if (!is_same && known->is_unconfirmed)
+			answer_status(agent, from, item->id, TGW_BUSY, 0);
+		return is_same || known->is_unconfirmed;
 	}
 	return false;
 }
--- a/src/coordination/budget_holder.h
+++ b/src/coordination/budget_holder.h
@@ -14,8 +14,15 @@
 
 void budget_holder_settle(struct tgw_budget_agent *agent,
 			  struct budget_peer *from, uint64_t from_incarnation,
+			  uint64_t sequence,
 			  const struct budget_message_item *item);
 
+/** The owner has seen the answers up to this one, and claims nothing that
+ * they settled: what was not spent is free. */
+void budget_holder_confirm(struct tgw_budget_agent *agent,
+			   const struct budget_peer *from,
+			   uint64_t from_incarnation, uint64_t sequence);
+
 /** Keys that were reserved or settled at a predecessor. */
 void budget_holder_register(struct tgw_budget_agent *agent,
 			    struct budget_peer *from, uint64_t from_incarnation,
--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -55,7 +55,10 @@
 					bucket->draft
 						.budgets[share->budget_index]
 						.name);
-			int64_t used = held ? holder_share_used(held) : 0;
+			/* Nobody can claim from a line that is no more. */
+			int64_t used =
+				held ? held->settled_tokens + held->open_tokens
+				     : 0;
 			int64_t taken = ledger_share_taken(line, share);
 
 			share->allotted_tokens = used < taken ? used : taken;
--- a/src/coordination/budget_reservation.c
+++ b/src/coordination/budget_reservation.c
@@ -56,6 +56,17 @@
 	reservation_queue_ended(bucket->agent, reservation);
 }
 
+static void leave_unconfirmed(struct tgw_budget_agent *agent,
+			      const struct reservation *reservation)
+{
+	struct reservation **link = &agent->unconfirmed;
+
+	while (*link && *link != reservation)
+		link = &(*link)->next_unconfirmed;
+	if (*link)
+		*link = reservation->next_unconfirmed;
+}
+
 void reservation_expire(struct tgw_budget_agent *agent)
 {
 	int64_t before_us =
@@ -73,6 +84,7 @@
 		if (reservation->state == RESERVATION_OPEN)
 			continue;
 		key_table_remove(&agent->reservations, &reservation->key);
+		leave_unconfirmed(agent, reservation);
 		reservation_set_share(reservation, NULL);
 		free(reservation);
 	}
--- a/src/coordination/budget_settle_queue.c
+++ b/src/coordination/budget_settle_queue.c
@@ -45,7 +45,8 @@
 		struct budget_message_item item = {0};
 
 		fill_item(&item, order);
-		budget_holder_settle(agent, holder, agent->incarnation, &item);
+		budget_holder_settle(agent, holder, agent->incarnation, 0,
+				     &item);
 		free(order);
 		return;
 	}
@@ -62,6 +63,7 @@
 	struct budget_message message = {
 		.kind = BUDGET_MESSAGE_SETTLE,
 		.sequence = ++holder->settle_sequence,
+		.epoch = holder->settle_acked,
 	};
 	struct settle_order **end = &holder->sent;
 
@@ -77,6 +79,7 @@
 	if (!holder->queue)
 		holder->queue_end = &holder->queue;
 	holder->settle_retry_us = RETRY_MIN_US;
+	holder->confirm_due_us = 0;
 	buffer_clear(&holder->settle_bytes);
 	budget_message_encode(&message, &holder->settle_bytes);
 	budget_message_clear(&message);
@@ -92,13 +95,30 @@
 		      holder->settle_bytes.data, holder->settle_bytes.size);
 }
 
+/* Without a batch that would tell it on its way. */
+static void send_confirmation(struct tgw_budget_agent *agent,
+			      struct budget_peer *holder)
+{
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_SETTLE,
+		.epoch = holder->settle_acked,
+	};
+
+	holder->confirm_due_us = 0;
+	budget_send(agent, holder->name, &message);
+}
+
 static int64_t tick_holder(struct tgw_budget_agent *agent,
 			   struct budget_peer *holder)
 {
 	int64_t now_us = budget_now_us(agent);
 
-	if (!holder->sent && !holder->queue)
-		return BUDGET_NEVER_US;
+	if (!holder->sent && !holder->queue) {
+		if (holder->confirm_due_us && now_us >= holder->confirm_due_us)
+			send_confirmation(agent, holder);
+		return holder->confirm_due_us ? holder->confirm_due_us
+					      : BUDGET_NEVER_US;
+	}
 	if (!holder->sent && now_us >= holder->settle_due_us) {
 		start_batch(agent, holder);
 		send_batch(agent, holder);
@@ -126,12 +146,15 @@
 	return due_us;
 }
 
-void budget_settle_queue_on_settled(struct budget_peer *holder,
+void budget_settle_queue_on_settled(struct tgw_budget_agent *agent,
+				    struct budget_peer *holder,
 				    uint64_t sequence)
 {
-	if (sequence != holder->settle_sequence)
+	if (sequence != holder->settle_sequence || !holder->sent)
 		return;
 	free_orders(&holder->sent);
+	holder->settle_acked = sequence;
+	holder->confirm_due_us = budget_now_us(agent) + BATCH_INTERVAL_US;
 }
 
 static bool is_gone(const struct tgw_budget_agent *agent,
@@ -141,12 +164,11 @@
 	       TGW_HOST_GONE;
 }
 
-/* Takes the orders to a gone process out of a list. What was sent may have
- * been taken in by it: only the rest can be claimed. */
+/* Takes the orders to a gone process out of a list. What was not answered
+ * can be claimed: had the holder taken it in, the rest is parked there. */
 static struct settle_order **give_up_on(struct tgw_budget_agent *agent,
 					const struct budget_peer *holder,
-					struct settle_order **link,
-					bool was_sent)
+					struct settle_order **link)
 {
 	while (*link) {
 		struct settle_order *order = *link;
@@ -156,8 +178,7 @@
 			continue;
 		}
 		*link = order->next;
-		if (!was_sent)
-			budget_claims_add(agent, order);
+		budget_claims_add(agent, order);
 		free(order);
 	}
 	return link;
@@ -166,8 +187,8 @@
 void budget_settle_queue_on_view(struct tgw_budget_agent *agent)
 {
 	for (struct budget_peer *peer = agent->peers; peer; peer = peer->next) {
-		give_up_on(agent, peer, &peer->sent, true);
-		peer->queue_end = give_up_on(agent, peer, &peer->queue, false);
+		give_up_on(agent, peer, &peer->sent);
+		peer->queue_end = give_up_on(agent, peer, &peer->queue);
 	}
 }
 
--- a/src/coordination/budget_settle_queue.h
+++ b/src/coordination/budget_settle_queue.h
@@ -13,7 +13,8 @@
 			     struct budget_peer *holder,
 			     struct settle_order *order);
 
-void budget_settle_queue_on_settled(struct budget_peer *holder,
+void budget_settle_queue_on_settled(struct tgw_budget_agent *agent,
+				    struct budget_peer *holder,
 				    uint64_t sequence);
 
 /** Sends and repeats batches. @return the next due time */
--- a/src/coordination/budget_settlement.c
+++ b/src/coordination/budget_settlement.c
@@ -25,7 +25,7 @@
 }
 
 static void apply_settlement(struct reservation *reservation, int64_t spent,
-			     enum tgw_settle_basis basis, bool by_owner)
+			     enum tgw_settle_basis basis)
 {
 	struct budget_bucket *bucket = reservation->bucket;
 	struct tgw_budget_agent *agent = bucket->agent;
@@ -39,7 +39,6 @@
 	reservation->state = basis == TGW_SETTLE_NOT_RUN ? RESERVATION_NOT_RUN
 							 : RESERVATION_SETTLED;
 	reservation->spent_tokens = spent;
-	reservation->owner_is_done |= by_owner;
 	reservation_queue_ended(agent, reservation);
 	if (share) {
 		share->open_tokens -= bound;
@@ -70,11 +69,52 @@
 static void unpark(struct reservation *reservation)
 {
 	reservation->owner_is_done = true;
-	if (reservation->share)
+	if (reservation->share) {
 		reservation->share->parked_tokens -= reservation->parked_tokens;
+		holder_share_touch(reservation->share);
+	}
 	reservation->parked_tokens = 0;
 }
 
+/* The owner may still claim the rest, if it takes this host for gone before
+ * the answer comes. */
+static void await_confirmation(struct tgw_budget_agent *agent,
+			       struct reservation *reservation,
+			       uint64_t sequence)
+{
+	if (reservation->owner == agent->self) {
+		unpark(reservation);
+		return;
+	}
+	if (reservation->is_unconfirmed || reservation->owner_is_done)
+		return;
+	reservation->is_unconfirmed = true;
+	reservation->settle_sequence = sequence;
+	reservation->next_unconfirmed = agent->unconfirmed;
+	agent->unconfirmed = reservation;
+}
+
+void budget_holder_confirm(struct tgw_budget_agent *agent,
+			   const struct budget_peer *from,
+			   uint64_t from_incarnation, uint64_t sequence)
+{
+	struct reservation **link = &agent->unconfirmed;
+
+	while (*link) {
+		struct reservation *reservation = *link;
+
+		if (reservation->owner != from ||
+		    reservation->owner_incarnation != from_incarnation ||
+		    reservation->settle_sequence > sequence) {
+			link = &reservation->next_unconfirmed;
+			continue;
+		}
+		*link = reservation->next_unconfirmed;
+		reservation->is_unconfirmed = false;
+		unpark(reservation);
+	}
+}
+
 /* A cancelled request that comes later, late by the network, is dropped. */
 static void remember_cancelled(struct tgw_budget_agent *agent,
 			       struct budget_peer *from,
@@ -114,6 +154,7 @@
 
 void budget_holder_settle(struct tgw_budget_agent *agent,
 			  struct budget_peer *from, uint64_t from_incarnation,
+			  uint64_t sequence,
 			  const struct budget_message_item *item)
 {
 	struct reservation *known =
@@ -133,7 +174,7 @@
 		   known->request_id == item->id;
 	if (known->state != RESERVATION_OPEN) {
 		if (by_owner)
-			unpark(known);
+			await_confirmation(agent, known, sequence);
 		return;
 	}
 	if (basis == TGW_SETTLE_NOT_RUN && !by_owner) {
@@ -141,10 +182,12 @@
 		return;
 	}
 	if (basis == TGW_SETTLE_NOT_RUN && known->taker) {
-		known->owner_is_done = true;
+		await_confirmation(agent, known, sequence);
 		return;
 	}
-	apply_settlement(known, item->tokens, basis, by_owner);
+	apply_settlement(known, item->tokens, basis);
+	if (by_owner)
+		await_confirmation(agent, known, sequence);
 	budget_holder_serve_waiters(known->bucket);
 }
 
@@ -251,7 +294,7 @@
 		    !is_abandoned(agent, reservation))
 			continue;
 		apply_settlement(reservation, reservation->bound_tokens,
-				 TGW_SETTLE_BOUND, false);
+				 TGW_SETTLE_BOUND);
 	}
 }
 
--- a/src/coordination/budget_state.h
+++ b/src/coordination/budget_state.h
@@ -72,6 +72,8 @@
 	int64_t settle_sent_us;
 	int64_t settle_due_us;
 	int64_t settle_retry_us;
+	uint64_t settle_acked;	/**< newest sequence that was acknowledged */
+	int64_t confirm_due_us; /**< tells the holder of that; 0 for never */
 };
 
 /** A reservation that can't be granted yet. */
@@ -171,6 +173,10 @@
 	int64_t parked_tokens;
 	int64_t ended_us;
 	struct reservation *next_ended;
+	/* Its owner's settlement came, and may still be claimed instead. */
+	bool is_unconfirmed;
+	uint64_t settle_sequence;
+	struct reservation *next_unconfirmed;
 };
 
 /** What a witness knows of one share. */
@@ -323,6 +329,7 @@
 	struct key_table reservations;
 	struct reservation *ended_first;
 	struct reservation **ended_end;
+	struct reservation *unconfirmed;
 	int64_t store_failing_since_us; /**< 0 while it answers */
 	int64_t store_answered_us;
 	int64_t probed_us;
--- a/src/state/budget_message.h
+++ b/src/state/budget_message.h
@@ -27,8 +27,9 @@
 	/** Answer. Item: id, code (status), flags, tokens (settled),
 	 * other (retry after, us). line: the granting line. */
 	BUDGET_MESSAGE_RESERVED,
-	/** Entry host tells holder. sequence; item: id, key, budget, tokens
-	 * (spent), code (basis). */
+	/** Entry host tells holder. sequence (0: no answer wanted); epoch: the
+	 * newest sequence whose answer came, so that what it settled will not
+	 * be claimed; item: id, key, budget, tokens (spent), code (basis). */
 	BUDGET_MESSAGE_SETTLE,
 	/** Acknowledges a SETTLE by its sequence. */
 	BUDGET_MESSAGE_SETTLED,
