--- a/src/daemon/call.c
+++ b/src/daemon/call.c
@@ -10,7 +10,7 @@
 #include "base/xalloc.h"
 #include "daemon/log.h"
 
-#define RETRY_LINGER_US (1 * TGW_US_PER_S)
+#define RETRY_LINGER_US (3 * TGW_US_PER_S)
 #define RUNNING_RETRY_US (1 * TGW_US_PER_S)
 #define TEAM_RETRY_US (1 * TGW_US_PER_S)
 #define RETRY_AFTER_SIZE 24
