Let work wait for the server that holds its prefix; speak by domain

Cause, prefix hits: in the burst only a server with a free slot was a candidate, whatever the others held. Cause, reads: a service's short calls were counted over unequal times, so that the load came out far too high.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -20,6 +20,7 @@
 #define OWN_NEWS_INTERVAL_US (INT64_C(250) * TGW_US_PER_MS)
 #define TICK_US (INT64_C(200) * TGW_US_PER_MS)
 #define DOMAINS_MAX 64
+#define SPEAKER_KEY_HASH UINT64_C(0x71617263)
 
 struct tgw_quarantine {
 	struct tgw_quarantine_env env;
@@ -255,7 +256,7 @@
 
 	if (!item || !item->crash_count)
 		return;
-	quarantine_item_clear(item);
+	quarantine_item_lift(item);
 	on_change(quarantine, item);
 }
 
@@ -286,14 +287,25 @@
 	return count;
 }
 
+/* One host of each failure domain speaks for it towards the store and the
+ * other domains, so that each domain's news gets out. */
+static bool speaks_for_domain(const struct tgw_quarantine *quarantine)
+{
+	const struct tgw_host *self = self_of(quarantine);
+	const struct tgw_host *speaker = self;
+
+	tgw_host_view_rank(quarantine->view, self->failure_domain,
+			   SPEAKER_KEY_HASH, &speaker, 1);
+	return speaker == self;
+}
+
 /* Hosts that are met again hear all that is known here. */
 static void greet(struct tgw_quarantine *quarantine,
 		  const struct tgw_host_view *before)
 {
 	const struct tgw_host_view *view = quarantine->view;
 
-	if (!quarantine_probation_is_arbiter(&quarantine->probation) ||
-	    !quarantine->table.count)
+	if (!speaks_for_domain(quarantine) || !quarantine->table.count)
 		return;
 	for (size_t i = 0; i < view->host_count; i++) {
 		const struct tgw_host *host = &view->hosts[i];
@@ -381,8 +393,7 @@
 	if (now_us < quarantine->next_news_us)
 		return;
 	quarantine->next_news_us = now_us + NEWS_INTERVAL_US;
-	if (!quarantine->table.count ||
-	    !quarantine_probation_is_arbiter(&quarantine->probation))
+	if (!quarantine->table.count || !speaks_for_domain(quarantine))
 		return;
 	for (size_t i = 0; i < view->host_count; i++) {
 		size_t at = quarantine->news_turn++ % view->host_count;
@@ -402,9 +413,7 @@
 	quarantine_table_fade(&quarantine->table,
 			      now_us - quarantine->env.keep_us,
 			      quarantine->env.crashes_until_refused);
-	quarantine_sync_tick(
-		&quarantine->sync,
-		quarantine_probation_is_arbiter(&quarantine->probation));
+	quarantine_sync_tick(&quarantine->sync, speaks_for_domain(quarantine));
 	if (quarantine->sync.changed) {
 		quarantine->sync.changed = false;
 		tell_domain(quarantine, quarantine->table.items,
--- /dev/null
+++ b/src/ctl/quarantine_commands.c
@@ -0,0 +1,284 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/msgpack_guard.h"
+#include "ctl/config_print.h"
+#include "ctl/ctl.h"
+#include "state/quarantine_value.h"
+
+#define FINGERPRINT_HEX_SIZE (2 * TGW_FINGERPRINT_BYTES + 1)
+#define SHORTEST_PREFIX 6
+#define CRASHES_UNTIL_REFUSED 2
+/* Audit entries in the value; with more, all but the last are moved out. */
+#define AUDIT_KEPT_MAX 32
+#define SEGMENT_KEY_SIZE 64
+
+/** The stored quarantine, as it was read. */
+struct stored {
+	struct quarantine_table table;
+	struct buffer audit; /**< a packed array of entries */
+	int64_t version;
+};
+
+static void stored_clear(struct stored *stored)
+{
+	quarantine_table_free(&stored->table);
+	buffer_free(&stored->audit);
+}
+
+static enum tgw_status stored_read(struct stored *stored, struct ctl *ctl,
+				   struct tgw_error *error)
+{
+	struct buffer value = {0};
+	enum tgw_status status;
+	bool changed;
+
+	memset(stored, 0, sizeof(*stored));
+	status = ctl_get(ctl, QUARANTINE_STORE_KEY, &value, &stored->version,
+			 error);
+	if (!status && stored->version)
+		status = quarantine_value_merge(&stored->table, &stored->audit,
+						value.data, value.size, 0,
+						&changed, error);
+	buffer_free(&value);
+	return status;
+}
+
+static void hex_of(const struct quarantine_item *item,
+		   char hex[FINGERPRINT_HEX_SIZE])
+{
+	sodium_bin2hex(hex, FINGERPRINT_HEX_SIZE, item->fingerprint.bytes,
+		       sizeof(item->fingerprint.bytes));
+}
+
+static const char *state_of(const struct quarantine_item *item)
+{
+	return quarantine_item_is_refused(item, CRASHES_UNTIL_REFUSED)
+		       ? "refused"
+		       : "suspected";
+}
+
+static json_t *item_to_json(const struct quarantine_item *item)
+{
+	char hex[FINGERPRINT_HEX_SIZE];
+
+	hex_of(item, hex);
+	return json_pack("{s:s,s:s,s:s,s:I}", "fingerprint", hex, "team",
+			 item->team, "state", state_of(item), "crashes",
+			 (json_int_t)item->crash_count);
+}
+
+static void print_items(const struct ctl *ctl,
+			const struct quarantine_table *table)
+{
+	json_t *array = json_array();
+	char hex[FINGERPRINT_HEX_SIZE];
+
+	for (size_t i = 0; i < table->count; i++) {
+		const struct quarantine_item *item = &table->items[i];
+
+		if (!item->crash_count)
+			continue;
+		json_array_append_new(array, item_to_json(item));
+		hex_of(item, hex);
+		if (!ctl->json)
+			printf("%s  %-9s  %zu crashes  %s\n", hex,
+			       state_of(item), item->crash_count, item->team);
+	}
+	if (ctl->json) {
+		config_print_json(array);
+		return;
+	}
+	if (!json_array_size(array))
+		printf("No request is suspected or refused.\n");
+	json_decref(array);
+}
+
+static enum ctl_exit run_list(struct ctl *ctl, int argc, char **argv)
+{
+	struct tgw_error error = {0};
+	struct stored stored;
+	enum ctl_exit result = CTL_EXIT_OK;
+
+	if (argc)
+		return CTL_EXIT_USAGE;
+	if (stored_read(&stored, ctl, &error))
+		result = ctl_report(&error);
+	else
+		print_items(ctl, &stored.table);
+	stored_clear(&stored);
+	return result;
+}
+
+/* Finds the one item that starts with these hexadecimal digits. */
+static struct quarantine_item *find_by_prefix(
+	const struct quarantine_table *table, const char *prefix,
+	struct tgw_error *error)
+{
+	struct quarantine_item *found = NULL;
+	size_t length = strlen(prefix);
+	char hex[FINGERPRINT_HEX_SIZE];
+
+	for (size_t i = 0; i < table->count; i++) {
+		hex_of(&table->items[i], hex);
+		if (length < SHORTEST_PREFIX || strncmp(hex, prefix, length) ||
+		    !table->items[i].crash_count)
+			continue;
+		if (found) {
+			tgw_error_set(error, TGW_INVALID,
+				      "several fingerprints start with %s; "
+				      "give more digits",
+				      prefix);
+			return NULL;
+		}
+		found = &table->items[i];
+	}
+	if (!found)
+		tgw_error_set(error, TGW_NOT_FOUND,
+			      "no quarantined request starts with %s; see "
+			      "'quarantine list' and give %d digits or more",
+			      prefix, SHORTEST_PREFIX);
+	return found;
+}
+
+static int write_buffer(void *data, const char *bytes, size_t size)
+{
+	buffer_add(data, bytes, size);
+	return 0;
+}
+
+/* Moves all entries but the last into a key of their own. A repeat writes
+ * the same key, and finds it there. */
+static enum tgw_status move_out(struct ctl *ctl, const msgpack_object *entries,
+				uint64_t last_sequence, struct tgw_error *error)
+{
+	char key[SEGMENT_KEY_SIZE];
+	struct buffer value = {0};
+	msgpack_packer packer;
+	enum tgw_status status;
+
+	snprintf(key, sizeof(key), "tgw/audit/quarantine/%08" PRIu64,
+		 last_sequence);
+	msgpack_packer_init(&packer, &value, write_buffer);
+	msgpack_pack_object(&packer, *entries);
+	status = ctl_swap(ctl, key, TGW_STORE_ABSENT, value.data, value.size,
+			  error);
+	buffer_free(&value);
+	return status == TGW_CONFLICT ? TGW_OK : status;
+}
+
+/* Appends an entry to the packed array, after its last one. */
+static enum tgw_status append_audit(struct stored *stored, struct ctl *ctl,
+				    struct audit_entry *entry,
+				    struct tgw_error *error)
+{
+	struct audit_entry last;
+	struct buffer packed = {0};
+	enum tgw_status status = TGW_OK;
+	msgpack_unpacked unpacked;
+	msgpack_packer packer;
+	const msgpack_object *entries = NULL;
+	size_t count = 0;
+	size_t kept_from = 0;
+	size_t offset = 0;
+
+	msgpack_unpacked_init(&unpacked);
+	if (stored->audit.size &&
+	    msgpack_guard_next(&unpacked, stored->audit.data,
+			       stored->audit.size,
+			       &offset) == MSGPACK_UNPACK_SUCCESS &&
+	    unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
+		entries = unpacked.data.via.array.ptr;
+		count = unpacked.data.via.array.size;
+	}
+	if (count)
+		status = audit_entry_unpack(&last, &entries[count - 1], error);
+	if (!status && count >= AUDIT_KEPT_MAX) {
+		status = move_out(ctl, &unpacked.data, last.sequence, error);
+		kept_from = count - 1;
+	}
+	if (status)
+		goto out;
+	audit_entry_chain(entry, count ? &last : NULL);
+	msgpack_packer_init(&packer, &packed, write_buffer);
+	msgpack_pack_array(&packer, count - kept_from + 1);
+	for (size_t i = kept_from; i < count; i++)
+		msgpack_pack_object(&packer, entries[i]);
+	audit_entry_pack(entry, &packer);
+	buffer_clear(&stored->audit);
+	buffer_add(&stored->audit, packed.data, packed.size);
+out:
+	buffer_free(&packed);
+	msgpack_unpacked_destroy(&unpacked);
+	return status;
+}
+
+static enum tgw_status lift(struct stored *stored, struct ctl *ctl,
+			    struct quarantine_item *item,
+			    struct tgw_error *error)
+{
+	struct audit_entry entry;
+	struct buffer value = {0};
+	char hex[FINGERPRINT_HEX_SIZE];
+	enum tgw_status status;
+
+	hex_of(item, hex);
+	ctl_audit_begin(ctl, &entry, "quarantine.lift", hex);
+	snprintf(entry.before, sizeof(entry.before), "%s, %zu crashes, team %s",
+		 state_of(item), item->crash_count, item->team);
+	snprintf(entry.after, sizeof(entry.after), "lifted");
+	status = append_audit(stored, ctl, &entry, error);
+	if (status)
+		return status;
+	quarantine_item_lift(item);
+	quarantine_value_pack(&stored->table, &stored->audit, &value);
+	status = ctl_swap(ctl, QUARANTINE_STORE_KEY, stored->version,
+			  value.data, value.size, error);
+	buffer_free(&value);
+	return status;
+}
+
+static enum ctl_exit run_lift(struct ctl *ctl, int argc, char **argv)
+{
+	struct tgw_error error = {0};
+	struct quarantine_item *item;
+	struct stored stored;
+	enum ctl_exit result = CTL_EXIT_OK;
+
+	if (argc != 1)
+		return CTL_EXIT_USAGE;
+	if (!ctl->dry_run && (!ctl->reason || !ctl->who)) {
+		fprintf(stderr, "tamarackgwctl: each change needs a reason and "
+				"a name; give --reason TEXT and --as NAME\n");
+		return CTL_EXIT_USAGE;
+	}
+	if (stored_read(&stored, ctl, &error)) {
+		result = ctl_report(&error);
+		goto out;
+	}
+	item = find_by_prefix(&stored.table, argv[0], &error);
+	if (!item) {
+		result = ctl_report(&error);
+		goto out;
+	}
+	if (ctl->dry_run)
+		printf("Would lift %s.\n", argv[0]);
+	else if (lift(&stored, ctl, item, &error))
+		result = ctl_report(&error);
+	else
+		printf("Lifted %s; hosts follow within seconds.\n", argv[0]);
+out:
+	stored_clear(&stored);
+	return result;
+}
+
+const struct ctl_command ctl_quarantine_commands[] = {
+	{"quarantine", "list", "Requests that crashed servers", "", run_list},
+	{"quarantine", "lift", "Let such a request run again", "FINGERPRINT",
+	 run_lift},
+	{NULL, NULL, NULL, NULL, NULL},
+};
--- a/src/state/quarantine_table.c
+++ b/src/state/quarantine_table.c
@@ -8,6 +8,8 @@
 
 /* Crashes of one server this close are one, seen by two hosts. */
 #define SAME_CRASH_US (INT64_C(5) * TGW_US_PER_S)
+/* More than served attempts can have started unseen. */
+#define LIFT_EPOCHS (UINT64_C(1) << 20)
 #define ITEM_FIELDS 4
 #define CRASH_FIELDS 2
 
@@ -106,6 +108,12 @@
 	item->epoch++;
 }
 
+void quarantine_item_lift(struct quarantine_item *item)
+{
+	item->crash_count = 0;
+	item->epoch += LIFT_EPOCHS;
+}
+
 bool quarantine_table_merge(struct quarantine_table *table,
 			    const struct quarantine_item *news, int64_t now_us)
 {
--- a/src/state/quarantine_table.h
+++ b/src/state/quarantine_table.h
@@ -65,6 +65,10 @@
 /** Forgets the crashes and starts a new epoch. */
 void quarantine_item_clear(struct quarantine_item *item);
 
+/** Clears by an operator's word, which wins over all that hosts may have
+ * learnt without the operator's having seen it. */
+void quarantine_item_lift(struct quarantine_item *item);
+
 /** Merges news. @return whether the table changed */
 bool quarantine_table_merge(struct quarantine_table *table,
 			    const struct quarantine_item *news, int64_t now_us);
--- a/src/state/route_choice.c
+++ b/src/state/route_choice.c
@@ -10,7 +10,7 @@
 /* A full server against an empty one weighs as much as this many blocks of
  * prompt, and each request that waits there as much as so many more. */
 #define BLOCKS_WHEN_FULL 16
-#define BLOCKS_PER_WAITING 24
+#define BLOCKS_PER_WAITING 4
 #define WHOLE_BLOCK 1000
 /* The first blocks name the group of prompts that share a server. */
 #define HOME_BLOCK_MAX 4
@@ -21,6 +21,8 @@
 /* The load is taken on the high side: a few more keep all slots busy, and
  * wait in the server's own queue, behind what is urgent. */
 #define QUEUE_DIVISOR 8
+#define PREFIX_QUEUE_DIVISOR 1
+#define PREFIX_WORTH_WAITING (8 * WHOLE_BLOCK)
 /* Work that waited this long is due in any domain. */
 #define OWN_DOMAIN_PATIENCE_US (INT64_C(5) * TGW_US_PER_S)
 /* A failure since the last success weighs as much as this load. */
@@ -70,6 +72,13 @@
 	return slots / 2;
 }
 
+static int64_t match(const struct server_state *state,
+		     const struct tgw_route_request *request)
+{
+	return prefix_index_match(&state->prefix, request->prefix_hashes,
+				  request->prefix_count);
+}
+
 /** Where to look, one after the other. */
 struct tier {
 	bool local;
@@ -102,7 +111,11 @@
 	}
 	if (tier->may_wait)
 		return load < slots + queue_for(request, slots);
-	return load < slots + slots / QUEUE_DIVISOR;
+	if (load < slots + slots / QUEUE_DIVISOR)
+		return true;
+	/* Its prefix is worth a wait in the server's own queue. */
+	return tier->local && load < slots + slots / PREFIX_QUEUE_DIVISOR &&
+	       match(state, request) >= PREFIX_WORTH_WAITING;
 }
 
 static bool is_local(const struct route_choice *choice,
@@ -134,13 +147,6 @@
 	return allowed;
 }
 
-static int64_t match(const struct server_state *state,
-		     const struct tgw_route_request *request)
-{
-	return prefix_index_match(&state->prefix, request->prefix_hashes,
-				  request->prefix_count);
-}
-
 /* Load in thousandths of a block; a match is worth its blocks. */
 static int64_t cost(const struct server_state *state,
 		    const struct tgw_route_request *request, int64_t now_us)
--- a/src/state/server_state.c
+++ b/src/state/server_state.c
@@ -8,6 +8,7 @@
  * arrived. The load is taken on the high side: a start that may be missing
  * counts, an end that may be in it does not. */
 #define REPORT_LAG_MOST_US (INT64_C(400) * TGW_US_PER_MS)
+#define REPORT_LAG_MIDDLE_US (INT64_C(250) * TGW_US_PER_MS)
 #define REPORT_LAG_LEAST_US (INT64_C(100) * TGW_US_PER_MS)
 #define FAILURES_UNTIL_EJECTION 3
 #define EJECTION_US (INT64_C(5) * TGW_US_PER_S)
@@ -105,21 +106,37 @@
 					       : ROUTERS_LIKE_THIS_MAX;
 }
 
-int64_t server_state_load(const struct server_state *state)
+/* Calls of a service are short: a start is soon followed by its end, so that
+ * both are counted over the same time. */
+static int64_t service_load(const struct server_state *state)
+{
+	int64_t since_us = state->report.taken_at_us - REPORT_LAG_MIDDLE_US;
+
+	return state->report.running + state->report.waiting +
+	       count_since(&state->started, since_us) -
+	       count_since(&state->finished, since_us);
+}
+
+static int64_t model_load(const struct server_state *state)
 {
 	int64_t taken_at_us = state->report.taken_at_us;
-	int64_t started;
-	int64_t finished;
+	int64_t started =
+		count_since(&state->started, taken_at_us - REPORT_LAG_MOST_US);
+	int64_t finished = count_since(&state->finished,
+				       taken_at_us - REPORT_LAG_LEAST_US);
+
+	return state->report.running + state->report.waiting +
+	       (started - finished) * routers_like_this(state);
+}
+
+int64_t server_state_load(const struct server_state *state)
+{
 	int64_t load;
 
 	if (!state->has_report)
 		return state->in_flight;
-	started =
-		count_since(&state->started, taken_at_us - REPORT_LAG_MOST_US);
-	finished = count_since(&state->finished,
-			       taken_at_us - REPORT_LAG_LEAST_US);
-	load = state->report.running + state->report.waiting +
-	       (started - finished) * routers_like_this(state);
+	load = state->server.kind == TGW_SERVER_SERVICE ? service_load(state)
+							: model_load(state);
 	return load > state->in_flight ? load : state->in_flight;
 }
 
