--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -55,7 +55,10 @@
 					bucket->draft
 						.budgets[share->budget_index]
 						.name);
-			int64_t used = held ? holder_share_used(held) : 0;
+			/* Nobody can claim from a line that is no more. */
+			int64_t used =
+				held ? held->settled_tokens + held->open_tokens
+				     : 0;
 			int64_t taken = ledger_share_taken(line, share);
 
 			share->allotted_tokens = used < taken ? used : taken;
@@ -121,6 +124,7 @@
 	uint32_t domains = count_domains(bucket->agent->view);
 
 	survey_others(&bucket->draft, share->line->id, index, &inputs);
+	inputs.domains = domains;
 	if (domains > inputs.others_count + 1)
 		inputs.absent_domains = domains - inputs.others_count - 1;
 	if (bucket->agent->is_draining)
@@ -196,6 +200,10 @@
 
 	if (ceiling > allotted)
 		ceiling = allotted;
+	if (!ceiling &&
+	    share->ceiling_tokens >
+		    holder_share_used(held) + holder_share_run_ahead(held))
+		plan->is_worth = true;
 	/* A lower one binds before the write that has it goes out. */
 	if (ceiling < held->floor_tokens)
 		held->floor_tokens = ceiling;
@@ -287,6 +295,15 @@
 	plan->is_worth = true;
 }
 
+/* A first part of each budget, so that most first requests find some, and
+ * one write serves the whole bucket. */
+static void obtain_shares(struct budget_bucket *bucket)
+{
+	for (size_t i = 0; i < bucket->draft.budget_count; i++)
+		holder_line_obtain_share(bucket->line,
+					 bucket->draft.budgets[i].name);
+}
+
 static void plan_own_line(struct plan *plan)
 {
 	struct budget_bucket *bucket = plan->bucket;
@@ -298,6 +315,8 @@
 	line = obtain_line(plan);
 	if (!line || line->state != LEDGER_LINE_OPEN)
 		return;
+	if (!bucket->agent->is_draining)
+		obtain_shares(bucket);
 	if (budget_witness_choose(bucket, line))
 		plan->is_worth = true;
 	for (size_t i = 0; i < own->share_count; i++) {
