Ask other holders before a request is refused; remember keys told early

Change: an entry host asks up to four holders: its domain's, then the first of other domains. Once all have refused, only the first is asked for a second.

--- a/src/coordination/budget_agent.c
+++ b/src/coordination/budget_agent.c
@@ -79,6 +79,7 @@
 		xcalloc(env->settings.bucket_count, sizeof(agent->by_index[0]));
 	agent->ended_end = &agent->ended_first;
 	agent->done_end = &agent->done_first;
+	agent->told_end = &agent->told_first;
 	agent->ready_end = &agent->ready;
 	agent->self = budget_peer_obtain(agent, agent->name);
 	take_view(agent, view);
--- a/src/coordination/budget_entry.c
+++ b/src/coordination/budget_entry.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/xalloc.h"
+#include "coordination/budget_choice.h"
 #include "coordination/budget_claims.h"
 #include "coordination/budget_holder.h"
 #include "coordination/budget_settle_queue.h"
@@ -13,6 +14,10 @@
 #define ASK_TRIES 5
 #define BUSY_RETRY_US BUDGET_MS(50)
 #define ASKED_MAX 3
+/* Holders that are asked for one request until it is refused. */
+#define REFUSED_MAX 4
+/* Once all refused, only the first holder is asked for this long. */
+#define NONE_ELSEWHERE_US BUDGET_S(1)
 #define CANCELLED_RETRY_US BUDGET_S(1)
 
 enum entry_state {
@@ -50,6 +55,10 @@
 	struct budget_peer *registered_at;
 	size_t asked_count;
 	struct asked_holder asked[ASKED_MAX];
+	size_t refused_count;
+	struct budget_peer *refused[REFUSED_MAX];
+	enum tgw_status refusal; /**< of the domain's first holder */
+	int64_t refusal_retry_us;
 	struct entry_caller *callers;
 	int64_t deadline_us;
 	int64_t retry_us;
@@ -206,30 +215,45 @@
 		host ? host->incarnation : 0;
 }
 
-static void ask(struct tgw_budget_agent *agent, struct entry_request *entry)
+static struct budget_bucket *bucket_of(struct tgw_budget_agent *agent,
+				       const struct entry_request *entry)
 {
-	struct budget_bucket *bucket = budget_bucket_obtain(
+	return budget_bucket_obtain(
 		agent, ledger_bucket_of(entry->budget,
 					agent->env.settings.bucket_count));
+}
+
+static struct budget_peer *choose_holder(struct tgw_budget_agent *agent,
+					 const struct entry_request *entry,
+					 const struct budget_bucket *bucket)
+{
+	return budget_choice_holder(bucket, entry->request_id, entry->refused,
+				    entry->refused_count);
+}
+
+static void ask(struct tgw_budget_agent *agent, struct entry_request *entry)
+{
+	struct budget_bucket *bucket = bucket_of(agent, entry);
+	struct budget_peer *holder = choose_holder(agent, entry, bucket);
 	struct budget_message message = {.kind = BUDGET_MESSAGE_RESERVE};
 	struct budget_message_item *item;
 
 	entry->retry_us = budget_now_us(agent) +
 			  agent->env.settings.reserve_timeout_us / ASK_TRIES;
-	if (!bucket->rank_count || entry->asked_count == ASKED_MAX)
+	if (!holder || entry->asked_count == ASKED_MAX)
 		return;
-	add_asked(agent, entry, bucket->ranked[0]);
+	add_asked(agent, entry, holder);
 	item = budget_message_add(&message);
 	item->id = entry->request_id;
 	item->key = entry->key;
 	item->has_key = true;
 	name_copy(item->budget, entry->budget);
 	item->tokens = entry->bound_tokens;
-	if (bucket->ranked[0] == agent->self)
+	if (holder == agent->self)
 		budget_holder_reserve(agent, agent->self, agent->incarnation,
 				      item);
 	else
-		budget_send(agent, bucket->ranked[0]->name, &message);
+		budget_send(agent, holder->name, &message);
 	budget_message_clear(&message);
 }
 
@@ -270,6 +294,7 @@
 	entry->basis = TGW_SETTLE_USAGE;
 	entry->request_id = ++agent->next_request_id;
 	entry->asked_count = 0;
+	entry->refused_count = 0;
 	entry->registered_at = NULL;
 	entry->deadline_us =
 		budget_now_us(agent) + agent->env.settings.reserve_timeout_us;
@@ -357,6 +382,42 @@
 	answer_callers(agent, entry, &answer);
 }
 
+static void forget_asked(struct entry_request *entry,
+			 const struct budget_peer *peer)
+{
+	for (size_t i = 0; i < entry->asked_count; i++)
+		if (entry->asked[i].peer == peer)
+			entry->asked[i] = entry->asked[--entry->asked_count];
+}
+
+/* Tokens may be held elsewhere while this holder has none, or can't reach
+ * the ledger. */
+static void on_refused(struct tgw_budget_agent *agent,
+		       struct entry_request *entry, struct budget_peer *from,
+		       const struct budget_message_item *item)
+{
+	struct budget_bucket *bucket = bucket_of(agent, entry);
+	int64_t now_us = budget_now_us(agent);
+
+	if (!entry->refused_count) {
+		entry->refusal = (enum tgw_status)item->code;
+		entry->refusal_retry_us = item->other;
+	}
+	forget_asked(entry, from);
+	if (item->code != TGW_NOT_FOUND && entry->refused_count < REFUSED_MAX &&
+	    now_us >= bucket->none_elsewhere_until_us) {
+		entry->refused[entry->refused_count++] = from;
+		if (entry->refused_count < REFUSED_MAX &&
+		    choose_holder(agent, entry, bucket)) {
+			ask(agent, entry);
+			return;
+		}
+		bucket->none_elsewhere_until_us = now_us + NONE_ELSEWHERE_US;
+	}
+	cancel_others(agent, entry, from);
+	end_refused(agent, entry, entry->refusal, entry->refusal_retry_us);
+}
+
 void budget_entry_on_reserved(struct tgw_budget_agent *agent,
 			      struct budget_peer *from,
 			      uint64_t from_incarnation, uint64_t line,
@@ -375,8 +436,7 @@
 		entry->retry_us = budget_now_us(agent) + BUSY_RETRY_US;
 		return;
 	}
-	cancel_others(agent, entry, from);
-	end_refused(agent, entry, (enum tgw_status)item->code, item->other);
+	on_refused(agent, entry, from, item);
 }
 
 static bool is_gone(const struct tgw_budget_agent *agent,
--- a/src/coordination/budget_exchange.c
+++ b/src/coordination/budget_exchange.c
@@ -13,22 +13,6 @@
 /* A host that is no more the first tells all hosts for this long. */
 #define TELL_ALL_US BUDGET_S(900)
 
-void budget_exchange_log(struct budget_bucket *bucket,
-			 const struct tgw_request_key *key)
-{
-	struct key_log *log = &bucket->log;
-	struct logged_key *logged;
-
-	if (log->count == log->capacity) {
-		log->capacity = log->capacity * 2 + 16;
-		log->keys = xrealloc(log->keys,
-				     log->capacity * sizeof(log->keys[0]));
-	}
-	logged = &log->keys[log->count++];
-	logged->key = *key;
-	logged->settled_us = budget_now_us(bucket->agent);
-}
-
 static void expire(struct budget_bucket *bucket)
 {
 	struct key_log *log = &bucket->log;
@@ -222,6 +206,65 @@
 	free(closed);
 }
 
+static void remember_told(struct tgw_budget_agent *agent, uint64_t prefix,
+			  struct budget_peer *peer)
+{
+	struct told_key *told = key_table_find_prefix(&agent->told, prefix);
+
+	if (told)
+		return;
+	told = xcalloc(1, sizeof(*told));
+	memcpy(told->key.bytes, &prefix, sizeof(prefix));
+	told->peer = peer;
+	told->told_us = budget_now_us(agent);
+	key_table_add(&agent->told, told);
+	*agent->told_end = told;
+	agent->told_end = &told->next;
+}
+
+static void forget_told(struct tgw_budget_agent *agent, int64_t before_us)
+{
+	while (agent->told_first && agent->told_first->told_us < before_us) {
+		struct told_key *told = agent->told_first;
+
+		agent->told_first = told->next;
+		if (!agent->told_first)
+			agent->told_end = &agent->told_first;
+		key_table_remove(&agent->told, &told->key);
+		free(told);
+	}
+}
+
+/* The other host's word came first: now it is this one's turn to ask. */
+static void ask_teller(struct tgw_budget_agent *agent,
+		       const struct tgw_request_key *key)
+{
+	const struct told_key *told =
+		key_table_find_prefix(&agent->told, key_table_prefix(key));
+	const struct reservation *reservation =
+		key_table_find(&agent->reservations, key);
+
+	if (told && reservation)
+		open_duplicate(agent, reservation, told->peer);
+}
+
+void budget_exchange_log(struct budget_bucket *bucket,
+			 const struct tgw_request_key *key)
+{
+	struct key_log *log = &bucket->log;
+	struct logged_key *logged;
+
+	if (log->count == log->capacity) {
+		log->capacity = log->capacity * 2 + 16;
+		log->keys = xrealloc(log->keys,
+				     log->capacity * sizeof(log->keys[0]));
+	}
+	logged = &log->keys[log->count++];
+	logged->key = *key;
+	logged->settled_us = budget_now_us(bucket->agent);
+	ask_teller(bucket->agent, key);
+}
+
 /* Repeats the questions that were not answered. */
 static void ask_again(struct tgw_budget_agent *agent)
 {
@@ -253,6 +296,7 @@
 		return;
 	agent->exchange_due_us = now_us + EXCHANGE_INTERVAL_US;
 	ask_again(agent);
+	forget_told(agent, now_us - agent->env.settings.duplicate_memory_us);
 	for (size_t i = 0; i < agent->bucket_count; i++) {
 		struct budget_bucket *bucket = agent->buckets[i];
 
@@ -280,8 +324,10 @@
 		const struct reservation *reservation = key_table_find_prefix(
 			&agent->reservations, message->items[i].id);
 
-		if (!reservation || reservation->state == RESERVATION_NOT_RUN)
+		if (!reservation || reservation->state == RESERVATION_NOT_RUN) {
+			remember_told(agent, message->items[i].id, from);
 			continue;
+		}
 		/* One that still runs is asked about once it has ended. */
 		open_duplicate(agent, reservation, from);
 		if (has_ended(reservation))
@@ -367,6 +413,8 @@
 
 void budget_exchange_free_all(struct tgw_budget_agent *agent)
 {
+	forget_told(agent, BUDGET_NEVER_US);
+	key_table_free(&agent->told);
 	while (agent->open_duplicates) {
 		struct open_duplicate *open = agent->open_duplicates;
 
--- a/src/coordination/budget_state.h
+++ b/src/coordination/budget_state.h
@@ -233,6 +233,14 @@
 	struct budget_peer *peer;
 };
 
+/** A key that another host told of before it was known here. */
+struct told_key {
+	struct tgw_request_key key; /**< only its start is known */
+	struct budget_peer *peer;
+	int64_t told_us;
+	struct told_key *next;
+};
+
 struct logged_key {
 	struct tgw_request_key key;
 	int64_t settled_us;
@@ -266,6 +274,8 @@
 	/** The domain's best hosts for this bucket, by the current view. */
 	size_t rank_count;
 	struct budget_peer *ranked[BUCKET_RANKS];
+	/** Entry host: all holders have just said that they have none. */
+	int64_t none_elsewhere_until_us;
 	/* The ledger's key as last read or written. */
 	bool is_read;
 	struct ledger_bucket known;
@@ -345,6 +355,9 @@
 	bool is_draining;
 	int64_t exchange_due_us;
 	struct open_duplicate *open_duplicates;
+	struct key_table told; /**< keys that others settled, of told_key */
+	struct told_key *told_first;
+	struct told_key **told_end;
 	struct tgw_budget_counters counters;
 };
 
