--- a/include/tamarackgw/router.h
+++ b/include/tamarackgw/router.h
@@ -54,7 +54,7 @@
 	/** For the engine's own queue, 0 first, when OK: by urgency, and
 	 * before that by how little time the deadline leaves. */
 	int32_t priority;
-	int64_t retry_after_us;		 /**< when BUSY */
+	int64_t retry_after_us; /**< when BUSY */
 	const char *message;
 };
 
