Fuzz chat events with the terminator that they come with

The parser reads an event in place and documents that a terminator follows; the target gave it none, so the sanitizer saw a read past the end. The copy is of the exact size and one byte, so that any further read is still seen.

--- a/tests/fuzz/fuzz_chat.c
+++ b/tests/fuzz/fuzz_chat.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/xalloc.h"
 #include "fuzz/fuzz_target.h"
 #include "protocol/chat_event.h"
 #include "protocol/chat_request.h"
@@ -17,13 +18,18 @@
 	chat_request_clear(&request);
 }
 
+/* An event is parsed in place, and has a terminator behind it. */
 static void fuzz_event(const char *data, size_t size)
 {
 	struct chat_event event;
+	char *copy = xmalloc(size + 1);
 
+	memcpy(copy, data, size);
+	copy[size] = '\0';
 	memset(&event, 0, sizeof(event));
-	chat_event_parse(&event, data, size);
+	chat_event_parse(&event, copy, size);
 	chat_event_clear(&event);
+	free(copy);
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
