--- a/src/state/key_table.c
+++ b/src/state/key_table.c
@@ -62,17 +62,15 @@
 
 static void grow(struct key_table *table)
 {
-	struct key_table larger = {.count = table->count};
-
-	larger.capacity = table->capacity ? table->capacity * 2
-					  : FIRST_CAPACITY;
-	larger.slots = xcalloc(larger.capacity, sizeof(larger.slots[0]));
-	for (size_t i = 0; i < table->capacity; i++)
-		if (table->slots[i])
-			larger.slots[find_slot(&larger, table->slots[i])] =
-				table->slots[i];
-	free(table->slots);
-	*table = larger;
+	const struct key_table old = *table;
+
+	table->capacity = old.capacity ? old.capacity * 2 : FIRST_CAPACITY;
+	table->slots = xcalloc(table->capacity, sizeof(table->slots[0]));
+	for (size_t i = 0; i < old.capacity; i++)
+		if (old.slots[i])
+			table->slots[find_slot(table, old.slots[i])] =
+				old.slots[i];
+	free(old.slots);
 }
 
 void key_table_add(struct key_table *table, void *record)
--- a/tests/unit/test_claim_model.c
+++ b/tests/unit/test_claim_model.c
@@ -270,7 +270,7 @@
 		discover(exploration, &next);
 	}
 	if (exploration->fault == WRITE_WITHOUT_COMPARE)
-		for (uint8_t old = 0; old < VALUES; old++)
+		for (int old = 0; old < VALUES; old++)
 			if (from->values & (1U << old))
 				claim_in_store(exploration, from, owner, old);
 }
