--- a/tests/unit/test_claim_model.c
+++ b/tests/unit/test_claim_model.c
@@ -18,7 +18,7 @@
 
 #define OWNERS 5
 #define TABLE_SLOTS (1 << 22)
-#define VALUES (1 + 3 * OWNERS)
+#define VALUES ((uint8_t)(1 + 3 * OWNERS))
 #define ISSUER_HOST 0
 
 /* Asks of two processes of host 0, which dies once, and of one of host 1. */
