--- a/tests/measure/measure_route.c
+++ b/tests/measure/measure_route.c
@@ -9,7 +9,7 @@
 #include "measure/booking_run.h"
 #include "measure/route_run.h"
 
-#define SEEDS_DEFAULT 3
+#define SEEDS_DEFAULT 2
 
 static const char *const policy_names[POLICY_COUNT] = {"router", "random",
 						       "least load"};
