--- a/src/coordination/budget_agent.c
+++ b/src/coordination/budget_agent.c
@@ -16,7 +16,7 @@
 #include "coordination/budget_witness.h"
 #include "state/name_copy.h"
 
-#define DEFAULT_BUCKETS 64
+#define DEFAULT_BUCKETS 4096
 #define DEFAULT_FLUSH_S 600
 #define DEFAULT_RESERVE_TIMEOUT_MS 2000
 #define DEFAULT_RIDE_OUT_S 3600
