Pass the router's priority on to the engine

Cause: the router works out a priority for each attempt by urgency and by how little time the deadline leaves, and the measure of routing counts on it; the body for the engine was written before the choice, with the urgency alone. Change: the priority is put in front of the body when an attempt starts; a priority that a caller sends is dropped.

--- a/src/daemon/model_attempt.c
+++ b/src/daemon/model_attempt.c
@@ -7,6 +7,7 @@
 #include "daemon/backend_fetch.h"
 #include "daemon/log.h"
 #include "daemon/model_call_private.h"
+#include "protocol/chat_request.h"
 
 #define ORDER_TIMEOUT_US (2 * TGW_US_PER_S)
 #define ORDER_ANSWER_MAX_BYTES (16 * 1024)
@@ -105,6 +106,7 @@
 {
 	struct runtime *runtime = mc->call.core->runtime;
 	struct engine_request request;
+	char *body = chat_request_with_priority(mc->body, mc->priority);
 	char *url;
 
 	mc->attempt++;
@@ -120,8 +122,8 @@
 	engine_request_init(&request, mc, "POST", url);
 	add_header(&request.http, "Content-Type", "application/json");
 	add_header(&request.http, "Accept", "text/event-stream");
-	request.http.body = mc->body;
-	request.http.body_size = mc->body_size;
+	request.http.body = body;
+	request.http.body_size = strlen(body);
 	request.http.idle_timeout_us =
 		runtime->settings->stream_idle_ms * TGW_US_PER_MS;
 	log_line(LOG_BACKEND, LOG_DEBUG, mc->call.id,
@@ -131,6 +133,7 @@
 	mc->exchange = backend_exchange_start(runtime->backend_http,
 					      runtime->coordination,
 					      &request.http, &stream_ops, mc);
+	free(body);
 	free(url);
 }
 
--- a/src/daemon/model_call.c
+++ b/src/daemon/model_call.c
@@ -190,6 +190,7 @@
 	snprintf(engine->url, sizeof(engine->url), "%s", server->url);
 	engine->can_resume = server->can_resume;
 	engine->can_cancel = server->can_cancel;
+	mc->priority = answer->priority;
 	mc->ticket = answer->ticket;
 	mc->has_ticket = true;
 	crash_tally_start(mc->call.core->crashes, engine->name);
@@ -554,9 +555,7 @@
 	mc->prompt_bound_tokens =
 		chat->prompt_bytes + template->prompt_fixed_tokens;
 	mc->bound_tokens = mc->prompt_bound_tokens + mc->token_limit;
-	mc->body = chat_request_for_engine(chat, mc->token_limit,
-					   (int64_t)input->urgency);
-	mc->body_size = strlen(mc->body);
+	mc->body = chat_request_for_engine(chat, mc->token_limit);
 	tgw_fingerprint_of(&mc->fingerprint, call->team, input->body,
 			   input->body_size);
 	init_stream(mc, chat->stream);
--- a/src/daemon/model_call_private.h
+++ b/src/daemon/model_call_private.h
@@ -21,8 +21,8 @@
 	struct call call; /**< first member */
 	struct model_stream stream;
 	char model[TGW_NAME_SIZE];
-	char *body; /**< for the engine */
-	size_t body_size;
+	char *body;	  /**< for the engine, but for the priority */
+	int32_t priority; /**< in the engine's queue, of the attempt */
 	struct tgw_fingerprint fingerprint;
 	struct tgw_route_request route;
 	int64_t prompt_bound_tokens;
--- a/src/protocol/chat_request.c
+++ b/src/protocol/chat_request.c
@@ -1,5 +1,6 @@
 #include "protocol/chat_request.h"
 
+#include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,6 +8,7 @@
 #include <xxhash.h>
 
 #include "base/buffer.h"
+#include "base/xalloc.h"
 
 #define MAX_TOKENS_LIMIT 10000000
 
@@ -212,14 +214,14 @@
 }
 
 char *chat_request_for_engine(const struct chat_request *request,
-			      int64_t max_tokens, int64_t priority)
+			      int64_t max_tokens)
 {
 	json_t *body = json_copy(request->document);
 	char *text;
 
 	json_object_del(body, "max_completion_tokens");
 	json_object_set_new(body, "max_tokens", json_integer(max_tokens));
-	json_object_set_new(body, "priority", json_integer(priority));
+	json_object_del(body, "priority");
 	json_object_set_new(body, "stream", json_true());
 	json_object_set_new(body, "stream_options",
 			    json_pack("{s:b}", "include_usage", 1));
@@ -229,3 +231,8 @@
 		abort();
 	return text;
 }
+
+char *chat_request_with_priority(const char *body, int32_t priority)
+{
+	return xasprintf("{\"priority\":%" PRId32 ",%s", priority, body + 1);
+}
--- a/src/protocol/chat_request.h
+++ b/src/protocol/chat_request.h
@@ -37,9 +37,16 @@
 
 /**
  * Writes the body for the engine, which always streams.
- * @return text to be released with free()
+ * @return text without a priority, to be released with free()
  */
 char *chat_request_for_engine(const struct chat_request *request,
-			      int64_t max_tokens, int64_t priority);
+			      int64_t max_tokens);
+
+/**
+ * Writes a body of chat_request_for_engine() for one attempt.
+ * @param priority in the engine's queue, 0 first
+ * @return text to be released with free()
+ */
+char *chat_request_with_priority(const char *body, int32_t priority);
 
 #endif
--- a/tests/fakes/agents/fake_agents.c
+++ b/tests/fakes/agents/fake_agents.c
@@ -167,6 +167,7 @@
 		answer.status = TGW_OK;
 	if (answer.status == TGW_OK)
 		fake_agents.routes_open++;
+	answer.priority = (int32_t)request->urgency;
 	callback.done(callback.arg, &answer);
 	return 1;
 }
--- a/tests/fuzz/fuzz_chat.c
+++ b/tests/fuzz/fuzz_chat.c
@@ -14,7 +14,7 @@
 
 	memset(&request, 0, sizeof(request));
 	if (chat_request_parse(&request, data, size, &error) == TGW_OK)
-		free(chat_request_for_engine(&request, 100, 1));
+		free(chat_request_for_engine(&request, 100));
 	chat_request_clear(&request);
 }
 
--- a/tests/unit/test_chat_request.c
+++ b/tests/unit/test_chat_request.c
@@ -82,18 +82,23 @@
 START_TEST(the_engine_gets_the_limit_and_always_streams)
 {
 	struct chat_request request;
+	char *plain;
 	char *body;
 
-	parse(&request, OK_BODY ",\"max_completion_tokens\":9,\"seed\":1}");
+	parse(&request, OK_BODY ",\"max_completion_tokens\":9,\"seed\":1,"
+				"\"priority\":0}");
 	ck_assert(!request.stream);
 	ck_assert_int_eq(request.max_tokens, 9);
-	body = chat_request_for_engine(&request, 9, 2);
+	plain = chat_request_for_engine(&request, 9);
+	ck_assert(!strstr(plain, "priority"));
+	body = chat_request_with_priority(plain, 2);
 	ck_assert(strstr(body, "\"max_tokens\":9"));
 	ck_assert(strstr(body, "\"priority\":2"));
 	ck_assert(strstr(body, "\"stream\":true"));
 	ck_assert(strstr(body, "\"include_usage\":true"));
 	ck_assert(strstr(body, "\"seed\":1"));
 	ck_assert(!strstr(body, "max_completion_tokens"));
+	free(plain);
 	free(body);
 	chat_request_clear(&request);
 }
