Test a caller that returns after its call was cancelled

Cause: a keyed call goes on for 3 s without a caller, so the test of a caller that returns passed for a short answer, which hid the fault that it was written for. With an answer of 8 s the call is cancelled at the engine, the part is settled, and the same key is refused from then on with 409. What it needs: a settlement of a part that the same key may replace, in the holder, its witness and the exchange between domains.

--- a/tests/cram/caller_returns.t
+++ b/tests/cram/caller_returns.t
@@ -1,6 +1,6 @@
 A caller's connection breaks off in mid-answer. It sends its request again, with
-the same key, when the part was settled already; it gets the whole answer, and is
-billed for that once.
+the same key, within the seconds that its call goes on without it; it gets the
+whole answer, and is billed for that once.
 
   $ . "$SOURCE/tests/cram/lib/small-fleet.sh"
   $ small_fleet_up 100000 --inter-token-ms 20
--- /dev/null
+++ b/tests/cram/caller_returns_late.t
@@ -0,0 +1,16 @@
+As caller_returns.t, but the caller returns after its call has been cancelled at
+the engine and the part was settled: it gets the whole answer, and is billed for
+that once.
+
+  $ . "$SOURCE/tests/cram/lib/small-fleet.sh"
+  $ small_fleet_up 100000 --inter-token-ms 20
+  $ stream host-a1 key "visit ANSWER-TOKENS=400" -m 0.7 >cut 2>/dev/null
+  [28]
+  $ went_away() { grep -q 'caller went away' $FLEET/host-a1.log; }
+  $ fleet_wait 10 went_away
+  $ part_settled() { [ $(budget_field charged_tokens) -gt 0 ]; }
+  $ fleet_wait 20 part_settled
+  $ again() { stream host-a1 key "visit ANSWER-TOKENS=400" >again; is_whole again "visit ANSWER-TOKENS=400"; }
+  $ fleet_wait 12 again || head -c 300 again
+  $ settled() { [ $(budget_field charged_tokens) = $(tokens_of again) ]; }
+  $ fleet_wait 5 settled
