--- a/tests/unit/test_curl_client.c
+++ b/tests/unit/test_curl_client.c
@@ -103,11 +103,10 @@
 	}
 }
 
-static void setup(void)
+static void start_server(void)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t size = sizeof(address);
-	struct curl_client_settings settings = curl_client_settings_default();
 
 	atomic_store(&server.requests, 0);
 	memset(&reply, 0, sizeof(reply));
@@ -122,6 +121,13 @@
 	pthread_create(&server.thread, NULL, serve, NULL);
 	pthread_mutex_init(&reply.lock, NULL);
 	pthread_cond_init(&reply.changed, NULL);
+}
+
+static void setup(void)
+{
+	struct curl_client_settings settings = curl_client_settings_default();
+
+	start_server();
 	client = curl_client_new(&settings);
 }
 
@@ -219,7 +225,7 @@
 	close(server.listener);
 	start("/whole", port, &request);
 	ck_assert_int_eq(wait_for_end(), HTTP_NOT_CONNECTED);
-	setup();
+	start_server();
 }
 END_TEST
 
