Read and write MessagePack fields in one way

Cause: the configuration, the budgets and the claims each had brought their own way of packing a text, checking a field's type and copying a name. Change: msgpack_field checks and packs single fields; the two readers, one that names what is wrong and one that only fails, are built on it; names are copied by text_copy.

--- a/src/coordination/budget_agent.c
+++ b/src/coordination/budget_agent.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/budget_claims.h"
 #include "coordination/budget_entry.h"
@@ -14,7 +15,6 @@
 #include "coordination/budget_share.h"
 #include "coordination/budget_state.h"
 #include "coordination/budget_witness.h"
-#include "state/name_copy.h"
 
 #define DEFAULT_BUCKETS 4096
 #define DEFAULT_FLUSH_S 600
@@ -68,8 +68,8 @@
 	const struct tgw_host *self = tgw_host_view_self(view);
 
 	agent->env = *env;
-	name_copy(agent->name, self->name);
-	name_copy(agent->domain, self->failure_domain);
+	text_copy(agent->name, TGW_NAME_SIZE, self->name);
+	text_copy(agent->domain, TGW_NAME_SIZE, self->failure_domain);
 	agent->incarnation = self->incarnation;
 	agent->started_us = tgw_clock_monotonic_us(env->clock);
 	tgw_random_init(&agent->random, env->random_seed);
--- a/src/coordination/budget_ceiling.c
+++ b/src/coordination/budget_ceiling.c
@@ -1,9 +1,9 @@
 /* The holder's side of witnessing. */
 #include <string.h>
 
+#include "base/text.h"
 #include "coordination/budget_share.h"
 #include "coordination/budget_witness.h"
-#include "state/name_copy.h"
 
 /* An unanswered question is asked again after this. */
 #define RAISE_RETRY_US BUDGET_MS(100)
@@ -56,7 +56,7 @@
 	memset(line->witness, 0, sizeof(line->witness));
 	line->witness_incarnation = 0;
 	if (candidate) {
-		name_copy(line->witness, candidate->name);
+		text_copy(line->witness, TGW_NAME_SIZE, candidate->name);
 		line->witness_incarnation = candidate->incarnation;
 	}
 	line->epoch++;
@@ -186,7 +186,7 @@
 		if (share->witnessed_tokens > share->ceiling_sent_tokens)
 			share->witnessed_tokens = share->ceiling_sent_tokens;
 		item = budget_message_add(&message);
-		name_copy(item->budget, share->budget);
+		text_copy(item->budget, TGW_NAME_SIZE, share->budget);
 		item->tokens = share->ceiling_sent_tokens;
 		item->other =
 			(int64_t)demand_forecast_per_s(&share->demand, now_us);
--- a/src/coordination/budget_claims.c
+++ b/src/coordination/budget_claims.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
-#include "state/name_copy.h"
 
 #define CLAIM_RETRY_US BUDGET_S(5)
 /* Claims gather for this long before the ledger is written. */
@@ -22,7 +22,7 @@
 		return claim;
 	claim = xcalloc(1, sizeof(*claim));
 	claim->line = order->line;
-	name_copy(claim->budget, order->budget);
+	text_copy(claim->budget, TGW_NAME_SIZE, order->budget);
 	claim->bucket = ledger_bucket_of(order->budget,
 					 agent->env.settings.bucket_count);
 	claim->next = agent->claims;
@@ -58,7 +58,7 @@
 	if (!bucket->rank_count)
 		return;
 	item = budget_message_add(&message);
-	name_copy(item->budget, claim->budget);
+	text_copy(item->budget, TGW_NAME_SIZE, claim->budget);
 	item->tokens = claim->tokens;
 	if (bucket->ranked[0] == agent->self)
 		budget_claims_on_claim(agent, agent->self, agent->incarnation,
@@ -132,7 +132,7 @@
 			claim->from = from;
 			claim->from_incarnation = from_incarnation;
 			claim->line = message->line;
-			name_copy(claim->budget, item->budget);
+			text_copy(claim->budget, TGW_NAME_SIZE, item->budget);
 			claim->next = bucket->claims;
 			bucket->claims = claim;
 		}
@@ -191,7 +191,7 @@
 	};
 	struct budget_message_item *item = budget_message_add(&message);
 
-	name_copy(item->budget, claim->budget);
+	text_copy(item->budget, TGW_NAME_SIZE, claim->budget);
 	item->tokens = claim->tokens;
 	if (claim->from == agent->self)
 		budget_claims_on_claimed(agent, &message);
--- a/src/coordination/budget_entry.c
+++ b/src/coordination/budget_entry.c
@@ -3,12 +3,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/budget_choice.h"
 #include "coordination/budget_claims.h"
 #include "coordination/budget_holder.h"
 #include "coordination/budget_settle_queue.h"
-#include "state/name_copy.h"
 
 /* A holder is asked this many times before its answer is given up. */
 #define ASK_TRIES 5
@@ -143,7 +143,7 @@
 	struct settle_order *order = xcalloc(1, sizeof(*order));
 
 	order->key = entry->key;
-	name_copy(order->budget, entry->budget);
+	text_copy(order->budget, TGW_NAME_SIZE, entry->budget);
 	order->request_id = entry->request_id;
 	order->holder_incarnation = holder->incarnation;
 	order->bound_tokens = entry->bound_tokens;
@@ -247,7 +247,7 @@
 	item->id = entry->request_id;
 	item->key = entry->key;
 	item->has_key = true;
-	name_copy(item->budget, entry->budget);
+	text_copy(item->budget, TGW_NAME_SIZE, entry->budget);
 	item->tokens = entry->bound_tokens;
 	if (holder == agent->self)
 		budget_holder_reserve(agent, agent->self, agent->incarnation,
--- a/src/coordination/budget_exchange.c
+++ b/src/coordination/budget_exchange.c
@@ -6,7 +6,6 @@
 #include "base/xalloc.h"
 #include "coordination/budget_holder.h"
 #include "coordination/budget_share.h"
-#include "state/name_copy.h"
 
 #define EXCHANGE_INTERVAL_US BUDGET_S(30)
 #define KEYS_MAX 500
--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -4,12 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "coordination/budget_claims.h"
 #include "coordination/budget_recall.h"
 #include "coordination/budget_share.h"
 #include "coordination/budget_witness.h"
 #include "state/allotment_policy.h"
-#include "state/name_copy.h"
 
 /* A closed line with reservations open is reconciled after this. */
 #define RECONCILE_AFTER_US BUDGET_S(600)
@@ -267,8 +267,8 @@
 	if (!wants_line(bucket))
 		return NULL;
 	line = ledger_bucket_add_line(&bucket->draft, bucket->line->id);
-	name_copy(line->host, agent->name);
-	name_copy(line->domain, agent->domain);
+	text_copy(line->host, TGW_NAME_SIZE, agent->name);
+	text_copy(line->domain, TGW_NAME_SIZE, agent->domain);
 	line->incarnation = agent->incarnation;
 	plan->is_worth = true;
 	return line;
@@ -389,7 +389,7 @@
 			holder_share_touch(own->shares[i]);
 		}
 	}
-	name_copy(own->witness, line->witness);
+	text_copy(own->witness, TGW_NAME_SIZE, line->witness);
 	own->witness_incarnation = line->witness_incarnation;
 	own->raise_refused = false;
 	if (!bucket->is_uncertain)
--- a/src/coordination/budget_recall.c
+++ b/src/coordination/budget_recall.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/budget_share.h"
-#include "state/name_copy.h"
 
 /* Shortest time between two questions to the other holders. */
 #define WANT_INTERVAL_US BUDGET_MS(100)
@@ -52,7 +52,7 @@
 	};
 	struct budget_message_item *item = budget_message_add(&message);
 
-	name_copy(item->budget, share->budget);
+	text_copy(item->budget, TGW_NAME_SIZE, share->budget);
 	item->tokens = short_tokens +
 		       (int64_t)(WANT_AHEAD_S *
 				 demand_forecast_per_s(&share->demand,
@@ -127,7 +127,7 @@
 	if (found >= 0)
 		free_tokens = ledger_bucket_free_tokens(&bucket->known,
 							(uint32_t)found);
-	name_copy(item->budget, budget);
+	text_copy(item->budget, TGW_NAME_SIZE, budget);
 	item->tokens = free_tokens;
 	budget_send(bucket->agent, to->name, &message);
 	budget_message_clear(&message);
@@ -139,7 +139,7 @@
 	struct budget_asker *asker = xcalloc(1, sizeof(*asker));
 
 	asker->from = from;
-	name_copy(asker->budget, budget);
+	text_copy(asker->budget, TGW_NAME_SIZE, budget);
 	/* An operation under way may have been planned without this. */
 	asker->operation =
 		bucket->operations + (bucket->io == BUCKET_IDLE ? 0 : 1);
--- a/src/coordination/budget_settle_queue.c
+++ b/src/coordination/budget_settle_queue.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "coordination/budget_claims.h"
 #include "coordination/budget_holder.h"
-#include "state/name_copy.h"
 
 /* Settlements gather for this long. */
 #define BATCH_INTERVAL_US BUDGET_MS(250)
@@ -33,7 +33,7 @@
 	item->code = order->basis;
 	/* Only the memory of a cancelled request needs the budget's name. */
 	if (order->basis == TGW_SETTLE_NOT_RUN)
-		name_copy(item->budget, order->budget);
+		text_copy(item->budget, TGW_NAME_SIZE, order->budget);
 }
 
 void budget_settle_queue_add(struct tgw_budget_agent *agent,
--- a/src/coordination/budget_settlement.c
+++ b/src/coordination/budget_settlement.c
@@ -7,7 +7,6 @@
 #include "coordination/budget_exchange.h"
 #include "coordination/budget_reservation.h"
 #include "coordination/budget_share.h"
-#include "state/name_copy.h"
 #include "state/request_key.h"
 
 /* Settlements on a closed line gather for this long. */
--- a/src/coordination/budget_share.c
+++ b/src/coordination/budget_share.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
-#include "state/name_copy.h"
 
 static int64_t min_tokens(int64_t a, int64_t b)
 {
@@ -99,7 +99,7 @@
 	if (share)
 		return share;
 	share = xcalloc(1, sizeof(*share));
-	name_copy(share->budget, budget);
+	text_copy(share->budget, TGW_NAME_SIZE, budget);
 	share->line = line;
 	line->shares =
 		xrealloc(line->shares, (line->share_count + 1) * sizeof(share));
--- a/src/coordination/budget_witness.c
+++ b/src/coordination/budget_witness.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/budget_share.h"
-#include "state/name_copy.h"
 
 /* A holder that its witness does not hear for this long is given up. */
 #define CLOSE_SILENT_AFTER_US BUDGET_S(10)
@@ -31,7 +31,7 @@
 	struct witness_line *record = xcalloc(1, sizeof(*record));
 
 	record->line = line;
-	name_copy(record->holder, holder);
+	text_copy(record->holder, TGW_NAME_SIZE, holder);
 	record->holder_incarnation = holder_incarnation;
 	record->epoch = epoch;
 	record->next = bucket->witnessed;
@@ -71,7 +71,7 @@
 				  (record->share_count + 1) * sizeof(*share));
 	share = &record->shares[record->share_count++];
 	memset(share, 0, sizeof(*share));
-	name_copy(share->budget, budget);
+	text_copy(share->budget, TGW_NAME_SIZE, budget);
 	return share;
 }
 
--- a/src/ctl/ctl_authority.c
+++ b/src/ctl/ctl_authority.c
@@ -7,6 +7,7 @@
 #include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "ctl/config_print.h"
+#include "state/msgpack_field.h"
 #include "state/record_reader.h"
 #include "tamarackgw/store.h"
 
@@ -176,7 +177,7 @@
 	msgpack_packer_init(&packer, value, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_uint64(&packer, OPERATORS_FORMAT);
-	record_pack_bytes(&packer, text->data, text->size);
+	msgpack_field_pack_bytes(&packer, text->data, text->size);
 	msgpack_pack_array(&packer, authority->audit_count + 1);
 	for (size_t i = 0; i < authority->audit_count; i++)
 		audit_entry_pack(&authority->audit[i], &packer);
--- a/src/state/audit_entry.c
+++ b/src/state/audit_entry.c
@@ -4,6 +4,7 @@
 #include <sodium.h>
 #include <string.h>
 
+#include "state/msgpack_field.h"
 #include "state/record_reader.h"
 
 #define AUDIT_ENTRY_FORMAT 1
@@ -16,15 +17,17 @@
 	msgpack_pack_uint64(packer, AUDIT_ENTRY_FORMAT);
 	msgpack_pack_uint64(packer, entry->sequence);
 	msgpack_pack_int64(packer, entry->wall_us);
-	record_pack_text(packer, entry->who);
-	record_pack_text(packer, entry->from);
-	record_pack_text(packer, entry->action);
-	record_pack_text(packer, entry->object);
-	record_pack_text(packer, entry->before);
-	record_pack_text(packer, entry->after);
-	record_pack_text(packer, entry->reason);
-	record_pack_bytes(packer, entry->change_digest, AUDIT_HASH_BYTES);
-	record_pack_bytes(packer, entry->previous_hash, AUDIT_HASH_BYTES);
+	msgpack_field_pack_text(packer, entry->who);
+	msgpack_field_pack_text(packer, entry->from);
+	msgpack_field_pack_text(packer, entry->action);
+	msgpack_field_pack_text(packer, entry->object);
+	msgpack_field_pack_text(packer, entry->before);
+	msgpack_field_pack_text(packer, entry->after);
+	msgpack_field_pack_text(packer, entry->reason);
+	msgpack_field_pack_bytes(packer, entry->change_digest,
+				 AUDIT_HASH_BYTES);
+	msgpack_field_pack_bytes(packer, entry->previous_hash,
+				 AUDIT_HASH_BYTES);
 }
 
 static void compute_hash(const struct audit_entry *entry,
@@ -93,7 +96,7 @@
 {
 	msgpack_pack_array(packer, AUDIT_ENTRY_FIELDS);
 	pack_covered(entry, packer);
-	record_pack_bytes(packer, entry->hash, AUDIT_HASH_BYTES);
+	msgpack_field_pack_bytes(packer, entry->hash, AUDIT_HASH_BYTES);
 }
 
 enum tgw_status audit_entry_unpack(struct audit_entry *entry,
--- a/src/state/budget_message.c
+++ b/src/state/budget_message.c
@@ -6,6 +6,7 @@
 
 #include "base/msgpack_guard.h"
 #include "base/xalloc.h"
+#include "state/msgpack_field.h"
 #include "state/wire_reader.h"
 
 struct budget_message_item *budget_message_add(struct budget_message *message)
@@ -52,12 +53,13 @@
 
 	msgpack_pack_array(packer, fields);
 	msgpack_pack_int64(packer, item->tokens);
-	wire_pack_text(packer, item->budget);
+	msgpack_field_pack_text(packer, item->budget);
 	if (fields > 2)
 		msgpack_pack_uint64(packer, item->id);
 	if (fields > 3)
-		wire_pack_bytes(packer, item->key.bytes,
-				item->has_key ? sizeof(item->key.bytes) : 0);
+		msgpack_field_pack_bytes(packer, item->key.bytes,
+					 item->has_key ? sizeof(item->key.bytes)
+						       : 0);
 	if (fields > 4)
 		msgpack_pack_int64(packer, item->other);
 	if (fields > 5)
--- a/src/state/config_change.c
+++ b/src/state/config_change.c
@@ -8,6 +8,7 @@
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "state/config_shard.h"
+#include "state/msgpack_field.h"
 #include "state/record_reader.h"
 
 #define CHANGES_MAX 200000
@@ -57,7 +58,7 @@
 static void pack_body(msgpack_packer *packer, const struct config_body *body)
 {
 	if (body->data)
-		record_pack_bytes(packer, body->data, body->size);
+		msgpack_field_pack_bytes(packer, body->data, body->size);
 	else
 		msgpack_pack_nil(packer);
 }
@@ -71,7 +72,7 @@
 
 		msgpack_pack_array(packer, 4);
 		msgpack_pack_uint64(packer, (uint64_t)change->kind);
-		record_pack_text(packer, change->name);
+		msgpack_field_pack_text(packer, change->name);
 		pack_body(packer, &change->before);
 		pack_body(packer, &change->after);
 	}
--- a/src/state/config_codec.c
+++ b/src/state/config_codec.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/xalloc.h"
+#include "state/msgpack_field.h"
 #include "state/record_reader.h"
 
 #define TEMPLATE_FORMAT 1
@@ -23,7 +24,7 @@
 {
 	msgpack_pack_array(packer, list->count);
 	for (size_t i = 0; i < list->count; i++)
-		record_pack_text(packer, list->names[i]);
+		msgpack_field_pack_text(packer, list->names[i]);
 }
 
 static void read_names(struct record_reader *reader, struct tgw_name_list *list)
@@ -50,7 +51,7 @@
 	msgpack_pack_array(packer, count);
 	for (size_t i = 0; i < count; i++) {
 		msgpack_pack_array(packer, 3);
-		record_pack_text(packer, kinds[i].name);
+		msgpack_field_pack_text(packer, kinds[i].name);
 		msgpack_pack_uint64(packer, (uint64_t)kinds[i].urgency);
 		msgpack_pack_int64(packer, kinds[i].deadline_ms);
 	}
@@ -164,12 +165,12 @@
 {
 	msgpack_pack_array(packer, 5);
 	msgpack_pack_uint64(packer, TEAM_FORMAT);
-	record_pack_text(packer, team->template_name);
-	record_pack_text(packer, team->budget);
+	msgpack_field_pack_text(packer, team->template_name);
+	msgpack_field_pack_text(packer, team->budget);
 	msgpack_pack_array(packer, team->key_count);
 	for (size_t i = 0; i < team->key_count; i++)
-		record_pack_bytes(packer, team->key_hashes[i],
-				  TGW_KEY_HASH_BYTES);
+		msgpack_field_pack_bytes(packer, team->key_hashes[i],
+					 TGW_KEY_HASH_BYTES);
 	msgpack_pack_array(packer, parameters ? 1 : 0);
 	if (parameters)
 		pack_parameters(packer, parameters);
@@ -224,11 +225,11 @@
 {
 	msgpack_pack_array(packer, 11);
 	msgpack_pack_uint64(packer, SERVER_FORMAT);
-	record_pack_text(packer, server->failure_domain);
-	record_pack_text(packer, server->url);
+	msgpack_field_pack_text(packer, server->failure_domain);
+	msgpack_field_pack_text(packer, server->url);
 	msgpack_pack_uint64(packer, (uint64_t)server->kind);
 	pack_names(packer, &server->models);
-	record_pack_text(packer, server->service);
+	msgpack_field_pack_text(packer, server->service);
 	pack_bool(packer, server->can_resume);
 	pack_bool(packer, server->can_cancel);
 	pack_bool(packer, server->checks_fencing);
@@ -268,7 +269,7 @@
 	msgpack_pack_uint64(packer, SERVICE_FORMAT);
 	msgpack_pack_array(packer, service->repeatable_count);
 	for (size_t i = 0; i < service->repeatable_count; i++)
-		record_pack_text(packer, service->repeatable[i]);
+		msgpack_field_pack_text(packer, service->repeatable[i]);
 }
 
 enum tgw_status config_unpack_service(struct tgw_service *service,
--- a/src/state/config_manifest.c
+++ b/src/state/config_manifest.c
@@ -8,6 +8,7 @@
 
 #include "base/msgpack_guard.h"
 #include "base/xalloc.h"
+#include "state/msgpack_field.h"
 #include "state/record_reader.h"
 
 #define MANIFEST_FORMAT 1
@@ -42,7 +43,8 @@
 		}
 		msgpack_pack_array(&packer, 2);
 		msgpack_pack_uint64(&packer, ref->generation);
-		record_pack_bytes(&packer, ref->digest, CONFIG_DIGEST_BYTES);
+		msgpack_field_pack_bytes(&packer, ref->digest,
+					 CONFIG_DIGEST_BYTES);
 	}
 	msgpack_pack_array(&packer, manifest->delta_count);
 	for (size_t i = 0; i < manifest->delta_count; i++)
--- a/src/state/config_message.c
+++ b/src/state/config_message.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/msgpack_guard.h"
+#include "state/msgpack_field.h"
 #include "state/record_reader.h"
 
 #define MESSAGE_FORMAT 1
@@ -17,9 +18,10 @@
 	msgpack_pack_uint64(&packer, MESSAGE_FORMAT);
 	msgpack_pack_uint64(&packer, (uint64_t)message->kind);
 	msgpack_pack_uint64(&packer, message->shard);
-	record_pack_bytes(&packer, message->digest, sizeof(message->digest));
-	record_pack_bytes(&packer, message->value ? message->value : "",
-			  message->value_size);
+	msgpack_field_pack_bytes(&packer, message->digest,
+				 sizeof(message->digest));
+	msgpack_field_pack_bytes(&packer, message->value ? message->value : "",
+				 message->value_size);
 }
 
 enum tgw_status config_message_decode(struct config_message *message,
--- a/src/state/config_shard.c
+++ b/src/state/config_shard.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "base/msgpack_guard.h"
+#include "state/msgpack_field.h"
 #include "state/record_reader.h"
 
 #define SHARD_FORMAT 1
@@ -42,8 +43,9 @@
 			continue;
 		msgpack_pack_array(&packer, 3);
 		msgpack_pack_uint64(&packer, (uint64_t)object->kind);
-		record_pack_text(&packer, object->name);
-		record_pack_bytes(&packer, object->body, object->body_size);
+		msgpack_field_pack_text(&packer, object->name);
+		msgpack_field_pack_bytes(&packer, object->body,
+					 object->body_size);
 	}
 	return count;
 }
--- a/src/state/heartbeat.c
+++ b/src/state/heartbeat.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "base/msgpack_guard.h"
+#include "state/msgpack_field.h"
 #include "state/record_reader.h"
 
 #define HEARTBEAT_FORMAT 1
@@ -87,8 +88,8 @@
 	msgpack_pack_uint64(&packer, heartbeat->config_generation);
 	msgpack_pack_uint64(&packer, heartbeat->newest_generation);
 	msgpack_pack_uint64(&packer, heartbeat->newest_name_hash);
-	record_pack_bytes(&packer, entries,
-			  heartbeat->entry_count * ENTRY_BYTES);
+	msgpack_field_pack_bytes(&packer, entries,
+				 heartbeat->entry_count * ENTRY_BYTES);
 }
 
 static void read_entries(struct record_reader *reader,
--- a/src/state/ledger_codec.c
+++ b/src/state/ledger_codec.c
@@ -6,6 +6,7 @@
 
 #include "base/msgpack_guard.h"
 #include "base/xalloc.h"
+#include "state/msgpack_field.h"
 #include "state/wire_reader.h"
 
 /* Each element takes at least a byte, so that counts can't be absurd. */
@@ -20,13 +21,13 @@
 			  const struct ledger_budget *budget)
 {
 	msgpack_pack_array(packer, 4);
-	wire_pack_text(packer, budget->name);
+	msgpack_field_pack_text(packer, budget->name);
 	msgpack_pack_int64(packer, budget->paid_in_tokens);
 	msgpack_pack_int64(packer, budget->folded_tokens);
 	msgpack_pack_array(packer, budget->top_up_count);
 	for (size_t i = 0; i < budget->top_up_count; i++) {
 		msgpack_pack_array(packer, 3);
-		wire_pack_text(packer, budget->top_ups[i].id);
+		msgpack_field_pack_text(packer, budget->top_ups[i].id);
 		msgpack_pack_int64(packer, budget->top_ups[i].tokens);
 		msgpack_pack_int64(packer, budget->top_ups[i].wall_us);
 	}
@@ -55,12 +56,12 @@
 {
 	msgpack_pack_array(packer, 12);
 	msgpack_pack_uint64(packer, line->id);
-	wire_pack_text(packer, line->host);
-	wire_pack_text(packer, line->domain);
+	msgpack_field_pack_text(packer, line->host);
+	msgpack_field_pack_text(packer, line->domain);
 	msgpack_pack_uint64(packer, line->incarnation);
 	msgpack_pack_uint64(packer, line->sequence);
 	msgpack_pack_uint8(packer, (uint8_t)line->state);
-	wire_pack_text(packer, line->witness);
+	msgpack_field_pack_text(packer, line->witness);
 	msgpack_pack_uint64(packer, line->witness_incarnation);
 	msgpack_pack_uint64(packer, line->epoch);
 	msgpack_pack_int64(packer, line->closed_wall_us);
@@ -84,7 +85,7 @@
 	msgpack_pack_array(&packer, bucket->line_count);
 	for (size_t i = 0; i < bucket->line_count; i++)
 		encode_line(&packer, &bucket->lines[i]);
-	wire_pack_bytes(&packer, bucket->audit, bucket->audit_size);
+	msgpack_field_pack_bytes(&packer, bucket->audit, bucket->audit_size);
 }
 
 static void decode_budget(struct ledger_budget *budget,
--- a/src/state/record_reader.c
+++ b/src/state/record_reader.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "state/msgpack_field.h"
+
 static const msgpack_object_array no_elements;
 
 void record_reader_open_part(struct record_reader *reader, const char *what,
@@ -67,16 +69,11 @@
 int64_t record_reader_i64(struct record_reader *reader)
 {
 	const msgpack_object *field = next_field(reader);
+	int64_t value = 0;
 
-	if (!field)
-		return 0;
-	if (field->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-		return field->via.i64;
-	if (field->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-	    field->via.u64 <= INT64_MAX)
-		return (int64_t)field->via.u64;
-	reader->status = TGW_CORRUPT;
-	return 0;
+	if (field && !msgpack_field_i64(field, &value))
+		reader->status = TGW_CORRUPT;
+	return value;
 }
 
 bool record_reader_bool(struct record_reader *reader)
@@ -89,20 +86,11 @@
 
 void record_reader_text(struct record_reader *reader, char *text, size_t size)
 {
-	const msgpack_object *field = next_typed(reader, MSGPACK_OBJECT_STR);
+	const msgpack_object *field = next_field(reader);
 
 	text[0] = '\0';
-	if (!field)
-		return;
-	if (field->via.str.size >= size ||
-	    (field->via.str.size &&
-	     memchr(field->via.str.ptr, '\0', field->via.str.size))) {
+	if (field && !msgpack_field_text(field, text, size))
 		reader->status = TGW_CORRUPT;
-		return;
-	}
-	if (field->via.str.size)
-		memcpy(text, field->via.str.ptr, field->via.str.size);
-	text[field->via.str.size] = '\0';
 }
 
 const char *record_reader_blob(struct record_reader *reader, size_t *size)
@@ -160,17 +148,3 @@
 				     reader->what, reader->next);
 	}
 }
-
-void record_pack_text(msgpack_packer *packer, const char *text)
-{
-	size_t size = strlen(text);
-
-	msgpack_pack_str(packer, size);
-	msgpack_pack_str_body(packer, text, size);
-}
-
-void record_pack_bytes(msgpack_packer *packer, const void *bytes, size_t size)
-{
-	msgpack_pack_bin(packer, size);
-	msgpack_pack_bin_body(packer, bytes, size);
-}
--- a/src/state/record_reader.h
+++ b/src/state/record_reader.h
@@ -52,8 +52,4 @@
 enum tgw_status record_reader_finish(const struct record_reader *reader,
 				     struct tgw_error *error);
 
-/** Adds a string, or a byte string, to a packer. */
-void record_pack_text(msgpack_packer *packer, const char *text);
-void record_pack_bytes(msgpack_packer *packer, const void *bytes, size_t size);
-
 #endif
--- a/src/state/wire_reader.c
+++ b/src/state/wire_reader.c
@@ -1,6 +1,6 @@
 #include "state/wire_reader.h"
 
-#include <string.h>
+#include "state/msgpack_field.h"
 
 struct wire_reader wire_reader_of(const msgpack_object *object)
 {
@@ -27,24 +27,21 @@
 uint64_t wire_reader_u64(struct wire_reader *reader)
 {
 	const msgpack_object *object = take(reader);
+	uint64_t value = 0;
 
-	if (object && object->type == MSGPACK_OBJECT_POSITIVE_INTEGER)
-		return object->via.u64;
-	reader->failed = true;
-	return 0;
+	if (!object || !msgpack_field_u64(object, &value))
+		reader->failed = true;
+	return value;
 }
 
 int64_t wire_reader_i64(struct wire_reader *reader)
 {
 	const msgpack_object *object = take(reader);
+	int64_t value = 0;
 
-	if (object && object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
-	    object->via.u64 <= INT64_MAX)
-		return (int64_t)object->via.u64;
-	if (object && object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
-		return object->via.i64;
-	reader->failed = true;
-	return 0;
+	if (!object || !msgpack_field_i64(object, &value))
+		reader->failed = true;
+	return value;
 }
 
 void wire_reader_text(struct wire_reader *reader, char *text, size_t size)
@@ -52,14 +49,8 @@
 	const msgpack_object *object = take(reader);
 
 	text[0] = '\0';
-	if (!object || object->type != MSGPACK_OBJECT_STR ||
-	    object->via.str.size >= size) {
+	if (!object || !msgpack_field_text(object, text, size))
 		reader->failed = true;
-		return;
-	}
-	if (object->via.str.size)
-		memcpy(text, object->via.str.ptr, object->via.str.size);
-	text[object->via.str.size] = '\0';
 }
 
 const uint8_t *wire_reader_bytes(struct wire_reader *reader, size_t *size)
@@ -83,14 +74,3 @@
 		reader->failed = true;
 	return inner;
 }
-
-void wire_pack_text(msgpack_packer *packer, const char *text)
-{
-	msgpack_pack_str_with_body(packer, text, strlen(text));
-}
-
-void wire_pack_bytes(msgpack_packer *packer, const void *bytes, size_t size)
-{
-	msgpack_pack_bin(packer, size);
-	msgpack_pack_bin_body(packer, bytes, size);
-}
--- a/src/state/wire_reader.h
+++ b/src/state/wire_reader.h
@@ -34,7 +34,4 @@
 /** @return a reader of the array that comes next */
 struct wire_reader wire_reader_array(struct wire_reader *reader);
 
-void wire_pack_text(msgpack_packer *packer, const char *text);
-void wire_pack_bytes(msgpack_packer *packer, const void *bytes, size_t size);
-
 #endif
--- a/tests/fakes/budget_fleet.c
+++ b/tests/fakes/budget_fleet.c
@@ -5,9 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "state/ledger_codec.h"
-#include "state/name_copy.h"
 
 #define VIEW_INTERVAL_US (INT64_C(500) * TGW_US_PER_MS)
 #define SILENT_AFTER_US (2 * TGW_US_PER_S)
@@ -84,8 +84,8 @@
 		state = state_of(host, i);
 		changed |= seen->state != state ||
 			   seen->incarnation != host->heard_incarnation[i];
-		name_copy(seen->name, other->name);
-		name_copy(seen->failure_domain, other->domain);
+		text_copy(seen->name, TGW_NAME_SIZE, other->name);
+		text_copy(seen->failure_domain, TGW_NAME_SIZE, other->domain);
 		seen->incarnation = host->heard_incarnation[i];
 		seen->state = state;
 	}
