Tell a caller whose budget is all reserved that a retry may help

Cause: a burst of 20 at once on a budget of 5,000 tokens was refused with 'top it up' and Retry-After: 1 while 1,229 tokens lay unspent with two hosts: reserved at their bounds, and free a moment later.

--- a/src/coordination/budget_entry.c
+++ b/src/coordination/budget_entry.c
@@ -78,7 +78,8 @@
 	case TGW_OK:
 		return "reserved";
 	case TGW_EXHAUSTED:
-		return "the budget has too few tokens left; top it up";
+		return "the budget has too few free tokens now; retry "
+		       "after the given time, or top it up";
 	case TGW_NOT_FOUND:
 		return "there is no such budget; top it up to create it";
 	case TGW_INVALID:
