--- a/tools/measure/control.sh
+++ b/tools/measure/control.sh
@@ -169,13 +169,13 @@
 	set xlabel "hosts"
 	set key off
 	set title "core, %"
-	plot "$by_size" using 1:3 with linespoints
+	plot "$by_size" using 1:3 with linespoints title "measured"
 	set title "resident memory, MB"
-	plot "$by_size" using 1:4 with linespoints
+	plot "$by_size" using 1:4 with linespoints title "measured"
 	set title "bytes a second"
-	plot "$by_size" using 1:5 with linespoints
+	plot "$by_size" using 1:5 with linespoints title "measured"
 	set title "store reads a second, whole fleet"
-	plot "$by_size" using 1:6 with linespoints
+	plot "$by_size" using 1:6 with linespoints title "measured"
 	END
 fi
 
