--- a/tests/unit/test_budget_domain_cut.c
+++ b/tests/unit/test_budget_domain_cut.c
@@ -26,7 +26,7 @@
 
 	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(tcase, soft_faults_leave_exact_bills, 1, 41);
-	tcase_add_loop_test(tcase, retries_are_billed_once, 1, 41);
+	tcase_add_loop_test(tcase, retries_are_billed_once, 1, 101);
 	tcase_add_loop_test(tcase, deaths_never_overspend, 1, 61);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
