--- a/include/tamarackgw/store.h
+++ b/include/tamarackgw/store.h
@@ -57,6 +57,8 @@
 	/** Changes may have been missed: read anew. Watching goes on. */
 	void (*lost)(void *arg);
 	void *arg;
+	/** The store does not answer; NULL if the owner need not know. */
+	void (*away)(void *arg);
 };
 
 struct tgw_store;
--- /dev/null
+++ b/src/coordination/backend_follower.c
@@ -0,0 +1,271 @@
+#include "coordination/backend_follower.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "base/xalloc.h"
+
+/* Entries that lapsed in an outage are back this long after its end. */
+#define LAPSE_GRACE_US (2400 * TGW_US_PER_MS)
+/* Pause before a list is read again that failed. */
+#define LIST_RETRY_US (250 * TGW_US_PER_MS)
+#define TICK_US (100 * TGW_US_PER_MS)
+
+/** An entry that is missing, but may come back. */
+struct missing {
+	char id[TGW_NAME_SIZE];
+	struct missing *next;
+};
+
+struct backend_follower {
+	char prefix[TGW_NAME_SIZE];
+	struct tgw_store *store;
+	const struct tgw_clock *clock;
+	struct backend_table *table;
+	struct backend_follower_events events;
+	uint64_t watch;
+	bool ready;
+	bool listing;
+	bool list_wanted;
+	bool away;
+	int64_t list_due_us;
+	int64_t away_us; /* last time that the store did not answer */
+	struct missing *missing;
+};
+
+static int64_t now_us(const struct backend_follower *follower)
+{
+	return tgw_clock_monotonic_us(follower->clock);
+}
+
+static const char *id_of(const struct backend_follower *follower,
+			 const char *key)
+{
+	return key + strlen(follower->prefix);
+}
+
+static void drop(struct backend_follower *follower, const char *id,
+		 const char *reason)
+{
+	if (!backend_table_find(follower->table, id))
+		return;
+	follower->events.gone(follower->events.arg, id, reason);
+	backend_table_drop(follower->table, id);
+}
+
+static bool in_grace(const struct backend_follower *follower)
+{
+	return follower->away_us &&
+	       now_us(follower) - follower->away_us < LAPSE_GRACE_US;
+}
+
+static void forget_missing(struct backend_follower *follower, const char *id)
+{
+	struct missing **at = &follower->missing;
+
+	while (*at) {
+		struct missing *missing = *at;
+
+		if (strcmp(missing->id, id)) {
+			at = &missing->next;
+			continue;
+		}
+		*at = missing->next;
+		free(missing);
+	}
+}
+
+static void on_missing(struct backend_follower *follower, const char *id)
+{
+	struct missing *missing;
+
+	if (!in_grace(follower)) {
+		drop(follower, id, "entry removed");
+		return;
+	}
+	forget_missing(follower, id);
+	missing = xcalloc(1, sizeof(*missing));
+	text_copy(missing->id, sizeof(missing->id), id);
+	missing->next = follower->missing;
+	follower->missing = missing;
+}
+
+static bool is_older(const struct backend_entry *entry,
+		     const struct backend_entry *known)
+{
+	if (entry->born_ms != known->born_ms)
+		return entry->born_ms < known->born_ms;
+	return entry->sequence < known->sequence;
+}
+
+static void on_entry(struct backend_follower *follower, const char *id,
+		     const struct tgw_store_entry *found)
+{
+	struct backend_entry entry = {0};
+	const struct backend *known;
+
+	if (!*id || strlen(id) >= sizeof(entry.id))
+		return;
+	if (!follower->events.decode(found->value, found->value_size, &entry)) {
+		drop(follower, id, "entry can't be read");
+		return;
+	}
+	text_copy(entry.id, sizeof(entry.id), id);
+	forget_missing(follower, id);
+	known = backend_table_find(follower->table, id);
+	if (known && is_older(&entry, &known->entry))
+		return;
+	if (!known || known->entry.born_ms != entry.born_ms)
+		follower->events.joined(follower->events.arg, &entry);
+	else if (entry.draining && !known->entry.draining)
+		follower->events.draining(follower->events.arg, &entry);
+	backend_table_put(follower->table, &entry);
+}
+
+static void on_answer(struct backend_follower *follower)
+{
+	if (!follower->away)
+		return;
+	follower->away = false;
+	follower->events.store_back(follower->events.arg);
+}
+
+static void on_changed(void *arg, const struct tgw_store_entry *entry)
+{
+	struct backend_follower *follower = arg;
+	const char *id = id_of(follower, entry->key);
+
+	on_answer(follower);
+	if (entry->value)
+		on_entry(follower, id, entry);
+	else
+		on_missing(follower, id);
+}
+
+static void on_away(void *arg)
+{
+	struct backend_follower *follower = arg;
+
+	follower->away_us = now_us(follower);
+	if (follower->away)
+		return;
+	follower->away = true;
+	follower->events.store_away(follower->events.arg);
+}
+
+static bool is_listed(const struct backend_follower *follower,
+		      const struct tgw_store_result *result, const char *id)
+{
+	for (size_t i = 0; i < result->entry_count; i++)
+		if (!strcmp(id_of(follower, result->entries[i].key), id))
+			return true;
+	return false;
+}
+
+static void find_missing(struct backend_follower *follower,
+			 const struct tgw_store_result *result)
+{
+	struct backend *backend = follower->table->first;
+
+	while (backend) {
+		struct backend *next = backend->next;
+
+		if (backend->listed &&
+		    !is_listed(follower, result, backend->entry.id))
+			on_missing(follower, backend->entry.id);
+		backend = next;
+	}
+}
+
+static void on_list(void *arg, const struct tgw_store_result *result)
+{
+	struct backend_follower *follower = arg;
+
+	follower->listing = false;
+	if (result->status != TGW_OK) {
+		on_away(follower);
+		follower->list_wanted = true;
+		follower->list_due_us = now_us(follower) + LIST_RETRY_US;
+		return;
+	}
+	on_answer(follower);
+	find_missing(follower, result);
+	for (size_t i = 0; i < result->entry_count; i++)
+		on_entry(follower, id_of(follower, result->entries[i].key),
+			 &result->entries[i]);
+	follower->ready = true;
+}
+
+static void on_lost(void *arg)
+{
+	struct backend_follower *follower = arg;
+
+	follower->list_wanted = true;
+	follower->list_due_us = 0;
+	backend_follower_tick(follower);
+}
+
+struct backend_follower *backend_follower_new(
+	const char *prefix, struct tgw_store *store,
+	const struct tgw_clock *clock, struct backend_table *table,
+	const struct backend_follower_events *events)
+{
+	struct backend_follower *follower = xcalloc(1, sizeof(*follower));
+	struct tgw_store_watcher watcher = {
+		.changed = on_changed,
+		.lost = on_lost,
+		.arg = follower,
+		.away = on_away,
+	};
+
+	text_copy(follower->prefix, sizeof(follower->prefix), prefix);
+	follower->store = store;
+	follower->clock = clock;
+	follower->table = table;
+	follower->events = *events;
+	follower->watch = tgw_store_watch(store, prefix, watcher);
+	return follower;
+}
+
+void backend_follower_free(struct backend_follower *follower)
+{
+	if (!follower)
+		return;
+	tgw_store_unwatch(follower->store, follower->watch);
+	while (follower->missing)
+		forget_missing(follower, follower->missing->id);
+	free(follower);
+}
+
+static void drop_missing(struct backend_follower *follower)
+{
+	while (follower->missing) {
+		char id[TGW_NAME_SIZE];
+
+		memcpy(id, follower->missing->id, sizeof(id));
+		forget_missing(follower, id);
+		drop(follower, id, "entry not back after an outage");
+	}
+}
+
+int64_t backend_follower_tick(struct backend_follower *follower)
+{
+	int64_t now = now_us(follower);
+
+	if (follower->list_wanted && !follower->listing &&
+	    now >= follower->list_due_us) {
+		follower->list_wanted = false;
+		follower->listing = true;
+		tgw_store_list(follower->store, follower->prefix,
+			       (struct tgw_store_callback){on_list, follower});
+	}
+	if (!in_grace(follower))
+		drop_missing(follower);
+	return now + TICK_US;
+}
+
+bool backend_follower_is_ready(const struct backend_follower *follower)
+{
+	return follower->ready;
+}
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -1,42 +1,16 @@
 #include "daemon/settings.h"
 
-#include <ini.h>
-#include <inttypes.h>
-#include <stddef.h>
-#include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
-enum setting_type { SETTING_TEXT, SETTING_NUMBER };
+#include "protocol/settings_table.h"
 
-/** One key of the file: where it goes, and what it may be. */
-struct setting {
-	const char *section;
-	const char *key;
-	enum setting_type type;
-	size_t offset;
-	size_t size;	  /* of a text */
-	bool required;	  /* a text that must not be empty */
-	int64_t least;	  /* of a number */
-	int64_t most;	  /* of a number */
-	int64_t standard; /* of a number */
-	const char *help;
-};
-
-#define TEXT(section, key, field, required, help)                              \
-	{                                                                      \
-		section, key, SETTING_TEXT, offsetof(struct settings, field),  \
-			sizeof(((struct settings *)0)->field), required, 0, 0, \
-			0, help                                                \
-	}
-#define NUMBER(section, key, field, least, most, standard, help)           \
-	{                                                                  \
-		section, key, SETTING_NUMBER,                              \
-			offsetof(struct settings, field), 0, false, least, \
-			most, standard, help                               \
-	}
+#define TEXT(section, key, field, required, help) \
+	SETTING_TEXT_ENTRY(struct settings, section, key, field, required, help)
+#define NUMBER(section, key, field, least, most, standard, help)          \
+	SETTING_NUMBER_ENTRY(struct settings, section, key, field, least, \
+			     most, standard, help)
 
-static const struct setting table[] = {
+static const struct setting entries[] = {
 	TEXT("host", "name", name, true, "this host's name in the fleet"),
 	TEXT("host", "failure_domain", failure_domain, true,
 	     "the failure domain that this host stands in"),
@@ -108,142 +82,21 @@
 	TEXT("log", "level", log_level, true, "error, warning, info or debug"),
 };
 
-#define SETTING_COUNT (sizeof(table) / sizeof(table[0]))
-#define DEFAULT_LOG_LEVEL "info"
-
-static char *text_of(const struct settings *settings,
-		     const struct setting *setting)
-{
-	return (char *)settings + setting->offset;
-}
+static const struct settings_table table = {
+	.settings = entries,
+	.count = sizeof(entries) / sizeof(entries[0]),
+	.hint = "no such setting; see tamarackgwd --print-settings",
+};
 
-static int64_t *number_of(const struct settings *settings,
-			  const struct setting *setting)
-{
-	return (int64_t *)(void *)((char *)settings + setting->offset);
-}
+#define DEFAULT_LOG_LEVEL "info"
 
 void settings_set_defaults(struct settings *settings)
 {
 	memset(settings, 0, sizeof(*settings));
-	for (size_t i = 0; i < SETTING_COUNT; i++)
-		if (table[i].type == SETTING_NUMBER)
-			*number_of(settings, &table[i]) = table[i].standard;
+	settings_table_set_defaults(&table, settings);
 	strcpy(settings->log_level, DEFAULT_LOG_LEVEL);
 }
 
-/** A file being read; the library tells no line numbers. */
-struct reading {
-	struct settings *settings;
-	struct tgw_error *error;
-	const char *path;
-	FILE *file;
-	int line;
-	bool seen[SETTING_COUNT];
-};
-
-static char *read_line(char *text, int size, void *arg)
-{
-	struct reading *reading = arg;
-	char *line = fgets(text, size, reading->file);
-
-	if (line)
-		reading->line++;
-	return line;
-}
-
-static int refuse(struct reading *reading, const char *section, const char *key,
-		  const char *remedy)
-{
-	if (reading->error->status == TGW_OK)
-		tgw_error_set(reading->error, TGW_INVALID, "%s:%d: [%s] %s: %s",
-			      reading->path, reading->line, section, key,
-			      remedy);
-	return 0;
-}
-
-static int take_number(struct reading *reading, const struct setting *setting,
-		       const char *value)
-{
-	char remedy[160];
-	char *end = NULL;
-	long long number = strtoll(value, &end, 10);
-
-	if (end == value || *end || number < setting->least ||
-	    number > setting->most) {
-		snprintf(remedy, sizeof(remedy),
-			 "'%.40s' is not a number from %" PRId64 " to %" PRId64
-			 "; correct it or leave the key out for %" PRId64,
-			 value, setting->least, setting->most,
-			 setting->standard);
-		return refuse(reading, setting->section, setting->key, remedy);
-	}
-	*number_of(reading->settings, setting) = number;
-	return 1;
-}
-
-static int take_text(struct reading *reading, const struct setting *setting,
-		     const char *value)
-{
-	char remedy[160];
-
-	if (strlen(value) >= setting->size) {
-		snprintf(remedy, sizeof(remedy),
-			 "longer than %zu characters; shorten it",
-			 setting->size - 1);
-		return refuse(reading, setting->section, setting->key, remedy);
-	}
-	memcpy(text_of(reading->settings, setting), value, strlen(value) + 1);
-	return 1;
-}
-
-static int take_value(void *arg, const char *section, const char *key,
-		      const char *value)
-{
-	struct reading *reading = arg;
-
-	for (size_t i = 0; i < SETTING_COUNT; i++) {
-		const struct setting *setting = &table[i];
-
-		if (strcmp(setting->section, section) ||
-		    strcmp(setting->key, key))
-			continue;
-		if (reading->seen[i])
-			return refuse(reading, section, key,
-				      "given twice; remove one");
-		reading->seen[i] = true;
-		if (setting->type == SETTING_NUMBER)
-			return take_number(reading, setting, value);
-		return take_text(reading, setting, value);
-	}
-	return refuse(reading, section, key,
-		      "no such setting; see tamarackgwd --print-settings");
-}
-
-static enum tgw_status require_texts(const struct settings *settings,
-				     const char *path, struct tgw_error *error)
-{
-	for (size_t i = 0; i < SETTING_COUNT; i++)
-		if (table[i].required && !*text_of(settings, &table[i]))
-			return tgw_error_set(error, TGW_INVALID,
-					     "%s: [%s] %s is missing; give %s",
-					     path, table[i].section,
-					     table[i].key, table[i].help);
-	return TGW_OK;
-}
-
-static bool is_address(const char *text)
-{
-	const char *colon = strrchr(text, ':');
-	char *end = NULL;
-	long port;
-
-	if (!colon || colon == text)
-		return false;
-	port = strtol(colon + 1, &end, 10);
-	return end != colon + 1 && !*end && port >= 0 && port <= UINT16_MAX;
-}
-
 static bool is_log_level(const char *name)
 {
 	static const char *const levels[] = {"error", "warning", "info",
@@ -258,8 +111,8 @@
 static enum tgw_status check_together(const struct settings *settings,
 				      const char *path, struct tgw_error *error)
 {
-	if (!is_address(settings->caller_address) ||
-	    !is_address(settings->peer_address))
+	if (!settings_is_address(settings->caller_address) ||
+	    !settings_is_address(settings->peer_address))
 		return tgw_error_set(error, TGW_INVALID,
 				     "%s: [host] caller_address and "
 				     "peer_address need the form IP:PORT",
@@ -291,54 +144,13 @@
 enum tgw_status settings_read(struct settings *settings, const char *path,
 			      struct tgw_error *error)
 {
-	struct reading reading = {
-		.settings = settings,
-		.error = error,
-		.path = path,
-	};
-	int bad_line;
-
-	tgw_error_clear(error);
 	settings_set_defaults(settings);
-	reading.file = fopen(path, "r");
-	if (!reading.file)
-		return tgw_error_set(error, TGW_NOT_FOUND,
-				     "%s: can't be read; check the path and "
-				     "its mode",
-				     path);
-	bad_line = ini_parse_stream(read_line, &reading, take_value, &reading);
-	fclose(reading.file);
-	if (error->status != TGW_OK)
-		return error->status;
-	if (bad_line)
-		return tgw_error_set(error, TGW_INVALID,
-				     "%s:%d: not of the form key = value", path,
-				     bad_line);
-	if (require_texts(settings, path, error) != TGW_OK)
+	if (settings_table_read(&table, settings, path, error) != TGW_OK)
 		return error->status;
 	return check_together(settings, path, error);
 }
 
 void settings_print(const struct settings *settings)
 {
-	const char *section = "";
-
-	for (size_t i = 0; i < SETTING_COUNT; i++) {
-		const struct setting *setting = &table[i];
-
-		if (strcmp(section, setting->section))
-			printf("%s[%s]\n", *section ? "\n" : "",
-			       setting->section);
-		section = setting->section;
-		printf("; %s\n", setting->help);
-		if (setting->type == SETTING_TEXT)
-			printf("%s =%s%s\n", setting->key,
-			       *text_of(settings, setting) ? " " : "",
-			       text_of(settings, setting));
-		else
-			printf("; %" PRId64 " to %" PRId64 "\n%s = %" PRId64
-			       "\n",
-			       setting->least, setting->most, setting->key,
-			       *number_of(settings, setting));
-	}
+	settings_table_print(&table, settings);
 }
--- /dev/null
+++ b/src/edge/call.c
@@ -0,0 +1,404 @@
+#include "edge/call.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "base/xalloc.h"
+#include "edge/call_private.h"
+
+/* Longest wait for an allotment while the store answers. */
+#define TOKENS_WAIT_US (400 * TGW_US_PER_MS)
+/* When a caller may come back that was refused for lack of ... */
+#define RETRY_CONFIG_MS 500
+#define RETRY_TOKENS_MS 600
+/* Used where neither the caller nor the route names a time. */
+#define TIMEOUT_MS 30000
+
+static const char *outcome_name(const struct call *call)
+{
+	return call->caller ? "done" : "caller_left";
+}
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	struct call *call = handle->data;
+
+	buffer_free(&call->fields);
+	buffer_free(&call->body);
+	buffer_free(&call->partial);
+	free(call);
+}
+
+static int64_t spent_tokens(const struct call *call)
+{
+	int64_t output = (int64_t)call->events_sent * call->route.event_tokens;
+
+	if (!call->may_have_run && !call->events_sent)
+		return 0;
+	if (output > call->terms.output_tokens)
+		output = call->terms.output_tokens;
+	return call->terms.input_tokens + output;
+}
+
+void call_end(struct call *call)
+{
+	struct edge *edge = call->edge;
+
+	if (call->ended)
+		return;
+	call->ended = true;
+	call_drop_attempt(call);
+	if (call->reserved_tokens)
+		team_budget_settle(edge->budgets, call->team,
+				   call->reserved_tokens, spent_tokens(call));
+	if (call->previous)
+		call->previous->next = call->next;
+	else
+		edge->calls = call->next;
+	if (call->next)
+		call->next->previous = call->previous;
+	edge->call_count--;
+	uv_close((uv_handle_t *)&call->timer, on_timer_closed);
+}
+
+static void answer_refusal(struct edge *edge, struct caller_conn *conn,
+			   int status, int64_t retry_after_ms,
+			   const char *reason)
+{
+	struct buffer fields = {0};
+	struct buffer body = {0};
+
+	buffer_add_format(&body, "{\"error\":\"%s\"}\n", reason);
+	buffer_add_text(&fields, "Content-Type: application/json\r\n");
+	edge->sources.dialect->write_refusal(&fields, retry_after_ms);
+	caller_conn_answer(conn, status, &fields, (int64_t)body.size,
+			   edge->stopping);
+	caller_conn_body(conn, body.data, body.size);
+	conn->call = NULL;
+	caller_conn_finish(conn);
+	buffer_free(&fields);
+	buffer_free(&body);
+}
+
+static void log_refusal(struct call *call, int status, int64_t retry_after_ms,
+			const char *reason)
+{
+	struct edge *edge = call->edge;
+
+	edge_log_line(
+		&edge->log, EDGE_LOG_NOTICE, "call", "refused",
+		"request=%s team=%s route=%s status=%d reason=\"%s\" "
+		"attempts=%u may_have_run=%d events=%llu retry_after_ms=%lld "
+		"age_ms=%lld caller=%s",
+		call->terms.id, call->team, call->route.name, status, reason,
+		call->sent_count, call->may_have_run,
+		(unsigned long long)call->events_sent,
+		(long long)retry_after_ms,
+		(long long)((edge_now_us() - call->arrived_us) / TGW_US_PER_MS),
+		outcome_name(call));
+}
+
+void call_refuse(struct call *call, int status, int64_t retry_after_ms,
+		 const char *reason)
+{
+	struct caller_conn *caller = call->caller;
+	bool head_sent = call->head_sent;
+	struct edge *edge = call->edge;
+
+	log_refusal(call, status, retry_after_ms, reason);
+	edge->counters.refused++;
+	call_end(call);
+	if (!caller)
+		return;
+	if (head_sent) {
+		caller->call = NULL;
+		caller_conn_abort(caller);
+		return;
+	}
+	answer_refusal(edge, caller, status, retry_after_ms, reason);
+}
+
+void call_give_up(struct call *call, const char *reason)
+{
+	if (call->may_have_run)
+		call_refuse(call, 504, 0, reason);
+	else
+		call_refuse(call, 503, RETRY_CONFIG_MS, reason);
+}
+
+static void give_up_on_time(struct call *call)
+{
+	if (call->conn && call->conn->sent)
+		call->may_have_run = true;
+	if (call->backend)
+		backend_judge(call->backend, BACKEND_SILENT, edge_now_us());
+	call_give_up(call, "the time of the request is up");
+}
+
+static void reserve_and_dispatch(struct call *call)
+{
+	struct edge *edge = call->edge;
+	int64_t tokens = call->terms.input_tokens + call->terms.output_tokens;
+	enum tgw_status status;
+
+	if (!*call->team || !tokens) {
+		call_dispatch(call);
+		return;
+	}
+	status = team_budget_reserve(edge->budgets, call->team, tokens);
+	switch (status) {
+	case TGW_OK:
+		call->waits_for_tokens = false;
+		call->reserved_tokens = tokens;
+		call_dispatch(call);
+		return;
+	case TGW_NOT_FOUND:
+		call->waits_for_tokens = false;
+		call_dispatch(call);
+		return;
+	case TGW_EXHAUSTED:
+		edge->counters.budget_refused++;
+		call_refuse(call, 402, 0,
+			    "the team's budget can't pay the request; top up");
+		return;
+	case TGW_BUSY:
+		if (call->waits_for_tokens)
+			return;
+		call->waits_for_tokens = true;
+		call->tokens_until_us = edge_now_us() + TOKENS_WAIT_US;
+		call_schedule(call);
+		team_budget_tick(edge->budgets);
+		return;
+	default:
+		edge->counters.budget_refused++;
+		call_refuse(call, 503, RETRY_TOKENS_MS,
+			    "no allotment left here while the store is away");
+		return;
+	}
+}
+
+void call_retry_waiting(struct edge *edge)
+{
+	struct call *call = edge->calls;
+
+	while (call) {
+		struct call *next = call->next;
+
+		if (call->waits_for_tokens)
+			reserve_and_dispatch(call);
+		call = next;
+	}
+}
+
+static void copy_route(struct call *call, const struct route_set *set,
+		       const struct route *route,
+		       const struct route_service *service)
+{
+	struct call_route *copy = &call->route;
+
+	text_copy(copy->name, sizeof(copy->name), route->name);
+	text_copy(copy->service, sizeof(copy->service), service->name);
+	copy->kind = route->kind;
+	copy->max_attempts = route->max_attempts;
+	copy->timeout_ms = route->timeout_ms;
+	copy->target_latency_ms = route->target_latency_ms;
+	copy->priority = route->priority;
+	copy->affinity = route->affinity;
+	copy->is_model = service->is_engine;
+	copy->event_tokens = service->event_tokens;
+}
+
+static int64_t time_allowed_ms(const struct call *call)
+{
+	int64_t allowed_ms = call->route.timeout_ms;
+
+	if (allowed_ms <= 0)
+		allowed_ms = TIMEOUT_MS;
+	if (call->terms.deadline_ms > 0 && call->terms.deadline_ms < allowed_ms)
+		allowed_ms = call->terms.deadline_ms;
+	return allowed_ms;
+}
+
+static struct call *new_call(struct edge *edge, struct caller_conn *conn)
+{
+	struct call *call = xcalloc(1, sizeof(*call));
+
+	call->edge = edge;
+	call->caller = conn;
+	call->arrived_us = conn->request.arrived_us;
+	event_scan_init(&call->events);
+	uv_timer_init(edge->loop, &call->timer);
+	call->timer.data = call;
+	call->next = edge->calls;
+	if (call->next)
+		call->next->previous = call;
+	edge->calls = call;
+	edge->call_count++;
+	return call;
+}
+
+static const struct route *find_route(const struct route_set *set,
+				      const struct caller_request *request)
+{
+	const char *host = http_head_find(&request->head, "Host");
+
+	if (!host || !request->target.size)
+		return NULL;
+	return route_set_find(set, host, request->target.data);
+}
+
+void call_start(struct edge *edge, struct caller_conn *conn)
+{
+	const struct route_set *set = route_follower_set(edge->route_follower);
+	const struct route *route;
+	struct call_terms terms;
+	struct call *call;
+	int service;
+	int team = -1;
+
+	edge->counters.requests++;
+	if (!set) {
+		answer_refusal(edge, conn, 503, RETRY_CONFIG_MS,
+			       "no configuration is known here yet");
+		return;
+	}
+	route = find_route(set, &conn->request);
+	if (!route) {
+		answer_refusal(edge, conn, 404, 0, "no route leads there");
+		return;
+	}
+	edge->sources.dialect->read_request(&conn->request.head, &terms);
+	if (set->needs_keys && !route->is_public) {
+		team = route_set_team_of_key(set, terms.key);
+		if (team < 0) {
+			answer_refusal(edge, conn, 401, 0,
+				       "the API key is not known");
+			return;
+		}
+	}
+	service = route_choose_service(route, tgw_random_u64(&edge->random));
+	if (service < 0) {
+		answer_refusal(edge, conn, 503, RETRY_CONFIG_MS,
+			       "the route leads to no service");
+		return;
+	}
+	call = new_call(edge, conn);
+	conn->call = call;
+	call->terms = terms;
+	copy_route(call, set, route, &set->services[service]);
+	if (team >= 0) {
+		text_copy(call->team, sizeof(call->team),
+			  set->teams[team].name);
+		if (set->teams[team].priority != ROUTE_TEAM_NO_PRIORITY)
+			call->route.priority = set->teams[team].priority;
+	}
+	call->end_us = call->arrived_us + time_allowed_ms(call) * TGW_US_PER_MS;
+	retry_budget_on_first_attempt(edge_retries(edge, call->route.service));
+	reserve_and_dispatch(call);
+}
+
+void call_caller_gone(struct call *call)
+{
+	call->caller->call = NULL;
+	call->caller = NULL;
+	call->edge->counters.caller_left++;
+	/* A call that may not be repeated is seen through once it was sent:
+	 * its effect counts, not its answer. */
+	if (call->route.kind == ROUTE_UNSAFE && call->conn && call->conn->sent)
+		return;
+	if (call->conn && call->conn->sent)
+		call->may_have_run = true;
+	call_end(call);
+}
+
+void call_caller_drained(struct call *call)
+{
+	if (!call->source_paused || !call->conn)
+		return;
+	call->source_paused = false;
+	http_conn_resume(call->conn);
+}
+
+static void on_timer(uv_timer_t *timer);
+
+/* Repeatable requests wait this long for a silent server: a part of their
+ * time, so that another server still has the rest. */
+#define SILENCE_PART 3
+#define SILENCE_LEAST_US (150 * TGW_US_PER_MS)
+#define SILENCE_MOST_US (1500 * TGW_US_PER_MS)
+/* Longest wait for a connection to a server. */
+#define CONNECT_LIMIT_US (250 * TGW_US_PER_MS)
+
+static int64_t silence_limit_us(const struct call *call)
+{
+	int64_t limit_us = (call->end_us - call->arrived_us) / SILENCE_PART;
+
+	if (limit_us < SILENCE_LEAST_US)
+		limit_us = SILENCE_LEAST_US;
+	return limit_us > SILENCE_MOST_US ? SILENCE_MOST_US : limit_us;
+}
+
+static int64_t attempt_due_us(const struct call *call)
+{
+	int64_t due_us;
+
+	if (!call->conn)
+		return call->end_us;
+	if (!call->conn->connected)
+		return call->attempt_us + CONNECT_LIMIT_US;
+	if (!call_may_repeat(call) ||
+	    call->sent_count >= call->route.max_attempts)
+		return call->end_us;
+	due_us = call->heard_us + silence_limit_us(call);
+	return due_us < call->end_us ? due_us : call->end_us;
+}
+
+void call_schedule(struct call *call)
+{
+	int64_t due_us = call->waits_for_tokens ? call->tokens_until_us
+						: attempt_due_us(call);
+	int64_t left_us;
+
+	if (due_us > call->end_us)
+		due_us = call->end_us;
+	left_us = due_us - edge_now_us();
+	if (left_us < 0)
+		left_us = 0;
+	uv_timer_start(
+		&call->timer, on_timer,
+		(uint64_t)((left_us + TGW_US_PER_MS - 1) / TGW_US_PER_MS), 0);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct call *call = timer->data;
+	int64_t now_us = edge_now_us();
+
+	if (call->ended)
+		return;
+	if (now_us >= call->end_us) {
+		give_up_on_time(call);
+		return;
+	}
+	if (call->waits_for_tokens) {
+		if (now_us < call->tokens_until_us) {
+			call_schedule(call);
+			return;
+		}
+		call->edge->counters.budget_refused++;
+		call_refuse(call, 503, RETRY_TOKENS_MS,
+			    "other hosts hold what is left of the budget");
+		return;
+	}
+	if (now_us < attempt_due_us(call) || !call->conn) {
+		call_schedule(call);
+		return;
+	}
+	if (!call->conn->connected)
+		call_attempt_failed(call, BACKEND_UNREACHED,
+				    "the server can't be reached");
+	else
+		call_attempt_failed(call, BACKEND_SILENT,
+				    "the server is silent");
+}
--- /dev/null
+++ b/src/edge/call_answer.c
@@ -0,0 +1,206 @@
+#include <string.h>
+
+#include "edge/backend_pool.h"
+#include "edge/call_private.h"
+
+/* Larger answers are passed on as they come, which rules a retry out. */
+#define COLLECT_MAX_BYTES (256 * 1024)
+
+static void copy_fields(struct call *call, const struct http_head *head)
+{
+	buffer_clear(&call->fields);
+	for (size_t i = 0; i < head->count; i++) {
+		const char *name = http_head_name(head, i);
+
+		if (http_head_is_hop_field(head, name))
+			continue;
+		buffer_add_text(&call->fields, name);
+		buffer_add_text(&call->fields, ": ");
+		buffer_add_text(&call->fields, http_head_value(head, i));
+		buffer_add_text(&call->fields, "\r\n");
+	}
+}
+
+static void begin_relay(struct call *call)
+{
+	call->relaying = true;
+	if (call->head_sent || !call->caller)
+		return;
+	call->head_sent = true;
+	caller_conn_answer(call->caller, call->status, &call->fields,
+			   CALLER_LENGTH_UNKNOWN, call->edge->stopping);
+}
+
+static bool is_success(int status)
+{
+	return status >= 200 && status < 300;
+}
+
+static enum http_conn_verdict on_head(struct http_conn *conn)
+{
+	struct call *call = conn->arg;
+	struct edge *edge = call->edge;
+
+	edge->sources.dialect->read_answer(&conn->head, conn->status,
+					   call->terms.id, &call->answer);
+	if (call->answer.other_request)
+		return HTTP_CONN_DISCARD;
+	call->status = conn->status;
+	call->heard_us = edge_now_us();
+	if (call->answer.has_load)
+		backend_report(call->backend, &call->answer.load,
+			       call->heard_us);
+	if (is_success(conn->status) && !call->answer.signed_answer) {
+		call_attempt_failed(call, BACKEND_BROKEN,
+				    "the answer bears no signature");
+		return HTTP_CONN_TAKE;
+	}
+	/* A resumed stream keeps the head of its first server. */
+	if (!call->head_sent)
+		copy_fields(call, &conn->head);
+	if (is_success(conn->status) && call_is_stream(call))
+		begin_relay(call);
+	return HTTP_CONN_TAKE;
+}
+
+static void pass_on(struct call *call, const char *data, size_t size)
+{
+	if (!call->caller || !size)
+		return;
+	if (caller_conn_body(call->caller, data, size) || call->source_paused)
+		return;
+	call->source_paused = true;
+	http_conn_pause(call->conn);
+}
+
+/* Of a stream that may be resumed only whole events go out, so that another
+ * server can go on behind the last one. */
+static void relay_events(struct call *call, const char *data, size_t size)
+{
+	uint64_t before = call->events.events;
+	size_t complete = event_scan_feed(&call->events, data, size);
+
+	call->events_sent += call->events.events - before;
+	if (call->route.kind != ROUTE_RESUMABLE) {
+		pass_on(call, data, size);
+		return;
+	}
+	if (complete && call->partial.size) {
+		buffer_add(&call->partial, data, complete);
+		pass_on(call, call->partial.data, call->partial.size);
+		buffer_clear(&call->partial);
+	} else if (complete) {
+		pass_on(call, data, complete);
+	}
+	buffer_add(&call->partial, data + complete, size - complete);
+}
+
+static void on_body(struct http_conn *conn, const char *data, size_t size)
+{
+	struct call *call = conn->arg;
+
+	call->heard_us = edge_now_us();
+	if (call->relaying && call_is_stream(call)) {
+		relay_events(call, data, size);
+		return;
+	}
+	if (!call->relaying && call->body.size + size <= COLLECT_MAX_BYTES) {
+		buffer_add(&call->body, data, size);
+		return;
+	}
+	begin_relay(call);
+	pass_on(call, call->body.data, call->body.size);
+	buffer_clear(&call->body);
+	pass_on(call, data, size);
+}
+
+static void release_conn(struct call *call)
+{
+	struct http_conn *conn = call->conn;
+	struct backend *backend = call->backend;
+
+	backend_pool_keep(backend, conn, edge_now_us());
+	call->conn = NULL;
+	call->backend = NULL;
+	backend_end(&call->edge->backends, backend);
+}
+
+static void finish(struct call *call)
+{
+	struct caller_conn *caller = call->caller;
+	struct edge *edge = call->edge;
+
+	call->may_have_run = true;
+	release_conn(call);
+	edge->counters.answered++;
+	if (caller && !call->head_sent) {
+		caller_conn_answer(caller, call->status, &call->fields,
+				   (int64_t)call->body.size, edge->stopping);
+		caller_conn_body(caller, call->body.data, call->body.size);
+	}
+	call_end(call);
+	if (!caller)
+		return;
+	caller->call = NULL;
+	caller_conn_finish(caller);
+}
+
+/* A stream that its server ended in the middle of an event is not whole. */
+static bool ends_midway(const struct call *call)
+{
+	return call->relaying && call_is_stream(call) && call->events.in_event;
+}
+
+static void on_complete(struct http_conn *conn)
+{
+	struct call *call = conn->arg;
+	bool failed = call->status >= 500;
+
+	if (call->answer.mistaken) {
+		call_attempt_failed(call, BACKEND_MISTAKEN,
+				    "another server has the address");
+		return;
+	}
+	if (call->answer.not_run) {
+		call_attempt_failed(call, BACKEND_REJECTED,
+				    "the server did not take the request");
+		return;
+	}
+	if (ends_midway(call)) {
+		call_attempt_failed(call, BACKEND_BROKEN,
+				    "the stream ended within an event");
+		return;
+	}
+	if (failed && call_repeat_failed(call))
+		return;
+	if (call->head_sent && !is_success(call->status)) {
+		call_attempt_failed(call, BACKEND_FAILED,
+				    "the server refused to go on");
+		return;
+	}
+	backend_judge(call->backend, failed ? BACKEND_FAILED : BACKEND_SERVED,
+		      edge_now_us());
+	finish(call);
+}
+
+static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
+{
+	struct call *call = conn->arg;
+
+	if (fault == HTTP_CONN_NOT_CONNECTED)
+		call_attempt_failed(call, BACKEND_UNREACHED,
+				    "the server can't be reached");
+	else if (fault == HTTP_CONN_GARBLED)
+		call_attempt_failed(call, BACKEND_BROKEN,
+				    "the answer can't be read");
+	else
+		call_attempt_failed(call, BACKEND_BROKEN,
+				    "the server broke the connection off");
+}
+
+const struct http_conn_events call_answer_events = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+	.broken = on_broken,
+};
--- /dev/null
+++ b/src/edge/call_attempt.c
@@ -0,0 +1,239 @@
+#include <string.h>
+#include <strings.h>
+
+#include "edge/backend_pool.h"
+#include "edge/call_private.h"
+#include "state/placement.h"
+
+/* When a caller may come back that found no server, or only full ones. */
+#define RETRY_NO_SERVER_MS 400
+#define RETRY_FULL_MS 80
+/* With less time than this left, another attempt is of no use. */
+#define ATTEMPT_LEAST_US (30 * TGW_US_PER_MS)
+
+#define FIELD_RESUME "Last-Event-Id"
+
+static void add_caller_fields(const struct call *call, struct buffer *head,
+			      int64_t last_event_id)
+{
+	const struct http_head *fields = &call->caller->request.head;
+	const struct call_dialect *dialect = call->edge->sources.dialect;
+
+	for (size_t i = 0; i < fields->count; i++) {
+		const char *name = http_head_name(fields, i);
+
+		if (http_head_is_hop_field(fields, name) ||
+		    !dialect->passes_on(name))
+			continue;
+		if (last_event_id >= 0 && !strcasecmp(name, FIELD_RESUME))
+			continue;
+		buffer_add_text(head, name);
+		buffer_add_text(head, ": ");
+		buffer_add_text(head, http_head_value(fields, i));
+		buffer_add_text(head, "\r\n");
+	}
+}
+
+static void add_length(const struct caller_request *request,
+		       struct buffer *head)
+{
+	if (request->body.size ||
+	    http_head_find(&request->head, "Content-Length") ||
+	    http_head_find(&request->head, "Transfer-Encoding"))
+		buffer_add_format(head, "Content-Length: %zu\r\n",
+				  request->body.size);
+}
+
+static int64_t left_ms(const struct call *call)
+{
+	int64_t left_us;
+
+	if (call->terms.deadline_ms <= 0)
+		return 0;
+	left_us = call->arrived_us + call->terms.deadline_ms * TGW_US_PER_MS -
+		  edge_now_us();
+	return left_us > TGW_US_PER_MS ? left_us / TGW_US_PER_MS : 1;
+}
+
+static void write_head(const struct call *call, struct buffer *head)
+{
+	const struct caller_request *request = &call->caller->request;
+	struct attempt_terms terms = {
+		.server_id = call->backend->entry.id,
+		.team = *call->team ? call->team : NULL,
+		.left_ms = left_ms(call),
+		.urgency = call->route.priority,
+		.is_model = call->route.is_model,
+		.last_event_id = call->events_sent ? call->events.last_id
+						   : EVENT_SCAN_NO_ID,
+	};
+
+	buffer_add_format(head, "%s %s HTTP/1.1\r\n", request->method,
+			  request->target.data);
+	add_caller_fields(call, head, terms.last_event_id);
+	call->edge->sources.dialect->write_attempt(head, &terms);
+	add_length(request, head);
+	buffer_add_text(head, "\r\n");
+}
+
+static void send_attempt(struct call *call)
+{
+	struct edge *edge = call->edge;
+	struct buffer head = {0};
+	int64_t now_us = edge_now_us();
+
+	if (call->tried_count < CALL_TRIED_MAX)
+		call->tried[call->tried_count++] = call->backend;
+	call->conn = backend_pool_take(edge->loop, call->backend, now_us);
+	if (!call->conn) {
+		call_attempt_failed(call, BACKEND_UNREACHED,
+				    "the server's address can't be used");
+		return;
+	}
+	backend_begin(call->backend);
+	call->sent_count++;
+	call->attempt_us = now_us;
+	call->heard_us = now_us;
+	call->relaying = false;
+	buffer_clear(&call->body);
+	write_head(call, &head);
+	call->conn->ignore_body = !strcmp(call->caller->request.method, "HEAD");
+	http_conn_send(call->conn, &call_answer_events, call, &head,
+		       &call->caller->request.body);
+	buffer_free(&head);
+	call_schedule(call);
+}
+
+static void refuse_unplaced(struct call *call, enum placement_result result)
+{
+	if (call->head_sent || call->may_have_run)
+		call_refuse(call, 502, 0, "no server is left to go on at");
+	else if (result == PLACEMENT_ALL_FULL)
+		call_refuse(call, 503, RETRY_FULL_MS, "all servers are full");
+	else if (result == PLACEMENT_ALL_TRIED)
+		call_refuse(call, 503, RETRY_FULL_MS,
+			    "no server took the request");
+	else
+		call_refuse(call, 503, RETRY_NO_SERVER_MS,
+			    "the service has no server");
+}
+
+void call_dispatch(struct call *call)
+{
+	struct edge *edge = call->edge;
+	struct placement_request request = {
+		.service = call->route.service,
+		.failure_domain = edge->settings->failure_domain,
+		.affinity = call->route.affinity ? call->terms.shared_parts : 0,
+		.draw = tgw_random_u64(&edge->random),
+		.tried = call->tried,
+		.tried_count = call->tried_count,
+		.now_us = edge_now_us(),
+	};
+	enum placement_result result;
+
+	if (request.now_us >= call->end_us) {
+		call_give_up(call, "the time of the request is up");
+		return;
+	}
+	result = placement_choose(&edge->backends, &request, &call->backend);
+	if (result != PLACEMENT_FOUND) {
+		refuse_unplaced(call, result);
+		return;
+	}
+	send_attempt(call);
+}
+
+void call_drop_attempt(struct call *call)
+{
+	struct backend *backend = call->backend;
+
+	if (call->conn) {
+		/* A connection whose answer is whole closes itself if it
+		 * can't be kept. */
+		if (call->conn->state == HTTP_CONN_IDLE)
+			backend_pool_keep(backend, call->conn, edge_now_us());
+		else
+			http_conn_close(call->conn);
+		call->conn = NULL;
+		backend_end(&call->edge->backends, backend);
+	}
+	call->backend = NULL;
+	call->source_paused = false;
+}
+
+/* A further attempt that a server may count as a repeat. */
+static bool may_send_again(struct call *call)
+{
+	struct edge *edge = call->edge;
+	int64_t now_us = edge_now_us();
+
+	if (!call->caller || call->sent_count >= call->route.max_attempts ||
+	    call->end_us - now_us < ATTEMPT_LEAST_US)
+		return false;
+	if (!retry_budget_take(edge_retries(edge, call->route.service), now_us))
+		return false;
+	edge->counters.retries++;
+	return true;
+}
+
+static void log_failed(struct call *call, const char *reason)
+{
+	edge_log_line(&call->edge->log, EDGE_LOG_NOTICE, "call",
+		      "attempt_failed",
+		      "request=%s server=%s reason=\"%s\" sent=%d events=%llu "
+		      "attempt=%u age_ms=%lld",
+		      call->terms.id, call->backend->entry.id, reason,
+		      call->conn && call->conn->sent,
+		      (unsigned long long)call->events_sent, call->sent_count,
+		      (long long)((edge_now_us() - call->attempt_us) /
+				  TGW_US_PER_MS));
+}
+
+void call_attempt_failed(struct call *call, enum backend_outcome outcome,
+			 const char *reason)
+{
+	bool sent = call->conn && call->conn->sent;
+	bool ran = sent && outcome != BACKEND_REJECTED &&
+		   outcome != BACKEND_MISTAKEN;
+
+	log_failed(call, reason);
+	backend_judge(call->backend, outcome, edge_now_us());
+	if (ran)
+		call->may_have_run = true;
+	else if (outcome != BACKEND_REJECTED && call->sent_count)
+		call->sent_count--;
+	call_drop_attempt(call);
+	event_scan_drop_partial(&call->events);
+	buffer_clear(&call->partial);
+	if (!call->caller) {
+		call_end(call);
+		return;
+	}
+	if (!ran && outcome != BACKEND_REJECTED) {
+		call_dispatch(call);
+		return;
+	}
+	if ((!ran || call_may_repeat(call)) && may_send_again(call)) {
+		if (call->events_sent)
+			call->edge->counters.resumed++;
+		call_dispatch(call);
+		return;
+	}
+	if (call->may_have_run)
+		call_refuse(call, 502, 0, reason);
+	else
+		call_refuse(call, 503, RETRY_FULL_MS, reason);
+}
+
+bool call_repeat_failed(struct call *call)
+{
+	if (!call_may_repeat(call) || !may_send_again(call))
+		return false;
+	log_failed(call, "the server failed the request");
+	backend_judge(call->backend, BACKEND_FAILED, edge_now_us());
+	call->may_have_run = true;
+	call_drop_attempt(call);
+	call_dispatch(call);
+	return true;
+}
--- /dev/null
+++ b/src/edge/caller_conn.c
@@ -0,0 +1,475 @@
+#include "edge/caller_conn.h"
+
+#include <assert.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/xalloc.h"
+#include "edge/edge_clock.h"
+
+/* Requests sent ahead of their turn are kept up to this size. */
+#define PIPELINED_MAX_BYTES (64 * 1024)
+/* With more than this unwritten, the answer's source is paused. */
+#define UNWRITTEN_MAX_BYTES (128 * 1024)
+#define READ_SIZE_BYTES (64 * 1024)
+#define CHUNK_HEAD_SIZE 24
+
+/* The loop has one thread, so one buffer serves all reads. */
+static char read_space[READ_SIZE_BYTES];
+
+static void parse(struct caller_conn *conn, const char *data, size_t size);
+
+static void on_handle_closed(uv_handle_t *handle)
+{
+	struct caller_conn *conn = handle->data;
+
+	if (--conn->open_handles)
+		return;
+	http_head_free(&conn->request.head);
+	buffer_free(&conn->request.target);
+	buffer_free(&conn->request.body);
+	buffer_free(&conn->pipelined);
+	free(conn);
+}
+
+static void close_now(struct caller_conn *conn)
+{
+	if (conn->state == CALLER_CONN_CLOSING)
+		return;
+	conn->state = CALLER_CONN_CLOSING;
+	conn->events->closed(conn);
+	uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
+	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
+}
+
+static void lose_caller(struct caller_conn *conn)
+{
+	if (conn->state == CALLER_CONN_SERVING)
+		conn->events->gone(conn);
+	close_now(conn);
+}
+
+static void on_idle(uv_timer_t *timer)
+{
+	struct caller_conn *conn = timer->data;
+	struct buffer none = {0};
+
+	if (conn->state == CALLER_CONN_READING && conn->request_begun) {
+		caller_conn_answer(conn, 408, &none, 0, true);
+		caller_conn_finish(conn);
+		return;
+	}
+	if (conn->state != CALLER_CONN_SERVING)
+		close_now(conn);
+}
+
+static void start_timer(struct caller_conn *conn, int64_t delay_ms)
+{
+	uv_timer_start(&conn->timer, on_idle, (uint64_t)delay_ms, 0);
+}
+
+static int refuse(struct caller_conn *conn, int status)
+{
+	conn->refused_status = status;
+	return 1;
+}
+
+static int on_message_begin(http_parser *parser)
+{
+	struct caller_conn *conn = parser->data;
+
+	conn->request_begun = true;
+	start_timer(conn, conn->limits->head_ms);
+	return 0;
+}
+
+static bool head_is_full(const struct caller_conn *conn, size_t more)
+{
+	const struct caller_request *request = &conn->request;
+
+	return (int64_t)(request->head.text.size + request->target.size +
+			 more) > conn->limits->head_bytes;
+}
+
+static int on_url(http_parser *parser, const char *data, size_t size)
+{
+	struct caller_conn *conn = parser->data;
+
+	if (head_is_full(conn, size))
+		return refuse(conn, 431);
+	buffer_add(&conn->request.target, data, size);
+	return 0;
+}
+
+static int on_header_field(http_parser *parser, const char *data, size_t size)
+{
+	struct caller_conn *conn = parser->data;
+
+	if (head_is_full(conn, size))
+		return refuse(conn, 431);
+	http_head_add_name(&conn->request.head, data, size);
+	return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *data, size_t size)
+{
+	struct caller_conn *conn = parser->data;
+
+	if (head_is_full(conn, size))
+		return refuse(conn, 431);
+	http_head_add_value(&conn->request.head, data, size);
+	return 0;
+}
+
+/* A body whose length two parties may read differently is a way to smuggle
+ * a request in. */
+static bool framing_is_plain(const struct http_head *head)
+{
+	const char *coding = http_head_find(head, "Transfer-Encoding");
+
+	if (http_head_count(head, "Transfer-Encoding") > 1 ||
+	    http_head_count(head, "Content-Length") > 1 ||
+	    http_head_count(head, "Host") > 1)
+		return false;
+	if (!coding)
+		return true;
+	return !strcasecmp(coding, "chunked") &&
+	       !http_head_find(head, "Content-Length");
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	struct caller_conn *conn = parser->data;
+	const char *expect;
+
+	parser->upgrade = 0;
+	conn->http_1_0 = parser->http_major < 1 ||
+			 (parser->http_major == 1 && parser->http_minor < 1);
+	conn->head_method = parser->method == HTTP_HEAD;
+	if (!framing_is_plain(&conn->request.head) ||
+	    parser->method == HTTP_CONNECT)
+		return refuse(conn, 400);
+	if (parser->content_length != UINT64_MAX &&
+	    parser->content_length > (uint64_t)conn->limits->body_bytes)
+		return refuse(conn, 413);
+	expect = http_head_find(&conn->request.head, "Expect");
+	if (expect && !strcasecmp(expect, "100-continue")) {
+		uv_buf_t interim =
+			uv_buf_init("HTTP/1.1 100 Continue\r\n\r\n", 25);
+
+		uv_try_write((uv_stream_t *)&conn->tcp, &interim, 1);
+	}
+	return 0;
+}
+
+static int on_body(http_parser *parser, const char *data, size_t size)
+{
+	struct caller_conn *conn = parser->data;
+
+	if ((int64_t)(conn->request.body.size + size) >
+	    conn->limits->body_bytes)
+		return refuse(conn, 413);
+	buffer_add(&conn->request.body, data, size);
+	return 0;
+}
+
+static int on_message_complete(http_parser *parser)
+{
+	struct caller_conn *conn = parser->data;
+
+	conn->keep_alive = http_should_keep_alive(parser);
+	conn->request.method = http_method_str(parser->method);
+	conn->state = CALLER_CONN_SERVING;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_message_begin,
+	.on_url = on_url,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+static void keep_for_later(struct caller_conn *conn, const char *data,
+			   size_t size)
+{
+	buffer_add(&conn->pipelined, data, size);
+	if (conn->pipelined.size > PIPELINED_MAX_BYTES) {
+		uv_read_stop((uv_stream_t *)&conn->tcp);
+		conn->read_paused = true;
+	}
+}
+
+static void refuse_input(struct caller_conn *conn)
+{
+	struct buffer none = {0};
+	int status = conn->refused_status ? conn->refused_status : 400;
+
+	caller_conn_answer(conn, status, &none, 0, true);
+	caller_conn_finish(conn);
+}
+
+static void parse(struct caller_conn *conn, const char *data, size_t size)
+{
+	size_t used;
+
+	used = http_parser_execute(&conn->parser, &parser_settings, data, size);
+	if (conn->state == CALLER_CONN_SERVING) {
+		uv_timer_stop(&conn->timer);
+		if (used < size)
+			keep_for_later(conn, data + used, size - used);
+		conn->request.arrived_us = edge_now_us();
+		conn->events->request(conn);
+	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+		refuse_input(conn);
+	}
+}
+
+static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *space)
+{
+	struct caller_conn *conn = stream->data;
+
+	if (size == 0 || conn->state == CALLER_CONN_CLOSING)
+		return;
+	if (size < 0) {
+		lose_caller(conn);
+		return;
+	}
+	if (conn->state == CALLER_CONN_SERVING)
+		keep_for_later(conn, space->base, (size_t)size);
+	else if (conn->state == CALLER_CONN_READING)
+		parse(conn, space->base, (size_t)size);
+}
+
+static void on_space(uv_handle_t *handle, size_t wanted, uv_buf_t *space)
+{
+	space->base = read_space;
+	space->len = sizeof(read_space);
+}
+
+static void expect_request(struct caller_conn *conn)
+{
+	http_head_clear(&conn->request.head);
+	buffer_clear(&conn->request.target);
+	buffer_free(&conn->request.body);
+	http_parser_init(&conn->parser, HTTP_REQUEST);
+	conn->parser.data = conn;
+	conn->state = CALLER_CONN_READING;
+	conn->request_begun = false;
+	conn->refused_status = 0;
+	conn->chunked = false;
+	conn->call = NULL;
+	start_timer(conn, conn->limits->idle_ms);
+}
+
+struct caller_conn *caller_conn_accept(uv_stream_t *listener,
+				       const struct caller_limits *limits,
+				       const struct caller_conn_events *events,
+				       void *owner)
+{
+	struct caller_conn *conn = xcalloc(1, sizeof(*conn));
+
+	conn->limits = limits;
+	conn->events = events;
+	conn->owner = owner;
+	conn->open_handles = 2;
+	uv_tcp_init(listener->loop, &conn->tcp);
+	uv_timer_init(listener->loop, &conn->timer);
+	conn->tcp.data = conn;
+	conn->timer.data = conn;
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) < 0) {
+		conn->state = CALLER_CONN_CLOSING;
+		uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
+		uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
+		return NULL;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	expect_request(conn);
+	uv_read_start((uv_stream_t *)&conn->tcp, on_space, on_read);
+	return conn;
+}
+
+struct write_rest {
+	uv_write_t request;
+	char data[];
+};
+
+static size_t unwritten(const struct caller_conn *conn)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
+}
+
+static void on_written(uv_write_t *request, int status)
+{
+	struct caller_conn *conn = request->handle->data;
+
+	free(request->data);
+	if (conn->state == CALLER_CONN_CLOSING)
+		return;
+	if (status < 0) {
+		lose_caller(conn);
+		return;
+	}
+	if (unwritten(conn))
+		return;
+	if (conn->state == CALLER_CONN_ANSWERED)
+		close_now(conn);
+	else if (conn->state == CALLER_CONN_SERVING)
+		conn->events->drained(conn);
+}
+
+/* Writes what the socket takes at once and queues a copy of the rest. A
+ * failed write shows as a failed read as well, which ends the connection. */
+static void write_parts(struct caller_conn *conn, const uv_buf_t *parts,
+			unsigned int count)
+{
+	struct write_rest *rest;
+	uv_buf_t space;
+	size_t total = 0;
+	size_t skip = 0;
+	size_t at = 0;
+	int written;
+
+	if (conn->state == CALLER_CONN_CLOSING)
+		return;
+	for (unsigned int i = 0; i < count; i++)
+		total += parts[i].len;
+	written = uv_try_write((uv_stream_t *)&conn->tcp, parts, count);
+	if (written > 0)
+		skip = (size_t)written;
+	if (skip == total)
+		return;
+	rest = xmalloc(sizeof(*rest) + total - skip);
+	for (unsigned int i = 0; i < count; i++) {
+		size_t drop = skip < parts[i].len ? skip : parts[i].len;
+
+		memcpy(rest->data + at, parts[i].base + drop,
+		       parts[i].len - drop);
+		at += parts[i].len - drop;
+		skip -= drop;
+	}
+	rest->request.data = rest;
+	space = uv_buf_init(rest->data, (unsigned int)at);
+	if (uv_write(&rest->request, (uv_stream_t *)&conn->tcp, &space, 1,
+		     on_written) < 0)
+		free(rest);
+}
+
+static const char *reason_of(int status)
+{
+	switch (status) {
+#define REASON(code, name, text) \
+	case code:               \
+		return #text;
+		HTTP_STATUS_MAP(REASON)
+#undef REASON
+	default:
+		return "Unknown";
+	}
+}
+
+void caller_conn_answer(struct caller_conn *conn, int status,
+			const struct buffer *fields, int64_t body_bytes,
+			bool closing)
+{
+	struct buffer head = {0};
+	uv_buf_t part;
+	bool bodiless = status == 204 || status == 304;
+
+	conn->chunked = body_bytes == CALLER_LENGTH_UNKNOWN && !conn->http_1_0;
+	if (closing || (body_bytes == CALLER_LENGTH_UNKNOWN && conn->http_1_0))
+		conn->keep_alive = false;
+	buffer_add_format(&head, "HTTP/1.1 %d %s\r\n", status,
+			  reason_of(status));
+	buffer_add(&head, fields->data, fields->size);
+	if (conn->chunked)
+		buffer_add_text(&head, "Transfer-Encoding: chunked\r\n");
+	else if (body_bytes >= 0 && !bodiless)
+		buffer_add_format(&head, "Content-Length: %lld\r\n",
+				  (long long)body_bytes);
+	if (!conn->keep_alive)
+		buffer_add_text(&head, "Connection: close\r\n");
+	buffer_add_text(&head, "\r\n");
+	part = uv_buf_init(head.data, (unsigned int)head.size);
+	write_parts(conn, &part, 1);
+	buffer_free(&head);
+}
+
+bool caller_conn_body(struct caller_conn *conn, const char *data, size_t size)
+{
+	char chunk_head[CHUNK_HEAD_SIZE];
+	uv_buf_t parts[3];
+	int length;
+
+	if (!size || conn->head_method || conn->state == CALLER_CONN_CLOSING)
+		return true;
+	length = snprintf(chunk_head, sizeof(chunk_head), "%zx\r\n", size);
+	parts[0] = uv_buf_init(chunk_head, (unsigned int)length);
+	parts[1] = uv_buf_init((char *)data, (unsigned int)size);
+	parts[2] = uv_buf_init("\r\n", 2);
+	if (conn->chunked)
+		write_parts(conn, parts, 3);
+	else
+		write_parts(conn, &parts[1], 1);
+	return unwritten(conn) <= UNWRITTEN_MAX_BYTES;
+}
+
+static void read_next(struct caller_conn *conn)
+{
+	struct buffer ahead = conn->pipelined;
+
+	memset(&conn->pipelined, 0, sizeof(conn->pipelined));
+	expect_request(conn);
+	if (conn->read_paused) {
+		conn->read_paused = false;
+		uv_read_start((uv_stream_t *)&conn->tcp, on_space, on_read);
+	}
+	if (ahead.size)
+		parse(conn, ahead.data, ahead.size);
+	buffer_free(&ahead);
+}
+
+void caller_conn_finish(struct caller_conn *conn)
+{
+	uv_buf_t last_chunk = uv_buf_init("0\r\n\r\n", 5);
+
+	if (conn->state == CALLER_CONN_CLOSING)
+		return;
+	if (conn->chunked && !conn->head_method)
+		write_parts(conn, &last_chunk, 1);
+	if (conn->keep_alive) {
+		read_next(conn);
+		return;
+	}
+	conn->state = CALLER_CONN_ANSWERED;
+	start_timer(conn, conn->limits->head_ms);
+	if (!unwritten(conn))
+		close_now(conn);
+}
+
+void caller_conn_abort(struct caller_conn *conn)
+{
+	/* Without chunks, only a reset tells a cut answer from a whole one. */
+	if (conn->http_1_0 && conn->state != CALLER_CONN_CLOSING) {
+		conn->state = CALLER_CONN_CLOSING;
+		conn->events->closed(conn);
+		uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
+		if (uv_tcp_close_reset(&conn->tcp, on_handle_closed) < 0)
+			uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
+		return;
+	}
+	close_now(conn);
+}
+
+void caller_conn_close_idle(struct caller_conn *conn)
+{
+	if (conn->state == CALLER_CONN_READING && !conn->request_begun)
+		close_now(conn);
+}
--- /dev/null
+++ b/src/edge/edge.c
@@ -0,0 +1,392 @@
+#include "edge/edge.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "base/xalloc.h"
+#include "edge/backend_pool.h"
+#include "edge/call.h"
+#include "edge/edge_clock.h"
+#include "edge/edge_pages.h"
+#include "transport/socket_address.h"
+
+/* Time between two looks at what is due. */
+#define TICK_MS 100
+#define LISTEN_BACKLOG 511
+/* Before the first configuration. */
+#define HEAD_BYTES (16 * 1024)
+#define BODY_BYTES (4 * 1024 * 1024)
+#define HEAD_MS 3000
+#define IDLE_MS 15000
+/* Hosts use this part of the retries that all may make together, since the
+ * load is spread unevenly over them. */
+#define RETRY_PART_PERCENT 70
+#define THOUSANDTHS_PER_PERCENT 10
+#define THOUSANDTHS 1000
+
+static int64_t clock_monotonic_us(const struct tgw_clock *clock)
+{
+	return edge_now_us();
+}
+
+static const struct tgw_clock_ops clock_ops = {
+	.monotonic_us = clock_monotonic_us,
+};
+static const struct tgw_clock edge_clock = {.ops = &clock_ops};
+
+struct retry_budget *edge_retries(struct edge *edge, const char *service)
+{
+	const struct edge_settings *settings = edge->settings;
+	int64_t slack = settings->retry_slack * THOUSANDTHS /
+			settings->expected_hosts * RETRY_PART_PERCENT / 100;
+	struct retry_limits limits = {
+		.share_thousandths = settings->retry_share_percent *
+				     THOUSANDTHS_PER_PERCENT *
+				     RETRY_PART_PERCENT / 100,
+		.idle_thousandths_per_s = slack / 2 / settings->retry_window_s,
+		.most_thousandths = slack / 2 + THOUSANDTHS,
+	};
+	struct edge_service *found;
+
+	for (found = edge->services; found; found = found->next)
+		if (!strcmp(found->name, service))
+			return &found->retries;
+	found = xcalloc(1, sizeof(*found));
+	text_copy(found->name, sizeof(found->name), service);
+	retry_budget_init_limits(&found->retries, &limits, edge_now_us());
+	found->next = edge->services;
+	edge->services = found;
+	return &found->retries;
+}
+
+static void on_routes(void *arg, const struct route_set *set)
+{
+	struct edge *edge = arg;
+
+	edge->limits.head_bytes = set->limits.head_bytes;
+	edge->limits.body_bytes = set->limits.body_bytes;
+	edge->limits.head_ms = set->limits.head_ms;
+	edge->limits.idle_ms = set->limits.idle_ms;
+	for (size_t i = 0; i < set->team_count; i++)
+		if (set->teams[i].paid_in_tokens != ROUTE_TEAM_NO_BUDGET)
+			team_budget_paid_in(edge->budgets, set->teams[i].name,
+					    set->teams[i].paid_in_tokens);
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "config", "in_force",
+		      "version=%lld routes=%zu services=%zu teams=%zu keys=%zu",
+		      (long long)set->version, set->route_count,
+		      set->service_count, set->team_count, set->key_count);
+}
+
+static void on_routes_refused(void *arg, const char *reason)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "config", "refused",
+		      "reason=\"%s\"", reason);
+}
+
+static void on_backend_joined(void *arg, const struct backend_entry *entry)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "server", "joined",
+		      "server=%s service=%s address=%s domain=%s slots=%u "
+		      "born_ms=%lld draining=%d",
+		      entry->id, entry->service, entry->address,
+		      entry->failure_domain, entry->slots,
+		      (long long)entry->born_ms, entry->draining);
+}
+
+static void on_backend_draining(void *arg, const struct backend_entry *entry)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "server", "draining",
+		      "server=%s sequence=%lld", entry->id,
+		      (long long)entry->sequence);
+}
+
+static void on_backend_gone(void *arg, const char *id, const char *reason)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "server", "gone",
+		      "server=%s reason=\"%s\"", id, reason);
+}
+
+static void on_store_away(void *arg)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "store", "lost", "-");
+}
+
+static void on_store_back(void *arg)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "store", "regained", "-");
+}
+
+static void on_budget_changed(void *arg)
+{
+	call_retry_waiting(arg);
+}
+
+static void on_budgets_closed(void *arg)
+{
+	struct edge *edge = arg;
+
+	edge->budgets_closed = true;
+}
+
+static void on_backend_forgotten(void *arg, struct backend *backend)
+{
+	backend_pool_free(backend);
+}
+
+static void on_request(struct caller_conn *conn)
+{
+	call_start(conn->owner, conn);
+}
+
+static void on_caller_gone(struct caller_conn *conn)
+{
+	if (conn->call)
+		call_caller_gone(conn->call);
+}
+
+static void on_caller_drained(struct caller_conn *conn)
+{
+	if (conn->call)
+		call_caller_drained(conn->call);
+}
+
+static void on_caller_closed(struct caller_conn *conn)
+{
+	struct edge *edge = conn->owner;
+
+	if (conn->previous)
+		conn->previous->next = conn->next;
+	else
+		edge->conns = conn->next;
+	if (conn->next)
+		conn->next->previous = conn->previous;
+	edge->conn_count--;
+}
+
+static const struct caller_conn_events caller_events = {
+	.request = on_request,
+	.gone = on_caller_gone,
+	.drained = on_caller_drained,
+	.closed = on_caller_closed,
+};
+
+static void on_caller(uv_stream_t *listener, int status)
+{
+	struct edge *edge = listener->data;
+	struct caller_conn *conn;
+
+	if (status < 0)
+		return;
+	conn = caller_conn_accept(listener, &edge->limits, &caller_events,
+				  edge);
+	if (!conn)
+		return;
+	conn->next = edge->conns;
+	if (conn->next)
+		conn->next->previous = conn;
+	edge->conns = conn;
+	edge->conn_count++;
+}
+
+static void close_idle_callers(struct edge *edge)
+{
+	struct caller_conn *conn = edge->conns;
+
+	while (conn) {
+		struct caller_conn *next = conn->next;
+
+		caller_conn_close_idle(conn);
+		conn = next;
+	}
+}
+
+static void stop_listening(struct edge *edge)
+{
+	if (!edge->listening)
+		return;
+	edge->listening = false;
+	uv_close((uv_handle_t *)&edge->front, NULL);
+}
+
+static void end_loop(struct edge *edge)
+{
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "host", "stopped",
+		      "open_requests=%u budgets_given_back=%d",
+		      edge->call_count, edge->budgets_closed);
+	uv_stop(edge->loop);
+}
+
+/* First the balancer learns of the stop, then open requests end, then
+ * allotments are given back. */
+static void continue_stop(struct edge *edge)
+{
+	int64_t age_ms = (edge_now_us() - edge->stop_asked_us) / TGW_US_PER_MS;
+
+	if (age_ms >= edge->settings->stop_grace_ms) {
+		end_loop(edge);
+		return;
+	}
+	if (age_ms < edge->settings->stop_notice_ms)
+		return;
+	stop_listening(edge);
+	close_idle_callers(edge);
+	if (edge->call_count || edge->conn_count)
+		return;
+	team_budget_close(edge->budgets);
+	if (edge->budgets_closed)
+		end_loop(edge);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct edge *edge = timer->data;
+	int64_t now_us = edge_now_us();
+
+	backend_follower_tick(edge->backend_follower);
+	route_follower_tick(edge->route_follower);
+	team_budget_tick(edge->budgets);
+	for (struct backend *backend = edge->backends.first; backend;
+	     backend = backend->next)
+		backend_pool_trim(backend, now_us);
+	if (edge->stopping)
+		continue_stop(edge);
+}
+
+static enum tgw_status listen_at(uv_loop_t *loop, uv_tcp_t *listener,
+				 const char *text,
+				 uv_connection_cb on_connection, void *owner,
+				 struct tgw_error *error)
+{
+	union socket_address address;
+	int failed;
+
+	if (!socket_address_parse(text, &address))
+		return tgw_error_set(error, TGW_INVALID,
+				     "%s is not an address; give IP:PORT",
+				     text);
+	uv_tcp_init(loop, listener);
+	listener->data = owner;
+	failed = uv_tcp_bind(listener, &address.any, 0);
+	if (!failed)
+		failed = uv_listen((uv_stream_t *)listener, LISTEN_BACKLOG,
+				   on_connection);
+	if (failed)
+		return tgw_error_set(error, TGW_UNAVAILABLE,
+				     "can't listen at %s: %s; free the address",
+				     text, uv_strerror(failed));
+	return TGW_OK;
+}
+
+static void start_followers(struct edge *edge)
+{
+	const struct edge_settings *settings = edge->settings;
+	const struct edge_sources *sources = &edge->sources;
+	struct team_budget_settings budget = {
+		.bucket_count = (uint32_t)settings->ledger_keys,
+		.host_count = (uint32_t)settings->expected_hosts,
+		.ride_out_s = (double)settings->ride_out_ms / 1000,
+		.refresh_us = settings->ledger_refresh_ms * TGW_US_PER_MS,
+	};
+	struct team_budget_events budget_events = {
+		.changed = on_budget_changed,
+		.closed = on_budgets_closed,
+		.arg = edge,
+	};
+	struct route_follower_events route_events = {
+		.decode = sources->decode_routes,
+		.in_force = on_routes,
+		.refused = on_routes_refused,
+		.arg = edge,
+	};
+	struct backend_follower_events backend_events = {
+		.decode = sources->decode_backend,
+		.joined = on_backend_joined,
+		.draining = on_backend_draining,
+		.gone = on_backend_gone,
+		.store_away = on_store_away,
+		.store_back = on_store_back,
+		.arg = edge,
+	};
+
+	text_copy(budget.host, sizeof(budget.host), settings->name);
+	text_copy(budget.failure_domain, sizeof(budget.failure_domain),
+		  settings->failure_domain);
+	edge->budgets = team_budget_new(&budget, sources->store, &edge_clock,
+					tgw_random_incarnation(),
+					&budget_events);
+	edge->route_follower =
+		route_follower_new(sources->routes_prefix, sources->routes_key,
+				   sources->store, &edge_clock, &route_events);
+	edge->backend_follower = backend_follower_new(
+		sources->backends_prefix, sources->store, &edge_clock,
+		&edge->backends, &backend_events);
+}
+
+enum tgw_status edge_start(struct edge *edge, uv_loop_t *loop,
+			   const struct edge_settings *settings,
+			   const struct edge_sources *sources,
+			   struct tgw_error *error)
+{
+	memset(edge, 0, sizeof(*edge));
+	edge->loop = loop;
+	edge->settings = settings;
+	edge->sources = *sources;
+	edge->limits = (struct caller_limits){HEAD_BYTES, BODY_BYTES, HEAD_MS,
+					      IDLE_MS};
+	edge->backends.forget = on_backend_forgotten;
+	tgw_random_init(&edge->random, tgw_random_incarnation());
+	edge_log_open(&edge->log, settings->log_lines_per_s);
+	if (listen_at(loop, &edge->front, settings->caller_address, on_caller,
+		      edge, error) != TGW_OK)
+		return error->status;
+	edge->listening = true;
+	if (listen_at(loop, &edge->ready, settings->ready_address,
+		      edge_pages_on_connection, edge, error) != TGW_OK)
+		return error->status;
+	start_followers(edge);
+	uv_timer_init(loop, &edge->tick);
+	edge->tick.data = edge;
+	uv_timer_start(&edge->tick, on_tick, TICK_MS, TICK_MS);
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "host", "started",
+		      "host=%s domain=%s callers=%s store=%s", settings->name,
+		      settings->failure_domain, settings->caller_address,
+		      settings->store_address);
+	return TGW_OK;
+}
+
+void edge_stop(struct edge *edge)
+{
+	if (edge->stopping)
+		return;
+	edge->stopping = true;
+	edge->stop_asked_us = edge_now_us();
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "host", "stopping",
+		      "open_requests=%u connections=%u", edge->call_count,
+		      edge->conn_count);
+}
+
+void edge_free(struct edge *edge)
+{
+	route_follower_free(edge->route_follower);
+	backend_follower_free(edge->backend_follower);
+	team_budget_free(edge->budgets);
+	while (edge->services) {
+		struct edge_service *service = edge->services;
+
+		edge->services = service->next;
+		free(service);
+	}
+}
--- /dev/null
+++ b/src/edge/edge.h
@@ -0,0 +1,100 @@
+/**
+ * @file edge.h
+ * A host's data path: callers, backend servers, budgets and what is believed
+ * about them, on one event loop in one thread.
+ */
+#ifndef EDGE_EDGE_H
+#define EDGE_EDGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "coordination/backend_follower.h"
+#include "coordination/route_follower.h"
+#include "coordination/team_budget.h"
+#include "edge/call_dialect.h"
+#include "edge/caller_conn.h"
+#include "edge/edge_log.h"
+#include "edge/edge_settings.h"
+#include "state/backend_table.h"
+#include "state/retry_budget.h"
+#include "tamarackgw/random.h"
+
+struct call;
+
+/** Where the edge's beliefs come from; bound by the platform's adapter. */
+struct edge_sources {
+	struct tgw_store *store;
+	const struct call_dialect *dialect;
+	const char *routes_prefix;
+	const char *routes_key;
+	struct route_set *(*decode_routes)(const uint8_t *value, size_t size,
+					   struct tgw_error *error);
+	const char *backends_prefix;
+	bool (*decode_backend)(const uint8_t *value, size_t size,
+			       struct backend_entry *entry);
+};
+
+/** Retries of one service's requests. */
+struct edge_service {
+	char name[TGW_NAME_SIZE];
+	struct retry_budget retries;
+	struct edge_service *next;
+};
+
+/** What the metrics page tells; all grow only. */
+struct edge_counters {
+	uint64_t requests;
+	uint64_t answered;
+	uint64_t refused;
+	uint64_t failed;
+	uint64_t caller_left;
+	uint64_t retries;
+	uint64_t resumed;
+	uint64_t budget_refused;
+};
+
+struct edge {
+	uv_loop_t *loop;
+	const struct edge_settings *settings;
+	struct edge_sources sources;
+	uv_tcp_t front;
+	uv_tcp_t ready;
+	uv_timer_t tick;
+	struct caller_limits limits; /* in force */
+	struct caller_conn *conns;
+	uint32_t conn_count;
+	struct call *calls;
+	uint32_t call_count;
+	struct backend_table backends;
+	struct backend_follower *backend_follower;
+	struct route_follower *route_follower;
+	struct team_budget *budgets;
+	struct edge_service *services;
+	struct edge_counters counters;
+	struct edge_log log;
+	struct tgw_random random;
+	bool stopping;
+	bool listening;
+	bool budgets_closed;
+	int64_t stop_asked_us;
+};
+
+/** Listens and starts to follow the store.
+ * @return INVALID for an address that can't be used */
+enum tgw_status edge_start(struct edge *edge, uv_loop_t *loop,
+			   const struct edge_settings *settings,
+			   const struct edge_sources *sources,
+			   struct tgw_error *error);
+
+/** Starts a planned stop; the loop ends when it is done. */
+void edge_stop(struct edge *edge);
+
+/** Frees what `edge_start` made, after the loop has ended. */
+void edge_free(struct edge *edge);
+
+/** @return the retry budget of a service, made when new */
+struct retry_budget *edge_retries(struct edge *edge, const char *service);
+
+#endif
--- /dev/null
+++ b/src/edge/edge_log.c
@@ -0,0 +1,98 @@
+#include "edge/edge_log.h"
+
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "edge/edge_clock.h"
+#include "tamarackgw/clock.h"
+
+#define LINE_SIZE 640
+/* Details take at most one part of the lines in this many. */
+#define DETAIL_PART 2
+
+void edge_log_open(struct edge_log *log, int64_t lines_per_s)
+{
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	memset(log, 0, sizeof(*log));
+	log->lines_per_s = lines_per_s;
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+static bool write_line(const char *line, size_t size)
+{
+	return write(STDOUT_FILENO, line, size) == (ssize_t)size;
+}
+
+static void tell_dropped(struct edge_log *log)
+{
+	char line[LINE_SIZE];
+	uint64_t details = log->dropped[EDGE_LOG_DETAIL];
+	uint64_t notices = log->dropped[EDGE_LOG_NOTICE];
+	uint64_t states = log->dropped[EDGE_LOG_STATE];
+	int size;
+
+	if (!details && !notices && !states)
+		return;
+	size = snprintf(line, sizeof(line),
+			"part=log event=dropped details=%llu notices=%llu "
+			"states=%llu\n",
+			(unsigned long long)details,
+			(unsigned long long)notices,
+			(unsigned long long)states);
+	if (write_line(line, (size_t)size))
+		memset(log->dropped, 0, sizeof(log->dropped));
+}
+
+static bool has_room(struct edge_log *log, enum edge_log_level level)
+{
+	int64_t second = edge_now_us() / TGW_US_PER_S;
+	int64_t most = log->lines_per_s;
+
+	if (second != log->second) {
+		log->second = second;
+		log->written = 0;
+		tell_dropped(log);
+	}
+	if (level == EDGE_LOG_DETAIL)
+		most /= DETAIL_PART;
+	return level == EDGE_LOG_STATE || log->written < most;
+}
+
+void edge_log_line(struct edge_log *log, enum edge_log_level level,
+		   const char *part, const char *event, const char *format, ...)
+{
+	char line[LINE_SIZE];
+	struct timespec now;
+	va_list args;
+	int size;
+	int more;
+
+	if (!has_room(log, level)) {
+		log->dropped[level]++;
+		log->dropped_total++;
+		return;
+	}
+	clock_gettime(CLOCK_REALTIME, &now);
+	size = snprintf(line, sizeof(line), "ts=%lld.%03ld part=%s event=%s ",
+			(long long)now.tv_sec, now.tv_nsec / (1000 * 1000),
+			part, event);
+	va_start(args, format);
+	more = vsnprintf(line + size, sizeof(line) - (size_t)size - 1, format,
+			 args);
+	va_end(args);
+	size += more;
+	if (size > LINE_SIZE - 2)
+		size = LINE_SIZE - 2;
+	line[size++] = '\n';
+	log->written++;
+	if (!write_line(line, (size_t)size)) {
+		log->dropped[level]++;
+		log->dropped_total++;
+	}
+}
--- /dev/null
+++ b/src/edge/edge_pages.c
@@ -0,0 +1,93 @@
+#include "edge/edge_pages.h"
+
+#include <string.h>
+
+#include "edge/edge.h"
+
+static const struct caller_limits page_limits = {
+	.head_bytes = 8 * 1024,
+	.body_bytes = 1024,
+	.head_ms = 2000,
+	.idle_ms = 10000,
+};
+
+/* A host without routes or servers would only refuse. */
+static bool is_ready(const struct edge *edge)
+{
+	return !edge->stopping && route_follower_set(edge->route_follower) &&
+	       backend_follower_is_ready(edge->backend_follower);
+}
+
+static void add_counter(struct buffer *text, const char *name, uint64_t value)
+{
+	buffer_add_format(text,
+			  "# TYPE tamarackgw_%s counter\ntamarackgw_%s %llu\n",
+			  name, name, (unsigned long long)value);
+}
+
+static void add_gauge(struct buffer *text, const char *name, double value)
+{
+	buffer_add_format(text,
+			  "# TYPE tamarackgw_%s gauge\ntamarackgw_%s %g\n",
+			  name, name, value);
+}
+
+static void write_metrics(const struct edge *edge, struct buffer *text)
+{
+	const struct edge_counters *counters = &edge->counters;
+	const struct route_set *set = route_follower_set(edge->route_follower);
+
+	add_counter(text, "requests_total", counters->requests);
+	add_counter(text, "answered_total", counters->answered);
+	add_counter(text, "refused_total", counters->refused);
+	add_counter(text, "caller_left_total", counters->caller_left);
+	add_counter(text, "retries_total", counters->retries);
+	add_counter(text, "resumed_total", counters->resumed);
+	add_counter(text, "budget_refused_total", counters->budget_refused);
+	add_counter(text, "log_lines_dropped_total", edge->log.dropped_total);
+	add_gauge(text, "open_requests", edge->call_count);
+	add_gauge(text, "caller_connections", edge->conn_count);
+	add_gauge(text, "servers", (double)edge->backends.count);
+	add_gauge(text, "config_version", set ? (double)set->version : 0);
+	add_gauge(text, "ready", is_ready(edge));
+}
+
+static void on_request(struct caller_conn *conn)
+{
+	const struct edge *edge = conn->owner;
+	struct buffer fields = {0};
+	struct buffer body = {0};
+	int status = 404;
+
+	if (!strcmp(conn->request.target.data, "/ready")) {
+		status = is_ready(edge) ? 200 : 503;
+	} else if (!strcmp(conn->request.target.data, "/metrics")) {
+		status = 200;
+		write_metrics(edge, &body);
+		buffer_add_text(&fields,
+				"Content-Type: text/plain; version=0.0.4\r\n");
+	}
+	caller_conn_answer(conn, status, &fields, (int64_t)body.size, false);
+	caller_conn_body(conn, body.data, body.size);
+	caller_conn_finish(conn);
+	buffer_free(&fields);
+	buffer_free(&body);
+}
+
+static void ignore(struct caller_conn *conn)
+{
+}
+
+static const struct caller_conn_events page_events = {
+	.request = on_request,
+	.gone = ignore,
+	.drained = ignore,
+	.closed = ignore,
+};
+
+void edge_pages_on_connection(uv_stream_t *listener, int status)
+{
+	if (status >= 0)
+		caller_conn_accept(listener, &page_limits, &page_events,
+				   listener->data);
+}
--- /dev/null
+++ b/src/edge/edge_settings.c
@@ -0,0 +1,100 @@
+#include "edge/edge_settings.h"
+
+#include <string.h>
+
+#include "protocol/settings_table.h"
+
+#define TEXT(section, key, field, required, help)                     \
+	SETTING_TEXT_ENTRY(struct edge_settings, section, key, field, \
+			   required, help)
+#define NUMBER(section, key, field, least, most, standard, help)               \
+	SETTING_NUMBER_ENTRY(struct edge_settings, section, key, field, least, \
+			     most, standard, help)
+
+static const struct setting entries[] = {
+	TEXT("host", "name", name, true, "this host's name in the fleet"),
+	TEXT("host", "failure_domain", failure_domain, true,
+	     "the failure domain that this host stands in"),
+	TEXT("host", "caller_address", caller_address, true,
+	     "IP number and port for callers, such as 10.0.0.5:8080"),
+	TEXT("host", "ready_address", ready_address, true,
+	     "IP number and port for the balancer's question if this host is "
+	     "ready"),
+	TEXT("host", "metrics_address", metrics_address, false,
+	     "IP number and port for the metrics; empty: none"),
+	TEXT("store", "address", store_address, true,
+	     "IP number and port of the platform's store"),
+	NUMBER("store", "timeout_ms", store_timeout_ms, 50, 60000, 1000,
+	       "longest wait for an answer of the store"),
+	NUMBER("store", "watch_wait_ms", watch_wait_ms, 100, 30000, 1500,
+	       "how long the store holds a watch without news"),
+	NUMBER("store", "watch_pause_ms", watch_pause_ms, 0, 10000, 250,
+	       "pause between two watch calls, which gathers changes"),
+	NUMBER("budget", "ledger_keys", ledger_keys, 1, 4096, 2,
+	       "keys of the store that the teams' budgets are spread over; "
+	       "alike on all hosts"),
+	NUMBER("budget", "ride_out_ms", ride_out_ms, 500, 86400000, 9000,
+	       "demand held ready against an outage"),
+	NUMBER("budget", "ledger_refresh_ms", ledger_refresh_ms, 200, 60000,
+	       2000, "longest time between two reads of a key"),
+	NUMBER("budget", "expected_hosts", expected_hosts, 1, 10000, 8,
+	       "hosts that share the budgets"),
+	NUMBER("retry", "share_percent", retry_share_percent, 0, 100, 20,
+	       "further attempts for each 100 requests of a service"),
+	NUMBER("retry", "window_s", retry_window_s, 1, 3600, 10,
+	       "window over which the slack is spread"),
+	NUMBER("retry", "slack", retry_slack, 0, 100000, 50,
+	       "further attempts in a window, of all hosts, beside the share"),
+	NUMBER("stop", "notice_ms", stop_notice_ms, 0, 600000, 2500,
+	       "a stopping host still takes requests for this long while "
+	       "the balancer learns of it"),
+	NUMBER("stop", "grace_ms", stop_grace_ms, 1000, 7200000, 7400,
+	       "a planned stop waits this long for open requests"),
+	NUMBER("log", "lines_per_s", log_lines_per_s, 1, 100000, 40,
+	       "most lines a second; changes of state always come"),
+};
+
+static const struct settings_table table = {
+	.settings = entries,
+	.count = sizeof(entries) / sizeof(entries[0]),
+	.hint = "no such setting; see --print-settings",
+};
+
+void edge_settings_set_defaults(struct edge_settings *settings)
+{
+	memset(settings, 0, sizeof(*settings));
+	settings_table_set_defaults(&table, settings);
+}
+
+static enum tgw_status check_together(const struct edge_settings *settings,
+				      const char *path, struct tgw_error *error)
+{
+	if (!settings_is_address(settings->caller_address) ||
+	    !settings_is_address(settings->ready_address) ||
+	    !settings_is_address(settings->store_address))
+		return tgw_error_set(error, TGW_INVALID,
+				     "%s: caller_address, ready_address and "
+				     "the store's address need the form "
+				     "IP:PORT",
+				     path);
+	if (settings->stop_notice_ms > settings->stop_grace_ms)
+		return tgw_error_set(error, TGW_INVALID,
+				     "%s: [stop] notice_ms must not be above "
+				     "grace_ms",
+				     path);
+	return TGW_OK;
+}
+
+enum tgw_status edge_settings_read(struct edge_settings *settings,
+				   const char *path, struct tgw_error *error)
+{
+	edge_settings_set_defaults(settings);
+	if (settings_table_read(&table, settings, path, error) != TGW_OK)
+		return error->status;
+	return check_together(settings, path, error);
+}
+
+void edge_settings_print(const struct edge_settings *settings)
+{
+	settings_table_print(&table, settings);
+}
--- /dev/null
+++ b/src/edge/edge_settings.h
@@ -0,0 +1,50 @@
+/**
+ * @file edge_settings.h
+ * The settings of an edge host, read from an INI file and checked as a whole.
+ */
+#ifndef EDGE_EDGE_SETTINGS_H
+#define EDGE_EDGE_SETTINGS_H
+
+#include <stdint.h>
+
+#include "tamarackgw/host_view.h"
+#include "tamarackgw/status.h"
+
+struct edge_settings {
+	/* [host] */
+	char name[TGW_NAME_SIZE];
+	char failure_domain[TGW_NAME_SIZE];
+	char caller_address[TGW_NAME_SIZE];  /**< IP number and port */
+	char ready_address[TGW_NAME_SIZE];   /**< for the balancer */
+	char metrics_address[TGW_NAME_SIZE]; /**< empty for none */
+	/* [store] */
+	char store_address[TGW_NAME_SIZE];
+	int64_t store_timeout_ms;
+	int64_t watch_wait_ms;
+	int64_t watch_pause_ms;
+	/* [budget] */
+	int64_t ledger_keys;
+	int64_t ride_out_ms;
+	int64_t ledger_refresh_ms;
+	int64_t expected_hosts;
+	/* [retry] */
+	int64_t retry_share_percent;
+	int64_t retry_window_s;
+	int64_t retry_slack;
+	/* [stop] */
+	int64_t stop_notice_ms;
+	int64_t stop_grace_ms;
+	/* [log] */
+	int64_t log_lines_per_s;
+};
+
+void edge_settings_set_defaults(struct edge_settings *settings);
+
+/** Reads and checks a file. The message names file, line, key and remedy. */
+enum tgw_status edge_settings_read(struct edge_settings *settings,
+				   const char *path, struct tgw_error *error);
+
+/** Writes all settings with their explanations, as a sample to start from. */
+void edge_settings_print(const struct edge_settings *settings);
+
+#endif
--- /dev/null
+++ b/src/state/backend_table.c
@@ -0,0 +1,157 @@
+#include "state/backend_table.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/xalloc.h"
+#include "tamarackgw/clock.h"
+
+/* Weight of the newest outcome in the moving share of failures. */
+#define FAILURE_WEIGHT 0.15
+/* A server that can't be reached is left alone for this long at first, and
+ * twice as long with each further failure in a row. */
+#define AVOID_FIRST_US (200 * TGW_US_PER_MS)
+#define AVOID_MAX_US (2 * TGW_US_PER_S)
+#define AVOID_DOUBLINGS_MAX 4
+/* A report older than this says nothing about now. */
+#define REPORT_STALE_US (2 * TGW_US_PER_S)
+
+struct backend *backend_table_find(const struct backend_table *table,
+				   const char *id)
+{
+	for (struct backend *backend = table->first; backend;
+	     backend = backend->next)
+		if (backend->listed && !strcmp(backend->entry.id, id))
+			return backend;
+	return NULL;
+}
+
+static void forget(struct backend_table *table, struct backend *backend)
+{
+	struct backend **at = &table->first;
+
+	while (*at != backend)
+		at = &(*at)->next;
+	*at = backend->next;
+	table->count--;
+	if (table->forget)
+		table->forget(table->arg, backend);
+	free(backend);
+}
+
+static void unlist(struct backend_table *table, struct backend *backend)
+{
+	backend->listed = false;
+	if (!backend->running)
+		forget(table, backend);
+}
+
+struct backend *backend_table_put(struct backend_table *table,
+				  const struct backend_entry *entry)
+{
+	struct backend *backend = backend_table_find(table, entry->id);
+
+	if (backend && (backend->entry.born_ms != entry->born_ms ||
+			strcmp(backend->entry.address, entry->address))) {
+		unlist(table, backend);
+		backend = NULL;
+	}
+	if (!backend) {
+		backend = xcalloc(1, sizeof(*backend));
+		backend->hash = XXH3_64bits(entry->id, strlen(entry->id));
+		backend->listed = true;
+		backend->next = table->first;
+		table->first = backend;
+		table->count++;
+	}
+	backend->entry = *entry;
+	return backend;
+}
+
+void backend_table_drop(struct backend_table *table, const char *id)
+{
+	struct backend *backend = backend_table_find(table, id);
+
+	if (backend)
+		unlist(table, backend);
+}
+
+void backend_begin(struct backend *backend)
+{
+	backend->running++;
+}
+
+void backend_end(struct backend_table *table, struct backend *backend)
+{
+	assert(backend->running);
+	backend->running--;
+	if (backend->running_at_report > backend->running)
+		backend->running_at_report = backend->running;
+	if (!backend->running && !backend->listed)
+		forget(table, backend);
+}
+
+static void avoid(struct backend *backend, int64_t now_us)
+{
+	uint32_t doublings = backend->failures_in_a_row;
+	int64_t span_us;
+
+	if (doublings > AVOID_DOUBLINGS_MAX)
+		doublings = AVOID_DOUBLINGS_MAX;
+	span_us = AVOID_FIRST_US << doublings;
+	if (span_us > AVOID_MAX_US)
+		span_us = AVOID_MAX_US;
+	backend->avoid_until_us = now_us + span_us;
+	backend->failures_in_a_row++;
+}
+
+void backend_judge(struct backend *backend, enum backend_outcome outcome,
+		   int64_t now_us)
+{
+	double failed = 1;
+
+	switch (outcome) {
+	case BACKEND_SERVED:
+		backend->failures_in_a_row = 0;
+		failed = 0;
+		break;
+	case BACKEND_REJECTED:
+		backend->rejected_us = now_us;
+		return;
+	case BACKEND_MISTAKEN:
+	case BACKEND_UNREACHED:
+		avoid(backend, now_us);
+		break;
+	case BACKEND_FAILED:
+	case BACKEND_BROKEN:
+	case BACKEND_SILENT:
+		break;
+	}
+	backend->failure_share +=
+		FAILURE_WEIGHT * (failed - backend->failure_share);
+}
+
+void backend_report(struct backend *backend, const struct backend_load *load,
+		    int64_t now_us)
+{
+	backend->reported = *load;
+	backend->reported_us = now_us;
+	backend->running_at_report = backend->running;
+}
+
+double backend_expected_load(const struct backend *backend, int64_t now_us)
+{
+	double reported;
+	double since;
+
+	if (!backend->reported_us ||
+	    now_us - backend->reported_us > REPORT_STALE_US)
+		return backend->running;
+	reported =
+		(double)backend->reported.running + backend->reported.waiting;
+	since = (double)backend->running - backend->running_at_report;
+	reported += since;
+	return reported > backend->running ? reported : backend->running;
+}
--- a/src/state/demand_forecast.c
+++ b/src/state/demand_forecast.c
@@ -4,11 +4,17 @@
 
 #include "tamarackgw/clock.h"
 
-#define FAST_WINDOW_S 60.0
-#define SLOW_WINDOW_S 900.0
-/* Younger forecasts are treated as this old, so that one request is not
- * taken for a flood. */
-#define LEAST_AGE_S 30.0
+static const struct demand_windows minutes = {
+	.fast_s = 60.0,
+	.slow_s = 900.0,
+	.least_age_s = 30.0,
+};
+
+static const struct demand_windows *windows_of(
+	const struct demand_forecast *forecast)
+{
+	return forecast->windows ? forecast->windows : &minutes;
+}
 
 static double seconds_between(int64_t from_us, int64_t to_us)
 {
@@ -23,6 +29,7 @@
 void demand_forecast_add(struct demand_forecast *forecast, int64_t now_us,
 			 int64_t tokens)
 {
+	const struct demand_windows *windows = windows_of(forecast);
 	double elapsed_s;
 
 	if (!forecast->started_us) {
@@ -31,11 +38,11 @@
 	}
 	elapsed_s = seconds_between(forecast->updated_us, now_us);
 	forecast->fast_per_s =
-		decayed(forecast->fast_per_s, elapsed_s, FAST_WINDOW_S) +
-		(double)tokens / FAST_WINDOW_S;
+		decayed(forecast->fast_per_s, elapsed_s, windows->fast_s) +
+		(double)tokens / windows->fast_s;
 	forecast->slow_per_s =
-		decayed(forecast->slow_per_s, elapsed_s, SLOW_WINDOW_S) +
-		(double)tokens / SLOW_WINDOW_S;
+		decayed(forecast->slow_per_s, elapsed_s, windows->slow_s) +
+		(double)tokens / windows->slow_s;
 	forecast->updated_us = now_us;
 }
 
@@ -48,6 +55,7 @@
 double demand_forecast_per_s(const struct demand_forecast *forecast,
 			     int64_t now_us)
 {
+	const struct demand_windows *windows = windows_of(forecast);
 	double elapsed_s = seconds_between(forecast->updated_us, now_us);
 	double age_s = seconds_between(forecast->started_us, now_us);
 	double fast_per_s;
@@ -55,10 +63,10 @@
 
 	if (!forecast->started_us)
 		return 0;
-	if (age_s < LEAST_AGE_S)
-		age_s = LEAST_AGE_S;
-	fast_per_s = decayed(forecast->fast_per_s, elapsed_s, FAST_WINDOW_S);
-	slow_per_s = decayed(forecast->slow_per_s, elapsed_s, SLOW_WINDOW_S);
-	return fmax(corrected(fast_per_s, age_s, FAST_WINDOW_S),
-		    corrected(slow_per_s, age_s, SLOW_WINDOW_S));
+	if (age_s < windows->least_age_s)
+		age_s = windows->least_age_s;
+	fast_per_s = decayed(forecast->fast_per_s, elapsed_s, windows->fast_s);
+	slow_per_s = decayed(forecast->slow_per_s, elapsed_s, windows->slow_s);
+	return fmax(corrected(fast_per_s, age_s, windows->fast_s),
+		    corrected(slow_per_s, age_s, windows->slow_s));
 }
--- a/src/state/demand_forecast.h
+++ b/src/state/demand_forecast.h
@@ -8,8 +8,18 @@
 
 #include <stdint.h>
 
+/** Time constants of the two averages. */
+struct demand_windows {
+	double fast_s;
+	double slow_s;
+	/** Younger forecasts are treated as this old, so that one request is
+	 * not taken for a flood. */
+	double least_age_s;
+};
+
 struct demand_forecast {
-	int64_t started_us; /**< 0 before the first tokens */
+	const struct demand_windows *windows; /**< NULL for minutes */
+	int64_t started_us;		      /**< 0 before the first tokens */
 	int64_t updated_us;
 	double fast_per_s;
 	double slow_per_s;
--- a/src/state/ledger_bucket.c
+++ b/src/state/ledger_bucket.c
@@ -155,6 +155,20 @@
 	return TGW_OK;
 }
 
+int ledger_bucket_raise_paid_in(struct ledger_bucket *bucket, const char *name,
+				int64_t total_tokens)
+{
+	struct ledger_budget *budget;
+
+	if (!is_name(name) || total_tokens < 0 ||
+	    total_tokens > LEDGER_TOKENS_MAX)
+		return -1;
+	budget = obtain_budget(bucket, name);
+	if (budget->paid_in_tokens < total_tokens)
+		budget->paid_in_tokens = total_tokens;
+	return (int)(budget - bucket->budgets);
+}
+
 struct ledger_line *ledger_bucket_find_line(struct ledger_bucket *bucket,
 					    uint64_t id)
 {
--- a/src/state/ledger_bucket.h
+++ b/src/state/ledger_bucket.h
@@ -118,6 +118,12 @@
 				     int64_t tokens, int64_t wall_us,
 				     bool *applied, struct tgw_error *error);
 
+/** Raises what was paid in to a total that is kept elsewhere, such as in the
+ * configuration; a lower total changes nothing. Creates the budget when new.
+ * @return the budget's index, or -1 for a bad name or amount */
+int ledger_bucket_raise_paid_in(struct ledger_bucket *bucket,
+				const char *budget, int64_t total_tokens);
+
 struct ledger_line *ledger_bucket_find_line(struct ledger_bucket *bucket,
 					    uint64_t id);
 
--- a/src/state/retry_budget.c
+++ b/src/state/retry_budget.c
@@ -3,32 +3,42 @@
 #include "tamarackgw/clock.h"
 
 #define RETRY_THOUSANDTHS 1000
-#define SHARE_THOUSANDTHS 200
-#define IDLE_RETRIES_PER_S 2
-#define CREDIT_MAX_THOUSANDTHS (INT64_C(20) * RETRY_THOUSANDTHS)
+
+static const struct retry_limits standard_limits = {
+	.share_thousandths = 200,
+	.idle_thousandths_per_s = 2000,
+	.most_thousandths = 20000,
+};
 
 static void add(struct retry_budget *budget, int64_t thousandths)
 {
 	budget->credit_thousandths += thousandths;
-	if (budget->credit_thousandths > CREDIT_MAX_THOUSANDTHS)
-		budget->credit_thousandths = CREDIT_MAX_THOUSANDTHS;
+	if (budget->credit_thousandths > budget->limits.most_thousandths)
+		budget->credit_thousandths = budget->limits.most_thousandths;
 }
 
 void retry_budget_init(struct retry_budget *budget, int64_t now_us)
 {
-	budget->credit_thousandths = CREDIT_MAX_THOUSANDTHS;
+	retry_budget_init_limits(budget, &standard_limits, now_us);
+}
+
+void retry_budget_init_limits(struct retry_budget *budget,
+			      const struct retry_limits *limits, int64_t now_us)
+{
+	budget->limits = *limits;
+	budget->credit_thousandths = limits->most_thousandths;
 	budget->refilled_us = now_us;
 }
 
 void retry_budget_on_first_attempt(struct retry_budget *budget)
 {
-	add(budget, SHARE_THOUSANDTHS);
+	add(budget, budget->limits.share_thousandths);
 }
 
 bool retry_budget_take(struct retry_budget *budget, int64_t now_us)
 {
-	int64_t refill = (now_us - budget->refilled_us) * IDLE_RETRIES_PER_S *
-			 RETRY_THOUSANDTHS / TGW_US_PER_S;
+	int64_t refill = (now_us - budget->refilled_us) *
+			 budget->limits.idle_thousandths_per_s / TGW_US_PER_S;
 
 	if (refill > 0) {
 		add(budget, refill);
--- /dev/null
+++ b/src/state/route_set.h
@@ -0,0 +1,116 @@
+/**
+ * @file route_set.h
+ * One version of the routes, services, teams and limits that a host serves
+ * by. It is built once, sealed, and never changed afterwards.
+ */
+#ifndef STATE_ROUTE_SET_H
+#define STATE_ROUTE_SET_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "tamarackgw/host_view.h"
+
+/** What may be repeated on a route. */
+enum route_kind {
+	ROUTE_SAFE,	/**< idempotent: may run more than once */
+	ROUTE_UNSAFE,	/**< runs at most once */
+	ROUTE_STREAM,	/**< answered by events; runs at most once */
+	ROUTE_RESUMABLE /**< answered by events; may go on elsewhere */
+};
+
+/** A part of a route's traffic. */
+struct route_target {
+	uint32_t service; /**< index in the set */
+	uint32_t weight;
+};
+
+struct route {
+	char name[TGW_NAME_SIZE];
+	char *host;
+	char *path_prefix; /**< begins and ends with a slash */
+	enum route_kind kind;
+	bool is_public;	  /**< needs no key */
+	bool affinity;	  /**< requests share parts of their prompts */
+	int32_t priority; /**< 0 is the most urgent */
+	uint32_t max_attempts;
+	int64_t timeout_ms;
+	int64_t target_latency_ms;
+	size_t target_count;
+	struct route_target *targets;
+};
+
+struct route_service {
+	char name[TGW_NAME_SIZE];
+	uint32_t max_connections; /**< of one server, from all hosts */
+	bool is_engine;
+	int64_t kv_capacity_tokens; /**< of one server; 0 if no engine */
+	int64_t event_tokens;	    /**< most tokens in one event */
+};
+
+#define ROUTE_TEAM_NO_PRIORITY INT32_C(-1)
+#define ROUTE_TEAM_NO_BUDGET INT64_C(-1)
+
+struct route_team {
+	char name[TGW_NAME_SIZE];
+	int32_t priority; /**< goes before the route's */
+	int64_t paid_in_tokens;
+};
+
+struct route_key {
+	char *key;
+	uint32_t team;
+};
+
+struct route_limits {
+	int64_t head_bytes;
+	int64_t body_bytes;
+	int64_t head_ms;
+	int64_t idle_ms;
+};
+
+struct route_set {
+	int64_t version;
+	bool needs_keys; /**< teams are in use */
+	size_t route_count;
+	struct route *routes;
+	size_t service_count;
+	struct route_service *services;
+	size_t team_count;
+	struct route_team *teams;
+	size_t key_count;
+	struct route_key *keys;
+	struct route_limits limits;
+};
+
+struct route_set *route_set_new(void);
+void route_set_free(struct route_set *set);
+
+/** Each appends a zeroed entry; earlier pointers become invalid. */
+struct route *route_set_add_route(struct route_set *set);
+struct route_service *route_set_add_service(struct route_set *set);
+struct route_team *route_set_add_team(struct route_set *set);
+void route_set_add_key(struct route_set *set, const char *key, uint32_t team);
+void route_add_target(struct route *route, uint32_t service, uint32_t weight);
+
+/** Sorts for look-ups; nothing is added afterwards. */
+void route_set_seal(struct route_set *set);
+
+/** @return the route of this host with the longest prefix, or NULL */
+const struct route *route_set_find(const struct route_set *set,
+				   const char *host, const char *path);
+
+/** @return the index of the team that holds the key, or -1 */
+int route_set_team_of_key(const struct route_set *set, const char *key);
+
+/** @return the index, or -1 */
+int route_set_find_team(const struct route_set *set, const char *name);
+int route_set_find_service(const struct route_set *set, const char *name);
+
+/** Chooses among a route's targets by weight.
+ * @param draw any number, spread evenly
+ * @return a service's index, or -1 when the route has no target */
+int route_choose_service(const struct route *route, uint64_t draw);
+
+#endif
--- /dev/null
+++ b/src/state/team_account.c
@@ -0,0 +1,175 @@
+#include "state/team_account.h"
+
+#include <string.h>
+
+#include "base/text.h"
+#include "base/xalloc.h"
+#include "state/allotment_policy.h"
+
+/* An allotment is written when it would grow by more than this part of what
+ * is left of it. */
+#define RAISE_PART 4
+/* Holders give back this many times what is asked, since not all are heard. */
+#define ASKED_FACTOR 2
+
+/* Hosts live through outages of seconds, so demand is counted in seconds. */
+static const struct demand_windows seconds = {
+	.fast_s = 4.0,
+	.slow_s = 20.0,
+	.least_age_s = 3.0,
+};
+
+struct team_account *team_account_new(const char *team)
+{
+	struct team_account *account = xcalloc(1, sizeof(*account));
+
+	text_copy(account->team, sizeof(account->team), team);
+	account->unresolved_tokens = TEAM_ACCOUNT_RESOLVED;
+	account->demand.windows = &seconds;
+	return account;
+}
+
+static int64_t least(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t at_least_zero(int64_t tokens)
+{
+	return tokens > 0 ? tokens : 0;
+}
+
+static int64_t used_tokens(const struct team_account *account)
+{
+	return account->settled_tokens + account->reserved_tokens;
+}
+
+int64_t team_account_limit(const struct team_account *account)
+{
+	int64_t allotted = account->allotted_tokens;
+
+	if (account->unresolved_tokens != TEAM_ACCOUNT_RESOLVED)
+		allotted = least(allotted, account->unresolved_tokens);
+	return account->base_tokens + allotted;
+}
+
+bool team_account_reserve(struct team_account *account, int64_t tokens)
+{
+	if (tokens > team_account_limit(account) - used_tokens(account)) {
+		account->needed_tokens += tokens;
+		return false;
+	}
+	account->reserved_tokens += tokens;
+	return true;
+}
+
+void team_account_settle(struct team_account *account, int64_t reserved_tokens,
+			 int64_t spent_tokens, int64_t now_us)
+{
+	account->reserved_tokens -= reserved_tokens;
+	account->settled_tokens += spent_tokens;
+	if (spent_tokens)
+		demand_forecast_add(&account->demand, now_us, spent_tokens);
+}
+
+/** What the other hosts hold and want of a budget. */
+struct others {
+	int64_t left_tokens;
+	int64_t wanted_tokens;
+	int64_t demand_tokens_per_s;
+	uint32_t count;
+};
+
+static void look_at_others(const struct ledger_bucket *bucket, uint32_t budget,
+			   uint64_t line_id, struct others *others)
+{
+	memset(others, 0, sizeof(*others));
+	for (size_t i = 0; i < bucket->line_count; i++) {
+		const struct ledger_line *line = &bucket->lines[i];
+		const struct ledger_share *share =
+			ledger_line_find_share(line, budget);
+
+		if (!share || line->id == line_id)
+			continue;
+		others->left_tokens += at_least_zero(share->allotted_tokens -
+						     share->settled_tokens);
+		others->wanted_tokens += share->wanted_tokens;
+		others->demand_tokens_per_s += share->demand_tokens_per_s;
+		others->count++;
+	}
+}
+
+void team_account_decide(const struct team_account *account,
+			 const struct ledger_bucket *bucket, uint64_t line_id,
+			 double ride_out_s, uint32_t host_count, int64_t now_us,
+			 struct team_account_wish *wish)
+{
+	int found = ledger_bucket_find_budget(bucket, account->team);
+	struct allotment_inputs in = {0};
+	struct others others = {0};
+	int64_t left;
+	int64_t raise;
+
+	in.free_tokens = account->paid_in_tokens;
+	if (found >= 0) {
+		uint32_t budget = (uint32_t)found;
+
+		in.free_tokens = ledger_bucket_free_tokens(bucket, budget);
+		if (bucket->budgets[found].paid_in_tokens <
+		    account->paid_in_tokens)
+			in.free_tokens += account->paid_in_tokens -
+					  bucket->budgets[found].paid_in_tokens;
+		look_at_others(bucket, budget, line_id, &others);
+	}
+	in.allotted_tokens = account->allotted_tokens;
+	in.used_tokens =
+		at_least_zero(used_tokens(account) - account->base_tokens);
+	in.needed_tokens = account->needed_tokens;
+	in.demand_per_s = demand_forecast_per_s(&account->demand, now_us);
+	in.others_demand_per_s = (double)others.demand_tokens_per_s;
+	in.others_left_tokens = others.left_tokens;
+	in.others_count = others.count;
+	in.ride_out_s = ride_out_s;
+	in.domains = host_count;
+	if (others.wanted_tokens)
+		in.asked_tokens = 1 + ASKED_FACTOR * others.wanted_tokens /
+					      (others.count ? others.count : 1);
+	wish->allotted_tokens = allotment_policy_decide(&in);
+	left = in.allotted_tokens - in.used_tokens;
+	raise = wish->allotted_tokens - in.allotted_tokens;
+	wish->wanted_tokens = at_least_zero(
+		in.needed_tokens - at_least_zero(left) - in.free_tokens);
+	wish->worth_a_write = raise < 0 || raise * RAISE_PART > left ||
+			      (in.needed_tokens && raise > 0) ||
+			      wish->wanted_tokens;
+}
+
+void team_account_read(struct team_account *account,
+		       const struct ledger_bucket *bucket, uint64_t line_id)
+{
+	int found = ledger_bucket_find_budget(bucket, account->team);
+	const struct ledger_budget *budget;
+
+	if (found < 0) {
+		account->free_tokens = account->paid_in_tokens;
+		account->remaining_tokens =
+			account->paid_in_tokens - used_tokens(account);
+		return;
+	}
+	budget = &bucket->budgets[found];
+	account->free_tokens =
+		ledger_bucket_free_tokens(bucket, (uint32_t)found);
+	account->remaining_tokens = account->paid_in_tokens -
+				    budget->folded_tokens -
+				    account->settled_tokens;
+	for (size_t i = 0; i < bucket->line_count; i++) {
+		const struct ledger_line *line = &bucket->lines[i];
+		const struct ledger_share *share =
+			ledger_line_find_share(line, (uint32_t)found);
+
+		if (share && line->id == line_id)
+			account->allotted_tokens = share->allotted_tokens;
+		else if (share)
+			account->remaining_tokens -= share->settled_tokens;
+	}
+}
--- /dev/null
+++ b/src/transport/http_conn.c
@@ -0,0 +1,355 @@
+#include "transport/http_conn.h"
+
+#include <assert.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/xalloc.h"
+#include "tamarackgw/clock.h"
+
+/* Data that a peer does not acknowledge for this long ends a connection. */
+#define UNACKED_LIMIT_MS 4000
+/* Largest head of an answer. */
+#define HEAD_MAX_BYTES (64 * 1024)
+/* A connection is not used in the last part of its server's idle limit. */
+#define IDLE_MARGIN_US (700 * TGW_US_PER_MS)
+
+#define READ_SIZE_BYTES (64 * 1024)
+
+/* The loop has one thread, so one buffer serves all reads. */
+static char read_space[READ_SIZE_BYTES];
+
+static void on_closed(uv_handle_t *handle)
+{
+	struct http_conn *conn = handle->data;
+
+	http_head_free(&conn->head);
+	buffer_free(&conn->unsent);
+	free(conn);
+}
+
+void http_conn_close(struct http_conn *conn)
+{
+	if (conn->state == HTTP_CONN_CLOSING)
+		return;
+	conn->state = HTTP_CONN_CLOSING;
+	conn->events = NULL;
+	uv_close((uv_handle_t *)&conn->tcp, on_closed);
+}
+
+static void fail(struct http_conn *conn, enum http_conn_fault fault)
+{
+	const struct http_conn_events *events = conn->events;
+
+	if (conn->state == HTTP_CONN_CLOSING)
+		return;
+	if (events) {
+		conn->events = NULL;
+		events->broken(conn, fault);
+	}
+	http_conn_close(conn);
+}
+
+static int on_message_begin(http_parser *parser)
+{
+	struct http_conn *conn = parser->data;
+
+	http_head_clear(&conn->head);
+	return 0;
+}
+
+static int on_header_field(http_parser *parser, const char *data, size_t size)
+{
+	struct http_conn *conn = parser->data;
+
+	if (conn->head.text.size + size > HEAD_MAX_BYTES)
+		return 1;
+	http_head_add_name(&conn->head, data, size);
+	return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *data, size_t size)
+{
+	struct http_conn *conn = parser->data;
+
+	if (conn->head.text.size + size > HEAD_MAX_BYTES)
+		return 1;
+	http_head_add_value(&conn->head, data, size);
+	return 0;
+}
+
+static bool is_interim(const struct http_conn *conn)
+{
+	return conn->status >= 100 && conn->status < 200;
+}
+
+static int on_headers_complete(http_parser *parser)
+{
+	struct http_conn *conn = parser->data;
+	const char *keep_alive;
+	const char *timeout;
+
+	conn->status = (int)parser->status_code;
+	conn->discarding = false;
+	if (is_interim(conn))
+		return 0;
+	keep_alive = http_head_find(&conn->head, "Keep-Alive");
+	timeout = keep_alive ? strstr(keep_alive, "timeout=") : NULL;
+	if (timeout)
+		conn->keep_idle_us =
+			strtol(timeout + strlen("timeout="), NULL, 10) *
+				TGW_US_PER_S -
+			IDLE_MARGIN_US;
+	if (conn->events->head(conn) == HTTP_CONN_DISCARD)
+		conn->discarding = true;
+	if (conn->state == HTTP_CONN_CLOSING)
+		return -1;
+	return conn->ignore_body ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *data, size_t size)
+{
+	struct http_conn *conn = parser->data;
+
+	if (!conn->discarding)
+		conn->events->body(conn, data, size);
+	return conn->state == HTTP_CONN_CLOSING;
+}
+
+static int on_message_complete(http_parser *parser)
+{
+	struct http_conn *conn = parser->data;
+
+	if (is_interim(conn))
+		return 0;
+	conn->reusable = http_should_keep_alive(parser) && !conn->discarding;
+	if (conn->discarding)
+		return 0;
+	conn->answer_done = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_message_begin,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+static void finish_answer(struct http_conn *conn, bool more_bytes)
+{
+	const struct http_conn_events *events = conn->events;
+
+	/* An early answer leaves part of the request unsent. */
+	if (more_bytes ||
+	    uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp))
+		conn->reusable = false;
+	conn->state = HTTP_CONN_IDLE;
+	conn->events = NULL;
+	events->complete(conn);
+	if (conn->state == HTTP_CONN_IDLE && !conn->reusable)
+		http_conn_close(conn);
+}
+
+static void parse(struct http_conn *conn, const char *data, size_t size)
+{
+	size_t used;
+
+	used = http_parser_execute(&conn->parser, &parser_settings, data, size);
+	if (conn->state == HTTP_CONN_CLOSING)
+		return;
+	if (conn->answer_done)
+		finish_answer(conn, used < size);
+	else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK ||
+		 conn->parser.upgrade)
+		fail(conn, HTTP_CONN_GARBLED);
+}
+
+/* A reset may follow right behind an end: the read tells of the end only. */
+static bool was_reset(const struct http_conn *conn)
+{
+	uv_os_fd_t descriptor;
+	int fault = 0;
+	socklen_t size = sizeof(fault);
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &descriptor) ||
+	    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &fault, &size) < 0)
+		return true;
+	return fault != 0;
+}
+
+static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *space)
+{
+	struct http_conn *conn = stream->data;
+
+	if (size == 0 || conn->state == HTTP_CONN_CLOSING)
+		return;
+	/* An idle connection that speaks or ends is of no more use. */
+	if (conn->state == HTTP_CONN_IDLE) {
+		fail(conn, HTTP_CONN_CLOSED);
+		return;
+	}
+	if (size > 0) {
+		parse(conn, space->base, (size_t)size);
+		return;
+	}
+	/* Only a clean end completes an answer that has no length. */
+	if (size == UV_EOF && conn->sent && !was_reset(conn)) {
+		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
+		if (conn->state == HTTP_CONN_CLOSING)
+			return;
+		if (conn->answer_done) {
+			conn->reusable = false;
+			finish_answer(conn, false);
+			return;
+		}
+	}
+	fail(conn, HTTP_CONN_CLOSED);
+}
+
+static void on_space(uv_handle_t *handle, size_t wanted, uv_buf_t *space)
+{
+	space->base = read_space;
+	space->len = sizeof(read_space);
+}
+
+struct write_rest {
+	uv_write_t request;
+	char data[];
+};
+
+static void on_written(uv_write_t *request, int status)
+{
+	struct http_conn *conn = request->handle->data;
+
+	free(request->data);
+	if (status < 0 && status != UV_ECANCELED)
+		fail(conn, HTTP_CONN_CLOSED);
+}
+
+/* Writes the parts of one request; what the socket does not take at once is
+ * copied and queued. */
+static void write_parts(struct http_conn *conn, const uv_buf_t *parts,
+			unsigned int count)
+{
+	struct write_rest *rest;
+	uv_buf_t space;
+	size_t total = 0;
+	size_t skip;
+	size_t at = 0;
+	int written;
+
+	for (unsigned int i = 0; i < count; i++)
+		total += parts[i].len;
+	conn->sent = true;
+	written = uv_try_write((uv_stream_t *)&conn->tcp, parts, count);
+	skip = written > 0 ? (size_t)written : 0;
+	if (skip == total)
+		return;
+	rest = xmalloc(sizeof(*rest) + total - skip);
+	for (unsigned int i = 0; i < count; i++) {
+		size_t drop = skip < parts[i].len ? skip : parts[i].len;
+
+		memcpy(rest->data + at, parts[i].base + drop,
+		       parts[i].len - drop);
+		at += parts[i].len - drop;
+		skip -= drop;
+	}
+	rest->request.data = rest;
+	space = uv_buf_init(rest->data, (unsigned int)at);
+	if (uv_write(&rest->request, (uv_stream_t *)&conn->tcp, &space, 1,
+		     on_written) < 0)
+		free(rest);
+}
+
+static void on_connected(uv_connect_t *request, int status)
+{
+	struct http_conn *conn = request->handle->data;
+	uv_buf_t part;
+
+	if (conn->state == HTTP_CONN_CLOSING)
+		return;
+	if (status < 0) {
+		fail(conn, HTTP_CONN_NOT_CONNECTED);
+		return;
+	}
+	conn->connected = true;
+	uv_read_start((uv_stream_t *)&conn->tcp, on_space, on_read);
+	if (!conn->unsent.size)
+		return;
+	part = uv_buf_init(conn->unsent.data, (unsigned int)conn->unsent.size);
+	write_parts(conn, &part, 1);
+	buffer_free(&conn->unsent);
+}
+
+static void set_options(struct http_conn *conn, uv_loop_t *loop)
+{
+	unsigned int unacked_ms = UNACKED_LIMIT_MS;
+	uv_os_fd_t descriptor;
+
+	uv_tcp_nodelay(&conn->tcp, 1);
+	if (!uv_fileno((uv_handle_t *)&conn->tcp, &descriptor))
+		setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			   &unacked_ms, sizeof(unacked_ms));
+}
+
+struct http_conn *http_conn_open(uv_loop_t *loop,
+				 const struct sockaddr_in *address)
+{
+	struct http_conn *conn = xcalloc(1, sizeof(*conn));
+
+	uv_tcp_init_ex(loop, &conn->tcp, AF_INET);
+	conn->tcp.data = conn;
+	conn->parser.data = conn;
+	set_options(conn, loop);
+	if (uv_tcp_connect(&conn->connecting, &conn->tcp,
+			   (const struct sockaddr *)address, on_connected) < 0)
+		conn->connected = false;
+	return conn;
+}
+
+void http_conn_send(struct http_conn *conn,
+		    const struct http_conn_events *events, void *arg,
+		    const struct buffer *head, const struct buffer *body)
+{
+	uv_buf_t parts[2];
+	unsigned int count = 1;
+
+	assert(conn->state == HTTP_CONN_IDLE);
+	conn->state = HTTP_CONN_AWAITING;
+	conn->events = events;
+	conn->arg = arg;
+	conn->sent = false;
+	conn->answer_done = false;
+	conn->reusable = false;
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	if (!conn->connected) {
+		buffer_add(&conn->unsent, head->data, head->size);
+		if (body)
+			buffer_add(&conn->unsent, body->data, body->size);
+		return;
+	}
+	parts[0] = uv_buf_init(head->data, (unsigned int)head->size);
+	if (body && body->size)
+		parts[count++] =
+			uv_buf_init(body->data, (unsigned int)body->size);
+	write_parts(conn, parts, count);
+}
+
+void http_conn_pause(struct http_conn *conn)
+{
+	if (conn->state != HTTP_CONN_CLOSING && conn->connected)
+		uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
+void http_conn_resume(struct http_conn *conn)
+{
+	if (conn->state != HTTP_CONN_CLOSING && conn->connected)
+		uv_read_start((uv_stream_t *)&conn->tcp, on_space, on_read);
+}
--- a/tests/unit/test_etcd_store.c
+++ b/tests/unit/test_etcd_store.c
@@ -235,7 +235,11 @@
 						 "http://s", TIMEOUT_US);
 	struct tgw_store *store = etcd_store_store(etcd);
 	struct watched watched = {0};
-	struct tgw_store_watcher watcher = {note_changed, note_lost, &watched};
+	struct tgw_store_watcher watcher = {
+		.changed = note_changed,
+		.lost = note_lost,
+		.arg = &watched,
+	};
 	uint64_t handle = tgw_store_watch(store, "tgw/", watcher);
 
 	etcd_store_tick(etcd, 0);
