Give allotments back down to the fair part only; ask the store less often

Cause: a mark that asks for tokens stood until its writer wrote again, and every holder gave back anew at each look (200 ms), so that free tokens were taken by nobody while calls of the store never ceased.

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -18,6 +18,10 @@
 #define RETRY_MAX_US (1000 * TGW_US_PER_MS)
 /* Least time between two looks at whether an allotment needs a write. */
 #define LOOK_US (200 * TGW_US_PER_MS)
+/* Least time between two reads for the sake of one request. */
+#define ASK_US (100 * TGW_US_PER_MS)
+/* The same while nothing is free that could be asked for. */
+#define ASK_IN_VAIN_US (700 * TGW_US_PER_MS)
 /* A view of the ledger older than this is not told as the budget's end. */
 #define VIEW_FRESH_US (3 * TGW_US_PER_S)
 /* Writes of one key that may lose against other hosts before a pause. */
@@ -36,6 +40,7 @@
 	bool line_confirmed;
 	bool store_answers;
 	bool closed;
+	bool asked;	       /* requests wait for the next read */
 	int64_t version;       /* of `ledger` */
 	int64_t unresolved_at; /* version that a lost write expected */
 	int64_t read_us;       /* 0 before the first read */
@@ -178,8 +183,13 @@
 	}
 	if (!bucket->store_answers)
 		return TGW_UNAVAILABLE;
-	if (bucket->state == BUCKET_IDLE && !bucket->conflicts)
+	if (!account->free_tokens && now - bucket->read_us < ASK_IN_VAIN_US)
+		return TGW_CONFLICT;
+	if (bucket->state == BUCKET_IDLE &&
+	    now - bucket->read_us >= (bucket->read_us ? ASK_US : 0)) {
+		bucket->asked = true;
 		bucket->due_us = 0;
+	}
 	return TGW_BUSY;
 }
 
@@ -340,7 +350,8 @@
 	buffer_free(&bytes);
 }
 
-static bool needs_write(struct bucket *bucket)
+/* @param fresh the ledger was read just now: less urgent changes count too */
+static bool needs_write(struct bucket *bucket, bool fresh)
 {
 	const struct team_budget_settings *settings = &bucket->owner->settings;
 
@@ -354,7 +365,7 @@
 		team_account_decide(account, &bucket->ledger, bucket->line_id,
 				    settings->ride_out_s, settings->host_count,
 				    now_us(bucket->owner), &wish);
-		if (wish.worth_a_write)
+		if (wish.urgent || (fresh && wish.lazy))
 			return true;
 	}
 	return false;
@@ -416,7 +427,7 @@
 		pause_after_failure(bucket);
 		return;
 	}
-	if (needs_write(bucket))
+	if (needs_write(bucket, true))
 		start_write(bucket);
 	else
 		settle_down(bucket);
@@ -435,6 +446,7 @@
 static void start_read(struct bucket *bucket)
 {
 	bucket->state = BUCKET_READING;
+	bucket->asked = false;
 	tgw_store_get(bucket->owner->store, bucket->key,
 		      (struct tgw_store_callback){on_read, bucket});
 }
@@ -500,7 +512,7 @@
 	if (bucket->owner->closing || !bucket->store_answers ||
 	    now - bucket->read_us >= bucket->owner->settings.refresh_us)
 		return true;
-	if (needs_write(bucket))
+	if (bucket->asked || needs_write(bucket, false))
 		return true;
 	bucket->due_us = now + LOOK_US;
 	return false;
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -63,8 +63,9 @@
 /**
  * Reserves the most that a request may cost.
  * @return OK; EXHAUSTED when the budget can't pay it; BUSY when an allotment
- * has been asked for; UNAVAILABLE when the store does not answer; NOT_FOUND
- * for a team without a budget
+ * has been asked for; CONFLICT when other hosts hold what is left of the
+ * budget; UNAVAILABLE when the store does not answer; NOT_FOUND for a team
+ * without a budget
  */
 enum tgw_status team_budget_reserve(struct team_budget *budgets,
 				    const char *team, int64_t tokens);
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -12,6 +12,8 @@
 /* When a caller may come back that was refused for lack of ... */
 #define RETRY_CONFIG_MS 500
 #define RETRY_TOKENS_MS 600
+/* Other hosts have given back by then what they can spare. */
+#define RETRY_RECALL_MS 1500
 /* Used where neither the caller nor the route names a time. */
 #define TIMEOUT_MS 30000
 
@@ -170,6 +172,11 @@
 		call_schedule(call);
 		team_budget_tick(edge->budgets);
 		return;
+	case TGW_CONFLICT:
+		edge->counters.budget_refused++;
+		call_refuse(call, 503, RETRY_RECALL_MS,
+			    "other hosts hold what is left of the budget");
+		return;
 	default:
 		edge->counters.budget_refused++;
 		call_refuse(call, 503, RETRY_TOKENS_MS,
@@ -387,7 +394,7 @@
 			return;
 		}
 		call->edge->counters.budget_refused++;
-		call_refuse(call, 503, RETRY_TOKENS_MS,
+		call_refuse(call, 503, RETRY_RECALL_MS,
 			    "other hosts hold what is left of the budget");
 		return;
 	}
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -28,9 +28,9 @@
 	       "longest wait for an answer of the store"),
 	NUMBER("store", "watch_wait_ms", watch_wait_ms, 100, 30000, 1500,
 	       "how long the store holds a watch without news"),
-	NUMBER("store", "watch_pause_ms", watch_pause_ms, 0, 10000, 250,
+	NUMBER("store", "watch_pause_ms", watch_pause_ms, 0, 10000, 650,
 	       "pause between two watch calls, which gathers changes"),
-	NUMBER("budget", "ledger_keys", ledger_keys, 1, 4096, 2,
+	NUMBER("budget", "ledger_keys", ledger_keys, 1, 4096, 1,
 	       "keys of the store that the teams' budgets are spread over; "
 	       "alike on all hosts"),
 	NUMBER("budget", "ride_out_ms", ride_out_ms, 500, 86400000, 9000,
--- a/src/state/allotment_policy.c
+++ b/src/state/allotment_policy.c
@@ -69,8 +69,9 @@
 	wish = max_tokens(wish, starter(in));
 	if (in->asked_tokens)
 		wish = min_tokens(wish, max_tokens(left - in->asked_tokens, 0));
-	else if (wish < left && (is_plenty(in, left) ||
-				 (double)left < (double)wish * KEEP_MARGIN))
+	else if (!in->return_surplus && wish < left &&
+		 (is_plenty(in, left) ||
+		  (double)left < (double)wish * KEEP_MARGIN))
 		wish = left;
 	return in->used_tokens + min_tokens(wish, available);
 }
--- a/src/state/allotment_policy.h
+++ b/src/state/allotment_policy.h
@@ -5,6 +5,7 @@
 #ifndef STATE_ALLOTMENT_POLICY_H
 #define STATE_ALLOTMENT_POLICY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /** What a holder knows of a budget when it writes the bucket. */
@@ -21,6 +22,7 @@
 	uint32_t absent_domains;    /**< domains that have no line yet */
 	double ride_out_s;	    /**< demand to hold against an outage */
 	uint32_t domains;
+	bool return_surplus; /**< others need what is above the fair part */
 };
 
 /** @return what the line should be allotted: at least used_tokens, and at
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -9,8 +9,6 @@
 /* An allotment is written when it would grow by more than this part of what
  * is left of it. */
 #define RAISE_PART 4
-/* Holders give back this many times what is asked, since not all are heard. */
-#define ASKED_FACTOR 2
 
 /* Hosts live through outages of seconds, so demand is counted in seconds. */
 static const struct demand_windows seconds = {
@@ -99,6 +97,19 @@
 	}
 }
 
+static int64_t wanted_by(const struct ledger_bucket *bucket, uint32_t budget,
+			 uint64_t line_id)
+{
+	for (size_t i = 0; i < bucket->line_count; i++) {
+		const struct ledger_share *share =
+			ledger_line_find_share(&bucket->lines[i], budget);
+
+		if (share && bucket->lines[i].id == line_id)
+			return share->wanted_tokens;
+	}
+	return 0;
+}
+
 void team_account_decide(const struct team_account *account,
 			 const struct ledger_bucket *bucket, uint64_t line_id,
 			 double ride_out_s, uint32_t host_count, int64_t now_us,
@@ -107,6 +118,7 @@
 	int found = ledger_bucket_find_budget(bucket, account->team);
 	struct allotment_inputs in = {0};
 	struct others others = {0};
+	int64_t own_wanted = 0;
 	int64_t left;
 	int64_t raise;
 
@@ -120,6 +132,7 @@
 			in.free_tokens += account->paid_in_tokens -
 					  bucket->budgets[found].paid_in_tokens;
 		look_at_others(bucket, budget, line_id, &others);
+		own_wanted = wanted_by(bucket, budget, line_id);
 	}
 	in.allotted_tokens = account->allotted_tokens;
 	in.used_tokens =
@@ -131,17 +144,15 @@
 	in.others_count = others.count;
 	in.ride_out_s = ride_out_s;
 	in.domains = host_count;
-	if (others.wanted_tokens)
-		in.asked_tokens = 1 + ASKED_FACTOR * others.wanted_tokens /
-					      (others.count ? others.count : 1);
+	in.return_surplus = others.wanted_tokens > in.free_tokens;
 	wish->allotted_tokens = allotment_policy_decide(&in);
 	left = in.allotted_tokens - in.used_tokens;
 	raise = wish->allotted_tokens - in.allotted_tokens;
 	wish->wanted_tokens = at_least_zero(
 		in.needed_tokens - at_least_zero(left) - in.free_tokens);
-	wish->worth_a_write = raise < 0 || raise * RAISE_PART > left ||
-			      (in.needed_tokens && raise > 0) ||
-			      wish->wanted_tokens;
+	wish->urgent = raise * RAISE_PART > left ||
+		       (in.needed_tokens && raise > 0);
+	wish->lazy = raise < 0 || wish->wanted_tokens != own_wanted;
 }
 
 void team_account_read(struct team_account *account,
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -19,7 +19,8 @@
 struct team_account_wish {
 	int64_t allotted_tokens;
 	int64_t wanted_tokens; /**< asked of the other hosts */
-	bool worth_a_write;
+	bool urgent;	       /**< worth a write at once */
+	bool lazy;	       /**< worth a write with the next read */
 };
 
 struct team_account {
