Hold a smaller part of a budget the less is left of it

Now the part that hosts hold falls with what is left, and before demand is known all suppose the same.

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -287,8 +287,7 @@
 	if (budget < 0)
 		return;
 	team_account_decide(account, &bucket->ledger, bucket->line_id,
-			    owner->settings.ride_out_s,
-			    owner->settings.host_count, now, &wish);
+			    &owner->settings.policy, now, &wish);
 	share = ledger_line_obtain_share(line, (uint32_t)budget);
 	own_settled = account->settled_tokens - account->base_tokens;
 	share->settled_tokens = own_settled > 0 ? own_settled : 0;
@@ -363,8 +362,8 @@
 		struct team_account_wish wish;
 
 		team_account_decide(account, &bucket->ledger, bucket->line_id,
-				    settings->ride_out_s, settings->host_count,
-				    now_us(bucket->owner), &wish);
+				    &settings->policy, now_us(bucket->owner),
+				    &wish);
 		if (wish.urgent || (fresh && wish.lazy))
 			return true;
 	}
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "state/team_account.h"
 #include "tamarackgw/clock.h"
 #include "tamarackgw/host_view.h"
 #include "tamarackgw/store.h"
@@ -24,9 +25,8 @@
 	char host[TGW_NAME_SIZE];
 	char failure_domain[TGW_NAME_SIZE];
 	uint32_t bucket_count; /**< keys that the teams are spread over */
-	uint32_t host_count;   /**< expected; bounds the first allotments */
-	double ride_out_s;     /**< demand to hold against an outage */
-	int64_t refresh_us;    /**< longest time between two reads */
+	struct team_account_policy policy;
+	int64_t refresh_us; /**< longest time between two reads */
 };
 
 struct team_budget_events {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -296,8 +296,15 @@
 	const struct edge_sources *sources = &edge->sources;
 	struct team_budget_settings budget = {
 		.bucket_count = (uint32_t)settings->ledger_keys,
-		.host_count = (uint32_t)settings->expected_hosts,
-		.ride_out_s = (double)settings->ride_out_ms / 1000,
+		.policy =
+			{
+				.ride_out_s =
+					(double)settings->ride_out_ms / 1000,
+				.hold_part =
+					(double)settings->hold_percent / 100,
+				.host_count =
+					(uint32_t)settings->expected_hosts,
+			},
 		.refresh_us = settings->ledger_refresh_ms * TGW_US_PER_MS,
 	};
 	struct team_budget_events budget_events = {
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -33,8 +33,11 @@
 	NUMBER("budget", "ledger_keys", ledger_keys, 1, 4096, 1,
 	       "keys of the store that the teams' budgets are spread over; "
 	       "alike on all hosts"),
-	NUMBER("budget", "ride_out_ms", ride_out_ms, 500, 86400000, 9000,
+	NUMBER("budget", "ride_out_ms", ride_out_ms, 500, 86400000, 25000,
 	       "demand held ready against an outage"),
+	NUMBER("budget", "hold_percent", hold_percent, 1, 100, 90,
+	       "most that a host holds of its fair part of a whole budget; "
+	       "less as the budget runs out"),
 	NUMBER("budget", "ledger_refresh_ms", ledger_refresh_ms, 200, 60000,
 	       2000, "longest time between two reads of a key"),
 	NUMBER("budget", "expected_hosts", expected_hosts, 1, 10000, 8,
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -25,6 +25,7 @@
 	/* [budget] */
 	int64_t ledger_keys;
 	int64_t ride_out_ms;
+	int64_t hold_percent;
 	int64_t ledger_refresh_ms;
 	int64_t expected_hosts;
 	/* [retry] */
--- a/src/state/allotment_policy.c
+++ b/src/state/allotment_policy.c
@@ -57,21 +57,30 @@
 	       (in->free_tokens + left + in->others_left_tokens) / PLENTY_PART;
 }
 
+static bool keeps_surplus(const struct allotment_inputs *in, int64_t left,
+			  int64_t wish)
+{
+	if (in->return_surplus)
+		return false;
+	if ((double)left < (double)wish * KEEP_MARGIN)
+		return true;
+	return in->hold_part <= 0 && is_plenty(in, left);
+}
+
 int64_t allotment_policy_decide(const struct allotment_inputs *in)
 {
 	int64_t left = max_tokens(in->allotted_tokens - in->used_tokens, 0);
 	int64_t available = max_tokens(in->free_tokens, 0) + left;
 	double comfort = fmax(in->demand_per_s * in->ride_out_s,
 			      NEEDED_MARGIN * (double)in->needed_tokens);
-	int64_t wish = (int64_t)fmin(comfort, fair_part(in, left));
+	double part = in->hold_part > 0 ? in->hold_part : 1.0;
+	int64_t wish = (int64_t)fmin(comfort, part * fair_part(in, left));
 
 	wish = max_tokens(wish, in->needed_tokens);
 	wish = max_tokens(wish, starter(in));
 	if (in->asked_tokens)
 		wish = min_tokens(wish, max_tokens(left - in->asked_tokens, 0));
-	else if (!in->return_surplus && wish < left &&
-		 (is_plenty(in, left) ||
-		  (double)left < (double)wish * KEEP_MARGIN))
+	else if (wish < left && keeps_surplus(in, left, wish))
 		wish = left;
 	return in->used_tokens + min_tokens(wish, available);
 }
--- a/src/state/allotment_policy.h
+++ b/src/state/allotment_policy.h
@@ -22,6 +22,7 @@
 	uint32_t absent_domains;    /**< domains that have no line yet */
 	double ride_out_s;	    /**< demand to hold against an outage */
 	uint32_t domains;
+	double hold_part;    /**< of the fair part, that may be held; 0: all */
 	bool return_surplus; /**< others need what is above the fair part */
 };
 
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -9,6 +9,12 @@
 /* An allotment is written when it would grow by more than this part of what
  * is left of it. */
 #define RAISE_PART 4
+/* Before a host has seen a team's demand, it supposes that all hosts together
+ * would use the budget up in this time. */
+#define SUPPOSED_LIFE_S 100.0
+/* Hosts hold at least this part of what is left, so that not each request
+ * waits for the store. */
+#define HOLD_PART_LEAST 0.12
 
 /* Hosts live through outages of seconds, so demand is counted in seconds. */
 static const struct demand_windows seconds = {
@@ -110,14 +116,33 @@
 	return 0;
 }
 
+/* The less is left of a budget, the smaller the part that hosts hold: what a
+ * host holds is lost when it dies. */
+static double hold_part(const struct team_account *account,
+			const struct allotment_inputs *in,
+			const struct team_account_policy *policy)
+{
+	int64_t unspent = in->free_tokens + in->others_left_tokens +
+			  at_least_zero(in->allotted_tokens - in->used_tokens);
+	double part;
+
+	if (account->paid_in_tokens <= 0)
+		return policy->hold_part;
+	part = policy->hold_part * (double)unspent /
+	       (double)account->paid_in_tokens;
+	return part > HOLD_PART_LEAST ? part : HOLD_PART_LEAST;
+}
+
 void team_account_decide(const struct team_account *account,
 			 const struct ledger_bucket *bucket, uint64_t line_id,
-			 double ride_out_s, uint32_t host_count, int64_t now_us,
-			 struct team_account_wish *wish)
+			 const struct team_account_policy *policy,
+			 int64_t now_us, struct team_account_wish *wish)
 {
 	int found = ledger_bucket_find_budget(bucket, account->team);
 	struct allotment_inputs in = {0};
 	struct others others = {0};
+	double supposed_per_s = (double)account->paid_in_tokens /
+				SUPPOSED_LIFE_S / policy->host_count;
 	int64_t own_wanted = 0;
 	int64_t left;
 	int64_t raise;
@@ -138,12 +163,15 @@
 	in.used_tokens =
 		at_least_zero(used_tokens(account) - account->base_tokens);
 	in.needed_tokens = account->needed_tokens;
-	in.demand_per_s = demand_forecast_per_s(&account->demand, now_us);
-	in.others_demand_per_s = (double)others.demand_tokens_per_s;
+	in.demand_per_s = demand_forecast_per_s(&account->demand, now_us) +
+			  supposed_per_s;
+	in.others_demand_per_s = (double)others.demand_tokens_per_s +
+				 supposed_per_s * others.count;
 	in.others_left_tokens = others.left_tokens;
 	in.others_count = others.count;
-	in.ride_out_s = ride_out_s;
-	in.domains = host_count;
+	in.ride_out_s = policy->ride_out_s;
+	in.hold_part = hold_part(account, &in, policy);
+	in.domains = policy->host_count;
 	in.return_surplus = others.wanted_tokens > in.free_tokens;
 	wish->allotted_tokens = allotment_policy_decide(&in);
 	left = in.allotted_tokens - in.used_tokens;
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -15,6 +15,13 @@
 /** No write of the allotment is without an answer. */
 #define TEAM_ACCOUNT_RESOLVED INT64_C(-1)
 
+/** How much a host may hold. */
+struct team_account_policy {
+	double ride_out_s;   /**< demand to hold against an outage */
+	double hold_part;    /**< most of its fair part of a whole budget */
+	uint32_t host_count; /**< expected; bounds the first allotments */
+};
+
 /** What to write into the host's line. */
 struct team_account_wish {
 	int64_t allotted_tokens;
@@ -55,8 +62,8 @@
 /** Works out the host's next allotment from the ledger as it was read. */
 void team_account_decide(const struct team_account *account,
 			 const struct ledger_bucket *bucket, uint64_t line_id,
-			 double ride_out_s, uint32_t host_count, int64_t now_us,
-			 struct team_account_wish *wish);
+			 const struct team_account_policy *policy,
+			 int64_t now_us, struct team_account_wish *wish);
 
 /** Takes in what the ledger says of the host's own line and of the rest. */
 void team_account_read(struct team_account *account,
