Read the longest prompts on servers of their own; loosen affinity's bound

One server in six reads them now and nothing else. Ruled out: waiting at the host (under 1%), uneven servers (344 to 503 requests each).

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -22,6 +22,8 @@
 #define ASK_US (100 * TGW_US_PER_MS)
 /* The same while nothing is free that could be asked for. */
 #define ASK_IN_VAIN_US (700 * TGW_US_PER_MS)
+/* Least time between two raises that no request waits for. */
+#define RAISE_US (1000 * TGW_US_PER_MS)
 /* A view of the ledger older than this is not told as the budget's end. */
 #define VIEW_FRESH_US (3 * TGW_US_PER_S)
 /* Writes of one key that may lose against other hosts before a pause. */
@@ -511,7 +513,9 @@
 	if (bucket->owner->closing || !bucket->store_answers ||
 	    now - bucket->read_us >= bucket->owner->settings.refresh_us)
 		return true;
-	if (bucket->asked || needs_write(bucket, false))
+	if (bucket->asked)
+		return true;
+	if (now - bucket->read_us >= RAISE_US && needs_write(bucket, false))
 		return true;
 	bucket->due_us = now + LOOK_US;
 	return false;
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -125,6 +125,7 @@
 		.service = call->route.service,
 		.failure_domain = edge->settings->failure_domain,
 		.affinity = call->route.affinity ? call->terms.shared_parts : 0,
+		.prompt_tokens = call->terms.input_tokens,
 		.draw = tgw_random_u64(&edge->random),
 		.tried = call->tried,
 		.tried_count = call->tried_count,
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -1,13 +1,14 @@
 #include "state/placement.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "tamarackgw/clock.h"
 
 /* A ranked server is passed over above this multiple of the mean load ... */
-#define BOUND_FACTOR 1.25
+#define BOUND_FACTOR 2.0
 /* ... plus this many requests, so that light loads stay together. */
-#define BOUND_SLACK 3.0
+#define BOUND_SLACK 5.0
 /* A server that said it was full is left alone for this long. */
 #define FULL_PAUSE_US (60 * TGW_US_PER_MS)
 /* Extra load, in requests for each slot, that a server costs in another
@@ -21,6 +22,20 @@
  * affinity. */
 #define FAILURE_SHARE_MAX 0.3
 
+/* Prompts from this size on are long: their reading takes several steps. */
+#define LONG_PROMPT_TOKENS 30000
+/* Long prompts go to one server in this many. */
+#define LONG_PROMPT_SERVERS 6
+/* Servers of one service that are told apart. */
+#define SERVERS_MAX 1024
+
+/* Which servers read long prompts: those with the lowest hashes of their ids,
+ * on which all hosts agree. */
+struct division {
+	bool separate;
+	uint64_t highest_hash; /* of the servers that read long prompts */
+};
+
 struct census {
 	uint32_t listed;
 	uint32_t untried;
@@ -116,9 +131,48 @@
 	       backend_expected_load(backend, request->now_us) <= bound;
 }
 
+static int compare_hashes(const void *a, const void *b)
+{
+	uint64_t left = *(const uint64_t *)a;
+	uint64_t right = *(const uint64_t *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+static void divide(const struct backend_table *table,
+		   const struct placement_request *request,
+		   struct division *division)
+{
+	uint64_t hashes[SERVERS_MAX];
+	size_t count = 0;
+
+	division->separate = false;
+	division->highest_hash = 0;
+	for (const struct backend *backend = table->first;
+	     backend && count < SERVERS_MAX; backend = backend->next)
+		if (takes_new(request, backend))
+			hashes[count++] = backend->hash;
+	if (count < LONG_PROMPT_SERVERS)
+		return;
+	qsort(hashes, count, sizeof(hashes[0]), compare_hashes);
+	division->separate = true;
+	division->highest_hash = hashes[count / LONG_PROMPT_SERVERS - 1];
+}
+
+static bool is_apart(const struct placement_request *request,
+		     const struct backend *backend,
+		     const struct division *division)
+{
+	bool reads_long = backend->hash <= division->highest_hash;
+	bool is_long = request->prompt_tokens >= LONG_PROMPT_TOKENS;
+
+	return division->separate && reads_long != is_long;
+}
+
 static struct backend *choose_ranked(const struct backend_table *table,
 				     const struct placement_request *request,
-				     const struct census *census)
+				     const struct census *census,
+				     const struct division *division)
 {
 	struct backend *best = NULL;
 	uint64_t best_rank = 0;
@@ -131,6 +185,7 @@
 
 		if (!takes_new(request, backend) ||
 		    was_tried(request, backend) ||
+		    is_apart(request, backend, division) ||
 		    !keeps_affinity(request, backend, bound))
 			continue;
 		if (!best || rank > best_rank) {
@@ -180,8 +235,12 @@
 		return PLACEMENT_ALL_TRIED;
 	if (!census.usable)
 		return PLACEMENT_ALL_FULL;
-	if (request->affinity)
-		*chosen = choose_ranked(table, request, &census);
+	if (request->affinity) {
+		struct division division;
+
+		divide(table, request, &division);
+		*chosen = choose_ranked(table, request, &census, &division);
+	}
 	if (!*chosen)
 		*chosen = choose_cheapest(table, request, census.any_calm);
 	return PLACEMENT_FOUND;
--- a/src/state/placement.h
+++ b/src/state/placement.h
@@ -2,7 +2,9 @@
  * @file placement.h
  * Chooses the backend server of a request.
  *
- * Load that it answers: many requests that share parts of their prompts, some
+ * Loads that it answers: long prompts, whose reading holds up the tokens of
+ * all requests beside them, so that short ones keep away from the servers that
+ * read them; and many requests that share parts of their prompts, some
  * parts much more often than others. All hosts rank the servers alike by the
  * shared part, without talking to each other, and pass over a server that
  * has clearly more to do than the rest.
@@ -20,6 +22,7 @@
 	const char *service;
 	const char *failure_domain; /**< of this host */
 	uint64_t affinity;	    /**< hash of the shared parts; 0 for none */
+	int64_t prompt_tokens;	    /**< to be read, unless cached */
 	uint64_t draw;		    /**< any number; breaks ties */
 	const struct backend *const *tried; /**< servers it was sent to */
 	uint32_t tried_count;
