Let the part of a budget that hosts hold fall by the square of what is left

Cause: 11% of all prepaid tokens lay in allotments of dead processes, up to 21% of single budgets (spent 0.56, folded 0.77 at 44 s). Ruled out: planned stops (all gave back), wrong settling.

--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -14,7 +14,7 @@
 #define SUPPOSED_LIFE_S 100.0
 /* Hosts hold at least this part of what is left, so that not each request
  * waits for the store. */
-#define HOLD_PART_LEAST 0.12
+#define HOLD_PART_LEAST 0.06
 
 /* Hosts live through outages of seconds, so demand is counted in seconds. */
 static const struct demand_windows seconds = {
@@ -116,20 +116,22 @@
 	return 0;
 }
 
-/* The less is left of a budget, the smaller the part that hosts hold: what a
- * host holds is lost when it dies. */
+/* The less is left of a budget, the smaller the part that hosts hold (by the
+ * square): what a host holds is lost when it dies, and late in a budget's
+ * life nothing makes up for it. */
 static double hold_part(const struct team_account *account,
 			const struct allotment_inputs *in,
 			const struct team_account_policy *policy)
 {
 	int64_t unspent = in->free_tokens + in->others_left_tokens +
 			  at_least_zero(in->allotted_tokens - in->used_tokens);
+	double share;
 	double part;
 
 	if (account->paid_in_tokens <= 0)
 		return policy->hold_part;
-	part = policy->hold_part * (double)unspent /
-	       (double)account->paid_in_tokens;
+	share = (double)unspent / (double)account->paid_in_tokens;
+	part = policy->hold_part * share * share;
 	return part > HOLD_PART_LEAST ? part : HOLD_PART_LEAST;
 }
 
