--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -224,6 +224,7 @@
 	follower->clock = clock;
 	follower->table = table;
 	follower->events = *events;
+	follower->list_wanted = true;
 	follower->watch = tgw_store_watch(store, prefix, watcher);
 	return follower;
 }
--- a/src/coordination/route_follower.c
+++ b/src/coordination/route_follower.c
@@ -93,6 +93,7 @@
 	follower->store = store;
 	follower->clock = clock;
 	follower->events = *events;
+	follower->read_wanted = true;
 	follower->watch = tgw_store_watch(store, prefix, watcher);
 	return follower;
 }
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -175,6 +175,8 @@
 
 	if (!account)
 		return TGW_NOT_FOUND;
+	if (budgets->closing)
+		return TGW_UNAVAILABLE;
 	if (team_account_reserve(account, tokens))
 		return TGW_OK;
 	if (tokens > account->paid_in_tokens ||
@@ -294,7 +296,7 @@
 	own_settled = account->settled_tokens - account->base_tokens;
 	share->settled_tokens = own_settled > 0 ? own_settled : 0;
 	if (owner->closing) {
-		wish.allotted_tokens = share->settled_tokens;
+		wish.allotted_tokens = team_account_charged(account);
 		wish.wanted_tokens = 0;
 	}
 	share->allotted_tokens = wish.allotted_tokens;
@@ -310,6 +312,14 @@
 	account->needed_tokens = 0;
 }
 
+/* The lines are folded at what was charged: nothing more may be spent. */
+static void close_accounts(struct bucket *bucket)
+{
+	for (struct team_account *account = bucket->accounts; account;
+	     account = account->next)
+		team_account_close(account);
+}
+
 static enum tgw_status copy_ledger(struct bucket *bucket,
 				   struct ledger_bucket *copy,
 				   struct tgw_error *error)
@@ -470,6 +480,8 @@
 		bucket->line_confirmed = !bucket->owner->closing;
 		bucket->unresolved_at = NOTHING_UNRESOLVED;
 		adopt(bucket, &bucket->next, result->entries[0].version);
+		if (bucket->owner->closing)
+			close_accounts(bucket);
 		settle_down(bucket);
 		return;
 	case TGW_CONFLICT:
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -76,6 +76,18 @@
 		demand_forecast_add(&account->demand, now_us, spent_tokens);
 }
 
+int64_t team_account_charged(const struct team_account *account)
+{
+	return at_least_zero(used_tokens(account) - account->base_tokens);
+}
+
+void team_account_close(struct team_account *account)
+{
+	account->base_tokens = used_tokens(account);
+	account->allotted_tokens = 0;
+	account->unresolved_tokens = TEAM_ACCOUNT_RESOLVED;
+}
+
 /** What the other hosts hold and want of a budget. */
 struct others {
 	int64_t left_tokens;
@@ -162,8 +174,7 @@
 		own_wanted = wanted_by(bucket, budget, line_id);
 	}
 	in.allotted_tokens = account->allotted_tokens;
-	in.used_tokens =
-		at_least_zero(used_tokens(account) - account->base_tokens);
+	in.used_tokens = team_account_charged(account);
 	in.needed_tokens = account->needed_tokens;
 	in.demand_per_s = demand_forecast_per_s(&account->demand, now_us) +
 			  supposed_per_s;
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -59,6 +59,13 @@
 void team_account_settle(struct team_account *account, int64_t reserved_tokens,
 			 int64_t spent_tokens, int64_t now_us);
 
+/** @return what a line of this host must at least be charged: what is
+ * settled, and what open requests may still cost */
+int64_t team_account_charged(const struct team_account *account);
+
+/** Lets the host spend no more than it is charged now. */
+void team_account_close(struct team_account *account);
+
 /** Works out the host's next allotment from the ledger as it was read. */
 void team_account_decide(const struct team_account *account,
 			 const struct ledger_bucket *bucket, uint64_t line_id,
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -519,11 +519,22 @@
 		send_notice(store, watch, true, NULL);
 }
 
+static void tell_away(struct fake_store *store)
+{
+	struct fake_store_watch *watch;
+
+	for (watch = store->watches; watch; watch = watch->next)
+		if (watch->watcher.away)
+			watch->watcher.away(watch->watcher.arg);
+}
+
 void fake_store_set_cut(struct fake_store *store, bool cut)
 {
 	bool was_unreachable = is_unreachable(store);
 
 	store->cut = cut;
+	if (cut)
+		tell_away(store);
 	if (was_unreachable && !is_unreachable(store))
 		tell_lost(store);
 }
@@ -534,6 +545,8 @@
 	bool was_out = server->out;
 
 	server->out = out;
+	for (client = server->clients; client && out; client = client->next)
+		tell_away(client);
 	if (!was_out || out)
 		return;
 	for (client = server->clients; client; client = client->next)
--- /dev/null
+++ b/tests/unit/test_team_budget.c
@@ -0,0 +1,423 @@
+#include "coordination/team_budget.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "fakes/fake_store.h"
+#include "fakes/fake_world.h"
+#include "state/ledger_bucket.h"
+#include "unit/unit_main.h"
+
+#define HOSTS 4
+#define TEAM "acme"
+#define PAID_IN INT64_C(1000000)
+#define STEP_US (20 * TGW_US_PER_MS)
+#define OPEN_MAX 16
+
+/* One host, and what its process holds open. */
+struct host {
+	struct fake_store store;
+	struct team_budget *budgets;
+	int64_t open_tokens[OPEN_MAX];
+	size_t open_count;
+	bool closed;
+	int changes;
+};
+
+static struct fake_world world;
+static struct fake_store_server server;
+static struct host hosts[HOSTS];
+static int64_t spent_tokens;   /* delivered, or lost with a process */
+static int64_t paid_in_tokens; /* as the configuration says */
+
+static void on_changed(void *arg)
+{
+	((struct host *)arg)->changes++;
+}
+
+static void on_closed(void *arg)
+{
+	((struct host *)arg)->closed = true;
+}
+
+static void start_host(struct host *host)
+{
+	struct team_budget_settings settings = {
+		.bucket_count = 1,
+		.policy = {.ride_out_s = 25,
+			   .hold_part = 0.9,
+			   .host_count = HOSTS},
+		.refresh_us = 2 * TGW_US_PER_S,
+	};
+	struct team_budget_events events = {on_changed, on_closed, host};
+
+	snprintf(settings.host, sizeof(settings.host), "host-%d",
+		 (int)(host - hosts));
+	text_copy(settings.failure_domain, sizeof(settings.failure_domain),
+		  "east");
+	host->closed = false;
+	host->open_count = 0;
+	host->budgets =
+		team_budget_new(&settings, &host->store.store, &world.clock,
+				tgw_random_u64(&world.random) | 1, &events);
+	team_budget_paid_in(host->budgets, TEAM, paid_in_tokens);
+}
+
+static void kill_host(struct host *host)
+{
+	/* What was open may have run and been delivered in full. */
+	for (size_t i = 0; i < host->open_count; i++)
+		spent_tokens += host->open_tokens[i];
+	team_budget_free(host->budgets);
+	host->budgets = NULL;
+	fake_store_reset(&host->store);
+}
+
+static void advance(int64_t delay_us)
+{
+	int64_t until_us = world.now_us + delay_us;
+
+	while (world.now_us < until_us) {
+		for (size_t i = 0; i < HOSTS; i++)
+			if (hosts[i].budgets)
+				team_budget_tick(hosts[i].budgets);
+		fake_world_advance(&world, STEP_US);
+	}
+}
+
+static void setup(void)
+{
+	fake_world_init(&world, 1);
+	fake_store_server_init(&server, &world);
+	memset(hosts, 0, sizeof(hosts));
+	spent_tokens = 0;
+	paid_in_tokens = PAID_IN;
+	for (size_t i = 0; i < HOSTS; i++) {
+		fake_store_init(&hosts[i].store, &server);
+		start_host(&hosts[i]);
+	}
+}
+
+static void teardown(void)
+{
+	for (size_t i = 0; i < HOSTS; i++) {
+		if (hosts[i].budgets)
+			kill_host(&hosts[i]);
+	}
+	fake_world_clear(&world);
+	fake_store_server_clear(&server);
+}
+
+static enum tgw_status open_request(struct host *host, int64_t tokens)
+{
+	enum tgw_status status;
+
+	if (host->open_count == OPEN_MAX)
+		return TGW_BUSY;
+	status = team_budget_reserve(host->budgets, TEAM, tokens);
+	if (status == TGW_OK)
+		host->open_tokens[host->open_count++] = tokens;
+	return status;
+}
+
+static void end_request(struct host *host, int64_t cost_tokens)
+{
+	int64_t reserved = host->open_tokens[--host->open_count];
+
+	if (cost_tokens > reserved)
+		cost_tokens = reserved;
+	team_budget_settle(host->budgets, TEAM, reserved, cost_tokens);
+	spent_tokens += cost_tokens;
+}
+
+static int64_t limit_of(const struct host *host)
+{
+	struct team_budget_view view;
+
+	ck_assert(team_budget_look(host->budgets, TEAM, &view));
+	return view.limit_tokens;
+}
+
+static int64_t at_stake(void)
+{
+	int64_t tokens = spent_tokens;
+
+	for (size_t i = 0; i < HOSTS; i++)
+		for (size_t j = 0; j < hosts[i].open_count; j++)
+			if (hosts[i].budgets)
+				tokens += hosts[i].open_tokens[j];
+	return tokens;
+}
+
+START_TEST(a_team_without_a_budget_is_told_apart)
+{
+	ck_assert_int_eq(team_budget_reserve(hosts[0].budgets, "other", 1),
+			 TGW_NOT_FOUND);
+}
+END_TEST
+
+START_TEST(all_hosts_get_a_first_allotment_before_demand_is_known)
+{
+	advance(2 * TGW_US_PER_S);
+	for (size_t i = 0; i < HOSTS; i++)
+		ck_assert_int_ge(limit_of(&hosts[i]), PAID_IN / 40);
+}
+END_TEST
+
+START_TEST(a_request_over_the_whole_budget_is_refused_for_good)
+{
+	advance(TGW_US_PER_S);
+	ck_assert_int_eq(open_request(&hosts[0], PAID_IN + 1), TGW_EXHAUSTED);
+}
+END_TEST
+
+START_TEST(a_host_that_is_cut_off_spends_only_its_allotment)
+{
+	int64_t limit;
+	int64_t spent = 0;
+
+	advance(2 * TGW_US_PER_S);
+	fake_store_set_cut(&hosts[0].store, true);
+	advance(2 * TGW_US_PER_S);
+	limit = limit_of(&hosts[0]);
+	while (open_request(&hosts[0], 500) == TGW_OK) {
+		end_request(&hosts[0], 500);
+		spent += 500;
+	}
+	ck_assert_int_le(spent, limit);
+	ck_assert_int_eq(open_request(&hosts[0], 500), TGW_UNAVAILABLE);
+}
+END_TEST
+
+START_TEST(a_lower_allotment_binds_before_its_write_is_answered)
+{
+	int64_t before;
+
+	/* Demand here raises the allotment; later the others need it. */
+	for (int i = 0; i < 200; i++) {
+		if (open_request(&hosts[0], 2000) == TGW_OK)
+			end_request(&hosts[0], 2000);
+		advance(STEP_US);
+	}
+	before = limit_of(&hosts[0]);
+	hosts[0].store.lose_answers = 100;
+	advance(60 * TGW_US_PER_S);
+	/* Each write took effect and its answer was lost: what was given
+	 * back must not be spent here. */
+	ck_assert_int_lt(limit_of(&hosts[0]), before);
+	advance(2 * TGW_US_PER_S);
+	{
+		int64_t sum = 0;
+
+		for (size_t i = 0; i < HOSTS; i++)
+			sum += limit_of(&hosts[i]);
+		ck_assert_int_le(sum, PAID_IN);
+	}
+}
+END_TEST
+
+START_TEST(a_planned_stop_gives_back_all_that_is_unspent)
+{
+	int64_t spent = 0;
+
+	advance(2 * TGW_US_PER_S);
+	for (int i = 0; i < 5; i++) {
+		ck_assert_int_eq(open_request(&hosts[0], 1000), TGW_OK);
+		end_request(&hosts[0], 700);
+		spent += 700;
+	}
+	for (size_t i = 0; i < HOSTS; i++)
+		team_budget_close(hosts[i].budgets);
+	advance(2 * TGW_US_PER_S);
+	for (size_t i = 0; i < HOSTS; i++) {
+		ck_assert(hosts[i].closed);
+		kill_host(&hosts[i]);
+	}
+	start_host(&hosts[0]);
+	advance(3 * TGW_US_PER_S);
+	{
+		struct team_budget_view view;
+
+		team_budget_look(hosts[0].budgets, TEAM, &view);
+		ck_assert_int_eq(view.free_tokens + view.limit_tokens,
+				 PAID_IN - spent);
+	}
+}
+END_TEST
+
+START_TEST(a_host_that_was_killed_is_charged_its_whole_allotment)
+{
+	int64_t limit;
+	struct team_budget_view view;
+
+	advance(2 * TGW_US_PER_S);
+	for (size_t i = 1; i < HOSTS; i++) {
+		team_budget_close(hosts[i].budgets);
+		advance(TGW_US_PER_S);
+		kill_host(&hosts[i]);
+	}
+	limit = limit_of(&hosts[0]);
+	kill_host(&hosts[0]);
+	start_host(&hosts[0]);
+	advance(3 * TGW_US_PER_S);
+	team_budget_look(hosts[0].budgets, TEAM, &view);
+	ck_assert_int_eq(view.free_tokens + view.limit_tokens, PAID_IN - limit);
+}
+END_TEST
+
+START_TEST(little_is_stranded_late_in_a_budgets_life)
+{
+	int64_t held = 0;
+
+	/* Three quarters are used up evenly, then all processes die. */
+	for (int i = 0; i < 4000 && spent_tokens < PAID_IN * 3 / 4; i++) {
+		struct host *host = &hosts[i % HOSTS];
+
+		if (open_request(host, 2000) == TGW_OK)
+			end_request(host, 2000);
+		advance(STEP_US);
+	}
+	ck_assert_int_ge(spent_tokens, PAID_IN * 3 / 4);
+	advance(5 * TGW_US_PER_S);
+	for (size_t i = 0; i < HOSTS; i++)
+		held += limit_of(&hosts[i]);
+	held -= spent_tokens;
+	ck_assert_int_le(held, PAID_IN * 5 / 100);
+}
+END_TEST
+
+START_TEST(what_others_hold_is_given_back_when_it_is_wanted)
+{
+	enum tgw_status status = TGW_BUSY;
+
+	/* One host used most of the budget; then only another one is asked. */
+	for (int i = 0; i < 3000 && spent_tokens < PAID_IN * 9 / 10; i++) {
+		if (open_request(&hosts[0], 2000) == TGW_OK)
+			end_request(&hosts[0], 2000);
+		advance(STEP_US);
+	}
+	for (int i = 0; i < 500 && status != TGW_OK; i++) {
+		status = open_request(&hosts[1], PAID_IN * 5 / 100);
+		advance(STEP_US);
+	}
+	ck_assert_int_eq(status, TGW_OK);
+}
+END_TEST
+
+START_TEST(an_idle_fleet_makes_few_calls)
+{
+	uint64_t before;
+
+	advance(10 * TGW_US_PER_S);
+	before = server.reads + server.writes;
+	advance(20 * TGW_US_PER_S);
+	ck_assert_uint_le(server.reads + server.writes - before,
+			  HOSTS * 20 * 2);
+}
+END_TEST
+
+static struct host *any_host(void)
+{
+	return &hosts[tgw_random_below(&world.random, HOSTS)];
+}
+
+static void random_fault(void)
+{
+	struct host *host = any_host();
+
+	switch (tgw_random_below(&world.random, 12)) {
+	case 0:
+		fake_store_set_cut(&host->store, !host->store.cut);
+		break;
+	case 1:
+		host->store.lose_answers = 3;
+		break;
+	case 2:
+		host->store.lose_requests = 3;
+		break;
+	case 3:
+		fake_store_server_set_out(&server, !server.out);
+		break;
+	case 4:
+		if (host->budgets)
+			kill_host(host);
+		break;
+	case 5:
+		if (host->budgets)
+			team_budget_close(host->budgets);
+		break;
+	case 6:
+		paid_in_tokens += 10000;
+		for (size_t i = 0; i < HOSTS; i++)
+			if (hosts[i].budgets)
+				team_budget_paid_in(hosts[i].budgets, TEAM,
+						    paid_in_tokens);
+		break;
+	case 7:
+		host->store.paused = !host->store.paused;
+		if (!host->store.paused)
+			fake_store_set_cut(&host->store, false);
+		break;
+	default:
+		if (!host->budgets)
+			start_host(host);
+		break;
+	}
+}
+
+static void random_request(void)
+{
+	struct host *host = any_host();
+
+	if (!host->budgets)
+		return;
+	if (host->open_count && tgw_random_below(&world.random, 2))
+		end_request(host,
+			    (int64_t)tgw_random_below(&world.random, 20000));
+	else if (!host->closed)
+		open_request(host, 1 + (int64_t)tgw_random_below(&world.random,
+								 20000));
+}
+
+START_TEST(no_faults_lead_to_overspending)
+{
+	world.random.seed = 0;
+	tgw_random_init(&world.random, (uint64_t)_i + 1);
+	for (int i = 0; i < 1500; i++) {
+		random_request();
+		if (!tgw_random_below(&world.random, 20))
+			random_fault();
+		advance(STEP_US);
+		ck_assert_msg(at_stake() <= paid_in_tokens,
+			      "seed %d: %lld spent of %lld", _i + 1,
+			      (long long)at_stake(), (long long)paid_in_tokens);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("team_budget");
+	TCase *cases = tcase_create("rules");
+
+	tcase_add_checked_fixture(cases, setup, teardown);
+	tcase_set_timeout(cases, 60);
+	tcase_add_test(cases, a_team_without_a_budget_is_told_apart);
+	tcase_add_test(cases,
+		       all_hosts_get_a_first_allotment_before_demand_is_known);
+	tcase_add_test(cases,
+		       a_request_over_the_whole_budget_is_refused_for_good);
+	tcase_add_test(cases, a_host_that_is_cut_off_spends_only_its_allotment);
+	tcase_add_test(cases,
+		       a_lower_allotment_binds_before_its_write_is_answered);
+	tcase_add_test(cases, a_planned_stop_gives_back_all_that_is_unspent);
+	tcase_add_test(cases,
+		       a_host_that_was_killed_is_charged_its_whole_allotment);
+	tcase_add_test(cases, little_is_stranded_late_in_a_budgets_life);
+	tcase_add_test(cases, what_others_hold_is_given_back_when_it_is_wanted);
+	tcase_add_test(cases, an_idle_fleet_makes_few_calls);
+	tcase_add_loop_test(cases, no_faults_lead_to_overspending, 0, 200);
+	suite_add_tcase(suite, cases);
+	return unit_main(suite);
+}
