Count the grace for lapsed entries from the store's return

Found by the follower's new test: the grace ran from the last call that was seen to fail, so after an outage without calls entries that had lapsed were taken as gone at once.

--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -30,7 +30,7 @@
 	bool list_wanted;
 	bool away;
 	int64_t list_due_us;
-	int64_t away_us; /* last time that the store did not answer */
+	int64_t away_us; /* last time that the store was known to be away */
 	struct missing *missing;
 };
 
@@ -128,6 +128,7 @@
 	if (!follower->away)
 		return;
 	follower->away = false;
+	follower->away_us = now_us(follower);
 	follower->events.store_back(follower->events.arg);
 }
 
--- /dev/null
+++ b/tests/unit/test_backend_follower.c
@@ -0,0 +1,203 @@
+#include "coordination/backend_follower.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "fakes/fake_store.h"
+#include "fakes/fake_world.h"
+#include "unit/unit_main.h"
+
+#define STEP_US (50 * TGW_US_PER_MS)
+
+static struct fake_world world;
+static struct fake_store_server server;
+static struct fake_store store;
+static struct backend_table table;
+static struct backend_follower *follower;
+static int gone;
+
+/* Entries of these tests: "SEQUENCE BORN ready|draining". */
+static bool decode(const uint8_t *value, size_t size,
+		   struct backend_entry *entry)
+{
+	char text[64];
+	char state[16];
+	long long sequence;
+	long long born_ms;
+
+	snprintf(text, sizeof(text), "%.*s", (int)size, (const char *)value);
+	if (sscanf(text, "%lld %lld %15s", &sequence, &born_ms, state) != 3)
+		return false;
+	entry->sequence = sequence;
+	entry->born_ms = born_ms;
+	entry->draining = !strcmp(state, "draining");
+	entry->slots = 1;
+	return true;
+}
+
+static void ignore_entry(void *arg, const struct backend_entry *entry)
+{
+}
+
+static void count_gone(void *arg, const char *id, const char *reason)
+{
+	gone++;
+}
+
+static void ignore(void *arg)
+{
+}
+
+static void put(const char *key, const char *value)
+{
+	fake_store_server_put(&server, key, value, value ? strlen(value) : 0);
+}
+
+static void advance(int64_t delay_us)
+{
+	int64_t until_us = world.now_us + delay_us;
+
+	while (world.now_us < until_us) {
+		backend_follower_tick(follower);
+		fake_world_advance(&world, STEP_US);
+	}
+}
+
+static void setup(void)
+{
+	struct backend_follower_events events = {
+		.decode = decode,
+		.joined = ignore_entry,
+		.draining = ignore_entry,
+		.gone = count_gone,
+		.store_away = ignore,
+		.store_back = ignore,
+	};
+
+	fake_world_init(&world, 1);
+	fake_store_server_init(&server, &world);
+	fake_store_init(&store, &server);
+	memset(&table, 0, sizeof(table));
+	gone = 0;
+	put("srv/a", "5 100 ready");
+	put("srv/b", "5 100 ready");
+	follower = backend_follower_new("srv/", &store.store, &world.clock,
+					&table, &events);
+	advance(TGW_US_PER_S);
+}
+
+static void teardown(void)
+{
+	backend_follower_free(follower);
+	fake_store_reset(&store);
+	fake_world_clear(&world);
+	fake_store_server_clear(&server);
+	while (table.first)
+		backend_table_drop(&table, table.first->entry.id);
+}
+
+START_TEST(entries_are_read_at_the_start)
+{
+	ck_assert(backend_follower_is_ready(follower));
+	ck_assert_ptr_nonnull(backend_table_find(&table, "a"));
+	ck_assert_uint_eq(table.count, 2);
+}
+END_TEST
+
+START_TEST(a_removed_entry_is_gone_at_once)
+{
+	put("srv/a", NULL);
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_ptr_null(backend_table_find(&table, "a"));
+}
+END_TEST
+
+START_TEST(an_entry_that_lapsed_in_an_outage_may_come_back)
+{
+	fake_store_server_set_out(&server, true);
+	advance(3 * TGW_US_PER_S);
+	put("srv/a", NULL);
+	put("srv/b", NULL);
+	fake_store_server_set_out(&server, false);
+	advance(TGW_US_PER_S);
+	ck_assert_ptr_nonnull(backend_table_find(&table, "a"));
+	put("srv/a", "9 100 ready");
+	advance(3 * TGW_US_PER_S);
+	ck_assert_ptr_nonnull(backend_table_find(&table, "a"));
+	ck_assert_ptr_null(backend_table_find(&table, "b"));
+	ck_assert_int_eq(gone, 1);
+}
+END_TEST
+
+START_TEST(draining_is_believed_right_after_an_outage)
+{
+	fake_store_server_set_out(&server, true);
+	advance(3 * TGW_US_PER_S);
+	put("srv/a", "6 100 draining");
+	fake_store_server_set_out(&server, false);
+	advance(300 * TGW_US_PER_MS);
+	ck_assert(backend_table_find(&table, "a")->entry.draining);
+}
+END_TEST
+
+START_TEST(an_older_heartbeat_takes_nothing_back)
+{
+	put("srv/a", "6 100 draining");
+	advance(200 * TGW_US_PER_MS);
+	put("srv/a", "5 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(backend_table_find(&table, "a")->entry.draining);
+	put("srv/a", "50 99 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(backend_table_find(&table, "a")->entry.draining);
+	put("srv/a", "1 101 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(!backend_table_find(&table, "a")->entry.draining);
+}
+END_TEST
+
+START_TEST(an_unreadable_entry_names_no_server)
+{
+	put("srv/a", "\x01\x02");
+	put("srv/c", "");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_ptr_null(backend_table_find(&table, "a"));
+	ck_assert_ptr_null(backend_table_find(&table, "c"));
+	ck_assert_ptr_nonnull(backend_table_find(&table, "b"));
+	put("srv/a", "7 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_ptr_nonnull(backend_table_find(&table, "a"));
+}
+END_TEST
+
+START_TEST(what_changed_during_a_cut_is_read_anew)
+{
+	fake_store_set_cut(&store, true);
+	put("srv/a", NULL);
+	put("srv/c", "1 200 ready");
+	advance(5 * TGW_US_PER_S);
+	ck_assert_ptr_nonnull(backend_table_find(&table, "a"));
+	fake_store_set_cut(&store, false);
+	advance(4 * TGW_US_PER_S);
+	ck_assert_ptr_null(backend_table_find(&table, "a"));
+	ck_assert_ptr_nonnull(backend_table_find(&table, "c"));
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("backend_follower");
+	TCase *cases = tcase_create("entries");
+
+	tcase_add_checked_fixture(cases, setup, teardown);
+	tcase_add_test(cases, entries_are_read_at_the_start);
+	tcase_add_test(cases, a_removed_entry_is_gone_at_once);
+	tcase_add_test(cases, an_entry_that_lapsed_in_an_outage_may_come_back);
+	tcase_add_test(cases, draining_is_believed_right_after_an_outage);
+	tcase_add_test(cases, an_older_heartbeat_takes_nothing_back);
+	tcase_add_test(cases, an_unreadable_entry_names_no_server);
+	tcase_add_test(cases, what_changed_during_a_cut_is_read_anew);
+	suite_add_tcase(suite, cases);
+	return unit_main(suite);
+}
--- /dev/null
+++ b/tests/unit/test_event_scan.c
@@ -0,0 +1,83 @@
+#include "protocol/event_scan.h"
+
+#include <string.h>
+
+#include "unit/unit_main.h"
+
+static const struct {
+	const char *text;
+	uint64_t events;
+	int64_t last_id;
+	size_t complete; /* bytes up to the end of the last whole event */
+} streams[] = {
+	{"", 0, -1, 0},
+	{"id: 0\ndata: a\n\n", 1, 0, 15},
+	{"id: 0\ndata: a\n\nid: 1\nda", 1, 0, 15},
+	{"id:7\r\ndata: a\r\n\r\n", 1, 7, 17},
+	{"data: a\n\ndata: b\n\n", 2, -1, 18},
+	{"id: 3\ndata: a\n\ndata: b\n\n", 2, 3, 24},
+	{"id: x\ndata: a\n\n", 1, -1, 15},
+	{"id: -4\ndata: a\n\n", 1, -1, 16},
+	{"\n\n\n", 0, -1, 3},
+	{"tamarackgw: 3\nid: 1\ndata: a\n\n", 1, 1, 29},
+	{"id: 99999999999999999999999999999999999999999999999999999999\n\n", 1,
+	 -1, 62},
+};
+
+START_TEST(whole_streams)
+{
+	struct event_scan scan;
+	size_t complete;
+
+	event_scan_init(&scan);
+	complete = event_scan_feed(&scan, streams[_i].text,
+				   strlen(streams[_i].text));
+	ck_assert_uint_eq(scan.events, streams[_i].events);
+	ck_assert_int_eq(scan.last_id, streams[_i].last_id);
+	ck_assert_uint_eq(complete, streams[_i].complete);
+}
+END_TEST
+
+START_TEST(byte_by_byte_it_finds_the_same)
+{
+	const char *text = streams[_i].text;
+	struct event_scan scan;
+	size_t complete = 0;
+
+	event_scan_init(&scan);
+	for (size_t i = 0; i < strlen(text); i++)
+		if (event_scan_feed(&scan, text + i, 1))
+			complete = i + 1;
+	ck_assert_uint_eq(scan.events, streams[_i].events);
+	ck_assert_int_eq(scan.last_id, streams[_i].last_id);
+	ck_assert_uint_eq(complete, streams[_i].complete);
+}
+END_TEST
+
+START_TEST(a_dropped_part_leaves_no_trace)
+{
+	struct event_scan scan;
+
+	event_scan_init(&scan);
+	event_scan_feed(&scan, "id: 4\ndata: a\n\nid: 5\nda", 23);
+	ck_assert(scan.in_event);
+	event_scan_drop_partial(&scan);
+	ck_assert(!scan.in_event);
+	event_scan_feed(&scan, "id: 5\ndata: b\n\n", 15);
+	ck_assert_uint_eq(scan.events, 2);
+	ck_assert_int_eq(scan.last_id, 5);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("event_scan");
+	TCase *cases = tcase_create("streams");
+	int count = sizeof(streams) / sizeof(streams[0]);
+
+	tcase_add_loop_test(cases, whole_streams, 0, count);
+	tcase_add_loop_test(cases, byte_by_byte_it_finds_the_same, 0, count);
+	tcase_add_test(cases, a_dropped_part_leaves_no_trace);
+	suite_add_tcase(suite, cases);
+	return unit_main(suite);
+}
--- /dev/null
+++ b/tests/unit/test_placement.c
@@ -0,0 +1,290 @@
+#include "state/placement.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "tamarackgw/clock.h"
+#include "tamarackgw/random.h"
+#include "unit/unit_main.h"
+
+#define SERVERS 9
+#define NOW_US (100 * TGW_US_PER_S)
+
+static struct backend_table table;
+static struct placement_request request;
+
+static void put(struct backend_table *to, int number, const char *domain)
+{
+	struct backend_entry entry = {.slots = 64, .born_ms = 1};
+
+	snprintf(entry.id, sizeof(entry.id), "server-%d", number);
+	text_copy(entry.service, sizeof(entry.service), "model");
+	text_copy(entry.address, sizeof(entry.address), "127.0.0.1:1");
+	text_copy(entry.failure_domain, sizeof(entry.failure_domain), domain);
+	backend_table_put(to, &entry);
+}
+
+static void clear(struct backend_table *of)
+{
+	while (of->first) {
+		of->first->running = 0;
+		backend_table_drop(of, of->first->entry.id);
+	}
+}
+
+static void setup(void)
+{
+	memset(&table, 0, sizeof(table));
+	for (int i = 0; i < SERVERS; i++)
+		put(&table, i, "east");
+	memset(&request, 0, sizeof(request));
+	request.service = "model";
+	request.failure_domain = "east";
+	request.now_us = NOW_US;
+}
+
+static void teardown(void)
+{
+	clear(&table);
+}
+
+static struct backend *choose(void)
+{
+	struct backend *chosen;
+
+	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
+			 PLACEMENT_FOUND);
+	return chosen;
+}
+
+START_TEST(no_server_of_the_service_is_told)
+{
+	struct backend *chosen;
+
+	request.service = "other";
+	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
+			 PLACEMENT_NO_SERVER);
+	ck_assert_ptr_null(chosen);
+}
+END_TEST
+
+START_TEST(a_draining_server_gets_nothing_new)
+{
+	for (struct backend *backend = table.first->next; backend;
+	     backend = backend->next)
+		backend->entry.draining = true;
+	for (uint64_t draw = 0; draw < 50; draw++) {
+		request.draw = draw;
+		request.affinity = draw;
+		ck_assert_ptr_eq(choose(), table.first);
+	}
+	table.first->entry.draining = true;
+	ck_assert_int_eq(placement_choose(&table, &request,
+					  &(struct backend *){NULL}),
+			 PLACEMENT_NO_SERVER);
+}
+END_TEST
+
+START_TEST(a_server_is_tried_once_by_a_request)
+{
+	const struct backend *tried[SERVERS];
+	struct backend *chosen;
+
+	request.tried = tried;
+	for (int i = 0; i < SERVERS; i++) {
+		chosen = choose();
+		for (uint32_t j = 0; j < request.tried_count; j++)
+			ck_assert_ptr_ne(chosen, tried[j]);
+		tried[request.tried_count++] = chosen;
+	}
+	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
+			 PLACEMENT_ALL_TRIED);
+}
+END_TEST
+
+START_TEST(full_servers_are_left_alone_for_a_moment)
+{
+	struct backend *chosen;
+
+	for (struct backend *backend = table.first; backend;
+	     backend = backend->next)
+		backend_judge(backend, BACKEND_REJECTED, NOW_US);
+	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
+			 PLACEMENT_ALL_FULL);
+	request.now_us += TGW_US_PER_S;
+	choose();
+}
+END_TEST
+
+START_TEST(an_unreachable_server_is_avoided_but_not_if_all_are)
+{
+	struct backend *avoided = table.first;
+
+	backend_judge(avoided, BACKEND_UNREACHED, NOW_US);
+	for (uint64_t draw = 0; draw < 100; draw++) {
+		request.draw = draw;
+		request.affinity = draw | 1;
+		ck_assert_ptr_ne(choose(), avoided);
+	}
+	for (struct backend *backend = table.first; backend;
+	     backend = backend->next)
+		backend_judge(backend, BACKEND_UNREACHED, NOW_US);
+	choose();
+}
+END_TEST
+
+START_TEST(a_server_that_fails_half_its_requests_gets_few)
+{
+	struct backend *grey = table.first;
+	int taken = 0;
+
+	for (int i = 0; i < 40; i++)
+		backend_judge(grey, i % 2 ? BACKEND_FAILED : BACKEND_SERVED,
+			      NOW_US);
+	for (uint64_t draw = 0; draw < 900; draw++) {
+		request.draw = draw;
+		request.affinity = draw % 2 ? 0 : draw * 7919 + 1;
+		taken += choose() == grey;
+	}
+	ck_assert_int_lt(taken, 20);
+}
+END_TEST
+
+START_TEST(all_hosts_choose_alike_by_shared_parts)
+{
+	struct backend_table other = {0};
+
+	/* The other host learned of the servers in another order. */
+	for (int i = SERVERS - 1; i >= 0; i--)
+		put(&other, i, "west");
+	for (uint64_t part = 1; part < 200; part++) {
+		struct placement_request there = request;
+		struct backend *chosen;
+
+		request.affinity = part;
+		request.draw = part * 31;
+		there.affinity = part;
+		there.failure_domain = "west";
+		placement_choose(&other, &there, &chosen);
+		ck_assert_str_eq(choose()->entry.id, chosen->entry.id);
+	}
+	clear(&other);
+}
+END_TEST
+
+START_TEST(a_popular_part_does_not_drown_its_server)
+{
+	uint32_t most = 0;
+
+	request.affinity = 17;
+	for (int i = 0; i < 270; i++)
+		backend_begin(choose());
+	for (struct backend *backend = table.first; backend;
+	     backend = backend->next)
+		if (backend->running > most)
+			most = backend->running;
+	ck_assert_uint_le(most, 2 * 270 / SERVERS + 8);
+}
+END_TEST
+
+START_TEST(parts_are_spread_evenly)
+{
+	for (uint64_t part = 1; part <= 900; part++) {
+		request.affinity = part * 7919;
+		backend_begin(choose());
+	}
+	for (struct backend *backend = table.first; backend;
+	     backend = backend->next)
+		ck_assert_uint_le(backend->running, 250);
+}
+END_TEST
+
+START_TEST(the_longest_prompts_keep_away_from_all_others)
+{
+	bool reads_long[SERVERS] = {false};
+	bool reads_short[SERVERS] = {false};
+
+	for (uint64_t part = 1; part < 200; part++) {
+		int number;
+
+		request.affinity = part * 7919;
+		request.prompt_tokens = 50000;
+		number = choose()->entry.id[strlen("server-")] - '0';
+		reads_long[number] = true;
+		request.prompt_tokens = 900;
+		number = choose()->entry.id[strlen("server-")] - '0';
+		reads_short[number] = true;
+	}
+	for (int i = 0; i < SERVERS; i++)
+		ck_assert(!(reads_long[i] && reads_short[i]));
+}
+END_TEST
+
+START_TEST(near_servers_go_first_while_loads_are_equal)
+{
+	struct backend *far;
+
+	put(&table, 0, "west");
+	far = backend_table_find(&table, "server-0");
+	for (uint64_t draw = 0; draw < 100; draw++) {
+		request.draw = draw;
+		ck_assert_ptr_ne(choose(), far);
+	}
+	for (struct backend *backend = table.first; backend;
+	     backend = backend->next)
+		backend->running = backend == far ? 0 : 40;
+	ck_assert_ptr_eq(choose(), far);
+}
+END_TEST
+
+START_TEST(a_new_start_under_the_same_id_has_a_clean_record)
+{
+	struct backend *backend = backend_table_find(&table, "server-3");
+	struct backend_entry entry = backend->entry;
+
+	backend_judge(backend, BACKEND_UNREACHED, NOW_US);
+	entry.born_ms = 2;
+	backend = backend_table_put(&table, &entry);
+	ck_assert_int_eq(backend->avoid_until_us, 0);
+	ck_assert_uint_eq(table.count, SERVERS);
+}
+END_TEST
+
+START_TEST(a_dropped_server_is_kept_until_its_last_request_ends)
+{
+	struct backend *backend = backend_table_find(&table, "server-3");
+
+	backend_begin(backend);
+	backend_table_drop(&table, "server-3");
+	ck_assert_uint_eq(table.count, SERVERS);
+	ck_assert_ptr_null(backend_table_find(&table, "server-3"));
+	backend_end(&table, backend);
+	ck_assert_uint_eq(table.count, SERVERS - 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("placement");
+	TCase *cases = tcase_create("choices");
+
+	tcase_add_checked_fixture(cases, setup, teardown);
+	tcase_add_test(cases, no_server_of_the_service_is_told);
+	tcase_add_test(cases, a_draining_server_gets_nothing_new);
+	tcase_add_test(cases, a_server_is_tried_once_by_a_request);
+	tcase_add_test(cases, full_servers_are_left_alone_for_a_moment);
+	tcase_add_test(cases,
+		       an_unreachable_server_is_avoided_but_not_if_all_are);
+	tcase_add_test(cases, a_server_that_fails_half_its_requests_gets_few);
+	tcase_add_test(cases, all_hosts_choose_alike_by_shared_parts);
+	tcase_add_test(cases, a_popular_part_does_not_drown_its_server);
+	tcase_add_test(cases, parts_are_spread_evenly);
+	tcase_add_test(cases, the_longest_prompts_keep_away_from_all_others);
+	tcase_add_test(cases, near_servers_go_first_while_loads_are_equal);
+	tcase_add_test(cases, a_new_start_under_the_same_id_has_a_clean_record);
+	tcase_add_test(cases,
+		       a_dropped_server_is_kept_until_its_last_request_ends);
+	suite_add_tcase(suite, cases);
+	return unit_main(suite);
+}
