Test the edge on real sockets; end the parse of input that is refused

Stand-ins of the users' store and servers, and one host between them and raw callers, on one loop. They found that a refusal at the end of a head (two framings, CONNECT, a body over the limit) returned 1, which tells the parser that there is no body: the request went on and its body was read as the next request. Before: 404 and 401 where 400 and 413 are due; now as due.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -395,7 +395,7 @@
 		}
 		call->edge->counters.budget_refused++;
 		call_refuse(call, 503, RETRY_RECALL_MS,
-			    "other hosts hold what is left of the budget");
+			    "no allotment came in time");
 		return;
 	}
 	if (now_us < attempt_due_us(call) || !call->conn) {
--- a/src/edge/caller_conn.c
+++ b/src/edge/caller_conn.c
@@ -71,10 +71,13 @@
 	uv_timer_start(&conn->timer, on_idle, (uint64_t)delay_ms, 0);
 }
 
+/* Any value but 0, 1 and 2 ends the parsing from every callback. */
+#define PARSER_STOPS (-1)
+
 static int refuse(struct caller_conn *conn, int status)
 {
 	conn->refused_status = status;
-	return 1;
+	return PARSER_STOPS;
 }
 
 static int on_message_begin(http_parser *parser)
--- /dev/null
+++ b/tests/fakes/edge_rig.c
@@ -0,0 +1,293 @@
+#include "fakes/edge_rig.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/text.h"
+#include "base/xalloc.h"
+#include "edge/edge_clock.h"
+#include "platform_dialect.h"
+#include "platform_routes.h"
+#include "platform_servers.h"
+
+#define ANSWER_LIMIT_MS 3000
+#define STEP_MS 5
+
+static const char config_form[] =
+	"{\"version\":%d,\"routes\":["
+	"{\"name\":\"safe\",\"host\":\"a.example\",\"pathPrefix\":\"/safe/\","
+	"\"kind\":\"safe\",\"timeoutMs\":1000,\"targetLatencyMs\":100,"
+	"\"priority\":1,\"service\":\"app\",\"maxAttempts\":2},"
+	"{\"name\":\"unsafe\",\"host\":\"a.example\","
+	"\"pathPrefix\":\"/unsafe/\",\"kind\":\"unsafe\",\"timeoutMs\":1000,"
+	"\"priority\":1,\"service\":\"app\",\"maxAttempts\":2},"
+	"{\"name\":\"stream\",\"host\":\"a.example\","
+	"\"pathPrefix\":\"/stream/\",\"kind\":\"streaming\","
+	"\"timeoutMs\":2000,\"priority\":0,\"service\":\"app\","
+	"\"maxAttempts\":2,\"affinity\":true},"
+	"{\"name\":\"resume\",\"host\":\"a.example\","
+	"\"pathPrefix\":\"/resume/\",\"kind\":\"streaming\","
+	"\"resumable\":true,\"timeoutMs\":2000,\"priority\":0,"
+	"\"service\":\"app\",\"maxAttempts\":2},"
+	"{\"name\":\"open\",\"host\":\"a.example\",\"pathPrefix\":\"/open/\","
+	"\"kind\":\"safe\",\"timeoutMs\":1000,\"service\":\"app\","
+	"\"maxAttempts\":1,\"public\":true}],"
+	"\"services\":[{\"name\":\"app\",\"maxConnections\":100,"
+	"\"engine\":{\"stride\":4,\"kvCapacity\":100000}}],"
+	"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":5000,"
+	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":900},"
+	"\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"%s\"],"
+	"\"prepaid\":%ld}]}";
+
+static int free_port(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&address, sizeof(address));
+	getsockname(fd, (struct sockaddr *)&address, &size);
+	close(fd);
+	return ntohs(address.sin_port);
+}
+
+static void set_address(char *text, size_t size)
+{
+	snprintf(text, size, "127.0.0.1:%d", free_port());
+}
+
+void edge_rig_start(struct edge_rig *rig)
+{
+	struct platform_store_settings store = {
+		.call_timeout_ms = 300,
+		.watch_wait_ms = 400,
+		.watch_pause_ms = 10,
+	};
+	struct edge_sources sources = {
+		.store = &rig->platform.store,
+		.dialect = &platform_dialect,
+		.routes_prefix = PLATFORM_ROUTES_PREFIX,
+		.routes_key = PLATFORM_ROUTES_KEY,
+		.decode_routes = platform_routes_decode,
+		.backends_prefix = PLATFORM_SERVERS_PREFIX,
+		.decode_backend = platform_servers_decode,
+	};
+	struct tgw_error error = {0};
+
+	uv_loop_init(&rig->loop);
+	kv_standin_start(&rig->store, &rig->loop);
+	worker_standin_start(&rig->workers[0], &rig->loop, "worker-0");
+	worker_standin_start(&rig->workers[1], &rig->loop, "worker-1");
+	edge_settings_set_defaults(&rig->settings);
+	text_copy(rig->settings.name, sizeof(rig->settings.name), "host-a");
+	text_copy(rig->settings.failure_domain,
+		  sizeof(rig->settings.failure_domain), "east");
+	set_address(rig->settings.caller_address,
+		    sizeof(rig->settings.caller_address));
+	set_address(rig->settings.ready_address,
+		    sizeof(rig->settings.ready_address));
+	text_copy(rig->settings.store_address,
+		  sizeof(rig->settings.store_address), rig->store.address);
+	rig->settings.stop_notice_ms = 300;
+	rig->settings.stop_grace_ms = 2000;
+	platform_store_init(&rig->platform, &rig->loop, &store);
+	platform_caller_set_address(&rig->platform.caller, rig->store.address);
+	if (edge_start(&rig->edge, &rig->loop, &rig->settings, &sources,
+		       &error) != TGW_OK) {
+		fprintf(stderr, "%s\n", error.message);
+		abort();
+	}
+}
+
+void edge_rig_run(struct edge_rig *rig, int64_t ms)
+{
+	int64_t until_us = edge_now_us() + ms * TGW_US_PER_MS;
+
+	while (edge_now_us() < until_us) {
+		uv_run(&rig->loop, UV_RUN_NOWAIT);
+		usleep(500);
+	}
+}
+
+void edge_rig_run_until(struct edge_rig *rig, const unsigned int *counter,
+			unsigned int least)
+{
+	for (int i = 0; i < ANSWER_LIMIT_MS / STEP_MS && *counter < least; i++)
+		edge_rig_run(rig, STEP_MS);
+}
+
+void edge_rig_configure(struct edge_rig *rig, int version, long prepaid,
+			const char *key)
+{
+	char *text = xasprintf(config_form, version, key, prepaid);
+
+	kv_standin_put(&rig->store, "op/config", text);
+	free(text);
+}
+
+void edge_rig_enlist(struct edge_rig *rig, int worker, const char *state,
+		     int sequence)
+{
+	const struct worker_standin *standin = &rig->workers[worker];
+	char *key = xasprintf("servers/%s", standin->id);
+	char *text = xasprintf("{\"service\":\"app\",\"address\":\"%s\","
+			       "\"zone\":\"east\",\"slots\":4,\"state\":\"%s\","
+			       "\"sequence\":%d,\"born\":1000}",
+			       standin->address, state, sequence);
+
+	kv_standin_put(&rig->store, key, text);
+	free(key);
+	free(text);
+}
+
+void edge_rig_serve(struct edge_rig *rig)
+{
+	edge_rig_configure(rig, 1, 1000000, "key-1");
+	edge_rig_enlist(rig, 0, "ready", 1);
+	edge_rig_enlist(rig, 1, "ready", 1);
+	for (int i = 0; i < ANSWER_LIMIT_MS / STEP_MS &&
+			(!route_follower_set(rig->edge.route_follower) ||
+			 rig->edge.backends.count < 2);
+	     i++)
+		edge_rig_run(rig, STEP_MS);
+	/* The first allotments. */
+	edge_rig_run(rig, 150);
+}
+
+static void close_walked(uv_handle_t *handle, void *arg)
+{
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+void edge_rig_stop(struct edge_rig *rig)
+{
+	edge_free(&rig->edge);
+	platform_store_close(&rig->platform);
+	kv_standin_stop(&rig->store);
+	worker_standin_stop(&rig->workers[0]);
+	worker_standin_stop(&rig->workers[1]);
+	uv_run(&rig->loop, UV_RUN_NOWAIT);
+	uv_walk(&rig->loop, close_walked, NULL);
+	uv_run(&rig->loop, UV_RUN_NOWAIT);
+}
+
+static void on_space(uv_handle_t *handle, size_t wanted, uv_buf_t *space)
+{
+	static char bytes[16384];
+
+	space->base = bytes;
+	space->len = sizeof(bytes);
+}
+
+static void on_released(uv_handle_t *handle)
+{
+	((struct edge_rig_caller *)handle->data)->released = true;
+}
+
+void edge_rig_close_caller(struct edge_rig_caller *caller)
+{
+	if (caller->closed)
+		return;
+	caller->closed = true;
+	uv_close((uv_handle_t *)&caller->tcp, on_released);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *space)
+{
+	struct edge_rig_caller *caller = stream->data;
+
+	if (size > 0)
+		buffer_add(&caller->received, space->base, (size_t)size);
+	else if (size < 0)
+		edge_rig_close_caller(caller);
+}
+
+static void on_connected(uv_connect_t *request, int status)
+{
+	struct edge_rig_caller *caller = request->handle->data;
+
+	caller->connected = status == 0;
+	if (status < 0)
+		edge_rig_close_caller(caller);
+}
+
+static void on_written(uv_write_t *request, int status)
+{
+	free(request->data);
+	free(request);
+}
+
+static void write_text(struct edge_rig_caller *caller, const char *text)
+{
+	uv_write_t *request = xcalloc(1, sizeof(*request));
+	uv_buf_t part;
+
+	request->data = xstrdup(text);
+	part = uv_buf_init(request->data, (unsigned int)strlen(text));
+	uv_write(request, (uv_stream_t *)&caller->tcp, &part, 1, on_written);
+}
+
+void edge_rig_call(struct edge_rig *rig, struct edge_rig_caller *caller,
+		   const char *text)
+{
+	struct sockaddr_in address;
+	const char *port = strchr(rig->settings.caller_address, ':') + 1;
+
+	memset(caller, 0, sizeof(*caller));
+	uv_ip4_addr("127.0.0.1", (int)strtol(port, NULL, 10), &address);
+	uv_tcp_init(&rig->loop, &caller->tcp);
+	caller->tcp.data = caller;
+	uv_tcp_connect(&caller->connecting, &caller->tcp,
+		       (struct sockaddr *)&address, on_connected);
+	while (!caller->connected && !caller->closed)
+		edge_rig_run(rig, 1);
+	if (caller->closed)
+		return;
+	uv_read_start((uv_stream_t *)&caller->tcp, on_space, on_read);
+	write_text(caller, text);
+}
+
+char *edge_rig_exchange(struct edge_rig *rig, const char *text)
+{
+	struct edge_rig_caller caller;
+	char *received;
+
+	edge_rig_call(rig, &caller, text);
+	for (int i = 0; i < ANSWER_LIMIT_MS / STEP_MS && !caller.closed; i++)
+		edge_rig_run(rig, STEP_MS);
+	edge_rig_close_caller(&caller);
+	while (!caller.released)
+		edge_rig_run(rig, 1);
+	buffer_add(&caller.received, "", 1);
+	received = xstrdup(caller.received.data);
+	buffer_free(&caller.received);
+	return received;
+}
+
+char *edge_rig_request(struct edge_rig *rig, const char *method,
+		       const char *kind, const char *what, const char *more,
+		       const char *body)
+{
+	static unsigned int number;
+	char *text = xasprintf("%s /%s/%s HTTP/1.1\r\nHost: a.example\r\n"
+			       "Authorization: Token key-1\r\n"
+			       "Tamarackgw-Request-Id: request-%u\r\n"
+			       "Content-Length: %zu\r\n"
+			       "Connection: close\r\n%s\r\n%s",
+			       method, kind, what, ++number, strlen(body), more,
+			       body);
+	char *received = edge_rig_exchange(rig, text);
+
+	free(text);
+	return received;
+}
+
+unsigned int edge_rig_runs(const struct edge_rig *rig)
+{
+	return rig->workers[0].runs + rig->workers[1].runs;
+}
--- /dev/null
+++ b/tests/fakes/kv_standin.c
@@ -0,0 +1,328 @@
+#include "fakes/kv_standin.h"
+
+#include <arpa/inet.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+#include "edge/caller_conn.h"
+
+#define BACKLOG 64
+#define TEXT_SIZE 256
+
+static const struct caller_limits limits = {
+	.head_bytes = 64 * 1024,
+	.body_bytes = 4 * 1024 * 1024,
+	.head_ms = 10000,
+	.idle_ms = 60000,
+};
+
+/* A watch that waits for changes. */
+struct kv_standin_watch {
+	struct kv_standin *store;
+	struct caller_conn *conn;
+	char prefix[TEXT_SIZE];
+	int64_t after;
+	uv_timer_t timer;
+	struct kv_standin_watch *next;
+};
+
+static void answer(struct caller_conn *conn, int status, json_t *body)
+{
+	struct buffer fields = {0};
+	char *text = body ? json_dumps(body, JSON_COMPACT) : xstrdup("{}");
+
+	buffer_add_text(&fields, "Content-Type: application/json\r\n");
+	caller_conn_answer(conn, status, &fields, (int64_t)strlen(text), false);
+	caller_conn_body(conn, text, strlen(text));
+	caller_conn_finish(conn);
+	buffer_free(&fields);
+	free(text);
+	json_decref(body);
+}
+
+static struct kv_standin_item *find(struct kv_standin *store, const char *key)
+{
+	for (struct kv_standin_item *item = store->items; item;
+	     item = item->next)
+		if (!strcmp(item->key, key))
+			return item;
+	return NULL;
+}
+
+static json_t *describe(const struct kv_standin_item *item)
+{
+	json_t *object = json_object();
+
+	json_object_set_new(object, "key", json_string(item->key));
+	json_object_set_new(object, "revision", json_integer(item->revision));
+	if (item->value)
+		json_object_set_new(object, "value", json_string(item->value));
+	else
+		json_object_set_new(object, "tombstone", json_true());
+	return object;
+}
+
+static void query_text(const struct caller_conn *conn, const char *name,
+		       char *text)
+{
+	const char *at = strchr(conn->request.target.data, '?');
+	size_t size = strlen(name);
+
+	*text = '\0';
+	while (at) {
+		at++;
+		if (!strncmp(at, name, size) && at[size] == '=') {
+			size_t length = strcspn(at + size + 1, "&");
+
+			snprintf(text, TEXT_SIZE, "%.*s", (int)length,
+				 at + size + 1);
+			return;
+		}
+		at = strchr(at, '&');
+	}
+}
+
+static json_t *list(struct kv_standin *store, const char *prefix, int64_t after,
+		    bool removed, const char *name)
+{
+	json_t *body = json_object();
+	json_t *items = json_array();
+
+	for (const struct kv_standin_item *item = store->items; item;
+	     item = item->next)
+		if (!strncmp(item->key, prefix, strlen(prefix)) &&
+		    item->revision > after && (item->value || removed))
+			json_array_append_new(items, describe(item));
+	json_object_set_new(body, name, items);
+	json_object_set_new(body, "storeRevision",
+			    json_integer(store->revision));
+	return body;
+}
+
+static void on_watch_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+static void end_watch(struct kv_standin_watch *watch)
+{
+	struct kv_standin_watch **at = &watch->store->watches;
+
+	while (*at != watch)
+		at = &(*at)->next;
+	*at = watch->next;
+	uv_close((uv_handle_t *)&watch->timer, on_watch_closed);
+}
+
+static void answer_watch(struct kv_standin_watch *watch)
+{
+	struct caller_conn *conn = watch->conn;
+	json_t *body =
+		list(watch->store, watch->prefix, watch->after, true, "events");
+
+	conn->call = NULL;
+	end_watch(watch);
+	answer(conn, 200, body);
+}
+
+static void on_watch_time(uv_timer_t *timer)
+{
+	answer_watch(timer->data);
+}
+
+static void start_watch(struct kv_standin *store, struct caller_conn *conn)
+{
+	struct kv_standin_watch *watch = xcalloc(1, sizeof(*watch));
+	char text[TEXT_SIZE];
+
+	watch->store = store;
+	watch->conn = conn;
+	query_text(conn, "pathPrefix", watch->prefix);
+	query_text(conn, "after", text);
+	watch->after = strtoll(text, NULL, 10);
+	query_text(conn, "waitMs", text);
+	uv_timer_init(store->loop, &watch->timer);
+	watch->timer.data = watch;
+	uv_timer_start(&watch->timer, on_watch_time,
+		       (uint64_t)strtoll(text, NULL, 10), 0);
+	watch->next = store->watches;
+	store->watches = watch;
+	conn->call = watch;
+}
+
+static void tell_watches(struct kv_standin *store, const char *key)
+{
+	struct kv_standin_watch *watch = store->watches;
+
+	while (watch) {
+		struct kv_standin_watch *next = watch->next;
+
+		if (!strncmp(key, watch->prefix, strlen(watch->prefix)))
+			answer_watch(watch);
+		watch = next;
+	}
+}
+
+static void set(struct kv_standin *store, const char *key, const char *value)
+{
+	struct kv_standin_item *item = find(store, key);
+
+	if (!item) {
+		item = xcalloc(1, sizeof(*item));
+		item->key = xstrdup(key);
+		item->next = store->items;
+		store->items = item;
+	}
+	free(item->value);
+	item->value = value ? xstrdup(value) : NULL;
+	item->revision = ++store->revision;
+	tell_watches(store, key);
+}
+
+void kv_standin_put(struct kv_standin *store, const char *key,
+		    const char *value)
+{
+	size_t size = value ? strlen(value) : 0;
+	size_t length =
+		sodium_base64_encoded_len(size, sodium_base64_VARIANT_ORIGINAL);
+	char *text = xmalloc(length);
+
+	sodium_bin2base64(text, length, (const uint8_t *)value, size,
+			  sodium_base64_VARIANT_ORIGINAL);
+	set(store, key, value ? text : NULL);
+	free(text);
+}
+
+static void write_all(struct kv_standin *store, struct caller_conn *conn)
+{
+	json_t *body = json_loadb(conn->request.body.data,
+				  conn->request.body.size, 0, NULL);
+	json_t *items = json_array();
+	const json_t *row;
+	size_t i;
+	bool holds = true;
+
+	json_array_foreach(json_object_get(body, "expectedRevision"), i, row)
+	{
+		const char *key =
+			json_string_value(json_object_get(row, "key"));
+		struct kv_standin_item *item = find(store, key);
+		int64_t revision = item && item->value ? item->revision : 0;
+
+		if (revision !=
+		    json_integer_value(json_object_get(row, "revision")))
+			holds = false;
+		if (item && item->value)
+			json_array_append_new(items, describe(item));
+	}
+	if (holds) {
+		json_array_foreach(json_object_get(body, "writes"), i, row)
+			set(store,
+			    json_string_value(json_object_get(row, "key")),
+			    json_string_value(json_object_get(row, "value")));
+	}
+	if (holds && store->lose_answers) {
+		store->lose_answers--;
+		json_decref(items);
+	} else if (holds) {
+		answer(conn, 200,
+		       json_pack("{s:I}", "revision",
+				 (json_int_t)store->revision));
+		json_decref(items);
+	} else {
+		answer(conn, 412, json_pack("{s:o}", "items", items));
+	}
+	json_decref(body);
+}
+
+static void on_request(struct caller_conn *conn)
+{
+	struct kv_standin *store = conn->owner;
+	const char *target = conn->request.target.data;
+	struct kv_standin_item *item;
+	char text[TEXT_SIZE];
+
+	store->calls++;
+	if (store->silent)
+		return;
+	if (store->refuse_status) {
+		answer(conn, store->refuse_status, NULL);
+	} else if (!strncmp(target, "/kv-key", 7)) {
+		query_text(conn, "key", text);
+		item = find(store, text);
+		if (item && item->value)
+			answer(conn, 200, describe(item));
+		else
+			answer(conn, 404, NULL);
+	} else if (!strncmp(target, "/kv-range", 9)) {
+		query_text(conn, "pathPrefix", text);
+		answer(conn, 200, list(store, text, 0, false, "items"));
+	} else if (!strncmp(target, "/kv-watch", 9)) {
+		query_text(conn, "after", text);
+		if (strtoll(text, NULL, 10) < store->oldest)
+			answer(conn, 410, NULL);
+		else
+			start_watch(store, conn);
+	} else {
+		write_all(store, conn);
+	}
+}
+
+static void on_gone(struct caller_conn *conn)
+{
+	if (conn->call)
+		end_watch(conn->call);
+	conn->call = NULL;
+}
+
+static void ignore(struct caller_conn *conn)
+{
+}
+
+static const struct caller_conn_events events = {
+	.request = on_request,
+	.gone = on_gone,
+	.drained = ignore,
+	.closed = ignore,
+};
+
+static void on_connection(uv_stream_t *listener, int status)
+{
+	if (status >= 0)
+		caller_conn_accept(listener, &limits, &events, listener->data);
+}
+
+void kv_standin_start(struct kv_standin *store, uv_loop_t *loop)
+{
+	struct sockaddr_in address;
+	int size = sizeof(address);
+
+	memset(store, 0, sizeof(*store));
+	store->loop = loop;
+	store->revision = 1;
+	uv_ip4_addr("127.0.0.1", 0, &address);
+	uv_tcp_init(loop, &store->listener);
+	store->listener.data = store;
+	uv_tcp_bind(&store->listener, (struct sockaddr *)&address, 0);
+	uv_listen((uv_stream_t *)&store->listener, BACKLOG, on_connection);
+	uv_tcp_getsockname(&store->listener, (struct sockaddr *)&address,
+			   &size);
+	snprintf(store->address, sizeof(store->address), "127.0.0.1:%d",
+		 ntohs(address.sin_port));
+}
+
+void kv_standin_stop(struct kv_standin *store)
+{
+	uv_close((uv_handle_t *)&store->listener, NULL);
+	while (store->items) {
+		struct kv_standin_item *item = store->items;
+
+		store->items = item->next;
+		free(item->key);
+		free(item->value);
+		free(item);
+	}
+}
--- /dev/null
+++ b/tests/fakes/worker_standin.c
@@ -0,0 +1,190 @@
+#include "fakes/worker_standin.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/caller_conn.h"
+
+#define BACKLOG 64
+/* Events of a whole stream; ids begin with 0. */
+#define STREAM_EVENTS 6
+/* A stream that is cut off has this many and a half. */
+#define CUT_EVENTS 3
+
+static const struct caller_limits limits = {
+	.head_bytes = 64 * 1024,
+	.body_bytes = 4 * 1024 * 1024,
+	.head_ms = 10000,
+	.idle_ms = 60000,
+};
+
+static void begin(struct caller_conn *conn, int status, int64_t body_bytes,
+		  const char *more_fields)
+{
+	struct worker_standin *worker = conn->owner;
+	const char *id =
+		http_head_find(&conn->request.head, "Tamarackgw-Request-Id");
+	struct buffer fields = {0};
+
+	buffer_add_format(&fields, "Tamarackgw-Request-Id: %s\r\n%s",
+			  id ? id : "", more_fields);
+	if (status < 400 || status == 500)
+		buffer_add_format(&fields,
+				  "Tamarackgw-Response-Stamp: by-%s\r\n"
+				  "Tamarackgw-Server-Load: 1,0,4\r\n",
+				  worker->id);
+	caller_conn_answer(conn, status, &fields, body_bytes, false);
+	buffer_free(&fields);
+}
+
+static void answer(struct caller_conn *conn, int status, const char *text,
+		   const char *more_fields)
+{
+	begin(conn, status, (int64_t)strlen(text), more_fields);
+	caller_conn_body(conn, text, strlen(text));
+	caller_conn_finish(conn);
+}
+
+static void send_event(struct caller_conn *conn, int number)
+{
+	char text[64];
+
+	snprintf(text, sizeof(text), "id: %d\ndata: part-%d\n\n", number,
+		 number);
+	caller_conn_body(conn, text, strlen(text));
+}
+
+static void stream(struct caller_conn *conn, bool cut)
+{
+	const char *resumed =
+		http_head_find(&conn->request.head, "Last-Event-Id");
+	int first = resumed ? (int)strtol(resumed, NULL, 10) + 1 : 0;
+
+	begin(conn, 200, CALLER_LENGTH_UNKNOWN,
+	      "Content-Type: text/event-stream\r\n");
+	if (cut && !resumed) {
+		for (int i = 0; i < CUT_EVENTS; i++)
+			send_event(conn, i);
+		caller_conn_body(conn, "id: 3\nda", 8);
+		caller_conn_abort(conn);
+		return;
+	}
+	for (int i = first; i < STREAM_EVENTS; i++)
+		send_event(conn, i);
+	caller_conn_finish(conn);
+}
+
+static void note(struct worker_standin *worker, struct caller_conn *conn)
+{
+	const struct http_head *head = &conn->request.head;
+
+	buffer_clear(&worker->request);
+	for (size_t i = 0; i < head->count; i++)
+		buffer_add_format(&worker->request, "%s: %s\n",
+				  http_head_name(head, i),
+				  http_head_value(head, i));
+	buffer_add_format(&worker->request, "\n%s %s\n", conn->request.method,
+			  conn->request.target.data);
+	buffer_add(&worker->request, conn->request.body.data,
+		   conn->request.body.size);
+}
+
+static void run(struct worker_standin *worker, struct caller_conn *conn,
+		const char *what)
+{
+	worker->runs++;
+	if (!strcmp(what, "ok"))
+		answer(conn, 200, "done", "");
+	else if (!strcmp(what, "fail-once"))
+		answer(conn, worker->runs % 2 ? 500 : 200, "done", "");
+	else if (!strcmp(what, "fail"))
+		answer(conn, 500, "failed", "");
+	else if (!strcmp(what, "break"))
+		caller_conn_abort(conn);
+	else if (!strcmp(what, "stream"))
+		stream(conn, false);
+	else if (!strcmp(what, "stream-cut"))
+		stream(conn, true);
+	else
+		worker->held = conn;
+}
+
+static void on_request(struct caller_conn *conn)
+{
+	struct worker_standin *worker = conn->owner;
+	const char *what = strrchr(conn->request.target.data, '/') + 1;
+	const char *expected = http_head_find(&conn->request.head,
+					      "Tamarackgw-Expect-Instance");
+
+	worker->arrivals++;
+	note(worker, conn);
+	if (expected && strcmp(expected, worker->id))
+		answer(conn, 421, "", "Tamarackgw-Instance-Id: another\r\n");
+	else if (!strcmp(what, "full"))
+		answer(conn, 503, "", "Tamarackgw-Not-Executed: 1\r\n");
+	else
+		run(worker, conn, what);
+}
+
+void worker_standin_release(struct worker_standin *worker)
+{
+	struct caller_conn *conn = worker->held;
+
+	worker->held = NULL;
+	if (conn)
+		answer(conn, 200, "done", "");
+}
+
+static void on_gone(struct caller_conn *conn)
+{
+	struct worker_standin *worker = conn->owner;
+
+	worker->left++;
+	if (worker->held == conn)
+		worker->held = NULL;
+}
+
+static void ignore(struct caller_conn *conn)
+{
+}
+
+static const struct caller_conn_events events = {
+	.request = on_request,
+	.gone = on_gone,
+	.drained = ignore,
+	.closed = ignore,
+};
+
+static void on_connection(uv_stream_t *listener, int status)
+{
+	if (status >= 0)
+		caller_conn_accept(listener, &limits, &events, listener->data);
+}
+
+void worker_standin_start(struct worker_standin *worker, uv_loop_t *loop,
+			  const char *id)
+{
+	struct sockaddr_in address;
+	int size = sizeof(address);
+
+	memset(worker, 0, sizeof(*worker));
+	worker->loop = loop;
+	snprintf(worker->id, sizeof(worker->id), "%s", id);
+	uv_ip4_addr("127.0.0.1", 0, &address);
+	uv_tcp_init(loop, &worker->listener);
+	worker->listener.data = worker;
+	uv_tcp_bind(&worker->listener, (struct sockaddr *)&address, 0);
+	uv_listen((uv_stream_t *)&worker->listener, BACKLOG, on_connection);
+	uv_tcp_getsockname(&worker->listener, (struct sockaddr *)&address,
+			   &size);
+	snprintf(worker->address, sizeof(worker->address), "127.0.0.1:%d",
+		 ntohs(address.sin_port));
+}
+
+void worker_standin_stop(struct worker_standin *worker)
+{
+	uv_close((uv_handle_t *)&worker->listener, NULL);
+	buffer_free(&worker->request);
+}
--- /dev/null
+++ b/tests/unit/test_http_conn.c
@@ -0,0 +1,240 @@
+#include "transport/http_conn.h"
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "unit/unit_main.h"
+
+#define LIMIT_MS 3000
+#define BACKLOG 4
+
+/* How the server ends after it has written. */
+enum ending {
+	STAY,  /* waits for the next request */
+	END,   /* a clean end */
+	RESET, /* a reset */
+	END_THEN_RESET,
+};
+
+enum result { RESULT_NONE, RESULT_WHOLE, RESULT_BROKEN };
+
+static const struct {
+	const char *name;
+	const char *answer;
+	enum ending ending;
+	enum result result;
+	enum http_conn_fault fault;
+	const char *body;
+	bool reusable;
+} answers[] = {
+	{"whole",
+	 "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nbody", STAY,
+	 RESULT_WHOLE, 0, "body", true},
+	{"chunked",
+	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
+	 "0\r\n\r\n",
+	 STAY, RESULT_WHOLE, 0, "body", true},
+	{"closing",
+	 "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
+	 STAY, RESULT_WHOLE, 0, "body", false},
+	{"short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbody", END,
+	 RESULT_BROKEN, HTTP_CONN_CLOSED, "body", false},
+	{"chunks cut",
+	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+	 END, RESULT_BROKEN, HTTP_CONN_CLOSED, "body", false},
+	{"no length, ended", "HTTP/1.1 200 OK\r\n\r\nbody", END, RESULT_WHOLE,
+	 0, "body", false},
+	{"no length, reset", "HTTP/1.1 200 OK\r\n\r\nbody", RESET,
+	 RESULT_BROKEN, HTTP_CONN_CLOSED, NULL, false},
+	{"no length, end and reset", "HTTP/1.1 200 OK\r\n\r\nbody",
+	 END_THEN_RESET, RESULT_BROKEN, HTTP_CONN_CLOSED, NULL, false},
+	{"bytes behind it",
+	 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\n",
+	 STAY, RESULT_WHOLE, 0, "body", false},
+	{"another's answer first",
+	 "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
+	 "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nbody",
+	 STAY, RESULT_WHOLE, 0, "body", true},
+	{"interim answer",
+	 "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n"
+	 "Content-Length: 4\r\n\r\nbody",
+	 STAY, RESULT_WHOLE, 0, "body", true},
+	{"garbled", "SMTP ready\r\n\r\n", STAY, RESULT_BROKEN,
+	 HTTP_CONN_GARBLED, "", false},
+	{"nothing", "", END, RESULT_BROKEN, HTTP_CONN_CLOSED, "", false},
+	{"two lengths",
+	 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbody",
+	 STAY, RESULT_BROKEN, HTTP_CONN_GARBLED, "", false},
+};
+
+static uv_loop_t loop;
+static uv_timer_t limit;
+static int listener;
+static pthread_t server;
+static enum result result;
+static enum http_conn_fault fault;
+static struct buffer body;
+static bool reusable;
+static int current;
+
+static void end_connection(int fd, enum ending ending)
+{
+	struct linger at_once = {1, 0};
+	char rest[256];
+
+	if (ending == STAY) {
+		while (recv(fd, rest, sizeof(rest), 0) > 0)
+			;
+	}
+	if (ending == END_THEN_RESET)
+		shutdown(fd, SHUT_WR);
+	if (ending == RESET || ending == END_THEN_RESET)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once,
+			   sizeof(at_once));
+	close(fd);
+}
+
+static void *serve(void *arg)
+{
+	int fd = accept(listener, NULL, NULL);
+	char request[512];
+
+	if (fd < 0)
+		return NULL;
+	if (recv(fd, request, sizeof(request), 0) > 0)
+		send(fd, answers[current].answer,
+		     strlen(answers[current].answer), MSG_NOSIGNAL);
+	end_connection(fd, answers[current].ending);
+	return NULL;
+}
+
+static enum http_conn_verdict on_head(struct http_conn *conn)
+{
+	const char *id = http_head_find(&conn->head, "X-Id");
+
+	return id && !strcmp(id, "other") ? HTTP_CONN_DISCARD : HTTP_CONN_TAKE;
+}
+
+static void on_body(struct http_conn *conn, const char *data, size_t size)
+{
+	buffer_add(&body, data, size);
+}
+
+static void on_complete(struct http_conn *conn)
+{
+	result = RESULT_WHOLE;
+	reusable = conn->reusable;
+	http_conn_close(conn);
+	uv_stop(&loop);
+}
+
+static void on_broken(struct http_conn *conn, enum http_conn_fault why)
+{
+	result = RESULT_BROKEN;
+	fault = why;
+	uv_stop(&loop);
+}
+
+static const struct http_conn_events events = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+	.broken = on_broken,
+};
+
+static void on_limit(uv_timer_t *timer)
+{
+	uv_stop(&loop);
+}
+
+static struct sockaddr_in listen_here(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t size = sizeof(address);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	listener = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(listener, (struct sockaddr *)&address,
+			      sizeof(address)),
+			 0);
+	listen(listener, BACKLOG);
+	getsockname(listener, (struct sockaddr *)&address, &size);
+	return address;
+}
+
+static void request(const struct sockaddr_in *address)
+{
+	struct http_conn *conn = http_conn_open(&loop, address);
+	struct buffer head = {0};
+
+	buffer_add_text(&head, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+	http_conn_send(conn, &events, NULL, &head, NULL);
+	buffer_free(&head);
+	uv_run(&loop, UV_RUN_DEFAULT);
+}
+
+static void setup(void)
+{
+	result = RESULT_NONE;
+	uv_loop_init(&loop);
+	uv_timer_init(&loop, &limit);
+	uv_timer_start(&limit, on_limit, LIMIT_MS, 0);
+}
+
+static void teardown(void)
+{
+	uv_close((uv_handle_t *)&limit, NULL);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(uv_loop_close(&loop), 0);
+	buffer_free(&body);
+}
+
+START_TEST(answers_are_whole_or_told_to_be_broken)
+{
+	struct sockaddr_in address = listen_here();
+
+	current = _i;
+	pthread_create(&server, NULL, serve, NULL);
+	request(&address);
+	ck_assert_msg(result == answers[_i].result, "%s: result %d",
+		      answers[_i].name, result);
+	if (result == RESULT_BROKEN)
+		ck_assert_int_eq(fault, answers[_i].fault);
+	else
+		ck_assert_int_eq(reusable, answers[_i].reusable);
+	if (answers[_i].body && body.size)
+		ck_assert_str_eq(body.data, answers[_i].body);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	close(listener);
+	pthread_join(server, NULL);
+}
+END_TEST
+
+START_TEST(a_port_without_a_listener_is_told_as_not_connected)
+{
+	struct sockaddr_in address = listen_here();
+
+	close(listener);
+	request(&address);
+	ck_assert_int_eq(result, RESULT_BROKEN);
+	ck_assert_int_eq(fault, HTTP_CONN_NOT_CONNECTED);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("http_conn");
+	TCase *cases = tcase_create("answers");
+
+	tcase_add_checked_fixture(cases, setup, teardown);
+	tcase_set_timeout(cases, 10);
+	tcase_add_loop_test(cases, answers_are_whole_or_told_to_be_broken, 0,
+			    sizeof(answers) / sizeof(answers[0]));
+	tcase_add_test(cases,
+		       a_port_without_a_listener_is_told_as_not_connected);
+	suite_add_tcase(suite, cases);
+	return unit_main(suite);
+}
