--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -49,7 +49,8 @@
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&address, sizeof(address));
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0)
+		abort();
 	getsockname(fd, (struct sockaddr *)&address, &size);
 	close(fd);
 	return ntohs(address.sin_port);
--- a/tests/unit/test_backend_follower.c
+++ b/tests/unit/test_backend_follower.c
@@ -1,6 +1,7 @@
 #include "coordination/backend_follower.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/text.h"
@@ -22,16 +23,14 @@
 		   struct backend_entry *entry)
 {
 	char text[64];
-	char state[16];
-	long long sequence;
-	long long born_ms;
+	char *at;
 
 	snprintf(text, sizeof(text), "%.*s", (int)size, (const char *)value);
-	if (sscanf(text, "%lld %lld %15s", &sequence, &born_ms, state) != 3)
+	entry->sequence = strtoll(text, &at, 10);
+	if (at == text || *at != ' ')
 		return false;
-	entry->sequence = sequence;
-	entry->born_ms = born_ms;
-	entry->draining = !strcmp(state, "draining");
+	entry->born_ms = strtoll(at, &at, 10);
+	entry->draining = !strcmp(at, " draining");
 	entry->slots = 1;
 	return true;
 }
--- a/tools/check-layers.sh
+++ b/tools/check-layers.sh
@@ -1,7 +1,9 @@
 #!/bin/sh
 # Checks that includes point inwards only:
-#   base < state < coordination < protocol < transport < daemon, ctl
-# and that state and coordination do no I/O and read no clock.
+#   base < state < coordination < protocol < transport < edge, daemon, ctl
+# that state and coordination do no I/O and read no clock, that platform/ is
+# included by nothing but itself and tests, and that the names of the users'
+# pages stand in platform/ only.
 set -u
 cd "$(dirname "$0")/.."
 status=0
@@ -13,14 +15,15 @@
 		status=1
 	fi
 }
-forbid base 'state|coordination|protocol|transport|daemon|ctl'
-forbid state 'coordination|protocol|transport|daemon|ctl'
-forbid coordination 'protocol|transport|daemon|ctl'
-forbid protocol 'transport|daemon|ctl'
-forbid transport 'daemon|ctl'
-forbid daemon 'ctl'
-forbid ctl 'daemon'
-if grep -nE '#include <(sys/socket|sys/time|time|stdio|zmq|microhttpd|curl/curl|pthread|unistd|fcntl|apr_time|apr_network_io|apr_file_io)\.h>' -r src/state src/coordination | grep -v 'stdio.h>'; then
+forbid base 'state|coordination|protocol|transport|edge|daemon|ctl'
+forbid state 'coordination|protocol|transport|edge|daemon|ctl'
+forbid coordination 'protocol|transport|edge|daemon|ctl'
+forbid protocol 'transport|edge|daemon|ctl'
+forbid transport 'edge|daemon|ctl'
+forbid edge 'daemon|ctl'
+forbid daemon 'edge|ctl'
+forbid ctl 'edge|daemon'
+if grep -nE '#include <(sys/socket|sys/time|time|stdio|zmq|microhttpd|curl/curl|uv|pthread|unistd|fcntl|apr_time|apr_network_io|apr_file_io)\.h>' -r src/state src/coordination | grep -v 'stdio.h>'; then
 	echo "state and coordination do no I/O and read no clock" >&2
 	status=1
 fi
@@ -28,4 +31,16 @@
 	echo "state and coordination do no I/O and read no clock" >&2
 	status=1
 fi
+if grep -nE '#include "platform' -r src include; then
+	echo "src and include must not include platform/" >&2
+	status=1
+fi
+# Fields, headers, paths and keys of the users' pages.
+names='Tamarackgw-[A-Z]|Kv-(From|Fetch)|kv-(key|range|watch|txn|lease|keep|move|events|list|handle|pin)|hold-(take|drop)'
+names="$names|pathPrefix|trafficSplit|maxAttempts|targetLatencyMs|targetGapMs|maxConnections|apiKeys|healthPath|kvCapacity|kvTokenBytes"
+names="$names|coldRemainingMs|expectedRevision|storeRevision|hasMore|staleOk|tombstone|waitMs|op/config|\"servers/|TAMARACKGW_SETTINGS"
+if grep -nE "$names" -r src include; then
+	echo "names of the users' pages belong in platform/" >&2
+	status=1
+fi
 exit $status
--- a/tools/check-style.sh
+++ b/tools/check-style.sh
@@ -6,7 +6,7 @@
 status=0
 git ls-files -co --exclude-standard '*.c' '*.h' |
 	xargs -r clang-format --dry-run --Werror || status=1
-git ls-files -co --exclude-standard 'src/*.c' 'tests/*.c' 'examples/*.c' |
+git ls-files -co --exclude-standard 'src/*.c' 'platform/*.c' 'tests/*.c' 'examples/*.c' |
 	xargs -r -P "$(nproc)" -n 4 clang-tidy --quiet -p "$build" 2>"$build/tidy.log" || status=1
 grep -E 'error:' "$build/tidy.log" && status=1
 exit $status
