--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -26,7 +26,7 @@
 	     "IP number and port of the platform's store"),
 	NUMBER("store", "timeout_ms", store_timeout_ms, 50, 60000, 1000,
 	       "longest wait for an answer of the store"),
-	NUMBER("store", "watch_wait_ms", watch_wait_ms, 100, 30000, 1500,
+	NUMBER("store", "watch_wait_ms", watch_wait_ms, 100, 30000, 600,
 	       "how long the store holds a watch without news"),
 	NUMBER("store", "watch_pause_ms", watch_pause_ms, 0, 10000, 650,
 	       "pause between two watch calls, which gathers changes"),
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -8,7 +8,7 @@
 
 /* An allotment is written when it would grow by more than this part of what
  * is left of it. */
-#define RAISE_PART 4
+#define RAISE_PART 2
 /* Before a host has seen a team's demand, it supposes that all hosts together
  * would use the budget up in this time. */
 #define SUPPOSED_LIFE_S 100.0
--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -65,7 +65,7 @@
 {
 	struct platform_store_settings store = {
 		.call_timeout_ms = 300,
-		.watch_wait_ms = 400,
+		.watch_wait_ms = 600,
 		.watch_pause_ms = 10,
 	};
 	struct edge_sources sources = {
--- a/tests/unit/test_edge.c
+++ b/tests/unit/test_edge.c
@@ -364,6 +364,23 @@
 }
 END_TEST
 
+START_TEST(the_stores_return_is_noticed_soon)
+{
+	rig.store.silent = true;
+	edge_rig_run(&rig, 1800);
+	kv_standin_put(&rig.store, "servers/worker-0", NULL);
+	rig.store.silent = false;
+	/* A probe, and the grace for entries that lapsed meanwhile. */
+	edge_rig_run(&rig, 700);
+	ck_assert_ptr_nonnull(
+		backend_table_find(&rig.edge.backends, "worker-0"));
+	edge_rig_run(&rig, 2300);
+	ck_assert_ptr_null(backend_table_find(&rig.edge.backends, "worker-0"));
+	ck_assert_ptr_nonnull(
+		backend_table_find(&rig.edge.backends, "worker-1"));
+}
+END_TEST
+
 START_TEST(a_host_without_configuration_says_so)
 {
 	edge_rig_stop(&rig);
@@ -471,6 +488,7 @@
 		a_new_configuration_is_in_force_soon_and_never_an_older_one);
 	tcase_add_test(cases, a_budget_that_is_used_up_is_refused_for_good);
 	tcase_add_test(cases, a_host_goes_on_while_the_store_is_away);
+	tcase_add_test(cases, the_stores_return_is_noticed_soon);
 	tcase_add_test(cases, a_host_without_configuration_says_so);
 	tcase_add_test(cases, lost_answers_of_the_store_do_no_harm);
 	tcase_add_test(cases, a_planned_stop_cuts_off_nothing);
