--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -20,10 +20,23 @@
 #define LOOK_US (200 * TGW_US_PER_MS)
 /* Least time between two reads for the sake of one request. */
 #define ASK_US (100 * TGW_US_PER_MS)
-/* The same while nothing is free that could be asked for. */
-#define ASK_IN_VAIN_US (700 * TGW_US_PER_MS)
-/* Least time between two raises that no request waits for. */
+/* The same while nothing is free that could be asked for, for each host with
+ * a line: the more hosts ask, the rarer each does. */
+#define ASK_IN_VAIN_US (90 * TGW_US_PER_MS)
+/* Time between two reads of a key, for each host with a line; and the part of
+ * it while a budget in the key runs low, when other hosts may want tokens. */
+#define REFRESH_US (1000 * TGW_US_PER_MS)
+#define LOW_REFRESH_PART 4
+/* A budget runs low when less than this part of it is free. */
+#define LOW_PART 8
+/* Least time between two raises that no request waits for, and for each host
+ * with a line. */
 #define RAISE_US (1000 * TGW_US_PER_MS)
+#define RAISE_EACH_US (45 * TGW_US_PER_MS)
+/* Hosts that start together open their lines spread over this time ... */
+#define LINES_SPREAD_US (2500 * TGW_US_PER_MS)
+/* ... and then know how many they are. */
+#define LINES_OPEN_US (3 * TGW_US_PER_S)
 /* A view of the ledger older than this is not told as the budget's end. */
 #define VIEW_FRESH_US (3 * TGW_US_PER_S)
 /* Writes of one key that may lose against other hosts before a pause. */
@@ -61,6 +74,7 @@
 	struct team_budget_events events;
 	struct tgw_random random;
 	uint64_t incarnation;
+	int64_t started_us;
 	bool closing;
 	bool closed_told;
 	struct bucket *buckets;
@@ -95,6 +109,7 @@
 	budgets->clock = clock;
 	budgets->events = *events;
 	budgets->incarnation = incarnation;
+	budgets->started_us = tgw_clock_monotonic_us(clock);
 	tgw_random_init(&budgets->random, incarnation);
 	budgets->buckets =
 		xcalloc(settings->bucket_count, sizeof(*budgets->buckets));
@@ -157,7 +172,11 @@
 		account = team_account_new(team);
 		account->next = bucket->accounts;
 		bucket->accounts = account;
-		bucket->due_us = 0;
+		if (!bucket->due_us)
+			bucket->due_us =
+				now_us(budgets) +
+				(int64_t)tgw_random_below(&budgets->random,
+							  LINES_SPREAD_US);
 	}
 	if (account->paid_in_tokens < total_tokens) {
 		account->remaining_tokens +=
@@ -166,6 +185,14 @@
 	}
 }
 
+/* @return a time that grows with the number of hosts that share the key */
+static int64_t per_host(const struct bucket *bucket, int64_t each_us)
+{
+	size_t hosts = bucket->ledger.line_count;
+
+	return each_us * (int64_t)(hosts ? hosts : 1);
+}
+
 enum tgw_status team_budget_reserve(struct team_budget *budgets,
 				    const char *team, int64_t tokens)
 {
@@ -187,7 +214,8 @@
 	}
 	if (!bucket->store_answers)
 		return TGW_UNAVAILABLE;
-	if (!account->free_tokens && now - bucket->read_us < ASK_IN_VAIN_US)
+	if (!account->free_tokens &&
+	    now - bucket->read_us < per_host(bucket, ASK_IN_VAIN_US))
 		return TGW_CONFLICT;
 	if (bucket->state == BUCKET_IDLE &&
 	    now - bucket->read_us >= (bucket->read_us ? ASK_US : 0)) {
@@ -379,7 +407,7 @@
 		if (wish.urgent || (fresh && wish.lazy))
 			return true;
 	}
-	return false;
+	return fresh && !bucket->line_confirmed;
 }
 
 static void rest(struct bucket *bucket, int64_t pause_us)
@@ -517,17 +545,30 @@
 	return true;
 }
 
+static int64_t refresh_us(const struct bucket *bucket)
+{
+	int64_t time_us = per_host(bucket, REFRESH_US);
+
+	for (const struct team_account *account = bucket->accounts; account;
+	     account = account->next)
+		if (account->free_tokens < account->paid_in_tokens / LOW_PART)
+			return time_us / LOW_REFRESH_PART;
+	return time_us;
+}
+
 static bool is_due(struct bucket *bucket, int64_t now)
 {
 	if (bucket->state != BUCKET_IDLE || bucket->due_us > now ||
 	    bucket->closed || !bucket->accounts)
 		return false;
 	if (bucket->owner->closing || !bucket->store_answers ||
-	    now - bucket->read_us >= bucket->owner->settings.refresh_us)
+	    now - bucket->read_us >= refresh_us(bucket))
 		return true;
 	if (bucket->asked)
 		return true;
-	if (now - bucket->read_us >= RAISE_US && needs_write(bucket, false))
+	if (now - bucket->read_us >= RAISE_US &&
+	    now - bucket->read_us >= per_host(bucket, RAISE_EACH_US) &&
+	    needs_write(bucket, false))
 		return true;
 	bucket->due_us = now + LOOK_US;
 	return false;
@@ -538,6 +579,9 @@
 	int64_t now = now_us(budgets);
 	int64_t next = now + LOOK_US;
 
+	if (now - budgets->started_us >= LINES_OPEN_US)
+		budgets->settings.policy.hosts_are_known = true;
+
 	if (budgets->closing && tell_closed(budgets))
 		return next;
 	for (uint32_t i = 0; i < budgets->settings.bucket_count; i++) {
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -26,7 +26,6 @@
 	char failure_domain[TGW_NAME_SIZE];
 	uint32_t bucket_count; /**< keys that the teams are spread over */
 	struct team_account_policy policy;
-	int64_t refresh_us; /**< longest time between two reads */
 };
 
 struct team_budget_events {
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -38,8 +38,12 @@
 struct retry_budget *edge_retries(struct edge *edge, const char *service)
 {
 	const struct edge_settings *settings = edge->settings;
+	int64_t hosts = 1 + team_budget_other_hosts(edge->budgets);
 	int64_t slack = settings->retry_slack * THOUSANDTHS /
-			settings->expected_hosts * RETRY_PART_PERCENT / 100;
+			(hosts > settings->expected_hosts
+				 ? hosts
+				 : settings->expected_hosts) *
+			RETRY_PART_PERCENT / 100;
 	struct retry_limits limits = {
 		.share_thousandths = settings->retry_share_percent *
 				     THOUSANDTHS_PER_PERCENT *
@@ -305,7 +309,6 @@
 				.host_count =
 					(uint32_t)settings->expected_hosts,
 			},
-		.refresh_us = settings->ledger_refresh_ms * TGW_US_PER_MS,
 	};
 	struct team_budget_events budget_events = {
 		.changed = on_budget_changed,
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -28,8 +28,11 @@
 	       "longest wait for an answer of the store"),
 	NUMBER("store", "watch_wait_ms", watch_wait_ms, 100, 30000, 600,
 	       "how long the store holds a watch without news"),
-	NUMBER("store", "watch_pause_ms", watch_pause_ms, 0, 10000, 650,
-	       "pause between two watch calls, which gathers changes"),
+	NUMBER("store", "apply_ms", apply_ms, 100, 60000, 2000,
+	       "time within which a change in the store binds this host; "
+	       "watch calls pause for a part of it"),
+	NUMBER("store", "drain_ms", drain_ms, 100, 60000, 2000,
+	       "the same for a server that leaves"),
 	NUMBER("budget", "ledger_keys", ledger_keys, 1, 4096, 1,
 	       "keys of the store that the teams' budgets are spread over; "
 	       "alike on all hosts"),
@@ -38,8 +41,6 @@
 	NUMBER("budget", "hold_percent", hold_percent, 1, 100, 90,
 	       "most that a host holds of its fair part of a whole budget; "
 	       "less as the budget runs out"),
-	NUMBER("budget", "ledger_refresh_ms", ledger_refresh_ms, 200, 60000,
-	       2000, "longest time between two reads of a key"),
 	NUMBER("budget", "expected_hosts", expected_hosts, 1, 10000, 8,
 	       "hosts that share the budgets"),
 	NUMBER("retry", "share_percent", retry_share_percent, 0, 100, 20,
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -21,12 +21,12 @@
 	char store_address[TGW_NAME_SIZE];
 	int64_t store_timeout_ms;
 	int64_t watch_wait_ms;
-	int64_t watch_pause_ms;
+	int64_t apply_ms;
+	int64_t drain_ms;
 	/* [budget] */
 	int64_t ledger_keys;
 	int64_t ride_out_ms;
 	int64_t hold_percent;
-	int64_t ledger_refresh_ms;
 	int64_t expected_hosts;
 	/* [retry] */
 	int64_t retry_share_percent;
--- a/src/state/allotment_policy.c
+++ b/src/state/allotment_policy.c
@@ -13,6 +13,8 @@
  * more than this many tokens. */
 #define STARTER_PART 4
 #define STARTER_TOKENS 20000
+/* All hosts together take this part of what is free ahead of need. */
+#define AHEAD_PART 2
 /* Surplus below this part of the wish is not worth a return. */
 #define KEEP_MARGIN 1.5
 
@@ -57,6 +59,18 @@
 	       (in->free_tokens + left + in->others_left_tokens) / PLENTY_PART;
 }
 
+/* Hosts that see little of a budget's demand take some requests' worth at
+ * once, so that not each request waits for the store. */
+static int64_t ahead_of_need(const struct allotment_inputs *in)
+{
+	int64_t part;
+
+	if (in->hold_part <= 0 || !in->domains)
+		return 0;
+	part = in->free_tokens / (AHEAD_PART * (int64_t)in->domains);
+	return min_tokens((int64_t)NEEDED_MARGIN * in->needed_tokens, part);
+}
+
 static bool keeps_surplus(const struct allotment_inputs *in, int64_t left,
 			  int64_t wish)
 {
@@ -77,6 +91,7 @@
 	int64_t wish = (int64_t)fmin(comfort, part * fair_part(in, left));
 
 	wish = max_tokens(wish, in->needed_tokens);
+	wish = max_tokens(wish, ahead_of_need(in));
 	wish = max_tokens(wish, starter(in));
 	if (in->asked_tokens)
 		wish = min_tokens(wish, max_tokens(left - in->asked_tokens, 0));
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -91,6 +91,7 @@
 /** What the other hosts hold and want of a budget. */
 struct others {
 	int64_t left_tokens;
+	int64_t settled_tokens;
 	int64_t wanted_tokens;
 	int64_t demand_tokens_per_s;
 	uint32_t count;
@@ -109,6 +110,7 @@
 			continue;
 		others->left_tokens += at_least_zero(share->allotted_tokens -
 						     share->settled_tokens);
+		others->settled_tokens += share->settled_tokens;
 		others->wanted_tokens += share->wanted_tokens;
 		others->demand_tokens_per_s += share->demand_tokens_per_s;
 		others->count++;
@@ -155,8 +157,8 @@
 	int found = ledger_bucket_find_budget(bucket, account->team);
 	struct allotment_inputs in = {0};
 	struct others others = {0};
-	double supposed_per_s = (double)account->paid_in_tokens /
-				SUPPOSED_LIFE_S / policy->host_count;
+	double supposed_per_s = 0;
+	uint32_t hosts = policy->host_count;
 	int64_t own_wanted = 0;
 	int64_t left;
 	int64_t raise;
@@ -173,6 +175,11 @@
 		look_at_others(bucket, budget, line_id, &others);
 		own_wanted = wanted_by(bucket, budget, line_id);
 	}
+	if (hosts < others.count + 1)
+		hosts = others.count + 1;
+	if (policy->hosts_are_known || others.settled_tokens)
+		supposed_per_s = (double)account->paid_in_tokens /
+				 SUPPOSED_LIFE_S / hosts;
 	in.allotted_tokens = account->allotted_tokens;
 	in.used_tokens = team_account_charged(account);
 	in.needed_tokens = account->needed_tokens;
@@ -184,7 +191,7 @@
 	in.others_count = others.count;
 	in.ride_out_s = policy->ride_out_s;
 	in.hold_part = hold_part(account, &in, policy);
-	in.domains = policy->host_count;
+	in.domains = hosts;
 	in.return_surplus = others.wanted_tokens > in.free_tokens;
 	wish->allotted_tokens = allotment_policy_decide(&in);
 	left = in.allotted_tokens - in.used_tokens;
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -19,7 +19,10 @@
 struct team_account_policy {
 	double ride_out_s;   /**< demand to hold against an outage */
 	double hold_part;    /**< most of its fair part of a whole budget */
-	uint32_t host_count; /**< expected; bounds the first allotments */
+	uint32_t host_count; /**< at least; bounds the first allotments */
+	/** Hosts had time to open their lines; until then a host takes no more
+	 * than it needs, since it can't know how many there are. */
+	bool hosts_are_known;
 };
 
 /** What to write into the host's line. */
