--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -273,6 +273,11 @@
 	return now + TICK_US;
 }
 
+bool backend_follower_is_away(const struct backend_follower *follower)
+{
+	return follower->away;
+}
+
 bool backend_follower_is_ready(const struct backend_follower *follower)
 {
 	return follower->ready;
--- a/src/coordination/backend_follower.h
+++ b/src/coordination/backend_follower.h
@@ -42,6 +42,9 @@
 /** Does what is due. @return the next due time */
 int64_t backend_follower_tick(struct backend_follower *follower);
 
+/** @return whether the store did not answer lately */
+bool backend_follower_is_away(const struct backend_follower *follower);
+
 /** @return whether the entries were read at least once */
 bool backend_follower_is_ready(const struct backend_follower *follower);
 
--- a/src/ctl/command_table.c
+++ b/src/ctl/command_table.c
@@ -5,7 +5,7 @@
 
 static const struct ctl_command *const tables[] = {
 	ctl_config_commands, ctl_budget_commands,     ctl_audit_commands,
-	ctl_host_commands,   ctl_quarantine_commands,
+	ctl_host_commands,   ctl_quarantine_commands, ctl_explain_commands,
 };
 
 #define TABLE_COUNT (sizeof(tables) / sizeof(tables[0]))
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -57,6 +57,7 @@
 extern const struct ctl_command ctl_audit_commands[];
 extern const struct ctl_command ctl_host_commands[];
 extern const struct ctl_command ctl_quarantine_commands[];
+extern const struct ctl_command ctl_explain_commands[];
 
 /** Reads a key; version 0 and size 0 when it does not exist. */
 enum tgw_status ctl_get(struct ctl *ctl, const char *key, struct buffer *value,
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -138,6 +138,25 @@
 	call_give_up(call, "the time of the request is up");
 }
 
+static void log_budget(struct call *call, int64_t tokens,
+		       enum tgw_status status)
+{
+	struct edge *edge = call->edge;
+	struct team_budget_view view = {0};
+
+	team_budget_look(edge->budgets, call->team, &view);
+	edge_log_line(
+		&edge->log, EDGE_LOG_NOTICE, "budget", "not_reserved",
+		"request=%s team=%s tokens=%lld outcome=%s paid_in=%lld "
+		"limit_here=%lld settled_here=%lld reserved_here=%lld "
+		"free=%lld read_ms_ago=%lld",
+		call->terms.id, call->team, (long long)tokens,
+		tgw_status_name(status), (long long)view.paid_in_tokens,
+		(long long)view.limit_tokens, (long long)view.settled_tokens,
+		(long long)view.reserved_tokens, (long long)view.free_tokens,
+		(long long)((edge_now_us() - view.read_us) / TGW_US_PER_MS));
+}
+
 static void reserve_and_dispatch(struct call *call)
 {
 	struct edge *edge = call->edge;
@@ -149,6 +168,8 @@
 		return;
 	}
 	status = team_budget_reserve(edge->budgets, call->team, tokens);
+	if (status != TGW_OK && status != TGW_NOT_FOUND && status != TGW_BUSY)
+		log_budget(call, tokens, status);
 	switch (status) {
 	case TGW_OK:
 		call->waits_for_tokens = false;
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -47,6 +47,8 @@
 		return HTTP_CONN_DISCARD;
 	call->status = conn->status;
 	call->heard_us = edge_now_us();
+	if (!call->first_byte_us)
+		call->first_byte_us = call->heard_us;
 	if (call->answer.has_load)
 		backend_report(call->backend, &call->answer.load,
 			       call->heard_us);
@@ -125,14 +127,35 @@
 	backend_end(&call->edge->backends, backend);
 }
 
+static void note_answered(struct call *call)
+{
+	struct edge *edge = call->edge;
+	int64_t first_us = call->first_byte_us - call->arrived_us;
+	int64_t whole_us = edge_now_us() - call->arrived_us;
+
+	edge->counters.answered++;
+	latency_buckets_add(&edge->first_byte, first_us);
+	latency_buckets_add(&edge->whole, whole_us);
+	edge_log_line(&edge->log, EDGE_LOG_DETAIL, "call", "answered",
+		      "request=%s team=%s route=%s server=%s status=%d "
+		      "attempts=%u events=%llu first_ms=%lld whole_ms=%lld "
+		      "caller=%s",
+		      call->terms.id, call->team, call->route.name,
+		      call->backend->entry.id, call->status, call->sent_count,
+		      (unsigned long long)call->events_sent,
+		      (long long)(first_us / TGW_US_PER_MS),
+		      (long long)(whole_us / TGW_US_PER_MS),
+		      call->caller ? "served" : "left");
+}
+
 static void finish(struct call *call)
 {
 	struct caller_conn *caller = call->caller;
 	struct edge *edge = call->edge;
 
 	call->may_have_run = true;
+	note_answered(call);
 	release_conn(call);
-	edge->counters.answered++;
 	if (caller && !call->head_sent) {
 		caller_conn_answer(caller, call->status, &call->fields,
 				   (int64_t)call->body.size, edge->stopping);
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -180,15 +180,22 @@
 
 static void log_failed(struct call *call, const char *reason)
 {
-	edge_log_line(&call->edge->log, EDGE_LOG_NOTICE, "call",
-		      "attempt_failed",
-		      "request=%s server=%s reason=\"%s\" sent=%d events=%llu "
-		      "attempt=%u age_ms=%lld",
-		      call->terms.id, call->backend->entry.id, reason,
-		      call->conn && call->conn->sent,
-		      (unsigned long long)call->events_sent, call->sent_count,
-		      (long long)((edge_now_us() - call->attempt_us) /
-				  TGW_US_PER_MS));
+	const struct backend *backend = call->backend;
+	int64_t now_us = edge_now_us();
+
+	edge_log_line(
+		&call->edge->log, EDGE_LOG_NOTICE, "call", "attempt_failed",
+		"request=%s server=%s reason=\"%s\" sent=%d events=%llu "
+		"attempt=%u age_ms=%lld server_load=%u+%u/%u "
+		"load_ms_ago=%lld failure_share=%.2f",
+		call->terms.id, call->backend->entry.id, reason,
+		call->conn && call->conn->sent,
+		(unsigned long long)call->events_sent, call->sent_count,
+		(long long)((now_us - call->attempt_us) / TGW_US_PER_MS),
+		backend->reported.running, backend->reported.waiting,
+		backend->entry.slots,
+		(long long)((now_us - backend->reported_us) / TGW_US_PER_MS),
+		backend->failure_share);
 }
 
 void call_attempt_failed(struct call *call, enum backend_outcome outcome,
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -366,6 +366,10 @@
 	if (listen_at(loop, &edge->ready, settings->ready_address,
 		      edge_pages_on_connection, edge, error) != TGW_OK)
 		return error->status;
+	if (*settings->metrics_address &&
+	    listen_at(loop, &edge->metrics, settings->metrics_address,
+		      edge_pages_on_connection, edge, error) != TGW_OK)
+		return error->status;
 	start_followers(edge);
 	uv_timer_init(loop, &edge->tick);
 	edge->tick.data = edge;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -18,6 +18,7 @@
 #include "edge/edge_log.h"
 #include "edge/edge_settings.h"
 #include "state/backend_table.h"
+#include "state/latency_buckets.h"
 #include "state/retry_budget.h"
 #include "tamarackgw/random.h"
 
@@ -61,6 +62,7 @@
 	struct edge_sources sources;
 	uv_tcp_t front;
 	uv_tcp_t ready;
+	uv_tcp_t metrics; /* if an address is set */
 	uv_timer_t tick;
 	struct caller_limits limits; /* in force */
 	struct caller_conn *conns;
@@ -73,6 +75,8 @@
 	struct team_budget *budgets;
 	struct edge_service *services;
 	struct edge_counters counters;
+	struct latency_buckets first_byte; /* from arrival to the answer */
+	struct latency_buckets whole;	   /* to its end */
 	struct edge_log log;
 	struct tgw_random random;
 	bool stopping;
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -32,6 +32,29 @@
 			  name, name, value);
 }
 
+static void add_histogram(struct buffer *text, const char *name,
+			  const struct latency_buckets *buckets)
+{
+	uint64_t total = 0;
+
+	buffer_add_format(text, "# TYPE tamarackgw_%s_seconds histogram\n",
+			  name);
+	for (int i = 0; i < LATENCY_BOUNDS; i++) {
+		total += buckets->counts[i];
+		buffer_add_format(
+			text, "tamarackgw_%s_seconds_bucket{le=\"%g\"} %llu\n",
+			name, (double)latency_bounds_ms[i] / 1000,
+			(unsigned long long)total);
+	}
+	buffer_add_format(text,
+			  "tamarackgw_%s_seconds_bucket{le=\"+Inf\"} %llu\n"
+			  "tamarackgw_%s_seconds_sum %g\n"
+			  "tamarackgw_%s_seconds_count %llu\n",
+			  name, (unsigned long long)buckets->count, name,
+			  (double)buckets->sum_us / (double)TGW_US_PER_S, name,
+			  (unsigned long long)buckets->count);
+}
+
 static void write_metrics(const struct edge *edge, struct buffer *text)
 {
 	const struct edge_counters *counters = &edge->counters;
@@ -50,6 +73,10 @@
 	add_gauge(text, "servers", (double)edge->backends.count);
 	add_gauge(text, "config_version", set ? (double)set->version : 0);
 	add_gauge(text, "ready", is_ready(edge));
+	add_gauge(text, "store_away",
+		  backend_follower_is_away(edge->backend_follower));
+	add_histogram(text, "first_byte", &edge->first_byte);
+	add_histogram(text, "whole_answer", &edge->whole);
 }
 
 static void on_request(struct caller_conn *conn)
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -81,6 +81,12 @@
 				     "the store's address need the form "
 				     "IP:PORT",
 				     path);
+	if (*settings->metrics_address &&
+	    !settings_is_address(settings->metrics_address))
+		return tgw_error_set(error, TGW_INVALID,
+				     "%s: [host] metrics_address needs the "
+				     "form IP:PORT, or leave it out",
+				     path);
 	if (settings->stop_notice_ms > settings->stop_grace_ms)
 		return tgw_error_set(error, TGW_INVALID,
 				     "%s: [stop] notice_ms must not be above "
--- a/tests/unit/test_edge.c
+++ b/tests/unit/test_edge.c
@@ -355,6 +355,8 @@
 
 START_TEST(a_host_goes_on_while_the_store_is_away)
 {
+	/* Until the first allotment that no request asked for. */
+	edge_rig_run(&rig, 4000);
 	rig.store.silent = true;
 	edge_rig_run(&rig, 1500);
 	request("GET", "safe", "ok", DEADLINE, "");
