--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -42,7 +42,7 @@
 	"\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"%s\"],"
 	"\"prepaid\":%ld}]}";
 
-static int free_port(void)
+int edge_rig_free_port(void)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t size = sizeof(address);
@@ -58,7 +58,7 @@
 
 static void set_address(char *text, size_t size)
 {
-	snprintf(text, size, "127.0.0.1:%d", free_port());
+	snprintf(text, size, "127.0.0.1:%d", edge_rig_free_port());
 }
 
 void edge_rig_start(struct edge_rig *rig)
--- a/tests/fakes/edge_rig.h
+++ b/tests/fakes/edge_rig.h
@@ -32,6 +32,9 @@
 	bool released;
 };
 
+/** @return a port on loopback that nobody listens at now */
+int edge_rig_free_port(void);
+
 void edge_rig_start(struct edge_rig *rig);
 
 /** Writes the standard configuration and both servers' entries, and waits
