Keep a cut-off host's last tokens for the more urgent routes

Load: a host that is cut off from the store with more requests than its allotment pays. Triage costs four times the tokens of an answer for its worth, and took the last ones.

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -75,6 +75,7 @@
 	struct tgw_random random;
 	uint64_t incarnation;
 	int64_t started_us;
+	bool store_away;
 	bool closing;
 	bool closed_told;
 	struct bucket *buckets;
@@ -193,8 +194,14 @@
 	return each_us * (int64_t)(hosts ? hosts : 1);
 }
 
+void team_budget_store_away(struct team_budget *budgets, bool away)
+{
+	budgets->store_away = away;
+}
+
 enum tgw_status team_budget_reserve(struct team_budget *budgets,
-				    const char *team, int64_t tokens)
+				    const char *team, int64_t tokens,
+				    int32_t rank)
 {
 	struct bucket *bucket = bucket_of(budgets, team);
 	struct team_account *account = find_account(bucket, team);
@@ -204,7 +211,8 @@
 		return TGW_NOT_FOUND;
 	if (budgets->closing)
 		return TGW_UNAVAILABLE;
-	if (team_account_reserve(account, tokens))
+	if (team_account_reserve(account, tokens, rank,
+				 budgets->store_away || !bucket->store_answers))
 		return TGW_OK;
 	if (tokens > account->paid_in_tokens ||
 	    (bucket->read_us && now - bucket->read_us < VIEW_FRESH_US &&
@@ -212,7 +220,7 @@
 		account->needed_tokens = 0;
 		return TGW_EXHAUSTED;
 	}
-	if (!bucket->store_answers)
+	if (!bucket->store_answers || budgets->store_away)
 		return TGW_UNAVAILABLE;
 	if (!account->free_tokens &&
 	    now - bucket->read_us < per_host(bucket, ASK_IN_VAIN_US))
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -59,15 +59,20 @@
 void team_budget_paid_in(struct team_budget *budgets, const char *team,
 			 int64_t total_tokens);
 
+/** Tells whether the store answers other calls of this host. */
+void team_budget_store_away(struct team_budget *budgets, bool away);
+
 /**
  * Reserves the most that a request may cost.
+ * @param rank of the request's route, 0 for the most urgent
  * @return OK; EXHAUSTED when the budget can't pay it; BUSY when an allotment
  * has been asked for; CONFLICT when other hosts hold what is left of the
  * budget; UNAVAILABLE when the store does not answer; NOT_FOUND for a team
  * without a budget
  */
 enum tgw_status team_budget_reserve(struct team_budget *budgets,
-				    const char *team, int64_t tokens);
+				    const char *team, int64_t tokens,
+				    int32_t rank);
 
 /** Ends a reservation with what the request did cost. */
 void team_budget_settle(struct team_budget *budgets, const char *team,
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -167,7 +167,8 @@
 		call_dispatch(call);
 		return;
 	}
-	status = team_budget_reserve(edge->budgets, call->team, tokens);
+	status = team_budget_reserve(edge->budgets, call->team, tokens,
+				     call->route.rank);
 	if (status != TGW_OK && status != TGW_NOT_FOUND && status != TGW_BUSY)
 		log_budget(call, tokens, status);
 	switch (status) {
@@ -232,6 +233,7 @@
 	copy->timeout_ms = route->timeout_ms;
 	copy->target_latency_ms = route->target_latency_ms;
 	copy->priority = route->priority;
+	copy->rank = route->priority;
 	copy->affinity = route->affinity;
 	copy->is_model = service->is_engine;
 	copy->event_tokens = service->event_tokens;
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -25,7 +25,8 @@
 	uint32_t max_attempts;
 	int64_t timeout_ms;
 	int64_t target_latency_ms;
-	int32_t priority;
+	int32_t priority; /* the team's, if it has one */
+	int32_t rank;	  /* of the route among those of a team */
 	bool affinity;
 	bool is_model;
 	int64_t event_tokens;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -123,6 +123,7 @@
 {
 	struct edge *edge = arg;
 
+	team_budget_store_away(edge->budgets, true);
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "store", "lost", "-");
 }
 
@@ -130,6 +131,7 @@
 {
 	struct edge *edge = arg;
 
+	team_budget_store_away(edge->budgets, false);
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "store", "regained", "-");
 }
 
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -57,9 +57,27 @@
 	return account->base_tokens + allotted;
 }
 
-bool team_account_reserve(struct team_account *account, int64_t tokens)
+/* What a request of this rank must leave to more urgent ones. */
+static int64_t kept_tokens(const struct team_account *account, int32_t rank)
 {
-	if (tokens > team_account_limit(account) - used_tokens(account)) {
+	static const int64_t kept_percent[] = {0, 15, 40};
+	int32_t last =
+		(int32_t)(sizeof(kept_percent) / sizeof(kept_percent[0])) - 1;
+
+	if (rank < 0)
+		rank = 0;
+	return account->held_tokens * kept_percent[rank < last ? rank : last] /
+	       100;
+}
+
+bool team_account_reserve(struct team_account *account, int64_t tokens,
+			  int32_t rank, bool cut_off)
+{
+	int64_t left = team_account_limit(account) - used_tokens(account);
+
+	if (cut_off)
+		left -= kept_tokens(account, rank);
+	if (tokens > left) {
 		account->needed_tokens += tokens;
 		return false;
 	}
@@ -203,8 +221,8 @@
 	wish->lazy = raise < 0 || wish->wanted_tokens != own_wanted;
 }
 
-void team_account_read(struct team_account *account,
-		       const struct ledger_bucket *bucket, uint64_t line_id)
+static void read_shares(struct team_account *account,
+			const struct ledger_bucket *bucket, uint64_t line_id)
 {
 	int found = ledger_bucket_find_budget(bucket, account->team);
 	const struct ledger_budget *budget;
@@ -232,3 +250,11 @@
 			account->remaining_tokens -= share->settled_tokens;
 	}
 }
+
+void team_account_read(struct team_account *account,
+		       const struct ledger_bucket *bucket, uint64_t line_id)
+{
+	read_shares(account, bucket, line_id);
+	account->held_tokens = at_least_zero(team_account_limit(account) -
+					     used_tokens(account));
+}
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -44,6 +44,7 @@
 	int64_t settled_tokens;
 	int64_t reserved_tokens;
 	int64_t needed_tokens; /**< refused since the last write */
+	int64_t held_tokens;   /**< unspent here when the ledger was read */
 	int64_t free_tokens;   /**< in no allotment, when last read */
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
@@ -56,8 +57,18 @@
 /** @return what this host may spend in all */
 int64_t team_account_limit(const struct team_account *account);
 
-/** @return whether the reservation was made */
-bool team_account_reserve(struct team_account *account, int64_t tokens);
+/**
+ * Reserves tokens for a request.
+ *
+ * Load that it answers: a host that is cut off from the store and gets more
+ * requests than its allotment can pay. The last part of it is kept for the
+ * more urgent ones.
+ * @param rank of the request's route, 0 for the most urgent
+ * @param cut_off nothing more can be had from the store now
+ * @return whether the reservation was made
+ */
+bool team_account_reserve(struct team_account *account, int64_t tokens,
+			  int32_t rank, bool cut_off);
 
 void team_account_settle(struct team_account *account, int64_t reserved_tokens,
 			 int64_t spent_tokens, int64_t now_us);
--- a/tests/unit/test_team_budget.c
+++ b/tests/unit/test_team_budget.c
@@ -114,7 +114,7 @@
 
 	if (host->open_count == OPEN_MAX)
 		return TGW_BUSY;
-	status = team_budget_reserve(host->budgets, TEAM, tokens);
+	status = team_budget_reserve(host->budgets, TEAM, tokens, 0);
 	if (status == TGW_OK)
 		host->open_tokens[host->open_count++] = tokens;
 	return status;
@@ -151,7 +151,7 @@
 
 START_TEST(a_team_without_a_budget_is_told_apart)
 {
-	ck_assert_int_eq(team_budget_reserve(hosts[0].budgets, "other", 1),
+	ck_assert_int_eq(team_budget_reserve(hosts[0].budgets, "other", 1, 0),
 			 TGW_NOT_FOUND);
 }
 END_TEST
@@ -189,6 +189,29 @@
 }
 END_TEST
 
+START_TEST(a_host_that_is_cut_off_keeps_its_last_tokens_for_what_is_urgent)
+{
+	int64_t spent[3] = {0};
+
+	advance(5 * TGW_US_PER_S);
+	fake_store_set_cut(&hosts[0].store, true);
+	team_budget_store_away(hosts[0].budgets, true);
+	for (int32_t rank = 2; rank >= 0; rank--) {
+		while (team_budget_reserve(hosts[0].budgets, TEAM, 500, rank) ==
+		       TGW_OK) {
+			team_budget_settle(hosts[0].budgets, TEAM, 500, 500);
+			spent_tokens += 500;
+			spent[rank] += 500;
+		}
+	}
+	/* Demand is the same of each rank; each finds its part. */
+	ck_assert_int_ge(spent[0], 2000);
+	ck_assert_int_ge(spent[1], 2000);
+	ck_assert_int_ge(spent[2], spent[1]);
+	ck_assert_int_le(spent_tokens, limit_of(&hosts[0]));
+}
+END_TEST
+
 START_TEST(a_lower_allotment_binds_before_its_write_is_answered)
 {
 	int64_t before;
@@ -408,6 +431,9 @@
 	tcase_add_test(cases,
 		       a_request_over_the_whole_budget_is_refused_for_good);
 	tcase_add_test(cases, a_host_that_is_cut_off_spends_only_its_allotment);
+	tcase_add_test(
+		cases,
+		a_host_that_is_cut_off_keeps_its_last_tokens_for_what_is_urgent);
 	tcase_add_test(cases,
 		       a_lower_allotment_binds_before_its_write_is_answered);
 	tcase_add_test(cases, a_planned_stop_gives_back_all_that_is_unspent);
