--- a/src/edge/caller_conn.c
+++ b/src/edge/caller_conn.c
@@ -9,6 +9,7 @@
 
 #include "base/xalloc.h"
 #include "edge/edge_clock.h"
+#include "transport/stream_write.h"
 
 /* Requests sent ahead of their turn are kept up to this size. */
 #define PIPELINED_MAX_BYTES (64 * 1024)
@@ -299,21 +300,15 @@
 	return conn;
 }
 
-struct write_rest {
-	uv_write_t request;
-	char data[];
-};
-
 static size_t unwritten(const struct caller_conn *conn)
 {
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
 }
 
-static void on_written(uv_write_t *request, int status)
+static void on_written(uv_stream_t *stream, int status)
 {
-	struct caller_conn *conn = request->handle->data;
+	struct caller_conn *conn = stream->data;
 
-	free(request->data);
 	if (conn->state == CALLER_CONN_CLOSING)
 		return;
 	if (status < 0) {
@@ -328,41 +323,12 @@
 		conn->events->drained(conn);
 }
 
-/* Writes what the socket takes at once and queues a copy of the rest. A
- * failed write shows as a failed read as well, which ends the connection. */
 static void write_parts(struct caller_conn *conn, const uv_buf_t *parts,
 			unsigned int count)
 {
-	struct write_rest *rest;
-	uv_buf_t space;
-	size_t total = 0;
-	size_t skip = 0;
-	size_t at = 0;
-	int written;
-
-	if (conn->state == CALLER_CONN_CLOSING)
-		return;
-	for (unsigned int i = 0; i < count; i++)
-		total += parts[i].len;
-	written = uv_try_write((uv_stream_t *)&conn->tcp, parts, count);
-	if (written > 0)
-		skip = (size_t)written;
-	if (skip == total)
-		return;
-	rest = xmalloc(sizeof(*rest) + total - skip);
-	for (unsigned int i = 0; i < count; i++) {
-		size_t drop = skip < parts[i].len ? skip : parts[i].len;
-
-		memcpy(rest->data + at, parts[i].base + drop,
-		       parts[i].len - drop);
-		at += parts[i].len - drop;
-		skip -= drop;
-	}
-	rest->request.data = rest;
-	space = uv_buf_init(rest->data, (unsigned int)at);
-	if (uv_write(&rest->request, (uv_stream_t *)&conn->tcp, &space, 1,
-		     on_written) < 0)
-		free(rest);
+	if (conn->state != CALLER_CONN_CLOSING)
+		stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
+				   on_written);
 }
 
 static const char *reason_of(int status)
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -8,6 +8,7 @@
 
 #include "base/xalloc.h"
 #include "tamarackgw/clock.h"
+#include "transport/stream_write.h"
 
 /* Data that a peer does not acknowledge for this long ends a connection. */
 #define UNACKED_LIMIT_MS 4000
@@ -218,53 +219,17 @@
 	space->len = sizeof(read_space);
 }
 
-struct write_rest {
-	uv_write_t request;
-	char data[];
-};
-
-static void on_written(uv_write_t *request, int status)
+static void on_written(uv_stream_t *stream, int status)
 {
-	struct http_conn *conn = request->handle->data;
-
-	free(request->data);
 	if (status < 0 && status != UV_ECANCELED)
-		fail(conn, HTTP_CONN_CLOSED);
+		fail(stream->data, HTTP_CONN_CLOSED);
 }
 
-/* Writes the parts of one request; what the socket does not take at once is
- * copied and queued. */
 static void write_parts(struct http_conn *conn, const uv_buf_t *parts,
 			unsigned int count)
 {
-	struct write_rest *rest;
-	uv_buf_t space;
-	size_t total = 0;
-	size_t skip;
-	size_t at = 0;
-	int written;
-
-	for (unsigned int i = 0; i < count; i++)
-		total += parts[i].len;
 	conn->sent = true;
-	written = uv_try_write((uv_stream_t *)&conn->tcp, parts, count);
-	skip = written > 0 ? (size_t)written : 0;
-	if (skip == total)
-		return;
-	rest = xmalloc(sizeof(*rest) + total - skip);
-	for (unsigned int i = 0; i < count; i++) {
-		size_t drop = skip < parts[i].len ? skip : parts[i].len;
-
-		memcpy(rest->data + at, parts[i].base + drop,
-		       parts[i].len - drop);
-		at += parts[i].len - drop;
-		skip -= drop;
-	}
-	rest->request.data = rest;
-	space = uv_buf_init(rest->data, (unsigned int)at);
-	if (uv_write(&rest->request, (uv_stream_t *)&conn->tcp, &space, 1,
-		     on_written) < 0)
-		free(rest);
+	stream_write_parts((uv_stream_t *)&conn->tcp, parts, count, on_written);
 }
 
 static void on_connected(uv_connect_t *request, int status)
--- /dev/null
+++ b/src/transport/stream_write.c
@@ -0,0 +1,65 @@
+#include "transport/stream_write.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+
+/** Bytes that the socket did not take at once. */
+struct write_rest {
+	uv_write_t request;
+	void (*done)(uv_stream_t *stream, int status);
+	char data[];
+};
+
+static void on_written(uv_write_t *request, int status)
+{
+	struct write_rest *rest = request->data;
+	uv_stream_t *stream = request->handle;
+	void (*done)(uv_stream_t * stream, int status) = rest->done;
+
+	free(rest);
+	done(stream, status);
+}
+
+static size_t copy_from(char *data, const uv_buf_t *parts, unsigned int count,
+			size_t skip)
+{
+	size_t at = 0;
+
+	for (unsigned int i = 0; i < count; i++) {
+		size_t drop = skip < parts[i].len ? skip : parts[i].len;
+
+		memcpy(data + at, parts[i].base + drop, parts[i].len - drop);
+		at += parts[i].len - drop;
+		skip -= drop;
+	}
+	return at;
+}
+
+void stream_write_parts(uv_stream_t *stream, const uv_buf_t *parts,
+			unsigned int count,
+			void (*done)(uv_stream_t *stream, int status))
+{
+	struct write_rest *rest;
+	uv_buf_t space;
+	size_t total = 0;
+	size_t taken = 0;
+	int written;
+
+	for (unsigned int i = 0; i < count; i++)
+		total += parts[i].len;
+	written = uv_try_write(stream, parts, count);
+	if (written > 0)
+		taken = (size_t)written;
+	if (taken == total)
+		return;
+	rest = xmalloc(sizeof(*rest) + total - taken);
+	rest->request.data = rest;
+	rest->done = done;
+	space = uv_buf_init(rest->data,
+			    (unsigned int)copy_from(rest->data, parts, count,
+						    taken));
+	if (uv_write(&rest->request, stream, &space, 1, on_written) < 0)
+		free(rest);
+}
--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -9,9 +9,7 @@
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "edge/edge_clock.h"
-#include "platform_dialect.h"
-#include "platform_routes.h"
-#include "platform_servers.h"
+#include "platform_sources.h"
 
 #define ANSWER_LIMIT_MS 3000
 #define STEP_MS 5
@@ -68,15 +66,7 @@
 		.watch_wait_ms = 600,
 		.watch_pause_ms = 10,
 	};
-	struct edge_sources sources = {
-		.store = &rig->platform.store,
-		.dialect = &platform_dialect,
-		.routes_prefix = PLATFORM_ROUTES_PREFIX,
-		.routes_key = PLATFORM_ROUTES_KEY,
-		.decode_routes = platform_routes_decode,
-		.backends_prefix = PLATFORM_SERVERS_PREFIX,
-		.decode_backend = platform_servers_decode,
-	};
+	struct edge_sources sources = platform_sources(&rig->platform);
 	struct tgw_error error = {0};
 
 	uv_loop_init(&rig->loop);
--- a/tests/fakes/kv_standin.c
+++ b/tests/fakes/kv_standin.c
@@ -1,6 +1,5 @@
 #include "fakes/kv_standin.h"
 
-#include <arpa/inet.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -8,8 +7,8 @@
 
 #include "base/xalloc.h"
 #include "edge/caller_conn.h"
+#include "fakes/loop_listener.h"
 
-#define BACKLOG 64
 #define TEXT_SIZE 256
 
 static const struct caller_limits limits = {
@@ -299,21 +298,11 @@
 
 void kv_standin_start(struct kv_standin *store, uv_loop_t *loop)
 {
-	struct sockaddr_in address;
-	int size = sizeof(address);
-
 	memset(store, 0, sizeof(*store));
 	store->loop = loop;
 	store->revision = 1;
-	uv_ip4_addr("127.0.0.1", 0, &address);
-	uv_tcp_init(loop, &store->listener);
-	store->listener.data = store;
-	uv_tcp_bind(&store->listener, (struct sockaddr *)&address, 0);
-	uv_listen((uv_stream_t *)&store->listener, BACKLOG, on_connection);
-	uv_tcp_getsockname(&store->listener, (struct sockaddr *)&address,
-			   &size);
-	snprintf(store->address, sizeof(store->address), "127.0.0.1:%d",
-		 ntohs(address.sin_port));
+	loop_listener_start(&store->listener, loop, on_connection, store,
+			    store->address, sizeof(store->address));
 }
 
 void kv_standin_stop(struct kv_standin *store)
--- /dev/null
+++ b/tests/fakes/loop_listener.h
@@ -0,0 +1,16 @@
+/**
+ * @file loop_listener.h
+ * Listens at a free port of loopback, for the stand-ins on a loop.
+ */
+#ifndef FAKES_LOOP_LISTENER_H
+#define FAKES_LOOP_LISTENER_H
+
+#include <stddef.h>
+#include <uv.h>
+
+/** @param address receives IP:PORT */
+void loop_listener_start(uv_tcp_t *listener, uv_loop_t *loop,
+			 uv_connection_cb on_connection, void *owner,
+			 char *address, size_t size);
+
+#endif
--- a/tests/fakes/worker_standin.c
+++ b/tests/fakes/worker_standin.c
@@ -1,13 +1,12 @@
 #include "fakes/worker_standin.h"
 
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "edge/caller_conn.h"
+#include "fakes/loop_listener.h"
 
-#define BACKLOG 64
 /* Events of a whole stream; ids begin with 0. */
 #define STREAM_EVENTS 6
 /* A stream that is cut off has this many and a half. */
@@ -166,21 +165,11 @@
 void worker_standin_start(struct worker_standin *worker, uv_loop_t *loop,
 			  const char *id)
 {
-	struct sockaddr_in address;
-	int size = sizeof(address);
-
 	memset(worker, 0, sizeof(*worker));
 	worker->loop = loop;
 	snprintf(worker->id, sizeof(worker->id), "%s", id);
-	uv_ip4_addr("127.0.0.1", 0, &address);
-	uv_tcp_init(loop, &worker->listener);
-	worker->listener.data = worker;
-	uv_tcp_bind(&worker->listener, (struct sockaddr *)&address, 0);
-	uv_listen((uv_stream_t *)&worker->listener, BACKLOG, on_connection);
-	uv_tcp_getsockname(&worker->listener, (struct sockaddr *)&address,
-			   &size);
-	snprintf(worker->address, sizeof(worker->address), "127.0.0.1:%d",
-		 ntohs(address.sin_port));
+	loop_listener_start(&worker->listener, loop, on_connection, worker,
+			    worker->address, sizeof(worker->address));
 }
 
 void worker_standin_stop(struct worker_standin *worker)
