--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -296,6 +296,18 @@
 	return TGW_OK;
 }
 
+/* A host serves without its metrics rather than not at all. */
+static void start_metrics(struct edge *edge)
+{
+	struct tgw_error error;
+
+	if (listen_at(edge->loop, &edge->metrics,
+		      edge->settings->metrics_address, edge_pages_on_connection,
+		      edge, &error) != TGW_OK)
+		edge_log_line(&edge->log, EDGE_LOG_STATE, "host", "no_metrics",
+			      "reason=\"%s\"", error.message);
+}
+
 static void start_followers(struct edge *edge)
 {
 	const struct edge_settings *settings = edge->settings;
@@ -368,10 +380,8 @@
 	if (listen_at(loop, &edge->ready, settings->ready_address,
 		      edge_pages_on_connection, edge, error) != TGW_OK)
 		return error->status;
-	if (*settings->metrics_address &&
-	    listen_at(loop, &edge->metrics, settings->metrics_address,
-		      edge_pages_on_connection, edge, error) != TGW_OK)
-		return error->status;
+	if (*settings->metrics_address)
+		start_metrics(edge);
 	start_followers(edge);
 	uv_timer_init(loop, &edge->tick);
 	edge->tick.data = edge;
--- a/tests/cram/edge.t
+++ b/tests/cram/edge.t
@@ -72,6 +72,17 @@
   0
   $ kill -TERM $EDGE; wait $EDGE; kill $READER
 
+A metrics address that is taken keeps no host from serving:
+
+  $ sed "s/^metrics_address = .*/metrics_address = $STORE/" edge.ini >taken.ini
+  $ tamarackgw-edge --settings taken.ini >taken.log & EDGE=$!
+  $ wait_for is_ready
+  $ grep -c event=no_metrics taken.log
+  1
+  $ request r5 /safe/ok
+  200
+  $ kill -TERM $EDGE; wait $EDGE
+
 A planned stop ends the process by itself and gives its allotments back:
 
   $ edge_start; wait_for is_ready
