--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -14,6 +14,9 @@
 /* Time between two looks at what is due. */
 #define TICK_MS 100
 #define LISTEN_BACKLOG 511
+#define MS_PER_S 1000
+/* A stopping host ends by itself this long before it would be killed. */
+#define STOP_MARGIN_MS 600
 /* Before the first configuration. */
 #define HEAD_BYTES (16 * 1024)
 #define BODY_BYTES (4 * 1024 * 1024)
@@ -241,7 +244,8 @@
 {
 	int64_t age_ms = (edge_now_us() - edge->stop_asked_us) / TGW_US_PER_MS;
 
-	if (age_ms >= edge->settings->stop_grace_ms) {
+	if (age_ms >=
+	    edge->settings->stop_kill_after_s * MS_PER_S - STOP_MARGIN_MS) {
 		end_loop(edge);
 		return;
 	}
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -52,8 +52,9 @@
 	NUMBER("stop", "notice_ms", stop_notice_ms, 0, 600000, 2500,
 	       "a stopping host still takes requests for this long while "
 	       "the balancer learns of it"),
-	NUMBER("stop", "grace_ms", stop_grace_ms, 1000, 7200000, 7400,
-	       "a planned stop waits this long for open requests"),
+	NUMBER("stop", "kill_after_s", stop_kill_after_s, 1, 7200, 8,
+	       "the platform kills a stopping host after this time; open "
+	       "requests have until shortly before"),
 	NUMBER("log", "lines_per_s", log_lines_per_s, 1, 100000, 40,
 	       "most lines a second; changes of state always come"),
 };
@@ -87,10 +88,10 @@
 				     "%s: [host] metrics_address needs the "
 				     "form IP:PORT, or leave it out",
 				     path);
-	if (settings->stop_notice_ms > settings->stop_grace_ms)
+	if (settings->stop_notice_ms > settings->stop_kill_after_s * 1000)
 		return tgw_error_set(error, TGW_INVALID,
 				     "%s: [stop] notice_ms must not be above "
-				     "grace_ms",
+				     "kill_after_s",
 				     path);
 	return TGW_OK;
 }
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -34,7 +34,7 @@
 	int64_t retry_slack;
 	/* [stop] */
 	int64_t stop_notice_ms;
-	int64_t stop_grace_ms;
+	int64_t stop_kill_after_s;
 	/* [log] */
 	int64_t log_lines_per_s;
 };
--- a/src/protocol/settings_table.c
+++ b/src/protocol/settings_table.c
@@ -67,6 +67,9 @@
 	char *end = NULL;
 	long long number = strtoll(value, &end, 10);
 
+	/* Seconds may be written as 8.0. */
+	if (end != value && *end == '.')
+		end += 1 + strspn(end + 1, "0123456789");
 	if (end == value || *end || number < setting->least ||
 	    number > setting->most) {
 		snprintf(remedy, sizeof(remedy),
--- a/tests/cram/docs.t
+++ b/tests/cram/docs.t
@@ -7,6 +7,7 @@
 The reference of settings is the program's own.
 
   $ tools/settings-page.sh "$BUILD" | diff docs/operations/settings.md -
+  $ tools/settings-page.sh "$BUILD" tamarackgw-edge | diff docs/operations/edge-settings.md -
 
 The sample settings of both users are good.
 
--- a/tests/cram/lib/edge-site.sh
+++ b/tests/cram/lib/edge-site.sh
@@ -43,7 +43,7 @@
 	apply_ms = 400
 	[stop]
 	notice_ms = 300
-	grace_ms = 3000
+	kill_after_s = 3.0
 	END
 	site_say config 1 "${PREPAID:-1000000}"
 	site_say server 0 ready 1
--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -84,7 +84,7 @@
 	text_copy(rig->settings.store_address,
 		  sizeof(rig->settings.store_address), rig->store.address);
 	rig->settings.stop_notice_ms = 300;
-	rig->settings.stop_grace_ms = 2000;
+	rig->settings.stop_kill_after_s = 3;
 	platform_store_init(&rig->platform, &rig->loop, &store);
 	platform_caller_set_address(&rig->platform.caller, rig->store.address);
 	if (edge_start(&rig->edge, &rig->loop, &rig->settings, &sources,
