--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -16,6 +16,15 @@
 #define RETRY_RECALL_MS 1500
 /* Used where neither the caller nor the route names a time. */
 #define TIMEOUT_MS 30000
+/* Repeatable requests wait this long for a silent server: a part of their
+ * time, so that another server still has the rest. */
+#define SILENCE_PART 3
+#define SILENCE_LEAST_US (150 * TGW_US_PER_MS)
+#define SILENCE_MOST_US (1500 * TGW_US_PER_MS)
+/* Longest wait for a connection to a server. */
+#define CONNECT_LIMIT_US (250 * TGW_US_PER_MS)
+
+static void on_timer(uv_timer_t *timer);
 
 static const char *outcome_name(const struct call *call)
 {
@@ -350,16 +359,6 @@
 	http_conn_resume(call->conn);
 }
 
-static void on_timer(uv_timer_t *timer);
-
-/* Repeatable requests wait this long for a silent server: a part of their
- * time, so that another server still has the rest. */
-#define SILENCE_PART 3
-#define SILENCE_LEAST_US (150 * TGW_US_PER_MS)
-#define SILENCE_MOST_US (1500 * TGW_US_PER_MS)
-/* Longest wait for a connection to a server. */
-#define CONNECT_LIMIT_US (250 * TGW_US_PER_MS)
-
 static int64_t silence_limit_us(const struct call *call)
 {
 	int64_t limit_us = (call->end_us - call->arrived_us) / SILENCE_PART;
--- /dev/null
+++ b/tests/unit/test_platform_decode.c
@@ -0,0 +1,190 @@
+#include <string.h>
+
+#include "platform_dialect.h"
+#include "platform_routes.h"
+#include "platform_servers.h"
+#include "unit/unit_main.h"
+
+#define ENTRY(more)                                                  \
+	"{\"service\":\"app\",\"address\":\"10.0.0.1:80\",\"zone\":" \
+	"\"east\",\"slots\":4,\"state\":\"ready\",\"sequence\":1" more "}"
+
+static const struct {
+	const char *name;
+	const char *text;
+	bool usable;
+} entries[] = {
+	{"whole", ENTRY(",\"born\":7"), true},
+	{"fields that are not known", ENTRY(",\"new\":[1]"), true},
+	{"cut off", "{\"service\":\"app\"", false},
+	{"not an object", "[]", false},
+	{"empty", "", false},
+	{"no service",
+	 "{\"address\":\"10.0.0.1:80\",\"zone\":\"e\",\"slots\":4,"
+	 "\"state\":\"ready\",\"sequence\":1}",
+	 false},
+	{"service of another type",
+	 "{\"service\":5,\"address\":\"10.0.0.1:80\",\"zone\":\"e\","
+	 "\"slots\":4,\"state\":\"ready\",\"sequence\":1}",
+	 false},
+	{"address without a port",
+	 "{\"service\":\"a\",\"address\":\"10.0.0.1\",\"zone\":\"e\","
+	 "\"slots\":4,\"state\":\"ready\",\"sequence\":1}",
+	 false},
+	{"slots as text",
+	 "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"e\","
+	 "\"slots\":\"4\",\"state\":\"ready\",\"sequence\":1}",
+	 false},
+	{"no slots",
+	 "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"e\","
+	 "\"slots\":0,\"state\":\"ready\",\"sequence\":1}",
+	 false},
+	{"a state that is not named",
+	 "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"e\","
+	 "\"slots\":4,\"state\":\"resting\",\"sequence\":1}",
+	 false},
+	{"a name with a zero byte",
+	 "{\"service\":\"a\\u0000b\",\"address\":\"10.0.0.1:80\",\"zone\":"
+	 "\"e\",\"slots\":4,\"state\":\"ready\",\"sequence\":1}",
+	 false},
+};
+
+START_TEST(an_entry_names_a_server_only_if_it_is_whole)
+{
+	struct backend_entry entry = {0};
+
+	ck_assert_msg(platform_servers_decode((const uint8_t *)entries[_i].text,
+					      strlen(entries[_i].text),
+					      &entry) == entries[_i].usable,
+		      "%s", entries[_i].name);
+}
+END_TEST
+
+static struct route_set *decode(const char *text)
+{
+	struct tgw_error error = {0};
+	struct route_set *set = platform_routes_decode((const uint8_t *)text,
+						       strlen(text), &error);
+
+	ck_assert(set || *error.message);
+	return set;
+}
+
+START_TEST(a_configuration_that_can_not_be_read_is_refused)
+{
+	static const char *const texts[] = {"", "{", "[]", "{}",
+					    "{\"version\":\"7\"}"};
+
+	ck_assert_ptr_null(decode(texts[_i]));
+}
+END_TEST
+
+START_TEST(a_configuration_is_decoded_into_the_products_terms)
+{
+	struct route_set *set = decode(
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+		"\"pathPrefix\":\"/a/\",\"kind\":\"streaming\",\"resumable\":"
+		"true,\"timeoutMs\":2500.0,\"trafficSplit\":[{\"service\":"
+		"\"s\",\"weight\":90},{\"service\":\"t\",\"weight\":10},"
+		"{\"service\":\"gone\",\"weight\":5}]},{\"name\":\"odd\","
+		"\"host\":\"h\",\"pathPrefix\":\"/b/\",\"kind\":\"new\"},"
+		"{\"name\":\"no prefix\",\"host\":\"h\"}],\"services\":["
+		"{\"name\":\"s\"},{\"name\":\"t\",\"engine\":{\"stride\":9}}],"
+		"\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"k\",5],"
+		"\"prepaid\":100},{\"name\":\"free\",\"apiKeys\":[]}]}");
+	const struct route *route = route_set_find(set, "h", "/a/x");
+
+	ck_assert_int_eq(set->version, 7);
+	ck_assert_uint_eq(set->route_count, 2);
+	ck_assert_int_eq(route->kind, ROUTE_RESUMABLE);
+	ck_assert_int_eq(route->timeout_ms, 2500);
+	ck_assert_uint_eq(route->target_count, 2);
+	/* What is not known to be repeatable runs at most once. */
+	ck_assert_int_eq(route_set_find(set, "h", "/b/x")->kind, ROUTE_UNSAFE);
+	ck_assert_int_eq(set->services[1].event_tokens, 9);
+	ck_assert_uint_eq(set->key_count, 1);
+	ck_assert_int_eq(set->teams[0].paid_in_tokens, 100);
+	ck_assert_int_eq(set->teams[1].paid_in_tokens, ROUTE_TEAM_NO_BUDGET);
+	ck_assert_int_gt(set->limits.body_bytes, 0);
+	route_set_free(set);
+}
+END_TEST
+
+static void add_field(struct http_head *head, const char *name,
+		      const char *value)
+{
+	http_head_add_name(head, name, strlen(name));
+	http_head_add_value(head, value, strlen(value));
+}
+
+static const struct {
+	const char *tokens;
+	const char *prompt;
+	int64_t input;
+	int64_t output;
+	bool is_shared;
+} requests[] = {
+	{"1460,80", "a:800,b:410,c:250", 1460, 80, true},
+	{"1460", "c:250", 1460, 0, false},
+	{"-5,-7", "", 0, 0, false},
+	{"many", ",", 0, 0, true},
+};
+
+START_TEST(requests_are_decoded)
+{
+	struct http_head head = {0};
+	struct call_terms terms;
+
+	add_field(&head, "tamarackgw-token-count", requests[_i].tokens);
+	add_field(&head, "Tamarackgw-Prompt-Prefix", requests[_i].prompt);
+	add_field(&head, "Authorization", "token key-1");
+	platform_dialect.read_request(&head, &terms);
+	ck_assert_int_eq(terms.input_tokens, requests[_i].input);
+	ck_assert_int_eq(terms.output_tokens, requests[_i].output);
+	ck_assert_int_eq(terms.shared_parts != 0, requests[_i].is_shared);
+	ck_assert_str_eq(terms.key, "key-1");
+	http_head_free(&head);
+}
+END_TEST
+
+static const struct {
+	const char *load;
+	bool is_load;
+} loads[] = {
+	{"3,0,8", true},  {"3,0", false},	   {"", false},
+	{"a,b,c", false}, {"3,0,99999999", false}, {"-1,0,8", false},
+};
+
+START_TEST(reports_of_load_are_read_strictly)
+{
+	struct http_head head = {0};
+	struct answer_terms terms;
+
+	add_field(&head, "Tamarackgw-Server-Load", loads[_i].load);
+	add_field(&head, "Tamarackgw-Request-Id", "other");
+	platform_dialect.read_answer(&head, 200, "mine", &terms);
+	ck_assert_int_eq(terms.has_load, loads[_i].is_load);
+	ck_assert(terms.other_request);
+	ck_assert(!terms.signed_answer);
+	http_head_free(&head);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("platform_decode");
+	TCase *cases = tcase_create("input");
+
+	tcase_add_loop_test(cases, an_entry_names_a_server_only_if_it_is_whole,
+			    0, sizeof(entries) / sizeof(entries[0]));
+	tcase_add_loop_test(
+		cases, a_configuration_that_can_not_be_read_is_refused, 0, 5);
+	tcase_add_test(cases,
+		       a_configuration_is_decoded_into_the_products_terms);
+	tcase_add_loop_test(cases, requests_are_decoded, 0,
+			    sizeof(requests) / sizeof(requests[0]));
+	tcase_add_loop_test(cases, reports_of_load_are_read_strictly, 0,
+			    sizeof(loads) / sizeof(loads[0]));
+	suite_add_tcase(suite, cases);
+	return unit_main(suite);
+}
