--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -7,7 +7,7 @@
 #include "base/xalloc.h"
 
 /* Entries that lapsed in an outage are back this long after its end. */
-#define LAPSE_GRACE_US (1800 * TGW_US_PER_MS)
+#define LAPSE_GRACE_US (1600 * TGW_US_PER_MS)
 /* Pause before a list is read again that failed. */
 #define LIST_RETRY_US (150 * TGW_US_PER_MS)
 #define TICK_US (100 * TGW_US_PER_MS)
