Keep the stand-in of the users' store alive when a host ends

cram/edge.t, a restarted host not ready: the stand-in was ended by SIGPIPE when a host that ended left answers unread. Shown by a client that sends 40 requests and leaves: ended by signal 13 before, alive after.

--- a/tests/standins/usersite/main.c
+++ b/tests/standins/usersite/main.c
@@ -8,6 +8,7 @@
  *   silent 0|1               the store answers nothing
  *   end
  */
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -65,6 +66,8 @@
 
 int main(void)
 {
+	/* A host that ends leaves answers that nobody reads. */
+	signal(SIGPIPE, SIG_IGN);
 	uv_loop_init(&rig.loop);
 	kv_standin_start(&rig.store, &rig.loop);
 	worker_standin_start(&rig.workers[0], &rig.loop, "worker-0");
