Ask hosts about reservations that stay open

When a second host cancels the same key, the first one's late copy of its request (doubled or delayed by the network) finds no cancellation of its own, waits, and is granted. Its owner has long given up, so nothing ever settles the reservation: the line can't be given back, or the reservation is billed at its bound when its holder stops.

A holder now asks every 30 s about a reservation that stays open, by sending its answer again with the key; a host that does not use it settles it as not run. A retry that took a reservation over is known by its request, so that an older cancellation does not take it for ended.

Ruled out: asking only at a planned stop (the wrong bills come before one); remembering each canceller (memory grows with retries, and a lost message stays lost).

--- a/src/coordination/budget_entry.c
+++ b/src/coordination/budget_entry.c
@@ -419,6 +419,37 @@
 	end_refused(agent, entry, entry->refusal, entry->refusal_retry_us);
 }
 
+static bool uses(const struct entry_request *entry,
+		 const struct asked_holder *holder,
+		 const struct budget_message_item *item)
+{
+	return entry && entry->request_id == item->id &&
+	       entry->state == ENTRY_OPEN &&
+	       entry->holder.peer == holder->peer &&
+	       entry->holder.incarnation == holder->incarnation;
+}
+
+/* The holder asks about a reservation that is not waited for. One that ended
+ * here is settled already, or its settlement is on its way. */
+static void answer_use(struct tgw_budget_agent *agent,
+		       const struct asked_holder *holder,
+		       const struct budget_message_item *item)
+{
+	struct entry_request *entry =
+		key_table_find(&agent->entries, &item->key);
+	struct settle_order *order;
+
+	if (uses(entry, holder, item))
+		return;
+	order = xcalloc(1, sizeof(*order));
+	order->key = item->key;
+	text_copy(order->budget, TGW_NAME_SIZE, item->budget);
+	order->request_id = item->id;
+	order->holder_incarnation = holder->incarnation;
+	order->basis = TGW_SETTLE_NOT_RUN;
+	budget_settle_queue_add(agent, holder->peer, order);
+}
+
 void budget_entry_on_reserved(struct tgw_budget_agent *agent,
 			      struct budget_peer *from,
 			      uint64_t from_incarnation, uint64_t line,
@@ -427,6 +458,8 @@
 	struct entry_request *entry = find_asking(agent, item->id);
 	struct asked_holder holder = {from, from_incarnation};
 
+	if (!entry && item->has_key && item->code == TGW_OK)
+		answer_use(agent, &holder, item);
 	if (!entry)
 		return;
 	if (item->code == TGW_OK) {
--- a/src/coordination/budget_exchange.c
+++ b/src/coordination/budget_exchange.c
@@ -295,6 +295,7 @@
 		return;
 	agent->exchange_due_us = now_us + EXCHANGE_INTERVAL_US;
 	ask_again(agent);
+	budget_holder_ask_use(agent);
 	forget_told(agent, now_us - agent->env.settings.duplicate_memory_us);
 	for (size_t i = 0; i < agent->bucket_count; i++) {
 		struct budget_bucket *bucket = agent->buckets[i];
--- a/src/coordination/budget_holder.c
+++ b/src/coordination/budget_holder.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/budget_entry.h"
 #include "coordination/budget_recall.h"
@@ -13,6 +14,8 @@
 /* A budget that was not found is looked for again after this. */
 #define NOT_FOUND_AGE_US BUDGET_S(2)
 #define WAITERS_INTERVAL_US BUDGET_MS(20)
+/* A host is asked this often whether it still uses what it was granted. */
+#define ASK_USE_INTERVAL_US BUDGET_S(30)
 #define REFUSE_BACKOFF_MIN_US BUDGET_MS(250)
 #define REFUSE_BACKOFF_MAX_US BUDGET_S(2)
 
@@ -79,6 +82,7 @@
 	reservation->request_id = ask->request_id;
 	reservation->state = RESERVATION_OPEN;
 	reservation->taker = NULL;
+	reservation->asked_us = budget_now_us(agent);
 	reservation->parked_tokens = 0;
 	reservation->owner_is_done = false;
 	reservation->is_kept = false;
@@ -227,6 +231,7 @@
 		if (!is_same) {
 			known->taker = from;
 			known->taker_incarnation = from_incarnation;
+			known->taker_request_id = item->id;
 			agent->counters.duplicate_keys++;
 		}
 		answer_granted(agent, from, item->id, known,
@@ -297,3 +302,39 @@
 	bucket->waiters_due_us = now_us;
 	serve_share(share);
 }
+
+/* The answer is sent again, with the key: a host that does not know of it
+ * says so by a settlement as not run. */
+static void ask_use(struct tgw_budget_agent *agent,
+		    struct reservation *reservation)
+{
+	struct budget_message_item item = {
+		.id = reservation->request_id,
+		.key = reservation->key,
+		.has_key = true,
+		.code = TGW_OK,
+	};
+	struct budget_peer *user = reservation->owner;
+
+	text_copy(item.budget, TGW_NAME_SIZE, reservation->share->budget);
+	if (reservation->taker) {
+		user = reservation->taker;
+		item.id = reservation->taker_request_id;
+		item.flags = BUDGET_FLAG_ALREADY_RESERVED;
+	}
+	reservation->asked_us = budget_now_us(agent);
+	answer(agent, user, reservation->share->line->id, &item);
+}
+
+void budget_holder_ask_use(struct tgw_budget_agent *agent)
+{
+	int64_t before_us = budget_now_us(agent) - ASK_USE_INTERVAL_US;
+
+	for (size_t i = 0; i < agent->reservations.capacity; i++) {
+		struct reservation *reservation = agent->reservations.slots[i];
+
+		if (reservation && reservation->state == RESERVATION_OPEN &&
+		    reservation->share && reservation->asked_us <= before_us)
+			ask_use(agent, reservation);
+	}
+}
--- a/src/coordination/budget_holder.h
+++ b/src/coordination/budget_holder.h
@@ -32,6 +32,10 @@
 /** Grants, refuses or keeps each reservation that waits. */
 void budget_holder_serve_waiters(struct budget_bucket *bucket);
 
+/** Asks hosts about reservations that have been open for long: one whose
+ * cancellation was overtaken is known to its holder only. */
+void budget_holder_ask_use(struct tgw_budget_agent *agent);
+
 /** Settles at the bound what gone entry hosts left open. */
 void budget_holder_settle_gone(struct tgw_budget_agent *agent);
 
--- a/src/coordination/budget_settlement.c
+++ b/src/coordination/budget_settlement.c
@@ -151,6 +151,15 @@
 	}
 }
 
+static bool is_taker(const struct reservation *reservation,
+		     const struct budget_peer *from, uint64_t from_incarnation,
+		     uint64_t request_id)
+{
+	return reservation->taker == from &&
+	       reservation->taker_incarnation == from_incarnation &&
+	       reservation->taker_request_id == request_id;
+}
+
 void budget_holder_settle(struct tgw_budget_agent *agent,
 			  struct budget_peer *from, uint64_t from_incarnation,
 			  uint64_t sequence,
@@ -177,7 +186,8 @@
 		return;
 	}
 	if (basis == TGW_SETTLE_NOT_RUN && !by_owner) {
-		known->taker = NULL;
+		if (is_taker(known, from, from_incarnation, item->id))
+			known->taker = NULL;
 		return;
 	}
 	if (basis == TGW_SETTLE_NOT_RUN && known->taker) {
--- a/src/coordination/budget_state.h
+++ b/src/coordination/budget_state.h
@@ -165,6 +165,8 @@
 	enum reservation_state state;
 	struct budget_peer *taker; /**< host of the last retry; may be NULL */
 	uint64_t taker_incarnation;
+	uint64_t taker_request_id;
+	int64_t asked_us;   /**< granted, or its host asked about it, then */
 	bool is_kept;	    /**< not to be reversed: another copy was */
 	bool owner_is_done; /**< the owner will not claim any more */
 	bool is_queued;	    /**< in the agent's queue of ended ones */
--- a/src/state/budget_message.h
+++ b/src/state/budget_message.h
@@ -25,7 +25,8 @@
 	 * tokens (bound). */
 	BUDGET_MESSAGE_RESERVE = 1,
 	/** Answer. Item: id, code (status), flags, tokens (settled),
-	 * other (retry after, us). line: the granting line. */
+	 * other (retry after, us). line: the granting line. With key and
+	 * budget: the holder asks whether the reservation is still used. */
 	BUDGET_MESSAGE_RESERVED,
 	/** Entry host tells holder. sequence (0: no answer wanted); epoch: the
 	 * newest sequence whose answer came, so that what it settled will not
--- a/tests/unit/test_budget_domain_cut.c
+++ b/tests/unit/test_budget_domain_cut.c
@@ -19,6 +19,24 @@
 }
 END_TEST
 
+/* Reservations that their owners knew nothing of stayed open, or were billed
+ * at their bound. */
+static const uint64_t retries_that_failed[] = {139, 285, 466, 536,
+					       570, 637, 652};
+static const uint64_t deaths_that_failed[] = {121};
+
+START_TEST(retries_failed_once)
+{
+	budget_random_run(retries_that_failed[_i], BUDGET_RANDOM_RETRIES, true);
+}
+END_TEST
+
+START_TEST(deaths_failed_once)
+{
+	budget_random_run(deaths_that_failed[_i], BUDGET_RANDOM_DEATHS, true);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("budget_domain_cut");
@@ -28,6 +46,8 @@
 	tcase_add_loop_test(tcase, soft_faults_leave_exact_bills, 1, 41);
 	tcase_add_loop_test(tcase, retries_are_billed_once, 1, 101);
 	tcase_add_loop_test(tcase, deaths_never_overspend, 1, 61);
+	tcase_add_loop_test(tcase, retries_failed_once, 0, 7);
+	tcase_add_loop_test(tcase, deaths_failed_once, 0, 1);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
