Let a retry of a cut-off run run again, billed once

Cause (trace of caller_returns_late.t): when a caller leaves, its call is cancelled and the part that ran is settled. The holder kept that as final, so the caller's retry under its key was answered 409 already-settled and never got its whole answer.

A run without a whole answer is now settled as a part. A retry of its key is granted anew, three times at most; the part is credited and the new run is charged what the larger of both used. Retries that share a reservation are kept as a list: until now only the last one was known, so a cancellation by one of two could free tokens that the other was spending. The first whole answer settles, or the last that gives up. Of two copies in two domains the larger is kept, and a copy that can't be undone is credited as far as it was charged.

Ruled out: reversing the charge for each retry (gives parts away again and again); charging the difference at the entry host alone (its holder may have freed and granted the tokens).

--- a/include/tamarackgw/budget.h
+++ b/include/tamarackgw/budget.h
@@ -30,6 +30,9 @@
 	TGW_SETTLE_USAGE,   /**< the engine reported its usage */
 	TGW_SETTLE_BOUND,   /**< the usage can't be learnt: the upper bound */
 	TGW_SETTLE_NOT_RUN, /**< no byte was sent: nothing is charged */
+	/** The usage of a run that was cut off. A retry may run again and is
+	 * then charged what the larger of its runs used. */
+	TGW_SETTLE_PART,
 };
 
 /** Settings of the agent. */
@@ -64,7 +67,8 @@
 /** Answer to a wish. Valid only during the callback. */
 struct tgw_budget_answer {
 	enum tgw_status status; /**< OK, EXHAUSTED, NOT_FOUND, UNAVAILABLE */
-	/** The same key holds or held a reservation in this domain. */
+	/** The same key holds or held a reservation in this domain: an
+	 * earlier run may be known to servers. */
 	bool already_reserved;
 	/** The same key was settled; a replay must not run again for pay. */
 	bool already_settled;
--- a/src/coordination/budget_entry.c
+++ b/src/coordination/budget_entry.c
@@ -45,6 +45,7 @@
 	char *budget;
 	int64_t bound_tokens;
 	int64_t spent_tokens;
+	int64_t earlier_tokens; /**< used by a run that was cut off */
 	enum entry_state state;
 	enum tgw_settle_basis basis;
 	bool is_owner;
@@ -59,7 +60,8 @@
 	struct budget_peer *refused[REFUSED_MAX];
 	enum tgw_status refusal; /**< of the domain's first holder */
 	int64_t refusal_retry_us;
-	struct entry_caller *callers;
+	struct entry_caller *callers; /**< wait for the answer */
+	uint32_t users;		      /**< run under the reservation */
 	int64_t deadline_us;
 	int64_t retry_us;
 	int64_t done_us;
@@ -176,6 +178,7 @@
 
 		entry->callers = caller->next;
 		answer_later(agent, caller->callback, answer);
+		entry->users += entry->state == ENTRY_OPEN;
 		/* The others share the one reservation. */
 		if (answer->status == TGW_OK && !answer->already_settled)
 			answer->already_reserved = true;
@@ -295,6 +298,7 @@
 	entry->basis = TGW_SETTLE_USAGE;
 	entry->request_id = ++agent->next_request_id;
 	entry->asked_count = 0;
+	entry->users = 0;
 	entry->refused_count = 0;
 	entry->registered_at = NULL;
 	entry->deadline_us =
@@ -332,12 +336,14 @@
 		add_caller(entry, callback);
 		return;
 	}
-	if (entry->state == ENTRY_DONE && entry->basis == TGW_SETTLE_NOT_RUN) {
+	if (entry->state == ENTRY_DONE &&
+	    budget_basis_is_incomplete(entry->basis)) {
 		add_caller(entry, callback);
 		start_asking(agent, entry, request);
 		return;
 	}
 	agent->counters.duplicate_keys++;
+	entry->users += entry->state == ENTRY_OPEN;
 	answer.already_reserved = entry->state == ENTRY_OPEN;
 	answer.already_settled = entry->state == ENTRY_DONE;
 	answer.settled_tokens = entry->spent_tokens;
@@ -360,7 +366,9 @@
 {
 	struct tgw_budget_answer answer = {
 		.status = TGW_OK,
-		.already_reserved = item->flags & BUDGET_FLAG_ALREADY_RESERVED,
+		.already_reserved =
+			item->flags &
+			(BUDGET_FLAG_ALREADY_RESERVED | BUDGET_FLAG_RUN_AGAIN),
 		.already_settled = item->flags & BUDGET_FLAG_ALREADY_SETTLED,
 		.settled_tokens = item->tokens,
 	};
@@ -368,7 +376,10 @@
 	leave_asking(agent, entry);
 	entry->holder = *holder;
 	entry->line = line;
-	entry->is_owner = !answer.already_reserved && !answer.already_settled;
+	entry->is_owner = !(item->flags & BUDGET_FLAG_ALREADY_RESERVED) &&
+			  !answer.already_settled;
+	entry->earlier_tokens =
+		item->flags & BUDGET_FLAG_RUN_AGAIN ? item->tokens : 0;
 	entry->state = ENTRY_OPEN;
 	entry->spent_tokens = 0;
 	if (answer.already_settled) {
@@ -522,7 +533,19 @@
 	if (basis == TGW_SETTLE_BOUND || spent_tokens < 0 ||
 	    spent_tokens > entry->bound_tokens)
 		spent_tokens = entry->bound_tokens;
-	entry->spent_tokens = basis == TGW_SETTLE_NOT_RUN ? 0 : spent_tokens;
+	if (basis == TGW_SETTLE_NOT_RUN)
+		spent_tokens = 0;
+	entry->users--;
+	if (entry->users && budget_basis_is_incomplete(basis)) {
+		if (entry->earlier_tokens < spent_tokens)
+			entry->earlier_tokens = spent_tokens;
+		return;
+	}
+	if (spent_tokens < entry->earlier_tokens)
+		spent_tokens = entry->earlier_tokens;
+	if (basis == TGW_SETTLE_NOT_RUN && spent_tokens)
+		basis = TGW_SETTLE_PART;
+	entry->spent_tokens = spent_tokens;
 	entry->basis = basis;
 	entry->state = ENTRY_DONE;
 	agent->open_entries--;
--- a/src/coordination/budget_exchange.c
+++ b/src/coordination/budget_exchange.c
@@ -366,15 +366,28 @@
 	return order > 0;
 }
 
-/* Of two copies that can be reversed, the one that sorts first is kept, for
- * good, before the other is reversed: so one copy always stays charged.
+/* Runs that were cut off differ in what they used. */
+static bool is_kept_of(const struct tgw_budget_agent *agent,
+		       const struct budget_peer *other,
+		       const struct reservation *reservation,
+		       const struct budget_message_item *item)
+{
+	if (reservation->spent_tokens != item->tokens)
+		return reservation->spent_tokens > item->tokens;
+	return !sorts_last(agent, other);
+}
+
+/* Of two copies that can be reversed, the larger or else the one that sorts
+ * first is kept, for good, before the other is reversed: so one copy always
+ * stays charged.
  * @return whether nothing is left to be done about this pair of copies */
 static bool settle_pair(struct tgw_budget_agent *agent,
 			const struct budget_peer *from,
 			struct reservation *reservation,
-			enum budget_copy_state theirs)
+			const struct budget_message_item *item)
 {
 	enum budget_copy_state mine = copy_state(reservation);
+	enum budget_copy_state theirs = (enum budget_copy_state)item->code;
 
 	if (theirs == BUDGET_COPY_REVERSED || mine == BUDGET_COPY_REVERSED)
 		return true;
@@ -382,13 +395,13 @@
 		return theirs != BUDGET_COPY_REVERSIBLE;
 	if (mine == BUDGET_COPY_KEPT && theirs == BUDGET_COPY_FINAL)
 		return true;
-	if (mine == theirs && !sorts_last(agent, from)) {
+	if (mine == theirs && is_kept_of(agent, from, reservation, item)) {
 		reservation->is_kept = true;
 		return false;
 	}
 	if (theirs == BUDGET_COPY_REVERSIBLE)
 		return false;
-	budget_holder_reverse(reservation);
+	budget_holder_reverse(reservation, item->tokens);
 	return true;
 }
 
@@ -403,8 +416,7 @@
 
 		if (!has_ended(reservation))
 			continue;
-		if (settle_pair(agent, from, reservation,
-				(enum budget_copy_state)item->code))
+		if (settle_pair(agent, from, reservation, item))
 			close_duplicate(agent, &item->key, from);
 		if (!(item->flags & BUDGET_FLAG_REPLY))
 			send_duplicate(reservation, from, true);
--- a/src/coordination/budget_holder.c
+++ b/src/coordination/budget_holder.c
@@ -16,6 +16,8 @@
 #define WAITERS_INTERVAL_US BUDGET_MS(20)
 /* A host is asked this often whether it still uses what it was granted. */
 #define ASK_USE_INTERVAL_US BUDGET_S(30)
+/* Runs that follow a cut-off one under the same key. */
+#define RERUNS_MAX 3
 #define REFUSE_BACKOFF_MIN_US BUDGET_MS(250)
 #define REFUSE_BACKOFF_MAX_US BUDGET_S(2)
 
@@ -63,7 +65,9 @@
 		.id = request_id,
 		.code = TGW_OK,
 		.flags = flags,
-		.tokens = reservation->spent_tokens,
+		.tokens = reservation->state == RESERVATION_OPEN
+				  ? reservation->earlier_tokens
+				  : reservation->spent_tokens,
 	};
 	const struct holder_share *share = reservation->share;
 
@@ -74,18 +78,28 @@
 {
 	struct tgw_budget_agent *agent = share->line->bucket->agent;
 	struct reservation *reservation = reservation_obtain(agent, &ask->key);
-
+	uint32_t flags = 0;
+
+	reservation->earlier_tokens = 0;
+	if (reservation->state == RESERVATION_SETTLED) {
+		flags = BUDGET_FLAG_RUN_AGAIN;
+		reservation->reruns++;
+		reservation->earlier_tokens = reservation->spent_tokens;
+		budget_holder_credit(reservation, reservation->spent_tokens);
+	}
 	reservation_set_share(reservation, share);
 	reservation->bucket = share->line->bucket;
 	reservation->owner = ask->from;
 	reservation->owner_incarnation = ask->from_incarnation;
 	reservation->request_id = ask->request_id;
 	reservation->state = RESERVATION_OPEN;
-	reservation->taker = NULL;
+	reservation_drop_takers(reservation);
+	reservation->owner_gave_up = false;
 	reservation->asked_us = budget_now_us(agent);
 	reservation->parked_tokens = 0;
 	reservation->owner_is_done = false;
 	reservation->is_kept = false;
+	reservation->is_part = false;
 	reservation->bound_tokens = ask->bound_tokens;
 	reservation->spent_tokens = 0;
 	share->open_tokens += ask->bound_tokens;
@@ -95,7 +109,7 @@
 	assert(holder_share_left(share) >= 0);
 	agent->counters.reserved++;
 	agent->counters.reserved_tokens += ask->bound_tokens;
-	answer_granted(agent, ask->from, ask->request_id, reservation, 0);
+	answer_granted(agent, ask->from, ask->request_id, reservation, flags);
 }
 
 static bool is_known_missing(const struct budget_bucket *bucket,
@@ -147,14 +161,19 @@
 		   const struct budget_waiter *waiter, enum tgw_status status)
 {
 	struct tgw_budget_agent *agent = share->line->bucket->agent;
+	const struct reservation *known =
+		key_table_find(&agent->reservations, &waiter->key);
 	int64_t retry_after_us = REFUSE_BACKOFF_MAX_US;
 
 	if (status == TGW_EXHAUSTED) {
 		retry_after_us = backed_off(share);
 		share->refuse_until_us = budget_now_us(agent) + retry_after_us;
 	}
-	reservation_set_not_run(share->line->bucket, &waiter->key, waiter->from,
-				waiter->from_incarnation, waiter->request_id);
+	/* A run that was cut off stays charged. */
+	if (!known || known->state != RESERVATION_SETTLED)
+		reservation_set_not_run(share->line->bucket, &waiter->key,
+					waiter->from, waiter->from_incarnation,
+					waiter->request_id);
 	answer_status(agent, waiter->from, waiter->request_id, status,
 		      status == TGW_NOT_FOUND ? 0 : retry_after_us);
 }
@@ -210,6 +229,12 @@
 	return false;
 }
 
+static bool may_run_again(const struct reservation *reservation)
+{
+	return reservation->is_part && reservation->share &&
+	       reservation->reruns < RERUNS_MAX;
+}
+
 /* A duplicate is answered by what is known of its key.
  * @return false when the request is to be granted anew */
 static bool answer_duplicate(struct tgw_budget_agent *agent,
@@ -229,15 +254,21 @@
 	switch (known->state) {
 	case RESERVATION_OPEN:
 		if (!is_same) {
-			known->taker = from;
-			known->taker_incarnation = from_incarnation;
-			known->taker_request_id = item->id;
+			reservation_add_taker(known, from, from_incarnation,
+					      item->id);
 			agent->counters.duplicate_keys++;
 		}
 		answer_granted(agent, from, item->id, known,
 			       is_same ? 0 : BUDGET_FLAG_ALREADY_RESERVED);
 		return true;
 	case RESERVATION_SETTLED:
+		if (!is_same && may_run_again(known)) {
+			if (!known->owner_is_done)
+				answer_status(agent, from, item->id, TGW_BUSY,
+					      0);
+			return !known->owner_is_done;
+		}
+		/* fall through */
 	case RESERVATION_REVERSED:
 		agent->counters.duplicate_keys++;
 		answer_granted(agent, from, item->id, known,
@@ -305,27 +336,38 @@
 
 /* The answer is sent again, with the key: a host that does not know of it
  * says so by a settlement as not run. */
-static void ask_use(struct tgw_budget_agent *agent,
-		    struct reservation *reservation)
+static void ask_user(struct tgw_budget_agent *agent, struct budget_peer *user,
+		     uint64_t request_id, const struct reservation *reservation)
 {
 	struct budget_message_item item = {
-		.id = reservation->request_id,
+		.id = request_id,
 		.key = reservation->key,
 		.has_key = true,
 		.code = TGW_OK,
 	};
-	struct budget_peer *user = reservation->owner;
 
 	text_copy(item.budget, TGW_NAME_SIZE, reservation->share->budget);
-	if (reservation->taker) {
-		user = reservation->taker;
-		item.id = reservation->taker_request_id;
-		item.flags = BUDGET_FLAG_ALREADY_RESERVED;
-	}
-	reservation->asked_us = budget_now_us(agent);
 	answer(agent, user, reservation->share->line->id, &item);
 }
 
+static void ask_users(struct tgw_budget_agent *agent,
+		      struct reservation *reservation)
+{
+	struct reservation_taker *taker = reservation->takers;
+	struct reservation_taker *next;
+
+	reservation->asked_us = budget_now_us(agent);
+	/* An answer of this host itself comes from inside. */
+	for (; taker; taker = next) {
+		next = taker->next;
+		ask_user(agent, taker->peer, taker->request_id, reservation);
+	}
+	if (reservation->state == RESERVATION_OPEN &&
+	    !reservation->owner_gave_up)
+		ask_user(agent, reservation->owner, reservation->request_id,
+			 reservation);
+}
+
 void budget_holder_ask_use(struct tgw_budget_agent *agent)
 {
 	int64_t before_us = budget_now_us(agent) - ASK_USE_INTERVAL_US;
@@ -335,6 +377,6 @@
 
 		if (reservation && reservation->state == RESERVATION_OPEN &&
 		    reservation->share && reservation->asked_us <= before_us)
-			ask_use(agent, reservation);
+			ask_users(agent, reservation);
 	}
 }
--- a/src/coordination/budget_holder.h
+++ b/src/coordination/budget_holder.h
@@ -39,8 +39,13 @@
 /** Settles at the bound what gone entry hosts left open. */
 void budget_holder_settle_gone(struct tgw_budget_agent *agent);
 
-/** Takes back the settlement of a key that another domain settled too. */
-void budget_holder_reverse(struct reservation *reservation);
+/** Takes back the settlement of a key that another domain settled, too, as
+ * far as that one was charged. */
+void budget_holder_reverse(struct reservation *reservation,
+			   int64_t other_tokens);
+
+/** Takes tokens of a settled reservation off what its holder is charged. */
+void budget_holder_credit(struct reservation *reservation, int64_t tokens);
 
 /** Tells the successors of a planned stop which keys were settled. */
 void budget_holder_hand_over(struct tgw_budget_agent *agent);
--- a/src/coordination/budget_reservation.c
+++ b/src/coordination/budget_reservation.c
@@ -56,6 +56,54 @@
 	reservation_queue_ended(bucket->agent, reservation);
 }
 
+void reservation_add_taker(struct reservation *reservation,
+			   struct budget_peer *peer, uint64_t incarnation,
+			   uint64_t request_id)
+{
+	struct reservation_taker *taker = reservation->takers;
+
+	while (taker &&
+	       (taker->peer != peer || taker->incarnation != incarnation ||
+		taker->request_id != request_id))
+		taker = taker->next;
+	if (taker)
+		return;
+	taker = xcalloc(1, sizeof(*taker));
+	taker->peer = peer;
+	taker->incarnation = incarnation;
+	taker->request_id = request_id;
+	taker->next = reservation->takers;
+	reservation->takers = taker;
+}
+
+void reservation_drop_taker(struct reservation *reservation,
+			    const struct budget_peer *peer,
+			    uint64_t incarnation, uint64_t request_id)
+{
+	struct reservation_taker **link = &reservation->takers;
+	struct reservation_taker *taker;
+
+	while (*link &&
+	       ((*link)->peer != peer || (*link)->incarnation != incarnation ||
+		(*link)->request_id != request_id))
+		link = &(*link)->next;
+	taker = *link;
+	if (!taker)
+		return;
+	*link = taker->next;
+	free(taker);
+}
+
+void reservation_drop_takers(struct reservation *reservation)
+{
+	while (reservation->takers) {
+		struct reservation_taker *taker = reservation->takers;
+
+		reservation->takers = taker->next;
+		free(taker);
+	}
+}
+
 static void leave_unconfirmed(struct tgw_budget_agent *agent,
 			      const struct reservation *reservation)
 {
@@ -86,6 +134,7 @@
 		key_table_remove(&agent->reservations, &reservation->key);
 		leave_unconfirmed(agent, reservation);
 		reservation_set_share(reservation, NULL);
+		reservation_drop_takers(reservation);
 		free(reservation);
 	}
 }
--- a/src/coordination/budget_reservation.h
+++ b/src/coordination/budget_reservation.h
@@ -26,6 +26,17 @@
 			     struct budget_peer *owner,
 			     uint64_t owner_incarnation, uint64_t request_id);
 
+/** A retry runs under this reservation; told twice, it counts once. */
+void reservation_add_taker(struct reservation *reservation,
+			   struct budget_peer *peer, uint64_t incarnation,
+			   uint64_t request_id);
+
+void reservation_drop_taker(struct reservation *reservation,
+			    const struct budget_peer *peer,
+			    uint64_t incarnation, uint64_t request_id);
+
+void reservation_drop_takers(struct reservation *reservation);
+
 /** Forgets what ended too long ago. */
 void reservation_expire(struct tgw_budget_agent *agent);
 
--- a/src/coordination/budget_settlement.c
+++ b/src/coordination/budget_settlement.c
@@ -35,9 +35,14 @@
 		spent = bound;
 	if (basis == TGW_SETTLE_NOT_RUN)
 		spent = 0;
-	reservation->state = basis == TGW_SETTLE_NOT_RUN ? RESERVATION_NOT_RUN
-							 : RESERVATION_SETTLED;
+	if (spent < reservation->earlier_tokens)
+		spent = reservation->earlier_tokens;
+	reservation->state = basis == TGW_SETTLE_NOT_RUN && !spent
+				     ? RESERVATION_NOT_RUN
+				     : RESERVATION_SETTLED;
+	reservation->is_part = budget_basis_is_incomplete(basis);
 	reservation->spent_tokens = spent;
+	reservation_drop_takers(reservation);
 	reservation_queue_ended(agent, reservation);
 	if (share) {
 		share->open_tokens -= bound;
@@ -151,13 +156,27 @@
 	}
 }
 
-static bool is_taker(const struct reservation *reservation,
-		     const struct budget_peer *from, uint64_t from_incarnation,
-		     uint64_t request_id)
+/* One of those who share the reservation has no use for it any more.
+ * @return whether that was the last one */
+static bool leave_reservation(struct tgw_budget_agent *agent,
+			      struct reservation *reservation,
+			      struct budget_peer *from,
+			      uint64_t from_incarnation, uint64_t sequence,
+			      const struct budget_message_item *item,
+			      bool by_owner)
 {
-	return reservation->taker == from &&
-	       reservation->taker_incarnation == from_incarnation &&
-	       reservation->taker_request_id == request_id;
+	if (item->code == TGW_SETTLE_PART &&
+	    item->tokens > reservation->earlier_tokens)
+		reservation->earlier_tokens = item->tokens;
+	if (by_owner) {
+		reservation->owner_gave_up = true;
+		if (reservation->takers)
+			await_confirmation(agent, reservation, sequence);
+	} else {
+		reservation_drop_taker(reservation, from, from_incarnation,
+				       item->id);
+	}
+	return reservation->owner_gave_up && !reservation->takers;
 }
 
 void budget_holder_settle(struct tgw_budget_agent *agent,
@@ -185,15 +204,10 @@
 			await_confirmation(agent, known, sequence);
 		return;
 	}
-	if (basis == TGW_SETTLE_NOT_RUN && !by_owner) {
-		if (is_taker(known, from, from_incarnation, item->id))
-			known->taker = NULL;
-		return;
-	}
-	if (basis == TGW_SETTLE_NOT_RUN && known->taker) {
-		await_confirmation(agent, known, sequence);
+	if (budget_basis_is_incomplete(basis) &&
+	    !leave_reservation(agent, known, from, from_incarnation, sequence,
+			       item, by_owner))
 		return;
-	}
 	apply_settlement(known, item->tokens, basis);
 	if (by_owner)
 		await_confirmation(agent, known, sequence);
@@ -201,12 +215,13 @@
 }
 
 /* A retry that came before the successor knew the key was charged too. */
-static void meet_registered(struct reservation *known, bool is_settled)
+static void meet_registered(struct reservation *known,
+			    const struct budget_message_item *item)
 {
-	if (!is_settled || known->state != RESERVATION_SETTLED ||
+	if (!item->code || known->state != RESERVATION_SETTLED ||
 	    !known->share || known->is_kept)
 		return;
-	budget_holder_reverse(known);
+	budget_holder_reverse(known, item->tokens);
 }
 
 void budget_holder_register(struct tgw_budget_agent *agent,
@@ -218,7 +233,7 @@
 		key_table_find(&agent->reservations, &item->key);
 
 	if (reservation && reservation->state != RESERVATION_NOT_RUN) {
-		meet_registered(reservation, item->code);
+		meet_registered(reservation, item);
 		return;
 	}
 	reservation = reservation_obtain(agent, &item->key);
@@ -275,25 +290,35 @@
 
 void budget_holder_free_all(struct tgw_budget_agent *agent)
 {
-	for (size_t i = 0; i < agent->reservations.capacity; i++)
+	for (size_t i = 0; i < agent->reservations.capacity; i++) {
+		if (agent->reservations.slots[i])
+			reservation_drop_takers(agent->reservations.slots[i]);
 		free(agent->reservations.slots[i]);
+	}
 	key_table_free(&agent->reservations);
 }
 
-static bool is_abandoned(const struct tgw_budget_agent *agent,
-			 const struct reservation *reservation)
+static bool is_gone(const struct tgw_budget_agent *agent,
+		    const struct budget_peer *peer, uint64_t incarnation)
 {
-	const struct budget_peer *peer = reservation->taker;
-	uint64_t incarnation = reservation->taker_incarnation;
-
-	if (!peer) {
-		peer = reservation->owner;
-		incarnation = reservation->owner_incarnation;
-	}
 	return budget_peer_state(agent, peer->name, incarnation) ==
 	       TGW_HOST_GONE;
 }
 
+/* All that have not given it up are gone. */
+static bool is_abandoned(const struct tgw_budget_agent *agent,
+			 const struct reservation *reservation)
+{
+	const struct reservation_taker *taker = reservation->takers;
+
+	for (; taker; taker = taker->next)
+		if (!is_gone(agent, taker->peer, taker->incarnation))
+			return false;
+	return reservation->owner_gave_up ||
+	       is_gone(agent, reservation->owner,
+		       reservation->owner_incarnation);
+}
+
 void budget_holder_settle_gone(struct tgw_budget_agent *agent)
 {
 	for (size_t i = 0; i < agent->reservations.capacity; i++) {
@@ -307,20 +332,27 @@
 	}
 }
 
-void budget_holder_reverse(struct reservation *reservation)
+void budget_holder_credit(struct reservation *reservation, int64_t tokens)
 {
-	struct holder_share *share;
-
-	assert(reservation->state == RESERVATION_SETTLED && reservation->share);
+	struct budget_bucket *bucket = reservation->bucket;
 	/* The line that it was charged to may be closed. */
-	share = holder_line_obtain_share(
-		holder_line_obtain(reservation->bucket),
-		reservation->share->budget);
-	share->credit_tokens += reservation->spent_tokens;
+	struct holder_share *share = holder_line_obtain_share(
+		holder_line_obtain(bucket), reservation->share->budget);
+
+	share->credit_tokens += tokens;
 	take_credit(share);
-	budget_bucket_due(reservation->bucket,
-			  budget_now_us(reservation->bucket->agent) +
-				  CLOSED_LINE_WAIT_US);
+	budget_bucket_due(bucket,
+			  budget_now_us(bucket->agent) + CLOSED_LINE_WAIT_US);
+}
+
+void budget_holder_reverse(struct reservation *reservation,
+			   int64_t other_tokens)
+{
+	int64_t tokens = reservation->spent_tokens;
+
+	assert(reservation->state == RESERVATION_SETTLED && reservation->share);
+	budget_holder_credit(reservation,
+			     other_tokens < tokens ? other_tokens : tokens);
 	reservation->state = RESERVATION_REVERSED;
 	reservation->bucket->agent->counters.reversed_duplicates++;
 }
--- a/src/coordination/budget_state.h
+++ b/src/coordination/budget_state.h
@@ -154,6 +154,14 @@
 	RESERVATION_REVERSED,
 };
 
+/** A host that runs a retry under the reservation of an earlier attempt. */
+struct reservation_taker {
+	struct reservation_taker *next;
+	struct budget_peer *peer;
+	uint64_t incarnation;
+	uint64_t request_id;
+};
+
 /** A request as its holder knows it. */
 struct reservation {
 	struct tgw_request_key key; /**< first member */
@@ -163,13 +171,16 @@
 	uint64_t owner_incarnation;
 	uint64_t request_id;
 	enum reservation_state state;
-	struct budget_peer *taker; /**< host of the last retry; may be NULL */
-	uint64_t taker_incarnation;
-	uint64_t taker_request_id;
+	struct reservation_taker
+		*takers;    /**< that have not ended, newest first */
+	bool owner_gave_up; /**< though a taker runs on */
 	int64_t asked_us;   /**< granted, or its host asked about it, then */
 	bool is_kept;	    /**< not to be reversed: another copy was */
 	bool owner_is_done; /**< the owner will not claim any more */
-	bool is_queued;	    /**< in the agent's queue of ended ones */
+	bool is_part;	    /**< settled for a run that was cut off */
+	uint32_t reruns;
+	int64_t earlier_tokens; /**< used by an earlier run: the least charge */
+	bool is_queued;		/**< in the agent's queue of ended ones */
 	int64_t bound_tokens;
 	int64_t spent_tokens;
 	int64_t parked_tokens;
@@ -363,6 +374,12 @@
 	struct tgw_budget_counters counters;
 };
 
+/** @return whether the run that is settled so has no whole answer */
+static inline bool budget_basis_is_incomplete(enum tgw_settle_basis basis)
+{
+	return basis == TGW_SETTLE_NOT_RUN || basis == TGW_SETTLE_PART;
+}
+
 int64_t budget_now_us(const struct tgw_budget_agent *agent);
 
 struct budget_peer *budget_peer_obtain(struct tgw_budget_agent *agent,
--- a/src/daemon/model_call.c
+++ b/src/daemon/model_call.c
@@ -46,7 +46,8 @@
 				&mc->fingerprint);
 }
 
-static void settle_usage(struct model_call *mc, const struct chat_usage *usage)
+static void settle_usage(struct model_call *mc, const struct chat_usage *usage,
+			 enum tgw_settle_basis basis)
 {
 	int64_t tokens = usage->prompt_tokens + usage->completion_tokens;
 
@@ -58,7 +59,7 @@
 		metrics_add(&mc->call.core->metrics.usage_over_bound, 1);
 		tokens = mc->bound_tokens;
 	}
-	call_settle(&mc->call, tokens, TGW_SETTLE_USAGE);
+	call_settle(&mc->call, tokens, basis);
 }
 
 /* Settles a call that has no whole answer. */
@@ -69,7 +70,7 @@
 	if (!mc->maybe_ran)
 		call_settle(&mc->call, 0, TGW_SETTLE_NOT_RUN);
 	else if (mc->learnt.known)
-		settle_usage(mc, &mc->learnt);
+		settle_usage(mc, &mc->learnt, TGW_SETTLE_PART);
 	else
 		call_settle(&mc->call, mc->bound_tokens, TGW_SETTLE_BOUND);
 }
@@ -345,7 +346,7 @@
 	struct runtime *runtime = mc->call.core->runtime;
 
 	if (end == ATTEMPT_WHOLE && mc->stream.usage.known)
-		settle_usage(mc, &mc->stream.usage);
+		settle_usage(mc, &mc->stream.usage, TGW_SETTLE_USAGE);
 	else
 		call_settle(&mc->call, mc->bound_tokens, TGW_SETTLE_BOUND);
 	mc->is_entered = false;
--- a/src/state/budget_message.h
+++ b/src/state/budget_message.h
@@ -74,6 +74,8 @@
 #define BUDGET_FLAG_ALREADY_RESERVED 1u
 #define BUDGET_FLAG_ALREADY_SETTLED 2u
 #define BUDGET_FLAG_REPLY 4u
+/** Granted anew after a run that was cut off; tokens: what that one used. */
+#define BUDGET_FLAG_RUN_AGAIN 8u
 
 struct budget_message_item {
 	uint64_t id;
--- a/tests/fakes/budget_fleet.c
+++ b/tests/fakes/budget_fleet.c
@@ -390,7 +390,9 @@
 				 finish, request);
 		return;
 	}
-	budget_fleet_settle(request, request->cost_tokens, TGW_SETTLE_USAGE);
+	budget_fleet_settle(request, request->cost_tokens,
+			    request->is_cut_off ? TGW_SETTLE_PART
+						: TGW_SETTLE_USAGE);
 }
 
 static void answered(void *arg, const struct tgw_budget_answer *answer)
--- a/tests/fakes/budget_fleet.h
+++ b/tests/fakes/budget_fleet.h
@@ -68,6 +68,7 @@
 	enum fleet_request_state state;
 	enum tgw_status status; /**< of the answer */
 	bool shares;		/**< an earlier attempt's reservation */
+	bool is_cut_off;	/**< it settles as a part */
 	int64_t asked_us;
 	int64_t answered_us;
 	/** Runs after the answer and after the settlement; may be NULL. */
--- a/tests/fakes/budget_random_run.c
+++ b/tests/fakes/budget_random_run.c
@@ -17,7 +17,7 @@
 	struct budget_fleet fleet;
 	struct tgw_random random;
 	enum budget_random_faults faults;
-	bool cuts_domains; /* within, too */
+	struct budget_random_extras extras;
 	uint64_t seed;
 	uint64_t next_number;
 	uint64_t payments;
@@ -82,6 +82,7 @@
 	int64_t bound;
 	int64_t cost;
 	int64_t run_us = TGW_US_PER_MS + (int64_t)below(run, 5 * TGW_US_PER_S);
+	struct fleet_request *request;
 
 	if (!host->is_up || host->is_paused || host->is_leaving)
 		return;
@@ -90,8 +91,12 @@
 	/* The same for each retry. */
 	bound = 20 + (int64_t)(number * 7919 % 200);
 	cost = 1 + (int64_t)(number * 104729 % (uint64_t)bound);
-	budget_fleet_request(host, budget_name(number % BUDGETS), number, bound,
-			     cost, run_us);
+	request = budget_fleet_request(host, budget_name(number % BUDGETS),
+				       number, bound, cost, run_us);
+	if (run->extras.cuts_runs && run_us % 3 == 0) {
+		request->is_cut_off = true;
+		request->cost_tokens = 1 + cost / 2;
+	}
 }
 
 static void do_host_fault(struct run *run)
@@ -121,7 +126,7 @@
 {
 	char domain[2] = {(char)('a' + below(run, DOMAINS)), '\0'};
 
-	switch (below(run, run->cuts_domains ? 6 : 5)) {
+	switch (below(run, run->extras.cuts_domains ? 6 : 5)) {
 	case 0:
 		budget_fleet_set_group(&run->fleet, domain, below(run, 3));
 		break;
@@ -233,12 +238,12 @@
 }
 
 void budget_random_run(uint64_t seed, enum budget_random_faults faults,
-		       bool cuts_domains)
+		       struct budget_random_extras extras)
 {
 	struct run run;
 
 	start(&run, seed, faults);
-	run.cuts_domains = cuts_domains;
+	run.extras = extras;
 	for (int i = 0; i < STEPS; i++)
 		step(&run);
 	heal(&run);
--- a/tests/fakes/budget_random_run.h
+++ b/tests/fakes/budget_random_run.h
@@ -17,9 +17,14 @@
 	BUDGET_RANDOM_FAULTS_COUNT,
 };
 
-/** Fails the test that calls it when a check fails.
- * @param cuts_domains hosts of one domain lose each other, too */
+/** What happens besides. */
+struct budget_random_extras {
+	bool cuts_domains; /**< hosts of one domain lose each other, too */
+	bool cuts_runs;	   /**< some runs are cut off and settled as a part */
+};
+
+/** Fails the test that calls it when a check fails. */
 void budget_random_run(uint64_t seed, enum budget_random_faults faults,
-		       bool cuts_domains);
+		       struct budget_random_extras extras);
 
 #endif
--- a/tests/unit/test_budget_domain_cut.c
+++ b/tests/unit/test_budget_domain_cut.c
@@ -1,21 +1,33 @@
 #include "fakes/budget_random_run.h"
 #include "unit/unit_main.h"
 
+static const struct budget_random_extras cuts_domains = {.cuts_domains = true};
+static const struct budget_random_extras cuts_both = {
+	.cuts_domains = true,
+	.cuts_runs = true,
+};
+
 START_TEST(soft_faults_leave_exact_bills)
 {
-	budget_random_run((uint64_t)_i, BUDGET_RANDOM_SOFT, true);
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_SOFT, cuts_domains);
 }
 END_TEST
 
 START_TEST(retries_are_billed_once)
 {
-	budget_random_run((uint64_t)_i, BUDGET_RANDOM_RETRIES, true);
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_RETRIES, cuts_domains);
 }
 END_TEST
 
 START_TEST(deaths_never_overspend)
 {
-	budget_random_run((uint64_t)_i, BUDGET_RANDOM_DEATHS, true);
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_DEATHS, cuts_domains);
+}
+END_TEST
+
+START_TEST(cut_runs_are_billed_once)
+{
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_RETRIES, cuts_both);
 }
 END_TEST
 
@@ -27,13 +39,15 @@
 
 START_TEST(retries_failed_once)
 {
-	budget_random_run(retries_that_failed[_i], BUDGET_RANDOM_RETRIES, true);
+	budget_random_run(retries_that_failed[_i], BUDGET_RANDOM_RETRIES,
+			  cuts_domains);
 }
 END_TEST
 
 START_TEST(deaths_failed_once)
 {
-	budget_random_run(deaths_that_failed[_i], BUDGET_RANDOM_DEATHS, true);
+	budget_random_run(deaths_that_failed[_i], BUDGET_RANDOM_DEATHS,
+			  cuts_domains);
 }
 END_TEST
 
@@ -46,6 +60,7 @@
 	tcase_add_loop_test(tcase, soft_faults_leave_exact_bills, 1, 41);
 	tcase_add_loop_test(tcase, retries_are_billed_once, 1, 101);
 	tcase_add_loop_test(tcase, deaths_never_overspend, 1, 61);
+	tcase_add_loop_test(tcase, cut_runs_are_billed_once, 1, 61);
 	tcase_add_loop_test(tcase, retries_failed_once, 0, 7);
 	tcase_add_loop_test(tcase, deaths_failed_once, 0, 1);
 	suite_add_tcase(suite, tcase);
--- a/tests/unit/test_budget_random.c
+++ b/tests/unit/test_budget_random.c
@@ -1,21 +1,36 @@
 #include "fakes/budget_random_run.h"
 #include "unit/unit_main.h"
 
+static const struct budget_random_extras no_extras;
+static const struct budget_random_extras cuts_runs = {.cuts_runs = true};
+
 START_TEST(soft_faults_leave_exact_bills)
 {
-	budget_random_run((uint64_t)_i, BUDGET_RANDOM_SOFT, false);
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_SOFT, no_extras);
 }
 END_TEST
 
 START_TEST(retries_are_billed_once)
 {
-	budget_random_run((uint64_t)_i, BUDGET_RANDOM_RETRIES, false);
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_RETRIES, no_extras);
 }
 END_TEST
 
 START_TEST(deaths_never_overspend)
 {
-	budget_random_run((uint64_t)_i, BUDGET_RANDOM_DEATHS, false);
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_DEATHS, no_extras);
+}
+END_TEST
+
+START_TEST(cut_runs_are_billed_once)
+{
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_RETRIES, cuts_runs);
+}
+END_TEST
+
+START_TEST(cut_runs_never_overspend)
+{
+	budget_random_run((uint64_t)_i, BUDGET_RANDOM_DEATHS, cuts_runs);
 }
 END_TEST
 
@@ -28,6 +43,8 @@
 	tcase_add_loop_test(tcase, soft_faults_leave_exact_bills, 1, 41);
 	tcase_add_loop_test(tcase, retries_are_billed_once, 1, 41);
 	tcase_add_loop_test(tcase, deaths_never_overspend, 1, 61);
+	tcase_add_loop_test(tcase, cut_runs_are_billed_once, 1, 61);
+	tcase_add_loop_test(tcase, cut_runs_never_overspend, 1, 61);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
