Move the callers' connection and the pool to the transport layer

Preparation for one data path: server_conn (before: edge/caller_conn) may now ask its owner once the head is there, and lets the owner answer input that is refused; after an answer to a request that was not read whole it drops what still comes for a second, since a reset could overtake the answer. http_pool keeps connections to one server, whoever uses them.

--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -1,6 +1,6 @@
 /**
  * @file backend_pool.h
- * Kept connections to one backend server.
+ * Connections to a backend server, kept while it is listed.
  */
 #ifndef EDGE_BACKEND_POOL_H
 #define EDGE_BACKEND_POOL_H
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -73,7 +73,7 @@
 	uv_close((uv_handle_t *)&call->timer, on_timer_closed);
 }
 
-static void answer_refusal(struct edge *edge, struct caller_conn *conn,
+static void answer_refusal(struct edge *edge, struct server_conn *conn,
 			   int status, int64_t retry_after_ms,
 			   const char *reason)
 {
@@ -83,11 +83,11 @@
 	buffer_add_format(&body, "{\"error\":\"%s\"}\n", reason);
 	buffer_add_text(&fields, "Content-Type: application/json\r\n");
 	edge->sources.dialect->write_refusal(&fields, retry_after_ms);
-	caller_conn_answer(conn, status, &fields, (int64_t)body.size,
+	server_conn_answer(conn, status, &fields, (int64_t)body.size,
 			   edge->stopping);
-	caller_conn_body(conn, body.data, body.size);
+	server_conn_body(conn, body.data, body.size);
 	conn->call = NULL;
-	caller_conn_finish(conn);
+	server_conn_finish(conn);
 	buffer_free(&fields);
 	buffer_free(&body);
 }
@@ -113,7 +113,7 @@
 void call_refuse(struct call *call, int status, int64_t retry_after_ms,
 		 const char *reason)
 {
-	struct caller_conn *caller = call->caller;
+	struct server_conn *caller = call->caller;
 	bool head_sent = call->head_sent;
 	struct edge *edge = call->edge;
 
@@ -124,7 +124,7 @@
 		return;
 	if (head_sent) {
 		caller->call = NULL;
-		caller_conn_abort(caller);
+		server_conn_abort(caller);
 		return;
 	}
 	answer_refusal(edge, caller, status, retry_after_ms, reason);
@@ -259,13 +259,13 @@
 	return allowed_ms;
 }
 
-static struct call *new_call(struct edge *edge, struct caller_conn *conn)
+static struct call *new_call(struct edge *edge, struct server_conn *conn)
 {
 	struct call *call = xcalloc(1, sizeof(*call));
 
 	call->edge = edge;
 	call->caller = conn;
-	call->arrived_us = conn->request.arrived_us;
+	call->arrived_us = edge_now_us();
 	event_scan_init(&call->events);
 	uv_timer_init(edge->loop, &call->timer);
 	call->timer.data = call;
@@ -278,7 +278,7 @@
 }
 
 static const struct route *find_route(const struct route_set *set,
-				      const struct caller_request *request)
+				      const struct server_request *request)
 {
 	const char *host = http_head_find(&request->head, "Host");
 
@@ -287,7 +287,7 @@
 	return route_set_find(set, host, request->target.data);
 }
 
-void call_start(struct edge *edge, struct caller_conn *conn)
+void call_start(struct edge *edge, struct server_conn *conn)
 {
 	const struct route_set *set = route_follower_set(edge->route_follower);
 	const struct route *route;
--- a/src/edge/call.h
+++ b/src/edge/call.h
@@ -5,11 +5,11 @@
 #ifndef EDGE_CALL_H
 #define EDGE_CALL_H
 
-#include "edge/caller_conn.h"
 #include "edge/edge.h"
+#include "transport/server_conn.h"
 
 /** Takes over the request that was read from this connection. */
-void call_start(struct edge *edge, struct caller_conn *conn);
+void call_start(struct edge *edge, struct server_conn *conn);
 
 /** The caller has left. */
 void call_caller_gone(struct call *call);
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -27,8 +27,8 @@
 	if (call->head_sent || !call->caller)
 		return;
 	call->head_sent = true;
-	caller_conn_answer(call->caller, call->status, &call->fields,
-			   CALLER_LENGTH_UNKNOWN, call->edge->stopping);
+	server_conn_answer(call->caller, call->status, &call->fields,
+			   SERVER_LENGTH_UNKNOWN, call->edge->stopping);
 }
 
 static bool is_success(int status)
@@ -69,7 +69,7 @@
 {
 	if (!call->caller || !size)
 		return;
-	if (caller_conn_body(call->caller, data, size) || call->source_paused)
+	if (server_conn_body(call->caller, data, size) || call->source_paused)
 		return;
 	call->source_paused = true;
 	http_conn_pause(call->conn);
@@ -150,22 +150,22 @@
 
 static void finish(struct call *call)
 {
-	struct caller_conn *caller = call->caller;
+	struct server_conn *caller = call->caller;
 	struct edge *edge = call->edge;
 
 	call->may_have_run = true;
 	note_answered(call);
 	release_conn(call);
 	if (caller && !call->head_sent) {
-		caller_conn_answer(caller, call->status, &call->fields,
+		server_conn_answer(caller, call->status, &call->fields,
 				   (int64_t)call->body.size, edge->stopping);
-		caller_conn_body(caller, call->body.data, call->body.size);
+		server_conn_body(caller, call->body.data, call->body.size);
 	}
 	call_end(call);
 	if (!caller)
 		return;
 	caller->call = NULL;
-	caller_conn_finish(caller);
+	server_conn_finish(caller);
 }
 
 /* A stream that its server ended in the middle of an event is not whole. */
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -34,7 +34,7 @@
 	}
 }
 
-static void add_length(const struct caller_request *request,
+static void add_length(const struct server_request *request,
 		       struct buffer *head)
 {
 	if (request->body.size ||
@@ -57,7 +57,7 @@
 
 static void write_head(const struct call *call, struct buffer *head)
 {
-	const struct caller_request *request = &call->caller->request;
+	const struct server_request *request = &call->caller->request;
 	struct attempt_terms terms = {
 		.server_id = call->backend->entry.id,
 		.team = *call->team ? call->team : NULL,
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -34,7 +34,7 @@
 
 struct call {
 	struct edge *edge;
-	struct caller_conn *caller; /* NULL once it has left */
+	struct server_conn *caller; /* NULL once it has left */
 	struct call *previous;
 	struct call *next;
 	uv_timer_t timer;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -155,24 +155,24 @@
 	backend_pool_free(backend);
 }
 
-static void on_request(struct caller_conn *conn)
+static void on_request(struct server_conn *conn)
 {
 	call_start(conn->owner, conn);
 }
 
-static void on_caller_gone(struct caller_conn *conn)
+static void on_caller_gone(struct server_conn *conn)
 {
 	if (conn->call)
 		call_caller_gone(conn->call);
 }
 
-static void on_caller_drained(struct caller_conn *conn)
+static void on_caller_drained(struct server_conn *conn)
 {
 	if (conn->call)
 		call_caller_drained(conn->call);
 }
 
-static void on_caller_closed(struct caller_conn *conn)
+static void on_caller_closed(struct server_conn *conn)
 {
 	struct edge *edge = conn->owner;
 
@@ -185,7 +185,7 @@
 	edge->conn_count--;
 }
 
-static const struct caller_conn_events caller_events = {
+static const struct server_conn_events caller_events = {
 	.request = on_request,
 	.gone = on_caller_gone,
 	.drained = on_caller_drained,
@@ -195,11 +195,11 @@
 static void on_caller(uv_stream_t *listener, int status)
 {
 	struct edge *edge = listener->data;
-	struct caller_conn *conn;
+	struct server_conn *conn;
 
 	if (status < 0)
 		return;
-	conn = caller_conn_accept(listener, &edge->limits, &caller_events,
+	conn = server_conn_accept(listener, &edge->limits, &caller_events,
 				  edge);
 	if (!conn)
 		return;
@@ -212,12 +212,12 @@
 
 static void close_idle_callers(struct edge *edge)
 {
-	struct caller_conn *conn = edge->conns;
+	struct server_conn *conn = edge->conns;
 
 	while (conn) {
-		struct caller_conn *next = conn->next;
+		struct server_conn *next = conn->next;
 
-		caller_conn_close_idle(conn);
+		server_conn_close_idle(conn);
 		conn = next;
 	}
 }
@@ -372,7 +372,7 @@
 	edge->loop = loop;
 	edge->settings = settings;
 	edge->sources = *sources;
-	edge->limits = (struct caller_limits){HEAD_BYTES, BODY_BYTES, HEAD_MS,
+	edge->limits = (struct server_limits){HEAD_BYTES, BODY_BYTES, HEAD_MS,
 					      IDLE_MS};
 	edge->backends.forget = on_backend_forgotten;
 	tgw_random_init(&edge->random, tgw_random_incarnation());
@@ -419,9 +419,9 @@
 	while (edge->calls)
 		call_end(edge->calls);
 	while (edge->conns)
-		caller_conn_abort(edge->conns);
+		server_conn_abort(edge->conns);
 	while (edge->page_conns)
-		caller_conn_abort(edge->page_conns);
+		server_conn_abort(edge->page_conns);
 	while (edge->backends.first)
 		backend_table_drop(&edge->backends,
 				   edge->backends.first->entry.id);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -14,13 +14,13 @@
 #include "coordination/route_follower.h"
 #include "coordination/team_budget.h"
 #include "edge/call_dialect.h"
-#include "edge/caller_conn.h"
 #include "edge/edge_log.h"
 #include "edge/edge_settings.h"
 #include "state/backend_table.h"
 #include "state/latency_buckets.h"
 #include "state/retry_budget.h"
 #include "tamarackgw/random.h"
+#include "transport/server_conn.h"
 
 struct call;
 
@@ -64,9 +64,9 @@
 	uv_tcp_t ready;
 	uv_tcp_t metrics; /* if an address is set */
 	uv_timer_t tick;
-	struct caller_limits limits; /* in force */
-	struct caller_conn *conns;
-	struct caller_conn *page_conns;
+	struct server_limits limits; /* in force */
+	struct server_conn *conns;
+	struct server_conn *page_conns;
 	uint32_t conn_count;
 	struct call *calls;
 	uint32_t call_count;
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -4,7 +4,7 @@
 
 #include "edge/edge.h"
 
-static const struct caller_limits page_limits = {
+static const struct server_limits page_limits = {
 	.head_bytes = 8 * 1024,
 	.body_bytes = 1024,
 	.head_ms = 2000,
@@ -79,7 +79,7 @@
 	add_histogram(text, "whole_answer", &edge->whole);
 }
 
-static void on_request(struct caller_conn *conn)
+static void on_request(struct server_conn *conn)
 {
 	const struct edge *edge = conn->owner;
 	struct buffer fields = {0};
@@ -94,18 +94,18 @@
 		buffer_add_text(&fields,
 				"Content-Type: text/plain; version=0.0.4\r\n");
 	}
-	caller_conn_answer(conn, status, &fields, (int64_t)body.size, false);
-	caller_conn_body(conn, body.data, body.size);
-	caller_conn_finish(conn);
+	server_conn_answer(conn, status, &fields, (int64_t)body.size, false);
+	server_conn_body(conn, body.data, body.size);
+	server_conn_finish(conn);
 	buffer_free(&fields);
 	buffer_free(&body);
 }
 
-static void ignore(struct caller_conn *conn)
+static void ignore(struct server_conn *conn)
 {
 }
 
-static void on_closed(struct caller_conn *conn)
+static void on_closed(struct server_conn *conn)
 {
 	struct edge *edge = conn->owner;
 
@@ -117,7 +117,7 @@
 		conn->next->previous = conn->previous;
 }
 
-static const struct caller_conn_events page_events = {
+static const struct server_conn_events page_events = {
 	.request = on_request,
 	.gone = ignore,
 	.drained = ignore,
@@ -127,11 +127,11 @@
 void edge_pages_on_connection(uv_stream_t *listener, int status)
 {
 	struct edge *edge = listener->data;
-	struct caller_conn *conn;
+	struct server_conn *conn;
 
 	if (status < 0)
 		return;
-	conn = caller_conn_accept(listener, &page_limits, &page_events, edge);
+	conn = server_conn_accept(listener, &page_limits, &page_events, edge);
 	if (!conn)
 		return;
 	conn->next = edge->page_conns;
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -156,6 +156,7 @@
 	    uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp))
 		conn->reusable = false;
 	conn->state = HTTP_CONN_IDLE;
+	conn->has_served = true;
 	conn->events = NULL;
 	events->complete(conn);
 	if (conn->state == HTTP_CONN_IDLE && !conn->reusable)
@@ -283,19 +284,19 @@
 }
 
 struct http_conn *http_conn_open(uv_loop_t *loop,
-				 const struct sockaddr_in *address)
+				 const struct sockaddr *address)
 {
 	struct http_conn *conn = xcalloc(1, sizeof(*conn));
 
-	uv_tcp_init_ex(loop, &conn->tcp, AF_INET);
+	uv_tcp_init_ex(loop, &conn->tcp, address->sa_family);
 	uv_timer_init(loop, &conn->ending);
 	conn->ending.data = conn;
 	conn->open_handles = 2;
 	conn->tcp.data = conn;
 	conn->parser.data = conn;
 	set_options(conn, loop);
-	if (uv_tcp_connect(&conn->connecting, &conn->tcp,
-			   (const struct sockaddr *)address, on_connected) < 0)
+	if (uv_tcp_connect(&conn->connecting, &conn->tcp, address,
+			   on_connected) < 0)
 		conn->connected = false;
 	return conn;
 }
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -63,6 +63,7 @@
 	bool discarding;
 	bool ignore_body; /**< of an answer to HEAD */
 	bool answer_done;
+	bool has_served;       /**< an earlier request was answered on it */
 	int64_t idle_since_us; /**< for the owner's pool */
 	int64_t keep_idle_us;  /**< server's limit less a margin; 0 unknown */
 	const struct http_conn_events *events;
@@ -73,7 +74,7 @@
 
 /** Starts to connect. A failure is told by `broken`, never from inside. */
 struct http_conn *http_conn_open(uv_loop_t *loop,
-				 const struct sockaddr_in *address);
+				 const struct sockaddr *address);
 
 /** Sends one request; head and body are copied as far as needed. */
 void http_conn_send(struct http_conn *conn,
--- /dev/null
+++ b/src/transport/http_pool.c
@@ -0,0 +1,93 @@
+#include "transport/http_pool.h"
+
+#include "tamarackgw/clock.h"
+
+/* Used where the server does not tell its idle limit. */
+#define IDLE_LIMIT_US (3 * TGW_US_PER_S)
+
+static void on_idle_broken(struct http_conn *conn, enum http_conn_fault fault)
+{
+	struct http_pool *pool = conn->owner;
+	struct http_conn **at = &pool->idle;
+
+	while (*at && *at != conn)
+		at = &(*at)->next;
+	if (!*at)
+		return;
+	*at = conn->next;
+	pool->count--;
+}
+
+static const struct http_conn_events idle_events = {
+	.broken = on_idle_broken,
+};
+
+static bool is_stale(const struct http_conn *conn, int64_t now_us)
+{
+	int64_t limit_us = conn->keep_idle_us ? conn->keep_idle_us
+					      : IDLE_LIMIT_US;
+
+	return now_us - conn->idle_since_us >= limit_us;
+}
+
+static struct http_conn *take_first(struct http_pool *pool)
+{
+	struct http_conn *conn = pool->idle;
+
+	pool->idle = conn->next;
+	pool->count--;
+	conn->next = NULL;
+	return conn;
+}
+
+struct http_conn *http_pool_take(struct http_pool *pool, int64_t now_us)
+{
+	while (pool->idle) {
+		struct http_conn *conn = take_first(pool);
+
+		if (!is_stale(conn, now_us))
+			return conn;
+		http_conn_close(conn);
+	}
+	return NULL;
+}
+
+void http_pool_keep(struct http_pool *pool, struct http_conn *conn,
+		    uint32_t most, int64_t now_us)
+{
+	if (!conn->reusable)
+		return;
+	if (pool->count >= most) {
+		conn->reusable = false;
+		return;
+	}
+	conn->events = &idle_events;
+	conn->owner = pool;
+	conn->idle_since_us = now_us;
+	conn->next = pool->idle;
+	pool->idle = conn;
+	pool->count++;
+}
+
+void http_pool_trim(struct http_pool *pool, int64_t now_us)
+{
+	struct http_conn **at = &pool->idle;
+
+	while (*at) {
+		struct http_conn *conn = *at;
+
+		if (!is_stale(conn, now_us)) {
+			at = &conn->next;
+			continue;
+		}
+		*at = conn->next;
+		pool->count--;
+		http_conn_close(conn);
+	}
+}
+
+void http_pool_clear(struct http_pool *pool)
+{
+	while (pool->idle)
+		http_conn_close(take_first(pool));
+}
--- a/src/edge/caller_conn.c
+++ b/src/transport/server_conn.c
@@ -1,4 +1,4 @@
-#include "edge/caller_conn.h"
+#include "transport/server_conn.h"
 
 #include <assert.h>
 #include <netinet/in.h>
@@ -8,7 +8,6 @@
 #include <strings.h>
 
 #include "base/xalloc.h"
-#include "edge/edge_clock.h"
 #include "transport/stream_write.h"
 
 /* Requests sent ahead of their turn are kept up to this size. */
@@ -17,15 +16,19 @@
 #define UNWRITTEN_MAX_BYTES (128 * 1024)
 #define READ_SIZE_BYTES (64 * 1024)
 #define CHUNK_HEAD_SIZE 24
+/* After an answer to a request that was not read whole, what still comes is
+ * dropped for this long: a reset could overtake the answer. */
+#define LINGER_MS 1000
 
 /* The loop has one thread, so one buffer serves all reads. */
 static char read_space[READ_SIZE_BYTES];
 
-static void parse(struct caller_conn *conn, const char *data, size_t size);
+static void parse(struct server_conn *conn, const char *data, size_t size);
+static void refuse_input(struct server_conn *conn);
 
 static void on_handle_closed(uv_handle_t *handle)
 {
-	struct caller_conn *conn = handle->data;
+	struct server_conn *conn = handle->data;
 
 	if (--conn->open_handles)
 		return;
@@ -36,38 +39,37 @@
 	free(conn);
 }
 
-static void close_now(struct caller_conn *conn)
+static void close_now(struct server_conn *conn)
 {
-	if (conn->state == CALLER_CONN_CLOSING)
+	if (conn->state == SERVER_CONN_CLOSING)
 		return;
-	conn->state = CALLER_CONN_CLOSING;
+	conn->state = SERVER_CONN_CLOSING;
 	conn->events->closed(conn);
 	uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
 	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 }
 
-static void lose_caller(struct caller_conn *conn)
+static void lose_caller(struct server_conn *conn)
 {
-	if (conn->state == CALLER_CONN_SERVING)
+	if (conn->state == SERVER_CONN_SERVING)
 		conn->events->gone(conn);
 	close_now(conn);
 }
 
 static void on_idle(uv_timer_t *timer)
 {
-	struct caller_conn *conn = timer->data;
-	struct buffer none = {0};
+	struct server_conn *conn = timer->data;
 
-	if (conn->state == CALLER_CONN_READING && conn->request_begun) {
-		caller_conn_answer(conn, 408, &none, 0, true);
-		caller_conn_finish(conn);
+	if (conn->state == SERVER_CONN_READING && conn->request_begun) {
+		conn->refused_status = 408;
+		refuse_input(conn);
 		return;
 	}
-	if (conn->state != CALLER_CONN_SERVING)
+	if (conn->state != SERVER_CONN_SERVING)
 		close_now(conn);
 }
 
-static void start_timer(struct caller_conn *conn, int64_t delay_ms)
+static void start_timer(struct server_conn *conn, int64_t delay_ms)
 {
 	uv_timer_start(&conn->timer, on_idle, (uint64_t)delay_ms, 0);
 }
@@ -75,7 +77,7 @@
 /* Any value but 0, 1 and 2 ends the parsing from every callback. */
 #define PARSER_STOPS (-1)
 
-static int refuse(struct caller_conn *conn, int status)
+static int refuse(struct server_conn *conn, int status)
 {
 	conn->refused_status = status;
 	return PARSER_STOPS;
@@ -83,16 +85,16 @@
 
 static int on_message_begin(http_parser *parser)
 {
-	struct caller_conn *conn = parser->data;
+	struct server_conn *conn = parser->data;
 
 	conn->request_begun = true;
 	start_timer(conn, conn->limits->head_ms);
 	return 0;
 }
 
-static bool head_is_full(const struct caller_conn *conn, size_t more)
+static bool head_is_full(const struct server_conn *conn, size_t more)
 {
-	const struct caller_request *request = &conn->request;
+	const struct server_request *request = &conn->request;
 
 	return (int64_t)(request->head.text.size + request->target.size +
 			 more) > conn->limits->head_bytes;
@@ -100,7 +102,7 @@
 
 static int on_url(http_parser *parser, const char *data, size_t size)
 {
-	struct caller_conn *conn = parser->data;
+	struct server_conn *conn = parser->data;
 
 	if (head_is_full(conn, size))
 		return refuse(conn, 431);
@@ -110,7 +112,7 @@
 
 static int on_header_field(http_parser *parser, const char *data, size_t size)
 {
-	struct caller_conn *conn = parser->data;
+	struct server_conn *conn = parser->data;
 
 	if (head_is_full(conn, size))
 		return refuse(conn, 431);
@@ -120,7 +122,7 @@
 
 static int on_header_value(http_parser *parser, const char *data, size_t size)
 {
-	struct caller_conn *conn = parser->data;
+	struct server_conn *conn = parser->data;
 
 	if (head_is_full(conn, size))
 		return refuse(conn, 431);
@@ -146,16 +148,19 @@
 
 static int on_headers_complete(http_parser *parser)
 {
-	struct caller_conn *conn = parser->data;
+	struct server_conn *conn = parser->data;
 	const char *expect;
 
 	parser->upgrade = 0;
 	conn->http_1_0 = parser->http_major < 1 ||
 			 (parser->http_major == 1 && parser->http_minor < 1);
 	conn->head_method = parser->method == HTTP_HEAD;
+	conn->request.method = http_method_str(parser->method);
 	if (!framing_is_plain(&conn->request.head) ||
 	    parser->method == HTTP_CONNECT)
 		return refuse(conn, 400);
+	if (conn->events->head && !conn->events->head(conn))
+		return refuse(conn, SERVER_REFUSED_BY_OWNER);
 	if (parser->content_length != UINT64_MAX &&
 	    parser->content_length > (uint64_t)conn->limits->body_bytes)
 		return refuse(conn, 413);
@@ -171,7 +176,7 @@
 
 static int on_body(http_parser *parser, const char *data, size_t size)
 {
-	struct caller_conn *conn = parser->data;
+	struct server_conn *conn = parser->data;
 
 	if ((int64_t)(conn->request.body.size + size) >
 	    conn->limits->body_bytes)
@@ -182,11 +187,10 @@
 
 static int on_message_complete(http_parser *parser)
 {
-	struct caller_conn *conn = parser->data;
+	struct server_conn *conn = parser->data;
 
 	conn->keep_alive = http_should_keep_alive(parser);
-	conn->request.method = http_method_str(parser->method);
-	conn->state = CALLER_CONN_SERVING;
+	conn->state = SERVER_CONN_SERVING;
 	http_parser_pause(parser, 1);
 	return 0;
 }
@@ -201,7 +205,7 @@
 	.on_message_complete = on_message_complete,
 };
 
-static void keep_for_later(struct caller_conn *conn, const char *data,
+static void keep_for_later(struct server_conn *conn, const char *data,
 			   size_t size)
 {
 	buffer_add(&conn->pipelined, data, size);
@@ -211,25 +215,28 @@
 	}
 }
 
-static void refuse_input(struct caller_conn *conn)
+static void refuse_input(struct server_conn *conn)
 {
 	struct buffer none = {0};
-	int status = conn->refused_status ? conn->refused_status : 400;
+	int status = conn->refused_status;
 
-	caller_conn_answer(conn, status, &none, 0, true);
-	caller_conn_finish(conn);
+	conn->unread = true;
+	uv_timer_stop(&conn->timer);
+	if (conn->events->refused && conn->events->refused(conn, status))
+		return;
+	server_conn_answer(conn, status, &none, 0, true);
+	server_conn_finish(conn);
 }
 
-static void parse(struct caller_conn *conn, const char *data, size_t size)
+static void parse(struct server_conn *conn, const char *data, size_t size)
 {
 	size_t used;
 
 	used = http_parser_execute(&conn->parser, &parser_settings, data, size);
-	if (conn->state == CALLER_CONN_SERVING) {
+	if (conn->state == SERVER_CONN_SERVING) {
 		uv_timer_stop(&conn->timer);
 		if (used < size)
 			keep_for_later(conn, data + used, size - used);
-		conn->request.arrived_us = edge_now_us();
 		conn->events->request(conn);
 	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
 		refuse_input(conn);
@@ -238,17 +245,17 @@
 
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *space)
 {
-	struct caller_conn *conn = stream->data;
+	struct server_conn *conn = stream->data;
 
-	if (size == 0 || conn->state == CALLER_CONN_CLOSING)
+	if (size == 0 || conn->state == SERVER_CONN_CLOSING)
 		return;
 	if (size < 0) {
 		lose_caller(conn);
 		return;
 	}
-	if (conn->state == CALLER_CONN_SERVING)
+	if (conn->state == SERVER_CONN_SERVING)
 		keep_for_later(conn, space->base, (size_t)size);
-	else if (conn->state == CALLER_CONN_READING)
+	else if (conn->state == SERVER_CONN_READING && !conn->unread)
 		parse(conn, space->base, (size_t)size);
 }
 
@@ -258,27 +265,28 @@
 	space->len = sizeof(read_space);
 }
 
-static void expect_request(struct caller_conn *conn)
+static void expect_request(struct server_conn *conn)
 {
 	http_head_clear(&conn->request.head);
 	buffer_clear(&conn->request.target);
 	buffer_free(&conn->request.body);
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
-	conn->state = CALLER_CONN_READING;
+	conn->state = SERVER_CONN_READING;
 	conn->request_begun = false;
-	conn->refused_status = 0;
+	conn->refused_status = 400; /* unless a callback says otherwise */
+	conn->unread = false;
 	conn->chunked = false;
 	conn->call = NULL;
 	start_timer(conn, conn->limits->idle_ms);
 }
 
-struct caller_conn *caller_conn_accept(uv_stream_t *listener,
-				       const struct caller_limits *limits,
-				       const struct caller_conn_events *events,
+struct server_conn *server_conn_accept(uv_stream_t *listener,
+				       const struct server_limits *limits,
+				       const struct server_conn_events *events,
 				       void *owner)
 {
-	struct caller_conn *conn = xcalloc(1, sizeof(*conn));
+	struct server_conn *conn = xcalloc(1, sizeof(*conn));
 
 	conn->limits = limits;
 	conn->events = events;
@@ -289,7 +297,7 @@
 	conn->tcp.data = conn;
 	conn->timer.data = conn;
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) < 0) {
-		conn->state = CALLER_CONN_CLOSING;
+		conn->state = SERVER_CONN_CLOSING;
 		uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
 		uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 		return NULL;
@@ -300,33 +308,48 @@
 	return conn;
 }
 
-static size_t unwritten(const struct caller_conn *conn)
+size_t server_conn_unwritten(const struct server_conn *conn)
 {
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
 }
 
+static void on_shut_down(uv_shutdown_t *request, int status)
+{
+	/* The end or the timer closes the connection. */
+}
+
+static void end_answered(struct server_conn *conn)
+{
+	if (!conn->unread ||
+	    uv_shutdown(&conn->ending, (uv_stream_t *)&conn->tcp,
+			on_shut_down) < 0)
+		close_now(conn);
+	else
+		start_timer(conn, LINGER_MS);
+}
+
 static void on_written(uv_stream_t *stream, int status)
 {
-	struct caller_conn *conn = stream->data;
+	struct server_conn *conn = stream->data;
 
-	if (conn->state == CALLER_CONN_CLOSING)
+	if (conn->state == SERVER_CONN_CLOSING)
 		return;
 	if (status < 0) {
 		lose_caller(conn);
 		return;
 	}
-	if (unwritten(conn))
+	if (server_conn_unwritten(conn))
 		return;
-	if (conn->state == CALLER_CONN_ANSWERED)
-		close_now(conn);
-	else if (conn->state == CALLER_CONN_SERVING)
+	if (conn->state == SERVER_CONN_ANSWERED)
+		end_answered(conn);
+	else
 		conn->events->drained(conn);
 }
 
-static void write_parts(struct caller_conn *conn, const uv_buf_t *parts,
+static void write_parts(struct server_conn *conn, const uv_buf_t *parts,
 			unsigned int count)
 {
-	if (conn->state != CALLER_CONN_CLOSING)
+	if (conn->state != SERVER_CONN_CLOSING)
 		stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
 				   on_written);
 }
@@ -344,7 +367,7 @@
 	}
 }
 
-void caller_conn_answer(struct caller_conn *conn, int status,
+void server_conn_answer(struct server_conn *conn, int status,
 			const struct buffer *fields, int64_t body_bytes,
 			bool closing)
 {
@@ -352,8 +375,8 @@
 	uv_buf_t part;
 	bool bodiless = status == 204 || status == 304;
 
-	conn->chunked = body_bytes == CALLER_LENGTH_UNKNOWN && !conn->http_1_0;
-	if (closing || (body_bytes == CALLER_LENGTH_UNKNOWN && conn->http_1_0))
+	conn->chunked = body_bytes == SERVER_LENGTH_UNKNOWN && !conn->http_1_0;
+	if (closing || (body_bytes == SERVER_LENGTH_UNKNOWN && conn->http_1_0))
 		conn->keep_alive = false;
 	buffer_add_format(&head, "HTTP/1.1 %d %s\r\n", status,
 			  reason_of(status));
@@ -371,13 +394,13 @@
 	buffer_free(&head);
 }
 
-bool caller_conn_body(struct caller_conn *conn, const char *data, size_t size)
+bool server_conn_body(struct server_conn *conn, const char *data, size_t size)
 {
 	char chunk_head[CHUNK_HEAD_SIZE];
 	uv_buf_t parts[3];
 	int length;
 
-	if (!size || conn->head_method || conn->state == CALLER_CONN_CLOSING)
+	if (!size || conn->head_method || conn->state == SERVER_CONN_CLOSING)
 		return true;
 	length = snprintf(chunk_head, sizeof(chunk_head), "%zx\r\n", size);
 	parts[0] = uv_buf_init(chunk_head, (unsigned int)length);
@@ -387,10 +410,10 @@
 		write_parts(conn, parts, 3);
 	else
 		write_parts(conn, &parts[1], 1);
-	return unwritten(conn) <= UNWRITTEN_MAX_BYTES;
+	return server_conn_unwritten(conn) <= UNWRITTEN_MAX_BYTES;
 }
 
-static void read_next(struct caller_conn *conn)
+static void read_next(struct server_conn *conn)
 {
 	struct buffer ahead = conn->pipelined;
 
@@ -405,11 +428,11 @@
 	buffer_free(&ahead);
 }
 
-void caller_conn_finish(struct caller_conn *conn)
+void server_conn_finish(struct server_conn *conn)
 {
 	uv_buf_t last_chunk = uv_buf_init("0\r\n\r\n", 5);
 
-	if (conn->state == CALLER_CONN_CLOSING)
+	if (conn->state == SERVER_CONN_CLOSING)
 		return;
 	if (conn->chunked && !conn->head_method)
 		write_parts(conn, &last_chunk, 1);
@@ -417,17 +440,17 @@
 		read_next(conn);
 		return;
 	}
-	conn->state = CALLER_CONN_ANSWERED;
+	conn->state = SERVER_CONN_ANSWERED;
 	start_timer(conn, conn->limits->head_ms);
-	if (!unwritten(conn))
-		close_now(conn);
+	if (!server_conn_unwritten(conn))
+		end_answered(conn);
 }
 
-void caller_conn_abort(struct caller_conn *conn)
+void server_conn_abort(struct server_conn *conn)
 {
 	/* Without chunks, only a reset tells a cut answer from a whole one. */
-	if (conn->http_1_0 && conn->state != CALLER_CONN_CLOSING) {
-		conn->state = CALLER_CONN_CLOSING;
+	if (conn->http_1_0 && conn->state != SERVER_CONN_CLOSING) {
+		conn->state = SERVER_CONN_CLOSING;
 		conn->events->closed(conn);
 		uv_close((uv_handle_t *)&conn->timer, on_handle_closed);
 		if (uv_tcp_close_reset(&conn->tcp, on_handle_closed) < 0)
@@ -437,8 +460,8 @@
 	close_now(conn);
 }
 
-void caller_conn_close_idle(struct caller_conn *conn)
+void server_conn_close_idle(struct server_conn *conn)
 {
-	if (conn->state == CALLER_CONN_READING && !conn->request_begun)
+	if (conn->state == SERVER_CONN_READING && !conn->request_begun)
 		close_now(conn);
 }
--- a/tests/fakes/kv_standin.c
+++ b/tests/fakes/kv_standin.c
@@ -6,12 +6,12 @@
 #include <string.h>
 
 #include "base/xalloc.h"
-#include "edge/caller_conn.h"
 #include "fakes/loop_listener.h"
+#include "transport/server_conn.h"
 
 #define TEXT_SIZE 256
 
-static const struct caller_limits limits = {
+static const struct server_limits limits = {
 	.head_bytes = 64 * 1024,
 	.body_bytes = 4 * 1024 * 1024,
 	.head_ms = 10000,
@@ -21,22 +21,22 @@
 /* A watch that waits for changes. */
 struct kv_standin_watch {
 	struct kv_standin *store;
-	struct caller_conn *conn;
+	struct server_conn *conn;
 	char prefix[TEXT_SIZE];
 	int64_t after;
 	uv_timer_t timer;
 	struct kv_standin_watch *next;
 };
 
-static void answer(struct caller_conn *conn, int status, json_t *body)
+static void answer(struct server_conn *conn, int status, json_t *body)
 {
 	struct buffer fields = {0};
 	char *text = body ? json_dumps(body, JSON_COMPACT) : xstrdup("{}");
 
 	buffer_add_text(&fields, "Content-Type: application/json\r\n");
-	caller_conn_answer(conn, status, &fields, (int64_t)strlen(text), false);
-	caller_conn_body(conn, text, strlen(text));
-	caller_conn_finish(conn);
+	server_conn_answer(conn, status, &fields, (int64_t)strlen(text), false);
+	server_conn_body(conn, text, strlen(text));
+	server_conn_finish(conn);
 	buffer_free(&fields);
 	free(text);
 	json_decref(body);
@@ -64,7 +64,7 @@
 	return object;
 }
 
-static void query_text(const struct caller_conn *conn, const char *name,
+static void query_text(const struct server_conn *conn, const char *name,
 		       char *text)
 {
 	const char *at = strchr(conn->request.target.data, '?');
@@ -118,7 +118,7 @@
 
 static void answer_watch(struct kv_standin_watch *watch)
 {
-	struct caller_conn *conn = watch->conn;
+	struct server_conn *conn = watch->conn;
 	json_t *body =
 		list(watch->store, watch->prefix, watch->after, true, "events");
 
@@ -132,7 +132,7 @@
 	answer_watch(timer->data);
 }
 
-static void start_watch(struct kv_standin *store, struct caller_conn *conn)
+static void start_watch(struct kv_standin *store, struct server_conn *conn)
 {
 	struct kv_standin_watch *watch = xcalloc(1, sizeof(*watch));
 	char text[TEXT_SIZE];
@@ -197,7 +197,7 @@
 	free(text);
 }
 
-static void write_all(struct kv_standin *store, struct caller_conn *conn)
+static void write_all(struct kv_standin *store, struct server_conn *conn)
 {
 	json_t *body = json_loadb(conn->request.body.data,
 				  conn->request.body.size, 0, NULL);
@@ -239,7 +239,7 @@
 	json_decref(body);
 }
 
-static void on_request(struct caller_conn *conn)
+static void on_request(struct server_conn *conn)
 {
 	struct kv_standin *store = conn->owner;
 	const char *target = conn->request.target.data;
@@ -272,18 +272,18 @@
 	}
 }
 
-static void on_gone(struct caller_conn *conn)
+static void on_gone(struct server_conn *conn)
 {
 	if (conn->call)
 		end_watch(conn->call);
 	conn->call = NULL;
 }
 
-static void ignore(struct caller_conn *conn)
+static void ignore(struct server_conn *conn)
 {
 }
 
-static const struct caller_conn_events events = {
+static const struct server_conn_events events = {
 	.request = on_request,
 	.gone = on_gone,
 	.drained = ignore,
@@ -293,7 +293,7 @@
 static void on_connection(uv_stream_t *listener, int status)
 {
 	if (status >= 0)
-		caller_conn_accept(listener, &limits, &events, listener->data);
+		server_conn_accept(listener, &limits, &events, listener->data);
 }
 
 void kv_standin_start(struct kv_standin *store, uv_loop_t *loop)
--- a/tests/fakes/worker_standin.c
+++ b/tests/fakes/worker_standin.c
@@ -4,22 +4,22 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "edge/caller_conn.h"
 #include "fakes/loop_listener.h"
+#include "transport/server_conn.h"
 
 /* Events of a whole stream; ids begin with 0. */
 #define STREAM_EVENTS 6
 /* A stream that is cut off has this many and a half. */
 #define CUT_EVENTS 3
 
-static const struct caller_limits limits = {
+static const struct server_limits limits = {
 	.head_bytes = 64 * 1024,
 	.body_bytes = 4 * 1024 * 1024,
 	.head_ms = 10000,
 	.idle_ms = 60000,
 };
 
-static void begin(struct caller_conn *conn, int status, int64_t body_bytes,
+static void begin(struct server_conn *conn, int status, int64_t body_bytes,
 		  const char *more_fields)
 {
 	struct worker_standin *worker = conn->owner;
@@ -34,48 +34,48 @@
 				  "Tamarackgw-Response-Stamp: by-%s\r\n"
 				  "Tamarackgw-Server-Load: 1,0,4\r\n",
 				  worker->id);
-	caller_conn_answer(conn, status, &fields, body_bytes, false);
+	server_conn_answer(conn, status, &fields, body_bytes, false);
 	buffer_free(&fields);
 }
 
-static void answer(struct caller_conn *conn, int status, const char *text,
+static void answer(struct server_conn *conn, int status, const char *text,
 		   const char *more_fields)
 {
 	begin(conn, status, (int64_t)strlen(text), more_fields);
-	caller_conn_body(conn, text, strlen(text));
-	caller_conn_finish(conn);
+	server_conn_body(conn, text, strlen(text));
+	server_conn_finish(conn);
 }
 
-static void send_event(struct caller_conn *conn, int number)
+static void send_event(struct server_conn *conn, int number)
 {
 	char text[64];
 
 	snprintf(text, sizeof(text), "id: %d\ndata: part-%d\n\n", number,
 		 number);
-	caller_conn_body(conn, text, strlen(text));
+	server_conn_body(conn, text, strlen(text));
 }
 
-static void stream(struct caller_conn *conn, bool cut)
+static void stream(struct server_conn *conn, bool cut)
 {
 	const char *resumed =
 		http_head_find(&conn->request.head, "Last-Event-Id");
 	int first = resumed ? (int)strtol(resumed, NULL, 10) + 1 : 0;
 
-	begin(conn, 200, CALLER_LENGTH_UNKNOWN,
+	begin(conn, 200, SERVER_LENGTH_UNKNOWN,
 	      "Content-Type: text/event-stream\r\n");
 	if (cut && !resumed) {
 		for (int i = 0; i < CUT_EVENTS; i++)
 			send_event(conn, i);
-		caller_conn_body(conn, "id: 3\nda", 8);
-		caller_conn_abort(conn);
+		server_conn_body(conn, "id: 3\nda", 8);
+		server_conn_abort(conn);
 		return;
 	}
 	for (int i = first; i < STREAM_EVENTS; i++)
 		send_event(conn, i);
-	caller_conn_finish(conn);
+	server_conn_finish(conn);
 }
 
-static void note(struct worker_standin *worker, struct caller_conn *conn)
+static void note(struct worker_standin *worker, struct server_conn *conn)
 {
 	const struct http_head *head = &conn->request.head;
 
@@ -90,7 +90,7 @@
 		   conn->request.body.size);
 }
 
-static void run(struct worker_standin *worker, struct caller_conn *conn,
+static void run(struct worker_standin *worker, struct server_conn *conn,
 		const char *what)
 {
 	worker->runs++;
@@ -101,7 +101,7 @@
 	else if (!strcmp(what, "fail"))
 		answer(conn, 500, "failed", "");
 	else if (!strcmp(what, "break"))
-		caller_conn_abort(conn);
+		server_conn_abort(conn);
 	else if (!strcmp(what, "stream"))
 		stream(conn, false);
 	else if (!strcmp(what, "stream-cut"))
@@ -110,7 +110,7 @@
 		worker->held = conn;
 }
 
-static void on_request(struct caller_conn *conn)
+static void on_request(struct server_conn *conn)
 {
 	struct worker_standin *worker = conn->owner;
 	const char *what = strrchr(conn->request.target.data, '/') + 1;
@@ -129,14 +129,14 @@
 
 void worker_standin_release(struct worker_standin *worker)
 {
-	struct caller_conn *conn = worker->held;
+	struct server_conn *conn = worker->held;
 
 	worker->held = NULL;
 	if (conn)
 		answer(conn, 200, "done", "");
 }
 
-static void on_gone(struct caller_conn *conn)
+static void on_gone(struct server_conn *conn)
 {
 	struct worker_standin *worker = conn->owner;
 
@@ -145,11 +145,11 @@
 		worker->held = NULL;
 }
 
-static void ignore(struct caller_conn *conn)
+static void ignore(struct server_conn *conn)
 {
 }
 
-static const struct caller_conn_events events = {
+static const struct server_conn_events events = {
 	.request = on_request,
 	.gone = on_gone,
 	.drained = ignore,
@@ -159,7 +159,7 @@
 static void on_connection(uv_stream_t *listener, int status)
 {
 	if (status >= 0)
-		caller_conn_accept(listener, &limits, &events, listener->data);
+		server_conn_accept(listener, &limits, &events, listener->data);
 }
 
 void worker_standin_start(struct worker_standin *worker, uv_loop_t *loop,
--- a/tests/fakes/worker_standin.h
+++ b/tests/fakes/worker_standin.h
@@ -21,7 +21,7 @@
 	unsigned int runs;
 	unsigned int left;	  /**< callers that left a running request */
 	struct buffer request;	  /**< head fields and body of the last one */
-	struct caller_conn *held; /**< request that is kept open */
+	struct server_conn *held; /**< request that is kept open */
 };
 
 void worker_standin_start(struct worker_standin *worker, uv_loop_t *loop,
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -167,7 +167,8 @@
 
 static void request(const struct sockaddr_in *address)
 {
-	struct http_conn *conn = http_conn_open(&loop, address);
+	struct http_conn *conn =
+		http_conn_open(&loop, (const struct sockaddr *)address);
 	struct buffer head = {0};
 
 	buffer_add_text(&head, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
