--- a/src/ctl/ctl_session.c
+++ b/src/ctl/ctl_session.c
@@ -1,6 +1,5 @@
 #include "ctl/ctl_session.h"
 
-#include <pthread.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -10,8 +9,8 @@
 #include "ctl/ctl_authority.h"
 #include "protocol/etcd_store.h"
 #include "tamarackgw/clock.h"
-#include "transport/curl_client.h"
-#include "transport/mailbox.h"
+#include "transport/event_loop.h"
+#include "transport/loop_client.h"
 #include "transport/system_clock.h"
 
 #define STORE_TIMEOUT_US (5 * TGW_US_PER_S)
@@ -19,12 +18,9 @@
 #define ANSWER_MAX_BYTES (64 * 1024 * 1024)
 
 struct ctl_session {
-	struct curl_client *client;
-	struct mailbox *mailbox;
+	struct event_loop *loop;
+	struct loop_client *client;
 	struct etcd_store *store; /* NULL when no store was named */
-	pthread_mutex_t lock;
-	pthread_cond_t posted;
-	bool has_mail;
 };
 
 /* What a call to the store has brought so far. */
@@ -48,48 +44,17 @@
 	struct buffer *answer;
 };
 
-static void wake(void *arg)
-{
-	struct ctl_session *session = arg;
-
-	pthread_mutex_lock(&session->lock);
-	session->has_mail = true;
-	pthread_cond_signal(&session->posted);
-	pthread_mutex_unlock(&session->lock);
-}
-
-static void wait_for_mail(struct ctl_session *session)
-{
-	pthread_mutex_lock(&session->lock);
-	while (!session->has_mail)
-		pthread_cond_wait(&session->posted, &session->lock);
-	session->has_mail = false;
-	pthread_mutex_unlock(&session->lock);
-}
-
-static void wait_until(struct ctl_session *session, const bool *done)
-{
-	for (;;) {
-		mailbox_run(session->mailbox);
-		if (*done)
-			return;
-		wait_for_mail(session);
-	}
-}
-
 struct ctl_session *ctl_session_new(const char *store_url)
 {
 	struct ctl_session *session = xcalloc(1, sizeof(*session));
-	struct curl_client_settings settings = curl_client_settings_default();
+	struct loop_client_settings settings = loop_client_settings_default();
 
-	pthread_mutex_init(&session->lock, NULL);
-	pthread_cond_init(&session->posted, NULL);
-	session->mailbox = mailbox_new(wake, session);
-	session->client = curl_client_new(&settings);
+	session->loop = event_loop_new();
+	session->client = loop_client_new(session->loop, &settings);
 	if (store_url)
 		session->store =
-			etcd_store_new(curl_client_sender(session->client),
-				       mailbox_executor(session->mailbox),
+			etcd_store_new(loop_client_sender(session->client),
+				       event_loop_executor(session->loop),
 				       store_url, STORE_TIMEOUT_US);
 	return session;
 }
@@ -98,13 +63,11 @@
 {
 	if (!session)
 		return;
-	curl_client_free(session->client);
-	mailbox_run(session->mailbox);
+	loop_client_free(session->client);
+	event_loop_drain(session->loop);
 	if (session->store)
 		etcd_store_free(session->store);
-	mailbox_free(session->mailbox);
-	pthread_cond_destroy(&session->posted);
-	pthread_mutex_destroy(&session->lock);
+	event_loop_free(session->loop);
 	free(session);
 }
 
@@ -177,7 +140,7 @@
 	if (!store)
 		return error->status;
 	tgw_store_get(store, key, callback_for(&call));
-	wait_until(ctl->session, &call.done);
+	event_loop_run_until(ctl->session->loop, &call.done);
 	*version = call.version;
 	return finish(&call, "reading", key, error);
 }
@@ -194,7 +157,7 @@
 	if (!store)
 		return error->status;
 	tgw_store_list(store, prefix, callback_for(&call));
-	wait_until(ctl->session, &call.done);
+	event_loop_run_until(ctl->session->loop, &call.done);
 	return finish(&call, "reading", prefix, error);
 }
 
@@ -211,7 +174,7 @@
 		return error->status;
 	tgw_store_swap(store, key, expected_version, value, value_size,
 		       callback_for(&call));
-	wait_until(ctl->session, &call.done);
+	event_loop_run_until(ctl->session->loop, &call.done);
 	return finish(&call, "writing", key, error);
 }
 
@@ -245,7 +208,7 @@
 	call->outcome = outcome;
 	snprintf(call->message, sizeof(call->message), "%s",
 		 message ? message : "");
-	executor_post(mailbox_executor(call->session->mailbox), mark_done,
+	executor_post(event_loop_executor(call->session->loop), mark_done,
 		      call);
 }
 
@@ -278,8 +241,8 @@
 		request.headers[0].value = bearer;
 		request.header_count = 1;
 	}
-	http_start(curl_client_sender(ctl->session->client), &request, handler);
-	wait_until(ctl->session, &call.done);
+	http_start(loop_client_sender(ctl->session->client), &request, handler);
+	event_loop_run_until(ctl->session->loop, &call.done);
 	free(bearer);
 	free(url);
 	*http_status = call.http_status;
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -1,14 +1,12 @@
 #include "daemon/daemon.h"
 
 #include <apr_general.h>
-#include <errno.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <urcu.h>
-#include <zmq.h>
 
 #include "base/xalloc.h"
 #include "daemon/gateway.h"
@@ -19,21 +17,25 @@
 #include "protocol/etcd_store.h"
 #include "protocol/host_list.h"
 #include "tamarackgw/random.h"
-#include "transport/curl_client.h"
-#include "transport/mailbox.h"
+#include "transport/event_loop.h"
+#include "transport/loop_client.h"
 #include "transport/system_clock.h"
-#include "transport/wakeup.h"
 #include "transport/zmq_channel.h"
 
-#define LONGEST_POLL_MS 500
-#define BACKEND_THREADS 2
+#define LONGEST_WAIT_MS 500
+#define STOP_SIGNALS 2
 
 struct daemon {
 	struct runtime runtime;
-	struct wakeup wakeup;
-	struct mailbox *mailbox;
-	struct curl_client *platform_client;
-	struct curl_client *backend_client;
+	struct event_loop *loop;
+	struct loop_client *platform_client;
+	struct loop_client *backend_client;
+	uv_timer_t timer; /* of the agents */
+	uv_poll_t peer_input[ZMQ_CHANNEL_DESCRIPTORS];
+	uv_signal_t stop_signals[STOP_SIGNALS];
+	bool is_due;
+	bool has_peer_input;
+	bool is_done;
 	struct zmq_channel *channel;
 	struct etcd_store *etcd;
 	struct host_list_poller *list_poller;
@@ -42,20 +44,6 @@
 	struct stop_plan stop;
 };
 
-static struct wakeup *signal_wakeup;
-static volatile sig_atomic_t stops_asked;
-
-static void on_stop_signal(int number)
-{
-	stops_asked = stops_asked + 1;
-	wakeup_signal(signal_wakeup);
-}
-
-static void wake_daemon(void *arg)
-{
-	wakeup_signal(&((struct daemon *)arg)->wakeup);
-}
-
 static void receive_message(void *arg, const struct tgw_peer_message *message)
 {
 	struct runtime *runtime = &((struct daemon *)arg)->runtime;
@@ -201,16 +189,15 @@
 {
 	struct runtime *runtime = &daemon->runtime;
 	const struct settings *settings = runtime->settings;
-	struct curl_client_settings client = curl_client_settings_default();
+	struct loop_client_settings client = loop_client_settings_default();
 	int64_t timeout_us = settings->store_timeout_ms * TGW_US_PER_MS;
 
-	daemon->platform_client = curl_client_new(&client);
-	client.threads = BACKEND_THREADS;
+	daemon->platform_client = loop_client_new(daemon->loop, &client);
 	client.connect_timeout_us =
 		settings->connect_timeout_ms * TGW_US_PER_MS;
-	daemon->backend_client = curl_client_new(&client);
-	runtime->platform_http = curl_client_sender(daemon->platform_client);
-	runtime->backend_http = curl_client_sender(daemon->backend_client);
+	daemon->backend_client = loop_client_new(daemon->loop, &client);
+	runtime->platform_http = loop_client_sender(daemon->platform_client);
+	runtime->backend_http = loop_client_sender(daemon->backend_client);
 	daemon->etcd = etcd_store_new(runtime->platform_http,
 				      runtime->coordination,
 				      settings->store_url, timeout_us);
@@ -330,7 +317,7 @@
 {
 	struct runtime *runtime = &daemon->runtime;
 	int64_t now_us = tgw_clock_monotonic_us(runtime->clock);
-	int64_t due_us = now_us + LONGEST_POLL_MS * TGW_US_PER_MS;
+	int64_t due_us = now_us + LONGEST_WAIT_MS * TGW_US_PER_MS;
 
 	due_us = earliest(due_us, etcd_store_tick(daemon->etcd, now_us));
 	due_us = earliest(due_us,
@@ -345,49 +332,89 @@
 					       daemon->gateway));
 }
 
-static void wait_for_work(struct daemon *daemon, int64_t due_us)
+static void on_timer(uv_timer_t *timer)
 {
-	zmq_pollitem_t items[ZMQ_CHANNEL_POLL_ITEMS + 1];
-	int64_t now_us = tgw_clock_monotonic_us(daemon->runtime.clock);
-	int64_t wait_ms = (due_us - now_us + TGW_US_PER_MS - 1) / TGW_US_PER_MS;
-
-	zmq_channel_poll_items(daemon->channel, items);
-	items[ZMQ_CHANNEL_POLL_ITEMS] = (zmq_pollitem_t){
-		.fd = daemon->wakeup.descriptor,
-		.events = ZMQ_POLLIN,
-	};
-	zmq_poll(items, ZMQ_CHANNEL_POLL_ITEMS + 1,
-		 wait_ms > 0 ? (long)wait_ms : 0);
-	wakeup_clear(&daemon->wakeup);
+	((struct daemon *)timer->data)->is_due = true;
+}
+
+static void on_peer_input(uv_poll_t *poll, int status, int events)
+{
+	((struct daemon *)poll->data)->has_peer_input = true;
 }
 
-static void run_coordination(struct daemon *daemon)
+static void on_stop_signal(uv_signal_t *handle, int number)
 {
-	sig_atomic_t stops_taken = 0;
-
-	while (daemon->stop.phase != STOP_DONE) {
-		int64_t due_us = tick_all(daemon);
-
-		pages_note_alive(daemon->pages);
-		wait_for_work(daemon, due_us);
-		mailbox_run(daemon->mailbox);
-		zmq_channel_receive(daemon->channel);
-		if (stops_taken != stops_asked) {
-			stops_taken++;
-			stop_plan_ask(&daemon->stop, &daemon->runtime);
-		}
+	struct daemon *daemon = handle->data;
+
+	stop_plan_ask(&daemon->stop, &daemon->runtime);
+	daemon->is_due = true;
+}
+
+/* Lets the agents act on what has changed, and on the time. */
+static void on_round(void *arg, bool ran)
+{
+	struct daemon *daemon = arg;
+	int64_t wait_us;
+
+	if (daemon->has_peer_input) {
+		daemon->has_peer_input = zmq_channel_receive(daemon->channel);
+		ran = true;
 	}
+	if (!ran && !daemon->is_due)
+		return;
+	daemon->is_due = false;
+	wait_us = tick_all(daemon) -
+		  tgw_clock_monotonic_us(daemon->runtime.clock);
+	pages_note_alive(daemon->pages);
+	if (wait_us < 0 || daemon->has_peer_input)
+		wait_us = 0;
+	uv_timer_start(
+		&daemon->timer, on_timer,
+		(uint64_t)((wait_us + TGW_US_PER_MS - 1) / TGW_US_PER_MS), 0);
+	daemon->is_done = daemon->stop.phase == STOP_DONE;
+	if (daemon->is_done)
+		uv_stop(event_loop_uv(daemon->loop));
 }
 
-static void catch_signals(struct daemon *daemon)
+static void watch_events(struct daemon *daemon)
 {
-	struct sigaction action = {.sa_handler = on_stop_signal};
+	static const int numbers[STOP_SIGNALS] = {SIGTERM, SIGINT};
+	uv_loop_t *uv = event_loop_uv(daemon->loop);
+	int descriptors[ZMQ_CHANNEL_DESCRIPTORS];
 
-	signal_wakeup = &daemon->wakeup;
-	sigemptyset(&action.sa_mask);
-	sigaction(SIGTERM, &action, NULL);
-	sigaction(SIGINT, &action, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	uv_timer_init(uv, &daemon->timer);
+	daemon->timer.data = daemon;
+	zmq_channel_descriptors(daemon->channel, descriptors);
+	for (int i = 0; i < ZMQ_CHANNEL_DESCRIPTORS; i++) {
+		if (descriptors[i] < 0)
+			continue;
+		uv_poll_init(uv, &daemon->peer_input[i], descriptors[i]);
+		daemon->peer_input[i].data = daemon;
+		uv_poll_start(&daemon->peer_input[i], UV_READABLE,
+			      on_peer_input);
+	}
+	for (int i = 0; i < STOP_SIGNALS; i++) {
+		uv_signal_init(uv, &daemon->stop_signals[i]);
+		daemon->stop_signals[i].data = daemon;
+		uv_signal_start(&daemon->stop_signals[i], on_stop_signal,
+				numbers[i]);
+	}
+	daemon->is_due = true;
+	/* What came before now is told by no change. */
+	daemon->has_peer_input = true;
+	event_loop_set_round(daemon->loop, on_round, daemon);
+}
+
+static void unwatch_events(struct daemon *daemon)
+{
+	uv_close((uv_handle_t *)&daemon->timer, NULL);
+	for (int i = 0; i < ZMQ_CHANNEL_DESCRIPTORS; i++)
+		if (daemon->peer_input[i].data)
+			uv_close((uv_handle_t *)&daemon->peer_input[i], NULL);
+	for (int i = 0; i < STOP_SIGNALS; i++)
+		uv_close((uv_handle_t *)&daemon->stop_signals[i], NULL);
+	event_loop_set_round(daemon->loop, NULL, NULL);
 }
 
 static enum tgw_status open_daemon(struct daemon *daemon,
@@ -395,13 +422,9 @@
 {
 	struct gateway_pages gateway_pages;
 
-	if (wakeup_open(&daemon->wakeup))
-		return tgw_error_set(error, TGW_INTERNAL,
-				     "no event descriptor: %s; raise the limit "
-				     "of open files",
-				     strerror(errno));
-	daemon->mailbox = mailbox_new(wake_daemon, daemon);
-	daemon->runtime.coordination = mailbox_executor(daemon->mailbox);
+	daemon->loop = event_loop_new();
+	daemon->runtime.loop = daemon->loop;
+	daemon->runtime.coordination = event_loop_executor(daemon->loop);
 	describe_self(&daemon->runtime);
 	if (open_channel(daemon, error) != TGW_OK)
 		return error->status;
@@ -419,17 +442,16 @@
 	return TGW_OK;
 }
 
-/* Threads end first; then what they posted runs; then the agents go. */
+/* What callers and servers have open ends first; then what that posted runs;
+ * then the agents go. */
 static void close_daemon(struct daemon *daemon)
 {
 	struct runtime *runtime = &daemon->runtime;
 
 	gateway_free(daemon->gateway);
-	curl_client_free(daemon->backend_client);
-	curl_client_free(daemon->platform_client);
-	if (daemon->mailbox)
-		while (mailbox_run(daemon->mailbox))
-			;
+	loop_client_free(daemon->backend_client);
+	loop_client_free(daemon->platform_client);
+	event_loop_drain(daemon->loop);
 	tgw_router_free(runtime->router);
 	tgw_quarantine_free(runtime->quarantine);
 	tgw_claim_agent_free(runtime->claims);
@@ -440,10 +462,9 @@
 	host_list_poller_free(daemon->list_poller);
 	etcd_store_free(daemon->etcd);
 	zmq_channel_free(daemon->channel);
-	mailbox_free(daemon->mailbox);
+	event_loop_free(daemon->loop);
 	tgw_config_snapshot_free(runtime->config);
 	tgw_host_view_free(runtime->hosts);
-	wakeup_close(&daemon->wakeup);
 }
 
 int daemon_run(const struct settings *settings)
@@ -460,23 +481,21 @@
 	apr_initialize();
 	if (sodium_init() < 0)
 		abort();
-	rcu_register_thread();
-	daemon.wakeup.descriptor = -1;
 	if (open_daemon(&daemon, &error) != TGW_OK) {
 		log_line(LOG_DAEMON, LOG_ERROR, NULL, "Can't start: %s",
 			 error.message);
 		exit_code = EXIT_FAILURE;
 		goto done;
 	}
-	catch_signals(&daemon);
+	watch_events(&daemon);
 	log_line(LOG_DAEMON, LOG_INFO, NULL,
 		 "Host %s of %s takes callers on %s.", settings->name,
 		 settings->failure_domain, settings->caller_address);
-	run_coordination(&daemon);
+	event_loop_run_until(daemon.loop, &daemon.is_done);
+	unwatch_events(&daemon);
 	log_line(LOG_DAEMON, LOG_INFO, NULL, "Stopped.");
 done:
 	close_daemon(&daemon);
-	rcu_unregister_thread();
 	apr_terminate();
 	log_close();
 	return exit_code;
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -35,13 +35,13 @@
 	atomic_bool refusing; /* takes nothing new */
 };
 
-/* An admission on its way to the coordination thread. */
+/* An admission that waits for its turn on the loop. */
 struct admission {
 	struct call *call;
 	struct caller *caller;
 };
 
-/* ---- refusals on the request thread ---- */
+/* ---- refusals ---- */
 
 /* Gives an answer that belongs to no call an id of its own. */
 static void name_answer(struct answer *answer, char id[CALL_ID_SIZE])
@@ -362,7 +362,6 @@
 	const struct settings *settings = gateway->runtime->settings;
 	struct http_server_settings server_settings = {
 		.address = settings->caller_address,
-		.threads = settings->request_threads,
 		.max_connections = settings->max_connections,
 		.max_body_bytes = settings->max_body_bytes,
 		.max_header_bytes = settings->max_header_bytes,
@@ -378,7 +377,8 @@
 		.arg = gateway,
 	};
 
-	return http_server_new(&server_settings, &handler, error);
+	return http_server_new(gateway->runtime->loop, &server_settings,
+			       &handler, error);
 }
 
 struct gateway *gateway_new(struct runtime *runtime, struct gateway_pages pages,
--- a/src/daemon/pages.c
+++ b/src/daemon/pages.c
@@ -1,9 +1,7 @@
 #include "daemon/pages.h"
 
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 #include <urcu.h>
 
 #include "base/xalloc.h"
@@ -19,7 +17,6 @@
 #define HTTP_FORBIDDEN 403
 #define HTTP_UNAVAILABLE 503
 
-#define PAGE_WAIT_S 2
 #define STUCK_AFTER_US (5 * TGW_US_PER_S)
 /* A host that hears of no other for this long serves alone. */
 #define ALONE_AFTER_US (3 * TGW_US_PER_S)
@@ -34,85 +31,6 @@
 	_Atomic int64_t alive_us;
 };
 
-/** A page that the coordination thread writes while a request waits. */
-struct page_job {
-	const struct pages *pages;
-	void (*write)(const struct pages *pages, struct buffer *text);
-	pthread_mutex_t lock;
-	pthread_cond_t written_signal;
-	bool written;
-	int holders; /* the waiting thread and the posted letter */
-	struct buffer text;
-};
-
-static void job_release(struct page_job *job)
-{
-	int holders;
-
-	pthread_mutex_lock(&job->lock);
-	holders = --job->holders;
-	pthread_mutex_unlock(&job->lock);
-	if (holders)
-		return;
-	pthread_cond_destroy(&job->written_signal);
-	pthread_mutex_destroy(&job->lock);
-	buffer_free(&job->text);
-	free(job);
-}
-
-static void run_job(void *arg)
-{
-	struct page_job *job = arg;
-
-	pthread_mutex_lock(&job->lock);
-	job->write(job->pages, &job->text);
-	job->written = true;
-	pthread_cond_signal(&job->written_signal);
-	pthread_mutex_unlock(&job->lock);
-	job_release(job);
-}
-
-static bool job_wait(struct page_job *job)
-{
-	struct timespec until;
-	int failed = 0;
-	bool written;
-
-	clock_gettime(CLOCK_REALTIME, &until);
-	until.tv_sec += PAGE_WAIT_S;
-	pthread_mutex_lock(&job->lock);
-	while (!job->written && !failed)
-		failed = pthread_cond_timedwait(&job->written_signal,
-						&job->lock, &until);
-	written = job->written;
-	pthread_mutex_unlock(&job->lock);
-	return written;
-}
-
-static int32_t write_on_coordination(const struct pages *pages,
-				     void (*write)(const struct pages *pages,
-						   struct buffer *text),
-				     struct buffer *answer)
-{
-	struct page_job *job = xcalloc(1, sizeof(*job));
-	int32_t status = HTTP_UNAVAILABLE;
-
-	job->pages = pages;
-	job->write = write;
-	job->holders = 2;
-	pthread_mutex_init(&job->lock, NULL);
-	pthread_cond_init(&job->written_signal, NULL);
-	executor_post(pages->runtime->coordination, run_job, job);
-	if (job_wait(job)) {
-		buffer_add(answer, job->text.data, job->text.size);
-		status = HTTP_OK;
-	} else {
-		buffer_add_text(answer, "the host is overloaded\n");
-	}
-	job_release(job);
-	return status;
-}
-
 static void write_metrics(const struct pages *pages, struct buffer *text)
 {
 	metrics_page_write(pages->runtime, pages->etcd, pages->channel, text);
@@ -120,11 +38,6 @@
 		gateway_write_metrics(pages->gateway, text);
 }
 
-static void write_status(const struct pages *pages, struct buffer *text)
-{
-	status_page_write(pages->runtime, text);
-}
-
 static bool is_alive(const struct pages *pages)
 {
 	int64_t now_us = tgw_clock_monotonic_us(pages->runtime->clock);
@@ -225,7 +138,8 @@
 			    const char **type)
 {
 	*type = "application/json";
-	return write_on_coordination(pages, write_status, answer);
+	status_page_write(pages->runtime, answer);
+	return HTTP_OK;
 }
 
 static bool is_operator(const struct pages *pages, const char *authorization,
@@ -276,8 +190,10 @@
 		return serve_health(pages, answer);
 	if (!strcmp(path, "/readyz"))
 		return serve_readiness(pages, answer);
-	if (!strcmp(path, "/metrics"))
-		return write_on_coordination(pages, write_metrics, answer);
+	if (!strcmp(path, "/metrics")) {
+		write_metrics(pages, answer);
+		return HTTP_OK;
+	}
 	return serve_operator(pages, method, path, authorization, body,
 			      body_size, answer, content_type);
 }
--- a/src/daemon/runtime.h
+++ b/src/daemon/runtime.h
@@ -1,11 +1,9 @@
 /**
  * @file runtime.h
- * The parts of a running host and the thread that drives its agents.
- *
- * The agents belong to the coordination thread: other threads reach them
- * only by executor_post(runtime->coordination, ...). The configuration and
- * the view of the hosts are read by any registered thread under
- * read-copy-update.
+ * The parts of a running host. All of them run on the event loop's thread,
+ * which is called the coordination thread where its agents are meant.
+ * executor_post(runtime->coordination, ...) runs a function later on it. The
+ * configuration and the view of the hosts are read under read-copy-update.
  */
 #ifndef DAEMON_RUNTIME_H
 #define DAEMON_RUNTIME_H
@@ -22,11 +20,13 @@
 #include "tamarackgw/membership.h"
 #include "tamarackgw/quarantine.h"
 #include "tamarackgw/router.h"
+#include "transport/event_loop.h"
 
 struct runtime {
 	const struct settings *settings;
 	const struct tgw_clock *clock;
 	struct tgw_host self;
+	struct event_loop *loop;
 	struct executor *coordination;
 	struct http_sender *backend_http;  /**< towards backend servers */
 	struct http_sender *platform_http; /**< towards store, list, hosts */
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -26,8 +26,6 @@
 	       1000, "longest wait for an answer of the store"),
 	NUMBER("platform", "list_interval_ms", list_interval_ms, 100, 600000,
 	       5000, "time between reads of the list"),
-	NUMBER("limits", "request_threads", request_threads, 1, 64, 4,
-	       "threads that serve callers"),
 	NUMBER("limits", "max_connections", max_connections, 1, 100000, 4096,
 	       "open connections from callers"),
 	NUMBER("limits", "max_open_requests", max_open_requests, 1, 100000,
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -25,7 +25,6 @@
 	int64_t store_timeout_ms;
 	int64_t list_interval_ms;
 	/* [limits] */
-	int64_t request_threads;
 	int64_t max_connections;
 	int64_t max_open_requests;
 	int64_t max_body_bytes;
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -1,112 +1,87 @@
 #include "transport/http_server.h"
 
-#include <assert.h>
 #include <errno.h>
-#include <microhttpd.h>
-#include <pthread.h>
 #include <stdatomic.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/epoll.h>
-#include <sys/eventfd.h>
 #include <sys/queue.h>
-#include <sys/socket.h>
-#include <time.h>
-#include <unistd.h>
 
 #include "base/buffer.h"
 #include "base/xalloc.h"
 #include "tamarackgw/clock.h"
+#include "transport/server_conn.h"
 #include "transport/socket_address.h"
 
-#define BLOCK_BYTES 8192
-#define POOL_EXTRA_BYTES 8192 /* for the answer's head and chunks */
-#define WATCH_EVENTS 64
-#define FREE_PATIENCE_US 1000
-#define WAKE_SERIAL 0
-
-/* A caller's connection. */
-struct connection {
-	LIST_ENTRY(connection) link;
-	struct http_server *server;
-	int fd;
-	/* The next three under the server's lock. */
-	struct server_exchange *exchange;
-	uint64_t watch_serial;	  /* 0 while not watched */
-	int64_t read_deadline_us; /* for a request to have come whole */
-};
-
-enum exchange_stage {
-	STAGE_HEAD,    /* nothing but the request line was seen */
-	STAGE_BODY,    /* the body is being read */
-	STAGE_REFUSED, /* the body is read and dropped */
-	STAGE_ANSWER,  /* the request was handed over */
-	STAGE_QUEUED,  /* libmicrohttpd has the answer */
-};
+#define BACKLOG 511
+#define PIECE_BYTES (16 * 1024)
+#define STATUS_TOO_LARGE 413
 
 struct server_exchange {
 	struct http_server *server;
-	struct connection *connection;
-	struct MHD_Connection *mhd;
-	enum exchange_stage stage;
-	bool head_seen;
-	char *target;
-	char method[24];
-	struct buffer body;
+	struct server_conn *conn;
 	struct answer *own;
 	struct answer_reader reader;
 	void *context;
-	atomic_bool aborted;
-	_Atomic int64_t last_read_us;
+	bool is_closing;  /* the connection ends with this answer */
+	bool is_begun;	  /* the answer's head was written */
+	bool is_blocked;  /* the caller has to take bytes first */
+	bool is_pending;  /* among those to be looked at */
+	size_t unwritten; /* when the caller last took bytes */
+	int64_t taken_us; /* when that was */
+	TAILQ_ENTRY(server_exchange) link;
 };
 
 struct http_server {
+	struct event_loop *loop;
 	struct http_server_settings settings;
 	struct http_server_handler handler;
-	struct MHD_Daemon *daemon;
-	pthread_mutex_t lock;
-	LIST_HEAD(, connection) connections;
-	pthread_t watcher;
-	int epoll_fd;
-	int wake_fd;
-	uint64_t next_serial; /* under the lock */
-	atomic_bool closing;
+	struct server_limits limits;
+	uv_tcp_t listener;
+	uv_timer_t ticker;
+	unsigned int references; /* two handles, and a posted letter */
+	bool letter_is_posted;
+	bool is_full; /* a connection waits to be accepted */
+	struct server_conn *conns;
+	TAILQ_HEAD(, server_exchange) pending;
 	atomic_bool stopping;
 	_Atomic uint64_t bytes_sent;
 	_Atomic int64_t connection_count;
 };
 
-static int64_t now_us(void)
+static int64_t now_us(const struct http_server *server)
 {
-	struct timespec now;
+	return (int64_t)uv_now(event_loop_uv(server->loop)) * TGW_US_PER_MS;
+}
 
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return now.tv_sec * TGW_US_PER_S + now.tv_nsec / 1000;
+static void server_unref(struct http_server *server)
+{
+	if (!--server->references)
+		free(server);
 }
 
 const char *server_exchange_method(const struct server_exchange *exchange)
 {
-	return exchange->method;
+	return exchange->conn->request.method;
 }
 
 const char *server_exchange_target(const struct server_exchange *exchange)
 {
-	return exchange->target;
+	return exchange->conn->request.target.data;
 }
 
 const char *server_exchange_header(struct server_exchange *exchange,
 				   const char *name)
 {
-	return MHD_lookup_connection_value(exchange->mhd, MHD_HEADER_KIND,
-					   name);
+	return http_head_find(&exchange->conn->request.head, name);
 }
 
 const char *server_exchange_body(const struct server_exchange *exchange,
 				 size_t *size)
 {
-	*size = exchange->body.size;
-	return exchange->body.data ? exchange->body.data : "";
+	const struct buffer *body = &exchange->conn->request.body;
+
+	*size = body->size;
+	return body->data ? body->data : "";
 }
 
 struct answer *server_exchange_answer(struct server_exchange *exchange)
@@ -125,405 +100,345 @@
 	return exchange->context;
 }
 
-static void park_exchange(void *arg)
+/* ---- the answer ---- */
+
+static void end_exchange(struct server_exchange *exchange)
 {
-	struct server_exchange *exchange = arg;
+	struct http_server *server = exchange->server;
 
-	MHD_suspend_connection(exchange->mhd);
+	exchange->conn->call = NULL;
+	server->handler.closed(server->handler.arg, exchange);
+	answer_detach(&exchange->reader);
+	answer_unref(exchange->own);
+	if (exchange->is_pending)
+		TAILQ_REMOVE(&server->pending, exchange, link);
+	free(exchange);
 }
 
-static void wake_exchange(void *arg)
+static void add_field(void *arg, const char *name, const char *value)
 {
-	struct server_exchange *exchange = arg;
+	buffer_add_format(arg, "%s: %s\r\n", name, value);
+}
 
-	atomic_store(&exchange->last_read_us, now_us());
-	MHD_resume_connection(exchange->mhd);
+/* @return whether the head is there */
+static bool begin_answer(struct server_exchange *exchange)
+{
+	struct answer_head head;
+	struct buffer fields = {0};
+	bool closing = exchange->is_closing ||
+		       atomic_load(&exchange->server->stopping);
+
+	if (!answer_read_head(&exchange->reader, &head))
+		return false;
+	if (head.content_type[0])
+		add_field(&fields, "Content-Type", head.content_type);
+	answer_each_header(exchange->reader.answer, add_field, &fields);
+	exchange->is_begun = true;
+	server_conn_answer(exchange->conn, head.status, &fields,
+			   head.size_known ? (int64_t)head.size
+					   : SERVER_LENGTH_UNKNOWN,
+			   closing);
+	buffer_free(&fields);
+	return true;
 }
 
-/* The server's lock is held, so the exchange is not freed meanwhile. */
-static void abort_exchange(struct server_exchange *exchange)
+static void note_taken(struct server_exchange *exchange)
 {
-	atomic_store(&exchange->aborted, true);
-	answer_kick(&exchange->reader);
+	exchange->unwritten = server_conn_unwritten(exchange->conn);
+	exchange->taken_us = now_us(exchange->server);
 }
 
-static struct connection *connection_of(struct MHD_Connection *mhd)
+static void finish(struct server_exchange *exchange, bool whole)
 {
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	struct server_conn *conn = exchange->conn;
 
-	return info ? info->socket_context : NULL;
+	end_exchange(exchange);
+	if (whole)
+		server_conn_finish(conn);
+	else
+		server_conn_abort(conn);
 }
 
-static void open_connection(struct http_server *server,
-			    struct MHD_Connection *mhd, void **context)
+/* Writes what there is. The exchange may be over afterwards. */
+static void go_on(struct server_exchange *exchange)
 {
-	const union MHD_ConnectionInfo *info =
-		MHD_get_connection_info(mhd, MHD_CONNECTION_INFO_CONNECTION_FD);
-	struct connection *connection = xcalloc(1, sizeof(*connection));
+	static char piece[PIECE_BYTES]; /* the loop has one thread */
+	enum answer_read_result result;
+	size_t size;
 
-	connection->server = server;
-	connection->fd = info->connect_fd;
-	connection->read_deadline_us =
-		now_us() + server->settings.caller_idle_us;
-	pthread_mutex_lock(&server->lock);
-	LIST_INSERT_HEAD(&server->connections, connection, link);
-	pthread_mutex_unlock(&server->lock);
-	atomic_fetch_add(&server->connection_count, 1);
-	*context = connection;
+	if (exchange->is_blocked)
+		return;
+	if (!exchange->is_begun && !begin_answer(exchange))
+		return;
+	while ((result = answer_read(&exchange->reader, piece, sizeof(piece),
+				     &size)) == ANSWER_BYTES) {
+		atomic_fetch_add(&exchange->server->bytes_sent, size);
+		exchange->is_blocked =
+			!server_conn_body(exchange->conn, piece, size);
+		if (!exchange->is_blocked)
+			continue;
+		note_taken(exchange);
+		return;
+	}
+	if (result != ANSWER_WAIT)
+		finish(exchange, result == ANSWER_END);
 }
 
-static void unwatch(struct http_server *server, struct connection *connection)
+static void run_pending(void *arg)
 {
-	if (!connection->watch_serial)
-		return;
-	epoll_ctl(server->epoll_fd, EPOLL_CTL_DEL, connection->fd, NULL);
-	connection->watch_serial = 0;
+	struct http_server *server = arg;
+	struct server_exchange *exchange;
+
+	server->letter_is_posted = false;
+	while ((exchange = TAILQ_FIRST(&server->pending))) {
+		TAILQ_REMOVE(&server->pending, exchange, link);
+		exchange->is_pending = false;
+		go_on(exchange);
+	}
+	server_unref(server);
 }
 
-static void close_connection(struct http_server *server,
-			     struct connection *connection)
+static void on_park(void *arg)
 {
-	pthread_mutex_lock(&server->lock);
-	unwatch(server, connection);
-	LIST_REMOVE(connection, link);
-	pthread_mutex_unlock(&server->lock);
-	atomic_fetch_sub(&server->connection_count, 1);
-	free(connection);
+	/* wake() comes when there is something to read. */
 }
 
-static void on_connection(void *arg, struct MHD_Connection *mhd, void **context,
-			  enum MHD_ConnectionNotificationCode code)
+/* The answer is locked, so it is read later. */
+static void on_wake(void *arg)
 {
-	struct http_server *server = arg;
+	struct server_exchange *exchange = arg;
+	struct http_server *server = exchange->server;
 
-	if (code == MHD_CONNECTION_NOTIFY_STARTED)
-		open_connection(server, mhd, context);
-	else if (*context)
-		close_connection(server, *context);
+	if (exchange->is_pending)
+		return;
+	exchange->is_pending = true;
+	TAILQ_INSERT_TAIL(&server->pending, exchange, link);
+	if (server->letter_is_posted)
+		return;
+	server->letter_is_posted = true;
+	server->references++;
+	executor_post(event_loop_executor(server->loop), run_pending, server);
 }
 
-/* The first that libmicrohttpd tells of a request: its raw target. */
-static void *on_request_line(void *arg, const char *target,
-			     struct MHD_Connection *mhd)
+/* ---- the request ---- */
+
+static struct server_exchange *new_exchange(struct server_conn *conn)
 {
 	static const struct answer_limits no_limits = {0};
-	struct http_server *server = arg;
 	struct server_exchange *exchange = xcalloc(1, sizeof(*exchange));
 
-	exchange->server = server;
-	exchange->connection = connection_of(mhd);
-	exchange->mhd = mhd;
-	exchange->target = xstrdup(target);
+	exchange->server = conn->owner;
+	exchange->conn = conn;
 	exchange->own = answer_new(&no_limits);
-	exchange->reader.park = park_exchange;
-	exchange->reader.wake = wake_exchange;
+	exchange->reader.park = on_park;
+	exchange->reader.wake = on_wake;
 	exchange->reader.arg = exchange;
 	answer_attach(exchange->own, &exchange->reader);
-	pthread_mutex_lock(&server->lock);
-	exchange->connection->read_deadline_us =
-		now_us() + server->settings.caller_idle_us;
-	pthread_mutex_unlock(&server->lock);
+	conn->call = exchange;
 	return exchange;
 }
 
-static ssize_t read_answer(void *arg, uint64_t position, char *bytes,
-			   size_t capacity)
+static bool on_head(struct server_conn *conn)
 {
-	struct server_exchange *exchange = arg;
-	size_t size;
+	struct http_server *server = conn->owner;
 
-	if (atomic_load(&exchange->aborted))
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	atomic_store(&exchange->last_read_us, now_us());
-	switch (answer_read(&exchange->reader, bytes, capacity, &size)) {
-	case ANSWER_BYTES:
-		atomic_fetch_add(&exchange->server->bytes_sent, size);
-		return (ssize_t)size;
-	case ANSWER_WAIT:
-		return 0;
-	case ANSWER_END:
-		return MHD_CONTENT_READER_END_OF_STREAM;
-	default:
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	}
+	return server->handler.head(server->handler.arg, new_exchange(conn));
 }
 
-static void add_header(void *arg, const char *name, const char *value)
+static bool on_refused(struct server_conn *conn, int status)
 {
-	MHD_add_response_header(arg, name, value);
+	struct http_server *server = conn->owner;
+	struct server_exchange *exchange = conn->call;
+
+	if (status == STATUS_TOO_LARGE)
+		server->handler.too_large(server->handler.arg, exchange);
+	if (status == STATUS_TOO_LARGE || status == SERVER_REFUSED_BY_OWNER) {
+		exchange->is_closing = true;
+		go_on(exchange);
+		return true;
+	}
+	if (exchange)
+		end_exchange(exchange);
+	if (status != 408)
+		return false;
+	server_conn_abort(conn);
+	return true;
 }
 
-static enum MHD_Result queue_answer(struct server_exchange *exchange,
-				    const struct answer_head *head)
+static void on_request(struct server_conn *conn)
 {
-	uint64_t size = head->size_known ? head->size : MHD_SIZE_UNKNOWN;
-	struct MHD_Response *response = MHD_create_response_from_callback(
-		size, BLOCK_BYTES, read_answer, exchange, NULL);
-	enum MHD_Result result;
+	struct http_server *server = conn->owner;
+	struct server_exchange *exchange = conn->call;
 
-	if (!response)
-		return MHD_NO;
-	if (head->content_type[0])
-		add_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
-			   head->content_type);
-	answer_each_header(exchange->reader.answer, add_header, response);
-	if (atomic_load(&exchange->server->stopping))
-		add_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
-	exchange->stage = STAGE_QUEUED;
-	atomic_store(&exchange->last_read_us, now_us());
-	result = MHD_queue_response(exchange->mhd, (unsigned int)head->status,
-				    response);
-	MHD_destroy_response(response);
-	return result;
+	server->handler.request(server->handler.arg, exchange);
+	go_on(exchange);
 }
 
-/* Answers when the head is there; else the connection was suspended. */
-static enum MHD_Result try_to_answer(struct server_exchange *exchange)
+static void on_gone(struct server_conn *conn)
 {
-	struct answer_head head;
-
-	if (atomic_load(&exchange->aborted))
-		return MHD_NO;
-	if (!answer_read_head(&exchange->reader, &head))
-		return MHD_YES;
-	return queue_answer(exchange, &head);
+	end_exchange(conn->call);
 }
 
-/* From now on a caller that hangs up is noticed, also while suspended. */
-static void watch_for_hang_up(struct server_exchange *exchange)
+static void on_drained(struct server_conn *conn)
 {
-	struct http_server *server = exchange->server;
-	struct connection *connection = exchange->connection;
-	struct epoll_event event = {.events = EPOLLRDHUP | EPOLLET};
+	struct server_exchange *exchange = conn->call;
 
-	pthread_mutex_lock(&server->lock);
-	event.data.u64 = ++server->next_serial;
-	atomic_store(&exchange->last_read_us, now_us());
-	connection->exchange = exchange;
-	connection->read_deadline_us = 0;
-	if (epoll_ctl(server->epoll_fd, EPOLL_CTL_ADD, connection->fd,
-		      &event) == 0)
-		connection->watch_serial = event.data.u64;
-	pthread_mutex_unlock(&server->lock);
-	if (atomic_load(&server->closing))
-		atomic_store(&exchange->aborted, true);
+	if (!exchange)
+		return;
+	exchange->is_blocked = false;
+	go_on(exchange);
 }
 
-static bool announces_too_much(struct server_exchange *exchange)
-{
-	const char *length = server_exchange_header(
-		exchange, MHD_HTTP_HEADER_CONTENT_LENGTH);
+/* ---- connections ---- */
 
-	return length && strtoll(length, NULL, 10) >
-				 exchange->server->settings.max_body_bytes;
-}
+static void accept_one(struct http_server *server);
 
-static enum MHD_Result on_head(struct server_exchange *exchange,
-			       const char *method)
+static void on_conn_closed(struct server_conn *conn)
 {
-	struct http_server *server = exchange->server;
-	const struct http_server_handler *handler = &server->handler;
+	struct http_server *server = conn->owner;
 
-	exchange->head_seen = true;
-	snprintf(exchange->method, sizeof(exchange->method), "%s", method);
-	exchange->stage = STAGE_BODY;
-	if (!handler->head(handler->arg, exchange))
-		return try_to_answer(exchange);
-	if (!announces_too_much(exchange))
-		return MHD_YES;
-	handler->too_large(handler->arg, exchange);
-	return try_to_answer(exchange);
+	if (conn->call)
+		end_exchange(conn->call);
+	if (conn->previous)
+		conn->previous->next = conn->next;
+	else
+		server->conns = conn->next;
+	if (conn->next)
+		conn->next->previous = conn->previous;
+	atomic_fetch_sub(&server->connection_count, 1);
+	if (!server->is_full)
+		return;
+	server->is_full = false;
+	accept_one(server);
 }
 
-static void take_body(struct server_exchange *exchange, const char *data,
-		      size_t size)
+static const struct server_conn_events conn_events = {
+	.head = on_head,
+	.refused = on_refused,
+	.request = on_request,
+	.gone = on_gone,
+	.drained = on_drained,
+	.closed = on_conn_closed,
+};
+
+static void accept_one(struct http_server *server)
 {
-	struct http_server *server = exchange->server;
+	struct server_conn *conn =
+		server_conn_accept((uv_stream_t *)&server->listener,
+				   &server->limits, &conn_events, server);
 
-	if (exchange->stage != STAGE_BODY)
-		return;
-	if (exchange->body.size + size >
-	    (size_t)server->settings.max_body_bytes) {
-		exchange->stage = STAGE_REFUSED;
-		buffer_free(&exchange->body);
+	if (!conn)
 		return;
-	}
-	buffer_add(&exchange->body, data, size);
+	atomic_fetch_add(&server->connection_count, 1);
+	conn->previous = NULL;
+	conn->next = server->conns;
+	if (conn->next)
+		conn->next->previous = conn;
+	server->conns = conn;
 }
 
-static enum MHD_Result on_whole_request(struct server_exchange *exchange)
+/* One that is not accepted now keeps the listener silent. */
+static void on_connection(uv_stream_t *listener, int status)
 {
-	const struct http_server_handler *handler = &exchange->server->handler;
-	bool refused = exchange->stage == STAGE_REFUSED;
+	struct http_server *server = listener->data;
 
-	exchange->stage = STAGE_ANSWER;
-	watch_for_hang_up(exchange);
-	if (refused)
-		handler->too_large(handler->arg, exchange);
+	if (status < 0)
+		return;
+	if (atomic_load(&server->connection_count) >=
+	    server->settings.max_connections)
+		server->is_full = true;
 	else
-		handler->request(handler->arg, exchange);
-	return try_to_answer(exchange);
+		accept_one(server);
 }
 
-static enum MHD_Result on_access(void *arg, struct MHD_Connection *mhd,
-				 const char *url, const char *method,
-				 const char *version, const char *data,
-				 size_t *data_size, void **context)
+/* ---- time ---- */
+
+static bool is_stuck(struct server_exchange *exchange)
 {
-	struct server_exchange *exchange = *context;
+	struct http_server *server = exchange->server;
 
-	if (!exchange->head_seen)
-		return on_head(exchange, method);
-	if (*data_size) {
-		take_body(exchange, data, *data_size);
-		*data_size = 0;
-		return MHD_YES;
+	if (!exchange->is_blocked)
+		return false;
+	if (server_conn_unwritten(exchange->conn) != exchange->unwritten) {
+		note_taken(exchange);
+		return false;
 	}
-	if (exchange->stage == STAGE_ANSWER)
-		return try_to_answer(exchange);
-	if (exchange->stage == STAGE_QUEUED)
-		return MHD_YES;
-	return on_whole_request(exchange);
+	return now_us(server) - exchange->taken_us >
+	       server->settings.caller_idle_us;
 }
 
-static void on_completed(void *arg, struct MHD_Connection *mhd, void **context,
-			 enum MHD_RequestTerminationCode code)
+static void drop_stuck(struct http_server *server)
 {
-	struct http_server *server = arg;
-	struct server_exchange *exchange = *context;
-	struct connection *connection;
+	struct server_conn *conn = server->conns;
 
-	if (!exchange)
-		return;
-	connection = exchange->connection;
-	pthread_mutex_lock(&server->lock);
-	unwatch(server, connection);
-	connection->exchange = NULL;
-	connection->read_deadline_us =
-		now_us() + server->settings.caller_idle_us;
-	pthread_mutex_unlock(&server->lock);
-	if (exchange->head_seen)
-		server->handler.closed(server->handler.arg, exchange);
-	answer_detach(&exchange->reader);
-	answer_unref(exchange->own);
-	buffer_free(&exchange->body);
-	free(exchange->target);
-	free(exchange);
-	*context = NULL;
+	while (conn) {
+		struct server_conn *next = conn->next;
+
+		if (conn->call && is_stuck(conn->call))
+			server_conn_abort(conn);
+		conn = next;
+	}
 }
 
-/* The server's lock is held. */
-static bool is_stuck(const struct connection *connection, int64_t now)
+static void on_tick(uv_timer_t *timer)
 {
-	struct server_exchange *exchange = connection->exchange;
-	int64_t idle_us = connection->server->settings.caller_idle_us;
+	struct http_server *server = timer->data;
 
-	if (connection->read_deadline_us)
-		return now > connection->read_deadline_us;
-	if (!exchange || answer_reader_is_parked(&exchange->reader))
-		return false;
-	return now - atomic_load(&exchange->last_read_us) > idle_us;
+	drop_stuck(server);
+	server->handler.tick(server->handler.arg);
 }
 
-/* The server's lock is held. Each shutdown() is an event of its own, so the
- * connection must not be watched any more. */
-static void cut_off(struct http_server *server, struct connection *connection)
-{
-	unwatch(server, connection);
-	if (connection->exchange)
-		abort_exchange(connection->exchange);
-	shutdown(connection->fd, SHUT_RDWR);
-}
+/* ---- the server ---- */
 
-static void drop_stuck(struct http_server *server)
+static void set_limits(struct http_server *server)
 {
-	struct connection *connection;
-	int64_t now = now_us();
+	const struct http_server_settings *settings = &server->settings;
 
-	pthread_mutex_lock(&server->lock);
-	LIST_FOREACH(connection, &server->connections, link)
-	{
-		if (!is_stuck(connection, now))
-			continue;
-		cut_off(server, connection);
-	}
-	pthread_mutex_unlock(&server->lock);
+	server->limits = (struct server_limits){
+		.head_bytes = settings->max_header_bytes,
+		.body_bytes = settings->max_body_bytes,
+		.head_ms = settings->caller_idle_us / TGW_US_PER_MS,
+		.idle_ms = settings->caller_idle_us / TGW_US_PER_MS,
+	};
 }
 
-static void abort_hung_up(struct http_server *server, uint64_t serial)
+static int listen_at(struct http_server *server,
+		     const union socket_address *address)
 {
-	struct connection *connection;
+	int fault = uv_tcp_bind(&server->listener, &address->any, 0);
 
-	pthread_mutex_lock(&server->lock);
-	LIST_FOREACH(connection, &server->connections, link)
-	{
-		if (connection->watch_serial == serial)
-			cut_off(server, connection);
-	}
-	pthread_mutex_unlock(&server->lock);
+	if (!fault)
+		fault = uv_listen((uv_stream_t *)&server->listener, BACKLOG,
+				  on_connection);
+	return fault;
 }
 
-static void *watch(void *arg)
+static void on_handle_closed(uv_handle_t *handle)
 {
-	struct http_server *server = arg;
-	int tick_ms = (int)(server->settings.tick_us / TGW_US_PER_MS);
-	int64_t next_tick_us = 0;
-
-	while (!atomic_load(&server->closing)) {
-		struct epoll_event events[WATCH_EVENTS];
-		int count = epoll_wait(server->epoll_fd, events, WATCH_EVENTS,
-				       tick_ms);
-
-		for (int i = 0; i < count; i++)
-			if (events[i].data.u64 != WAKE_SERIAL)
-				abort_hung_up(server, events[i].data.u64);
-		if (now_us() < next_tick_us)
-			continue;
-		next_tick_us = now_us() + server->settings.tick_us;
-		drop_stuck(server);
-		server->handler.tick(server->handler.arg);
-	}
-	return NULL;
+	server_unref(handle->data);
 }
 
-static struct MHD_Daemon *start_daemon(struct http_server *server,
-				       const union socket_address *address)
+static void close_handles(struct http_server *server)
 {
-	const struct http_server_settings *settings = &server->settings;
-	unsigned int flags = MHD_USE_EPOLL_INTERNAL_THREAD |
-			     MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-
-	if (address->any.sa_family == AF_INET6)
-		flags |= MHD_USE_IPv6;
-	return MHD_start_daemon(
-		flags, 0, NULL, NULL, on_access, server, MHD_OPTION_SOCK_ADDR,
-		&address->any, MHD_OPTION_THREAD_POOL_SIZE,
-		(unsigned int)settings->threads, MHD_OPTION_CONNECTION_LIMIT,
-		(unsigned int)settings->max_connections,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-		(size_t)(settings->max_header_bytes + POOL_EXTRA_BYTES),
-		MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
-		MHD_OPTION_URI_LOG_CALLBACK, on_request_line, server,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+	uv_close((uv_handle_t *)&server->listener, on_handle_closed);
+	uv_close((uv_handle_t *)&server->ticker, on_handle_closed);
 }
 
-static void watch_wake_fd(struct http_server *server)
+static void start_ticking(struct http_server *server)
 {
-	struct epoll_event event = {.events = EPOLLIN, .data.u64 = WAKE_SERIAL};
+	uint64_t tick_ms = (uint64_t)(server->settings.tick_us / TGW_US_PER_MS);
 
-	server->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-	server->wake_fd = eventfd(0, EFD_CLOEXEC);
-	epoll_ctl(server->epoll_fd, EPOLL_CTL_ADD, server->wake_fd, &event);
+	uv_timer_start(&server->ticker, on_tick, tick_ms, tick_ms);
 }
 
-struct http_server *http_server_new(const struct http_server_settings *settings,
+struct http_server *http_server_new(struct event_loop *loop,
+				    const struct http_server_settings *settings,
 				    const struct http_server_handler *handler,
 				    struct tgw_error *error)
 {
 	struct http_server *server;
 	union socket_address address;
+	int fault;
 
 	if (!socket_address_parse(settings->address, &address)) {
 		tgw_error_set(error, TGW_INVALID,
@@ -533,35 +448,38 @@
 		return NULL;
 	}
 	server = xcalloc(1, sizeof(*server));
+	server->loop = loop;
 	server->settings = *settings;
 	server->handler = *handler;
-	pthread_mutex_init(&server->lock, NULL);
-	watch_wake_fd(server);
-	server->daemon = start_daemon(server, &address);
-	if (!server->daemon) {
-		tgw_error_set(error, TGW_UNAVAILABLE,
-			      "can't listen on %s (%s); choose a free address "
-			      "of this host",
-			      settings->address, strerror(errno));
-		goto cleanup;
+	server->references = 2;
+	TAILQ_INIT(&server->pending);
+	set_limits(server);
+	uv_tcp_init(event_loop_uv(loop), &server->listener);
+	uv_timer_init(event_loop_uv(loop), &server->ticker);
+	server->listener.data = server;
+	server->ticker.data = server;
+	fault = listen_at(server, &address);
+	if (!fault) {
+		start_ticking(server);
+		return server;
 	}
-	if (pthread_create(&server->watcher, NULL, watch, server) != 0)
-		abort();
-	return server;
-cleanup:
-	close(server->epoll_fd);
-	close(server->wake_fd);
-	pthread_mutex_destroy(&server->lock);
-	free(server);
+	tgw_error_set(error, TGW_UNAVAILABLE,
+		      "can't listen on %s (%s); choose a free address of this "
+		      "host",
+		      settings->address, uv_strerror(fault));
+	close_handles(server);
 	return NULL;
 }
 
 uint16_t http_server_port(const struct http_server *server)
 {
-	const union MHD_DaemonInfo *info =
-		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+	union socket_address address;
+	int size = sizeof(address);
 
-	return info ? info->port : 0;
+	if (uv_tcp_getsockname(&server->listener, &address.any, &size) < 0)
+		return 0;
+	return ntohs(address.any.sa_family == AF_INET6 ? address.v6.sin6_port
+						       : address.v4.sin_port);
 }
 
 void http_server_stop_keeping_alive(struct http_server *server)
@@ -569,46 +487,14 @@
 	atomic_store(&server->stopping, true);
 }
 
-static bool abort_all(struct http_server *server)
-{
-	struct connection *connection;
-	bool any = false;
-
-	pthread_mutex_lock(&server->lock);
-	LIST_FOREACH(connection, &server->connections, link)
-	{
-		if (!connection->exchange)
-			continue;
-		abort_exchange(connection->exchange);
-		shutdown(connection->fd, SHUT_RDWR);
-		any = true;
-	}
-	pthread_mutex_unlock(&server->lock);
-	return any;
-}
-
 void http_server_free(struct http_server *server)
 {
-	uint64_t one = 1;
-	int listener;
-
 	if (!server)
 		return;
-	atomic_store(&server->closing, true);
-	if (write(server->wake_fd, &one, sizeof(one)) != sizeof(one))
-		abort();
-	pthread_join(server->watcher, NULL);
-	/* libmicrohttpd can't be stopped while a connection is suspended. */
-	listener = MHD_quiesce_daemon(server->daemon);
-	while (abort_all(server))
-		usleep(FREE_PATIENCE_US);
-	MHD_stop_daemon(server->daemon);
-	if (listener >= 0)
-		close(listener);
-	close(server->epoll_fd);
-	close(server->wake_fd);
-	pthread_mutex_destroy(&server->lock);
-	free(server);
+	server->is_full = false;
+	while (server->conns)
+		server_conn_abort(server->conns);
+	close_handles(server);
 }
 
 uint64_t http_server_bytes_sent(const struct http_server *server)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -1,7 +1,8 @@
 /**
  * @file http_server.h
- * The callers' HTTP interface on libmicrohttpd: a few threads, requests
- * suspended while they wait, and limits on everything that a caller sends.
+ * The callers' HTTP interface on the event loop, with limits on everything
+ * that a caller sends. All functions run on the loop's thread, unless they
+ * say otherwise.
  */
 #ifndef TRANSPORT_HTTP_SERVER_H
 #define TRANSPORT_HTTP_SERVER_H
@@ -12,6 +13,7 @@
 
 #include "tamarackgw/status.h"
 #include "transport/answer.h"
+#include "transport/event_loop.h"
 
 struct http_server;
 
@@ -20,7 +22,6 @@
 
 struct http_server_settings {
 	const char *address; /**< IP number and port; port 0 for any */
-	int64_t threads;
 	int64_t max_connections;
 	int64_t max_body_bytes;
 	int64_t max_header_bytes;
@@ -33,7 +34,7 @@
 
 struct http_server_handler {
 	/**
-	 * The head of a request came; runs on a request thread.
+	 * The head of a request came.
 	 * @return false when the answer was set: the body is not wanted
 	 */
 	bool (*head)(void *arg, struct server_exchange *exchange);
@@ -44,24 +45,26 @@
 	/** Comes once for each head(): the exchange is over, by an answer
 	 * or by a caller that went away. */
 	void (*closed)(void *arg, struct server_exchange *exchange);
-	/** Comes from time to time, on a thread of its own. */
+	/** Comes from time to time. */
 	void (*tick)(void *arg);
 	void *arg;
 };
 
 /** @return NULL with the error set when the address can't be had */
-struct http_server *http_server_new(const struct http_server_settings *settings,
+struct http_server *http_server_new(struct event_loop *loop,
+				    const struct http_server_settings *settings,
 				    const struct http_server_handler *handler,
 				    struct tgw_error *error);
 
 uint16_t http_server_port(const struct http_server *server);
 
-/** Connections are closed after their next answer from now on. */
+/** Connections are closed after their next answer from now on. Any thread. */
 void http_server_stop_keeping_alive(struct http_server *server);
 
 /** Cuts off what is open and releases all. */
 void http_server_free(struct http_server *server);
 
+/* Any thread. */
 uint64_t http_server_bytes_sent(const struct http_server *server);
 int64_t http_server_connections(const struct http_server *server);
 
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -239,6 +239,8 @@
 			keep_for_later(conn, data + used, size - used);
 		conn->events->request(conn);
 	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+		if (HTTP_PARSER_ERRNO(&conn->parser) == HPE_HEADER_OVERFLOW)
+			conn->refused_status = 431;
 		refuse_input(conn);
 	}
 }
--- a/src/transport/zmq_channel.c
+++ b/src/transport/zmq_channel.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <zmq.h>
 
 #include "base/xalloc.h"
 #include "protocol/peer_frame.h"
@@ -244,14 +245,21 @@
 	}
 }
 
-void zmq_channel_poll_items(struct zmq_channel *channel, zmq_pollitem_t *items)
+static int descriptor_of(void *socket)
 {
-	memset(items, 0, ZMQ_CHANNEL_POLL_ITEMS * sizeof(items[0]));
-	items[0].socket = channel->receiver;
-	items[0].events = ZMQ_POLLIN;
-	items[1].socket = zap_handler_socket(channel->zap);
-	items[1].fd = -1;
-	items[1].events = ZMQ_POLLIN;
+	int descriptor = -1;
+	size_t size = sizeof(descriptor);
+
+	if (socket && zmq_getsockopt(socket, ZMQ_FD, &descriptor, &size) != 0)
+		abort();
+	return descriptor;
+}
+
+void zmq_channel_descriptors(struct zmq_channel *channel,
+			     int descriptors[ZMQ_CHANNEL_DESCRIPTORS])
+{
+	descriptors[0] = descriptor_of(channel->receiver);
+	descriptors[1] = descriptor_of(zap_handler_socket(channel->zap));
 }
 
 static void hand_over(struct zmq_channel *channel, zmq_msg_t *head,
@@ -313,12 +321,13 @@
 	return count > 0;
 }
 
-void zmq_channel_receive(struct zmq_channel *channel)
+bool zmq_channel_receive(struct zmq_channel *channel)
 {
 	zap_handler_serve(channel->zap);
 	for (int i = 0; i < RECEIVE_BURST; i++)
 		if (!receive_one(channel))
-			return;
+			return false;
+	return true;
 }
 
 const struct zmq_channel_counters *zmq_channel_counters(
--- a/src/transport/zmq_channel.h
+++ b/src/transport/zmq_channel.h
@@ -7,14 +7,14 @@
 #ifndef TRANSPORT_ZMQ_CHANNEL_H
 #define TRANSPORT_ZMQ_CHANNEL_H
 
+#include <stdbool.h>
 #include <stdint.h>
-#include <zmq.h>
 
 #include "tamarackgw/host_view.h"
 #include "tamarackgw/peer.h"
 
 #define ZMQ_CHANNEL_KEY_SIZE 41
-#define ZMQ_CHANNEL_POLL_ITEMS 2
+#define ZMQ_CHANNEL_DESCRIPTORS 2
 
 /** The fleet's CURVE key pair in Z85; empty strings for no encryption. */
 struct zmq_channel_keys {
@@ -59,11 +59,14 @@
 void zmq_channel_set_hosts(struct zmq_channel *channel,
 			   const struct tgw_host_view *view);
 
-/** What to poll for. @param items room for ZMQ_CHANNEL_POLL_ITEMS */
-void zmq_channel_poll_items(struct zmq_channel *channel, zmq_pollitem_t *items);
+/** What to wait for (or -1) until it becomes readable. Only the change is told:
+ * once it came, zmq_channel_receive() has to be called until nothing is left.
+ */
+void zmq_channel_descriptors(struct zmq_channel *channel,
+			     int descriptors[ZMQ_CHANNEL_DESCRIPTORS]);
 
-/** Hands over all that came in. */
-void zmq_channel_receive(struct zmq_channel *channel);
+/** Hands over what came in. @return whether more may be left */
+bool zmq_channel_receive(struct zmq_channel *channel);
 
 const struct zmq_channel_counters *zmq_channel_counters(
 	const struct zmq_channel *channel);
--- a/tests/cram/settings.t
+++ b/tests/cram/settings.t
@@ -9,8 +9,8 @@
 Each fault names the file, the line, the key and the remedy:
 
   $ try() { { base; cat; } >bad.ini; tamarackgwd --check bad.ini; echo "exit $?"; }
-  $ printf '[limits]\nrequest_threads=0\n' | try
-  tamarackgwd: bad.ini:10: [limits] request_threads: '0' is not a number from 1 to 64; correct it or leave the key out for 4
+  $ printf '[limits]\nmax_connections=0\n' | try
+  tamarackgwd: bad.ini:10: [limits] max_connections: '0' is not a number from 1 to 100000; correct it or leave the key out for 4096
   exit 2
   $ printf '[limits]\nmax_body_bytes=4k\n' | try
   tamarackgwd: bad.ini:10: [limits] max_body_bytes: '4k' is not a number from 1024 to 67108864; correct it or leave the key out for 4194304
--- a/tests/fakes/agents/gateway_rig.c
+++ b/tests/fakes/agents/gateway_rig.c
@@ -35,30 +35,11 @@
 static const struct tgw_clock_ops clock_ops = {.monotonic_us = monotonic_us,
 					       .wall_us = wall_us};
 
-static void wake(void *arg)
+static void *run_loop(void *arg)
 {
 	struct gateway_rig *rig = arg;
 
-	pthread_mutex_lock(&rig->lock);
-	rig->woken = true;
-	pthread_cond_signal(&rig->posted);
-	pthread_mutex_unlock(&rig->lock);
-}
-
-static void *coordinate(void *arg)
-{
-	struct gateway_rig *rig = arg;
-	bool closing = false;
-
-	while (!closing) {
-		pthread_mutex_lock(&rig->lock);
-		while (!rig->woken && !rig->closing)
-			pthread_cond_wait(&rig->posted, &rig->lock);
-		rig->woken = false;
-		closing = rig->closing;
-		pthread_mutex_unlock(&rig->lock);
-		mailbox_run(rig->mailbox);
-	}
+	event_loop_run_until(rig->loop, &rig->is_done);
 	return NULL;
 }
 
@@ -67,7 +48,6 @@
 	memset(settings, 0, sizeof(*settings));
 	snprintf(settings->caller_address, sizeof(settings->caller_address),
 		 "127.0.0.1:0");
-	settings->request_threads = 2;
 	settings->max_connections = 64;
 	settings->max_open_requests = 16;
 	settings->max_body_bytes = 64 * 1024;
@@ -154,39 +134,41 @@
 
 void gateway_rig_start(struct gateway_rig *rig)
 {
-	struct curl_client_settings client = curl_client_settings_default();
-
+	struct loop_client_settings client = loop_client_settings_default();
 	struct gateway_pages no_pages = {0};
 	struct tgw_error error;
 
-	pthread_mutex_init(&rig->lock, NULL);
-	pthread_cond_init(&rig->posted, NULL);
+	rig->is_done = false;
 	rig->clock.ops = &clock_ops;
-	rig->mailbox = mailbox_new(wake, rig);
-	rig->client = curl_client_new(&client);
+	rig->loop = event_loop_new();
+	rig->client = loop_client_new(rig->loop, &client);
 	rig->runtime.settings = &rig->settings;
 	rig->runtime.clock = &rig->clock;
-	rig->runtime.coordination = mailbox_executor(rig->mailbox);
-	rig->runtime.backend_http = curl_client_sender(rig->client);
+	rig->runtime.loop = rig->loop;
+	rig->runtime.coordination = event_loop_executor(rig->loop);
+	rig->runtime.backend_http = loop_client_sender(rig->client);
 	rig->runtime.config = &rig->config;
 	rig->gateway = gateway_new(&rig->runtime, no_pages, &error);
 	if (!rig->gateway)
 		abort();
-	pthread_create(&rig->thread, NULL, coordinate, rig);
+	pthread_create(&rig->thread, NULL, run_loop, rig);
 }
 
-void gateway_rig_stop(struct gateway_rig *rig)
+/* On the loop. */
+static void run_stop(void *arg)
 {
+	struct gateway_rig *rig = arg;
+
 	gateway_free(rig->gateway);
-	curl_client_free(rig->client);
-	pthread_mutex_lock(&rig->lock);
-	rig->closing = true;
-	pthread_cond_signal(&rig->posted);
-	pthread_mutex_unlock(&rig->lock);
+	loop_client_free(rig->client);
+	rig->is_done = true;
+}
+
+void gateway_rig_stop(struct gateway_rig *rig)
+{
+	executor_post(event_loop_executor(rig->loop), run_stop, rig);
 	pthread_join(rig->thread, NULL);
-	while (mailbox_run(rig->mailbox))
-		continue;
-	mailbox_free(rig->mailbox);
+	event_loop_free(rig->loop);
 	for (int i = 0; i < RIG_ENGINES; i++)
 		fake_backend_stop(&rig->engines[i]);
 	fake_backend_stop(&rig->booking);
--- a/tests/fakes/agents/gateway_rig.h
+++ b/tests/fakes/agents/gateway_rig.h
@@ -10,8 +10,8 @@
 #include "daemon/gateway.h"
 #include "fakes/agents/fake_agents.h"
 #include "fakes/agents/fake_backend.h"
-#include "transport/curl_client.h"
-#include "transport/mailbox.h"
+#include "transport/event_loop.h"
+#include "transport/loop_client.h"
 
 #define RIG_ENGINES 2
 #define RIG_MODEL "m"
@@ -30,14 +30,11 @@
 	struct tgw_config_snapshot config;
 	struct fake_backend engines[RIG_ENGINES];
 	struct fake_backend booking;
-	struct curl_client *client;
+	struct event_loop *loop;
+	struct loop_client *client;
 	struct gateway *gateway;
-	struct mailbox *mailbox;
-	pthread_t thread;
-	pthread_mutex_t lock;
-	pthread_cond_t posted;
-	bool woken;
-	bool closing;
+	pthread_t thread; /**< runs the loop */
+	bool is_done;	  /**< on that thread */
 };
 
 /** Fills in everything; settings may then be changed before the start. */
--- a/tests/unit/test_curl_client.c
+++ b/tests/unit/test_loop_client.c
@@ -1,4 +1,4 @@
-#include "transport/curl_client.h"
+#include "transport/loop_client.h"
 
 #include <arpa/inet.h>
 #include <pthread.h>
@@ -23,18 +23,18 @@
 };
 
 struct reply {
-	pthread_mutex_t lock;
-	pthread_cond_t changed;
 	struct buffer body;
 	int32_t status;
 	int pauses_left;
 	int paused;
+	bool told; /* anything came, since it was last waited for */
 	bool ended;
 	enum http_outcome outcome;
 };
 
 static struct server server;
-static struct curl_client *client;
+static struct event_loop *loop;
+static struct loop_client *client;
 static struct reply reply;
 
 static void send_text(int fd, const char *text)
@@ -119,21 +119,21 @@
 	getsockname(server.listener, (struct sockaddr *)&address, &size);
 	server.port = ntohs(address.sin_port);
 	pthread_create(&server.thread, NULL, serve, NULL);
-	pthread_mutex_init(&reply.lock, NULL);
-	pthread_cond_init(&reply.changed, NULL);
 }
 
 static void setup(void)
 {
-	struct curl_client_settings settings = curl_client_settings_default();
+	struct loop_client_settings settings = loop_client_settings_default();
 
 	start_server();
-	client = curl_client_new(&settings);
+	loop = event_loop_new();
+	client = loop_client_new(loop, &settings);
 }
 
 static void teardown(void)
 {
-	curl_client_free(client);
+	loop_client_free(client);
+	event_loop_free(loop);
 	shutdown(server.listener, SHUT_RDWR);
 	pthread_join(server.thread, NULL);
 	close(server.listener);
@@ -149,7 +149,6 @@
 {
 	bool taken = true;
 
-	pthread_mutex_lock(&reply.lock);
 	if (reply.pauses_left > 0) {
 		reply.pauses_left--;
 		reply.paused++;
@@ -157,18 +156,15 @@
 	} else {
 		buffer_add(&reply.body, data, size);
 	}
-	pthread_cond_broadcast(&reply.changed);
-	pthread_mutex_unlock(&reply.lock);
+	reply.told = true;
 	return taken;
 }
 
 static void on_ended(void *arg, enum http_outcome outcome, const char *message)
 {
-	pthread_mutex_lock(&reply.lock);
+	reply.told = true;
 	reply.ended = true;
 	reply.outcome = outcome;
-	pthread_cond_broadcast(&reply.changed);
-	pthread_mutex_unlock(&reply.lock);
 }
 
 static struct http_exchange *start(const char *path, uint16_t port,
@@ -185,17 +181,14 @@
 	reply.status = 0;
 	request.method = request.body ? "POST" : "GET";
 	request.url = url;
-	exchange = http_start(curl_client_sender(client), &request, handler);
+	exchange = http_start(loop_client_sender(client), &request, handler);
 	free(url);
 	return exchange;
 }
 
 static enum http_outcome wait_for_end(void)
 {
-	pthread_mutex_lock(&reply.lock);
-	while (!reply.ended)
-		pthread_cond_wait(&reply.changed, &reply.lock);
-	pthread_mutex_unlock(&reply.lock);
+	event_loop_run_until(loop, &reply.ended);
 	return reply.outcome;
 }
 
@@ -271,12 +264,12 @@
 	reply.pauses_left = PAUSES;
 	exchange = start("/whole", server.port, &request);
 	for (int i = 1; i <= PAUSES; i++) {
-		pthread_mutex_lock(&reply.lock);
-		while (reply.paused < i)
-			pthread_cond_wait(&reply.changed, &reply.lock);
+		while (reply.paused < i) {
+			reply.told = false;
+			event_loop_run_until(loop, &reply.told);
+		}
 		ck_assert(!reply.ended);
-		pthread_mutex_unlock(&reply.lock);
-		http_resume(curl_client_sender(client), exchange);
+		http_resume(loop_client_sender(client), exchange);
 	}
 	ck_assert_int_eq(wait_for_end(), HTTP_COMPLETE);
 	ck_assert_str_eq(reply.body.data, "whole");
@@ -289,10 +282,10 @@
 	struct http_exchange *exchange =
 		start("/silent", server.port, &request);
 
-	http_cancel(curl_client_sender(client), exchange);
+	http_cancel(loop_client_sender(client), exchange);
 	ck_assert_int_eq(wait_for_end(), HTTP_WAS_CANCELLED);
 	start("/silent", server.port, &request);
-	curl_client_free(client);
+	loop_client_free(client);
 	client = NULL;
 	ck_assert_int_eq(wait_for_end(), HTTP_WAS_CANCELLED);
 }
@@ -300,7 +293,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("curl_client");
+	Suite *suite = suite_create("loop_client");
 	TCase *tcase = tcase_create("exchanges");
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
--- a/tests/unit/test_zmq_channel.c
+++ b/tests/unit/test_zmq_channel.c
@@ -2,6 +2,7 @@
 #include <poll.h>
 #include <stdio.h>
 #include <string.h>
+#include <zmq.h>
 
 #include "protocol/peer_frame.h"
 #include "transport/zmq_channel.h"
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -17,7 +17,7 @@
 	>$dir.cmake.log 2>&1 || { cat $dir.cmake.log >&2; exit 1; }
 mv $dir.cmake.log $dir/cmake.log
 ninja -C $dir --quiet libtamarackgw.a libtgw_net.a
-modules="apr-1 msgpack libsodium libxxhash inih libzmq libmicrohttpd libcurl jansson liburcu liburcu-memb log4c"
+modules="apr-1 msgpack libsodium libxxhash inih libzmq libmicrohttpd jansson liburcu liburcu-memb log4c"
 status=0
 for target in $targets; do
 	clang -g -O1 -fsanitize=fuzzer,address -D_GNU_SOURCE -Iinclude -Isrc \
--- a/tools/run-tsan.sh
+++ b/tools/run-tsan.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 build=${1:-build-tsan}
 status=0
-for test in test_answer test_curl_client test_gateway_limits \
+for test in test_answer test_loop_client test_gateway_limits \
 	test_gateway_path test_gateway_services test_gateway_streams \
 	test_http_server; do
 	if timeout 300 "$build/tests/$test" >"$build/$test.log" 2>&1; then
