Write small chunks in one piece; find line ends by memchr

Cause looked for: at ten times a host's share the one thread is busy at 0.9 of a core and tokens queue in bursts (rounds of 60 ms by a trace of the loop; no agent's tick took 2 ms). By perf 61 in 100 of that is the kernel's: 31 the send with its delivery on loopback, 25 the receive, 5 epoll; that alone is 0.55 of a core, so half a core is not reached with a receive and a send for each token.

--- a/src/daemon/model_stream.c
+++ b/src/daemon/model_stream.c
@@ -92,14 +92,15 @@
 /* A line break in an event is white space between JSON tokens. */
 static void add_event(struct buffer *text, const char *data, size_t size)
 {
-	size_t at;
+	char *at;
+	char *end;
 
 	buffer_add_text(text, "data: ");
-	at = text->size;
 	buffer_add(text, data, size);
-	for (size_t i = at; i < text->size; i++)
-		if (text->data[i] == '\n')
-			text->data[i] = ' ';
+	end = text->data + text->size;
+	at = end - size;
+	while ((at = memchr(at, '\n', (size_t)(end - at))))
+		*at = ' ';
 	buffer_add_text(text, "\n\n");
 }
 
--- a/src/protocol/sse_parser.c
+++ b/src/protocol/sse_parser.c
@@ -77,11 +77,12 @@
 
 static size_t plain_size(const char *bytes, size_t size)
 {
-	size_t n = 0;
+	const char *end = memchr(bytes, '\n', size);
 
-	while (n < size && bytes[n] != '\n' && bytes[n] != '\r')
-		n++;
-	return n;
+	if (end)
+		size = (size_t)(end - bytes);
+	end = memchr(bytes, '\r', size);
+	return end ? (size_t)(end - bytes) : size;
 }
 
 enum sse_result sse_parser_feed(struct sse_parser *parser, const char *bytes,
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -16,6 +16,7 @@
 #define UNWRITTEN_MAX_BYTES (128 * 1024)
 #define READ_SIZE_BYTES (64 * 1024)
 #define CHUNK_HEAD_SIZE 24
+#define SMALL_CHUNK_BYTES 2048
 /* After an answer to a request that was not read whole, what still comes is
  * dropped for this long: a reset could overtake the answer. */
 #define LINGER_MS 1000
@@ -396,22 +397,49 @@
 	buffer_free(&head);
 }
 
+static unsigned int write_chunk_head(char *text, size_t size)
+{
+	return (unsigned int)snprintf(text, CHUNK_HEAD_SIZE, "%zx\r\n", size);
+}
+
+static void write_chunk(struct server_conn *conn, const char *data, size_t size)
+{
+	char head[CHUNK_HEAD_SIZE];
+	uv_buf_t parts[] = {
+		uv_buf_init(head, write_chunk_head(head, size)),
+		uv_buf_init((char *)data, (unsigned int)size),
+		uv_buf_init("\r\n", 2),
+	};
+
+	write_parts(conn, parts, 3);
+}
+
+/* Copying a little costs less than a write of several parts. */
+static void write_small_chunk(struct server_conn *conn, const char *data,
+			      size_t size)
+{
+	char chunk[CHUNK_HEAD_SIZE + SMALL_CHUNK_BYTES + 2];
+	unsigned int length = write_chunk_head(chunk, size);
+	uv_buf_t part;
+
+	memcpy(chunk + length, data, size);
+	memcpy(chunk + length + size, "\r\n", 2);
+	part = uv_buf_init(chunk, length + (unsigned int)size + 2);
+	write_parts(conn, &part, 1);
+}
+
 bool server_conn_body(struct server_conn *conn, const char *data, size_t size)
 {
-	char chunk_head[CHUNK_HEAD_SIZE];
-	uv_buf_t parts[3];
-	int length;
+	uv_buf_t part = uv_buf_init((char *)data, (unsigned int)size);
 
 	if (!size || conn->head_method || conn->state == SERVER_CONN_CLOSING)
 		return true;
-	length = snprintf(chunk_head, sizeof(chunk_head), "%zx\r\n", size);
-	parts[0] = uv_buf_init(chunk_head, (unsigned int)length);
-	parts[1] = uv_buf_init((char *)data, (unsigned int)size);
-	parts[2] = uv_buf_init("\r\n", 2);
-	if (conn->chunked)
-		write_parts(conn, parts, 3);
+	if (!conn->chunked)
+		write_parts(conn, &part, 1);
+	else if (size <= SMALL_CHUNK_BYTES)
+		write_small_chunk(conn, data, size);
 	else
-		write_parts(conn, &parts[1], 1);
+		write_chunk(conn, data, size);
 	return server_conn_unwritten(conn) <= UNWRITTEN_MAX_BYTES;
 }
 
