--- a/include/tamarackgw/config_snapshot.h
+++ b/include/tamarackgw/config_snapshot.h
@@ -1,7 +1,7 @@
 /**
  * @file config_snapshot.h
  * The configuration in force at a host: an immutable, versioned value that
- * request threads read under read-copy-update.
+ * the callers' side reads under read-copy-update.
  */
 #ifndef TAMARACKGW_CONFIG_SNAPSHOT_H
 #define TAMARACKGW_CONFIG_SNAPSHOT_H
--- a/src/daemon/call.h
+++ b/src/daemon/call.h
@@ -92,7 +92,7 @@
 
 int64_t gateway_core_now_us(const struct gateway_core *core);
 
-/** Fills in a call. Runs on a request thread, before anything else. */
+/** Fills in a call, before anything else. */
 void call_init(struct call *call, const struct call_ops *ops,
 	       struct gateway_core *core, const struct tgw_team *team,
 	       const char *caller_key);
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -12,7 +12,7 @@
 
 /** Answers operators' and the platform's requests on the caller address. */
 struct gateway_pages {
-	/** Fills in the answer. Runs on a request thread.
+	/** Fills in the answer.
 	 * @return the HTTP status, 0 when the path is not one of these */
 	int32_t (*serve)(void *arg, const char *method, const char *path,
 			 const char *authorization, const char *body,
--- a/src/daemon/model_call.h
+++ b/src/daemon/model_call.h
@@ -8,7 +8,7 @@
 #include "daemon/call.h"
 #include "protocol/chat_request.h"
 
-/** What the request thread found out about a request. */
+/** What a request's head and body say. */
 struct model_call_input {
 	const struct tgw_team *team;
 	const char *caller_key; /**< NULL for none */
--- a/src/daemon/service_call.h
+++ b/src/daemon/service_call.h
@@ -8,7 +8,7 @@
 
 #include "daemon/call.h"
 
-/** What the request thread found out about a request. Copied. */
+/** What a request's head and body say. Copied. */
 struct service_call_input {
 	const struct tgw_team *team;
 	const struct tgw_service *service;
--- a/src/state/config_builder.h
+++ b/src/state/config_builder.h
@@ -1,6 +1,6 @@
 /**
  * @file config_builder.h
- * Makes the immutable snapshot that request threads read out of a set of
+ * Makes the immutable snapshot that the callers' side reads out of a set of
  * objects.
  */
 #ifndef STATE_CONFIG_BUILDER_H
--- a/src/state/config_rules.c
+++ b/src/state/config_rules.c
@@ -130,8 +130,7 @@
 {
 	size_t length = strlen(url);
 
-	return (!strncmp(url, "http://", 7) || !strncmp(url, "https://", 8)) &&
-	       url[length - 1] != '/';
+	return !strncmp(url, "http://", 7) && url[length - 1] != '/';
 }
 
 static enum tgw_status check_server(const struct tgw_server *server,
