--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -380,12 +380,13 @@
 	length = strcspn(at, "/?#");
 	if (!length || length >= HOST_SIZE)
 		return NULL;
-	snprintf(authority, AUTHORITY_SIZE, "%.*s", (int)length, at);
-	colon = strrchr(authority, ':');
-	if (!colon || strchr(colon, ']'))
-		strcat(authority, ":" HTTP_PORT);
-	else if (strlen(colon + 1) >= PORT_SIZE)
+	colon = memrchr(at, ':', length);
+	if (colon && memchr(colon, ']', (size_t)(at + length - colon)))
+		colon = NULL; /* within an IPv6 number */
+	if (colon && (size_t)(at + length - colon) > PORT_SIZE)
 		return NULL;
+	snprintf(authority, AUTHORITY_SIZE, "%.*s%s", (int)length, at,
+		 colon ? "" : ":" HTTP_PORT);
 	return at[length] ? at + length : "/";
 }
 
@@ -527,12 +528,17 @@
 
 void loop_client_free(struct loop_client *client)
 {
+	struct server *server;
+	struct server *next;
+
 	if (!client)
 		return;
 	while (!LIST_EMPTY(&client->exchanges))
 		end(LIST_FIRST(&client->exchanges), HTTP_WAS_CANCELLED,
 		    "the client was stopped");
-	while (!LIST_EMPTY(&client->servers))
-		forget(LIST_FIRST(&client->servers));
+	for (server = LIST_FIRST(&client->servers); server; server = next) {
+		next = LIST_NEXT(server, link);
+		forget(server);
+	}
 	uv_close((uv_handle_t *)&client->trimming, on_closed);
 }
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -414,16 +414,18 @@
 	write_parts(conn, parts, 3);
 }
 
+static const char line_end[] = {'\r', '\n'};
+
 /* Copying a little costs less than a write of several parts. */
 static void write_small_chunk(struct server_conn *conn, const char *data,
 			      size_t size)
 {
-	char chunk[CHUNK_HEAD_SIZE + SMALL_CHUNK_BYTES + 2];
+	char chunk[CHUNK_HEAD_SIZE + SMALL_CHUNK_BYTES + sizeof(line_end)];
 	unsigned int length = write_chunk_head(chunk, size);
 	uv_buf_t part;
 
 	memcpy(chunk + length, data, size);
-	memcpy(chunk + length + size, "\r\n", 2);
+	memcpy(chunk + length + size, line_end, sizeof(line_end));
 	part = uv_buf_init(chunk, length + (unsigned int)size + 2);
 	write_parts(conn, &part, 1);
 }
