--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -92,6 +92,20 @@
 	buffer_free(&body);
 }
 
+/* Refuses a request before anything is decided that a call would hold. */
+static void refuse_early(struct edge *edge, struct server_conn *conn,
+			 const struct call_terms *terms, int status,
+			 int64_t retry_after_ms, const char *reason)
+{
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "call", "refused",
+		      "request=%s team= route= status=%d reason=\"%s\" "
+		      "attempts=0 may_have_run=0 events=0 retry_after_ms=%lld "
+		      "age_ms=0 caller=done",
+		      terms->id, status, reason, (long long)retry_after_ms);
+	edge->counters.refused++;
+	answer_refusal(edge, conn, status, retry_after_ms, reason);
+}
+
 static void log_refusal(struct call *call, int status, int64_t retry_after_ms,
 			const char *reason)
 {
@@ -297,29 +311,30 @@
 	int team = -1;
 
 	edge->counters.requests++;
+	edge->sources.dialect->read_request(&conn->request.head, &terms);
 	if (!set) {
-		answer_refusal(edge, conn, 503, RETRY_CONFIG_MS,
-			       "no configuration is known here yet");
+		refuse_early(edge, conn, &terms, 503, RETRY_CONFIG_MS,
+			     "no configuration is known here yet");
 		return;
 	}
 	route = find_route(set, &conn->request);
 	if (!route) {
-		answer_refusal(edge, conn, 404, 0, "no route leads there");
+		refuse_early(edge, conn, &terms, 404, 0,
+			     "no route leads there");
 		return;
 	}
-	edge->sources.dialect->read_request(&conn->request.head, &terms);
 	if (set->needs_keys && !route->is_public) {
 		team = route_set_team_of_key(set, terms.key);
 		if (team < 0) {
-			answer_refusal(edge, conn, 401, 0,
-				       "the API key is not known");
+			refuse_early(edge, conn, &terms, 401, 0,
+				     "the API key is not known");
 			return;
 		}
 	}
 	service = route_choose_service(route, tgw_random_u64(&edge->random));
 	if (service < 0) {
-		answer_refusal(edge, conn, 503, RETRY_CONFIG_MS,
-			       "the route leads to no service");
+		refuse_early(edge, conn, &terms, 503, RETRY_CONFIG_MS,
+			     "the route leads to no service");
 		return;
 	}
 	call = new_call(edge, conn);
@@ -337,8 +352,23 @@
 	reserve_and_dispatch(call);
 }
 
+static void log_caller_left(const struct call *call)
+{
+	edge_log_line(
+		&call->edge->log, EDGE_LOG_DETAIL, "call", "caller_left",
+		"request=%s team=%s route=%s server=%s attempts=%u sent=%d "
+		"events=%llu age_ms=%lld",
+		call->terms.id, call->team, call->route.name,
+		call->backend ? call->backend->entry.id : "", call->sent_count,
+		call->conn && call->conn->sent,
+		(unsigned long long)call->events_sent,
+		(long long)((edge_now_us() - call->arrived_us) /
+			    TGW_US_PER_MS));
+}
+
 void call_caller_gone(struct call *call)
 {
+	log_caller_left(call);
 	call->caller->call = NULL;
 	call->caller = NULL;
 	call->edge->counters.caller_left++;
