--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -32,6 +32,10 @@
 	/** An allotment changed, or the store answered: requests that wait
 	 * for tokens may try again. */
 	void (*changed)(void *arg);
+	/** A call of the store failed; it is made again. May be NULL.
+	 * @param call "read" or "write" */
+	void (*failed)(void *arg, const char *call, enum tgw_status status,
+		       const char *message);
 	/** All allotments were given back, or could not be. */
 	void (*closed)(void *arg);
 	void *arg;
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -226,6 +226,15 @@
 	key->owner->events.changed(key->owner->events.arg);
 }
 
+static void tell_failed(const struct team_budget_key *key, const char *call,
+			enum tgw_status status, const char *message)
+{
+	const struct team_budget_events *events = &key->owner->events;
+
+	if (events->failed)
+		events->failed(events->arg, call, status, message);
+}
+
 static void settle_down(struct team_budget_key *key)
 {
 	key->pause_us = 0;
@@ -251,6 +260,7 @@
 	if (status == TGW_OK)
 		status = ledger_bucket_check(&ledger, &error);
 	if (status != TGW_OK) {
+		tell_failed(key, "read", status, error.message);
 		ledger_bucket_clear(&ledger);
 		return false;
 	}
@@ -280,10 +290,12 @@
 {
 	struct team_budget_key *key = arg;
 
-	if (result->status == TGW_OK && result->entry_count == 1)
+	if (result->status == TGW_OK && result->entry_count == 1) {
 		continue_with(key, &result->entries[0]);
-	else
-		pause_after_failure(key);
+		return;
+	}
+	tell_failed(key, "read", result->status, result->message);
+	pause_after_failure(key);
 }
 
 void team_budget_key_go_on(struct team_budget_key *key)
@@ -362,10 +374,12 @@
 		on_conflict(key, &result->entries[0]);
 		return;
 	case TGW_UNAVAILABLE:
+		tell_failed(key, "write", result->status, result->message);
 		forget_lower_allotments(key);
 		pause_after_failure(key);
 		return;
 	default:
+		tell_failed(key, "write", result->status, result->message);
 		key->unresolved_at = key->version;
 		pause_after_failure(key);
 		return;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -143,6 +143,16 @@
 	call_retry_waiting(arg);
 }
 
+static void on_budget_call_failed(void *arg, const char *call,
+				  enum tgw_status status, const char *message)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "budget", "call_failed",
+		      "call=%s status=%s reason=\"%s\"", call,
+		      tgw_status_name(status), message);
+}
+
 static void on_budgets_closed(void *arg)
 {
 	struct edge *edge = arg;
@@ -330,6 +340,7 @@
 	};
 	struct team_budget_events budget_events = {
 		.changed = on_budget_changed,
+		.failed = on_budget_call_failed,
 		.closed = on_budgets_closed,
 		.arg = edge,
 	};
--- a/tests/unit/test_team_budget.c
+++ b/tests/unit/test_team_budget.c
@@ -23,6 +23,7 @@
 	size_t open_count;
 	bool closed;
 	int changes;
+	int failures; /* calls of the store that were told to have failed */
 };
 
 static struct fake_world world;
@@ -36,6 +37,12 @@
 	((struct host *)arg)->changes++;
 }
 
+static void on_failed(void *arg, const char *call, enum tgw_status status,
+		      const char *message)
+{
+	((struct host *)arg)->failures++;
+}
+
 static void on_closed(void *arg)
 {
 	((struct host *)arg)->closed = true;
@@ -49,7 +56,12 @@
 			   .hold_part = 0.9,
 			   .host_count = HOSTS},
 	};
-	struct team_budget_events events = {on_changed, on_closed, host};
+	struct team_budget_events events = {
+		.changed = on_changed,
+		.failed = on_failed,
+		.closed = on_closed,
+		.arg = host,
+	};
 
 	snprintf(settings.host, sizeof(settings.host), "host-%d",
 		 (int)(host - hosts));
@@ -178,7 +190,9 @@
 
 	advance(5 * TGW_US_PER_S);
 	fake_store_set_cut(&hosts[0].store, true);
+	ck_assert_int_eq(hosts[0].failures, 0);
 	advance(5 * TGW_US_PER_S);
+	ck_assert_int_gt(hosts[0].failures, 0);
 	limit = limit_of(&hosts[0]);
 	while (open_request(&hosts[0], 500) == TGW_OK) {
 		end_request(&hosts[0], 500);
