--- a/src/coordination/budget_entry.c
+++ b/src/coordination/budget_entry.c
@@ -1,4 +1,4 @@
-#include "coordination/budget_entry.h"
+#include "coordination/budget_entry_private.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -6,67 +6,16 @@
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/budget_choice.h"
-#include "coordination/budget_claims.h"
 #include "coordination/budget_holder.h"
 #include "coordination/budget_settle_queue.h"
 
 /* A holder is asked this many times before its answer is given up. */
 #define ASK_TRIES 5
 #define BUSY_RETRY_US BUDGET_MS(50)
-#define ASKED_MAX 3
-/* Holders that are asked for one request until it is refused. */
-#define REFUSED_MAX 4
 /* Once all refused, only the first holder is asked for this long. */
 #define NONE_ELSEWHERE_US BUDGET_S(1)
 #define CANCELLED_RETRY_US BUDGET_S(1)
 
-enum entry_state {
-	ENTRY_ASKING,
-	ENTRY_OPEN,
-	ENTRY_DONE,
-};
-
-/** A holder that may have granted. */
-struct asked_holder {
-	struct budget_peer *peer;
-	uint64_t incarnation;
-};
-
-struct entry_caller {
-	struct entry_caller *next;
-	struct tgw_budget_callback callback;
-};
-
-/** A request as its entry host knows it. */
-struct entry_request {
-	struct tgw_request_key key; /**< first member */
-	struct entry_request *next_asking;
-	struct entry_request *next_done;
-	char *budget;
-	int64_t bound_tokens;
-	int64_t spent_tokens;
-	int64_t earlier_tokens; /**< used by a run that was cut off */
-	enum entry_state state;
-	enum tgw_settle_basis basis;
-	bool is_owner;
-	bool is_queued; /**< among those done */
-	uint64_t request_id;
-	uint64_t line;
-	struct asked_holder holder; /**< that granted */
-	struct budget_peer *registered_at;
-	size_t asked_count;
-	struct asked_holder asked[ASKED_MAX];
-	size_t refused_count;
-	struct budget_peer *refused[REFUSED_MAX];
-	enum tgw_status refusal; /**< of the domain's first holder */
-	int64_t refusal_retry_us;
-	struct entry_caller *callers; /**< wait for the answer */
-	uint32_t users;		      /**< run under the reservation */
-	int64_t deadline_us;
-	int64_t retry_us;
-	int64_t done_us;
-};
-
 /** An answer that waits for the next tick. */
 struct entry_answer {
 	struct entry_answer *next;
@@ -117,18 +66,6 @@
 	}
 }
 
-static void queue_done(struct tgw_budget_agent *agent,
-		       struct entry_request *entry)
-{
-	entry->done_us = budget_now_us(agent);
-	if (entry->is_queued)
-		return;
-	entry->is_queued = true;
-	entry->next_done = NULL;
-	*agent->done_end = entry;
-	agent->done_end = &entry->next_done;
-}
-
 static void leave_asking(struct tgw_budget_agent *agent,
 			 const struct entry_request *entry)
 {
@@ -139,23 +76,6 @@
 	*link = entry->next_asking;
 }
 
-static struct settle_order *make_order(const struct entry_request *entry,
-				       const struct asked_holder *holder,
-				       enum tgw_settle_basis basis)
-{
-	struct settle_order *order = xcalloc(1, sizeof(*order));
-
-	order->key = entry->key;
-	text_copy(order->budget, TGW_NAME_SIZE, entry->budget);
-	order->request_id = entry->request_id;
-	order->holder_incarnation = holder->incarnation;
-	order->bound_tokens = entry->bound_tokens;
-	order->spent_tokens = basis == TGW_SETTLE_NOT_RUN ? 0
-							  : entry->spent_tokens;
-	order->basis = basis;
-	return order;
-}
-
 /* A holder whose answer did not count may have granted all the same. */
 static void cancel_others(struct tgw_budget_agent *agent,
 			  struct entry_request *entry,
@@ -163,10 +83,10 @@
 {
 	for (size_t i = 0; i < entry->asked_count; i++)
 		if (entry->asked[i].peer != granted)
-			budget_settle_queue_add(agent, entry->asked[i].peer,
-						make_order(entry,
-							   &entry->asked[i],
-							   TGW_SETTLE_NOT_RUN));
+			budget_settle_queue_add(
+				agent, entry->asked[i].peer,
+				budget_entry_make_order(entry, &entry->asked[i],
+							TGW_SETTLE_NOT_RUN));
 }
 
 static void answer_callers(struct tgw_budget_agent *agent,
@@ -199,7 +119,7 @@
 	entry->state = ENTRY_DONE;
 	entry->basis = TGW_SETTLE_NOT_RUN;
 	entry->spent_tokens = 0;
-	queue_done(agent, entry);
+	budget_entry_queue_done(agent, entry);
 	answer_callers(agent, entry, &answer);
 }
 
@@ -386,7 +306,7 @@
 		entry->state = ENTRY_DONE;
 		entry->basis = TGW_SETTLE_USAGE;
 		entry->spent_tokens = item->tokens;
-		queue_done(agent, entry);
+		budget_entry_queue_done(agent, entry);
 	} else {
 		agent->open_entries++;
 	}
@@ -430,37 +350,6 @@
 	end_refused(agent, entry, entry->refusal, entry->refusal_retry_us);
 }
 
-static bool uses(const struct entry_request *entry,
-		 const struct asked_holder *holder,
-		 const struct budget_message_item *item)
-{
-	return entry && entry->request_id == item->id &&
-	       entry->state == ENTRY_OPEN &&
-	       entry->holder.peer == holder->peer &&
-	       entry->holder.incarnation == holder->incarnation;
-}
-
-/* The holder asks about a reservation that is not waited for. One that ended
- * here is settled already, or its settlement is on its way. */
-static void answer_use(struct tgw_budget_agent *agent,
-		       const struct asked_holder *holder,
-		       const struct budget_message_item *item)
-{
-	struct entry_request *entry =
-		key_table_find(&agent->entries, &item->key);
-	struct settle_order *order;
-
-	if (uses(entry, holder, item))
-		return;
-	order = xcalloc(1, sizeof(*order));
-	order->key = item->key;
-	text_copy(order->budget, TGW_NAME_SIZE, item->budget);
-	order->request_id = item->id;
-	order->holder_incarnation = holder->incarnation;
-	order->basis = TGW_SETTLE_NOT_RUN;
-	budget_settle_queue_add(agent, holder->peer, order);
-}
-
 void budget_entry_on_reserved(struct tgw_budget_agent *agent,
 			      struct budget_peer *from,
 			      uint64_t from_incarnation, uint64_t line,
@@ -470,7 +359,7 @@
 	struct asked_holder holder = {from, from_incarnation};
 
 	if (!entry && item->has_key && item->code == TGW_OK)
-		answer_use(agent, &holder, item);
+		budget_entry_answer_use(agent, &holder, item);
 	if (!entry)
 		return;
 	if (item->code == TGW_OK) {
@@ -484,121 +373,6 @@
 	on_refused(agent, entry, from, item);
 }
 
-static bool is_gone(const struct tgw_budget_agent *agent,
-		    const struct asked_holder *holder)
-{
-	return budget_peer_state(agent, holder->peer->name,
-				 holder->incarnation) == TGW_HOST_GONE;
-}
-
-static void send_settlement(struct tgw_budget_agent *agent,
-			    struct entry_request *entry)
-{
-	struct settle_order *order =
-		make_order(entry, &entry->holder, entry->basis);
-
-	order->line = entry->line;
-	order->is_owner = entry->is_owner;
-	if (!is_gone(agent, &entry->holder)) {
-		budget_settle_queue_add(agent, entry->holder.peer, order);
-		return;
-	}
-	budget_claims_add(agent, order);
-	free(order);
-}
-
-/* The successor of a gone holder keeps the key, for retries. */
-static void tell_successor(struct tgw_budget_agent *agent,
-			   struct entry_request *entry)
-{
-	struct asked_holder successor = {.peer = entry->registered_at};
-	const struct tgw_host *host;
-
-	if (!successor.peer)
-		return;
-	host = tgw_host_view_find(agent->view, successor.peer->name);
-	successor.incarnation = host ? host->incarnation : 0;
-	budget_settle_queue_add(agent, successor.peer,
-				make_order(entry, &successor, entry->basis));
-}
-
-void budget_entry_settle(struct tgw_budget_agent *agent,
-			 const struct tgw_request_key *key,
-			 int64_t spent_tokens, enum tgw_settle_basis basis)
-{
-	struct entry_request *entry = key_table_find(&agent->entries, key);
-
-	if (!entry || entry->state != ENTRY_OPEN)
-		return;
-	if (basis == TGW_SETTLE_BOUND || spent_tokens < 0 ||
-	    spent_tokens > entry->bound_tokens)
-		spent_tokens = entry->bound_tokens;
-	if (basis == TGW_SETTLE_NOT_RUN)
-		spent_tokens = 0;
-	entry->users--;
-	if (entry->users && budget_basis_is_incomplete(basis)) {
-		if (entry->earlier_tokens < spent_tokens)
-			entry->earlier_tokens = spent_tokens;
-		return;
-	}
-	if (spent_tokens < entry->earlier_tokens)
-		spent_tokens = entry->earlier_tokens;
-	if (basis == TGW_SETTLE_NOT_RUN && spent_tokens)
-		basis = TGW_SETTLE_PART;
-	entry->spent_tokens = spent_tokens;
-	entry->basis = basis;
-	entry->state = ENTRY_DONE;
-	agent->open_entries--;
-	queue_done(agent, entry);
-	send_settlement(agent, entry);
-	tell_successor(agent, entry);
-}
-
-static void register_at(struct tgw_budget_agent *agent,
-			struct entry_request *entry,
-			struct budget_bucket *bucket)
-{
-	struct budget_message message = {
-		.kind = BUDGET_MESSAGE_REGISTER,
-		.bucket = bucket->index,
-	};
-	struct budget_message_item *item = budget_message_add(&message);
-
-	entry->registered_at = bucket->ranked[0];
-	item->id = entry->request_id;
-	item->key = entry->key;
-	item->has_key = true;
-	item->code = entry->state == ENTRY_DONE;
-	item->tokens = entry->state == ENTRY_DONE ? entry->spent_tokens
-						  : entry->bound_tokens;
-	if (bucket->ranked[0] == agent->self)
-		budget_holder_register(agent, agent->self, agent->incarnation,
-				       bucket->index, item);
-	else
-		budget_send(agent, bucket->ranked[0]->name, &message);
-	budget_message_clear(&message);
-}
-
-void budget_entry_on_view(struct tgw_budget_agent *agent)
-{
-	for (size_t i = 0; i < agent->entries.capacity; i++) {
-		struct entry_request *entry = agent->entries.slots[i];
-		struct budget_bucket *bucket;
-
-		if (!entry || entry->state == ENTRY_ASKING ||
-		    entry->basis == TGW_SETTLE_NOT_RUN || !entry->holder.peer ||
-		    !is_gone(agent, &entry->holder))
-			continue;
-		bucket = budget_bucket_obtain(
-			agent,
-			ledger_bucket_of(entry->budget,
-					 agent->env.settings.bucket_count));
-		if (bucket->rank_count &&
-		    bucket->ranked[0] != entry->registered_at)
-			register_at(agent, entry, bucket);
-	}
-}
-
 static void expire_done(struct tgw_budget_agent *agent)
 {
 	int64_t before_us =
--- /dev/null
+++ b/src/coordination/budget_entry_settle.c
@@ -0,0 +1,185 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "base/xalloc.h"
+#include "coordination/budget_claims.h"
+#include "coordination/budget_entry_private.h"
+#include "coordination/budget_holder.h"
+#include "coordination/budget_settle_queue.h"
+
+struct settle_order *budget_entry_make_order(const struct entry_request *entry,
+					     const struct asked_holder *holder,
+					     enum tgw_settle_basis basis)
+{
+	struct settle_order *order = xcalloc(1, sizeof(*order));
+
+	order->key = entry->key;
+	text_copy(order->budget, TGW_NAME_SIZE, entry->budget);
+	order->request_id = entry->request_id;
+	order->holder_incarnation = holder->incarnation;
+	order->bound_tokens = entry->bound_tokens;
+	order->spent_tokens = basis == TGW_SETTLE_NOT_RUN ? 0
+							  : entry->spent_tokens;
+	order->basis = basis;
+	return order;
+}
+
+void budget_entry_queue_done(struct tgw_budget_agent *agent,
+			     struct entry_request *entry)
+{
+	entry->done_us = budget_now_us(agent);
+	if (entry->is_queued)
+		return;
+	entry->is_queued = true;
+	entry->next_done = NULL;
+	*agent->done_end = entry;
+	agent->done_end = &entry->next_done;
+}
+
+static bool uses(const struct entry_request *entry,
+		 const struct asked_holder *holder,
+		 const struct budget_message_item *item)
+{
+	return entry && entry->request_id == item->id &&
+	       entry->state == ENTRY_OPEN &&
+	       entry->holder.peer == holder->peer &&
+	       entry->holder.incarnation == holder->incarnation;
+}
+
+/* The holder asks about a reservation that is not waited for. One that ended
+ * here is settled already, or its settlement is on its way. */
+void budget_entry_answer_use(struct tgw_budget_agent *agent,
+			     const struct asked_holder *holder,
+			     const struct budget_message_item *item)
+{
+	struct entry_request *entry =
+		key_table_find(&agent->entries, &item->key);
+	struct settle_order *order;
+
+	if (uses(entry, holder, item))
+		return;
+	order = xcalloc(1, sizeof(*order));
+	order->key = item->key;
+	text_copy(order->budget, TGW_NAME_SIZE, item->budget);
+	order->request_id = item->id;
+	order->holder_incarnation = holder->incarnation;
+	order->basis = TGW_SETTLE_NOT_RUN;
+	budget_settle_queue_add(agent, holder->peer, order);
+}
+
+static bool is_gone(const struct tgw_budget_agent *agent,
+		    const struct asked_holder *holder)
+{
+	return budget_peer_state(agent, holder->peer->name,
+				 holder->incarnation) == TGW_HOST_GONE;
+}
+
+static void send_settlement(struct tgw_budget_agent *agent,
+			    struct entry_request *entry)
+{
+	struct settle_order *order =
+		budget_entry_make_order(entry, &entry->holder, entry->basis);
+
+	order->line = entry->line;
+	order->is_owner = entry->is_owner;
+	if (!is_gone(agent, &entry->holder)) {
+		budget_settle_queue_add(agent, entry->holder.peer, order);
+		return;
+	}
+	budget_claims_add(agent, order);
+	free(order);
+}
+
+/* The successor of a gone holder keeps the key, for retries. */
+static void tell_successor(struct tgw_budget_agent *agent,
+			   struct entry_request *entry)
+{
+	struct asked_holder successor = {.peer = entry->registered_at};
+	const struct tgw_host *host;
+
+	if (!successor.peer)
+		return;
+	host = tgw_host_view_find(agent->view, successor.peer->name);
+	successor.incarnation = host ? host->incarnation : 0;
+	budget_settle_queue_add(agent, successor.peer,
+				budget_entry_make_order(entry, &successor,
+							entry->basis));
+}
+
+void budget_entry_settle(struct tgw_budget_agent *agent,
+			 const struct tgw_request_key *key,
+			 int64_t spent_tokens, enum tgw_settle_basis basis)
+{
+	struct entry_request *entry = key_table_find(&agent->entries, key);
+
+	if (!entry || entry->state != ENTRY_OPEN)
+		return;
+	if (basis == TGW_SETTLE_BOUND || spent_tokens < 0 ||
+	    spent_tokens > entry->bound_tokens)
+		spent_tokens = entry->bound_tokens;
+	if (basis == TGW_SETTLE_NOT_RUN)
+		spent_tokens = 0;
+	entry->users--;
+	if (entry->users && budget_basis_is_incomplete(basis)) {
+		if (entry->earlier_tokens < spent_tokens)
+			entry->earlier_tokens = spent_tokens;
+		return;
+	}
+	if (spent_tokens < entry->earlier_tokens)
+		spent_tokens = entry->earlier_tokens;
+	if (basis == TGW_SETTLE_NOT_RUN && spent_tokens)
+		basis = TGW_SETTLE_PART;
+	entry->spent_tokens = spent_tokens;
+	entry->basis = basis;
+	entry->state = ENTRY_DONE;
+	agent->open_entries--;
+	budget_entry_queue_done(agent, entry);
+	send_settlement(agent, entry);
+	tell_successor(agent, entry);
+}
+
+static void register_at(struct tgw_budget_agent *agent,
+			struct entry_request *entry,
+			struct budget_bucket *bucket)
+{
+	struct budget_message message = {
+		.kind = BUDGET_MESSAGE_REGISTER,
+		.bucket = bucket->index,
+	};
+	struct budget_message_item *item = budget_message_add(&message);
+
+	entry->registered_at = bucket->ranked[0];
+	item->id = entry->request_id;
+	item->key = entry->key;
+	item->has_key = true;
+	item->code = entry->state == ENTRY_DONE;
+	item->tokens = entry->state == ENTRY_DONE ? entry->spent_tokens
+						  : entry->bound_tokens;
+	if (bucket->ranked[0] == agent->self)
+		budget_holder_register(agent, agent->self, agent->incarnation,
+				       bucket->index, item);
+	else
+		budget_send(agent, bucket->ranked[0]->name, &message);
+	budget_message_clear(&message);
+}
+
+void budget_entry_on_view(struct tgw_budget_agent *agent)
+{
+	for (size_t i = 0; i < agent->entries.capacity; i++) {
+		struct entry_request *entry = agent->entries.slots[i];
+		struct budget_bucket *bucket;
+
+		if (!entry || entry->state == ENTRY_ASKING ||
+		    entry->basis == TGW_SETTLE_NOT_RUN || !entry->holder.peer ||
+		    !is_gone(agent, &entry->holder))
+			continue;
+		bucket = budget_bucket_obtain(
+			agent,
+			ledger_bucket_of(entry->budget,
+					 agent->env.settings.bucket_count));
+		if (bucket->rank_count &&
+		    bucket->ranked[0] != entry->registered_at)
+			register_at(agent, entry, bucket);
+	}
+}
--- a/src/daemon/backend_exchange.c
+++ b/src/daemon/backend_exchange.c
@@ -1,6 +1,5 @@
 #include "daemon/backend_exchange.h"
 
-#include <pthread.h>
 #include <stdlib.h>
 
 #include "base/xalloc.h"
@@ -10,7 +9,6 @@
 	void *arg;
 	struct http_sender *sender;
 	struct executor *coordination;
-	pthread_mutex_t lock;
 	struct http_exchange *http; /* NULL once it ended */
 	enum http_outcome outcome;
 };
@@ -42,7 +40,6 @@
 	struct backend_exchange *exchange = arg;
 
 	exchange->ops->ended(exchange->arg, exchange->outcome);
-	pthread_mutex_destroy(&exchange->lock);
 	free(exchange);
 }
 
@@ -52,10 +49,8 @@
 
 	if (exchange->ops->closing)
 		exchange->ops->closing(exchange->arg);
-	pthread_mutex_lock(&exchange->lock);
 	exchange->http = NULL;
 	exchange->outcome = outcome;
-	pthread_mutex_unlock(&exchange->lock);
 	executor_post(exchange->coordination, run_ended, exchange);
 }
 
@@ -74,26 +69,18 @@
 	exchange->arg = arg;
 	exchange->sender = sender;
 	exchange->coordination = coordination;
-	pthread_mutex_init(&exchange->lock, NULL);
-	/* Callbacks that look for the exchange wait until it is known. */
-	pthread_mutex_lock(&exchange->lock);
 	exchange->http = http_start(sender, request, handler);
-	pthread_mutex_unlock(&exchange->lock);
 	return exchange;
 }
 
 void backend_exchange_cancel(struct backend_exchange *exchange)
 {
-	pthread_mutex_lock(&exchange->lock);
 	if (exchange->http)
 		http_cancel(exchange->sender, exchange->http);
-	pthread_mutex_unlock(&exchange->lock);
 }
 
 void backend_exchange_resume(struct backend_exchange *exchange)
 {
-	pthread_mutex_lock(&exchange->lock);
 	if (exchange->http)
 		http_resume(exchange->sender, exchange->http);
-	pthread_mutex_unlock(&exchange->lock);
 }
--- a/src/daemon/backend_exchange.h
+++ b/src/daemon/backend_exchange.h
@@ -1,7 +1,7 @@
 /**
  * @file backend_exchange.h
- * An exchange with a backend server whose end is told to the coordination
- * thread, and which any thread may cancel until then.
+ * An exchange with a backend server. Its bytes are handed over as they come;
+ * its end is told later, by a function of its own on the loop.
  */
 #ifndef DAEMON_BACKEND_EXCHANGE_H
 #define DAEMON_BACKEND_EXCHANGE_H
@@ -19,13 +19,13 @@
 };
 
 struct backend_exchange_ops {
-	/** On the client's thread, as for struct http_handler. */
+	/** As for struct http_handler. */
 	void (*started)(void *arg, int32_t status, const char *content_type);
 	enum backend_data (*data)(void *arg, struct backend_exchange *exchange,
 				  const void *data, size_t size);
-	/** On the client's thread, after the last byte; may be NULL. */
+	/** After the last byte; may be NULL. */
 	void (*closing)(void *arg);
-	/** On the coordination thread; the exchange is gone afterwards. */
+	/** Later than closing(); the exchange is gone afterwards. */
 	void (*ended)(void *arg, enum http_outcome outcome);
 };
 
@@ -34,10 +34,10 @@
 	const struct http_request *request,
 	const struct backend_exchange_ops *ops, void *arg);
 
-/** Thread-safe until ended(), which still comes. */
+/** Until ended(), which still comes. */
 void backend_exchange_cancel(struct backend_exchange *exchange);
 
-/** Goes on after a pause; thread-safe until closing(). */
+/** Goes on after a pause; until closing(). */
 void backend_exchange_resume(struct backend_exchange *exchange);
 
 #endif
--- a/src/protocol/http.h
+++ b/src/protocol/http.h
@@ -43,7 +43,7 @@
 	bool may_resend;
 };
 
-/** Receiver of an answer; called on the sender's own thread. */
+/** Receiver of an answer; never called from inside a call of the sender. */
 struct http_handler {
 	/** The head of the answer came. Header look-up is by lower case. */
 	void (*started)(void *arg, int32_t status, const char *content_type);
@@ -61,14 +61,13 @@
 struct http_sender;
 
 struct http_sender_ops {
-	/** Thread-safe. */
 	struct http_exchange *(*start)(struct http_sender *sender,
 				       const struct http_request *request,
 				       struct http_handler handler);
-	/** Thread-safe, until ended() was called. */
+	/** Until ended() was called. */
 	void (*resume)(struct http_sender *sender,
 		       struct http_exchange *exchange);
-	/** Thread-safe, until ended() was called; ended() still comes. */
+	/** Until ended() was called; ended() still comes. */
 	void (*cancel)(struct http_sender *sender,
 		       struct http_exchange *exchange);
 };
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -14,6 +14,7 @@
 
 #define BACKLOG 511
 #define PIECE_BYTES (16 * 1024)
+#define STATUS_TIMED_OUT 408
 #define STATUS_TOO_LARGE 413
 
 struct server_exchange {
@@ -259,7 +260,8 @@
 	}
 	if (exchange)
 		end_exchange(exchange);
-	if (status != 408)
+	/* The caller does not listen, or is too slow to be told. */
+	if (status != STATUS_TIMED_OUT)
 		return false;
 	server_conn_abort(conn);
 	return true;
--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -308,9 +308,8 @@
 	if (!exchange->ended && !exchange->server)
 		end(exchange, HTTP_NOT_CONNECTED,
 		    "the address is not http://HOST:PORT/PATH");
-	if (!exchange->ended) {
+	if (!exchange->ended)
 		begin(exchange);
-	}
 	if (!exchange->ended)
 		arm(exchange);
 	exchange_unref(exchange);
