Log each write of the ledger with its outcome and the age of its view

An on-call engineer could not tell a host whose writes of the ledger lose against other hosts' from one that asks for too little or too rarely: no line and no counter told of reads and writes that the store answered.

Each write now has a line (part=budget event=ledger_write) with outcome, bytes, consecutive conflicts, age of the ledger that it started from and duration. The metrics page counts reads, writes and conflicts.

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -240,6 +240,12 @@
 	return true;
 }
 
+const struct team_budget_counters *team_budget_get_counters(
+	const struct team_budget *budgets)
+{
+	return &budgets->counters;
+}
+
 uint32_t team_budget_other_hosts(const struct team_budget *budgets)
 {
 	size_t max_lines = 0;
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -29,6 +29,24 @@
 	struct team_account_policy policy;
 };
 
+/** A finished write of a ledger key. */
+struct team_budget_write {
+	const char *key;
+	enum tgw_status status; /**< CONFLICT: another host wrote before */
+	size_t value_bytes;
+	uint32_t conflicts;  /**< consecutive, this one included */
+	int64_t view_age_us; /**< of the ledger that the write started from,
+				  at the time of the response */
+	int64_t duration_us;
+};
+
+/** Ledger calls since the start. */
+struct team_budget_counters {
+	uint64_t reads;
+	uint64_t writes;
+	uint64_t conflicts; /**< of the writes */
+};
+
 struct team_budget_events {
 	/** An allotment changed, or a store call ended: requests that wait for
 	 * tokens may try again. */
@@ -37,6 +55,8 @@
 	 * @param call "read" or "write" */
 	void (*failed)(void *arg, const char *call, enum tgw_status status,
 		       const char *message);
+	/** A write of the ledger ended. May be NULL. */
+	void (*written)(void *arg, const struct team_budget_write *write);
 	/** Every line of this process has left the ledger, whether this or
 	 * another process folded it. */
 	void (*closed)(void *arg);
@@ -98,6 +118,9 @@
 bool team_budget_get_view(const struct team_budget *budgets, const char *team,
 			  struct team_budget_view *view);
 
+const struct team_budget_counters *team_budget_get_counters(
+	const struct team_budget *budgets);
+
 /** @return the largest number of lines in one ledger key, less one for this
  * host's own line */
 uint32_t team_budget_other_hosts(const struct team_budget *budgets);
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -191,6 +191,9 @@
 	assert(ledger_bucket_check(&key->draft, &error) == TGW_OK);
 	ledger_codec_encode(&key->draft, &bytes);
 	key->state = TEAM_BUDGET_KEY_WRITING;
+	key->write_started_us = team_budget_now_us(key->budgets);
+	key->written_bytes = bytes.size;
+	key->budgets->counters.writes++;
 	tgw_store_swap(key->budgets->store, key->name, key->version, bytes.data,
 		       bytes.size,
 		       (struct tgw_store_callback){on_written, key});
@@ -316,6 +319,7 @@
 		return;
 	}
 	key->state = TEAM_BUDGET_KEY_READING;
+	key->budgets->counters.reads++;
 	key->read_requested = false;
 	tgw_store_get(key->budgets->store, key->name,
 		      (struct tgw_store_callback){on_read, key});
@@ -365,10 +369,31 @@
 		back_off_after_failure(key);
 }
 
+static void report_write(const struct team_budget_key *key,
+			 enum tgw_status status)
+{
+	const struct team_budget_events *events = &key->budgets->events;
+	int64_t now = team_budget_now_us(key->budgets);
+	struct team_budget_write write = {
+		.key = key->name,
+		.status = status,
+		.value_bytes = key->written_bytes,
+		.conflicts = key->conflicts + (status == TGW_CONFLICT),
+		.view_age_us = now - key->read_us,
+		.duration_us = now - key->write_started_us,
+	};
+
+	if (status == TGW_CONFLICT)
+		key->budgets->counters.conflicts++;
+	if (events->written)
+		events->written(events->arg, &write);
+}
+
 static void on_written(void *arg, const struct tgw_store_result *result)
 {
 	struct team_budget_key *key = arg;
 
+	report_write(key, result->status);
 	switch (result->status) {
 	case TGW_OK:
 		key->line_confirmed = !key->budgets->closing;
--- a/src/coordination/team_budget_key.h
+++ b/src/coordination/team_budget_key.h
@@ -44,6 +44,8 @@
 	/* Version expected by a write whose outcome is unknown. */
 	int64_t unresolved_version;
 	int64_t read_us; /* when `ledger` was last read or written; 0 before */
+	int64_t write_started_us;
+	size_t written_bytes; /* of the last write's value */
 	int64_t due_us;
 	int64_t backoff_us;	     /* after failed store calls */
 	uint32_t conflicts;	     /* consecutive */
@@ -58,6 +60,7 @@
 	const struct tgw_clock *clock;
 	struct team_budget_events events;
 	struct tgw_random random;
+	struct team_budget_counters counters;
 	uint64_t incarnation;
 	int64_t started_us;
 	bool store_unreachable;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -158,6 +158,19 @@
 		      tgw_status_name(status), message);
 }
 
+static void on_budget_written(void *arg, const struct team_budget_write *write)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "budget", "ledger_write",
+		      "key=%s outcome=%s bytes=%zu conflicts=%u "
+		      "view_age_ms=%lld duration_ms=%lld",
+		      write->key, tgw_status_name(write->status),
+		      write->value_bytes, write->conflicts,
+		      (long long)(write->view_age_us / TGW_US_PER_MS),
+		      (long long)(write->duration_us / TGW_US_PER_MS));
+}
+
 static void on_budgets_closed(void *arg)
 {
 	struct edge *edge = arg;
@@ -351,6 +364,7 @@
 	struct team_budget_events budget_events = {
 		.changed = on_budget_changed,
 		.failed = on_budget_call_failed,
+		.written = on_budget_written,
 		.closed = on_budgets_closed,
 		.arg = edge,
 	};
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -60,6 +60,8 @@
 {
 	const struct edge_counters *counters = &edge->counters;
 	const struct route_set *set = route_follower_set(edge->route_follower);
+	const struct team_budget_counters *ledger =
+		team_budget_get_counters(edge->budgets);
 
 	add_counter(text, "requests_total", counters->requests);
 	add_counter(text, "answered_total", counters->answered);
@@ -68,6 +70,9 @@
 	add_counter(text, "retries_total", counters->retries);
 	add_counter(text, "resumed_total", counters->resumed);
 	add_counter(text, "budget_refused_total", counters->budget_refused);
+	add_counter(text, "ledger_reads_total", ledger->reads);
+	add_counter(text, "ledger_writes_total", ledger->writes);
+	add_counter(text, "ledger_conflicts_total", ledger->conflicts);
 	add_counter(text, "log_lines_dropped_total", edge->log.dropped_total);
 	add_gauge(text, "open_requests", edge->call_count);
 	add_gauge(text, "caller_connections", edge->conn_count);
--- a/tests/unit/test_team_budget.c
+++ b/tests/unit/test_team_budget.c
@@ -25,7 +25,8 @@
 	size_t open_count;
 	bool closed;
 	int changes;
-	int failures; /* reports of failed store calls */
+	int failures;  /* reports of failed store calls */
+	int conflicts; /* reports of writes that lost against another host */
 };
 
 static struct fake_world world;
@@ -45,6 +46,16 @@
 	((struct host *)arg)->failures++;
 }
 
+static void on_written(void *arg, const struct team_budget_write *write)
+{
+	ck_assert_uint_gt(write->value_bytes, 0);
+	ck_assert_int_ge(write->view_age_us, write->duration_us);
+	if (write->status != TGW_CONFLICT)
+		return;
+	ck_assert_uint_gt(write->conflicts, 0);
+	((struct host *)arg)->conflicts++;
+}
+
 static void on_closed(void *arg)
 {
 	((struct host *)arg)->closed = true;
@@ -61,6 +72,7 @@
 	struct team_budget_events events = {
 		.changed = on_changed,
 		.failed = on_failed,
+		.written = on_written,
 		.closed = on_closed,
 		.arg = host,
 	};
@@ -361,6 +373,30 @@
 }
 END_TEST
 
+START_TEST(each_write_is_reported_with_its_outcome)
+{
+	uint64_t writes = 0;
+	uint64_t conflicts = 0;
+
+	/* Hosts that need tokens at the same moment write at the same time. */
+	for (size_t i = 0; i < HOSTS; i++)
+		open_request(&hosts[i], 2000);
+	advance(5 * TGW_US_PER_S);
+	for (size_t i = 0; i < HOSTS; i++) {
+		const struct team_budget_counters *counters =
+			team_budget_get_counters(hosts[i].budgets);
+
+		ck_assert_uint_eq(counters->conflicts,
+				  (uint64_t)hosts[i].conflicts);
+		writes += counters->writes;
+		conflicts += counters->conflicts;
+	}
+	ck_assert_uint_gt(conflicts, 0);
+	ck_assert_uint_eq(conflicts, server.conflicts);
+	ck_assert_uint_eq(writes, server.writes);
+}
+END_TEST
+
 #define MANY_HOSTS 60
 
 /* All hosts of a large fleet need tokens at the same time. */
@@ -497,6 +533,7 @@
 		       few_tokens_stay_in_allotments_when_a_budget_runs_low);
 	tcase_add_test(tcase, other_hosts_return_tokens_that_a_host_needs);
 	tcase_add_test(tcase, idle_hosts_make_few_store_calls);
+	tcase_add_test(tcase, each_write_is_reported_with_its_outcome);
 	tcase_add_test(tcase, a_fifth_of_contending_writes_take_effect);
 	tcase_add_loop_test(tcase, random_faults_do_not_lead_to_overspending, 0,
 			    200);
