Reproduce: hosts on slow links lose nearly all writes of the ledger

Callers of a team that sends to one small host are refused though most of the team's budget is free.

fake_store delays values by the client's link.

--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -323,6 +323,23 @@
 	free_operation(operation);
 }
 
+static int64_t transfer_us(const struct fake_store *client, size_t bytes)
+{
+	if (!client->link_bytes_per_s)
+		return 0;
+	return (int64_t)bytes * TGW_US_PER_S / client->link_bytes_per_s;
+}
+
+static int64_t response_delay_us(const struct operation *operation)
+{
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < operation->found_count; i++)
+		bytes += operation->found[i].value_size;
+	return operation->client->server->latency_us / 2 +
+	       transfer_us(operation->client, bytes);
+}
+
 static void schedule_response(struct operation *operation,
 			      enum tgw_status status, int64_t delay_us)
 {
@@ -380,12 +397,13 @@
 		}
 		break;
 	}
-	schedule_response(operation, operation->status, server->latency_us / 2);
+	schedule_response(operation, operation->status,
+			  response_delay_us(operation));
 }
 
 static struct operation *start_operation(struct tgw_store *store,
 					 enum operation_kind kind,
-					 const char *key,
+					 const char *key, size_t value_size,
 					 struct tgw_store_callback callback)
 {
 	struct operation *operation = xcalloc(1, sizeof(*operation));
@@ -398,7 +416,9 @@
 	operation->key = xstrdup(key);
 	operation->callback = callback;
 	fake_world_after_or_release(operation->client->server->world,
-				    operation->client->server->latency_us / 2,
+				    operation->client->server->latency_us / 2 +
+					    transfer_us(operation->client,
+							value_size),
 				    run_operation, free_operation, operation);
 	return operation;
 }
@@ -406,21 +426,21 @@
 static void fake_get(struct tgw_store *store, const char *key,
 		     struct tgw_store_callback callback)
 {
-	start_operation(store, OPERATION_GET, key, callback);
+	start_operation(store, OPERATION_GET, key, 0, callback);
 }
 
 static void fake_list(struct tgw_store *store, const char *prefix,
 		      struct tgw_store_callback callback)
 {
-	start_operation(store, OPERATION_LIST, prefix, callback);
+	start_operation(store, OPERATION_LIST, prefix, 0, callback);
 }
 
 static void fake_swap(struct tgw_store *store, const char *key,
 		      int64_t expected_version, const void *value,
 		      size_t value_size, struct tgw_store_callback callback)
 {
-	struct operation *operation =
-		start_operation(store, OPERATION_SWAP, key, callback);
+	struct operation *operation = start_operation(
+		store, OPERATION_SWAP, key, value_size, callback);
 
 	operation->expected_version = expected_version;
 	operation->value = value ? xmemdup(value, value_size) : NULL;
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -45,7 +45,9 @@
 	struct fake_store *next;
 	struct fake_store_watch *watches;
 	struct operation *operations; /**< in flight */
-	bool partitioned;	      /**< this host does not reach the store */
+	/** Delays values by their size, in each direction; 0: no limit. */
+	int64_t link_bytes_per_s;
+	bool partitioned; /**< this host does not reach the store */
 	/** Responses and watch events are held back while this is set. */
 	bool paused;
 	/** Watchers are not notified of changes, nor that they miss them. */
