--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -7,17 +7,14 @@
 #include "base/xalloc.h"
 #include "coordination/team_budget_key.h"
 
-/* Minimum time between two reads of a key for waiting requests. */
-#define READ_INTERVAL_US (100 * TGW_US_PER_MS)
-/* While the budget has no free tokens, the minimum time is this for each host
- * that has a line: the more hosts read the key, the less often each of them
- * does. */
+/* While the budget has no free tokens, the minimum time between two reads for
+ * waiting requests is this for each host: the more hosts read the key, the less
+ * often each of them does. */
 #define NONE_FREE_READ_INTERVAL_PER_HOST_US (90 * TGW_US_PER_MS)
-/* Hosts that start together spread the writes that open their lines over this
- * time. */
-#define LINE_OPEN_SPREAD_US (2500 * TGW_US_PER_MS)
-/* After this time the number of lines counts as the number of hosts. */
-#define LINES_OPEN_AFTER_US (3 * TGW_US_PER_S)
+/* Hosts that start together spread their first writes over this time. */
+#define JOIN_SPREAD_US (2500 * TGW_US_PER_MS)
+/* After this time the hosts in the pool count as all hosts. */
+#define JOINED_AFTER_US (3 * TGW_US_PER_S)
 /* A request that exceeds the remaining tokens is refused as EXHAUSTED only if
  * they were read less than this ago. */
 #define VIEW_MAX_AGE_US (3 * TGW_US_PER_S)
@@ -27,16 +24,6 @@
 	return tgw_clock_monotonic_us(budgets->clock);
 }
 
-uint64_t team_budget_new_line_id(struct team_budget *budgets)
-{
-	uint64_t id;
-
-	do {
-		id = tgw_random_u64(&budgets->random);
-	} while (!id);
-	return id;
-}
-
 struct team_budget *team_budget_new(const struct team_budget_settings *settings,
 				    struct tgw_store *store,
 				    const struct tgw_clock *clock,
@@ -45,22 +32,23 @@
 {
 	struct team_budget *budgets = xcalloc(1, sizeof(*budgets));
 
-	assert(settings->bucket_count);
+	assert(settings->key_count);
 	budgets->settings = *settings;
 	budgets->store = store;
 	budgets->clock = clock;
 	budgets->events = *events;
-	budgets->incarnation = incarnation;
 	budgets->started_us = tgw_clock_monotonic_us(clock);
 	tgw_random_init(&budgets->random, incarnation);
-	budgets->keys = xcalloc(settings->bucket_count, sizeof(*budgets->keys));
-	for (uint32_t i = 0; i < settings->bucket_count; i++) {
+	budgets->key_count = settings->key_count;
+	budgets->keys = xcalloc(settings->key_count, sizeof(*budgets->keys));
+	for (uint32_t i = 0; i < settings->key_count; i++) {
 		struct team_budget_key *key = &budgets->keys[i];
 
 		key->budgets = budgets;
 		key->store_answers = true;
-		key->unresolved_version = TEAM_BUDGET_NO_VERSION;
-		key->line_id = team_budget_new_line_id(budgets);
+		key->host_id = budget_pool_host_id(
+			settings->host,
+			(uint32_t)tgw_random_u64(&budgets->random));
 		ledger_bucket_key(key->name, i);
 	}
 	return budgets;
@@ -70,7 +58,7 @@
 {
 	if (!budgets)
 		return;
-	for (uint32_t i = 0; i < budgets->settings.bucket_count; i++) {
+	for (uint32_t i = 0; i < budgets->settings.key_count; i++) {
 		struct team_budget_key *key = &budgets->keys[i];
 
 		while (key->accounts) {
@@ -79,8 +67,9 @@
 			key->accounts = account->next;
 			free(account);
 		}
-		ledger_bucket_clear(&key->ledger);
-		ledger_bucket_clear(&key->draft);
+		budget_pool_clear(&key->pool);
+		budget_pool_clear(&key->draft);
+		buffer_free(&key->draft_bytes);
 	}
 	free(budgets->keys);
 	free(budgets);
@@ -89,8 +78,7 @@
 static struct team_budget_key *key_of(const struct team_budget *budgets,
 				      const char *team)
 {
-	return &budgets->keys[ledger_bucket_of(team,
-					       budgets->settings.bucket_count)];
+	return &budgets->keys[ledger_bucket_of(team, budgets->key_count)];
 }
 
 static struct team_account *find_account(const struct team_budget_key *key,
@@ -103,21 +91,78 @@
 	return NULL;
 }
 
+static void schedule_join(struct team_budget_key *key)
+{
+	struct team_budget *budgets = key->budgets;
+
+	if (key->scheduled)
+		return;
+	key->scheduled = true;
+	team_budget_key_set_due(
+		key, team_budget_now_us(budgets) +
+			     (int64_t)tgw_random_below(&budgets->random,
+						       JOIN_SPREAD_US));
+}
+
+/* @return the accounts of all keys, which have none then */
+static struct team_account *remove_accounts(struct team_budget *budgets)
+{
+	struct team_account *all = NULL;
+
+	for (uint32_t i = 0; i < budgets->key_count; i++) {
+		struct team_account **end = &budgets->keys[i].accounts;
+
+		while (*end)
+			end = &(*end)->next;
+		*end = all;
+		all = budgets->keys[i].accounts;
+		budgets->keys[i].accounts = NULL;
+	}
+	return all;
+}
+
+static void add_account(struct team_budget *budgets,
+			struct team_account *account)
+{
+	struct team_budget_key *key = key_of(budgets, account->team);
+
+	account->next = key->accounts;
+	key->accounts = account;
+	schedule_join(key);
+}
+
+bool team_budget_set_key_count(struct team_budget *budgets, uint32_t count)
+{
+	struct team_account *accounts;
+
+	if (count > budgets->settings.key_count)
+		return false;
+	accounts = remove_accounts(budgets);
+	budgets->key_count = count;
+	budgets->key_count_known = true;
+	while (accounts) {
+		struct team_account *account = accounts;
+
+		accounts = account->next;
+		add_account(budgets, account);
+	}
+	for (uint32_t i = 0; i < count; i++)
+		if (budgets->keys[i].scheduled)
+			team_budget_key_set_due(&budgets->keys[i],
+						budgets->keys[i].due_us);
+	return true;
+}
+
 void team_budget_raise_paid_in(struct team_budget *budgets, const char *team,
 			       int64_t total_tokens)
 {
-	struct team_budget_key *key = key_of(budgets, team);
-	struct team_account *account = find_account(key, team);
+	struct team_account *account =
+		find_account(key_of(budgets, team), team);
 
 	if (!account) {
 		account = team_account_new(team);
-		account->next = key->accounts;
-		key->accounts = account;
-		if (!key->due_us)
-			key->due_us =
-				team_budget_now_us(budgets) +
-				(int64_t)tgw_random_below(&budgets->random,
-							  LINE_OPEN_SPREAD_US);
+		schedule_join(&budgets->keys[0]);
+		add_account(budgets, account);
 	}
 	if (account->paid_in_tokens < total_tokens) {
 		account->remaining_tokens +=
@@ -132,6 +177,28 @@
 	budgets->store_unreachable = unreachable;
 }
 
+void team_budget_record_demand(struct team_budget *budgets, const char *team,
+			       int64_t tokens)
+{
+	struct team_account *account =
+		find_account(key_of(budgets, team), team);
+
+	if (account)
+		team_account_record_demand(account, tokens,
+					   team_budget_now_us(budgets));
+}
+
+/* A request waits for tokens: the next read of the key is due soon. */
+static void request_read(struct team_budget_key *key)
+{
+	int64_t due_us =
+		key->read_us ? key->read_us + TEAM_BUDGET_READ_INTERVAL_US : 0;
+
+	key->read_requested = true;
+	if (!key->write_lost && key->due_us > due_us)
+		team_budget_key_set_due(key, due_us);
+}
+
 enum tgw_status team_budget_reserve(struct team_budget *budgets,
 				    const char *team, int64_t tokens,
 				    int32_t rank)
@@ -151,7 +218,7 @@
 	if (tokens > account->paid_in_tokens ||
 	    (key->read_us && now - key->read_us < VIEW_MAX_AGE_US &&
 	     tokens > account->remaining_tokens)) {
-		account->needed_tokens = 0;
+		account->needed_tokens -= tokens;
 		return TGW_EXHAUSTED;
 	}
 	if (!key->store_answers || budgets->store_unreachable)
@@ -161,11 +228,7 @@
 		    team_budget_key_interval_us(
 			    key, NONE_FREE_READ_INTERVAL_PER_HOST_US))
 		return TGW_CONFLICT;
-	if (key->state == TEAM_BUDGET_KEY_IDLE &&
-	    now - key->read_us >= (key->read_us ? READ_INTERVAL_US : 0)) {
-		key->read_requested = true;
-		key->due_us = 0;
-	}
+	request_read(budgets->key_count_known ? key : &budgets->keys[0]);
 	return TGW_BUSY;
 }
 
@@ -176,15 +239,17 @@
 		find_account(key_of(budgets, team), team);
 
 	if (account)
-		team_account_settle(account, reserved_tokens, spent_tokens,
-				    team_budget_now_us(budgets));
+		team_account_settle(account, reserved_tokens, spent_tokens);
 }
 
 static bool notify_closed(struct team_budget *budgets)
 {
-	for (uint32_t i = 0; i < budgets->settings.bucket_count; i++)
-		if (budgets->keys[i].accounts && !budgets->keys[i].closed)
+	for (uint32_t i = 0; i < budgets->key_count; i++) {
+		const struct team_budget_key *key = &budgets->keys[i];
+
+		if ((key->accounts || key->joined) && !key->closed)
 			return false;
+	}
 	if (!budgets->closed_notified) {
 		budgets->closed_notified = true;
 		budgets->events.closed(budgets->events.arg);
@@ -197,17 +262,17 @@
 	int64_t now = team_budget_now_us(budgets);
 	int64_t next = now + TEAM_BUDGET_CHECK_INTERVAL_US;
 
-	if (now - budgets->started_us >= LINES_OPEN_AFTER_US)
+	if (now - budgets->started_us >= JOINED_AFTER_US)
 		budgets->settings.policy.hosts_are_known = true;
 
 	if (budgets->closing && notify_closed(budgets))
 		return next;
-	for (uint32_t i = 0; i < budgets->settings.bucket_count; i++) {
+	for (uint32_t i = 0; i < budgets->key_count; i++) {
 		struct team_budget_key *key = &budgets->keys[i];
 
 		if (team_budget_key_is_due(key, now))
 			team_budget_key_advance(key);
-		if (key->state == TEAM_BUDGET_KEY_IDLE && key->accounts &&
+		if (key->state == TEAM_BUDGET_KEY_IDLE && key->due_us > now &&
 		    key->due_us < next)
 			next = key->due_us;
 	}
@@ -219,8 +284,8 @@
 	if (budgets->closing)
 		return;
 	budgets->closing = true;
-	for (uint32_t i = 0; i < budgets->settings.bucket_count; i++)
-		budgets->keys[i].due_us = 0;
+	for (uint32_t i = 0; i < budgets->key_count; i++)
+		team_budget_key_set_due(&budgets->keys[i], 0);
 }
 
 bool team_budget_get_view(const struct team_budget *budgets, const char *team,
@@ -248,10 +313,10 @@
 
 uint32_t team_budget_other_hosts(const struct team_budget *budgets)
 {
-	size_t max_lines = 0;
+	size_t max_hosts = 0;
 
-	for (uint32_t i = 0; i < budgets->settings.bucket_count; i++)
-		if (budgets->keys[i].ledger.line_count > max_lines)
-			max_lines = budgets->keys[i].ledger.line_count;
-	return max_lines ? (uint32_t)(max_lines - 1) : 0;
+	for (uint32_t i = 0; i < budgets->key_count; i++)
+		if (budgets->keys[i].pool.host_count > max_hosts)
+			max_hosts = budgets->keys[i].pool.host_count;
+	return max_hosts ? (uint32_t)(max_hosts - 1) : 0;
 }
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -1,13 +1,12 @@
 /**
  * @file team_budget.h
- * A host's own lines in the ledger of prepaid budgets. A line is one host's
- * record in a ledger bucket.
+ * A host's allotments of prepaid budgets.
  *
- * Each host takes allotments for its teams out of the store by
+ * Each host takes allotments for its teams out of a budget pool in the store by
  * compare-and-swap and spends only what it was allotted, whether it reaches
  * the store or not. The sum of all allotments never exceeds what was paid in.
- * The line of a process that has died counts as spent in full. Safety does
- * not depend on clocks or leases.
+ * What a process held when it died counts as spent. Safety does not depend on
+ * clocks or leases.
  */
 #ifndef COORDINATION_TEAM_BUDGET_H
 #define COORDINATION_TEAM_BUDGET_H
@@ -24,23 +23,24 @@
 
 struct team_budget_settings {
 	char host[TGW_NAME_SIZE];
-	char failure_domain[TGW_NAME_SIZE];
-	uint32_t bucket_count; /**< ledger keys that the teams hash to */
+	/** Keys that the teams hash to in a new ledger, and the largest number
+	 * in one that the store has already. */
+	uint32_t key_count;
 	struct team_account_policy policy;
 };
 
-/** A finished write of a ledger key. */
+/** A finished write of a budget pool. */
 struct team_budget_write {
 	const char *key;
 	enum tgw_status status; /**< CONFLICT: another host wrote before */
 	size_t value_bytes;
 	uint32_t conflicts;  /**< consecutive, this one included */
-	int64_t view_age_us; /**< of the ledger that the write started from,
+	int64_t view_age_us; /**< of the pool that the write started from,
 				  at the time of the response */
 	int64_t duration_us;
 };
 
-/** Ledger calls since the start. */
+/** Store calls since the start. */
 struct team_budget_counters {
 	uint64_t reads;
 	uint64_t writes;
@@ -51,14 +51,17 @@
 	/** An allotment changed, or a store call ended: requests that wait for
 	 * tokens may try again. */
 	void (*changed)(void *arg);
+	/** team_budget_tick() has work at this time, which may be earlier than
+	 * the time that it returned last. May be NULL. */
+	void (*rescheduled)(void *arg, int64_t due_us);
 	/** A store call failed and will be retried. May be NULL.
 	 * @param call "read" or "write" */
 	void (*failed)(void *arg, const char *call, enum tgw_status status,
 		       const char *message);
-	/** A write of the ledger ended. May be NULL. */
+	/** A write of a pool ended. May be NULL. */
 	void (*written)(void *arg, const struct team_budget_write *write);
-	/** Every line of this process has left the ledger, whether this or
-	 * another process folded it. */
+	/** This process has returned what it did not spend and has left the
+	 * pools. */
 	void (*closed)(void *arg);
 	void *arg;
 };
@@ -69,7 +72,7 @@
 	int64_t limit_tokens;	 /**< that this host may spend in total */
 	int64_t settled_tokens;	 /**< settled on this host */
 	int64_t reserved_tokens; /**< held by open requests */
-	int64_t free_tokens;	 /**< in no allotment, by the last read */
+	int64_t free_tokens;	 /**< taken by no host, by the last read */
 	int64_t read_us;	 /**< monotonic time of that read */
 };
 
@@ -90,6 +93,11 @@
 void team_budget_set_store_unreachable(struct team_budget *budgets,
 				       bool unreachable);
 
+/** Counts the maximum cost of a request that arrived, once, before its first
+ * reservation. */
+void team_budget_record_demand(struct team_budget *budgets, const char *team,
+			       int64_t tokens);
+
 /**
  * Reserves the maximum cost of a request.
  * @param rank urgency rank of the request's route, 0 for the most urgent
@@ -106,12 +114,12 @@
 void team_budget_settle(struct team_budget *budgets, const char *team,
 			int64_t reserved_tokens, int64_t spent_tokens);
 
-/** Starts the ledger reads and writes that are due.
+/** Starts the store calls that are due.
  * @return the next due time */
 int64_t team_budget_tick(struct team_budget *budgets);
 
-/** Starts to return unspent tokens and to fold this host's lines; the `closed`
- * event reports the end. */
+/** Starts to return unspent tokens and to leave the pools; the `closed` event
+ * reports the end. */
 void team_budget_close(struct team_budget *budgets);
 
 /** Fills in the view. @return whether the team has a budget */
@@ -121,8 +129,7 @@
 const struct team_budget_counters *team_budget_get_counters(
 	const struct team_budget *budgets);
 
-/** @return the largest number of lines in one ledger key, less one for this
- * host's own line */
+/** @return the largest number of hosts in one pool, less one for this host */
 uint32_t team_budget_other_hosts(const struct team_budget *budgets);
 
 #endif
--- a/src/coordination/team_budget_key.h
+++ b/src/coordination/team_budget_key.h
@@ -1,7 +1,7 @@
 /**
  * @file team_budget_key.h
- * Reads and writes one ledger key for a host, and defines struct team_budget.
- * Private to team_budget.
+ * Reads and writes one key of the budgets for a host, and defines struct
+ * team_budget. Private to team_budget.
  */
 #ifndef COORDINATION_TEAM_BUDGET_KEY_H
 #define COORDINATION_TEAM_BUDGET_KEY_H
@@ -9,15 +9,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/buffer.h"
 #include "coordination/team_budget.h"
-#include "state/ledger_bucket.h"
+#include "state/budget_pool.h"
 #include "tamarackgw/random.h"
 
 /* Minimum time between two checks whether an allotment needs a write. */
 #define TEAM_BUDGET_CHECK_INTERVAL_US (200 * TGW_US_PER_MS)
-/* Value of `unresolved_version` while the outcome of every write is known; no
- * key of the store has this version. */
-#define TEAM_BUDGET_NO_VERSION INT64_C(-1)
+/* Minimum time between two reads of a key for waiting requests. */
+#define TEAM_BUDGET_READ_INTERVAL_US (100 * TGW_US_PER_MS)
 
 enum team_budget_key_state {
 	TEAM_BUDGET_KEY_IDLE,
@@ -25,43 +25,46 @@
 	TEAM_BUDGET_KEY_WRITING
 };
 
-/** One ledger key, and the accounts of the teams that hash to it. */
+/** One key of the store, and the accounts of the teams that hash to it. */
 struct team_budget_key {
 	struct team_budget *budgets;
 	char name[LEDGER_KEY_SIZE]; /* of the key in the store */
 	enum team_budget_key_state state;
-	uint64_t line_id;
-	bool line_confirmed;
+	uint64_t host_id;  /* of this process in the pool */
+	uint64_t sequence; /* of the last proposed write */
+	/* A write was sent whose outcome is unknown. It is sent again unchanged
+	 * until the key's version shows the outcome. */
+	bool outcome_unknown;
+	bool joined; /* this process was in the pool when it was last read */
 	bool store_answers;
-	bool closed;	     /* no line of this process is left in it */
+	bool scheduled;	     /* a first read is due, or was made */
+	bool closed;	     /* this process has left the pool */
 	bool read_requested; /* by a request that waits for tokens */
-	/* `ledger` came with the conflict response of the last write; the next
-	 * write starts from it, without a read. */
-	bool must_retry_write;
-	/* A backoff passed since that response: `ledger` may be stale. */
-	bool may_be_stale;
-	int64_t version; /* of `ledger` */
-	/* Version expected by a write whose outcome is unknown. */
-	int64_t unresolved_version;
-	int64_t read_us; /* when `ledger` was last read or written; 0 before */
+	bool write_lost;     /* against another host's; to be retried */
+	int64_t version;     /* of `pool` */
+	int64_t read_us; /* when `pool` was last read or written; 0 before */
 	int64_t write_started_us;
-	size_t written_bytes; /* of the last write's value */
 	int64_t due_us;
-	int64_t backoff_us;	     /* after failed store calls */
-	uint32_t conflicts;	     /* consecutive */
-	struct ledger_bucket ledger; /* as last read or written */
-	struct ledger_bucket draft;  /* the value being written */
+	int64_t backoff_us;	   /* after failed store calls */
+	uint32_t conflicts;	   /* consecutive */
+	struct budget_pool pool;   /* as last read or written */
+	struct budget_pool draft;  /* the value of the open write */
+	struct buffer draft_bytes; /* encoded */
+	int64_t draft_version;	   /* that the open write expects */
 	struct team_account *accounts;
 };
 
 struct team_budget {
 	struct team_budget_settings settings;
+	/** In use. Known once the first key was read or written; until then no
+	 * other key is used. */
+	uint32_t key_count;
+	bool key_count_known;
 	struct tgw_store *store;
 	const struct tgw_clock *clock;
 	struct team_budget_events events;
 	struct tgw_random random;
 	struct team_budget_counters counters;
-	uint64_t incarnation;
 	int64_t started_us;
 	bool store_unreachable;
 	bool closing;
@@ -71,19 +74,22 @@
 
 int64_t team_budget_now_us(const struct team_budget *budgets);
 
-/** @return a new random line id, never 0 */
-uint64_t team_budget_new_line_id(struct team_budget *budgets);
-
-/** @return `per_host_us` times the number of lines in the key, at least 1 */
+/** @return `per_host_us` times the number of hosts in the pool, at least 1 */
 int64_t team_budget_key_interval_us(const struct team_budget_key *key,
 				    int64_t per_host_us);
 
+/** Spreads the teams over this number of keys, as the first key says, and
+ * starts to use the others.
+ * @return false if it exceeds the setting */
+bool team_budget_set_key_count(struct team_budget *budgets, uint32_t count);
+
+/** Sets when the key is checked next. */
+void team_budget_key_set_due(struct team_budget_key *key, int64_t due_us);
+
 /** @return whether the key has to be read or written now */
 bool team_budget_key_is_due(struct team_budget_key *key, int64_t now);
 
-/** Reads the key, then writes it if the host's allotments should change. After
- * a conflict it skips the read and starts from the value that the conflict
- * response returned. */
+/** Reads the key, then writes it if the host's allotments should change. */
 void team_budget_key_advance(struct team_budget_key *key);
 
 #endif
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -185,11 +185,15 @@
 		(long long)((edge_now_us() - view.read_us) / TGW_US_PER_MS));
 }
 
+static int64_t max_cost_tokens(const struct call *call)
+{
+	return call->request.input_tokens + call->request.output_tokens;
+}
+
 static void reserve_and_dispatch(struct call *call)
 {
 	struct edge *edge = call->edge;
-	int64_t tokens =
-		call->request.input_tokens + call->request.output_tokens;
+	int64_t tokens = max_cost_tokens(call);
 	enum tgw_status status;
 
 	if (!*call->team || !tokens) {
@@ -358,6 +362,8 @@
 		call->arrived_us + total_timeout_ms(call) * TGW_US_PER_MS;
 	retry_budget_on_first_attempt(
 		edge_retry_budget(edge, call->route.service));
+	team_budget_record_demand(edge->budgets, call->team,
+				  max_cost_tokens(call));
 	reserve_and_dispatch(call);
 }
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -350,7 +350,7 @@
 	const struct edge_settings *settings = edge->settings;
 	const struct edge_sources *sources = &edge->sources;
 	struct team_budget_settings budget = {
-		.bucket_count = (uint32_t)settings->ledger_keys,
+		.key_count = (uint32_t)settings->ledger_keys,
 		.policy =
 			{
 				.ride_out_s =
@@ -385,8 +385,6 @@
 	};
 
 	text_copy(budget.host, sizeof(budget.host), settings->name);
-	text_copy(budget.failure_domain, sizeof(budget.failure_domain),
-		  settings->failure_domain);
 	edge->budgets = team_budget_new(&budget, sources->store, &edge_clock,
 					tgw_random_incarnation(),
 					&budget_events);
--- a/src/state/allotment_policy.c
+++ b/src/state/allotment_policy.c
@@ -12,6 +12,9 @@
 /* Without a limit on the fraction to hold, a surplus is returned only on
  * request while at least 1/MIN_FREE_DIVISOR of the unspent tokens is free. */
 #define MIN_FREE_DIVISOR 4
+/* A host that expects requests for a budget holds the tokens of this many,
+ * since it can't serve any with less than one. */
+#define MIN_REQUESTS 2
 /* The initial allotments of all domains together take at most 1/INITIAL_DIVISOR
  * of the free tokens, and none takes more than MAX_INITIAL_TOKENS. */
 #define INITIAL_DIVISOR 4
@@ -19,6 +22,9 @@
 /* All hosts together take at most 1/AHEAD_DIVISOR of the free tokens ahead of
  * need. */
 #define AHEAD_DIVISOR 2
+/* The fraction of its fair amount that a host may always hold to cover the
+ * minimum time. */
+#define MIN_FRACTION 0.15
 /* Unspent tokens below this multiple of the target are returned only on
  * request. */
 #define MIN_RETURN_RATIO 1.5
@@ -41,7 +47,9 @@
 							 in->absent_domains) +
 		       in->others_demand_per_s;
 
-	if (total > 0)
+	if (in->weight > 0)
+		weight = in->weight;
+	else if (total > 0)
 		weight = in->demand_per_s / total;
 	return pool * weight;
 }
@@ -70,12 +78,14 @@
  * requests at once, so that not every request waits for the store. */
 static int64_t ahead_of_need(const struct allotment_inputs *in)
 {
+	int64_t wanted = (int64_t)NEEDED_MULTIPLE * in->needed_tokens;
 	int64_t limit;
 
 	if (in->hold_fraction <= 0 || !in->domains)
 		return 0;
+	wanted = max_tokens(wanted, MIN_REQUESTS * in->typical_tokens);
 	limit = in->free_tokens / (AHEAD_DIVISOR * (int64_t)in->domains);
-	return min_tokens((int64_t)NEEDED_MULTIPLE * in->needed_tokens, limit);
+	return min_tokens(wanted, limit);
 }
 
 static bool keeps_surplus(const struct allotment_inputs *in, int64_t left,
@@ -95,9 +105,12 @@
 	double desired = fmax(in->demand_per_s * in->ride_out_s,
 			      NEEDED_MULTIPLE * (double)in->needed_tokens);
 	double fraction = in->hold_fraction > 0 ? in->hold_fraction : 1.0;
-	int64_t target =
-		(int64_t)fmin(desired, fraction * fair_tokens(in, left));
+	double fair = fair_tokens(in, left);
+	int64_t target = (int64_t)fmin(desired, fraction * fair);
 
+	target = max_tokens(target,
+			    (int64_t)fmin(in->demand_per_s * in->min_ride_out_s,
+					  MIN_FRACTION * fair));
 	target = max_tokens(target, in->needed_tokens);
 	target = max_tokens(target, ahead_of_need(in));
 	target = max_tokens(target, initial_tokens(in));
--- a/src/state/allotment_policy.h
+++ b/src/state/allotment_policy.h
@@ -16,13 +16,21 @@
 	int64_t allotted_tokens; /**< to this line at present */
 	int64_t used_tokens;	 /**< of the allotment: settled or reserved */
 	int64_t needed_tokens;	 /**< by requests that lack tokens */
-	int64_t recalled_tokens; /**< requested by other lines' holders */
-	double demand_per_s;	 /**< forecast of this host, in tokens */
+	/** Cost of one request, where some are expected here; 0: not known. */
+	int64_t typical_tokens;
+	int64_t recalled_tokens;    /**< requested by other lines' holders */
+	double demand_per_s;	    /**< forecast of this host, in tokens */
 	double others_demand_per_s; /**< sum over the other lines, in tokens */
+	/** Fraction of the demand that this host receives; 0: by the demands
+	 * above. */
+	double weight;
 	int64_t others_left_tokens; /**< allotted to other lines, not settled */
 	uint32_t others_count;	    /**< other lines with an allotment */
 	uint32_t absent_domains;    /**< failure domains without a line yet */
 	double ride_out_s;	    /**< length of the store outage to cover */
+	/** Time to cover in any case, from a small part of the fair amount: a
+	 * write may take so long. */
+	double min_ride_out_s;
 	/** Number of lines that the budget may get: one for each failure
 	 * domain, or one for each host where hosts have lines of their own. */
 	uint32_t domains;
--- /dev/null
+++ b/src/state/budget_pool_codec.c
@@ -0,0 +1,214 @@
+#include "state/budget_pool_codec.h"
+
+#include <msgpack.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/msgpack_guard.h"
+#include "base/xalloc.h"
+#include "state/ledger_codec.h"
+#include "state/msgpack_field.h"
+#include "state/wire_reader.h"
+
+static int write_buffer(void *data, const char *bytes, size_t size)
+{
+	buffer_add(data, bytes, size);
+	return 0;
+}
+
+static void encode_budget(msgpack_packer *packer,
+			  const struct pooled_budget *budget)
+{
+	msgpack_pack_array(packer, 6);
+	msgpack_field_pack_text(packer, budget->name);
+	msgpack_pack_int64(packer, budget->paid_in_tokens);
+	msgpack_pack_int64(packer, budget->taken_tokens);
+	msgpack_pack_int64(packer, budget->settled_tokens);
+	msgpack_pack_int64(packer, budget->demanded_tokens);
+	msgpack_pack_int64(packer, budget->requested_tokens);
+}
+
+static void encode_host(msgpack_packer *packer, const struct pool_host *host)
+{
+	msgpack_pack_array(packer, 2);
+	msgpack_pack_uint64(packer, host->id);
+	msgpack_pack_uint64(packer, host->sequence);
+}
+
+static void encode_body(const struct budget_pool *pool, struct buffer *body)
+{
+	msgpack_packer packer;
+
+	msgpack_packer_init(&packer, body, write_buffer);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_uint32(&packer, pool->key_count);
+	msgpack_pack_array(&packer, pool->budget_count);
+	for (size_t i = 0; i < pool->budget_count; i++)
+		encode_budget(&packer, &pool->budgets[i]);
+	msgpack_pack_array(&packer, pool->host_count);
+	for (size_t i = 0; i < pool->host_count; i++)
+		encode_host(&packer, &pool->hosts[i]);
+}
+
+void budget_pool_codec_encode(const struct budget_pool *pool,
+			      struct buffer *bytes)
+{
+	struct buffer body = {0};
+	msgpack_packer packer;
+
+	encode_body(pool, &body);
+	msgpack_packer_init(&packer, bytes, write_buffer);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_uint32(&packer, BUDGET_POOL_FORMAT_VERSION);
+	msgpack_field_pack_bytes(&packer, body.data, body.size);
+	msgpack_pack_uint64(&packer, XXH64(body.data, body.size, 0));
+	buffer_free(&body);
+}
+
+static void decode_budget(struct pooled_budget *budget,
+			  struct wire_reader *reader)
+{
+	wire_reader_text(reader, budget->name, sizeof(budget->name));
+	budget->paid_in_tokens = wire_reader_i64(reader);
+	budget->taken_tokens = wire_reader_i64(reader);
+	budget->settled_tokens = wire_reader_i64(reader);
+	budget->demanded_tokens = wire_reader_i64(reader);
+	budget->requested_tokens = wire_reader_i64(reader);
+}
+
+static void decode_host(struct pool_host *host, struct wire_reader *reader)
+{
+	host->id = wire_reader_u64(reader);
+	host->sequence = wire_reader_u64(reader);
+}
+
+/* @return whether the budgets are sorted by name, without a repetition */
+static bool is_sorted(const struct budget_pool *pool)
+{
+	for (size_t i = 1; i < pool->budget_count; i++)
+		if (strcmp(pool->budgets[i - 1].name, pool->budgets[i].name) >=
+		    0)
+			return false;
+	return true;
+}
+
+/* Arrays are allocated by their element counts, which the size of the body
+ * bounds: each element takes at least one byte. */
+static bool decode_body(struct budget_pool *pool, const uint8_t *body,
+			size_t size)
+{
+	struct wire_reader reader;
+	struct wire_reader budgets;
+	struct wire_reader hosts;
+	msgpack_unpacked unpacked;
+	uint64_t key_count;
+	size_t at = 0;
+	bool valid = false;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_guard_next(&unpacked, (const char *)body, size, &at) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    at != size)
+		goto out;
+	reader = wire_reader_of(&unpacked.data);
+	key_count = wire_reader_u64(&reader);
+	budgets = wire_reader_array(&reader);
+	hosts = wire_reader_array(&reader);
+	if (reader.failed || key_count > UINT32_MAX)
+		goto out;
+	pool->key_count = (uint32_t)key_count;
+	pool->budgets = xcalloc(budgets.left, sizeof(pool->budgets[0]));
+	while (budgets.left && !reader.failed) {
+		struct wire_reader inner = wire_reader_array(&budgets);
+
+		decode_budget(&pool->budgets[pool->budget_count++], &inner);
+		reader.failed |= inner.failed;
+	}
+	pool->hosts = xcalloc(hosts.left, sizeof(pool->hosts[0]));
+	while (hosts.left && !reader.failed) {
+		struct wire_reader inner = wire_reader_array(&hosts);
+
+		decode_host(&pool->hosts[pool->host_count++], &inner);
+		reader.failed |= inner.failed;
+	}
+	valid = !reader.failed && is_sorted(pool);
+out:
+	msgpack_unpacked_destroy(&unpacked);
+	return valid;
+}
+
+static enum tgw_status decode_earlier_version(struct budget_pool *pool,
+					      const void *bytes, size_t size,
+					      struct tgw_error *error)
+{
+	struct ledger_bucket bucket = {0};
+	enum tgw_status status =
+		ledger_codec_decode(&bucket, bytes, size, error);
+
+	if (status == TGW_OK)
+		budget_pool_from_ledger(pool, &bucket);
+	ledger_bucket_clear(&bucket);
+	return status;
+}
+
+static enum tgw_status report_damage(size_t size, struct tgw_error *error)
+{
+	return tgw_error_set(error, TGW_CORRUPT,
+			     "the budget pool of %zu bytes is damaged; restore "
+			     "the ledger's key",
+			     size);
+}
+
+/* @param reader is behind the version */
+static bool decode_checked_body(struct budget_pool *pool,
+				struct wire_reader *reader)
+{
+	size_t size;
+	const uint8_t *body = wire_reader_bytes(reader, &size);
+	uint64_t checksum = wire_reader_u64(reader);
+
+	if (reader->failed || reader->left || checksum != XXH64(body, size, 0))
+		return false;
+	return decode_body(pool, body, size);
+}
+
+enum tgw_status budget_pool_codec_decode(struct budget_pool *pool,
+					 const void *bytes, size_t size,
+					 struct tgw_error *error)
+{
+	enum tgw_status status;
+	struct wire_reader reader;
+	msgpack_unpacked unpacked;
+	uint64_t version;
+	size_t at = 0;
+
+	memset(pool, 0, sizeof(*pool));
+	if (!size)
+		return TGW_OK;
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_guard_next(&unpacked, bytes, size, &at) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    at != size) {
+		status = report_damage(size, error);
+		goto out;
+	}
+	reader = wire_reader_of(&unpacked.data);
+	version = wire_reader_u64(&reader);
+	if (reader.failed)
+		status = report_damage(size, error);
+	else if (version > BUDGET_POOL_FORMAT_VERSION)
+		status = tgw_error_set(error, TGW_NEWER_FORMAT,
+				       "the budget pool was written by a newer "
+				       "version; upgrade this program");
+	else if (version < BUDGET_POOL_FORMAT_VERSION)
+		status = decode_earlier_version(pool, bytes, size, error);
+	else if (decode_checked_body(pool, &reader))
+		status = budget_pool_check(pool, error);
+	else
+		status = report_damage(size, error);
+out:
+	if (status != TGW_OK)
+		budget_pool_clear(pool);
+	msgpack_unpacked_destroy(&unpacked);
+	return status;
+}
--- a/src/state/demand_forecast.c
+++ b/src/state/demand_forecast.c
@@ -70,3 +70,13 @@
 	return fmax(scaled_to_window(fast_per_s, age_s, windows->fast_s),
 		    scaled_to_window(slow_per_s, age_s, windows->slow_s));
 }
+
+double demand_forecast_average_per_s(const struct demand_forecast *forecast,
+				     int64_t now_us)
+{
+	if (!forecast->started_us)
+		return 0;
+	return decayed(forecast->slow_per_s,
+		       seconds_between(forecast->updated_us, now_us),
+		       windows_of(forecast)->slow_s);
+}
--- a/src/state/demand_forecast.h
+++ b/src/state/demand_forecast.h
@@ -33,4 +33,10 @@
 double demand_forecast_per_s(const struct demand_forecast *forecast,
 			     int64_t now_us);
 
+/** @return the slow average in tokens per second, where the time before the
+ * first tokens counts as time without demand: one early request changes it
+ * little */
+double demand_forecast_average_per_s(const struct demand_forecast *forecast,
+				     int64_t now_us);
+
 #endif
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -13,9 +13,14 @@
  * which all hosts together use up the budget in this time. So a host takes
  * tokens before it knows a team's demand. */
 #define ASSUMED_LIFETIME_S 100.0
+/* In the weights of hosts the assumed demand counts for this fraction of it, so
+ * that a host with much of a team's demand is soon known. */
+#define ASSUMED_WEIGHT_DIVISOR 3
 /* Hosts may hold at least this fraction of their fair amount, so that not every
  * request waits for the store. */
 #define MIN_HOLD_FRACTION 0.06
+/* An allotment lasts at least until the next write, which may need retries. */
+#define MIN_RIDE_OUT_S 2.0
 
 /* An allotment covers store outages of seconds, so demand is averaged over
  * seconds, too. */
@@ -30,8 +35,8 @@
 	struct team_account *account = xcalloc(1, sizeof(*account));
 
 	text_copy(account->team, sizeof(account->team), team);
-	account->unresolved_tokens = TEAM_ACCOUNT_RESOLVED;
 	account->demand.windows = &outage_windows;
+	account->fleet_demand.windows = &outage_windows;
 	return account;
 }
 
@@ -45,18 +50,23 @@
 	return tokens > 0 ? tokens : 0;
 }
 
-static int64_t used_tokens(const struct team_account *account)
+int64_t team_account_charged(const struct team_account *account)
 {
 	return account->settled_tokens + account->reserved_tokens;
 }
 
 int64_t team_account_limit(const struct team_account *account)
 {
-	int64_t allotted = account->allotted_tokens;
+	return min_tokens(account->confirmed.allotted_tokens,
+			  account->proposed.allotted_tokens);
+}
 
-	if (account->unresolved_tokens != TEAM_ACCOUNT_RESOLVED)
-		allotted = min_tokens(allotted, account->unresolved_tokens);
-	return account->base_tokens + allotted;
+void team_account_record_demand(struct team_account *account, int64_t tokens,
+				int64_t now_us)
+{
+	account->demanded_tokens += tokens;
+	account->demanding_requests++;
+	demand_forecast_add(&account->demand, now_us, tokens);
 }
 
 /* Tokens that a request of this rank must leave to more urgent ones. */
@@ -77,7 +87,8 @@
 bool team_account_reserve(struct team_account *account, int64_t tokens,
 			  int32_t rank, bool store_unreachable)
 {
-	int64_t left = team_account_limit(account) - used_tokens(account);
+	int64_t left =
+		team_account_limit(account) - team_account_charged(account);
 
 	if (store_unreachable)
 		left -= tokens_for_urgent(account, rank);
@@ -90,177 +101,257 @@
 }
 
 void team_account_settle(struct team_account *account, int64_t reserved_tokens,
-			 int64_t spent_tokens, int64_t now_us)
+			 int64_t spent_tokens)
 {
 	account->reserved_tokens -= reserved_tokens;
 	account->settled_tokens += spent_tokens;
-	if (spent_tokens)
-		demand_forecast_add(&account->demand, now_us, spent_tokens);
 }
 
-int64_t team_account_charged(const struct team_account *account)
+/* @return what the pool counts as taken by other hosts and not settled; tokens
+ * of hosts that died are among them */
+static int64_t others_unsettled_tokens(const struct team_account *account,
+				       const struct pooled_budget *budget)
 {
-	return at_least_zero(used_tokens(account) - account->base_tokens);
-}
+	const struct team_account_report *own = &account->confirmed;
+	int64_t unsettled = budget->taken_tokens - budget->settled_tokens;
 
-void team_account_close(struct team_account *account)
-{
-	account->base_tokens = used_tokens(account);
-	account->allotted_tokens = 0;
-	account->unresolved_tokens = TEAM_ACCOUNT_RESOLVED;
+	return at_least_zero(unsettled -
+			     (own->allotted_tokens - own->settled_tokens));
 }
 
-/* Sums over the other hosts' lines for one budget. */
-struct others {
-	int64_t left_tokens;
-	int64_t settled_tokens;
-	int64_t requested_tokens;
-	int64_t demand_tokens_per_s;
-	uint32_t count;
-};
-
-static void sum_others(const struct ledger_bucket *bucket, uint32_t budget,
-		       uint64_t line_id, struct others *others)
+/* Assumes that the other hosts hold as much for their part of the demand as
+ * this host does for its own, so that tokens of hosts that died are not
+ * counted. */
+static int64_t others_left_tokens(const struct team_account *account,
+				  const struct pooled_budget *budget,
+				  const struct allotment_inputs *in)
 {
-	memset(others, 0, sizeof(*others));
-	for (size_t i = 0; i < bucket->line_count; i++) {
-		const struct ledger_line *line = &bucket->lines[i];
-		const struct ledger_allotment *allotment =
-			ledger_line_find_allotment(line, budget);
-
-		if (!allotment || line->id == line_id)
-			continue;
-		others->left_tokens += at_least_zero(
-			allotment->allotted_tokens - allotment->settled_tokens);
-		others->settled_tokens += allotment->settled_tokens;
-		others->requested_tokens += allotment->requested_tokens;
-		others->demand_tokens_per_s += allotment->demand_tokens_per_s;
-		others->count++;
-	}
+	int64_t left = at_least_zero(in->allotted_tokens - in->used_tokens);
+
+	if (in->weight <= 0)
+		return 0;
+	return min_tokens(
+		others_unsettled_tokens(account, budget),
+		(int64_t)((double)left * (1.0 - in->weight) / in->weight));
 }
 
-static int64_t requested_by(const struct ledger_bucket *bucket, uint32_t budget,
-			    uint64_t line_id)
+/* Tokens that are not known to be spent; those of hosts that died are among
+ * them. */
+static int64_t unspent_tokens(const struct team_account *account,
+			      const struct pooled_budget *budget)
 {
-	for (size_t i = 0; i < bucket->line_count; i++) {
-		const struct ledger_allotment *allotment =
-			ledger_line_find_allotment(&bucket->lines[i], budget);
+	int64_t settled = budget ? budget->settled_tokens : 0;
 
-		if (allotment && bucket->lines[i].id == line_id)
-			return allotment->requested_tokens;
-	}
-	return 0;
+	return account->paid_in_tokens - settled -
+	       (account->settled_tokens - account->confirmed.settled_tokens);
 }
 
 /* The fraction that hosts may hold falls with the square of the fraction of the
  * budget that is unspent: what a host holds is lost when it dies, and near the
  * end of a budget too little is left to make up for that. */
 static double hold_fraction(const struct team_account *account,
-			    const struct allotment_inputs *in,
+			    const struct pooled_budget *budget,
 			    const struct team_account_policy *policy)
 {
-	int64_t unspent = in->free_tokens + in->others_left_tokens +
-			  at_least_zero(in->allotted_tokens - in->used_tokens);
 	double unspent_fraction;
 	double fraction;
 
 	if (account->paid_in_tokens <= 0)
 		return policy->hold_fraction;
-	unspent_fraction = (double)unspent / (double)account->paid_in_tokens;
+	unspent_fraction = (double)unspent_tokens(account, budget) /
+			   (double)account->paid_in_tokens;
 	fraction = policy->hold_fraction * unspent_fraction * unspent_fraction;
 	return fraction > MIN_HOLD_FRACTION ? fraction : MIN_HOLD_FRACTION;
 }
 
+/* The demand of each host that is assumed in addition to what is known. */
+static double assumed_demand_per_s(const struct team_account *account,
+				   const struct pooled_budget *budget,
+				   const struct team_account_policy *policy,
+				   uint32_t hosts)
+{
+	bool others_settled = budget &&
+			      budget->settled_tokens >
+				      account->confirmed.settled_tokens;
+
+	if (!policy->hosts_are_known && !others_settled)
+		return 0;
+	return (double)account->paid_in_tokens / ASSUMED_LIFETIME_S / hosts;
+}
+
+/* The fraction of the demand of all hosts that this host receives. Averages
+ * are taken, and the assumed demand counts for each host, so that a host with
+ * one early request does not take what the others need. */
+static double demand_weight(const struct team_account *account,
+			    double assumed_per_s, uint32_t hosts,
+			    int64_t now_us)
+{
+	double prior_per_s = assumed_per_s / ASSUMED_WEIGHT_DIVISOR;
+	double own_per_s =
+		demand_forecast_average_per_s(&account->demand, now_us);
+	double fleet_per_s =
+		demand_forecast_average_per_s(&account->fleet_demand, now_us);
+	double total_per_s =
+		(fleet_per_s > own_per_s ? fleet_per_s : own_per_s) +
+		prior_per_s * hosts;
+
+	if (total_per_s <= 0)
+		return 1.0 / hosts;
+	return (own_per_s + prior_per_s) / total_per_s;
+}
+
+/* @return the number of hosts that share the budgets, at least 1 */
+static uint32_t shared_by(size_t host_count,
+			  const struct team_account_policy *policy)
+{
+	if (host_count < policy->host_count)
+		return policy->host_count;
+	return host_count ? (uint32_t)host_count : 1;
+}
+
+double team_account_weight(const struct team_account *account,
+			   const struct pooled_budget *budget,
+			   size_t host_count,
+			   const struct team_account_policy *policy,
+			   int64_t now_us)
+{
+	uint32_t hosts = shared_by(host_count, policy);
+
+	return demand_weight(
+		account, assumed_demand_per_s(account, budget, policy, hosts),
+		hosts, now_us);
+}
+
+static int64_t free_tokens(const struct team_account *account,
+			   const struct pooled_budget *budget)
+{
+	if (!budget)
+		return account->paid_in_tokens;
+	if (account->paid_in_tokens > budget->paid_in_tokens)
+		return account->paid_in_tokens - budget->taken_tokens;
+	return pooled_budget_free_tokens(budget);
+}
+
+/* @return the mean cost of a request, if at least one is likely to arrive
+ * while an outage is ridden out; else 0 */
+static int64_t typical_tokens(const struct team_account *account,
+			      const struct team_account_policy *policy,
+			      double forecast_per_s)
+{
+	int64_t mean;
+
+	if (!account->demanding_requests)
+		return 0;
+	mean = account->demanded_tokens / account->demanding_requests;
+	if (forecast_per_s * policy->ride_out_s < (double)mean)
+		return 0;
+	return mean;
+}
+
 void team_account_decide(const struct team_account *account,
-			 const struct ledger_bucket *bucket, uint64_t line_id,
+			 const struct pooled_budget *budget, size_t host_count,
 			 const struct team_account_policy *policy,
 			 int64_t now_us, struct team_account_target *target)
 {
-	int found = ledger_bucket_find_budget(bucket, account->team);
 	struct allotment_inputs in = {0};
-	struct others others = {0};
-	double assumed_per_s = 0;
-	uint32_t hosts = policy->host_count;
-	int64_t own_requested_tokens = 0;
+	uint32_t hosts = shared_by(host_count, policy);
+	double forecast_per_s;
+	double assumed_per_s;
 	int64_t left;
 	int64_t raise;
 
-	in.free_tokens = account->paid_in_tokens;
-	if (found >= 0) {
-		uint32_t budget = (uint32_t)found;
-
-		in.free_tokens = ledger_bucket_free_tokens(bucket, budget);
-		if (bucket->budgets[found].paid_in_tokens <
-		    account->paid_in_tokens)
-			in.free_tokens += account->paid_in_tokens -
-					  bucket->budgets[found].paid_in_tokens;
-		sum_others(bucket, budget, line_id, &others);
-		own_requested_tokens = requested_by(bucket, budget, line_id);
-	}
-	if (hosts < others.count + 1)
-		hosts = others.count + 1;
-	if (policy->hosts_are_known || others.settled_tokens)
-		assumed_per_s = (double)account->paid_in_tokens /
-				ASSUMED_LIFETIME_S / hosts;
-	in.allotted_tokens = account->allotted_tokens;
+	forecast_per_s = demand_forecast_per_s(&account->demand, now_us);
+	assumed_per_s = assumed_demand_per_s(account, budget, policy, hosts);
+	in.free_tokens = free_tokens(account, budget);
+	in.allotted_tokens = account->confirmed.allotted_tokens;
 	in.used_tokens = team_account_charged(account);
 	in.needed_tokens = account->needed_tokens;
-	in.demand_per_s =
-		demand_forecast_per_s(&account->demand, now_us) + assumed_per_s;
-	in.others_demand_per_s = (double)others.demand_tokens_per_s +
-				 assumed_per_s * others.count;
-	in.others_left_tokens = others.left_tokens;
-	in.others_count = others.count;
+	in.typical_tokens = typical_tokens(account, policy, forecast_per_s);
+	in.demand_per_s = forecast_per_s + assumed_per_s;
+	in.weight = demand_weight(account, assumed_per_s, hosts, now_us);
+	if (budget)
+		in.others_left_tokens =
+			others_left_tokens(account, budget, &in);
+	in.others_count = hosts - 1;
 	in.ride_out_s = policy->ride_out_s;
-	in.hold_fraction = hold_fraction(account, &in, policy);
+	in.min_ride_out_s = MIN_RIDE_OUT_S;
+	in.hold_fraction = hold_fraction(account, budget, policy);
 	in.domains = hosts;
-	in.return_surplus = others.requested_tokens > in.free_tokens;
+	in.return_surplus = budget && budget->requested_tokens > in.free_tokens;
 	target->allotted_tokens = allotment_policy_decide(&in);
 	left = in.allotted_tokens - in.used_tokens;
 	raise = target->allotted_tokens - in.allotted_tokens;
-	target->requested_tokens = at_least_zero(
+	target->lacking_tokens = at_least_zero(
 		in.needed_tokens - at_least_zero(left) - in.free_tokens);
 	target->urgent = raise * MIN_RAISE_DIVISOR > left ||
 			 (in.needed_tokens && raise > 0);
 	target->deferrable = raise < 0 ||
-			     target->requested_tokens != own_requested_tokens;
+			     (target->lacking_tokens &&
+			      !(budget && budget->requested_tokens));
 }
 
-static void read_allotments(struct team_account *account,
-			    const struct ledger_bucket *bucket,
-			    uint64_t line_id)
+void team_account_propose(struct team_account *account,
+			  const struct team_account_target *target,
+			  struct pooled_budget *budget)
 {
-	int found = ledger_bucket_find_budget(bucket, account->team);
-	const struct ledger_budget *budget;
-
-	if (found < 0) {
-		account->free_tokens = account->paid_in_tokens;
-		account->remaining_tokens =
-			account->paid_in_tokens - used_tokens(account);
-		return;
-	}
-	budget = &bucket->budgets[found];
-	account->free_tokens =
-		ledger_bucket_free_tokens(bucket, (uint32_t)found);
-	account->remaining_tokens = account->paid_in_tokens -
-				    budget->folded_tokens -
-				    account->settled_tokens;
-	for (size_t i = 0; i < bucket->line_count; i++) {
-		const struct ledger_line *line = &bucket->lines[i];
-		const struct ledger_allotment *allotment =
-			ledger_line_find_allotment(line, (uint32_t)found);
-
-		if (allotment && line->id == line_id)
-			account->allotted_tokens = allotment->allotted_tokens;
-		else if (allotment)
-			account->remaining_tokens -= allotment->settled_tokens;
-	}
+	const struct team_account_report *from = &account->confirmed;
+	struct team_account_report *to = &account->proposed;
+
+	to->allotted_tokens = target->allotted_tokens;
+	to->settled_tokens = account->settled_tokens;
+	to->demanded_tokens = account->demanded_tokens;
+	budget->taken_tokens += to->allotted_tokens - from->allotted_tokens;
+	budget->settled_tokens += to->settled_tokens - from->settled_tokens;
+	budget->demanded_tokens += to->demanded_tokens - from->demanded_tokens;
+	if (target->lacking_tokens)
+		budget->requested_tokens = target->lacking_tokens;
+	else if (budget->requested_tokens <= pooled_budget_free_tokens(budget))
+		budget->requested_tokens = 0;
+}
+
+void team_account_confirm(struct team_account *account)
+{
+	account->confirmed = account->proposed;
+}
+
+void team_account_withdraw(struct team_account *account)
+{
+	account->proposed = account->confirmed;
+}
+
+void team_account_assume_lower(struct team_account *account)
+{
+	int64_t limit = team_account_limit(account);
+
+	account->confirmed = account->proposed;
+	account->confirmed.allotted_tokens = limit;
+	account->proposed = account->confirmed;
+}
+
+static void add_fleet_demand(struct team_account *account,
+			     const struct pooled_budget *budget, int64_t now_us)
+{
+	int64_t demanded = budget ? budget->demanded_tokens : 0;
+	int64_t added = demanded - account->fleet_demanded_tokens;
+
+	if (added > 0)
+		demand_forecast_add(&account->fleet_demand, now_us, added);
+	account->fleet_demanded_tokens = demanded;
 }
 
 void team_account_read(struct team_account *account,
-		       const struct ledger_bucket *bucket, uint64_t line_id)
+		       const struct pooled_budget *budget, int64_t now_us)
 {
-	read_allotments(account, bucket, line_id);
+	int64_t unreported =
+		account->settled_tokens - account->confirmed.settled_tokens;
+	int64_t settled = budget ? budget->settled_tokens : 0;
+	int64_t paid_in = account->paid_in_tokens;
+
+	if (budget && budget->paid_in_tokens > paid_in)
+		paid_in = budget->paid_in_tokens;
+	account->free_tokens = free_tokens(account, budget);
+	account->remaining_tokens = paid_in - settled - unreported;
 	account->held_tokens = at_least_zero(team_account_limit(account) -
-					     used_tokens(account));
+					     team_account_charged(account));
+	add_fleet_demand(account, budget, now_us);
 }
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -8,60 +8,72 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "state/budget_pool.h"
 #include "state/demand_forecast.h"
-#include "state/ledger_bucket.h"
 #include "tamarackgw/host_view.h"
 
-/** Value of unresolved_tokens while the results of all writes are known. */
-#define TEAM_ACCOUNT_RESOLVED INT64_C(-1)
-
 /** How much of a budget a host may hold. */
 struct team_account_policy {
 	double ride_out_s;    /**< length of the store outage to cover */
 	double hold_fraction; /**< of its fair amount, in a full budget */
 	uint32_t host_count;  /**< minimum; bounds the initial allotments */
-	/** The hosts have had time to open their lines. Until then, and until
+	/** The hosts have had time to join the pool. Until then, and until
 	 * another host has settled tokens, no demand is assumed beyond the
 	 * forecast, since the number of hosts is not known. */
 	bool hosts_are_known;
 };
 
-/** What the host's line should hold, and when that is worth a write. */
+/** What the host's allotment should be, and when that is worth a write. */
 struct team_account_target {
 	int64_t allotted_tokens;
-	int64_t requested_tokens; /**< requested from the other hosts */
-	bool urgent;		  /**< worth a write at once */
-	bool deferrable;	  /**< worth a write after the next read */
+	int64_t lacking_tokens; /**< needed here and not free */
+	bool urgent;		/**< worth a write at once */
+	bool deferrable;	/**< worth a write after the next read */
+};
+
+/** What this process has reported to the pool. All amounts are cumulative. */
+struct team_account_report {
+	int64_t allotted_tokens;
+	int64_t settled_tokens;
+	int64_t demanded_tokens;
 };
 
 /** One team's budget on this host. "When last read" means the last read of the
- * ledger. */
+ * pool. */
 struct team_account {
 	char team[TGW_NAME_SIZE];
 	int64_t paid_in_tokens;
-	/** Spendable from earlier lines of this process, which other hosts
-	 * have folded and so charged in full. */
-	int64_t base_tokens;
-	int64_t allotted_tokens; /**< confirmed by the store */
-	/** Lower allotment that may be in force, since the store has not
-	 * responded to the write that sets it; else TEAM_ACCOUNT_RESOLVED. */
-	int64_t unresolved_tokens;
+	struct team_account_report confirmed; /**< by the store */
+	/** What the open write says; equal to `confirmed` without one. */
+	struct team_account_report proposed;
 	int64_t settled_tokens;
 	int64_t reserved_tokens;
-	int64_t needed_tokens; /**< of requests refused since the last write */
+	int64_t demanded_tokens; /**< by requests that arrived here */
+	int64_t demanding_requests;
+	int64_t needed_tokens; /**< of requests that lack tokens now */
 	int64_t held_tokens;   /**< unspent here, when last read */
-	int64_t free_tokens;   /**< in no allotment, when last read */
+	int64_t free_tokens;   /**< taken by no host, when last read */
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
 	struct demand_forecast demand;
+	int64_t fleet_demanded_tokens;	     /**< in the pool, when last read */
+	struct demand_forecast fleet_demand; /**< of all hosts */
 	struct team_account *next;
 };
 
 struct team_account *team_account_new(const char *team);
 
-/** @return the total that this host may spend, spent tokens included */
+/** @return the total that this process may spend, spent tokens included: the
+ * lower of the confirmed allotment and that of an open write, which may take
+ * effect at any time */
 int64_t team_account_limit(const struct team_account *account);
 
+/** Counts the tokens of a request that arrived, whether they can be reserved
+ * or not: a forecast from served requests alone would keep a host that has
+ * few tokens from getting more. */
+void team_account_record_demand(struct team_account *account, int64_t tokens,
+				int64_t now_us);
+
 /**
  * Reserves tokens for a request.
  *
@@ -76,23 +88,50 @@
 			  int32_t rank, bool store_unreachable);
 
 void team_account_settle(struct team_account *account, int64_t reserved_tokens,
-			 int64_t spent_tokens, int64_t now_us);
+			 int64_t spent_tokens);
 
-/** @return the minimum that this host's line must be charged: settled tokens
+/** @return the minimum that the pool must charge this process: settled tokens
  * and the reservations of unfinished requests */
 int64_t team_account_charged(const struct team_account *account);
 
-/** Limits the host to the tokens that it is charged at present. */
-void team_account_close(struct team_account *account);
+/** @return the fraction of the demand of all hosts that this host receives, as
+ * far as it is known; greater than 0 */
+double team_account_weight(const struct team_account *account,
+			   const struct pooled_budget *budget,
+			   size_t host_count,
+			   const struct team_account_policy *policy,
+			   int64_t now_us);
 
-/** Computes the host's next allotment from the ledger as it was last read. */
+/**
+ * Computes the host's next allotment from the pool as it was last read.
+ * @param budget NULL if the pool does not have it yet
+ * @param host_count hosts in the pool
+ */
 void team_account_decide(const struct team_account *account,
-			 const struct ledger_bucket *bucket, uint64_t line_id,
+			 const struct pooled_budget *budget, size_t host_count,
 			 const struct team_account_policy *policy,
 			 int64_t now_us, struct team_account_target *target);
 
-/** Updates the account from the host's own ledger line and the other lines. */
+/** Applies an allotment, and what has changed since the last confirmed report,
+ * to the budget that is to be written. Until the write is confirmed or
+ * withdrawn, the lower allotment is in force. */
+void team_account_propose(struct team_account *account,
+			  const struct team_account_target *target,
+			  struct pooled_budget *budget);
+
+/** The proposed write took effect. */
+void team_account_confirm(struct team_account *account);
+
+/** The proposed write had no effect and can have none. */
+void team_account_withdraw(struct team_account *account);
+
+/** It is not known whether the proposed write took effect, and will not be:
+ * the process may spend the lower allotment. */
+void team_account_assume_lower(struct team_account *account);
+
+/** Updates what the account knows of the budget.
+ * @param budget NULL if the pool does not have it yet */
 void team_account_read(struct team_account *account,
-		       const struct ledger_bucket *bucket, uint64_t line_id);
+		       const struct pooled_budget *budget, int64_t now_us);
 
 #endif
--- a/tests/unit/test_team_budget.c
+++ b/tests/unit/test_team_budget.c
@@ -5,7 +5,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "base/text.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_world.h"
 #include "state/ledger_bucket.h"
@@ -61,10 +60,10 @@
 	((struct host *)arg)->closed = true;
 }
 
-static void start_host(struct host *host)
+static void start_host_with_keys(struct host *host, uint32_t keys)
 {
 	struct team_budget_settings settings = {
-		.bucket_count = 1,
+		.key_count = keys,
 		.policy = {.ride_out_s = 25,
 			   .hold_fraction = 0.9,
 			   .host_count = HOSTS},
@@ -79,8 +78,6 @@
 
 	snprintf(settings.host, sizeof(settings.host), "host-%d",
 		 (int)(host - hosts));
-	text_copy(settings.failure_domain, sizeof(settings.failure_domain),
-		  "east");
 	host->closed = false;
 	host->open_count = 0;
 	host->budgets =
@@ -89,6 +86,11 @@
 	team_budget_raise_paid_in(host->budgets, TEAM, paid_in_tokens);
 }
 
+static void start_host(struct host *host)
+{
+	start_host_with_keys(host, 1);
+}
+
 static void kill_host(struct host *host)
 {
 	/* Open requests may have been delivered at their full bound. */
@@ -140,6 +142,7 @@
 
 	if (host->open_count == MAX_OPEN_REQUESTS)
 		return TGW_BUSY;
+	team_budget_record_demand(host->budgets, TEAM, tokens);
 	status = team_budget_reserve(host->budgets, TEAM, tokens, 0);
 	if (status == TGW_OK)
 		host->open_tokens[host->open_count++] = tokens;
@@ -299,6 +302,107 @@
 }
 END_TEST
 
+START_TEST(a_stop_during_a_write_returns_all_unspent_tokens)
+{
+	struct team_budget_view view;
+	int64_t charged = 0;
+	uint64_t writes;
+
+	advance(5 * TGW_US_PER_S);
+	for (size_t i = 1; i < HOSTS; i++) {
+		charged += limit_of(&hosts[i]);
+		kill_host(&hosts[i]);
+	}
+	/* The host needs more tokens and writes; it is stopped before the
+	 * response arrives. */
+	while (open_request(&hosts[0], 1000) == TGW_OK) {
+		end_request(&hosts[0], 1000);
+		charged += 1000;
+	}
+	writes = server.writes;
+	while (server.writes == writes) {
+		team_budget_tick(hosts[0].budgets);
+		fake_world_advance(&world, TGW_US_PER_MS / 2);
+	}
+	team_budget_close(hosts[0].budgets);
+	advance(5 * TGW_US_PER_S);
+	ck_assert(hosts[0].closed);
+	kill_host(&hosts[0]);
+	start_host(&hosts[0]);
+	advance(5 * TGW_US_PER_S);
+	team_budget_get_view(hosts[0].budgets, TEAM, &view);
+	ck_assert_int_eq(view.free_tokens + view.limit_tokens,
+			 PAID_TOKENS - charged);
+}
+END_TEST
+
+START_TEST(a_write_with_a_lost_answer_is_charged_once)
+{
+	struct team_budget_view before;
+	struct team_budget_view after;
+
+	advance(5 * TGW_US_PER_S);
+	team_budget_get_view(hosts[0].budgets, TEAM, &before);
+	hosts[0].store.lose_answers = 1;
+	open_request(&hosts[0], before.limit_tokens + 5000);
+	advance(3 * TGW_US_PER_S);
+	ck_assert_uint_eq(hosts[0].store.lose_answers, 0);
+	team_budget_get_view(hosts[0].budgets, TEAM, &after);
+	/* The tokens left the pool and arrived here. */
+	ck_assert_int_ge(after.limit_tokens, before.limit_tokens + 5000);
+	ck_assert_int_le(after.limit_tokens - before.limit_tokens,
+			 before.free_tokens - after.free_tokens);
+}
+END_TEST
+
+START_TEST(a_host_takes_the_number_of_keys_from_the_ledger)
+{
+	struct team_budget_view view;
+
+	advance(5 * TGW_US_PER_S);
+	kill_host(&hosts[0]);
+	start_host_with_keys(&hosts[0], 8);
+	advance(5 * TGW_US_PER_S);
+	team_budget_get_view(hosts[0].budgets, TEAM, &view);
+	/* It shares the budget with the others, which use one key. */
+	ck_assert_int_gt(view.limit_tokens, 0);
+	ck_assert_int_le(view.free_tokens, PAID_TOKENS * 3 / 4);
+	ck_assert_uint_eq(server.key_count, 1);
+}
+END_TEST
+
+START_TEST(a_host_set_to_fewer_keys_than_the_ledger_spends_nothing)
+{
+	for (size_t i = 0; i < HOSTS; i++)
+		kill_host(&hosts[i]);
+	start_host_with_keys(&hosts[0], 8);
+	advance(5 * TGW_US_PER_S);
+	ck_assert_int_gt(limit_of(&hosts[0]), 0);
+	start_host_with_keys(&hosts[1], 4);
+	advance(5 * TGW_US_PER_S);
+	ck_assert_int_gt(hosts[1].failures, 0);
+	ck_assert_int_ne(open_request(&hosts[1], 1), TGW_OK);
+}
+END_TEST
+
+START_TEST(demand_that_was_refused_raises_the_allotment)
+{
+	int64_t before;
+
+	advance(5 * TGW_US_PER_S);
+	before = limit_of(&hosts[0]);
+	/* All requests are refused, since the store is away. */
+	fake_store_set_partitioned(&hosts[0].store, true);
+	for (int i = 0; i < 100; i++) {
+		team_budget_record_demand(hosts[0].budgets, TEAM, 2000);
+		advance(STEP_US);
+	}
+	fake_store_set_partitioned(&hosts[0].store, false);
+	advance(2 * TGW_US_PER_S);
+	ck_assert_int_ge(limit_of(&hosts[0]), before + 100 * 2000);
+}
+END_TEST
+
 START_TEST(a_killed_host_is_charged_its_whole_allotment)
 {
 	int64_t limit;
@@ -528,6 +632,12 @@
 		tcase,
 		a_lowered_allotment_applies_before_its_write_is_confirmed);
 	tcase_add_test(tcase, a_planned_stop_returns_all_unspent_tokens);
+	tcase_add_test(tcase, a_stop_during_a_write_returns_all_unspent_tokens);
+	tcase_add_test(tcase, a_write_with_a_lost_answer_is_charged_once);
+	tcase_add_test(tcase, a_host_takes_the_number_of_keys_from_the_ledger);
+	tcase_add_test(tcase,
+		       a_host_set_to_fewer_keys_than_the_ledger_spends_nothing);
+	tcase_add_test(tcase, demand_that_was_refused_raises_the_allotment);
 	tcase_add_test(tcase, a_killed_host_is_charged_its_whole_allotment);
 	tcase_add_test(tcase,
 		       few_tokens_stay_in_allotments_when_a_budget_runs_low);
--- a/tests/unit/test_team_budget_fleet.c
+++ b/tests/unit/test_team_budget_fleet.c
@@ -8,28 +8,30 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/text.h"
 #include "base/xalloc.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_world.h"
 #include "unit/unit_main.h"
 
-#define MAX_HOSTS 300
 #define HOSTS 84
+#define KEYS 4 /* as the edge's default */
 #define FAST_HOSTS 8
 #define TEAMS 24
+#define SEEDS 8
 /* Teams that send all their requests to one host; it is a slow one. */
 #define ONE_HOST_TEAMS 10
 /* 200 and 10 Mbit/s, less what the store's base64 adds. */
 #define FAST_BYTES_PER_S 18750000
 #define SLOW_BYTES_PER_S 937500
+/* What is left of a slow link beside the traffic of a whole team. */
+#define BUSY_BYTES_PER_S 93750
 #define REQUEST_TOKENS INT64_C(2500)
 #define REQUESTS_PER_S 30 /* of each team */
 #define DAY_S 34
 #define LEAD_S 12 /* from the start of the hosts to the first request */
 /* A budget holds this percentage of a team's demand. */
 #define PAID_PERCENT 130
-#define STEP_US (10 * TGW_US_PER_MS)
+#define STEP_US (1 * TGW_US_PER_MS)
 #define MAX_WAIT_US (400 * TGW_US_PER_MS)
 #define SERVICE_US (500 * TGW_US_PER_MS)
 
@@ -46,7 +48,8 @@
 	struct team_budget *budgets;
 	uint64_t process;
 	struct request *waiting;
-	bool notified; /* waiting requests may try again */
+	bool notified;	/* waiting requests may try again */
+	int64_t due_us; /* of the next tick */
 };
 
 struct tally {
@@ -57,8 +60,7 @@
 
 static struct fake_world world;
 static struct fake_store_server server;
-static struct host hosts[MAX_HOSTS];
-static size_t host_count;
+static struct host hosts[HOSTS];
 static struct tally tallies[TEAMS];
 static char team_names[TEAMS][16];
 
@@ -72,6 +74,14 @@
 	((struct host *)arg)->notified = true;
 }
 
+static void on_rescheduled(void *arg, int64_t due_us)
+{
+	struct host *host = arg;
+
+	if (due_us < host->due_us)
+		host->due_us = due_us;
+}
+
 static void on_closed(void *arg)
 {
 }
@@ -79,21 +89,20 @@
 static void start_host(struct host *host)
 {
 	struct team_budget_settings settings = {
-		.bucket_count = 1,
+		.key_count = KEYS,
 		.policy = {.ride_out_s = 25,
 			   .hold_fraction = 0.9,
 			   .host_count = 8},
 	};
 	struct team_budget_events events = {
 		.changed = on_changed,
+		.rescheduled = on_rescheduled,
 		.closed = on_closed,
 		.arg = host,
 	};
 
 	snprintf(settings.host, sizeof(settings.host), "host-%d",
 		 (int)(host - hosts));
-	text_copy(settings.failure_domain, sizeof(settings.failure_domain),
-		  "east");
 	host->process = tgw_random_u64(&world.random) | 1;
 	host->budgets = team_budget_new(&settings, &host->store.store,
 					&world.clock, host->process, &events);
@@ -120,26 +129,34 @@
 	fake_store_reset(&host->store);
 }
 
-static void start_fleet(size_t count)
+/* @param busy_bytes_per_s for the hosts that have a team to themselves */
+static int64_t link_bytes_per_s(size_t host, int64_t busy_bytes_per_s)
+{
+	if (host < FAST_HOSTS)
+		return FAST_BYTES_PER_S;
+	return host < FAST_HOSTS + ONE_HOST_TEAMS ? busy_bytes_per_s
+						  : SLOW_BYTES_PER_S;
+}
+
+static void start_fleet(uint64_t seed, int64_t busy_bytes_per_s)
 {
-	fake_world_init(&world, 1);
+	fake_world_init(&world, seed);
 	fake_store_server_init(&server, &world);
 	memset(hosts, 0, sizeof(hosts));
 	memset(tallies, 0, sizeof(tallies));
-	host_count = count;
 	for (int i = 0; i < TEAMS; i++)
 		snprintf(team_names[i], sizeof(team_names[i]), "team-%d", i);
-	for (size_t i = 0; i < host_count; i++) {
+	for (size_t i = 0; i < HOSTS; i++) {
 		fake_store_init(&hosts[i].store, &server);
 		hosts[i].store.link_bytes_per_s =
-			i < FAST_HOSTS ? FAST_BYTES_PER_S : SLOW_BYTES_PER_S;
+			link_bytes_per_s(i, busy_bytes_per_s);
 		start_host(&hosts[i]);
 	}
 }
 
 static void stop_fleet(void)
 {
-	for (size_t i = 0; i < host_count; i++)
+	for (size_t i = 0; i < HOSTS; i++)
 		kill_host(&hosts[i]);
 	fake_world_clear(&world);
 	fake_store_server_clear(&server);
@@ -219,7 +236,7 @@
 {
 	if (team < ONE_HOST_TEAMS)
 		return &hosts[FAST_HOSTS + (size_t)team];
-	return &hosts[tgw_random_below(&world.random, host_count)];
+	return &hosts[tgw_random_below(&world.random, HOSTS)];
 }
 
 static void send_request(int team)
@@ -235,6 +252,8 @@
 	request->process = host->process;
 	request->team = team;
 	request->arrived_us = world.now_us;
+	team_budget_record_demand(host->budgets, team_names[team],
+				  REQUEST_TOKENS);
 	if (try_request(request))
 		return;
 	request->next = host->waiting;
@@ -251,6 +270,14 @@
 			send_request(team);
 }
 
+static void tick(struct host *host)
+{
+	if (world.now_us < host->due_us)
+		return;
+	host->due_us = INT64_MAX;
+	on_rescheduled(host, team_budget_tick(host->budgets));
+}
+
 static void play(int64_t duration_us, bool has_traffic)
 {
 	int64_t until_us = world.now_us + duration_us;
@@ -258,12 +285,12 @@
 	while (world.now_us < until_us) {
 		if (has_traffic)
 			send_requests();
-		for (size_t i = 0; i < host_count; i++) {
+		for (size_t i = 0; i < HOSTS; i++) {
 			if (!hosts[i].budgets)
 				continue;
 			retry_waiting(&hosts[i]);
 			give_up_waiting(&hosts[i]);
-			team_budget_tick(hosts[i].budgets);
+			tick(&hosts[i]);
 		}
 		fake_world_advance(&world, STEP_US);
 	}
@@ -290,7 +317,18 @@
 
 START_TEST(a_slow_link_does_not_starve_a_team_that_sends_to_one_host)
 {
-	start_fleet(HOSTS);
+	start_fleet((uint64_t)_i, SLOW_BYTES_PER_S);
+	play(LEAD_S * TGW_US_PER_S, false);
+	play(DAY_S * TGW_US_PER_S, true);
+	check_no_overspending();
+	check_served(90);
+	stop_fleet();
+}
+END_TEST
+
+START_TEST(a_busy_link_does_not_starve_a_team_that_sends_to_one_host)
+{
+	start_fleet((uint64_t)_i, BUSY_BYTES_PER_S);
 	play(LEAD_S * TGW_US_PER_S, false);
 	play(DAY_S * TGW_US_PER_S, true);
 	check_no_overspending();
@@ -299,15 +337,35 @@
 }
 END_TEST
 
+START_TEST(a_fleet_makes_few_store_calls_without_demand)
+{
+	uint64_t calls;
+
+	start_fleet(1, SLOW_BYTES_PER_S);
+	play(LEAD_S * TGW_US_PER_S, false);
+	calls = server.reads + server.writes;
+	play(DAY_S * TGW_US_PER_S, false);
+	/* A host without demand reads each key once. */
+	ck_assert_uint_le(server.reads + server.writes - calls, HOSTS * KEYS);
+	stop_fleet();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("team_budget_fleet");
 	TCase *tcase = tcase_create("load");
 
 	tcase_set_timeout(tcase, 60);
-	tcase_add_test(
+	tcase_add_loop_test(
+		tcase,
+		a_slow_link_does_not_starve_a_team_that_sends_to_one_host, 1,
+		1 + SEEDS);
+	tcase_add_loop_test(
 		tcase,
-		a_slow_link_does_not_starve_a_team_that_sends_to_one_host);
+		a_busy_link_does_not_starve_a_team_that_sends_to_one_host, 1,
+		1 + SEEDS);
+	tcase_add_test(tcase, a_fleet_makes_few_store_calls_without_demand);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
