Give the budgets a timer of their own, so that retries do not fall in step

The log lines of the ledger writes showed why: all hosts retried in the same 10 ms of each 100 ms. Hosts that start together tick together, and the edge rounded the random backoff up to its next tick.

The budgets now report when they are due (rescheduled), and the edge runs a timer for that.

test_edge: with 12 raced writes the retries had one phase of the tick before, and have several now.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -226,7 +226,6 @@
 		call->tokens_deadline_us =
 			edge_now_us() + MAX_ALLOTMENT_WAIT_US;
 		call_schedule(call);
-		team_budget_tick(edge->budgets);
 		return;
 	case TGW_CONFLICT:
 		edge->counters.budget_refused++;
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -143,6 +143,31 @@
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "store", "regained", "-");
 }
 
+static void on_budget_timer(uv_timer_t *timer);
+
+static void on_budget_rescheduled(void *arg, int64_t due_us)
+{
+	struct edge *edge = arg;
+	int64_t delay_us = due_us - edge_now_us();
+
+	if (uv_is_active((uv_handle_t *)&edge->budget_timer) &&
+	    edge->budget_due_us <= due_us)
+		return;
+	if (delay_us < 0)
+		delay_us = 0;
+	edge->budget_due_us = due_us;
+	uv_timer_start(
+		&edge->budget_timer, on_budget_timer,
+		(uint64_t)((delay_us + TGW_US_PER_MS - 1) / TGW_US_PER_MS), 0);
+}
+
+static void on_budget_timer(uv_timer_t *timer)
+{
+	struct edge *edge = timer->data;
+
+	on_budget_rescheduled(edge, team_budget_tick(edge->budgets));
+}
+
 static void on_budget_changed(void *arg)
 {
 	call_retry_reservations(arg);
@@ -299,7 +324,6 @@
 
 	backend_follower_tick(edge->backend_follower);
 	route_follower_tick(edge->route_follower);
-	team_budget_tick(edge->budgets);
 	for (struct backend *backend = edge->backends.first; backend;
 	     backend = backend->next)
 		backend_pool_trim(backend, now_us);
@@ -363,6 +387,7 @@
 	};
 	struct team_budget_events budget_events = {
 		.changed = on_budget_changed,
+		.rescheduled = on_budget_rescheduled,
 		.failed = on_budget_call_failed,
 		.written = on_budget_written,
 		.closed = on_budgets_closed,
@@ -420,7 +445,10 @@
 		return error->status;
 	if (*settings->metrics_address)
 		start_metrics(edge);
+	uv_timer_init(loop, &edge->budget_timer);
+	edge->budget_timer.data = edge;
 	start_followers(edge);
+	on_budget_timer(&edge->budget_timer);
 	uv_timer_init(loop, &edge->tick);
 	edge->tick.data = edge;
 	uv_timer_start(&edge->tick, on_tick, TICK_MS, TICK_MS);
@@ -463,6 +491,7 @@
 	close_handle((uv_handle_t *)&edge->ready_listener);
 	close_handle((uv_handle_t *)&edge->metrics_listener);
 	close_handle((uv_handle_t *)&edge->tick);
+	close_handle((uv_handle_t *)&edge->budget_timer);
 	route_follower_free(edge->route_follower);
 	backend_follower_free(edge->backend_follower);
 	team_budget_free(edge->budgets);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -65,6 +65,10 @@
 	uv_tcp_t ready_listener;
 	uv_tcp_t metrics_listener; /* unused without an address */
 	uv_timer_t tick;
+	/* Budgets have a timer of their own: hosts that start together tick in
+	 * step, and so would their retries of writes that conflicted. */
+	uv_timer_t budget_timer;
+	int64_t budget_due_us;
 	struct server_limits limits; /* on callers' requests */
 	struct server_conn *conns;
 	struct server_conn *page_conns;
--- a/tests/fakes/kv_standin.c
+++ b/tests/fakes/kv_standin.c
@@ -198,6 +198,19 @@
 	free(text);
 }
 
+/* Writes the key's value once more, which gives it a new revision. */
+static void race_write(struct kv_standin *store, const char *key)
+{
+	struct kv_standin_item *item = find(store, key);
+
+	if (!store->race_writes || !item || !item->value ||
+	    store->conflict_count == KV_STANDIN_CONFLICTS_MAX)
+		return;
+	store->race_writes--;
+	store->conflicted_ms[store->conflict_count++] = uv_now(store->loop);
+	item->revision = ++store->revision;
+}
+
 static void write_transaction(struct kv_standin *store,
 			      struct server_conn *conn)
 {
@@ -213,7 +226,10 @@
 		const char *key =
 			json_string_value(json_object_get(row, "key"));
 		struct kv_standin_item *item = find(store, key);
-		int64_t revision = item && item->value ? item->revision : 0;
+		int64_t revision;
+
+		race_write(store, key);
+		revision = item && item->value ? item->revision : 0;
 
 		if (revision !=
 		    json_integer_value(json_object_get(row, "revision")))
--- a/tests/fakes/kv_standin.h
+++ b/tests/fakes/kv_standin.h
@@ -20,6 +20,8 @@
 
 struct kv_standin_watch;
 
+#define KV_STANDIN_CONFLICTS_MAX 32
+
 struct kv_standin {
 	uv_loop_t *loop;
 	uv_tcp_t listener;
@@ -36,6 +38,11 @@
 	int64_t max_watch_lag;
 	/** Number of following writes that are applied but not answered. */
 	unsigned int lose_answers;
+	/** Number of following writes that conflict with one of another
+	 * client, which comes just before. */
+	unsigned int race_writes;
+	unsigned int conflict_count;
+	uint64_t conflicted_ms[KV_STANDIN_CONFLICTS_MAX]; /**< loop time */
 };
 
 void kv_standin_start(struct kv_standin *store, uv_loop_t *loop);
--- a/tests/unit/test_edge.c
+++ b/tests/unit/test_edge.c
@@ -463,6 +463,33 @@
 }
 END_TEST
 
+#define TICK_MS 100 /* of the edge's timer for periodic work */
+#define RACED_WRITES 12
+
+/* The random backoffs would be in vain if all hosts rounded them up to ticks
+ * that they make in step. */
+START_TEST(retries_of_conflicting_writes_do_not_wait_for_the_tick)
+{
+	const uint64_t *at_ms = rig.store.conflicted_ms;
+	bool differs = false;
+
+	edge_rig_run(&rig, 3000);
+	rig.store.race_writes = RACED_WRITES;
+	/* The host writes its keys until it has left them. */
+	team_budget_close(rig.edge.budgets);
+	for (int i = 0; i < 50 && rig.store.race_writes; i++)
+		edge_rig_run(&rig, TICK_MS);
+	ck_assert_uint_eq(rig.store.conflict_count, RACED_WRITES);
+	for (int i = 2; i < RACED_WRITES; i++) {
+		uint64_t phase_ms = (at_ms[i] - at_ms[1]) % TICK_MS;
+
+		if (phase_ms > TICK_MS / 5 && phase_ms < TICK_MS * 4 / 5)
+			differs = true;
+	}
+	ck_assert(differs);
+}
+END_TEST
+
 START_TEST(a_planned_stop_completes_open_requests)
 {
 	struct edge_rig_caller caller;
@@ -543,6 +570,8 @@
 	tcase_add_test(tcase, only_the_newest_version_is_read_after_an_outage);
 	tcase_add_test(tcase, a_host_without_a_configuration_refuses_requests);
 	tcase_add_test(tcase, lost_store_responses_do_not_block_a_budget);
+	tcase_add_test(tcase,
+		       retries_of_conflicting_writes_do_not_wait_for_the_tick);
 	tcase_add_test(tcase, a_planned_stop_completes_open_requests);
 	tcase_add_test(tcase,
 		       an_idle_caller_is_disconnected_at_the_idle_timeout);
