Spread the budgets of a new ledger over four keys

A busy host's store calls take 50 to 170 ms, as its link carries the traffic of a whole team. Of 55 writes a second that take effect in one key, some fall into nearly each such span. With four keys each team contends with a quarter of the others.

A ledger in the store keeps its number of keys.

--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -33,9 +33,9 @@
 	       "host; the pause between watch calls is a fraction of it"),
 	NUMBER("store", "drain_ms", drain_ms, 100, 60000, 2000,
 	       "as apply_ms, for a backend server that starts to drain"),
-	NUMBER("budget", "ledger_keys", ledger_keys, 1, 4096, 1,
-	       "store keys that the teams' budgets are spread over; must be "
-	       "the same on all hosts"),
+	NUMBER("budget", "ledger_keys", ledger_keys, 1, 4096, 4,
+	       "store keys that the teams' budgets are spread over in a new "
+	       "ledger; a ledger in the store keeps its number"),
 	NUMBER("budget", "ride_out_ms", ride_out_ms, 500, 86400000, 25000,
 	       "length of the store outage that a host's allotments should "
 	       "cover"),
