Count only new demand of the fleet, and retry writes that others wait for

The first read is now the baseline.

A lost write that returns a surplus is retried if another host requests tokens, else it would wait for the next read, 21 s later with 84 hosts. team_account_decide() is split.

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -144,6 +144,8 @@
 		struct team_account *account = accounts;
 
 		accounts = account->next;
+		/* A write of its earlier key can't have taken effect. */
+		team_account_withdraw(account);
 		add_account(budgets, account);
 	}
 	for (uint32_t i = 0; i < count; i++)
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -329,14 +329,20 @@
 						(uint64_t)max_us));
 }
 
-static bool lacks_tokens(const struct team_budget_key *key)
+/* A write that nobody waits for is not retried: the next one makes up for it,
+ * and all others contend with fewer. */
+static bool is_awaited(const struct team_budget_key *key)
 {
 	if (key->budgets->closing || !key->joined)
 		return true;
 	for (const struct team_account *account = key->accounts; account;
-	     account = account->next)
-		if (account->needed_tokens)
+	     account = account->next) {
+		struct team_account_target target;
+
+		decide(key, account, &target);
+		if (target.awaited)
 			return true;
+	}
 	return false;
 }
 
@@ -349,7 +355,7 @@
 	key->outcome_unknown = true;
 	if (!adopt_entry(key, entry))
 		back_off_after_failure(key);
-	else if (!lacks_tokens(key))
+	else if (!is_awaited(key))
 		finish_cycle(key);
 	else if (key->conflicts <= IMMEDIATE_RETRIES)
 		write_if_needed(key);
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -30,6 +30,9 @@
 	.min_age_s = 3.0,
 };
 
+/* Value of fleet_demanded_tokens before the first read. */
+#define NOT_READ INT64_C(-1)
+
 struct team_account *team_account_new(const char *team)
 {
 	struct team_account *account = xcalloc(1, sizeof(*account));
@@ -37,6 +40,7 @@
 	text_copy(account->team, sizeof(account->team), team);
 	account->demand.windows = &outage_windows;
 	account->fleet_demand.windows = &outage_windows;
+	account->fleet_demanded_tokens = NOT_READ;
 	return account;
 }
 
@@ -248,46 +252,57 @@
 	return mean;
 }
 
+static void fill_inputs(const struct team_account *account,
+			const struct pooled_budget *budget, uint32_t hosts,
+			const struct team_account_policy *policy,
+			int64_t now_us, struct allotment_inputs *in)
+{
+	double forecast_per_s = demand_forecast_per_s(&account->demand, now_us);
+	double assumed_per_s =
+		assumed_demand_per_s(account, budget, policy, hosts);
+
+	memset(in, 0, sizeof(*in));
+	in->free_tokens = free_tokens(account, budget);
+	in->allotted_tokens = account->confirmed.allotted_tokens;
+	in->used_tokens = team_account_charged(account);
+	in->needed_tokens = account->needed_tokens;
+	in->typical_tokens = typical_tokens(account, policy, forecast_per_s);
+	in->demand_per_s = forecast_per_s + assumed_per_s;
+	in->weight = demand_weight(account, assumed_per_s, hosts, now_us);
+	if (budget)
+		in->others_left_tokens =
+			others_left_tokens(account, budget, in);
+	in->others_count = hosts - 1;
+	in->ride_out_s = policy->ride_out_s;
+	in->min_ride_out_s = MIN_RIDE_OUT_S;
+	in->hold_fraction = hold_fraction(account, budget, policy);
+	in->domains = hosts;
+	in->return_surplus = budget &&
+			     budget->requested_tokens > in->free_tokens;
+}
+
 void team_account_decide(const struct team_account *account,
 			 const struct pooled_budget *budget, size_t host_count,
 			 const struct team_account_policy *policy,
 			 int64_t now_us, struct team_account_target *target)
 {
-	struct allotment_inputs in = {0};
-	uint32_t hosts = shared_by(host_count, policy);
-	double forecast_per_s;
-	double assumed_per_s;
+	bool is_requested = budget && budget->requested_tokens;
+	struct allotment_inputs in;
 	int64_t left;
 	int64_t raise;
 
-	forecast_per_s = demand_forecast_per_s(&account->demand, now_us);
-	assumed_per_s = assumed_demand_per_s(account, budget, policy, hosts);
-	in.free_tokens = free_tokens(account, budget);
-	in.allotted_tokens = account->confirmed.allotted_tokens;
-	in.used_tokens = team_account_charged(account);
-	in.needed_tokens = account->needed_tokens;
-	in.typical_tokens = typical_tokens(account, policy, forecast_per_s);
-	in.demand_per_s = forecast_per_s + assumed_per_s;
-	in.weight = demand_weight(account, assumed_per_s, hosts, now_us);
-	if (budget)
-		in.others_left_tokens =
-			others_left_tokens(account, budget, &in);
-	in.others_count = hosts - 1;
-	in.ride_out_s = policy->ride_out_s;
-	in.min_ride_out_s = MIN_RIDE_OUT_S;
-	in.hold_fraction = hold_fraction(account, budget, policy);
-	in.domains = hosts;
-	in.return_surplus = budget && budget->requested_tokens > in.free_tokens;
-	target->allotted_tokens = allotment_policy_decide(&in);
+	fill_inputs(account, budget, shared_by(host_count, policy), policy,
+		    now_us, &in);
 	left = in.allotted_tokens - in.used_tokens;
+	target->allotted_tokens = allotment_policy_decide(&in);
 	raise = target->allotted_tokens - in.allotted_tokens;
 	target->lacking_tokens = at_least_zero(
 		in.needed_tokens - at_least_zero(left) - in.free_tokens);
 	target->urgent = raise * MIN_RAISE_DIVISOR > left ||
 			 (in.needed_tokens && raise > 0);
 	target->deferrable = raise < 0 ||
-			     (target->lacking_tokens &&
-			      !(budget && budget->requested_tokens));
+			     (target->lacking_tokens && !is_requested);
+	target->awaited = in.needed_tokens || (raise < 0 && is_requested);
 }
 
 void team_account_propose(struct team_account *account,
@@ -334,7 +349,7 @@
 	int64_t demanded = budget ? budget->demanded_tokens : 0;
 	int64_t added = demanded - account->fleet_demanded_tokens;
 
-	if (added > 0)
+	if (account->fleet_demanded_tokens != NOT_READ && added > 0)
 		demand_forecast_add(&account->fleet_demand, now_us, added);
 	account->fleet_demanded_tokens = demanded;
 }
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -29,6 +29,7 @@
 	int64_t lacking_tokens; /**< needed here and not free */
 	bool urgent;		/**< worth a write at once */
 	bool deferrable;	/**< worth a write after the next read */
+	bool awaited;		/**< by requests here, or by other hosts */
 };
 
 /** What this process has reported to the pool. All amounts are cumulative. */
@@ -56,7 +57,8 @@
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
 	struct demand_forecast demand;
-	int64_t fleet_demanded_tokens;	     /**< in the pool, when last read */
+	/** Of all hosts, in the pool when it was last read; negative before. */
+	int64_t fleet_demanded_tokens;
 	struct demand_forecast fleet_demand; /**< of all hosts */
 	struct team_account *next;
 };
--- a/tests/unit/test_team_budget.c
+++ b/tests/unit/test_team_budget.c
@@ -385,6 +385,37 @@
 }
 END_TEST
 
+static void spend_evenly(int64_t duration_us)
+{
+	int64_t until_us = world.now_us + duration_us;
+
+	while (world.now_us < until_us) {
+		for (size_t i = 0; i < HOSTS; i++)
+			if (open_request(&hosts[i], 50) == TGW_OK)
+				end_request(&hosts[i], 50);
+		advance(STEP_US);
+	}
+}
+
+static int64_t left_of(const struct host *host)
+{
+	struct team_budget_view view;
+
+	ck_assert(team_budget_get_view(host->budgets, TEAM, &view));
+	return view.limit_tokens - view.settled_tokens - view.reserved_tokens;
+}
+
+/* What all hosts demanded before must not count as demand of this moment. */
+START_TEST(a_restarted_host_holds_as_much_as_the_others)
+{
+	spend_evenly(30 * TGW_US_PER_S);
+	kill_host(&hosts[0]);
+	start_host(&hosts[0]);
+	spend_evenly(10 * TGW_US_PER_S);
+	ck_assert_int_ge(left_of(&hosts[0]), left_of(&hosts[1]) / 2);
+}
+END_TEST
+
 START_TEST(demand_that_was_refused_raises_the_allotment)
 {
 	int64_t before;
@@ -637,6 +668,7 @@
 	tcase_add_test(tcase, a_host_takes_the_number_of_keys_from_the_ledger);
 	tcase_add_test(tcase,
 		       a_host_set_to_fewer_keys_than_the_ledger_spends_nothing);
+	tcase_add_test(tcase, a_restarted_host_holds_as_much_as_the_others);
 	tcase_add_test(tcase, demand_that_was_refused_raises_the_allotment);
 	tcase_add_test(tcase, a_killed_host_is_charged_its_whole_allotment);
 	tcase_add_test(tcase,
