Let the kernel choose the ports of the edge's test rig while it listens

With ten and twelve copies of a test program side by side, 2 of about 8,800 setups ended with SIGABRT: the rig looked for a free port, closed it, and another copy took it before the edge listened (trace: abort in edge_rig_start). The edge now listens on port 0, and the rig reads which port it got.

--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -14,6 +14,7 @@
 
 #define WAIT_TIMEOUT_MS 3000
 #define STEP_MS 5
+#define ANY_PORT "127.0.0.1:0"
 
 static const char config_format[] =
 	"{\"version\":%d,\"routes\":["
@@ -55,9 +56,16 @@
 	return ntohs(address.sin_port);
 }
 
-static void set_address(char *text, size_t size)
+/* Writes the address that a listener was given; it listened on port 0. */
+static void read_address(const uv_tcp_t *listener, char *text, size_t size)
 {
-	snprintf(text, size, "127.0.0.1:%d", edge_rig_free_port());
+	struct sockaddr_in address;
+	int length = sizeof(address);
+
+	if (uv_tcp_getsockname(listener, (struct sockaddr *)&address, &length) <
+	    0)
+		abort();
+	snprintf(text, size, "127.0.0.1:%d", ntohs(address.sin_port));
 }
 
 void edge_rig_start(struct edge_rig *rig)
@@ -80,10 +88,10 @@
 	text_copy(rig->settings.name, sizeof(rig->settings.name), "host-a");
 	text_copy(rig->settings.failure_domain,
 		  sizeof(rig->settings.failure_domain), "east");
-	set_address(rig->settings.caller_address,
-		    sizeof(rig->settings.caller_address));
-	set_address(rig->settings.ready_address,
-		    sizeof(rig->settings.ready_address));
+	text_copy(rig->settings.caller_address,
+		  sizeof(rig->settings.caller_address), ANY_PORT);
+	text_copy(rig->settings.ready_address,
+		  sizeof(rig->settings.ready_address), ANY_PORT);
 	text_copy(rig->settings.store_address,
 		  sizeof(rig->settings.store_address), rig->store.address);
 	rig->settings.stop_notice_ms = 300;
@@ -96,6 +104,10 @@
 		fprintf(stderr, "cannot start the edge: %s\n", error.message);
 		abort();
 	}
+	read_address(&rig->edge.caller_listener, rig->settings.caller_address,
+		     sizeof(rig->settings.caller_address));
+	read_address(&rig->edge.ready_listener, rig->settings.ready_address,
+		     sizeof(rig->settings.ready_address));
 }
 
 void edge_rig_run(struct edge_rig *rig, int64_t ms)
