Share one MessagePack writer in place of nine copies

The new codec of budget pools had brought the ninth copy of the callback that appends packed bytes to a buffer. It stands in msgpack_field now.

--- a/src/ctl/quarantine_commands.c
+++ b/src/ctl/quarantine_commands.c
@@ -8,6 +8,7 @@
 #include "base/msgpack_guard.h"
 #include "ctl/config_print.h"
 #include "ctl/ctl.h"
+#include "state/msgpack_field.h"
 #include "state/quarantine_value.h"
 
 #define FINGERPRINT_HEX_SIZE (2 * TGW_FINGERPRINT_BYTES + 1)
@@ -149,12 +150,6 @@
 	return found;
 }
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 /* Writes the entries to a segment key, named after the sequence number of the
  * last one. A retry writes the same key with the same value, so a conflict
  * counts as success. */
@@ -170,7 +165,7 @@
 
 	snprintf(key, sizeof(key), "tgw/audit/quarantine/%08" PRIu64,
 		 last_sequence);
-	msgpack_packer_init(&packer, &value, write_buffer);
+	msgpack_packer_init(&packer, &value, msgpack_field_write);
 	msgpack_pack_object(&packer, *entries);
 	status = ctl_swap(ctl, key, TGW_STORE_ABSENT, value.data, value.size,
 			  error);
@@ -212,7 +207,7 @@
 	if (status)
 		goto out;
 	audit_entry_chain(entry, count ? &last : NULL);
-	msgpack_packer_init(&packer, &packed, write_buffer);
+	msgpack_packer_init(&packer, &packed, msgpack_field_write);
 	msgpack_pack_array(&packer, count - first_kept + 1);
 	for (size_t i = first_kept; i < count; i++)
 		msgpack_pack_object(&packer, entries[i]);
--- a/src/state/budget_message.c
+++ b/src/state/budget_message.c
@@ -26,12 +26,6 @@
 	memset(message, 0, sizeof(*message));
 }
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 /* Trailing fields that are zero are not encoded. */
 static size_t item_field_count(const struct budget_message_item *item)
 {
@@ -87,7 +81,7 @@
 	msgpack_packer packer;
 	size_t fields = header_field_count(message);
 
-	msgpack_packer_init(&packer, bytes, write_buffer);
+	msgpack_packer_init(&packer, bytes, msgpack_field_write);
 	msgpack_pack_array(&packer, fields);
 	msgpack_pack_uint32(&packer, BUDGET_MESSAGE_FORMAT_VERSION);
 	msgpack_pack_uint32(&packer, message->kind);
--- a/src/state/budget_pool_codec.c
+++ b/src/state/budget_pool_codec.c
@@ -10,12 +10,6 @@
 #include "state/msgpack_field.h"
 #include "state/wire_reader.h"
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 static void encode_budget(msgpack_packer *packer,
 			  const struct pooled_budget *budget)
 {
@@ -39,7 +33,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, body, write_buffer);
+	msgpack_packer_init(&packer, body, msgpack_field_write);
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_uint32(&packer, pool->key_count);
 	msgpack_pack_array(&packer, pool->budget_count);
@@ -57,7 +51,7 @@
 	msgpack_packer packer;
 
 	encode_body(pool, &body);
-	msgpack_packer_init(&packer, bytes, write_buffer);
+	msgpack_packer_init(&packer, bytes, msgpack_field_write);
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_uint32(&packer, BUDGET_POOL_FORMAT_VERSION);
 	msgpack_field_pack_bytes(&packer, body.data, body.size);
--- a/src/state/claim_bucket.c
+++ b/src/state/claim_bucket.c
@@ -178,17 +178,11 @@
 	}
 }
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 void claim_bucket_pack(const struct claim_bucket *bucket, struct buffer *value)
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, value, write_buffer);
+	msgpack_packer_init(&packer, value, msgpack_field_write);
 	msgpack_pack_array(&packer, VALUE_FIELDS);
 	msgpack_pack_uint64(&packer, FORMAT_VERSION);
 	msgpack_pack_uint64(&packer, bucket->writer_incarnation);
--- a/src/state/claim_message.c
+++ b/src/state/claim_message.c
@@ -8,18 +8,12 @@
 #define FORMAT_VERSION 1
 #define MESSAGE_FIELDS 9
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 void claim_message_pack(const struct claim_message *message,
 			struct buffer *payload)
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, payload, write_buffer);
+	msgpack_packer_init(&packer, payload, msgpack_field_write);
 	msgpack_pack_array(&packer, MESSAGE_FIELDS);
 	msgpack_pack_uint64(&packer, FORMAT_VERSION);
 	msgpack_pack_uint64(&packer, message->kind);
--- a/src/state/ledger_codec.c
+++ b/src/state/ledger_codec.c
@@ -12,12 +12,6 @@
 /* Decoded arrays are allocated by their element counts. Each element takes at
  * least one byte of the value, which bounds these counts. */
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 static void encode_budget(msgpack_packer *packer,
 			  const struct ledger_budget *budget)
 {
@@ -77,7 +71,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, bytes, write_buffer);
+	msgpack_packer_init(&packer, bytes, msgpack_field_write);
 	msgpack_pack_array(&packer, 4);
 	msgpack_pack_uint32(&packer, LEDGER_FORMAT_VERSION);
 	msgpack_pack_array(&packer, bucket->budget_count);
--- a/src/state/msgpack_field.c
+++ b/src/state/msgpack_field.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "base/buffer.h"
+
 const msgpack_object *msgpack_field_array(const msgpack_object *object,
 					  size_t min_count)
 {
@@ -53,6 +55,12 @@
 	return true;
 }
 
+int msgpack_field_write(void *data, const char *bytes, size_t size)
+{
+	buffer_add(data, bytes, size);
+	return 0;
+}
+
 void msgpack_field_pack_text(msgpack_packer *packer, const char *text)
 {
 	size_t size = strlen(text);
--- a/src/state/msgpack_field.h
+++ b/src/state/msgpack_field.h
@@ -27,6 +27,11 @@
 bool msgpack_field_bytes(const msgpack_object *object, void *bytes,
 			 size_t size);
 
+/** Appends packed bytes to a struct buffer: the callback of
+ * msgpack_packer_init().
+ * @return 0 */
+int msgpack_field_write(void *data, const char *bytes, size_t size);
+
 void msgpack_field_pack_text(msgpack_packer *packer, const char *text);
 void msgpack_field_pack_bytes(msgpack_packer *packer, const void *bytes,
 			      size_t size);
--- a/src/state/quarantine_message.c
+++ b/src/state/quarantine_message.c
@@ -15,12 +15,6 @@
 	char names[QUARANTINE_SERVERS_MAX][TGW_NAME_SIZE];
 };
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 static void pack_items(const struct quarantine_message *message,
 		       msgpack_packer *packer)
 {
@@ -34,7 +28,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, payload, write_buffer);
+	msgpack_packer_init(&packer, payload, msgpack_field_write);
 	msgpack_pack_array(&packer, message->kind == QUARANTINE_UPDATE ? 3 : 6);
 	msgpack_pack_uint64(&packer, FORMAT_VERSION);
 	msgpack_pack_uint64(&packer, message->kind);
--- a/src/state/quarantine_value.c
+++ b/src/state/quarantine_value.c
@@ -8,12 +8,6 @@
 #define FORMAT_VERSION 1
 #define VALUE_FIELDS 3
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 static bool items_are_valid(const msgpack_object *items)
 {
 	struct quarantine_item item;
@@ -44,7 +38,7 @@
 	msgpack_packer packer;
 
 	buffer_clear(audit);
-	msgpack_packer_init(&packer, audit, write_buffer);
+	msgpack_packer_init(&packer, audit, msgpack_field_write);
 	msgpack_pack_object(&packer, *entries);
 }
 
@@ -98,7 +92,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, value, write_buffer);
+	msgpack_packer_init(&packer, value, msgpack_field_write);
 	msgpack_pack_array(&packer, VALUE_FIELDS);
 	msgpack_pack_uint64(&packer, FORMAT_VERSION);
 	msgpack_pack_array(&packer, table->count);
--- a/tests/fuzz/fuzz_pool.c
+++ b/tests/fuzz/fuzz_pool.c
@@ -7,12 +7,6 @@
 #include "state/budget_pool_codec.h"
 #include "state/msgpack_field.h"
 
-static int write_buffer(void *data, const char *bytes, size_t size)
-{
-	buffer_add(data, bytes, size);
-	return 0;
-}
-
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	struct budget_pool pool;
@@ -21,7 +15,7 @@
 
 	budget_pool_codec_decode(&pool, data, size, NULL);
 	budget_pool_clear(&pool);
-	msgpack_packer_init(&packer, &value, write_buffer);
+	msgpack_packer_init(&packer, &value, msgpack_field_write);
 	msgpack_pack_array(&packer, 3);
 	msgpack_pack_uint32(&packer, BUDGET_POOL_FORMAT_VERSION);
 	msgpack_field_pack_bytes(&packer, data, size);
