--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -295,9 +295,13 @@
 {
 	const struct team_budget_key *key = key_of(budgets, team);
 	const struct team_account *account = find_account(key, team);
+	const struct pooled_budget *budget;
 
 	if (!account)
 		return false;
+	budget = budget_pool_find(&key->pool, team);
+	view->taken_by_all_tokens = budget ? budget->taken_tokens : 0;
+	view->settled_by_all_tokens = budget ? budget->settled_tokens : 0;
 	view->paid_in_tokens = account->paid_in_tokens;
 	view->limit_tokens = team_account_limit(account);
 	view->settled_tokens = account->settled_tokens;
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -73,6 +73,9 @@
 	int64_t settled_tokens;	 /**< settled on this host */
 	int64_t reserved_tokens; /**< held by open requests */
 	int64_t free_tokens;	 /**< taken by no host, by the last read */
+	/** By all hosts, dead ones included, by the last read. */
+	int64_t taken_by_all_tokens;
+	int64_t settled_by_all_tokens;
 	int64_t read_us;	 /**< monotonic time of that read */
 };
 
