--- /dev/null
+++ b/tests/fakes/team_fleet.c
@@ -0,0 +1,332 @@
+#include "fakes/team_fleet.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/xalloc.h"
+
+struct team_fleet team_fleet;
+
+/* A host has been up for a random time when it is first seen. */
+#define MAX_UPTIME_US (100000 * TGW_US_PER_S)
+
+static void on_changed(void *arg)
+{
+	((struct team_fleet_host *)arg)->notified = true;
+}
+
+static void on_rescheduled(void *arg, int64_t due_us)
+{
+	struct team_fleet_host *host = arg;
+
+	if (due_us < host->due_us)
+		host->due_us = due_us;
+}
+
+static void on_closed(void *arg)
+{
+}
+
+static int64_t host_clock_us(const struct tgw_clock *clock)
+{
+	const struct team_fleet_clock *own =
+		(const struct team_fleet_clock *)clock;
+
+	return own->booted_at_us + team_fleet.world.now_us;
+}
+
+static int64_t host_wall_us(const struct tgw_clock *clock)
+{
+	return team_fleet.world.now_us;
+}
+
+static const struct tgw_clock_ops host_clock_ops = {
+	.monotonic_us = host_clock_us,
+	.wall_us = host_wall_us,
+};
+
+static void boot(struct team_fleet_host *host)
+{
+	struct tgw_random random;
+
+	host->boot++;
+	tgw_random_init(&random,
+			(uint64_t)(host - team_fleet.hosts) << 32 | host->boot);
+	host->clock.clock.ops = &host_clock_ops;
+	host->clock.booted_at_us =
+		(int64_t)tgw_random_below(&random, MAX_UPTIME_US);
+}
+
+void team_fleet_start_host(struct team_fleet_host *host)
+{
+	struct team_budget_settings settings = {
+		.key_count = team_fleet.settings.key_count,
+		.policy = {.ride_out_s = 25,
+			   .hold_fraction = 0.9,
+			   .host_count = 8},
+	};
+	struct team_budget_events events = {
+		.changed = on_changed,
+		.rescheduled = on_rescheduled,
+		.closed = on_closed,
+		.arg = host,
+	};
+
+	snprintf(settings.host, sizeof(settings.host), "host-%d",
+		 (int)(host - team_fleet.hosts));
+	host->process = tgw_random_u64(&team_fleet.world.random) | 1;
+	host->budgets = team_budget_new(&settings, &host->store.store,
+					&host->clock.clock, host->process,
+					&events);
+	host->due_us = 0;
+	for (int i = 0; i < team_fleet.settings.team_count; i++)
+		team_budget_raise_paid_in(host->budgets,
+					  team_fleet.team_names[i],
+					  team_fleet.settings.paid_tokens);
+}
+
+static void drop_waiting(struct team_fleet_host *host)
+{
+	while (host->waiting) {
+		struct team_fleet_request *request = host->waiting;
+
+		host->waiting = request->next;
+		free(request);
+	}
+}
+
+void team_fleet_kill_host(struct team_fleet_host *host)
+{
+	drop_waiting(host);
+	team_budget_free(host->budgets);
+	host->budgets = NULL;
+	fake_store_reset(&host->store);
+}
+
+static void for_each_host(void (*run)(struct team_fleet_host *host))
+{
+	for (size_t i = 0; i < team_fleet.settings.host_count; i++)
+		run(&team_fleet.hosts[i]);
+}
+
+static void install_host(struct team_fleet_host *host)
+{
+	int64_t (*link)(size_t) = team_fleet.settings.link_bytes_per_s;
+
+	fake_store_init(&host->store, &team_fleet.server);
+	if (link)
+		host->store.link_bytes_per_s =
+			link((size_t)(host - team_fleet.hosts));
+	boot(host);
+	team_fleet_start_host(host);
+}
+
+void team_fleet_start(const struct team_fleet_settings *settings, uint64_t seed)
+{
+	memset(&team_fleet, 0, sizeof(team_fleet));
+	team_fleet.settings = *settings;
+	fake_world_init(&team_fleet.world, seed);
+	fake_store_server_init(&team_fleet.server, &team_fleet.world);
+	for (int i = 0; i < settings->team_count; i++)
+		snprintf(team_fleet.team_names[i],
+			 sizeof(team_fleet.team_names[i]), "team-%d", i);
+	for_each_host(install_host);
+}
+
+void team_fleet_stop(void)
+{
+	for_each_host(team_fleet_kill_host);
+	fake_world_clear(&team_fleet.world);
+	fake_store_server_clear(&team_fleet.server);
+}
+
+static void finish_request(void *arg)
+{
+	struct team_fleet_request *request = arg;
+	struct team_fleet_host *host = request->host;
+
+	if (host->budgets && host->process == request->process)
+		team_budget_settle(host->budgets,
+				   team_fleet.team_names[request->team],
+				   team_fleet.settings.request_tokens,
+				   team_fleet.settings.request_tokens);
+	free(request);
+}
+
+/* @return whether the request no longer waits */
+static bool try_request(struct team_fleet_request *request)
+{
+	struct team_fleet_tally *tally = &team_fleet.tallies[request->team];
+
+	switch (team_budget_reserve(request->host->budgets,
+				    team_fleet.team_names[request->team],
+				    team_fleet.settings.request_tokens, 0)) {
+	case TGW_OK:
+		tally->served++;
+		tally->spent_tokens += team_fleet.settings.request_tokens;
+		fake_world_after_or_release(&team_fleet.world,
+					    TEAM_FLEET_SERVICE_US,
+					    finish_request, free, request);
+		return true;
+	case TGW_BUSY:
+		if (team_fleet.world.now_us - request->arrived_us <
+		    TEAM_FLEET_MAX_WAIT_US)
+			return false;
+		free(request);
+		return true;
+	default:
+		free(request);
+		return true;
+	}
+}
+
+static void retry_waiting(struct team_fleet_host *host)
+{
+	struct team_fleet_request **link = &host->waiting;
+
+	if (!host->notified)
+		return;
+	host->notified = false;
+	while (*link) {
+		struct team_fleet_request *request = *link;
+		struct team_fleet_request *next = request->next;
+
+		if (try_request(request))
+			*link = next;
+		else
+			link = &request->next;
+	}
+}
+
+static void give_up_waiting(struct team_fleet_host *host)
+{
+	struct team_fleet_request **link = &host->waiting;
+
+	while (*link) {
+		struct team_fleet_request *request = *link;
+
+		if (team_fleet.world.now_us - request->arrived_us <
+		    TEAM_FLEET_MAX_WAIT_US) {
+			link = &request->next;
+			continue;
+		}
+		*link = request->next;
+		free(request);
+	}
+}
+
+static struct team_fleet_host *host_of(int team)
+{
+	const struct team_fleet_settings *settings = &team_fleet.settings;
+
+	if (team < settings->one_host_team_count)
+		return &team_fleet.hosts[settings->first_one_team_host +
+					 (size_t)team];
+	return &team_fleet.hosts[tgw_random_below(&team_fleet.world.random,
+						  settings->host_count)];
+}
+
+static void send_request(int team)
+{
+	struct team_fleet_request *request;
+	struct team_fleet_host *host = host_of(team);
+
+	team_fleet.tallies[team].asked++;
+	if (!host->budgets)
+		return;
+	request = xcalloc(1, sizeof(*request));
+	request->host = host;
+	request->process = host->process;
+	request->team = team;
+	request->arrived_us = team_fleet.world.now_us;
+	team_budget_record_demand(host->budgets, team_fleet.team_names[team],
+				  team_fleet.settings.request_tokens);
+	if (try_request(request))
+		return;
+	request->next = host->waiting;
+	host->waiting = request;
+}
+
+static void send_requests(void)
+{
+	const uint64_t steps_per_s = TGW_US_PER_S / TEAM_FLEET_STEP_US;
+
+	for (int team = 0; team < team_fleet.settings.team_count; team++)
+		if (tgw_random_below(&team_fleet.world.random, steps_per_s) <
+		    team_fleet.settings.requests_per_s)
+			send_request(team);
+}
+
+static void tick(struct team_fleet_host *host)
+{
+	if (tgw_clock_monotonic_us(&host->clock.clock) < host->due_us)
+		return;
+	host->due_us = INT64_MAX;
+	on_rescheduled(host, team_budget_tick(host->budgets));
+}
+
+void team_fleet_play(int64_t duration_us, bool has_traffic)
+{
+	int64_t until_us = team_fleet.world.now_us + duration_us;
+
+	while (team_fleet.world.now_us < until_us) {
+		if (has_traffic)
+			send_requests();
+		for (size_t i = 0; i < team_fleet.settings.host_count; i++) {
+			if (!team_fleet.hosts[i].budgets)
+				continue;
+			retry_waiting(&team_fleet.hosts[i]);
+			give_up_waiting(&team_fleet.hosts[i]);
+			tick(&team_fleet.hosts[i]);
+		}
+		fake_world_advance(&team_fleet.world, TEAM_FLEET_STEP_US);
+	}
+}
+
+static void play_down(int64_t down_us, bool loses_power)
+{
+	for_each_host(team_fleet_kill_host);
+	if (loses_power)
+		for_each_host(boot);
+	team_fleet_play(down_us, true);
+	for_each_host(team_fleet_start_host);
+}
+
+void team_fleet_kill_all(int64_t down_us)
+{
+	play_down(down_us, false);
+}
+
+void team_fleet_power_off_all(int64_t down_us)
+{
+	play_down(down_us, true);
+}
+
+void team_fleet_reset_tallies(void)
+{
+	for (int i = 0; i < team_fleet.settings.team_count; i++) {
+		team_fleet.tallies[i].asked = 0;
+		team_fleet.tallies[i].served = 0;
+	}
+}
+
+int64_t team_fleet_served_percent(void)
+{
+	int64_t asked = 0;
+	int64_t served = 0;
+
+	for (int i = 0; i < team_fleet.settings.team_count; i++) {
+		asked += team_fleet.tallies[i].asked;
+		served += team_fleet.tallies[i].served;
+	}
+	return asked ? served * 100 / asked : 100;
+}
+
+void team_fleet_check_no_overspending(void)
+{
+	for (int i = 0; i < team_fleet.settings.team_count; i++)
+		ck_assert_int_le(team_fleet.tallies[i].spent_tokens,
+				 team_fleet.settings.paid_tokens);
+}
--- /dev/null
+++ b/tests/unit/test_team_budget_deaths.c
@@ -0,0 +1,88 @@
+/* Plays days on which all processes of a small fleet die several times. A
+ * budget has to pay for the requests that follow, as it does without deaths. */
+#include "fakes/team_fleet.h"
+#include "unit/unit_main.h"
+
+#define HOSTS 6
+#define TEAMS 10
+#define KEYS 4 /* as the edge's default */
+#define SEEDS 8
+#define REQUEST_TOKENS INT64_C(2500)
+#define REQUESTS_PER_S 14 /* of each team */
+#define LEAD_S 10	  /* from the start of the hosts to the first request */
+#define DAY_S 60
+/* A budget holds this percentage of a team's demand. */
+#define PAID_PERCENT 130
+#define DOWN_US (500 * TGW_US_PER_MS)
+#define LAST_DOWN_US (1000 * TGW_US_PER_MS)
+/* The fleet has recovered after this time. */
+#define RECOVERY_S 12
+#define MIN_SERVED_PERCENT 25
+
+static void start_fleet(uint64_t seed)
+{
+	const struct team_fleet_settings settings = {
+		.host_count = HOSTS,
+		.team_count = TEAMS,
+		.key_count = KEYS,
+		.request_tokens = REQUEST_TOKENS,
+		.requests_per_s = REQUESTS_PER_S,
+		.paid_tokens = REQUEST_TOKENS * REQUESTS_PER_S * DAY_S *
+			       PAID_PERCENT / 100,
+	};
+
+	team_fleet_start(&settings, seed);
+	team_fleet_play(LEAD_S * TGW_US_PER_S, false);
+}
+
+static void play_s(int64_t duration_s)
+{
+	team_fleet_play(duration_s * TGW_US_PER_S, true);
+}
+
+static void play_day(uint64_t seed, void (*strike)(int64_t down_us))
+{
+	start_fleet(seed);
+	play_s(10);
+	strike(DOWN_US);
+	play_s(8);
+	strike(DOWN_US);
+	play_s(8);
+	strike(DOWN_US);
+	play_s(8);
+	team_fleet_kill_all(LAST_DOWN_US);
+	play_s(RECOVERY_S);
+	team_fleet_reset_tallies();
+	play_s(12);
+	ck_assert_int_ge(team_fleet_served_percent(), MIN_SERVED_PERCENT);
+	team_fleet_check_no_overspending();
+	team_fleet_stop();
+}
+
+START_TEST(a_budget_pays_after_all_processes_were_killed_four_times)
+{
+	play_day((uint64_t)_i, team_fleet_kill_all);
+}
+END_TEST
+
+START_TEST(a_budget_pays_after_all_hosts_lost_power_three_times)
+{
+	play_day((uint64_t)_i, team_fleet_power_off_all);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("team_budget_deaths");
+	TCase *tcase = tcase_create("days");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(
+		tcase, a_budget_pays_after_all_processes_were_killed_four_times,
+		1, 1 + SEEDS);
+	tcase_add_loop_test(
+		tcase, a_budget_pays_after_all_hosts_lost_power_three_times, 1,
+		1 + SEEDS);
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
