Return what killed processes can't have spent, and hold less of a budget

Cause: a process that died was charged all that it held, for good, and hosts held up to 25 s of inflated demand, most of a budget in its first third.

Changes: - A process records spending caps in a key of its host (tgw/caps/HOST) and keeps to them; the next process of that host, in the same boot, returns to the pools what the caps withheld, in the write that replaces its predecessor. The pools' format stays. A cap ends about two seconds after the next one is due, so a host that is cut off can still spend all that it holds. - The fraction of a budget that hosts hold is limited to a fifth of what is left (hold_percent 20, ride_out_ms 12000), since nothing tells what hosts that lost power have spent. - Requests that wait are counted once for each retry of all teams, not only of the teams in the key that was read.

Tried and dropped: a line for each host and budget in the pools.

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "base/xalloc.h"
-#include "coordination/team_budget_key.h"
+#include "coordination/team_budget_caps.h"
 
 /* While the budget has no free tokens, the minimum time between two reads for
  * waiting requests is this for each host: the more hosts read the key, the less
@@ -24,6 +24,19 @@
 	return tgw_clock_monotonic_us(budgets->clock);
 }
 
+void team_budget_notify_changed(struct team_budget *budgets)
+{
+	/* Requests that still lack tokens are counted anew. */
+	for (uint32_t i = 0; i < budgets->key_count; i++) {
+		for (struct team_account *account = budgets->keys[i].accounts;
+		     account; account = account->next) {
+			account->needed_tokens = 0;
+			account->capped_tokens = 0;
+		}
+	}
+	budgets->events.changed(budgets->events.arg);
+}
+
 struct team_budget *team_budget_new(const struct team_budget_settings *settings,
 				    struct tgw_store *store,
 				    const struct tgw_clock *clock,
@@ -39,6 +52,9 @@
 	budgets->events = *events;
 	budgets->started_us = tgw_clock_monotonic_us(clock);
 	tgw_random_init(&budgets->random, incarnation);
+	budgets->host_id = budget_pool_host_id(
+		settings->host, (uint32_t)tgw_random_u64(&budgets->random));
+	team_budget_caps_init(budgets);
 	budgets->key_count = settings->key_count;
 	budgets->keys = xcalloc(settings->key_count, sizeof(*budgets->keys));
 	for (uint32_t i = 0; i < settings->key_count; i++) {
@@ -46,9 +62,6 @@
 
 		key->budgets = budgets;
 		key->store_answers = true;
-		key->host_id = budget_pool_host_id(
-			settings->host,
-			(uint32_t)tgw_random_u64(&budgets->random));
 		ledger_bucket_key(key->name, i);
 	}
 	return budgets;
@@ -71,6 +84,7 @@
 		budget_pool_clear(&key->draft);
 		buffer_free(&key->draft_bytes);
 	}
+	cap_writer_clear(&budgets->cap_writer);
 	free(budgets->keys);
 	free(budgets);
 }
@@ -213,9 +227,9 @@
 		return TGW_NOT_FOUND;
 	if (budgets->closing)
 		return TGW_UNAVAILABLE;
-	if (team_account_reserve(account, tokens, rank,
-				 budgets->store_unreachable ||
-					 !key->store_answers))
+	if (team_account_reserve(
+		    account, tokens, rank,
+		    budgets->store_unreachable || !key->store_answers, now))
 		return TGW_OK;
 	if (tokens > account->paid_in_tokens ||
 	    (key->read_us && now - key->read_us < VIEW_MAX_AGE_US &&
@@ -225,6 +239,10 @@
 	}
 	if (!key->store_answers || budgets->store_unreachable)
 		return TGW_UNAVAILABLE;
+	if (team_account_is_capped(account, tokens, now)) {
+		team_budget_caps_request(budgets);
+		return TGW_BUSY;
+	}
 	if (!account->free_tokens &&
 	    now - key->read_us <
 		    team_budget_key_interval_us(
@@ -234,6 +252,18 @@
 	return TGW_BUSY;
 }
 
+int64_t team_budget_capped_for_us(const struct team_budget *budgets,
+				  const char *team, int64_t tokens)
+{
+	const struct team_account *account =
+		find_account(key_of(budgets, team), team);
+	int64_t now = team_budget_now_us(budgets);
+
+	if (!account || !team_account_is_capped(account, tokens, now))
+		return 0;
+	return team_account_capped_until_us(account, tokens) - now;
+}
+
 void team_budget_settle(struct team_budget *budgets, const char *team,
 			int64_t reserved_tokens, int64_t spent_tokens)
 {
@@ -267,6 +297,7 @@
 	if (now - budgets->started_us >= JOINED_AFTER_US)
 		budgets->settings.policy.hosts_are_known = true;
 
+	team_budget_caps_tick(budgets);
 	if (budgets->closing && notify_closed(budgets))
 		return next;
 	for (uint32_t i = 0; i < budgets->key_count; i++) {
@@ -307,6 +338,7 @@
 	view->settled_tokens = account->settled_tokens;
 	view->reserved_tokens = account->reserved_tokens;
 	view->free_tokens = account->free_tokens;
+	view->none_free_us = account->none_free_us;
 	view->read_us = key->read_us;
 	return true;
 }
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -5,8 +5,11 @@
  * Each host takes allotments for its teams out of a budget pool in the store by
  * compare-and-swap and spends only what it was allotted, whether it reaches
  * the store or not. The sum of all allotments never exceeds what was paid in.
- * What a process held when it died counts as spent. Safety does not depend on
- * clocks or leases.
+ * What a process held when it died counts as spent, but for what the next
+ * process of that host returns by its record of spending caps. Safety does not
+ * depend on leases or on the time of day, but on the monotonic clock of a host
+ * within one boot, and on its listening addresses: whoever starts this agent
+ * has bound them, and keeps them until the process ends.
  */
 #ifndef COORDINATION_TEAM_BUDGET_H
 #define COORDINATION_TEAM_BUDGET_H
@@ -26,6 +29,9 @@
 	/** Keys that the teams hash to in a new ledger, and the largest number
 	 * in one that the store has already. */
 	uint32_t key_count;
+	/** As in struct cap_record. Processes of one boot have the same clock.
+	 */
+	uint32_t boot;
 	struct team_account_policy policy;
 };
 
@@ -44,7 +50,10 @@
 struct team_budget_counters {
 	uint64_t reads;
 	uint64_t writes;
-	uint64_t conflicts; /**< of the writes */
+	uint64_t conflicts;  /**< of the writes */
+	uint64_t cap_writes; /**< of the record of spending caps */
+	/** Returned of what earlier processes of this host held. */
+	uint64_t recovered_tokens;
 };
 
 struct team_budget_events {
@@ -60,6 +69,9 @@
 		       const char *message);
 	/** A write of a pool ended. May be NULL. */
 	void (*written)(void *arg, const struct team_budget_write *write);
+	/** Tokens that the host's previous process can't have spent were
+	 * returned to a pool. May be NULL. */
+	void (*recovered)(void *arg, const char *key, int64_t tokens);
 	/** This process has returned what it did not spend and has left the
 	 * pools. */
 	void (*closed)(void *arg);
@@ -76,7 +88,8 @@
 	/** By all hosts, dead ones included, by the last read. */
 	int64_t taken_by_all_tokens;
 	int64_t settled_by_all_tokens;
-	int64_t read_us;	 /**< monotonic time of that read */
+	int64_t none_free_us; /**< none were free since then; 0: some are */
+	int64_t read_us;      /**< monotonic time of that read */
 };
 
 /** @param incarnation random for each process start, never 0 */
@@ -113,6 +126,11 @@
 				    const char *team, int64_t tokens,
 				    int32_t rank);
 
+/** @return how long spending caps keep a request waiting that could not be
+ * reserved as UNAVAILABLE; 0 if they don't */
+int64_t team_budget_capped_for_us(const struct team_budget *budgets,
+				  const char *team, int64_t tokens);
+
 /** Ends a reservation and charges the request's actual cost. */
 void team_budget_settle(struct team_budget *budgets, const char *team,
 			int64_t reserved_tokens, int64_t spent_tokens);
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -45,7 +45,7 @@
 
 static bool is_in_pool(const struct team_budget_key *key)
 {
-	return budget_pool_find_host(&key->pool, key->host_id) != NULL;
+	return budget_pool_find_host(&key->pool, key->budgets->host_id) != NULL;
 }
 
 static void for_each_account(struct team_budget_key *key,
@@ -56,25 +56,39 @@
 		run(account);
 }
 
+static void confirm_write(struct team_budget_key *key)
+{
+	const struct team_budget_events *events = &key->budgets->events;
+
+	for_each_account(key, team_account_confirm);
+	if (!key->returned_tokens)
+		return;
+	key->budgets->counters.recovered_tokens +=
+		(uint64_t)key->returned_tokens;
+	if (events->recovered)
+		events->recovered(events->arg, key->name, key->returned_tokens);
+	key->returned_tokens = 0;
+}
+
 /* Finds out from the pool that was read just now what became of the proposed
  * write. While the key has the version that the write expects, it may still
  * take effect. */
 static void resolve_write(struct team_budget_key *key)
 {
 	const struct pool_host *host =
-		budget_pool_find_host(&key->pool, key->host_id);
+		budget_pool_find_host(&key->pool, key->budgets->host_id);
 	const struct pool_host *proposed =
-		budget_pool_find_host(&key->draft, key->host_id);
+		budget_pool_find_host(&key->draft, key->budgets->host_id);
 
 	if (host && proposed && host->sequence == proposed->sequence)
-		for_each_account(key, team_account_confirm);
+		confirm_write(key);
 	else if (key->version == key->draft_version)
 		return;
 	else if (!host && !proposed)
-		for_each_account(key, team_account_confirm);
+		confirm_write(key);
 	else if (!host && key->joined)
 		/* Another process with the host's name removed this one. */
-		for_each_account(key, team_account_assume_lower);
+		for_each_account(key, team_account_forfeit);
 	else
 		for_each_account(key, team_account_withdraw);
 	key->outcome_unknown = false;
@@ -100,9 +114,9 @@
 				  key->read_us);
 }
 
-static void decide(const struct team_budget_key *key,
-		   const struct team_account *account,
-		   struct team_account_target *target)
+void team_budget_key_decide(const struct team_budget_key *key,
+			    const struct team_account *account,
+			    struct team_account_target *target)
 {
 	const struct team_budget *budgets = key->budgets;
 
@@ -121,7 +135,7 @@
 
 	if (!budget)
 		return;
-	decide(key, account, &target);
+	team_budget_key_decide(key, account, &target);
 	if (key->budgets->closing) {
 		target.allotted_tokens = team_account_charged(account);
 		target.lacking_tokens = 0;
@@ -141,6 +155,20 @@
 		       (struct tgw_store_callback){on_written, key});
 }
 
+/* Replaces the host's previous process. It was dead when this one started,
+ * since both listen at the same addresses. */
+static void return_unspent(struct team_budget_key *key)
+{
+	const struct team_budget *budgets = key->budgets;
+	const struct cap_record *record = &budgets->cap_writer.previous;
+	bool is_same_boot = record->boot == budgets->settings.boot &&
+			    record->boot != CAP_RECORD_BOOT_UNKNOWN;
+
+	key->returned_tokens = budget_pool_replace_earlier(
+		&key->draft, budgets->host_id, is_same_boot ? record : NULL,
+		budgets->started_us);
+}
+
 static void start_write(struct team_budget_key *key)
 {
 	budget_pool_clear(&key->draft);
@@ -148,12 +176,14 @@
 	if (!key->draft.key_count)
 		key->draft.key_count = key->budgets->key_count;
 	key->sequence++;
-	budget_pool_record_write(&key->draft, key->host_id, key->sequence);
+	return_unspent(key);
+	budget_pool_record_write(&key->draft, key->budgets->host_id,
+				 key->sequence);
 	for (struct team_account *account = key->accounts; account;
 	     account = account->next)
 		propose_allotment(key, account);
 	if (key->budgets->closing)
-		budget_pool_remove_host(&key->draft, key->host_id);
+		budget_pool_remove_host(&key->draft, key->budgets->host_id);
 	assert(budget_pool_check(&key->draft, NULL) == TGW_OK);
 	key->draft_version = key->version;
 	key->draft_bytes.size = 0;
@@ -171,7 +201,7 @@
 	     account = account->next) {
 		struct team_account_target target;
 
-		decide(key, account, &target);
+		team_budget_key_decide(key, account, &target);
 		if (target.urgent || (fresh && target.deferrable))
 			return true;
 	}
@@ -194,17 +224,6 @@
 				team_budget_now_us(key->budgets) + delay_us);
 }
 
-/* Requests that still lack tokens when they try again are counted anew. */
-static void notify_changed(struct team_budget_key *key)
-{
-	const struct team_budget_events *events = &key->budgets->events;
-
-	for (struct team_account *account = key->accounts; account;
-	     account = account->next)
-		account->needed_tokens = 0;
-	events->changed(events->arg);
-}
-
 static void back_off_after_failure(struct team_budget_key *key)
 {
 	key->backoff_us = key->backoff_us ? key->backoff_us * 2 : RETRY_MIN_US;
@@ -212,7 +231,7 @@
 		key->backoff_us = RETRY_MAX_US;
 	key->store_answers = false;
 	set_idle(key, key->backoff_us);
-	notify_changed(key);
+	team_budget_notify_changed(key->budgets);
 }
 
 static void report_failure(const struct team_budget_key *key, const char *call,
@@ -231,7 +250,7 @@
 	key->read_requested = false;
 	key->closed = key->budgets->closing && !key->joined;
 	set_idle(key, TEAM_BUDGET_CHECK_INTERVAL_US);
-	notify_changed(key);
+	team_budget_notify_changed(key->budgets);
 }
 
 static bool is_first(const struct team_budget_key *key)
@@ -339,7 +358,7 @@
 	     account = account->next) {
 		struct team_account_target target;
 
-		decide(key, account, &target);
+		team_budget_key_decide(key, account, &target);
 		if (target.awaited)
 			return true;
 	}
@@ -390,7 +409,7 @@
 	report_write(key, result->status);
 	switch (result->status) {
 	case TGW_OK:
-		for_each_account(key, team_account_confirm);
+		confirm_write(key);
 		key->outcome_unknown = false;
 		adopt(key, &key->draft, result->entries[0].version);
 		if (!key->budgets->key_count_known)
@@ -463,7 +482,7 @@
 bool team_budget_key_is_due(struct team_budget_key *key, int64_t now)
 {
 	if (key->state != TEAM_BUDGET_KEY_IDLE || key->due_us > now ||
-	    key->closed || !is_in_use(key))
+	    key->closed || !is_in_use(key) || !key->budgets->cap_writer.known)
 		return false;
 	if (key->budgets->closing || key->write_lost || key->read_requested ||
 	    !key->store_answers || now - key->read_us >= refresh_us(key))
--- a/src/coordination/team_budget_key.h
+++ b/src/coordination/team_budget_key.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "base/buffer.h"
+#include "coordination/cap_writer.h"
 #include "coordination/team_budget.h"
 #include "state/budget_pool.h"
 #include "tamarackgw/random.h"
@@ -30,7 +31,6 @@
 	struct team_budget *budgets;
 	char name[LEDGER_KEY_SIZE]; /* of the key in the store */
 	enum team_budget_key_state state;
-	uint64_t host_id;  /* of this process in the pool */
 	uint64_t sequence; /* of the last proposed write */
 	/* A write was sent whose outcome is unknown. It is sent again unchanged
 	 * until the key's version shows the outcome. */
@@ -44,6 +44,7 @@
 	int64_t version;     /* of `pool` */
 	int64_t read_us; /* when `pool` was last read or written; 0 before */
 	int64_t write_started_us;
+	int64_t returned_tokens; /* of the previous process, by the draft */
 	int64_t due_us;
 	int64_t backoff_us;	   /* after failed store calls */
 	uint32_t conflicts;	   /* consecutive */
@@ -56,6 +57,7 @@
 
 struct team_budget {
 	struct team_budget_settings settings;
+	uint64_t host_id; /* of this process in the pools */
 	/** In use. Known once the first key was read or written; until then no
 	 * other key is used. */
 	uint32_t key_count;
@@ -69,9 +71,21 @@
 	bool store_unreachable;
 	bool closing;
 	bool closed_notified;
+	struct cap_writer cap_writer;
+	int64_t caps_written_us; /* when the last record was made; 0 before */
+	int64_t caps_demanded_tokens; /* of all accounts, at that time */
+	bool caps_requested;	      /* requests wait for a higher cap */
 	struct team_budget_key *keys;
 };
 
+/** Computes what the account's next allotment should be. */
+void team_budget_key_decide(const struct team_budget_key *key,
+			    const struct team_account *account,
+			    struct team_account_target *target);
+
+/** Lets waiting requests of all teams try again. */
+void team_budget_notify_changed(struct team_budget *budgets);
+
 int64_t team_budget_now_us(const struct team_budget *budgets);
 
 /** @return `per_host_us` times the number of hosts in the pool, at least 1 */
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -20,6 +20,9 @@
 /* Retry-After when other hosts hold the tokens. By then they have returned
  * those that they can spare. */
 #define RETRY_AFTER_RECALL_MS 1500
+/* Tokens that other hosts don't need come back within this time. */
+#define RECALL_LASTS_US (10 * TGW_US_PER_S)
+#define RETRY_AFTER_NONE_FREE_MS 10000
 /* Used if neither the caller nor the route sets a timeout. */
 #define DEFAULT_TIMEOUT_MS 30000
 /* A repeatable request waits for bytes from a server for its total timeout
@@ -149,6 +152,34 @@
 	return call->request.input_tokens + call->request.output_tokens;
 }
 
+/* A spending cap ends by itself while the store is away. */
+static int64_t retry_after_no_store_ms(const struct call *call, int64_t tokens)
+{
+	int64_t capped_ms = team_budget_capped_for_us(call->edge->budgets,
+						      call->team, tokens) /
+			    TGW_US_PER_MS;
+
+	return capped_ms > RETRY_AFTER_NO_STORE_MS ? capped_ms
+						   : RETRY_AFTER_NO_STORE_MS;
+}
+
+/* Other hosts return what they don't need within seconds. What stays away for
+ * longer is in use, or was lost with hosts that died. */
+static void refuse_without_free_tokens(struct call *call)
+{
+	struct team_budget_view view = {0};
+
+	team_budget_get_view(call->edge->budgets, call->team, &view);
+	if (view.none_free_us &&
+	    edge_now_us() - view.none_free_us > RECALL_LASTS_US)
+		call_refuse(call, 503, RETRY_AFTER_NONE_FREE_MS,
+			    "open requests use what is left of the budget, or "
+			    "it was lost with hosts that died; top up");
+	else
+		call_refuse(call, 503, RETRY_AFTER_RECALL_MS,
+			    "other hosts hold what is left of the budget");
+}
+
 static void reserve_and_dispatch(struct call *call)
 {
 	struct edge *edge = call->edge;
@@ -188,12 +219,11 @@
 		return;
 	case TGW_CONFLICT:
 		edge->counters.budget_refused++;
-		call_refuse(call, 503, RETRY_AFTER_RECALL_MS,
-			    "other hosts hold what is left of the budget");
+		refuse_without_free_tokens(call);
 		return;
 	default:
 		edge->counters.budget_refused++;
-		call_refuse(call, 503, RETRY_AFTER_NO_STORE_MS,
+		call_refuse(call, 503, retry_after_no_store_ms(call, tokens),
 			    "no allotment left here while the store is away");
 		return;
 	}
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -4,6 +4,7 @@
 
 #include "base/text.h"
 #include "edge/backend_pool.h"
+#include "edge/boot_identity.h"
 #include "edge/call.h"
 #include "edge/edge_clock.h"
 #include "state/request_fingerprint.h"
@@ -171,6 +172,14 @@
 		      (long long)(write->duration_us / TGW_US_PER_MS));
 }
 
+static void on_budget_recovered(void *arg, const char *key, int64_t tokens)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "budget", "recovered",
+		      "key=%s tokens=%lld", key, (long long)tokens);
+}
+
 static void on_budgets_closed(void *arg)
 {
 	struct edge *edge = arg;
@@ -226,6 +235,7 @@
 	const struct edge_settings *settings = edge->settings;
 	struct team_budget_settings budget = {
 		.key_count = (uint32_t)settings->ledger_keys,
+		.boot = boot_identity(settings->ready_address),
 		.policy =
 			{
 				.ride_out_s =
@@ -241,6 +251,7 @@
 		.rescheduled = on_budget_rescheduled,
 		.failed = on_budget_call_failed,
 		.written = on_budget_written,
+		.recovered = on_budget_recovered,
 		.closed = on_budgets_closed,
 		.arg = edge,
 	};
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -94,6 +94,9 @@
 	add_counter(text, "ledger_reads_total", ledger->reads);
 	add_counter(text, "ledger_writes_total", ledger->writes);
 	add_counter(text, "ledger_conflicts_total", ledger->conflicts);
+	add_counter(text, "ledger_cap_writes_total", ledger->cap_writes);
+	add_counter(text, "ledger_recovered_tokens_total",
+		    ledger->recovered_tokens);
 	add_counter(text, "log_lines_dropped_total", edge->log.dropped_total);
 	add_gauge(text, "open_requests", edge->call_count);
 	add_gauge(text, "caller_connections", edge->conn_count);
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -39,10 +39,10 @@
 	NUMBER("budget", "ledger_keys", ledger_keys, 1, 4096, 4,
 	       "store keys that the teams' budgets are spread over in a new "
 	       "ledger; a ledger in the store keeps its number"),
-	NUMBER("budget", "ride_out_ms", ride_out_ms, 500, 86400000, 25000,
+	NUMBER("budget", "ride_out_ms", ride_out_ms, 500, 86400000, 12000,
 	       "length of the store outage that a host's allotments should "
 	       "cover"),
-	NUMBER("budget", "hold_percent", hold_percent, 1, 100, 90,
+	NUMBER("budget", "hold_percent", hold_percent, 1, 100, 20,
 	       "percentage of its fair allotment that a host may hold; less as "
 	       "the budget runs out"),
 	NUMBER("budget", "expected_hosts", expected_hosts, 1, 10000, 8,
--- a/src/state/budget_pool.c
+++ b/src/state/budget_pool.c
@@ -136,14 +136,51 @@
 		(pool->host_count - at) * sizeof(pool->hosts[0]));
 }
 
-static void remove_earlier_processes(struct budget_pool *pool, uint64_t id)
+/* The tokens were taken, so a budget never gets more than was taken from it; a
+ * record that says otherwise is wrong. */
+static int64_t return_tokens(struct pooled_budget *budget, int64_t tokens)
 {
+	int64_t unsettled = budget->taken_tokens - budget->settled_tokens;
+
+	if (tokens > unsettled)
+		return 0;
+	budget->taken_tokens -= tokens;
+	return tokens;
+}
+
+static int64_t return_unspent(struct budget_pool *pool,
+			      const struct cap_record *record, int64_t dead_us)
+{
+	int64_t returned = 0;
+
+	for (size_t i = 0; i < pool->budget_count; i++) {
+		struct pooled_budget *budget = &pool->budgets[i];
+		const struct spending_cap *cap =
+			cap_record_find(record, budget->name);
+
+		if (cap)
+			returned += return_tokens(
+				budget, spending_cap_unspent(cap, dead_us));
+	}
+	return returned;
+}
+
+int64_t budget_pool_replace_earlier(struct budget_pool *pool, uint64_t id,
+				    const struct cap_record *record,
+				    int64_t dead_us)
+{
+	int64_t returned = 0;
+
 	for (size_t i = pool->host_count; i > 0; i--) {
 		uint64_t other = pool->hosts[i - 1].id;
 
-		if (other != id && other >> PROCESS_BITS == id >> PROCESS_BITS)
-			remove_at(pool, i - 1);
+		if (other == id || other >> PROCESS_BITS != id >> PROCESS_BITS)
+			continue;
+		if (record && record->host_id == other)
+			returned += return_unspent(pool, record, dead_us);
+		remove_at(pool, i - 1);
 	}
+	return returned;
 }
 
 void budget_pool_record_write(struct budget_pool *pool, uint64_t id,
@@ -151,7 +188,7 @@
 {
 	struct pool_host *host;
 
-	remove_earlier_processes(pool, id);
+	budget_pool_replace_earlier(pool, id, NULL, 0);
 	host = find_host(pool, id);
 	if (!host) {
 		pool->hosts = xrealloc(pool->hosts,
--- a/src/state/budget_pool.h
+++ b/src/state/budget_pool.h
@@ -4,8 +4,9 @@
  *
  * The pool knows how much of each budget all hosts together have taken, and not
  * which host holds how much, so that its size grows with the budgets plus the
- * hosts and not with their product. A host that dies without returning its
- * allotments has spent them as far as the pool is concerned.
+ * hosts and not with their product. A process that dies without returning its
+ * allotments has spent them as far as the pool is concerned, but for what its
+ * successor returns by its record of spending caps.
  *
  * Every writer maintains this invariant: for each budget, the taken tokens are
  * at most what was paid in.
@@ -16,6 +17,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "state/cap_record.h"
 #include "state/ledger_bucket.h"
 #include "tamarackgw/host_view.h"
 #include "tamarackgw/status.h"
@@ -74,6 +76,17 @@
 const struct pool_host *budget_pool_find_host(const struct budget_pool *pool,
 					      uint64_t id);
 
+/** Removes the earlier processes of a host. What the one that made the record
+ * can't have spent is returned to the budgets.
+ * @param id of the later process
+ * @param record NULL to return nothing
+ * @param dead_us the process that made the record was dead by then, by the
+ * clock of the record
+ * @return the tokens that were returned */
+int64_t budget_pool_replace_earlier(struct budget_pool *pool, uint64_t id,
+				    const struct cap_record *record,
+				    int64_t dead_us);
+
 /** Records a host's write, and removes earlier processes of that host. */
 void budget_pool_record_write(struct budget_pool *pool, uint64_t id,
 			      uint64_t sequence);
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -1,10 +1,12 @@
 #include "state/team_account.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "state/allotment_policy.h"
+#include "tamarackgw/clock.h"
 
 /* A raise is written at once when requests need it, or when it exceeds
  * 1/MIN_RAISE_DIVISOR of what is left of the allotment. */
@@ -16,11 +18,23 @@
 /* In the weights of hosts the assumed demand counts for this fraction of it, so
  * that a host with much of a team's demand is soon known. */
 #define ASSUMED_WEIGHT_DIVISOR 3
+/* Hosts may hold this fraction of their fair amount times the square of the
+ * fraction of the budget that is left. */
+#define LOW_HOLD_FRACTION 1.2
 /* Hosts may hold at least this fraction of their fair amount, so that not every
  * request waits for the store. */
 #define MIN_HOLD_FRACTION 0.06
 /* An allotment lasts at least until the next write, which may need retries. */
 #define MIN_RIDE_OUT_S 2.0
+/* Under a spending cap a host may spend at once this number of mean requests
+ * and this fraction of the standard deviation of the demand until the next cap,
+ * and this multiple of what requests wait for. A request that needs more waits
+ * for a new cap, for the time of one store call. */
+#define CAP_AHEAD_REQUESTS 1
+#define CAP_AHEAD_DEVIATIONS 1
+#define CAP_NEEDED_MULTIPLE 2
+/* With time a cap allows this fraction of the forecast demand. */
+#define CAP_RATE 0.75
 
 /* An allotment covers store outages of seconds, so demand is averaged over
  * seconds, too. */
@@ -49,6 +63,11 @@
 	return a < b ? a : b;
 }
 
+static int64_t max_tokens(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
 static int64_t at_least_zero(int64_t tokens)
 {
 	return tokens > 0 ? tokens : 0;
@@ -65,17 +84,43 @@
 			  account->proposed.allotted_tokens);
 }
 
+static int64_t cap_limit(const struct team_account *account, int64_t now_us)
+{
+	return min_tokens(spending_cap_limit(&account->confirmed_cap, now_us),
+			  spending_cap_limit(&account->proposed_cap, now_us));
+}
+
+bool team_account_is_capped(const struct team_account *account, int64_t tokens,
+			    int64_t now_us)
+{
+	int64_t total = team_account_charged(account) + tokens;
+
+	return total <= team_account_limit(account) &&
+	       total > cap_limit(account, now_us);
+}
+
+int64_t team_account_capped_until_us(const struct team_account *account,
+				     int64_t tokens)
+{
+	int64_t total = team_account_charged(account) + tokens;
+
+	return max_tokens(
+		spending_cap_allows_at_us(&account->confirmed_cap, total),
+		spending_cap_allows_at_us(&account->proposed_cap, total));
+}
+
 void team_account_record_demand(struct team_account *account, int64_t tokens,
 				int64_t now_us)
 {
 	account->demanded_tokens += tokens;
 	account->demanding_requests++;
+	account->demanded_squares += (double)tokens * (double)tokens;
 	demand_forecast_add(&account->demand, now_us, tokens);
 }
 
-/* Tokens that a request of this rank must leave to more urgent ones. */
-static int64_t tokens_for_urgent(const struct team_account *account,
-				 int32_t rank)
+/* @return the part of the tokens that a request of this rank must leave to more
+ * urgent ones */
+static int64_t tokens_for_urgent(int64_t tokens, int32_t rank)
 {
 	static const int64_t urgent_percent[] = {0, 25, 60};
 	int32_t last =
@@ -84,24 +129,29 @@
 
 	if (rank < 0)
 		rank = 0;
-	return account->held_tokens *
-	       urgent_percent[rank < last ? rank : last] / 100;
+	return tokens * urgent_percent[rank < last ? rank : last] / 100;
 }
 
 bool team_account_reserve(struct team_account *account, int64_t tokens,
-			  int32_t rank, bool store_unreachable)
+			  int32_t rank, bool store_unreachable, int64_t now_us)
 {
-	int64_t left =
-		team_account_limit(account) - team_account_charged(account);
+	int64_t charged = team_account_charged(account);
+	int64_t allotted = team_account_limit(account) - charged;
+	int64_t capped = cap_limit(account, now_us) - charged;
 
-	if (store_unreachable)
-		left -= tokens_for_urgent(account, rank);
-	if (tokens > left) {
-		account->needed_tokens += tokens;
-		return false;
+	if (store_unreachable) {
+		allotted -= tokens_for_urgent(account->held_tokens, rank);
+		capped -= tokens_for_urgent(account->ahead_tokens, rank);
 	}
-	account->reserved_tokens += tokens;
-	return true;
+	if (tokens <= allotted && tokens <= capped) {
+		account->reserved_tokens += tokens;
+		return true;
+	}
+	if (team_account_is_capped(account, tokens, now_us))
+		account->capped_tokens += tokens;
+	else
+		account->needed_tokens += tokens;
+	return false;
 }
 
 void team_account_settle(struct team_account *account, int64_t reserved_tokens,
@@ -139,35 +189,6 @@
 		(int64_t)((double)left * (1.0 - in->weight) / in->weight));
 }
 
-/* Tokens that are not known to be spent; those of hosts that died are among
- * them. */
-static int64_t unspent_tokens(const struct team_account *account,
-			      const struct pooled_budget *budget)
-{
-	int64_t settled = budget ? budget->settled_tokens : 0;
-
-	return account->paid_in_tokens - settled -
-	       (account->settled_tokens - account->confirmed.settled_tokens);
-}
-
-/* The fraction that hosts may hold falls with the square of the fraction of the
- * budget that is unspent: what a host holds is lost when it dies, and near the
- * end of a budget too little is left to make up for that. */
-static double hold_fraction(const struct team_account *account,
-			    const struct pooled_budget *budget,
-			    const struct team_account_policy *policy)
-{
-	double unspent_fraction;
-	double fraction;
-
-	if (account->paid_in_tokens <= 0)
-		return policy->hold_fraction;
-	unspent_fraction = (double)unspent_tokens(account, budget) /
-			   (double)account->paid_in_tokens;
-	fraction = policy->hold_fraction * unspent_fraction * unspent_fraction;
-	return fraction > MIN_HOLD_FRACTION ? fraction : MIN_HOLD_FRACTION;
-}
-
 /* The demand of each host that is assumed in addition to what is known. */
 static double assumed_demand_per_s(const struct team_account *account,
 				   const struct pooled_budget *budget,
@@ -236,22 +257,46 @@
 	return pooled_budget_free_tokens(budget);
 }
 
+static int64_t mean_cost_tokens(const struct team_account *account)
+{
+	if (!account->demanding_requests)
+		return 0;
+	return account->demanded_tokens / account->demanding_requests;
+}
+
 /* @return the mean cost of a request, if at least one is likely to arrive
  * while an outage is ridden out; else 0 */
 static int64_t typical_tokens(const struct team_account *account,
 			      const struct team_account_policy *policy,
 			      double forecast_per_s)
 {
-	int64_t mean;
+	int64_t mean = mean_cost_tokens(account);
 
-	if (!account->demanding_requests)
-		return 0;
-	mean = account->demanded_tokens / account->demanding_requests;
 	if (forecast_per_s * policy->ride_out_s < (double)mean)
 		return 0;
 	return mean;
 }
 
+/* What hosts hold is lost when they lose power, so the fraction that they may
+ * hold is limited, and falls near the end of a budget, when too little is left
+ * to make up for that. What dead hosts held is not left. */
+static double hold_fraction(const struct team_account *account,
+			    const struct team_account_policy *policy,
+			    const struct allotment_inputs *in)
+{
+	double left =
+		(double)(in->free_tokens + in->others_left_tokens +
+			 at_least_zero(in->allotted_tokens - in->used_tokens));
+	double left_fraction;
+
+	if (account->paid_in_tokens <= 0)
+		return policy->hold_fraction;
+	left_fraction = left / (double)account->paid_in_tokens;
+	return fmax(fmin(policy->hold_fraction,
+			 LOW_HOLD_FRACTION * left_fraction * left_fraction),
+		    MIN_HOLD_FRACTION);
+}
+
 static void fill_inputs(const struct team_account *account,
 			const struct pooled_budget *budget, uint32_t hosts,
 			const struct team_account_policy *policy,
@@ -275,12 +320,20 @@
 	in->others_count = hosts - 1;
 	in->ride_out_s = policy->ride_out_s;
 	in->min_ride_out_s = MIN_RIDE_OUT_S;
-	in->hold_fraction = hold_fraction(account, budget, policy);
+	in->hold_fraction = hold_fraction(account, policy, in);
 	in->domains = hosts;
 	in->return_surplus = budget &&
 			     budget->requested_tokens > in->free_tokens;
 }
 
+/* A lower allotment would return tokens that a successor returns by the cap. */
+static int64_t min_allotment(const struct team_account *account, int64_t now_us)
+{
+	return max_tokens(
+		spending_cap_min_allotment(&account->confirmed_cap, now_us),
+		spending_cap_min_allotment(&account->proposed_cap, now_us));
+}
+
 void team_account_decide(const struct team_account *account,
 			 const struct pooled_budget *budget, size_t host_count,
 			 const struct team_account_policy *policy,
@@ -288,13 +341,19 @@
 {
 	bool is_requested = budget && budget->requested_tokens;
 	struct allotment_inputs in;
+	double forecast_per_s;
 	int64_t left;
 	int64_t raise;
 
 	fill_inputs(account, budget, shared_by(host_count, policy), policy,
 		    now_us, &in);
 	left = in.allotted_tokens - in.used_tokens;
-	target->allotted_tokens = allotment_policy_decide(&in);
+	forecast_per_s = demand_forecast_per_s(&account->demand, now_us);
+	target->demand_per_s =
+		fmax(forecast_per_s, in.demand_per_s - forecast_per_s);
+	target->wanted_tokens = allotment_policy_decide(&in);
+	target->allotted_tokens = max_tokens(target->wanted_tokens,
+					     min_allotment(account, now_us));
 	raise = target->allotted_tokens - in.allotted_tokens;
 	target->lacking_tokens = at_least_zero(
 		in.needed_tokens - at_least_zero(left) - in.free_tokens);
@@ -334,13 +393,74 @@
 	account->proposed = account->confirmed;
 }
 
-void team_account_assume_lower(struct team_account *account)
+void team_account_forfeit(struct team_account *account)
 {
-	int64_t limit = team_account_limit(account);
-
+	account->proposed.allotted_tokens = team_account_charged(account);
 	account->confirmed = account->proposed;
-	account->confirmed.allotted_tokens = limit;
-	account->proposed = account->confirmed;
+}
+
+/* @return what has to be spendable at once, so that few requests wait for a
+ * higher cap. Demand until the next cap varies by the square root of its
+ * product with the weighted cost. */
+static double ahead_tokens(const struct team_account *account,
+			   double demand_per_s,
+			   const struct team_account_cap_inputs *in)
+{
+	double interval_s = (double)in->interval_us / TGW_US_PER_S;
+	double mean = in->mean_cost_tokens;
+	double weighted = in->weighted_cost_tokens;
+	double ahead;
+
+	if (account->demanded_tokens) {
+		mean = (double)mean_cost_tokens(account);
+		weighted = account->demanded_squares /
+			   (double)account->demanded_tokens;
+	}
+	ahead = CAP_AHEAD_REQUESTS * mean +
+		CAP_AHEAD_DEVIATIONS *
+			sqrt(demand_per_s * interval_s * weighted);
+	return fmax(ahead,
+		    CAP_NEEDED_MULTIPLE * (double)account->capped_tokens);
+}
+
+bool team_account_propose_cap(struct team_account *account,
+			      const struct team_account_target *target,
+			      const struct team_account_cap_inputs *in)
+{
+	int64_t charged = team_account_charged(account);
+	int64_t allotted =
+		min_tokens(team_account_limit(account), target->wanted_tokens);
+	double ahead = ahead_tokens(account, target->demand_per_s, in);
+	int64_t withheld = allotted - charged - (int64_t)ahead;
+	double rate = CAP_RATE * target->demand_per_s;
+
+	account->capped_tokens = 0;
+	account->ahead_tokens = (int64_t)ahead;
+	if (withheld <= 0) {
+		team_account_propose_no_cap(account);
+		return false;
+	}
+	account->proposed_cap = (struct spending_cap){
+		.spendable_tokens = allotted - withheld,
+		.tokens_per_s = (int64_t)rate,
+		.allotted_tokens = allotted,
+		.written_us = in->written_us,
+		.period_us = in->period_us,
+	};
+	return true;
+}
+
+void team_account_propose_no_cap(struct team_account *account)
+{
+	memset(&account->proposed_cap, 0, sizeof(account->proposed_cap));
+}
+
+void team_account_end_cap_write(struct team_account *account, bool took_effect)
+{
+	if (took_effect)
+		account->confirmed_cap = account->proposed_cap;
+	else
+		account->proposed_cap = account->confirmed_cap;
 }
 
 static void add_fleet_demand(struct team_account *account,
@@ -365,6 +485,10 @@
 	if (budget && budget->paid_in_tokens > paid_in)
 		paid_in = budget->paid_in_tokens;
 	account->free_tokens = free_tokens(account, budget);
+	if (account->free_tokens > 0)
+		account->none_free_us = 0;
+	else if (!account->none_free_us)
+		account->none_free_us = now_us;
 	account->remaining_tokens = paid_in - settled - unreported;
 	account->held_tokens = at_least_zero(team_account_limit(account) -
 					     team_account_charged(account));
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -10,12 +10,13 @@
 
 #include "state/budget_pool.h"
 #include "state/demand_forecast.h"
+#include "state/spending_cap.h"
 #include "tamarackgw/host_view.h"
 
 /** How much of a budget a host may hold. */
 struct team_account_policy {
 	double ride_out_s;    /**< length of the store outage to cover */
-	double hold_fraction; /**< of its fair amount, in a full budget */
+	double hold_fraction; /**< of its fair part of what is left */
 	uint32_t host_count;  /**< minimum; bounds the initial allotments */
 	/** The hosts have had time to join the pool. Until then, and until
 	 * another host has settled tokens, no demand is assumed beyond the
@@ -26,10 +27,27 @@
 /** What the host's allotment should be, and when that is worth a write. */
 struct team_account_target {
 	int64_t allotted_tokens;
+	/** The same, if spending caps did not keep it from being lowered. */
+	int64_t wanted_tokens;
 	int64_t lacking_tokens; /**< needed here and not free */
-	bool urgent;		/**< worth a write at once */
-	bool deferrable;	/**< worth a write after the next read */
-	bool awaited;		/**< by requests here, or by other hosts */
+	/** Forecast for this host, or assumed while little is known. */
+	double demand_per_s;
+	bool urgent;	 /**< worth a write at once */
+	bool deferrable; /**< worth a write after the next read */
+	bool awaited;	 /**< by requests here, or by other hosts */
+};
+
+/** What spending caps are computed from, other than the account. */
+struct team_account_cap_inputs {
+	int64_t written_us;
+	int64_t period_us;
+	int64_t interval_us; /**< expected until the next cap */
+	/** Mean cost of a request here, of all teams; 0 before the first
+	 * one. */
+	double mean_cost_tokens;
+	/** Mean cost of a request here, of all teams, in which each request
+	 * counts by its tokens; 0 before the first one. */
+	double weighted_cost_tokens;
 };
 
 /** What this process has reported to the pool. All amounts are cumulative. */
@@ -47,13 +65,21 @@
 	struct team_account_report confirmed; /**< by the store */
 	/** What the open write says; equal to `confirmed` without one. */
 	struct team_account_report proposed;
+	/** As recorded in the store, and as in an open write of the record. */
+	struct spending_cap confirmed_cap;
+	struct spending_cap proposed_cap;
+	/** Spendable at once when the proposed cap was made. */
+	int64_t ahead_tokens;
+	int64_t capped_tokens; /**< of requests that wait for a higher cap */
 	int64_t settled_tokens;
 	int64_t reserved_tokens;
 	int64_t demanded_tokens; /**< by requests that arrived here */
 	int64_t demanding_requests;
-	int64_t needed_tokens; /**< of requests that lack tokens now */
-	int64_t held_tokens;   /**< unspent here, when last read */
-	int64_t free_tokens;   /**< taken by no host, when last read */
+	double demanded_squares; /**< sum of the squares of their tokens */
+	int64_t needed_tokens;	 /**< of requests that lack tokens now */
+	int64_t held_tokens;	 /**< unspent here, when last read */
+	int64_t free_tokens;	 /**< taken by no host, when last read */
+	int64_t none_free_us; /**< first read without any free; 0: some are */
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
 	struct demand_forecast demand;
@@ -70,6 +96,15 @@
  * effect at any time */
 int64_t team_account_limit(const struct team_account *account);
 
+/** @return whether only a spending cap keeps these tokens from being spent */
+bool team_account_is_capped(const struct team_account *account, int64_t tokens,
+			    int64_t now_us);
+
+/** @return when the caps in force will allow these tokens; in the past if they
+ * do now */
+int64_t team_account_capped_until_us(const struct team_account *account,
+				     int64_t tokens);
+
 /** Counts the tokens of a request that arrived, whether they can be reserved
  * or not: a forecast from served requests alone would keep a host that has
  * few tokens from getting more. */
@@ -80,14 +115,14 @@
  * Reserves tokens for a request.
  *
  * A host that can't reach the store may receive more requests than its
- * allotment can pay for. The last tokens are then kept for the more urgent
- * requests.
+ * allotment, or the spending cap, can pay for. The last tokens are then kept
+ * for the more urgent requests.
  * @param rank of the request's route, 0 for the most urgent
  * @param store_unreachable the allotment can't be raised at present
  * @return whether the reservation was made
  */
 bool team_account_reserve(struct team_account *account, int64_t tokens,
-			  int32_t rank, bool store_unreachable);
+			  int32_t rank, bool store_unreachable, int64_t now_us);
 
 void team_account_settle(struct team_account *account, int64_t reserved_tokens,
 			 int64_t spent_tokens);
@@ -127,9 +162,23 @@
 /** The proposed write had no effect and can have none. */
 void team_account_withdraw(struct team_account *account);
 
-/** It is not known whether the proposed write took effect, and will not be:
- * the process may spend the lower allotment. */
-void team_account_assume_lower(struct team_account *account);
+/** Another process has replaced this one in the pool, and may have returned
+ * what this one held: it must not spend any more of that. */
+void team_account_forfeit(struct team_account *account);
+
+/** Computes the next spending cap, and puts it in force together with the
+ * confirmed one until the outcome of its write is known.
+ * @param target of the allotment at present
+ * @return whether there is a cap: something is withheld */
+bool team_account_propose_cap(struct team_account *account,
+			      const struct team_account_target *target,
+			      const struct team_account_cap_inputs *in);
+
+/** Puts no cap in force once the write of a record without one is confirmed. */
+void team_account_propose_no_cap(struct team_account *account);
+
+/** The write of the proposed cap has ended. */
+void team_account_end_cap_write(struct team_account *account, bool took_effect);
 
 /** Updates what the account knows of the budget.
  * @param budget NULL if the pool does not have it yet */
--- a/tests/fakes/budget_rig.c
+++ b/tests/fakes/budget_rig.c
@@ -6,6 +6,9 @@
 
 #include "tamarackgw/random.h"
 
+/* Of a host when the rig starts. */
+#define FIRST_UPTIME_US (1000 * TGW_US_PER_S)
+
 struct budget_rig budget_rig;
 
 static void on_changed(void *arg)
@@ -34,11 +37,23 @@
 	((struct budget_rig_host *)arg)->closed = true;
 }
 
+static int64_t clock_us(const struct tgw_clock *clock)
+{
+	return budget_rig.world.now_us +
+	       ((const struct budget_rig_clock *)clock)->offset_us;
+}
+
+static const struct tgw_clock_ops clock_ops = {
+	.monotonic_us = clock_us,
+	.wall_us = clock_us,
+};
+
 void budget_rig_start_host_with_keys(struct budget_rig_host *host,
 				     uint32_t keys)
 {
 	struct team_budget_settings settings = {
 		.key_count = keys,
+		.boot = host->boot,
 		.policy = {.ride_out_s = 25,
 			   .hold_fraction = 0.9,
 			   .host_count = BUDGET_RIG_HOSTS},
@@ -53,10 +68,14 @@
 
 	snprintf(settings.host, sizeof(settings.host), "host-%d",
 		 (int)(host - budget_rig.hosts));
+	if (!host->clock.clock.ops) {
+		host->clock.clock.ops = &clock_ops;
+		host->clock.offset_us = FIRST_UPTIME_US;
+	}
 	host->closed = false;
 	host->open_count = 0;
 	host->budgets = team_budget_new(
-		&settings, &host->store.store, &budget_rig.world.clock,
+		&settings, &host->store.store, &host->clock.clock,
 		tgw_random_u64(&budget_rig.world.random) | 1, &events);
 	team_budget_raise_paid_in(host->budgets, BUDGET_RIG_TEAM,
 				  budget_rig.paid_in_tokens);
@@ -77,6 +96,13 @@
 	fake_store_reset(&host->store);
 }
 
+void budget_rig_power_off_host(struct budget_rig_host *host, int64_t behind_us)
+{
+	budget_rig_kill_host(host);
+	host->boot++;
+	host->clock.offset_us -= behind_us;
+}
+
 void budget_rig_advance(int64_t delay_us)
 {
 	int64_t until_us = budget_rig.world.now_us + delay_us;
@@ -98,6 +124,7 @@
 	budget_rig.paid_in_tokens = BUDGET_RIG_PAID_TOKENS;
 	for (size_t i = 0; i < BUDGET_RIG_HOSTS; i++) {
 		fake_store_init(&budget_rig.hosts[i].store, &budget_rig.server);
+		budget_rig.hosts[i].boot = 1;
 		budget_rig_start_host(&budget_rig.hosts[i]);
 	}
 }
--- a/tests/fakes/budget_rig.h
+++ b/tests/fakes/budget_rig.h
@@ -16,10 +16,17 @@
 #define BUDGET_RIG_STEP_US (20 * TGW_US_PER_MS)
 #define BUDGET_RIG_OPEN_REQUESTS 16
 
+struct budget_rig_clock {
+	struct tgw_clock clock; /**< first member */
+	int64_t offset_us;	/**< from the time of the world */
+};
+
 /** One host, and the open reservations of its process. */
 struct budget_rig_host {
 	struct fake_store store;
 	struct team_budget *budgets;
+	struct budget_rig_clock clock;
+	uint32_t boot;
 	int64_t open_tokens[BUDGET_RIG_OPEN_REQUESTS];
 	size_t open_count;
 	bool closed;
@@ -52,6 +59,10 @@
 /** Ends the process; its open requests count as spent in full. */
 void budget_rig_kill_host(struct budget_rig_host *host);
 
+/** Ends the process, and starts the host's clock anew.
+ * @param behind_us how far it is behind the earlier one */
+void budget_rig_power_off_host(struct budget_rig_host *host, int64_t behind_us);
+
 /** Lets time pass; the hosts tick in each step. */
 void budget_rig_advance(int64_t delay_us);
 
--- a/tests/fakes/team_fleet.c
+++ b/tests/fakes/team_fleet.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/xalloc.h"
+#include "state/budget_pool_codec.h"
 
 struct team_fleet team_fleet;
 
@@ -63,8 +64,9 @@
 {
 	struct team_budget_settings settings = {
 		.key_count = team_fleet.settings.key_count,
-		.policy = {.ride_out_s = 25,
-			   .hold_fraction = 0.9,
+		.boot = host->boot,
+		.policy = {.ride_out_s = 12,
+			   .hold_fraction = 0.2,
 			   .host_count = 8},
 	};
 	struct team_budget_events events = {
@@ -330,3 +332,52 @@
 		ck_assert_int_le(team_fleet.tallies[i].spent_tokens,
 				 team_fleet.settings.paid_tokens);
 }
+
+static int64_t left_of(const struct team_fleet_host *host, int team)
+{
+	struct team_budget_view view;
+
+	if (!host->budgets ||
+	    !team_budget_get_view(host->budgets, team_fleet.team_names[team],
+				  &view))
+		return 0;
+	return view.limit_tokens - view.settled_tokens - view.reserved_tokens;
+}
+
+static int64_t free_tokens(int team)
+{
+	const char *name = team_fleet.team_names[team];
+	char key[LEDGER_KEY_SIZE];
+	const struct fake_store_key *entry;
+	struct budget_pool pool;
+	const struct pooled_budget *budget;
+	int64_t tokens = team_fleet.settings.paid_tokens;
+
+	ledger_bucket_key(key, ledger_bucket_of(name,
+						team_fleet.settings.key_count));
+	entry = fake_store_server_find(&team_fleet.server, key);
+	if (!entry)
+		return tokens;
+	ck_assert_int_eq(budget_pool_codec_decode(&pool, entry->value,
+						  entry->value_size, NULL),
+			 TGW_OK);
+	budget = budget_pool_find(&pool, name);
+	if (budget)
+		tokens = pooled_budget_free_tokens(budget);
+	budget_pool_clear(&pool);
+	return tokens;
+}
+
+int64_t team_fleet_stranded_tokens(void)
+{
+	int64_t tokens = 0;
+
+	for (int team = 0; team < team_fleet.settings.team_count; team++) {
+		tokens += team_fleet.settings.paid_tokens -
+			  team_fleet.tallies[team].spent_tokens -
+			  free_tokens(team);
+		for (size_t i = 0; i < team_fleet.settings.host_count; i++)
+			tokens -= left_of(&team_fleet.hosts[i], team);
+	}
+	return tokens;
+}
--- a/tests/fakes/team_fleet.h
+++ b/tests/fakes/team_fleet.h
@@ -103,4 +103,8 @@
 
 void team_fleet_check_no_overspending(void);
 
+/** @return tokens of all teams that are neither spent, nor free, nor may be
+ * spent by a running process: they were lost with dead ones */
+int64_t team_fleet_stranded_tokens(void);
+
 #endif
--- a/tests/unit/test_team_budget.c
+++ b/tests/unit/test_team_budget.c
@@ -160,7 +160,7 @@
 
 		ck_assert_uint_eq(counters->conflicts,
 				  (uint64_t)budget_rig.hosts[i].conflicts);
-		writes += counters->writes;
+		writes += counters->writes + counters->cap_writes;
 		conflicts += counters->conflicts;
 	}
 	ck_assert_uint_gt(conflicts, 0);
