--- a/tests/unit/test_team_budget_deaths.c
+++ b/tests/unit/test_team_budget_deaths.c
@@ -59,6 +59,58 @@
 	team_fleet_stop();
 }
 
+static int64_t demand_tokens(int64_t duration_us)
+{
+	return REQUEST_TOKENS * REQUESTS_PER_S * TEAMS * duration_us /
+	       TGW_US_PER_S;
+}
+
+static int64_t left_tokens(void)
+{
+	int64_t left = team_fleet.settings.paid_tokens * TEAMS;
+
+	for (int team = 0; team < TEAMS; team++)
+		left -= team_fleet.tallies[team].spent_tokens;
+	return left - team_fleet_stranded_tokens();
+}
+
+/* @return the tokens that are lost with a death of all hosts */
+static int64_t strand(void (*strike)(int64_t down_us))
+{
+	int64_t before = team_fleet_stranded_tokens();
+
+	strike(DOWN_US);
+	play_s(8);
+	return team_fleet_stranded_tokens() - before;
+}
+
+/* Nothing tells for which part of the time while they were down the processes
+ * still lived. */
+START_TEST(a_kill_of_all_processes_strands_two_seconds_of_demand)
+{
+	start_fleet((uint64_t)_i);
+	play_s(10);
+	for (int kill = 0; kill < 4; kill++)
+		ck_assert_int_le(strand(team_fleet_kill_all),
+				 demand_tokens(2 * TGW_US_PER_S + DOWN_US));
+	team_fleet_stop();
+}
+END_TEST
+
+START_TEST(a_power_loss_of_all_hosts_strands_a_fifth_of_what_is_left)
+{
+	start_fleet((uint64_t)_i);
+	play_s(10);
+	for (int loss = 0; loss < 4; loss++) {
+		int64_t left = left_tokens();
+
+		ck_assert_int_le(strand(team_fleet_power_off_all),
+				 left / 5 + demand_tokens(2 * TGW_US_PER_S));
+	}
+	team_fleet_stop();
+}
+END_TEST
+
 START_TEST(a_budget_pays_after_all_processes_were_killed_four_times)
 {
 	play_day((uint64_t)_i, team_fleet_kill_all);
@@ -83,6 +135,13 @@
 	tcase_add_loop_test(
 		tcase, a_budget_pays_after_all_hosts_lost_power_three_times, 1,
 		1 + SEEDS);
+	tcase_add_loop_test(
+		tcase, a_kill_of_all_processes_strands_two_seconds_of_demand, 1,
+		1 + SEEDS);
+	tcase_add_loop_test(
+		tcase,
+		a_power_loss_of_all_hosts_strands_a_fifth_of_what_is_left, 1,
+		1 + SEEDS);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
