Drop the spending caps of a process that was replaced in the pool

With a cap in force its next allotment was not lower than the cap's, though the allotment itself was given up: more than the free tokens could be proposed, and the check before the write would have ended the process. Found by reading; the new test failed before (5000 proposed of 1000 free).

--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -397,6 +397,8 @@
 {
 	account->proposed.allotted_tokens = team_account_charged(account);
 	account->confirmed = account->proposed;
+	team_account_propose_no_cap(account);
+	account->confirmed_cap = account->proposed_cap;
 }
 
 /* @return what has to be spendable at once, so that few requests wait for a
--- a/tests/unit/test_spending_cap.c
+++ b/tests/unit/test_spending_cap.c
@@ -227,6 +227,27 @@
 }
 END_TEST
 
+START_TEST(a_process_that_was_replaced_keeps_no_cap)
+{
+	struct team_account *account = team_account_new("acme");
+	struct team_account_policy policy = {
+		.ride_out_s = 12, .hold_fraction = 0.2, .host_count = 4};
+	struct pooled_budget budget = {
+		.name = "acme", .paid_in_tokens = 8000, .taken_tokens = 7000};
+	struct team_account_target target;
+
+	account->paid_in_tokens = 8000;
+	account->confirmed.allotted_tokens = 5000;
+	account->proposed = account->confirmed;
+	account->confirmed_cap = cap;
+	team_account_forfeit(account);
+	ck_assert_int_eq(team_account_limit(account), 0);
+	team_account_decide(account, &budget, 4, &policy, WRITTEN_US, &target);
+	ck_assert_int_le(target.allotted_tokens, 1000);
+	free(account);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("spending_cap");
@@ -246,6 +267,7 @@
 	tcase_add_test(tcase, the_record_of_another_process_returns_nothing);
 	tcase_add_test(tcase, a_record_of_more_than_was_taken_returns_nothing);
 	tcase_add_test(tcase, an_allotment_is_not_lowered_below_a_cap_in_force);
+	tcase_add_test(tcase, a_process_that_was_replaced_keeps_no_cap);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
