--- a/include/tamarackgw/peer.h
+++ b/include/tamarackgw/peer.h
@@ -21,6 +21,7 @@
 	TGW_PEER_CLAIM = 3,
 	TGW_PEER_CONFIG = 4,
 	TGW_PEER_QUARANTINE = 5,
+	TGW_PEER_TRANSFER = 6,
 	TGW_PEER_TOPIC_END
 };
 
--- /dev/null
+++ b/src/coordination/budget_relay.h
@@ -0,0 +1,89 @@
+/**
+ * @file budget_relay.h
+ * Moves tokens of team budgets between the hosts of a failure domain, so that
+ * not each of them has to write the pools in the store.
+ *
+ * Of each failure domain one host, the relay, takes allotments for all of
+ * them, and the others ask it for tokens. Nobody elects it: each host ranks the
+ * hosts that it knows and uses the first that answers, itself included. Two
+ * relays, or none, cost store calls and never overspend: tokens are bound at
+ * the giver before it tells the taker, and each transfer is taken once. A host
+ * that no relay answers uses the store by itself.
+ */
+#ifndef COORDINATION_BUDGET_RELAY_H
+#define COORDINATION_BUDGET_RELAY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "state/peer_host.h"
+#include "state/transfer_link.h"
+#include "tamarackgw/peer.h"
+
+/** Hosts of a failure domain that are asked, one after the other, until one
+ * answers. */
+#define BUDGET_RELAY_CANDIDATES 3
+
+struct team_budget;
+struct team_budget_key;
+
+/** A host that may be the relay. */
+struct budget_relay_candidate {
+	char host[TGW_NAME_SIZE];
+	bool is_self;
+	int64_t asked_us;	  /**< first message without a reply; 0: none */
+	int64_t sent_us;	  /**< last message */
+	int64_t suspect_until_us; /**< not used before */
+	int64_t suspect_for_us;	  /**< last time; doubles with each failure */
+};
+
+struct budget_relay {
+	struct team_budget *budgets;
+	struct tgw_peer *peer; /**< NULL: transfers are off */
+	char host[TGW_NAME_SIZE];
+	char failure_domain[TGW_NAME_SIZE];
+	uint64_t incarnation;
+	uint64_t sequence; /**< of the last message */
+	bool hosts_known;
+	size_t candidate_count;
+	struct budget_relay_candidate candidates[BUDGET_RELAY_CANDIDATES];
+	const struct budget_relay_candidate *current; /**< NULL: none */
+	int64_t member_since_us; /**< another host is the relay; 0: none is */
+	bool requested;		 /**< requests lack tokens that were not asked
+				  * for yet */
+	bool store_unreachable;	 /**< for the relay, by its last message */
+	int64_t hand_over_since_us; /**< of unspent tokens, at a stop */
+	struct transfer_link *links;
+};
+
+void budget_relay_init(struct budget_relay *relay, struct team_budget *budgets,
+		       uint64_t incarnation);
+void budget_relay_clear(struct budget_relay *relay);
+
+/** Applies the list of hosts, which may include this one. */
+void budget_relay_set_hosts(struct budget_relay *relay,
+			    const struct peer_host *hosts, size_t count);
+
+void budget_relay_on_message(struct budget_relay *relay,
+			     const struct tgw_peer_message *message);
+
+/** @return whether this host uses the store by itself: as the relay, or since
+ * it has none */
+bool budget_relay_uses_store(const struct budget_relay *relay);
+
+/** A request lacks tokens: the relay is asked at the next tick. */
+void budget_relay_request(struct budget_relay *relay);
+
+/** Gives to other hosts what they lack, after an allotment changed. */
+void budget_relay_serve(struct budget_relay *relay);
+
+/** Sends the messages that are due.
+ * @return the next due time */
+int64_t budget_relay_tick(struct budget_relay *relay);
+
+/** Hands all unspent tokens to the relay, at a planned stop.
+ * @return whether that has ended: they arrived there, or will not */
+bool budget_relay_hand_over(struct budget_relay *relay);
+
+#endif
--- /dev/null
+++ b/src/coordination/budget_transfer.c
@@ -0,0 +1,482 @@
+#include "coordination/budget_transfer.h"
+
+#include <string.h>
+
+#include "coordination/team_budget_caps.h"
+#include "coordination/team_budget_key.h"
+
+/* A host holds the demand of this time while the relay is asked for more. */
+#define HOLD_S 1.0
+/* It asks ahead of need when it holds less than this fraction of that, and
+ * gives back what exceeds this multiple. */
+#define REFILL_DIVISOR 2
+#define SURPLUS_MULTIPLE 3
+/* Ahead of need a relay gives at most this fraction of what it has. */
+#define AHEAD_DIVISOR 4
+/* The requests that tokens are needed for have been refused after this. */
+#define NEEDED_FOR_US (500 * TGW_US_PER_MS)
+/* An entry is repeated in so many messages after a change. */
+#define REPEATS 3
+/* A view of the pool that is older says nothing about free tokens. */
+#define VIEW_MAX_AGE_US (1 * TGW_US_PER_S)
+
+static int64_t min_tokens(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t max_tokens(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+static int64_t now_of(const struct budget_relay *relay)
+{
+	return team_budget_now_us(relay->budgets);
+}
+
+struct transfer_link *budget_transfer_find(const struct budget_relay *relay,
+					   const char *host)
+{
+	struct transfer_link *newest = NULL;
+
+	for (struct transfer_link *link = relay->links; link; link = link->next)
+		if (!link->ended && !strcmp(link->host, host) &&
+		    (!newest || link->heard_us > newest->heard_us))
+			newest = link;
+	return newest;
+}
+
+bool budget_transfer_is_unacknowledged(const struct budget_relay *relay,
+				       const char *host)
+{
+	const struct transfer_link *link = budget_transfer_find(relay, host);
+	const struct transfer_totals *totals = link ? link->totals : NULL;
+
+	for (; totals; totals = totals->next)
+		if (transfer_totals_is_unacknowledged(totals))
+			return true;
+	return false;
+}
+
+static void give(struct budget_relay *relay, struct team_account *account,
+		 struct transfer_totals *totals, int64_t tokens)
+{
+	team_account_give(account, tokens);
+	relay->budgets->counters.given_tokens += (uint64_t)tokens;
+	totals->given_tokens += tokens;
+	totals->repeats = REPEATS;
+}
+
+/* Sending. */
+
+static void fill_entry(const struct budget_relay *relay,
+		       const struct team_account *account,
+		       const struct transfer_totals *totals, bool is_report,
+		       struct transfer_entry *entry)
+{
+	int64_t now = now_of(relay);
+	int64_t target = team_account_reserve_target(account, HOLD_S, now);
+	int64_t held = team_account_held(account);
+
+	memset(entry, 0, sizeof(*entry));
+	memcpy(entry->team, account->team, sizeof(entry->team));
+	entry->given_tokens = totals->given_tokens;
+	entry->taken_tokens = totals->taken_tokens;
+	entry->settled_tokens = totals->out.settled_tokens;
+	entry->demanded_tokens = totals->out.demanded_tokens;
+	entry->requests = totals->out.requests;
+	entry->held_tokens = held;
+	entry->free_tokens = max_tokens(account->free_tokens, 0);
+	entry->remaining_tokens = account->remaining_tokens;
+	entry->view_age_ms =
+		account->viewed_us ? (now - account->viewed_us) / TGW_US_PER_MS
+				   : TRANSFER_NO_VIEW;
+	entry->none_available = !is_report && totals->none_available;
+	if (!is_report || relay->budgets->closing)
+		return;
+	entry->needed_tokens = account->needed_tokens;
+	entry->rank = account->needed_rank > 0 ? account->needed_rank : 0;
+	entry->wanted_tokens = entry->needed_tokens;
+	if (held < target / REFILL_DIVISOR || entry->needed_tokens)
+		entry->wanted_tokens += max_tokens(target - held, 0);
+}
+
+static void send(struct budget_relay *relay, const char *host,
+		 struct transfer_message *message)
+{
+	struct buffer bytes = {0};
+
+	message->sequence = ++relay->sequence;
+	transfer_message_encode(message, &bytes);
+	tgw_peer_send(relay->peer, host, TGW_PEER_TRANSFER, bytes.data,
+		      bytes.size);
+	buffer_free(&bytes);
+	message->entry_count = 0;
+}
+
+/* @param link whose totals the entries have; NULL if the process at the other
+ * end is not known */
+static void init_message(const struct budget_relay *relay,
+			 const struct transfer_link *link, bool is_report,
+			 struct transfer_message *message)
+{
+	const struct team_budget *budgets = relay->budgets;
+
+	memset(message, 0, sizeof(*message));
+	message->to_incarnation = link ? link->incarnation : 0;
+	message->is_report = is_report;
+	message->leaving = budgets->closing;
+	message->store_unreachable = budgets->store_unreachable;
+}
+
+static struct transfer_entry *next_entry(struct budget_relay *relay,
+					 const char *host,
+					 struct transfer_message *message)
+{
+	if (message->entry_count == TRANSFER_ENTRIES_MAX)
+		send(relay, host, message);
+	return &message->entries[message->entry_count++];
+}
+
+static void give_surplus(struct budget_relay *relay,
+			 struct team_account *account,
+			 struct transfer_totals *totals, bool hands_over)
+{
+	int64_t now = now_of(relay);
+	int64_t target =
+		hands_over ? 0
+			   : team_account_reserve_target(account, HOLD_S, now);
+	int64_t available = team_account_available(account, now);
+
+	if (available > target * SURPLUS_MULTIPLE)
+		give(relay, account, totals, available - target);
+}
+
+/* Without a link, the process at the other end is not known yet: it gets
+ * nothing, and what is needed is reported without totals. */
+static bool fill_report_entry(struct budget_relay *relay,
+			      struct transfer_link *link,
+			      struct team_account *account, bool hands_over,
+			      struct transfer_entry *entry)
+{
+	struct transfer_totals none = {0};
+	struct transfer_totals *totals = &none;
+	int64_t demanded;
+
+	if (link) {
+		totals = transfer_link_totals(link, account->team);
+		demanded = totals->out.demanded_tokens +
+			   totals->out.settled_tokens;
+		team_account_forward(account, &totals->out);
+		if (totals->out.demanded_tokens + totals->out.settled_tokens !=
+		    demanded)
+			totals->repeats = REPEATS;
+		give_surplus(relay, account, totals, hands_over);
+	}
+	fill_entry(relay, account, totals, true, entry);
+	if (!totals->repeats && !entry->wanted_tokens &&
+	    !transfer_totals_is_unacknowledged(totals))
+		return false;
+	if (totals->repeats)
+		totals->repeats--;
+	return true;
+}
+
+void budget_transfer_report(struct budget_relay *relay, const char *host,
+			    bool hands_over)
+{
+	const struct team_budget *budgets = relay->budgets;
+	struct transfer_link *link = budget_transfer_find(relay, host);
+	struct transfer_message message;
+	bool sent_any = false;
+
+	init_message(relay, link, true, &message);
+	for (uint32_t i = 0; i < budgets->key_count; i++) {
+		for (struct team_account *account = budgets->keys[i].accounts;
+		     account; account = account->next) {
+			struct transfer_entry entry;
+
+			if (!fill_report_entry(relay, link, account, hands_over,
+					       &entry))
+				continue;
+			*next_entry(relay, host, &message) = entry;
+			sent_any = true;
+		}
+	}
+	if (message.entry_count || !sent_any)
+		send(relay, host, &message);
+}
+
+void budget_transfer_reply(struct budget_relay *relay,
+			   struct transfer_link *link, bool always)
+{
+	struct transfer_message message;
+	bool sent_any = false;
+
+	init_message(relay, link, false, &message);
+	for (struct transfer_totals *totals = link->totals; totals;
+	     totals = totals->next) {
+		const struct team_account *account;
+
+		if (!totals->repeats &&
+		    !transfer_totals_is_unacknowledged(totals))
+			continue;
+		account =
+			team_budget_find_account(relay->budgets, totals->team);
+		if (!account)
+			continue;
+		if (totals->repeats)
+			totals->repeats--;
+		fill_entry(relay, account, totals, false,
+			   next_entry(relay, link->host, &message));
+		sent_any = true;
+	}
+	if (message.entry_count || (always && !sent_any))
+		send(relay, link->host, &message);
+}
+
+/* Receiving. */
+
+static struct transfer_link *find_process(const struct budget_relay *relay,
+					  uint64_t incarnation)
+{
+	for (struct transfer_link *link = relay->links; link; link = link->next)
+		if (link->incarnation == incarnation)
+			return link;
+	return NULL;
+}
+
+void budget_transfer_release_held(struct budget_relay *relay,
+				  struct transfer_link *link)
+{
+	for (struct transfer_totals *totals = link->totals; totals;
+	     totals = totals->next) {
+		struct team_account *account =
+			team_budget_find_account(relay->budgets, totals->team);
+
+		if (account)
+			account->held_by_peers_tokens -= totals->held_tokens;
+		totals->held_tokens = 0;
+		totals->needed_tokens = 0;
+		totals->wanted_tokens = 0;
+	}
+}
+
+static struct transfer_link *obtain_link(struct budget_relay *relay,
+					 const struct tgw_peer_message *message)
+{
+	struct transfer_link *link =
+		find_process(relay, message->from_incarnation);
+	struct transfer_link *earlier;
+
+	if (link)
+		return link->ended ? NULL : link;
+	earlier = budget_transfer_find(relay, message->from_host);
+	if (earlier)
+		budget_transfer_release_held(relay, earlier);
+	link = transfer_link_new(message->from_host, message->from_incarnation);
+	link->next = relay->links;
+	relay->links = link;
+	return link;
+}
+
+/* The sender uses this host as its relay. */
+static void apply_report(const struct budget_relay *relay,
+			 struct team_account *account,
+			 struct transfer_totals *totals,
+			 const struct transfer_entry *entry)
+{
+	account->held_by_peers_tokens +=
+		entry->held_tokens - totals->held_tokens;
+	totals->held_tokens = entry->held_tokens;
+	totals->needed_tokens = entry->needed_tokens;
+	totals->wanted_tokens = entry->wanted_tokens;
+	totals->rank = (int32_t)entry->rank;
+	totals->needed_us = now_of(relay);
+	if (!totals->repeats)
+		totals->repeats = 1;
+}
+
+/* The sender is the relay of this host. */
+static void apply_reply(const struct budget_relay *relay,
+			struct team_account *account,
+			const struct transfer_entry *entry)
+{
+	int64_t now = now_of(relay);
+	int64_t viewed_us = now - entry->view_age_ms * TGW_US_PER_MS;
+
+	if (entry->view_age_ms != TRANSFER_NO_VIEW &&
+	    viewed_us > account->viewed_us)
+		team_account_view(account, entry->free_tokens,
+				  entry->remaining_tokens, viewed_us);
+	account->none_available_us = entry->none_available ? now : 0;
+}
+
+static void apply_entry(struct budget_relay *relay, struct transfer_link *link,
+			const struct transfer_message *message,
+			const struct transfer_entry *entry)
+{
+	struct team_account *account =
+		team_budget_find_account(relay->budgets, entry->team);
+	struct transfer_totals *totals;
+	struct team_account_usage usage;
+	int64_t taken;
+
+	/* Until this host knows the team, what it is given stays
+	 * unacknowledged, and is offered again. */
+	if (!account)
+		return;
+	totals = transfer_link_totals(link, entry->team);
+	/* A process that stops takes nothing more, and its messages say so. */
+	if (message->to_incarnation && !relay->budgets->closing) {
+		taken = transfer_totals_take(totals, entry);
+		team_account_receive(account, taken);
+		relay->budgets->counters.received_tokens += (uint64_t)taken;
+		if (taken)
+			totals->repeats = REPEATS;
+	}
+	usage = transfer_totals_collect(totals, entry);
+	team_account_collect(account, &usage, now_of(relay));
+	transfer_totals_acknowledge(totals, entry);
+	if (message->leaving)
+		team_account_take_back(account,
+				       transfer_totals_revoke(totals, entry));
+	if (message->sequence <= totals->sequence)
+		return;
+	totals->sequence = message->sequence;
+	if (message->is_report)
+		apply_report(relay, account, totals, entry);
+	else
+		apply_reply(relay, account, entry);
+}
+
+struct transfer_link *budget_transfer_receive(
+	struct budget_relay *relay, const struct tgw_peer_message *message,
+	bool *to_relay)
+{
+	struct transfer_message transfer;
+	struct transfer_link *link;
+
+	if (transfer_message_decode(&transfer, message->payload,
+				    message->payload_size, NULL) != TGW_OK)
+		return NULL;
+	/* The message was for an earlier process of this host. */
+	if (transfer.to_incarnation &&
+	    transfer.to_incarnation != relay->incarnation)
+		return NULL;
+	link = obtain_link(relay, message);
+	if (!link)
+		return NULL;
+	link->heard_us = now_of(relay);
+	link->leaving = transfer.leaving;
+	for (size_t i = 0; i < transfer.entry_count; i++)
+		apply_entry(relay, link, &transfer, &transfer.entries[i]);
+	if (!transfer.is_report)
+		relay->store_unreachable = transfer.store_unreachable;
+	*to_relay = transfer.is_report;
+	return link;
+}
+
+/* Serving. */
+
+static bool is_store_unreachable(const struct team_budget_key *key)
+{
+	return key->budgets->store_unreachable || !key->store_answers;
+}
+
+/* A host that has a relay itself passes the request on to that one, which
+ * ranks higher. */
+static bool request_from_relay(struct budget_relay *relay,
+			       struct team_account *account, int64_t tokens,
+			       int64_t now)
+{
+	if (team_account_has_none_available(account, now))
+		return false;
+	account->needed_tokens += tokens;
+	budget_relay_request(relay);
+	return true;
+}
+
+/* @return whether more tokens may come */
+static bool request_more(struct team_budget_key *key,
+			 struct team_account *account, int64_t tokens,
+			 int64_t now)
+{
+	struct budget_relay *relay = &key->budgets->relay;
+
+	if (!team_budget_uses_store(key->budgets))
+		return request_from_relay(relay, account, tokens, now);
+	if (is_store_unreachable(key))
+		return false;
+	if (team_account_is_capped(account, tokens, now)) {
+		account->capped_tokens += tokens;
+		team_budget_caps_request(key->budgets);
+		return true;
+	}
+	if (account->viewed_us && now - account->viewed_us < VIEW_MAX_AGE_US &&
+	    (!account->free_tokens || tokens > account->remaining_tokens))
+		return false;
+	account->needed_tokens += tokens;
+	team_budget_key_request_read(key);
+	return true;
+}
+
+static int64_t tokens_to_give(const struct transfer_totals *totals,
+			      int64_t available)
+{
+	int64_t ahead =
+		min_tokens(totals->wanted_tokens, available / AHEAD_DIVISOR);
+
+	if (available <= 0)
+		return 0;
+	if (totals->needed_tokens > available)
+		return 0;
+	return max_tokens(totals->needed_tokens, ahead);
+}
+
+static void serve(struct budget_relay *relay, struct transfer_totals *totals)
+{
+	struct team_budget_key *key =
+		team_budget_key_of(relay->budgets, totals->team);
+	struct team_account *account =
+		team_budget_find_account(relay->budgets, totals->team);
+	int64_t now = now_of(relay);
+	int64_t available = team_account_available(account, now);
+	int64_t tokens;
+
+	if (team_budget_uses_store(relay->budgets) && is_store_unreachable(key))
+		available -=
+			team_account_kept_for_urgent(account, totals->rank);
+	tokens = tokens_to_give(totals, available);
+	totals->none_available =
+		!tokens && totals->needed_tokens &&
+		!request_more(key, account, totals->needed_tokens, now);
+	/* They may do for some of the requests. */
+	if (totals->none_available)
+		tokens = max_tokens(available, 0);
+	if (!tokens)
+		return;
+	give(relay, account, totals, tokens);
+	account->held_by_peers_tokens += tokens;
+	totals->held_tokens += tokens;
+	totals->needed_tokens = max_tokens(totals->needed_tokens - tokens, 0);
+	totals->wanted_tokens = totals->needed_tokens;
+}
+
+void budget_transfer_serve(struct budget_relay *relay,
+			   struct transfer_link *link)
+{
+	int64_t now = now_of(relay);
+
+	for (struct transfer_totals *totals = link->totals; totals;
+	     totals = totals->next) {
+		if (now - totals->needed_us > NEEDED_FOR_US) {
+			totals->needed_tokens = 0;
+			totals->wanted_tokens = 0;
+		}
+		if (totals->wanted_tokens &&
+		    team_budget_find_account(relay->budgets, totals->team))
+			serve(relay, totals);
+	}
+}
--- /dev/null
+++ b/src/coordination/peer_directory.c
@@ -0,0 +1,316 @@
+#include "coordination/peer_directory.h"
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/buffer.h"
+#include "base/xalloc.h"
+#include "tamarackgw/random.h"
+
+#define PREFIX "tgw/peers/"
+#define HOSTS_PREFIX PREFIX "hosts/"
+#define FLEET_KEY PREFIX "key"
+#define KEY_NAME_SIZE (sizeof(HOSTS_PREFIX) + TGW_NAME_SIZE)
+
+/* Hosts that start together list each other once all have written their
+ * records, which takes about this time. */
+#define SETTLE_US (1500 * TGW_US_PER_MS)
+#define SETTLE_JITTER_US (500 * TGW_US_PER_MS)
+/* Minimum time between two lists after messages of unknown hosts. */
+#define UNKNOWN_INTERVAL_US (2 * TGW_US_PER_S)
+#define REFRESH_US (120 * TGW_US_PER_S)
+/* Backoff after a failed store call; doubles up to the maximum. */
+#define RETRY_MIN_US (150 * TGW_US_PER_MS)
+#define RETRY_MAX_US (2000 * TGW_US_PER_MS)
+
+struct peer_directory {
+	struct peer_host self;
+	char self_key[KEY_NAME_SIZE];
+	struct peer_key new_key;
+	struct tgw_random random;
+	struct tgw_store *store;
+	const struct tgw_clock *clock;
+	struct peer_directory_events events;
+	bool calling;
+	bool key_known;
+	bool registered;
+	bool changed; /* since it was last reported */
+	bool settled; /* the hosts that started together are listed */
+	int64_t self_version;
+	int64_t listed_us;
+	int64_t due_us;
+	int64_t backoff_us;
+	size_t count;
+	struct peer_host *hosts;
+};
+
+static int64_t now_of(const struct peer_directory *directory)
+{
+	return tgw_clock_monotonic_us(directory->clock);
+}
+
+struct peer_directory *peer_directory_new(
+	const struct peer_host *self, const struct peer_key *new_key,
+	uint64_t seed, struct tgw_store *store, const struct tgw_clock *clock,
+	const struct peer_directory_events *events)
+{
+	struct peer_directory *directory = xcalloc(1, sizeof(*directory));
+
+	directory->self = *self;
+	snprintf(directory->self_key, sizeof(directory->self_key),
+		 HOSTS_PREFIX "%s", self->name);
+	directory->new_key = *new_key;
+	tgw_random_init(&directory->random, seed);
+	directory->store = store;
+	directory->clock = clock;
+	directory->events = *events;
+	return directory;
+}
+
+void peer_directory_free(struct peer_directory *directory)
+{
+	if (!directory)
+		return;
+	free(directory->hosts);
+	free(directory);
+}
+
+static void fail(const struct peer_directory *directory, const char *reason)
+{
+	if (directory->events.failed)
+		directory->events.failed(directory->events.arg, reason);
+}
+
+static void back_off(struct peer_directory *directory, const char *reason)
+{
+	directory->backoff_us = directory->backoff_us
+					? directory->backoff_us * 2
+					: RETRY_MIN_US;
+	if (directory->backoff_us > RETRY_MAX_US)
+		directory->backoff_us = RETRY_MAX_US;
+	directory->due_us = now_of(directory) + directory->backoff_us;
+	fail(directory, reason);
+}
+
+static void schedule_refresh(struct peer_directory *directory)
+{
+	int64_t delay_us = REFRESH_US;
+
+	if (!directory->settled)
+		delay_us = SETTLE_US +
+			   (int64_t)tgw_random_below(&directory->random,
+						     SETTLE_JITTER_US);
+	directory->due_us = directory->listed_us + delay_us;
+}
+
+static void use_key(struct peer_directory *directory,
+		    const struct peer_key *key)
+{
+	directory->key_known = true;
+	directory->events.key(directory->events.arg, key);
+}
+
+static void adopt_key(struct peer_directory *directory,
+		      const struct tgw_store_entry *entry)
+{
+	struct peer_key key;
+	struct tgw_error error;
+
+	if (directory->key_known)
+		return;
+	if (peer_key_decode(&key, entry->value, entry->value_size, &error) !=
+	    TGW_OK) {
+		fail(directory, error.message);
+		return;
+	}
+	use_key(directory, &key);
+}
+
+static bool is_same(const struct peer_host *host, const struct peer_host *other)
+{
+	return !strcmp(host->name, other->name) &&
+	       !strcmp(host->failure_domain, other->failure_domain) &&
+	       !strcmp(host->address, other->address) &&
+	       host->memory_mb == other->memory_mb;
+}
+
+static bool add_host(struct peer_directory *directory, struct peer_host *hosts,
+		     size_t count, const struct tgw_store_entry *entry)
+{
+	struct peer_host *host = &hosts[count];
+	struct tgw_error error;
+
+	if (peer_host_decode(host, entry->value, entry->value_size, &error) !=
+	    TGW_OK) {
+		fail(directory, error.message);
+		return false;
+	}
+	if (strcmp(entry->key, directory->self_key))
+		return true;
+	directory->registered = is_same(host, &directory->self);
+	directory->self_version = entry->version;
+	return true;
+}
+
+static bool is_host(const struct tgw_store_entry *entry)
+{
+	return entry->value &&
+	       !strncmp(entry->key, HOSTS_PREFIX, strlen(HOSTS_PREFIX));
+}
+
+/* @return whether the list differs from the known one */
+static bool replace_hosts(struct peer_directory *directory,
+			  struct peer_host *hosts, size_t count)
+{
+	bool differs = count != directory->count;
+
+	for (size_t i = 0; i < count && !differs; i++)
+		differs = !is_same(&hosts[i], &directory->hosts[i]);
+	free(directory->hosts);
+	directory->hosts = hosts;
+	directory->count = count;
+	return differs;
+}
+
+static void on_list(void *arg, const struct tgw_store_result *result)
+{
+	struct peer_directory *directory = arg;
+	struct peer_host *hosts;
+	size_t count = 0;
+
+	directory->calling = false;
+	if (result->status != TGW_OK) {
+		back_off(directory, result->message);
+		return;
+	}
+	directory->settled = directory->settled || directory->listed_us;
+	directory->listed_us = now_of(directory);
+	directory->registered = false;
+	directory->self_version = TGW_STORE_ABSENT;
+	hosts = xcalloc(result->entry_count + 1, sizeof(*hosts));
+	for (size_t i = 0; i < result->entry_count; i++) {
+		const struct tgw_store_entry *entry = &result->entries[i];
+
+		if (!strcmp(entry->key, FLEET_KEY) && entry->value)
+			adopt_key(directory, entry);
+		else if (is_host(entry) &&
+			 add_host(directory, hosts, count, entry))
+			count++;
+	}
+	if (directory->key_known)
+		directory->backoff_us = 0;
+	/* The first hosts of a new fleet wait for the others. */
+	if (replace_hosts(directory, hosts, count))
+		directory->changed = true;
+	if (directory->changed &&
+	    (directory->settled || directory->key_known)) {
+		directory->changed = false;
+		directory->events.changed(directory->events.arg);
+	}
+	schedule_refresh(directory);
+}
+
+static void list(struct peer_directory *directory)
+{
+	directory->calling = true;
+	tgw_store_list(directory->store, PREFIX,
+		       (struct tgw_store_callback){on_list, directory});
+}
+
+static void on_key_written(void *arg, const struct tgw_store_result *result)
+{
+	struct peer_directory *directory = arg;
+
+	directory->calling = false;
+	if (result->status == TGW_OK)
+		use_key(directory, &directory->new_key);
+	else if (result->status == TGW_CONFLICT && result->entries[0].value)
+		adopt_key(directory, &result->entries[0]);
+	if (directory->key_known)
+		return;
+	/* The next list shows what became of the write. */
+	back_off(directory, result->message);
+	directory->listed_us = 0;
+}
+
+static void write_key(struct peer_directory *directory)
+{
+	struct buffer bytes = {0};
+
+	peer_key_encode(&directory->new_key, &bytes);
+	directory->calling = true;
+	tgw_store_swap(directory->store, FLEET_KEY, TGW_STORE_ABSENT,
+		       bytes.data, bytes.size,
+		       (struct tgw_store_callback){on_key_written, directory});
+	buffer_free(&bytes);
+}
+
+static void on_registered(void *arg, const struct tgw_store_result *result)
+{
+	struct peer_directory *directory = arg;
+
+	directory->calling = false;
+	if (result->status == TGW_OK) {
+		directory->registered = true;
+		return;
+	}
+	/* Another process may have this host's name; the list tells. */
+	back_off(directory, result->message);
+	directory->listed_us = 0;
+}
+
+static void write_self(struct peer_directory *directory)
+{
+	struct buffer bytes = {0};
+
+	peer_host_encode(&directory->self, &bytes);
+	directory->calling = true;
+	tgw_store_swap(directory->store, directory->self_key,
+		       directory->self_version, bytes.data, bytes.size,
+		       (struct tgw_store_callback){on_registered, directory});
+	buffer_free(&bytes);
+}
+
+void peer_directory_tick(struct peer_directory *directory)
+{
+	int64_t now = now_of(directory);
+
+	if (directory->calling)
+		return;
+	if (directory->listed_us && !directory->key_known) {
+		write_key(directory);
+		return;
+	}
+	if (directory->listed_us && !directory->registered) {
+		write_self(directory);
+		return;
+	}
+	if (now >= directory->due_us)
+		list(directory);
+}
+
+void peer_directory_on_unknown(struct peer_directory *directory)
+{
+	int64_t due_us = directory->listed_us + UNKNOWN_INTERVAL_US;
+
+	if (directory->due_us > due_us)
+		directory->due_us = due_us;
+}
+
+const struct peer_host *peer_directory_hosts(
+	const struct peer_directory *directory, size_t *count)
+{
+	*count = directory->count;
+	return directory->hosts;
+}
+
+const struct peer_host *peer_directory_find(
+	const struct peer_directory *directory, const char *name)
+{
+	for (size_t i = 0; i < directory->count; i++)
+		if (!strcmp(directory->hosts[i].name, name))
+			return &directory->hosts[i];
+	return NULL;
+}
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -34,6 +34,7 @@
 			account->capped_tokens = 0;
 		}
 	}
+	budget_relay_serve(&budgets->relay);
 	budgets->events.changed(budgets->events.arg);
 }
 
@@ -54,6 +55,7 @@
 	tgw_random_init(&budgets->random, incarnation);
 	budgets->host_id = budget_pool_host_id(
 		settings->host, (uint32_t)tgw_random_u64(&budgets->random));
+	budget_relay_init(&budgets->relay, budgets, incarnation);
 	team_budget_caps_init(budgets);
 	budgets->key_count = settings->key_count;
 	budgets->keys = xcalloc(settings->key_count, sizeof(*budgets->keys));
@@ -85,12 +87,13 @@
 		buffer_free(&key->draft_bytes);
 	}
 	cap_writer_clear(&budgets->cap_writer);
+	budget_relay_clear(&budgets->relay);
 	free(budgets->keys);
 	free(budgets);
 }
 
-static struct team_budget_key *key_of(const struct team_budget *budgets,
-				      const char *team)
+struct team_budget_key *team_budget_key_of(const struct team_budget *budgets,
+					   const char *team)
 {
 	return &budgets->keys[ledger_bucket_of(team, budgets->key_count)];
 }
@@ -105,6 +108,12 @@
 	return NULL;
 }
 
+struct team_account *team_budget_find_account(const struct team_budget *budgets,
+					      const char *team)
+{
+	return find_account(team_budget_key_of(budgets, team), team);
+}
+
 static void schedule_join(struct team_budget_key *key)
 {
 	struct team_budget *budgets = key->budgets;
@@ -138,7 +147,8 @@
 static void add_account(struct team_budget *budgets,
 			struct team_account *account)
 {
-	struct team_budget_key *key = key_of(budgets, account->team);
+	struct team_budget_key *key =
+		team_budget_key_of(budgets, account->team);
 
 	account->next = key->accounts;
 	key->accounts = account;
@@ -172,8 +182,7 @@
 void team_budget_raise_paid_in(struct team_budget *budgets, const char *team,
 			       int64_t total_tokens)
 {
-	struct team_account *account =
-		find_account(key_of(budgets, team), team);
+	struct team_account *account = team_budget_find_account(budgets, team);
 
 	if (!account) {
 		account = team_account_new(team);
@@ -196,67 +205,101 @@
 void team_budget_record_demand(struct team_budget *budgets, const char *team,
 			       int64_t tokens)
 {
-	struct team_account *account =
-		find_account(key_of(budgets, team), team);
+	struct team_account *account = team_budget_find_account(budgets, team);
 
 	if (account)
 		team_account_record_demand(account, tokens,
 					   team_budget_now_us(budgets));
 }
 
-/* A request waits for tokens: the next read of the key is due soon. */
-static void request_read(struct team_budget_key *key)
+void team_budget_key_request_read(struct team_budget_key *key)
 {
-	int64_t due_us =
-		key->read_us ? key->read_us + TEAM_BUDGET_READ_INTERVAL_US : 0;
+	struct team_budget *budgets = key->budgets;
+	int64_t due_us;
 
+	if (!budgets->key_count_known)
+		key = &budgets->keys[0];
+	due_us = key->read_us ? key->read_us + TEAM_BUDGET_READ_INTERVAL_US : 0;
 	key->read_requested = true;
 	if (!key->write_lost && key->due_us > due_us)
 		team_budget_key_set_due(key, due_us);
 }
 
+/* @return whether the pool's tokens do not cover the cost, by a recent view */
+static bool is_exhausted(const struct team_account *account, int64_t tokens,
+			 int64_t now)
+{
+	if (tokens > account->paid_in_tokens)
+		return true;
+	return account->viewed_us &&
+	       now - account->viewed_us < VIEW_MAX_AGE_US &&
+	       tokens > account->remaining_tokens;
+}
+
+static enum tgw_status request_from_relay(struct team_budget *budgets,
+					  const struct team_account *account,
+					  int64_t now)
+{
+	if (team_account_has_none_available(account, now))
+		return budgets->relay.store_unreachable ? TGW_UNAVAILABLE
+							: TGW_CONFLICT;
+	budget_relay_request(&budgets->relay);
+	return TGW_BUSY;
+}
+
+static enum tgw_status request_from_store(struct team_budget *budgets,
+					  struct team_budget_key *key,
+					  const struct team_account *account,
+					  int64_t now)
+{
+	if (!key->store_answers || budgets->store_unreachable)
+		return TGW_UNAVAILABLE;
+	if (!account->free_tokens &&
+	    now - account->viewed_us <
+		    team_budget_key_interval_us(
+			    key, NONE_FREE_READ_INTERVAL_PER_HOST_US))
+		return TGW_CONFLICT;
+	team_budget_key_request_read(key);
+	return TGW_BUSY;
+}
+
 enum tgw_status team_budget_reserve(struct team_budget *budgets,
 				    const char *team, int64_t tokens,
 				    int32_t rank)
 {
-	struct team_budget_key *key = key_of(budgets, team);
+	struct team_budget_key *key = team_budget_key_of(budgets, team);
 	struct team_account *account = find_account(key, team);
 	int64_t now = team_budget_now_us(budgets);
+	bool uses_store = team_budget_uses_store(budgets);
+	bool unreachable = budgets->store_unreachable || !key->store_answers;
 
 	if (!account)
 		return TGW_NOT_FOUND;
 	if (budgets->closing)
 		return TGW_UNAVAILABLE;
-	if (team_account_reserve(
-		    account, tokens, rank,
-		    budgets->store_unreachable || !key->store_answers, now))
+	if (team_account_reserve(account, tokens, rank,
+				 uses_store && unreachable, now))
 		return TGW_OK;
-	if (tokens > account->paid_in_tokens ||
-	    (key->read_us && now - key->read_us < VIEW_MAX_AGE_US &&
-	     tokens > account->remaining_tokens)) {
+	if (is_exhausted(account, tokens, now)) {
 		account->needed_tokens -= tokens;
 		return TGW_EXHAUSTED;
 	}
-	if (!key->store_answers || budgets->store_unreachable)
-		return TGW_UNAVAILABLE;
 	if (team_account_is_capped(account, tokens, now)) {
+		if (unreachable)
+			return TGW_UNAVAILABLE;
 		team_budget_caps_request(budgets);
 		return TGW_BUSY;
 	}
-	if (!account->free_tokens &&
-	    now - key->read_us <
-		    team_budget_key_interval_us(
-			    key, NONE_FREE_READ_INTERVAL_PER_HOST_US))
-		return TGW_CONFLICT;
-	request_read(budgets->key_count_known ? key : &budgets->keys[0]);
-	return TGW_BUSY;
+	if (uses_store)
+		return request_from_store(budgets, key, account, now);
+	return request_from_relay(budgets, account, now);
 }
 
 int64_t team_budget_capped_for_us(const struct team_budget *budgets,
 				  const char *team, int64_t tokens)
 {
 	const struct team_account *account =
-		find_account(key_of(budgets, team), team);
+		team_budget_find_account(budgets, team);
 	int64_t now = team_budget_now_us(budgets);
 
 	if (!account || !team_account_is_capped(account, tokens, now))
@@ -267,8 +310,7 @@
 void team_budget_settle(struct team_budget *budgets, const char *team,
 			int64_t reserved_tokens, int64_t spent_tokens)
 {
-	struct team_account *account =
-		find_account(key_of(budgets, team), team);
+	struct team_account *account = team_budget_find_account(budgets, team);
 
 	if (account)
 		team_account_settle(account, reserved_tokens, spent_tokens);
@@ -293,11 +335,15 @@
 {
 	int64_t now = team_budget_now_us(budgets);
 	int64_t next = now + TEAM_BUDGET_CHECK_INTERVAL_US;
+	int64_t relay_due_us;
 
 	if (now - budgets->started_us >= JOINED_AFTER_US)
 		budgets->settings.policy.hosts_are_known = true;
 
 	team_budget_caps_tick(budgets);
+	relay_due_us = budget_relay_tick(&budgets->relay);
+	if (budgets->closing && !budget_relay_hand_over(&budgets->relay))
+		return relay_due_us < next ? relay_due_us : next;
 	if (budgets->closing && notify_closed(budgets))
 		return next;
 	for (uint32_t i = 0; i < budgets->key_count; i++) {
@@ -309,7 +355,7 @@
 		    key->due_us < next)
 			next = key->due_us;
 	}
-	return next;
+	return relay_due_us < next ? relay_due_us : next;
 }
 
 void team_budget_close(struct team_budget *budgets)
@@ -321,10 +367,35 @@
 		team_budget_key_set_due(&budgets->keys[i], 0);
 }
 
+void team_budget_wake(struct team_budget *budgets)
+{
+	const struct team_budget_events *events = &budgets->events;
+
+	if (events->rescheduled)
+		events->rescheduled(events->arg, team_budget_now_us(budgets));
+}
+
+bool team_budget_uses_store(const struct team_budget *budgets)
+{
+	return budgets->recovers || budget_relay_uses_store(&budgets->relay);
+}
+
+void team_budget_set_hosts(struct team_budget *budgets,
+			   const struct peer_host *hosts, size_t count)
+{
+	budget_relay_set_hosts(&budgets->relay, hosts, count);
+}
+
+void team_budget_on_message(struct team_budget *budgets,
+			    const struct tgw_peer_message *message)
+{
+	budget_relay_on_message(&budgets->relay, message);
+}
+
 bool team_budget_get_view(const struct team_budget *budgets, const char *team,
 			  struct team_budget_view *view)
 {
-	const struct team_budget_key *key = key_of(budgets, team);
+	const struct team_budget_key *key = team_budget_key_of(budgets, team);
 	const struct team_account *account = find_account(key, team);
 	const struct pooled_budget *budget;
 
@@ -337,9 +408,11 @@
 	view->limit_tokens = team_account_limit(account);
 	view->settled_tokens = account->settled_tokens;
 	view->reserved_tokens = account->reserved_tokens;
+	view->received_tokens = account->received_tokens;
+	view->given_tokens = account->given_tokens;
 	view->free_tokens = account->free_tokens;
 	view->none_free_us = account->none_free_us;
-	view->read_us = key->read_us;
+	view->read_us = account->viewed_us;
 	return true;
 }
 
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -17,15 +17,21 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "state/peer_host.h"
 #include "state/team_account.h"
 #include "tamarackgw/clock.h"
 #include "tamarackgw/host_view.h"
+#include "tamarackgw/peer.h"
 #include "tamarackgw/store.h"
 
 struct team_budget;
 
 struct team_budget_settings {
 	char host[TGW_NAME_SIZE];
+	char failure_domain[TGW_NAME_SIZE];
+	/** Sends messages to other hosts; NULL: each host uses the store by
+	 * itself. */
+	struct tgw_peer *peer;
 	/** Keys that the teams hash to in a new ledger, and the largest number
 	 * in one that the store has already. */
 	uint32_t key_count;
@@ -54,6 +60,10 @@
 	uint64_t cap_writes; /**< of the record of spending caps */
 	/** Returned of what earlier processes of this host held. */
 	uint64_t recovered_tokens;
+	uint64_t relay_changes;	  /**< of the host that takes tokens for this
+				   * one */
+	uint64_t received_tokens; /**< from other hosts */
+	uint64_t given_tokens;	  /**< to other hosts */
 };
 
 struct team_budget_events {
@@ -72,6 +82,9 @@
 	/** Tokens that the host's previous process can't have spent were
 	 * returned to a pool. May be NULL. */
 	void (*recovered)(void *arg, const char *key, int64_t tokens);
+	/** Another host takes tokens for this one now. May be NULL.
+	 * @param relay its name, or this host's; empty if there is none */
+	void (*relay_changed)(void *arg, const char *relay, const char *reason);
 	/** This process has returned what it did not spend and has left the
 	 * pools. */
 	void (*closed)(void *arg);
@@ -84,12 +97,15 @@
 	int64_t limit_tokens;	 /**< that this host may spend in total */
 	int64_t settled_tokens;	 /**< settled on this host */
 	int64_t reserved_tokens; /**< held by open requests */
+	int64_t received_tokens; /**< from other hosts, in total */
+	int64_t given_tokens;	 /**< to other hosts, in total */
 	int64_t free_tokens;	 /**< taken by no host, by the last read */
 	/** By all hosts, dead ones included, by the last read. */
 	int64_t taken_by_all_tokens;
 	int64_t settled_by_all_tokens;
 	int64_t none_free_us; /**< none were free since then; 0: some are */
-	int64_t read_us;      /**< monotonic time of that read */
+	/** Monotonic time of that read, by this host or its relay. */
+	int64_t read_us;
 };
 
 /** @param incarnation random for each process start, never 0 */
@@ -105,6 +121,14 @@
 void team_budget_raise_paid_in(struct team_budget *budgets, const char *team,
 			       int64_t total_tokens);
 
+/** Applies the list of hosts that messages can be sent to. */
+void team_budget_set_hosts(struct team_budget *budgets,
+			   const struct peer_host *hosts, size_t count);
+
+/** Applies a message of another host, of topic TGW_PEER_TRANSFER. */
+void team_budget_on_message(struct team_budget *budgets,
+			    const struct tgw_peer_message *message);
+
 /** Reports whether this host's other store calls find the store unreachable. */
 void team_budget_set_store_unreachable(struct team_budget *budgets,
 				       bool unreachable);
--- a/src/coordination/team_budget_caps.c
+++ b/src/coordination/team_budget_caps.c
@@ -28,6 +28,11 @@
 static void on_read(void *arg)
 {
 	struct team_budget *budgets = arg;
+	const struct cap_record *previous = &budgets->cap_writer.previous;
+
+	budgets->recovers = previous->entry_count &&
+			    previous->boot != CAP_RECORD_BOOT_UNKNOWN &&
+			    previous->boot == budgets->settings.boot;
 
 	for (uint32_t i = 0; i < budgets->key_count; i++)
 		if (budgets->keys[i].scheduled)
@@ -177,7 +182,8 @@
 {
 	int64_t age_us = now_us - budgets->caps_written_us;
 
-	if (budgets->closing || !cap_writer_is_idle(&budgets->cap_writer) ||
+	if (budgets->closing || !team_budget_uses_store(budgets) ||
+	    !cap_writer_is_idle(&budgets->cap_writer) ||
 	    budgets->settings.boot == CAP_RECORD_BOOT_UNKNOWN ||
 	    age_us < min_interval_us(budgets))
 		return false;
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -6,6 +6,8 @@
 
 #include "state/budget_pool_codec.h"
 
+/* A host with a relay leaves the pools after this. */
+#define LEAVE_AFTER_US (5 * TGW_US_PER_S)
 /* Backoff after a failed store call; doubles up to the maximum. */
 #define RETRY_MIN_US (100 * TGW_US_PER_MS)
 #define RETRY_MAX_US (1000 * TGW_US_PER_MS)
@@ -94,6 +96,17 @@
 	key->outcome_unknown = false;
 }
 
+/* Each pool that is joined has got back what the previous process left. */
+static void end_recovery(struct team_budget *budgets)
+{
+	if (!budgets->recovers)
+		return;
+	for (uint32_t i = 0; i < budgets->key_count; i++)
+		if (budgets->keys[i].accounts && !budgets->keys[i].joined)
+			return;
+	budgets->recovers = false;
+}
+
 static void adopt(struct team_budget_key *key, struct budget_pool *pool,
 		  int64_t version)
 {
@@ -107,6 +120,7 @@
 	if (key->outcome_unknown)
 		resolve_write(key);
 	key->joined = is_in_pool(key);
+	end_recovery(key->budgets);
 	for (struct team_account *account = key->accounts; account;
 	     account = account->next)
 		team_account_read(account,
@@ -126,6 +140,25 @@
 			    team_budget_now_us(budgets), target);
 }
 
+/* A process leaves the pools when it stops, or when another host takes tokens
+ * for it. A cap that is in force promises not to lower the allotment. */
+static bool is_leaving(const struct team_budget_key *key)
+{
+	const struct team_budget *budgets = key->budgets;
+	int64_t now = team_budget_now_us(budgets);
+
+	if (budgets->closing)
+		return true;
+	if (team_budget_uses_store(budgets) ||
+	    now - budgets->relay.member_since_us < LEAVE_AFTER_US)
+		return false;
+	for (const struct team_account *account = key->accounts; account;
+	     account = account->next)
+		if (team_account_has_cap(account, now))
+			return false;
+	return true;
+}
+
 static void propose_allotment(struct team_budget_key *key,
 			      struct team_account *account)
 {
@@ -136,8 +169,9 @@
 	if (!budget)
 		return;
 	team_budget_key_decide(key, account, &target);
-	if (key->budgets->closing) {
-		target.allotted_tokens = team_account_charged(account);
+	if (is_leaving(key)) {
+		target.allotted_tokens = team_account_charged(account) -
+					 account->received_tokens;
 		target.lacking_tokens = 0;
 	}
 	team_account_propose(account, &target, budget);
@@ -182,7 +216,7 @@
 	for (struct team_account *account = key->accounts; account;
 	     account = account->next)
 		propose_allotment(key, account);
-	if (key->budgets->closing)
+	if (is_leaving(key))
 		budget_pool_remove_host(&key->draft, key->budgets->host_id);
 	assert(budget_pool_check(&key->draft, NULL) == TGW_OK);
 	key->draft_version = key->version;
@@ -191,12 +225,21 @@
 	send_draft(key);
 }
 
+static bool holds_any(const struct team_budget_key *key)
+{
+	for (const struct team_account *account = key->accounts; account;
+	     account = account->next)
+		if (team_account_held(account))
+			return true;
+	return false;
+}
+
 /* @param fresh the pool was read just now, so changes that are not urgent
  * count, too */
 static bool needs_write(struct team_budget_key *key, bool fresh)
 {
-	if (key->budgets->closing)
-		return key->joined;
+	if (is_leaving(key))
+		return key->joined || holds_any(key);
 	for (struct team_account *account = key->accounts; account;
 	     account = account->next) {
 		struct team_account_target target;
@@ -479,11 +522,33 @@
 				 (key->accounts || key->joined));
 }
 
+/* Another host takes tokens for this one: its writes end, and it leaves. */
+static bool is_due_without_store(struct team_budget_key *key)
+{
+	if (key->budgets->closing || key->outcome_unknown ||
+	    (key->joined && is_leaving(key)))
+		return true;
+	key->due_us = team_budget_now_us(key->budgets) +
+		      TEAM_BUDGET_CHECK_INTERVAL_US;
+	return false;
+}
+
+/* Nothing has to be written, since the relay got all that was left. */
+static bool is_closed_without_store(const struct team_budget_key *key)
+{
+	return key->budgets->closing && !key->joined && !key->outcome_unknown &&
+	       !team_budget_uses_store(key->budgets) && !holds_any(key);
+}
+
 bool team_budget_key_is_due(struct team_budget_key *key, int64_t now)
 {
+	if (key->state == TEAM_BUDGET_KEY_IDLE && is_closed_without_store(key))
+		key->closed = true;
 	if (key->state != TEAM_BUDGET_KEY_IDLE || key->due_us > now ||
 	    key->closed || !is_in_use(key) || !key->budgets->cap_writer.known)
 		return false;
+	if (!team_budget_uses_store(key->budgets))
+		return is_due_without_store(key);
 	if (key->budgets->closing || key->write_lost || key->read_requested ||
 	    !key->store_answers || now - key->read_us >= refresh_us(key))
 		return true;
--- a/src/coordination/team_budget_key.h
+++ b/src/coordination/team_budget_key.h
@@ -10,6 +10,7 @@
 #include <stdint.h>
 
 #include "base/buffer.h"
+#include "coordination/budget_relay.h"
 #include "coordination/cap_writer.h"
 #include "coordination/team_budget.h"
 #include "state/budget_pool.h"
@@ -75,6 +76,10 @@
 	int64_t caps_written_us; /* when the last record was made; 0 before */
 	int64_t caps_demanded_tokens; /* of all accounts, at that time */
 	bool caps_requested;	      /* requests wait for a higher cap */
+	/* The host's previous process left spending caps on this boot: this one
+	 * joins the pools to return what that one can't have spent. */
+	bool recovers;
+	struct budget_relay relay;
 	struct team_budget_key *keys;
 };
 
@@ -83,6 +88,23 @@
 			    const struct team_account *account,
 			    struct team_account_target *target);
 
+/** @return the key that holds the team's budget */
+struct team_budget_key *team_budget_key_of(const struct team_budget *budgets,
+					   const char *team);
+
+/** @return the team's account, or NULL */
+struct team_account *team_budget_find_account(const struct team_budget *budgets,
+					      const char *team);
+
+/** Requests wait for tokens: the next read of the key is due soon. */
+void team_budget_key_request_read(struct team_budget_key *key);
+
+/** The next tick is due now. */
+void team_budget_wake(struct team_budget *budgets);
+
+/** @return whether this host takes its allotments from the pools by itself */
+bool team_budget_uses_store(const struct team_budget *budgets);
+
 /** Lets waiting requests of all teams try again. */
 void team_budget_notify_changed(struct team_budget *budgets);
 
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -1,5 +1,6 @@
 #include "state/team_account.h"
 
+#include <assert.h>
 #include <math.h>
 #include <string.h>
 
@@ -44,6 +45,13 @@
 	.min_age_s = 3.0,
 };
 
+/* A host holds a request's tokens ahead of need if at least this fraction of a
+ * request is expected. */
+#define MIN_EXPECTED_DIVISOR 4
+
+/* A relay that could not get tokens is not asked again before this. */
+#define NONE_AVAILABLE_US (100 * TGW_US_PER_MS)
+
 /* Value of fleet_demanded_tokens before the first read. */
 #define NOT_READ INT64_C(-1)
 
@@ -75,12 +83,14 @@
 
 int64_t team_account_charged(const struct team_account *account)
 {
-	return account->settled_tokens + account->reserved_tokens;
+	return account->settled_tokens + account->reserved_tokens +
+	       account->given_tokens;
 }
 
 int64_t team_account_limit(const struct team_account *account)
 {
-	return min_tokens(account->confirmed.allotted_tokens,
+	return account->received_tokens +
+	       min_tokens(account->confirmed.allotted_tokens,
 			  account->proposed.allotted_tokens);
 }
 
@@ -109,6 +119,89 @@
 		spending_cap_allows_at_us(&account->proposed_cap, total));
 }
 
+int64_t team_account_available(const struct team_account *account,
+			       int64_t now_us)
+{
+	return min_tokens(team_account_limit(account),
+			  cap_limit(account, now_us)) -
+	       team_account_charged(account);
+}
+
+int64_t team_account_held(const struct team_account *account)
+{
+	return at_least_zero(team_account_limit(account) -
+			     team_account_charged(account));
+}
+
+void team_account_give(struct team_account *account, int64_t tokens)
+{
+	assert(tokens >= 0 && tokens <= team_account_held(account));
+	account->given_tokens += tokens;
+}
+
+void team_account_take_back(struct team_account *account, int64_t tokens)
+{
+	assert(tokens >= 0 && tokens <= account->given_tokens);
+	account->given_tokens -= tokens;
+}
+
+void team_account_receive(struct team_account *account, int64_t tokens)
+{
+	assert(tokens >= 0);
+	account->received_tokens += tokens;
+}
+
+void team_account_collect(struct team_account *account,
+			  const struct team_account_usage *usage,
+			  int64_t now_us)
+{
+	double tokens = (double)usage->demanded_tokens;
+
+	account->collected_settled_tokens += usage->settled_tokens;
+	if (usage->requests <= 0)
+		return;
+	account->demanded_tokens += usage->demanded_tokens;
+	account->demanding_requests += usage->requests;
+	account->demanded_squares += tokens * tokens / (double)usage->requests;
+	demand_forecast_add(&account->demand, now_us, usage->demanded_tokens);
+}
+
+/* @return tokens spent here or at hosts that this one relays for, and not
+ * reported through another host */
+static int64_t own_settled(const struct team_account *account)
+{
+	return account->settled_tokens + account->collected_settled_tokens -
+	       account->forwarded.settled_tokens;
+}
+
+static int64_t own_demanded(const struct team_account *account)
+{
+	return account->demanded_tokens - account->forwarded.demanded_tokens;
+}
+
+void team_account_forward(struct team_account *account,
+			  struct team_account_usage *usage)
+{
+	const struct team_account_report *confirmed = &account->confirmed;
+	const struct team_account_report *proposed = &account->proposed;
+	/* An open write may take effect yet. */
+	int64_t settled =
+		own_settled(account) -
+		max_tokens(confirmed->settled_tokens, proposed->settled_tokens);
+	int64_t demanded =
+		own_demanded(account) - max_tokens(confirmed->demanded_tokens,
+						   proposed->demanded_tokens);
+	int64_t requests =
+		account->demanding_requests - account->forwarded.requests;
+
+	account->forwarded.settled_tokens += settled;
+	account->forwarded.demanded_tokens += demanded;
+	account->forwarded.requests += requests;
+	usage->settled_tokens += settled;
+	usage->demanded_tokens += demanded;
+	usage->requests += requests;
+}
+
 void team_account_record_demand(struct team_account *account, int64_t tokens,
 				int64_t now_us)
 {
@@ -132,6 +225,20 @@
 	return tokens * urgent_percent[rank < last ? rank : last] / 100;
 }
 
+int64_t team_account_kept_for_urgent(const struct team_account *account,
+				     int32_t rank)
+{
+	return tokens_for_urgent(account->held_tokens, rank);
+}
+
+static void add_needed(struct team_account *account, int64_t tokens,
+		       int32_t rank)
+{
+	if (!account->needed_tokens || rank < account->needed_rank)
+		account->needed_rank = rank;
+	account->needed_tokens += tokens;
+}
+
 bool team_account_reserve(struct team_account *account, int64_t tokens,
 			  int32_t rank, bool store_unreachable, int64_t now_us)
 {
@@ -150,7 +257,7 @@
 	if (team_account_is_capped(account, tokens, now_us))
 		account->capped_tokens += tokens;
 	else
-		account->needed_tokens += tokens;
+		add_needed(account, tokens, rank);
 	return false;
 }
 
@@ -297,6 +404,14 @@
 		    MIN_HOLD_FRACTION);
 }
 
+/* @return what this host and those that it relays for hold of the confirmed
+ * allotment and of what was received */
+static int64_t unspent_tokens(const struct team_account *account)
+{
+	return account->confirmed.allotted_tokens + account->received_tokens -
+	       team_account_charged(account) + account->held_by_peers_tokens;
+}
+
 static void fill_inputs(const struct team_account *account,
 			const struct pooled_budget *budget, uint32_t hosts,
 			const struct team_account_policy *policy,
@@ -309,7 +424,7 @@
 	memset(in, 0, sizeof(*in));
 	in->free_tokens = free_tokens(account, budget);
 	in->allotted_tokens = account->confirmed.allotted_tokens;
-	in->used_tokens = team_account_charged(account);
+	in->used_tokens = in->allotted_tokens - unspent_tokens(account);
 	in->needed_tokens = account->needed_tokens;
 	in->typical_tokens = typical_tokens(account, policy, forecast_per_s);
 	in->demand_per_s = forecast_per_s + assumed_per_s;
@@ -326,14 +441,29 @@
 			     budget->requested_tokens > in->free_tokens;
 }
 
-/* A lower allotment would return tokens that a successor returns by the cap. */
-static int64_t min_allotment(const struct team_account *account, int64_t now_us)
+static int64_t capped_allotment(const struct team_account *account,
+				int64_t now_us)
 {
 	return max_tokens(
 		spending_cap_min_allotment(&account->confirmed_cap, now_us),
 		spending_cap_min_allotment(&account->proposed_cap, now_us));
 }
 
+bool team_account_has_cap(const struct team_account *account, int64_t now_us)
+{
+	return capped_allotment(account, now_us) > 0;
+}
+
+/* A lower allotment would return tokens that a successor returns by the cap, or
+ * that are spent or given away. Received tokens may be returned, too: then the
+ * allotment is negative. */
+static int64_t min_allotment(const struct team_account *account, int64_t now_us)
+{
+	return max_tokens(capped_allotment(account, now_us),
+			  team_account_charged(account)) -
+	       account->received_tokens;
+}
+
 void team_account_decide(const struct team_account *account,
 			 const struct pooled_budget *budget, size_t host_count,
 			 const struct team_account_policy *policy,
@@ -372,8 +502,8 @@
 	struct team_account_report *to = &account->proposed;
 
 	to->allotted_tokens = target->allotted_tokens;
-	to->settled_tokens = account->settled_tokens;
-	to->demanded_tokens = account->demanded_tokens;
+	to->settled_tokens = own_settled(account);
+	to->demanded_tokens = own_demanded(account);
 	budget->taken_tokens += to->allotted_tokens - from->allotted_tokens;
 	budget->settled_tokens += to->settled_tokens - from->settled_tokens;
 	budget->demanded_tokens += to->demanded_tokens - from->demanded_tokens;
@@ -395,7 +525,8 @@
 
 void team_account_forfeit(struct team_account *account)
 {
-	account->proposed.allotted_tokens = team_account_charged(account);
+	account->proposed.allotted_tokens =
+		team_account_charged(account) - account->received_tokens;
 	account->confirmed = account->proposed;
 	team_account_propose_no_cap(account);
 	account->confirmed_cap = account->proposed_cap;
@@ -431,7 +562,8 @@
 {
 	int64_t charged = team_account_charged(account);
 	int64_t allotted =
-		min_tokens(team_account_limit(account), target->wanted_tokens);
+		min_tokens(team_account_limit(account),
+			   target->wanted_tokens + account->received_tokens);
 	double ahead = ahead_tokens(account, target->demand_per_s, in);
 	int64_t withheld = allotted - charged - (int64_t)ahead;
 	double rate = CAP_RATE * target->demand_per_s;
@@ -476,23 +608,50 @@
 	account->fleet_demanded_tokens = demanded;
 }
 
+void team_account_view(struct team_account *account, int64_t free,
+		       int64_t remaining, int64_t viewed_us)
+{
+	account->viewed_us = viewed_us;
+	account->free_tokens = free;
+	if (free > 0)
+		account->none_free_us = 0;
+	else if (!account->none_free_us)
+		account->none_free_us = viewed_us;
+	account->remaining_tokens = remaining;
+	account->held_tokens = team_account_held(account);
+}
+
+bool team_account_has_none_available(const struct team_account *account,
+				     int64_t now_us)
+{
+	return account->none_available_us &&
+	       now_us - account->none_available_us < NONE_AVAILABLE_US;
+}
+
+int64_t team_account_reserve_target(const struct team_account *account,
+				    double hold_s, int64_t now_us)
+{
+	double demand_per_s = demand_forecast_per_s(&account->demand, now_us);
+	int64_t target = (int64_t)(demand_per_s * hold_s);
+	int64_t mean = mean_cost_tokens(account);
+
+	/* Not worth holding tokens for a request that hardly comes. */
+	if (target < mean / MIN_EXPECTED_DIVISOR)
+		return 0;
+	return max_tokens(target, mean);
+}
+
 void team_account_read(struct team_account *account,
 		       const struct pooled_budget *budget, int64_t now_us)
 {
 	int64_t unreported =
-		account->settled_tokens - account->confirmed.settled_tokens;
+		own_settled(account) - account->confirmed.settled_tokens;
 	int64_t settled = budget ? budget->settled_tokens : 0;
 	int64_t paid_in = account->paid_in_tokens;
 
 	if (budget && budget->paid_in_tokens > paid_in)
 		paid_in = budget->paid_in_tokens;
-	account->free_tokens = free_tokens(account, budget);
-	if (account->free_tokens > 0)
-		account->none_free_us = 0;
-	else if (!account->none_free_us)
-		account->none_free_us = now_us;
-	account->remaining_tokens = paid_in - settled - unreported;
-	account->held_tokens = at_least_zero(team_account_limit(account) -
-					     team_account_charged(account));
+	team_account_view(account, free_tokens(account, budget),
+			  paid_in - settled - unreported, now_us);
 	add_fleet_demand(account, budget, now_us);
 }
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -57,11 +57,26 @@
 	int64_t demanded_tokens;
 };
 
+/** What requests used, or were refused. All amounts are cumulative. */
+struct team_account_usage {
+	int64_t settled_tokens;
+	int64_t demanded_tokens;
+	int64_t requests;
+};
+
 /** One team's budget on this host. "When last read" means the last read of the
- * pool. */
+ * pool, by this host or by the relay that told it. */
 struct team_account {
 	char team[TGW_NAME_SIZE];
 	int64_t paid_in_tokens;
+	int64_t received_tokens; /**< from other hosts, cumulative */
+	int64_t given_tokens;	 /**< to other hosts, cumulative */
+	/** Unspent at hosts that this one relays for, as they last said. */
+	int64_t held_by_peers_tokens;
+	/** Spent at other hosts, for this host to report. */
+	int64_t collected_settled_tokens;
+	/** Reported through other hosts: never to be reported by this one. */
+	struct team_account_usage forwarded;
 	struct team_account_report confirmed; /**< by the store */
 	/** What the open write says; equal to `confirmed` without one. */
 	struct team_account_report proposed;
@@ -77,8 +92,12 @@
 	int64_t demanding_requests;
 	double demanded_squares; /**< sum of the squares of their tokens */
 	int64_t needed_tokens;	 /**< of requests that lack tokens now */
-	int64_t held_tokens;	 /**< unspent here, when last read */
-	int64_t free_tokens;	 /**< taken by no host, when last read */
+	int32_t needed_rank;	 /**< of the most urgent of them */
+	/** When the relay said that it can't get any for now; 0: it did not. */
+	int64_t none_available_us;
+	int64_t held_tokens;  /**< unspent here, when last read */
+	int64_t free_tokens;  /**< taken by no host, when last read */
+	int64_t viewed_us;    /**< when last read; 0 before */
 	int64_t none_free_us; /**< first read without any free; 0: some are */
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
@@ -91,15 +110,63 @@
 
 struct team_account *team_account_new(const char *team);
 
-/** @return the total that this process may spend, spent tokens included: the
- * lower of the confirmed allotment and that of an open write, which may take
- * effect at any time */
+/** @return the total that this process may spend, spent and given tokens
+ * included: what it received, and the lower of the confirmed allotment and that
+ * of an open write, which may take effect at any time */
 int64_t team_account_limit(const struct team_account *account);
 
+/** @return what could be spent or given away at once; may be negative */
+int64_t team_account_available(const struct team_account *account,
+			       int64_t now_us);
+
+/** @return unspent tokens, whether a spending cap withholds them or not */
+int64_t team_account_held(const struct team_account *account);
+
+/** Gives tokens to another host. They bind this one before it tells the other.
+ * @param tokens at most what is available */
+void team_account_give(struct team_account *account, int64_t tokens);
+
+/** Undoes a part of what was given, which the other host will never take. */
+void team_account_take_back(struct team_account *account, int64_t tokens);
+
+/** Receives what another host gave. */
+void team_account_receive(struct team_account *account, int64_t tokens);
+
+/** Counts what requests used at a host that this one relays for. */
+void team_account_collect(struct team_account *account,
+			  const struct team_account_usage *usage,
+			  int64_t now_us);
+
+/** Leaves to another host what this one has not reported yet: it is counted as
+ * forwarded, and added to the usage. */
+void team_account_forward(struct team_account *account,
+			  struct team_account_usage *usage);
+
+/** @return what to hold while a relay is asked for more: the demand of this
+ * time, and at least one request's tokens if there is any demand */
+int64_t team_account_reserve_target(const struct team_account *account,
+				    double hold_s, int64_t now_us);
+
+/** @return what a host whose relay reads the pool must leave to more urgent
+ * requests of an outage, by the rank of a request */
+int64_t team_account_kept_for_urgent(const struct team_account *account,
+				     int32_t rank);
+
+/** @return whether the relay said so recently that it is not asked again */
+bool team_account_has_none_available(const struct team_account *account,
+				     int64_t now_us);
+
+/** Takes over a relay's view of the budget, which is as old as `viewed_us`. */
+void team_account_view(struct team_account *account, int64_t free_tokens,
+		       int64_t remaining_tokens, int64_t viewed_us);
+
 /** @return whether only a spending cap keeps these tokens from being spent */
 bool team_account_is_capped(const struct team_account *account, int64_t tokens,
 			    int64_t now_us);
 
+/** @return whether a spending cap keeps the allotment from being lowered */
+bool team_account_has_cap(const struct team_account *account, int64_t now_us);
+
 /** @return when the caps in force will allow these tokens; in the past if they
  * do now */
 int64_t team_account_capped_until_us(const struct team_account *account,
@@ -127,7 +194,7 @@
 void team_account_settle(struct team_account *account, int64_t reserved_tokens,
 			 int64_t spent_tokens);
 
-/** @return the minimum that the pool must charge this process: settled tokens
+/** @return the minimum that this process is charged: settled and given tokens,
  * and the reservations of unfinished requests */
 int64_t team_account_charged(const struct team_account *account);
 
--- /dev/null
+++ b/src/state/transfer_link.c
@@ -0,0 +1,112 @@
+#include "state/transfer_link.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "base/xalloc.h"
+
+struct transfer_link *transfer_link_new(const char *host, uint64_t incarnation)
+{
+	struct transfer_link *link = xcalloc(1, sizeof(*link));
+
+	text_copy(link->host, sizeof(link->host), host);
+	link->incarnation = incarnation;
+	return link;
+}
+
+static void free_totals(struct transfer_link *link)
+{
+	while (link->totals) {
+		struct transfer_totals *totals = link->totals;
+
+		link->totals = totals->next;
+		free(totals);
+	}
+}
+
+void transfer_link_free(struct transfer_link *link)
+{
+	free_totals(link);
+	free(link);
+}
+
+void transfer_link_end(struct transfer_link *link)
+{
+	free_totals(link);
+	link->ended = true;
+}
+
+struct transfer_totals *transfer_link_totals(struct transfer_link *link,
+					     const char *team)
+{
+	struct transfer_totals **at = &link->totals;
+
+	while (*at && strcmp((*at)->team, team))
+		at = &(*at)->next;
+	if (!*at) {
+		*at = xcalloc(1, sizeof(**at));
+		text_copy((*at)->team, sizeof((*at)->team), team);
+	}
+	return *at;
+}
+
+int64_t transfer_totals_take(struct transfer_totals *totals,
+			     const struct transfer_entry *entry)
+{
+	int64_t tokens = entry->given_tokens - totals->taken_tokens;
+
+	if (tokens <= 0)
+		return 0;
+	totals->taken_tokens = entry->given_tokens;
+	return tokens;
+}
+
+/* @return by how much the total has risen */
+static int64_t raise_to(int64_t *total, int64_t value)
+{
+	int64_t risen = value - *total;
+
+	if (risen <= 0)
+		return 0;
+	*total = value;
+	return risen;
+}
+
+struct team_account_usage transfer_totals_collect(
+	struct transfer_totals *totals, const struct transfer_entry *entry)
+{
+	struct team_account_usage *in = &totals->in;
+	struct team_account_usage usage = {
+		.settled_tokens =
+			raise_to(&in->settled_tokens, entry->settled_tokens),
+		.demanded_tokens =
+			raise_to(&in->demanded_tokens, entry->demanded_tokens),
+		.requests = raise_to(&in->requests, entry->requests),
+	};
+
+	return usage;
+}
+
+void transfer_totals_acknowledge(struct transfer_totals *totals,
+				 const struct transfer_entry *entry)
+{
+	if (entry->taken_tokens <= totals->given_tokens)
+		raise_to(&totals->acknowledged_tokens, entry->taken_tokens);
+}
+
+int64_t transfer_totals_revoke(struct transfer_totals *totals,
+			       const struct transfer_entry *entry)
+{
+	int64_t tokens = totals->given_tokens - entry->taken_tokens;
+
+	if (tokens <= 0)
+		return 0;
+	totals->given_tokens = entry->taken_tokens;
+	return tokens;
+}
+
+bool transfer_totals_is_unacknowledged(const struct transfer_totals *totals)
+{
+	return totals->acknowledged_tokens < totals->given_tokens;
+}
--- a/tests/fakes/budget_rig.c
+++ b/tests/fakes/budget_rig.c
@@ -37,6 +37,14 @@
 	((struct budget_rig_host *)arg)->closed = true;
 }
 
+static void on_message(void *arg, const struct tgw_peer_message *message)
+{
+	struct budget_rig_host *host = arg;
+
+	if (host->budgets && !host->store.paused)
+		team_budget_on_message(host->budgets, message);
+}
+
 static int64_t clock_us(const struct tgw_clock *clock)
 {
 	return budget_rig.world.now_us +
@@ -66,17 +74,29 @@
 		.arg = host,
 	};
 
-	snprintf(settings.host, sizeof(settings.host), "host-%d",
-		 (int)(host - budget_rig.hosts));
+	size_t index = (size_t)(host - budget_rig.hosts);
+	uint64_t incarnation = tgw_random_u64(&budget_rig.world.random) | 1;
+
+	snprintf(settings.host, sizeof(settings.host), "host-%zu", index);
+	if (budget_rig.has_peers) {
+		settings.peer = &host->end.peer;
+		memcpy(settings.failure_domain,
+		       budget_rig.peers[index].failure_domain,
+		       sizeof(settings.failure_domain));
+		fake_net_restart(&host->end, incarnation);
+	}
 	if (!host->clock.clock.ops) {
 		host->clock.clock.ops = &clock_ops;
 		host->clock.offset_us = FIRST_UPTIME_US;
 	}
 	host->closed = false;
 	host->open_count = 0;
-	host->budgets = team_budget_new(
-		&settings, &host->store.store, &host->clock.clock,
-		tgw_random_u64(&budget_rig.world.random) | 1, &events);
+	host->budgets = team_budget_new(&settings, &host->store.store,
+					&host->clock.clock, incarnation,
+					&events);
+	if (budget_rig.has_peers)
+		team_budget_set_hosts(host->budgets, budget_rig.peers,
+				      BUDGET_RIG_HOSTS);
 	team_budget_raise_paid_in(host->budgets, BUDGET_RIG_TEAM,
 				  budget_rig.paid_in_tokens);
 }
@@ -93,6 +113,7 @@
 		budget_rig.spent_tokens += host->open_tokens[i];
 	team_budget_free(host->budgets);
 	host->budgets = NULL;
+	host->end.up = false;
 	fake_store_reset(&host->store);
 }
 
@@ -115,13 +136,29 @@
 	}
 }
 
-void budget_rig_setup(void)
+static void install_peer(size_t index)
+{
+	struct peer_host *peer = &budget_rig.peers[index];
+	struct budget_rig_host *host = &budget_rig.hosts[index];
+
+	snprintf(peer->name, sizeof(peer->name), "host-%zu", index);
+	snprintf(peer->failure_domain, sizeof(peer->failure_domain),
+		 "domain-%zu", index % BUDGET_RIG_DOMAINS);
+	peer->memory_mb = (int64_t)(BUDGET_RIG_HOSTS - index);
+	fake_net_add(&budget_rig.net, &host->end, peer->name, 0, on_message,
+		     host);
+}
+
+static void setup(uint64_t seed, bool has_peers)
 {
-	fake_world_init(&budget_rig.world, 1);
+	memset(&budget_rig, 0, sizeof(budget_rig));
+	fake_world_init(&budget_rig.world, seed);
 	fake_store_server_init(&budget_rig.server, &budget_rig.world);
-	memset(budget_rig.hosts, 0, sizeof(budget_rig.hosts));
-	budget_rig.spent_tokens = 0;
+	fake_net_init(&budget_rig.net, &budget_rig.world);
+	budget_rig.has_peers = has_peers;
 	budget_rig.paid_in_tokens = BUDGET_RIG_PAID_TOKENS;
+	for (size_t i = 0; has_peers && i < BUDGET_RIG_HOSTS; i++)
+		install_peer(i);
 	for (size_t i = 0; i < BUDGET_RIG_HOSTS; i++) {
 		fake_store_init(&budget_rig.hosts[i].store, &budget_rig.server);
 		budget_rig.hosts[i].boot = 1;
@@ -129,6 +166,22 @@
 	}
 }
 
+void budget_rig_setup(void)
+{
+	setup(1, false);
+}
+
+void budget_rig_setup_with_peers(uint64_t seed)
+{
+	setup(seed, true);
+	budget_rig.net.loss_per_1000 = 100;
+	budget_rig.net.duplicate_per_1000 = 200;
+	budget_rig.net.jitter_us = 40 * TGW_US_PER_MS;
+	budget_rig.net.late_per_1000 = 50;
+	budget_rig.net.late_us = 6 * TGW_US_PER_S;
+	budget_rig.net.delivers_to_successors = true;
+}
+
 void budget_rig_teardown(void)
 {
 	for (size_t i = 0; i < BUDGET_RIG_HOSTS; i++) {
--- a/tests/fakes/budget_rig.h
+++ b/tests/fakes/budget_rig.h
@@ -6,11 +6,17 @@
 #ifndef FAKES_BUDGET_RIG_H
 #define FAKES_BUDGET_RIG_H
 
+#include <stdbool.h>
+#include <stdint.h>
+
 #include "coordination/team_budget.h"
+#include "fakes/fake_net.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_world.h"
 
 #define BUDGET_RIG_HOSTS 4
+/** Failure domains of hosts that send messages. */
+#define BUDGET_RIG_DOMAINS 2
 #define BUDGET_RIG_TEAM "acme"
 #define BUDGET_RIG_PAID_TOKENS INT64_C(1000000)
 #define BUDGET_RIG_STEP_US (20 * TGW_US_PER_MS)
@@ -24,6 +30,7 @@
 /** One host, and the open reservations of its process. */
 struct budget_rig_host {
 	struct fake_store store;
+	struct fake_net_end end;
 	struct team_budget *budgets;
 	struct budget_rig_clock clock;
 	uint32_t boot;
@@ -38,6 +45,9 @@
 struct budget_rig {
 	struct fake_world world;
 	struct fake_store_server server;
+	bool has_peers; /**< hosts send messages */
+	struct fake_net net;
+	struct peer_host peers[BUDGET_RIG_HOSTS]; /**< as all hosts know them */
 	struct budget_rig_host hosts[BUDGET_RIG_HOSTS];
 	/** Settled, or reserved by a killed process. */
 	int64_t spent_tokens;
@@ -48,6 +58,11 @@
 
 /** Starts all hosts with the whole budget unspent. */
 void budget_rig_setup(void);
+
+/** As budget_rig_setup(), with hosts that send messages over a network that
+ * loses, repeats and reorders some of them, and delivers some late. */
+void budget_rig_setup_with_peers(uint64_t seed);
+
 void budget_rig_teardown(void);
 
 void budget_rig_start_host(struct budget_rig_host *host);
--- a/tests/fakes/fake_net.c
+++ b/tests/fakes/fake_net.c
@@ -27,6 +27,14 @@
 	return NULL;
 }
 
+static bool is_at_target(const struct packet *packet)
+{
+	const struct fake_net_end *to = packet->to;
+
+	return to->up && (to->net->delivers_to_successors ||
+			  to->incarnation == packet->to_incarnation);
+}
+
 static void deliver(void *arg)
 {
 	struct packet *packet = arg;
@@ -39,17 +47,23 @@
 		.payload_size = packet->size,
 	};
 
-	if (to->up && to->incarnation == packet->to_incarnation && to->paused) {
+	if (is_at_target(packet) && to->paused) {
 		fake_world_after_or_release(to->net->world, PAUSED_RETRY_US,
 					    deliver, free, packet);
 		return;
 	}
-	if (to->up && to->incarnation == packet->to_incarnation &&
-	    !to->receives_nothing && to->group == packet->from->group)
+	if (is_at_target(packet) && !to->receives_nothing &&
+	    to->group == packet->from->group)
 		to->receive(to->arg, &message);
 	free(packet);
 }
 
+static bool fault_occurs(struct fake_net *net, uint32_t per_1000)
+{
+	return per_1000 &&
+	       tgw_random_below(&net->world->random, 1000) < per_1000;
+}
+
 static void schedule_delivery(struct fake_net_end *from,
 			      struct fake_net_end *to,
 			      enum tgw_peer_topic topic, const void *payload,
@@ -70,16 +84,13 @@
 	if (net->jitter_us)
 		delay_us += (int64_t)tgw_random_below(&net->world->random,
 						      (uint64_t)net->jitter_us);
+	if (fault_occurs(net, net->late_per_1000))
+		delay_us += (int64_t)tgw_random_below(&net->world->random,
+						      (uint64_t)net->late_us);
 	fake_world_after_or_release(net->world, delay_us, deliver, free,
 				    packet);
 }
 
-static bool fault_occurs(struct fake_net *net, uint32_t per_1000)
-{
-	return per_1000 &&
-	       tgw_random_below(&net->world->random, 1000) < per_1000;
-}
-
 static enum tgw_status fake_send(struct tgw_peer *peer, const char *to_host,
 				 enum tgw_peer_topic topic, const void *payload,
 				 size_t payload_size)
--- a/tests/fakes/fake_net.h
+++ b/tests/fakes/fake_net.h
@@ -44,6 +44,12 @@
 	int64_t jitter_us;
 	uint32_t loss_per_1000;
 	uint32_t duplicate_per_1000;
+	/** Messages that arrive up to late_us later. */
+	uint32_t late_per_1000;
+	int64_t late_us;
+	/** Messages for an earlier incarnation reach the present one, as
+	 * datagrams do, which name an address. */
+	bool delivers_to_successors;
 	uint64_t messages; /**< sent, including those that are lost */
 	uint64_t bytes;	   /**< payloads of those messages */
 };
--- a/tests/fakes/team_fleet.c
+++ b/tests/fakes/team_fleet.c
@@ -28,6 +28,15 @@
 
 static void on_closed(void *arg)
 {
+	((struct team_fleet_host *)arg)->closed = true;
+}
+
+static void on_message(void *arg, const struct tgw_peer_message *message)
+{
+	struct team_fleet_host *host = arg;
+
+	if (host->budgets)
+		team_budget_on_message(host->budgets, message);
 }
 
 static int64_t host_clock_us(const struct tgw_clock *clock)
@@ -76,13 +85,25 @@
 		.arg = host,
 	};
 
-	snprintf(settings.host, sizeof(settings.host), "host-%d",
-		 (int)(host - team_fleet.hosts));
+	size_t index = (size_t)(host - team_fleet.hosts);
+
+	snprintf(settings.host, sizeof(settings.host), "host-%zu", index);
 	host->process = tgw_random_u64(&team_fleet.world.random) | 1;
+	host->closed = false;
+	if (team_fleet.settings.domain_count) {
+		memcpy(settings.failure_domain,
+		       team_fleet.peers[index].failure_domain,
+		       sizeof(settings.failure_domain));
+		settings.peer = &host->end.peer;
+		fake_net_restart(&host->end, host->process);
+	}
 	host->budgets = team_budget_new(&settings, &host->store.store,
 					&host->clock.clock, host->process,
 					&events);
 	host->due_us = 0;
+	if (settings.peer)
+		team_budget_set_hosts(host->budgets, team_fleet.peers,
+				      team_fleet.settings.host_count);
 	for (int i = 0; i < team_fleet.settings.team_count; i++)
 		team_budget_raise_paid_in(host->budgets,
 					  team_fleet.team_names[i],
@@ -104,6 +125,7 @@
 	drop_waiting(host);
 	team_budget_free(host->budgets);
 	host->budgets = NULL;
+	host->end.up = false;
 	fake_store_reset(&host->store);
 }
 
@@ -113,6 +135,20 @@
 		run(&team_fleet.hosts[i]);
 }
 
+/* The first hosts are the largest. */
+static void install_peer(size_t index)
+{
+	struct peer_host *peer = &team_fleet.peers[index];
+	struct team_fleet_host *host = &team_fleet.hosts[index];
+
+	snprintf(peer->name, sizeof(peer->name), "host-%zu", index);
+	snprintf(peer->failure_domain, sizeof(peer->failure_domain),
+		 "domain-%zu", index % team_fleet.settings.domain_count);
+	peer->memory_mb = (int64_t)(TEAM_FLEET_MAX_HOSTS - index);
+	fake_net_add(&team_fleet.net, &host->end, peer->name, 0, on_message,
+		     host);
+}
+
 static void install_host(struct team_fleet_host *host)
 {
 	int64_t (*link)(size_t) = team_fleet.settings.link_bytes_per_s;
@@ -131,6 +167,10 @@
 	team_fleet.settings = *settings;
 	fake_world_init(&team_fleet.world, seed);
 	fake_store_server_init(&team_fleet.server, &team_fleet.world);
+	fake_net_init(&team_fleet.net, &team_fleet.world);
+	for (size_t i = 0; settings->domain_count && i < settings->host_count;
+	     i++)
+		install_peer(i);
 	for (int i = 0; i < settings->team_count; i++)
 		snprintf(team_fleet.team_names[i],
 			 sizeof(team_fleet.team_names[i]), "team-%d", i);
@@ -306,6 +346,16 @@
 	play_down(down_us, true);
 }
 
+struct team_fleet_host *team_fleet_relay(size_t domain)
+{
+	return &team_fleet.hosts[domain];
+}
+
+uint64_t team_fleet_store_calls(void)
+{
+	return team_fleet.server.reads + team_fleet.server.writes;
+}
+
 void team_fleet_reset_tallies(void)
 {
 	for (int i = 0; i < team_fleet.settings.team_count; i++) {
@@ -341,7 +391,8 @@
 	    !team_budget_get_view(host->budgets, team_fleet.team_names[team],
 				  &view))
 		return 0;
-	return view.limit_tokens - view.settled_tokens - view.reserved_tokens;
+	return view.limit_tokens - view.settled_tokens - view.reserved_tokens -
+	       view.given_tokens;
 }
 
 static int64_t free_tokens(int team)
--- a/tests/fakes/team_fleet.h
+++ b/tests/fakes/team_fleet.h
@@ -6,15 +6,17 @@
 #ifndef FAKES_TEAM_FLEET_H
 #define FAKES_TEAM_FLEET_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
 #include "coordination/team_budget.h"
+#include "fakes/fake_net.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_world.h"
 
-#define TEAM_FLEET_MAX_HOSTS 84
-#define TEAM_FLEET_MAX_TEAMS 24
+#define TEAM_FLEET_MAX_HOSTS 304
+#define TEAM_FLEET_MAX_TEAMS 40
 #define TEAM_FLEET_NAME_SIZE 16
 #define TEAM_FLEET_STEP_US (1 * TGW_US_PER_MS)
 /** A request that gets no tokens within this time is refused. */
@@ -24,6 +26,9 @@
 /** The hosts, their links and their load. */
 struct team_fleet_settings {
 	size_t host_count;
+	/** Failure domains whose hosts move tokens to each other; 0: hosts do
+	 * not send messages. */
+	size_t domain_count;
 	int team_count;
 	uint32_t key_count;
 	int64_t request_tokens;
@@ -55,7 +60,9 @@
 	struct team_fleet_clock clock;
 	uint32_t boot; /**< number of its boots */
 	struct fake_store store;
+	struct fake_net_end end;
 	struct team_budget *budgets; /**< NULL while no process runs */
+	bool closed;		     /**< by a planned stop */
 	uint64_t process;
 	struct team_fleet_request *waiting;
 	bool notified;	/**< waiting requests may try again */
@@ -72,6 +79,9 @@
 	struct team_fleet_settings settings;
 	struct fake_world world;
 	struct fake_store_server server;
+	struct fake_net net;
+	/** As each host knows them. */
+	struct peer_host peers[TEAM_FLEET_MAX_HOSTS];
 	struct team_fleet_host hosts[TEAM_FLEET_MAX_HOSTS];
 	struct team_fleet_tally tallies[TEAM_FLEET_MAX_TEAMS];
 	char team_names[TEAM_FLEET_MAX_TEAMS][TEAM_FLEET_NAME_SIZE];
@@ -93,11 +103,17 @@
 /** As team_fleet_kill_all(), and all hosts lose power. */
 void team_fleet_power_off_all(int64_t down_us);
 
+/** @return the host that the others of the domain use as their relay */
+struct team_fleet_host *team_fleet_relay(size_t domain);
+
 void team_fleet_play(int64_t duration_us, bool has_traffic);
 
 /** Starts to count requests anew. */
 void team_fleet_reset_tallies(void);
 
+/** @return the store calls since the start */
+uint64_t team_fleet_store_calls(void);
+
 /** @return the served requests of all teams in percent of those asked */
 int64_t team_fleet_served_percent(void);
 
--- a/tests/fuzz/fuzz_peer.c
+++ b/tests/fuzz/fuzz_peer.c
@@ -6,7 +6,10 @@
 #include "state/claim_message.h"
 #include "state/config_message.h"
 #include "state/heartbeat.h"
+#include "state/peer_host.h"
+#include "state/peer_key.h"
 #include "state/quarantine_message.h"
+#include "state/transfer_message.h"
 
 static void fuzz_config(const uint8_t *data, size_t size)
 {
@@ -43,6 +46,25 @@
 	budget_message_clear(&message);
 }
 
+static void fuzz_records(const uint8_t *data, size_t size)
+{
+	struct peer_host host;
+	struct peer_key key;
+
+	peer_host_decode(&host, data, size, NULL);
+	peer_key_decode(&key, data, size, NULL);
+}
+
+static void fuzz_transfer(const uint8_t *data, size_t size)
+{
+	struct transfer_message message;
+	struct buffer bytes = {0};
+
+	if (transfer_message_decode(&message, data, size, NULL) == TGW_OK)
+		transfer_message_encode(&message, &bytes);
+	buffer_free(&bytes);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static struct heartbeat heartbeat;
@@ -52,7 +74,7 @@
 		return 0;
 	data++;
 	size--;
-	switch (data[-1] % 6) {
+	switch (data[-1] % 8) {
 	case 0:
 		heartbeat_decode(&heartbeat, data, size, NULL);
 		break;
@@ -68,6 +90,12 @@
 	case 4:
 		fuzz_quarantine(data, size);
 		break;
+	case 6:
+		fuzz_transfer(data, size);
+		break;
+	case 7:
+		fuzz_records(data, size);
+		break;
 	default:
 		fuzz_budget(data, size);
 		break;
--- /dev/null
+++ b/tests/unit/test_team_budget_relay.c
@@ -0,0 +1,216 @@
+/* Plays the load of large fleets whose hosts move tokens of team budgets to
+ * each other, in virtual time: what callers get, and how many store calls it
+ * takes, with relays that die, stop, hang or lose the store. */
+#include "fakes/team_fleet.h"
+#include "unit/unit_main.h"
+
+#define KEYS 4 /* as the edge's default */
+#define DOMAINS 6
+#define SMALL_FLEET 36
+#define LARGE_FLEET 300
+#define TEAMS 24
+#define SEEDS 4
+#define REQUEST_TOKENS INT64_C(2500)
+#define REQUESTS_PER_S 30 /* of each team */
+#define DAY_S 34
+#define LEAD_S 12 /* from the start of the hosts to the first request */
+/* A budget holds this percentage of a team's demand. */
+#define PAID_PERCENT 130
+#define ONE_HOST_TEAMS 10
+
+static void start_fleet(size_t host_count, uint64_t seed)
+{
+	const struct team_fleet_settings settings = {
+		.host_count = host_count,
+		.domain_count = DOMAINS,
+		.team_count = TEAMS,
+		.key_count = KEYS,
+		.request_tokens = REQUEST_TOKENS,
+		.requests_per_s = REQUESTS_PER_S,
+		.paid_tokens = REQUEST_TOKENS * REQUESTS_PER_S * DAY_S *
+			       PAID_PERCENT / 100,
+		.one_host_team_count = ONE_HOST_TEAMS,
+		.first_one_team_host = DOMAINS,
+	};
+
+	team_fleet_start(&settings, seed);
+	team_fleet_play(LEAD_S * TGW_US_PER_S, false);
+}
+
+static void play_s(int64_t duration_s)
+{
+	team_fleet_play(duration_s * TGW_US_PER_S, true);
+}
+
+static void check_served(int64_t percent)
+{
+	for (int i = 0; i < TEAMS; i++) {
+		const struct team_fleet_tally *tally = &team_fleet.tallies[i];
+
+		ck_assert_msg(tally->served * 100 >= tally->asked * percent,
+			      "%s: %lld of %lld requests were served",
+			      team_fleet.team_names[i],
+			      (long long)tally->served,
+			      (long long)tally->asked);
+	}
+	team_fleet_check_no_overspending();
+}
+
+START_TEST(a_fleet_serves_all_that_its_budgets_cover)
+{
+	start_fleet(LARGE_FLEET, (uint64_t)_i);
+	play_s(DAY_S);
+	check_served(99);
+	ck_assert_uint_lt(team_fleet.server.conflicts * 10,
+			  team_fleet.server.writes);
+	team_fleet_stop();
+}
+END_TEST
+
+static uint64_t calls_of_a_day(size_t host_count)
+{
+	uint64_t calls;
+
+	start_fleet(host_count, 1);
+	/* Each host reads once what its previous process left. */
+	calls = team_fleet_store_calls();
+	play_s(DAY_S);
+	calls = team_fleet_store_calls() - calls;
+	team_fleet_stop();
+	return calls;
+}
+
+START_TEST(store_calls_do_not_grow_with_the_hosts)
+{
+	ck_assert_uint_le(calls_of_a_day(LARGE_FLEET),
+			  2 * calls_of_a_day(SMALL_FLEET));
+}
+END_TEST
+
+START_TEST(the_first_request_of_a_team_at_a_host_is_served)
+{
+	start_fleet(LARGE_FLEET, (uint64_t)_i);
+	/* Many of the requests are the first one. */
+	play_s(1);
+	team_fleet_play(TEAM_FLEET_MAX_WAIT_US, false);
+	check_served(100);
+	team_fleet_stop();
+}
+END_TEST
+
+START_TEST(the_death_of_a_relay_does_not_stop_its_domain)
+{
+	start_fleet(LARGE_FLEET, (uint64_t)_i);
+	play_s(8);
+	team_fleet_reset_tallies();
+	for (size_t domain = 0; domain < DOMAINS; domain += 2) {
+		team_fleet_kill_host(team_fleet_relay(domain));
+		play_s(4);
+	}
+	check_served(95);
+	for (size_t domain = 0; domain < DOMAINS; domain += 2)
+		team_fleet_start_host(team_fleet_relay(domain));
+	team_fleet_reset_tallies();
+	play_s(8);
+	check_served(95);
+	team_fleet_stop();
+}
+END_TEST
+
+/* Its addresses accept messages, but it does not run. */
+START_TEST(a_relay_that_hangs_does_not_stop_its_domain)
+{
+	start_fleet(LARGE_FLEET, (uint64_t)_i);
+	play_s(8);
+	team_fleet_reset_tallies();
+	for (size_t domain = 0; domain < DOMAINS; domain += 2)
+		team_fleet_relay(domain)->end.receives_nothing = true;
+	play_s(8);
+	check_served(95);
+	for (size_t domain = 0; domain < DOMAINS; domain += 2)
+		team_fleet_relay(domain)->end.receives_nothing = false;
+	play_s(8);
+	check_served(95);
+	team_fleet_stop();
+}
+END_TEST
+
+START_TEST(lost_and_late_messages_cost_few_requests)
+{
+	start_fleet(LARGE_FLEET, (uint64_t)_i);
+	team_fleet.net.loss_per_1000 = 100;
+	team_fleet.net.duplicate_per_1000 = 100;
+	team_fleet.net.jitter_us = 20 * TGW_US_PER_MS;
+	play_s(16);
+	check_served(97);
+	team_fleet_stop();
+}
+END_TEST
+
+/* A store outage for some hosts is not one for their callers. */
+START_TEST(a_relay_serves_hosts_that_do_not_reach_the_store)
+{
+	start_fleet(LARGE_FLEET, (uint64_t)_i);
+	play_s(4);
+	team_fleet_reset_tallies();
+	for (size_t i = DOMAINS; i < LARGE_FLEET; i++) {
+		struct team_fleet_host *host = &team_fleet.hosts[i];
+
+		fake_store_set_partitioned(&host->store, true);
+		team_budget_set_store_unreachable(host->budgets, true);
+	}
+	play_s(12);
+	check_served(98);
+	team_fleet_stop();
+}
+END_TEST
+
+static void stop_host(struct team_fleet_host *host)
+{
+	team_budget_close(host->budgets);
+	for (int i = 0; i < 40 && !host->closed; i++)
+		team_fleet_play(100 * TGW_US_PER_MS, false);
+	ck_assert(host->closed);
+	team_fleet_kill_host(host);
+}
+
+START_TEST(hosts_that_stop_strand_nothing)
+{
+	start_fleet(SMALL_FLEET, (uint64_t)_i);
+	play_s(4);
+	/* Let the open requests end. */
+	team_fleet_play(2 * TGW_US_PER_S, false);
+	for (size_t i = SMALL_FLEET; i > 0; i--)
+		stop_host(&team_fleet.hosts[i - 1]);
+	ck_assert_int_eq(team_fleet_stranded_tokens(), 0);
+	team_fleet_stop();
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("team_budget_relay");
+	TCase *tcase = tcase_create("load");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, a_fleet_serves_all_that_its_budgets_cover, 1,
+			    1 + SEEDS);
+	tcase_add_test(tcase, store_calls_do_not_grow_with_the_hosts);
+	tcase_add_loop_test(tcase,
+			    the_first_request_of_a_team_at_a_host_is_served, 1,
+			    1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    the_death_of_a_relay_does_not_stop_its_domain, 1,
+			    1 + SEEDS);
+	tcase_add_loop_test(tcase, a_relay_that_hangs_does_not_stop_its_domain,
+			    1, 1 + SEEDS);
+	tcase_add_loop_test(tcase, lost_and_late_messages_cost_few_requests, 1,
+			    1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    a_relay_serves_hosts_that_do_not_reach_the_store, 1,
+			    1 + SEEDS);
+	tcase_add_loop_test(tcase, hosts_that_stop_strand_nothing, 1,
+			    1 + SEEDS);
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
