Connect the edge hosts of a fleet by datagrams

Hosts write their addresses to a key each, and find there the key that authenticates their messages; one UDP socket, no connection to keep. Strangers get no reply. A datagram holds one message of at most 1,400 bytes.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -33,7 +33,9 @@
 struct retry_budget *edge_retry_budget(struct edge *edge, const char *service)
 {
 	const struct edge_settings *settings = edge->settings;
-	int64_t hosts = 1 + team_budget_other_hosts(edge->budgets);
+	int64_t in_pools = 1 + team_budget_other_hosts(edge->budgets);
+	int64_t listed = (int64_t)edge_peers_count(edge);
+	int64_t hosts = listed > in_pools ? listed : in_pools;
 	int64_t slack = settings->retry_slack * THOUSANDTHS /
 			(hosts > settings->expected_hosts
 				 ? hosts
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -16,6 +16,7 @@
 #include "coordination/team_budget.h"
 #include "edge/call_dialect.h"
 #include "edge/edge_log.h"
+#include "edge/edge_peers.h"
 #include "edge/edge_settings.h"
 #include "state/backend_table.h"
 #include "state/latency_buckets.h"
@@ -82,6 +83,7 @@
 	struct backend_table backends;
 	struct backend_follower *backend_follower;
 	struct route_follower *route_follower;
+	struct edge_peers peers;
 	struct team_budget *budgets;
 	struct request_quarantine *quarantine;
 	struct crash_check *crash_checks; /* running */
--- a/src/edge/edge_clock.h
+++ b/src/edge/edge_clock.h
@@ -8,9 +8,14 @@
 
 #include <stdint.h>
 
+#include "tamarackgw/clock.h"
+
 int64_t edge_now_us(void);
 
 /** @return microseconds since 1970 UTC */
 int64_t edge_wall_us(void);
 
+/** Both, for parts that take a clock. */
+extern const struct tgw_clock edge_clock;
+
 #endif
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -7,27 +7,12 @@
 #include "edge/boot_identity.h"
 #include "edge/call.h"
 #include "edge/edge_clock.h"
+#include "edge/edge_peers.h"
 #include "state/request_fingerprint.h"
 
 /* The store removes a server's entry after so many heartbeats without one. */
 #define MISSED_HEARTBEATS 3
 
-static int64_t clock_monotonic_us(const struct tgw_clock *clock)
-{
-	return edge_now_us();
-}
-
-static int64_t clock_wall_us(const struct tgw_clock *clock)
-{
-	return edge_wall_us();
-}
-
-static const struct tgw_clock_ops clock_ops = {
-	.monotonic_us = clock_monotonic_us,
-	.wall_us = clock_wall_us,
-};
-static const struct tgw_clock edge_clock = {.ops = &clock_ops};
-
 static void on_routes(void *arg, const struct route_set *set)
 {
 	struct edge *edge = arg;
@@ -180,6 +165,14 @@
 		      "key=%s tokens=%lld", key, (long long)tokens);
 }
 
+static void on_relay_changed(void *arg, const char *relay, const char *reason)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "budget", "relay",
+		      "relay=%s reason=\"%s\"", *relay ? relay : "-", reason);
+}
+
 static void on_budgets_closed(void *arg)
 {
 	struct edge *edge = arg;
@@ -252,16 +245,21 @@
 		.failed = on_budget_call_failed,
 		.written = on_budget_written,
 		.recovered = on_budget_recovered,
+		.relay_changed = on_relay_changed,
 		.closed = on_budgets_closed,
 		.arg = edge,
 	};
 
+	uint64_t incarnation = tgw_random_incarnation();
+
 	text_copy(budget.host, sizeof(budget.host), settings->name);
+	text_copy(budget.failure_domain, sizeof(budget.failure_domain),
+		  settings->failure_domain);
+	budget.peer = edge_peers_start(edge, incarnation);
 	uv_timer_init(edge->loop, &edge->budget_timer);
 	edge->budget_timer.data = edge;
 	edge->budgets = team_budget_new(&budget, edge->sources.store,
-					&edge_clock, tgw_random_incarnation(),
-					&events);
+					&edge_clock, incarnation, &events);
 }
 
 static void start_routes(struct edge *edge)
@@ -336,6 +334,7 @@
 	backend_follower_tick(edge->backend_follower);
 	route_follower_tick(edge->route_follower);
 	request_quarantine_tick(edge->quarantine);
+	edge_peers_tick(edge);
 }
 
 void edge_followers_free(struct edge *edge)
@@ -343,5 +342,6 @@
 	route_follower_free(edge->route_follower);
 	backend_follower_free(edge->backend_follower);
 	team_budget_free(edge->budgets);
+	edge_peers_free(edge);
 	request_quarantine_free(edge->quarantine);
 }
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -68,6 +68,24 @@
 			  (unsigned long long)buckets->count);
 }
 
+static void add_peers(const struct edge *edge, struct buffer *text)
+{
+	const struct datagram_channel_counters *counters =
+		&edge->peers.channel.counters;
+
+	add_counter(text, "peer_messages_sent_total", counters->messages_sent);
+	add_counter(text, "peer_bytes_sent_total", counters->bytes_sent);
+	add_counter(text, "peer_messages_received_total",
+		    counters->messages_received);
+	add_counter(text, "peer_bytes_received_total",
+		    counters->bytes_received);
+	add_counter(text, "peer_messages_dropped_total",
+		    counters->messages_dropped);
+	add_counter(text, "peer_messages_rejected_total",
+		    counters->messages_rejected);
+	add_gauge(text, "peer_hosts", (double)edge_peers_count(edge));
+}
+
 static void write_metrics(const struct edge *edge, struct buffer *text)
 {
 	const struct edge_counters *counters = &edge->counters;
@@ -97,6 +115,11 @@
 	add_counter(text, "ledger_cap_writes_total", ledger->cap_writes);
 	add_counter(text, "ledger_recovered_tokens_total",
 		    ledger->recovered_tokens);
+	add_counter(text, "budget_relay_changes_total", ledger->relay_changes);
+	add_counter(text, "budget_received_tokens_total",
+		    ledger->received_tokens);
+	add_counter(text, "budget_given_tokens_total", ledger->given_tokens);
+	add_peers(edge, text);
 	add_counter(text, "log_lines_dropped_total", edge->log.dropped_total);
 	add_gauge(text, "open_requests", edge->call_count);
 	add_gauge(text, "caller_connections", edge->conn_count);
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -21,6 +21,12 @@
 	     "IP address and port for the balancer's readiness checks"),
 	TEXT("host", "metrics_address", metrics_address, false,
 	     "IP address and port for the metrics page; empty for none"),
+	TEXT("host", "peer_address", peer_address, false,
+	     "IP address and port for messages of the fleet's other hosts, as "
+	     "they reach it; empty if hosts send none"),
+	NUMBER("host", "memory_mb", memory_mb, 0, 1000000000, 0,
+	       "memory of this host; larger hosts take tokens of budgets for "
+	       "smaller ones of their failure domain"),
 	TEXT("store", "address", store_address, true,
 	     "IP address and port of the platform's store"),
 	NUMBER("store", "timeout_ms", store_timeout_ms, 50, 60000, 1000,
@@ -93,6 +99,12 @@
 				     "%s: [host] metrics_address must have "
 				     "the form IP:PORT, or be left out",
 				     path);
+	if (*settings->peer_address &&
+	    !settings_is_address(settings->peer_address))
+		return tgw_error_set(error, TGW_INVALID,
+				     "%s: [host] peer_address must have the "
+				     "form IP:PORT, or be left out",
+				     path);
 	if (settings->stop_notice_ms > settings->stop_kill_after_s * 1000)
 		return tgw_error_set(error, TGW_INVALID,
 				     "%s: [stop] notice_ms must not exceed "
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -17,6 +17,9 @@
 	char caller_address[TGW_NAME_SIZE];  /**< IP address and port */
 	char ready_address[TGW_NAME_SIZE];   /**< of /ready, for the balancer */
 	char metrics_address[TGW_NAME_SIZE]; /**< empty for none */
+	char peer_address[TGW_NAME_SIZE];    /**< of other hosts' messages;
+					      * empty for none */
+	int64_t memory_mb;
 	/* [store] */
 	char store_address[TGW_NAME_SIZE];
 	int64_t store_timeout_ms;
