Follow the store's keys through the relay of the failure domain

Change: a store that mirrors the watched prefixes. While a host's relay is up to date it is told of changes by it; small ones are sent at once, larger ones fetched in parts. The relay says how old its knowledge is, counted from the follower's own last message, so that a late message does not look fresh; a host whose knowledge is older than two fifths of the time that a change may take and 0.4 s watches by itself, from where it is. Versions never go back, and a late message does not bring a deleted key back: for that, watches tell at which version a key was deleted.

--- a/examples/embed_escrow.c
+++ b/examples/embed_escrow.c
@@ -51,10 +51,18 @@
 
 static void complete_call(struct memory_store *memory)
 {
-	struct tgw_store_entry entry = {memory->key,
-					(const uint8_t *)memory->value.data,
-					memory->value.size, memory->version};
-	struct tgw_store_result result = {memory->status, &entry, 1, ""};
+	struct tgw_store_entry entry = {
+		.key = memory->key,
+		.value = (const uint8_t *)memory->value.data,
+		.value_size = memory->value.size,
+		.version = memory->version,
+	};
+	struct tgw_store_result result = {
+		.status = memory->status,
+		.entries = &entry,
+		.entry_count = 1,
+		.message = "",
+	};
 
 	if (!memory->is_pending)
 		return;
--- a/include/tamarackgw/store.h
+++ b/include/tamarackgw/store.h
@@ -10,6 +10,7 @@
 #ifndef TAMARACKGW_STORE_H
 #define TAMARACKGW_STORE_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -28,6 +29,9 @@
 	size_t value_size;
 	int64_t version; /**< grows with each write; TGW_STORE_ABSENT if
 			  * the key does not exist */
+	/** Reported by a watch: the version at which the key was deleted; 0 if
+	 * it exists, or the binding does not know that. */
+	int64_t deleted_version;
 };
 
 /**
@@ -44,6 +48,9 @@
 	const struct tgw_store_entry *entries;
 	size_t entry_count;
 	const char *message; /**< for people; never NULL */
+	/** list: all changes up to this revision of the store are in the
+	 * entries; 0 if the binding does not know it. */
+	int64_t revision;
 };
 
 /** Receiver of a result. */
@@ -65,6 +72,16 @@
 	/** How long the store may hold a call of the watch while nothing
 	 * changes, if the binding makes such calls; 0 for its default. */
 	int64_t idle_us;
+	/** The store has no more changes up to this revision. Not called
+	 * between `lost` and the next list of the prefix. NULL if this is not
+	 * of interest; called by bindings that know revisions. */
+	void (*confirmed)(void *arg, int64_t revision);
+	/** Changes after this revision are reported without a list before; 0:
+	 * those after the next list of the prefix. */
+	int64_t after_revision;
+	/** The next call follows at once, so that the watch notices soon when
+	 * the store does not answer. */
+	bool prompt;
 };
 
 struct tgw_store;
--- /dev/null
+++ b/src/coordination/mirrored_prefix.h
@@ -0,0 +1,105 @@
+/**
+ * @file mirrored_prefix.h
+ * One prefix of the store that a host mirrors: its keys, whoever watches it
+ * here, and from where its changes come. Private to store_mirror.
+ */
+#ifndef COORDINATION_MIRRORED_PREFIX_H
+#define COORDINATION_MIRRORED_PREFIX_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/buffer.h"
+#include "state/change_message.h"
+#include "state/mirror_table.h"
+#include "tamarackgw/clock.h"
+#include "tamarackgw/store.h"
+
+/** A local watch. */
+struct mirror_watcher {
+	uint64_t handle;
+	struct tgw_store_watcher watcher;
+	struct mirror_watcher *next;
+};
+
+/** A local list of the prefix that has not been answered. */
+struct mirror_list {
+	struct mirrored_prefix *owner;
+	struct tgw_store_callback callback;
+	bool calling; /**< the store */
+	struct mirror_list *next;
+};
+
+/** Changes that are being fetched from the relay. */
+struct mirror_pull {
+	bool active;
+	int64_t after_revision;
+	int64_t revision;
+	size_t total_size;
+	struct buffer bytes;
+	int64_t asked_us;
+};
+
+struct mirrored_prefix {
+	const char *prefix;
+	struct tgw_store *store;
+	const struct tgw_clock *clock;
+	/** The store confirmed the table, or does not answer. */
+	void (*updated)(void *arg, struct mirrored_prefix *prefix,
+			int64_t previous_revision);
+	void *arg;
+	struct mirror_table table;
+	uint64_t watch; /**< of the store; 0: none */
+	bool prompt;	/**< the watch is */
+	bool store_unreachable;
+	/** When the store last confirmed the table, by this host's clock; 0:
+	 * never. The second one is a lower bound. */
+	int64_t store_confirmed_us;
+	int64_t relay_confirmed_us;
+	int64_t listed_us; /**< when the store was last listed */
+	struct mirror_watcher *watchers;
+	struct mirror_list *lists;
+	struct mirror_pull pull;
+	/** Changes as last encoded for other hosts. */
+	int64_t encoded_after;
+	int64_t encoded_revision;
+	struct buffer encoded;
+};
+
+void mirrored_prefix_clear(struct mirrored_prefix *prefix);
+
+void mirrored_prefix_add_watcher(struct mirrored_prefix *prefix,
+				 uint64_t handle,
+				 const struct tgw_store_watcher *watcher);
+
+/** @return whether the handle was one of this prefix */
+bool mirrored_prefix_remove_watcher(struct mirrored_prefix *prefix,
+				    uint64_t handle);
+
+void mirrored_prefix_add_list(struct mirrored_prefix *prefix,
+			      struct tgw_store_callback callback);
+
+/** Opens the watch of the store, or opens it again if it has to be prompt. */
+void mirrored_prefix_watch(struct mirrored_prefix *prefix, bool prompt,
+			   int64_t prompt_idle_us);
+void mirrored_prefix_unwatch(struct mirrored_prefix *prefix);
+
+/** Answers the waiting lists from the table. */
+void mirrored_prefix_answer_lists(struct mirrored_prefix *prefix);
+
+/** Sends the waiting lists to the store. */
+void mirrored_prefix_send_lists(struct mirrored_prefix *prefix);
+
+/** Applies encoded changes of another host. */
+enum tgw_status mirrored_prefix_apply(struct mirrored_prefix *prefix,
+				      const void *bytes, size_t size);
+
+/** @return the encoded changes after a revision; NULL if they are too large */
+const struct buffer *mirrored_prefix_encode(struct mirrored_prefix *prefix,
+					    int64_t after_revision);
+
+/** @return when the table was last confirmed; 0: never */
+int64_t mirrored_prefix_confirmed_us(const struct mirrored_prefix *prefix);
+
+#endif
--- /dev/null
+++ b/src/coordination/store_mirror.c
@@ -0,0 +1,600 @@
+#include "coordination/store_mirror.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/text.h"
+#include "base/xalloc.h"
+#include "coordination/mirrored_prefix.h"
+#include "tamarackgw/host_view.h"
+
+/* Of the time in which a change has to be known, this percentage is the longest
+ * that the store may hold a call of a watch that others follow. */
+#define HOLD_PERCENT 40
+/* A host watches by itself once its knowledge is older than that and this. */
+#define FRESH_MARGIN_US (400 * TGW_US_PER_MS)
+#define FOLLOW_INTERVAL_US (1 * TGW_US_PER_S)
+/* Followers that have not told for this long that they follow get nothing. */
+#define FOLLOWER_TIMEOUT_US (3 * TGW_US_PER_S)
+/* A relay was heard of this recently, so it will tell when the store is back.
+ */
+#define RELAY_ALIVE_US (2 * TGW_US_PER_S)
+/* Minimum time between two lists of the store while the relay says that it does
+ * not answer. */
+#define HELD_LIST_US (2 * TGW_US_PER_S)
+/* A pull without an answer is repeated after this. */
+#define PULL_RETRY_US (60 * TGW_US_PER_MS)
+/* Parts that are sent for one pull. */
+#define PULL_PARTS 8
+
+/** A host that follows this one. */
+struct mirror_follower {
+	char host[TGW_NAME_SIZE];
+	int64_t stamp_us;    /**< of its last message */
+	int64_t received_us; /**< when that arrived */
+	struct mirror_follower *next;
+};
+
+struct store_mirror {
+	struct tgw_store store; /**< first member */
+	struct tgw_store *inner;
+	const struct tgw_clock *clock;
+	struct tgw_peer *peer;
+	uint64_t sequence; /**< of the last message */
+	int64_t hold_us;   /**< of a watch that others follow */
+	uint64_t last_handle;
+	char relay[TGW_NAME_SIZE]; /**< empty: none */
+	uint64_t relay_process;
+	uint64_t relay_sequence;
+	int64_t relay_heard_us; /**< 0: never */
+	bool relay_store_unreachable;
+	int64_t follow_sent_us;
+	struct mirror_follower *followers;
+	size_t prefix_count;
+	struct mirrored_prefix prefixes[CHANGE_PREFIXES_MAX];
+	struct store_mirror_counters counters;
+};
+
+static struct store_mirror *mirror_of(struct tgw_store *store)
+{
+	return (struct store_mirror *)store;
+}
+
+static int64_t now_of(const struct store_mirror *mirror)
+{
+	return tgw_clock_monotonic_us(mirror->clock);
+}
+
+static bool is_fresh(const struct store_mirror *mirror,
+		     const struct mirrored_prefix *prefix)
+{
+	return *mirror->relay && prefix->relay_confirmed_us &&
+	       now_of(mirror) - prefix->relay_confirmed_us <=
+		       mirror->hold_us + FRESH_MARGIN_US;
+}
+
+/* Sending. */
+
+static void send(struct store_mirror *mirror, const char *host,
+		 struct change_message *message)
+{
+	struct buffer bytes = {0};
+
+	message->sequence = ++mirror->sequence;
+	change_message_encode(message, &bytes);
+	tgw_peer_send(mirror->peer, host, TGW_PEER_CHANGES, bytes.data,
+		      bytes.size);
+	buffer_free(&bytes);
+}
+
+static void fill_states(const struct store_mirror *mirror,
+			const struct mirror_follower *follower,
+			struct change_message *message)
+{
+	int64_t now = now_of(mirror);
+
+	message->stamp_us = follower->stamp_us;
+	message->held_us = now - follower->received_us;
+	message->state_count = mirror->prefix_count;
+	for (size_t i = 0; i < mirror->prefix_count; i++) {
+		const struct mirrored_prefix *prefix = &mirror->prefixes[i];
+		int64_t confirmed_us = mirrored_prefix_confirmed_us(prefix);
+
+		message->states[i] = (struct change_state){
+			.revision = prefix->table.revision,
+			.changed_revision = prefix->table.changed_revision,
+			.age_us = confirmed_us ? now - confirmed_us : -1,
+			.store_unreachable = prefix->store_unreachable,
+		};
+	}
+}
+
+static void send_state(struct store_mirror *mirror,
+		       const struct mirror_follower *follower)
+{
+	struct change_message message = {.kind = CHANGE_MESSAGE_STATE};
+
+	fill_states(mirror, follower, &message);
+	send(mirror, follower->host, &message);
+}
+
+static void send_part(struct store_mirror *mirror,
+		      const struct mirror_follower *follower, size_t number,
+		      const struct buffer *changes, size_t offset)
+{
+	const struct mirrored_prefix *prefix = &mirror->prefixes[number];
+	size_t size = changes->size - offset;
+	struct change_message message = {
+		.kind = CHANGE_MESSAGE_PART,
+		.prefix = (uint32_t)number,
+		.after_revision = prefix->encoded_after,
+		.revision = prefix->encoded_revision,
+		.offset = offset,
+		.total_size = changes->size,
+		.part = (const uint8_t *)changes->data + offset,
+		.part_size = size < CHANGE_PART_MAX_BYTES
+				     ? size
+				     : CHANGE_PART_MAX_BYTES,
+	};
+
+	mirror->counters.changes_sent++;
+	fill_states(mirror, follower, &message);
+	send(mirror, follower->host, &message);
+}
+
+/* Small changes are sent at once; followers ask for larger ones. */
+static void on_updated(void *arg, struct mirrored_prefix *prefix,
+		       int64_t previous_revision)
+{
+	struct store_mirror *mirror = arg;
+	size_t number = (size_t)(prefix - mirror->prefixes);
+	const struct buffer *changes = NULL;
+
+	if (!mirror->followers)
+		return;
+	if (previous_revision &&
+	    prefix->table.changed_revision > previous_revision)
+		changes = mirrored_prefix_encode(prefix, previous_revision);
+	for (struct mirror_follower *follower = mirror->followers; follower;
+	     follower = follower->next) {
+		if (changes && changes->size <= CHANGE_PART_MAX_BYTES)
+			send_part(mirror, follower, number, changes, 0);
+		else
+			send_state(mirror, follower);
+	}
+}
+
+static void send_follow(struct store_mirror *mirror)
+{
+	struct change_message message = {
+		.kind = CHANGE_MESSAGE_FOLLOW,
+		.stamp_us = now_of(mirror),
+	};
+
+	mirror->follow_sent_us = message.stamp_us;
+	send(mirror, mirror->relay, &message);
+}
+
+static void send_pull(struct store_mirror *mirror,
+		      struct mirrored_prefix *prefix)
+{
+	struct mirror_pull *pull = &prefix->pull;
+	struct change_message message = {
+		.kind = CHANGE_MESSAGE_PULL,
+		.stamp_us = now_of(mirror),
+		.prefix = (uint32_t)(prefix - mirror->prefixes),
+		.after_revision = pull->after_revision,
+		.revision = pull->revision,
+		.offset = pull->bytes.size,
+		.total_size = pull->total_size,
+	};
+
+	mirror->counters.pulls++;
+	pull->asked_us = message.stamp_us;
+	send(mirror, mirror->relay, &message);
+}
+
+static void start_pull(struct store_mirror *mirror,
+		       struct mirrored_prefix *prefix)
+{
+	struct mirror_pull *pull = &prefix->pull;
+
+	if (pull->active)
+		return;
+	pull->active = true;
+	pull->after_revision = prefix->table.revision;
+	pull->revision = 0;
+	pull->total_size = 0;
+	pull->bytes.size = 0;
+	send_pull(mirror, prefix);
+}
+
+/* Receiving, as the host that is followed. */
+
+static struct mirror_follower *obtain_follower(
+	struct store_mirror *mirror, const struct tgw_peer_message *from)
+{
+	struct mirror_follower *follower = mirror->followers;
+
+	while (follower && strcmp(follower->host, from->from_host))
+		follower = follower->next;
+	if (follower)
+		return follower;
+	follower = xcalloc(1, sizeof(*follower));
+	text_copy(follower->host, sizeof(follower->host), from->from_host);
+	follower->next = mirror->followers;
+	mirror->followers = follower;
+	return follower;
+}
+
+static void answer_pull(struct store_mirror *mirror,
+			const struct mirror_follower *follower,
+			const struct change_message *request)
+{
+	struct mirrored_prefix *prefix = &mirror->prefixes[request->prefix];
+	const struct buffer *changes;
+	size_t offset = request->offset;
+
+	if (!prefix->table.revision)
+		return;
+	changes = mirrored_prefix_encode(prefix, request->after_revision);
+	if (!changes)
+		return;
+	/* There are newer ones than those that the follower began with. */
+	if (request->revision != prefix->encoded_revision ||
+	    offset > changes->size)
+		offset = 0;
+	for (int i = 0; i < PULL_PARTS && offset < changes->size; i++) {
+		send_part(mirror, follower, request->prefix, changes, offset);
+		offset += CHANGE_PART_MAX_BYTES;
+	}
+}
+
+static void on_follower(struct store_mirror *mirror,
+			const struct tgw_peer_message *from,
+			const struct change_message *message)
+{
+	struct mirror_follower *follower = obtain_follower(mirror, from);
+
+	/* An earlier stamp would make what follows look older, not fresher. */
+	follower->stamp_us = message->stamp_us;
+	follower->received_us = now_of(mirror);
+	if (message->kind == CHANGE_MESSAGE_FOLLOW)
+		send_state(mirror, follower);
+	else if (message->prefix < mirror->prefix_count)
+		answer_pull(mirror, follower, message);
+}
+
+/* Receiving, as a follower. */
+
+static void add_part(struct store_mirror *mirror,
+		     struct mirrored_prefix *prefix,
+		     const struct change_message *message)
+{
+	struct mirror_pull *pull = &prefix->pull;
+
+	if (!pull->active)
+		return;
+	if (message->offset == 0) {
+		pull->revision = message->revision;
+		pull->total_size = message->total_size;
+		pull->bytes.size = 0;
+	}
+	if (message->revision != pull->revision ||
+	    message->total_size != pull->total_size ||
+	    message->offset != pull->bytes.size)
+		return;
+	buffer_add(&pull->bytes, message->part, message->part_size);
+	if (pull->bytes.size < pull->total_size) {
+		if (pull->bytes.size / CHANGE_PART_MAX_BYTES % PULL_PARTS == 0)
+			send_pull(mirror, prefix);
+		return;
+	}
+	pull->active = false;
+	mirrored_prefix_apply(prefix, pull->bytes.data, pull->bytes.size);
+}
+
+static void on_part(struct store_mirror *mirror,
+		    const struct change_message *message)
+{
+	struct mirrored_prefix *prefix;
+
+	if (message->prefix >= mirror->prefix_count)
+		return;
+	prefix = &mirror->prefixes[message->prefix];
+	mirror->counters.changes_received++;
+	if (message->part_size < message->total_size) {
+		add_part(mirror, prefix, message);
+		return;
+	}
+	if (mirrored_prefix_apply(prefix, message->part, message->part_size) ==
+	    TGW_OK)
+		prefix->pull.active = false;
+}
+
+/* @param confirmed_us when the store confirmed the relay's knowledge, or
+ * earlier */
+static void on_state(struct store_mirror *mirror,
+		     struct mirrored_prefix *prefix,
+		     const struct change_state *state, int64_t confirmed_us)
+{
+	struct mirror_table *table = &prefix->table;
+
+	if (state->age_us < 0 || state->revision < table->revision)
+		return;
+	if (state->changed_revision > table->revision) {
+		start_pull(mirror, prefix);
+		return;
+	}
+	mirror_table_confirm(table, state->revision);
+	if (prefix->relay_confirmed_us < confirmed_us)
+		prefix->relay_confirmed_us = confirmed_us;
+}
+
+/* A message that arrives after a later one tells nothing new. */
+static bool is_news(struct store_mirror *mirror,
+		    const struct tgw_peer_message *from,
+		    const struct change_message *message)
+{
+	if (from->from_incarnation != mirror->relay_process) {
+		mirror->relay_process = from->from_incarnation;
+		mirror->relay_sequence = 0;
+	}
+	if (message->sequence <= mirror->relay_sequence)
+		return false;
+	mirror->relay_sequence = message->sequence;
+	return true;
+}
+
+static void on_relay(struct store_mirror *mirror,
+		     const struct tgw_peer_message *from,
+		     const struct change_message *message)
+{
+	bool news = is_news(mirror, from, message);
+
+	if (message->kind == CHANGE_MESSAGE_PART)
+		on_part(mirror, message);
+	/* The stamp of a later boot or process would be later than now. */
+	if (!news || message->stamp_us > now_of(mirror))
+		return;
+	mirror->relay_heard_us = now_of(mirror);
+	mirror->relay_store_unreachable = false;
+	for (size_t i = 0; i < message->state_count && i < mirror->prefix_count;
+	     i++) {
+		const struct change_state *state = &message->states[i];
+
+		if (state->store_unreachable)
+			mirror->relay_store_unreachable = true;
+		on_state(mirror, &mirror->prefixes[i], state,
+			 message->stamp_us + message->held_us - state->age_us);
+	}
+}
+
+void store_mirror_on_message(struct store_mirror *mirror,
+			     const struct tgw_peer_message *message)
+{
+	struct change_message decoded;
+
+	if (change_message_decode(&decoded, message->payload,
+				  message->payload_size, NULL) != TGW_OK)
+		return;
+	if (decoded.kind == CHANGE_MESSAGE_FOLLOW ||
+	    decoded.kind == CHANGE_MESSAGE_PULL)
+		on_follower(mirror, message, &decoded);
+	else if (!strcmp(message->from_host, mirror->relay))
+		on_relay(mirror, message, &decoded);
+}
+
+/* The store interface. */
+
+static struct mirrored_prefix *find_prefix(struct store_mirror *mirror,
+					   const char *prefix)
+{
+	for (size_t i = 0; i < mirror->prefix_count; i++)
+		if (!strcmp(mirror->prefixes[i].prefix, prefix))
+			return &mirror->prefixes[i];
+	return NULL;
+}
+
+static void mirror_get(struct tgw_store *store, const char *key,
+		       struct tgw_store_callback callback)
+{
+	tgw_store_get(mirror_of(store)->inner, key, callback);
+}
+
+static void mirror_swap(struct tgw_store *store, const char *key,
+			int64_t expected_version, const void *value,
+			size_t value_size, struct tgw_store_callback callback)
+{
+	tgw_store_swap(mirror_of(store)->inner, key, expected_version, value,
+		       value_size, callback);
+}
+
+/* While the relay lives and does not reach the store either, it is the first to
+ * learn of the store's return. */
+static bool holds_lists(const struct store_mirror *mirror,
+			const struct mirrored_prefix *prefix)
+{
+	int64_t now = now_of(mirror);
+
+	return *mirror->relay && mirror->relay_store_unreachable &&
+	       now - mirror->relay_heard_us < RELAY_ALIVE_US &&
+	       now - prefix->listed_us < HELD_LIST_US;
+}
+
+static void mirror_list(struct tgw_store *store, const char *prefix,
+			struct tgw_store_callback callback)
+{
+	struct store_mirror *mirror = mirror_of(store);
+	struct mirrored_prefix *found = find_prefix(mirror, prefix);
+
+	if (!found) {
+		tgw_store_list(mirror->inner, prefix, callback);
+		return;
+	}
+	mirrored_prefix_add_list(found, callback);
+	if (!is_fresh(mirror, found) && !holds_lists(mirror, found))
+		mirrored_prefix_send_lists(found);
+}
+
+static uint64_t mirror_watch(struct tgw_store *store, const char *prefix,
+			     struct tgw_store_watcher watcher)
+{
+	struct store_mirror *mirror = mirror_of(store);
+	struct mirrored_prefix *found = find_prefix(mirror, prefix);
+	uint64_t handle;
+
+	if (!found)
+		return tgw_store_watch(mirror->inner, prefix, watcher);
+	/* Handles of the store itself are smaller. */
+	handle = UINT64_C(1) << 63 | ++mirror->last_handle;
+	mirrored_prefix_add_watcher(found, handle, &watcher);
+	if (!is_fresh(mirror, found))
+		mirrored_prefix_watch(found, found->prompt, mirror->hold_us);
+	return handle;
+}
+
+static void mirror_unwatch(struct tgw_store *store, uint64_t handle)
+{
+	struct store_mirror *mirror = mirror_of(store);
+
+	for (size_t i = 0; i < mirror->prefix_count; i++)
+		if (mirrored_prefix_remove_watcher(&mirror->prefixes[i],
+						   handle))
+			return;
+	tgw_store_unwatch(mirror->inner, handle);
+}
+
+static const struct tgw_store_ops mirror_ops = {
+	.get = mirror_get,
+	.list = mirror_list,
+	.swap = mirror_swap,
+	.watch = mirror_watch,
+	.unwatch = mirror_unwatch,
+};
+
+struct store_mirror *store_mirror_new(
+	const struct store_mirror_settings *settings, struct tgw_store *store,
+	const struct tgw_clock *clock)
+{
+	struct store_mirror *mirror = xcalloc(1, sizeof(*mirror));
+
+	assert(settings->prefix_count <= CHANGE_PREFIXES_MAX);
+	mirror->store.ops = &mirror_ops;
+	mirror->inner = store;
+	mirror->clock = clock;
+	mirror->peer = settings->peer;
+	mirror->hold_us = settings->apply_us * HOLD_PERCENT / 100;
+	mirror->prefix_count = settings->prefix_count;
+	for (size_t i = 0; i < settings->prefix_count; i++) {
+		mirror->prefixes[i].prefix = settings->prefixes[i];
+		mirror->prefixes[i].store = store;
+		mirror->prefixes[i].clock = clock;
+		mirror->prefixes[i].updated = on_updated;
+		mirror->prefixes[i].arg = mirror;
+	}
+	return mirror;
+}
+
+static void drop_followers(struct store_mirror *mirror, int64_t before_us)
+{
+	struct mirror_follower **link = &mirror->followers;
+
+	while (*link) {
+		struct mirror_follower *follower = *link;
+
+		if (follower->received_us >= before_us) {
+			link = &follower->next;
+			continue;
+		}
+		*link = follower->next;
+		free(follower);
+	}
+}
+
+void store_mirror_free(struct store_mirror *mirror)
+{
+	if (!mirror)
+		return;
+	for (size_t i = 0; i < mirror->prefix_count; i++)
+		mirrored_prefix_clear(&mirror->prefixes[i]);
+	drop_followers(mirror, INT64_MAX);
+	free(mirror);
+}
+
+struct tgw_store *store_mirror_store(struct store_mirror *mirror)
+{
+	return &mirror->store;
+}
+
+void store_mirror_set_relay(struct store_mirror *mirror, const char *relay)
+{
+	if (!strcmp(mirror->relay, relay))
+		return;
+	text_copy(mirror->relay, sizeof(mirror->relay), relay);
+	mirror->relay_sequence = 0;
+	mirror->relay_heard_us = 0;
+	mirror->relay_store_unreachable = false;
+	mirror->follow_sent_us = 0;
+	for (size_t i = 0; i < mirror->prefix_count; i++)
+		mirror->prefixes[i].pull.active = false;
+}
+
+static void tick_prefix(struct store_mirror *mirror,
+			struct mirrored_prefix *prefix)
+{
+	bool has_followers = mirror->followers != NULL;
+
+	if (is_fresh(mirror, prefix)) {
+		if (prefix->watch)
+			mirror->counters.followed_relays++;
+		mirrored_prefix_unwatch(prefix);
+		mirrored_prefix_answer_lists(prefix);
+	} else {
+		if (!prefix->watch && prefix->watchers)
+			mirror->counters.watched_store++;
+		mirrored_prefix_watch(prefix, has_followers, mirror->hold_us);
+		if (!holds_lists(mirror, prefix))
+			mirrored_prefix_send_lists(prefix);
+	}
+	if (prefix->pull.active &&
+	    now_of(mirror) - prefix->pull.asked_us >= PULL_RETRY_US)
+		send_pull(mirror, prefix);
+}
+
+void store_mirror_tick(struct store_mirror *mirror)
+{
+	int64_t now = now_of(mirror);
+
+	drop_followers(mirror, now - FOLLOWER_TIMEOUT_US);
+	if (*mirror->relay &&
+	    now - mirror->follow_sent_us >= FOLLOW_INTERVAL_US)
+		send_follow(mirror);
+	for (size_t i = 0; i < mirror->prefix_count; i++)
+		tick_prefix(mirror, &mirror->prefixes[i]);
+}
+
+bool store_mirror_follows_relay(const struct store_mirror *mirror)
+{
+	for (size_t i = 0; i < mirror->prefix_count; i++)
+		if (!is_fresh(mirror, &mirror->prefixes[i]))
+			return false;
+	return mirror->prefix_count > 0;
+}
+
+size_t store_mirror_follower_count(const struct store_mirror *mirror)
+{
+	size_t count = 0;
+
+	for (const struct mirror_follower *follower = mirror->followers;
+	     follower; follower = follower->next)
+		count++;
+	return count;
+}
+
+const struct store_mirror_counters *store_mirror_get_counters(
+	const struct store_mirror *mirror)
+{
+	return &mirror->counters;
+}
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -65,6 +65,7 @@
 		tgw_quarantine_on_message(runtime->quarantine, message);
 		break;
 	case TGW_PEER_TRANSFER: /* of edge hosts */
+	case TGW_PEER_CHANGES:
 	case TGW_PEER_TOPIC_END:
 		break;
 	}
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -13,6 +13,7 @@
 #include "coordination/backend_follower.h"
 #include "coordination/request_quarantine.h"
 #include "coordination/route_follower.h"
+#include "coordination/store_mirror.h"
 #include "coordination/team_budget.h"
 #include "edge/call_dialect.h"
 #include "edge/edge_log.h"
@@ -84,6 +85,7 @@
 	struct backend_follower *backend_follower;
 	struct route_follower *route_follower;
 	struct edge_peers peers;
+	struct store_mirror *mirror;
 	struct team_budget *budgets;
 	struct request_quarantine *quarantine;
 	struct crash_check *crash_checks; /* running */
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -169,6 +169,9 @@
 {
 	struct edge *edge = arg;
 
+	bool is_self = !strcmp(relay, edge->settings->name);
+
+	store_mirror_set_relay(edge->mirror, is_self ? "" : relay);
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "budget", "relay",
 		      "relay=%s reason=\"%s\"", *relay ? relay : "-", reason);
 }
@@ -223,7 +226,31 @@
 		      "key=%s reason=\"%s\"", key, message);
 }
 
-static void start_budgets(struct edge *edge)
+/* What all hosts follow is watched by few of them. */
+static void start_mirror(struct edge *edge, struct tgw_peer *peer)
+{
+	const struct edge_settings *settings = edge->settings;
+	const char *const prefixes[] = {
+		edge->sources.routes_prefix,
+		edge->sources.backends_prefix,
+		REQUEST_QUARANTINE_PREFIX,
+	};
+	struct store_mirror_settings mirror = {
+		.prefixes = prefixes,
+		.prefix_count = sizeof(prefixes) / sizeof(prefixes[0]),
+		.peer = peer,
+		.apply_us = (settings->apply_ms < settings->drain_ms
+				     ? settings->apply_ms
+				     : settings->drain_ms) *
+			    TGW_US_PER_MS,
+	};
+
+	edge->mirror =
+		store_mirror_new(&mirror, edge->sources.store, &edge_clock);
+}
+
+static void start_budgets(struct edge *edge, struct tgw_peer *peer,
+			  uint64_t incarnation)
 {
 	const struct edge_settings *settings = edge->settings;
 	struct team_budget_settings budget = {
@@ -250,12 +277,10 @@
 		.arg = edge,
 	};
 
-	uint64_t incarnation = tgw_random_incarnation();
-
 	text_copy(budget.host, sizeof(budget.host), settings->name);
 	text_copy(budget.failure_domain, sizeof(budget.failure_domain),
 		  settings->failure_domain);
-	budget.peer = edge_peers_start(edge, incarnation);
+	budget.peer = peer;
 	uv_timer_init(edge->loop, &edge->budget_timer);
 	edge->budget_timer.data = edge;
 	edge->budgets = team_budget_new(&budget, edge->sources.store,
@@ -272,9 +297,9 @@
 		.arg = edge,
 	};
 
-	edge->route_follower =
-		route_follower_new(sources->routes_prefix, sources->routes_key,
-				   sources->store, &edge_clock, &events);
+	edge->route_follower = route_follower_new(
+		sources->routes_prefix, sources->routes_key,
+		store_mirror_store(edge->mirror), &edge_clock, &events);
 }
 
 static void start_backends(struct edge *edge)
@@ -293,9 +318,9 @@
 	edge->backends.freed = on_backend_freed;
 	edge->backends.address_reused = on_address_reused;
 	edge->backends.arg = edge;
-	edge->backend_follower =
-		backend_follower_new(sources->backends_prefix, sources->store,
-				     &edge_clock, &edge->backends, &events);
+	edge->backend_follower = backend_follower_new(
+		sources->backends_prefix, store_mirror_store(edge->mirror),
+		&edge_clock, &edge->backends, &events);
 }
 
 static void start_quarantine(struct edge *edge)
@@ -317,12 +342,17 @@
 	text_copy(quarantine.host, sizeof(quarantine.host),
 		  edge->settings->name);
 	edge->quarantine = request_quarantine_new(
-		&quarantine, edge->sources.store, &edge_clock, &events);
+		&quarantine, store_mirror_store(edge->mirror), &edge_clock,
+		&events);
 }
 
 void edge_followers_start(struct edge *edge)
 {
-	start_budgets(edge);
+	uint64_t incarnation = tgw_random_incarnation();
+	struct tgw_peer *peer = edge_peers_start(edge, incarnation);
+
+	start_mirror(edge, peer);
+	start_budgets(edge, peer, incarnation);
 	start_routes(edge);
 	start_backends(edge);
 	start_quarantine(edge);
@@ -331,6 +361,7 @@
 
 void edge_followers_tick(struct edge *edge)
 {
+	store_mirror_tick(edge->mirror);
 	backend_follower_tick(edge->backend_follower);
 	route_follower_tick(edge->route_follower);
 	request_quarantine_tick(edge->quarantine);
@@ -341,7 +372,8 @@
 {
 	route_follower_free(edge->route_follower);
 	backend_follower_free(edge->backend_follower);
+	request_quarantine_free(edge->quarantine);
+	store_mirror_free(edge->mirror);
 	team_budget_free(edge->budgets);
 	edge_peers_free(edge);
-	request_quarantine_free(edge->quarantine);
 }
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -86,6 +86,25 @@
 	add_gauge(text, "peer_hosts", (double)edge_peers_count(edge));
 }
 
+static void add_mirror(const struct edge *edge, struct buffer *text)
+{
+	const struct store_mirror_counters *counters =
+		store_mirror_get_counters(edge->mirror);
+
+	add_counter(text, "mirror_followed_relays_total",
+		    counters->followed_relays);
+	add_counter(text, "mirror_watched_store_total",
+		    counters->watched_store);
+	add_counter(text, "mirror_changes_received_total",
+		    counters->changes_received);
+	add_counter(text, "mirror_changes_sent_total", counters->changes_sent);
+	add_counter(text, "mirror_pulls_total", counters->pulls);
+	add_gauge(text, "mirror_followers",
+		  (double)store_mirror_follower_count(edge->mirror));
+	add_gauge(text, "mirror_follows_relay",
+		  store_mirror_follows_relay(edge->mirror));
+}
+
 static void write_metrics(const struct edge *edge, struct buffer *text)
 {
 	const struct edge_counters *counters = &edge->counters;
@@ -120,6 +139,7 @@
 		    ledger->received_tokens);
 	add_counter(text, "budget_given_tokens_total", ledger->given_tokens);
 	add_peers(edge, text);
+	add_mirror(edge, text);
 	add_counter(text, "log_lines_dropped_total", edge->log.dropped_total);
 	add_gauge(text, "open_requests", edge->call_count);
 	add_gauge(text, "caller_connections", edge->conn_count);
--- a/src/edge/edge_peers.c
+++ b/src/edge/edge_peers.c
@@ -24,6 +24,8 @@
 		peer_directory_on_unknown(edge->peers.directory);
 	if (message->topic == TGW_PEER_TRANSFER)
 		team_budget_on_message(edge->budgets, message);
+	else if (message->topic == TGW_PEER_CHANGES)
+		store_mirror_on_message(edge->mirror, message);
 }
 
 static void on_key(void *arg, const struct peer_key *key)
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -7,6 +7,8 @@
 
 #define DEFAULT_LATENCY_US INT64_C(3000)
 #define OUTAGE_TIMEOUT_US (INT64_C(200) * TGW_US_PER_MS)
+/* A call of a watch takes this long when nothing changes. */
+#define WATCH_CALL_US (INT64_C(500) * TGW_US_PER_MS)
 #define PAUSED_RETRY_US (INT64_C(50) * TGW_US_PER_MS)
 
 enum operation_kind { OPERATION_GET, OPERATION_LIST, OPERATION_SWAP };
@@ -25,6 +27,7 @@
 	enum tgw_status status;
 	struct fake_store_key *found;
 	size_t found_count;
+	int64_t revision; /* of a list */
 };
 
 struct fake_store_watch {
@@ -32,13 +35,16 @@
 	uint64_t handle;
 	char *prefix;
 	struct tgw_store_watcher watcher;
+	bool missed; /* changes since the last list */
 };
 
 struct watch_event {
 	struct fake_store *client;
 	uint64_t client_generation;
 	uint64_t handle;
-	bool lost; /* changes may have been missed; key is empty */
+	bool lost;     /* changes may have been missed; key is empty */
+	bool confirms; /* no more changes up to the revision; key is empty */
+	int64_t revision;
 	struct fake_store_key key;
 };
 
@@ -149,6 +155,7 @@
 		.value_size = event->key.value_size,
 		.version = event->key.value ? event->key.version
 					    : TGW_STORE_ABSENT,
+		.deleted_version = event->key.value ? 0 : event->key.version,
 	};
 
 	if (client->generation == event->client_generation && client->paused) {
@@ -160,9 +167,15 @@
 	}
 	watch = find_watch(client, event->handle);
 	if (client->generation == event->client_generation && watch) {
+		watch->missed |= event->lost || is_unreachable(client);
 		if (event->lost)
 			watch->watcher.lost(watch->watcher.arg);
-		else if (!is_unreachable(client))
+		else if (event->confirms && !watch->missed)
+			watch->watcher.confirmed(watch->watcher.arg,
+						 event->revision);
+		else if (event->confirms && is_unreachable(client))
+			watch->watcher.unreachable(watch->watcher.arg);
+		else if (!event->confirms && !is_unreachable(client))
 			watch->watcher.changed(watch->watcher.arg, &entry);
 	}
 	free_watch_event(event);
@@ -186,6 +199,61 @@
 				    event);
 }
 
+/* A watch that is interested makes one call after the other. */
+static void confirm(void *arg)
+{
+	struct watch_event *call = arg;
+	struct fake_store *client = call->client;
+	const struct fake_store_watch *watch = find_watch(client, call->handle);
+	struct watch_event *event;
+
+	if (client->generation != call->client_generation || !watch) {
+		free_watch_event(call);
+		return;
+	}
+	event = xcalloc(1, sizeof(*event));
+	*event = *call;
+	event->confirms = true;
+	event->revision = client->server->revision;
+	if (client->watch_broken || client->paused)
+		free_watch_event(event);
+	else
+		fake_world_after_or_release(client->server->world,
+					    client->server->latency_us,
+					    deliver_watch_event,
+					    free_watch_event, event);
+	client->server->watch_calls++;
+	fake_world_after_or_release(
+		client->server->world,
+		watch->watcher.idle_us ? watch->watcher.idle_us : WATCH_CALL_US,
+		confirm, free_watch_event, call);
+}
+
+static void start_confirming(struct fake_store *client,
+			     const struct fake_store_watch *watch)
+{
+	struct watch_event *call = xcalloc(1, sizeof(*call));
+
+	call->client = client;
+	call->client_generation = client->generation;
+	call->handle = watch->handle;
+	fake_world_after_or_release(client->server->world, 0, confirm,
+				    free_watch_event, call);
+}
+
+/* Reports what was written after the revision. */
+static void report_later(struct fake_store *client,
+			 const struct fake_store_watch *watch)
+{
+	const struct fake_store_server *server = client->server;
+
+	for (size_t i = 0; i < server->key_count; i++)
+		if (has_prefix(server->keys[i].name, watch->prefix) &&
+		    server->keys[i].version > watch->watcher.after_revision)
+			send_watch_event(client, watch, false,
+					 &server->keys[i]);
+}
+
 static void notify_watchers(struct fake_store_server *server,
 			    const struct fake_store_key *key)
 {
@@ -244,6 +312,8 @@
 {
 	const struct fake_store_server *server = operation->client->server;
 
+	operation->revision = server->revision;
+
 	for (size_t i = lower_bound(server, operation->key);
 	     i < server->key_count &&
 	     has_prefix(server->keys[i].name, operation->key);
@@ -291,6 +361,17 @@
 	free(operation);
 }
 
+/* Watches of a listed prefix go on after the list. */
+static void start_watches(const struct operation *operation)
+{
+	if (operation->kind != OPERATION_LIST || operation->status != TGW_OK)
+		return;
+	for (struct fake_store_watch *watch = operation->client->watches; watch;
+	     watch = watch->next)
+		if (!strcmp(watch->prefix, operation->key))
+			watch->missed = false;
+}
+
 static void deliver_response(void *arg)
 {
 	struct operation *operation = arg;
@@ -308,6 +389,7 @@
 					    free_operation, operation);
 		return;
 	}
+	start_watches(operation);
 	entries = xcalloc(operation->found_count, sizeof(entries[0]));
 	for (size_t i = 0; i < operation->found_count; i++) {
 		entries[i].key = operation->found[i].name;
@@ -318,6 +400,7 @@
 	result.entries = entries;
 	result.entry_count = operation->found_count;
 	result.message = tgw_status_name(operation->status);
+	result.revision = operation->revision;
 	operation->callback.done(operation->callback.arg, &result);
 	free(entries);
 	free_operation(operation);
@@ -458,6 +541,10 @@
 	watch->watcher = watcher;
 	watch->next = client->watches;
 	client->watches = watch;
+	if (watcher.after_revision)
+		report_later(client, watch);
+	if (watcher.confirmed)
+		start_confirming(client, watch);
 	return watch->handle;
 }
 
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -34,6 +34,7 @@
 	uint64_t reads;
 	uint64_t writes;
 	uint64_t conflicts;
+	uint64_t watch_calls; /**< of watches that ask for confirmations */
 };
 
 struct fake_store_watch;
--- a/tests/fuzz/fuzz_peer.c
+++ b/tests/fuzz/fuzz_peer.c
@@ -3,9 +3,11 @@
 #include "fuzz/fuzz_target.h"
 #include "protocol/peer_frame.h"
 #include "state/budget_message.h"
+#include "state/change_message.h"
 #include "state/claim_message.h"
 #include "state/config_message.h"
 #include "state/heartbeat.h"
+#include "state/mirror_table.h"
 #include "state/peer_host.h"
 #include "state/peer_key.h"
 #include "state/quarantine_message.h"
@@ -65,6 +67,32 @@
 	buffer_free(&bytes);
 }
 
+static void fuzz_change(const uint8_t *data, size_t size)
+{
+	struct change_message message;
+	struct buffer bytes = {0};
+
+	if (change_message_decode(&message, data, size, NULL) == TGW_OK)
+		change_message_encode(&message, &bytes);
+	buffer_free(&bytes);
+}
+
+static void ignore_change(void *arg, const struct tgw_store_entry *entry)
+{
+}
+
+static void fuzz_table(const uint8_t *data, size_t size)
+{
+	struct mirror_listener listener = {ignore_change, NULL};
+	struct mirror_table table = {0};
+	struct buffer bytes = {0};
+
+	mirror_table_decode(&table, data, size, &listener);
+	mirror_table_encode(&table, 0, &bytes);
+	buffer_free(&bytes);
+	mirror_table_clear(&table);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static struct heartbeat heartbeat;
@@ -74,7 +102,7 @@
 		return 0;
 	data++;
 	size--;
-	switch (data[-1] % 8) {
+	switch (data[-1] % 10) {
 	case 0:
 		heartbeat_decode(&heartbeat, data, size, NULL);
 		break;
@@ -96,6 +124,12 @@
 	case 7:
 		fuzz_records(data, size);
 		break;
+	case 8:
+		fuzz_change(data, size);
+		break;
+	case 9:
+		fuzz_table(data, size);
+		break;
 	default:
 		fuzz_budget(data, size);
 		break;
--- a/tests/unit/test_datagram_channel.c
+++ b/tests/unit/test_datagram_channel.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -168,7 +169,7 @@
 	int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
 
 	tgw_random_init(&random, 1);
-	to.sin_port = htons((uint16_t)atoi(port));
+	to.sin_port = htons((uint16_t)strtol(port, NULL, 10));
 	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	for (int i = 0; i < JUNK_DATAGRAMS; i++) {
 		size_t size = tgw_random_below(&random, sizeof(junk));
