Make failed calls for budgets again at once when the store is back

Change: the report that the store is reachable ends these backoffs. A relay that does not reach the pools says so, and what it can't give is refused as unavailable, not as held by others. Hosts that start together no longer all write the fleet's key, and do not watch the store before they can know their relay.

--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -128,6 +128,9 @@
 	message->is_report = is_report;
 	message->leaving = budgets->closing;
 	message->store_unreachable = budgets->store_unreachable;
+	for (uint32_t i = 0; i < budgets->key_count; i++)
+		if (!budgets->keys[i].store_answers)
+			message->store_unreachable = true;
 }
 
 static struct transfer_entry *next_entry(struct budget_relay *relay,
--- a/src/coordination/cap_writer.c
+++ b/src/coordination/cap_writer.c
@@ -152,6 +152,12 @@
 	send_open(writer);
 }
 
+void cap_writer_retry(struct cap_writer *writer)
+{
+	writer->backoff_us = 0;
+	writer->due_us = 0;
+}
+
 void cap_writer_tick(struct cap_writer *writer)
 {
 	if (writer->state != CAP_WRITER_UNREAD &&
--- a/src/coordination/cap_writer.h
+++ b/src/coordination/cap_writer.h
@@ -70,6 +70,9 @@
 void cap_writer_write(struct cap_writer *writer,
 		      const struct cap_record *record);
 
+/** Ends the backoff after a failed call. */
+void cap_writer_retry(struct cap_writer *writer);
+
 /** Makes the store call that is due. */
 void cap_writer_tick(struct cap_writer *writer);
 
--- a/src/coordination/peer_directory.c
+++ b/src/coordination/peer_directory.c
@@ -279,14 +279,17 @@
 
 	if (directory->calling)
 		return;
-	if (directory->listed_us && !directory->key_known) {
-		write_key(directory);
-		return;
-	}
 	if (directory->listed_us && !directory->registered) {
 		write_self(directory);
 		return;
 	}
+	/* Of the hosts that start together, the first that is settled writes
+	 * the key, and most others find it. */
+	if (directory->listed_us && directory->settled &&
+	    !directory->key_known) {
+		write_key(directory);
+		return;
+	}
 	if (now >= directory->due_us)
 		list(directory);
 }
--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -41,8 +41,10 @@
 	struct tgw_store *inner;
 	const struct tgw_clock *clock;
 	struct tgw_peer *peer;
-	uint64_t sequence; /**< of the last message */
-	int64_t hold_us;   /**< of a watch that others follow */
+	uint64_t sequence;     /**< of the last message */
+	int64_t hold_us;       /**< of a watch that others follow */
+	int64_t discovered_us; /**< a relay is known by then, or there is none
+				*/
 	uint64_t last_handle;
 	char relay[TGW_NAME_SIZE]; /**< empty: none */
 	uint64_t relay_process;
@@ -74,6 +76,13 @@
 		       mirror->hold_us + FRESH_MARGIN_US;
 }
 
+static bool is_to_be_watched(const struct store_mirror *mirror,
+			     const struct mirrored_prefix *prefix)
+{
+	return !is_fresh(mirror, prefix) &&
+	       now_of(mirror) >= mirror->discovered_us;
+}
+
 /* Sending. */
 
 static void send(struct store_mirror *mirror, const char *host,
@@ -450,7 +459,7 @@
 	/* Handles of the store itself are smaller. */
 	handle = UINT64_C(1) << 63 | ++mirror->last_handle;
 	mirrored_prefix_add_watcher(found, handle, &watcher);
-	if (!is_fresh(mirror, found))
+	if (is_to_be_watched(mirror, found))
 		mirrored_prefix_watch(found, found->prompt, mirror->hold_us);
 	return handle;
 }
@@ -486,6 +495,9 @@
 	mirror->clock = clock;
 	mirror->peer = settings->peer;
 	mirror->hold_us = settings->apply_us * HOLD_PERCENT / 100;
+	mirror->discovered_us = now_of(mirror);
+	if (settings->peer)
+		mirror->discovered_us += settings->discovery_us;
 	mirror->prefix_count = settings->prefix_count;
 	for (size_t i = 0; i < settings->prefix_count; i++) {
 		mirror->prefixes[i].prefix = settings->prefixes[i];
@@ -530,6 +542,8 @@
 
 void store_mirror_set_relay(struct store_mirror *mirror, const char *relay)
 {
+	if (!*relay && mirror->discovered_us > now_of(mirror))
+		mirror->discovered_us = now_of(mirror);
 	if (!strcmp(mirror->relay, relay))
 		return;
 	text_copy(mirror->relay, sizeof(mirror->relay), relay);
@@ -541,20 +555,25 @@
 		mirror->prefixes[i].pull.active = false;
 }
 
+static void watch(struct store_mirror *mirror, struct mirrored_prefix *prefix)
+{
+	if (!prefix->watch && prefix->watchers)
+		mirror->counters.watched_store++;
+	mirrored_prefix_watch(prefix, mirror->followers != NULL,
+			      mirror->hold_us);
+}
+
 static void tick_prefix(struct store_mirror *mirror,
 			struct mirrored_prefix *prefix)
 {
-	bool has_followers = mirror->followers != NULL;
-
 	if (is_fresh(mirror, prefix)) {
 		if (prefix->watch)
 			mirror->counters.followed_relays++;
 		mirrored_prefix_unwatch(prefix);
 		mirrored_prefix_answer_lists(prefix);
 	} else {
-		if (!prefix->watch && prefix->watchers)
-			mirror->counters.watched_store++;
-		mirrored_prefix_watch(prefix, has_followers, mirror->hold_us);
+		if (is_to_be_watched(mirror, prefix))
+			watch(mirror, prefix);
 		if (!holds_lists(mirror, prefix))
 			mirrored_prefix_send_lists(prefix);
 	}
--- a/src/coordination/store_mirror.h
+++ b/src/coordination/store_mirror.h
@@ -32,6 +32,9 @@
 	struct tgw_peer *peer;
 	/** Time within which a change has to be known here. */
 	int64_t apply_us;
+	/** Time from the start in which a relay may become known; before that
+	 * no prefix is watched, only listed. */
+	int64_t discovery_us;
 };
 
 struct store_mirror_counters {
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -199,7 +199,15 @@
 void team_budget_set_store_unreachable(struct team_budget *budgets,
 				       bool unreachable)
 {
+	bool is_back = budgets->store_unreachable && !unreachable;
+
 	budgets->store_unreachable = unreachable;
+	if (!is_back)
+		return;
+	/* Calls that failed are made again now, not after their backoff. */
+	cap_writer_retry(&budgets->cap_writer);
+	for (uint32_t i = 0; i < budgets->key_count; i++)
+		team_budget_key_retry(&budgets->keys[i]);
 }
 
 void team_budget_record_demand(struct team_budget *budgets, const char *team,
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -277,6 +277,15 @@
 	team_budget_notify_changed(key->budgets);
 }
 
+void team_budget_key_retry(struct team_budget_key *key)
+{
+	if (key->store_answers)
+		return;
+	key->backoff_us = 0;
+	if (key->state == TEAM_BUDGET_KEY_IDLE)
+		team_budget_key_set_due(key, team_budget_now_us(key->budgets));
+}
+
 static void report_failure(const struct team_budget_key *key, const char *call,
 			   enum tgw_status status, const char *message)
 {
--- a/src/coordination/team_budget_key.h
+++ b/src/coordination/team_budget_key.h
@@ -122,6 +122,9 @@
 /** Sets when the key is checked next. */
 void team_budget_key_set_due(struct team_budget_key *key, int64_t due_us);
 
+/** Ends the backoff after a failed call. */
+void team_budget_key_retry(struct team_budget_key *key);
+
 /** @return whether the key has to be read or written now */
 bool team_budget_key_is_due(struct team_budget_key *key, int64_t now);
 
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -10,6 +10,8 @@
 #include "edge/edge_peers.h"
 #include "state/request_fingerprint.h"
 
+/* A starting host watches the store by itself if it has no relay by then. */
+#define PEER_DISCOVERY_US (2500 * TGW_US_PER_MS)
 /* The store removes a server's entry after so many heartbeats without one. */
 #define MISSED_HEARTBEATS 3
 
@@ -243,6 +245,7 @@
 				     ? settings->apply_ms
 				     : settings->drain_ms) *
 			    TGW_US_PER_MS,
+		.discovery_us = PEER_DISCOVERY_US,
 	};
 
 	edge->mirror =
--- a/tests/unit/test_team_budget_faults.c
+++ b/tests/unit/test_team_budget_faults.c
@@ -26,6 +26,26 @@
 }
 END_TEST
 
+/* Its other calls find out first. */
+START_TEST(a_host_that_reaches_the_store_again_gets_tokens_at_once)
+{
+	struct budget_rig_host *host = &budget_rig.hosts[0];
+
+	budget_rig_advance(5 * TGW_US_PER_S);
+	fake_store_set_partitioned(&host->store, true);
+	team_budget_set_store_unreachable(host->budgets, true);
+	budget_rig_advance(8 * TGW_US_PER_S + _i * BUDGET_RIG_STEP_US);
+	while (budget_rig_open_request(host, 500) == TGW_OK)
+		budget_rig_end_request(host, 500);
+	fake_store_set_partitioned(&host->store, false);
+	team_budget_set_store_unreachable(host->budgets, false);
+	/* A call that is open fails first, after 200 ms. */
+	budget_rig_advance(400 * TGW_US_PER_MS);
+	ck_assert_int_eq(budget_rig_open_request(host, 500), TGW_OK);
+	budget_rig_end_request(host, 500);
+}
+END_TEST
+
 START_TEST(a_partitioned_host_keeps_its_last_tokens_for_urgent_routes)
 {
 	int64_t spent[3] = {0};
@@ -324,6 +344,9 @@
 	tcase_add_checked_fixture(tcase, budget_rig_setup, budget_rig_teardown);
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, a_partitioned_host_spends_only_its_allotment);
+	tcase_add_loop_test(
+		tcase, a_host_that_reaches_the_store_again_gets_tokens_at_once,
+		0, 50);
 	tcase_add_test(
 		tcase,
 		a_partitioned_host_keeps_its_last_tokens_for_urgent_routes);
