--- a/tests/unit/test_team_budget_fleet.c
+++ b/tests/unit/test_team_budget_fleet.c
@@ -6,6 +6,7 @@
 #include "unit/unit_main.h"
 
 #define HOSTS 84
+#define DOMAINS 6
 #define KEYS 4 /* as the edge's default */
 #define FAST_HOSTS 8
 #define TEAMS 24
@@ -37,10 +38,12 @@
 	return slow_links(host);
 }
 
-static void start_fleet(uint64_t seed, int64_t (*link_bytes_per_s)(size_t host))
+static void start_fleet(uint64_t seed, size_t domain_count,
+			int64_t (*link_bytes_per_s)(size_t host))
 {
 	const struct team_fleet_settings settings = {
 		.host_count = HOSTS,
+		.domain_count = domain_count,
 		.team_count = TEAMS,
 		.key_count = KEYS,
 		.request_tokens = REQUEST_TOKENS,
@@ -69,9 +72,10 @@
 	}
 }
 
-static void play_day(uint64_t seed, int64_t (*link_bytes_per_s)(size_t host))
+static void play_day(uint64_t seed, size_t domain_count,
+		     int64_t (*link_bytes_per_s)(size_t host))
 {
-	start_fleet(seed, link_bytes_per_s);
+	start_fleet(seed, domain_count, link_bytes_per_s);
 	team_fleet_play(LEAD_S * TGW_US_PER_S, false);
 	team_fleet_play(DAY_S * TGW_US_PER_S, true);
 	team_fleet_check_no_overspending();
@@ -81,13 +85,21 @@
 
 START_TEST(a_slow_link_does_not_starve_a_team_that_sends_to_one_host)
 {
-	play_day((uint64_t)_i, slow_links);
+	play_day((uint64_t)_i, 0, slow_links);
 }
 END_TEST
 
 START_TEST(a_busy_link_does_not_starve_a_team_that_sends_to_one_host)
 {
-	play_day((uint64_t)_i, busy_links);
+	play_day((uint64_t)_i, 0, busy_links);
+}
+END_TEST
+
+/* As the edge runs: hosts take tokens from the relay of their failure domain.
+ */
+START_TEST(hosts_with_relays_serve_all_teams_on_busy_links)
+{
+	play_day((uint64_t)_i, DOMAINS, busy_links);
 }
 END_TEST
 
@@ -95,7 +107,7 @@
 {
 	uint64_t calls;
 
-	start_fleet(1, slow_links);
+	start_fleet(1, 0, slow_links);
 	team_fleet_play(LEAD_S * TGW_US_PER_S, false);
 	calls = team_fleet.server.reads + team_fleet.server.writes;
 	team_fleet_play(DAY_S * TGW_US_PER_S, false);
@@ -121,6 +133,9 @@
 		tcase,
 		a_busy_link_does_not_starve_a_team_that_sends_to_one_host, 1,
 		1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    hosts_with_relays_serve_all_teams_on_busy_links, 1,
+			    1 + SEEDS);
 	tcase_add_test(tcase, a_fleet_makes_few_store_calls_without_demand);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
