--- a/src/base/msgpack_guard.c
+++ b/src/base/msgpack_guard.c
@@ -110,3 +110,14 @@
 		return MSGPACK_UNPACK_PARSE_ERROR;
 	return msgpack_unpack_next(result, data, size, offset);
 }
+
+bool msgpack_guard_unpack(msgpack_unpacked *unpacked, const void *data,
+			  size_t size)
+{
+	size_t at = 0;
+
+	msgpack_unpacked_init(unpacked);
+	return msgpack_guard_next(unpacked, data, size, &at) ==
+		       MSGPACK_UNPACK_SUCCESS &&
+	       at == size;
+}
--- a/src/base/msgpack_guard.h
+++ b/src/base/msgpack_guard.h
@@ -22,4 +22,10 @@
 					 const char *data, size_t size,
 					 size_t *offset);
 
+/** Unpacks data that consists of one value.
+ * @param unpacked is initialized, and has to be destroyed in any case
+ * @return false if the data is anything else */
+bool msgpack_guard_unpack(msgpack_unpacked *unpacked, const void *data,
+			  size_t size);
+
 #endif
--- a/src/protocol/peer_frame.c
+++ b/src/protocol/peer_frame.c
@@ -68,12 +68,8 @@
 {
 	msgpack_unpacked unpacked;
 	enum tgw_status status;
-	size_t offset = 0;
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_guard_next(&unpacked, bytes, size, &offset) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    offset != size)
+	if (!msgpack_guard_unpack(&unpacked, bytes, size))
 		status = tgw_error_set(error, TGW_CORRUPT,
 				       "the header of a peer message can't be "
 				       "decoded; check the sender's version");
--- a/src/state/budget_pool_codec.c
+++ b/src/state/budget_pool_codec.c
@@ -3,7 +3,6 @@
 #include <msgpack.h>
 #include <string.h>
 
-#include "base/msgpack_guard.h"
 #include "base/xalloc.h"
 #include "state/checked_value.h"
 #include "state/ledger_codec.h"
@@ -89,47 +88,47 @@
 
 /* Arrays are allocated by their element counts, which the size of the body
  * bounds: each element takes at least one byte. */
-static bool decode_body(struct budget_pool *pool, const uint8_t *body,
-			size_t size)
+/* Arrays are allocated by their element counts, which the size of the body
+ * bounds: each element takes at least one byte. */
+static bool read_budgets(struct budget_pool *pool, struct wire_reader *budgets)
 {
-	struct wire_reader reader;
-	struct wire_reader budgets;
-	struct wire_reader hosts;
-	msgpack_unpacked unpacked;
-	uint64_t key_count;
-	size_t at = 0;
-	bool valid = false;
-
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_guard_next(&unpacked, (const char *)body, size, &at) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    at != size)
-		goto out;
-	reader = wire_reader_of(&unpacked.data);
-	key_count = wire_reader_u64(&reader);
-	budgets = wire_reader_array(&reader);
-	hosts = wire_reader_array(&reader);
-	if (reader.failed || key_count > UINT32_MAX)
-		goto out;
-	pool->key_count = (uint32_t)key_count;
-	pool->budgets = xcalloc(budgets.left, sizeof(pool->budgets[0]));
-	while (budgets.left && !reader.failed) {
-		struct wire_reader inner = wire_reader_array(&budgets);
+	pool->budgets = xcalloc(budgets->left, sizeof(pool->budgets[0]));
+	while (budgets->left) {
+		struct wire_reader inner = wire_reader_array(budgets);
 
 		decode_budget(&pool->budgets[pool->budget_count++], &inner);
-		reader.failed |= inner.failed;
+		if (inner.failed)
+			return false;
 	}
-	pool->hosts = xcalloc(hosts.left, sizeof(pool->hosts[0]));
-	while (hosts.left && !reader.failed) {
-		struct wire_reader inner = wire_reader_array(&hosts);
+	return true;
+}
+
+static bool read_hosts(struct budget_pool *pool, struct wire_reader *hosts)
+{
+	pool->hosts = xcalloc(hosts->left, sizeof(pool->hosts[0]));
+	while (hosts->left) {
+		struct wire_reader inner = wire_reader_array(hosts);
 
 		decode_host(&pool->hosts[pool->host_count++], &inner);
-		reader.failed |= inner.failed;
+		if (inner.failed)
+			return false;
 	}
-	valid = !reader.failed && is_sorted(pool);
-out:
-	msgpack_unpacked_destroy(&unpacked);
-	return valid;
+	return true;
+}
+
+static bool read_body(void *arg, const msgpack_object *body)
+{
+	struct wire_reader reader = wire_reader_of(body);
+	struct budget_pool *pool = arg;
+	uint64_t key_count = wire_reader_u64(&reader);
+	struct wire_reader budgets = wire_reader_array(&reader);
+	struct wire_reader hosts = wire_reader_array(&reader);
+
+	if (reader.failed || key_count > UINT32_MAX)
+		return false;
+	pool->key_count = (uint32_t)key_count;
+	return read_budgets(pool, &budgets) && read_hosts(pool, &hosts) &&
+	       is_sorted(pool);
 }
 
 static enum tgw_status decode_earlier_version(struct budget_pool *pool,
@@ -146,17 +145,6 @@
 	return status;
 }
 
-/* @param reader is behind the version */
-static bool decode_checked_body(struct budget_pool *pool,
-				struct wire_reader *reader)
-{
-	const uint8_t *body;
-	size_t size;
-
-	return checked_value_read(reader, &body, &size) &&
-	       decode_body(pool, body, size);
-}
-
 enum tgw_status budget_pool_codec_decode(struct budget_pool *pool,
 					 const void *bytes, size_t size,
 					 struct tgw_error *error)
@@ -175,7 +163,7 @@
 		goto out;
 	if (version < BUDGET_POOL_FORMAT_VERSION)
 		status = decode_earlier_version(pool, bytes, size, error);
-	else if (decode_checked_body(pool, &reader))
+	else if (checked_value_read(&reader, read_body, pool))
 		status = budget_pool_check(pool, error);
 	else
 		status = checked_value_report_damage(&kind, size, error);
--- a/src/state/cap_record.c
+++ b/src/state/cap_record.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "base/msgpack_guard.h"
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "state/checked_value.h"
@@ -135,48 +134,24 @@
 
 /* The size of the body bounds the memory for its entries: each takes at least
  * one byte. */
-static bool decode_body(struct cap_record *record, const uint8_t *body,
-			size_t size)
+static bool read_body(void *arg, const msgpack_object *body)
 {
-	struct wire_reader reader;
-	msgpack_unpacked unpacked;
-	size_t at = 0;
-	bool valid = false;
-
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_guard_next(&unpacked, (const char *)body, size, &at) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    at != size)
-		goto out;
-	reader = wire_reader_of(&unpacked.data);
-	valid = decode_fields(record, &reader);
-out:
-	msgpack_unpacked_destroy(&unpacked);
-	return valid;
+	struct wire_reader reader = wire_reader_of(body);
+
+	return decode_fields(arg, &reader);
 }
 
 enum tgw_status cap_record_decode(struct cap_record *record, const void *bytes,
 				  size_t size, struct tgw_error *error)
 {
 	enum tgw_status status;
-	struct wire_reader reader;
-	msgpack_unpacked unpacked;
-	const uint8_t *body;
-	size_t body_size;
-	uint64_t version;
 
 	memset(record, 0, sizeof(*record));
 	if (!size)
 		return TGW_OK;
-	status = checked_value_open(&kind, &unpacked, bytes, size, &reader,
-				    &version, error);
-	if (status == TGW_OK &&
-	    (version != CAP_RECORD_FORMAT_VERSION ||
-	     !checked_value_read(&reader, &body, &body_size) ||
-	     !decode_body(record, body, body_size)))
-		status = checked_value_report_damage(&kind, size, error);
+	status = checked_value_decode(&kind, bytes, size, read_body, record,
+				      error);
 	if (status != TGW_OK)
 		cap_record_clear(record);
-	msgpack_unpacked_destroy(&unpacked);
 	return status;
 }
--- a/src/state/checked_value.c
+++ b/src/state/checked_value.c
@@ -35,12 +35,7 @@
 				   uint64_t *format_version,
 				   struct tgw_error *error)
 {
-	size_t at = 0;
-
-	msgpack_unpacked_init(unpacked);
-	if (msgpack_guard_next(unpacked, value, size, &at) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    at != size)
+	if (!msgpack_guard_unpack(unpacked, value, size))
 		return checked_value_report_damage(kind, size, error);
 	*reader = wire_reader_of(&unpacked->data);
 	*format_version = wire_reader_u64(reader);
@@ -54,13 +49,47 @@
 	return TGW_OK;
 }
 
-bool checked_value_read(struct wire_reader *reader, const uint8_t **body,
-			size_t *size)
+static bool decode_body(const uint8_t *body, size_t size,
+			bool (*read)(void *arg, const msgpack_object *body),
+			void *arg)
+{
+	msgpack_unpacked unpacked;
+	bool valid = msgpack_guard_unpack(&unpacked, body, size) &&
+		     read(arg, &unpacked.data);
+
+	msgpack_unpacked_destroy(&unpacked);
+	return valid;
+}
+
+bool checked_value_read(struct wire_reader *reader,
+			bool (*read)(void *arg, const msgpack_object *body),
+			void *arg)
 {
 	uint64_t checksum;
+	size_t size;
+	const uint8_t *body = wire_reader_bytes(reader, &size);
 
-	*body = wire_reader_bytes(reader, size);
 	checksum = wire_reader_u64(reader);
 	return !reader->failed && !reader->left &&
-	       checksum == XXH64(*body, *size, 0);
+	       checksum == XXH64(body, size, 0) &&
+	       decode_body(body, size, read, arg);
+}
+
+enum tgw_status checked_value_decode(const struct checked_value_kind *kind,
+				     const void *value, size_t size,
+				     bool (*read)(void *arg,
+						  const msgpack_object *body),
+				     void *arg, struct tgw_error *error)
+{
+	struct wire_reader reader;
+	msgpack_unpacked unpacked;
+	uint64_t version = 0;
+	enum tgw_status status = checked_value_open(
+		kind, &unpacked, value, size, &reader, &version, error);
+
+	if (status == TGW_OK && (version != kind->format_version ||
+				 !checked_value_read(&reader, read, arg)))
+		status = checked_value_report_damage(kind, size, error);
+	msgpack_unpacked_destroy(&unpacked);
+	return status;
 }
--- a/src/state/checked_value.h
+++ b/src/state/checked_value.h
@@ -37,12 +37,21 @@
 				   uint64_t *format_version,
 				   struct tgw_error *error);
 
-/** Reads the body and the checksum.
+/** Reads the body and the checksum, and decodes the body.
  * @param reader of the outer array, behind the version
- * @param body receives bytes that live as long as the reader's object
- * @return false if the body is damaged */
-bool checked_value_read(struct wire_reader *reader, const uint8_t **body,
-			size_t *size);
+ * @param read receives the decoded body, and returns whether it is valid
+ * @return false if the body is damaged or not valid */
+bool checked_value_read(struct wire_reader *reader,
+			bool (*read)(void *arg, const msgpack_object *body),
+			void *arg);
+
+/** Decodes a value that has no earlier format.
+ * @return OK; CORRUPT or NEWER_FORMAT with a message */
+enum tgw_status checked_value_decode(const struct checked_value_kind *kind,
+				     const void *value, size_t size,
+				     bool (*read)(void *arg,
+						  const msgpack_object *body),
+				     void *arg, struct tgw_error *error);
 
 /** @return CORRUPT, with a message that names the remedy
  * @param size of the value */
--- a/src/state/mirror_table.c
+++ b/src/state/mirror_table.c
@@ -339,12 +339,9 @@
 	enum tgw_status status = TGW_CORRUPT;
 	struct changes changes;
 	msgpack_unpacked unpacked;
-	size_t at = 0;
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_guard_next(&unpacked, bytes, size, &at) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    at != size || !read_changes(&unpacked.data, &changes))
+	if (!msgpack_guard_unpack(&unpacked, bytes, size) ||
+	    !read_changes(&unpacked.data, &changes))
 		goto out;
 	status = TGW_CONFLICT;
 	if (changes.after_revision != AFTER_ALL &&
--- a/src/state/peer_host.c
+++ b/src/state/peer_host.c
@@ -5,7 +5,6 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "base/msgpack_guard.h"
 #include "state/checked_value.h"
 #include "state/msgpack_field.h"
 
@@ -32,52 +31,25 @@
 	buffer_free(&body);
 }
 
-static bool decode_body(struct peer_host *host, const uint8_t *body,
-			size_t size)
+static bool read_body(void *arg, const msgpack_object *body)
 {
-	struct wire_reader reader;
-	msgpack_unpacked unpacked;
-	size_t at = 0;
-	bool valid = false;
+	struct wire_reader reader = wire_reader_of(body);
+	struct peer_host *host = arg;
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_guard_next(&unpacked, (const char *)body, size, &at) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    at != size)
-		goto out;
-	reader = wire_reader_of(&unpacked.data);
 	wire_reader_text(&reader, host->name, sizeof(host->name));
 	wire_reader_text(&reader, host->failure_domain,
 			 sizeof(host->failure_domain));
 	wire_reader_text(&reader, host->address, sizeof(host->address));
 	host->memory_mb = wire_reader_i64(&reader);
-	valid = !reader.failed && !reader.left && *host->name &&
-		*host->address && host->memory_mb >= 0;
-out:
-	msgpack_unpacked_destroy(&unpacked);
-	return valid;
+	return !reader.failed && !reader.left && *host->name &&
+	       *host->address && host->memory_mb >= 0;
 }
 
 enum tgw_status peer_host_decode(struct peer_host *host, const void *bytes,
 				 size_t size, struct tgw_error *error)
 {
-	enum tgw_status status;
-	struct wire_reader reader;
-	msgpack_unpacked unpacked;
-	const uint8_t *body;
-	size_t body_size;
-	uint64_t version;
-
 	memset(host, 0, sizeof(*host));
-	status = checked_value_open(&kind, &unpacked, bytes, size, &reader,
-				    &version, error);
-	if (status == TGW_OK &&
-	    (version != PEER_HOST_FORMAT_VERSION ||
-	     !checked_value_read(&reader, &body, &body_size) ||
-	     !decode_body(host, body, body_size)))
-		status = checked_value_report_damage(&kind, size, error);
-	msgpack_unpacked_destroy(&unpacked);
-	return status;
+	return checked_value_decode(&kind, bytes, size, read_body, host, error);
 }
 
 static uint64_t name_hash(const struct peer_host *host)
--- a/src/state/quarantine_report.c
+++ b/src/state/quarantine_report.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "base/msgpack_guard.h"
 #include "state/checked_value.h"
 #include "state/msgpack_field.h"
 
@@ -42,26 +41,14 @@
 	return true;
 }
 
-static bool decode_body(struct quarantine_report *report, const uint8_t *body,
-			size_t size)
+static bool read_body(void *arg, const msgpack_object *body)
 {
-	const msgpack_object *fields;
-	msgpack_unpacked unpacked;
-	size_t at = 0;
-	bool valid = false;
+	struct quarantine_report *report = arg;
+	const msgpack_object *fields = msgpack_field_array(body, 2);
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_guard_next(&unpacked, (const char *)body, size, &at) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    at != size)
-		goto out;
-	fields = msgpack_field_array(&unpacked.data, 2);
-	valid = fields && msgpack_field_i64(&fields[0], &report->written_us) &&
-		fields[1].type == MSGPACK_OBJECT_ARRAY &&
-		decode_items(&report->table, &fields[1]);
-out:
-	msgpack_unpacked_destroy(&unpacked);
-	return valid;
+	return fields && msgpack_field_i64(&fields[0], &report->written_us) &&
+	       fields[1].type == MSGPACK_OBJECT_ARRAY &&
+	       decode_items(&report->table, &fields[1]);
 }
 
 enum tgw_status quarantine_report_decode(struct quarantine_report *report,
@@ -69,24 +56,11 @@
 					 struct tgw_error *error)
 {
 	enum tgw_status status;
-	struct wire_reader reader;
-	msgpack_unpacked unpacked;
-	const uint8_t *body;
-	size_t body_size;
-	uint64_t version;
 
 	memset(report, 0, sizeof(*report));
-	status = checked_value_open(&kind, &unpacked, value, size, &reader,
-				    &version, error);
-	if (status != TGW_OK)
-		goto out;
-	if (version < kind.format_version ||
-	    !checked_value_read(&reader, &body, &body_size) ||
-	    !decode_body(report, body, body_size))
-		status = checked_value_report_damage(&kind, size, error);
-out:
+	status = checked_value_decode(&kind, value, size, read_body, report,
+				      error);
 	if (status != TGW_OK)
 		quarantine_table_free(&report->table);
-	msgpack_unpacked_destroy(&unpacked);
 	return status;
 }
--- a/src/state/transfer_message.c
+++ b/src/state/transfer_message.c
@@ -134,13 +134,9 @@
 {
 	msgpack_unpacked unpacked;
 	enum tgw_status status;
-	size_t at = 0;
 
 	memset(message, 0, sizeof(*message));
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_guard_next(&unpacked, bytes, size, &at) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    at != size)
+	if (!msgpack_guard_unpack(&unpacked, bytes, size))
 		status = tgw_error_set(error, TGW_CORRUPT,
 				       WHAT " can't be decoded; check the "
 					    "sender's version");
