Let a prompt watch ask at once whether it is up to date

Change: the first call of such a watch does not wait, and a watch is opened at the next tick, unless the relay is up to date by then.

--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -76,13 +76,6 @@
 		       mirror->hold_us + FRESH_MARGIN_US;
 }
 
-static bool is_to_be_watched(const struct store_mirror *mirror,
-			     const struct mirrored_prefix *prefix)
-{
-	return !is_fresh(mirror, prefix) &&
-	       now_of(mirror) >= mirror->discovered_us;
-}
-
 /* Sending. */
 
 static void send(struct store_mirror *mirror, const char *host,
@@ -459,8 +452,6 @@
 	/* Handles of the store itself are smaller. */
 	handle = UINT64_C(1) << 63 | ++mirror->last_handle;
 	mirrored_prefix_add_watcher(found, handle, &watcher);
-	if (is_to_be_watched(mirror, found))
-		mirrored_prefix_watch(found, found->prompt, mirror->hold_us);
 	return handle;
 }
 
@@ -572,7 +563,7 @@
 		mirrored_prefix_unwatch(prefix);
 		mirrored_prefix_answer_lists(prefix);
 	} else {
-		if (is_to_be_watched(mirror, prefix))
+		if (now_of(mirror) >= mirror->discovered_us)
 			watch(mirror, prefix);
 		if (!holds_lists(mirror, prefix))
 			mirrored_prefix_send_lists(prefix);
