Choose a relay that reaches the store

Cause: a host used the first of its domain that answers, also when that one had lost the store and it had not itself.

Change: the first that answers and reaches the store; then those of other domains; if none does, the first of its own that answers.

--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -2,9 +2,11 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/text.h"
 #include "coordination/budget_transfer.h"
+#include "coordination/team_budget_caps.h"
 #include "coordination/team_budget_key.h"
 
 /* Interval of reports to the relay. */
@@ -22,6 +24,8 @@
 #define SUSPECT_MAX_US (16 * TGW_US_PER_S)
 /* A host that stops gets no reports for this time. */
 #define LEAVING_US (20 * TGW_US_PER_S)
+/* A host that does not reach the store is asked again after this. */
+#define STORELESS_US (1 * TGW_US_PER_S)
 /* Until the hosts are known, a starting host waits this long for them before it
  * uses the store by itself. */
 #define DISCOVERY_US (4 * TGW_US_PER_S)
@@ -73,21 +77,54 @@
 			reason);
 }
 
-static void choose(struct budget_relay *relay, const char *reason)
+static bool answers(const struct budget_relay *relay,
+		    const struct budget_relay_candidate *candidate)
 {
-	const struct budget_relay_candidate *previous = relay->current;
-	int64_t now = now_of(relay);
+	return candidate->is_self ||
+	       now_of(relay) >= candidate->suspect_until_us;
+}
+
+static bool reaches_store(const struct budget_relay *relay,
+			  const struct budget_relay_candidate *candidate)
+{
+	if (candidate->is_self)
+		return !relay->budgets->store_unreachable;
+	return now_of(relay) >= candidate->storeless_until_us;
+}
+
+/* While nobody reaches the store, the hosts of the failure domain share what
+ * they hold. */
+static const struct budget_relay_candidate *best_candidate(
+	const struct budget_relay *relay)
+{
+	const struct budget_relay_candidate *first = NULL;
 
-	relay->current = NULL;
 	for (size_t i = 0; i < relay->candidate_count; i++) {
 		const struct budget_relay_candidate *candidate =
 			&relay->candidates[i];
 
-		if (!candidate->is_self && now < candidate->suspect_until_us)
+		if (!answers(relay, candidate))
 			continue;
-		relay->current = candidate;
-		break;
+		if (reaches_store(relay, candidate))
+			return candidate;
+		if (!first && !candidate->is_elsewhere)
+			first = candidate;
 	}
+	return first;
+}
+
+/* What the host holds as a relay is for the new one. */
+static void become_member(struct budget_relay *relay)
+{
+	relay->member_since_us = now_of(relay);
+	team_budget_caps_request(relay->budgets);
+}
+
+static void choose(struct budget_relay *relay, const char *reason)
+{
+	const struct budget_relay_candidate *previous = relay->current;
+
+	relay->current = best_candidate(relay);
 	if (relay->current == previous)
 		return;
 	relay->budgets->counters.relay_changes++;
@@ -95,7 +132,7 @@
 	if (budget_relay_uses_store(relay))
 		relay->member_since_us = 0;
 	else if (!relay->member_since_us)
-		relay->member_since_us = now;
+		become_member(relay);
 	relay->requested = true;
 	team_budget_wake(relay->budgets);
 }
@@ -129,20 +166,48 @@
 	candidate->is_self = !strcmp(host, relay->host);
 }
 
+/* Names the first relay of each other failure domain, once. Each domain begins
+ * at another one, so that not all ask the same. */
+static size_t rank_others(const struct budget_relay *relay,
+			  const struct peer_host *hosts, size_t count,
+			  const struct peer_host **others)
+{
+	uint64_t hash =
+		XXH64(relay->failure_domain, strlen(relay->failure_domain), 0);
+	size_t start = count ? hash % count : 0;
+	size_t found = 0;
+
+	for (size_t i = 0; i < count && found < BUDGET_RELAY_OTHERS; i++) {
+		const char *domain = hosts[(start + i) % count].failure_domain;
+
+		if (!strcmp(domain, relay->failure_domain) ||
+		    (found && !strcmp(domain, others[0]->failure_domain)))
+			continue;
+		found +=
+			peer_host_rank(hosts, count, domain, &others[found], 1);
+	}
+	return found;
+}
+
 void budget_relay_set_hosts(struct budget_relay *relay,
 			    const struct peer_host *hosts, size_t count)
 {
-	const struct peer_host *ranked[BUDGET_RELAY_CANDIDATES];
-	struct budget_relay_candidate candidates[BUDGET_RELAY_CANDIDATES];
-	size_t ranked_count = peer_host_rank(hosts, count,
-					     relay->failure_domain, ranked,
-					     BUDGET_RELAY_CANDIDATES);
+	const struct peer_host
+		*ranked[BUDGET_RELAY_CANDIDATES + BUDGET_RELAY_OTHERS];
+	struct budget_relay_candidate
+		candidates[BUDGET_RELAY_CANDIDATES + BUDGET_RELAY_OTHERS];
+	size_t own_count = peer_host_rank(hosts, count, relay->failure_domain,
+					  ranked, BUDGET_RELAY_CANDIDATES);
+	size_t ranked_count = own_count + rank_others(relay, hosts, count,
+						      &ranked[own_count]);
 	char current[TGW_NAME_SIZE] = "";
 
 	if (relay->current)
 		text_copy(current, sizeof(current), relay->current->host);
-	for (size_t i = 0; i < ranked_count; i++)
+	for (size_t i = 0; i < ranked_count; i++) {
 		fill_candidate(relay, &candidates[i], ranked[i]->name);
+		candidates[i].is_elsewhere = i >= own_count;
+	}
 	memcpy(relay->candidates, candidates,
 	       ranked_count * sizeof(candidates[0]));
 	relay->candidate_count = ranked_count;
@@ -195,13 +260,18 @@
 	link = budget_transfer_receive(relay, message, &to_relay);
 	if (!link)
 		return;
+	candidate = find_candidate(relay, message->from_host);
+	if (candidate)
+		candidate->storeless_until_us =
+			link->storeless ? now_of(relay) + STORELESS_US : 0;
 	if (to_relay) {
+		if (link->storeless)
+			choose(relay, "the relay has lost the store");
 		budget_transfer_serve(relay, link);
 		budget_transfer_reply(relay, link, true);
 		team_budget_wake(relay->budgets);
 		return;
 	}
-	candidate = find_candidate(relay, message->from_host);
 	if (!candidate)
 		return;
 	candidate->asked_us = 0;
@@ -215,6 +285,14 @@
 	team_budget_notify_changed(relay->budgets);
 }
 
+void budget_relay_on_store_change(struct budget_relay *relay)
+{
+	if (relay->hosts_known)
+		choose(relay, relay->budgets->store_unreachable
+				      ? "this host has lost the store"
+				      : "this host reaches the store again");
+}
+
 void budget_relay_request(struct budget_relay *relay)
 {
 	relay->requested = true;
@@ -255,24 +333,6 @@
 	return candidate->sent_us + REPORT_INTERVAL_US;
 }
 
-/* Higher-ranked candidates are asked again when their suspicion ends. */
-static void retry_suspects(struct budget_relay *relay)
-{
-	int64_t now = now_of(relay);
-
-	for (size_t i = 0; i < relay->candidate_count; i++) {
-		struct budget_relay_candidate *candidate =
-			&relay->candidates[i];
-
-		if (candidate == relay->current)
-			return;
-		if (now >= candidate->suspect_until_us && !candidate->is_self) {
-			choose(relay, "an earlier relay is tried again");
-			return;
-		}
-	}
-}
-
 static void forget_silent(struct budget_relay *relay)
 {
 	int64_t now = now_of(relay);
@@ -296,7 +356,7 @@
 	if (!relay->peer || !relay->hosts_known)
 		return INT64_MAX;
 	forget_silent(relay);
-	retry_suspects(relay);
+	choose(relay, "an earlier relay is tried again");
 	if (budget_relay_uses_store(relay))
 		return INT64_MAX;
 	candidate = current_of(relay);
--- a/src/coordination/budget_relay.h
+++ b/src/coordination/budget_relay.h
@@ -5,10 +5,11 @@
  *
  * Of each failure domain one host, the relay, takes allotments for all of
  * them, and the others ask it for tokens. Nobody elects it: each host ranks the
- * hosts that it knows and uses the first that answers, itself included. Two
- * relays, or none, cost store calls and never overspend: tokens are bound at
- * the giver before it tells the taker, and each transfer is taken once. A host
- * that no relay answers uses the store by itself.
+ * hosts that it knows and uses the first that answers and reaches the store,
+ * itself included; if none does, the first that answers. Two relays, or none,
+ * cost store calls and never overspend: tokens are bound at the giver before it
+ * tells the taker, and each transfer is taken once. A host that no relay
+ * answers uses the store by itself.
  */
 #ifndef COORDINATION_BUDGET_RELAY_H
 #define COORDINATION_BUDGET_RELAY_H
@@ -21,9 +22,11 @@
 #include "state/transfer_link.h"
 #include "tamarackgw/peer.h"
 
-/** Hosts of a failure domain that are asked, one after the other, until one
- * answers. */
+/** Hosts of the failure domain that are asked, one after the other, until one
+ * answers that reaches the store. */
 #define BUDGET_RELAY_CANDIDATES 3
+/** Hosts of other failure domains that are asked when none of those does. */
+#define BUDGET_RELAY_OTHERS 2
 
 struct team_budget;
 struct team_budget_key;
@@ -32,6 +35,9 @@
 struct budget_relay_candidate {
 	char host[TGW_NAME_SIZE];
 	bool is_self;
+	bool is_elsewhere; /**< in another failure domain */
+	/** It does not reach the store, and is asked again then. */
+	int64_t storeless_until_us;
 	int64_t asked_us;	  /**< first message without a reply; 0: none */
 	int64_t sent_us;	  /**< last message */
 	int64_t suspect_until_us; /**< not used before */
@@ -47,7 +53,8 @@
 	uint64_t sequence; /**< of the last message */
 	bool hosts_known;
 	size_t candidate_count;
-	struct budget_relay_candidate candidates[BUDGET_RELAY_CANDIDATES];
+	struct budget_relay_candidate
+		candidates[BUDGET_RELAY_CANDIDATES + BUDGET_RELAY_OTHERS];
 	const struct budget_relay_candidate *current; /**< NULL: none */
 	int64_t member_since_us; /**< another host is the relay; 0: none is */
 	bool requested;		 /**< requests lack tokens that were not asked
@@ -72,6 +79,9 @@
  * it has none */
 bool budget_relay_uses_store(const struct budget_relay *relay);
 
+/** This host has lost the store, or reaches it again. */
+void budget_relay_on_store_change(struct budget_relay *relay);
+
 /** A request lacks tokens: the relay is asked at the next tick. */
 void budget_relay_request(struct budget_relay *relay);
 
--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -70,6 +70,12 @@
 
 /* Sending. */
 
+/* @return whether the relay is in another failure domain */
+static bool is_elsewhere(const struct budget_relay *relay)
+{
+	return relay->current && relay->current->is_elsewhere;
+}
+
 static void fill_entry(const struct budget_relay *relay,
 		       const struct team_account *account,
 		       const struct transfer_totals *totals, bool is_report,
@@ -86,7 +92,8 @@
 	entry->settled_tokens = totals->out.settled_tokens;
 	entry->demanded_tokens = totals->out.demanded_tokens;
 	entry->requests = totals->out.requests;
-	entry->held_tokens = held;
+	/* What is held in another failure domain is not its relay's. */
+	entry->held_tokens = is_report && is_elsewhere(relay) ? 0 : held;
 	entry->free_tokens = max_tokens(account->free_tokens, 0);
 	entry->remaining_tokens = account->remaining_tokens;
 	entry->view_age_ms =
@@ -152,6 +159,8 @@
 			   : team_account_reserve_target(account, HOLD_S, now);
 	int64_t available = team_account_available(account, now);
 
+	if (is_elsewhere(relay) && !hands_over)
+		return;
 	if (available > target * SURPLUS_MULTIPLE)
 		give(relay, account, totals, available - target);
 }
@@ -373,6 +382,7 @@
 		return NULL;
 	link->heard_us = now_of(relay);
 	link->leaving = transfer.leaving;
+	link->storeless = transfer.store_unreachable;
 	for (size_t i = 0; i < transfer.entry_count; i++)
 		apply_entry(relay, link, &transfer, &transfer.entries[i]);
 	if (!transfer.is_report)
@@ -407,16 +417,18 @@
 			 int64_t now)
 {
 	struct budget_relay *relay = &key->budgets->relay;
+	bool uses_store = team_budget_uses_store(key->budgets);
+	bool is_capped = team_account_is_capped(account, tokens, now);
 
-	if (!team_budget_uses_store(key->budgets))
-		return request_from_relay(relay, account, tokens, now);
-	if (is_store_unreachable(key))
+	if ((uses_store || is_capped) && is_store_unreachable(key))
 		return false;
-	if (team_account_is_capped(account, tokens, now)) {
+	if (is_capped) {
 		account->capped_tokens += tokens;
 		team_budget_caps_request(key->budgets);
 		return true;
 	}
+	if (!uses_store)
+		return request_from_relay(relay, account, tokens, now);
 	if (account->viewed_us && now - account->viewed_us < VIEW_MAX_AGE_US &&
 	    (!account->free_tokens || tokens > account->remaining_tokens))
 		return false;
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -201,7 +201,10 @@
 {
 	bool is_back = budgets->store_unreachable && !unreachable;
 
+	if (budgets->store_unreachable == unreachable)
+		return;
 	budgets->store_unreachable = unreachable;
+	budget_relay_on_store_change(&budgets->relay);
 	if (!is_back)
 		return;
 	/* Calls that failed are made again now, not after their backoff. */
--- a/src/coordination/team_budget_caps.c
+++ b/src/coordination/team_budget_caps.c
@@ -138,7 +138,9 @@
 	struct proposal *proposal = arg;
 	struct team_account_target target;
 
-	if (!key->joined) {
+	/* A host with a relay hands on what it holds, which caps would hinder.
+	 */
+	if (!key->joined || !team_budget_uses_store(key->budgets)) {
 		team_account_propose_no_cap(account);
 		return;
 	}
@@ -177,16 +179,28 @@
 	cap_record_clear(&proposal.record);
 }
 
+static bool has_cap(const struct team_budget *budgets, int64_t now_us)
+{
+	for (uint32_t i = 0; i < budgets->key_count; i++)
+		for (const struct team_account *account =
+			     budgets->keys[i].accounts;
+		     account; account = account->next)
+			if (team_account_has_cap(account, now_us))
+				return true;
+	return false;
+}
+
 /* Without demand nothing is spent, and the caps in force stay right. */
 static bool is_due(struct team_budget *budgets, int64_t now_us)
 {
 	int64_t age_us = now_us - budgets->caps_written_us;
 
-	if (budgets->closing || !team_budget_uses_store(budgets) ||
-	    !cap_writer_is_idle(&budgets->cap_writer) ||
+	if (budgets->closing || !cap_writer_is_idle(&budgets->cap_writer) ||
 	    budgets->settings.boot == CAP_RECORD_BOOT_UNKNOWN ||
 	    age_us < min_interval_us(budgets))
 		return false;
+	if (!team_budget_uses_store(budgets))
+		return budgets->caps_requested && has_cap(budgets, now_us);
 	if (budgets->caps_requested)
 		return true;
 	return age_us >= interval_us(budgets) &&
--- a/src/state/allotment_policy.c
+++ b/src/state/allotment_policy.c
@@ -111,7 +111,9 @@
 	target = max_tokens(target,
 			    (int64_t)fmin(in->demand_per_s * in->min_ride_out_s,
 					  MIN_FRACTION * fair));
-	target = max_tokens(target, in->needed_tokens);
+	if (in->needed_tokens)
+		target = max_tokens(target,
+				    in->needed_tokens + in->peers_left_tokens);
 	target = max_tokens(target, ahead_of_need(in));
 	target = max_tokens(target, initial_tokens(in));
 	if (in->recalled_tokens)
--- a/src/state/allotment_policy.h
+++ b/src/state/allotment_policy.h
@@ -16,6 +16,9 @@
 	int64_t allotted_tokens; /**< to this line at present */
 	int64_t used_tokens;	 /**< of the allotment: settled or reserved */
 	int64_t needed_tokens;	 /**< by requests that lack tokens */
+	/** Of the unused part, what other hosts hold: it does not serve the
+	 * requests that lack tokens. */
+	int64_t peers_left_tokens;
 	/** Cost of one request, where some are expected here; 0: not known. */
 	int64_t typical_tokens;
 	int64_t recalled_tokens;    /**< requested by other lines' holders */
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -60,6 +60,7 @@
 	struct team_account *account = xcalloc(1, sizeof(*account));
 
 	text_copy(account->team, sizeof(account->team), team);
+	account->own_demand.windows = &outage_windows;
 	account->demand.windows = &outage_windows;
 	account->fleet_demand.windows = &outage_windows;
 	account->fleet_demanded_tokens = NOT_READ;
@@ -208,6 +209,7 @@
 	account->demanded_tokens += tokens;
 	account->demanding_requests++;
 	account->demanded_squares += (double)tokens * (double)tokens;
+	demand_forecast_add(&account->own_demand, now_us, tokens);
 	demand_forecast_add(&account->demand, now_us, tokens);
 }
 
@@ -426,6 +428,7 @@
 	in->allotted_tokens = account->confirmed.allotted_tokens;
 	in->used_tokens = in->allotted_tokens - unspent_tokens(account);
 	in->needed_tokens = account->needed_tokens;
+	in->peers_left_tokens = account->held_by_peers_tokens;
 	in->typical_tokens = typical_tokens(account, policy, forecast_per_s);
 	in->demand_per_s = forecast_per_s + assumed_per_s;
 	in->weight = demand_weight(account, assumed_per_s, hosts, now_us);
@@ -486,7 +489,8 @@
 					     min_allotment(account, now_us));
 	raise = target->allotted_tokens - in.allotted_tokens;
 	target->lacking_tokens = at_least_zero(
-		in.needed_tokens - at_least_zero(left) - in.free_tokens);
+		in.needed_tokens - at_least_zero(left - in.peers_left_tokens) -
+		in.free_tokens);
 	target->urgent = raise * MIN_RAISE_DIVISOR > left ||
 			 (in.needed_tokens && raise > 0);
 	target->deferrable = raise < 0 ||
@@ -631,7 +635,8 @@
 int64_t team_account_reserve_target(const struct team_account *account,
 				    double hold_s, int64_t now_us)
 {
-	double demand_per_s = demand_forecast_per_s(&account->demand, now_us);
+	double demand_per_s =
+		demand_forecast_per_s(&account->own_demand, now_us);
 	int64_t target = (int64_t)(demand_per_s * hold_s);
 	int64_t mean = mean_cost_tokens(account);
 
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -101,6 +101,8 @@
 	int64_t none_free_us; /**< first read without any free; 0: some are */
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
+	struct demand_forecast own_demand; /**< of requests that arrived here */
+	/** Of these, and of those at hosts that this one relays for. */
 	struct demand_forecast demand;
 	/** Of all hosts, in the pool when it was last read; negative before. */
 	int64_t fleet_demanded_tokens;
--- a/src/state/transfer_link.h
+++ b/src/state/transfer_link.h
@@ -39,6 +39,7 @@
 	uint64_t incarnation; /**< of the other process */
 	int64_t heard_us;     /**< when its last message arrived */
 	bool leaving;	      /**< as that message says */
+	bool storeless;	      /**< likewise: it does not reach the store */
 	/** The process was replaced long ago: its messages are ignored for
 	 * good, since nothing is known any more of what was taken. */
 	bool ended;
--- a/tests/unit/test_team_budget_relay.c
+++ b/tests/unit/test_team_budget_relay.c
@@ -165,6 +165,44 @@
 }
 END_TEST
 
+static void cut_from_store(struct team_fleet_host *host, bool cut)
+{
+	fake_store_set_partitioned(&host->store, cut);
+	team_budget_set_store_unreachable(host->budgets, cut);
+}
+
+/* The others of its domain reach the store. */
+START_TEST(a_relay_that_loses_the_store_does_not_stop_its_domain)
+{
+	start_fleet(SMALL_FLEET, (uint64_t)_i);
+	play_s(1);
+	team_fleet_reset_tallies();
+	for (size_t domain = 0; domain < DOMAINS; domain++)
+		cut_from_store(team_fleet_relay(domain), true);
+	play_s(20);
+	check_served(97);
+	for (size_t domain = 0; domain < DOMAINS; domain++)
+		cut_from_store(team_fleet_relay(domain), false);
+	play_s(8);
+	check_served(97);
+	team_fleet_stop();
+}
+END_TEST
+
+/* The hosts of other domains reach the store. */
+START_TEST(a_domain_without_the_store_is_served_by_others)
+{
+	start_fleet(SMALL_FLEET, (uint64_t)_i);
+	play_s(1);
+	team_fleet_reset_tallies();
+	for (size_t i = 0; i < SMALL_FLEET; i += DOMAINS)
+		cut_from_store(&team_fleet.hosts[i], true);
+	play_s(20);
+	check_served(97);
+	team_fleet_stop();
+}
+END_TEST
+
 static void stop_host(struct team_fleet_host *host)
 {
 	team_budget_close(host->budgets);
@@ -209,6 +247,12 @@
 	tcase_add_loop_test(tcase,
 			    a_relay_serves_hosts_that_do_not_reach_the_store, 1,
 			    1 + SEEDS);
+	tcase_add_loop_test(
+		tcase, a_relay_that_loses_the_store_does_not_stop_its_domain, 1,
+		1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    a_domain_without_the_store_is_served_by_others, 1,
+			    1 + SEEDS);
 	tcase_add_loop_test(tcase, hosts_that_stop_strand_nothing, 1,
 			    1 + SEEDS);
 	suite_add_tcase(suite, tcase);
