--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -13,10 +13,10 @@
 #define REPORT_INTERVAL_US (500 * TGW_US_PER_MS)
 /* Minimum time between two reports of lacking tokens. */
 #define REQUEST_INTERVAL_US (20 * TGW_US_PER_MS)
-/* A report without a reply is sent again after this, */
+/* A report without a reply is sent again after this. */
 #define RESEND_US (50 * TGW_US_PER_MS)
-/* and the next host is asked after this: within the time that a request waits
- * for tokens. */
+/* Without any reply, the next host is asked after this: within the time that a
+ * request waits for tokens. */
 #define SILENCE_US (150 * TGW_US_PER_MS)
 /* A host that did not reply is not asked again for this time, which doubles up
  * to the maximum. */
@@ -25,7 +25,7 @@
 /* A host that stops gets no reports for this time. */
 #define LEAVING_US (20 * TGW_US_PER_S)
 /* A host that does not reach the store is asked again after this. */
-#define STORELESS_US (1 * TGW_US_PER_S)
+#define STORE_RETRY_US (1 * TGW_US_PER_S)
 /* Until the hosts are known, a starting host waits this long for them before it
  * uses the store by itself. */
 #define DISCOVERY_US (4 * TGW_US_PER_S)
@@ -89,7 +89,7 @@
 {
 	if (candidate->is_self)
 		return !relay->budgets->store_unreachable;
-	return now_of(relay) >= candidate->storeless_until_us;
+	return now_of(relay) >= candidate->store_unreachable_until_us;
 }
 
 /* While nobody reaches the store, the hosts of the failure domain share what
@@ -262,10 +262,11 @@
 		return;
 	candidate = find_candidate(relay, message->from_host);
 	if (candidate)
-		candidate->storeless_until_us =
-			link->storeless ? now_of(relay) + STORELESS_US : 0;
+		candidate->store_unreachable_until_us =
+			link->store_unreachable ? now_of(relay) + STORE_RETRY_US
+						: 0;
 	if (to_relay) {
-		if (link->storeless)
+		if (link->store_unreachable)
 			choose(relay, "the relay has lost the store");
 		budget_transfer_serve(relay, link);
 		budget_transfer_reply(relay, link, true);
--- a/src/coordination/budget_relay.h
+++ b/src/coordination/budget_relay.h
@@ -37,7 +37,7 @@
 	bool is_self;
 	bool is_elsewhere; /**< in another failure domain */
 	/** It does not reach the store, and is asked again then. */
-	int64_t storeless_until_us;
+	int64_t store_unreachable_until_us;
 	int64_t asked_us;	  /**< first message without a reply; 0: none */
 	int64_t sent_us;	  /**< last message */
 	int64_t suspect_until_us; /**< not used before */
--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -382,7 +382,7 @@
 		return NULL;
 	link->heard_us = now_of(relay);
 	link->leaving = transfer.leaving;
-	link->storeless = transfer.store_unreachable;
+	link->store_unreachable = transfer.store_unreachable;
 	for (size_t i = 0; i < transfer.entry_count; i++)
 		apply_entry(relay, link, &transfer, &transfer.entries[i]);
 	if (!transfer.is_report)
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -427,6 +427,13 @@
 	return true;
 }
 
+const char *team_budget_relay(const struct team_budget *budgets)
+{
+	const struct budget_relay_candidate *relay = budgets->relay.current;
+
+	return relay ? relay->host : "";
+}
+
 const struct team_budget_counters *team_budget_get_counters(
 	const struct team_budget *budgets)
 {
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -171,6 +171,10 @@
 bool team_budget_get_view(const struct team_budget *budgets, const char *team,
 			  struct team_budget_view *view);
 
+/** @return the host that takes tokens for this one, which may be itself; empty
+ * if there is none */
+const char *team_budget_relay(const struct team_budget *budgets);
+
 const struct team_budget_counters *team_budget_get_counters(
 	const struct team_budget *budgets);
 
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -10,6 +10,7 @@
 {
 	struct edge *edge = call->edge;
 	struct team_budget_view view = {0};
+	const char *relay = team_budget_relay(edge->budgets);
 
 	team_budget_get_view(edge->budgets, call->team, &view);
 	edge_log_line(
@@ -17,13 +18,14 @@
 		"request=%s team=%s tokens=%lld outcome=%s paid_in=%lld "
 		"limit_here=%lld settled_here=%lld reserved_here=%lld "
 		"free=%lld taken_by_all=%lld settled_by_all=%lld "
-		"read_ms_ago=%lld",
+		"read_ms_ago=%lld given_here=%lld relay=%s",
 		call->request.id, call->team, (long long)tokens,
 		tgw_status_name(status), (long long)view.paid_in_tokens,
 		(long long)view.limit_tokens, (long long)view.settled_tokens,
 		(long long)view.reserved_tokens, (long long)view.free_tokens,
 		(long long)view.taken_by_all_tokens,
-		(long long)view.settled_by_all_tokens, ms_since(view.read_us));
+		(long long)view.settled_by_all_tokens, ms_since(view.read_us),
+		(long long)view.given_tokens, *relay ? relay : "-");
 }
 
 void call_log_attempt_failed(const struct call *call, const char *reason)
--- a/src/state/transfer_link.h
+++ b/src/state/transfer_link.h
@@ -36,10 +36,10 @@
 
 struct transfer_link {
 	char host[TGW_NAME_SIZE];
-	uint64_t incarnation; /**< of the other process */
-	int64_t heard_us;     /**< when its last message arrived */
-	bool leaving;	      /**< as that message says */
-	bool storeless;	      /**< likewise: it does not reach the store */
+	uint64_t incarnation;	/**< of the other process */
+	int64_t heard_us;	/**< when its last message arrived */
+	bool leaving;		/**< as that message says */
+	bool store_unreachable; /**< likewise: it does not reach the store */
 	/** The process was replaced long ago: its messages are ignored for
 	 * good, since nothing is known any more of what was taken. */
 	bool ended;
--- a/tests/cram/explain.t
+++ b/tests/cram/explain.t
@@ -9,7 +9,7 @@
   402
   $ wait_for logged refused
   $ tamarackgwctl explain budget-1 edge.log | grep -E 'cause|not_reserved' | sed -E 's/^ *ts=[0-9.]+ //; s/read_ms_ago=[0-9]+/read_ms_ago=N/; s/(limit_here|free|taken_by_all)=[0-9]+/\1=N/g'
-  part=budget event=not_reserved request=budget-1 team=acme tokens=130 outcome=exhausted paid_in=100 limit_here=N settled_here=0 reserved_here=0 free=N taken_by_all=N settled_by_all=0 read_ms_ago=N
+  part=budget event=not_reserved request=budget-1 team=acme tokens=130 outcome=exhausted paid_in=100 limit_here=N settled_here=0 reserved_here=0 free=N taken_by_all=N settled_by_all=0 read_ms_ago=N given_here=0 relay=-
   cause: the team is out of tokens: top its budget up
 
 A stream that broke:
