Let a call of its own tell a relay that the store is back

Change: a host that may be a relay, and uses another one, finds out by a call of its own, once a second, that it reaches the store.

--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -286,6 +286,16 @@
 	team_budget_notify_changed(relay->budgets);
 }
 
+bool budget_relay_may_be_self(const struct budget_relay *relay)
+{
+	if (budget_relay_uses_store(relay))
+		return false;
+	for (size_t i = 0; i < relay->candidate_count; i++)
+		if (relay->candidates[i].is_self)
+			return true;
+	return false;
+}
+
 void budget_relay_on_store_change(struct budget_relay *relay)
 {
 	if (relay->hosts_known)
--- a/src/coordination/budget_relay.h
+++ b/src/coordination/budget_relay.h
@@ -79,6 +79,10 @@
  * it has none */
 bool budget_relay_uses_store(const struct budget_relay *relay);
 
+/** @return whether this host uses another one, and would speak to the store by
+ * itself if it reached it */
+bool budget_relay_may_be_self(const struct budget_relay *relay);
+
 /** This host has lost the store, or reaches it again. */
 void budget_relay_on_store_change(struct budget_relay *relay);
 
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -15,6 +15,8 @@
 #define JOIN_SPREAD_US (2500 * TGW_US_PER_MS)
 /* After this time the hosts in the pool count as all hosts. */
 #define JOINED_AFTER_US (3 * TGW_US_PER_S)
+/* Time between two calls that find out whether the store can be reached. */
+#define PROBE_INTERVAL_US (1 * TGW_US_PER_S)
 /* A request that exceeds the remaining tokens is refused as EXHAUSTED only if
  * they were read less than this ago. */
 #define VIEW_MAX_AGE_US (3 * TGW_US_PER_S)
@@ -196,8 +198,7 @@
 	}
 }
 
-void team_budget_set_store_unreachable(struct team_budget *budgets,
-				       bool unreachable)
+static void set_store_unreachable(struct team_budget *budgets, bool unreachable)
 {
 	bool is_back = budgets->store_unreachable && !unreachable;
 
@@ -213,6 +214,38 @@
 		team_budget_key_retry(&budgets->keys[i]);
 }
 
+void team_budget_set_store_unreachable(struct team_budget *budgets,
+				       bool unreachable)
+{
+	/* Another host may have told it: then a call of this host decides. */
+	if (!unreachable && budget_relay_may_be_self(&budgets->relay))
+		return;
+	set_store_unreachable(budgets, unreachable);
+}
+
+static void on_probed(void *arg, const struct tgw_store_result *result)
+{
+	struct team_budget *budgets = arg;
+
+	budgets->probing = false;
+	if (result->status == TGW_OK)
+		set_store_unreachable(budgets, false);
+}
+
+/* A host that may be a relay finds out by itself that it reaches the store
+ * again. */
+static void probe_store(struct team_budget *budgets, int64_t now)
+{
+	if (!budgets->store_unreachable || budgets->probing ||
+	    now < budgets->probe_due_us ||
+	    !budget_relay_may_be_self(&budgets->relay))
+		return;
+	budgets->probing = true;
+	budgets->probe_due_us = now + PROBE_INTERVAL_US;
+	tgw_store_get(budgets->store, budgets->cap_writer.key,
+		      (struct tgw_store_callback){on_probed, budgets});
+}
+
 void team_budget_record_demand(struct team_budget *budgets, const char *team,
 			       int64_t tokens)
 {
@@ -351,6 +384,7 @@
 	if (now - budgets->started_us >= JOINED_AFTER_US)
 		budgets->settings.policy.hosts_are_known = true;
 
+	probe_store(budgets, now);
 	team_budget_caps_tick(budgets);
 	relay_due_us = budget_relay_tick(&budgets->relay);
 	if (budgets->closing && !budget_relay_hand_over(&budgets->relay))
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -129,7 +129,9 @@
 void team_budget_on_message(struct team_budget *budgets,
 			    const struct tgw_peer_message *message);
 
-/** Reports whether this host's other store calls find the store unreachable. */
+/** Reports whether this host's other store calls find the store unreachable.
+ * That it is reachable again is found out by a call of the budgets, if the host
+ * follows another one, which may have told it so. */
 void team_budget_set_store_unreachable(struct team_budget *budgets,
 				       bool unreachable);
 
--- a/src/coordination/team_budget_key.h
+++ b/src/coordination/team_budget_key.h
@@ -79,6 +79,8 @@
 	/* The host's previous process left spending caps on this boot: this one
 	 * joins the pools to return what that one can't have spent. */
 	bool recovers;
+	bool probing; /* a call that finds out whether the store answers */
+	int64_t probe_due_us;
 	struct budget_relay relay;
 	struct team_budget_key *keys;
 };
--- a/tests/unit/test_team_budget_relay.c
+++ b/tests/unit/test_team_budget_relay.c
@@ -203,6 +203,39 @@
 }
 END_TEST
 
+static uint64_t relay_changes(size_t host)
+{
+	return team_budget_get_counters(team_fleet.hosts[host].budgets)
+		->relay_changes;
+}
+
+/* Through another host it learns of what the store says, and takes the store
+ * for reachable. */
+START_TEST(a_relay_without_the_store_stays_with_another_one)
+{
+	struct team_fleet_host *host = team_fleet_relay(0);
+	uint64_t changes;
+
+	start_fleet(SMALL_FLEET, (uint64_t)_i);
+	play_s(1);
+	team_fleet_reset_tallies();
+	changes = relay_changes(0);
+	fake_store_set_partitioned(&host->store, true);
+	for (int second = 0; second < 8; second++) {
+		team_budget_set_store_unreachable(host->budgets, true);
+		team_fleet_play(300 * TGW_US_PER_MS, true);
+		team_budget_set_store_unreachable(host->budgets, false);
+		team_fleet_play(700 * TGW_US_PER_MS, true);
+	}
+	ck_assert_uint_le(relay_changes(0) - changes, 1);
+	check_served(97);
+	fake_store_set_partitioned(&host->store, false);
+	play_s(3);
+	ck_assert_str_eq(team_budget_relay(host->budgets), "host-0");
+	team_fleet_stop();
+}
+END_TEST
+
 static void stop_host(struct team_fleet_host *host)
 {
 	team_budget_close(host->budgets);
@@ -253,6 +286,9 @@
 	tcase_add_loop_test(tcase,
 			    a_domain_without_the_store_is_served_by_others, 1,
 			    1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    a_relay_without_the_store_stays_with_another_one, 1,
+			    1 + SEEDS);
 	tcase_add_loop_test(tcase, hosts_that_stop_strand_nothing, 1,
 			    1 + SEEDS);
 	suite_add_tcase(suite, tcase);
