Keep to one relay while nobody reaches the store

Cause: hosts took a host that had lost the store for one that reaches it again after a second, without hearing so. In an outage of all hosts relays changed some 15 times a second, and each time the former relay handed its surplus to the new one, which it then no longer counted as its domain's.

Change: a host that said that it lost the store counts as such until it says otherwise; it is asked each second, without becoming the relay. Surplus goes only to a relay that has said since it was chosen that it reaches the store.

--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -25,7 +25,7 @@
 /* A host that stops gets no reports for this time. */
 #define LEAVING_US (20 * TGW_US_PER_S)
 /* A host that does not reach the store is asked again after this. */
-#define STORE_RETRY_US (1 * TGW_US_PER_S)
+#define PROBE_INTERVAL_US (1 * TGW_US_PER_S)
 /* Until the hosts are known, a starting host waits this long for them before it
  * uses the store by itself. */
 #define DISCOVERY_US (4 * TGW_US_PER_S)
@@ -89,7 +89,7 @@
 {
 	if (candidate->is_self)
 		return !relay->budgets->store_unreachable;
-	return now_of(relay) >= candidate->store_unreachable_until_us;
+	return !candidate->store_unreachable;
 }
 
 /* While nobody reaches the store, the hosts of the failure domain share what
@@ -128,6 +128,7 @@
 	if (relay->current == previous)
 		return;
 	relay->budgets->counters.relay_changes++;
+	relay->chosen_us = now_of(relay);
 	report_change(relay, reason);
 	if (budget_relay_uses_store(relay))
 		relay->member_since_us = 0;
@@ -262,9 +263,7 @@
 		return;
 	candidate = find_candidate(relay, message->from_host);
 	if (candidate)
-		candidate->store_unreachable_until_us =
-			link->store_unreachable ? now_of(relay) + STORE_RETRY_US
-						: 0;
+		candidate->store_unreachable = link->store_unreachable;
 	if (to_relay) {
 		if (link->store_unreachable)
 			choose(relay, "the relay has lost the store");
@@ -344,6 +343,30 @@
 	return candidate->sent_us + REPORT_INTERVAL_US;
 }
 
+/* Asks the hosts that had lost the store whether they reach it again, those
+ * only that would then be better than the current one. */
+static void probe_candidates(struct budget_relay *relay)
+{
+	const struct budget_relay_candidate *current = relay->current;
+	int64_t now = now_of(relay);
+
+	for (size_t i = 0; i < relay->candidate_count; i++) {
+		struct budget_relay_candidate *candidate =
+			&relay->candidates[i];
+
+		if (candidate == current) {
+			if (reaches_store(relay, current))
+				return;
+			continue;
+		}
+		if (candidate->is_self || !candidate->store_unreachable ||
+		    now - candidate->probed_us < PROBE_INTERVAL_US)
+			continue;
+		candidate->probed_us = now;
+		budget_transfer_probe(relay, candidate->host);
+	}
+}
+
 static void forget_silent(struct budget_relay *relay)
 {
 	int64_t now = now_of(relay);
@@ -368,6 +391,7 @@
 		return INT64_MAX;
 	forget_silent(relay);
 	choose(relay, "an earlier relay is tried again");
+	probe_candidates(relay);
 	if (budget_relay_uses_store(relay))
 		return INT64_MAX;
 	candidate = current_of(relay);
--- a/src/coordination/budget_relay.h
+++ b/src/coordination/budget_relay.h
@@ -35,9 +35,9 @@
 struct budget_relay_candidate {
 	char host[TGW_NAME_SIZE];
 	bool is_self;
-	bool is_elsewhere; /**< in another failure domain */
-	/** It does not reach the store, and is asked again then. */
-	int64_t store_unreachable_until_us;
+	bool is_elsewhere;	  /**< in another failure domain */
+	bool store_unreachable;	  /**< for it, as it last said */
+	int64_t probed_us;	  /**< when it was last asked about that */
 	int64_t asked_us;	  /**< first message without a reply; 0: none */
 	int64_t sent_us;	  /**< last message */
 	int64_t suspect_until_us; /**< not used before */
@@ -56,6 +56,7 @@
 	struct budget_relay_candidate
 		candidates[BUDGET_RELAY_CANDIDATES + BUDGET_RELAY_OTHERS];
 	const struct budget_relay_candidate *current; /**< NULL: none */
+	int64_t chosen_us;	 /**< when the current one was */
 	int64_t member_since_us; /**< another host is the relay; 0: none is */
 	bool requested;		 /**< requests lack tokens that were not asked
 				  * for yet */
--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -149,7 +149,17 @@
 	return &message->entries[message->entry_count++];
 }
 
+/* Only a relay that has said since it was chosen that it reaches the store can
+ * return what it does not need. */
+static bool may_get_surplus(const struct budget_relay *relay,
+			    const struct transfer_link *link)
+{
+	return !is_elsewhere(relay) && !link->store_unreachable &&
+	       link->heard_us >= relay->chosen_us;
+}
+
 static void give_surplus(struct budget_relay *relay,
+			 const struct transfer_link *link,
 			 struct team_account *account,
 			 struct transfer_totals *totals, bool hands_over)
 {
@@ -159,7 +169,7 @@
 			   : team_account_reserve_target(account, HOLD_S, now);
 	int64_t available = team_account_available(account, now);
 
-	if (is_elsewhere(relay) && !hands_over)
+	if (!hands_over && !may_get_surplus(relay, link))
 		return;
 	if (available > target * SURPLUS_MULTIPLE)
 		give(relay, account, totals, available - target);
@@ -184,7 +194,7 @@
 		if (totals->out.demanded_tokens + totals->out.settled_tokens !=
 		    demanded)
 			totals->repeats = REPEATS;
-		give_surplus(relay, account, totals, hands_over);
+		give_surplus(relay, link, account, totals, hands_over);
 	}
 	fill_entry(relay, account, totals, true, entry);
 	if (!totals->repeats && !entry->wanted_tokens &&
@@ -220,6 +230,14 @@
 		send(relay, host, &message);
 }
 
+void budget_transfer_probe(struct budget_relay *relay, const char *host)
+{
+	struct transfer_message message;
+
+	init_message(relay, budget_transfer_find(relay, host), true, &message);
+	send(relay, host, &message);
+}
+
 void budget_transfer_reply(struct budget_relay *relay,
 			   struct transfer_link *link, bool always)
 {
--- a/src/coordination/budget_transfer.h
+++ b/src/coordination/budget_transfer.h
@@ -16,6 +16,9 @@
 void budget_transfer_report(struct budget_relay *relay, const char *host,
 			    bool hands_over);
 
+/** Asks a host for a reply, which says whether it reaches the store. */
+void budget_transfer_probe(struct budget_relay *relay, const char *host);
+
 /** Applies a message.
  * @param to_relay receives whether the sender uses this host as its relay
  * @return the link to the sender; NULL if the message was ignored */
--- a/tests/unit/test_team_budget_deaths.c
+++ b/tests/unit/test_team_budget_deaths.c
@@ -5,7 +5,8 @@
 
 #define HOSTS 6
 #define TEAMS 10
-#define KEYS 4 /* as the edge's default */
+#define KEYS 4	  /* as the edge's default */
+#define DOMAINS 4 /* of hosts that move tokens to each other */
 #define SEEDS 8
 #define REQUEST_TOKENS INT64_C(2500)
 #define REQUESTS_PER_S 14 /* of each team */
@@ -19,10 +20,12 @@
 #define RECOVERY_S 12
 #define MIN_SERVED_PERCENT 25
 
-static void start_fleet(uint64_t seed)
+/* Half of the seeds are played without messages between hosts. */
+static void start_fleet(int seed)
 {
 	const struct team_fleet_settings settings = {
 		.host_count = HOSTS,
+		.domain_count = seed > SEEDS ? DOMAINS : 0,
 		.team_count = TEAMS,
 		.key_count = KEYS,
 		.request_tokens = REQUEST_TOKENS,
@@ -31,7 +34,7 @@
 			       PAID_PERCENT / 100,
 	};
 
-	team_fleet_start(&settings, seed);
+	team_fleet_start(&settings, (uint64_t)seed);
 	team_fleet_play(LEAD_S * TGW_US_PER_S, false);
 }
 
@@ -40,7 +43,7 @@
 	team_fleet_play(duration_s * TGW_US_PER_S, true);
 }
 
-static void play_day(uint64_t seed, void (*strike)(int64_t down_us))
+static void play_day(int seed, void (*strike)(int64_t down_us))
 {
 	start_fleet(seed);
 	play_s(10);
@@ -88,7 +91,7 @@
  * still lived. */
 START_TEST(a_kill_of_all_processes_strands_two_seconds_of_demand)
 {
-	start_fleet((uint64_t)_i);
+	start_fleet(_i);
 	play_s(10);
 	for (int kill = 0; kill < 4; kill++)
 		ck_assert_int_le(strand(team_fleet_kill_all),
@@ -97,9 +100,37 @@
 }
 END_TEST
 
+static void set_outage(bool outage)
+{
+	fake_store_server_set_outage(&team_fleet.server, outage);
+	/* Hosts notice it one after the other. */
+	for (size_t i = 0; i < HOSTS; i++) {
+		team_budget_set_store_unreachable(team_fleet.hosts[i].budgets,
+						  outage);
+		team_fleet_play(100 * TGW_US_PER_MS, true);
+	}
+}
+
+/* The hosts have recorded caps again by then. */
+START_TEST(a_kill_after_an_outage_strands_two_seconds_of_demand)
+{
+	start_fleet(_i);
+	play_s(8);
+	for (int outage = 0; outage < 2; outage++) {
+		set_outage(true);
+		play_s(8);
+		set_outage(false);
+		play_s(4);
+	}
+	ck_assert_int_le(strand(team_fleet_kill_all),
+			 demand_tokens(2 * TGW_US_PER_S + DOWN_US));
+	team_fleet_stop();
+}
+END_TEST
+
 START_TEST(a_power_loss_of_all_hosts_strands_a_fifth_of_what_is_left)
 {
-	start_fleet((uint64_t)_i);
+	start_fleet(_i);
 	play_s(10);
 	for (int loss = 0; loss < 4; loss++) {
 		int64_t left = left_tokens();
@@ -113,13 +144,13 @@
 
 START_TEST(a_budget_pays_after_all_processes_were_killed_four_times)
 {
-	play_day((uint64_t)_i, team_fleet_kill_all);
+	play_day(_i, team_fleet_kill_all);
 }
 END_TEST
 
 START_TEST(a_budget_pays_after_all_hosts_lost_power_three_times)
 {
-	play_day((uint64_t)_i, team_fleet_power_off_all);
+	play_day(_i, team_fleet_power_off_all);
 }
 END_TEST
 
@@ -131,17 +162,20 @@
 	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(
 		tcase, a_budget_pays_after_all_processes_were_killed_four_times,
-		1, 1 + SEEDS);
+		1, 1 + 2 * SEEDS);
 	tcase_add_loop_test(
 		tcase, a_budget_pays_after_all_hosts_lost_power_three_times, 1,
-		1 + SEEDS);
+		1 + 2 * SEEDS);
 	tcase_add_loop_test(
 		tcase, a_kill_of_all_processes_strands_two_seconds_of_demand, 1,
-		1 + SEEDS);
+		1 + 2 * SEEDS);
+	tcase_add_loop_test(
+		tcase, a_kill_after_an_outage_strands_two_seconds_of_demand, 1,
+		1 + 2 * SEEDS);
 	tcase_add_loop_test(
 		tcase,
 		a_power_loss_of_all_hosts_strands_a_fifth_of_what_is_left, 1,
-		1 + SEEDS);
+		1 + 2 * SEEDS);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
