--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -6,7 +6,7 @@
 #include "coordination/team_budget_key.h"
 
 /* A host holds the demand of this time while the relay is asked for more. */
-#define HOLD_S 1.0
+#define HOLD_S 0.5
 /* It asks ahead of need when it holds less than this fraction of that, and
  * gives back what exceeds this multiple. */
 #define REFILL_DIVISOR 2
