Split the account, the mirror and the fake store

Transfers and spending caps of an account, the followers of a mirror, and the watches of the fake store are files of their own. Moves only, no change of behaviour.

--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -4,6 +4,8 @@
 
 #include "coordination/team_budget_caps.h"
 #include "coordination/team_budget_key.h"
+#include "state/team_account_cap.h"
+#include "state/team_account_transfer.h"
 
 /* A host holds the demand of this time while the relay is asked for more. */
 #define HOLD_S 0.5
--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -6,7 +6,7 @@
 
 #include "base/text.h"
 #include "base/xalloc.h"
-#include "coordination/mirrored_prefix.h"
+#include "coordination/mirror_followers.h"
 #include "tamarackgw/host_view.h"
 
 /* Of the time in which a change has to be known, this percentage is the longest
@@ -15,8 +15,6 @@
 /* A host watches by itself once its knowledge is older than that and this. */
 #define FRESH_MARGIN_US (400 * TGW_US_PER_MS)
 #define FOLLOW_INTERVAL_US (1 * TGW_US_PER_S)
-/* Followers that have not told for this long that they follow get nothing. */
-#define FOLLOWER_TIMEOUT_US (3 * TGW_US_PER_S)
 /* A relay was heard of this recently, so it will tell when the store is back.
  */
 #define RELAY_ALIVE_US (2 * TGW_US_PER_S)
@@ -25,16 +23,6 @@
 #define HELD_LIST_US (2 * TGW_US_PER_S)
 /* A pull without an answer is repeated after this. */
 #define PULL_RETRY_US (60 * TGW_US_PER_MS)
-/* Parts that are sent for one pull. */
-#define PULL_PARTS 8
-
-/** A host that follows this one. */
-struct mirror_follower {
-	char host[TGW_NAME_SIZE];
-	int64_t stamp_us;    /**< of its last message */
-	int64_t received_us; /**< when that arrived */
-	struct mirror_follower *next;
-};
 
 struct store_mirror {
 	struct tgw_store store; /**< first member */
@@ -52,7 +40,7 @@
 	int64_t relay_heard_us; /**< 0: never */
 	bool relay_store_unreachable;
 	int64_t follow_sent_us;
-	struct mirror_follower *followers;
+	struct mirror_followers followers;
 	size_t prefix_count;
 	struct mirrored_prefix prefixes[CHANGE_PREFIXES_MAX];
 	struct store_mirror_counters counters;
@@ -76,97 +64,16 @@
 		       mirror->hold_us + FRESH_MARGIN_US;
 }
 
-/* Sending. */
-
-static void send(struct store_mirror *mirror, const char *host,
-		 struct change_message *message)
-{
-	struct buffer bytes = {0};
-
-	message->sequence = ++mirror->sequence;
-	change_message_encode(message, &bytes);
-	tgw_peer_send(mirror->peer, host, TGW_PEER_CHANGES, bytes.data,
-		      bytes.size);
-	buffer_free(&bytes);
-}
-
-static void fill_states(const struct store_mirror *mirror,
-			const struct mirror_follower *follower,
-			struct change_message *message)
-{
-	int64_t now = now_of(mirror);
-
-	message->stamp_us = follower->stamp_us;
-	message->held_us = now - follower->received_us;
-	message->state_count = mirror->prefix_count;
-	for (size_t i = 0; i < mirror->prefix_count; i++) {
-		const struct mirrored_prefix *prefix = &mirror->prefixes[i];
-		int64_t confirmed_us = mirrored_prefix_confirmed_us(prefix);
-
-		message->states[i] = (struct change_state){
-			.revision = prefix->table.revision,
-			.changed_revision = prefix->table.changed_revision,
-			.age_us = confirmed_us ? now - confirmed_us : -1,
-			.store_unreachable = prefix->store_unreachable,
-		};
-	}
-}
-
-static void send_state(struct store_mirror *mirror,
-		       const struct mirror_follower *follower)
-{
-	struct change_message message = {.kind = CHANGE_MESSAGE_STATE};
-
-	fill_states(mirror, follower, &message);
-	send(mirror, follower->host, &message);
-}
-
-static void send_part(struct store_mirror *mirror,
-		      const struct mirror_follower *follower, size_t number,
-		      const struct buffer *changes, size_t offset)
-{
-	const struct mirrored_prefix *prefix = &mirror->prefixes[number];
-	size_t size = changes->size - offset;
-	struct change_message message = {
-		.kind = CHANGE_MESSAGE_PART,
-		.prefix = (uint32_t)number,
-		.after_revision = prefix->encoded_after,
-		.revision = prefix->encoded_revision,
-		.offset = offset,
-		.total_size = changes->size,
-		.part = (const uint8_t *)changes->data + offset,
-		.part_size = size < CHANGE_PART_MAX_BYTES
-				     ? size
-				     : CHANGE_PART_MAX_BYTES,
-	};
-
-	mirror->counters.changes_sent++;
-	fill_states(mirror, follower, &message);
-	send(mirror, follower->host, &message);
-}
-
-/* Small changes are sent at once; followers ask for larger ones. */
 static void on_updated(void *arg, struct mirrored_prefix *prefix,
 		       int64_t previous_revision)
 {
 	struct store_mirror *mirror = arg;
-	size_t number = (size_t)(prefix - mirror->prefixes);
-	const struct buffer *changes = NULL;
 
-	if (!mirror->followers)
-		return;
-	if (previous_revision &&
-	    prefix->table.changed_revision > previous_revision)
-		changes = mirrored_prefix_encode(prefix, previous_revision);
-	for (struct mirror_follower *follower = mirror->followers; follower;
-	     follower = follower->next) {
-		if (changes && changes->size <= CHANGE_PART_MAX_BYTES)
-			send_part(mirror, follower, number, changes, 0);
-		else
-			send_state(mirror, follower);
-	}
+	mirror_followers_update(&mirror->followers, prefix, previous_revision);
 }
 
+/* Sending. */
+
 static void send_follow(struct store_mirror *mirror)
 {
 	struct change_message message = {
@@ -175,7 +82,7 @@
 	};
 
 	mirror->follow_sent_us = message.stamp_us;
-	send(mirror, mirror->relay, &message);
+	mirror_followers_send(&mirror->followers, mirror->relay, &message);
 }
 
 static void send_pull(struct store_mirror *mirror,
@@ -194,7 +101,7 @@
 
 	mirror->counters.pulls++;
 	pull->asked_us = message.stamp_us;
-	send(mirror, mirror->relay, &message);
+	mirror_followers_send(&mirror->followers, mirror->relay, &message);
 }
 
 static void start_pull(struct store_mirror *mirror,
@@ -212,62 +119,6 @@
 	send_pull(mirror, prefix);
 }
 
-/* Receiving, as the host that is followed. */
-
-static struct mirror_follower *obtain_follower(
-	struct store_mirror *mirror, const struct tgw_peer_message *from)
-{
-	struct mirror_follower *follower = mirror->followers;
-
-	while (follower && strcmp(follower->host, from->from_host))
-		follower = follower->next;
-	if (follower)
-		return follower;
-	follower = xcalloc(1, sizeof(*follower));
-	text_copy(follower->host, sizeof(follower->host), from->from_host);
-	follower->next = mirror->followers;
-	mirror->followers = follower;
-	return follower;
-}
-
-static void answer_pull(struct store_mirror *mirror,
-			const struct mirror_follower *follower,
-			const struct change_message *request)
-{
-	struct mirrored_prefix *prefix = &mirror->prefixes[request->prefix];
-	const struct buffer *changes;
-	size_t offset = request->offset;
-
-	if (!prefix->table.revision)
-		return;
-	changes = mirrored_prefix_encode(prefix, request->after_revision);
-	if (!changes)
-		return;
-	/* There are newer ones than those that the follower began with. */
-	if (request->revision != prefix->encoded_revision ||
-	    offset > changes->size)
-		offset = 0;
-	for (int i = 0; i < PULL_PARTS && offset < changes->size; i++) {
-		send_part(mirror, follower, request->prefix, changes, offset);
-		offset += CHANGE_PART_MAX_BYTES;
-	}
-}
-
-static void on_follower(struct store_mirror *mirror,
-			const struct tgw_peer_message *from,
-			const struct change_message *message)
-{
-	struct mirror_follower *follower = obtain_follower(mirror, from);
-
-	/* An earlier stamp would make what follows look older, not fresher. */
-	follower->stamp_us = message->stamp_us;
-	follower->received_us = now_of(mirror);
-	if (message->kind == CHANGE_MESSAGE_FOLLOW)
-		send_state(mirror, follower);
-	else if (message->prefix < mirror->prefix_count)
-		answer_pull(mirror, follower, message);
-}
-
 /* Receiving, as a follower. */
 
 static void add_part(struct store_mirror *mirror,
@@ -289,7 +140,9 @@
 		return;
 	buffer_add(&pull->bytes, message->part, message->part_size);
 	if (pull->bytes.size < pull->total_size) {
-		if (pull->bytes.size / CHANGE_PART_MAX_BYTES % PULL_PARTS == 0)
+		if (pull->bytes.size / CHANGE_PART_MAX_BYTES %
+			    MIRROR_PULL_PARTS ==
+		    0)
 			send_pull(mirror, prefix);
 		return;
 	}
@@ -383,7 +236,8 @@
 		return;
 	if (decoded.kind == CHANGE_MESSAGE_FOLLOW ||
 	    decoded.kind == CHANGE_MESSAGE_PULL)
-		on_follower(mirror, message, &decoded);
+		mirror_followers_on_message(&mirror->followers,
+					    message->from_host, &decoded);
 	else if (!strcmp(message->from_host, mirror->relay))
 		on_relay(mirror, message, &decoded);
 }
@@ -484,7 +338,10 @@
 	mirror->store.ops = &mirror_ops;
 	mirror->inner = store;
 	mirror->clock = clock;
-	mirror->peer = settings->peer;
+	mirror->followers.peer = settings->peer;
+	mirror->followers.clock = clock;
+	mirror->followers.prefixes = mirror->prefixes;
+	mirror->followers.prefix_count = settings->prefix_count;
 	mirror->hold_us = settings->apply_us * HOLD_PERCENT / 100;
 	mirror->discovered_us = now_of(mirror);
 	if (settings->peer)
@@ -500,29 +357,13 @@
 	return mirror;
 }
 
-static void drop_followers(struct store_mirror *mirror, int64_t before_us)
-{
-	struct mirror_follower **link = &mirror->followers;
-
-	while (*link) {
-		struct mirror_follower *follower = *link;
-
-		if (follower->received_us >= before_us) {
-			link = &follower->next;
-			continue;
-		}
-		*link = follower->next;
-		free(follower);
-	}
-}
-
 void store_mirror_free(struct store_mirror *mirror)
 {
 	if (!mirror)
 		return;
 	for (size_t i = 0; i < mirror->prefix_count; i++)
 		mirrored_prefix_clear(&mirror->prefixes[i]);
-	drop_followers(mirror, INT64_MAX);
+	mirror_followers_clear(&mirror->followers);
 	free(mirror);
 }
 
@@ -550,7 +391,7 @@
 {
 	if (!prefix->watch && prefix->watchers)
 		mirror->counters.watched_store++;
-	mirrored_prefix_watch(prefix, mirror->followers != NULL,
+	mirrored_prefix_watch(prefix, mirror->followers.first != NULL,
 			      mirror->hold_us);
 }
 
@@ -577,7 +418,8 @@
 {
 	int64_t now = now_of(mirror);
 
-	drop_followers(mirror, now - FOLLOWER_TIMEOUT_US);
+	mirror_followers_expire(&mirror->followers);
+	mirror->counters.changes_sent = mirror->followers.changes_sent;
 	if (*mirror->relay &&
 	    now - mirror->follow_sent_us >= FOLLOW_INTERVAL_US)
 		send_follow(mirror);
@@ -595,12 +437,7 @@
 
 size_t store_mirror_follower_count(const struct store_mirror *mirror)
 {
-	size_t count = 0;
-
-	for (const struct mirror_follower *follower = mirror->followers;
-	     follower; follower = follower->next)
-		count++;
-	return count;
+	return mirror_followers_count(&mirror->followers);
 }
 
 const struct store_mirror_counters *store_mirror_get_counters(
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -6,6 +6,8 @@
 
 #include "base/xalloc.h"
 #include "coordination/team_budget_caps.h"
+#include "state/team_account_cap.h"
+#include "state/team_account_transfer.h"
 
 /* While the budget has no free tokens, the minimum time between two reads for
  * waiting requests is this for each host: the more hosts read the key, the less
--- a/src/coordination/team_budget_caps.c
+++ b/src/coordination/team_budget_caps.c
@@ -1,4 +1,5 @@
 #include "coordination/team_budget_caps.h"
+#include "state/team_account_cap.h"
 
 /* Time between two writes of the caps. The larger of the two applies, the
  * second one multiplied by the number of hosts: the older a cap, the more of
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "state/budget_pool_codec.h"
+#include "state/team_account_cap.h"
 
 /* A host with a relay leaves the pools after this. */
 #define LEAVE_AFTER_US (5 * TGW_US_PER_S)
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -7,6 +7,7 @@
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "state/allotment_policy.h"
+#include "state/team_account_cap.h"
 #include "tamarackgw/clock.h"
 
 /* A raise is written at once when requests need it, or when it exceeds
@@ -27,15 +28,6 @@
 #define MIN_HOLD_FRACTION 0.06
 /* An allotment lasts at least until the next write, which may need retries. */
 #define MIN_RIDE_OUT_S 2.0
-/* Under a spending cap a host may spend at once this number of mean requests
- * and this fraction of the standard deviation of the demand until the next cap,
- * and this multiple of what requests wait for. A request that needs more waits
- * for a new cap, for the time of one store call. */
-#define CAP_AHEAD_REQUESTS 1
-#define CAP_AHEAD_DEVIATIONS 1
-#define CAP_NEEDED_MULTIPLE 2
-/* With time a cap allows this fraction of the forecast demand. */
-#define CAP_RATE 0.75
 
 /* An allotment covers store outages of seconds, so demand is averaged over
  * seconds, too. */
@@ -45,13 +37,6 @@
 	.min_age_s = 3.0,
 };
 
-/* A host holds a request's tokens ahead of need if at least this fraction of a
- * request is expected. */
-#define MIN_EXPECTED_DIVISOR 4
-
-/* A relay that could not get tokens is not asked again before this. */
-#define NONE_AVAILABLE_US (100 * TGW_US_PER_MS)
-
 /* Value of fleet_demanded_tokens before the first read. */
 #define NOT_READ INT64_C(-1)
 
@@ -95,36 +80,11 @@
 			  account->proposed.allotted_tokens);
 }
 
-static int64_t cap_limit(const struct team_account *account, int64_t now_us)
-{
-	return min_tokens(spending_cap_limit(&account->confirmed_cap, now_us),
-			  spending_cap_limit(&account->proposed_cap, now_us));
-}
-
-bool team_account_is_capped(const struct team_account *account, int64_t tokens,
-			    int64_t now_us)
-{
-	int64_t total = team_account_charged(account) + tokens;
-
-	return total <= team_account_limit(account) &&
-	       total > cap_limit(account, now_us);
-}
-
-int64_t team_account_capped_until_us(const struct team_account *account,
-				     int64_t tokens)
-{
-	int64_t total = team_account_charged(account) + tokens;
-
-	return max_tokens(
-		spending_cap_allows_at_us(&account->confirmed_cap, total),
-		spending_cap_allows_at_us(&account->proposed_cap, total));
-}
-
 int64_t team_account_available(const struct team_account *account,
 			       int64_t now_us)
 {
 	return min_tokens(team_account_limit(account),
-			  cap_limit(account, now_us)) -
+			  team_account_cap_limit(account, now_us)) -
 	       team_account_charged(account);
 }
 
@@ -134,75 +94,17 @@
 			     team_account_charged(account));
 }
 
-void team_account_give(struct team_account *account, int64_t tokens)
-{
-	assert(tokens >= 0 && tokens <= team_account_held(account));
-	account->given_tokens += tokens;
-}
-
-void team_account_take_back(struct team_account *account, int64_t tokens)
-{
-	assert(tokens >= 0 && tokens <= account->given_tokens);
-	account->given_tokens -= tokens;
-}
-
-void team_account_receive(struct team_account *account, int64_t tokens)
-{
-	assert(tokens >= 0);
-	account->received_tokens += tokens;
-}
-
-void team_account_collect(struct team_account *account,
-			  const struct team_account_usage *usage,
-			  int64_t now_us)
-{
-	double tokens = (double)usage->demanded_tokens;
-
-	account->collected_settled_tokens += usage->settled_tokens;
-	if (usage->requests <= 0)
-		return;
-	account->demanded_tokens += usage->demanded_tokens;
-	account->demanding_requests += usage->requests;
-	account->demanded_squares += tokens * tokens / (double)usage->requests;
-	demand_forecast_add(&account->demand, now_us, usage->demanded_tokens);
-}
-
-/* @return tokens spent here or at hosts that this one relays for, and not
- * reported through another host */
-static int64_t own_settled(const struct team_account *account)
+int64_t team_account_own_settled(const struct team_account *account)
 {
 	return account->settled_tokens + account->collected_settled_tokens -
 	       account->forwarded.settled_tokens;
 }
 
-static int64_t own_demanded(const struct team_account *account)
+int64_t team_account_own_demanded(const struct team_account *account)
 {
 	return account->demanded_tokens - account->forwarded.demanded_tokens;
 }
 
-void team_account_forward(struct team_account *account,
-			  struct team_account_usage *usage)
-{
-	const struct team_account_report *confirmed = &account->confirmed;
-	const struct team_account_report *proposed = &account->proposed;
-	/* An open write may take effect yet. */
-	int64_t settled =
-		own_settled(account) -
-		max_tokens(confirmed->settled_tokens, proposed->settled_tokens);
-	int64_t demanded =
-		own_demanded(account) - max_tokens(confirmed->demanded_tokens,
-						   proposed->demanded_tokens);
-	int64_t requests =
-		account->demanding_requests - account->forwarded.requests;
-
-	account->forwarded.settled_tokens += settled;
-	account->forwarded.demanded_tokens += demanded;
-	account->forwarded.requests += requests;
-	usage->settled_tokens += settled;
-	usage->demanded_tokens += demanded;
-	usage->requests += requests;
-}
-
 void team_account_record_demand(struct team_account *account, int64_t tokens,
 				int64_t now_us)
 {
@@ -246,7 +148,7 @@
 {
 	int64_t charged = team_account_charged(account);
 	int64_t allotted = team_account_limit(account) - charged;
-	int64_t capped = cap_limit(account, now_us) - charged;
+	int64_t capped = team_account_cap_limit(account, now_us) - charged;
 
 	if (store_unreachable) {
 		allotted -= tokens_for_urgent(account->held_tokens, rank);
@@ -366,7 +268,7 @@
 	return pooled_budget_free_tokens(budget);
 }
 
-static int64_t mean_cost_tokens(const struct team_account *account)
+int64_t team_account_mean_cost(const struct team_account *account)
 {
 	if (!account->demanding_requests)
 		return 0;
@@ -379,7 +281,7 @@
 			      const struct team_account_policy *policy,
 			      double forecast_per_s)
 {
-	int64_t mean = mean_cost_tokens(account);
+	int64_t mean = team_account_mean_cost(account);
 
 	if (forecast_per_s * policy->ride_out_s < (double)mean)
 		return 0;
@@ -444,25 +346,12 @@
 			     budget->requested_tokens > in->free_tokens;
 }
 
-static int64_t capped_allotment(const struct team_account *account,
-				int64_t now_us)
-{
-	return max_tokens(
-		spending_cap_min_allotment(&account->confirmed_cap, now_us),
-		spending_cap_min_allotment(&account->proposed_cap, now_us));
-}
-
-bool team_account_has_cap(const struct team_account *account, int64_t now_us)
-{
-	return capped_allotment(account, now_us) > 0;
-}
-
 /* A lower allotment would return tokens that a successor returns by the cap, or
  * that are spent or given away. Received tokens may be returned, too: then the
  * allotment is negative. */
 static int64_t min_allotment(const struct team_account *account, int64_t now_us)
 {
-	return max_tokens(capped_allotment(account, now_us),
+	return max_tokens(team_account_capped_allotment(account, now_us),
 			  team_account_charged(account)) -
 	       account->received_tokens;
 }
@@ -506,8 +395,8 @@
 	struct team_account_report *to = &account->proposed;
 
 	to->allotted_tokens = target->allotted_tokens;
-	to->settled_tokens = own_settled(account);
-	to->demanded_tokens = own_demanded(account);
+	to->settled_tokens = team_account_own_settled(account);
+	to->demanded_tokens = team_account_own_demanded(account);
 	budget->taken_tokens += to->allotted_tokens - from->allotted_tokens;
 	budget->settled_tokens += to->settled_tokens - from->settled_tokens;
 	budget->demanded_tokens += to->demanded_tokens - from->demanded_tokens;
@@ -536,71 +425,6 @@
 	account->confirmed_cap = account->proposed_cap;
 }
 
-/* @return what has to be spendable at once, so that few requests wait for a
- * higher cap. Demand until the next cap varies by the square root of its
- * product with the weighted cost. */
-static double ahead_tokens(const struct team_account *account,
-			   double demand_per_s,
-			   const struct team_account_cap_inputs *in)
-{
-	double interval_s = (double)in->interval_us / TGW_US_PER_S;
-	double mean = in->mean_cost_tokens;
-	double weighted = in->weighted_cost_tokens;
-	double ahead;
-
-	if (account->demanded_tokens) {
-		mean = (double)mean_cost_tokens(account);
-		weighted = account->demanded_squares /
-			   (double)account->demanded_tokens;
-	}
-	ahead = CAP_AHEAD_REQUESTS * mean +
-		CAP_AHEAD_DEVIATIONS *
-			sqrt(demand_per_s * interval_s * weighted);
-	return fmax(ahead,
-		    CAP_NEEDED_MULTIPLE * (double)account->capped_tokens);
-}
-
-bool team_account_propose_cap(struct team_account *account,
-			      const struct team_account_target *target,
-			      const struct team_account_cap_inputs *in)
-{
-	int64_t charged = team_account_charged(account);
-	int64_t allotted =
-		min_tokens(team_account_limit(account),
-			   target->wanted_tokens + account->received_tokens);
-	double ahead = ahead_tokens(account, target->demand_per_s, in);
-	int64_t withheld = allotted - charged - (int64_t)ahead;
-	double rate = CAP_RATE * target->demand_per_s;
-
-	account->capped_tokens = 0;
-	account->ahead_tokens = (int64_t)ahead;
-	if (withheld <= 0) {
-		team_account_propose_no_cap(account);
-		return false;
-	}
-	account->proposed_cap = (struct spending_cap){
-		.spendable_tokens = allotted - withheld,
-		.tokens_per_s = (int64_t)rate,
-		.allotted_tokens = allotted,
-		.written_us = in->written_us,
-		.period_us = in->period_us,
-	};
-	return true;
-}
-
-void team_account_propose_no_cap(struct team_account *account)
-{
-	memset(&account->proposed_cap, 0, sizeof(account->proposed_cap));
-}
-
-void team_account_end_cap_write(struct team_account *account, bool took_effect)
-{
-	if (took_effect)
-		account->confirmed_cap = account->proposed_cap;
-	else
-		account->proposed_cap = account->confirmed_cap;
-}
-
 static void add_fleet_demand(struct team_account *account,
 			     const struct pooled_budget *budget, int64_t now_us)
 {
@@ -625,32 +449,11 @@
 	account->held_tokens = team_account_held(account);
 }
 
-bool team_account_has_none_available(const struct team_account *account,
-				     int64_t now_us)
-{
-	return account->none_available_us &&
-	       now_us - account->none_available_us < NONE_AVAILABLE_US;
-}
-
-int64_t team_account_reserve_target(const struct team_account *account,
-				    double hold_s, int64_t now_us)
-{
-	double demand_per_s =
-		demand_forecast_per_s(&account->own_demand, now_us);
-	int64_t target = (int64_t)(demand_per_s * hold_s);
-	int64_t mean = mean_cost_tokens(account);
-
-	/* Not worth holding tokens for a request that hardly comes. */
-	if (target < mean / MIN_EXPECTED_DIVISOR)
-		return 0;
-	return max_tokens(target, mean);
-}
-
 void team_account_read(struct team_account *account,
 		       const struct pooled_budget *budget, int64_t now_us)
 {
-	int64_t unreported =
-		own_settled(account) - account->confirmed.settled_tokens;
+	int64_t unreported = team_account_own_settled(account) -
+			     account->confirmed.settled_tokens;
 	int64_t settled = budget ? budget->settled_tokens : 0;
 	int64_t paid_in = account->paid_in_tokens;
 
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -37,19 +37,6 @@
 	bool awaited;	 /**< by requests here, or by other hosts */
 };
 
-/** What spending caps are computed from, other than the account. */
-struct team_account_cap_inputs {
-	int64_t written_us;
-	int64_t period_us;
-	int64_t interval_us; /**< expected until the next cap */
-	/** Mean cost of a request here, of all teams; 0 before the first
-	 * one. */
-	double mean_cost_tokens;
-	/** Mean cost of a request here, of all teams, in which each request
-	 * counts by its tokens; 0 before the first one. */
-	double weighted_cost_tokens;
-};
-
 /** What this process has reported to the pool. All amounts are cumulative. */
 struct team_account_report {
 	int64_t allotted_tokens;
@@ -124,56 +111,15 @@
 /** @return unspent tokens, whether a spending cap withholds them or not */
 int64_t team_account_held(const struct team_account *account);
 
-/** Gives tokens to another host. They bind this one before it tells the other.
- * @param tokens at most what is available */
-void team_account_give(struct team_account *account, int64_t tokens);
-
-/** Undoes a part of what was given, which the other host will never take. */
-void team_account_take_back(struct team_account *account, int64_t tokens);
-
-/** Receives what another host gave. */
-void team_account_receive(struct team_account *account, int64_t tokens);
-
-/** Counts what requests used at a host that this one relays for. */
-void team_account_collect(struct team_account *account,
-			  const struct team_account_usage *usage,
-			  int64_t now_us);
-
-/** Leaves to another host what this one has not reported yet: it is counted as
- * forwarded, and added to the usage. */
-void team_account_forward(struct team_account *account,
-			  struct team_account_usage *usage);
-
-/** @return what to hold while a relay is asked for more: the demand of this
- * time, and at least one request's tokens if there is any demand */
-int64_t team_account_reserve_target(const struct team_account *account,
-				    double hold_s, int64_t now_us);
-
 /** @return what a host whose relay reads the pool must leave to more urgent
  * requests of an outage, by the rank of a request */
 int64_t team_account_kept_for_urgent(const struct team_account *account,
 				     int32_t rank);
 
-/** @return whether the relay said so recently that it is not asked again */
-bool team_account_has_none_available(const struct team_account *account,
-				     int64_t now_us);
-
 /** Takes over a relay's view of the budget, which is as old as `viewed_us`. */
 void team_account_view(struct team_account *account, int64_t free_tokens,
 		       int64_t remaining_tokens, int64_t viewed_us);
 
-/** @return whether only a spending cap keeps these tokens from being spent */
-bool team_account_is_capped(const struct team_account *account, int64_t tokens,
-			    int64_t now_us);
-
-/** @return whether a spending cap keeps the allotment from being lowered */
-bool team_account_has_cap(const struct team_account *account, int64_t now_us);
-
-/** @return when the caps in force will allow these tokens; in the past if they
- * do now */
-int64_t team_account_capped_until_us(const struct team_account *account,
-				     int64_t tokens);
-
 /** Counts the tokens of a request that arrived, whether they can be reserved
  * or not: a forecast from served requests alone would keep a host that has
  * few tokens from getting more. */
@@ -235,23 +181,19 @@
  * what this one held: it must not spend any more of that. */
 void team_account_forfeit(struct team_account *account);
 
-/** Computes the next spending cap, and puts it in force together with the
- * confirmed one until the outcome of its write is known.
- * @param target of the allotment at present
- * @return whether there is a cap: something is withheld */
-bool team_account_propose_cap(struct team_account *account,
-			      const struct team_account_target *target,
-			      const struct team_account_cap_inputs *in);
-
-/** Puts no cap in force once the write of a record without one is confirmed. */
-void team_account_propose_no_cap(struct team_account *account);
-
-/** The write of the proposed cap has ended. */
-void team_account_end_cap_write(struct team_account *account, bool took_effect);
-
 /** Updates what the account knows of the budget.
  * @param budget NULL if the pool does not have it yet */
 void team_account_read(struct team_account *account,
 		       const struct pooled_budget *budget, int64_t now_us);
 
+/** @return tokens spent here or at hosts that this one relays for, and not
+ * reported through another host */
+int64_t team_account_own_settled(const struct team_account *account);
+
+/** As team_account_own_settled(), of tokens that requests demanded. */
+int64_t team_account_own_demanded(const struct team_account *account);
+
+/** @return the mean cost of a request; 0 before the first */
+int64_t team_account_mean_cost(const struct team_account *account);
+
 #endif
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -4,12 +4,10 @@
 #include <string.h>
 
 #include "base/xalloc.h"
+#include "fakes/fake_store_watch.h"
 
 #define DEFAULT_LATENCY_US INT64_C(3000)
 #define OUTAGE_TIMEOUT_US (INT64_C(200) * TGW_US_PER_MS)
-/* A call of a watch takes this long when nothing changes. */
-#define WATCH_CALL_US (INT64_C(500) * TGW_US_PER_MS)
-#define PAUSED_RETRY_US (INT64_C(50) * TGW_US_PER_MS)
 
 enum operation_kind { OPERATION_GET, OPERATION_LIST, OPERATION_SWAP };
 
@@ -30,49 +28,6 @@
 	int64_t revision; /* of a list */
 };
 
-struct fake_store_watch {
-	struct fake_store_watch *next;
-	uint64_t handle;
-	char *prefix;
-	struct tgw_store_watcher watcher;
-	bool missed; /* changes since the last list */
-};
-
-struct watch_event {
-	struct fake_store *client;
-	uint64_t client_generation;
-	uint64_t handle;
-	bool lost;     /* changes may have been missed; key is empty */
-	bool confirms; /* no more changes up to the revision; key is empty */
-	int64_t revision;
-	struct fake_store_key key;
-};
-
-static bool has_prefix(const char *text, const char *prefix)
-{
-	return !strncmp(text, prefix, strlen(prefix));
-}
-
-static bool is_unreachable(const struct fake_store *client)
-{
-	return client->partitioned || client->server->outage;
-}
-
-static struct fake_store_key copy_key(const struct fake_store_key *key)
-{
-	struct fake_store_key copy = *key;
-
-	copy.name = xstrdup(key->name);
-	copy.value = key->value ? xmemdup(key->value, key->value_size) : NULL;
-	return copy;
-}
-
-static void clear_key(struct fake_store_key *key)
-{
-	free(key->name);
-	free(key->value);
-}
-
 static size_t lower_bound(const struct fake_store_server *server,
 			  const char *name)
 {
@@ -126,149 +81,6 @@
 	return &server->keys[at];
 }
 
-static struct fake_store_watch *find_watch(struct fake_store *client,
-					   uint64_t handle)
-{
-	struct fake_store_watch *watch = client->watches;
-
-	while (watch && watch->handle != handle)
-		watch = watch->next;
-	return watch;
-}
-
-static void free_watch_event(void *arg)
-{
-	struct watch_event *event = arg;
-
-	clear_key(&event->key);
-	free(event);
-}
-
-static void deliver_watch_event(void *arg)
-{
-	struct watch_event *event = arg;
-	struct fake_store *client = event->client;
-	struct fake_store_watch *watch;
-	struct tgw_store_entry entry = {
-		.key = event->key.name,
-		.value = event->key.value,
-		.value_size = event->key.value_size,
-		.version = event->key.value ? event->key.version
-					    : TGW_STORE_ABSENT,
-		.deleted_version = event->key.value ? 0 : event->key.version,
-	};
-
-	if (client->generation == event->client_generation && client->paused) {
-		fake_world_after_or_release(client->server->world,
-					    PAUSED_RETRY_US,
-					    deliver_watch_event,
-					    free_watch_event, event);
-		return;
-	}
-	watch = find_watch(client, event->handle);
-	if (client->generation == event->client_generation && watch) {
-		watch->missed |= event->lost || is_unreachable(client);
-		if (event->lost)
-			watch->watcher.lost(watch->watcher.arg);
-		else if (event->confirms && !watch->missed)
-			watch->watcher.confirmed(watch->watcher.arg,
-						 event->revision);
-		else if (event->confirms && is_unreachable(client))
-			watch->watcher.unreachable(watch->watcher.arg);
-		else if (!event->confirms && !is_unreachable(client))
-			watch->watcher.changed(watch->watcher.arg, &entry);
-	}
-	free_watch_event(event);
-}
-
-static void send_watch_event(struct fake_store *client,
-			     const struct fake_store_watch *watch, bool lost,
-			     const struct fake_store_key *key)
-{
-	struct watch_event *event = xcalloc(1, sizeof(*event));
-
-	event->client = client;
-	event->client_generation = client->generation;
-	event->handle = watch->handle;
-	event->lost = lost;
-	if (key)
-		event->key = copy_key(key);
-	fake_world_after_or_release(client->server->world,
-				    client->server->latency_us,
-				    deliver_watch_event, free_watch_event,
-				    event);
-}
-
-/* A watch that is interested makes one call after the other. */
-static void confirm(void *arg)
-{
-	struct watch_event *call = arg;
-	struct fake_store *client = call->client;
-	const struct fake_store_watch *watch = find_watch(client, call->handle);
-	struct watch_event *event;
-
-	if (client->generation != call->client_generation || !watch) {
-		free_watch_event(call);
-		return;
-	}
-	event = xcalloc(1, sizeof(*event));
-	*event = *call;
-	event->confirms = true;
-	event->revision = client->server->revision;
-	if (client->watch_broken || client->paused)
-		free_watch_event(event);
-	else
-		fake_world_after_or_release(client->server->world,
-					    client->server->latency_us,
-					    deliver_watch_event,
-					    free_watch_event, event);
-	client->server->watch_calls++;
-	fake_world_after_or_release(
-		client->server->world,
-		watch->watcher.idle_us ? watch->watcher.idle_us : WATCH_CALL_US,
-		confirm, free_watch_event, call);
-}
-
-static void start_confirming(struct fake_store *client,
-			     const struct fake_store_watch *watch)
-{
-	struct watch_event *call = xcalloc(1, sizeof(*call));
-
-	call->client = client;
-	call->client_generation = client->generation;
-	call->handle = watch->handle;
-	fake_world_after_or_release(client->server->world, 0, confirm,
-				    free_watch_event, call);
-}
-
-/* Reports what was written after the revision. */
-static void report_later(struct fake_store *client,
-			 const struct fake_store_watch *watch)
-{
-	const struct fake_store_server *server = client->server;
-
-	for (size_t i = 0; i < server->key_count; i++)
-		if (has_prefix(server->keys[i].name, watch->prefix) &&
-		    server->keys[i].version > watch->watcher.after_revision)
-			send_watch_event(client, watch, false,
-					 &server->keys[i]);
-}
-
-static void notify_watchers(struct fake_store_server *server,
-			    const struct fake_store_key *key)
-{
-	struct fake_store *client;
-	struct fake_store_watch *watch;
-
-	for (client = server->clients; client; client = client->next) {
-		if (client->watch_broken || is_unreachable(client))
-			continue;
-		for (watch = client->watches; watch; watch = watch->next)
-			if (has_prefix(key->name, watch->prefix))
-				send_watch_event(client, watch, false, key);
-	}
-}
-
 static void write_key(struct fake_store_server *server,
 		      struct fake_store_key *key, const void *value,
 		      size_t value_size)
@@ -277,7 +89,7 @@
 	key->value = value ? xmemdup(value, value_size) : NULL;
 	key->value_size = value ? value_size : 0;
 	key->version = ++server->revision;
-	notify_watchers(server, key);
+	fake_store_notify_watchers(server, key);
 }
 
 int64_t fake_store_server_put(struct fake_store_server *server,
@@ -296,7 +108,7 @@
 	operation->found =
 		xrealloc(operation->found, (operation->found_count + 1) *
 						   sizeof(operation->found[0]));
-	operation->found[operation->found_count++] = copy_key(key);
+	operation->found[operation->found_count++] = fake_store_copy_key(key);
 }
 
 static void add_found_or_absent(struct operation *operation)
@@ -316,7 +128,7 @@
 
 	for (size_t i = lower_bound(server, operation->key);
 	     i < server->key_count &&
-	     has_prefix(server->keys[i].name, operation->key);
+	     fake_store_has_prefix(server->keys[i].name, operation->key);
 	     i++)
 		if (server->keys[i].value)
 			add_found(operation, &server->keys[i]);
@@ -354,24 +166,13 @@
 	if (*link)
 		*link = operation->next;
 	for (size_t i = 0; i < operation->found_count; i++)
-		clear_key(&operation->found[i]);
+		fake_store_clear_key(&operation->found[i]);
 	free(operation->found);
 	free(operation->key);
 	free(operation->value);
 	free(operation);
 }
 
-/* Watches of a listed prefix go on after the list. */
-static void start_watches(const struct operation *operation)
-{
-	if (operation->kind != OPERATION_LIST || operation->status != TGW_OK)
-		return;
-	for (struct fake_store_watch *watch = operation->client->watches; watch;
-	     watch = watch->next)
-		if (!strcmp(watch->prefix, operation->key))
-			watch->missed = false;
-}
-
 static void deliver_response(void *arg)
 {
 	struct operation *operation = arg;
@@ -385,11 +186,13 @@
 	}
 	if (client->paused) {
 		fake_world_after_or_release(client->server->world,
-					    PAUSED_RETRY_US, deliver_response,
-					    free_operation, operation);
+					    FAKE_STORE_PAUSED_RETRY_US,
+					    deliver_response, free_operation,
+					    operation);
 		return;
 	}
-	start_watches(operation);
+	if (operation->kind == OPERATION_LIST && operation->status == TGW_OK)
+		fake_store_start_watches(client, operation->key);
 	entries = xcalloc(operation->found_count, sizeof(entries[0]));
 	for (size_t i = 0; i < operation->found_count; i++) {
 		entries[i].key = operation->found[i].name;
@@ -435,7 +238,7 @@
 static void clear_found(struct operation *operation)
 {
 	for (size_t i = 0; i < operation->found_count; i++)
-		clear_key(&operation->found[i]);
+		fake_store_clear_key(&operation->found[i]);
 	operation->found_count = 0;
 }
 
@@ -446,7 +249,7 @@
 	struct fake_store *client = operation->client;
 	struct fake_store_server *server = client->server;
 
-	if (is_unreachable(client)) {
+	if (fake_store_is_unreachable(client)) {
 		schedule_response(operation,
 				  operation->kind == OPERATION_SWAP
 					  ? TGW_UNKNOWN
@@ -530,46 +333,12 @@
 	operation->value_size = value_size;
 }
 
-static uint64_t fake_watch(struct tgw_store *store, const char *prefix,
-			   struct tgw_store_watcher watcher)
-{
-	struct fake_store *client = (struct fake_store *)store;
-	struct fake_store_watch *watch = xcalloc(1, sizeof(*watch));
-
-	watch->handle = ++client->next_handle;
-	watch->prefix = xstrdup(prefix);
-	watch->watcher = watcher;
-	watch->next = client->watches;
-	client->watches = watch;
-	if (watcher.after_revision)
-		report_later(client, watch);
-	if (watcher.confirmed)
-		start_confirming(client, watch);
-	return watch->handle;
-}
-
-static void fake_unwatch(struct tgw_store *store, uint64_t handle)
-{
-	struct fake_store *client = (struct fake_store *)store;
-	struct fake_store_watch **link = &client->watches;
-
-	while (*link && (*link)->handle != handle)
-		link = &(*link)->next;
-	if (*link) {
-		struct fake_store_watch *watch = *link;
-
-		*link = watch->next;
-		free(watch->prefix);
-		free(watch);
-	}
-}
-
 static const struct tgw_store_ops fake_store_ops = {
 	.get = fake_get,
 	.list = fake_list,
 	.swap = fake_swap,
-	.watch = fake_watch,
-	.unwatch = fake_unwatch,
+	.watch = fake_store_watch,
+	.unwatch = fake_store_unwatch,
 };
 
 void fake_store_server_init(struct fake_store_server *server,
@@ -583,7 +352,7 @@
 void fake_store_server_clear(struct fake_store_server *server)
 {
 	for (size_t i = 0; i < server->key_count; i++)
-		clear_key(&server->keys[i]);
+		fake_store_clear_key(&server->keys[i]);
 	free(server->keys);
 	server->keys = NULL;
 	server->key_count = 0;
@@ -619,7 +388,7 @@
 void fake_store_reset(struct fake_store *store)
 {
 	while (store->watches)
-		fake_unwatch(&store->store, store->watches->handle);
+		fake_store_unwatch(&store->store, store->watches->handle);
 	store->generation++;
 	store->paused = false;
 	store->watch_broken = false;
@@ -630,7 +399,7 @@
 	struct fake_store_watch *watch;
 
 	for (watch = store->watches; watch; watch = watch->next)
-		send_watch_event(store, watch, true, NULL);
+		fake_store_send_event(store, watch, true, NULL);
 }
 
 static void notify_unreachable(struct fake_store *store)
@@ -644,12 +413,12 @@
 
 void fake_store_set_partitioned(struct fake_store *store, bool partitioned)
 {
-	bool was_unreachable = is_unreachable(store);
+	bool was_unreachable = fake_store_is_unreachable(store);
 
 	store->partitioned = partitioned;
 	if (partitioned)
 		notify_unreachable(store);
-	if (was_unreachable && !is_unreachable(store)) {
+	if (was_unreachable && !fake_store_is_unreachable(store)) {
 		notify_lost(store);
 	}
 }
