--- a/tests/unit/test_store_mirror.c
+++ b/tests/unit/test_store_mirror.c
@@ -351,6 +351,54 @@
 }
 END_TEST
 
+START_TEST(a_change_is_known_in_time_when_the_relay_is_not_heard)
+{
+	play_ms(3000 + _i * 37);
+	hosts[0].end.sends_nothing = true;
+	put(0, 1, 12);
+	play_ms(APPLY_US / TGW_US_PER_MS - 200);
+	check_known(0, 1, 12);
+}
+END_TEST
+
+START_TEST(a_change_is_known_in_time_when_the_relay_hears_nothing)
+{
+	play_ms(3000 + _i * 37);
+	hosts[0].end.receives_nothing = true;
+	put(0, 1, 12);
+	play_ms(APPLY_US / TGW_US_PER_MS - 200);
+	check_known(0, 1, 12);
+	put(0, 1, 13);
+	play_ms(APPLY_US / TGW_US_PER_MS - 200);
+	check_known(0, 1, 13);
+}
+END_TEST
+
+/* Hosts disagree on the relay, one of the two is behind, and they change
+ * between them. */
+START_TEST(two_relays_bring_no_earlier_version_back)
+{
+	play_ms(3000);
+	for (size_t i = 3; i < HOSTS; i++)
+		store_mirror_set_relay(hosts[i].mirror, "host-1");
+	store_mirror_set_relay(hosts[1].mirror, "");
+	play_ms(2000);
+	hosts[1].store.watch_broken = true;
+	for (int number = 20; number < 28; number++) {
+		put(0, 1, number);
+		put(1, 2, number % 2 ? number : 0);
+		for (size_t i = 2; i < HOSTS; i++)
+			store_mirror_set_relay(
+				hosts[i].mirror,
+				(number + (int)i) % 2 ? "host-0" : "host-1");
+		play_ms(APPLY_US / TGW_US_PER_MS - 200);
+		/* The one that is behind is not in touch with the store. */
+		for (size_t i = 2; i < HOSTS; i++)
+			ck_assert_int_eq(hosts[i].values[0][1], number);
+	}
+}
+END_TEST
+
 START_TEST(late_messages_do_not_look_fresh)
 {
 	play_ms(3000 + _i * 37);
@@ -535,6 +583,13 @@
 	tcase_add_loop_test(
 		tcase, a_change_is_known_in_time_when_the_relay_watches_in_vain,
 		0, 30);
+	tcase_add_loop_test(
+		tcase, a_change_is_known_in_time_when_the_relay_is_not_heard, 0,
+		30);
+	tcase_add_loop_test(
+		tcase, a_change_is_known_in_time_when_the_relay_hears_nothing,
+		0, 30);
+	tcase_add_test(tcase, two_relays_bring_no_earlier_version_back);
 	tcase_add_loop_test(tcase, late_messages_do_not_look_fresh, 0, 10);
 	tcase_add_test(
 		tcase,
