--- a/src/state/record_reader.c
+++ b/src/state/record_reader.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/msgpack_guard.h"
 #include "state/msgpack_field.h"
 
 static const msgpack_object_array no_elements;
@@ -149,3 +150,23 @@
 				     reader->what, reader->next);
 	}
 }
+
+enum tgw_status record_reader_decode(
+	const char *what, const void *bytes, size_t size,
+	enum tgw_status (*read)(void *arg, const msgpack_object *object,
+				struct tgw_error *error),
+	void *arg, struct tgw_error *error)
+{
+	msgpack_unpacked unpacked;
+	enum tgw_status status;
+
+	if (msgpack_guard_unpack(&unpacked, bytes, size))
+		status = read(arg, &unpacked.data, error);
+	else
+		status = tgw_error_set(error, TGW_CORRUPT,
+				       "%s can't be decoded; check the "
+				       "sender's version",
+				       what);
+	msgpack_unpacked_destroy(&unpacked);
+	return status;
+}
--- a/src/state/record_reader.h
+++ b/src/state/record_reader.h
@@ -50,6 +50,15 @@
 const msgpack_object_array *record_reader_array(struct record_reader *reader,
 						size_t max_count);
 
+/** Decodes bytes that are one MessagePack value.
+ * @param read receives the decoded value
+ * @return the status of `read`; CORRUPT if the bytes are anything else */
+enum tgw_status record_reader_decode(
+	const char *what, const void *bytes, size_t size,
+	enum tgw_status (*read)(void *arg, const msgpack_object *object,
+				struct tgw_error *error),
+	void *arg, struct tgw_error *error);
+
 /** @return the status; sets the error's message when it is not OK */
 enum tgw_status record_reader_finish(const struct record_reader *reader,
 				     struct tgw_error *error);
--- a/src/state/transfer_message.c
+++ b/src/state/transfer_message.c
@@ -3,7 +3,6 @@
 #include <msgpack.h>
 #include <string.h>
 
-#include "base/msgpack_guard.h"
 #include "state/ledger_bucket.h"
 #include "state/msgpack_field.h"
 #include "state/record_reader.h"
@@ -101,10 +100,10 @@
 	return reader.status == TGW_OK && is_valid(entry);
 }
 
-static enum tgw_status decode_fields(struct transfer_message *message,
-				     const msgpack_object *object,
+static enum tgw_status decode_fields(void *arg, const msgpack_object *object,
 				     struct tgw_error *error)
 {
+	struct transfer_message *message = arg;
 	const msgpack_object_array *entries;
 	struct record_reader reader;
 	uint64_t flags;
@@ -132,16 +131,7 @@
 					const void *bytes, size_t size,
 					struct tgw_error *error)
 {
-	msgpack_unpacked unpacked;
-	enum tgw_status status;
-
 	memset(message, 0, sizeof(*message));
-	if (!msgpack_guard_unpack(&unpacked, bytes, size))
-		status = tgw_error_set(error, TGW_CORRUPT,
-				       WHAT " can't be decoded; check the "
-					    "sender's version");
-	else
-		status = decode_fields(message, &unpacked.data, error);
-	msgpack_unpacked_destroy(&unpacked);
-	return status;
+	return record_reader_decode(WHAT, bytes, size, decode_fields, message,
+				    error);
 }
