--- a/tests/cram/standins.t
+++ b/tests/cram/standins.t
@@ -181,9 +181,9 @@
   $ waiting() { curl -sS $E/load | jq -e ".running + .waiting == $1"; }
   $ submit first 0 50 & line_1=$!
   $ fleet_wait 5 waiting 1
-  $ submit late 3 5 & line_2=$!
+  $ submit late 3 30 & line_2=$!
   $ fleet_wait 5 waiting 2
-  $ submit soon 1 5 & line_3=$!
+  $ submit soon 1 30 & line_3=$!
   $ wait $line_1 $line_2 $line_3
   $ cat order
   first
