--- a/tests/unit/test_msgpack_guard.c
+++ b/tests/unit/test_msgpack_guard.c
@@ -70,6 +70,7 @@
 	Suite *suite = suite_create("msgpack_guard");
 	TCase *tcase = tcase_create("guard");
 
+	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(tcase, truncated_values_are_rejected, 0,
 			    sizeof(truncated) / sizeof(truncated[0]));
 	tcase_add_test(tcase, the_guard_accepts_the_same_values_as_the_library);
