Do not take a relay for silent by a report of long ago

What callers saw: nothing by itself; hosts left a relay that answers and came back to it, in which time tokens are asked for elsewhere.

Cause: when a host turned to another relay while the reply to its last report was lost, the time of that report stayed; chosen again, the relay counted as silent at once.

Change: the time starts anew when a relay is chosen.

--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -113,6 +113,21 @@
 	return first;
 }
 
+static struct budget_relay_candidate *find_candidate(struct budget_relay *relay,
+						     const char *host)
+{
+	for (size_t i = 0; i < relay->candidate_count; i++)
+		if (!strcmp(relay->candidates[i].host, host))
+			return &relay->candidates[i];
+	return NULL;
+}
+
+/* @return the candidate that is in use, to be changed */
+static struct budget_relay_candidate *current_of(struct budget_relay *relay)
+{
+	return find_candidate(relay, relay->current->host);
+}
+
 /* What the host holds as a relay is for the new one. */
 static void become_member(struct budget_relay *relay)
 {
@@ -129,6 +144,9 @@
 		return;
 	relay->budgets->counters.relay_changes++;
 	relay->chosen_us = now_of(relay);
+	/* A report that it got when it was the relay before tells nothing. */
+	if (relay->current)
+		current_of(relay)->asked_us = 0;
 	report_change(relay, reason);
 	if (budget_relay_uses_store(relay))
 		relay->member_since_us = 0;
@@ -138,21 +156,6 @@
 	team_budget_wake(relay->budgets);
 }
 
-static struct budget_relay_candidate *find_candidate(struct budget_relay *relay,
-						     const char *host)
-{
-	for (size_t i = 0; i < relay->candidate_count; i++)
-		if (!strcmp(relay->candidates[i].host, host))
-			return &relay->candidates[i];
-	return NULL;
-}
-
-/* @return the candidate that is in use, to be changed */
-static struct budget_relay_candidate *current_of(struct budget_relay *relay)
-{
-	return find_candidate(relay, relay->current->host);
-}
-
 static void fill_candidate(struct budget_relay *relay,
 			   struct budget_relay_candidate *candidate,
 			   const char *host)
--- a/tests/unit/test_team_budget_relay.c
+++ b/tests/unit/test_team_budget_relay.c
@@ -236,6 +236,30 @@
 }
 END_TEST
 
+/* The reply to a host's last report was lost when that turned to another one.
+ */
+START_TEST(a_relay_that_is_used_again_is_not_taken_for_silent)
+{
+	struct team_fleet_host *first = team_fleet_relay(0);
+	struct team_fleet_host *second = &team_fleet.hosts[DOMAINS];
+
+	start_fleet(LARGE_FLEET, (uint64_t)_i);
+	cut_from_store(first, true);
+	play_s(2);
+	cut_from_store(first, false);
+	second->end.sends_nothing = true;
+	play_s(2);
+	second->end.sends_nothing = false;
+	play_s(20);
+	cut_from_store(first, true);
+	play_s(2);
+	for (size_t i = DOMAINS; i < LARGE_FLEET; i += DOMAINS)
+		ck_assert_str_eq(team_budget_relay(team_fleet.hosts[i].budgets),
+				 "host-6");
+	team_fleet_stop();
+}
+END_TEST
+
 static void stop_host(struct team_fleet_host *host)
 {
 	team_budget_close(host->budgets);
@@ -289,6 +313,9 @@
 	tcase_add_loop_test(tcase,
 			    a_relay_without_the_store_stays_with_another_one, 1,
 			    1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    a_relay_that_is_used_again_is_not_taken_for_silent,
+			    1, 1 + SEEDS);
 	tcase_add_loop_test(tcase, hosts_that_stop_strand_nothing, 1,
 			    1 + SEEDS);
 	suite_add_tcase(suite, tcase);
