Log why a call ended without another attempt, and whether it was aborted

Change: refused lines have not_repeated= and caller=aborted, attempt_failed lines have silent_ms=, and aborted_total counts broken-off responses.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -122,6 +122,7 @@
 	if (!caller)
 		return;
 	if (head_sent) {
+		edge->counters.aborted++;
 		caller->call = NULL;
 		server_conn_abort(caller);
 		return;
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -115,6 +115,7 @@
 static void refuse_without_server(struct call *call,
 				  enum placement_result result)
 {
+	call->not_repeated = "no_server";
 	if (call->head_sent || call->may_have_run)
 		call_refuse(call, 502, 0, "no server is left to go on at");
 	else if (result == PLACEMENT_ALL_FULL)
@@ -215,16 +216,38 @@
 	struct edge *edge = call->edge;
 	int64_t now_us = edge_now_us();
 
-	if (!call->caller || call->sent_count >= call->route.max_attempts ||
-	    call->deadline_us - now_us < MIN_ATTEMPT_US)
-		return false;
-	if (!retry_budget_spend(edge_retry_budget(edge, call->route.service),
-				now_us))
+	if (!call->caller)
+		call->not_repeated = "caller_left";
+	else if (call->sent_count >= call->route.max_attempts)
+		call->not_repeated = "attempts";
+	else if (call->deadline_us - now_us < MIN_ATTEMPT_US)
+		call->not_repeated = "time";
+	else if (!retry_budget_spend(
+			 edge_retry_budget(edge, call->route.service), now_us))
+		call->not_repeated = "retry_budget";
+	else
+		call->not_repeated = NULL;
+	if (call->not_repeated)
 		return false;
 	edge->counters.retries++;
 	return true;
 }
 
+/* Checks whether a failed attempt may be followed by another. */
+static bool may_follow_up(struct call *call, enum backend_outcome outcome,
+			  bool may_have_run)
+{
+	if (may_have_run && !call_may_repeat(call)) {
+		call->not_repeated = "kind";
+		return false;
+	}
+	if (may_crash_servers(call, outcome)) {
+		call->not_repeated = "crashes";
+		return false;
+	}
+	return may_send_again(call);
+}
+
 void call_attempt_failed(struct call *call, enum backend_outcome outcome,
 			 const char *reason)
 {
@@ -257,8 +280,7 @@
 		call_dispatch(call);
 		return;
 	}
-	if ((!may_have_run || call_may_repeat(call)) &&
-	    !may_crash_servers(call, outcome) && may_send_again(call)) {
+	if (may_follow_up(call, outcome, may_have_run)) {
 		if (call->events_sent)
 			call->edge->counters.resumed++;
 		call_dispatch(call);
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -5,6 +5,14 @@
 	return (edge_now_us() - time_us) / TGW_US_PER_MS;
 }
 
+/* What the caller of a refused call gets. */
+static const char *caller_state(const struct call *call)
+{
+	if (!call->caller)
+		return "caller_left";
+	return call->head_sent ? "aborted" : "done";
+}
+
 void call_log_not_reserved(const struct call *call, int64_t tokens,
 			   enum tgw_status status)
 {
@@ -38,12 +46,14 @@
 	edge_log_line(&call->edge->log, EDGE_LOG_NOTICE, "call",
 		      "attempt_failed",
 		      "request=%s server=%s reason=\"%s\" sent=%d events=%llu "
-		      "attempt=%u age_ms=%lld server_load=%u+%u/%u "
+		      "attempt=%u age_ms=%lld silent_ms=%lld "
+		      "server_load=%u+%u/%u "
 		      "load_ms_ago=%lld failure_share=%.2f fingerprint=%s",
 		      call->request.id, backend->entry.id, reason,
 		      call->conn && call->conn->sent,
 		      (unsigned long long)call->events_sent,
 		      call->attempt_count, ms_since(call->attempt_started_us),
+		      ms_since(call->last_received_us),
 		      backend->reported.running, backend->reported.waiting,
 		      backend->entry.slots, ms_since(backend->reported_us),
 		      backend->failure_rate, fingerprint);
@@ -56,12 +66,13 @@
 		&call->edge->log, EDGE_LOG_NOTICE, "call", "refused",
 		"request=%s team=%s route=%s status=%d reason=\"%s\" "
 		"attempts=%u may_have_run=%d events=%llu retry_after_ms=%lld "
-		"age_ms=%lld caller=%s",
+		"age_ms=%lld not_repeated=%s caller=%s",
 		call->request.id, call->team, call->route.name, status, reason,
 		call->attempt_count, call->may_have_run,
 		(unsigned long long)call->events_sent,
 		(long long)retry_after_ms, ms_since(call->arrived_us),
-		call->caller ? "done" : "caller_left");
+		call->not_repeated ? call->not_repeated : "-",
+		caller_state(call));
 }
 
 void call_log_caller_left(const struct call *call)
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -66,6 +66,8 @@
 	int64_t last_received_us;
 	int64_t first_byte_us; /* of the first response; 0 before it */
 	bool may_have_run;     /* some server may have run the request */
+	/* Why a failed attempt was not followed by another, for the log. */
+	const char *not_repeated;
 
 	int status; /* of the current response */
 	struct response_info response;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -54,6 +54,8 @@
 	uint64_t requests;
 	uint64_t answered;
 	uint64_t refused;
+	/** Of the refused, responses that were broken off after their head. */
+	uint64_t aborted;
 	/** Attempts by their outcome, but for BACKEND_SERVED. */
 	uint64_t failed_attempts[BACKEND_OUTCOMES];
 	uint64_t caller_left;
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -117,6 +117,7 @@
 	add_counter(text, "requests_total", counters->requests);
 	add_counter(text, "answered_total", counters->answered);
 	add_counter(text, "refused_total", counters->refused);
+	add_counter(text, "aborted_total", counters->aborted);
 	add_counter(text, "caller_left_total", counters->caller_left);
 	add_counter(text, "retries_total", counters->retries);
 	add_counter(text, "resumed_total", counters->resumed);
