--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -77,6 +77,121 @@
 	server_conn_finish(conn);
 }
 
+/* A response that has fallen silent: its request's connection, and what it
+ * sends when it goes on. */
+struct paused_response {
+	uv_timer_t timer;
+	struct server_conn *conn;
+	bool is_stream;
+	bool head_sent;
+	int next_event;	  /* of a stream */
+	const char *rest; /* of a body, or of an event that has begun */
+};
+
+static const char whole_body[] = "done";
+static const char event_start[] = "id: 3\nda";
+static const char event_rest[] = "ta: part-3\n\n";
+
+static void on_paused_closed(uv_handle_t *handle)
+{
+	free(handle->data);
+}
+
+static void end_pause(struct paused_response *paused)
+{
+	paused->conn->call = NULL;
+	uv_close((uv_handle_t *)&paused->timer, on_paused_closed);
+}
+
+static void send_response_head(struct server_conn *conn, bool is_stream)
+{
+	if (is_stream)
+		send_head(conn, 200, SERVER_LENGTH_UNKNOWN,
+			  "Content-Type: text/event-stream\r\n");
+	else
+		send_head(conn, 200, (int64_t)strlen(whole_body), "");
+}
+
+static void on_pause_over(uv_timer_t *timer)
+{
+	struct paused_response *paused = timer->data;
+	struct server_conn *conn = paused->conn;
+
+	if (!paused->head_sent)
+		send_response_head(conn, paused->is_stream);
+	server_conn_send_body(conn, paused->rest, strlen(paused->rest));
+	if (paused->is_stream)
+		for (int i = paused->next_event; i < STREAM_EVENTS; i++)
+			send_event(conn, i);
+	end_pause(paused);
+	server_conn_finish(conn);
+}
+
+/* Sends what comes before the pause. */
+static void begin_stream(struct paused_response *paused,
+			 enum backend_standin_pause at)
+{
+	struct server_conn *conn = paused->conn;
+	int before = at == BACKEND_STANDIN_PAUSE_BEFORE_END ? STREAM_EVENTS
+							    : TRUNCATED_EVENTS;
+
+	paused->rest = "";
+	if (at == BACKEND_STANDIN_PAUSE_AFTER_HEAD)
+		return;
+	for (; paused->next_event < before; paused->next_event++)
+		send_event(conn, paused->next_event);
+	if (at != BACKEND_STANDIN_PAUSE_MIDWAY ||
+	    paused->next_event != TRUNCATED_EVENTS)
+		return;
+	server_conn_send_body(conn, event_start, strlen(event_start));
+	paused->rest = event_rest;
+	paused->next_event++;
+}
+
+static void begin_body(struct paused_response *paused,
+		       enum backend_standin_pause at)
+{
+	size_t before = 0;
+
+	if (at == BACKEND_STANDIN_PAUSE_BEFORE_END)
+		before = strlen(whole_body) - 1;
+	else if (at != BACKEND_STANDIN_PAUSE_AFTER_HEAD)
+		before = strlen(whole_body) / 2;
+	server_conn_send_body(paused->conn, whole_body, before);
+	paused->rest = whole_body + before;
+}
+
+static void respond_with_pause(struct backend_standin *standin,
+			       struct server_conn *conn, bool is_stream,
+			       const char *pause)
+{
+	const char *resumed =
+		http_head_find(&conn->request.head, "Last-Event-Id");
+	struct paused_response *paused = xcalloc(1, sizeof(*paused));
+	enum backend_standin_pause at;
+	unsigned int pause_ms;
+	char *end;
+
+	at = (enum backend_standin_pause)strtol(pause, &end, 10);
+	pause_ms = (unsigned int)strtol(end + 1, NULL, 10);
+	paused->conn = conn;
+	paused->is_stream = is_stream;
+	paused->next_event = resumed ? (int)strtol(resumed, NULL, 10) + 1 : 0;
+	paused->rest = is_stream ? "" : whole_body;
+	paused->head_sent = at != BACKEND_STANDIN_PAUSE_BEFORE_HEAD;
+	conn->call = paused;
+	uv_timer_init(standin->loop, &paused->timer);
+	paused->timer.data = paused;
+	uv_timer_start(&paused->timer, on_pause_over, pause_ms, 0);
+	if (!paused->head_sent)
+		return;
+	send_response_head(conn, is_stream);
+	if (is_stream)
+		begin_stream(paused, at);
+	else
+		begin_body(paused, at);
+}
+
 static void record_request(struct backend_standin *standin,
 			   struct server_conn *conn)
 {
@@ -96,8 +211,14 @@
 static void run(struct backend_standin *standin, struct server_conn *conn,
 		const char *action)
 {
+	const char *pause = http_head_find(&conn->request.head, "X-Pause");
+	bool is_stream = !strcmp(action, "stream");
+
 	standin->runs++;
-	if (!strcmp(action, "ok"))
+	if (pause && !standin->never_pauses &&
+	    (is_stream || !strcmp(action, "ok")))
+		respond_with_pause(standin, conn, is_stream, pause);
+	else if (!strcmp(action, "ok"))
 		answer(conn, 200, "done", "");
 	else if (!strcmp(action, "fail-once"))
 		answer(conn, standin->runs % 2 ? 500 : 200, "done", "");
@@ -107,7 +228,7 @@
 		server_conn_abort(conn);
 	else if (!strcmp(action, "crash"))
 		backend_standin_crash(standin);
-	else if (!strcmp(action, "stream"))
+	else if (is_stream)
 		stream(conn, false);
 	else if (!strcmp(action, "stream-cut"))
 		stream(conn, true);
@@ -126,7 +247,7 @@
 	record_request(standin, conn);
 	if (expected && strcmp(expected, standin->id))
 		answer(conn, 421, "", "Tamarackgw-Instance-Id: another\r\n");
-	else if (!strcmp(action, "full"))
+	else if (standin->rejects || !strcmp(action, "full"))
 		answer(conn, 503, "", "Tamarackgw-Not-Executed: 1\r\n");
 	else
 		run(standin, conn, action);
@@ -158,6 +279,8 @@
 {
 	struct backend_standin *standin = conn->owner;
 
+	if (conn->call)
+		end_pause(conn->call);
 	if (conn->previous)
 		conn->previous->next = conn->next;
 	else
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -3,8 +3,10 @@
  * A small stand-in for a backend server of the platform. The last segment of a
  * request's path selects what it does: ok, fail, fail-once, break, crash,
  * stream, stream-cut or full. Any other request waits until
- * backend_standin_release().
- * A request that expects another instance gets 421 and is not executed.
+ * backend_standin_release(). A response to ok or stream falls silent and goes
+ * on later if its request has the field X-Pause: AT,MS (enum
+ * backend_standin_pause and milliseconds). A request that expects another
+ * instance gets 421 and is not executed.
  */
 #ifndef FAKES_BACKEND_STANDIN_H
 #define FAKES_BACKEND_STANDIN_H
@@ -15,6 +17,16 @@
 
 #include "base/buffer.h"
 
+/** Where a response falls silent. */
+enum backend_standin_pause {
+	BACKEND_STANDIN_PAUSE_BEFORE_HEAD = 1,
+	BACKEND_STANDIN_PAUSE_AFTER_HEAD,
+	/** In the middle of the body; for a stream, within an event. */
+	BACKEND_STANDIN_PAUSE_MIDWAY,
+	BACKEND_STANDIN_PAUSE_BETWEEN_EVENTS,
+	BACKEND_STANDIN_PAUSE_BEFORE_END, /**< only the last bytes are left */
+};
+
 struct backend_standin {
 	uv_loop_t *loop;
 	uv_tcp_t *listener; /**< NULL after a crash */
@@ -30,6 +42,8 @@
 	struct buffer request;
 	/** Connection of the waiting request, or NULL. */
 	struct server_conn *waiting;
+	bool never_pauses; /**< ignores X-Pause */
+	bool rejects;	   /**< reports that it is full, and runs nothing */
 };
 
 void backend_standin_start(struct backend_standin *standin, uv_loop_t *loop,
--- a/tests/fakes/edge_rig.h
+++ b/tests/fakes/edge_rig.h
@@ -92,7 +92,8 @@
 char *edge_rig_exchange(struct edge_rig *rig, const char *text);
 
 /** Sends a request with the team's key to the path /route/action.
- * @param route safe, unsafe, stream or resume
+ * @param route safe, unsafe, stream or resume; with a timeout of 10 s:
+ * long-safe, long-unsafe, long-stream or long-resume
  * @param action what the backend server does; see backend_standin.h
  * @param headers further header lines */
 char *edge_rig_request(struct edge_rig *rig, const char *method,
