Keep the attempt at a silent server until another server responds

Callers saw: a sound backend server falls silent for a second or two and goes on, and the host ends the request long before its deadline: 502, or, once the head of the response was sent, an aborted connection.

Cause: the host closed the attempt before it knew whether there could be another. Without retry credit, attempts or a server for one, the request ended. A pause stops all requests of a server at once and so empties the retry budget.

Change: attempt_plan decides from the facts: send, wait or end. A silent server's attempt stays open until a server responds; the request falls back to it when the second attempt fails. Attempts are a type of their own, since two may be open; timers and decisions have files of their own.

One check of test_edge_silence is stricter: all its requests start at the silent server.

--- a/src/ctl/explain_commands.c
+++ b/src/ctl/explain_commands.c
@@ -33,7 +33,8 @@
 	 "the server crashed, or its answer was lost; it may have run the "
 	 "request"},
 	{"the server is silent",
-	 "the server did not answer within its timeout"},
+	 "the server paused; the request goes to another server as well, or "
+	 "waits"},
 	{"the server can't be reached",
 	 "no connection to the server: it crashed, or is unreachable"},
 	{"the time of the request is up",
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -25,23 +25,11 @@
 #define RETRY_AFTER_NONE_FREE_MS 10000
 /* Used if neither the caller nor the route sets a timeout. */
 #define DEFAULT_TIMEOUT_MS 30000
-/* A repeatable request waits for bytes from a server for its total timeout
- * divided by this, within the bounds below, so that time is left to try another
- * server. */
-#define RECEIVE_TIMEOUT_DIVISOR 3
-#define MIN_RECEIVE_TIMEOUT_US (150 * TGW_US_PER_MS)
-#define MAX_RECEIVE_TIMEOUT_US (1500 * TGW_US_PER_MS)
-#define CONNECT_TIMEOUT_US (250 * TGW_US_PER_MS)
-
-static void on_timer(uv_timer_t *timer);
 
 static void on_timer_closed(uv_handle_t *handle)
 {
 	struct call *call = handle->data;
 
-	buffer_free(&call->fields);
-	buffer_free(&call->body);
-	buffer_free(&call->partial);
 	free(call);
 }
 
@@ -63,7 +51,9 @@
 	if (call->ended)
 		return;
 	call->ended = true;
-	call_abandon_attempt(call);
+	for (size_t i = 0; i < CALL_OPEN_ATTEMPTS_MAX; i++)
+		if (call->attempts[i].backend)
+			call_attempt_end(&call->attempts[i]);
 	if (call->reserved_tokens)
 		team_budget_settle(edge->budgets, call->team,
 				   call->reserved_tokens, spent_tokens(call));
@@ -138,16 +128,6 @@
 		call_refuse(call, 503, RETRY_AFTER_DEFAULT_MS, reason);
 }
 
-static void time_out_call(struct call *call)
-{
-	if (call->conn && call->conn->sent)
-		call->may_have_run = true;
-	if (call->backend)
-		backend_record_outcome(call->backend, BACKEND_TIMED_OUT,
-				       edge_now_us());
-	call_give_up(call, "the time of the request is up");
-}
-
 static int64_t max_cost_tokens(const struct call *call)
 {
 	return call->request.input_tokens + call->request.output_tokens;
@@ -181,6 +161,13 @@
 			    "other hosts hold what is left of the budget");
 }
 
+void call_refuse_without_tokens(struct call *call)
+{
+	call->edge->counters.budget_refused++;
+	call_refuse(call, 503, RETRY_AFTER_RECALL_MS,
+		    "no allotment came in time");
+}
+
 static void reserve_and_dispatch(struct call *call)
 {
 	struct edge *edge = call->edge;
@@ -281,9 +268,8 @@
 	call->edge = edge;
 	call->caller = conn;
 	call->arrived_us = edge_now_us();
-	event_scan_init(&call->events);
-	uv_timer_init(edge->loop, &call->timer);
-	call->timer.data = call;
+	call->last_event_id = EVENT_SCAN_NO_ID;
+	call_timer_init(call);
 	call->next = edge->calls;
 	if (call->next)
 		call->next->previous = call;
@@ -380,102 +366,20 @@
 	call->edge->counters.caller_left++;
 	/* A request that must not be repeated is completed once it was sent:
 	 * its effect matters even though nobody receives the response. */
-	if (call->route.kind == ROUTE_UNSAFE && call->conn && call->conn->sent)
+	if (call->route.kind == ROUTE_UNSAFE &&
+	    call_attempt_is_sent(call->current))
 		return;
-	if (call->conn && call->conn->sent)
+	if (call_attempt_is_sent(call->current))
 		call->may_have_run = true;
 	call_end(call);
 }
 
 void call_caller_drained(struct call *call)
 {
-	if (!call->backend_paused || !call->conn)
-		return;
-	call->backend_paused = false;
-	http_conn_resume(call->conn);
-}
-
-static int64_t receive_timeout_us(const struct call *call)
-{
-	int64_t limit_us = (call->deadline_us - call->arrived_us) /
-			   RECEIVE_TIMEOUT_DIVISOR;
-
-	if (limit_us < MIN_RECEIVE_TIMEOUT_US)
-		limit_us = MIN_RECEIVE_TIMEOUT_US;
-	return limit_us > MAX_RECEIVE_TIMEOUT_US ? MAX_RECEIVE_TIMEOUT_US
-						 : limit_us;
-}
-
-static int64_t attempt_deadline_us(const struct call *call)
-{
-	int64_t due_us;
-
-	if (!call->conn)
-		return call->deadline_us;
-	if (!call->conn->connected)
-		return call->attempt_started_us + CONNECT_TIMEOUT_US;
-	if (!call_may_repeat(call) ||
-	    call->sent_count >= call->route.max_attempts)
-		return call->deadline_us;
-	due_us = call->last_received_us + receive_timeout_us(call);
-	return due_us < call->deadline_us ? due_us : call->deadline_us;
-}
-
-void call_schedule(struct call *call)
-{
-	int64_t due_us = call->waits_for_tokens ? call->tokens_deadline_us
-						: attempt_deadline_us(call);
-	int64_t left_us;
-
-	if (due_us > call->deadline_us)
-		due_us = call->deadline_us;
-	left_us = due_us - edge_now_us();
-	if (left_us < 0)
-		left_us = 0;
-	uv_timer_start(
-		&call->timer, on_timer,
-		(uint64_t)((left_us + TGW_US_PER_MS - 1) / TGW_US_PER_MS), 0);
-}
+	struct call_attempt *attempt = call->current;
 
-static void on_timer(uv_timer_t *timer)
-{
-	struct call *call = timer->data;
-	int64_t now_us = edge_now_us();
-
-	if (call->ended)
-		return;
-	if (now_us >= call->deadline_us) {
-		time_out_call(call);
-		return;
-	}
-	if (call->waits_for_tokens) {
-		if (now_us < call->tokens_deadline_us) {
-			call_schedule(call);
-			return;
-		}
-		call->edge->counters.budget_refused++;
-		call_refuse(call, 503, RETRY_AFTER_RECALL_MS,
-			    "no allotment came in time");
-		return;
-	}
-	if (now_us < attempt_deadline_us(call) || !call->conn) {
-		call->timeout_pending = false;
-		call_schedule(call);
+	if (!attempt || !attempt->paused)
 		return;
-	}
-	/* The event loop runs timers before it reads from sockets, so on a busy
-	 * host the response may have arrived already. The timeout takes effect
-	 * in the next run of the timer, after the loop has read. */
-	if (!call->timeout_pending) {
-		call->timeout_pending = true;
-		uv_timer_start(timer, on_timer, 1, 0);
-		return;
-	}
-	call->timeout_pending = false;
-	if (!call->conn->connected)
-		call_attempt_failed(call, BACKEND_UNREACHABLE,
-				    "the server can't be reached");
-	else
-		call_attempt_failed(call, BACKEND_TIMED_OUT,
-				    "the server is silent");
+	attempt->paused = false;
+	http_conn_resume(attempt->conn);
 }
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -1,34 +1,36 @@
 #include <string.h>
 
-#include "edge/backend_pool.h"
 #include "edge/call_log.h"
 #include "edge/call_private.h"
 
 /* A larger response is forwarded as it arrives, which rules out a retry. */
 #define MAX_BUFFERED_BYTES (256 * 1024)
 
-static void copy_fields(struct call *call, const struct http_head *head)
+static void copy_fields(struct call_attempt *attempt,
+			const struct http_head *head)
 {
-	buffer_clear(&call->fields);
+	buffer_clear(&attempt->fields);
 	for (size_t i = 0; i < head->count; i++) {
 		const char *name = http_head_name(head, i);
 
 		if (http_head_is_hop_by_hop(head, name))
 			continue;
-		buffer_add_text(&call->fields, name);
-		buffer_add_text(&call->fields, ": ");
-		buffer_add_text(&call->fields, http_head_value(head, i));
-		buffer_add_text(&call->fields, "\r\n");
+		buffer_add_text(&attempt->fields, name);
+		buffer_add_text(&attempt->fields, ": ");
+		buffer_add_text(&attempt->fields, http_head_value(head, i));
+		buffer_add_text(&attempt->fields, "\r\n");
 	}
 }
 
-static void begin_forwarding(struct call *call)
+static void begin_forwarding(struct call_attempt *attempt)
 {
-	call->forwarding = true;
+	struct call *call = attempt->call;
+
+	attempt->forwarding = true;
 	if (call->head_sent || !call->caller)
 		return;
 	call->head_sent = true;
-	server_conn_send_head(call->caller, call->status, &call->fields,
+	server_conn_send_head(call->caller, attempt->status, &attempt->fields,
 			      SERVER_LENGTH_UNKNOWN, call->edge->stopping);
 }
 
@@ -37,100 +39,144 @@
 	return status >= 200 && status < 300;
 }
 
+/* Goes on with an attempt whose server was silent, in place of the later one,
+ * which no server has answered yet. */
+static void return_to_silent_attempt(struct call *call)
+{
+	struct call_attempt *attempt = call->silent;
+
+	call->edge->counters.silences_ended++;
+	call_log_attempt_continues(attempt);
+	if (call->current)
+		call_attempt_end(call->current);
+	call->current = attempt;
+	call->silent = NULL;
+	call_schedule(call);
+}
+
+/* A server has begun to answer, so the call needs no other attempt. */
+static void settle_on(struct call_attempt *attempt)
+{
+	if (attempt == attempt->call->silent)
+		return_to_silent_attempt(attempt->call);
+	else
+		call_end_silent_attempt(attempt->call);
+}
+
+static void record_received(struct call_attempt *attempt)
+{
+	attempt->last_received_us = edge_now_us();
+	attempt->next_check_us = 0;
+	attempt->silence_recorded = false;
+}
+
 static enum http_conn_verdict on_head(struct http_conn *conn)
 {
-	struct call *call = conn->arg;
+	struct call_attempt *attempt = conn->arg;
+	struct call *call = attempt->call;
 	struct edge *edge = call->edge;
 
 	edge->sources.dialect->read_response(&conn->head, conn->status,
-					     call->request.id, &call->response);
-	if (call->response.other_request)
+					     call->request.id,
+					     &attempt->response);
+	if (attempt->response.other_request)
 		return HTTP_CONN_DISCARD;
-	call->status = conn->status;
-	call->last_received_us = edge_now_us();
+	attempt->status = conn->status;
+	record_received(attempt);
 	if (!call->first_byte_us)
-		call->first_byte_us = call->last_received_us;
-	if (call->response.has_load)
-		backend_report(call->backend, &call->response.load,
-			       call->last_received_us);
-	if (is_success(conn->status) && !call->response.has_signature) {
-		call_attempt_failed(call, BACKEND_BROKEN,
+		call->first_byte_us = attempt->last_received_us;
+	if (attempt->response.has_load)
+		backend_report(attempt->backend, &attempt->response.load,
+			       attempt->last_received_us);
+	if (is_success(conn->status) && !attempt->response.has_signature) {
+		call_attempt_failed(attempt, BACKEND_BROKEN,
 				    "the answer bears no signature");
 		return HTTP_CONN_ACCEPT;
 	}
+	if (is_success(conn->status))
+		settle_on(attempt);
 	/* A resumed stream keeps the head of its first response. */
 	if (!call->head_sent)
-		copy_fields(call, &conn->head);
+		copy_fields(attempt, &conn->head);
 	if (is_success(conn->status) && call_is_stream(call))
-		begin_forwarding(call);
+		begin_forwarding(attempt);
 	return HTTP_CONN_ACCEPT;
 }
 
-static void forward_body(struct call *call, const char *data, size_t size)
+static void forward_body(struct call_attempt *attempt, const char *data,
+			 size_t size)
 {
+	struct call *call = attempt->call;
+
 	if (!call->caller || !size)
 		return;
-	if (server_conn_send_body(call->caller, data, size) ||
-	    call->backend_paused)
+	if (server_conn_send_body(call->caller, data, size) || attempt->paused)
 		return;
-	call->backend_paused = true;
-	http_conn_pause(call->conn);
+	attempt->paused = true;
+	http_conn_pause(attempt->conn);
+}
+
+static size_t scan_events(struct call_attempt *attempt, const char *data,
+			  size_t size)
+{
+	struct event_scan *events = &attempt->events;
+	struct call *call = attempt->call;
+	uint64_t before = events->events;
+	size_t complete = event_scan_feed(events, data, size);
+
+	call->events_sent += events->events - before;
+	if (events->last_id != EVENT_SCAN_NO_ID)
+		call->last_event_id = events->last_id;
+	return complete;
 }
 
 /* Forwards only complete events of a resumable stream, so that another server
  * can resume it after the last one. */
-static void forward_events(struct call *call, const char *data, size_t size)
+static void forward_events(struct call_attempt *attempt, const char *data,
+			   size_t size)
 {
-	uint64_t before = call->events.events;
-	size_t complete = event_scan_feed(&call->events, data, size);
+	size_t complete = scan_events(attempt, data, size);
 
-	call->events_sent += call->events.events - before;
-	if (call->route.kind != ROUTE_RESUMABLE) {
-		forward_body(call, data, size);
+	if (attempt->call->route.kind != ROUTE_RESUMABLE) {
+		forward_body(attempt, data, size);
 		return;
 	}
-	if (complete && call->partial.size) {
-		buffer_add(&call->partial, data, complete);
-		forward_body(call, call->partial.data, call->partial.size);
-		buffer_clear(&call->partial);
+	if (complete && attempt->partial.size) {
+		buffer_add(&attempt->partial, data, complete);
+		forward_body(attempt, attempt->partial.data,
+			     attempt->partial.size);
+		buffer_clear(&attempt->partial);
 	} else if (complete) {
-		forward_body(call, data, complete);
+		forward_body(attempt, data, complete);
 	}
-	buffer_add(&call->partial, data + complete, size - complete);
+	buffer_add(&attempt->partial, data + complete, size - complete);
 }
 
 static void on_body(struct http_conn *conn, const char *data, size_t size)
 {
-	struct call *call = conn->arg;
+	struct call_attempt *attempt = conn->arg;
 
-	call->last_received_us = edge_now_us();
-	if (call->forwarding && call_is_stream(call)) {
-		forward_events(call, data, size);
+	record_received(attempt);
+	if (is_success(attempt->status))
+		settle_on(attempt);
+	if (attempt->forwarding && call_is_stream(attempt->call)) {
+		forward_events(attempt, data, size);
 		return;
 	}
-	if (!call->forwarding && call->body.size + size <= MAX_BUFFERED_BYTES) {
-		buffer_add(&call->body, data, size);
+	if (!attempt->forwarding &&
+	    attempt->body.size + size <= MAX_BUFFERED_BYTES) {
+		buffer_add(&attempt->body, data, size);
 		return;
 	}
-	begin_forwarding(call);
-	forward_body(call, call->body.data, call->body.size);
-	buffer_clear(&call->body);
-	forward_body(call, data, size);
+	begin_forwarding(attempt);
+	forward_body(attempt, attempt->body.data, attempt->body.size);
+	buffer_clear(&attempt->body);
+	forward_body(attempt, data, size);
 }
 
-static void release_conn(struct call *call)
-{
-	struct http_conn *conn = call->conn;
-	struct backend *backend = call->backend;
-
-	backend_pool_release(backend, conn, edge_now_us());
-	call->conn = NULL;
-	call->backend = NULL;
-	backend_end(&call->edge->backends, backend);
-}
-
-static void record_response(struct call *call)
+static void record_response(struct call_attempt *attempt)
 {
+	struct call *call = attempt->call;
 	struct edge *edge = call->edge;
 	int64_t first_us = call->first_byte_us - call->arrived_us;
 	int64_t total_us = edge_now_us() - call->arrived_us;
@@ -138,24 +184,26 @@
 	edge->counters.answered++;
 	latency_buckets_add(&edge->first_byte_latency, first_us);
 	latency_buckets_add(&edge->total_latency, total_us);
-	call_log_answered(call, first_us, total_us);
+	call_log_answered(attempt, first_us, total_us);
 }
 
-static void finish(struct call *call)
+static void finish(struct call_attempt *attempt)
 {
+	struct call *call = attempt->call;
 	struct server_conn *caller = call->caller;
 	struct edge *edge = call->edge;
 
 	call->may_have_run = true;
-	if (is_success(call->status))
+	if (is_success(attempt->status))
 		request_quarantine_on_served(edge->quarantine,
 					     &call->fingerprint);
-	record_response(call);
-	release_conn(call);
+	record_response(attempt);
 	if (caller && !call->head_sent) {
-		server_conn_send_head(caller, call->status, &call->fields,
-				      (int64_t)call->body.size, edge->stopping);
-		server_conn_send_body(caller, call->body.data, call->body.size);
+		server_conn_send_head(caller, attempt->status, &attempt->fields,
+				      (int64_t)attempt->body.size,
+				      edge->stopping);
+		server_conn_send_body(caller, attempt->body.data,
+				      attempt->body.size);
 	}
 	call_end(call);
 	if (!caller)
@@ -166,57 +214,63 @@
 
 /* A stream that ends within an event is truncated, although the HTTP
  * response is complete. */
-static bool ends_within_event(const struct call *call)
+static bool ends_within_event(const struct call_attempt *attempt)
 {
-	return call->forwarding && call_is_stream(call) &&
-	       call->events.in_event;
+	return attempt->forwarding && call_is_stream(attempt->call) &&
+	       attempt->events.in_event;
 }
 
 static void on_complete(struct http_conn *conn)
 {
-	struct call *call = conn->arg;
-	bool failed = call->status >= 500;
+	struct call_attempt *attempt = conn->arg;
+	struct call *call = attempt->call;
+	bool failed = attempt->status >= 500;
 
-	if (call->response.misdirected) {
-		call_attempt_failed(call, BACKEND_ADDRESS_REUSED,
+	if (attempt->response.misdirected) {
+		call_attempt_failed(attempt, BACKEND_ADDRESS_REUSED,
 				    "another server has the address");
 		return;
 	}
-	if (call->response.not_run) {
-		call_attempt_failed(call, BACKEND_REJECTED,
+	if (attempt->response.not_run) {
+		call_attempt_failed(attempt, BACKEND_REJECTED,
 				    "the server did not take the request");
 		return;
 	}
-	if (ends_within_event(call)) {
-		call_attempt_failed(call, BACKEND_BROKEN,
+	if (ends_within_event(attempt)) {
+		call_attempt_failed(attempt, BACKEND_BROKEN,
 				    "the stream ended within an event");
 		return;
 	}
-	if (failed && call_retry_server_error(call))
+	if (failed && attempt == call->silent) {
+		call_attempt_failed(attempt, BACKEND_FAILED,
+				    "the server failed the request");
+		return;
+	}
+	if (failed && call_retry_server_error(attempt))
 		return;
-	if (call->head_sent && !is_success(call->status)) {
-		call_attempt_failed(call, BACKEND_FAILED,
+	if (call->head_sent && !is_success(attempt->status)) {
+		call_attempt_failed(attempt, BACKEND_FAILED,
 				    "the server refused to go on");
 		return;
 	}
-	backend_record_outcome(call->backend,
+	backend_record_outcome(attempt->backend,
 			       failed ? BACKEND_FAILED : BACKEND_SERVED,
 			       edge_now_us());
-	finish(call);
+	finish(attempt);
 }
 
 static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
 {
-	struct call *call = conn->arg;
+	struct call_attempt *attempt = conn->arg;
 
 	if (fault == HTTP_CONN_NOT_CONNECTED)
-		call_attempt_failed(call, BACKEND_UNREACHABLE,
+		call_attempt_failed(attempt, BACKEND_UNREACHABLE,
 				    "the server can't be reached");
 	else if (fault == HTTP_CONN_MALFORMED)
-		call_attempt_failed(call, BACKEND_BROKEN,
+		call_attempt_failed(attempt, BACKEND_BROKEN,
 				    "the answer can't be read");
 	else
-		call_attempt_failed(call, BACKEND_BROKEN,
+		call_attempt_failed(attempt, BACKEND_BROKEN,
 				    "the server broke the connection off");
 }
 
--- /dev/null
+++ b/src/edge/call_dispatch.c
@@ -0,0 +1,284 @@
+#include "edge/call_log.h"
+#include "edge/call_private.h"
+#include "edge/crash_check.h"
+
+/* Retry-After when the service has no server, and when its servers are full or
+ * rejected the request. */
+#define RETRY_AFTER_NO_SERVER_MS 400
+#define RETRY_AFTER_FULL_MS 80
+/* Retry-After of a quarantined request, which is refused for an hour after its
+ * last crash. */
+#define RETRY_AFTER_QUARANTINE_MS 60000
+/* Interval at which a host checks again whether another server can take the
+ * request of a silent one. */
+#define SILENCE_CHECK_US (250 * TGW_US_PER_MS)
+
+static void refuse_without_server(struct call *call,
+				  enum placement_result result)
+{
+	if (call->head_sent || call->may_have_run)
+		call_refuse(call, 502, 0, "no server is left to go on at");
+	else if (result == PLACEMENT_ALL_FULL)
+		call_refuse(call, 503, RETRY_AFTER_FULL_MS,
+			    "all servers are full");
+	else if (result == PLACEMENT_NO_SERVER)
+		call_refuse(call, 503, RETRY_AFTER_NO_SERVER_MS,
+			    "the service has no server");
+	else
+		call_refuse(call, 503, RETRY_AFTER_FULL_MS,
+			    "no server took the request");
+}
+
+static void refuse_quarantined(struct call *call)
+{
+	const char *reason = "backend servers crashed while they ran "
+			     "this request; change it, or send it again "
+			     "later";
+
+	call->edge->counters.quarantine_refused++;
+	if (call->may_have_run)
+		call_refuse(call, 502, 0, reason);
+	else
+		call_refuse(call, 503, RETRY_AFTER_QUARANTINE_MS, reason);
+}
+
+static enum placement_result choose_server(struct call *call,
+					   struct backend **chosen)
+{
+	struct edge *edge = call->edge;
+	struct placement_request request = {
+		.service = call->route.service,
+		.failure_domain = edge->settings->failure_domain,
+		.affinity = call->route.affinity
+				    ? call->request.shared_prefix_hash
+				    : 0,
+		.prompt_tokens = call->request.input_tokens,
+		.draw = tgw_random_u64(&edge->random),
+		.tried = call->tried,
+		.tried_count = call->attempt_count,
+		.now_us = edge_now_us(),
+	};
+
+	return placement_choose(&edge->backends, &request, chosen);
+}
+
+/* Whether a server may run the request although another one may have. */
+static bool may_run_again(const struct call *call, enum attempt_trigger trigger)
+{
+	return call_may_repeat(call) ||
+	       (trigger != ATTEMPT_SILENT && !call->may_have_run);
+}
+
+/* A plan, and the server that a request is to be sent to. */
+struct dispatch {
+	struct attempt_plan plan;
+	enum placement_result placement;
+	struct backend *backend; /* NULL if none was found */
+};
+
+static void make_plan(struct call *call, enum attempt_trigger trigger,
+		      bool crashes_servers, struct dispatch *dispatch)
+{
+	struct edge *edge = call->edge;
+	int64_t now_us = edge_now_us();
+	struct attempt_facts facts = {
+		.trigger = trigger,
+		.caller_left = !call->caller,
+		.may_run_again = may_run_again(call, trigger),
+		.crashes_servers = crashes_servers,
+		.is_quarantined = request_quarantine_is_refused(
+			edge->quarantine, &call->fingerprint),
+		.attempts = call->attempt_count,
+		.sent = call->sent_count,
+		.sent_max = call->route.max_attempts,
+		.left_us = call->deadline_us - now_us,
+		.placement = choose_server(call, &dispatch->backend),
+		.has_retry_credit = retry_budget_has_credit(
+			edge_retry_budget(edge, call->route.service), now_us),
+		.other_is_open = call->silent != NULL,
+	};
+
+	dispatch->plan = attempt_plan_make(&facts);
+	dispatch->placement = facts.placement;
+	call->obstacle = dispatch->plan.obstacle;
+}
+
+static void send_request(struct call *call, const struct dispatch *dispatch)
+{
+	struct edge *edge = call->edge;
+
+	if (dispatch->plan.spends_retry_credit) {
+		retry_budget_spend(edge_retry_budget(edge, call->route.service),
+				   edge_now_us());
+		edge->counters.retries++;
+		if (call->events_sent)
+			edge->counters.resumed++;
+	}
+	call_attempt_start(call, dispatch->backend);
+}
+
+/* The attempt at the silent server is the only one that is left. */
+static void wait_for_silent_server(struct call *call)
+{
+	call->current = call->silent;
+	call->silent = NULL;
+	call->current->next_check_us = edge_now_us() + SILENCE_CHECK_US;
+	call_schedule(call);
+}
+
+static void end_after_failure(struct call *call, const char *reason)
+{
+	if (call->may_have_run)
+		call_refuse(call, 502, 0, reason);
+	else
+		call_refuse(call, 503, RETRY_AFTER_FULL_MS, reason);
+}
+
+/* Ends a call that is sent to no server.
+ * @param reason of the last server's failure; NULL if none received it */
+static void end_without_server(struct call *call,
+			       const struct dispatch *dispatch,
+			       const char *reason)
+{
+	switch (call->obstacle) {
+	case ATTEMPT_CALLER_LEFT:
+		call_end(call);
+		return;
+	case ATTEMPT_QUARANTINED:
+		refuse_quarantined(call);
+		return;
+	case ATTEMPT_NO_SERVER:
+		refuse_without_server(call, dispatch->placement);
+		return;
+	default:
+		break;
+	}
+	if (reason)
+		end_after_failure(call, reason);
+	else if (call->obstacle == ATTEMPT_NO_TIME)
+		call_give_up(call, "the time of the request is up");
+	else
+		refuse_without_server(call, PLACEMENT_ALL_TRIED);
+}
+
+/* Sends the call to a server, waits for one that has it, or ends it. */
+static void proceed(struct call *call, enum attempt_trigger trigger,
+		    bool crashes_servers, const char *reason)
+{
+	struct dispatch dispatch;
+
+	make_plan(call, trigger, crashes_servers, &dispatch);
+	switch (dispatch.plan.step) {
+	case ATTEMPT_STEP_SEND:
+		send_request(call, &dispatch);
+		return;
+	case ATTEMPT_STEP_WAIT:
+		wait_for_silent_server(call);
+		return;
+	case ATTEMPT_STEP_END:
+		end_without_server(call, &dispatch, reason);
+		return;
+	}
+}
+
+void call_dispatch(struct call *call)
+{
+	proceed(call, ATTEMPT_NONE_YET, false, NULL);
+}
+
+/* A server broke the request off, and another one has crashed while it ran it.
+ * The host does not repeat it by itself then; its caller may. */
+static bool may_crash_servers(const struct call *call,
+			      enum backend_outcome outcome)
+{
+	return outcome == BACKEND_BROKEN &&
+	       request_quarantine_crashes(call->edge->quarantine,
+					  &call->fingerprint);
+}
+
+/* Records what the failure says about the server and the request. */
+static void record_failure(struct call_attempt *attempt,
+			   enum backend_outcome outcome, bool may_have_run)
+{
+	struct call *call = attempt->call;
+	struct edge *edge = call->edge;
+
+	edge->counters.failed_attempts[outcome]++;
+	backend_record_outcome(attempt->backend, outcome, edge_now_us());
+	if (outcome == BACKEND_ADDRESS_REUSED)
+		backend_table_mark_address_reused(&edge->backends,
+						  attempt->backend);
+	if (may_have_run)
+		call->may_have_run = true;
+	else if (outcome != BACKEND_REJECTED && call->sent_count)
+		call->sent_count--;
+	if (outcome == BACKEND_UNREACHABLE)
+		request_quarantine_on_server_lost(edge->quarantine);
+	if (may_have_run && outcome == BACKEND_BROKEN)
+		crash_check_request(attempt);
+}
+
+void call_attempt_failed(struct call_attempt *attempt,
+			 enum backend_outcome outcome, const char *reason)
+{
+	struct call *call = attempt->call;
+	bool was_current = attempt == call->current;
+	bool sent = call_attempt_is_sent(attempt);
+	bool may_have_run = sent && outcome != BACKEND_REJECTED &&
+			    outcome != BACKEND_ADDRESS_REUSED;
+
+	call_log_attempt_failed(attempt, reason);
+	record_failure(attempt, outcome, may_have_run);
+	call_attempt_end(attempt);
+	if (!was_current)
+		return;
+	proceed(call, sent ? ATTEMPT_FAILED : ATTEMPT_NOT_SENT,
+		may_crash_servers(call, outcome), reason);
+}
+
+bool call_retry_server_error(struct call_attempt *attempt)
+{
+	struct call *call = attempt->call;
+	struct dispatch dispatch;
+
+	call->may_have_run = true;
+	make_plan(call, ATTEMPT_FAILED, false, &dispatch);
+	if (dispatch.plan.step != ATTEMPT_STEP_SEND)
+		return false;
+	call_log_attempt_failed(attempt, "the server failed the request");
+	record_failure(attempt, BACKEND_FAILED, true);
+	call_attempt_end(attempt);
+	send_request(call, &dispatch);
+	return true;
+}
+
+static void record_silence(struct call *call)
+{
+	struct call_attempt *attempt = call->current;
+
+	if (attempt->silence_recorded)
+		return;
+	attempt->silence_recorded = true;
+	call->edge->counters.silences++;
+	backend_record_outcome(attempt->backend, BACKEND_TIMED_OUT,
+			       edge_now_us());
+	call_log_attempt_silent(attempt);
+}
+
+void call_attempt_silent(struct call *call)
+{
+	struct dispatch dispatch;
+
+	make_plan(call, ATTEMPT_SILENT, false, &dispatch);
+	record_silence(call);
+	if (dispatch.plan.step != ATTEMPT_STEP_SEND) {
+		call->current->next_check_us = edge_now_us() + SILENCE_CHECK_US;
+		call_schedule(call);
+		return;
+	}
+	call->may_have_run = true;
+	call_end_silent_attempt(call);
+	call->silent = call->current;
+	call->current = NULL;
+	send_request(call, &dispatch);
+}
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -36,9 +36,11 @@
 		(long long)view.given_tokens, *relay ? relay : "-");
 }
 
-void call_log_attempt_failed(const struct call *call, const char *reason)
+void call_log_attempt_failed(const struct call_attempt *attempt,
+			     const char *reason)
 {
-	const struct backend *backend = call->backend;
+	const struct call *call = attempt->call;
+	const struct backend *backend = attempt->backend;
 	char fingerprint[REQUEST_FINGERPRINT_TEXT_SIZE];
 
 	request_fingerprint_to_text(&call->fingerprint, fingerprint);
@@ -50,15 +52,45 @@
 		      "server_load=%u+%u/%u "
 		      "load_ms_ago=%lld failure_share=%.2f fingerprint=%s",
 		      call->request.id, backend->entry.id, reason,
-		      call->conn && call->conn->sent,
+		      call_attempt_is_sent(attempt),
 		      (unsigned long long)call->events_sent,
-		      call->attempt_count, ms_since(call->attempt_started_us),
-		      ms_since(call->last_received_us),
+		      call->attempt_count, ms_since(attempt->started_us),
+		      ms_since(attempt->last_received_us),
 		      backend->reported.running, backend->reported.waiting,
 		      backend->entry.slots, ms_since(backend->reported_us),
 		      backend->failure_rate, fingerprint);
 }
 
+void call_log_attempt_silent(const struct call_attempt *attempt)
+{
+	const struct call *call = attempt->call;
+
+	edge_log_line(&call->edge->log, EDGE_LOG_NOTICE, "call",
+		      "attempt_silent",
+		      "request=%s server=%s reason=\"the server is silent\" "
+		      "events=%llu attempt=%u age_ms=%lld silent_ms=%lld "
+		      "failure_share=%.2f not_repeated=%s",
+		      call->request.id, attempt->backend->entry.id,
+		      (unsigned long long)call->events_sent,
+		      call->attempt_count, ms_since(attempt->started_us),
+		      ms_since(attempt->last_received_us),
+		      attempt->backend->failure_rate,
+		      attempt_obstacle_name(call->obstacle));
+}
+
+void call_log_attempt_continues(const struct call_attempt *attempt)
+{
+	const struct call *call = attempt->call;
+
+	edge_log_line(&call->edge->log, EDGE_LOG_DETAIL, "call",
+		      "attempt_continues",
+		      "request=%s server=%s events=%llu attempts=%u "
+		      "age_ms=%lld",
+		      call->request.id, attempt->backend->entry.id,
+		      (unsigned long long)call->events_sent,
+		      call->attempt_count, ms_since(attempt->started_us));
+}
+
 void call_log_refused(const struct call *call, int status,
 		      int64_t retry_after_ms, const char *reason)
 {
@@ -71,8 +103,7 @@
 		call->attempt_count, call->may_have_run,
 		(unsigned long long)call->events_sent,
 		(long long)retry_after_ms, ms_since(call->arrived_us),
-		call->not_repeated ? call->not_repeated : "-",
-		caller_state(call));
+		attempt_obstacle_name(call->obstacle), caller_state(call));
 }
 
 void call_log_caller_left(const struct call *call)
@@ -82,21 +113,23 @@
 		"request=%s team=%s route=%s server=%s attempts=%u sent=%d "
 		"events=%llu age_ms=%lld",
 		call->request.id, call->team, call->route.name,
-		call->backend ? call->backend->entry.id : "",
-		call->attempt_count, call->conn && call->conn->sent,
+		call->current ? call->current->backend->entry.id : "",
+		call->attempt_count, call_attempt_is_sent(call->current),
 		(unsigned long long)call->events_sent,
 		ms_since(call->arrived_us));
 }
 
-void call_log_answered(const struct call *call, int64_t first_us,
+void call_log_answered(const struct call_attempt *attempt, int64_t first_us,
 		       int64_t total_us)
 {
+	const struct call *call = attempt->call;
+
 	edge_log_line(&call->edge->log, EDGE_LOG_DETAIL, "call", "answered",
 		      "request=%s team=%s route=%s server=%s status=%d "
 		      "attempts=%u events=%llu first_ms=%lld whole_ms=%lld "
 		      "caller=%s",
 		      call->request.id, call->team, call->route.name,
-		      call->backend->entry.id, call->status,
+		      attempt->backend->entry.id, attempt->status,
 		      call->attempt_count,
 		      (unsigned long long)call->events_sent,
 		      (long long)(first_us / TGW_US_PER_MS),
--- a/src/edge/call_log.h
+++ b/src/edge/call_log.h
@@ -13,8 +13,15 @@
 void call_log_not_reserved(const struct call *call, int64_t tokens,
 			   enum tgw_status status);
 
-/** The current attempt failed. */
-void call_log_attempt_failed(const struct call *call, const char *reason);
+/** An attempt failed. */
+void call_log_attempt_failed(const struct call_attempt *attempt,
+			     const char *reason);
+
+/** The server of the current attempt has sent nothing for some time. */
+void call_log_attempt_silent(const struct call_attempt *attempt);
+
+/** A server that was silent goes on, before another one has responded. */
+void call_log_attempt_continues(const struct call_attempt *attempt);
 
 /** The caller gets an error response of the edge itself. */
 void call_log_refused(const struct call *call, int status,
@@ -26,7 +33,7 @@
 /** A server's response is complete.
  * @param first_us to the first byte, since the arrival
  * @param total_us to the end, since the arrival */
-void call_log_answered(const struct call *call, int64_t first_us,
+void call_log_answered(const struct call_attempt *attempt, int64_t first_us,
 		       int64_t total_us);
 
 #endif
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -1,7 +1,8 @@
 /**
  * @file call_private.h
  * State of a call, shared by the files that implement it: call.c admits and
- * ends it, call_attempt.c sends it to a server, and call_answer.c forwards the
+ * ends it, call_dispatch.c decides where it goes next, call_attempt.c sends it
+ * to a server, call_timer.c watches its times, and call_answer.c forwards the
  * response.
  */
 #ifndef EDGE_CALL_PRIVATE_H
@@ -10,15 +11,12 @@
 #include "edge/call.h"
 #include "edge/edge_clock.h"
 #include "protocol/event_scan.h"
+#include "state/attempt_plan.h"
 #include "state/request_fingerprint.h"
 #include "state/route_set.h"
 #include "tamarackgw/clock.h"
 #include "transport/http_conn.h"
 
-/** Maximum number of attempts of one call, whether or not a server received
- * them. Each goes to another server. */
-#define CALL_ATTEMPTS_MAX 8
-
 /** The route's settings when the request arrived. They are copied because a
  * newer route set may come into force while the call is open. */
 struct call_route {
@@ -35,6 +33,29 @@
 	int64_t event_tokens;
 };
 
+/** One send of a call's request to a server. */
+struct call_attempt {
+	struct call *call;
+	struct backend *backend; /* NULL while this entry is not in use */
+	struct http_conn *conn;
+	int64_t started_us;
+	int64_t last_received_us; /* response bytes; the start before any */
+	/* A decision about its silence is not repeated before. */
+	int64_t next_check_us;
+	bool silence_recorded; /* in the server's statistics */
+	bool paused;	       /* not read while the caller reads too slowly */
+	int status;	       /* of the response */
+	struct response_info response;
+	bool forwarding;       /* the body is forwarded as it arrives */
+	struct buffer fields;  /* header lines of the response */
+	struct buffer body;    /* of a response that is buffered */
+	struct buffer partial; /* incomplete last event of a resumable stream */
+	struct event_scan events;
+};
+
+/** A current attempt, and an earlier one at a silent server. */
+#define CALL_OPEN_ATTEMPTS_MAX 2
+
 struct call {
 	struct edge *edge;
 	struct server_conn *caller; /* NULL after it has disconnected */
@@ -56,29 +77,22 @@
 	bool waits_for_tokens;	    /* for an allotment of this host */
 	int64_t tokens_deadline_us; /* end of that wait */
 
-	struct backend *backend; /* of the current attempt */
-	struct http_conn *conn;
-	const struct backend *tried[CALL_ATTEMPTS_MAX];
+	struct call_attempt attempts[CALL_OPEN_ATTEMPTS_MAX];
+	struct call_attempt *current; /* NULL if there is none */
+	/* An earlier attempt whose server fell silent. It stays open until a
+	 * server responds; NULL if there is none. */
+	struct call_attempt *silent;
+	const struct backend *tried[ATTEMPTS_MAX];
 	uint32_t attempt_count; /* all attempts, whether sent or not */
 	uint32_t sent_count;	/* attempts that a server may have received */
-	int64_t attempt_started_us;
-	/* When response bytes were last received, or the attempt started. */
-	int64_t last_received_us;
-	int64_t first_byte_us; /* of the first response; 0 before it */
-	bool may_have_run;     /* some server may have run the request */
-	/* Why a failed attempt was not followed by another, for the log. */
-	const char *not_repeated;
-
-	int status; /* of the current response */
-	struct response_info response;
-	bool forwarding;       /* the body is forwarded as it arrives */
+	int64_t first_byte_us;	/* of the first response; 0 before it */
+	bool may_have_run;	/* some server may have run the request */
+	/* Why the request was not sent to another server, for the log. */
+	enum attempt_obstacle obstacle;
+
 	bool head_sent;	       /* to the caller */
-	bool backend_paused;   /* not read while the caller reads too slowly */
-	struct buffer fields;  /* header lines of the response */
-	struct buffer body;    /* of a response that is buffered */
-	struct buffer partial; /* incomplete last event of a resumable stream */
-	struct event_scan events;
-	uint64_t events_sent; /* complete events of a stream */
+	uint64_t events_sent;  /* complete events of a stream */
+	int64_t last_event_id; /* of these events */
 };
 
 static inline bool call_may_repeat(const struct call *call)
@@ -93,22 +107,37 @@
 	       call->route.kind == ROUTE_RESUMABLE;
 }
 
+static inline bool call_attempt_is_sent(const struct call_attempt *attempt)
+{
+	return attempt && attempt->conn && attempt->conn->sent;
+}
+
+/** Sends the request to a server, as the current attempt. */
+void call_attempt_start(struct call *call, struct backend *backend);
+
+/** Ends an attempt. Its connection is released to the pool if the response is
+ * complete; otherwise it is closed, which the server may notice. */
+void call_attempt_end(struct call_attempt *attempt);
+
+/** Ends the attempt at a silent server, after another server has responded. */
+void call_end_silent_attempt(struct call *call);
+
 /** Chooses a server and sends the request, or refuses it. */
 void call_dispatch(struct call *call);
 
-/** Abandons the current attempt. Its connection is released to the pool if the
- * response is complete; otherwise it is closed, which the server may notice. */
-void call_abandon_attempt(struct call *call);
-
-/** Handles the failure of the current attempt: retries at another server if
- * that is allowed, otherwise ends the call.
+/** Handles the failure of an attempt: retries at another server if that is
+ * allowed, waits for another attempt that is open, or ends the call.
  * @param reason for the log and the caller */
-void call_attempt_failed(struct call *call, enum backend_outcome outcome,
-			 const char *reason);
+void call_attempt_failed(struct call_attempt *attempt,
+			 enum backend_outcome outcome, const char *reason);
+
+/** Handles the silence of the current attempt's server: sends the request to
+ * another server as well if that is allowed. */
+void call_attempt_silent(struct call *call);
 
 /** Handles a 5xx response: retries at another server if that is allowed.
  * @return whether the request is retried; if not, the response is final */
-bool call_retry_server_error(struct call *call);
+bool call_retry_server_error(struct call_attempt *attempt);
 
 /** Events of the connection to the server. */
 extern const struct http_conn_events call_response_events;
@@ -116,6 +145,9 @@
 /** Sets the timer to the next deadline of the call. */
 void call_schedule(struct call *call);
 
+/** Starts the call's timer, which is stopped. */
+void call_timer_init(struct call *call);
+
 /** Ends the call with an error response of the edge itself. If the head of a
  * response was already sent, the connection is aborted instead.
  * @param retry_after_ms value of Retry-After; 0 for none */
@@ -126,4 +158,7 @@
  * request, otherwise with 503 and a Retry-After. */
 void call_give_up(struct call *call, const char *reason);
 
+/** Refuses a call that waited for tokens until its wait was over. */
+void call_refuse_without_tokens(struct call *call);
+
 #endif
--- a/src/edge/crash_check.c
+++ b/src/edge/crash_check.c
@@ -120,16 +120,17 @@
 	       !backend->address_reused;
 }
 
-void crash_check_request(struct call *call)
+void crash_check_request(const struct call_attempt *attempt)
 {
+	const struct call *call = attempt->call;
 	struct crash_check *check;
 	struct broken_request *request;
 
-	if (!may_be_crash(call->backend))
+	if (!may_be_crash(attempt->backend))
 		return;
-	check = find_check(call->edge, call->backend);
+	check = find_check(call->edge, attempt->backend);
 	if (!check)
-		check = start_check(call->edge, call->backend);
+		check = start_check(call->edge, attempt->backend);
 	if (!check)
 		return;
 	check->requests =
--- a/src/edge/crash_check.h
+++ b/src/edge/crash_check.h
@@ -13,9 +13,9 @@
 
 struct crash_check;
 
-/** Starts a check of the server at which the current attempt broke off, or adds
- * the request to the one that is running. */
-void crash_check_request(struct call *call);
+/** Starts a check of the server at which the attempt broke off, or adds the
+ * request to the one that is running. */
+void crash_check_request(const struct call_attempt *attempt);
 
 /** Ends all checks without a result. */
 void crash_check_cancel_all(struct edge *edge);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -58,6 +58,10 @@
 	uint64_t aborted;
 	/** Attempts by their outcome, but for BACKEND_SERVED. */
 	uint64_t failed_attempts[BACKEND_OUTCOMES];
+	/** Attempts whose servers fell silent, and those of them that went on
+	 * before another server had responded. */
+	uint64_t silences;
+	uint64_t silences_ended;
 	uint64_t caller_left;
 	uint64_t retries;
 	uint64_t resumed;
--- a/src/state/retry_budget.c
+++ b/src/state/retry_budget.c
@@ -35,16 +35,27 @@
 	add_credit(budget, budget->limits.per_attempt_thousandths);
 }
 
+static void refill(struct retry_budget *budget, int64_t now_us)
+{
+	int64_t thousandths = (now_us - budget->refilled_us) *
+			      budget->limits.refill_thousandths_per_s /
+			      TGW_US_PER_S;
+
+	if (thousandths <= 0)
+		return;
+	add_credit(budget, thousandths);
+	budget->refilled_us = now_us;
+}
+
+bool retry_budget_has_credit(struct retry_budget *budget, int64_t now_us)
+{
+	refill(budget, now_us);
+	return budget->credit_thousandths >= THOUSANDTHS_PER_RETRY;
+}
+
 bool retry_budget_spend(struct retry_budget *budget, int64_t now_us)
 {
-	int64_t refill = (now_us - budget->refilled_us) *
-			 budget->limits.refill_thousandths_per_s / TGW_US_PER_S;
-
-	if (refill > 0) {
-		add_credit(budget, refill);
-		budget->refilled_us = now_us;
-	}
-	if (budget->credit_thousandths < THOUSANDTHS_PER_RETRY)
+	if (!retry_budget_has_credit(budget, now_us))
 		return false;
 	budget->credit_thousandths -= THOUSANDTHS_PER_RETRY;
 	return true;
--- a/tests/unit/test_edge_silence.c
+++ b/tests/unit/test_edge_silence.c
@@ -246,8 +246,10 @@
 START_TEST(another_server_takes_requests_from_a_silent_one)
 {
 	rig.server_standins[1].never_pauses = true;
+	drain_second_server();
 	set_retry_credit(AMPLE_CREDIT);
 	start_calls(true);
+	edge_rig_register_server(&rig, 1, "ready", 3);
 	edge_rig_run(&rig, 1900);
 	ck_assert_msg(all_closed(), "responses wait for the silent server");
 	expect_whole_responses();
