Do not repeat a request whose body was forwarded in part

Callers could get a wrong response with a whole ending: bytes of two responses one after the other.

Cause: a body above 256 KiB is forwarded as it arrives, but whether another server may run the request was decided by the kind of route alone. A response of a safe route that broke off midway was followed by another server's from its start, on the same response.

The test failed before (two servers ran the request) and passes.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -168,6 +168,7 @@
 		buffer_add(&attempt->body, data, size);
 		return;
 	}
+	attempt->call->body_forwarded = true;
 	begin_forwarding(attempt);
 	forward_body(attempt, attempt->body.data, attempt->body.size);
 	buffer_clear(&attempt->body);
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -90,15 +90,21 @@
 	/* Why the request was not sent to another server, for the log. */
 	enum attempt_obstacle obstacle;
 
-	bool head_sent;	       /* to the caller */
+	bool head_sent; /* to the caller */
+	/* Parts of a body were sent that no other response can go on from. */
+	bool body_forwarded;
 	uint64_t events_sent;  /* complete events of a stream */
 	int64_t last_event_id; /* of these events */
 };
 
+/** @return whether another server may run the request, after what the caller
+ * has received of its response */
 static inline bool call_may_repeat(const struct call *call)
 {
-	return call->route.kind == ROUTE_SAFE ||
-	       call->route.kind == ROUTE_RESUMABLE;
+	if (call->route.kind != ROUTE_SAFE &&
+	    call->route.kind != ROUTE_RESUMABLE)
+		return false;
+	return !call->body_forwarded;
 }
 
 static inline bool call_is_stream(const struct call *call)
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -11,6 +11,13 @@
 #define FIRST_BORN_MS 1000
 /* Events of a complete stream; their ids begin with 0. */
 #define STREAM_EVENTS 6
+/* A response that is too large to be buffered; a host forwards it as it
+ * arrives. */
+#define LARGE_BODY_BYTES (600 * 1024)
+/* A large stream doesn't fit into the socket buffers of a caller that stops
+ * reading. */
+#define LARGE_STREAM_EVENTS 400
+#define LARGE_EVENT_BYTES (64 * 1024)
 /* A truncated stream has this many events and the beginning of the next. */
 #define TRUNCATED_EVENTS 3
 
@@ -77,6 +84,51 @@
 	server_conn_finish(conn);
 }
 
+static void stream_large(struct server_conn *conn)
+{
+	char *text = xmalloc(LARGE_EVENT_BYTES);
+
+	send_head(conn, 200, SERVER_LENGTH_UNKNOWN,
+		  "Content-Type: text/event-stream\r\n");
+	memset(text, 'x', LARGE_EVENT_BYTES);
+	memcpy(text + LARGE_EVENT_BYTES - 2, "\n\n", 2);
+	for (int i = 0; i < LARGE_STREAM_EVENTS; i++) {
+		int length = snprintf(text, 32, "id: %d\ndata: ", i);
+
+		text[length] = 'x';
+		server_conn_send_body(conn, text, LARGE_EVENT_BYTES);
+	}
+	server_conn_finish(conn);
+	free(text);
+}
+
+/* Without ids, a stream can't be resumed. */
+static void stream_cut_without_ids(struct server_conn *conn)
+{
+	static const char events[] = "data: part-0\n\ndata: part-1\n\nda";
+
+	send_head(conn, 200, SERVER_LENGTH_UNKNOWN,
+		  "Content-Type: text/event-stream\r\n");
+	server_conn_send_body(conn, events, strlen(events));
+	server_conn_abort(conn);
+}
+
+static void answer_large(struct server_conn *conn, bool truncated)
+{
+	char *text = xmalloc(LARGE_BODY_BYTES);
+
+	memset(text, 'x', LARGE_BODY_BYTES);
+	send_head(conn, 200, LARGE_BODY_BYTES, "");
+	server_conn_send_body(conn, text,
+			      truncated ? LARGE_BODY_BYTES / 2
+					: LARGE_BODY_BYTES);
+	if (truncated)
+		server_conn_abort(conn);
+	else
+		server_conn_finish(conn);
+	free(text);
+}
+
 /* A response that has fallen silent: its request's connection, and what it
  * sends when it goes on. */
 struct paused_response {
@@ -232,6 +284,12 @@
 		stream(conn, false);
 	else if (!strcmp(action, "stream-cut"))
 		stream(conn, true);
+	else if (!strcmp(action, "stream-cut-no-ids"))
+		stream_cut_without_ids(conn);
+	else if (!strcmp(action, "stream-large"))
+		stream_large(conn);
+	else if (!strcmp(action, "large"))
+		answer_large(conn, standin->cuts_large);
 	else
 		standin->waiting = conn;
 }
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -2,10 +2,10 @@
  * @file backend_standin.h
  * A small stand-in for a backend server of the platform. The last segment of a
  * request's path selects what it does: ok, fail, fail-once, break, crash,
- * stream, stream-cut or full. Any other request waits until
- * backend_standin_release(). A response to ok or stream falls silent and goes
- * on later if its request has the field X-Pause: AT,MS (enum
- * backend_standin_pause and milliseconds). A request that expects another
+ * stream, stream-cut, stream-cut-no-ids, stream-large, large or full. Any other
+ * request waits until backend_standin_release(). A response to ok or stream
+ * falls silent and goes on later if its request has the field X-Pause: AT,MS
+ * (enum backend_standin_pause and milliseconds). A request that expects another
  * instance gets 421 and is not executed.
  */
 #ifndef FAKES_BACKEND_STANDIN_H
@@ -43,6 +43,7 @@
 	/** Connection of the waiting request, or NULL. */
 	struct server_conn *waiting;
 	bool never_pauses; /**< ignores X-Pause */
+	bool cuts_large;   /**< breaks off in the middle of large */
 	bool rejects;	   /**< reports that it is full, and runs nothing */
 };
 
--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -311,6 +311,11 @@
 		edge_rig_close_caller(caller);
 }
 
+void edge_rig_resume_caller(struct edge_rig_caller *caller)
+{
+	uv_read_start((uv_stream_t *)&caller->tcp, on_alloc, on_read);
+}
+
 static void on_connected(uv_connect_t *request, int status)
 {
 	struct edge_rig_caller *caller = request->handle->data;
--- a/tests/fakes/edge_rig.h
+++ b/tests/fakes/edge_rig.h
@@ -84,6 +84,9 @@
 /** Connects a caller to the edge and sends a text. */
 void edge_rig_call(struct edge_rig *rig, struct edge_rig_caller *caller,
 		   const char *text);
+
+/** Reads on after the test has stopped to read from the caller's socket. */
+void edge_rig_resume_caller(struct edge_rig_caller *caller);
 void edge_rig_close_caller(struct edge_rig_caller *caller);
 
 /** Sends a request and waits until the edge closes the connection, for at most
--- a/tests/unit/test_edge.c
+++ b/tests/unit/test_edge.c
@@ -276,6 +276,19 @@
 }
 END_TEST
 
+/* A response that is too large for the host's buffer is forwarded as it
+ * arrives, whatever the kind of route. */
+START_TEST(a_forwarded_body_is_not_begun_again_by_another_server)
+{
+	rig.server_standins[0].cuts_large = true;
+	rig.server_standins[1].cuts_large = true;
+	request("GET", "long-safe", "large", "", "");
+	expect_status(200);
+	expect_no_text("\r\n0\r\n\r\n");
+	ck_assert_uint_eq(edge_rig_runs(&rig), 1);
+}
+END_TEST
+
 START_TEST(a_request_is_cancelled_when_its_caller_disconnects)
 {
 	struct edge_rig_caller caller;
@@ -558,6 +571,8 @@
 	tcase_add_test(tcase,
 		       a_truncated_stream_does_not_end_as_a_complete_one);
 	tcase_add_test(tcase, a_resumable_stream_resumes_at_another_server);
+	tcase_add_test(tcase,
+		       a_forwarded_body_is_not_begun_again_by_another_server);
 	tcase_add_test(tcase,
 		       a_request_is_cancelled_when_its_caller_disconnects);
 	tcase_add_test(tcase, a_draining_server_gets_no_new_requests);
