Do not resume a stream whose events have no ids

Callers could get the first events of a stream twice.

Cause: a resumable stream that broke off was sent to another server. Without an id there is nothing to resume after, so the other server began from the start.

Change: such a stream is not sent to another server after its first event.

Found by reading. The test failed before (two copies of the first event) and passes.

--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -104,6 +104,8 @@
 	if (call->route.kind != ROUTE_SAFE &&
 	    call->route.kind != ROUTE_RESUMABLE)
 		return false;
+	if (call->events_sent && call->last_event_id == EVENT_SCAN_NO_ID)
+		return false;
 	return !call->body_forwarded;
 }
 
--- a/tests/unit/test_edge.c
+++ b/tests/unit/test_edge.c
@@ -276,6 +276,18 @@
 }
 END_TEST
 
+/* What the caller has received of such a stream can't be told to another
+ * server. */
+START_TEST(a_stream_without_ids_is_not_begun_again_after_its_events)
+{
+	request("POST", "resume", "stream-cut-no-ids", DEADLINE TOKENS, "x");
+	expect_status(200);
+	ck_assert_int_eq(count_text("data: part-0\n\n"), 1);
+	expect_no_text("\r\n0\r\n\r\n");
+	ck_assert_uint_eq(edge_rig_runs(&rig), 1);
+}
+END_TEST
+
 /* A response that is too large for the host's buffer is forwarded as it
  * arrives, whatever the kind of route. */
 START_TEST(a_forwarded_body_is_not_begun_again_by_another_server)
@@ -571,6 +583,9 @@
 	tcase_add_test(tcase,
 		       a_truncated_stream_does_not_end_as_a_complete_one);
 	tcase_add_test(tcase, a_resumable_stream_resumes_at_another_server);
+	tcase_add_test(
+		tcase,
+		a_stream_without_ids_is_not_begun_again_after_its_events);
 	tcase_add_test(tcase,
 		       a_forwarded_body_is_not_begun_again_by_another_server);
 	tcase_add_test(tcase,
