Do not count a server as silent while its caller reads slowly

A slow caller's stream took a second server's time and retry credit.

Cause: the host stops reading from the server while the caller has too much unread, and then took the pause, its own, for the server's silence.

--- a/src/edge/call_timer.c
+++ b/src/edge/call_timer.c
@@ -32,7 +32,7 @@
 		return call->deadline_us;
 	if (!attempt->conn->connected)
 		return attempt->started_us + CONNECT_TIMEOUT_US;
-	if (!call_may_repeat(call) ||
+	if (attempt->paused || !call_may_repeat(call) ||
 	    call->sent_count >= call->route.max_attempts)
 		return call->deadline_us;
 	due_us = attempt->last_received_us + max_silence_us(call);
--- a/tests/unit/test_edge_silence.c
+++ b/tests/unit/test_edge_silence.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/xalloc.h"
+#include "edge/call_private.h"
 #include "fakes/edge_rig.h"
 #include "unit/unit_main.h"
 
@@ -278,6 +279,29 @@
 }
 END_TEST
 
+/* The host itself has paused the server's connection. */
+START_TEST(a_slow_caller_does_not_make_its_server_count_as_silent)
+{
+	struct paused_call *call = &calls[call_count++];
+	const struct edge_counters *counters = &rig.hosts[0].edge.counters;
+
+	edge_rig_call(&rig, &call->caller,
+		      "GET /long-resume/stream-large HTTP/1.1\r\n"
+		      "Host: a.example\r\nAuthorization: Token key-1\r\n"
+		      "Connection: close\r\n\r\n");
+	uv_read_stop((uv_stream_t *)&call->caller.tcp);
+	edge_rig_run(&rig, 2500);
+	ck_assert(rig.hosts[0].edge.calls && rig.hosts[0].edge.calls->current &&
+		  rig.hosts[0].edge.calls->current->paused);
+	ck_assert_uint_eq(counters->silences, 0);
+	edge_rig_resume_caller(&call->caller);
+	wait_for_calls();
+	ck_assert(call->caller.closed);
+	ck_assert_uint_eq(counters->answered, 1);
+	ck_assert_uint_eq(counters->retries, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_silence");
@@ -306,6 +330,8 @@
 	tcase_add_loop_test(
 		tcase, a_request_that_must_not_be_repeated_waits_and_runs_once,
 		0, 2);
+	tcase_add_test(tcase,
+		       a_slow_caller_does_not_make_its_server_count_as_silent);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
