Let a server that paused have its share of the requests again

Callers waited longer than needed: for one pause of a second, a host kept away from a sound server for the rest of its run.

Cause: all requests that time out together raise the server's failure average to 0.9 and more, and only outcomes of new requests lower it. With that average it gets none, unless all others queue three times their places.

Change: the average halves in each second without an outcome.

Measured: test_placement failed before (0 of 9,000 requests ten seconds after the pause) and passes.

--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -58,7 +58,8 @@
 		      ms_since(attempt->last_received_us),
 		      backend->reported.running, backend->reported.waiting,
 		      backend->entry.slots, ms_since(backend->reported_us),
-		      backend->failure_rate, fingerprint);
+		      backend_failure_rate(backend, edge_now_us()),
+		      fingerprint);
 }
 
 void call_log_attempt_silent(const struct call_attempt *attempt)
@@ -74,7 +75,7 @@
 		      (unsigned long long)call->events_sent,
 		      call->attempt_count, ms_since(attempt->started_us),
 		      ms_since(attempt->last_received_us),
-		      attempt->backend->failure_rate,
+		      backend_failure_rate(attempt->backend, edge_now_us()),
 		      attempt_obstacle_name(call->obstacle));
 }
 
--- a/src/state/backend_table.c
+++ b/src/state/backend_table.c
@@ -1,6 +1,7 @@
 #include "state/backend_table.h"
 
 #include <assert.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
@@ -10,6 +11,9 @@
 
 /* Weight of the newest outcome in the moving average of failures. */
 #define OUTCOME_WEIGHT 0.15
+/* Without requests there are no outcomes: the average halves in this time, so
+ * that a server that failed once is tried again. */
+#define FAILURE_HALF_LIFE_US TGW_US_PER_S
 /* A server that is unreachable is avoided for MIN_AVOID_US, and for twice as
  * long with each further such failure in a row, up to MAX_AVOID_US. */
 #define MIN_AVOID_US (200 * TGW_US_PER_MS)
@@ -217,8 +221,20 @@
 	case BACKEND_OUTCOMES:
 		break;
 	}
+	backend->failure_rate = backend_failure_rate(backend, now_us);
 	backend->failure_rate +=
 		OUTCOME_WEIGHT * (failed - backend->failure_rate);
+	backend->outcome_us = now_us;
+}
+
+double backend_failure_rate(const struct backend *backend, int64_t now_us)
+{
+	double half_lives = (double)(now_us - backend->outcome_us) /
+			    (double)FAILURE_HALF_LIFE_US;
+
+	if (half_lives <= 0)
+		return backend->failure_rate;
+	return backend->failure_rate * exp2(-half_lives);
 }
 
 void backend_report(struct backend *backend, const struct backend_load *load,
--- a/src/state/backend_table.h
+++ b/src/state/backend_table.h
@@ -55,7 +55,8 @@
 				     * present value */
 	struct backend_load reported;
 	int64_t reported_us; /**< 0 before the first report */
-	double failure_rate; /**< moving average, 0 to 1 */
+	double failure_rate; /**< at `outcome_us`; see backend_failure_rate() */
+	int64_t outcome_us;  /**< of the last outcome in `failure_rate` */
 	uint32_t failures_in_a_row;
 	int64_t avoid_until_us; /**< until then, chosen only when no untried
 				 * server is healthy */
@@ -116,6 +117,10 @@
 void backend_record_outcome(struct backend *backend,
 			    enum backend_outcome outcome, int64_t now_us);
 
+/** @return the moving average of the failures, 0 to 1. It falls while there are
+ * no outcomes. */
+double backend_failure_rate(const struct backend *backend, int64_t now_us);
+
 /** Stores a load report of the server. */
 void backend_report(struct backend *backend, const struct backend_load *load,
 		    int64_t now_us);
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -124,14 +124,16 @@
 	cost += TIE_BREAK_COST *
 		(double)(mix(backend->hash, request->draw) % DRAW_STEPS) /
 		DRAW_STEPS;
-	return cost + FAILURE_COST * backend->failure_rate;
+	return cost +
+	       FAILURE_COST * backend_failure_rate(backend, request->now_us);
 }
 
 static bool allows_affinity(const struct placement_request *request,
 			    const struct backend *backend, double bound)
 {
 	return is_healthy(request, backend) &&
-	       backend->failure_rate <= MAX_AFFINITY_FAILURE_RATE &&
+	       backend_failure_rate(backend, request->now_us) <=
+		       MAX_AFFINITY_FAILURE_RATE &&
 	       backend_expected_load(backend, request->now_us) <= bound;
 }
 
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -336,6 +336,46 @@
 }
 END_TEST
 
+/* All requests at a server time out at once while it pauses. */
+static struct backend *pause_one_server(void)
+{
+	struct backend *paused;
+
+	request.affinity = 1;
+	paused = choose();
+	request.affinity = 0;
+	for (int i = 0; i < 20; i++)
+		backend_record_outcome(paused, BACKEND_TIMED_OUT, NOW_US);
+	return paused;
+}
+
+START_TEST(a_server_that_paused_is_avoided)
+{
+	struct backend *paused = pause_one_server();
+
+	request.now_us = NOW_US + TGW_US_PER_S;
+	for (int i = 0; i < 1000; i++) {
+		request.draw = (uint64_t)i;
+		ck_assert_ptr_ne(choose(), paused);
+	}
+}
+END_TEST
+
+START_TEST(a_server_that_paused_gets_its_share_again)
+{
+	struct backend *paused = pause_one_server();
+	int chosen = 0;
+
+	request.now_us = NOW_US + 10 * TGW_US_PER_S;
+	for (int i = 0; i < 9000; i++) {
+		request.draw = (uint64_t)i;
+		request.affinity = _i ? (uint64_t)i * 2 + 1 : 0;
+		chosen += choose() == paused;
+	}
+	ck_assert_int_ge(chosen, 500);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("placement");
@@ -368,6 +408,9 @@
 	tcase_add_test(tcase, a_restarted_server_is_no_longer_avoided);
 	tcase_add_test(tcase,
 		       a_removed_server_is_kept_until_its_last_request_ends);
+	tcase_add_test(tcase, a_server_that_paused_is_avoided);
+	tcase_add_loop_test(tcase, a_server_that_paused_gets_its_share_again, 0,
+			    2);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
