Do not cut responses that slow callers are still reading

What callers saw: a complete response that was cut halfway, with neither an error nor a log line of the host (the call had ended as `answered`).

Cause: once the server's response was complete, the connection counted as idle although up to 192 KB of it were unwritten. A planned stop closed it, the idle timer closed it, and for the last response of a connection the limit on callers' heads did; a caller that half-closed after its last request lost the rest, too.

Change: a connection is idle only once its response is written. While bytes are unwritten the caller must accept some within each `stall_ms` (10 s on the edge), however long the whole takes, and its end of the stream ends only its input.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -24,6 +24,9 @@
 #define DEFAULT_BODY_BYTES (4 * 1024 * 1024)
 #define DEFAULT_HEAD_MS 3000
 #define DEFAULT_IDLE_MS 15000
+/* A caller that accepts no byte of its response for this long is
+ * disconnected. */
+#define CALLER_STALL_MS 10000
 /* A host's retry budget is this percentage of an even split of the retries that
  * all hosts may make together, since the load is spread unevenly over them. */
 #define RETRY_UTILIZATION_PERCENT 70
@@ -234,9 +237,13 @@
 	edge->loop = loop;
 	edge->settings = settings;
 	edge->sources = *sources;
-	edge->limits = (struct server_limits){DEFAULT_HEAD_BYTES,
-					      DEFAULT_BODY_BYTES,
-					      DEFAULT_HEAD_MS, DEFAULT_IDLE_MS};
+	edge->limits = (struct server_limits){
+		.head_bytes = DEFAULT_HEAD_BYTES,
+		.body_bytes = DEFAULT_BODY_BYTES,
+		.head_ms = DEFAULT_HEAD_MS,
+		.idle_ms = DEFAULT_IDLE_MS,
+		.stall_ms = CALLER_STALL_MS,
+	};
 	tgw_random_init(&edge->random, tgw_random_incarnation());
 	edge_log_open(&edge->log, settings->log_lines_per_s);
 	if (listen_at(loop, &edge->caller_listener, settings->caller_address,
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -9,6 +9,7 @@
 	.body_bytes = 1024,
 	.head_ms = 2000,
 	.idle_ms = 10000,
+	.stall_ms = 2000,
 };
 
 /* A host that has not read the routes and the list of servers yet could only
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -404,6 +404,7 @@
 		.body_bytes = settings->max_body_bytes,
 		.head_ms = settings->caller_idle_us / TGW_US_PER_MS,
 		.idle_ms = settings->caller_idle_us / TGW_US_PER_MS,
+		.stall_ms = settings->caller_idle_us / TGW_US_PER_MS,
 	};
 }
 
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -27,6 +27,7 @@
 
 static void parse(struct server_conn *conn, const char *data, size_t size);
 static void refuse_input(struct server_conn *conn);
+static void end_flushed(struct server_conn *conn);
 
 static void on_handle_closed(uv_handle_t *handle)
 {
@@ -58,22 +59,57 @@
 	close_now(conn);
 }
 
+static void on_timeout(uv_timer_t *timer);
+
+static void start_timer(struct server_conn *conn, int64_t delay_ms)
+{
+	uv_timer_start(&conn->timer, on_timeout, (uint64_t)delay_ms, 0);
+}
+
+/* Limits how long the caller may accept no bytes of its response. */
+static void start_stall_timer(struct server_conn *conn)
+{
+	conn->unwritten_before = server_conn_unwritten(conn);
+	start_timer(conn, conn->limits->stall_ms);
+}
+
 static void on_timeout(uv_timer_t *timer)
 {
 	struct server_conn *conn = timer->data;
+	size_t unwritten = server_conn_unwritten(conn);
 
 	if (conn->state == SERVER_CONN_READING && conn->request_begun) {
 		conn->refused_status = 408;
 		refuse_input(conn);
-		return;
-	}
-	if (conn->state != SERVER_CONN_SERVING)
+	} else if (unwritten && unwritten < conn->unwritten_before) {
+		start_stall_timer(conn);
+	} else if (conn->state != SERVER_CONN_SERVING) {
 		close_now(conn);
+	}
 }
 
-static void start_timer(struct server_conn *conn, int64_t delay_ms)
+static void flush_and_close(struct server_conn *conn)
 {
-	uv_timer_start(&conn->timer, on_timeout, (uint64_t)delay_ms, 0);
+	conn->state = SERVER_CONN_FLUSHING;
+	start_stall_timer(conn);
+	if (!server_conn_unwritten(conn))
+		end_flushed(conn);
+}
+
+/* A caller that has sent its last request may still read the response. While a
+ * request is served, its end of the stream can't be told from a disconnect. */
+static void handle_end_of_input(struct server_conn *conn)
+{
+	bool is_responding =
+		conn->state == SERVER_CONN_SERVING ||
+		(conn->state == SERVER_CONN_READING && conn->partly_read);
+
+	if (is_responding || !server_conn_unwritten(conn)) {
+		handle_disconnect(conn);
+		return;
+	}
+	conn->partly_read = false;
+	flush_and_close(conn);
 }
 
 /* Any value but 0, 1 and 2 stops the parser from every callback: 1 and 2 have
@@ -254,6 +290,10 @@
 
 	if (size == 0 || conn->state == SERVER_CONN_CLOSING)
 		return;
+	if (size == UV_EOF) {
+		handle_end_of_input(conn);
+		return;
+	}
 	if (size < 0) {
 		handle_disconnect(conn);
 		return;
@@ -283,7 +323,10 @@
 	conn->partly_read = false;
 	conn->chunked = false;
 	conn->call = NULL;
-	start_timer(conn, conn->limits->idle_ms);
+	if (server_conn_unwritten(conn))
+		start_stall_timer(conn);
+	else
+		start_timer(conn, conn->limits->idle_ms);
 }
 
 struct server_conn *server_conn_accept(uv_stream_t *listener,
@@ -347,8 +390,10 @@
 		return;
 	if (conn->state == SERVER_CONN_FLUSHING)
 		end_flushed(conn);
-	else
+	else if (conn->state == SERVER_CONN_SERVING || conn->partly_read)
 		conn->events->drained(conn);
+	else if (!conn->request_begun)
+		start_timer(conn, conn->limits->idle_ms);
 }
 
 static void write_parts(struct server_conn *conn, const uv_buf_t *parts,
@@ -476,10 +521,7 @@
 		read_next(conn);
 		return;
 	}
-	conn->state = SERVER_CONN_FLUSHING;
-	start_timer(conn, conn->limits->head_ms);
-	if (!server_conn_unwritten(conn))
-		end_flushed(conn);
+	flush_and_close(conn);
 }
 
 void server_conn_abort(struct server_conn *conn)
@@ -499,6 +541,7 @@
 
 void server_conn_close_idle(struct server_conn *conn)
 {
-	if (conn->state == SERVER_CONN_READING && !conn->request_begun)
+	if (conn->state == SERVER_CONN_READING && !conn->request_begun &&
+	    !server_conn_unwritten(conn))
 		close_now(conn);
 }
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -23,10 +23,14 @@
 	/** Maximum for the request target and the header fields together. */
 	int64_t head_bytes;
 	int64_t body_bytes;
-	/** Time from the first byte of a request until it is complete; also
-	 * the time to write the end of a connection's last response. */
+	/** Time from the first byte of a request until it is complete. */
 	int64_t head_ms;
-	int64_t idle_ms; /**< time to wait for the first byte of a request */
+	/** Time to wait for the first byte of a request, once the response
+	 * before it is written. */
+	int64_t idle_ms;
+	/** Time in which the caller must accept some bytes of a response that
+	 * is complete here. */
+	int64_t stall_ms;
 };
 
 /** Passed to `refused` in place of a status after `head` returned false. */
@@ -85,6 +89,7 @@
 	bool read_paused;
 	int refused_status; /**< HTTP status for input that is refused */
 	bool partly_read;   /**< the current request is not read to its end */
+	size_t unwritten_before; /**< unwritten bytes at the timer's start */
 	unsigned int open_handles;
 	const struct server_limits *limits;
 	const struct server_conn_events *events;
@@ -129,7 +134,8 @@
  * truncated. */
 void server_conn_abort(struct server_conn *conn);
 
-/** Closes the connection if no request is being read or served. */
+/** Closes the connection if no request is being read or served and its last
+ * response is written. */
 void server_conn_close_idle(struct server_conn *conn);
 
 #endif
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -11,6 +11,7 @@
 #define FIRST_BORN_MS 1000
 /* Events of a complete stream; their ids begin with 0. */
 #define STREAM_EVENTS 6
+#define LARGE_BODY_BYTES (200 * 1024)
 /* A truncated stream has this many events and the beginning of the next. */
 #define TRUNCATED_EVENTS 3
 
@@ -19,6 +20,7 @@
 	.body_bytes = 4 * 1024 * 1024,
 	.head_ms = 10000,
 	.idle_ms = 60000,
+	.stall_ms = 10000,
 };
 
 static void send_head(struct server_conn *conn, int status, int64_t body_bytes,
@@ -48,6 +50,16 @@
 	server_conn_finish(conn);
 }
 
+static void answer_large(struct server_conn *conn)
+{
+	char *body = xmalloc(LARGE_BODY_BYTES + 1);
+
+	memset(body, 'x', LARGE_BODY_BYTES);
+	body[LARGE_BODY_BYTES] = '\0';
+	answer(conn, 200, body, "");
+	free(body);
+}
+
 static void send_event(struct server_conn *conn, int number)
 {
 	char text[64];
@@ -220,6 +232,8 @@
 		respond_with_pause(standin, conn, is_stream, pause);
 	else if (!strcmp(action, "ok"))
 		answer(conn, 200, "done", "");
+	else if (!strcmp(action, "large"))
+		answer_large(conn);
 	else if (!strcmp(action, "fail-once"))
 		answer(conn, standin->runs % 2 ? 500 : 200, "done", "");
 	else if (!strcmp(action, "fail"))
--- a/tests/fakes/kv_standin.c
+++ b/tests/fakes/kv_standin.c
@@ -16,6 +16,7 @@
 	.body_bytes = 4 * 1024 * 1024,
 	.head_ms = 10000,
 	.idle_ms = 60000,
+	.stall_ms = 10000,
 };
 
 /* A watch request that waits for changes. */
--- /dev/null
+++ b/tests/unit/test_edge_callers.c
@@ -0,0 +1,207 @@
+/* Tests that a request whose caller reads slowly, half-closes, pipelines or
+ * sends it late gets its whole response, also at a planned stop and when the
+ * limits change. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/xalloc.h"
+#include "edge/edge_clock.h"
+#include "fakes/edge_rig.h"
+#include "unit/unit_main.h"
+
+#define WAIT_MS 4000
+#define RECEIVE_BUFFER_BYTES 4096
+#define SEND_BUFFER_BYTES 4096
+#define READ_BYTES 8192
+#define LARGE_BODY_BYTES (200 * 1024) /* of the stand-in's action large */
+#define STOP_NOTICE_MS 300
+
+#define FIELDS "Host: a.example\r\nAuthorization: Token key-1\r\n"
+#define GET(path) "GET " path " HTTP/1.1\r\n" FIELDS "\r\n"
+#define LAST_GET(path) \
+	"GET " path " HTTP/1.1\r\n" FIELDS "Connection: close\r\n\r\n"
+
+/** A caller that sends and reads only when a test says so. */
+struct caller {
+	int fd;
+	struct buffer received;
+	bool ended; /**< the host ended the connection or reset it */
+};
+
+static struct edge_rig rig;
+static struct edge *edge;
+static struct caller caller;
+
+static void connect_caller(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	const char *port = strchr(rig.hosts[0].settings.caller_address, ':');
+	int size = RECEIVE_BUFFER_BYTES;
+
+	memset(&caller, 0, sizeof(caller));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)strtol(port + 1, NULL, 10));
+	caller.fd = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(caller.fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	ck_assert(!connect(caller.fd, (struct sockaddr *)&address,
+			   sizeof(address)));
+	for (int i = 0; i < 100 && !edge->conn_count; i++)
+		edge_rig_run(&rig, 1);
+	ck_assert_ptr_nonnull(edge->conns);
+	/* What the caller does not read has to wait in the host. */
+	size = SEND_BUFFER_BYTES;
+	uv_send_buffer_size((uv_handle_t *)&edge->conns->tcp, &size);
+}
+
+static void setup(void)
+{
+	edge_rig_start(&rig);
+	edge_rig_make_ready(&rig);
+	edge = &rig.hosts[0].edge;
+	connect_caller();
+}
+
+static void teardown(void)
+{
+	close(caller.fd);
+	buffer_free(&caller.received);
+	edge_rig_run(&rig, 20);
+	edge_rig_stop(&rig);
+}
+
+static void send_text(const char *text)
+{
+	ssize_t size = (ssize_t)strlen(text);
+
+	ck_assert_int_eq(send(caller.fd, text, (size_t)size, MSG_NOSIGNAL),
+			 size);
+}
+
+/* Reads once, without waiting. */
+static void read_some(void)
+{
+	char bytes[READ_BYTES];
+	ssize_t size = recv(caller.fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+	if (size > 0)
+		buffer_add(&caller.received, bytes, (size_t)size);
+	else if (size == 0 || errno != EAGAIN)
+		caller.ended = true;
+}
+
+/* Reads every `interval_ms` until `size` bytes have been received. */
+static void read_until(size_t size, int64_t interval_ms)
+{
+	for (int64_t waited_ms = 0; waited_ms < WAIT_MS && !caller.ended &&
+				    caller.received.size < size;
+	     waited_ms += interval_ms) {
+		edge_rig_run(&rig, interval_ms);
+		read_some();
+	}
+}
+
+static void read_until_end(void)
+{
+	read_until(SIZE_MAX, 1);
+}
+
+/* Runs until the host has the whole response, most of it unwritten. */
+static void wait_until_answered(uint64_t count)
+{
+	for (int i = 0; i < WAIT_MS && edge->counters.answered < count; i++)
+		edge_rig_run(&rig, 1);
+	ck_assert_uint_eq(edge->counters.answered, count);
+}
+
+static void expect_large_response(void)
+{
+	const char *body = memmem(caller.received.data, caller.received.size,
+				  "\r\n\r\n", 4);
+	size_t head_size;
+
+	ck_assert(!strncmp(caller.received.data, "HTTP/1.1 200 ", 13));
+	ck_assert_ptr_nonnull(body);
+	head_size = (size_t)(body + 4 - caller.received.data);
+	ck_assert_msg(caller.received.size >= head_size + LARGE_BODY_BYTES,
+		      "%zu of %d bytes of the body received",
+		      caller.received.size - head_size, LARGE_BODY_BYTES);
+}
+
+START_TEST(a_planned_stop_does_not_cut_the_response_to_a_slow_caller)
+{
+	send_text(GET("/safe/large"));
+	wait_until_answered(1);
+	edge_stop(edge);
+	edge_rig_run(&rig, STOP_NOTICE_MS + 300);
+	read_until_end();
+	expect_large_response();
+}
+END_TEST
+
+START_TEST(the_idle_limit_does_not_cut_the_response_to_a_slow_caller)
+{
+	send_text(GET("/safe/large"));
+	read_until(LARGE_BODY_BYTES, 25);
+	expect_large_response();
+}
+END_TEST
+
+START_TEST(the_head_limit_does_not_cut_the_last_response_to_a_slow_caller)
+{
+	send_text(LAST_GET("/safe/large"));
+	read_until(LARGE_BODY_BYTES, 25);
+	expect_large_response();
+}
+END_TEST
+
+START_TEST(a_caller_that_has_sent_all_its_requests_gets_the_whole_response)
+{
+	send_text(_i ? GET("/safe/large") : LAST_GET("/safe/large"));
+	wait_until_answered(1);
+	shutdown(caller.fd, SHUT_WR);
+	edge_rig_run(&rig, 50);
+	read_until_end();
+	expect_large_response();
+}
+END_TEST
+
+START_TEST(a_caller_that_stops_reading_is_disconnected)
+{
+	edge->limits.stall_ms = 300;
+	send_text(_i ? GET("/safe/large") : LAST_GET("/safe/large"));
+	wait_until_answered(1);
+	for (int i = 0; i < 100 && edge->conn_count; i++)
+		edge_rig_run(&rig, 20);
+	ck_assert_uint_eq(edge->conn_count, 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("edge_callers");
+	TCase *tcase = tcase_create("callers");
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, 20);
+	tcase_add_test(
+		tcase,
+		a_planned_stop_does_not_cut_the_response_to_a_slow_caller);
+	tcase_add_test(
+		tcase,
+		the_idle_limit_does_not_cut_the_response_to_a_slow_caller);
+	tcase_add_test(
+		tcase,
+		the_head_limit_does_not_cut_the_last_response_to_a_slow_caller);
+	tcase_add_loop_test(
+		tcase,
+		a_caller_that_has_sent_all_its_requests_gets_the_whole_response,
+		0, 2);
+	tcase_add_loop_test(tcase, a_caller_that_stops_reading_is_disconnected,
+			    0, 2);
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
