Read what has arrived before a caller's connection times out

What callers saw: a connection that closed on a request which had reached the host in time, or a 408 for one; beside a change of the configuration, since a large one keeps the loop busy, and at the tick of a planned stop.

Cause: the loop runs timers before it reads from sockets. After the loop had stood still, the idle limit, the head limit and the planned stop's tick acted on connections whose requests lay unread in the socket. A limit that a new configuration raised held only for waits that began afterwards.

Change: a time limit takes effect 1 ms after its timer, when the loop has read once (as in call.c), and is compared with the limit in force and the time since the wait began, not with the loop's time, which is behind after a long callback.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -21,6 +21,10 @@
  * discarded for this long. Closing at once would send a reset, which could
  * overtake the response. */
 #define LINGER_MS 1000
+/* The loop runs timers before it reads from sockets. A timeout takes effect
+ * after this delay, so that bytes that arrived in time are read first. */
+#define READ_ONCE_MS 1
+#define NS_PER_MS 1000000
 
 /* The loop has one thread, so one buffer serves all reads. */
 static char read_buffer[READ_SIZE_BYTES];
@@ -61,37 +65,74 @@
 
 static void on_timeout(uv_timer_t *timer);
 
-static void start_timer(struct server_conn *conn, int64_t delay_ms)
+static int64_t now_ms(void)
+{
+	return (int64_t)(uv_hrtime() / NS_PER_MS);
+}
+
+/* @return the limit on what the connection waits for */
+static int64_t wait_limit_ms(const struct server_conn *conn)
+{
+	if (conn->lingers)
+		return LINGER_MS;
+	if (conn->state == SERVER_CONN_READING && conn->request_begun)
+		return conn->limits->head_ms;
+	if (server_conn_unwritten(conn))
+		return conn->limits->stall_ms;
+	return conn->limits->idle_ms;
+}
+
+static void set_timer(struct server_conn *conn, int64_t delay_ms)
 {
 	uv_timer_start(&conn->timer, on_timeout, (uint64_t)delay_ms, 0);
 }
 
-/* Limits how long the caller may accept no bytes of its response. */
-static void start_stall_timer(struct server_conn *conn)
+static void start_wait(struct server_conn *conn)
 {
+	conn->waiting_since_ms = now_ms();
 	conn->unwritten_before = server_conn_unwritten(conn);
-	start_timer(conn, conn->limits->stall_ms);
+	conn->timeout_pending = false;
+	set_timer(conn, wait_limit_ms(conn));
 }
 
-static void on_timeout(uv_timer_t *timer)
+static void time_out(struct server_conn *conn)
 {
-	struct server_conn *conn = timer->data;
 	size_t unwritten = server_conn_unwritten(conn);
 
 	if (conn->state == SERVER_CONN_READING && conn->request_begun) {
 		conn->refused_status = 408;
 		refuse_input(conn);
 	} else if (unwritten && unwritten < conn->unwritten_before) {
-		start_stall_timer(conn);
+		start_wait(conn);
 	} else if (conn->state != SERVER_CONN_SERVING) {
 		close_now(conn);
 	}
 }
 
+static void on_timeout(uv_timer_t *timer)
+{
+	struct server_conn *conn = timer->data;
+	int64_t left_ms =
+		conn->waiting_since_ms + wait_limit_ms(conn) - now_ms();
+
+	/* The limit was raised, or the loop's time was behind at the start. */
+	if (left_ms > 0) {
+		conn->timeout_pending = false;
+		set_timer(conn, left_ms);
+		return;
+	}
+	if (conn->timeout_pending) {
+		time_out(conn);
+		return;
+	}
+	conn->timeout_pending = true;
+	set_timer(conn, READ_ONCE_MS);
+}
+
 static void flush_and_close(struct server_conn *conn)
 {
 	conn->state = SERVER_CONN_FLUSHING;
-	start_stall_timer(conn);
+	start_wait(conn);
 	if (!server_conn_unwritten(conn))
 		end_flushed(conn);
 }
@@ -127,7 +168,7 @@
 	struct server_conn *conn = parser->data;
 
 	conn->request_begun = true;
-	start_timer(conn, conn->limits->head_ms);
+	start_wait(conn);
 	return 0;
 }
 
@@ -323,10 +364,7 @@
 	conn->partly_read = false;
 	conn->chunked = false;
 	conn->call = NULL;
-	if (server_conn_unwritten(conn))
-		start_stall_timer(conn);
-	else
-		start_timer(conn, conn->limits->idle_ms);
+	start_wait(conn);
 }
 
 struct server_conn *server_conn_accept(uv_stream_t *listener,
@@ -370,10 +408,12 @@
 {
 	if (!conn->partly_read ||
 	    uv_shutdown(&conn->shutdown_request, (uv_stream_t *)&conn->tcp,
-			on_shut_down) < 0)
+			on_shut_down) < 0) {
 		close_now(conn);
-	else
-		start_timer(conn, LINGER_MS);
+		return;
+	}
+	conn->lingers = true;
+	start_wait(conn);
 }
 
 static void on_written(uv_stream_t *stream, int status)
@@ -393,7 +433,7 @@
 	else if (conn->state == SERVER_CONN_SERVING || conn->partly_read)
 		conn->events->drained(conn);
 	else if (!conn->request_begun)
-		start_timer(conn, conn->limits->idle_ms);
+		start_wait(conn);
 }
 
 static void write_parts(struct server_conn *conn, const uv_buf_t *parts,
@@ -539,9 +579,22 @@
 	close_now(conn);
 }
 
-void server_conn_close_idle(struct server_conn *conn)
+static bool is_idle(const struct server_conn *conn)
 {
-	if (conn->state == SERVER_CONN_READING && !conn->request_begun &&
-	    !server_conn_unwritten(conn))
+	return conn->state == SERVER_CONN_READING && !conn->request_begun &&
+	       !server_conn_unwritten(conn);
+}
+
+static void on_idle_read(uv_timer_t *timer)
+{
+	struct server_conn *conn = timer->data;
+
+	if (is_idle(conn))
 		close_now(conn);
 }
+
+void server_conn_close_idle(struct server_conn *conn)
+{
+	if (is_idle(conn))
+		uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
+}
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -18,7 +18,7 @@
 struct server_conn;
 
 /** Limits on what a caller sends. A change applies at the latest to requests
- * that begin afterwards. */
+ * that begin afterwards; a longer time, also to waits that have begun. */
 struct server_limits {
 	/** Maximum for the request target and the header fields together. */
 	int64_t head_bytes;
@@ -89,7 +89,10 @@
 	bool read_paused;
 	int refused_status; /**< HTTP status for input that is refused */
 	bool partly_read;   /**< the current request is not read to its end */
-	size_t unwritten_before; /**< unwritten bytes at the timer's start */
+	bool lingers;	    /**< discards input after its last response */
+	int64_t waiting_since_ms; /**< what it waits for has a limit */
+	size_t unwritten_before;  /**< unwritten bytes at that time */
+	bool timeout_pending;	  /**< takes effect after one more read */
 	unsigned int open_handles;
 	const struct server_limits *limits;
 	const struct server_conn_events *events;
@@ -135,7 +138,7 @@
 void server_conn_abort(struct server_conn *conn);
 
 /** Closes the connection if no request is being read or served and its last
- * response is written. */
+ * response is written. A request that has already arrived is served. */
 void server_conn_close_idle(struct server_conn *conn);
 
 #endif
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -18,6 +18,8 @@
 #define SEND_BUFFER_BYTES 4096
 #define READ_BYTES 8192
 #define LARGE_BODY_BYTES (200 * 1024) /* of the stand-in's action large */
+#define IDLE_MS 900
+#define HEAD_MS 300
 #define STOP_NOTICE_MS 300
 
 #define FIELDS "Host: a.example\r\nAuthorization: Token key-1\r\n"
@@ -109,6 +111,28 @@
 	read_until(SIZE_MAX, 1);
 }
 
+static bool has_text(const char *text)
+{
+	return memmem(caller.received.data, caller.received.size, text,
+		      strlen(text));
+}
+
+static void read_until_text(const char *text)
+{
+	for (int i = 0; i < WAIT_MS && !caller.ended && !has_text(text); i++) {
+		edge_rig_run(&rig, 1);
+		read_some();
+	}
+	ck_assert_msg(has_text(text), "no '%s' in: %.*s", text,
+		      (int)caller.received.size, caller.received.data);
+}
+
+/* The event loop stands still, as while a large configuration is decoded. */
+static void block_loop(int64_t ms)
+{
+	usleep((useconds_t)(ms * 1000));
+}
+
 /* Runs until the host has the whole response, most of it unwritten. */
 static void wait_until_answered(uint64_t count)
 {
@@ -180,6 +204,72 @@
 }
 END_TEST
 
+static void complete_one_request(void)
+{
+	send_text(GET("/safe/ok"));
+	read_until_text("\r\n\r\ndone");
+	buffer_clear(&caller.received);
+}
+
+START_TEST(a_request_that_arrived_within_the_idle_limit_is_served)
+{
+	complete_one_request();
+	edge_rig_run(&rig, IDLE_MS - 300);
+	send_text(GET("/safe/ok"));
+	block_loop(500);
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
+START_TEST(a_request_whose_rest_arrived_within_the_head_limit_is_served)
+{
+	const char *request = GET("/safe/ok");
+	char *start = xstrdup(request);
+
+	start[10] = '\0';
+	send_text(start);
+	free(start);
+	edge_rig_run(&rig, HEAD_MS / 3);
+	send_text(request + 10);
+	block_loop(HEAD_MS);
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
+START_TEST(a_request_that_arrived_before_a_planned_stop_closes_is_served)
+{
+	complete_one_request();
+	edge_stop(edge);
+	edge_rig_run(&rig, STOP_NOTICE_MS - 100);
+	send_text(GET("/safe/ok"));
+	block_loop(300);
+	read_until_text("\r\n\r\ndone");
+	ck_assert(has_text("Connection: close"));
+}
+END_TEST
+
+START_TEST(a_raised_idle_limit_holds_for_connections_that_are_idle)
+{
+	complete_one_request();
+	edge_rig_run(&rig, 300);
+	edge->limits.idle_ms = 3 * IDLE_MS;
+	edge_rig_run(&rig, IDLE_MS);
+	send_text(GET("/safe/ok"));
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
+START_TEST(a_raised_head_limit_holds_for_requests_that_have_begun)
+{
+	send_text("GET /safe/ok HT");
+	edge_rig_run(&rig, HEAD_MS / 3);
+	edge->limits.head_ms = 3 * HEAD_MS;
+	edge_rig_run(&rig, HEAD_MS);
+	send_text("TP/1.1\r\n" FIELDS "\r\n");
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -202,6 +292,18 @@
 		0, 2);
 	tcase_add_loop_test(tcase, a_caller_that_stops_reading_is_disconnected,
 			    0, 2);
+	tcase_add_test(tcase,
+		       a_request_that_arrived_within_the_idle_limit_is_served);
+	tcase_add_test(
+		tcase,
+		a_request_whose_rest_arrived_within_the_head_limit_is_served);
+	tcase_add_test(
+		tcase,
+		a_request_that_arrived_before_a_planned_stop_closes_is_served);
+	tcase_add_test(tcase,
+		       a_raised_idle_limit_holds_for_connections_that_are_idle);
+	tcase_add_test(tcase,
+		       a_raised_head_limit_holds_for_requests_that_have_begun);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
