Serve requests that were read behind another before closing

What callers saw: in a planned stop, a pipelined request that the host had read whole got nothing: the response before it said `Connection: close`, and the rest was thrown away, however long before it had been sent.

Cause: each response of a stopping host announced the close. After that no further request may be answered on the connection (HTTP/1.1), so the choice is made when the head is written.

Change: the close is announced by the response to the last request that was read. From the first response on that should close, no more input is read, so a caller that keeps sending doesn't keep the host open. Where the caller announced the close, or the framing is lost, what follows is still not served.

Two more checks bound it: a part of a request, and a caller that never stops sending.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -285,14 +285,18 @@
 	.on_message_complete = on_message_complete,
 };
 
+static void pause_reading(struct server_conn *conn)
+{
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+	conn->read_paused = true;
+}
+
 static void queue_pipelined(struct server_conn *conn, const char *data,
 			    size_t size)
 {
 	buffer_add(&conn->pipelined, data, size);
-	if (conn->pipelined.size > PIPELINED_MAX_BYTES) {
-		uv_read_stop((uv_stream_t *)&conn->tcp);
-		conn->read_paused = true;
-	}
+	if (conn->pipelined.size > PIPELINED_MAX_BYTES)
+		pause_reading(conn);
 }
 
 static void refuse_input(struct server_conn *conn)
@@ -457,6 +461,17 @@
 	}
 }
 
+/* After a response that announces the close, no further request may be
+ * answered. Those that were read already are served first. */
+static bool may_announce_close(struct server_conn *conn)
+{
+	if (!conn->keep_alive || !conn->pipelined.size || conn->partly_read)
+		return true;
+	pause_reading(conn);
+	conn->input_closed = true;
+	return false;
+}
+
 void server_conn_send_head(struct server_conn *conn, int status,
 			   const struct buffer *fields, int64_t body_bytes,
 			   bool closing)
@@ -466,7 +481,8 @@
 	bool bodiless = status == 204 || status == 304;
 
 	conn->chunked = body_bytes == SERVER_LENGTH_UNKNOWN && !conn->http_1_0;
-	if (closing || (body_bytes == SERVER_LENGTH_UNKNOWN && conn->http_1_0))
+	if ((closing && may_announce_close(conn)) ||
+	    (body_bytes == SERVER_LENGTH_UNKNOWN && conn->http_1_0))
 		conn->keep_alive = false;
 	buffer_add_format(&head, "HTTP/1.1 %d %s\r\n", status,
 			  reason_of(status));
@@ -540,13 +556,16 @@
 
 	memset(&conn->pipelined, 0, sizeof(conn->pipelined));
 	await_request(conn);
-	if (conn->read_paused) {
+	if (conn->read_paused && !conn->input_closed) {
 		conn->read_paused = false;
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 	}
 	if (pipelined.size)
 		parse(conn, pipelined.data, pipelined.size);
 	buffer_free(&pipelined);
+	if (conn->input_closed && conn->state == SERVER_CONN_READING &&
+	    !conn->partly_read)
+		flush_and_close(conn);
 }
 
 void server_conn_finish(struct server_conn *conn)
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -123,8 +123,8 @@
 		edge_rig_run(&rig, 1);
 		read_some();
 	}
-	ck_assert_msg(has_text(text), "no '%s' in: %.*s", text,
-		      (int)caller.received.size, caller.received.data);
+	ck_assert_msg(has_text(text), "no '%s' in %zu bytes", text,
+		      caller.received.size);
 }
 
 /* The event loop stands still, as while a large configuration is decoded. */
@@ -204,6 +204,33 @@
 }
 END_TEST
 
+static unsigned int count_text(const char *text)
+{
+	const char *at = caller.received.data;
+	const char *end = at + caller.received.size;
+	unsigned int count = 0;
+
+	while (at &&
+	       (at = memmem(at, (size_t)(end - at), text, strlen(text)))) {
+		count++;
+		at += strlen(text);
+	}
+	return count;
+}
+
+static void wait_for_runs(unsigned int count)
+{
+	for (int i = 0; i < WAIT_MS && edge_rig_runs(&rig) < count; i++)
+		edge_rig_run(&rig, 1);
+	ck_assert_uint_eq(edge_rig_runs(&rig), count);
+}
+
+static void release_servers(void)
+{
+	for (int i = 0; i < EDGE_RIG_SERVERS; i++)
+		backend_standin_release(&rig.server_standins[i]);
+}
+
 static void complete_one_request(void)
 {
 	send_text(GET("/safe/ok"));
@@ -270,6 +297,56 @@
 }
 END_TEST
 
+START_TEST(requests_that_were_read_before_a_planned_stop_are_served)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	send_text(GET("/unsafe/ok") GET("/unsafe/ok"));
+	edge_rig_run(&rig, 20);
+	edge_stop(edge);
+	edge_rig_run(&rig, STOP_NOTICE_MS + 100);
+	release_servers();
+	read_until_end();
+	ck_assert_uint_eq(count_text("HTTP/1.1 200 "), 3);
+	ck_assert_uint_eq(count_text("Connection: close"), 1);
+	ck_assert_uint_eq(edge->conn_count, 0);
+}
+END_TEST
+
+START_TEST(a_part_of_a_request_does_not_keep_a_stopping_host_open)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	send_text("GET /unsafe/ok HT");
+	edge_rig_run(&rig, 20);
+	edge_stop(edge);
+	release_servers();
+	read_until_end();
+	ck_assert_uint_eq(count_text("HTTP/1.1 200 "), 1);
+	ck_assert_uint_eq(edge->conn_count, 0);
+}
+END_TEST
+
+START_TEST(a_caller_that_keeps_sending_does_not_keep_a_stopping_host_open)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	send_text(GET("/unsafe/ok"));
+	edge_rig_run(&rig, 20);
+	edge_stop(edge);
+	release_servers();
+	for (int i = 0; i < WAIT_MS / 10 && !caller.ended; i++) {
+		send(caller.fd, GET("/unsafe/ok"), strlen(GET("/unsafe/ok")),
+		     MSG_NOSIGNAL);
+		edge_rig_run(&rig, 10);
+		read_some();
+	}
+	ck_assert(caller.ended);
+	ck_assert(has_text("Connection: close"));
+	ck_assert_uint_eq(edge->conn_count, 0);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -304,6 +381,14 @@
 		       a_raised_idle_limit_holds_for_connections_that_are_idle);
 	tcase_add_test(tcase,
 		       a_raised_head_limit_holds_for_requests_that_have_begun);
+	tcase_add_test(
+		tcase,
+		requests_that_were_read_before_a_planned_stop_are_served);
+	tcase_add_test(tcase,
+		       a_part_of_a_request_does_not_keep_a_stopping_host_open);
+	tcase_add_test(
+		tcase,
+		a_caller_that_keeps_sending_does_not_keep_a_stopping_host_open);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
