Let callers read a last response before their next bytes are reset

What callers saw: the end of a response missing, with a reset, when they sent more on a connection that the host had just closed; in a planned stop, callers that keep using open connections do.

Cause: a connection was closed as soon as the socket had accepted its last response, and whatever arrives at a closed socket is answered with a reset, which discards response bytes that are not delivered yet. Only refused requests lingered.

Change: every close after a response lingers for at most a second, unless the caller said or showed that it sends no more. Costs one shutdown() for closes that the host decides on, nothing where the caller asked for the close.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -17,9 +17,9 @@
 #define READ_SIZE_BYTES (64 * 1024)
 #define CHUNK_HEAD_SIZE 24
 #define SMALL_CHUNK_BYTES 2048
-/* After a response to a request that was not read to its end, further input is
- * discarded for this long. Closing at once would send a reset, which could
- * overtake the response. */
+/* After the last response, further input is discarded for this long, unless
+ * the caller has announced that none follows. Closing at once would answer it
+ * with a reset, which could overtake the response. */
 #define LINGER_MS 1000
 /* The loop runs timers before it reads from sockets. A timeout takes effect
  * after this delay, so that bytes that arrived in time are read first. */
@@ -149,7 +149,7 @@
 		handle_disconnect(conn);
 		return;
 	}
-	conn->partly_read = false;
+	conn->caller_closes = true;
 	flush_and_close(conn);
 }
 
@@ -270,6 +270,7 @@
 	struct server_conn *conn = parser->data;
 
 	conn->keep_alive = http_should_keep_alive(parser);
+	conn->caller_closes = !conn->keep_alive;
 	conn->state = SERVER_CONN_SERVING;
 	http_parser_pause(parser, 1);
 	return 0;
@@ -366,6 +367,7 @@
 	conn->request_begun = false;
 	conn->refused_status = 400; /* unless a callback sets another */
 	conn->partly_read = false;
+	conn->caller_closes = false;
 	conn->chunked = false;
 	conn->call = NULL;
 	start_wait(conn);
@@ -410,13 +412,15 @@
 
 static void end_flushed(struct server_conn *conn)
 {
-	if (!conn->partly_read ||
+	if (conn->caller_closes ||
 	    uv_shutdown(&conn->shutdown_request, (uv_stream_t *)&conn->tcp,
 			on_shut_down) < 0) {
 		close_now(conn);
 		return;
 	}
 	conn->lingers = true;
+	if (conn->read_paused)
+		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 	start_wait(conn);
 }
 
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -83,6 +83,7 @@
 	enum server_conn_state state;
 	bool request_begun;
 	bool keep_alive;
+	bool caller_closes;   /**< the caller sends no further request */
 	bool is_head_request; /**< the response has no body */
 	bool http_1_0;	      /**< the caller does not support chunked coding */
 	bool chunked;	      /**< the response body is sent in chunks */
