Send 100 Continue also behind a response that is still being written

What callers saw: no `100 Continue` for a request sent while the response before it was unread, so a caller that waits for it got 408.

Cause: the interim response was tried once and dropped if the socket had queued bytes; had the socket taken a part of it, the next response would have followed in its middle.

Change: it is queued like every other response.

Evidence: test_edge_callers, a_caller_that_waits_for_100_continue_gets_it_behind_a_response, fails before.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -31,6 +31,8 @@
 
 static void parse(struct server_conn *conn, const char *data, size_t size);
 static void refuse_input(struct server_conn *conn);
+static void write_parts(struct server_conn *conn, const uv_buf_t *parts,
+			unsigned int count);
 static void end_flushed(struct server_conn *conn);
 
 static void on_handle_closed(uv_handle_t *handle)
@@ -249,7 +251,7 @@
 		uv_buf_t interim =
 			uv_buf_init("HTTP/1.1 100 Continue\r\n\r\n", 25);
 
-		uv_try_write((uv_stream_t *)&conn->tcp, &interim, 1);
+		write_parts(conn, &interim, 1);
 	}
 	return 0;
 }
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -370,6 +370,19 @@
 }
 END_TEST
 
+START_TEST(a_caller_that_waits_for_100_continue_gets_it_behind_a_response)
+{
+	send_text(GET("/safe/large"));
+	wait_until_answered(1);
+	send_text("POST /safe/ok HTTP/1.1\r\n" FIELDS
+		  "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+	edge_rig_run(&rig, 20);
+	read_until_text("HTTP/1.1 100 Continue\r\n\r\n");
+	send_text("x");
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -415,6 +428,9 @@
 	tcase_add_test(
 		tcase,
 		a_request_after_a_closing_response_does_not_cut_the_response);
+	tcase_add_test(
+		tcase,
+		a_caller_that_waits_for_100_continue_gets_it_behind_a_response);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
