Check that an idle connection is quiet before a request is sent on it

What callers saw: 502 for a request that must not be repeated and that no server had run; or a late second copy of an earlier response as the answer to theirs, where the server does not name the request in it.

Cause: the pool noticed the end of a connection, or bytes on it, only when the loop read its socket. A caller's request that was read before, in the same iteration of the loop, was sent on it. The longer the loop had stood still, the more connections were so.

Change: one look into the socket, without taking anything out, before an idle connection is used again, for backend servers and for the store. What the server ends after that can't be told from a crash, as before.

Evidence: test_edge_connections, both checks fail before: 502 "the server broke the connection off", and a 200 with the body of another response.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -1,6 +1,7 @@
 #include "transport/http_conn.h"
 
 #include <assert.h>
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
@@ -305,6 +306,17 @@
 	return conn;
 }
 
+bool http_conn_is_quiet(const struct http_conn *conn)
+{
+	uv_os_fd_t descriptor;
+	char byte;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &descriptor))
+		return false;
+	return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       errno == EAGAIN;
+}
+
 void http_conn_send(struct http_conn *conn,
 		    const struct http_conn_events *events, void *arg,
 		    const struct buffer *head, const struct buffer *body)
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -83,6 +83,10 @@
 struct http_conn *http_conn_open(uv_loop_t *loop,
 				 const struct sockaddr *address);
 
+/** @return whether an idle connection has received nothing since its last
+ * response, not even its end, also if the loop has not read that yet */
+bool http_conn_is_quiet(const struct http_conn *conn);
+
 /** Sends one request. What the socket does not accept at once is copied. */
 void http_conn_send(struct http_conn *conn,
 		    const struct http_conn_events *events, void *arg,
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -45,7 +45,7 @@
 	while (pool->idle) {
 		struct http_conn *conn = remove_first(pool);
 
-		if (!is_stale(conn, now_us))
+		if (!is_stale(conn, now_us) && http_conn_is_quiet(conn))
 			return conn;
 		http_conn_close(conn);
 	}
--- a/src/transport/http_pool.h
+++ b/src/transport/http_pool.h
@@ -15,7 +15,8 @@
 	uint32_t count;
 };
 
-/** @return an idle connection that is within its idle limit, or NULL */
+/** @return an idle connection that is within its idle limit and that its server
+ * has not ended, or NULL */
 struct http_conn *http_pool_acquire(struct http_pool *pool, int64_t now_us);
 
 /** Releases a connection to the pool if it is reusable and the pool has fewer
--- /dev/null
+++ b/tests/unit/test_edge_connections.c
@@ -0,0 +1,140 @@
+/* Tests that requests are not sent on connections that their server has ended
+ * or used for something else, and what happens to requests when the entries
+ * of servers change. */
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/xalloc.h"
+#include "fakes/edge_rig.h"
+#include "transport/server_conn.h"
+#include "unit/unit_main.h"
+
+#define WAIT_MS 3000
+#define FIELDS "Host: a.example\r\nAuthorization: Token key-1\r\n"
+#define GET(path) "GET " path " HTTP/1.1\r\n" FIELDS "\r\n"
+
+static struct edge_rig rig;
+static struct edge *edge;
+static int caller;
+static char received[4096];
+
+static void connect_caller(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	const char *port = strchr(rig.hosts[0].settings.caller_address, ':');
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons((uint16_t)strtol(port + 1, NULL, 10));
+	caller = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert(
+		!connect(caller, (struct sockaddr *)&address, sizeof(address)));
+	edge_rig_run(&rig, 20);
+}
+
+static void setup(void)
+{
+	edge_rig_start(&rig);
+	edge_rig_make_ready(&rig);
+	edge = &rig.hosts[0].edge;
+	connect_caller();
+}
+
+static void teardown(void)
+{
+	close(caller);
+	edge_rig_run(&rig, 20);
+	edge_rig_stop(&rig);
+}
+
+static void send_text(const char *text)
+{
+	ssize_t size = (ssize_t)strlen(text);
+
+	ck_assert_int_eq(send(caller, text, (size_t)size, MSG_NOSIGNAL), size);
+}
+
+/* Receives into `received` until it ends with the text. */
+static void expect_end(const char *text)
+{
+	size_t size = 0;
+
+	for (int i = 0; i < WAIT_MS; i++) {
+		ssize_t more;
+
+		edge_rig_run(&rig, 1);
+		more = recv(caller, received + size,
+			    sizeof(received) - 1 - size, MSG_DONTWAIT);
+		if (more == 0)
+			break;
+		if (more > 0)
+			size += (size_t)more;
+		received[size] = '\0';
+		if (size >= strlen(text) &&
+		    !strcmp(received + size - strlen(text), text))
+			return;
+	}
+	ck_abort_msg("received: %.500s", received);
+}
+
+static void expect_done(void)
+{
+	expect_end("\r\n\r\ndone");
+	ck_assert(!strncmp(received, "HTTP/1.1 200 ", 13));
+}
+
+/* Leaves an idle connection to each server in the host's pools. */
+static void fill_pools(void)
+{
+	for (int i = 0; i < EDGE_RIG_SERVERS; i++)
+		while (!rig.server_standins[i].conns) {
+			send_text(GET("/safe/ok"));
+			expect_done();
+		}
+	edge_rig_run(&rig, 20);
+}
+
+/* Both lie unread in the host's sockets when its loop runs again. */
+START_TEST(a_request_is_not_sent_on_a_connection_that_its_server_has_closed)
+{
+	fill_pools();
+	send_text(GET("/unsafe/ok"));
+	for (int i = 0; i < EDGE_RIG_SERVERS; i++)
+		server_conn_abort(rig.server_standins[i].conns);
+	expect_done();
+}
+END_TEST
+
+START_TEST(a_late_copy_of_a_response_does_not_answer_the_next_request)
+{
+	static char copy[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+			     "Tamarackgw-Response-Stamp: late\r\n\r\nstale";
+	uv_buf_t part = uv_buf_init(copy, sizeof(copy) - 1);
+
+	fill_pools();
+	send_text(GET("/unsafe/ok"));
+	for (int i = 0; i < EDGE_RIG_SERVERS; i++)
+		uv_try_write((uv_stream_t *)&rig.server_standins[i].conns->tcp,
+			     &part, 1);
+	expect_done();
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("edge_connections");
+	TCase *tcase = tcase_create("connections");
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, 20);
+	tcase_add_test(
+		tcase,
+		a_request_is_not_sent_on_a_connection_that_its_server_has_closed);
+	tcase_add_test(
+		tcase,
+		a_late_copy_of_a_response_does_not_answer_the_next_request);
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
