Report an error that connecting returns at once

Cause: only errors that come later were reported; the page of http_conn.h left the others to the owner's timeout.

Change: a timer of zero reports them, so still not from inside the call.

Evidence: test_http_conn, an_address_that_nothing_can_connect_to_is_reported_at_once, reports nothing within 3 s before.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -44,7 +44,7 @@
 	conn->state = HTTP_CONN_CLOSING;
 	conn->events = NULL;
 	uv_close((uv_handle_t *)&conn->tcp, on_closed);
-	uv_close((uv_handle_t *)&conn->eof_timer, on_closed);
+	uv_close((uv_handle_t *)&conn->timer, on_closed);
 }
 
 static void fail(struct http_conn *conn, enum http_conn_fault fault)
@@ -231,8 +231,7 @@
 	if (size == UV_EOF && conn->sent && !conn->eof_seen) {
 		conn->eof_seen = true;
 		uv_read_stop(stream);
-		uv_timer_start(&conn->eof_timer, on_eof_timer, RESET_WAIT_MS,
-			       0);
+		uv_timer_start(&conn->timer, on_eof_timer, RESET_WAIT_MS, 0);
 		return;
 	}
 	fail(conn, HTTP_CONN_CLOSED);
@@ -277,6 +276,11 @@
 	buffer_free(&conn->unsent);
 }
 
+static void on_connect_failed(uv_timer_t *timer)
+{
+	fail(timer->data, HTTP_CONN_NOT_CONNECTED);
+}
+
 static void set_options(struct http_conn *conn, uv_loop_t *loop)
 {
 	unsigned int unacked_ms = UNACKED_TIMEOUT_MS;
@@ -294,15 +298,15 @@
 	struct http_conn *conn = xcalloc(1, sizeof(*conn));
 
 	uv_tcp_init_ex(loop, &conn->tcp, address->sa_family);
-	uv_timer_init(loop, &conn->eof_timer);
-	conn->eof_timer.data = conn;
+	uv_timer_init(loop, &conn->timer);
+	conn->timer.data = conn;
 	conn->open_handles = 2;
 	conn->tcp.data = conn;
 	conn->parser.data = conn;
 	set_options(conn, loop);
 	if (uv_tcp_connect(&conn->connecting, &conn->tcp, address,
 			   on_connected) < 0)
-		conn->connected = false;
+		uv_timer_start(&conn->timer, on_connect_failed, 0, 0);
 	return conn;
 }
 
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -51,9 +51,9 @@
 struct http_conn {
 	uv_tcp_t tcp;
 	uv_connect_t connecting;
-	uv_timer_t eof_timer; /* see `eof_seen` */
+	uv_timer_t timer; /* for an error of connecting, and see `eof_seen` */
 	/** The server ended the stream cleanly; a reset may still follow, which
-	 * `eof_timer` waits for. */
+	 * `timer` waits for. */
 	bool eof_seen;
 	unsigned int open_handles;
 	http_parser parser;
@@ -78,8 +78,7 @@
 };
 
 /** Starts to connect. A failure is reported by `broken` of the request's
- * events, never from inside this call. An error that uv_tcp_connect() returns
- * at once is not reported: the owner's timeout has to end the request. */
+ * events, never from inside this call. */
 struct http_conn *http_conn_open(uv_loop_t *loop,
 				 const struct sockaddr *address);
 
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -229,6 +229,20 @@
 }
 END_TEST
 
+START_TEST(an_address_that_nothing_can_connect_to_is_reported_at_once)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(1),
+		.sin_addr.s_addr = htonl(INADDR_BROADCAST),
+	};
+
+	send_request(&address);
+	ck_assert_int_eq(result, RESULT_BROKEN);
+	ck_assert_int_eq(fault, HTTP_CONN_NOT_CONNECTED);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("http_conn");
@@ -241,6 +255,9 @@
 			    sizeof(responses) / sizeof(responses[0]));
 	tcase_add_test(tcase,
 		       a_port_without_a_listener_is_reported_as_not_connected);
+	tcase_add_test(
+		tcase,
+		an_address_that_nothing_can_connect_to_is_reported_at_once);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
