Read a response that arrived before its request could not be sent to its end

What callers saw: a whole early answer of a server that closes without reading a long body was taken as a broken connection (502, or cut after its head) when the answer was not read at that moment, because its caller reads slowly.

Cause: a failed write ended the connection at once, with the answer's bytes still in the socket.

Change: reading reports the end, after the bytes that came before it. A failed write takes the socket's error, so it also counts as a reset: an answer without a length stays incomplete.

Evidence: test_http_conn, an_early_response_is_read_although_its_request_can_not_be_sent: with a length it was broken before and is complete now; without one it is broken, before and now.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -154,7 +154,7 @@
 	const struct http_conn_events *events = conn->events;
 
 	/* An early response leaves part of the request unsent. */
-	if (more_bytes ||
+	if (more_bytes || conn->write_failed ||
 	    uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp))
 		conn->reusable = false;
 	conn->state = HTTP_CONN_IDLE;
@@ -187,6 +187,9 @@
 	int socket_error = 0;
 	socklen_t size = sizeof(socket_error);
 
+	/* The failed write has taken the socket's error. */
+	if (conn->write_failed)
+		return true;
 	if (uv_fileno((const uv_handle_t *)&conn->tcp, &descriptor) ||
 	    getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &socket_error, &size) <
 		    0)
@@ -245,8 +248,12 @@
 
 static void on_written(uv_stream_t *stream, int status)
 {
-	if (status < 0 && status != UV_ECANCELED)
-		fail(stream->data, HTTP_CONN_CLOSED);
+	struct http_conn *conn = stream->data;
+
+	/* The response may have arrived before the connection failed. Reading
+	 * reports the end after it. */
+	if (status < 0)
+		conn->write_failed = true;
 }
 
 static void write_parts(struct http_conn *conn, const uv_buf_t *parts,
@@ -335,6 +342,7 @@
 	conn->sent = false;
 	conn->response_done = false;
 	conn->reusable = false;
+	conn->write_failed = false;
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
 	if (!conn->connected) {
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -62,7 +62,8 @@
 	struct buffer unsent;  /**< the request until connected */
 	enum http_conn_state state;
 	bool connected;
-	bool sent; /**< writing of the current request has begun */
+	bool sent;	   /**< writing of the current request has begun */
+	bool write_failed; /**< the request was not sent to its end */
 	bool reusable;
 	bool discarding;  /**< the current response is skipped */
 	bool ignore_body; /**< the request's method is HEAD */
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <pthread.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -243,6 +244,96 @@
 }
 END_TEST
 
+#define LONG_BODY_BYTES (16 * 1024 * 1024)
+#define PAUSE_MS 200
+
+/* Answers before the request's body is read, and closes with it unread. */
+static void *answer_early(void *arg)
+{
+	static const char *const response = "HTTP/1.1 200 OK\r\n%s\r\n";
+	int fd = accept(listener, NULL, NULL);
+	char input[512];
+
+	if (fd < 0)
+		return NULL;
+	if (recv(fd, input, sizeof(input), 0) > 0) {
+		dprintf(fd, response, arg ? "Content-Length: 4\r\n" : "");
+		usleep(PAUSE_MS / 2 * 1000);
+		dprintf(fd, "body");
+	}
+	close(fd);
+	return NULL;
+}
+
+static struct http_conn *paused_conn;
+
+static enum http_conn_verdict pause_at_head(struct http_conn *conn)
+{
+	http_conn_pause(conn);
+	paused_conn = conn;
+	return HTTP_CONN_ACCEPT;
+}
+
+static void on_pause_over(uv_timer_t *timer)
+{
+	if (paused_conn && result == RESULT_NONE)
+		http_conn_resume(paused_conn);
+}
+
+static const struct http_conn_events pausing_events = {
+	.head = pause_at_head,
+	.body = on_body,
+	.complete = on_complete,
+	.broken = on_broken,
+};
+
+static void send_long_request(const struct sockaddr_in *address)
+{
+	struct http_conn *conn =
+		http_conn_open(&loop, (const struct sockaddr *)address);
+	struct buffer head = {0};
+	struct buffer long_body = {0};
+
+	buffer_add_format(
+		&head,
+		"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n",
+		LONG_BODY_BYTES);
+	for (int i = 0; i < LONG_BODY_BYTES / 1024; i++) {
+		static const char piece[1024];
+
+		buffer_add(&long_body, piece, sizeof(piece));
+	}
+	http_conn_send(conn, &pausing_events, NULL, &head, &long_body);
+	buffer_free(&head);
+	buffer_free(&long_body);
+	uv_run(&loop, UV_RUN_DEFAULT);
+}
+
+/* With a length the response is complete; without one, the reset says that it
+ * may not be. */
+START_TEST(an_early_response_is_read_although_its_request_can_not_be_sent)
+{
+	struct sockaddr_in address = listen_on_free_port();
+	uv_timer_t pause;
+	bool has_length = _i;
+
+	paused_conn = NULL;
+	uv_timer_init(&loop, &pause);
+	uv_timer_start(&pause, on_pause_over, 2 * PAUSE_MS, 0);
+	pthread_create(&server, NULL, answer_early, has_length ? &loop : NULL);
+	send_long_request(&address);
+	ck_assert_int_eq(result, has_length ? RESULT_COMPLETE : RESULT_BROKEN);
+	if (has_length) {
+		ck_assert_uint_eq(body.size, 4);
+		ck_assert(!reusable);
+	}
+	close(listener);
+	pthread_join(server, NULL);
+	uv_close((uv_handle_t *)&pause, NULL);
+	uv_run(&loop, UV_RUN_NOWAIT);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("http_conn");
@@ -258,6 +349,10 @@
 	tcase_add_test(
 		tcase,
 		an_address_that_nothing_can_connect_to_is_reported_at_once);
+	tcase_add_loop_test(
+		tcase,
+		an_early_response_is_read_although_its_request_can_not_be_sent,
+		0, 2);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
