End a connection whose response could not be queued

Cause: when libuv refuses a write at once, stream_write_parts() dropped the bytes and the connection went on: a response with a hole in it, or none, on a connection that then served the next request.

Change: the error is returned; the caller's connection ends as one that was disconnected, the one to a server as broken.

Evidence: test_edge_callers, a_connection_that_a_response_can_not_be_written_to_is_closed, stays open before.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -256,11 +256,18 @@
 		conn->write_failed = true;
 }
 
+static void on_write_refused(uv_timer_t *timer)
+{
+	fail(timer->data, HTTP_CONN_CLOSED);
+}
+
 static void write_parts(struct http_conn *conn, const uv_buf_t *parts,
 			unsigned int count)
 {
 	conn->sent = true;
-	stream_write_parts((uv_stream_t *)&conn->tcp, parts, count, on_written);
+	if (stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
+			       on_written))
+		uv_timer_start(&conn->timer, on_write_refused, 0, 0);
 }
 
 static void on_connected(uv_connect_t *request, int status)
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -75,6 +75,8 @@
 /* @return the limit on what the connection waits for */
 static int64_t wait_limit_ms(const struct server_conn *conn)
 {
+	if (conn->write_failed)
+		return 0;
 	if (conn->lingers)
 		return LINGER_MS;
 	if (conn->state == SERVER_CONN_READING && conn->request_begun)
@@ -117,6 +119,10 @@
 	int64_t left_ms =
 		conn->waiting_since_ms + wait_limit_ms(conn) - now_ms();
 
+	if (conn->write_failed) {
+		handle_disconnect(conn);
+		return;
+	}
 	/* The limit was raised, or the loop's time was behind at the start. */
 	if (left_ms > 0) {
 		conn->timeout_pending = false;
@@ -449,9 +455,14 @@
 static void write_parts(struct server_conn *conn, const uv_buf_t *parts,
 			unsigned int count)
 {
-	if (conn->state != SERVER_CONN_CLOSING)
-		stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
-				   on_written);
+	if (conn->state == SERVER_CONN_CLOSING || conn->write_failed)
+		return;
+	if (!stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
+				on_written))
+		return;
+	/* The owner is in the middle of its response: end it later. */
+	conn->write_failed = true;
+	start_wait(conn);
 }
 
 static const char *reason_of(int status)
@@ -582,6 +593,10 @@
 		return;
 	if (conn->chunked && !conn->is_head_request)
 		write_parts(conn, &last_chunk, 1);
+	if (conn->write_failed) {
+		close_now(conn);
+		return;
+	}
 	if (conn->keep_alive) {
 		read_next(conn);
 		return;
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -91,6 +91,7 @@
 	bool input_closed;  /**< serves only what was read already */
 	int refused_status; /**< HTTP status for input that is refused */
 	bool partly_read;   /**< the current request is not read to its end */
+	bool write_failed;  /**< bytes of a response are missing: closes */
 	bool lingers;	    /**< discards input after its last response */
 	int64_t waiting_since_ms; /**< what it waits for has a limit */
 	size_t unwritten_before;  /**< unwritten bytes at that time */
--- a/src/transport/stream_write.c
+++ b/src/transport/stream_write.c
@@ -38,15 +38,16 @@
 	return at;
 }
 
-void stream_write_parts(uv_stream_t *stream, const uv_buf_t *parts,
-			unsigned int count,
-			void (*done)(uv_stream_t *stream, int status))
+int stream_write_parts(uv_stream_t *stream, const uv_buf_t *parts,
+		       unsigned int count,
+		       void (*done)(uv_stream_t *stream, int status))
 {
 	struct queued_write *queued;
 	uv_buf_t rest;
 	size_t total = 0;
 	size_t accepted = 0;
 	int written;
+	int error;
 
 	for (unsigned int i = 0; i < count; i++)
 		total += parts[i].len;
@@ -54,13 +55,15 @@
 	if (written > 0)
 		accepted = (size_t)written;
 	if (accepted == total)
-		return;
+		return 0;
 	queued = xmalloc(sizeof(*queued) + total - accepted);
 	queued->request.data = queued;
 	queued->done = done;
 	rest = uv_buf_init(queued->data,
 			   (unsigned int)copy_from(queued->data, parts, count,
 						   accepted));
-	if (uv_write(&queued->request, stream, &rest, 1, on_written) < 0)
+	error = uv_write(&queued->request, stream, &rest, 1, on_written);
+	if (error)
 		free(queued);
+	return error;
 }
--- a/src/transport/stream_write.h
+++ b/src/transport/stream_write.h
@@ -9,13 +9,15 @@
 #include <uv.h>
 
 /**
- * Writes the parts in order. An error that libuv returns at once is not
- * reported: the next read of the stream fails as well.
+ * Writes the parts in order. After an error, bytes are missing: the stream
+ * can't be used further.
  * @param done called once the queued bytes were written, with 0, or could not
- * be written, with libuv's error; not called if all was written at once
+ * be written, with libuv's error; not called if all was written at once, or
+ * after an error
+ * @return 0, or the error of libuv
  */
-void stream_write_parts(uv_stream_t *stream, const uv_buf_t *parts,
-			unsigned int count,
-			void (*done)(uv_stream_t *stream, int status));
+int stream_write_parts(uv_stream_t *stream, const uv_buf_t *parts,
+		       unsigned int count,
+		       void (*done)(uv_stream_t *stream, int status));
 
 #endif
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -383,6 +383,23 @@
 }
 END_TEST
 
+static void on_shut_down(uv_shutdown_t *request, int status)
+{
+}
+
+START_TEST(a_connection_that_a_response_can_not_be_written_to_is_closed)
+{
+	static uv_shutdown_t request;
+
+	edge->limits.idle_ms = 10 * IDLE_MS;
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	uv_shutdown(&request, (uv_stream_t *)&edge->conns->tcp, on_shut_down);
+	release_servers();
+	expect_disconnected();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -431,6 +448,9 @@
 	tcase_add_test(
 		tcase,
 		a_caller_that_waits_for_100_continue_gets_it_behind_a_response);
+	tcase_add_test(
+		tcase,
+		a_connection_that_a_response_can_not_be_written_to_is_closed);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
