--- a/tests/unit/test_edge_connections.c
+++ b/tests/unit/test_edge_connections.c
@@ -122,6 +122,24 @@
 }
 END_TEST
 
+START_TEST(no_call_goes_to_the_store_at_its_earlier_address)
+{
+	static struct kv_standin moved;
+	unsigned int calls;
+
+	kv_standin_start(&moved, &rig.loop);
+	platform_http_client_set_address(&rig.hosts[0].platform.client,
+					 moved.address);
+	/* Calls that wait at the earlier address end within this time. */
+	edge_rig_run(&rig, 1000);
+	calls = rig.store.calls;
+	edge_rig_run(&rig, 1000);
+	ck_assert_uint_eq(rig.store.calls, calls);
+	ck_assert_uint_gt(moved.calls, 0);
+	kv_standin_stop(&moved);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_connections");
@@ -135,6 +153,7 @@
 	tcase_add_test(
 		tcase,
 		a_late_copy_of_a_response_does_not_answer_the_next_request);
+	tcase_add_test(tcase, no_call_goes_to_the_store_at_its_earlier_address);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
