Accept the connections that wait before a stopping host closes its listener

What callers saw: a connection that was established, with a request on it, and reset in a planned stop.

Cause: closing the listener resets what waits to be accepted; the stop's tick runs before the loop accepts.

Change: the listener closes at the first tick at which nothing waits, at most a second later. In the window that is left (one system call) nothing can be done.

Evidence: test_edge_callers, a_connection_that_waits_to_be_accepted_at_a_planned_stop_is_served: reset before, 200 with Connection: close now.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -1,5 +1,6 @@
 #include "edge/edge.h"
 
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,6 +18,8 @@
 #define TICK_MS 100
 #define LISTEN_BACKLOG 511
 #define MS_PER_S 1000
+/* A stopping host waits this long for a moment without new connections. */
+#define MAX_ACCEPT_WAIT_MS 1000
 /* A stopping host exits this long before the platform would kill it. */
 #define STOP_MARGIN_MS 600
 /* Limits on callers' requests before the first configuration is in force. */
@@ -143,6 +146,16 @@
 	uv_close((uv_handle_t *)&edge->caller_listener, NULL);
 }
 
+/* Closing the listener resets connections that wait to be accepted. */
+static bool has_waiting_callers(const struct edge *edge)
+{
+	struct pollfd listener = {.events = POLLIN};
+
+	return !uv_fileno((const uv_handle_t *)&edge->caller_listener,
+			  &listener.fd) &&
+	       poll(&listener, 1, 0) > 0;
+}
+
 static void end_loop(struct edge *edge)
 {
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "host", "stopped",
@@ -168,6 +181,9 @@
 	}
 	if (age_ms < edge->settings->stop_notice_ms)
 		return;
+	if (edge->listening && has_waiting_callers(edge) &&
+	    age_ms < edge->settings->stop_notice_ms + MAX_ACCEPT_WAIT_MS)
+		return;
 	stop_listening(edge);
 	close_idle_callers(edge);
 	if (edge->call_count || edge->conn_count)
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -39,7 +39,7 @@
 static struct edge *edge;
 static struct caller caller;
 
-static void connect_caller(void)
+static void open_caller(void)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	const char *port = strchr(rig.hosts[0].settings.caller_address, ':');
@@ -52,11 +52,17 @@
 	setsockopt(caller.fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	ck_assert(!connect(caller.fd, (struct sockaddr *)&address,
 			   sizeof(address)));
+}
+
+static void connect_caller(void)
+{
+	int size = SEND_BUFFER_BYTES;
+
+	open_caller();
 	for (int i = 0; i < 100 && !edge->conn_count; i++)
 		edge_rig_run(&rig, 1);
 	ck_assert_ptr_nonnull(edge->conns);
 	/* What the caller does not read has to wait in the host. */
-	size = SEND_BUFFER_BYTES;
 	uv_send_buffer_size((uv_handle_t *)&edge->conns->tcp, &size);
 }
 
@@ -400,6 +406,22 @@
 }
 END_TEST
 
+START_TEST(a_connection_that_waits_to_be_accepted_at_a_planned_stop_is_served)
+{
+	edge_stop(edge);
+	edge_rig_run(&rig, STOP_NOTICE_MS - 100);
+	close(caller.fd);
+	open_caller();
+	send_text(GET("/safe/ok"));
+	block_loop(300);
+	read_until_text("\r\n\r\ndone");
+	ck_assert(has_text("Connection: close"));
+	for (int i = 0; i < 100 && edge->listening; i++)
+		edge_rig_run(&rig, 10);
+	ck_assert(!edge->listening);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -451,6 +473,9 @@
 	tcase_add_test(
 		tcase,
 		a_connection_that_a_response_can_not_be_written_to_is_closed);
+	tcase_add_test(
+		tcase,
+		a_connection_that_waits_to_be_accepted_at_a_planned_stop_is_served);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
