Send no chunks with a response that has no body

What callers saw: after a 204 on a stream's route, `Transfer-Encoding: chunked` and five bytes that HTTP says belong to the next response on the connection.

Cause: the head of a stream's response is forwarded before its length is known, which meant chunks for every status.

Evidence: test_edge_callers, a_response_without_a_body_has_no_chunks, fails before.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -497,7 +497,8 @@
 	uv_buf_t part;
 	bool bodiless = status == 204 || status == 304;
 
-	conn->chunked = body_bytes == SERVER_LENGTH_UNKNOWN && !conn->http_1_0;
+	conn->chunked = body_bytes == SERVER_LENGTH_UNKNOWN &&
+			!conn->http_1_0 && !bodiless;
 	if ((closing && may_announce_close(conn)) ||
 	    (body_bytes == SERVER_LENGTH_UNKNOWN && conn->http_1_0))
 		conn->keep_alive = false;
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -234,6 +234,8 @@
 		answer(conn, 200, "done", "");
 	else if (!strcmp(action, "large"))
 		answer_large(conn);
+	else if (!strcmp(action, "empty"))
+		answer(conn, 204, "", "");
 	else if (!strcmp(action, "fail-once"))
 		answer(conn, standin->runs % 2 ? 500 : 200, "done", "");
 	else if (!strcmp(action, "fail"))
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -389,6 +389,16 @@
 }
 END_TEST
 
+START_TEST(a_response_without_a_body_has_no_chunks)
+{
+	send_text(GET("/stream/empty") GET("/safe/ok"));
+	read_until_text("\r\n\r\ndone");
+	ck_assert(!strncmp(caller.received.data, "HTTP/1.1 204 ", 13));
+	ck_assert(!has_text("chunked"));
+	ck_assert(has_text("\r\n\r\nHTTP/1.1 200 "));
+}
+END_TEST
+
 static void on_shut_down(uv_shutdown_t *request, int status)
 {
 }
@@ -476,6 +486,7 @@
 	tcase_add_test(
 		tcase,
 		a_connection_that_waits_to_be_accepted_at_a_planned_stop_is_served);
+	tcase_add_test(tcase, a_response_without_a_body_has_no_chunks);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
