--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -120,7 +120,8 @@
 
 static bool has_text(const char *text)
 {
-	return memmem(caller.received.data, caller.received.size, text,
+	return caller.received.size &&
+	       memmem(caller.received.data, caller.received.size, text,
 		      strlen(text));
 }
 
--- a/tests/unit/test_edge_connections.c
+++ b/tests/unit/test_edge_connections.c
@@ -140,6 +140,102 @@
 }
 END_TEST
 
+static const enum server_change {
+	ENTRY_REMOVED,
+	ENTRY_RETURNS,
+	ADDRESS_CHANGES,
+	INSTANCE_CHANGES,
+	SERVER_DRAINS,
+} server_changes[] = {ENTRY_REMOVED, ENTRY_RETURNS, ADDRESS_CHANGES,
+		      INSTANCE_CHANGES, SERVER_DRAINS};
+
+static void change_entry(struct backend_standin *server,
+			 enum server_change change)
+{
+	char *key = xasprintf("servers/%s", server->id);
+	int64_t born_ms = server->born_ms;
+
+	if (change == SERVER_DRAINS) {
+		edge_rig_register_entry(&rig, server->id, server->address,
+					"draining", 2, born_ms);
+	} else if (change == ADDRESS_CHANGES) {
+		edge_rig_register_entry(&rig, server->id, "127.0.0.1:1",
+					"ready", 2, born_ms);
+	} else if (change == INSTANCE_CHANGES) {
+		edge_rig_register_entry(&rig, server->id, server->address,
+					"ready", 2, born_ms + 1);
+	} else {
+		kv_standin_put(&rig.store, key, NULL);
+		edge_rig_run(&rig, 300);
+	}
+	if (change == ENTRY_RETURNS)
+		edge_rig_register_entry(&rig, server->id, server->address,
+					"ready", 2, born_ms);
+	edge_rig_run(&rig, 300);
+	free(key);
+}
+
+static struct backend_standin *wait_for_server(void)
+{
+	for (int i = 0; i < WAIT_MS; i++) {
+		for (int server = 0; server < EDGE_RIG_SERVERS; server++)
+			if (rig.server_standins[server].waiting)
+				return &rig.server_standins[server];
+		edge_rig_run(&rig, 1);
+	}
+	ck_abort_msg("no server received the request");
+}
+
+START_TEST(a_change_of_its_servers_entry_does_not_end_a_request)
+{
+	struct backend_standin *server;
+
+	fill_pools();
+	send_text(GET("/long-unsafe/hold"));
+	server = wait_for_server();
+	change_entry(server, server_changes[_i]);
+	backend_standin_release(server);
+	expect_done();
+	ck_assert_uint_eq(edge->call_count, 0);
+}
+END_TEST
+
+START_TEST(a_change_of_its_servers_entry_before_a_crash_gets_an_answer)
+{
+	struct backend_standin *server;
+
+	fill_pools();
+	send_text(GET("/long-unsafe/hold"));
+	server = wait_for_server();
+	change_entry(server, server_changes[_i]);
+	backend_standin_crash(server);
+	expect_end("}\n");
+	ck_assert(!strncmp(received, "HTTP/1.1 502 ", 13));
+	ck_assert_uint_eq(edge->call_count, 0);
+}
+END_TEST
+
+/* The key of the team goes while its request waits for an allotment, whose
+ * write is answered only at the second attempt. */
+START_TEST(a_request_that_waits_for_tokens_is_answered_beside_a_change)
+{
+	rig.store.lose_answers = 2;
+	send_text("GET /long-safe/ok HTTP/1.1\r\n" FIELDS
+		  "Tamarackgw-Token-Count: 20000,40\r\n\r\n");
+	edge_rig_run(&rig, 20);
+	ck_assert_uint_eq(edge->call_count, 1);
+	edge_rig_configure(&rig, 2, 1000000, "key-2");
+	for (int i = 0; i < 1000 && edge->call_count; i++)
+		edge_rig_run(&rig, 1);
+	ck_assert_uint_eq(edge->call_count, 0);
+	edge_rig_run(&rig, 20);
+	ck_assert_int_gt(
+		recv(caller, received, sizeof(received) - 1, MSG_DONTWAIT), 0);
+	ck_assert(!strncmp(received, "HTTP/1.1 200 ", 13) ||
+		  !strncmp(received, "HTTP/1.1 503 ", 13));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_connections");
@@ -154,6 +250,16 @@
 		tcase,
 		a_late_copy_of_a_response_does_not_answer_the_next_request);
 	tcase_add_test(tcase, no_call_goes_to_the_store_at_its_earlier_address);
+	tcase_add_loop_test(
+		tcase, a_change_of_its_servers_entry_does_not_end_a_request, 0,
+		sizeof(server_changes) / sizeof(server_changes[0]));
+	tcase_add_loop_test(
+		tcase,
+		a_change_of_its_servers_entry_before_a_crash_gets_an_answer, 0,
+		sizeof(server_changes) / sizeof(server_changes[0]));
+	tcase_add_test(
+		tcase,
+		a_request_that_waits_for_tokens_is_answered_beside_a_change);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
