Decode what servers say about themselves in their answers

A server that leaves says so in all its answers, and a 503 may name the time for which the server wants no requests.

The platform's adapter decodes both into fields of struct response_info: whether the server is leaving, and the rest asked for in microseconds, at most 300 s. A value that can't be read (a date, a negative, endless or listed number, an empty text) counts as absent and is kept for the log, without characters that could break a line up. Of repeated times the longest counts. A time on any other status than 503 is ignored.

Tables of values are in test_platform_decode.

--- a/src/edge/call_dialect.h
+++ b/src/edge/call_dialect.h
@@ -15,6 +15,7 @@
 
 #define CALL_ID_SIZE 80
 #define CALL_KEY_SIZE 128
+#define RESPONSE_UNREADABLE_SIZE 80
 
 /** What the edge reads from the head of a caller's request. */
 struct request_info {
@@ -46,8 +47,13 @@
 	bool not_run;	    /**< the server did not run the request */
 	bool misdirected;   /**< another server than the intended one has
 			     * the address */
+	bool leaving;	    /**< the server takes no more requests */
+	int64_t rest_us;    /**< it wants no requests for so long; 0: none */
 	bool has_load;
 	struct backend_load load;
+	/** Name and value of a field that could not be read and counts as
+	 * absent; empty for none. */
+	char unreadable[RESPONSE_UNREADABLE_SIZE];
 };
 
 struct call_dialect {
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -173,6 +173,109 @@
 }
 END_TEST
 
+static const struct {
+	const char *value;
+	bool leaving;
+	bool readable;
+} leaving_values[] = {
+	{"1", true, true},    {"1 ", true, true},     {"0", false, true},
+	{"", false, false},   {"true", false, false}, {"11", false, false},
+	{"-1", false, false}, {"1,1", false, false},
+};
+
+START_TEST(a_leaving_server_is_recognized)
+{
+	struct http_head head = {0};
+	struct response_info info;
+
+	add_field(&head, "server-leaving", leaving_values[_i].value);
+	platform_dialect.read_response(&head, 200, "", &info);
+	ck_assert_int_eq(info.leaving, leaving_values[_i].leaving);
+	ck_assert_int_eq(!*info.unreadable, leaving_values[_i].readable);
+	http_head_free(&head);
+}
+END_TEST
+
+#define UNREADABLE (-1)
+
+static const struct {
+	const char *value;
+	int64_t rest_us;
+} rests[] = {
+	{"3", 3000000},
+	{"0", 0},
+	{"0.25", 250000},
+	{"2.", 2000000},
+	{"1.0000019", 1000001},
+	{"3 ", 3000000},
+	{"301", 300000000},
+	{"99999999999999999999999999999999999999", 300000000},
+	{"300.9999999999999999999999999999999999", 300000000},
+	{"", UNREADABLE},
+	{".5", UNREADABLE},
+	{"-3", UNREADABLE},
+	{"+3", UNREADABLE},
+	{"1e3", UNREADABLE},
+	{"0x10", UNREADABLE},
+	{"inf", UNREADABLE},
+	{"nan", UNREADABLE},
+	{"3, 3", UNREADABLE},
+	{"3 s", UNREADABLE},
+	{"Fri, 31 Dec 2032 23:59:59 GMT", UNREADABLE},
+};
+
+START_TEST(the_rest_that_a_server_asks_for_is_decoded)
+{
+	struct http_head head = {0};
+	struct response_info info;
+	int64_t expected_us =
+		rests[_i].rest_us == UNREADABLE ? 0 : rests[_i].rest_us;
+
+	add_field(&head, "retry-after", rests[_i].value);
+	platform_dialect.read_response(&head, 503, "", &info);
+	ck_assert_int_eq(info.rest_us, expected_us);
+	ck_assert_int_eq(*info.unreadable != '\0',
+			 rests[_i].rest_us == UNREADABLE);
+	platform_dialect.read_response(&head, 429, "", &info);
+	ck_assert_int_eq(info.rest_us, 0);
+	ck_assert_str_eq(info.unreadable, "");
+	http_head_free(&head);
+}
+END_TEST
+
+START_TEST(the_longest_of_several_rests_counts)
+{
+	struct http_head head = {0};
+	struct response_info info;
+
+	add_field(&head, "Retry-After", "1");
+	add_field(&head, "Retry-After", "4");
+	add_field(&head, "Retry-After", "soon");
+	add_field(&head, "Retry-After", "2");
+	platform_dialect.read_response(&head, 503, "", &info);
+	ck_assert_int_eq(info.rest_us, 4000000);
+	ck_assert_str_eq(info.unreadable, "Retry-After: soon");
+	http_head_free(&head);
+}
+END_TEST
+
+START_TEST(an_unreadable_field_fits_into_a_log_line)
+{
+	struct http_head head = {0};
+	struct response_info info;
+	char value[1000] = "\"\n\x01\xff";
+
+	memset(value + 4, 'x', sizeof(value) - 5);
+	add_field(&head, "Server-Leaving", value);
+	platform_dialect.read_response(&head, 200, "", &info);
+	ck_assert_int_eq(
+		strncmp(info.unreadable, "Server-Leaving: \?\?\?\?x", 21), 0);
+	ck_assert_uint_eq(strlen(info.unreadable),
+			  RESPONSE_UNREADABLE_SIZE - 1);
+	http_head_free(&head);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform_decode");
@@ -186,6 +289,12 @@
 			    sizeof(requests) / sizeof(requests[0]));
 	tcase_add_loop_test(tcase, only_valid_load_reports_are_accepted, 0,
 			    sizeof(loads) / sizeof(loads[0]));
+	tcase_add_loop_test(tcase, a_leaving_server_is_recognized, 0,
+			    sizeof(leaving_values) / sizeof(leaving_values[0]));
+	tcase_add_loop_test(tcase, the_rest_that_a_server_asks_for_is_decoded,
+			    0, sizeof(rests) / sizeof(rests[0]));
+	tcase_add_test(tcase, the_longest_of_several_rests_counts);
+	tcase_add_test(tcase, an_unreadable_field_fits_into_a_log_line);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -16,14 +16,15 @@
 	-DCMAKE_C_FLAGS="-fsanitize=fuzzer-no-link" -DTGW_SANITIZE=address \
 	>$dir.cmake.log 2>&1 || { cat $dir.cmake.log >&2; exit 1; }
 mv $dir.cmake.log $dir/cmake.log
-ninja -C $dir --quiet libtamarackgw.a libtgw_net.a libtgw_edge.a
+ninja -C $dir --quiet libtamarackgw.a libtgw_net.a libtgw_edge.a \
+	libtgw_platform.a
 modules="apr-1 msgpack libsodium libxxhash inih libzmq libmicrohttpd jansson liburcu liburcu-memb log4c"
 status=0
 for target in $targets; do
-	clang -g -O1 -fsanitize=fuzzer,address -D_GNU_SOURCE -Iinclude -Isrc \
+	clang -g -O1 -fsanitize=fuzzer,address -D_GNU_SOURCE -Iinclude -Isrc -Iplatform \
 		-Itests $(pkg-config --cflags $modules) \
 		"tests/fuzz/fuzz_$target.c" $dir/libtgw_net.a \
-		$dir/libtgw_edge.a $dir/libtamarackgw.a $(pkg-config --libs $modules) -lm \
+		$dir/libtgw_platform.a $dir/libtgw_edge.a $dir/libtamarackgw.a $(pkg-config --libs $modules) -lm \
 		-lpthread -o "$dir/fuzz_$target"
 	mkdir -p "$dir/corpus/$target"
 	if "$dir/fuzz_$target" -max_total_time="$seconds" -timeout=10 \
