Keep leaving and resting servers out of the choice of a server

Whether a server may get a request was decided by its entry in the store, and by a fixed 60 ms after it reported that it was full.

server_availability holds what a run of a server said: that it leaves, and until when it rests. All placement asks it. Leaving belongs to one run (id, address, time of start); run_memory keeps it apart from the entries, so an entry that vanishes and comes back, or an older one, does not take it back, and the next run is free of it. Another host's word holds for 120 s only.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -98,7 +98,7 @@
 				    "the server's address can't be used");
 		return;
 	}
-	backend_begin(call->backend);
+	backend_begin(call->backend, now_us);
 	call->sent_count++;
 	call->attempt_started_us = now_us;
 	call->last_received_us = now_us;
--- a/src/state/backend_table.c
+++ b/src/state/backend_table.c
@@ -15,6 +15,8 @@
 #define MIN_AVOID_US (200 * TGW_US_PER_MS)
 #define MAX_AVOID_US (2 * TGW_US_PER_S)
 #define MAX_AVOID_DOUBLINGS 4
+/* Another host's word that a server leaves holds for this long. */
+#define LEAVING_BY_HOST_US (120 * TGW_US_PER_S)
 /* A load report older than this is ignored. */
 #define MAX_REPORT_AGE_US (2 * TGW_US_PER_S)
 
@@ -131,6 +133,85 @@
 		backend_table_mark_address_reused(table, added);
 }
 
+static uint64_t run_key(const struct backend_entry *run)
+{
+	return run_memory_key(run->id, run->address, run->born_ms);
+}
+
+/* Runs without a time of start look the same: nothing is remembered of them. */
+static bool can_be_remembered(const struct backend_entry *run)
+{
+	return run->born_ms != 0;
+}
+
+bool backend_table_set_leaving(struct backend_table *table,
+			       const struct backend_entry *run,
+			       enum leaving_source source, int64_t now_us)
+{
+	int64_t until_us = source == LEAVING_BY_ANSWER
+				   ? SERVER_AVAILABILITY_NEVER_US
+				   : now_us + LEAVING_BY_HOST_US;
+	uint64_t key = run_key(run);
+	bool known = false;
+
+	if (can_be_remembered(run)) {
+		struct server_availability *remembered =
+			run_memory_obtain(&table->memory, key);
+
+		known = server_availability_is_leaving(remembered, now_us);
+		server_availability_set_leaving(remembered, until_us);
+	}
+	for (struct backend *backend = table->first; backend;
+	     backend = backend->next) {
+		struct server_availability *availability =
+			&backend->availability;
+
+		if (run_key(&backend->entry) != key)
+			continue;
+		known = known ||
+			server_availability_is_leaving(availability, now_us);
+		server_availability_set_leaving(availability, until_us);
+	}
+	return !known;
+}
+
+void backend_table_set_rest(struct backend_table *table,
+			    const struct backend_entry *run, int64_t rest_us,
+			    int64_t now_us)
+{
+	uint64_t key = run_key(run);
+
+	if (can_be_remembered(run))
+		server_availability_rest(run_memory_obtain(&table->memory, key),
+					 rest_us, now_us);
+	for (struct backend *backend = table->first; backend;
+	     backend = backend->next)
+		if (run_key(&backend->entry) == key)
+			server_availability_rest(&backend->availability,
+						 rest_us, now_us);
+}
+
+static void recall(const struct backend_table *table, struct backend *backend)
+{
+	const struct server_availability *remembered =
+		run_memory_find(&table->memory, run_key(&backend->entry));
+
+	if (remembered)
+		backend->availability = *remembered;
+}
+
+bool backend_accepts_requests(const struct backend *backend, int64_t now_us)
+{
+	return backend->listed && !backend->entry.draining &&
+	       !backend->address_reused &&
+	       !server_availability_is_leaving(&backend->availability, now_us);
+}
+
+int64_t backend_free_at_us(const struct backend *backend, int64_t now_us)
+{
+	return server_availability_free_at_us(&backend->availability, now_us);
+}
+
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_entry *entry)
 {
@@ -149,6 +230,7 @@
 	backend->entry = *entry;
 	backend->hash = XXH3_64bits(entry->id, strlen(entry->id));
 	backend->run_hash = backend_run_hash(entry);
+	recall(table, backend);
 	backend->listed = true;
 	backend->next = table->first;
 	table->first = backend;
@@ -165,9 +247,10 @@
 		unlist(table, backend);
 }
 
-void backend_begin(struct backend *backend)
+void backend_begin(struct backend *backend, int64_t now_us)
 {
 	backend->running++;
+	server_availability_on_request(&backend->availability, now_us);
 }
 
 void backend_end(struct backend_table *table, struct backend *backend)
@@ -205,13 +288,18 @@
 		failed = 0;
 		break;
 	case BACKEND_REJECTED:
-		backend->rejected_us = now_us;
+		server_availability_reject(&backend->availability, now_us);
 		return;
 	case BACKEND_UNREACHABLE:
 		avoid(backend, now_us);
 		break;
-	case BACKEND_ADDRESS_REUSED:
 	case BACKEND_FAILED:
+		/* A 503 by which it asked for rest is no failure. */
+		if (server_availability_is_resting(&backend->availability,
+						   now_us))
+			return;
+		break;
+	case BACKEND_ADDRESS_REUSED:
 	case BACKEND_BROKEN:
 	case BACKEND_TIMED_OUT:
 	case BACKEND_OUTCOMES:
--- a/src/state/backend_table.h
+++ b/src/state/backend_table.h
@@ -10,6 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "state/run_memory.h"
+#include "state/server_availability.h"
 #include "tamarackgw/host_view.h"
 
 /** A server's own entry in the platform's store. */
@@ -59,7 +61,7 @@
 	uint32_t failures_in_a_row;
 	int64_t avoid_until_us; /**< until then, chosen only when no untried
 				 * server is healthy */
-	int64_t rejected_us;	/**< last time it reported that it was full */
+	struct server_availability availability;
 	/** Another server has its address, by that server's response or by a
 	 * later entry: it is gone, and gets no requests. */
 	bool address_reused;
@@ -71,6 +73,7 @@
 struct backend_table {
 	struct backend *first;
 	size_t count;
+	struct run_memory memory;
 	/** Called before a server without requests is freed. */
 	void (*freed)(void *arg, struct backend *backend);
 	/** Called when a server is found to have lost its address; may be
@@ -105,8 +108,36 @@
 void backend_table_mark_address_reused(struct backend_table *table,
 				       struct backend *backend);
 
+/** Who said that a server is leaving. */
+enum leaving_source {
+	LEAVING_BY_ANSWER, /**< the server itself: until its run ends */
+	/** Another host: for a bounded time, after which the server is asked
+	 * with a request. */
+	LEAVING_BY_HOST,
+};
+
+/** Records that one run of a server is leaving, whether or not it is listed.
+ * A later run of the server is not concerned.
+ * @return whether it was not known to leave */
+bool backend_table_set_leaving(struct backend_table *table,
+			       const struct backend_entry *run,
+			       enum leaving_source source, int64_t now_us);
+
+/** Records that a run of a server asked for rest from now on. */
+void backend_table_set_rest(struct backend_table *table,
+			    const struct backend_entry *run, int64_t rest_us,
+			    int64_t now_us);
+
+/** @return whether the server may get new requests, now or after a rest: it is
+ * listed, and neither leaves nor has lost its address */
+bool backend_accepts_requests(const struct backend *backend, int64_t now_us);
+
+/** @return when a server that accepts requests may get the next one; not later
+ * than now if at once */
+int64_t backend_free_at_us(const struct backend *backend, int64_t now_us);
+
 /** Counts a request as begun at the server. */
-void backend_begin(struct backend *backend);
+void backend_begin(struct backend *backend, int64_t now_us);
 
 /** Counts a request as ended. A server that is no longer listed is freed
  * when its last request ends. */
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -10,8 +10,6 @@
  * share parts of their prompts on one server while the load is light. */
 #define LOAD_BOUND_FACTOR 2.0
 #define LOAD_BOUND_SLACK_REQUESTS 5.0
-/* A server that reported that it was full is skipped for this long. */
-#define FULL_SKIP_US (60 * TGW_US_PER_MS)
 /* Additional cost, in requests per slot, of a server in another failure
  * domain, and of a server whose requests all fail (in proportion for a lower
  * failure rate). */
@@ -59,16 +57,14 @@
 static bool accepts_requests(const struct placement_request *request,
 			     const struct backend *backend)
 {
-	return backend->listed && !backend->entry.draining &&
-	       !backend->address_reused &&
+	return backend_accepts_requests(backend, request->now_us) &&
 	       !strcmp(backend->entry.service, request->service);
 }
 
 static bool is_full(const struct placement_request *request,
 		    const struct backend *backend)
 {
-	return backend->rejected_us &&
-	       request->now_us - backend->rejected_us < FULL_SKIP_US;
+	return backend_free_at_us(backend, request->now_us) > request->now_us;
 }
 
 static bool is_healthy(const struct placement_request *request,
@@ -249,3 +245,20 @@
 		*chosen = choose_cheapest(table, request, counts.any_healthy);
 	return PLACEMENT_FOUND;
 }
+
+int64_t placement_free_at_us(const struct backend_table *table,
+			     const char *service, int64_t now_us)
+{
+	int64_t first_us = SERVER_AVAILABILITY_NEVER_US;
+
+	for (const struct backend *backend = table->first; backend;
+	     backend = backend->next) {
+		int64_t free_at_us = backend_free_at_us(backend, now_us);
+
+		if (backend_accepts_requests(backend, now_us) &&
+		    !strcmp(backend->entry.service, service) &&
+		    free_at_us < first_us)
+			first_us = free_at_us;
+	}
+	return first_us;
+}
--- a/src/state/placement.h
+++ b/src/state/placement.h
@@ -38,7 +38,7 @@
 	PLACEMENT_NO_SERVER, /**< no listed server accepts new requests */
 	PLACEMENT_ALL_TRIED, /**< this request was sent to each */
 	PLACEMENT_ALL_FULL,  /**< each untried server reported recently
-			      * that it was full */
+			      * that it was full, or asked for rest */
 };
 
 /** Chooses the server of a request.
@@ -47,4 +47,10 @@
 				       const struct placement_request *request,
 				       struct backend **chosen);
 
+/** @return when the first server of the service may get a request, whichever
+ * were tried: not later than now if one may at once,
+ * SERVER_AVAILABILITY_NEVER_US if none accepts requests */
+int64_t placement_free_at_us(const struct backend_table *table,
+			     const char *service, int64_t now_us);
+
 #endif
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -185,7 +185,7 @@
 
 	request.affinity = 17;
 	for (int i = 0; i < 270; i++)
-		backend_begin(choose());
+		backend_begin(choose(), NOW_US);
 	for (struct backend *backend = table.first; backend;
 	     backend = backend->next)
 		if (backend->running > max_running)
@@ -198,7 +198,7 @@
 {
 	for (uint64_t prompt_part = 1; prompt_part <= 900; prompt_part++) {
 		request.affinity = prompt_part * 7919;
-		backend_begin(choose());
+		backend_begin(choose(), NOW_US);
 	}
 	for (struct backend *backend = table.first; backend;
 	     backend = backend->next)
@@ -327,7 +327,7 @@
 {
 	struct backend *backend = backend_table_find(&table, "server-3");
 
-	backend_begin(backend);
+	backend_begin(backend, NOW_US);
 	backend_table_remove(&table, "server-3");
 	ck_assert_uint_eq(table.count, SERVERS);
 	ck_assert_ptr_null(backend_table_find(&table, "server-3"));
@@ -336,6 +336,63 @@
 }
 END_TEST
 
+START_TEST(no_request_is_sent_to_servers_that_leave_or_rest)
+{
+	struct backend *leaving = backend_table_find(&table, "server-1");
+	struct backend *resting = backend_table_find(&table, "server-2");
+
+	backend_table_set_leaving(&table, &leaving->entry, LEAVING_BY_ANSWER,
+				  NOW_US);
+	backend_table_set_rest(&table, &resting->entry, TGW_US_PER_S, NOW_US);
+	for (request.draw = 0; request.draw < 200; request.draw++) {
+		struct backend *chosen;
+
+		request.affinity = request.draw % 2 ? request.draw : 0;
+		chosen = choose();
+		ck_assert_ptr_ne(chosen, leaving);
+		ck_assert_ptr_ne(chosen, resting);
+	}
+}
+END_TEST
+
+START_TEST(the_time_until_the_first_server_is_free_is_known_while_all_rest)
+{
+	struct backend *chosen;
+	int number = SERVERS;
+
+	for (struct backend *backend = table.first; backend;
+	     backend = backend->next)
+		backend_table_set_rest(&table, &backend->entry,
+				       number-- * TGW_US_PER_S, NOW_US);
+	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
+			 PLACEMENT_ALL_FULL);
+	ck_assert_int_eq(placement_free_at_us(&table, "model", NOW_US),
+			 NOW_US + TGW_US_PER_S);
+	ck_assert_int_eq(placement_free_at_us(&table, "other", NOW_US),
+			 SERVER_AVAILABILITY_NEVER_US);
+	request.now_us = NOW_US + TGW_US_PER_S;
+	backend_begin(choose(), request.now_us);
+	/* Only one request is sent at the moment at which a rest ends. */
+	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
+			 PLACEMENT_ALL_FULL);
+}
+END_TEST
+
+START_TEST(a_service_whose_servers_all_leave_has_no_server)
+{
+	struct backend *chosen;
+
+	for (struct backend *backend = table.first; backend;
+	     backend = backend->next)
+		backend_table_set_leaving(&table, &backend->entry,
+					  LEAVING_BY_HOST, NOW_US);
+	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
+			 PLACEMENT_NO_SERVER);
+	ck_assert_int_eq(placement_free_at_us(&table, "model", NOW_US),
+			 SERVER_AVAILABILITY_NEVER_US);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("placement");
@@ -368,6 +425,11 @@
 	tcase_add_test(tcase, a_restarted_server_is_no_longer_avoided);
 	tcase_add_test(tcase,
 		       a_removed_server_is_kept_until_its_last_request_ends);
+	tcase_add_test(tcase, no_request_is_sent_to_servers_that_leave_or_rest);
+	tcase_add_test(
+		tcase,
+		the_time_until_the_first_server_is_free_is_known_while_all_rest);
+	tcase_add_test(tcase, a_service_whose_servers_all_leave_has_no_server);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
