Add the message by which hosts tell each other of leaving servers

A failure domain that has lost the store should need one answer of a leaving server, not one for each host.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -66,6 +66,7 @@
 		break;
 	case TGW_PEER_TRANSFER: /* of edge hosts */
 	case TGW_PEER_CHANGES:
+	case TGW_PEER_SERVERS:
 	case TGW_PEER_TOPIC_END:
 		break;
 	}
--- a/tests/fuzz/fuzz_peer.c
+++ b/tests/fuzz/fuzz_peer.c
@@ -7,6 +7,7 @@
 #include "state/claim_message.h"
 #include "state/config_message.h"
 #include "state/heartbeat.h"
+#include "state/leaving_notice.h"
 #include "state/mirror_table.h"
 #include "state/peer_host.h"
 #include "state/peer_key.h"
@@ -93,6 +94,16 @@
 	mirror_table_clear(&table);
 }
 
+static void fuzz_leaving(const uint8_t *data, size_t size)
+{
+	struct leaving_notice notice;
+	struct buffer bytes = {0};
+
+	if (leaving_notice_decode(&notice, data, size, NULL) == TGW_OK)
+		leaving_notice_encode(&notice, &bytes);
+	buffer_free(&bytes);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static struct heartbeat heartbeat;
@@ -102,7 +113,7 @@
 		return 0;
 	data++;
 	size--;
-	switch (data[-1] % 10) {
+	switch (data[-1] % 11) {
 	case 0:
 		heartbeat_decode(&heartbeat, data, size, NULL);
 		break;
@@ -130,6 +141,9 @@
 	case 9:
 		fuzz_table(data, size);
 		break;
+	case 10:
+		fuzz_leaving(data, size);
+		break;
 	default:
 		fuzz_budget(data, size);
 		break;
