Send nothing to servers that say in answers that they leave or rest

A host learned only from the store that a server leaves, so it went on sending while the store was away; and a server that asked for rest was skipped for 60 ms, whatever it said.

server_signals takes both from the head of each answer, except a 421, which speaks for another server. It records and logs them, tells the hosts of the failure domain, and closes idle connections. Idle connections to servers that drain by the store are closed, too. While no server of the service is free, Retry-After is the time until the first one is, plus up to a quarter of it. A leaving server that refuses connections is not taken for a crashed one.

--- a/src/ctl/explain_commands.c
+++ b/src/ctl/explain_commands.c
@@ -39,9 +39,11 @@
 	{"the time of the request is up",
 	 "the deadline or the route's timeout passed; see the attempts for "
 	 "where the time went"},
-	{"all servers are full", "every server of the service was full"},
+	{"all servers are full",
+	 "every server of the service was full, or had asked for rest"},
 	{"the service has no server",
-	 "no server of the service is listed: see the servers' entries"},
+	 "no server of the service is listed that stays: see the servers' "
+	 "entries, and part=server event=leaving"},
 	{"no server took the request", "each server refused the request"},
 };
 
--- a/src/edge/backend_pool.c
+++ b/src/edge/backend_pool.c
@@ -30,13 +30,20 @@
 	if (!backend->pool)
 		backend->pool = xcalloc(1, sizeof(struct http_pool));
 	http_pool_release(backend->pool, conn,
-			  backend->listed ? IDLE_CONNECTIONS_MAX : 0, now_us);
+			  backend_accepts_requests(backend, now_us)
+				  ? IDLE_CONNECTIONS_MAX
+				  : 0,
+			  now_us);
 }
 
 void backend_pool_trim(struct backend *backend, int64_t now_us)
 {
-	if (backend->pool)
+	if (!backend->pool)
+		return;
+	if (backend_accepts_requests(backend, now_us))
 		http_pool_trim(backend->pool, now_us);
+	else
+		http_pool_clear(backend->pool);
 }
 
 void backend_pool_free(struct backend *backend)
--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -1,7 +1,7 @@
 /**
  * @file backend_pool.h
  * The pool of idle connections to a backend server. Connections are added to it
- * only while the server is listed in the store.
+ * only while the server accepts requests.
  */
 #ifndef EDGE_BACKEND_POOL_H
 #define EDGE_BACKEND_POOL_H
@@ -17,11 +17,12 @@
 				       int64_t now_us);
 
 /** Releases a connection to the pool for a later request. It is closed if it
- * can't be reused, the pool is full, or the server is no longer listed. */
+ * can't be reused, the pool is full, or the server accepts no requests. */
 void backend_pool_release(struct backend *backend, struct http_conn *conn,
 			  int64_t now_us);
 
-/** Closes the connections that have reached their idle limit. */
+/** Closes the connections that have reached their idle limit; all of them if
+ * the server accepts no requests. */
 void backend_pool_trim(struct backend *backend, int64_t now_us);
 
 /** Closes all idle connections and frees the pool. */
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -3,6 +3,7 @@
 #include "edge/backend_pool.h"
 #include "edge/call_log.h"
 #include "edge/call_private.h"
+#include "edge/server_signals.h"
 
 /* A larger response is forwarded as it arrives, which rules out a retry. */
 #define MAX_BUFFERED_BYTES (256 * 1024)
@@ -53,6 +54,8 @@
 	if (call->response.has_load)
 		backend_report(call->backend, &call->response.load,
 			       call->last_received_us);
+	server_signals_on_answer(edge, call->backend, &call->response,
+				 call->last_received_us);
 	if (is_success(conn->status) && !call->response.has_signature) {
 		call_attempt_failed(call, BACKEND_BROKEN,
 				    "the answer bears no signature");
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -6,6 +6,7 @@
 #include "edge/call_log.h"
 #include "edge/call_private.h"
 #include "edge/crash_check.h"
+#include "edge/server_signals.h"
 #include "state/placement.h"
 
 /* Retry-After when the service has no server, and when its servers are full or
@@ -112,6 +113,12 @@
 	call_schedule(call);
 }
 
+static int64_t retry_after_full_ms(const struct call *call)
+{
+	return server_signals_retry_after_ms(call->edge, call->route.service,
+					     RETRY_AFTER_FULL_MS);
+}
+
 static void refuse_without_server(struct call *call,
 				  enum placement_result result)
 {
@@ -119,10 +126,10 @@
 	if (call->head_sent || call->may_have_run)
 		call_refuse(call, 502, 0, "no server is left to go on at");
 	else if (result == PLACEMENT_ALL_FULL)
-		call_refuse(call, 503, RETRY_AFTER_FULL_MS,
+		call_refuse(call, 503, retry_after_full_ms(call),
 			    "all servers are full");
 	else if (result == PLACEMENT_ALL_TRIED)
-		call_refuse(call, 503, RETRY_AFTER_FULL_MS,
+		call_refuse(call, 503, retry_after_full_ms(call),
 			    "no server took the request");
 	else
 		call_refuse(call, 503, RETRY_AFTER_NO_SERVER_MS,
@@ -289,7 +296,7 @@
 	if (call->may_have_run)
 		call_refuse(call, 502, 0, reason);
 	else
-		call_refuse(call, 503, RETRY_AFTER_FULL_MS, reason);
+		call_refuse(call, 503, retry_after_full_ms(call), reason);
 }
 
 bool call_retry_server_error(struct call *call)
--- a/src/edge/crash_check.c
+++ b/src/edge/crash_check.c
@@ -112,12 +112,11 @@
 	return check;
 }
 
-/* A server that drains exits as planned. What another server does at the
+/* A server that leaves exits as planned. What another server does at the
  * address says nothing about this one. */
 static bool may_be_crash(const struct backend *backend)
 {
-	return backend->listed && !backend->entry.draining &&
-	       !backend->address_reused;
+	return backend_accepts_requests(backend, edge_now_us());
 }
 
 void crash_check_request(struct call *call)
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -11,6 +11,7 @@
 #include <uv.h>
 
 #include "coordination/backend_follower.h"
+#include "coordination/leaving_announcer.h"
 #include "coordination/request_quarantine.h"
 #include "coordination/route_follower.h"
 #include "coordination/store_mirror.h"
@@ -63,6 +64,12 @@
 	uint64_t resumed;
 	uint64_t budget_refused;
 	uint64_t quarantine_refused;
+	/** Runs of servers that are leaving, by their own answers, and by other
+	 * hosts' word. */
+	uint64_t servers_left;
+	uint64_t servers_left_by_hosts;
+	uint64_t server_rests;	    /**< rests that servers asked for */
+	uint64_t unreadable_fields; /**< of servers' answers */
 };
 
 struct edge {
@@ -87,6 +94,7 @@
 	struct backend_follower *backend_follower;
 	struct route_follower *route_follower;
 	struct edge_peers peers;
+	struct leaving_announcer leaving_announcer;
 	struct store_mirror *mirror;
 	struct team_budget *budgets;
 	struct request_quarantine *quarantine;
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -8,6 +8,7 @@
 #include "edge/call.h"
 #include "edge/edge_clock.h"
 #include "edge/edge_peers.h"
+#include "edge/server_signals.h"
 #include "state/request_fingerprint.h"
 
 /* A starting host watches the store by itself if it has no relay by then. */
@@ -354,6 +355,7 @@
 	uint64_t incarnation = tgw_random_incarnation();
 	struct tgw_peer *peer = edge_peers_start(edge, incarnation);
 
+	server_signals_start(edge, peer);
 	start_mirror(edge, peer);
 	start_budgets(edge, peer, incarnation);
 	start_routes(edge);
@@ -369,6 +371,7 @@
 	route_follower_tick(edge->route_follower);
 	request_quarantine_tick(edge->quarantine);
 	edge_peers_tick(edge);
+	server_signals_tick(edge);
 }
 
 void edge_followers_free(struct edge *edge)
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "edge/edge.h"
+#include "edge/server_signals.h"
 
 static const struct server_limits page_limits = {
 	.head_bytes = 8 * 1024,
@@ -105,6 +106,23 @@
 		  store_mirror_follows_relay(edge->mirror));
 }
 
+static void add_server_signals(const struct edge *edge, struct buffer *text)
+{
+	const struct edge_counters *counters = &edge->counters;
+	uint32_t leaving;
+	uint32_t resting;
+
+	server_signals_count(edge, &leaving, &resting);
+	add_counter(text, "servers_left_total", counters->servers_left);
+	add_counter(text, "servers_left_by_hosts_total",
+		    counters->servers_left_by_hosts);
+	add_counter(text, "server_rests_total", counters->server_rests);
+	add_counter(text, "unreadable_fields_total",
+		    counters->unreadable_fields);
+	add_gauge(text, "servers_leaving", leaving);
+	add_gauge(text, "servers_resting", resting);
+}
+
 static void write_metrics(const struct edge *edge, struct buffer *text)
 {
 	const struct edge_counters *counters = &edge->counters;
@@ -139,6 +157,7 @@
 	add_counter(text, "budget_received_tokens_total",
 		    ledger->received_tokens);
 	add_counter(text, "budget_given_tokens_total", ledger->given_tokens);
+	add_server_signals(edge, text);
 	add_peers(edge, text);
 	add_mirror(edge, text);
 	add_counter(text, "log_lines_dropped_total", edge->log.dropped_total);
--- a/src/edge/edge_peers.c
+++ b/src/edge/edge_peers.c
@@ -6,6 +6,7 @@
 #include "base/text.h"
 #include "edge/edge.h"
 #include "edge/edge_clock.h"
+#include "edge/server_signals.h"
 
 static const char *address_of(void *arg, const char *host)
 {
@@ -26,6 +27,8 @@
 		team_budget_on_message(edge->budgets, message);
 	else if (message->topic == TGW_PEER_CHANGES)
 		store_mirror_on_message(edge->mirror, message);
+	else if (message->topic == TGW_PEER_SERVERS)
+		server_signals_on_message(edge, message);
 }
 
 static void on_key(void *arg, const struct peer_key *key)
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -29,8 +29,9 @@
 		http_head_find(&conn->request.head, "Tamarackgw-Request-Id");
 	struct buffer fields = {0};
 
-	buffer_add_format(&fields, "Tamarackgw-Request-Id: %s\r\n%s",
-			  id ? id : "", more_fields);
+	buffer_add_format(&fields, "Tamarackgw-Request-Id: %s\r\n%s%s",
+			  id ? id : "", more_fields,
+			  standin->extra_fields ? standin->extra_fields : "");
 	if (status < 400 || status == 500)
 		buffer_add_format(&fields,
 				  "Tamarackgw-Response-Stamp: by-%s\r\n"
@@ -249,6 +250,8 @@
 		answer(conn, 421, "", "Tamarackgw-Instance-Id: another\r\n");
 	else if (standin->rejects || !strcmp(action, "full"))
 		answer(conn, 503, "", "Tamarackgw-Not-Executed: 1\r\n");
+	else if (!strcmp(action, "busy"))
+		answer(conn, 503, "", "");
 	else
 		run(standin, conn, action);
 }
@@ -351,14 +354,20 @@
 		server_conn_abort(standin->conns);
 }
 
-void backend_standin_restart(struct backend_standin *standin, const char *id)
+void backend_standin_restart_in_place(struct backend_standin *standin,
+				      const char *id)
 {
 	standin->born_ms++;
-	*standin->address = '\0';
-	snprintf(standin->id, sizeof(standin->id), "%s", id);
+	memmove(standin->id, id, strlen(id) + 1);
 	backend_standin_accept_again(standin);
 }
 
+void backend_standin_restart(struct backend_standin *standin, const char *id)
+{
+	*standin->address = '\0';
+	backend_standin_restart_in_place(standin, id);
+}
+
 void backend_standin_stop(struct backend_standin *standin)
 {
 	stop_listening(standin);
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -6,7 +6,8 @@
  * backend_standin_release(). A response to ok or stream falls silent and goes
  * on later if its request has the field X-Pause: AT,MS (enum
  * backend_standin_pause and milliseconds). A request that expects another
- * instance gets 421 and is not executed.
+ * instance gets 421 and is not executed. The path busy gets 503 without a word
+ * on whether it was executed.
  */
 #ifndef FAKES_BACKEND_STANDIN_H
 #define FAKES_BACKEND_STANDIN_H
@@ -44,6 +45,9 @@
 	struct server_conn *waiting;
 	bool never_pauses; /**< ignores X-Pause */
 	bool rejects;	   /**< reports that it is full, and runs nothing */
+	/** Header lines, with their ends, that are added to all answers; NULL:
+	 * none. */
+	const char *extra_fields;
 };
 
 void backend_standin_start(struct backend_standin *standin, uv_loop_t *loop,
@@ -57,6 +61,10 @@
  * partition: it is the same server. */
 void backend_standin_accept_again(struct backend_standin *standin);
 
+/** Starts a crashed server again at its address, with any id. */
+void backend_standin_restart_in_place(struct backend_standin *standin,
+				      const char *id);
+
 /** Starts a crashed server again, with another id and at another address. */
 void backend_standin_restart(struct backend_standin *standin, const char *id);
 
--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -58,11 +58,11 @@
 	"\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"%s\"],"
 	"\"prepaid\":%ld}]}";
 
-int edge_rig_free_port(void)
+static int free_port(int type)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = socket(AF_INET, type, 0);
 
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) < 0)
@@ -72,6 +72,11 @@
 	return ntohs(address.sin_port);
 }
 
+int edge_rig_free_port(void)
+{
+	return free_port(SOCK_STREAM);
+}
+
 /* Writes the address that a listener was given; it listened on port 0. */
 static void read_address(const uv_tcp_t *listener, char *text, size_t size)
 {
@@ -106,6 +111,9 @@
 		  ANY_PORT);
 	text_copy(settings->store_address, sizeof(settings->store_address),
 		  rig->store.address);
+	if (rig->has_peers)
+		snprintf(settings->peer_address, sizeof(settings->peer_address),
+			 "127.0.0.1:%d", free_port(SOCK_DGRAM));
 	settings->apply_ms = 400;
 	settings->heartbeat_ms = 100;
 	settings->stop_notice_ms = 300;
@@ -153,7 +161,7 @@
 	start_host_at(rig, index);
 }
 
-void edge_rig_start(struct edge_rig *rig)
+static void start_standins(struct edge_rig *rig)
 {
 	/* As the programs do: a connection may end while it is written to. */
 	signal(SIGPIPE, SIG_IGN);
@@ -162,9 +170,22 @@
 	kv_standin_start(&rig->store, &rig->loop);
 	backend_standin_start(&rig->server_standins[0], &rig->loop, "worker-0");
 	backend_standin_start(&rig->server_standins[1], &rig->loop, "worker-1");
+}
+
+void edge_rig_start(struct edge_rig *rig)
+{
+	start_standins(rig);
 	edge_rig_add_host(rig);
 }
 
+void edge_rig_start_fleet(struct edge_rig *rig, size_t host_count)
+{
+	start_standins(rig);
+	rig->has_peers = true;
+	while (rig->host_count < host_count)
+		edge_rig_add_host(rig);
+}
+
 void edge_rig_run(struct edge_rig *rig, int64_t ms)
 {
 	int64_t until_us = edge_now_us() + ms * TGW_US_PER_MS;
--- a/tests/fakes/edge_rig.h
+++ b/tests/fakes/edge_rig.h
@@ -28,6 +28,7 @@
 	struct edge_rig_host hosts[EDGE_RIG_HOSTS_MAX];
 	size_t host_count;
 	size_t entry_host; /**< index of the host that callers connect to */
+	bool has_peers;	   /**< hosts send messages to each other */
 };
 
 /** A caller's connection on a plain socket. */
@@ -46,6 +47,9 @@
 /** Starts the stand-ins and one host. */
 void edge_rig_start(struct edge_rig *rig);
 
+/** Starts the stand-ins and some hosts, which send messages to each other. */
+void edge_rig_start_fleet(struct edge_rig *rig, size_t host_count);
+
 /** Starts one more host. */
 void edge_rig_add_host(struct edge_rig *rig);
 
