--- a/src/state/backend_table.c
+++ b/src/state/backend_table.c
@@ -166,7 +166,7 @@
 		struct server_availability *availability =
 			&backend->availability;
 
-		if (run_key(&backend->entry) != key)
+		if (backend->memory_key != key)
 			continue;
 		known = known ||
 			server_availability_is_leaving(availability, now_us);
@@ -186,7 +186,7 @@
 					 rest_us, now_us);
 	for (struct backend *backend = table->first; backend;
 	     backend = backend->next)
-		if (run_key(&backend->entry) == key)
+		if (backend->memory_key == key)
 			server_availability_rest(&backend->availability,
 						 rest_us, now_us);
 }
@@ -194,7 +194,7 @@
 static void recall(const struct backend_table *table, struct backend *backend)
 {
 	const struct server_availability *remembered =
-		run_memory_find(&table->memory, run_key(&backend->entry));
+		run_memory_find(&table->memory, backend->memory_key);
 
 	if (remembered)
 		backend->availability = *remembered;
@@ -230,6 +230,7 @@
 	backend->entry = *entry;
 	backend->hash = XXH3_64bits(entry->id, strlen(entry->id));
 	backend->run_hash = backend_run_hash(entry);
+	backend->memory_key = run_key(entry);
 	recall(table, backend);
 	backend->listed = true;
 	backend->next = table->first;
--- a/src/state/backend_table.h
+++ b/src/state/backend_table.h
@@ -52,6 +52,7 @@
 	struct backend_entry entry;
 	uint64_t hash;		    /**< of the id */
 	uint64_t run_hash;	    /**< see backend_run_hash() */
+	uint64_t memory_key;	    /**< see run_memory_key() */
 	uint32_t running;	    /**< this host's requests in flight */
 	uint32_t running_at_report; /**< `running` at the report; at most the
 				     * present value */
