--- a/tests/fuzz/fuzz_answer.c
+++ b/tests/fuzz/fuzz_answer.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../platform/platform_dialect.h"
 #include "fuzz/fuzz_target.h"
-#include "platform_dialect.h"
 
 #define MAX_REST_US INT64_C(300000000)
 
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -21,7 +21,7 @@
 modules="apr-1 msgpack libsodium libxxhash inih libzmq libmicrohttpd jansson liburcu liburcu-memb log4c"
 status=0
 for target in $targets; do
-	clang -g -O1 -fsanitize=fuzzer,address -D_GNU_SOURCE -Iinclude -Isrc -Iplatform \
+	clang -g -O1 -fsanitize=fuzzer,address -D_GNU_SOURCE -Iinclude -Isrc \
 		-Itests $(pkg-config --cflags $modules) \
 		"tests/fuzz/fuzz_$target.c" $dir/libtgw_net.a \
 		$dir/libtgw_platform.a $dir/libtgw_edge.a $dir/libtamarackgw.a $(pkg-config --libs $modules) -lm \
