--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -2,6 +2,7 @@
 
 #include "edge/call_log.h"
 #include "edge/call_private.h"
+#include "edge/server_signals.h"
 
 /* A larger response is forwarded as it arrives, which rules out a retry. */
 #define MAX_BUFFERED_BYTES (256 * 1024)
@@ -88,6 +89,8 @@
 	if (attempt->response.has_load)
 		backend_report(attempt->backend, &attempt->response.load,
 			       attempt->last_received_us);
+	server_signals_on_answer(edge, attempt->backend, &attempt->response,
+				 attempt->last_received_us);
 	if (is_success(conn->status) && !attempt->response.has_signature) {
 		call_attempt_failed(attempt, BACKEND_BROKEN,
 				    "the answer bears no signature");
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -94,7 +94,7 @@
 	attempt->backend = backend;
 	attempt->started_us = now_us;
 	attempt->last_received_us = now_us;
-	backend_begin(backend);
+	backend_begin(backend, now_us);
 	attempt->conn = backend_pool_acquire(edge->loop, backend, now_us);
 	if (!attempt->conn) {
 		call_attempt_failed(attempt, BACKEND_UNREACHABLE,
--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -1,6 +1,7 @@
 #include "edge/call_log.h"
 #include "edge/call_private.h"
 #include "edge/crash_check.h"
+#include "edge/server_signals.h"
 
 /* Retry-After when the service has no server, and when its servers are full or
  * rejected the request. */
@@ -13,19 +14,25 @@
  * request of a silent one. */
 #define SILENCE_CHECK_US (250 * TGW_US_PER_MS)
 
+static int64_t retry_after_full_ms(const struct call *call)
+{
+	return server_signals_retry_after_ms(call->edge, call->route.service,
+					     RETRY_AFTER_FULL_MS);
+}
+
 static void refuse_without_server(struct call *call,
 				  enum placement_result result)
 {
 	if (call->head_sent || call->may_have_run)
 		call_refuse(call, 502, 0, "no server is left to go on at");
 	else if (result == PLACEMENT_ALL_FULL)
-		call_refuse(call, 503, RETRY_AFTER_FULL_MS,
+		call_refuse(call, 503, retry_after_full_ms(call),
 			    "all servers are full");
 	else if (result == PLACEMENT_NO_SERVER)
 		call_refuse(call, 503, RETRY_AFTER_NO_SERVER_MS,
 			    "the service has no server");
 	else
-		call_refuse(call, 503, RETRY_AFTER_FULL_MS,
+		call_refuse(call, 503, retry_after_full_ms(call),
 			    "no server took the request");
 }
 
@@ -131,7 +138,7 @@
 	if (call->may_have_run)
 		call_refuse(call, 502, 0, reason);
 	else
-		call_refuse(call, 503, RETRY_AFTER_FULL_MS, reason);
+		call_refuse(call, 503, retry_after_full_ms(call), reason);
 }
 
 /* Ends a call that is sent to no server.
