Do not end the process when the store has lost the ledger

A host ended by itself, with all its requests, after the store came back without what had been written to it.

Cause: the pool that a host would write was checked by an assertion. When the ledger does not know what a host took, returning tokens makes the taken amount negative, and the process aborted.

Change: such a pool is not written; the host reports the budget and the remedy, goes on with what it holds and reads the ledger again.

--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -204,8 +204,54 @@
 		budgets->started_us);
 }
 
+void team_budget_key_set_due(struct team_budget_key *key, int64_t due_us)
+{
+	const struct team_budget_events *events = &key->budgets->events;
+
+	key->due_us = due_us;
+	if (events->rescheduled)
+		events->rescheduled(events->arg, due_us);
+}
+
+static void set_idle(struct team_budget_key *key, int64_t delay_us)
+{
+	key->state = TEAM_BUDGET_KEY_IDLE;
+	team_budget_key_set_due(key,
+				team_budget_now_us(key->budgets) + delay_us);
+}
+
+static void back_off_after_failure(struct team_budget_key *key)
+{
+	key->backoff_us = key->backoff_us ? key->backoff_us * 2 : RETRY_MIN_US;
+	if (key->backoff_us > RETRY_MAX_US)
+		key->backoff_us = RETRY_MAX_US;
+	key->store_answers = false;
+	set_idle(key, key->backoff_us);
+	team_budget_notify_changed(key->budgets);
+}
+
+void team_budget_key_retry(struct team_budget_key *key)
+{
+	if (key->store_answers)
+		return;
+	key->backoff_us = 0;
+	if (key->state == TEAM_BUDGET_KEY_IDLE)
+		team_budget_key_set_due(key, team_budget_now_us(key->budgets));
+}
+
+static void report_failure(const struct team_budget_key *key, const char *call,
+			   enum tgw_status status, const char *message)
+{
+	const struct team_budget_events *events = &key->budgets->events;
+
+	if (events->failed)
+		events->failed(events->arg, call, status, message);
+}
+
 static void start_write(struct team_budget_key *key)
 {
+	struct tgw_error error;
+
 	budget_pool_clear(&key->draft);
 	budget_pool_copy(&key->draft, &key->pool);
 	if (!key->draft.key_count)
@@ -219,7 +265,11 @@
 		propose_allotment(key, account);
 	if (is_leaving(key))
 		budget_pool_remove_host(&key->draft, key->budgets->host_id);
-	assert(budget_pool_check(&key->draft, NULL) == TGW_OK);
+	if (budget_pool_check(&key->draft, &error) != TGW_OK) {
+		report_failure(key, "write", error.status, error.message);
+		back_off_after_failure(key);
+		return;
+	}
 	key->draft_version = key->version;
 	key->draft_bytes.size = 0;
 	budget_pool_codec_encode(&key->draft, &key->draft_bytes);
@@ -252,50 +302,6 @@
 	return fresh && !key->joined;
 }
 
-void team_budget_key_set_due(struct team_budget_key *key, int64_t due_us)
-{
-	const struct team_budget_events *events = &key->budgets->events;
-
-	key->due_us = due_us;
-	if (events->rescheduled)
-		events->rescheduled(events->arg, due_us);
-}
-
-static void set_idle(struct team_budget_key *key, int64_t delay_us)
-{
-	key->state = TEAM_BUDGET_KEY_IDLE;
-	team_budget_key_set_due(key,
-				team_budget_now_us(key->budgets) + delay_us);
-}
-
-static void back_off_after_failure(struct team_budget_key *key)
-{
-	key->backoff_us = key->backoff_us ? key->backoff_us * 2 : RETRY_MIN_US;
-	if (key->backoff_us > RETRY_MAX_US)
-		key->backoff_us = RETRY_MAX_US;
-	key->store_answers = false;
-	set_idle(key, key->backoff_us);
-	team_budget_notify_changed(key->budgets);
-}
-
-void team_budget_key_retry(struct team_budget_key *key)
-{
-	if (key->store_answers)
-		return;
-	key->backoff_us = 0;
-	if (key->state == TEAM_BUDGET_KEY_IDLE)
-		team_budget_key_set_due(key, team_budget_now_us(key->budgets));
-}
-
-static void report_failure(const struct team_budget_key *key, const char *call,
-			   enum tgw_status status, const char *message)
-{
-	const struct team_budget_events *events = &key->budgets->events;
-
-	if (events->failed)
-		events->failed(events->arg, call, status, message);
-}
-
 static void finish_cycle(struct team_budget_key *key)
 {
 	key->conflicts = 0;
--- a/tests/unit/test_team_budget.c
+++ b/tests/unit/test_team_budget.c
@@ -200,6 +200,27 @@
 }
 END_TEST
 
+/* As when the store comes back without what was written to it: hosts return
+ * tokens that it does not know to be taken. */
+START_TEST(a_store_without_the_ledger_does_not_end_the_process)
+{
+	for (int i = 0; i < 500; i++) {
+		if (budget_rig_open_request(&budget_rig.hosts[0], 2000) ==
+		    TGW_OK)
+			budget_rig_end_request(&budget_rig.hosts[0], 0);
+		budget_rig_advance(BUDGET_RIG_STEP_US);
+	}
+	ck_assert_int_gt(budget_rig_limit_of(&budget_rig.hosts[0]), 0);
+	for (size_t i = 0; i < budget_rig.server.key_count; i++)
+		fake_store_server_put(&budget_rig.server,
+				      budget_rig.server.keys[i].name, NULL, 0);
+	budget_rig_advance(30 * TGW_US_PER_S);
+	ck_assert_int_gt(budget_rig.hosts[0].failures, 0);
+	ck_assert_int_eq(budget_rig_open_request(&budget_rig.hosts[0], 2000),
+			 TGW_OK);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("team_budget");
@@ -222,6 +243,8 @@
 	tcase_add_test(tcase, idle_hosts_make_few_store_calls);
 	tcase_add_test(tcase, each_write_is_reported_with_its_outcome);
 	tcase_add_test(tcase, a_fifth_of_contending_writes_take_effect);
+	tcase_add_test(tcase,
+		       a_store_without_the_ledger_does_not_end_the_process);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
