Begin to linger only once

Cause: a write that the socket accepts in two steps at once is reported after the response counts as written; the second report shut the connection down again, which fails, and then closed it without lingering.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -420,6 +420,8 @@
 
 static void end_flushed(struct server_conn *conn)
 {
+	if (conn->lingers)
+		return;
 	if (conn->caller_closes ||
 	    uv_shutdown(&conn->shutdown_request, (uv_stream_t *)&conn->tcp,
 			on_shut_down) < 0) {
