Read a server's connection again after a response to a slow caller

What callers saw: a request that its server answered at once, and that ended with 504 at its deadline, or was given up as "the server is silent" and sent to another server; 502 where none was left.

Cause: when a caller read slowly, the host stopped reading the server's connection. If the same read brought the end of the response, nothing resumed it: the connection went to the pool, and whatever was sent on it next was never answered. Each slow caller of a response above 256 KB, or of a stream, could leave such a connection behind. loop_client.c resumes its own.

Change: the end of a response resumes reading, for every owner.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -157,6 +157,8 @@
 	if (more_bytes || conn->write_failed ||
 	    uv_stream_get_write_queue_size((uv_stream_t *)&conn->tcp))
 		conn->reusable = false;
+	/* The last piece of the body may have paused it. */
+	http_conn_resume(conn);
 	conn->state = HTTP_CONN_IDLE;
 	conn->has_served = true;
 	conn->events = NULL;
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -92,7 +92,8 @@
 		    const struct http_conn_events *events, void *arg,
 		    const struct buffer *head, const struct buffer *body);
 
-/** Stop and resume reading, for back-pressure. */
+/** Stop and resume reading, for back-pressure. The end of a response resumes
+ * it. */
 void http_conn_pause(struct http_conn *conn);
 void http_conn_resume(struct http_conn *conn);
 
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -12,6 +12,7 @@
 /* Events of a complete stream; their ids begin with 0. */
 #define STREAM_EVENTS 6
 #define LARGE_BODY_BYTES (200 * 1024)
+#define LARGER_BODY_BYTES (260 * 1024)
 /* A truncated stream has this many events and the beginning of the next. */
 #define TRUNCATED_EVENTS 3
 
@@ -50,12 +51,12 @@
 	server_conn_finish(conn);
 }
 
-static void answer_large(struct server_conn *conn)
+static void answer_large(struct server_conn *conn, size_t size)
 {
-	char *body = xmalloc(LARGE_BODY_BYTES + 1);
+	char *body = xmalloc(size + 1);
 
-	memset(body, 'x', LARGE_BODY_BYTES);
-	body[LARGE_BODY_BYTES] = '\0';
+	memset(body, 'x', size);
+	body[size] = '\0';
 	answer(conn, 200, body, "");
 	free(body);
 }
@@ -233,7 +234,9 @@
 	else if (!strcmp(action, "ok"))
 		answer(conn, 200, "done", "");
 	else if (!strcmp(action, "large"))
-		answer_large(conn);
+		answer_large(conn, LARGE_BODY_BYTES);
+	else if (!strcmp(action, "larger"))
+		answer_large(conn, LARGER_BODY_BYTES);
 	else if (!strcmp(action, "empty"))
 		answer(conn, 204, "", "");
 	else if (!strcmp(action, "fail-once"))
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -1,12 +1,12 @@
 /**
  * @file backend_standin.h
  * A small stand-in for a backend server of the platform. The last segment of a
- * request's path selects what it does: ok, large (a body of 200 KB), empty
- * (204), fail, fail-once, break, crash, stream, stream-cut or full. Any other
- * request waits until backend_standin_release(). A response to ok or stream
- * falls silent and goes on later if its request has the field X-Pause: AT,MS
- * (enum backend_standin_pause and milliseconds). A request that expects another
- * instance gets 421 and is not executed.
+ * request's path selects what it does: ok, large or larger (a body of 200 or
+ * 260 KB), empty (204), fail, fail-once, break, crash, stream, stream-cut or
+ * full. Any other request waits until backend_standin_release(). A response to
+ * ok or stream falls silent and goes on later if its request has the field
+ * X-Pause: AT,MS (enum backend_standin_pause and milliseconds). A request that
+ * expects another instance gets 421 and is not executed.
  */
 #ifndef FAKES_BACKEND_STANDIN_H
 #define FAKES_BACKEND_STANDIN_H
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -400,6 +400,17 @@
 }
 END_TEST
 
+START_TEST(a_connection_is_read_again_after_a_response_to_a_slow_caller)
+{
+	edge_rig_register_server(&rig, 1, "draining", 2);
+	edge_rig_run(&rig, 300);
+	send_text(GET("/safe/larger"));
+	wait_until_answered(1);
+	send_text(GET("/unsafe/ok"));
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
 static void on_shut_down(uv_shutdown_t *request, int status)
 {
 }
@@ -488,6 +499,9 @@
 		tcase,
 		a_connection_that_waits_to_be_accepted_at_a_planned_stop_is_served);
 	tcase_add_test(tcase, a_response_without_a_body_has_no_chunks);
+	tcase_add_test(
+		tcase,
+		a_connection_is_read_again_after_a_response_to_a_slow_caller);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
