--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -275,8 +275,10 @@
 	}
 	uv_walk(&rig->loop, close_handle, NULL);
 	uv_run(&rig->loop, UV_RUN_NOWAIT);
-	if (uv_loop_close(&rig->loop) < 0)
+	if (uv_loop_close(&rig->loop) < 0) {
+		uv_print_all_handles(&rig->loop, stderr);
 		abort();
+	}
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested_size,
@@ -311,6 +313,11 @@
 		edge_rig_close_caller(caller);
 }
 
+void edge_rig_resume_caller(struct edge_rig_caller *caller)
+{
+	uv_read_start((uv_stream_t *)&caller->tcp, on_alloc, on_read);
+}
+
 static void on_connected(uv_connect_t *request, int status)
 {
 	struct edge_rig_caller *caller = request->handle->data;
