--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -1,11 +1,11 @@
 /**
  * @file backend_standin.h
  * A small stand-in for a backend server of the platform. The last segment of a
- * request's path selects what it does: ok, large (a body of 200 KB), huge (600
- * KB), empty (204), fail, fail-once, break, crash, stream, stream-cut,
- * stream-cut-no-ids, stream-large or full. Any other request waits until
- * backend_standin_release(). A response to ok or stream falls silent and goes
- * on later if its request has the field X-Pause: AT,MS (enum
+ * request's path selects what it does: ok, large (a body of 200 KB), larger
+ * (260 KB), huge (600 KB), empty (204), fail, fail-once, break, crash, stream,
+ * stream-cut, stream-cut-no-ids, stream-large or full. Any other request waits
+ * until backend_standin_release(). A response to ok or stream falls silent and
+ * goes on later if its request has the field X-Pause: AT,MS (enum
  * backend_standin_pause and milliseconds). A request that expects another
  * instance gets 421 and is not executed. The path busy gets 503 without a word
  * on whether it was executed.
