Read what has arrived before a request's time is up

Callers got 504 for a response that had arrived within their deadline.

Cause: the loop runs timers before it reads. After it stood still, the deadline took effect first.

Change: the deadline waits for one more read, as the other timeouts do.

The new check of test_edge failed before (504) and passes.

--- a/src/edge/call_timer.c
+++ b/src/edge/call_timer.c
@@ -83,19 +83,11 @@
 
 	if (call->ended)
 		return;
-	if (now_us >= call->deadline_us) {
-		time_out_call(call);
-		return;
-	}
 	if (now_us < call_due_us(call)) {
 		call->timeout_pending = false;
 		call_schedule(call);
 		return;
 	}
-	if (call->waits_for_tokens) {
-		call_refuse_without_tokens(call);
-		return;
-	}
 	/* The event loop runs timers before it reads from sockets, so on a busy
 	 * host the response may have arrived already. The timeout takes effect
 	 * in the next run of the timer, after the loop has read. */
@@ -105,7 +97,11 @@
 		return;
 	}
 	call->timeout_pending = false;
-	if (call->current->conn->connected)
+	if (now_us >= call->deadline_us)
+		time_out_call(call);
+	else if (call->waits_for_tokens)
+		call_refuse_without_tokens(call);
+	else if (call->current->conn->connected)
 		call_attempt_silent(call);
 	else
 		call_attempt_failed(call->current, BACKEND_UNREACHABLE,
--- a/tests/unit/test_edge.c
+++ b/tests/unit/test_edge.c
@@ -218,6 +218,31 @@
 }
 END_TEST
 
+START_TEST(a_response_that_arrived_in_time_is_not_replaced_by_a_timeout)
+{
+	struct edge_rig_caller caller;
+
+	edge_rig_call(&rig, &caller,
+		      "GET /unsafe/hold HTTP/1.1\r\nHost: a.example\r\n"
+		      "Authorization: Token key-1\r\n"
+		      "Tamarackgw-Deadline-Ms: 300\r\n"
+		      "Connection: close\r\n\r\n");
+	for (int i = 0; i < 40 && !edge_rig_runs(&rig); i++)
+		edge_rig_run(&rig, 5);
+	for (int i = 0; i < EDGE_RIG_SERVERS; i++)
+		backend_standin_release(&rig.server_standins[i]);
+	/* The host's loop stands still until the time is up. */
+	usleep(400 * 1000);
+	edge_rig_run(&rig, 50);
+	buffer_add(&caller.received, "", 1);
+	ck_assert_msg(strstr(caller.received.data, "HTTP/1.1 200 "),
+		      "received: %.100s", caller.received.data);
+	edge_rig_close_caller(&caller);
+	buffer_free(&caller.received);
+	edge_rig_run(&rig, 20);
+}
+END_TEST
+
 START_TEST(a_request_that_no_server_accepts_is_refused_as_not_run)
 {
 	request("POST", "unsafe", "full", DEADLINE, "x");
@@ -577,6 +602,9 @@
 	tcase_add_test(tcase, a_server_error_is_forwarded_after_the_retry);
 	tcase_add_test(tcase, an_unsafe_request_runs_once);
 	tcase_add_test(tcase, an_unsafe_request_that_timed_out_may_have_run);
+	tcase_add_test(
+		tcase,
+		a_response_that_arrived_in_time_is_not_replaced_by_a_timeout);
 	tcase_add_test(tcase,
 		       a_request_that_no_server_accepts_is_refused_as_not_run);
 	tcase_add_test(tcase, a_stream_is_forwarded_completely);
