Remember the servers that a request was sent to by their run

What callers saw: a request that was given up at one server and sent to the very same one, as "another"; or 502 or 503 "no server is left" although a new server was free.

Cause: attempts remembered their servers by pointer. A server whose entry expires and is back (an outage of the store, a late heartbeat) gets a new object, so it counted as untried. An object of a server that is gone is freed once its last request has ended; the next server's may lie at the same address, and counted as tried.

Change: they are remembered by the hash of id and start time.

Evidence: test_placement, two checks; with pointers the server that is listed again is chosen again, and the new server is not chosen at all.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -87,7 +87,7 @@
 	int64_t now_us = edge_now_us();
 
 	assert(!call->current && call->attempt_count < ATTEMPTS_MAX);
-	call->tried[call->attempt_count++] = backend;
+	call->tried[call->attempt_count++] = backend->run_hash;
 	call->sent_count++;
 	call->current = attempt;
 	attempt->call = call;
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -82,11 +82,11 @@
 	/* An earlier attempt whose server fell silent. It stays open until a
 	 * server responds; NULL if there is none. */
 	struct call_attempt *silent;
-	const struct backend *tried[ATTEMPTS_MAX];
-	uint32_t attempt_count; /* all attempts, whether sent or not */
-	uint32_t sent_count;	/* attempts that a server may have received */
-	int64_t first_byte_us;	/* of the first response; 0 before it */
-	bool may_have_run;	/* some server may have run the request */
+	uint64_t tried[ATTEMPTS_MAX]; /* run hashes of their servers */
+	uint32_t attempt_count;	      /* all attempts, whether sent or not */
+	uint32_t sent_count;   /* attempts that a server may have received */
+	int64_t first_byte_us; /* of the first response; 0 before it */
+	bool may_have_run;     /* some server may have run the request */
 	/* Why the request was not sent to another server, for the log. */
 	enum attempt_obstacle obstacle;
 
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -51,7 +51,7 @@
 		      const struct backend *backend)
 {
 	for (uint32_t i = 0; i < request->tried_count; i++)
-		if (request->tried[i] == backend)
+		if (request->tried[i] == backend->run_hash)
 			return true;
 	return false;
 }
--- a/src/state/placement.h
+++ b/src/state/placement.h
@@ -26,8 +26,8 @@
 	uint64_t affinity;	    /**< hash of the shared parts; 0 for none */
 	int64_t prompt_tokens; /**< for the server to read, unless cached */
 	uint64_t draw;	       /**< random; breaks ties */
-	const struct backend *const *tried; /**< servers that it was already
-					     * sent to */
+	const uint64_t *tried; /**< run hashes of servers that it was already
+				* sent to */
 	uint32_t tried_count;
 	int64_t now_us;
 };
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -93,21 +93,59 @@
 
 START_TEST(a_request_tries_each_server_once)
 {
-	const struct backend *tried[SERVERS];
+	uint64_t tried[SERVERS];
 	struct backend *chosen;
 
 	request.tried = tried;
 	for (int i = 0; i < SERVERS; i++) {
 		chosen = choose();
 		for (uint32_t j = 0; j < request.tried_count; j++)
-			ck_assert_ptr_ne(chosen, tried[j]);
-		tried[request.tried_count++] = chosen;
+			ck_assert_uint_ne(chosen->run_hash, tried[j]);
+		tried[request.tried_count++] = chosen->run_hash;
 	}
 	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
 			 PLACEMENT_ALL_TRIED);
 }
 END_TEST
 
+/* Its entry expired at the store while the request ran there, and is back. */
+START_TEST(a_server_that_is_listed_again_is_not_tried_again)
+{
+	uint64_t tried;
+	struct backend *running;
+	struct backend *chosen;
+
+	remove_servers(&table);
+	put_server(&table, 0, "east");
+	running = choose();
+	tried = running->run_hash;
+	request.tried = &tried;
+	request.tried_count = 1;
+	backend_begin(running);
+	backend_table_remove(&table, "server-0");
+	put_server(&table, 0, "east");
+	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
+			 PLACEMENT_ALL_TRIED);
+	backend_end(&table, running);
+}
+END_TEST
+
+/* Memory of a removed server may be used for the next one. */
+START_TEST(a_new_server_does_not_count_as_tried)
+{
+	uint64_t tried;
+
+	remove_servers(&table);
+	put_server(&table, 0, "east");
+	tried = choose()->run_hash;
+	request.tried = &tried;
+	request.tried_count = 1;
+	backend_table_remove(&table, "server-0");
+	put_server(&table, 1, "east");
+	ck_assert_str_eq(choose()->entry.id, "server-1");
+}
+END_TEST
+
 START_TEST(full_servers_are_skipped_for_a_short_time)
 {
 	struct backend *chosen;
@@ -385,6 +423,8 @@
 	tcase_add_test(tcase, a_service_without_a_server_is_reported);
 	tcase_add_test(tcase, a_draining_server_gets_no_new_requests);
 	tcase_add_test(tcase, a_request_tries_each_server_once);
+	tcase_add_test(tcase, a_server_that_is_listed_again_is_not_tried_again);
+	tcase_add_test(tcase, a_new_server_does_not_count_as_tried);
 	tcase_add_test(tcase, full_servers_are_skipped_for_a_short_time);
 	tcase_add_test(tcase, an_unreachable_server_is_avoided_unless_all_are);
 	tcase_add_test(tcase,
