Do not answer each message with all that is not acknowledged

Cause: a reply between hosts made its receiver send all its own unacknowledged totals to all its links, at once and without a bound. Their receivers did the same. When relays change, hosts hold tokens in both directions that the other one has not received, and a full link delays what would end the exchange.

Change: an entry of a reply that no report asked for is sent again after 50 ms at the earliest, unless it has changed.

--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -19,6 +19,10 @@
 #define NEEDED_FOR_US (500 * TGW_US_PER_MS)
 /* An entry is repeated in so many messages after a change. */
 #define REPEATS 3
+/* Minimum time before a reply that was not asked for repeats an entry. Messages
+ * give rise to such replies: without it, hosts that have not received each
+ * other's tokens answer each other's messages without an end. */
+#define REPEAT_INTERVAL_US (50 * TGW_US_PER_MS)
 /* A view of the pool that is older says nothing about free tokens. */
 #define VIEW_MAX_AGE_US (1 * TGW_US_PER_S)
 
@@ -240,9 +244,20 @@
 	send(relay, host, &message);
 }
 
+/* @param asked the other host has just reported */
+static bool reply_has_entry(const struct transfer_totals *totals, bool asked,
+			    int64_t now)
+{
+	if (!totals->repeats && !transfer_totals_is_unacknowledged(totals))
+		return false;
+	return asked || totals->repeats == REPEATS ||
+	       now - totals->replied_us >= REPEAT_INTERVAL_US;
+}
+
 void budget_transfer_reply(struct budget_relay *relay,
 			   struct transfer_link *link, bool always)
 {
+	int64_t now = now_of(relay);
 	struct transfer_message message;
 	bool sent_any = false;
 
@@ -251,13 +266,13 @@
 	     totals = totals->next) {
 		const struct team_account *account;
 
-		if (!totals->repeats &&
-		    !transfer_totals_is_unacknowledged(totals))
+		if (!reply_has_entry(totals, always, now))
 			continue;
 		account =
 			team_budget_find_account(relay->budgets, totals->team);
 		if (!account)
 			continue;
+		totals->replied_us = now;
 		if (totals->repeats)
 			totals->repeats--;
 		fill_entry(relay, account, totals, false,
--- a/src/state/transfer_link.h
+++ b/src/state/transfer_link.h
@@ -31,6 +31,7 @@
 	bool none_available; /**< here, of what is needed there */
 	/** The following messages repeat the entry, as one may be lost. */
 	uint32_t repeats;
+	int64_t replied_us; /**< when a reply last had the entry */
 	struct transfer_totals *next;
 };
 
--- a/tests/unit/test_team_budget_relay.c
+++ b/tests/unit/test_team_budget_relay.c
@@ -1,6 +1,7 @@
 /* Plays the load of large fleets whose hosts move tokens of team budgets to
  * each other, in virtual time: what callers get, and how many store calls it
  * takes, with relays that die, stop, hang or lose the store. */
+#include "coordination/budget_relay.h"
 #include "fakes/team_fleet.h"
 #include "unit/unit_main.h"
 
@@ -260,6 +261,50 @@
 }
 END_TEST
 
+/* A message has 12 of the 24 teams. A host may send each second 50 reports of
+ * two messages and, for each of as many that it receives, a reply of two. A
+ * host and one that may be its relay may repeat 20 replies to each other. */
+#define REPORT_MESSAGES 2
+#define MAX_RELAYS (BUDGET_RELAY_CANDIDATES + BUDGET_RELAY_OTHERS)
+#define MESSAGES_PER_HOST_S                                              \
+	(50 * REPORT_MESSAGES + 50 * REPORT_MESSAGES * REPORT_MESSAGES + \
+	 2 * MAX_RELAYS * 20 * REPORT_MESSAGES)
+
+static void check_messages_of_play_s(int64_t duration_s)
+{
+	for (int64_t second = 0; second < duration_s; second++) {
+		uint64_t before = team_fleet.net.messages;
+
+		play_s(1);
+		ck_assert_uint_le(team_fleet.net.messages - before,
+				  SMALL_FLEET * MESSAGES_PER_HOST_S);
+	}
+}
+
+static void cut_all_from_store(bool cut)
+{
+	for (size_t i = 0; i < SMALL_FLEET; i++)
+		cut_from_store(&team_fleet.hosts[i], cut);
+}
+
+static const int64_t full_link_latencies_ms[] = {1, 60, 120, 200};
+
+/* While the store is away its relays change, and hosts hold tokens that others
+ * have not received yet: all the longer when their links are full. */
+START_TEST(a_store_outage_does_not_lead_to_a_flood_of_messages)
+{
+	start_fleet(SMALL_FLEET, 1);
+	check_messages_of_play_s(4);
+	team_fleet.net.latency_us = full_link_latencies_ms[_i] * TGW_US_PER_MS;
+	cut_all_from_store(true);
+	check_messages_of_play_s(8);
+	cut_all_from_store(false);
+	check_messages_of_play_s(4);
+	team_fleet_check_no_overspending();
+	team_fleet_stop();
+}
+END_TEST
+
 static void stop_host(struct team_fleet_host *host)
 {
 	team_budget_close(host->budgets);
@@ -316,6 +361,11 @@
 	tcase_add_loop_test(tcase,
 			    a_relay_that_is_used_again_is_not_taken_for_silent,
 			    1, 1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    a_store_outage_does_not_lead_to_a_flood_of_messages,
+			    0,
+			    sizeof(full_link_latencies_ms) /
+				    sizeof(full_link_latencies_ms[0]));
 	tcase_add_loop_test(tcase, hosts_that_stop_strand_nothing, 1,
 			    1 + SEEDS);
 	suite_add_tcase(suite, tcase);
