Keep a reserve of the event loop for the host's own work

What callers could see: on a host with more requests than it can handle, the store, other hosts' messages and the readiness check waited behind a request of each caller that had sent one, and behind all connections in the backlog, each time that the loop came round.

While a request is served, its connection is read as before, so that a caller that leaves is noticed. New metrics: loop_lag_seconds, reads_waiting, overloaded.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -93,6 +93,7 @@
 	if (conn->next)
 		conn->next->previous = conn->previous;
 	edge->conn_count--;
+	read_turns_forget(&edge->turns, &conn->turn);
 }
 
 static const struct server_conn_events caller_events = {
@@ -102,17 +103,15 @@
 	.closed = on_caller_closed,
 };
 
-static void on_caller(uv_stream_t *listener, int status)
+static void accept_caller(struct edge *edge)
 {
-	struct edge *edge = listener->data;
 	struct server_conn *conn;
 
-	if (status < 0)
-		return;
-	conn = server_conn_accept(listener, &edge->limits, &caller_events,
-				  edge);
+	conn = server_conn_accept((uv_stream_t *)&edge->caller_listener,
+				  &edge->limits, &caller_events, edge);
 	if (!conn)
 		return;
+	conn->turns = &edge->turns;
 	conn->next = edge->conns;
 	if (conn->next)
 		conn->next->previous = conn;
@@ -120,6 +119,35 @@
 	edge->conn_count++;
 }
 
+/* A connection that is not accepted here pauses the listener. */
+static void on_caller(uv_stream_t *listener, int status)
+{
+	struct edge *edge = listener->data;
+
+	if (status < 0)
+		return;
+	if (!edge->accepts_left) {
+		edge->accept_waits = true;
+		return;
+	}
+	edge->accepts_left--;
+	accept_caller(edge);
+}
+
+static void on_poll_begins(uv_prepare_t *prepare)
+{
+	struct edge *edge = prepare->data;
+
+	read_turns_begin(&edge->turns, edge->load.turns,
+			 (int64_t)uv_now(edge->loop) * TGW_US_PER_MS);
+	edge->accepts_left = edge->load.turns;
+	if (!edge->accept_waits || !edge->listening)
+		return;
+	edge->accept_waits = false;
+	edge->accepts_left--;
+	accept_caller(edge);
+}
+
 static void close_idle_callers(struct edge *edge)
 {
 	struct server_conn *conn = edge->conns;
@@ -174,11 +202,36 @@
 		end_loop(edge);
 }
 
+static void measure_load(struct edge *edge)
+{
+	uint64_t now_ms = uv_now(edge->loop);
+	struct host_load_view view = {
+		.now_us = (int64_t)now_ms * TGW_US_PER_MS,
+		.longest_wait_us = read_turns_longest_wait_us(&edge->turns),
+	};
+
+	if (edge->tick_due_ms && now_ms > edge->tick_due_ms)
+		view.loop_lag_us =
+			(int64_t)(now_ms - edge->tick_due_ms) * TGW_US_PER_MS;
+	edge->tick_due_ms = now_ms + TICK_MS;
+	if (host_load_update(&edge->load, &view))
+		edge_log_line(&edge->log, EDGE_LOG_STATE, "host",
+			      edge->load.overloaded ? "overloaded"
+						    : "recovered",
+			      "loop_lag_ms=%lld longest_wait_ms=%lld "
+			      "waiting=%u connections=%u turns=%u",
+			      (long long)(view.loop_lag_us / TGW_US_PER_MS),
+			      (long long)(view.longest_wait_us / TGW_US_PER_MS),
+			      edge->turns.waiting, edge->conn_count,
+			      edge->load.turns);
+}
+
 static void on_tick(uv_timer_t *timer)
 {
 	struct edge *edge = timer->data;
 	int64_t now_us = edge_now_us();
 
+	measure_load(edge);
 	edge_followers_tick(edge);
 	for (struct backend *backend = edge->backends.first; backend;
 	     backend = backend->next)
@@ -237,6 +290,10 @@
 	edge->limits = (struct server_limits){DEFAULT_HEAD_BYTES,
 					      DEFAULT_BODY_BYTES,
 					      DEFAULT_HEAD_MS, DEFAULT_IDLE_MS};
+	host_load_init(&edge->load);
+	uv_prepare_init(loop, &edge->poll_begins);
+	edge->poll_begins.data = edge;
+	uv_prepare_start(&edge->poll_begins, on_poll_begins);
 	tgw_random_init(&edge->random, tgw_random_incarnation());
 	edge_log_open(&edge->log, settings->log_lines_per_s);
 	if (listen_at(loop, &edge->caller_listener, settings->caller_address,
@@ -292,6 +349,7 @@
 	close_handle((uv_handle_t *)&edge->ready_listener);
 	close_handle((uv_handle_t *)&edge->metrics_listener);
 	close_handle((uv_handle_t *)&edge->tick);
+	close_handle((uv_handle_t *)&edge->poll_begins);
 	close_handle((uv_handle_t *)&edge->budget_timer);
 	edge_followers_free(edge);
 	while (edge->services) {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -20,9 +20,11 @@
 #include "edge/edge_peers.h"
 #include "edge/edge_settings.h"
 #include "state/backend_table.h"
+#include "state/host_load.h"
 #include "state/latency_buckets.h"
 #include "state/retry_budget.h"
 #include "tamarackgw/random.h"
+#include "transport/read_turns.h"
 #include "transport/server_conn.h"
 
 struct call;
@@ -73,6 +75,14 @@
 	uv_tcp_t ready_listener;
 	uv_tcp_t metrics_listener; /* unused without an address */
 	uv_timer_t tick;
+	uint64_t tick_due_ms; /* by the loop's time; 0 before the first */
+	uv_prepare_t poll_begins;
+	/* The reserve of the host's own work: what callers get of the time
+	 * between two polls. */
+	struct host_load load;
+	struct read_turns turns;
+	uint32_t accepts_left;
+	bool accept_waits; /* the listener pauses until then */
 	/* Budgets have a timer of their own: hosts that start together tick in
 	 * step, and so would their retries of writes that conflicted. */
 	uv_timer_t budget_timer;
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -15,7 +15,8 @@
  * refuse requests. */
 static bool is_ready(const struct edge *edge)
 {
-	return !edge->stopping && route_follower_set(edge->route_follower) &&
+	return !edge->stopping && !edge->load.overloaded &&
+	       route_follower_set(edge->route_follower) &&
 	       backend_follower_is_ready(edge->backend_follower);
 }
 
@@ -144,6 +145,10 @@
 	add_counter(text, "log_lines_dropped_total", edge->log.dropped_total);
 	add_gauge(text, "open_requests", edge->call_count);
 	add_gauge(text, "caller_connections", edge->conn_count);
+	add_gauge(text, "loop_lag_seconds",
+		  (double)edge->load.loop_lag_us / (double)TGW_US_PER_S);
+	add_gauge(text, "reads_waiting", edge->turns.waiting);
+	add_gauge(text, "overloaded", edge->load.overloaded);
 	add_gauge(text, "servers", (double)edge->backends.count);
 	add_gauge(text, "config_version", set ? (double)set->version : 0);
 	add_gauge(text, "ready", is_ready(edge));
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -252,7 +252,8 @@
 {
 	struct server_conn *conn = stream->data;
 
-	if (size == 0 || conn->state == SERVER_CONN_CLOSING)
+	if (size == 0 || size == UV_ENOBUFS ||
+	    conn->state == SERVER_CONN_CLOSING)
 		return;
 	if (size < 0) {
 		handle_disconnect(conn);
@@ -266,8 +267,15 @@
 
 static void on_alloc(uv_handle_t *handle, size_t suggested_size, uv_buf_t *buf)
 {
+	struct server_conn *conn = handle->data;
+
 	buf->base = read_buffer;
 	buf->len = sizeof(read_buffer);
+	/* Without space the loop reads nothing, and comes again. While a
+	 * request is served, reading tells that the caller has left. */
+	if (conn->turns && conn->state == SERVER_CONN_READING &&
+	    !read_turns_take(conn->turns, &conn->turn))
+		buf->len = 0;
 }
 
 static void await_request(struct server_conn *conn)
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -14,6 +14,7 @@
 
 #include "base/buffer.h"
 #include "protocol/http_head.h"
+#include "transport/read_turns.h"
 
 struct server_conn;
 
@@ -89,6 +90,10 @@
 	const struct server_limits *limits;
 	const struct server_conn_events *events;
 	void *owner;
+	/** Bounds the reading of requests; NULL for no bound. The owner forgets
+	 * the turn in `closed`. */
+	struct read_turns *turns;
+	struct read_turn turn;
 	void *call; /**< the owner's data for the current request */
 	struct server_conn *previous;
 	struct server_conn *next;
