--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -123,6 +123,11 @@
 		handle_disconnect(conn);
 		return;
 	}
+	/* It has bytes to read, and waits for its turn. */
+	if (conn->turn.waits) {
+		set_timer(conn, READ_ONCE_MS);
+		return;
+	}
 	/* The limit was raised, or the loop's time was behind at the start. */
 	if (left_ms > 0) {
 		conn->timeout_pending = false;
@@ -342,7 +347,8 @@
 {
 	struct server_conn *conn = stream->data;
 
-	if (size == 0 || conn->state == SERVER_CONN_CLOSING)
+	if (size == 0 || size == UV_ENOBUFS ||
+	    conn->state == SERVER_CONN_CLOSING)
 		return;
 	if (size == UV_EOF) {
 		handle_end_of_input(conn);
@@ -360,8 +366,15 @@
 
 static void on_alloc(uv_handle_t *handle, size_t suggested_size, uv_buf_t *buf)
 {
+	struct server_conn *conn = handle->data;
+
 	buf->base = read_buffer;
 	buf->len = sizeof(read_buffer);
+	/* Without space the loop reads nothing, and comes again. While a
+	 * request is served, reading tells that the caller has left. */
+	if (conn->turns && conn->state == SERVER_CONN_READING &&
+	    !read_turns_take(conn->turns, &conn->turn))
+		buf->len = 0;
 }
 
 static void await_request(struct server_conn *conn)
@@ -632,7 +645,7 @@
 {
 	struct server_conn *conn = timer->data;
 
-	if (is_idle(conn))
+	if (is_idle(conn) && !conn->turn.waits)
 		close_now(conn);
 }
 
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -121,7 +121,7 @@
 	tried = running->run_hash;
 	request.tried = &tried;
 	request.tried_count = 1;
-	backend_begin(running);
+	backend_begin(running, NOW_US);
 	backend_table_remove(&table, "server-0");
 	put_server(&table, 0, "east");
 	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
