Do not cut a large error response at its end

Callers got an error response of a server above 256 KiB without its end: its connection was aborted, neither an answer nor a refusal.

Cause: such a body is forwarded as it arrives. At its end, an error response after a head counted as a server that refuses to go on with a stream, although the head was its own.

Change: only a response that is not itself forwarded is a refusal to go on.

The test failed before for a 500 and for a 404 and passes. The other tests of the new file pass before and after: two attempts at once, ended by either server, the caller, the deadline, a crash, a removal or a planned stop.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -39,6 +39,14 @@
 	return status >= 200 && status < 300;
 }
 
+/* An error response, to a stream of which the caller has the beginning: this
+ * server does not go on with it. */
+static bool refuses_to_go_on(const struct call_attempt *attempt)
+{
+	return attempt->call->head_sent && !attempt->forwarding &&
+	       !is_success(attempt->status);
+}
+
 /* Goes on with an attempt whose server was silent, in place of the later one,
  * which no server has answered yet. */
 static void return_to_silent_attempt(struct call *call)
@@ -249,7 +257,7 @@
 	}
 	if (failed && call_retry_server_error(attempt))
 		return;
-	if (call->head_sent && !is_success(attempt->status)) {
+	if (refuses_to_go_on(attempt)) {
 		call_attempt_failed(attempt, BACKEND_FAILED,
 				    "the server refused to go on");
 		return;
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -113,20 +113,24 @@
 	server_conn_abort(conn);
 }
 
-static void answer_large(struct server_conn *conn, bool truncated)
+static void begin_large(struct server_conn *conn, int status, size_t size)
 {
-	char *text = xmalloc(LARGE_BODY_BYTES);
+	char *text = xmalloc(size);
 
-	memset(text, 'x', LARGE_BODY_BYTES);
-	send_head(conn, 200, LARGE_BODY_BYTES, "");
-	server_conn_send_body(conn, text,
-			      truncated ? LARGE_BODY_BYTES / 2
-					: LARGE_BODY_BYTES);
+	memset(text, 'x', size);
+	send_head(conn, status, LARGE_BODY_BYTES, "");
+	server_conn_send_body(conn, text, size);
+	free(text);
+}
+
+static void answer_large(struct server_conn *conn, int status, bool truncated)
+{
+	begin_large(conn, status,
+		    truncated ? LARGE_BODY_BYTES / 2 : LARGE_BODY_BYTES);
 	if (truncated)
 		server_conn_abort(conn);
 	else
 		server_conn_finish(conn);
-	free(text);
 }
 
 /* A response that has fallen silent: its request's connection, and what it
@@ -267,8 +271,12 @@
 	bool is_stream = !strcmp(action, "stream");
 
 	standin->runs++;
-	if (pause && !standin->never_pauses &&
-	    (is_stream || !strcmp(action, "ok")))
+	if (standin->fails_large)
+		answer_large(conn, 500, false);
+	else if (standin->fails)
+		answer(conn, 500, "failed", "");
+	else if (pause && !standin->never_pauses &&
+		 (is_stream || !strcmp(action, "ok")))
 		respond_with_pause(standin, conn, is_stream, pause);
 	else if (!strcmp(action, "ok"))
 		answer(conn, 200, "done", "");
@@ -289,7 +297,11 @@
 	else if (!strcmp(action, "stream-large"))
 		stream_large(conn);
 	else if (!strcmp(action, "large"))
-		answer_large(conn, standin->cuts_large);
+		answer_large(conn, 200, standin->cuts_large);
+	else if (!strcmp(action, "large-missing"))
+		answer_large(conn, 404, false);
+	else if (!strcmp(action, "large-fail"))
+		answer_large(conn, 500, false);
 	else
 		standin->waiting = conn;
 }
@@ -320,6 +332,12 @@
 		answer(conn, 200, "done", "");
 }
 
+void backend_standin_begin_large(struct backend_standin *standin, int status)
+{
+	if (standin->waiting)
+		begin_large(standin->waiting, status, LARGE_BODY_BYTES / 2);
+}
+
 static void on_disconnected(struct server_conn *conn)
 {
 	struct backend_standin *standin = conn->owner;
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -2,11 +2,11 @@
  * @file backend_standin.h
  * A small stand-in for a backend server of the platform. The last segment of a
  * request's path selects what it does: ok, fail, fail-once, break, crash,
- * stream, stream-cut, stream-cut-no-ids, stream-large, large or full. Any other
- * request waits until backend_standin_release(). A response to ok or stream
- * falls silent and goes on later if its request has the field X-Pause: AT,MS
- * (enum backend_standin_pause and milliseconds). A request that expects another
- * instance gets 421 and is not executed.
+ * stream, stream-cut, stream-cut-no-ids, stream-large, large, large-missing,
+ * large-fail or full. Any other request waits until backend_standin_release().
+ * A response to ok or stream falls silent and goes on later if its request has
+ * the field X-Pause: AT,MS (enum backend_standin_pause and milliseconds). A
+ * request that expects another instance gets 421 and is not executed.
  */
 #ifndef FAKES_BACKEND_STANDIN_H
 #define FAKES_BACKEND_STANDIN_H
@@ -45,6 +45,8 @@
 	bool never_pauses; /**< ignores X-Pause */
 	bool cuts_large;   /**< breaks off in the middle of large */
 	bool rejects;	   /**< reports that it is full, and runs nothing */
+	bool fails;	   /**< answers 500 to each request that it runs */
+	bool fails_large;  /**< the same, with a large body */
 };
 
 void backend_standin_start(struct backend_standin *standin, uv_loop_t *loop,
@@ -64,4 +66,8 @@
 /** Answers the waiting request, if there is one. */
 void backend_standin_release(struct backend_standin *standin);
 
+/** Sends the head and half of a large body to the waiting request, which stays
+ * open. */
+void backend_standin_begin_large(struct backend_standin *standin, int status);
+
 #endif
--- /dev/null
+++ b/tests/unit/test_edge_second_attempt.c
@@ -0,0 +1,229 @@
+/* Tests of requests that two backend servers have at once, since the first fell
+ * silent, and of responses that end after such a time. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge/call_private.h"
+#include "fakes/edge_rig.h"
+#include "unit/unit_main.h"
+
+#define WAIT_MS 8000
+#define LARGE_BODY_BYTES ((size_t)600 * 1024)
+/* After this, the host has sent a request of 10 s to another server as well. */
+#define SECOND_ATTEMPT_MS 1700
+#define AMPLE_CREDIT 1000000
+
+static struct edge_rig rig;
+static struct edge_rig_caller caller;
+
+static void setup(void)
+{
+	struct retry_budget *budget;
+
+	edge_rig_start(&rig);
+	edge_rig_make_ready(&rig);
+	memset(&caller, 0, sizeof(caller));
+	budget = edge_retry_budget(&rig.hosts[0].edge, "app");
+	budget->limits.max_thousandths = AMPLE_CREDIT;
+	budget->credit_thousandths = AMPLE_CREDIT;
+}
+
+static void teardown(void)
+{
+	edge_rig_close_caller(&caller);
+	while (!caller.released)
+		edge_rig_run(&rig, 1);
+	buffer_free(&caller.received);
+	edge_rig_stop(&rig);
+}
+
+static void send_request(const char *path, const char *fields)
+{
+	char text[512];
+
+	snprintf(text, sizeof(text),
+		 "GET %s HTTP/1.1\r\nHost: a.example\r\n"
+		 "Authorization: Token key-1\r\n"
+		 "Tamarackgw-Request-Id: request-1\r\n%s\r\n",
+		 path, fields);
+	edge_rig_call(&rig, &caller, text);
+}
+
+/* The first server gets the request, and only later is there another one. */
+static void send_to_first_server(const char *path, const char *fields)
+{
+	edge_rig_register_server(&rig, 1, "draining", 2);
+	edge_rig_run(&rig, 300);
+	send_request(path, fields);
+	edge_rig_run(&rig, 300);
+	ck_assert_uint_eq(rig.server_standins[0].arrivals, 1);
+	edge_rig_register_server(&rig, 1, "ready", 3);
+}
+
+static void send_to_both_servers(const char *path)
+{
+	send_to_first_server(path, "Connection: close\r\n");
+	edge_rig_run(&rig, SECOND_ATTEMPT_MS);
+	ck_assert_ptr_nonnull(rig.server_standins[0].waiting);
+	ck_assert_ptr_nonnull(rig.server_standins[1].waiting);
+}
+
+static void wait_until_closed(void)
+{
+	for (int i = 0; i < WAIT_MS / 5 && !caller.closed; i++)
+		edge_rig_run(&rig, 5);
+	ck_assert(caller.closed);
+	buffer_add(&caller.received, "", 1);
+}
+
+static bool begins_with(const char *start)
+{
+	return !strncmp(caller.received.data, start, strlen(start));
+}
+
+static bool ends_with(const char *end)
+{
+	size_t size = strlen(end);
+	/* Without the null byte. */
+	size_t received = caller.received.size - 1;
+
+	return received >= size &&
+	       !memcmp(caller.received.data + received - size, end, size);
+}
+
+static size_t count_bytes(char byte)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < caller.received.size; i++)
+		count += caller.received.data[i] == byte;
+	return count;
+}
+
+static bool no_server_is_busy(void)
+{
+	const struct backend *backend = rig.hosts[0].edge.backends.first;
+
+	for (; backend; backend = backend->next)
+		if (backend->running)
+			return false;
+	return true;
+}
+
+START_TEST(a_large_error_response_is_not_cut_at_its_end)
+{
+	send_request(_i ? "/long-safe/large-missing"
+			: "/long-unsafe/large-fail",
+		     "Connection: close\r\n");
+	wait_until_closed();
+	ck_assert(begins_with(_i ? "HTTP/1.1 404 " : "HTTP/1.1 500 "));
+	ck_assert(ends_with("\r\n0\r\n\r\n"));
+	ck_assert_uint_ge(count_bytes('x'), LARGE_BODY_BYTES);
+	ck_assert_uint_eq(rig.hosts[0].edge.counters.aborted, 0);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_ends_both_attempts)
+{
+	send_to_both_servers("/long-safe/wait");
+	edge_rig_close_caller(&caller);
+	edge_rig_run(&rig, 100);
+	ck_assert_uint_eq(rig.server_standins[0].disconnects, 1);
+	ck_assert_uint_eq(rig.server_standins[1].disconnects, 1);
+	ck_assert_uint_eq(rig.hosts[0].edge.call_count, 0);
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
+START_TEST(either_server_answers_a_request_that_both_have)
+{
+	send_to_both_servers("/long-safe/wait");
+	backend_standin_release(&rig.server_standins[_i]);
+	wait_until_closed();
+	edge_rig_run(&rig, 100);
+	ck_assert(begins_with("HTTP/1.1 200 ") && ends_with("done"));
+	ck_assert_uint_eq(rig.server_standins[1 - _i].disconnects, 1);
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
+START_TEST(a_crash_of_one_server_leaves_the_request_to_the_other)
+{
+	send_to_both_servers("/long-safe/wait");
+	backend_standin_crash(&rig.server_standins[_i]);
+	edge_rig_run(&rig, 700);
+	backend_standin_release(&rig.server_standins[1 - _i]);
+	wait_until_closed();
+	ck_assert(begins_with("HTTP/1.1 200 ") && ends_with("done"));
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
+/* Its entry is gone, and later the same id has another address. */
+START_TEST(a_silent_server_may_be_removed_and_restarted)
+{
+	char address[32];
+
+	snprintf(address, sizeof(address), "127.0.0.1:%d",
+		 edge_rig_free_port());
+	send_to_both_servers("/long-safe/wait");
+	kv_standin_put(&rig.store, "servers/worker-0", NULL);
+	edge_rig_run(&rig, 300);
+	edge_rig_register_entry(&rig, "worker-0", address, "ready", 1, 5000);
+	edge_rig_run(&rig, 300);
+	backend_standin_release(&rig.server_standins[_i]);
+	wait_until_closed();
+	ck_assert(begins_with("HTTP/1.1 200 ") && ends_with("done"));
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
+START_TEST(a_planned_stop_waits_for_a_request_that_two_servers_have)
+{
+	send_to_both_servers("/long-safe/wait");
+	edge_stop(&rig.hosts[0].edge);
+	edge_rig_run(&rig, 1000);
+	backend_standin_release(&rig.server_standins[_i]);
+	wait_until_closed();
+	ck_assert(begins_with("HTTP/1.1 200 ") && ends_with("done"));
+}
+END_TEST
+
+START_TEST(a_deadline_ends_both_attempts)
+{
+	send_to_both_servers("/long-safe/wait");
+	rig.hosts[0].edge.calls->deadline_us = edge_now_us();
+	call_schedule(rig.hosts[0].edge.calls);
+	wait_until_closed();
+	edge_rig_run(&rig, 100);
+	ck_assert(begins_with("HTTP/1.1 504 "));
+	ck_assert_uint_eq(rig.server_standins[0].disconnects, 1);
+	ck_assert_uint_eq(rig.server_standins[1].disconnects, 1);
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("edge_second_attempt");
+	TCase *tcase = tcase_create("second_attempt");
+
+	tcase_add_checked_fixture(tcase, setup, teardown);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(tcase, a_large_error_response_is_not_cut_at_its_end,
+			    0, 2);
+	tcase_add_test(tcase, a_caller_that_leaves_ends_both_attempts);
+	tcase_add_loop_test(
+		tcase, either_server_answers_a_request_that_both_have, 0, 2);
+	tcase_add_loop_test(
+		tcase, a_crash_of_one_server_leaves_the_request_to_the_other, 0,
+		2);
+	tcase_add_loop_test(tcase, a_silent_server_may_be_removed_and_restarted,
+			    0, 2);
+	tcase_add_loop_test(
+		tcase, a_planned_stop_waits_for_a_request_that_two_servers_have,
+		0, 2);
+	tcase_add_test(tcase, a_deadline_ends_both_attempts);
+	suite_add_tcase(suite, tcase);
+	return unit_main(suite);
+}
