Do not join an error response with another server's response

Callers could get bytes of two responses under one head, with a whole ending.

Cause: a call settles on the attempt whose server sends a success. An error response above 256 KiB is forwarded as well, but left the other attempt open: when that one's server answered, the request ended as complete in the middle of the error's body. In a stream that was resumed, such an error's bytes followed the events of the first server.

Change: the call settles on an attempt before its body is forwarded, and the body of a server that refuses to go on with a stream is dropped.

Both tests failed before and pass.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -167,6 +167,8 @@
 	record_received(attempt);
 	if (is_success(attempt->status))
 		settle_on(attempt);
+	if (refuses_to_go_on(attempt))
+		return;
 	if (attempt->forwarding && call_is_stream(attempt->call)) {
 		forward_events(attempt, data, size);
 		return;
@@ -176,6 +178,7 @@
 		buffer_add(&attempt->body, data, size);
 		return;
 	}
+	settle_on(attempt);
 	attempt->call->body_forwarded = true;
 	begin_forwarding(attempt);
 	forward_body(attempt, attempt->body.data, attempt->body.size);
--- a/tests/unit/test_edge_second_attempt.c
+++ b/tests/unit/test_edge_second_attempt.c
@@ -100,6 +100,16 @@
 	return count;
 }
 
+static size_t count_in_head(char byte)
+{
+	const char *end = strstr(caller.received.data, "\r\n\r\n");
+	size_t count = 0;
+
+	for (const char *at = caller.received.data; end && at < end; at++)
+		count += *at == byte;
+	return count;
+}
+
 static bool no_server_is_busy(void)
 {
 	const struct backend *backend = rig.hosts[0].edge.backends.first;
@@ -123,6 +133,37 @@
 }
 END_TEST
 
+/* The first server goes on with a response that is no success. */
+START_TEST(a_large_error_response_is_not_joined_with_another_response)
+{
+	send_to_both_servers("/long-safe/wait");
+	backend_standin_begin_large(&rig.server_standins[0], _i ? 404 : 500);
+	edge_rig_run(&rig, 100);
+	ck_assert_uint_gt(caller.received.size, LARGE_BODY_BYTES / 4);
+	backend_standin_release(&rig.server_standins[1]);
+	edge_rig_run(&rig, 100);
+	backend_standin_crash(&rig.server_standins[0]);
+	wait_until_closed();
+	ck_assert(!ends_with("\r\n0\r\n\r\n"));
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
+/* The second server refuses to go on with a stream that has begun. */
+START_TEST(a_large_error_response_is_not_joined_with_a_stream)
+{
+	rig.server_standins[1].fails_large = true;
+	send_to_first_server("/long-resume/stream",
+			     "X-Pause: 4,3000\r\nConnection: close\r\n");
+	wait_until_closed();
+	ck_assert_uint_eq(rig.server_standins[1].runs, 1);
+	ck_assert_uint_eq(count_bytes('x'), count_in_head('x'));
+	ck_assert(strstr(caller.received.data, "data: part-5\n"));
+	ck_assert(ends_with("\r\n0\r\n\r\n"));
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_ends_both_attempts)
 {
 	send_to_both_servers("/long-safe/wait");
@@ -212,6 +253,12 @@
 	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(tcase, a_large_error_response_is_not_cut_at_its_end,
 			    0, 2);
+	tcase_add_loop_test(
+		tcase,
+		a_large_error_response_is_not_joined_with_another_response, 0,
+		2);
+	tcase_add_test(tcase,
+		       a_large_error_response_is_not_joined_with_a_stream);
 	tcase_add_test(tcase, a_caller_that_leaves_ends_both_attempts);
 	tcase_add_loop_test(
 		tcase, either_server_answers_a_request_that_both_have, 0, 2);
