Wait for a silent server when the second one answers 500

A request that two servers had ended with the second one's 500 although the first was only silent and could still answer.

Cause: call_retry_server_error() took each step of the plan but a send for the end, so also the step to wait for the open attempt.

Change: it waits, as after each other failure of the second attempt.

The test failed before (the caller got 500) and passes.

--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -243,12 +243,15 @@
 
 	call->may_have_run = true;
 	make_plan(call, ATTEMPT_FAILED, false, &dispatch);
-	if (dispatch.plan.step != ATTEMPT_STEP_SEND)
+	if (dispatch.plan.step == ATTEMPT_STEP_END)
 		return false;
 	call_log_attempt_failed(attempt, "the server failed the request");
 	record_failure(attempt, BACKEND_FAILED, true);
 	call_attempt_end(attempt);
-	send_request(call, &dispatch);
+	if (dispatch.plan.step == ATTEMPT_STEP_SEND)
+		send_request(call, &dispatch);
+	else
+		wait_for_silent_server(call);
 	return true;
 }
 
--- a/tests/unit/test_edge_second_attempt.c
+++ b/tests/unit/test_edge_second_attempt.c
@@ -149,6 +149,20 @@
 }
 END_TEST
 
+START_TEST(an_error_of_the_second_server_does_not_end_the_first_attempt)
+{
+	rig.server_standins[1].fails = true;
+	send_to_first_server("/long-safe/ok",
+			     "X-Pause: 1,3000\r\nConnection: close\r\n");
+	wait_until_closed();
+	ck_assert_uint_eq(rig.server_standins[1].runs, 1);
+	ck_assert_msg(begins_with("HTTP/1.1 200 "), "received: %.200s",
+		      caller.received.data);
+	ck_assert(ends_with("done"));
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
 /* The second server refuses to go on with a stream that has begun. */
 START_TEST(a_large_error_response_is_not_joined_with_a_stream)
 {
@@ -259,6 +273,9 @@
 		2);
 	tcase_add_test(tcase,
 		       a_large_error_response_is_not_joined_with_a_stream);
+	tcase_add_test(
+		tcase,
+		an_error_of_the_second_server_does_not_end_the_first_attempt);
 	tcase_add_test(tcase, a_caller_that_leaves_ends_both_attempts);
 	tcase_add_loop_test(
 		tcase, either_server_answers_a_request_that_both_have, 0, 2);
