Leave retries to requests that failed before those at a silent server

While one server was silent, requests that another server had failed got no retry: 0 of 5 in the test, 5 of 5 without a silent server.

Cause: a request at a silent server looks for retry credit again every 250 ms until its time is up, so some of them take each retry as it is refilled. A request that failed looks once, and ends without one.

Change: a request at a silent server, which can wait, is sent to another server only while the credit of one more retry is left, or the credit is full.

The test (40 requests at a silent server, 2 retries a second) failed before with 0 of 5 served and passes with 5.

--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -76,6 +76,19 @@
 	struct backend *backend; /* NULL if none was found */
 };
 
+/* A request at a silent server can wait, so it leaves the last credit to one
+ * that can't. */
+static bool has_retry_credit(struct call *call, enum attempt_trigger trigger,
+			     int64_t now_us)
+{
+	struct retry_budget *budget =
+		edge_retry_budget(call->edge, call->route.service);
+
+	if (trigger == ATTEMPT_SILENT)
+		return retry_budget_has_spare_credit(budget, now_us);
+	return retry_budget_has_credit(budget, now_us);
+}
+
 static void make_plan(struct call *call, enum attempt_trigger trigger,
 		      bool crashes_servers, struct dispatch *dispatch)
 {
@@ -93,8 +106,7 @@
 		.sent_max = call->route.max_attempts,
 		.left_us = call->deadline_us - now_us,
 		.placement = choose_server(call, &dispatch->backend),
-		.has_retry_credit = retry_budget_has_credit(
-			edge_retry_budget(edge, call->route.service), now_us),
+		.has_retry_credit = has_retry_credit(call, trigger, now_us),
 		.other_is_open = call->silent != NULL,
 	};
 
--- a/src/state/retry_budget.c
+++ b/src/state/retry_budget.c
@@ -3,6 +3,8 @@
 #include "tamarackgw/clock.h"
 
 #define THOUSANDTHS_PER_RETRY 1000
+/* A retry that can wait is made while there is credit for this many. */
+#define SPARE_RETRIES 2
 
 static const struct retry_limits default_limits = {
 	.per_attempt_thousandths = 200,
@@ -53,6 +55,17 @@
 	return budget->credit_thousandths >= THOUSANDTHS_PER_RETRY;
 }
 
+bool retry_budget_has_spare_credit(struct retry_budget *budget, int64_t now_us)
+{
+	int64_t max_thousandths = budget->limits.max_thousandths;
+	int64_t needed_thousandths = SPARE_RETRIES * THOUSANDTHS_PER_RETRY;
+
+	if (needed_thousandths > max_thousandths)
+		needed_thousandths = max_thousandths;
+	return retry_budget_has_credit(budget, now_us) &&
+	       budget->credit_thousandths >= needed_thousandths;
+}
+
 bool retry_budget_spend(struct retry_budget *budget, int64_t now_us)
 {
 	if (!retry_budget_has_credit(budget, now_us))
--- a/src/state/retry_budget.h
+++ b/src/state/retry_budget.h
@@ -35,6 +35,10 @@
 /** @return whether one retry could be spent now */
 bool retry_budget_has_credit(struct retry_budget *budget, int64_t now_us);
 
+/** @return whether one retry could be spent now and leave the credit of
+ * another, or the credit is full */
+bool retry_budget_has_spare_credit(struct retry_budget *budget, int64_t now_us);
+
 /** Spends the credit of one retry. @return false when the credit is too low */
 bool retry_budget_spend(struct retry_budget *budget, int64_t now_us);
 
--- a/tests/unit/test_edge_second_attempt.c
+++ b/tests/unit/test_edge_second_attempt.c
@@ -11,6 +11,8 @@
 #define LARGE_BODY_BYTES ((size_t)600 * 1024)
 /* After this, the host has sent a request of 10 s to another server as well. */
 #define SECOND_ATTEMPT_MS 1700
+#define FAILED_REQUESTS 5
+#define SILENT_REQUESTS 40
 #define AMPLE_CREDIT 1000000
 
 static struct edge_rig rig;
@@ -178,6 +180,67 @@
 }
 END_TEST
 
+/* Its refill is all that the requests get. */
+static void limit_retry_credit(void)
+{
+	struct retry_budget *budget =
+		edge_retry_budget(&rig.hosts[0].edge, "app");
+
+	budget->limits.per_attempt_thousandths = 0;
+	budget->limits.refill_thousandths_per_s = 2000;
+	budget->limits.max_thousandths = 3000;
+	budget->credit_thousandths = 3000;
+}
+
+/* Sends requests that their first server fails, one each second.
+ * @return how many got a success */
+static unsigned int count_served_of_failed(void)
+{
+	unsigned int served = 0;
+
+	for (int i = 0; i < FAILED_REQUESTS; i++) {
+		char *answer = edge_rig_request(&rig, "GET", "long-safe", "ok",
+						"", "");
+
+		served += !strncmp(answer, "HTTP/1.1 200 ",
+				   strlen("HTTP/1.1 200 "));
+		free(answer);
+		edge_rig_run(&rig, 1000);
+	}
+	return served;
+}
+
+START_TEST(requests_at_a_silent_server_leave_retries_to_those_that_failed)
+{
+	static struct edge_rig_caller silent[SILENT_REQUESTS];
+	int count = _i * SILENT_REQUESTS;
+	unsigned int served;
+
+	rig.server_standins[1].fails = true;
+	edge_rig_register_server(&rig, 1, "draining", 2);
+	edge_rig_run(&rig, 300);
+	limit_retry_credit();
+	for (int i = 0; i < count; i++)
+		edge_rig_call(&rig, &silent[i],
+			      "GET /long-safe/ok HTTP/1.1\r\n"
+			      "Host: a.example\r\n"
+			      "Authorization: Token key-1\r\n"
+			      "X-Pause: 1,9000\r\n\r\n");
+	edge_rig_register_server(&rig, 1, "ready", 3);
+	edge_rig_run(&rig, 2000);
+	served = count_served_of_failed();
+	send_request("/long-safe/ok", "Connection: close\r\n");
+	for (int i = 0; i < count; i++) {
+		edge_rig_close_caller(&silent[i]);
+		while (!silent[i].released)
+			edge_rig_run(&rig, 1);
+		buffer_free(&silent[i].received);
+	}
+	ck_assert_msg(served == FAILED_REQUESTS, "%u of %u requests are served",
+		      served, FAILED_REQUESTS);
+}
+END_TEST
+
 START_TEST(a_caller_that_leaves_ends_both_attempts)
 {
 	send_to_both_servers("/long-safe/wait");
@@ -288,6 +351,10 @@
 		tcase, a_planned_stop_waits_for_a_request_that_two_servers_have,
 		0, 2);
 	tcase_add_test(tcase, a_deadline_ends_both_attempts);
+	tcase_add_loop_test(
+		tcase,
+		requests_at_a_silent_server_leave_retries_to_those_that_failed,
+		0, 2);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
