Fill a large event's end as clang-tidy expects

clang-tidy reported the copy of two line ends in the stand-in for backend servers as a text without its null byte (bugprone-not-null-terminated-result), which the style check treats as an error.

--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -91,7 +91,7 @@
 	send_head(conn, 200, SERVER_LENGTH_UNKNOWN,
 		  "Content-Type: text/event-stream\r\n");
 	memset(text, 'x', LARGE_EVENT_BYTES);
-	memcpy(text + LARGE_EVENT_BYTES - 2, "\n\n", 2);
+	memset(text + LARGE_EVENT_BYTES - 2, '\n', 2);
 	for (int i = 0; i < LARGE_STREAM_EVENTS; i++) {
 		int length = snprintf(text, 32, "id: %d\ndata: ", i);
 
