--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -83,6 +83,19 @@
 	struct backend *backend; /* NULL if none was found */
 };
 
+/* A request at a silent server can wait, so it leaves the last credit to one
+ * that can't. */
+static bool has_retry_credit(struct call *call, enum attempt_trigger trigger,
+			     int64_t now_us)
+{
+	struct retry_budget *budget =
+		edge_retry_budget(call->edge, call->route.service);
+
+	if (trigger == ATTEMPT_SILENT)
+		return retry_budget_has_spare_credit(budget, now_us);
+	return retry_budget_has_credit(budget, now_us);
+}
+
 static void make_plan(struct call *call, enum attempt_trigger trigger,
 		      bool crashes_servers, struct dispatch *dispatch)
 {
@@ -100,8 +113,7 @@
 		.sent_max = call->route.max_attempts,
 		.left_us = call->deadline_us - now_us,
 		.placement = choose_server(call, &dispatch->backend),
-		.has_retry_credit = retry_budget_has_credit(
-			edge_retry_budget(edge, call->route.service), now_us),
+		.has_retry_credit = has_retry_credit(call, trigger, now_us),
 		.other_is_open = call->silent != NULL,
 	};
 
@@ -250,12 +262,15 @@
 
 	call->may_have_run = true;
 	make_plan(call, ATTEMPT_FAILED, false, &dispatch);
-	if (dispatch.plan.step != ATTEMPT_STEP_SEND)
+	if (dispatch.plan.step == ATTEMPT_STEP_END)
 		return false;
 	call_log_attempt_failed(attempt, "the server failed the request");
 	record_failure(attempt, BACKEND_FAILED, true);
 	call_attempt_end(attempt);
-	send_request(call, &dispatch);
+	if (dispatch.plan.step == ATTEMPT_STEP_SEND)
+		send_request(call, &dispatch);
+	else
+		wait_for_silent_server(call);
 	return true;
 }
 
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -105,7 +105,7 @@
 	send_head(conn, 200, SERVER_LENGTH_UNKNOWN,
 		  "Content-Type: text/event-stream\r\n");
 	memset(text, 'x', LARGE_EVENT_BYTES);
-	memcpy(text + LARGE_EVENT_BYTES - 2, "\n\n", 2);
+	memset(text + LARGE_EVENT_BYTES - 2, '\n', 2);
 	for (int i = 0; i < LARGE_STREAM_EVENTS; i++) {
 		int length = snprintf(text, 32, "id: %d\ndata: ", i);
 
@@ -127,19 +127,24 @@
 	server_conn_abort(conn);
 }
 
-static void answer_huge(struct server_conn *conn, bool truncated)
+static void begin_huge(struct server_conn *conn, int status, size_t size)
 {
-	char *text = xmalloc(HUGE_BODY_BYTES);
+	char *text = xmalloc(size);
 
-	memset(text, 'x', HUGE_BODY_BYTES);
-	send_head(conn, 200, HUGE_BODY_BYTES, "");
-	server_conn_send_body(
-		conn, text, truncated ? HUGE_BODY_BYTES / 2 : HUGE_BODY_BYTES);
+	memset(text, 'x', size);
+	send_head(conn, status, HUGE_BODY_BYTES, "");
+	server_conn_send_body(conn, text, size);
+	free(text);
+}
+
+static void answer_huge(struct server_conn *conn, int status, bool truncated)
+{
+	begin_huge(conn, status,
+		   truncated ? HUGE_BODY_BYTES / 2 : HUGE_BODY_BYTES);
 	if (truncated)
 		server_conn_abort(conn);
 	else
 		server_conn_finish(conn);
-	free(text);
 }
 
 /* A response that has fallen silent: its request's connection, and what it
@@ -280,8 +285,12 @@
 	bool is_stream = !strcmp(action, "stream");
 
 	standin->runs++;
-	if (pause && !standin->never_pauses &&
-	    (is_stream || !strcmp(action, "ok")))
+	if (standin->fails_huge)
+		answer_huge(conn, 500, false);
+	else if (standin->fails)
+		answer(conn, 500, "failed", "");
+	else if (pause && !standin->never_pauses &&
+		 (is_stream || !strcmp(action, "ok")))
 		respond_with_pause(standin, conn, is_stream, pause);
 	else if (!strcmp(action, "ok"))
 		answer(conn, 200, "done", "");
@@ -308,7 +317,11 @@
 	else if (!strcmp(action, "stream-large"))
 		stream_large(conn);
 	else if (!strcmp(action, "huge"))
-		answer_huge(conn, standin->cuts_huge);
+		answer_huge(conn, 200, standin->cuts_huge);
+	else if (!strcmp(action, "huge-missing"))
+		answer_huge(conn, 404, false);
+	else if (!strcmp(action, "huge-fail"))
+		answer_huge(conn, 500, false);
 	else
 		standin->waiting = conn;
 }
@@ -341,6 +354,12 @@
 		answer(conn, 200, "done", "");
 }
 
+void backend_standin_begin_huge(struct backend_standin *standin, int status)
+{
+	if (standin->waiting)
+		begin_huge(standin->waiting, status, HUGE_BODY_BYTES / 2);
+}
+
 static void on_disconnected(struct server_conn *conn)
 {
 	struct backend_standin *standin = conn->owner;
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -3,12 +3,12 @@
  * A small stand-in for a backend server of the platform. The last segment of a
  * request's path selects what it does: ok, large (a body of 200 KB), larger
  * (260 KB), huge (600 KB), empty (204), fail, fail-once, break, crash, stream,
- * stream-cut, stream-cut-no-ids, stream-large or full. Any other request waits
- * until backend_standin_release(). A response to ok or stream falls silent and
- * goes on later if its request has the field X-Pause: AT,MS (enum
- * backend_standin_pause and milliseconds). A request that expects another
- * instance gets 421 and is not executed. The path busy gets 503 without a word
- * on whether it was executed.
+ * stream-cut, stream-cut-no-ids, stream-large, huge-missing (404), huge-fail
+ * (500) or full. Any other request waits until backend_standin_release(). A
+ * response to ok or stream falls silent and goes on later if its request has
+ * the field X-Pause: AT,MS (enum backend_standin_pause and milliseconds). A
+ * request that expects another instance gets 421 and is not executed. The path
+ * busy gets 503 without a word on whether it was executed.
  */
 #ifndef FAKES_BACKEND_STANDIN_H
 #define FAKES_BACKEND_STANDIN_H
@@ -47,6 +47,8 @@
 	bool never_pauses; /**< ignores X-Pause */
 	bool cuts_huge;	   /**< breaks off in the middle of huge */
 	bool rejects;	   /**< reports that it is full, and runs nothing */
+	bool fails;	   /**< answers 500 to each request that it runs */
+	bool fails_huge;   /**< the same, with a large body */
 	/** Header lines, with their ends, that are added to all answers; NULL:
 	 * none. */
 	const char *extra_fields;
@@ -73,4 +75,8 @@
 /** Answers the waiting request, if there is one. */
 void backend_standin_release(struct backend_standin *standin);
 
+/** Sends the head and half of a large body to the waiting request, which stays
+ * open. */
+void backend_standin_begin_huge(struct backend_standin *standin, int status);
+
 #endif
