Rest the choice of a relay on a host's own store calls

Callers saw: in outages of the store, hosts turned from relay to relay, and after a kill of all hosts soon after, more of the budgets was lost.

Cause: a host that follows keys through its relay makes no call of its own, and took the store for reachable until one failed; of other hosts that it had never asked it assumed so, too. So each loss of the store led through all candidates. A call that began in the outage and timed out after it counted as a new outage. A late message, and the reply of a host that is not the relay, changed what was known of the relay.

Change: struct store_belief holds what the host's own calls tell (watch, lists, pools, caps, a probe), with time and source; after 3 s without a call it tells nothing, and a call that began before the last answer is no evidence. Each message says only what that allows. A relay that answers is left once another one has been better for a while: 2 s if the relay reaches the store, 0.5 s if it has lost it, 0.1 s if it has lost it just now and the other one, of the same domain, has reached it since. A change of a host's reach is told to those that use it at once. A host that does not answer is suspected for longer each time, until it has answered for 16 s.

Two hosts that use each other as relay (their lists of hosts differ, or one of them has changed just now) passed tokens and demand back and forth: neither asked the store. Now neither passes anything to a host that reports to it, and the one whose name is first turns away.

--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -24,8 +24,27 @@
 #define SUSPECT_MAX_US (16 * TGW_US_PER_S)
 /* A host that stops gets no reports for this time. */
 #define LEAVING_US (20 * TGW_US_PER_S)
-/* A host that does not reach the store is asked again after this. */
+/* A host that is not known to reach the store is asked again after this. */
 #define PROBE_INTERVAL_US (1 * TGW_US_PER_S)
+/* What a host has said of the store counts for this time. */
+#define TOLD_RECENT_US (3 * TGW_US_PER_S)
+/* A host that others use, or may use, calls the store if its last call is older
+ * than this. */
+#define BELIEF_MAX_AGE_US (2 * TGW_US_PER_S)
+/* Another host is used instead of the relay once it has been the better one for
+ * this time: if the relay reaches the store; if it has lost it; and if it has
+ * lost it just now and the other one is in the same failure domain and has
+ * reached it since. A call that fails takes half a second; and after an outage
+ * hosts notice one after the other that the store is back. */
+#define BETTER_WAIT_US (2 * TGW_US_PER_S)
+#define LOST_WAIT_US (500 * TGW_US_PER_MS)
+#define LOST_NOW_WAIT_US (100 * TGW_US_PER_MS)
+#define LOST_NOW_US (1 * TGW_US_PER_S)
+/* A host leaves the pools once others have been its relay for this time. */
+#define LEAVE_AFTER_US (5 * TGW_US_PER_S)
+/* Minimum time between two messages to all that this host has lost the store,
+ * or reaches it again. */
+#define TELL_INTERVAL_US (100 * TGW_US_PER_MS)
 /* Until the hosts are known, a starting host waits this long for them before it
  * uses the store by itself. */
 #define DISCOVERY_US (4 * TGW_US_PER_S)
@@ -84,12 +103,19 @@
 	       now_of(relay) >= candidate->suspect_until_us;
 }
 
+/* A host of the own failure domain that was never asked is assumed to reach the
+ * store, so that starting hosts agree at once. */
 static bool reaches_store(const struct budget_relay *relay,
 			  const struct budget_relay_candidate *candidate)
 {
+	int64_t now = now_of(relay);
+
 	if (candidate->is_self)
-		return !relay->budgets->store_unreachable;
-	return !candidate->store_unreachable;
+		return budget_relay_reaches_store(relay);
+	if (!candidate->told_us)
+		return !candidate->is_elsewhere;
+	return !candidate->store_unreachable &&
+	       now - candidate->told_us < TOLD_RECENT_US;
 }
 
 /* While nobody reaches the store, the hosts of the failure domain share what
@@ -135,13 +161,39 @@
 	team_budget_caps_request(relay->budgets);
 }
 
-static void choose(struct budget_relay *relay, const char *reason)
+static int64_t wait_us(const struct budget_relay *relay,
+		       const struct budget_relay_candidate *better)
 {
-	const struct budget_relay_candidate *previous = relay->current;
+	if (reaches_store(relay, relay->current))
+		return BETTER_WAIT_US;
+	if (better->is_elsewhere || !reaches_store(relay, better) ||
+	    now_of(relay) - relay->lost_us >= LOST_NOW_US)
+		return LOST_WAIT_US;
+	return LOST_NOW_WAIT_US;
+}
 
-	relay->current = best_candidate(relay);
-	if (relay->current == previous)
-		return;
+/* A relay that answers is not left before another one has been better for a
+ * while. */
+static bool must_wait(struct budget_relay *relay,
+		      const struct budget_relay_candidate *better)
+{
+	if (!relay->current || !better || !answers(relay, relay->current))
+		return false;
+	if (strcmp(relay->wanted, better->host)) {
+		text_copy(relay->wanted, sizeof(relay->wanted), better->host);
+		relay->wanted_since_us = now_of(relay);
+		team_budget_wake(relay->budgets);
+	}
+	return now_of(relay) - relay->wanted_since_us < wait_us(relay, better);
+}
+
+static void use(struct budget_relay *relay,
+		const struct budget_relay_candidate *candidate,
+		const char *reason)
+{
+	relay->current = candidate;
+	relay->lost_us = 0;
+	*relay->wanted = '\0';
 	relay->budgets->counters.relay_changes++;
 	relay->chosen_us = now_of(relay);
 	/* A report that it got when it was the relay before tells nothing. */
@@ -156,6 +208,33 @@
 	team_budget_wake(relay->budgets);
 }
 
+/* What it knew before may be from before the outage, too. */
+static void note_lost(struct budget_relay *relay)
+{
+	if (!relay->current || reaches_store(relay, relay->current)) {
+		relay->lost_us = 0;
+		return;
+	}
+	if (relay->lost_us)
+		return;
+	relay->lost_us = now_of(relay);
+	if (!relay->current->is_self)
+		relay->doubted_us = relay->lost_us;
+	team_budget_wake(relay->budgets);
+}
+
+static void choose(struct budget_relay *relay, const char *reason)
+{
+	const struct budget_relay_candidate *best;
+
+	note_lost(relay);
+	best = best_candidate(relay);
+	if (best == relay->current)
+		*relay->wanted = '\0';
+	else if (!must_wait(relay, best))
+		use(relay, best, reason);
+}
+
 static void fill_candidate(struct budget_relay *relay,
 			   struct budget_relay_candidate *candidate,
 			   const char *host)
@@ -230,35 +309,72 @@
 	return !relay->current || relay->current->is_self;
 }
 
-static void suspect(struct budget_relay *relay,
-		    struct budget_relay_candidate *candidate, int64_t for_us,
-		    const char *reason)
+static void suspect(const struct budget_relay *relay,
+		    struct budget_relay_candidate *candidate, int64_t for_us)
 {
 	candidate->asked_us = 0;
 	candidate->suspect_for_us = for_us;
 	candidate->suspect_until_us = now_of(relay) + for_us;
-	choose(relay, reason);
 }
 
-static void suspect_silent(struct budget_relay *relay,
+/* The time doubles also if it has answered meanwhile, but not for long. */
+static void suspect_silent(const struct budget_relay *relay,
 			   struct budget_relay_candidate *candidate)
 {
 	int64_t for_us = candidate->suspect_for_us * 2;
 
-	if (for_us < SUSPECT_MIN_US)
+	if (now_of(relay) - candidate->suspect_until_us >= SUSPECT_MAX_US ||
+	    for_us < SUSPECT_MIN_US)
 		for_us = SUSPECT_MIN_US;
 	if (for_us > SUSPECT_MAX_US)
 		for_us = SUSPECT_MAX_US;
-	suspect(relay, candidate, for_us, "the relay does not answer");
+	suspect(relay, candidate, for_us);
 }
 
 /* Messages. */
 
+static void note_told(const struct budget_relay *relay,
+		      struct budget_relay_candidate *candidate,
+		      const struct transfer_link *link)
+{
+	candidate->store_unreachable = link->store_unreachable;
+	candidate->told_us = now_of(relay);
+}
+
+static void on_report(struct budget_relay *relay, struct transfer_link *link,
+		      int64_t heard_before_us)
+{
+	relay->reported_to_us = now_of(relay);
+	/* Its own relay may have lost the store. */
+	if (relay->reported_to_us - heard_before_us >= BELIEF_MAX_AGE_US)
+		relay->check_us = relay->reported_to_us;
+	budget_transfer_serve(relay, link);
+	budget_transfer_reply(relay, link, true);
+	team_budget_wake(relay->budgets);
+}
+
+/* Two hosts that use each other would get no tokens from the store. The one
+ * whose name is first turns to another one, which may be itself. */
+static void end_mutual_use(struct budget_relay *relay,
+			   struct budget_relay_candidate *candidate,
+			   const struct transfer_link *link)
+{
+	if (candidate != relay->current ||
+	    !budget_transfer_is_used_by(relay, link) ||
+	    now_of(relay) - relay->chosen_us < SILENCE_US ||
+	    strcmp(relay->host, candidate->host) > 0)
+		return;
+	suspect_silent(relay, candidate);
+	choose(relay, "the relay uses this host");
+}
+
 void budget_relay_on_message(struct budget_relay *relay,
 			     const struct tgw_peer_message *message)
 {
 	struct budget_relay_candidate *candidate;
-	struct transfer_link *link;
+	struct transfer_link *link =
+		budget_transfer_find(relay, message->from_host);
+	int64_t heard_before_us = link ? link->heard_us : 0;
 	bool to_relay;
 
 	link = budget_transfer_receive(relay, message, &to_relay);
@@ -266,44 +382,103 @@
 		return;
 	candidate = find_candidate(relay, message->from_host);
 	if (candidate)
-		candidate->store_unreachable = link->store_unreachable;
-	if (to_relay) {
-		if (link->store_unreachable)
-			choose(relay, "the relay has lost the store");
-		budget_transfer_serve(relay, link);
-		budget_transfer_reply(relay, link, true);
-		team_budget_wake(relay->budgets);
-		return;
-	}
+		note_told(relay, candidate, link);
+	if (to_relay)
+		on_report(relay, link, heard_before_us);
 	if (!candidate)
 		return;
-	candidate->asked_us = 0;
-	if (link->leaving) {
-		suspect(relay, candidate, LEAVING_US, "the relay stops");
-	} else {
-		candidate->suspect_for_us = 0;
-		candidate->suspect_until_us = 0;
-		choose(relay, "the relay answers");
-	}
-	team_budget_notify_changed(relay->budgets);
+	if (to_relay)
+		end_mutual_use(relay, candidate, link);
+	else
+		candidate->asked_us = 0;
+	if (!to_relay && link->leaving)
+		suspect(relay, candidate, LEAVING_US);
+	choose(relay, link->leaving		? "the relay stops"
+		      : link->store_unreachable ? "the relay has lost the store"
+						: "another host ranks higher");
+	if (!to_relay)
+		team_budget_notify_changed(relay->budgets);
 }
 
-bool budget_relay_may_be_self(const struct budget_relay *relay)
+/* @return whether this host could be used instead of the relay */
+static bool would_replace(const struct budget_relay *relay)
 {
-	if (budget_relay_uses_store(relay))
-		return false;
-	for (size_t i = 0; i < relay->candidate_count; i++)
-		if (relay->candidates[i].is_self)
+	for (size_t i = 0; i < relay->candidate_count; i++) {
+		const struct budget_relay_candidate *candidate =
+			&relay->candidates[i];
+
+		if (candidate->is_self)
 			return true;
+		if (candidate == relay->current &&
+		    reaches_store(relay, candidate))
+			return false;
+	}
 	return false;
 }
 
+bool budget_relay_reaches_store(const struct budget_relay *relay)
+{
+	const struct store_belief *belief = &relay->budgets->store_belief;
+	bool is_relay = relay->current && relay->current->is_self;
+
+	return store_belief_reaches(belief, now_of(relay)) &&
+	       (is_relay || belief->known_us >= relay->doubted_us);
+}
+
+bool budget_relay_needs_belief(const struct budget_relay *relay)
+{
+	const struct store_belief *belief = &relay->budgets->store_belief;
+	int64_t max_age_us = BELIEF_MAX_AGE_US;
+	bool is_asked;
+
+	if (!relay->peer || !relay->current)
+		return false;
+	is_asked = relay->reported_to_us &&
+		   now_of(relay) - relay->reported_to_us < BELIEF_MAX_AGE_US;
+	if (!relay->current->is_self && would_replace(relay))
+		max_age_us = PROBE_INTERVAL_US;
+	else if (!relay->current->is_self && !is_asked)
+		return false;
+	return belief->known_us < relay->doubted_us ||
+	       belief->known_us < relay->check_us ||
+	       now_of(relay) - belief->known_us >= max_age_us;
+}
+
+bool budget_relay_is_settled(const struct budget_relay *relay)
+{
+	return relay->member_since_us &&
+	       now_of(relay) - relay->member_since_us >= LEAVE_AFTER_US;
+}
+
+bool budget_relay_lost_store(const struct budget_relay *relay)
+{
+	const struct budget_relay_candidate *current = relay->current;
+
+	return current && !current->is_self && current->told_us &&
+	       current->store_unreachable;
+}
+
+static void tell_others(struct budget_relay *relay)
+{
+	int64_t now = now_of(relay);
+
+	if (relay->told_others_us &&
+	    now - relay->told_others_us < TELL_INTERVAL_US)
+		return;
+	relay->told_others_us = now;
+	for (struct transfer_link *link = relay->links; link; link = link->next)
+		if (!link->ended && now - link->heard_us < BELIEF_MAX_AGE_US)
+			budget_transfer_reply(relay, link, true);
+}
+
 void budget_relay_on_store_change(struct budget_relay *relay)
 {
-	if (relay->hosts_known)
-		choose(relay, relay->budgets->store_unreachable
-				      ? "this host has lost the store"
-				      : "this host reaches the store again");
+	if (!relay->peer || !relay->hosts_known)
+		return;
+	tell_others(relay);
+	choose(relay, relay->budgets->store_belief.unreachable
+			      ? "this host has lost the store"
+			      : "this host reaches the store again");
 }
 
 void budget_relay_request(struct budget_relay *relay)
@@ -346,8 +521,25 @@
 	return candidate->sent_us + REPORT_INTERVAL_US;
 }
 
-/* Asks the hosts that had lost the store whether they reach it again, those
- * only that would then be better than the current one. */
+static void probe(struct budget_relay *relay,
+		  struct budget_relay_candidate *candidate)
+{
+	int64_t now = now_of(relay);
+
+	if (now - candidate->probed_us < PROBE_INTERVAL_US)
+		return;
+	if (candidate->probed_us && candidate->told_us < candidate->probed_us)
+		suspect_silent(relay, candidate);
+	if (!answers(relay, candidate)) {
+		candidate->probed_us = 0;
+		return;
+	}
+	candidate->probed_us = now;
+	budget_transfer_probe(relay, candidate->host);
+}
+
+/* Asks the hosts that would be better than the current one if they reached the
+ * store. */
 static void probe_candidates(struct budget_relay *relay)
 {
 	const struct budget_relay_candidate *current = relay->current;
@@ -357,16 +549,14 @@
 		struct budget_relay_candidate *candidate =
 			&relay->candidates[i];
 
-		if (candidate == current) {
-			if (reaches_store(relay, current))
-				return;
-			continue;
-		}
-		if (candidate->is_self || !candidate->store_unreachable ||
-		    now - candidate->probed_us < PROBE_INTERVAL_US)
+		if (candidate == current && reaches_store(relay, current))
+			return;
+		if (candidate == current || candidate->is_self ||
+		    !answers(relay, candidate))
 			continue;
-		candidate->probed_us = now;
-		budget_transfer_probe(relay, candidate->host);
+		if (!candidate->told_us || !reaches_store(relay, candidate) ||
+		    now - candidate->told_us >= PROBE_INTERVAL_US)
+			probe(relay, candidate);
 	}
 }
 
@@ -393,13 +583,14 @@
 	if (!relay->peer || !relay->hosts_known)
 		return INT64_MAX;
 	forget_silent(relay);
-	choose(relay, "an earlier relay is tried again");
+	choose(relay, "another host has been better for a while");
 	probe_candidates(relay);
 	if (budget_relay_uses_store(relay))
 		return INT64_MAX;
 	candidate = current_of(relay);
 	if (candidate->asked_us && now - candidate->asked_us >= SILENCE_US) {
 		suspect_silent(relay, candidate);
+		choose(relay, "the relay does not answer");
 		if (budget_relay_uses_store(relay))
 			return INT64_MAX;
 		candidate = current_of(relay);
--- a/src/coordination/budget_relay.h
+++ b/src/coordination/budget_relay.h
@@ -6,7 +6,10 @@
  * Of each failure domain one host, the relay, takes allotments for all of
  * them, and the others ask it for tokens. Nobody elects it: each host ranks the
  * hosts that it knows and uses the first that answers and reaches the store,
- * itself included; if none does, the first that answers. Two relays, or none,
+ * itself included; if none does, the first that answers. A host knows that it
+ * reaches the store by its own calls only, and of others what they said
+ * recently; another relay that is better is used once it has been better for a
+ * while, unless the present one does not answer. Two relays, or none,
  * cost store calls and never overspend: tokens are bound at the giver before it
  * tells the taker, and each transfer is taken once. A host that no relay
  * answers uses the store by itself.
@@ -37,6 +40,7 @@
 	bool is_self;
 	bool is_elsewhere;	  /**< in another failure domain */
 	bool store_unreachable;	  /**< for it, as it last said */
+	int64_t told_us;	  /**< when it last said that; 0: never */
 	int64_t probed_us;	  /**< when it was last asked about that */
 	int64_t asked_us;	  /**< first message without a reply; 0: none */
 	int64_t sent_us;	  /**< last message */
@@ -60,7 +64,16 @@
 	int64_t member_since_us; /**< another host is the relay; 0: none is */
 	bool requested;		 /**< requests lack tokens that were not asked
 				  * for yet */
-	bool store_unreachable;	 /**< for the relay, by its last message */
+	char wanted[TGW_NAME_SIZE]; /**< a better one; empty: none */
+	int64_t wanted_since_us;
+	int64_t lost_us; /**< when the relay lost the store; 0: it has not */
+	int64_t reported_to_us; /**< when a host last asked this one */
+	/** What this host knew of the store before counts no more, as its relay
+	 * has lost it. */
+	int64_t doubted_us;
+	/** It has to be found out anew, as a host asks that did not before. */
+	int64_t check_us;
+	int64_t told_others_us;	    /**< that its reach of the store changed */
 	int64_t hand_over_since_us; /**< of unspent tokens, at a stop */
 	struct transfer_link *links;
 };
@@ -80,9 +93,20 @@
  * it has none */
 bool budget_relay_uses_store(const struct budget_relay *relay);
 
-/** @return whether this host uses another one, and would speak to the store by
- * itself if it reached it */
-bool budget_relay_may_be_self(const struct budget_relay *relay);
+/** @return whether this host reaches the store, as it tells others */
+bool budget_relay_reaches_store(const struct budget_relay *relay);
+
+/** @return whether a call should find out if this host reaches the store, as
+ * others rely on it, or would */
+bool budget_relay_needs_belief(const struct budget_relay *relay);
+
+/** @return whether other hosts have been the relay for so long that this one
+ * leaves the pools */
+bool budget_relay_is_settled(const struct budget_relay *relay);
+
+/** @return whether the relay is another host, and has said that it does not
+ * reach the store */
+bool budget_relay_lost_store(const struct budget_relay *relay);
 
 /** This host has lost the store, or reaches it again. */
 void budget_relay_on_store_change(struct budget_relay *relay);
--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -19,6 +19,8 @@
 #define NEEDED_FOR_US (500 * TGW_US_PER_MS)
 /* An entry is repeated in so many messages after a change. */
 #define REPEATS 3
+/* A host that has reported is taken to use this one for this time. */
+#define USED_FOR_US (1 * TGW_US_PER_S)
 /* A view of the pool that is older says nothing about free tokens. */
 #define VIEW_MAX_AGE_US (1 * TGW_US_PER_S)
 
@@ -49,6 +51,13 @@
 	return newest;
 }
 
+bool budget_transfer_is_used_by(const struct budget_relay *relay,
+				const struct transfer_link *link)
+{
+	return link->reported_us &&
+	       now_of(relay) - link->reported_us < USED_FOR_US;
+}
+
 bool budget_transfer_is_unacknowledged(const struct budget_relay *relay,
 				       const char *host)
 {
@@ -136,10 +145,7 @@
 	message->to_incarnation = link ? link->incarnation : 0;
 	message->is_report = is_report;
 	message->leaving = budgets->closing;
-	message->store_unreachable = budgets->store_unreachable;
-	for (uint32_t i = 0; i < budgets->key_count; i++)
-		if (!budgets->keys[i].store_answers)
-			message->store_unreachable = true;
+	message->store_unreachable = !budget_relay_reaches_store(relay);
 }
 
 static struct transfer_entry *next_entry(struct budget_relay *relay,
@@ -157,6 +163,7 @@
 			    const struct transfer_link *link)
 {
 	return !is_elsewhere(relay) && !link->store_unreachable &&
+	       !budget_transfer_is_used_by(relay, link) &&
 	       link->heard_us >= relay->chosen_us;
 }
 
@@ -192,7 +199,9 @@
 		totals = transfer_link_totals(link, account->team);
 		demanded = totals->out.demanded_tokens +
 			   totals->out.settled_tokens;
-		team_account_forward(account, &totals->out);
+		/* What it has reported itself must not return to it. */
+		if (!budget_transfer_is_used_by(relay, link))
+			team_account_forward(account, &totals->out);
 		if (totals->out.demanded_tokens + totals->out.settled_tokens !=
 		    demanded)
 			totals->repeats = REPEATS;
@@ -401,12 +410,15 @@
 	if (!link)
 		return NULL;
 	link->heard_us = now_of(relay);
-	link->leaving = transfer.leaving;
-	link->store_unreachable = transfer.store_unreachable;
+	if (transfer.sequence > link->sequence) {
+		link->sequence = transfer.sequence;
+		link->leaving = transfer.leaving;
+		link->store_unreachable = transfer.store_unreachable;
+	}
+	if (transfer.is_report && transfer.entry_count)
+		link->reported_us = link->heard_us;
 	for (size_t i = 0; i < transfer.entry_count; i++)
 		apply_entry(relay, link, &transfer, &transfer.entries[i]);
-	if (!transfer.is_report)
-		relay->store_unreachable = transfer.store_unreachable;
 	*to_relay = transfer.is_report;
 	return link;
 }
@@ -415,7 +427,7 @@
 
 static bool is_store_unreachable(const struct team_budget_key *key)
 {
-	return key->budgets->store_unreachable || !key->store_answers;
+	return key->budgets->store_belief.unreachable || !key->store_answers;
 }
 
 /* A host that has a relay itself passes the request on to that one, which
--- a/src/coordination/budget_transfer.h
+++ b/src/coordination/budget_transfer.h
@@ -48,4 +48,9 @@
 bool budget_transfer_is_unacknowledged(const struct budget_relay *relay,
 				       const char *host);
 
+/** @return whether the host at the other end uses this one as its relay, as it
+ * has said recently */
+bool budget_transfer_is_used_by(const struct budget_relay *relay,
+				const struct transfer_link *link);
+
 #endif
--- a/src/coordination/cap_writer.c
+++ b/src/coordination/cap_writer.c
@@ -134,6 +134,7 @@
 static void send_open(struct cap_writer *writer)
 {
 	writer->state = CAP_WRITER_CALLING;
+	writer->called_us = tgw_clock_monotonic_us(writer->clock);
 	tgw_store_swap(writer->store, writer->key, writer->version,
 		       writer->open_bytes.data, writer->open_bytes.size,
 		       (struct tgw_store_callback){on_written, writer});
@@ -166,6 +167,7 @@
 	if (tgw_clock_monotonic_us(writer->clock) < writer->due_us)
 		return;
 	writer->state = CAP_WRITER_CALLING;
+	writer->called_us = tgw_clock_monotonic_us(writer->clock);
 	tgw_store_get(writer->store, writer->key,
 		      (struct tgw_store_callback){on_read, writer});
 }
--- a/src/coordination/cap_writer.h
+++ b/src/coordination/cap_writer.h
@@ -52,8 +52,9 @@
 	uint64_t open_host_id;	    /**< with the time, names the open write */
 	int64_t open_written_us;
 	struct buffer open_bytes;
-	int64_t version; /**< that the open write expects */
-	int64_t due_us;	 /**< of the next attempt after a failure */
+	int64_t version;   /**< that the open write expects */
+	int64_t called_us; /**< when the last call began */
+	int64_t due_us;	   /**< of the next attempt after a failure */
 	int64_t backoff_us;
 };
 
--- a/src/coordination/mirrored_prefix.c
+++ b/src/coordination/mirrored_prefix.c
@@ -86,6 +86,7 @@
 	struct mirrored_prefix *prefix = arg;
 	int64_t previous = prefix->table.revision;
 
+	prefix->called(prefix->arg, true);
 	/* Changes alone don't tell which keys there are. */
 	if (!previous)
 		return;
@@ -115,6 +116,7 @@
 	bool was_reachable = !prefix->store_unreachable;
 
 	prefix->store_unreachable = true;
+	prefix->called(prefix->arg, false);
 	while (watcher) {
 		struct mirror_watcher *next = watcher->next;
 
@@ -252,6 +254,7 @@
 	struct tgw_store_callback callback = list->callback;
 	int64_t previous = prefix->table.revision;
 
+	prefix->called(prefix->arg, result->status == TGW_OK);
 	/* A relay has told of later changes meanwhile. */
 	if (result->status == TGW_OK && result->revision < previous) {
 		answer_list(list);
--- a/src/coordination/mirrored_prefix.h
+++ b/src/coordination/mirrored_prefix.h
@@ -48,6 +48,8 @@
 	/** The store confirmed the table, or does not answer. */
 	void (*updated)(void *arg, struct mirrored_prefix *prefix,
 			int64_t previous_revision);
+	/** A call of this host ended. */
+	void (*called)(void *arg, bool answered);
 	void *arg;
 	struct mirror_table table;
 	uint64_t watch; /**< of the store; 0: none */
--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -29,6 +29,8 @@
 	struct tgw_store *inner;
 	const struct tgw_clock *clock;
 	struct tgw_peer *peer;
+	void (*called)(void *arg, bool answered); /**< may be NULL */
+	void *arg;
 	uint64_t sequence;     /**< of the last message */
 	int64_t hold_us;       /**< of a watch that others follow */
 	int64_t discovered_us; /**< a relay is known by then, or there is none
@@ -72,6 +74,14 @@
 	mirror_followers_update(&mirror->followers, prefix, previous_revision);
 }
 
+static void on_called(void *arg, bool answered)
+{
+	const struct store_mirror *mirror = arg;
+
+	if (mirror->called)
+		mirror->called(mirror->arg, answered);
+}
+
 /* Sending. */
 
 static void send_follow(struct store_mirror *mirror)
@@ -338,6 +348,8 @@
 	mirror->store.ops = &mirror_ops;
 	mirror->inner = store;
 	mirror->clock = clock;
+	mirror->called = settings->called;
+	mirror->arg = settings->arg;
 	mirror->followers.peer = settings->peer;
 	mirror->followers.clock = clock;
 	mirror->followers.prefixes = mirror->prefixes;
@@ -352,6 +364,7 @@
 		mirror->prefixes[i].store = store;
 		mirror->prefixes[i].clock = clock;
 		mirror->prefixes[i].updated = on_updated;
+		mirror->prefixes[i].called = on_called;
 		mirror->prefixes[i].arg = mirror;
 	}
 	return mirror;
--- a/src/coordination/store_mirror.h
+++ b/src/coordination/store_mirror.h
@@ -35,6 +35,10 @@
 	/** Time from the start in which a relay may become known; before that
 	 * no prefix is watched, only listed. */
 	int64_t discovery_us;
+	/** A call of this host to follow the prefixes ended; answers through
+	 * another host don't count. May be NULL. */
+	void (*called)(void *arg, bool answered);
+	void *arg;
 };
 
 struct store_mirror_counters {
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -200,50 +200,70 @@
 	}
 }
 
-static void set_store_unreachable(struct team_budget *budgets, bool unreachable)
+static void retry_calls(struct team_budget *budgets)
 {
-	bool is_back = budgets->store_unreachable && !unreachable;
-
-	if (budgets->store_unreachable == unreachable)
-		return;
-	budgets->store_unreachable = unreachable;
-	budget_relay_on_store_change(&budgets->relay);
-	if (!is_back)
-		return;
-	/* Calls that failed are made again now, not after their backoff. */
 	cap_writer_retry(&budgets->cap_writer);
 	for (uint32_t i = 0; i < budgets->key_count; i++)
 		team_budget_key_retry(&budgets->keys[i]);
 }
 
+void team_budget_note_store_call(struct team_budget *budgets,
+				 const struct store_belief_evidence *evidence)
+{
+	struct store_belief *belief = &budgets->store_belief;
+	const struct team_budget_events *events = &budgets->events;
+	int64_t now = team_budget_now_us(budgets);
+	bool was_unreachable = belief->unreachable;
+	bool reached = budget_relay_reaches_store(&budgets->relay);
+	int64_t lasted_us = now - belief->changed_us;
+
+	store_belief_note(belief, evidence, now);
+	if (budget_relay_reaches_store(&budgets->relay) != reached)
+		budget_relay_on_store_change(&budgets->relay);
+	if (was_unreachable == belief->unreachable)
+		return;
+	if (events->store_changed)
+		events->store_changed(events->arg, belief->unreachable,
+				      store_belief_source_name(belief->source),
+				      lasted_us);
+	/* Calls that failed are made again now, not after their backoff. */
+	if (was_unreachable)
+		retry_calls(budgets);
+}
+
 void team_budget_set_store_unreachable(struct team_budget *budgets,
 				       bool unreachable)
 {
-	/* Another host may have told it: then a call of this host decides. */
-	if (!unreachable && budget_relay_may_be_self(&budgets->relay))
-		return;
-	set_store_unreachable(budgets, unreachable);
+	const struct store_belief_evidence evidence = {
+		.answered = !unreachable,
+		.source = STORE_BELIEF_WATCH,
+		.began_us = team_budget_now_us(budgets),
+	};
+
+	team_budget_note_store_call(budgets, &evidence);
 }
 
 static void on_probed(void *arg, const struct tgw_store_result *result)
 {
 	struct team_budget *budgets = arg;
 
+	const struct store_belief_evidence evidence = {
+		.answered = result->status == TGW_OK,
+		.source = STORE_BELIEF_PROBE,
+		.began_us = budgets->probed_us,
+	};
+
 	budgets->probing = false;
-	if (result->status == TGW_OK)
-		set_store_unreachable(budgets, false);
+	team_budget_note_store_call(budgets, &evidence);
 }
 
-/* A host that may be a relay finds out by itself that it reaches the store
- * again. */
 static void probe_store(struct team_budget *budgets, int64_t now)
 {
-	if (!budgets->store_unreachable || budgets->probing ||
-	    now < budgets->probe_due_us ||
-	    !budget_relay_may_be_self(&budgets->relay))
+	if (budgets->probing || now - budgets->probed_us < PROBE_INTERVAL_US ||
+	    !budget_relay_needs_belief(&budgets->relay))
 		return;
 	budgets->probing = true;
-	budgets->probe_due_us = now + PROBE_INTERVAL_US;
+	budgets->probed_us = now;
 	tgw_store_get(budgets->store, budgets->cap_writer.key,
 		      (struct tgw_store_callback){on_probed, budgets});
 }
@@ -287,8 +307,9 @@
 					  int64_t now)
 {
 	if (team_account_has_none_available(account, now))
-		return budgets->relay.store_unreachable ? TGW_UNAVAILABLE
-							: TGW_CONFLICT;
+		return budget_relay_lost_store(&budgets->relay)
+			       ? TGW_UNAVAILABLE
+			       : TGW_CONFLICT;
 	budget_relay_request(&budgets->relay);
 	return TGW_BUSY;
 }
@@ -298,7 +319,7 @@
 					  const struct team_account *account,
 					  int64_t now)
 {
-	if (!key->store_answers || budgets->store_unreachable)
+	if (!key->store_answers || budgets->store_belief.unreachable)
 		return TGW_UNAVAILABLE;
 	if (!account->free_tokens &&
 	    now - account->viewed_us <
@@ -317,7 +338,8 @@
 	struct team_account *account = find_account(key, team);
 	int64_t now = team_budget_now_us(budgets);
 	bool uses_store = team_budget_uses_store(budgets);
-	bool unreachable = budgets->store_unreachable || !key->store_answers;
+	bool unreachable = budgets->store_belief.unreachable ||
+			   !key->store_answers;
 
 	if (!account)
 		return TGW_NOT_FOUND;
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -85,6 +85,11 @@
 	/** Another host takes tokens for this one now. May be NULL.
 	 * @param relay its name, or this host's; empty if there is none */
 	void (*relay_changed)(void *arg, const char *relay, const char *reason);
+	/** The host's calls begin or cease to reach the store. May be NULL.
+	 * @param source of the calls that tell so
+	 * @param lasted_us of the state before */
+	void (*store_changed)(void *arg, bool unreachable, const char *source,
+			      int64_t lasted_us);
 	/** This process has returned what it did not spend and has left the
 	 * pools. */
 	void (*closed)(void *arg);
@@ -129,9 +134,8 @@
 void team_budget_on_message(struct team_budget *budgets,
 			    const struct tgw_peer_message *message);
 
-/** Reports whether this host's other store calls find the store unreachable.
- * That it is reachable again is found out by a call of the budgets, if the host
- * follows another one, which may have told it so. */
+/** Reports what another store call of this host found. What it learns through
+ * other hosts is not to be reported. */
 void team_budget_set_store_unreachable(struct team_budget *budgets,
 				       bool unreachable);
 
--- a/src/coordination/team_budget_caps.c
+++ b/src/coordination/team_budget_caps.c
@@ -26,11 +26,23 @@
 			run(&budgets->keys[i], account, arg);
 }
 
+static void note_call(struct team_budget *budgets, bool answered)
+{
+	const struct store_belief_evidence evidence = {
+		.answered = answered,
+		.source = STORE_BELIEF_BUDGETS,
+		.began_us = budgets->cap_writer.called_us,
+	};
+
+	team_budget_note_store_call(budgets, &evidence);
+}
+
 static void on_read(void *arg)
 {
 	struct team_budget *budgets = arg;
 	const struct cap_record *previous = &budgets->cap_writer.previous;
 
+	note_call(budgets, true);
 	budgets->recovers = previous->entry_count &&
 			    previous->boot != CAP_RECORD_BOOT_UNKNOWN &&
 			    previous->boot == budgets->settings.boot;
@@ -51,6 +63,7 @@
 {
 	struct team_budget *budgets = arg;
 
+	note_call(budgets, true);
 	for_each_account(budgets, end_write, &took_effect);
 	team_budget_notify_changed(budgets);
 }
@@ -60,6 +73,8 @@
 {
 	struct team_budget *budgets = arg;
 
+	if (status == TGW_UNAVAILABLE || status == TGW_UNKNOWN)
+		note_call(budgets, false);
 	if (budgets->events.failed)
 		budgets->events.failed(budgets->events.arg, call, status,
 				       message);
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -7,8 +7,6 @@
 #include "state/budget_pool_codec.h"
 #include "state/team_account_cap.h"
 
-/* A host with a relay leaves the pools after this. */
-#define LEAVE_AFTER_US (5 * TGW_US_PER_S)
 /* Backoff after a failed store call; doubles up to the maximum. */
 #define RETRY_MIN_US (100 * TGW_US_PER_MS)
 #define RETRY_MAX_US (1000 * TGW_US_PER_MS)
@@ -151,7 +149,7 @@
 	if (budgets->closing)
 		return true;
 	if (team_budget_uses_store(budgets) ||
-	    now - budgets->relay.member_since_us < LEAVE_AFTER_US)
+	    !budget_relay_is_settled(&budgets->relay))
 		return false;
 	for (const struct team_account *account = key->accounts; account;
 	     account = account->next)
@@ -361,10 +359,23 @@
 		finish_cycle(key);
 }
 
+static void note_call(const struct team_budget_key *key, enum tgw_status status,
+		      int64_t began_us)
+{
+	const struct store_belief_evidence evidence = {
+		.answered = status == TGW_OK || status == TGW_CONFLICT,
+		.source = STORE_BELIEF_BUDGETS,
+		.began_us = began_us,
+	};
+
+	team_budget_note_store_call(key->budgets, &evidence);
+}
+
 static void on_read(void *arg, const struct tgw_store_result *result)
 {
 	struct team_budget_key *key = arg;
 
+	note_call(key, result->status, key->read_started_us);
 	if (result->status != TGW_OK || result->entry_count != 1) {
 		report_failure(key, "read", result->status, result->message);
 		back_off_after_failure(key);
@@ -379,6 +390,7 @@
 void team_budget_key_advance(struct team_budget_key *key)
 {
 	key->state = TEAM_BUDGET_KEY_READING;
+	key->read_started_us = team_budget_now_us(key->budgets);
 	key->budgets->counters.reads++;
 	tgw_store_get(key->budgets->store, key->name,
 		      (struct tgw_store_callback){on_read, key});
@@ -460,6 +472,7 @@
 	struct team_budget_key *key = arg;
 
 	report_write(key, result->status);
+	note_call(key, result->status, key->write_started_us);
 	switch (result->status) {
 	case TGW_OK:
 		confirm_write(key);
--- a/src/coordination/team_budget_key.h
+++ b/src/coordination/team_budget_key.h
@@ -12,6 +12,7 @@
 #include "base/buffer.h"
 #include "coordination/budget_relay.h"
 #include "coordination/cap_writer.h"
+#include "coordination/store_belief.h"
 #include "coordination/team_budget.h"
 #include "state/budget_pool.h"
 #include "tamarackgw/random.h"
@@ -44,6 +45,7 @@
 	bool write_lost;     /* against another host's; to be retried */
 	int64_t version;     /* of `pool` */
 	int64_t read_us; /* when `pool` was last read or written; 0 before */
+	int64_t read_started_us;
 	int64_t write_started_us;
 	int64_t returned_tokens; /* of the previous process, by the draft */
 	int64_t due_us;
@@ -69,7 +71,7 @@
 	struct tgw_random random;
 	struct team_budget_counters counters;
 	int64_t started_us;
-	bool store_unreachable;
+	struct store_belief store_belief;
 	bool closing;
 	bool closed_notified;
 	struct cap_writer cap_writer;
@@ -80,7 +82,7 @@
 	 * joins the pools to return what that one can't have spent. */
 	bool recovers;
 	bool probing; /* a call that finds out whether the store answers */
-	int64_t probe_due_us;
+	int64_t probed_us;
 	struct budget_relay relay;
 	struct team_budget_key *keys;
 };
@@ -110,6 +112,10 @@
 /** Lets waiting requests of all teams try again. */
 void team_budget_notify_changed(struct team_budget *budgets);
 
+/** A call of this host ended. */
+void team_budget_note_store_call(struct team_budget *budgets,
+				 const struct store_belief_evidence *evidence);
+
 int64_t team_budget_now_us(const struct team_budget *budgets);
 
 /** @return `per_host_us` times the number of hosts in the pool, at least 1 */
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -93,7 +93,6 @@
 {
 	struct edge *edge = arg;
 
-	team_budget_set_store_unreachable(edge->budgets, true);
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "store", "lost", "-");
 }
 
@@ -101,7 +100,6 @@
 {
 	struct edge *edge = arg;
 
-	team_budget_set_store_unreachable(edge->budgets, false);
 	request_quarantine_on_store_reachable(edge->quarantine);
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "store", "regained", "-");
 }
@@ -178,6 +176,17 @@
 		      "relay=%s reason=\"%s\"", *relay ? relay : "-", reason);
 }
 
+static void on_store_changed(void *arg, bool unreachable, const char *source,
+			     int64_t lasted_us)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "budget",
+		      unreachable ? "store_lost" : "store_regained",
+		      "source=%s lasted_ms=%lld", source,
+		      (long long)(lasted_us / TGW_US_PER_MS));
+}
+
 static void on_budgets_closed(void *arg)
 {
 	struct edge *edge = arg;
@@ -228,6 +237,14 @@
 		      "key=%s reason=\"%s\"", key, message);
 }
 
+/* The host's own calls, and not what it learns through its relay. */
+static void on_mirror_called(void *arg, bool answered)
+{
+	struct edge *edge = arg;
+
+	team_budget_set_store_unreachable(edge->budgets, !answered);
+}
+
 /* What all hosts follow is watched by few of them. */
 static void start_mirror(struct edge *edge, struct tgw_peer *peer)
 {
@@ -246,6 +263,8 @@
 				     : settings->drain_ms) *
 			    TGW_US_PER_MS,
 		.discovery_us = PEER_DISCOVERY_US,
+		.called = on_mirror_called,
+		.arg = edge,
 	};
 
 	edge->mirror =
@@ -276,6 +295,7 @@
 		.written = on_budget_written,
 		.recovered = on_budget_recovered,
 		.relay_changed = on_relay_changed,
+		.store_changed = on_store_changed,
 		.closed = on_budgets_closed,
 		.arg = edge,
 	};
--- a/src/state/transfer_link.h
+++ b/src/state/transfer_link.h
@@ -38,6 +38,8 @@
 	char host[TGW_NAME_SIZE];
 	uint64_t incarnation;	/**< of the other process */
 	int64_t heard_us;	/**< when its last message arrived */
+	uint64_t sequence;	/**< of its newest message */
+	int64_t reported_us;	/**< its last report with entries arrived */
 	bool leaving;		/**< as that message says */
 	bool store_unreachable; /**< likewise: it does not reach the store */
 	/** The process was replaced long ago: its messages are ignored for
--- a/tests/fakes/team_fleet.c
+++ b/tests/fakes/team_fleet.c
@@ -35,8 +35,21 @@
 {
 	struct team_fleet_host *host = arg;
 
-	if (host->budgets)
+	if (host->budgets && message->topic == TGW_PEER_TRANSFER)
 		team_budget_on_message(host->budgets, message);
+	else if (host->keys.mirror && message->topic == TGW_PEER_CHANGES)
+		store_mirror_on_message(host->keys.mirror, message);
+}
+
+static void on_relay_changed(void *arg, const char *relay, const char *reason)
+{
+	struct team_fleet_host *host = arg;
+
+	(void)reason;
+	if (host->keys.mirror)
+		store_mirror_set_relay(host->keys.mirror,
+				       strcmp(relay, host->end.name) ? relay
+								     : "");
 }
 
 static int64_t host_clock_us(const struct tgw_clock *clock)
@@ -81,6 +94,7 @@
 	struct team_budget_events events = {
 		.changed = on_changed,
 		.rescheduled = on_rescheduled,
+		.relay_changed = on_relay_changed,
 		.closed = on_closed,
 		.arg = host,
 	};
@@ -101,6 +115,10 @@
 					&host->clock.clock, host->process,
 					&events);
 	host->due_us = 0;
+	if (team_fleet.settings.follows_keys)
+		fleet_keys_start(&host->keys, &host->store.store,
+				 &host->clock.clock, settings.peer,
+				 host->budgets);
 	if (settings.peer)
 		team_budget_set_hosts(host->budgets, team_fleet.peers,
 				      team_fleet.settings.host_count);
@@ -123,6 +141,7 @@
 void team_fleet_kill_host(struct team_fleet_host *host)
 {
 	drop_waiting(host);
+	fleet_keys_stop(&host->keys);
 	team_budget_free(host->budgets);
 	host->budgets = NULL;
 	host->end.up = false;
@@ -168,6 +187,8 @@
 	fake_world_init(&team_fleet.world, seed);
 	fake_store_server_init(&team_fleet.server, &team_fleet.world);
 	fake_net_init(&team_fleet.net, &team_fleet.world);
+	if (settings->follows_keys)
+		fleet_keys_fill(&team_fleet.server);
 	for (size_t i = 0; settings->domain_count && i < settings->host_count;
 	     i++)
 		install_peer(i);
@@ -303,6 +324,8 @@
 
 static void tick(struct team_fleet_host *host)
 {
+	fleet_keys_tick(&host->keys,
+			tgw_clock_monotonic_us(&host->clock.clock));
 	if (tgw_clock_monotonic_us(&host->clock.clock) < host->due_us)
 		return;
 	host->due_us = INT64_MAX;
--- a/tests/fakes/team_fleet.h
+++ b/tests/fakes/team_fleet.h
@@ -14,6 +14,7 @@
 #include "fakes/fake_net.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_world.h"
+#include "fakes/fleet_keys.h"
 
 #define TEAM_FLEET_MAX_HOSTS 304
 #define TEAM_FLEET_MAX_TEAMS 40
@@ -29,6 +30,9 @@
 	/** Failure domains whose hosts move tokens to each other; 0: hosts do
 	 * not send messages. */
 	size_t domain_count;
+	/** Hosts follow keys through their relays, and learn by that of outages
+	 * of the store; otherwise the test tells them. */
+	bool follows_keys;
 	int team_count;
 	uint32_t key_count;
 	int64_t request_tokens;
@@ -62,7 +66,8 @@
 	struct fake_store store;
 	struct fake_net_end end;
 	struct team_budget *budgets; /**< NULL while no process runs */
-	bool closed;		     /**< by a planned stop */
+	struct fleet_keys keys;
+	bool closed; /**< by a planned stop */
 	uint64_t process;
 	struct team_fleet_request *waiting;
 	bool notified;	/**< waiting requests may try again */
--- a/tests/unit/test_team_budget_relay.c
+++ b/tests/unit/test_team_budget_relay.c
@@ -1,6 +1,8 @@
 /* Plays the load of large fleets whose hosts move tokens of team budgets to
  * each other, in virtual time: what callers get, and how many store calls it
  * takes, with relays that die, stop, hang or lose the store. */
+#include <string.h>
+
 #include "fakes/team_fleet.h"
 #include "unit/unit_main.h"
 
@@ -18,11 +20,13 @@
 #define PAID_PERCENT 130
 #define ONE_HOST_TEAMS 10
 
-static void start_fleet(size_t host_count, uint64_t seed)
+static void start_fleet_with(size_t host_count, uint64_t seed,
+			     bool follows_keys)
 {
 	const struct team_fleet_settings settings = {
 		.host_count = host_count,
 		.domain_count = DOMAINS,
+		.follows_keys = follows_keys,
 		.team_count = TEAMS,
 		.key_count = KEYS,
 		.request_tokens = REQUEST_TOKENS,
@@ -37,6 +41,17 @@
 	team_fleet_play(LEAD_S * TGW_US_PER_S, false);
 }
 
+static void start_fleet(size_t host_count, uint64_t seed)
+{
+	start_fleet_with(host_count, seed, false);
+}
+
+/* Its hosts follow the store's keys through their relays. */
+static void start_following_fleet(size_t host_count, uint64_t seed)
+{
+	start_fleet_with(host_count, seed, true);
+}
+
 static void play_s(int64_t duration_s)
 {
 	team_fleet_play(duration_s * TGW_US_PER_S, true);
@@ -209,24 +224,20 @@
 		->relay_changes;
 }
 
-/* Through another host it learns of what the store says, and takes the store
- * for reachable. */
+/* Through another host it learns of what the store says, and that is no
+ * evidence that it reaches it by itself. */
 START_TEST(a_relay_without_the_store_stays_with_another_one)
 {
 	struct team_fleet_host *host = team_fleet_relay(0);
 	uint64_t changes;
 
-	start_fleet(SMALL_FLEET, (uint64_t)_i);
+	start_following_fleet(SMALL_FLEET, (uint64_t)_i);
 	play_s(1);
 	team_fleet_reset_tallies();
 	changes = relay_changes(0);
 	fake_store_set_partitioned(&host->store, true);
-	for (int second = 0; second < 8; second++) {
-		team_budget_set_store_unreachable(host->budgets, true);
-		team_fleet_play(300 * TGW_US_PER_MS, true);
-		team_budget_set_store_unreachable(host->budgets, false);
-		team_fleet_play(700 * TGW_US_PER_MS, true);
-	}
+	play_s(8);
+	ck_assert(store_mirror_follows_relay(host->keys.mirror));
 	ck_assert_uint_le(relay_changes(0) - changes, 1);
 	check_served(97);
 	fake_store_set_partitioned(&host->store, false);
@@ -236,6 +247,71 @@
 }
 END_TEST
 
+/* Hosts find out by their own calls, one after the other. */
+static void play_outage_s(int64_t duration_s)
+{
+	team_fleet.server.outage = true;
+	play_s(duration_s);
+	fake_store_server_set_outage(&team_fleet.server, false);
+}
+
+static uint64_t relay_changes_of_all(void)
+{
+	uint64_t changes = 0;
+
+	for (size_t i = 0; i < team_fleet.settings.host_count; i++)
+		changes += relay_changes(i);
+	return changes;
+}
+
+/* Another host that is asked does not reach the store either. */
+START_TEST(an_outage_of_the_store_does_not_change_the_relays)
+{
+	uint64_t changes;
+
+	start_following_fleet(SMALL_FLEET, (uint64_t)_i);
+	play_s(4);
+	changes = relay_changes_of_all();
+	for (int i = 0; i < 3; i++) {
+		play_outage_s(8);
+		play_s(4);
+	}
+	/* One host in ten may be wrong about its relay in an outage, and turn
+	 * back. */
+	ck_assert_uint_le(relay_changes_of_all() - changes,
+			  (uint64_t)3 * 2 * SMALL_FLEET / 10);
+	team_fleet_check_no_overspending();
+	team_fleet_stop();
+}
+END_TEST
+
+/* The store answers some calls of some hosts. */
+START_TEST(a_store_that_comes_and_goes_changes_few_relays)
+{
+	const int64_t seconds = 24;
+	uint64_t changes;
+
+	start_following_fleet(SMALL_FLEET, (uint64_t)_i);
+	play_s(4);
+	changes = relay_changes_of_all();
+	for (int64_t i = 0; i < seconds * 4; i++) {
+		struct team_fleet_host *host =
+			&team_fleet.hosts[tgw_random_below(
+				&team_fleet.world.random, SMALL_FLEET)];
+
+		host->store.partitioned = !host->store.partitioned;
+		team_fleet_play(TGW_US_PER_S / 4, true);
+	}
+	for (size_t i = 0; i < SMALL_FLEET; i++)
+		fake_store_set_partitioned(&team_fleet.hosts[i].store, false);
+	/* A host changes its relay at most every two seconds. */
+	ck_assert_uint_le(relay_changes_of_all() - changes,
+			  SMALL_FLEET * seconds / 2);
+	team_fleet_check_no_overspending();
+	team_fleet_stop();
+}
+END_TEST
+
 /* The reply to a host's last report was lost when that turned to another one.
  */
 START_TEST(a_relay_that_is_used_again_is_not_taken_for_silent)
@@ -260,6 +336,37 @@
 }
 END_TEST
 
+/* @param first ranks before all others for this host */
+static void set_first(size_t host, size_t first)
+{
+	struct peer_host peers[SMALL_FLEET];
+
+	memcpy(peers, team_fleet.peers, sizeof(peers));
+	peers[first].memory_mb = 2 * TEAM_FLEET_MAX_HOSTS;
+	team_budget_set_hosts(team_fleet.hosts[host].budgets, peers,
+			      SMALL_FLEET);
+}
+
+/* Their lists of hosts differ: each ranks the other one first. */
+START_TEST(two_hosts_do_not_pass_tokens_back_and_forth)
+{
+	uint64_t given = 0;
+
+	start_fleet(SMALL_FLEET, (uint64_t)_i);
+	set_first(0, DOMAINS);
+	play_s(16);
+	check_served(97);
+	for (size_t i = 0; i < SMALL_FLEET; i++)
+		given += team_budget_get_counters(team_fleet.hosts[i].budgets)
+				 ->given_tokens;
+	/* All tokens of all teams pass few hosts. */
+	ck_assert_uint_le(given,
+			  UINT64_C(3) * TEAMS *
+				  (uint64_t)team_fleet.settings.paid_tokens);
+	team_fleet_stop();
+}
+END_TEST
+
 static void stop_host(struct team_fleet_host *host)
 {
 	team_budget_close(host->budgets);
@@ -313,9 +420,17 @@
 	tcase_add_loop_test(tcase,
 			    a_relay_without_the_store_stays_with_another_one, 1,
 			    1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    an_outage_of_the_store_does_not_change_the_relays,
+			    1, 1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    a_store_that_comes_and_goes_changes_few_relays, 1,
+			    1 + SEEDS);
 	tcase_add_loop_test(tcase,
 			    a_relay_that_is_used_again_is_not_taken_for_silent,
 			    1, 1 + SEEDS);
+	tcase_add_loop_test(tcase, two_hosts_do_not_pass_tokens_back_and_forth,
+			    1, 1 + SEEDS);
 	tcase_add_loop_test(tcase, hosts_that_stop_strand_nothing, 1,
 			    1 + SEEDS);
 	suite_add_tcase(suite, tcase);
