List hosts that are gone for an hour at most

Cause: records of hosts in the store were written once and never removed, so the list, and what each host keeps of it, grew with each replaced host, and relays were sought among hosts that were gone long ago.

Change: a host writes its record again each 10 minutes. One that was listed for 40 minutes in the same version is no peer any more, and 40 to 50 minutes after its last write some host deletes it, by compare-and-swap: a host that lives and was cut off writes it again. Time without lists, as in an outage of the store, counts for at most 4 minutes. Nothing that is safe rests on the list.

Cost: a write in 10 minutes for each host, and a delete for each host that is gone.

Not covered: records of spending caps (tgw/caps/NAME) and lines in the pools of relays that were replaced stay.

--- a/src/coordination/peer_directory.c
+++ b/src/coordination/peer_directory.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/buffer.h"
+#include "base/text.h"
 #include "base/xalloc.h"
 #include "tamarackgw/random.h"
 
@@ -21,10 +22,25 @@
 /* Minimum time between two lists after messages of unknown hosts. */
 #define UNKNOWN_INTERVAL_US (2 * TGW_US_PER_S)
 #define REFRESH_US (120 * TGW_US_PER_S)
+/* A host writes its record again after this. */
+#define RENEW_US (10 * 60 * TGW_US_PER_S)
+/* A host whose record was not written for this time is gone. Time in which the
+ * records were not listed does not count: nobody could write them. */
+#define GONE_US (40 * 60 * TGW_US_PER_S)
+#define MAX_LIST_GAP_US (2 * REFRESH_US)
+/* Hosts spread their attempts to delete a record over this time. */
+#define DELETE_SPREAD_US (10 * 60 * TGW_US_PER_S)
 /* Backoff after a failed store call; doubles up to the maximum. */
 #define RETRY_MIN_US (150 * TGW_US_PER_MS)
 #define RETRY_MAX_US (2000 * TGW_US_PER_MS)
 
+/** A host's record in the store, as it was last listed. */
+struct peer_record {
+	char key[KEY_NAME_SIZE];
+	int64_t version;
+	int64_t unchanged_us; /* time of lists in which it had this version */
+};
+
 struct peer_directory {
 	struct peer_host self;
 	char self_key[KEY_NAME_SIZE];
@@ -39,7 +55,11 @@
 	bool changed; /* since it was last reported */
 	bool settled; /* the hosts that started together are listed */
 	int64_t self_version;
+	int64_t registered_us;
 	int64_t listed_us;
+	int64_t delete_after_us; /* so long without a change */
+	size_t record_count;
+	struct peer_record *records;
 	int64_t due_us;
 	int64_t backoff_us;
 	size_t count;
@@ -63,6 +83,9 @@
 		 HOSTS_PREFIX "%s", self->name);
 	directory->new_key = *new_key;
 	tgw_random_init(&directory->random, seed);
+	directory->delete_after_us =
+		GONE_US +
+		(int64_t)tgw_random_below(&directory->random, DELETE_SPREAD_US);
 	directory->store = store;
 	directory->clock = clock;
 	directory->events = *events;
@@ -73,6 +96,7 @@
 {
 	if (!directory)
 		return;
+	free(directory->records);
 	free(directory->hosts);
 	free(directory);
 }
@@ -136,6 +160,35 @@
 	       host->memory_mb == other->memory_mb;
 }
 
+static const struct peer_record *find_record(
+	const struct peer_directory *directory, const char *key)
+{
+	for (size_t i = 0; i < directory->record_count; i++)
+		if (!strcmp(directory->records[i].key, key))
+			return &directory->records[i];
+	return NULL;
+}
+
+/* @param gap_us since the last list */
+static void note_record(const struct peer_directory *directory,
+			struct peer_record *record,
+			const struct tgw_store_entry *entry, int64_t gap_us)
+{
+	const struct peer_record *known = find_record(directory, entry->key);
+
+	text_copy(record->key, sizeof(record->key), entry->key);
+	record->version = entry->version;
+	if (known && known->version == entry->version)
+		record->unchanged_us = known->unchanged_us + gap_us;
+}
+
+static bool is_gone(const struct peer_directory *directory,
+		    const struct peer_record *record)
+{
+	return record->unchanged_us >= GONE_US &&
+	       strcmp(record->key, directory->self_key);
+}
+
 static bool add_host(struct peer_directory *directory, struct peer_host *hosts,
 		     size_t count, const struct tgw_store_entry *entry)
 {
@@ -151,6 +204,8 @@
 		return true;
 	directory->registered = is_same(host, &directory->self);
 	directory->self_version = entry->version;
+	if (!directory->registered_us)
+		directory->registered_us = now_of(directory);
 	return true;
 }
 
@@ -174,31 +229,51 @@
 	return differs;
 }
 
+static int64_t list_gap_us(const struct peer_directory *directory)
+{
+	int64_t gap_us = now_of(directory) - directory->listed_us;
+
+	if (!directory->listed_us)
+		return 0;
+	return gap_us < MAX_LIST_GAP_US ? gap_us : MAX_LIST_GAP_US;
+}
+
 static void on_list(void *arg, const struct tgw_store_result *result)
 {
 	struct peer_directory *directory = arg;
 	struct peer_host *hosts;
+	struct peer_record *records;
 	size_t count = 0;
+	size_t record_count = 0;
+	int64_t gap_us;
 
 	directory->calling = false;
 	if (result->status != TGW_OK) {
 		back_off(directory, result->message);
 		return;
 	}
+	gap_us = list_gap_us(directory);
 	directory->settled = directory->settled || directory->listed_us;
 	directory->listed_us = now_of(directory);
 	directory->registered = false;
 	directory->self_version = TGW_STORE_ABSENT;
 	hosts = xcalloc(result->entry_count + 1, sizeof(*hosts));
+	records = xcalloc(result->entry_count + 1, sizeof(*records));
 	for (size_t i = 0; i < result->entry_count; i++) {
 		const struct tgw_store_entry *entry = &result->entries[i];
 
 		if (!strcmp(entry->key, FLEET_KEY) && entry->value)
 			adopt_key(directory, entry);
-		else if (is_host(entry) &&
-			 add_host(directory, hosts, count, entry))
+		if (!is_host(entry))
+			continue;
+		note_record(directory, &records[record_count], entry, gap_us);
+		if (!is_gone(directory, &records[record_count++]) &&
+		    add_host(directory, hosts, count, entry))
 			count++;
 	}
+	free(directory->records);
+	directory->records = records;
+	directory->record_count = record_count;
 	if (directory->key_known)
 		directory->backoff_us = 0;
 	/* The first hosts of a new fleet wait for the others. */
@@ -254,6 +329,8 @@
 	directory->calling = false;
 	if (result->status == TGW_OK) {
 		directory->registered = true;
+		directory->registered_us = now_of(directory);
+		directory->self_version = result->entries[0].version;
 		return;
 	}
 	/* Another process may have this host's name; the list tells. */
@@ -273,13 +350,47 @@
 	buffer_free(&bytes);
 }
 
+/* The next list shows what became of it. A host that lives has written its
+ * record meanwhile, or writes it again. */
+static void on_deleted(void *arg, const struct tgw_store_result *result)
+{
+	struct peer_directory *directory = arg;
+
+	(void)result;
+	directory->calling = false;
+}
+
+static void delete_gone(struct peer_directory *directory)
+{
+	for (size_t i = 0; i < directory->record_count; i++) {
+		struct peer_record *record = &directory->records[i];
+
+		if (!is_gone(directory, record) ||
+		    record->unchanged_us < directory->delete_after_us)
+			continue;
+		record->unchanged_us = GONE_US;
+		directory->calling = true;
+		tgw_store_swap(
+			directory->store, record->key, record->version, NULL, 0,
+			(struct tgw_store_callback){on_deleted, directory});
+		return;
+	}
+}
+
+static bool has_to_register(const struct peer_directory *directory)
+{
+	return directory->listed_us &&
+	       (!directory->registered ||
+		now_of(directory) - directory->registered_us >= RENEW_US);
+}
+
 void peer_directory_tick(struct peer_directory *directory)
 {
 	int64_t now = now_of(directory);
 
 	if (directory->calling)
 		return;
-	if (directory->listed_us && !directory->registered) {
+	if (has_to_register(directory)) {
 		write_self(directory);
 		return;
 	}
@@ -292,6 +403,8 @@
 	}
 	if (now >= directory->due_us)
 		list(directory);
+	else
+		delete_gone(directory);
 }
 
 void peer_directory_on_unknown(struct peer_directory *directory)
--- a/src/coordination/peer_directory.h
+++ b/src/coordination/peer_directory.h
@@ -3,8 +3,9 @@
  * Tells the hosts of a fleet from where to reach each other, by one key of the
  * store for each host, and the key that authenticates their messages.
  *
- * Hosts that are gone stay listed: whoever sends them messages notices that
- * they do not answer.
+ * A host renews its key. One whose key was not renewed for long is listed no
+ * more, and some host deletes the key; a host that lives writes it again. Until
+ * then, whoever sends it messages notices that it does not answer.
  */
 #ifndef COORDINATION_PEER_DIRECTORY_H
 #define COORDINATION_PEER_DIRECTORY_H
--- a/tests/unit/test_peer_directory.c
+++ b/tests/unit/test_peer_directory.c
@@ -45,7 +45,8 @@
 	((struct host *)arg)->failures++;
 }
 
-static void start_host(size_t index)
+/* @param name of a host that was replaced is another one's later */
+static void start_named_host(size_t index, const char *name)
 {
 	struct host *host = &hosts[index];
 	struct peer_host self = {.memory_mb = 160};
@@ -57,17 +58,26 @@
 		.arg = host,
 	};
 
-	snprintf(self.name, sizeof(self.name), "host-%zu", index);
+	text_copy(self.name, sizeof(self.name), name);
 	snprintf(self.address, sizeof(self.address), "10.0.0.%zu:7000", index);
 	text_copy(self.failure_domain, sizeof(self.failure_domain), "a");
 	memset(&key, (int)index + 1, sizeof(key));
 	host->key_known = false;
-	fake_store_init(&host->store, &server);
+	if (!host->store.server)
+		fake_store_init(&host->store, &server);
 	host->directory = peer_directory_new(&self, &key, index + 1,
 					     &host->store.store, &world.clock,
 					     &events);
 }
 
+static void start_host(size_t index)
+{
+	char name[TGW_NAME_SIZE];
+
+	snprintf(name, sizeof(name), "host-%zu", index);
+	start_named_host(index, name);
+}
+
 static void stop_host(size_t index)
 {
 	peer_directory_free(hosts[index].directory);
@@ -91,18 +101,39 @@
 	fake_store_server_clear(&server);
 }
 
-static void play_ms(int64_t duration_ms)
+static void play_steps(int64_t duration_us, int64_t step_us)
 {
-	int64_t until_us = world.now_us + duration_ms * TGW_US_PER_MS;
+	int64_t until_us = world.now_us + duration_us;
 
 	while (world.now_us < until_us) {
 		for (size_t i = 0; i < HOSTS; i++)
 			if (hosts[i].directory)
 				peer_directory_tick(hosts[i].directory);
-		fake_world_advance(&world, STEP_US);
+		fake_world_advance(&world, step_us);
 	}
 }
 
+static void play_ms(int64_t duration_ms)
+{
+	play_steps(duration_ms * TGW_US_PER_MS, STEP_US);
+}
+
+static void play_minutes(int64_t minutes)
+{
+	play_steps(minutes * 60 * TGW_US_PER_S, TGW_US_PER_S);
+}
+
+/* @return the hosts that have a record in the store */
+static size_t stored_count(void)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < server.key_count; i++)
+		count += server.keys[i].value &&
+			 strcmp(server.keys[i].name, KEY_NAME) != 0;
+	return count;
+}
+
 static size_t count_of(size_t index)
 {
 	size_t count;
@@ -209,6 +240,105 @@
 }
 END_TEST
 
+START_TEST(a_host_that_is_gone_is_listed_for_an_hour_at_most)
+{
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(i);
+	play_minutes(5);
+	for (size_t i = HOSTS - 5; i < HOSTS; i++)
+		stop_host(i);
+	play_minutes(20);
+	/* It may be restarting. */
+	ck_assert_uint_eq(count_of(0), HOSTS);
+	play_minutes(40);
+	for (size_t i = 0; i < HOSTS - 5; i++)
+		ck_assert_uint_eq(count_of(i), HOSTS - 5);
+	ck_assert_uint_eq(stored_count(), HOSTS - 5);
+	start_host(HOSTS - 1);
+	play_minutes(3);
+	ck_assert_uint_eq(count_of(0), HOSTS - 4);
+}
+END_TEST
+
+START_TEST(hosts_that_live_stay_listed_with_few_calls)
+{
+	uint64_t calls;
+	uint64_t writes;
+
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(i);
+	play_minutes(5);
+	calls = server.reads;
+	writes = server.writes;
+	for (int hour = 0; hour < 4; hour++) {
+		play_minutes(60);
+		for (size_t i = 0; i < HOSTS; i++)
+			ck_assert_uint_eq(count_of(i), HOSTS);
+	}
+	/* A list in two minutes, and a record in ten. */
+	ck_assert_uint_le(server.reads - calls, (uint64_t)4 * 31 * HOSTS);
+	ck_assert_uint_le(server.writes - writes, (uint64_t)4 * 7 * HOSTS);
+}
+END_TEST
+
+/* Nobody renews its record meanwhile. */
+START_TEST(an_outage_of_hours_removes_no_host)
+{
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(i);
+	play_minutes(5);
+	fake_store_server_set_outage(&server, true);
+	play_minutes(180);
+	fake_store_server_set_outage(&server, false);
+	for (int minute = 0; minute < 60; minute++) {
+		play_minutes(1);
+		for (size_t i = 0; i < HOSTS; i++)
+			ck_assert_uint_eq(count_of(i), HOSTS);
+	}
+	ck_assert_uint_eq(stored_count(), HOSTS);
+}
+END_TEST
+
+/* One is cut off, and comes back when its record has been deleted. */
+START_TEST(a_host_without_the_store_for_hours_is_listed_again)
+{
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(i);
+	play_minutes(5);
+	fake_store_set_partitioned(&hosts[3].store, true);
+	play_minutes(120);
+	ck_assert_uint_eq(count_of(0), HOSTS - 1);
+	ck_assert_uint_eq(stored_count(), HOSTS - 1);
+	fake_store_set_partitioned(&hosts[3].store, false);
+	play_minutes(5);
+	ck_assert_uint_eq(count_of(0), HOSTS);
+	ck_assert_uint_eq(count_of(3), HOSTS);
+}
+END_TEST
+
+START_TEST(months_of_replaced_hosts_leave_no_records)
+{
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(i);
+	play_minutes(5);
+	/* As many as the largest fleet replaces in ten days. */
+	for (size_t replaced = 0; replaced < 700; replaced++) {
+		size_t index = 1 + replaced % (HOSTS - 1);
+		char name[TGW_NAME_SIZE];
+
+		snprintf(name, sizeof(name), "later-%zu", replaced);
+		stop_host(index);
+		start_named_host(index, name);
+		play_minutes(20);
+		/* Those of the last hour, and those that live. */
+		ck_assert_uint_le(stored_count(), HOSTS + 4);
+	}
+	play_minutes(65);
+	ck_assert_uint_eq(count_of(0), HOSTS);
+	ck_assert_uint_eq(stored_count(), HOSTS);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("peer_directory");
@@ -222,6 +352,14 @@
 	tcase_add_test(tcase, a_lost_response_does_not_change_the_key);
 	tcase_add_test(tcase, a_damaged_key_is_reported_and_not_used);
 	tcase_add_test(tcase, a_host_that_moved_replaces_its_record);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase,
+		       a_host_that_is_gone_is_listed_for_an_hour_at_most);
+	tcase_add_test(tcase, hosts_that_live_stay_listed_with_few_calls);
+	tcase_add_test(tcase, an_outage_of_hours_removes_no_host);
+	tcase_add_test(tcase,
+		       a_host_without_the_store_for_hours_is_listed_again);
+	tcase_add_test(tcase, months_of_replaced_hosts_leave_no_records);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
