Retry a lost raise before a team's only host has no tokens

Cause, by trace: the host's raise ahead of need lost against another host's write, was not retried since no request waited, and was proposed again a second later: lost in turn, at 39.6, 40.9, 42.0 and 42.7 s of the run, while it went from 52 requests' tokens to none. From then on requests waited, and 13 writes in 3.3 s lost: each costs a read and a write on a link of 94 kB/s, and the pause between them had doubled to 640 ms.

Change: a host that receives at least a quarter of a team's demand and holds less than that of 1.5 s retries a raise, too; and its pause after a conflict is at most 80 ms. Few hosts are such for a team.

--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -38,6 +38,10 @@
 #define CONFLICT_BACKOFF_MIN_US (40 * TGW_US_PER_MS)
 #define CONFLICT_BACKOFF_PER_HOST_US (2 * TGW_US_PER_MS)
 #define CONFLICT_BACKOFF_MAX_US (640 * TGW_US_PER_MS)
+/* The upper bound of a main host, of which there are few. */
+#define CONFLICT_BACKOFF_MAIN_US (80 * TGW_US_PER_MS)
+/* A main host that holds less than the demand of this time retries. */
+#define RUNS_OUT_S 1.5
 
 int64_t team_budget_key_interval_us(const struct team_budget_key *key,
 				    int64_t per_host_us)
@@ -412,6 +416,27 @@
 		      (struct tgw_store_callback){on_read, key});
 }
 
+static bool is_main_host(const struct team_budget_key *key,
+			 const struct team_account *account, int64_t now)
+{
+	return team_account_weight(account,
+				   budget_pool_find(&key->pool, account->team),
+				   key->pool.host_count,
+				   &key->budgets->settings.policy,
+				   now) >= MAIN_HOST_WEIGHT;
+}
+
+static bool is_main_host_of_any(const struct team_budget_key *key)
+{
+	int64_t now = team_budget_now_us(key->budgets);
+
+	for (const struct team_account *account = key->accounts; account;
+	     account = account->next)
+		if (is_main_host(key, account, now))
+			return true;
+	return false;
+}
+
 static void back_off_after_conflict(struct team_budget_key *key)
 {
 	int64_t max_us =
@@ -424,11 +449,24 @@
 		max_us *= 2;
 	if (max_us > CONFLICT_BACKOFF_MAX_US)
 		max_us = CONFLICT_BACKOFF_MAX_US;
+	if (max_us > CONFLICT_BACKOFF_MAIN_US && is_main_host_of_any(key))
+		max_us = CONFLICT_BACKOFF_MAIN_US;
 	key->write_lost = true;
 	set_idle(key, (int64_t)tgw_random_below(&key->budgets->random,
 						(uint64_t)max_us));
 }
 
+/* @return whether a host that receives much of a team's demand would soon have
+ * no tokens for it if it waited for its next write */
+static bool runs_out(const struct team_budget_key *key,
+		     const struct team_account *account,
+		     const struct team_account_target *target)
+{
+	return (double)team_account_held(account) <
+		       target->demand_per_s * RUNS_OUT_S &&
+	       is_main_host(key, account, team_budget_now_us(key->budgets));
+}
+
 /* A write that nobody waits for is not retried: the next one makes up for it,
  * and all others contend with fewer. */
 static bool is_awaited(const struct team_budget_key *key)
@@ -440,7 +478,8 @@
 		struct team_account_target target;
 
 		team_budget_key_decide(key, account, &target);
-		if (target.awaited)
+		if (target.awaited ||
+		    (target.urgent && runs_out(key, account, &target)))
 			return true;
 	}
 	return false;
@@ -529,16 +568,6 @@
 	return interval_us;
 }
 
-static bool is_main_host(const struct team_budget_key *key,
-			 const struct team_account *account, int64_t now)
-{
-	return team_account_weight(account,
-				   budget_pool_find(&key->pool, account->team),
-				   key->pool.host_count,
-				   &key->budgets->settings.policy,
-				   now) >= MAIN_HOST_WEIGHT;
-}
-
 static int64_t raise_interval_us(const struct team_budget_key *key, int64_t now)
 {
 	int64_t interval_us =
