--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -7,8 +7,6 @@
 #include "state/budget_pool_codec.h"
 #include "state/team_account_cap.h"
 
-/* A host with a relay leaves the pools after this. */
-#define LEAVE_AFTER_US (5 * TGW_US_PER_S)
 /* Backoff after a failed store call; doubles up to the maximum. */
 #define RETRY_MIN_US (100 * TGW_US_PER_MS)
 #define RETRY_MAX_US (1000 * TGW_US_PER_MS)
@@ -28,6 +26,9 @@
 #define RAISE_INTERVAL_US (1000 * TGW_US_PER_MS)
 #define RAISE_INTERVAL_PER_HOST_US (45 * TGW_US_PER_MS)
 #define MAIN_HOST_WEIGHT 0.25
+/* A surplus is returned to the pool soon if it exceeds what the host holds
+ * divided by this. */
+#define SURPLUS_DIVISOR 4
 /* After a conflict a host retries the write once at once, from the value that
  * the conflict response returned. Then it reads again after a random backoff:
  * hosts that retry in step make nearly all of each other's writes conflict. The
@@ -37,6 +38,10 @@
 #define CONFLICT_BACKOFF_MIN_US (40 * TGW_US_PER_MS)
 #define CONFLICT_BACKOFF_PER_HOST_US (2 * TGW_US_PER_MS)
 #define CONFLICT_BACKOFF_MAX_US (640 * TGW_US_PER_MS)
+/* The upper bound of a main host, of which there are few. */
+#define CONFLICT_BACKOFF_MAIN_US (80 * TGW_US_PER_MS)
+/* A main host that holds less than the demand of this time retries. */
+#define RUNS_OUT_S 1.5
 
 int64_t team_budget_key_interval_us(const struct team_budget_key *key,
 				    int64_t per_host_us)
@@ -151,7 +156,7 @@
 	if (budgets->closing)
 		return true;
 	if (team_budget_uses_store(budgets) ||
-	    now - budgets->relay.member_since_us < LEAVE_AFTER_US)
+	    !budget_relay_is_settled(&budgets->relay))
 		return false;
 	for (const struct team_account *account = key->accounts; account;
 	     account = account->next)
@@ -285,6 +290,18 @@
 	return false;
 }
 
+/* @return whether the host was given much more than it wants: as a relay that
+ * others turned to, which is lost if it dies, since no cap covers it */
+static bool has_surplus(const struct team_account *account,
+			const struct team_account_target *target)
+{
+	int64_t surplus =
+		account->confirmed.allotted_tokens - target->allotted_tokens;
+
+	return account->received_tokens &&
+	       surplus * SURPLUS_DIVISOR > team_account_held(account);
+}
+
 /* @param fresh the pool was read just now, so changes that are not urgent
  * count, too */
 static bool needs_write(struct team_budget_key *key, bool fresh)
@@ -296,7 +313,8 @@
 		struct team_account_target target;
 
 		team_budget_key_decide(key, account, &target);
-		if (target.urgent || (fresh && target.deferrable))
+		if (target.urgent || has_surplus(account, &target) ||
+		    (fresh && target.deferrable))
 			return true;
 	}
 	return fresh && !key->joined;
@@ -367,10 +385,23 @@
 		finish_cycle(key);
 }
 
+static void note_call(const struct team_budget_key *key, enum tgw_status status,
+		      int64_t began_us)
+{
+	const struct store_belief_evidence evidence = {
+		.answered = status == TGW_OK || status == TGW_CONFLICT,
+		.source = STORE_BELIEF_BUDGETS,
+		.began_us = began_us,
+	};
+
+	team_budget_note_store_call(key->budgets, &evidence);
+}
+
 static void on_read(void *arg, const struct tgw_store_result *result)
 {
 	struct team_budget_key *key = arg;
 
+	note_call(key, result->status, key->read_started_us);
 	if (result->status != TGW_OK || result->entry_count != 1) {
 		report_failure(key, "read", result->status, result->message);
 		back_off_after_failure(key);
@@ -385,11 +416,33 @@
 void team_budget_key_advance(struct team_budget_key *key)
 {
 	key->state = TEAM_BUDGET_KEY_READING;
+	key->read_started_us = team_budget_now_us(key->budgets);
 	key->budgets->counters.reads++;
 	tgw_store_get(key->budgets->store, key->name,
 		      (struct tgw_store_callback){on_read, key});
 }
 
+static bool is_main_host(const struct team_budget_key *key,
+			 const struct team_account *account, int64_t now)
+{
+	return team_account_weight(account,
+				   budget_pool_find(&key->pool, account->team),
+				   key->pool.host_count,
+				   &key->budgets->settings.policy,
+				   now) >= MAIN_HOST_WEIGHT;
+}
+
+static bool is_main_host_of_any(const struct team_budget_key *key)
+{
+	int64_t now = team_budget_now_us(key->budgets);
+
+	for (const struct team_account *account = key->accounts; account;
+	     account = account->next)
+		if (is_main_host(key, account, now))
+			return true;
+	return false;
+}
+
 static void back_off_after_conflict(struct team_budget_key *key)
 {
 	int64_t max_us =
@@ -402,11 +455,24 @@
 		max_us *= 2;
 	if (max_us > CONFLICT_BACKOFF_MAX_US)
 		max_us = CONFLICT_BACKOFF_MAX_US;
+	if (max_us > CONFLICT_BACKOFF_MAIN_US && is_main_host_of_any(key))
+		max_us = CONFLICT_BACKOFF_MAIN_US;
 	key->write_lost = true;
 	set_idle(key, (int64_t)tgw_random_below(&key->budgets->random,
 						(uint64_t)max_us));
 }
 
+/* @return whether a host that receives much of a team's demand would soon have
+ * no tokens for it if it waited for its next write */
+static bool runs_out(const struct team_budget_key *key,
+		     const struct team_account *account,
+		     const struct team_account_target *target)
+{
+	return (double)team_account_held(account) <
+		       target->demand_per_s * RUNS_OUT_S &&
+	       is_main_host(key, account, team_budget_now_us(key->budgets));
+}
+
 /* A write that nobody waits for is not retried: the next one makes up for it,
  * and all others contend with fewer. */
 static bool is_awaited(const struct team_budget_key *key)
@@ -418,7 +484,8 @@
 		struct team_account_target target;
 
 		team_budget_key_decide(key, account, &target);
-		if (target.awaited)
+		if (target.awaited ||
+		    (target.urgent && runs_out(key, account, &target)))
 			return true;
 	}
 	return false;
@@ -466,6 +533,7 @@
 	struct team_budget_key *key = arg;
 
 	report_write(key, result->status);
+	note_call(key, result->status, key->write_started_us);
 	switch (result->status) {
 	case TGW_OK:
 		confirm_write(key);
@@ -506,16 +574,6 @@
 	return interval_us;
 }
 
-static bool is_main_host(const struct team_budget_key *key,
-			 const struct team_account *account, int64_t now)
-{
-	return team_account_weight(account,
-				   budget_pool_find(&key->pool, account->team),
-				   key->pool.host_count,
-				   &key->budgets->settings.policy,
-				   now) >= MAIN_HOST_WEIGHT;
-}
-
 static int64_t raise_interval_us(const struct team_budget_key *key, int64_t now)
 {
 	int64_t interval_us =
