--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -50,26 +50,26 @@
 
 /* Goes on with an attempt whose server was silent, in place of the later one,
  * which no server has answered yet. */
-static void return_to_silent_attempt(struct call *call)
+static void return_to_earlier_attempt(struct call *call)
 {
-	struct call_attempt *attempt = call->silent;
+	struct call_attempt *attempt = call->earlier;
 
 	call->edge->counters.silences_ended++;
 	call_log_attempt_continues(attempt);
 	if (call->current)
 		call_attempt_end(call->current);
 	call->current = attempt;
-	call->silent = NULL;
+	call->earlier = NULL;
 	call_schedule(call);
 }
 
 /* A server has begun to answer, so the call needs no other attempt. */
 static void settle_on(struct call_attempt *attempt)
 {
-	if (attempt == attempt->call->silent)
-		return_to_silent_attempt(attempt->call);
+	if (attempt == attempt->call->earlier)
+		return_to_earlier_attempt(attempt->call);
 	else
-		call_end_silent_attempt(attempt->call);
+		call_end_earlier_attempt(attempt->call);
 }
 
 static void record_received(struct call_attempt *attempt)
@@ -256,7 +256,7 @@
 				    "the stream ended within an event");
 		return;
 	}
-	if (failed && attempt == call->silent) {
+	if (failed && attempt == call->earlier) {
 		call_attempt_failed(attempt, BACKEND_FAILED,
 				    "the server failed the request");
 		return;
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -90,6 +90,7 @@
 	call->tried[call->attempt_count++] = backend->run_hash;
 	call->sent_count++;
 	call->current = attempt;
+	call->timeout_pending = false;
 	attempt->call = call;
 	attempt->backend = backend;
 	attempt->started_us = now_us;
@@ -131,8 +132,8 @@
 		free_connection(attempt);
 	if (call->current == attempt)
 		call->current = NULL;
-	if (call->silent == attempt)
-		call->silent = NULL;
+	if (call->earlier == attempt)
+		call->earlier = NULL;
 	buffer_free(&attempt->fields);
 	buffer_free(&attempt->body);
 	buffer_free(&attempt->partial);
@@ -140,10 +141,10 @@
 	backend_end(&call->edge->backends, backend);
 }
 
-void call_end_silent_attempt(struct call *call)
+void call_end_earlier_attempt(struct call *call)
 {
-	if (!call->silent)
+	if (!call->earlier)
 		return;
 	call->edge->counters.failed_attempts[BACKEND_TIMED_OUT]++;
-	call_attempt_end(call->silent);
+	call_attempt_end(call->earlier);
 }
--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -114,7 +114,7 @@
 		.left_us = call->deadline_us - now_us,
 		.placement = choose_server(call, &dispatch->backend),
 		.has_retry_credit = has_retry_credit(call, trigger, now_us),
-		.other_is_open = call->silent != NULL,
+		.other_is_open = call->earlier != NULL,
 	};
 
 	dispatch->plan = attempt_plan_make(&facts);
@@ -136,11 +136,11 @@
 	call_attempt_start(call, dispatch->backend);
 }
 
-/* The attempt at the silent server is the only one that is left. */
-static void wait_for_silent_server(struct call *call)
+/* The attempt at the server that fell silent is the only one that is left. */
+static void wait_for_earlier_attempt(struct call *call)
 {
-	call->current = call->silent;
-	call->silent = NULL;
+	call->current = call->earlier;
+	call->earlier = NULL;
 	call->current->next_check_us = edge_now_us() + SILENCE_CHECK_US;
 	call_schedule(call);
 }
@@ -192,7 +192,7 @@
 		send_request(call, &dispatch);
 		return;
 	case ATTEMPT_STEP_WAIT:
-		wait_for_silent_server(call);
+		wait_for_earlier_attempt(call);
 		return;
 	case ATTEMPT_STEP_END:
 		end_without_server(call, &dispatch, reason);
@@ -270,7 +270,7 @@
 	if (dispatch.plan.step == ATTEMPT_STEP_SEND)
 		send_request(call, &dispatch);
 	else
-		wait_for_silent_server(call);
+		wait_for_earlier_attempt(call);
 	return true;
 }
 
@@ -299,8 +299,8 @@
 		return;
 	}
 	call->may_have_run = true;
-	call_end_silent_attempt(call);
-	call->silent = call->current;
+	call_end_earlier_attempt(call);
+	call->earlier = call->current;
 	call->current = NULL;
 	send_request(call, &dispatch);
 }
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -81,7 +81,7 @@
 	struct call_attempt *current; /* NULL if there is none */
 	/* An earlier attempt whose server fell silent. It stays open until a
 	 * server responds; NULL if there is none. */
-	struct call_attempt *silent;
+	struct call_attempt *earlier;
 	uint64_t tried[ATTEMPTS_MAX]; /* run hashes of their servers */
 	uint32_t attempt_count;	      /* all attempts, whether sent or not */
 	uint32_t sent_count;   /* attempts that a server may have received */
@@ -127,8 +127,8 @@
  * complete; otherwise it is closed, which the server may notice. */
 void call_attempt_end(struct call_attempt *attempt);
 
-/** Ends the attempt at a silent server, after another server has responded. */
-void call_end_silent_attempt(struct call *call);
+/** Ends the earlier attempt, after another server has responded. */
+void call_end_earlier_attempt(struct call *call);
 
 /** Chooses a server and sends the request, or refuses it. */
 void call_dispatch(struct call *call);
