--- a/tests/fakes/team_fleet.c
+++ b/tests/fakes/team_fleet.c
@@ -69,14 +69,20 @@
 		(int64_t)tgw_random_below(&random, MAX_UPTIME_US);
 }
 
+static const struct team_account_policy default_policy = {
+	.ride_out_s = 12,
+	.hold_fraction = 0.2,
+	.host_count = 8,
+};
+
 void team_fleet_start_host(struct team_fleet_host *host)
 {
 	struct team_budget_settings settings = {
 		.key_count = team_fleet.settings.key_count,
 		.boot = host->boot,
-		.policy = {.ride_out_s = 12,
-			   .hold_fraction = 0.2,
-			   .host_count = 8},
+		.policy = team_fleet.settings.policy
+				  ? *team_fleet.settings.policy
+				  : default_policy,
 	};
 	struct team_budget_events events = {
 		.changed = on_changed,
@@ -197,6 +203,13 @@
 	free(request);
 }
 
+static void refuse(struct team_fleet_request *request)
+{
+	team_fleet.tallies[request->team].waited_us +=
+		team_fleet.world.now_us - request->arrived_us;
+	free(request);
+}
+
 /* @return whether the request no longer waits */
 static bool try_request(struct team_fleet_request *request)
 {
@@ -216,10 +229,10 @@
 		if (team_fleet.world.now_us - request->arrived_us <
 		    TEAM_FLEET_MAX_WAIT_US)
 			return false;
-		free(request);
+		refuse(request);
 		return true;
 	default:
-		free(request);
+		refuse(request);
 		return true;
 	}
 }
@@ -255,7 +268,7 @@
 			continue;
 		}
 		*link = request->next;
-		free(request);
+		refuse(request);
 	}
 }
 
@@ -263,6 +276,10 @@
 {
 	const struct team_fleet_settings *settings = &team_fleet.settings;
 
+	if (settings->choose_host)
+		return &team_fleet.hosts[settings->choose_host(
+			team, team_fleet.world.now_us,
+			&team_fleet.world.random)];
 	if (team < settings->one_host_team_count)
 		return &team_fleet.hosts[settings->first_one_team_host +
 					 (size_t)team];
@@ -291,13 +308,20 @@
 	host->waiting = request;
 }
 
+static uint64_t requests_per_s(int team)
+{
+	if (team_fleet.settings.rate)
+		return team_fleet.settings.rate(team, team_fleet.world.now_us);
+	return team_fleet.settings.requests_per_s;
+}
+
 static void send_requests(void)
 {
 	const uint64_t steps_per_s = TGW_US_PER_S / TEAM_FLEET_STEP_US;
 
 	for (int team = 0; team < team_fleet.settings.team_count; team++)
 		if (tgw_random_below(&team_fleet.world.random, steps_per_s) <
-		    team_fleet.settings.requests_per_s)
+		    requests_per_s(team))
 			send_request(team);
 }
 
@@ -346,6 +370,19 @@
 	play_down(down_us, true);
 }
 
+void team_fleet_set_outage(bool outage)
+{
+	fake_store_server_set_outage(&team_fleet.server, outage);
+	for (size_t i = 0; i < team_fleet.settings.host_count; i++) {
+		if (team_fleet.hosts[i].budgets)
+			team_budget_set_store_unreachable(
+				team_fleet.hosts[i].budgets, outage);
+		team_fleet_play(TEAM_FLEET_NOTICE_US /
+					(int64_t)team_fleet.settings.host_count,
+				true);
+	}
+}
+
 struct team_fleet_host *team_fleet_relay(size_t domain)
 {
 	return &team_fleet.hosts[domain];
@@ -361,6 +398,7 @@
 	for (int i = 0; i < team_fleet.settings.team_count; i++) {
 		team_fleet.tallies[i].asked = 0;
 		team_fleet.tallies[i].served = 0;
+		team_fleet.tallies[i].waited_us = 0;
 	}
 }
 
@@ -383,6 +421,18 @@
 				 team_fleet.settings.paid_tokens);
 }
 
+int64_t team_fleet_overspent_tokens(void)
+{
+	int64_t tokens = 0;
+
+	for (int i = 0; i < team_fleet.settings.team_count; i++)
+		if (team_fleet.tallies[i].spent_tokens >
+		    team_fleet.settings.paid_tokens)
+			tokens += team_fleet.tallies[i].spent_tokens -
+				  team_fleet.settings.paid_tokens;
+	return tokens;
+}
+
 static int64_t left_of(const struct team_fleet_host *host, int team)
 {
 	struct team_budget_view view;
@@ -409,9 +459,9 @@
 	entry = fake_store_server_find(&team_fleet.server, key);
 	if (!entry)
 		return tokens;
-	ck_assert_int_eq(budget_pool_codec_decode(&pool, entry->value,
-						  entry->value_size, NULL),
-			 TGW_OK);
+	if (budget_pool_codec_decode(&pool, entry->value, entry->value_size,
+				     NULL) != TGW_OK)
+		abort();
 	budget = budget_pool_find(&pool, name);
 	if (budget)
 		tokens = pooled_budget_free_tokens(budget);
--- a/tests/fakes/team_fleet.h
+++ b/tests/fakes/team_fleet.h
@@ -14,6 +14,7 @@
 #include "fakes/fake_net.h"
 #include "fakes/fake_store.h"
 #include "fakes/fake_world.h"
+#include "tamarackgw/random.h"
 
 #define TEAM_FLEET_MAX_HOSTS 304
 #define TEAM_FLEET_MAX_TEAMS 40
@@ -22,6 +23,8 @@
 /** A request that gets no tokens within this time is refused. */
 #define TEAM_FLEET_MAX_WAIT_US (400 * TGW_US_PER_MS)
 #define TEAM_FLEET_SERVICE_US (500 * TGW_US_PER_MS)
+/** All hosts have noticed the start or the end of an outage by then. */
+#define TEAM_FLEET_NOTICE_US (600 * TGW_US_PER_MS)
 
 /** The hosts, their links and their load. */
 struct team_fleet_settings {
@@ -40,6 +43,14 @@
 	 * host, with the index of the team plus first_one_team_host. */
 	int one_host_team_count;
 	size_t first_one_team_host;
+	/** Requests per second of a team at a time of the world, and the host
+	 * that the next of them is sent to. NULL: always the same rate, and
+	 * any host. */
+	uint64_t (*rate)(int team, int64_t now_us);
+	size_t (*choose_host)(int team, int64_t now_us,
+			      struct tgw_random *random);
+	/** NULL: as the edge's default settings. */
+	const struct team_account_policy *policy;
 };
 
 struct team_fleet_request {
@@ -72,6 +83,7 @@
 struct team_fleet_tally {
 	int64_t asked;
 	int64_t served;
+	int64_t waited_us;    /**< by those that were not served */
 	int64_t spent_tokens; /**< since the start, also after a reset */
 };
 
@@ -111,6 +123,10 @@
 /** Starts to count requests anew. */
 void team_fleet_reset_tallies(void);
 
+/** Starts or ends an outage of the store for all hosts, which notice it one
+ * after the other. */
+void team_fleet_set_outage(bool outage);
+
 /** @return the store calls since the start */
 uint64_t team_fleet_store_calls(void);
 
@@ -119,6 +135,9 @@
 
 void team_fleet_check_no_overspending(void);
 
+/** @return tokens of all teams spent above what was paid in */
+int64_t team_fleet_overspent_tokens(void);
+
 /** @return tokens of all teams that are neither spent, nor free, nor may be
  * spent by a running process: they were lost with dead ones */
 int64_t team_fleet_stranded_tokens(void);
--- a/tests/unit/test_team_budget_deaths.c
+++ b/tests/unit/test_team_budget_deaths.c
@@ -100,26 +100,15 @@
 }
 END_TEST
 
-static void set_outage(bool outage)
-{
-	fake_store_server_set_outage(&team_fleet.server, outage);
-	/* Hosts notice it one after the other. */
-	for (size_t i = 0; i < HOSTS; i++) {
-		team_budget_set_store_unreachable(team_fleet.hosts[i].budgets,
-						  outage);
-		team_fleet_play(100 * TGW_US_PER_MS, true);
-	}
-}
-
 /* The hosts have recorded caps again by then. */
 START_TEST(a_kill_after_an_outage_strands_two_seconds_of_demand)
 {
 	start_fleet(_i);
 	play_s(8);
 	for (int outage = 0; outage < 2; outage++) {
-		set_outage(true);
+		team_fleet_set_outage(true);
 		play_s(8);
-		set_outage(false);
+		team_fleet_set_outage(false);
 		play_s(4);
 	}
 	ck_assert_int_le(strand(team_fleet_kill_all),
