Return at once what spending caps do not cover

Cause: a cap covers what a host wants to hold. What it holds above that is returned with the next read of the pool, up to some seconds later, and was lost if the process was killed until then.

Change: when a cap that leaves something out is confirmed, the pool is read, at most each 50 ms times the hosts in it, so that the rest is returned.

--- a/src/coordination/team_budget_caps.c
+++ b/src/coordination/team_budget_caps.c
@@ -14,6 +14,10 @@
 #define MIN_INTERVAL_US (100 * TGW_US_PER_MS)
 #define MIN_INTERVAL_PER_HOST_US (3 * TGW_US_PER_MS)
 
+/* Minimum time between a read of a key and one that returns tokens, multiplied
+ * by the number of hosts. */
+#define RETURN_PER_HOST_US (50 * TGW_US_PER_MS)
+
 static void for_each_account(struct team_budget *budgets,
 			     void (*run)(struct team_budget_key *key,
 					 struct team_account *account,
@@ -45,6 +49,12 @@
 		      void *arg)
 {
 	team_account_end_cap_write(account, *(const bool *)arg);
+	/* What the cap does not cover is lost with the process until it is
+	 * returned. */
+	if (key->joined && team_account_exceeds_cap(account) &&
+	    team_budget_now_us(key->budgets) - key->read_us >=
+		    team_budget_key_interval_us(key, RETURN_PER_HOST_US))
+		team_budget_key_request_read(key);
 }
 
 static void on_ended(void *arg, bool took_effect)
--- a/src/state/team_account_cap.c
+++ b/src/state/team_account_cap.c
@@ -64,6 +64,14 @@
 	return team_account_capped_allotment(account, now_us) > 0;
 }
 
+bool team_account_exceeds_cap(const struct team_account *account)
+{
+	const struct spending_cap *cap = &account->confirmed_cap;
+
+	return cap->written_us &&
+	       team_account_limit(account) > cap->allotted_tokens;
+}
+
 /* @return what has to be spendable at once, so that few requests wait for a
  * higher cap. Demand until the next cap varies by the square root of its
  * product with the weighted cost. */
--- a/src/state/team_account_cap.h
+++ b/src/state/team_account_cap.h
@@ -33,6 +33,10 @@
 int64_t team_account_capped_until_us(const struct team_account *account,
 				     int64_t tokens);
 
+/** @return whether the allotment exceeds what the confirmed cap promises to
+ * keep, so that the rest should be returned */
+bool team_account_exceeds_cap(const struct team_account *account);
+
 /** Computes the next spending cap, and puts it in force together with the
  * confirmed one until the outcome of its write is known.
  * @param target of the allotment at present
--- a/tests/unit/test_team_budget_deaths.c
+++ b/tests/unit/test_team_budget_deaths.c
@@ -8,6 +8,7 @@
 #define KEYS 4	  /* as the edge's default */
 #define DOMAINS 4 /* of hosts that move tokens to each other */
 #define SEEDS 8
+#define OUTAGE_SEEDS 56
 #define REQUEST_TOKENS INT64_C(2500)
 #define REQUESTS_PER_S 14 /* of each team */
 #define LEAD_S 10	  /* from the start of the hosts to the first request */
@@ -160,7 +161,7 @@
 		1 + 2 * SEEDS);
 	tcase_add_loop_test(
 		tcase, a_kill_after_an_outage_strands_two_seconds_of_demand, 1,
-		1 + 2 * SEEDS);
+		1 + OUTAGE_SEEDS);
 	tcase_add_loop_test(
 		tcase,
 		a_power_loss_of_all_hosts_strands_a_fifth_of_what_is_left, 1,
