Let hosts lend to each other while the store is away

Cause: in an outage of the store a host served from what its failure domain held and refused the rest, while other domains held tokens.

Change: budget_lending asks the two best hosts of each other domain, one after the other for each team, within the time that a request waits. A loan is a transfer as others are, marked in the message so that the lender neither counts the borrower as its own nor asks anybody itself. A lender without tokens is not asked again for a while; when that goes for all, a refusal comes at once.

--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -216,6 +216,7 @@
 	       ranked_count * sizeof(candidates[0]));
 	relay->candidate_count = ranked_count;
 	relay->hosts_known = true;
+	budget_lending_set_hosts(relay, hosts, count);
 	relay->current = *current ? find_candidate(relay, current) : NULL;
 	choose(relay, "the list of hosts changed");
 }
@@ -275,6 +276,7 @@
 		team_budget_wake(relay->budgets);
 		return;
 	}
+	budget_lending_on_reply(relay, link);
 	if (!candidate)
 		return;
 	candidate->asked_us = 0;
--- a/src/coordination/budget_relay.h
+++ b/src/coordination/budget_relay.h
@@ -18,6 +18,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "coordination/budget_lending.h"
 #include "state/peer_host.h"
 #include "state/transfer_link.h"
 #include "tamarackgw/peer.h"
@@ -62,6 +63,7 @@
 				  * for yet */
 	bool store_unreachable;	 /**< for the relay, by its last message */
 	int64_t hand_over_since_us; /**< of unspent tokens, at a stop */
+	struct budget_lending lending;
 	struct transfer_link *links;
 };
 
--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -19,6 +19,10 @@
 #define NEEDED_FOR_US (500 * TGW_US_PER_MS)
 /* An entry is repeated in so many messages after a change. */
 #define REPEATS 3
+/* A loan is acknowledged in so many messages. Until it is, it is sent again
+ * after the interval. */
+#define LOAN_REPEATS 2
+#define LOAN_RESEND_US (50 * TGW_US_PER_MS)
 /* A view of the pool that is older says nothing about free tokens. */
 #define VIEW_MAX_AGE_US (1 * TGW_US_PER_S)
 
@@ -237,9 +241,48 @@
 	struct transfer_message message;
 
 	init_message(relay, budget_transfer_find(relay, host), true, &message);
+	message.is_loan = true;
 	send(relay, host, &message);
 }
 
+void budget_transfer_borrow(struct budget_relay *relay, const char *host,
+			    struct team_account *const *accounts, size_t count)
+{
+	struct transfer_link *link = budget_transfer_find(relay, host);
+	struct transfer_message message;
+
+	init_message(relay, link, true, &message);
+	message.is_loan = true;
+	for (size_t i = 0; i < count; i++) {
+		const struct team_account *account = accounts[i];
+		struct transfer_totals *totals =
+			transfer_link_totals(link, account->team);
+		struct transfer_entry *entry =
+			next_entry(relay, host, &message);
+
+		totals->loan_asked_us = now_of(relay);
+		fill_entry(relay, account, totals, true, entry);
+		/* The lender does not count it as its own. */
+		entry->held_tokens = 0;
+		entry->needed_tokens = account->borrowed_for_tokens;
+		entry->wanted_tokens =
+			max_tokens(entry->wanted_tokens, entry->needed_tokens);
+	}
+	send(relay, host, &message);
+}
+
+static bool is_reply_due(const struct budget_relay *relay,
+			 const struct transfer_link *link,
+			 const struct transfer_totals *totals)
+{
+	if (totals->repeats)
+		return true;
+	if (!transfer_totals_is_unacknowledged(totals))
+		return false;
+	return !link->borrows ||
+	       now_of(relay) - totals->replied_us >= LOAN_RESEND_US;
+}
+
 void budget_transfer_reply(struct budget_relay *relay,
 			   struct transfer_link *link, bool always)
 {
@@ -251,8 +294,7 @@
 	     totals = totals->next) {
 		const struct team_account *account;
 
-		if (!totals->repeats &&
-		    !transfer_totals_is_unacknowledged(totals))
+		if (!is_reply_due(relay, link, totals))
 			continue;
 		account =
 			team_budget_find_account(relay->budgets, totals->team);
@@ -260,6 +302,7 @@
 			continue;
 		if (totals->repeats)
 			totals->repeats--;
+		totals->replied_us = now_of(relay);
 		fill_entry(relay, account, totals, false,
 			   next_entry(relay, link->host, &message));
 		sent_any = true;
@@ -330,9 +373,10 @@
 		totals->repeats = 1;
 }
 
-/* The sender is the relay of this host. */
+/* The sender is the relay of this host, or a lender. */
 static void apply_reply(const struct budget_relay *relay,
 			struct team_account *account,
+			struct transfer_totals *totals,
 			const struct transfer_entry *entry)
 {
 	int64_t now = now_of(relay);
@@ -342,7 +386,10 @@
 	    viewed_us > account->viewed_us)
 		team_account_view(account, entry->free_tokens,
 				  entry->remaining_tokens, viewed_us);
-	account->none_available_us = entry->none_available ? now : 0;
+	if (totals->loan_asked_us)
+		transfer_totals_end_loan(totals, entry, now);
+	else
+		account->none_available_us = entry->none_available ? now : 0;
 }
 
 static void apply_entry(struct budget_relay *relay, struct transfer_link *link,
@@ -366,7 +413,8 @@
 		team_account_receive(account, taken);
 		relay->budgets->counters.received_tokens += (uint64_t)taken;
 		if (taken)
-			totals->repeats = REPEATS;
+			totals->repeats = totals->loan_asked_us ? LOAN_REPEATS
+								: REPEATS;
 	}
 	usage = transfer_totals_collect(totals, entry);
 	team_account_collect(account, &usage, now_of(relay));
@@ -380,7 +428,7 @@
 	if (message->is_report)
 		apply_report(relay, account, totals, entry);
 	else
-		apply_reply(relay, account, entry);
+		apply_reply(relay, account, totals, entry);
 }
 
 struct transfer_link *budget_transfer_receive(
@@ -403,6 +451,8 @@
 	link->heard_us = now_of(relay);
 	link->leaving = transfer.leaving;
 	link->store_unreachable = transfer.store_unreachable;
+	if (transfer.is_report)
+		link->borrows = transfer.is_loan;
 	for (size_t i = 0; i < transfer.entry_count; i++)
 		apply_entry(relay, link, &transfer, &transfer.entries[i]);
 	if (!transfer.is_report)
@@ -440,8 +490,10 @@
 	bool uses_store = team_budget_uses_store(key->budgets);
 	bool is_capped = team_account_is_capped(account, tokens, now);
 
-	if ((uses_store || is_capped) && is_store_unreachable(key))
+	if (is_capped && is_store_unreachable(key))
 		return false;
+	if (uses_store && is_store_unreachable(key))
+		return budget_lending_request(relay, account, tokens);
 	if (is_capped) {
 		account->capped_tokens += tokens;
 		team_budget_caps_request(key->budgets);
@@ -470,7 +522,8 @@
 	return max_tokens(totals->needed_tokens, ahead);
 }
 
-static void serve(struct budget_relay *relay, struct transfer_totals *totals)
+static void serve(struct budget_relay *relay, const struct transfer_link *link,
+		  struct transfer_totals *totals)
 {
 	struct team_budget_key *key =
 		team_budget_key_of(relay->budgets, totals->team);
@@ -486,13 +539,24 @@
 	tokens = tokens_to_give(totals, available);
 	totals->none_available =
 		!tokens && totals->needed_tokens &&
-		!request_more(key, account, totals->needed_tokens, now);
+		(link->borrows ||
+		 !request_more(key, account, totals->needed_tokens, now));
 	/* They may do for some of the requests. */
 	if (totals->none_available)
 		tokens = max_tokens(available, 0);
+	/* A lender asks nobody itself, so that requests do not go around. The
+	 * borrower asks another one. */
+	if (link->borrows) {
+		totals->needed_tokens = 0;
+		totals->wanted_tokens = 0;
+	}
 	if (!tokens)
 		return;
 	give(relay, account, totals, tokens);
+	if (link->borrows) {
+		totals->repeats = 1;
+		return;
+	}
 	account->held_by_peers_tokens += tokens;
 	totals->held_tokens += tokens;
 	totals->needed_tokens = max_tokens(totals->needed_tokens - tokens, 0);
@@ -512,6 +576,6 @@
 		}
 		if (totals->wanted_tokens &&
 		    team_budget_find_account(relay->budgets, totals->team))
-			serve(relay, totals);
+			serve(relay, link, totals);
 	}
 }
--- a/src/coordination/budget_transfer.h
+++ b/src/coordination/budget_transfer.h
@@ -19,6 +19,11 @@
 /** Asks a host for a reply, which says whether it reaches the store. */
 void budget_transfer_probe(struct budget_relay *relay, const char *host);
 
+/** Asks a host for a loan of what the accounts' requests lack.
+ * @param count at most TRANSFER_ENTRIES_MAX */
+void budget_transfer_borrow(struct budget_relay *relay, const char *host,
+			    struct team_account *const *accounts, size_t count);
+
 /** Applies a message.
  * @param to_relay receives whether the sender uses this host as its relay
  * @return the link to the sender; NULL if the message was ignored */
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -36,6 +36,7 @@
 		     account; account = account->next) {
 			account->needed_tokens = 0;
 			account->capped_tokens = 0;
+			account->borrowed_for_tokens = 0;
 		}
 	}
 	budget_relay_serve(&budgets->relay);
@@ -295,11 +296,13 @@
 
 static enum tgw_status request_from_store(struct team_budget *budgets,
 					  struct team_budget_key *key,
-					  const struct team_account *account,
-					  int64_t now)
+					  struct team_account *account,
+					  int64_t tokens, int64_t now)
 {
 	if (!key->store_answers || budgets->store_unreachable)
-		return TGW_UNAVAILABLE;
+		return budget_lending_request(&budgets->relay, account, tokens)
+			       ? TGW_BUSY
+			       : TGW_UNAVAILABLE;
 	if (!account->free_tokens &&
 	    now - account->viewed_us <
 		    team_budget_key_interval_us(
@@ -337,7 +340,7 @@
 		return TGW_BUSY;
 	}
 	if (uses_store)
-		return request_from_store(budgets, key, account, now);
+		return request_from_store(budgets, key, account, tokens, now);
 	return request_from_relay(budgets, account, now);
 }
 
@@ -382,6 +385,7 @@
 	int64_t now = team_budget_now_us(budgets);
 	int64_t next = now + TEAM_BUDGET_CHECK_INTERVAL_US;
 	int64_t relay_due_us;
+	int64_t lending_due_us;
 
 	if (now - budgets->started_us >= JOINED_AFTER_US)
 		budgets->settings.policy.hosts_are_known = true;
@@ -389,6 +393,9 @@
 	probe_store(budgets, now);
 	team_budget_caps_tick(budgets);
 	relay_due_us = budget_relay_tick(&budgets->relay);
+	lending_due_us = budget_lending_tick(&budgets->relay);
+	if (lending_due_us < relay_due_us)
+		relay_due_us = lending_due_us;
 	if (budgets->closing && !budget_relay_hand_over(&budgets->relay))
 		return relay_due_us < next ? relay_due_us : next;
 	if (budgets->closing && notify_closed(budgets))
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -77,9 +77,10 @@
 	int64_t reserved_tokens;
 	int64_t demanded_tokens; /**< by requests that arrived here */
 	int64_t demanding_requests;
-	double demanded_squares; /**< sum of the squares of their tokens */
-	int64_t needed_tokens;	 /**< of requests that lack tokens now */
-	int32_t needed_rank;	 /**< of the most urgent of them */
+	double demanded_squares;     /**< sum of the squares of their tokens */
+	int64_t needed_tokens;	     /**< of requests that lack tokens now */
+	int32_t needed_rank;	     /**< of the most urgent of them */
+	int64_t borrowed_for_tokens; /**< of those that wait for a loan */
 	/** When the relay said that it can't get any for now; 0: it did not. */
 	int64_t none_available_us;
 	int64_t held_tokens;  /**< unspent here, when last read */
--- a/src/state/transfer_link.c
+++ b/src/state/transfer_link.c
@@ -5,6 +5,12 @@
 
 #include "base/text.h"
 #include "base/xalloc.h"
+#include "tamarackgw/clock.h"
+
+/* A lender that had nothing left is not asked for the team for this time, which
+ * doubles up to the maximum. */
+#define NONE_LENT_MIN_US (500 * TGW_US_PER_MS)
+#define NONE_LENT_MAX_US (8 * TGW_US_PER_S)
 
 struct transfer_link *transfer_link_new(const char *host, uint64_t incarnation)
 {
@@ -106,6 +112,25 @@
 	return tokens;
 }
 
+void transfer_totals_end_loan(struct transfer_totals *totals,
+			      const struct transfer_entry *entry,
+			      int64_t now_us)
+{
+	totals->loan_asked_us = 0;
+	totals->lender_known = true;
+	totals->lender_held_tokens = entry->held_tokens;
+	if (!entry->none_available) {
+		totals->none_lent_for_us = 0;
+		return;
+	}
+	totals->none_lent_for_us *= 2;
+	if (totals->none_lent_for_us < NONE_LENT_MIN_US)
+		totals->none_lent_for_us = NONE_LENT_MIN_US;
+	if (totals->none_lent_for_us > NONE_LENT_MAX_US)
+		totals->none_lent_for_us = NONE_LENT_MAX_US;
+	totals->none_lent_until_us = now_us + totals->none_lent_for_us;
+}
+
 bool transfer_totals_is_unacknowledged(const struct transfer_totals *totals)
 {
 	return totals->acknowledged_tokens < totals->given_tokens;
--- a/src/state/transfer_link.h
+++ b/src/state/transfer_link.h
@@ -29,8 +29,15 @@
 	int32_t rank;
 	int64_t needed_us;   /**< when the entry arrived */
 	bool none_available; /**< here, of what is needed there */
+	/* The other process as a lender. */
+	int64_t loan_asked_us;	    /**< without a reply yet; 0: not asked */
+	bool lender_known;	    /**< it has replied */
+	int64_t lender_held_tokens; /**< as it last said */
+	int64_t none_lent_until_us; /**< it had none: not asked before */
+	int64_t none_lent_for_us;   /**< last time; doubles */
 	/** The following messages repeat the entry, as one may be lost. */
 	uint32_t repeats;
+	int64_t replied_us; /**< last reply with the entry */
 	struct transfer_totals *next;
 };
 
@@ -40,6 +47,7 @@
 	int64_t heard_us;	/**< when its last message arrived */
 	bool leaving;		/**< as that message says */
 	bool store_unreachable; /**< likewise: it does not reach the store */
+	bool borrows; /**< likewise: this host is not its relay, but a lender */
 	/** The process was replaced long ago: its messages are ignored for
 	 * good, since nothing is known any more of what was taken. */
 	bool ended;
@@ -76,6 +84,13 @@
 int64_t transfer_totals_revoke(struct transfer_totals *totals,
 			       const struct transfer_entry *entry);
 
+/** Records what a lender's reply says. One that could not give all that was
+ * needed counts as one without any: a remainder that serves no request must not
+ * go back and forth. */
+void transfer_totals_end_loan(struct transfer_totals *totals,
+			      const struct transfer_entry *entry,
+			      int64_t now_us);
+
 /** @return whether given tokens have not been acknowledged */
 bool transfer_totals_is_unacknowledged(const struct transfer_totals *totals);
 
--- a/src/state/transfer_message.c
+++ b/src/state/transfer_message.c
@@ -16,6 +16,7 @@
 	FLAG_REPORT = 1,
 	FLAG_LEAVING = 2,
 	FLAG_STORE_UNREACHABLE = 4,
+	FLAG_LOAN = 8,
 };
 
 static void encode_entry(msgpack_packer *packer,
@@ -45,7 +46,8 @@
 	uint64_t flags =
 		(message->is_report ? FLAG_REPORT : 0) |
 		(message->leaving ? FLAG_LEAVING : 0) |
-		(message->store_unreachable ? FLAG_STORE_UNREACHABLE : 0);
+		(message->store_unreachable ? FLAG_STORE_UNREACHABLE : 0) |
+		(message->is_loan ? FLAG_LOAN : 0);
 
 	msgpack_packer_init(&packer, bytes, msgpack_field_write);
 	msgpack_pack_array(&packer, MESSAGE_FIELDS);
@@ -115,6 +117,7 @@
 	message->is_report = flags & FLAG_REPORT;
 	message->leaving = flags & FLAG_LEAVING;
 	message->store_unreachable = flags & FLAG_STORE_UNREACHABLE;
+	message->is_loan = flags & FLAG_LOAN;
 	entries = record_reader_array(&reader, TRANSFER_ENTRIES_MAX);
 	if (record_reader_finish(&reader, error) != TGW_OK)
 		return reader.status;
--- a/src/state/transfer_message.h
+++ b/src/state/transfer_message.h
@@ -53,6 +53,8 @@
 	bool is_report; /**< from a host to its relay, which replies */
 	bool leaving;	/**< the sender takes part no longer */
 	bool store_unreachable;
+	bool is_loan; /**< a report from a host with another relay, or none: it
+		       * asks for what the receiver holds */
 	size_t entry_count;
 	struct transfer_entry entries[TRANSFER_ENTRIES_MAX];
 };
