Do not take the demand of an outage for a burst

Cause: a host that turns to a relay reports what it was asked for since its last report, seconds of demand in an outage. The relay counted it in its forecast as one burst, and held and capped by up to twice the real demand for some seconds (237 instead of 129 thousand tokens a second at one host of seven). With loans hosts find the first one that reaches the store at once, which makes it the rule after an outage.

Change: what a host reports in its first second with a relay counts for the pools, and not for the forecast.

--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -23,6 +23,10 @@
  * after the interval. */
 #define LOAN_REPEATS 2
 #define LOAN_RESEND_US (50 * TGW_US_PER_MS)
+/* A host that sent no report for this time has chosen this one as its relay
+ * anew. What it reports at first is from a time without a relay. */
+#define REPORT_GAP_US (2 * TGW_US_PER_S)
+#define FIRST_REPORT_US (1 * TGW_US_PER_S)
 /* A view of the pool that is older says nothing about free tokens. */
 #define VIEW_MAX_AGE_US (1 * TGW_US_PER_S)
 
@@ -356,6 +360,22 @@
 	return link;
 }
 
+static void record_report(const struct budget_relay *relay,
+			  struct transfer_link *link)
+{
+	int64_t now = now_of(relay);
+
+	if (!link->reported_us || now - link->reported_us > REPORT_GAP_US)
+		link->relay_since_us = now;
+	link->reported_us = now;
+}
+
+static bool has_reported_before(const struct budget_relay *relay,
+				const struct transfer_link *link)
+{
+	return now_of(relay) - link->relay_since_us > FIRST_REPORT_US;
+}
+
 /* The sender uses this host as its relay. */
 static void apply_report(const struct budget_relay *relay,
 			 struct team_account *account,
@@ -417,7 +437,8 @@
 								: REPEATS;
 	}
 	usage = transfer_totals_collect(totals, entry);
-	team_account_collect(account, &usage, now_of(relay));
+	team_account_collect(account, &usage, has_reported_before(relay, link),
+			     now_of(relay));
 	transfer_totals_acknowledge(totals, entry);
 	if (message->leaving)
 		team_account_take_back(account,
@@ -453,6 +474,8 @@
 	link->store_unreachable = transfer.store_unreachable;
 	if (transfer.is_report)
 		link->borrows = transfer.is_loan;
+	if (transfer.is_report && !transfer.is_loan)
+		record_report(relay, link);
 	for (size_t i = 0; i < transfer.entry_count; i++)
 		apply_entry(relay, link, &transfer, &transfer.entries[i]);
 	if (!transfer.is_report)
--- a/src/state/team_account_transfer.c
+++ b/src/state/team_account_transfer.c
@@ -36,7 +36,7 @@
 
 void team_account_collect(struct team_account *account,
 			  const struct team_account_usage *usage,
-			  int64_t now_us)
+			  bool is_recent, int64_t now_us)
 {
 	double tokens = (double)usage->demanded_tokens;
 
@@ -46,7 +46,9 @@
 	account->demanded_tokens += usage->demanded_tokens;
 	account->demanding_requests += usage->requests;
 	account->demanded_squares += tokens * tokens / (double)usage->requests;
-	demand_forecast_add(&account->demand, now_us, usage->demanded_tokens);
+	if (is_recent)
+		demand_forecast_add(&account->demand, now_us,
+				    usage->demanded_tokens);
 }
 
 void team_account_forward(struct team_account *account,
--- a/src/state/team_account_transfer.h
+++ b/src/state/team_account_transfer.h
@@ -18,10 +18,11 @@
 /** Receives what another host gave. */
 void team_account_receive(struct team_account *account, int64_t tokens);
 
-/** Counts what requests used at a host that this one relays for. */
+/** Counts what requests used at a host that this one relays for.
+ * @param is_recent demand of a longer time would be taken for a high rate */
 void team_account_collect(struct team_account *account,
 			  const struct team_account_usage *usage,
-			  int64_t now_us);
+			  bool is_recent, int64_t now_us);
 
 /** Leaves to another host what this one has not reported yet: it is counted as
  * forwarded, and added to the usage. */
--- a/src/state/transfer_link.h
+++ b/src/state/transfer_link.h
@@ -48,6 +48,8 @@
 	bool leaving;		/**< as that message says */
 	bool store_unreachable; /**< likewise: it does not reach the store */
 	bool borrows; /**< likewise: this host is not its relay, but a lender */
+	int64_t reported_us;	/**< last message to this host as its relay */
+	int64_t relay_since_us; /**< first of those in a row */
 	/** The process was replaced long ago: its messages are ignored for
 	 * good, since nothing is known any more of what was taken. */
 	bool ended;
--- a/tests/unit/test_budget_lending.c
+++ b/tests/unit/test_budget_lending.c
@@ -149,6 +149,35 @@
 }
 END_TEST
 
+/* Hosts that used another relay while the store was away report to it all that
+ * they were asked for. */
+START_TEST(the_demand_of_an_outage_is_not_taken_for_a_burst)
+{
+	double demand_per_s = 0;
+
+	start_fleet(_i);
+	for (int outage = 0; outage < 2; outage++) {
+		team_fleet_set_outage(true);
+		team_fleet_play(8 * TGW_US_PER_S, true);
+		team_fleet_set_outage(false);
+		team_fleet_play(3 * TGW_US_PER_S, true);
+	}
+	for (size_t host = 0; host < DOMAINS; host++) {
+		struct team_budget *budgets = team_fleet.hosts[host].budgets;
+
+		for (int team = 0; team < TEAMS; team++)
+			demand_per_s += demand_forecast_per_s(
+				&team_budget_find_account(
+					 budgets, team_fleet.team_names[team])
+					 ->demand,
+				team_budget_now_us(budgets));
+	}
+	ck_assert_double_le(demand_per_s,
+			    1.25 * REQUEST_TOKENS * REQUESTS_PER_S * TEAMS);
+	team_fleet_stop();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("budget_lending");
@@ -171,6 +200,9 @@
 	tcase_add_loop_test(
 		tcase, loans_on_a_network_that_loses_messages_serve_callers, 1,
 		1 + SEEDS);
+	tcase_add_loop_test(tcase,
+			    the_demand_of_an_outage_is_not_taken_for_a_burst, 1,
+			    1 + SEEDS);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
