Bound what deaths may strand over a budget's whole life

Cause: all hosts held at most a fifth of what was left, lest a power loss strand too much; that was too little for a cut of the store (0.6 of the requests served), and still had no bound on several losses.

Change: state/loss_bound. What a pool counts as taken and not settled, which includes all losses, is kept below 35 in 100 of what was paid in by each raise that no request waits for; hosts hold 0.7 of the room that losses have left, at most half of what is left, and less near the end as before. New setting loss_percent; hold_percent is 50.

--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -265,6 +265,8 @@
 					(double)settings->ride_out_ms / 1000,
 				.hold_fraction =
 					(double)settings->hold_percent / 100,
+				.loss_fraction =
+					(double)settings->loss_percent / 100,
 				.host_count =
 					(uint32_t)settings->expected_hosts,
 			},
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -48,9 +48,13 @@
 	NUMBER("budget", "ride_out_ms", ride_out_ms, 500, 86400000, 12000,
 	       "length of the store outage that a host's allotments should "
 	       "cover"),
-	NUMBER("budget", "hold_percent", hold_percent, 1, 100, 20,
-	       "percentage of its fair allotment that a host may hold; less as "
-	       "the budget runs out"),
+	NUMBER("budget", "hold_percent", hold_percent, 1, 100, 50,
+	       "percentage of its part of what is left of a budget that a host "
+	       "may hold at most"),
+	NUMBER("budget", "loss_percent", loss_percent, 1, 100, 35,
+	       "percentage of what was paid in that deaths of all hosts, as "
+	       "many as there may be, may strand; hosts hold less after each "
+	       "loss"),
 	NUMBER("budget", "expected_hosts", expected_hosts, 1, 10000, 8,
 	       "expected number of hosts that share the budgets"),
 	NUMBER("retry", "share_percent", retry_percent, 0, 100, 20,
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -31,6 +31,7 @@
 	int64_t ledger_keys;
 	int64_t ride_out_ms;
 	int64_t hold_percent;
+	int64_t loss_percent;
 	int64_t expected_hosts;
 	/* [retry] */
 	int64_t retry_percent; /**< the key is share_percent */
--- a/src/state/allotment_policy.c
+++ b/src/state/allotment_policy.c
@@ -84,6 +84,9 @@
 	if (in->hold_fraction <= 0 || !in->domains)
 		return 0;
 	wanted = max_tokens(wanted, MIN_REQUESTS * in->typical_tokens);
+	if (in->limits_ahead)
+		wanted = min_tokens(wanted,
+				    in->needed_tokens + in->ahead_limit_tokens);
 	limit = in->free_tokens / (AHEAD_DIVISOR * (int64_t)in->domains);
 	return min_tokens(wanted, limit);
 }
--- a/src/state/allotment_policy.h
+++ b/src/state/allotment_policy.h
@@ -40,6 +40,9 @@
 	/** Maximum fraction of the fair amount to hold for the expected demand;
 	 * 0: all of it. Needed tokens may exceed it. */
 	double hold_fraction;
+	/** Most that is held ahead of need where `limits_ahead` is set. */
+	int64_t ahead_limit_tokens;
+	bool limits_ahead;
 	bool return_surplus; /**< other hosts request more than is free */
 };
 
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -7,6 +7,7 @@
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "state/allotment_policy.h"
+#include "state/loss_bound.h"
 #include "state/team_account_cap.h"
 #include "tamarackgw/clock.h"
 
@@ -20,12 +21,6 @@
 /* In the weights of hosts the assumed demand counts for this fraction of it, so
  * that a host with much of a team's demand is soon known. */
 #define ASSUMED_WEIGHT_DIVISOR 3
-/* Hosts may hold this fraction of their fair amount times the square of the
- * fraction of the budget that is left. */
-#define LOW_HOLD_FRACTION 1.2
-/* Hosts may hold at least this fraction of their fair amount, so that not every
- * request waits for the store. */
-#define MIN_HOLD_FRACTION 0.06
 /* An allotment lasts at least until the next write, which may need retries. */
 #define MIN_RIDE_OUT_S 2.0
 
@@ -288,24 +283,42 @@
 	return mean;
 }
 
-/* What hosts hold is lost when they lose power, so the fraction that they may
- * hold is limited, and falls near the end of a budget, when too little is left
- * to make up for that. What dead hosts held is not left. */
-static double hold_fraction(const struct team_account *account,
-			    const struct team_account_policy *policy,
-			    const struct allotment_inputs *in)
-{
-	double left =
-		(double)(in->free_tokens + in->others_left_tokens +
-			 at_least_zero(in->allotted_tokens - in->used_tokens));
-	double left_fraction;
+static struct loss_bound_inputs loss_bound_inputs(
+	const struct team_account *account, const struct pooled_budget *budget,
+	const struct team_account_policy *policy,
+	const struct allotment_inputs *in)
+{
+	int64_t own = at_least_zero(in->allotted_tokens - in->used_tokens);
+	struct loss_bound_inputs bound = {
+		.loss_fraction = policy->loss_fraction,
+		.hold_fraction = policy->hold_fraction,
+		.weight = in->weight,
+		.paid_in_tokens = account->paid_in_tokens,
+		.left_tokens = in->free_tokens + in->others_left_tokens + own,
+		.own_tokens = own,
+	};
+
+	if (budget) {
+		bound.unsettled_tokens =
+			budget->taken_tokens - budget->settled_tokens;
+		bound.others_unsettled_tokens =
+			others_unsettled_tokens(account, budget);
+	}
+	return bound;
+}
 
-	if (account->paid_in_tokens <= 0)
-		return policy->hold_fraction;
-	left_fraction = left / (double)account->paid_in_tokens;
-	return fmax(fmin(policy->hold_fraction,
-			 LOW_HOLD_FRACTION * left_fraction * left_fraction),
-		    MIN_HOLD_FRACTION);
+/* A write may take the minimum time. */
+static void limit_held(const struct loss_bound_inputs *bound,
+		       struct allotment_inputs *in)
+{
+	in->hold_fraction = loss_bound_hold_fraction(bound);
+	in->limits_ahead = true;
+	in->ahead_limit_tokens = (int64_t)loss_bound_limit_tokens(bound);
+	in->min_ride_out_s = MIN_RIDE_OUT_S;
+	if (in->demand_per_s > 0)
+		in->min_ride_out_s =
+			fmin(MIN_RIDE_OUT_S,
+			     loss_bound_limit_tokens(bound) / in->demand_per_s);
 }
 
 /* @return what this host and those that it relays for hold of the confirmed
@@ -324,6 +337,7 @@
 	double forecast_per_s = demand_forecast_per_s(&account->demand, now_us);
 	double assumed_per_s =
 		assumed_demand_per_s(account, budget, policy, hosts);
+	struct loss_bound_inputs bound;
 
 	memset(in, 0, sizeof(*in));
 	in->free_tokens = free_tokens(account, budget);
@@ -339,8 +353,8 @@
 			others_left_tokens(account, budget, in);
 	in->others_count = hosts - 1;
 	in->ride_out_s = policy->ride_out_s;
-	in->min_ride_out_s = MIN_RIDE_OUT_S;
-	in->hold_fraction = hold_fraction(account, policy, in);
+	bound = loss_bound_inputs(account, budget, policy, in);
+	limit_held(&bound, in);
 	in->domains = hosts;
 	in->return_surplus = budget &&
 			     budget->requested_tokens > in->free_tokens;
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -16,8 +16,10 @@
 /** How much of a budget a host may hold. */
 struct team_account_policy {
 	double ride_out_s;    /**< length of the store outage to cover */
-	double hold_fraction; /**< of its fair part of what is left */
-	uint32_t host_count;  /**< minimum; bounds the initial allotments */
+	double hold_fraction; /**< maximum, of its fair part of what is left */
+	/** Of what was paid in, that may be stranded by deaths. */
+	double loss_fraction;
+	uint32_t host_count; /**< minimum; bounds the initial allotments */
 	/** The hosts have had time to join the pool. Until then, and until
 	 * another host has settled tokens, no demand is assumed beyond the
 	 * forecast, since the number of hosts is not known. */
--- a/tests/fakes/budget_rig.c
+++ b/tests/fakes/budget_rig.c
@@ -64,6 +64,7 @@
 		.boot = host->boot,
 		.policy = {.ride_out_s = 25,
 			   .hold_fraction = 0.9,
+			   .loss_fraction = 1.0,
 			   .host_count = BUDGET_RIG_HOSTS},
 	};
 	struct team_budget_events events = {
--- a/tests/fakes/team_fleet.c
+++ b/tests/fakes/team_fleet.c
@@ -71,7 +71,8 @@
 
 static const struct team_account_policy default_policy = {
 	.ride_out_s = 12,
-	.hold_fraction = 0.2,
+	.hold_fraction = 0.5,
+	.loss_fraction = 0.35,
 	.host_count = 8,
 };
 
