--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -295,6 +295,7 @@
 	       ranked_count * sizeof(candidates[0]));
 	relay->candidate_count = ranked_count;
 	relay->hosts_known = true;
+	budget_lending_set_hosts(relay, hosts, count);
 	relay->current = *current ? find_candidate(relay, current) : NULL;
 	choose(relay, "the list of hosts changed");
 }
@@ -341,6 +342,14 @@
 	candidate->told_us = now_of(relay);
 }
 
+static void answer_report(struct budget_relay *relay,
+			  struct transfer_link *link)
+{
+	budget_transfer_serve(relay, link);
+	budget_transfer_reply(relay, link, true);
+	team_budget_wake(relay->budgets);
+}
+
 static void on_report(struct budget_relay *relay, struct transfer_link *link,
 		      int64_t heard_before_us)
 {
@@ -348,9 +357,7 @@
 	/* Its own relay may have lost the store. */
 	if (relay->reported_to_us - heard_before_us >= BELIEF_MAX_AGE_US)
 		relay->check_us = relay->reported_to_us;
-	budget_transfer_serve(relay, link);
-	budget_transfer_reply(relay, link, true);
-	team_budget_wake(relay->budgets);
+	answer_report(relay, link);
 }
 
 /* Two hosts that use each other would get no tokens from the store. The one
@@ -383,13 +390,17 @@
 	candidate = find_candidate(relay, message->from_host);
 	if (candidate)
 		note_told(relay, candidate, link);
-	if (to_relay)
+	if (to_relay && link->borrows)
+		answer_report(relay, link);
+	else if (to_relay)
 		on_report(relay, link, heard_before_us);
+	else
+		budget_lending_on_reply(relay, link);
 	if (!candidate)
 		return;
-	if (to_relay)
+	if (to_relay && !link->borrows)
 		end_mutual_use(relay, candidate, link);
-	else
+	else if (!to_relay)
 		candidate->asked_us = 0;
 	if (!to_relay && link->leaving)
 		suspect(relay, candidate, LEAVING_US);
--- a/src/coordination/budget_relay.h
+++ b/src/coordination/budget_relay.h
@@ -21,6 +21,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "coordination/budget_lending.h"
 #include "state/peer_host.h"
 #include "state/transfer_link.h"
 #include "tamarackgw/peer.h"
@@ -75,6 +76,7 @@
 	int64_t check_us;
 	int64_t told_others_us;	    /**< that its reach of the store changed */
 	int64_t hand_over_since_us; /**< of unspent tokens, at a stop */
+	struct budget_lending lending;
 	struct transfer_link *links;
 };
 
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -16,8 +16,10 @@
 /** How much of a budget a host may hold. */
 struct team_account_policy {
 	double ride_out_s;    /**< length of the store outage to cover */
-	double hold_fraction; /**< of its fair part of what is left */
-	uint32_t host_count;  /**< minimum; bounds the initial allotments */
+	double hold_fraction; /**< maximum, of its fair part of what is left */
+	/** Of what was paid in, that may be stranded by deaths. */
+	double loss_fraction;
+	uint32_t host_count; /**< minimum; bounds the initial allotments */
 	/** The hosts have had time to join the pool. Until then, and until
 	 * another host has settled tokens, no demand is assumed beyond the
 	 * forecast, since the number of hosts is not known. */
@@ -77,9 +79,10 @@
 	int64_t reserved_tokens;
 	int64_t demanded_tokens; /**< by requests that arrived here */
 	int64_t demanding_requests;
-	double demanded_squares; /**< sum of the squares of their tokens */
-	int64_t needed_tokens;	 /**< of requests that lack tokens now */
-	int32_t needed_rank;	 /**< of the most urgent of them */
+	double demanded_squares;     /**< sum of the squares of their tokens */
+	int64_t needed_tokens;	     /**< of requests that lack tokens now */
+	int32_t needed_rank;	     /**< of the most urgent of them */
+	int64_t borrowed_for_tokens; /**< of those that wait for a loan */
 	/** When the relay said that it can't get any for now; 0: it did not. */
 	int64_t none_available_us;
 	int64_t held_tokens;  /**< unspent here, when last read */
