--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -25,6 +25,12 @@
 #define REPEAT_INTERVAL_US (50 * TGW_US_PER_MS)
 /* A host that has reported is taken to use this one for this time. */
 #define USED_FOR_US (1 * TGW_US_PER_S)
+/* A loan is acknowledged in so many messages. */
+#define LOAN_REPEATS 2
+/* A host that sent no report for this time has chosen this one as its relay
+ * anew. What it reports at first is from a time without a relay. */
+#define REPORT_GAP_US (2 * TGW_US_PER_S)
+#define FIRST_REPORT_US (1 * TGW_US_PER_S)
 /* A view of the pool that is older says nothing about free tokens. */
 #define VIEW_MAX_AGE_US (1 * TGW_US_PER_S)
 
@@ -260,17 +266,50 @@
 	struct transfer_message message;
 
 	init_message(relay, budget_transfer_find(relay, host), true, &message);
+	message.is_loan = true;
+	send(relay, host, &message);
+}
+
+void budget_transfer_borrow(struct budget_relay *relay, const char *host,
+			    struct team_account *const *accounts, size_t count)
+{
+	struct transfer_link *link = budget_transfer_find(relay, host);
+	struct transfer_message message;
+
+	init_message(relay, link, true, &message);
+	message.is_loan = true;
+	for (size_t i = 0; i < count; i++) {
+		const struct team_account *account = accounts[i];
+		struct transfer_totals *totals =
+			transfer_link_totals(link, account->team);
+		struct transfer_entry *entry =
+			next_entry(relay, host, &message);
+
+		totals->loan_asked_us = now_of(relay);
+		fill_entry(relay, account, totals, true, entry);
+		/* The lender does not count it as its own. */
+		entry->held_tokens = 0;
+		entry->needed_tokens = account->borrowed_for_tokens;
+		entry->wanted_tokens =
+			max_tokens(entry->wanted_tokens, entry->needed_tokens);
+	}
 	send(relay, host, &message);
 }
 
 /* @param asked the other host has just reported */
-static bool reply_has_entry(const struct transfer_totals *totals, bool asked,
+static bool reply_has_entry(const struct transfer_link *link,
+			    const struct transfer_totals *totals, bool asked,
 			    int64_t now)
 {
+	uint32_t repeats_of_change = link->borrows ? LOAN_REPEATS : REPEATS;
+
 	if (!totals->repeats && !transfer_totals_is_unacknowledged(totals))
 		return false;
-	return asked || totals->repeats == REPEATS ||
-	       now - totals->replied_us >= REPEAT_INTERVAL_US;
+	if (totals->repeats == repeats_of_change)
+		return true;
+	if (asked && (totals->repeats || !link->borrows))
+		return true;
+	return now - totals->replied_us >= REPEAT_INTERVAL_US;
 }
 
 void budget_transfer_reply(struct budget_relay *relay,
@@ -285,7 +324,7 @@
 	     totals = totals->next) {
 		const struct team_account *account;
 
-		if (!reply_has_entry(totals, always, now))
+		if (!reply_has_entry(link, totals, always, now))
 			continue;
 		account =
 			team_budget_find_account(relay->budgets, totals->team);
@@ -347,6 +386,22 @@
 	return link;
 }
 
+static void record_report(const struct budget_relay *relay,
+			  struct transfer_link *link)
+{
+	int64_t now = now_of(relay);
+
+	if (!link->reported_us || now - link->reported_us > REPORT_GAP_US)
+		link->relay_since_us = now;
+	link->reported_us = now;
+}
+
+static bool has_reported_before(const struct budget_relay *relay,
+				const struct transfer_link *link)
+{
+	return now_of(relay) - link->relay_since_us > FIRST_REPORT_US;
+}
+
 /* The sender uses this host as its relay. */
 static void apply_report(const struct budget_relay *relay,
 			 struct team_account *account,
@@ -364,9 +419,10 @@
 		totals->repeats = 1;
 }
 
-/* The sender is the relay of this host. */
+/* The sender is the relay of this host, or a lender. */
 static void apply_reply(const struct budget_relay *relay,
 			struct team_account *account,
+			struct transfer_totals *totals,
 			const struct transfer_entry *entry)
 {
 	int64_t now = now_of(relay);
@@ -376,7 +432,10 @@
 	    viewed_us > account->viewed_us)
 		team_account_view(account, entry->free_tokens,
 				  entry->remaining_tokens, viewed_us);
-	account->none_available_us = entry->none_available ? now : 0;
+	if (totals->loan_asked_us)
+		transfer_totals_end_loan(totals, entry, now);
+	else
+		account->none_available_us = entry->none_available ? now : 0;
 }
 
 static void apply_entry(struct budget_relay *relay, struct transfer_link *link,
@@ -400,10 +459,12 @@
 		team_account_receive(account, taken);
 		relay->budgets->counters.received_tokens += (uint64_t)taken;
 		if (taken)
-			totals->repeats = REPEATS;
+			totals->repeats = totals->loan_asked_us ? LOAN_REPEATS
+								: REPEATS;
 	}
 	usage = transfer_totals_collect(totals, entry);
-	team_account_collect(account, &usage, now_of(relay));
+	team_account_collect(account, &usage, has_reported_before(relay, link),
+			     now_of(relay));
 	transfer_totals_acknowledge(totals, entry);
 	if (message->leaving)
 		team_account_take_back(account,
@@ -414,7 +475,7 @@
 	if (message->is_report)
 		apply_report(relay, account, totals, entry);
 	else
-		apply_reply(relay, account, entry);
+		apply_reply(relay, account, totals, entry);
 }
 
 struct transfer_link *budget_transfer_receive(
@@ -440,8 +501,10 @@
 		link->leaving = transfer.leaving;
 		link->store_unreachable = transfer.store_unreachable;
 	}
-	if (transfer.is_report && transfer.entry_count)
-		link->reported_us = link->heard_us;
+	if (transfer.is_report)
+		link->borrows = transfer.is_loan;
+	if (transfer.is_report && !transfer.is_loan && transfer.entry_count)
+		record_report(relay, link);
 	for (size_t i = 0; i < transfer.entry_count; i++)
 		apply_entry(relay, link, &transfer, &transfer.entries[i]);
 	*to_relay = transfer.is_report;
@@ -477,8 +540,10 @@
 	bool uses_store = team_budget_uses_store(key->budgets);
 	bool is_capped = team_account_is_capped(account, tokens, now);
 
-	if ((uses_store || is_capped) && is_store_unreachable(key))
+	if (is_capped && is_store_unreachable(key))
 		return false;
+	if (uses_store && is_store_unreachable(key))
+		return budget_lending_request(relay, account, tokens);
 	if (is_capped) {
 		account->capped_tokens += tokens;
 		team_budget_caps_request(key->budgets);
@@ -507,7 +572,8 @@
 	return max_tokens(totals->needed_tokens, ahead);
 }
 
-static void serve(struct budget_relay *relay, struct transfer_totals *totals)
+static void serve(struct budget_relay *relay, const struct transfer_link *link,
+		  struct transfer_totals *totals)
 {
 	struct team_budget_key *key =
 		team_budget_key_of(relay->budgets, totals->team);
@@ -523,13 +589,24 @@
 	tokens = tokens_to_give(totals, available);
 	totals->none_available =
 		!tokens && totals->needed_tokens &&
-		!request_more(key, account, totals->needed_tokens, now);
+		(link->borrows ||
+		 !request_more(key, account, totals->needed_tokens, now));
 	/* They may do for some of the requests. */
 	if (totals->none_available)
 		tokens = max_tokens(available, 0);
+	/* A lender asks nobody itself, so that requests do not go around. The
+	 * borrower asks another one. */
+	if (link->borrows) {
+		totals->needed_tokens = 0;
+		totals->wanted_tokens = 0;
+	}
 	if (!tokens)
 		return;
 	give(relay, account, totals, tokens);
+	if (link->borrows) {
+		totals->repeats = 1;
+		return;
+	}
 	account->held_by_peers_tokens += tokens;
 	totals->held_tokens += tokens;
 	totals->needed_tokens = max_tokens(totals->needed_tokens - tokens, 0);
@@ -549,6 +626,6 @@
 		}
 		if (totals->wanted_tokens &&
 		    team_budget_find_account(relay->budgets, totals->team))
-			serve(relay, totals);
+			serve(relay, link, totals);
 	}
 }
