Take only a request with entries for a loan

A domain was served less, and a kill soon after an outage stranded more, where loans had been joined with the new choice of relays.

Cause: a message that only asks a host for a reply has the mark of a loan. The receiver then took its link for one to a borrower until the next report, and did not look whether it reaches the store itself, which the reply is about.

Change: only messages with entries change what a link is, and each request makes the receiver refresh what it knows of the store.

--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -342,14 +342,6 @@
 	candidate->told_us = now_of(relay);
 }
 
-static void answer_report(struct budget_relay *relay,
-			  struct transfer_link *link)
-{
-	budget_transfer_serve(relay, link);
-	budget_transfer_reply(relay, link, true);
-	team_budget_wake(relay->budgets);
-}
-
 static void on_report(struct budget_relay *relay, struct transfer_link *link,
 		      int64_t heard_before_us)
 {
@@ -357,7 +349,9 @@
 	/* Its own relay may have lost the store. */
 	if (relay->reported_to_us - heard_before_us >= BELIEF_MAX_AGE_US)
 		relay->check_us = relay->reported_to_us;
-	answer_report(relay, link);
+	budget_transfer_serve(relay, link);
+	budget_transfer_reply(relay, link, true);
+	team_budget_wake(relay->budgets);
 }
 
 /* Two hosts that use each other would get no tokens from the store. The one
@@ -390,9 +384,7 @@
 	candidate = find_candidate(relay, message->from_host);
 	if (candidate)
 		note_told(relay, candidate, link);
-	if (to_relay && link->borrows)
-		answer_report(relay, link);
-	else if (to_relay)
+	if (to_relay)
 		on_report(relay, link, heard_before_us);
 	else
 		budget_lending_on_reply(relay, link);
--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -387,10 +387,13 @@
 }
 
 static void record_report(const struct budget_relay *relay,
-			  struct transfer_link *link)
+			  struct transfer_link *link, bool is_loan)
 {
 	int64_t now = now_of(relay);
 
+	link->borrows = is_loan;
+	if (is_loan)
+		return;
 	if (!link->reported_us || now - link->reported_us > REPORT_GAP_US)
 		link->relay_since_us = now;
 	link->reported_us = now;
@@ -501,10 +504,9 @@
 		link->leaving = transfer.leaving;
 		link->store_unreachable = transfer.store_unreachable;
 	}
-	if (transfer.is_report)
-		link->borrows = transfer.is_loan;
-	if (transfer.is_report && !transfer.is_loan && transfer.entry_count)
-		record_report(relay, link);
+	/* A message without entries only asks for a reply. */
+	if (transfer.is_report && transfer.entry_count)
+		record_report(relay, link, transfer.is_loan);
 	for (size_t i = 0; i < transfer.entry_count; i++)
 		apply_entry(relay, link, &transfer, &transfer.entries[i]);
 	*to_relay = transfer.is_report;
