--- a/src/state/host_load.h
+++ b/src/state/host_load.h
@@ -14,7 +14,7 @@
 #define HOST_LOAD_MIN_TURNS 4
 #define HOST_LOAD_MAX_TURNS 64
 
-/** What was measured since the last decision. */
+/** The state of the event loop when a decision is due. */
 struct host_load_view {
 	int64_t now_us;
 	/** How late the event loop was: its work between two polls. */
