Split the files of a caller's connection, of transfers and of the relay

Writing a response, serving the other end of a link, and choosing the relay have files of their own.

--- a/src/coordination/budget_relay.c
+++ b/src/coordination/budget_relay.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "base/text.h"
+#include "coordination/budget_relay_private.h"
 #include "coordination/budget_transfer.h"
 #include "coordination/team_budget_caps.h"
 #include "coordination/team_budget_key.h"
@@ -26,20 +27,9 @@
 #define LEAVING_US (20 * TGW_US_PER_S)
 /* A host that is not known to reach the store is asked again after this. */
 #define PROBE_INTERVAL_US (1 * TGW_US_PER_S)
-/* What a host has said of the store counts for this time. */
-#define TOLD_RECENT_US (3 * TGW_US_PER_S)
 /* A host that others use, or may use, calls the store if its last call is older
  * than this. */
 #define BELIEF_MAX_AGE_US (2 * TGW_US_PER_S)
-/* Another host is used instead of the relay once it has been the better one for
- * this time: if the relay reaches the store; if it has lost it; and if it has
- * lost it just now and the other one is in the same failure domain and has
- * reached it since. A call that fails takes half a second; and after an outage
- * hosts notice one after the other that the store is back. */
-#define BETTER_WAIT_US (2 * TGW_US_PER_S)
-#define LOST_WAIT_US (500 * TGW_US_PER_MS)
-#define LOST_NOW_WAIT_US (100 * TGW_US_PER_MS)
-#define LOST_NOW_US (1 * TGW_US_PER_S)
 /* A host leaves the pools once others have been its relay for this time. */
 #define LEAVE_AFTER_US (5 * TGW_US_PER_S)
 /* Minimum time between two messages to all that this host has lost the store,
@@ -55,11 +45,6 @@
 /* A stopping host waits this long until its relay has received its tokens. */
 #define HAND_OVER_US (600 * TGW_US_PER_MS)
 
-static int64_t now_of(const struct budget_relay *relay)
-{
-	return team_budget_now_us(relay->budgets);
-}
-
 void budget_relay_init(struct budget_relay *relay, struct team_budget *budgets,
 		       uint64_t incarnation)
 {
@@ -86,161 +71,12 @@
 
 /* The choice of the relay. */
 
-static void report_change(const struct budget_relay *relay, const char *reason)
-{
-	const struct team_budget_events *events = &relay->budgets->events;
-
-	if (events->relay_changed)
-		events->relay_changed(
-			events->arg, relay->current ? relay->current->host : "",
-			reason);
-}
-
-static bool answers(const struct budget_relay *relay,
-		    const struct budget_relay_candidate *candidate)
-{
-	return candidate->is_self ||
-	       now_of(relay) >= candidate->suspect_until_us;
-}
-
-/* A host of the own failure domain that was never asked is assumed to reach the
- * store, so that starting hosts agree at once. */
-static bool reaches_store(const struct budget_relay *relay,
-			  const struct budget_relay_candidate *candidate)
-{
-	int64_t now = now_of(relay);
-
-	if (candidate->is_self)
-		return budget_relay_reaches_store(relay);
-	if (!candidate->told_us)
-		return !candidate->is_elsewhere;
-	return !candidate->store_unreachable &&
-	       now - candidate->told_us < TOLD_RECENT_US;
-}
-
-/* While nobody reaches the store, the hosts of the failure domain share what
- * they hold. */
-static const struct budget_relay_candidate *best_candidate(
-	const struct budget_relay *relay)
-{
-	const struct budget_relay_candidate *first = NULL;
-
-	for (size_t i = 0; i < relay->candidate_count; i++) {
-		const struct budget_relay_candidate *candidate =
-			&relay->candidates[i];
-
-		if (!answers(relay, candidate))
-			continue;
-		if (reaches_store(relay, candidate))
-			return candidate;
-		if (!first && !candidate->is_elsewhere)
-			first = candidate;
-	}
-	return first;
-}
-
-static struct budget_relay_candidate *find_candidate(struct budget_relay *relay,
-						     const char *host)
-{
-	for (size_t i = 0; i < relay->candidate_count; i++)
-		if (!strcmp(relay->candidates[i].host, host))
-			return &relay->candidates[i];
-	return NULL;
-}
-
-/* @return the candidate that is in use, to be changed */
-static struct budget_relay_candidate *current_of(struct budget_relay *relay)
-{
-	return find_candidate(relay, relay->current->host);
-}
-
-/* What the host holds as a relay is for the new one. */
-static void become_member(struct budget_relay *relay)
-{
-	relay->member_since_us = now_of(relay);
-	team_budget_caps_request(relay->budgets);
-}
-
-static int64_t wait_us(const struct budget_relay *relay,
-		       const struct budget_relay_candidate *better)
-{
-	if (reaches_store(relay, relay->current))
-		return BETTER_WAIT_US;
-	if (better->is_elsewhere || !reaches_store(relay, better) ||
-	    now_of(relay) - relay->lost_us >= LOST_NOW_US)
-		return LOST_WAIT_US;
-	return LOST_NOW_WAIT_US;
-}
-
-/* A relay that answers is not left before another one has been better for a
- * while. */
-static bool must_wait(struct budget_relay *relay,
-		      const struct budget_relay_candidate *better)
-{
-	if (!relay->current || !better || !answers(relay, relay->current))
-		return false;
-	if (strcmp(relay->wanted, better->host)) {
-		text_copy(relay->wanted, sizeof(relay->wanted), better->host);
-		relay->wanted_since_us = now_of(relay);
-		team_budget_wake(relay->budgets);
-	}
-	return now_of(relay) - relay->wanted_since_us < wait_us(relay, better);
-}
-
-static void use(struct budget_relay *relay,
-		const struct budget_relay_candidate *candidate,
-		const char *reason)
-{
-	relay->current = candidate;
-	relay->lost_us = 0;
-	*relay->wanted = '\0';
-	relay->budgets->counters.relay_changes++;
-	relay->chosen_us = now_of(relay);
-	/* A report that it got when it was the relay before tells nothing. */
-	if (relay->current)
-		current_of(relay)->asked_us = 0;
-	report_change(relay, reason);
-	if (budget_relay_uses_store(relay))
-		relay->member_since_us = 0;
-	else if (!relay->member_since_us)
-		become_member(relay);
-	relay->requested = true;
-	team_budget_wake(relay->budgets);
-}
-
-/* What it knew before may be from before the outage, too. */
-static void note_lost(struct budget_relay *relay)
-{
-	if (!relay->current || reaches_store(relay, relay->current)) {
-		relay->lost_us = 0;
-		return;
-	}
-	if (relay->lost_us)
-		return;
-	relay->lost_us = now_of(relay);
-	if (!relay->current->is_self)
-		relay->doubted_us = relay->lost_us;
-	team_budget_wake(relay->budgets);
-}
-
-static void choose(struct budget_relay *relay, const char *reason)
-{
-	const struct budget_relay_candidate *best;
-
-	note_lost(relay);
-	best = best_candidate(relay);
-	if (best == relay->current)
-		*relay->wanted = '\0';
-	else if (!must_wait(relay, best))
-		use(relay, best, reason);
-}
-
 static void fill_candidate(struct budget_relay *relay,
 			   struct budget_relay_candidate *candidate,
 			   const char *host)
 {
 	const struct budget_relay_candidate *known =
-		find_candidate(relay, host);
+		budget_relay_find_candidate(relay, host);
 
 	memset(candidate, 0, sizeof(*candidate));
 	if (known)
@@ -296,8 +132,9 @@
 	relay->candidate_count = ranked_count;
 	relay->hosts_known = true;
 	budget_lending_set_hosts(relay, hosts, count);
-	relay->current = *current ? find_candidate(relay, current) : NULL;
-	choose(relay, "the list of hosts changed");
+	relay->current = *current ? budget_relay_find_candidate(relay, current)
+				  : NULL;
+	budget_relay_choose(relay, "the list of hosts changed");
 }
 
 bool budget_relay_uses_store(const struct budget_relay *relay)
@@ -305,7 +142,8 @@
 	if (!relay->peer)
 		return true;
 	if (!relay->hosts_known)
-		return now_of(relay) - relay->budgets->started_us >=
+		return budget_relay_now_us(relay) -
+			       relay->budgets->started_us >=
 		       DISCOVERY_US;
 	return !relay->current || relay->current->is_self;
 }
@@ -315,7 +153,7 @@
 {
 	candidate->asked_us = 0;
 	candidate->suspect_for_us = for_us;
-	candidate->suspect_until_us = now_of(relay) + for_us;
+	candidate->suspect_until_us = budget_relay_now_us(relay) + for_us;
 }
 
 /* The time doubles also if it has answered meanwhile, but not for long. */
@@ -324,7 +162,8 @@
 {
 	int64_t for_us = candidate->suspect_for_us * 2;
 
-	if (now_of(relay) - candidate->suspect_until_us >= SUSPECT_MAX_US ||
+	if (budget_relay_now_us(relay) - candidate->suspect_until_us >=
+		    SUSPECT_MAX_US ||
 	    for_us < SUSPECT_MIN_US)
 		for_us = SUSPECT_MIN_US;
 	if (for_us > SUSPECT_MAX_US)
@@ -339,13 +178,13 @@
 		      const struct transfer_link *link)
 {
 	candidate->store_unreachable = link->store_unreachable;
-	candidate->told_us = now_of(relay);
+	candidate->told_us = budget_relay_now_us(relay);
 }
 
 static void on_report(struct budget_relay *relay, struct transfer_link *link,
 		      int64_t heard_before_us)
 {
-	relay->reported_to_us = now_of(relay);
+	relay->reported_to_us = budget_relay_now_us(relay);
 	/* Its own relay may have lost the store. */
 	if (relay->reported_to_us - heard_before_us >= BELIEF_MAX_AGE_US)
 		relay->check_us = relay->reported_to_us;
@@ -362,11 +201,11 @@
 {
 	if (candidate != relay->current ||
 	    !budget_transfer_is_used_by(relay, link) ||
-	    now_of(relay) - relay->chosen_us < SILENCE_US ||
+	    budget_relay_now_us(relay) - relay->chosen_us < SILENCE_US ||
 	    strcmp(relay->host, candidate->host) > 0)
 		return;
 	suspect_silent(relay, candidate);
-	choose(relay, "the relay uses this host");
+	budget_relay_choose(relay, "the relay uses this host");
 }
 
 void budget_relay_on_message(struct budget_relay *relay,
@@ -381,7 +220,7 @@
 	link = budget_transfer_receive(relay, message, &to_relay);
 	if (!link)
 		return;
-	candidate = find_candidate(relay, message->from_host);
+	candidate = budget_relay_find_candidate(relay, message->from_host);
 	if (candidate)
 		note_told(relay, candidate, link);
 	if (to_relay)
@@ -396,9 +235,10 @@
 		candidate->asked_us = 0;
 	if (!to_relay && link->leaving)
 		suspect(relay, candidate, LEAVING_US);
-	choose(relay, link->leaving		? "the relay stops"
-		      : link->store_unreachable ? "the relay has lost the store"
-						: "another host ranks higher");
+	budget_relay_choose(relay, link->leaving ? "the relay stops"
+				   : link->store_unreachable
+					   ? "the relay has lost the store"
+					   : "another host ranks higher");
 	if (!to_relay)
 		team_budget_notify_changed(relay->budgets);
 }
@@ -413,7 +253,7 @@
 		if (candidate->is_self)
 			return true;
 		if (candidate == relay->current &&
-		    reaches_store(relay, candidate))
+		    budget_relay_candidate_reaches_store(relay, candidate))
 			return false;
 	}
 	return false;
@@ -424,7 +264,7 @@
 	const struct store_belief *belief = &relay->budgets->store_belief;
 	bool is_relay = relay->current && relay->current->is_self;
 
-	return store_belief_reaches(belief, now_of(relay)) &&
+	return store_belief_reaches(belief, budget_relay_now_us(relay)) &&
 	       (is_relay || belief->known_us >= relay->doubted_us);
 }
 
@@ -437,20 +277,22 @@
 	if (!relay->peer || !relay->current)
 		return false;
 	is_asked = relay->reported_to_us &&
-		   now_of(relay) - relay->reported_to_us < BELIEF_MAX_AGE_US;
+		   budget_relay_now_us(relay) - relay->reported_to_us <
+			   BELIEF_MAX_AGE_US;
 	if (!relay->current->is_self && would_replace(relay))
 		max_age_us = PROBE_INTERVAL_US;
 	else if (!relay->current->is_self && !is_asked)
 		return false;
 	return belief->known_us < relay->doubted_us ||
 	       belief->known_us < relay->check_us ||
-	       now_of(relay) - belief->known_us >= max_age_us;
+	       budget_relay_now_us(relay) - belief->known_us >= max_age_us;
 }
 
 bool budget_relay_is_settled(const struct budget_relay *relay)
 {
 	return relay->member_since_us &&
-	       now_of(relay) - relay->member_since_us >= LEAVE_AFTER_US;
+	       budget_relay_now_us(relay) - relay->member_since_us >=
+		       LEAVE_AFTER_US;
 }
 
 bool budget_relay_lost_store(const struct budget_relay *relay)
@@ -463,7 +305,7 @@
 
 static void tell_others(struct budget_relay *relay)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_relay_now_us(relay);
 
 	if (relay->told_others_us &&
 	    now - relay->told_others_us < TELL_INTERVAL_US)
@@ -479,9 +321,10 @@
 	if (!relay->peer || !relay->hosts_known)
 		return;
 	tell_others(relay);
-	choose(relay, relay->budgets->store_belief.unreachable
-			      ? "this host has lost the store"
-			      : "this host reaches the store again");
+	budget_relay_choose(relay,
+			    relay->budgets->store_belief.unreachable
+				    ? "this host has lost the store"
+				    : "this host reaches the store again");
 }
 
 void budget_relay_request(struct budget_relay *relay)
@@ -504,7 +347,7 @@
 static void report(struct budget_relay *relay,
 		   struct budget_relay_candidate *candidate)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_relay_now_us(relay);
 
 	relay->requested = false;
 	candidate->sent_us = now;
@@ -527,13 +370,13 @@
 static void probe(struct budget_relay *relay,
 		  struct budget_relay_candidate *candidate)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_relay_now_us(relay);
 
 	if (now - candidate->probed_us < PROBE_INTERVAL_US)
 		return;
 	if (candidate->probed_us && candidate->told_us < candidate->probed_us)
 		suspect_silent(relay, candidate);
-	if (!answers(relay, candidate)) {
+	if (!budget_relay_answers(relay, candidate)) {
 		candidate->probed_us = 0;
 		return;
 	}
@@ -546,18 +389,20 @@
 static void probe_candidates(struct budget_relay *relay)
 {
 	const struct budget_relay_candidate *current = relay->current;
-	int64_t now = now_of(relay);
+	int64_t now = budget_relay_now_us(relay);
 
 	for (size_t i = 0; i < relay->candidate_count; i++) {
 		struct budget_relay_candidate *candidate =
 			&relay->candidates[i];
 
-		if (candidate == current && reaches_store(relay, current))
+		if (candidate == current &&
+		    budget_relay_candidate_reaches_store(relay, current))
 			return;
 		if (candidate == current || candidate->is_self ||
-		    !answers(relay, candidate))
+		    !budget_relay_answers(relay, candidate))
 			continue;
-		if (!candidate->told_us || !reaches_store(relay, candidate) ||
+		if (!candidate->told_us ||
+		    !budget_relay_candidate_reaches_store(relay, candidate) ||
 		    now - candidate->told_us >= PROBE_INTERVAL_US)
 			probe(relay, candidate);
 	}
@@ -565,7 +410,7 @@
 
 static void forget_silent(struct budget_relay *relay)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_relay_now_us(relay);
 
 	for (struct transfer_link *link = relay->links; link;
 	     link = link->next) {
@@ -580,23 +425,23 @@
 
 int64_t budget_relay_tick(struct budget_relay *relay)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_relay_now_us(relay);
 	struct budget_relay_candidate *candidate;
 
 	if (!relay->peer || !relay->hosts_known)
 		return INT64_MAX;
 	forget_silent(relay);
-	choose(relay, "another host has been better for a while");
+	budget_relay_choose(relay, "another host has been better for a while");
 	probe_candidates(relay);
 	if (budget_relay_uses_store(relay))
 		return INT64_MAX;
-	candidate = current_of(relay);
+	candidate = budget_relay_current(relay);
 	if (candidate->asked_us && now - candidate->asked_us >= SILENCE_US) {
 		suspect_silent(relay, candidate);
-		choose(relay, "the relay does not answer");
+		budget_relay_choose(relay, "the relay does not answer");
 		if (budget_relay_uses_store(relay))
 			return INT64_MAX;
-		candidate = current_of(relay);
+		candidate = budget_relay_current(relay);
 	}
 	if (now >= report_due_us(relay, candidate))
 		report(relay, candidate);
@@ -618,7 +463,7 @@
 
 bool budget_relay_hand_over(struct budget_relay *relay)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_relay_now_us(relay);
 
 	if (budget_relay_uses_store(relay))
 		return true;
--- a/src/coordination/budget_transfer.c
+++ b/src/coordination/budget_transfer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "coordination/budget_transfer_private.h"
 #include "coordination/team_budget_caps.h"
 #include "coordination/team_budget_key.h"
 #include "state/team_account_cap.h"
@@ -13,10 +14,6 @@
  * gives back what exceeds this multiple. */
 #define REFILL_DIVISOR 2
 #define SURPLUS_MULTIPLE 3
-/* Ahead of need a relay gives at most this fraction of what it has. */
-#define AHEAD_DIVISOR 4
-/* The requests that tokens are needed for have been refused after this. */
-#define NEEDED_FOR_US (500 * TGW_US_PER_MS)
 /* An entry is repeated in so many messages after a change. */
 #define REPEATS 3
 /* Minimum time before a reply that was not asked for repeats an entry. Messages
@@ -31,23 +28,6 @@
  * anew. What it reports at first is from a time without a relay. */
 #define REPORT_GAP_US (2 * TGW_US_PER_S)
 #define FIRST_REPORT_US (1 * TGW_US_PER_S)
-/* A view of the pool that is older says nothing about free tokens. */
-#define VIEW_MAX_AGE_US (1 * TGW_US_PER_S)
-
-static int64_t min_tokens(int64_t a, int64_t b)
-{
-	return a < b ? a : b;
-}
-
-static int64_t max_tokens(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
-}
-
-static int64_t now_of(const struct budget_relay *relay)
-{
-	return team_budget_now_us(relay->budgets);
-}
 
 struct transfer_link *budget_transfer_find(const struct budget_relay *relay,
 					   const char *host)
@@ -65,7 +45,7 @@
 				const struct transfer_link *link)
 {
 	return link->reported_us &&
-	       now_of(relay) - link->reported_us < USED_FOR_US;
+	       budget_transfer_now_us(relay) - link->reported_us < USED_FOR_US;
 }
 
 bool budget_transfer_is_unacknowledged(const struct budget_relay *relay,
@@ -80,8 +60,9 @@
 	return false;
 }
 
-static void give(struct budget_relay *relay, struct team_account *account,
-		 struct transfer_totals *totals, int64_t tokens)
+void budget_transfer_give(struct budget_relay *relay,
+			  struct team_account *account,
+			  struct transfer_totals *totals, int64_t tokens)
 {
 	team_account_give(account, tokens);
 	relay->budgets->counters.given_tokens += (uint64_t)tokens;
@@ -102,7 +83,7 @@
 		       const struct transfer_totals *totals, bool is_report,
 		       struct transfer_entry *entry)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_transfer_now_us(relay);
 	int64_t target = team_account_reserve_target(account, HOLD_S, now);
 	int64_t held = team_account_held(account);
 
@@ -192,7 +173,7 @@
 			 struct team_account *account,
 			 struct transfer_totals *totals, bool hands_over)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_transfer_now_us(relay);
 	int64_t target =
 		hands_over ? 0
 			   : team_account_reserve_target(account, HOLD_S, now);
@@ -201,7 +182,8 @@
 	if (!hands_over && !may_get_surplus(relay, link))
 		return;
 	if (available > target * SURPLUS_MULTIPLE)
-		give(relay, account, totals, available - target);
+		budget_transfer_give(relay, account, totals,
+				     available - target);
 }
 
 /* Without a link, the process at the other end is not known yet: it gets
@@ -285,7 +267,7 @@
 		struct transfer_entry *entry =
 			next_entry(relay, host, &message);
 
-		totals->loan_asked_us = now_of(relay);
+		totals->loan_asked_us = budget_transfer_now_us(relay);
 		fill_entry(relay, account, totals, true, entry);
 		/* The lender does not count it as its own. */
 		entry->held_tokens = 0;
@@ -315,7 +297,7 @@
 void budget_transfer_reply(struct budget_relay *relay,
 			   struct transfer_link *link, bool always)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_transfer_now_us(relay);
 	struct transfer_message message;
 	bool sent_any = false;
 
@@ -389,7 +371,7 @@
 static void record_report(const struct budget_relay *relay,
 			  struct transfer_link *link, bool is_loan)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_transfer_now_us(relay);
 
 	link->borrows = is_loan;
 	if (is_loan)
@@ -402,7 +384,8 @@
 static bool has_reported_before(const struct budget_relay *relay,
 				const struct transfer_link *link)
 {
-	return now_of(relay) - link->relay_since_us > FIRST_REPORT_US;
+	return budget_transfer_now_us(relay) - link->relay_since_us >
+	       FIRST_REPORT_US;
 }
 
 /* The sender uses this host as its relay. */
@@ -417,7 +400,7 @@
 	totals->needed_tokens = entry->needed_tokens;
 	totals->wanted_tokens = entry->wanted_tokens;
 	totals->rank = (int32_t)entry->rank;
-	totals->needed_us = now_of(relay);
+	totals->needed_us = budget_transfer_now_us(relay);
 	if (!totals->repeats)
 		totals->repeats = 1;
 }
@@ -428,7 +411,7 @@
 			struct transfer_totals *totals,
 			const struct transfer_entry *entry)
 {
-	int64_t now = now_of(relay);
+	int64_t now = budget_transfer_now_us(relay);
 	int64_t viewed_us = now - entry->view_age_ms * TGW_US_PER_MS;
 
 	if (entry->view_age_ms != TRANSFER_NO_VIEW &&
@@ -467,7 +450,7 @@
 	}
 	usage = transfer_totals_collect(totals, entry);
 	team_account_collect(account, &usage, has_reported_before(relay, link),
-			     now_of(relay));
+			     budget_transfer_now_us(relay));
 	transfer_totals_acknowledge(totals, entry);
 	if (message->leaving)
 		team_account_take_back(account,
@@ -498,7 +481,7 @@
 	link = obtain_link(relay, message);
 	if (!link)
 		return NULL;
-	link->heard_us = now_of(relay);
+	link->heard_us = budget_transfer_now_us(relay);
 	if (transfer.sequence > link->sequence) {
 		link->sequence = transfer.sequence;
 		link->leaving = transfer.leaving;
@@ -512,122 +495,3 @@
 	*to_relay = transfer.is_report;
 	return link;
 }
-
-/* Serving. */
-
-static bool is_store_unreachable(const struct team_budget_key *key)
-{
-	return key->budgets->store_belief.unreachable || !key->store_answers;
-}
-
-/* A host that has a relay itself passes the request on to that one, which
- * ranks higher. */
-static bool request_from_relay(struct budget_relay *relay,
-			       struct team_account *account, int64_t tokens,
-			       int64_t now)
-{
-	if (team_account_has_none_available(account, now))
-		return false;
-	account->needed_tokens += tokens;
-	budget_relay_request(relay);
-	return true;
-}
-
-/* @return whether more tokens may come */
-static bool request_more(struct team_budget_key *key,
-			 struct team_account *account, int64_t tokens,
-			 int64_t now)
-{
-	struct budget_relay *relay = &key->budgets->relay;
-	bool uses_store = team_budget_uses_store(key->budgets);
-	bool is_capped = team_account_is_capped(account, tokens, now);
-
-	if (is_capped && is_store_unreachable(key))
-		return false;
-	if (uses_store && is_store_unreachable(key))
-		return budget_lending_request(relay, account, tokens);
-	if (is_capped) {
-		account->capped_tokens += tokens;
-		team_budget_caps_request(key->budgets);
-		return true;
-	}
-	if (!uses_store)
-		return request_from_relay(relay, account, tokens, now);
-	if (account->viewed_us && now - account->viewed_us < VIEW_MAX_AGE_US &&
-	    (!account->free_tokens || tokens > account->remaining_tokens))
-		return false;
-	account->needed_tokens += tokens;
-	team_budget_key_request_read(key);
-	return true;
-}
-
-static int64_t tokens_to_give(const struct transfer_totals *totals,
-			      int64_t available)
-{
-	int64_t ahead =
-		min_tokens(totals->wanted_tokens, available / AHEAD_DIVISOR);
-
-	if (available <= 0)
-		return 0;
-	if (totals->needed_tokens > available)
-		return 0;
-	return max_tokens(totals->needed_tokens, ahead);
-}
-
-static void serve(struct budget_relay *relay, const struct transfer_link *link,
-		  struct transfer_totals *totals)
-{
-	struct team_budget_key *key =
-		team_budget_key_of(relay->budgets, totals->team);
-	struct team_account *account =
-		team_budget_find_account(relay->budgets, totals->team);
-	int64_t now = now_of(relay);
-	int64_t available = team_account_available(account, now);
-	int64_t tokens;
-
-	if (team_budget_uses_store(relay->budgets) && is_store_unreachable(key))
-		available -=
-			team_account_kept_for_urgent(account, totals->rank);
-	tokens = tokens_to_give(totals, available);
-	totals->none_available =
-		!tokens && totals->needed_tokens &&
-		(link->borrows ||
-		 !request_more(key, account, totals->needed_tokens, now));
-	/* They may do for some of the requests. */
-	if (totals->none_available)
-		tokens = max_tokens(available, 0);
-	/* A lender asks nobody itself, so that requests do not go around. The
-	 * borrower asks another one. */
-	if (link->borrows) {
-		totals->needed_tokens = 0;
-		totals->wanted_tokens = 0;
-	}
-	if (!tokens)
-		return;
-	give(relay, account, totals, tokens);
-	if (link->borrows) {
-		totals->repeats = 1;
-		return;
-	}
-	account->held_by_peers_tokens += tokens;
-	totals->held_tokens += tokens;
-	totals->needed_tokens = max_tokens(totals->needed_tokens - tokens, 0);
-	totals->wanted_tokens = totals->needed_tokens;
-}
-
-void budget_transfer_serve(struct budget_relay *relay,
-			   struct transfer_link *link)
-{
-	int64_t now = now_of(relay);
-
-	for (struct transfer_totals *totals = link->totals; totals;
-	     totals = totals->next) {
-		if (now - totals->needed_us > NEEDED_FOR_US) {
-			totals->needed_tokens = 0;
-			totals->wanted_tokens = 0;
-		}
-		if (totals->wanted_tokens &&
-		    team_budget_find_account(relay->budgets, totals->team))
-			serve(relay, link, totals);
-	}
-}
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -2,21 +2,16 @@
 
 #include <assert.h>
 #include <netinet/in.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
 #include "base/xalloc.h"
-#include "transport/stream_write.h"
+#include "transport/server_conn_private.h"
 
 /* Reading pauses once more than this has arrived after the current request. */
 #define PIPELINED_MAX_BYTES (64 * 1024)
-/* server_conn_send_body() returns false while more than this is unwritten. */
-#define UNWRITTEN_MAX_BYTES (128 * 1024)
 #define READ_SIZE_BYTES (64 * 1024)
-#define CHUNK_HEAD_SIZE 24
-#define SMALL_CHUNK_BYTES 2048
 /* After the last response, further input is discarded for this long, unless
  * the caller has announced that none follows. Closing at once would answer it
  * with a reset, which could overtake the response. */
@@ -31,9 +26,6 @@
 
 static void parse(struct server_conn *conn, const char *data, size_t size);
 static void refuse_input(struct server_conn *conn);
-static void write_parts(struct server_conn *conn, const uv_buf_t *parts,
-			unsigned int count);
-static void end_flushed(struct server_conn *conn);
 
 static void on_handle_closed(uv_handle_t *handle)
 {
@@ -58,7 +50,7 @@
 	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 }
 
-static void handle_disconnect(struct server_conn *conn)
+void server_conn_handle_disconnect(struct server_conn *conn)
 {
 	if (conn->state == SERVER_CONN_SERVING)
 		conn->events->disconnected(conn);
@@ -91,7 +83,7 @@
 	uv_timer_start(&conn->timer, on_timeout, (uint64_t)delay_ms, 0);
 }
 
-static void start_wait(struct server_conn *conn)
+void server_conn_start_wait(struct server_conn *conn)
 {
 	conn->waiting_since_ms = now_ms();
 	conn->unwritten_before = server_conn_unwritten(conn);
@@ -107,7 +99,7 @@
 		conn->refused_status = 408;
 		refuse_input(conn);
 	} else if (unwritten && unwritten < conn->unwritten_before) {
-		start_wait(conn);
+		server_conn_start_wait(conn);
 	} else if (conn->state != SERVER_CONN_SERVING) {
 		close_now(conn);
 	}
@@ -120,7 +112,7 @@
 		conn->waiting_since_ms + wait_limit_ms(conn) - now_ms();
 
 	if (conn->write_failed) {
-		handle_disconnect(conn);
+		server_conn_handle_disconnect(conn);
 		return;
 	}
 	/* It has bytes to read, and waits for its turn. */
@@ -145,9 +137,9 @@
 static void flush_and_close(struct server_conn *conn)
 {
 	conn->state = SERVER_CONN_FLUSHING;
-	start_wait(conn);
+	server_conn_start_wait(conn);
 	if (!server_conn_unwritten(conn))
-		end_flushed(conn);
+		server_conn_end_flushed(conn);
 }
 
 /* A caller that has sent its last request may still read the response. While a
@@ -159,7 +151,7 @@
 		(conn->state == SERVER_CONN_READING && conn->partly_read);
 
 	if (is_responding || !server_conn_unwritten(conn)) {
-		handle_disconnect(conn);
+		server_conn_handle_disconnect(conn);
 		return;
 	}
 	conn->caller_closes = true;
@@ -181,7 +173,7 @@
 	struct server_conn *conn = parser->data;
 
 	conn->request_begun = true;
-	start_wait(conn);
+	server_conn_start_wait(conn);
 	return 0;
 }
 
@@ -262,7 +254,7 @@
 		uv_buf_t interim =
 			uv_buf_init("HTTP/1.1 100 Continue\r\n\r\n", 25);
 
-		write_parts(conn, &interim, 1);
+		server_conn_write_parts(conn, &interim, 1);
 	}
 	return 0;
 }
@@ -299,7 +291,7 @@
 	.on_message_complete = on_message_complete,
 };
 
-static void pause_reading(struct server_conn *conn)
+void server_conn_pause_reading(struct server_conn *conn)
 {
 	uv_read_stop((uv_stream_t *)&conn->tcp);
 	conn->read_paused = true;
@@ -310,7 +302,7 @@
 {
 	buffer_add(&conn->pipelined, data, size);
 	if (conn->pipelined.size > PIPELINED_MAX_BYTES)
-		pause_reading(conn);
+		server_conn_pause_reading(conn);
 }
 
 static void refuse_input(struct server_conn *conn)
@@ -355,7 +347,7 @@
 		return;
 	}
 	if (size < 0) {
-		handle_disconnect(conn);
+		server_conn_handle_disconnect(conn);
 		return;
 	}
 	if (conn->state == SERVER_CONN_SERVING)
@@ -391,7 +383,7 @@
 	conn->caller_closes = false;
 	conn->chunked = false;
 	conn->call = NULL;
-	start_wait(conn);
+	server_conn_start_wait(conn);
 }
 
 struct server_conn *server_conn_accept(uv_stream_t *listener,
@@ -421,17 +413,12 @@
 	return conn;
 }
 
-size_t server_conn_unwritten(const struct server_conn *conn)
-{
-	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
-}
-
 static void on_shut_down(uv_shutdown_t *request, int status)
 {
 	/* The caller's end of the stream or the timer closes the connection. */
 }
 
-static void end_flushed(struct server_conn *conn)
+void server_conn_end_flushed(struct server_conn *conn)
 {
 	if (conn->lingers)
 		return;
@@ -444,143 +431,7 @@
 	conn->lingers = true;
 	if (conn->read_paused)
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
-	start_wait(conn);
-}
-
-static void on_written(uv_stream_t *stream, int status)
-{
-	struct server_conn *conn = stream->data;
-
-	if (conn->state == SERVER_CONN_CLOSING)
-		return;
-	if (status < 0) {
-		handle_disconnect(conn);
-		return;
-	}
-	if (server_conn_unwritten(conn))
-		return;
-	if (conn->state == SERVER_CONN_FLUSHING)
-		end_flushed(conn);
-	else if (conn->state == SERVER_CONN_SERVING || conn->partly_read)
-		conn->events->drained(conn);
-	else if (!conn->request_begun)
-		start_wait(conn);
-}
-
-static void write_parts(struct server_conn *conn, const uv_buf_t *parts,
-			unsigned int count)
-{
-	if (conn->state == SERVER_CONN_CLOSING || conn->write_failed)
-		return;
-	if (!stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
-				on_written))
-		return;
-	/* The owner is in the middle of its response: end it later. */
-	conn->write_failed = true;
-	start_wait(conn);
-}
-
-static const char *reason_of(int status)
-{
-	switch (status) {
-#define REASON(code, name, text) \
-	case code:               \
-		return #text;
-		HTTP_STATUS_MAP(REASON)
-#undef REASON
-	default:
-		return "Unknown";
-	}
-}
-
-/* After a response that announces the close, no further request may be
- * answered. Those that were read already are served first. */
-static bool may_announce_close(struct server_conn *conn)
-{
-	if (!conn->keep_alive || !conn->pipelined.size || conn->partly_read)
-		return true;
-	pause_reading(conn);
-	conn->input_closed = true;
-	return false;
-}
-
-void server_conn_send_head(struct server_conn *conn, int status,
-			   const struct buffer *fields, int64_t body_bytes,
-			   bool closing)
-{
-	struct buffer head = {0};
-	uv_buf_t part;
-	bool bodiless = status == 204 || status == 304;
-
-	conn->chunked = body_bytes == SERVER_LENGTH_UNKNOWN &&
-			!conn->http_1_0 && !bodiless;
-	if ((closing && may_announce_close(conn)) ||
-	    (body_bytes == SERVER_LENGTH_UNKNOWN && conn->http_1_0))
-		conn->keep_alive = false;
-	buffer_add_format(&head, "HTTP/1.1 %d %s\r\n", status,
-			  reason_of(status));
-	buffer_add(&head, fields->data, fields->size);
-	if (conn->chunked)
-		buffer_add_text(&head, "Transfer-Encoding: chunked\r\n");
-	else if (body_bytes >= 0 && !bodiless)
-		buffer_add_format(&head, "Content-Length: %lld\r\n",
-				  (long long)body_bytes);
-	if (!conn->keep_alive)
-		buffer_add_text(&head, "Connection: close\r\n");
-	buffer_add_text(&head, "\r\n");
-	part = uv_buf_init(head.data, (unsigned int)head.size);
-	write_parts(conn, &part, 1);
-	buffer_free(&head);
-}
-
-static unsigned int write_chunk_head(char *text, size_t size)
-{
-	return (unsigned int)snprintf(text, CHUNK_HEAD_SIZE, "%zx\r\n", size);
-}
-
-static void write_chunk(struct server_conn *conn, const char *data, size_t size)
-{
-	char head[CHUNK_HEAD_SIZE];
-	uv_buf_t parts[] = {
-		uv_buf_init(head, write_chunk_head(head, size)),
-		uv_buf_init((char *)data, (unsigned int)size),
-		uv_buf_init("\r\n", 2),
-	};
-
-	write_parts(conn, parts, 3);
-}
-
-static const char line_end[] = {'\r', '\n'};
-
-/* For a small chunk, a copy costs less than a write of several parts. */
-static void write_small_chunk(struct server_conn *conn, const char *data,
-			      size_t size)
-{
-	char chunk[CHUNK_HEAD_SIZE + SMALL_CHUNK_BYTES + sizeof(line_end)];
-	unsigned int length = write_chunk_head(chunk, size);
-	uv_buf_t part;
-
-	memcpy(chunk + length, data, size);
-	memcpy(chunk + length + size, line_end, sizeof(line_end));
-	part = uv_buf_init(chunk, length + (unsigned int)size + 2);
-	write_parts(conn, &part, 1);
-}
-
-bool server_conn_send_body(struct server_conn *conn, const char *data,
-			   size_t size)
-{
-	uv_buf_t part = uv_buf_init((char *)data, (unsigned int)size);
-
-	if (!size || conn->is_head_request ||
-	    conn->state == SERVER_CONN_CLOSING)
-		return true;
-	if (!conn->chunked)
-		write_parts(conn, &part, 1);
-	else if (size <= SMALL_CHUNK_BYTES)
-		write_small_chunk(conn, data, size);
-	else
-		write_chunk(conn, data, size);
-	return server_conn_unwritten(conn) <= UNWRITTEN_MAX_BYTES;
+	server_conn_start_wait(conn);
 }
 
 static void read_next(struct server_conn *conn)
@@ -608,7 +459,7 @@
 	if (conn->state == SERVER_CONN_CLOSING)
 		return;
 	if (conn->chunked && !conn->is_head_request)
-		write_parts(conn, &last_chunk, 1);
+		server_conn_write_parts(conn, &last_chunk, 1);
 	if (conn->write_failed) {
 		close_now(conn);
 		return;
--- /dev/null
+++ b/src/transport/server_conn_private.h
@@ -0,0 +1,26 @@
+/**
+ * @file server_conn_private.h
+ * Shared by the files that implement a caller's connection: server_conn.c reads
+ * requests and ends the connection, server_conn_response.c writes responses.
+ */
+#ifndef TRANSPORT_SERVER_CONN_PRIVATE_H
+#define TRANSPORT_SERVER_CONN_PRIVATE_H
+
+#include "transport/server_conn.h"
+
+/** Closes the connection, and tells the owner of a request that is served. */
+void server_conn_handle_disconnect(struct server_conn *conn);
+
+/** Starts the timer of what the connection waits for now. */
+void server_conn_start_wait(struct server_conn *conn);
+
+void server_conn_pause_reading(struct server_conn *conn);
+
+/** Ends a connection whose last response is written. */
+void server_conn_end_flushed(struct server_conn *conn);
+
+/** Writes the parts in order, or queues what the socket does not accept. */
+void server_conn_write_parts(struct server_conn *conn, const uv_buf_t *parts,
+			     unsigned int count);
+
+#endif
