--- a/tests/unit/test_edge_silence.c
+++ b/tests/unit/test_edge_silence.c
@@ -2,6 +2,7 @@
  * for a while and go on: at each point of a response, for each kind of route,
  * whether or not another server can take the request. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
@@ -306,7 +307,8 @@
 	getsockname(fd, (struct sockaddr *)&in, &length);
 	for (int i = 0; i < QUEUE_FILLERS; i++) {
 		fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		connect(fillers[i], (struct sockaddr *)&in, sizeof(in));
+		if (connect(fillers[i], (struct sockaddr *)&in, sizeof(in)))
+			ck_assert_int_eq(errno, EINPROGRESS);
 	}
 	snprintf(address, size, "127.0.0.1:%d", ntohs(in.sin_port));
 	return fd;
