Split the choice of a claim's deciding host from the claim agent

Which host a claim message goes to, and whether the issuer of a ticket or the stored records decide, is now a module without state of its own; behaviour is unchanged. test_claim_model 11 checks and the scenarios of requests pass.

--- a/src/coordination/claim_agent.c
+++ b/src/coordination/claim_agent.c
@@ -2,11 +2,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "base/xalloc.h"
 #include "coordination/claim_issuer.h"
 #include "coordination/claim_run.h"
+#include "coordination/claim_target.h"
 #include "coordination/claim_writer.h"
 #include "state/claim_message.h"
 #include "state/claim_text.h"
@@ -26,7 +26,6 @@
 #define TICKET_KEEP_US (INT64_C(3600) * TGW_US_PER_S)
 #define TICK_US (INT64_C(10) * TGW_US_PER_MS)
 #define IDLE_TICK_US TGW_US_PER_S
-#define WRITER_CANDIDATES 3
 
 struct tgw_claim_agent {
 	struct tgw_claim_env env;
@@ -87,19 +86,12 @@
 	send_to(arg, host, message);
 }
 
-static bool is_process_dead(const struct tgw_claim_agent *agent,
-			    const char *name, uint64_t incarnation)
-{
-	const struct tgw_host *host = tgw_host_view_find(agent->view, name);
-
-	if (!host || host->state == TGW_HOST_GONE)
-		return true;
-	return host->incarnation && host->incarnation != incarnation;
-}
-
 static bool is_owner_dead(void *arg, const struct claim_owner *owner)
 {
-	return is_process_dead(arg, owner->host, owner->incarnation);
+	const struct tgw_claim_agent *agent = arg;
+
+	return claim_target_is_dead(agent->view, owner->host,
+				    owner->incarnation);
 }
 
 struct tgw_claim_agent *tgw_claim_agent_new(const struct tgw_claim_env *env,
@@ -198,64 +190,6 @@
 	answer_request(agent, run, &reply);
 }
 
-/* Chooses the claim writer of a bucket among all live hosts by rendezvous
- * hashing. When a single writer batches all claims of a bucket, they do not
- * conflict in the store. */
-static const char *choose_fleet_writer(const struct tgw_claim_agent *agent,
-				       uint32_t bucket)
-{
-	const struct tgw_host_view *view = agent->view;
-	const struct tgw_host *writer = self_of(agent);
-	uint64_t max_weight = 0;
-
-	for (size_t i = 0; i < view->host_count; i++) {
-		const struct tgw_host *host = &view->hosts[i];
-		uint64_t weight = XXH64(host->name, strlen(host->name), bucket);
-
-		if (host->state != TGW_HOST_ALIVE || weight < max_weight)
-			continue;
-		writer = host;
-		max_weight = weight;
-	}
-	return writer->name;
-}
-
-/* Chooses the claim writer that the message is sent to. The first try goes to
- * the bucket's writer among all hosts, the next to one of the local failure
- * domain, the next to this host itself, and so on in turn. Any host may write,
- * because the store decides. */
-static const char *choose_writer(const struct tgw_claim_agent *agent,
-				 const struct claim_run *run)
-{
-	const struct tgw_host *local = self_of(agent);
-	uint32_t bucket =
-		claim_writer_bucket_of(agent->writer, &run->message.record.key);
-
-	if (run->sent_count % WRITER_CANDIDATES == 0)
-		return choose_fleet_writer(agent, bucket);
-	if (run->sent_count % WRITER_CANDIDATES == 1)
-		tgw_host_view_rank(agent->view, local->failure_domain, bucket,
-				   &local, 1);
-	return local->name;
-}
-
-/* Sets what decides the claim. The issuer of a ticket decides as long as its
- * process is alive; after that, only the records in the store count.
- * @return the host to send the message to */
-static const char *set_authority(struct tgw_claim_agent *agent,
-				 struct claim_run *run)
-{
-	run->message.authority = run->is_record ? CLAIM_BY_RECORD
-						: CLAIM_BY_STORE;
-	if (!run->has_ticket)
-		return choose_writer(agent, run);
-	run->message.authority = CLAIM_BY_ISSUER;
-	if (!is_process_dead(agent, run->ticket.host, run->ticket.incarnation))
-		return run->ticket.host;
-	run->message.authority = CLAIM_BY_RECORD;
-	return choose_writer(agent, run);
-}
-
 static int64_t retry_delay_us(const struct claim_run *run)
 {
 	uint32_t doublings = run->sent_count < END_RETRY_MAX_DOUBLINGS
@@ -269,7 +203,9 @@
 
 static void send_run(struct tgw_claim_agent *agent, struct claim_run *run)
 {
-	const char *host = set_authority(agent, run);
+	uint32_t bucket =
+		claim_writer_bucket_of(agent->writer, &run->message.record.key);
+	const char *host = claim_target_choose(agent->view, bucket, run);
 
 	run->next_send_us = now_of(agent) + retry_delay_us(run);
 	run->sent_count++;
