Count the body of an ended claim only once there is room for it

A bucket with as many records as it may hold dropped the body of each call that ended, although no record was added.

--- a/src/state/claim_bucket.c
+++ b/src/state/claim_bucket.c
@@ -63,11 +63,22 @@
 	return &bucket->records[bucket->count++];
 }
 
+static void drop_body(struct claim_result *result)
+{
+	free(result->body);
+	result->body = NULL;
+	result->body_size = 0;
+	result->body_not_kept = true;
+}
+
+static bool is_full(const struct claim_bucket *bucket)
+{
+	return bucket->count == CLAIM_BUCKET_RECORDS_MAX;
+}
+
 /* Frees the oldest kept bodies until there is room; keeps all records. */
 static bool make_room(struct claim_bucket *bucket, size_t bytes)
 {
-	if (bucket->count == CLAIM_BUCKET_RECORDS_MAX)
-		return false;
 	for (size_t i = 0; i < bucket->count; i++) {
 		struct claim_result *result = &bucket->records[i].result;
 
@@ -76,10 +87,7 @@
 		if (!result->body)
 			continue;
 		bucket->packed_bytes -= result->body_size;
-		free(result->body);
-		result->body = NULL;
-		result->body_size = 0;
-		result->body_not_kept = true;
+		drop_body(result);
 	}
 	return bucket->packed_bytes + bytes <= CLAIM_BUCKET_BYTES_MAX;
 }
@@ -112,7 +120,7 @@
 
 	if (decision != CLAIM_DECISION_ABSENT)
 		return decision;
-	if (!make_room(bucket, packed_size(attempt)))
+	if (is_full(bucket) || !make_room(bucket, packed_size(attempt)))
 		return CLAIM_DECISION_FULL;
 	record = append(bucket);
 	*record = *attempt;
@@ -123,19 +131,24 @@
 	return CLAIM_DECISION_GRANTED;
 }
 
+/* The record gets its result only once there is room for it: make_room() may
+ * drop the body of any record, and counts it as freed. */
 static void set_end(struct claim_bucket *bucket, struct claim_record *record,
 		    const struct claim_record *end)
 {
+	struct claim_result result;
+	bool has_room;
+
+	claim_result_copy(&result, &end->result);
 	bucket->packed_bytes -= packed_size(record);
-	record->phase = end->phase;
 	claim_result_clear(&record->result);
-	claim_result_copy(&record->result, &end->result);
-	if (!make_room(bucket, packed_size(record)) && record->result.body) {
-		free(record->result.body);
-		record->result.body = NULL;
-		record->result.body_size = 0;
-		record->result.body_not_kept = true;
-	}
+	has_room = make_room(bucket, packed_size(record) +
+					     strlen(result.content_type) +
+					     result.body_size);
+	if (!has_room && result.body)
+		drop_body(&result);
+	record->phase = end->phase;
+	record->result = result;
 	bucket->packed_bytes += packed_size(record);
 }
 
@@ -145,7 +158,8 @@
 {
 	struct claim_record *record = find(bucket, &end->key);
 
-	if (!record && insert && make_room(bucket, packed_size(end))) {
+	if (!record && insert && !is_full(bucket) &&
+	    make_room(bucket, packed_size(end))) {
 		record = append(bucket);
 		*record = *end;
 		record->phase = CLAIM_PHASE_RUNNING;
