Keep a prefix index exact after 24 days of uptime

Times of blocks were milliseconds in 32 bits, compared as signed differences.

Slots count ticks of 100 ms, which last for 13 years, and are compared as they are. test_prefix_index: 2 of 3 checks failed before, 3 pass; the scenarios of requests are unchanged.

--- a/src/state/prefix_index.c
+++ b/src/state/prefix_index.c
@@ -4,7 +4,6 @@
 #include <string.h>
 
 #include "base/xalloc.h"
-#include "tamarackgw/clock.h"
 
 /* Number of consecutive slots that a block may use; the first one is its home
  * slot. */
@@ -25,16 +24,9 @@
 	return tag ? tag : 1;
 }
 
-static uint32_t ms_of(int64_t time_us)
+static uint32_t ticks_of(int64_t time_us)
 {
-	return (uint32_t)(time_us / TGW_US_PER_MS);
-}
-
-/* Is also correct when the counter has wrapped between the two times, as long
- * as they are less than 24 days apart. */
-static bool is_older(uint32_t a_ms, uint32_t b_ms)
-{
-	return (int32_t)(a_ms - b_ms) < 0;
+	return (uint32_t)(time_us / PREFIX_INDEX_TICK_US);
 }
 
 static size_t home_slot(uint64_t hash)
@@ -76,8 +68,7 @@
 
 		if (!slot->tag)
 			return slot;
-		if (!oldest ||
-		    is_older(slot->last_added_ms, oldest->last_added_ms))
+		if (!oldest || slot->last_added < oldest->last_added)
 			oldest = slot;
 	}
 	return oldest;
@@ -94,7 +85,7 @@
 			find_or_replace(index, hashes[i]);
 
 		slot->tag = tag_of(hashes[i]);
-		slot->last_added_ms = ms_of(now_us);
+		slot->last_added = ticks_of(now_us);
 	}
 }
 
@@ -137,10 +128,9 @@
 
 		if (!slot)
 			break;
-		matched +=
-			is_older(slot->last_added_ms, ms_of(index->last_gap_us))
-				? UNCERTAIN_BLOCK_THOUSANDTHS
-				: BLOCK_THOUSANDTHS;
+		matched += slot->last_added < ticks_of(index->last_gap_us)
+				   ? UNCERTAIN_BLOCK_THOUSANDTHS
+				   : BLOCK_THOUSANDTHS;
 	}
 	return matched;
 }
--- a/src/state/prefix_index.h
+++ b/src/state/prefix_index.h
@@ -14,13 +14,15 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "tamarackgw/clock.h"
+
 #define PREFIX_INDEX_SLOTS 32768
+/** Times in slots are counted in ticks: 32 bits last for 13 years. */
+#define PREFIX_INDEX_TICK_US (100 * TGW_US_PER_MS)
 
 struct prefix_index_slot {
-	uint32_t tag;		/**< upper 32 bits of the hash; 0 when empty */
-	uint32_t last_added_ms; /**< time of the last addition; wraps after
-				 * 49 days, so it is only compared with other
-				 * times that are less than 24 days away */
+	uint32_t tag;	     /**< upper 32 bits of the hash; 0 when empty */
+	uint32_t last_added; /**< in ticks since the clock's start */
 };
 
 struct prefix_index {
