--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -42,6 +42,10 @@
 	 "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"e\","
 	 "\"slots\":0,\"state\":\"ready\",\"sequence\":1}",
 	 false},
+	{"slots beyond any server's",
+	 "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"e\","
+	 "\"slots\":4294967297,\"state\":\"ready\",\"sequence\":1}",
+	 false},
 	{"unknown state",
 	 "{\"service\":\"a\",\"address\":\"10.0.0.1:80\",\"zone\":\"e\","
 	 "\"slots\":4,\"state\":\"resting\",\"sequence\":1}",
@@ -113,6 +117,61 @@
 }
 END_TEST
 
+static const struct {
+	const char *name; /* as the message has to give it */
+	const char *text;
+} bad_numbers[] = {
+	{"version", "{\"version\":1e300}"},
+	{"version", "{\"version\":-1}"},
+	{"s.maxConnections", "{\"version\":1,\"services\":[{\"name\":\"s\","
+			     "\"maxConnections\":4294967297}]}"},
+	{"s.maxConnections", "{\"version\":1,\"services\":[{\"name\":\"s\","
+			     "\"maxConnections\":-1}]}"},
+	{"kvCapacity", "{\"version\":1,\"services\":[{\"name\":\"s\","
+		       "\"engine\":{\"kvCapacity\":1e19}}]}"},
+	{"r.timeoutMs", "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":"
+			"\"h\",\"pathPrefix\":\"/\",\"timeoutMs\":-1e300}]}"},
+	{"r.timeoutMs", "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":"
+			"\"h\",\"pathPrefix\":\"/\",\"timeoutMs\":\"2\"}]}"},
+	{"r.priority", "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":"
+		       "\"h\",\"pathPrefix\":\"/\",\"priority\":"
+		       "4294967296}]}"},
+	{"weight", "{\"version\":1,\"routes\":[{\"host\":\"h\",\"pathPrefix\":"
+		   "\"/\",\"service\":\"s\",\"weight\":-3}]}"},
+	{"t.prepaid", "{\"version\":1,\"tenants\":[{\"name\":\"t\","
+		      "\"prepaid\":9223372036854775807}]}"},
+	{"maxBodyBytes", "{\"version\":1,\"limits\":{\"maxBodyBytes\":-1}}"},
+};
+
+START_TEST(a_number_out_of_range_rejects_the_configuration)
+{
+	struct tgw_error error = {0};
+	const char *text = bad_numbers[_i].text;
+
+	ck_assert_ptr_null(platform_routes_decode((const uint8_t *)text,
+						  strlen(text), &error));
+	ck_assert_int_eq(error.status, TGW_CORRUPT);
+	ck_assert_msg(strstr(error.message, bad_numbers[_i].name), "%s",
+		      error.message);
+}
+END_TEST
+
+START_TEST(a_split_by_fractions_sends_to_both_services)
+{
+	struct route_set *set = decode(
+		"{\"version\":1,\"routes\":[{\"host\":\"h\",\"pathPrefix\":\"/"
+		"\",\"trafficSplit\":[{\"service\":\"s\",\"weight\":0.9},{"
+		"\"service\":\"t\",\"weight\":0.1}]}],\"services\":[{\"name\":"
+		"\"s\"},{\"name\":\"t\"}]}");
+	const struct route *route = route_set_find(set, "h", "/");
+
+	ck_assert_uint_eq(route->target_count, 2);
+	ck_assert_uint_eq(route->targets[0].weight,
+			  9 * route->targets[1].weight);
+	route_set_free(set);
+}
+END_TEST
+
 static void add_field(struct http_head *head, const char *name,
 		      const char *value)
 {
@@ -285,6 +344,10 @@
 			    sizeof(entries) / sizeof(entries[0]));
 	tcase_add_loop_test(tcase, invalid_configurations_are_rejected, 0, 5);
 	tcase_add_test(tcase, a_configuration_is_decoded);
+	tcase_add_loop_test(tcase,
+			    a_number_out_of_range_rejects_the_configuration, 0,
+			    sizeof(bad_numbers) / sizeof(bad_numbers[0]));
+	tcase_add_test(tcase, a_split_by_fractions_sends_to_both_services);
 	tcase_add_loop_test(tcase, request_fields_are_decoded, 0,
 			    sizeof(requests) / sizeof(requests[0]));
 	tcase_add_loop_test(tcase, only_valid_load_reports_are_accepted, 0,
