--- a/src/coordination/quarantine_probation.c
+++ b/src/coordination/quarantine_probation.c
@@ -25,6 +25,9 @@
 	int64_t deadline_us;   /**< when the query ends as BUSY */
 	int64_t retry_us;      /**< when it is sent again */
 	bool waits_for_server; /**< a reply BUSY does not end the query */
+	/** The arbiter that knows the query by its present id. */
+	char arbiter[TGW_NAME_SIZE];
+	uint64_t arbiter_incarnation;
 	struct quarantine_message message;
 	/** The strings that message.servers refers to. */
 	char server_names[QUARANTINE_SERVERS_MAX][TGW_NAME_SIZE];
@@ -336,8 +339,23 @@
 	}
 }
 
-/* Each retry has a new id. A late reply to an earlier try then matches no
- * query, and on_reply() releases the permit that it grants. */
+/* Gives the query a new id when the arbiter has changed. A late reply of the
+ * earlier arbiter then matches no query, and on_reply() releases the permit
+ * that it grants. Retries at one arbiter keep the id, so that it repeats its
+ * reply and one that takes longer than the interval of retries counts. */
+static void choose_id(struct quarantine_probation *probation,
+		      struct pending_query *query)
+{
+	if (query->message.query_id &&
+	    query->arbiter_incarnation == probation->arbiter_incarnation &&
+	    !strcmp(query->arbiter, probation->arbiter))
+		return;
+	query->message.query_id = ++probation->next_query_id;
+	query->arbiter_incarnation = probation->arbiter_incarnation;
+	snprintf(query->arbiter, sizeof(query->arbiter), "%s",
+		 probation->arbiter);
+}
+
 static void send_query(struct quarantine_probation *probation,
 		       struct pending_query *query)
 {
@@ -347,7 +365,7 @@
 					   .server_count = 1};
 	struct quarantine_permit permit;
 
-	message->query_id = ++probation->next_query_id;
+	choose_id(probation, query);
 	query->retry_us = now_of(probation) + QUERY_RETRY_US;
 	if (!quarantine_probation_is_arbiter(probation)) {
 		send_message(probation, probation->arbiter, message);
--- a/tests/scenario/requests_fleet.c
+++ b/tests/scenario/requests_fleet.c
@@ -220,8 +220,9 @@
 	fleet_host_find(world, step, 1)->store.lose_requests++;
 }
 
-/* net [lose=N] [double=N] [jitter_ms=N]: how many of 1000 messages are lost and
- * duplicated, and the maximum random delay. */
+/* net [lose=N] [double=N] [jitter_ms=N] [latency_ms=N]: how many of 1000
+ * messages are lost and duplicated, the maximum random delay, and the delay of
+ * all. */
 static void do_net(void *world, const struct scenario_step *step)
 {
 	struct fleet *fleet = world;
@@ -231,6 +232,8 @@
 		(uint32_t)fleet_option(step, "double", "0");
 	fleet->net.jitter_us =
 		fleet_option(step, "jitter_ms", "0") * TGW_US_PER_MS;
+	fleet->net.latency_us =
+		fleet_option(step, "latency_ms", "1") * TGW_US_PER_MS;
 }
 
 static void set_paused(struct fleet_host *host, bool paused)
@@ -282,7 +285,7 @@
 	{"outage", 1, 1, do_outage},
 	{"lose-answer", 1, 1, do_lose_answer},
 	{"lose-request", 1, 1, do_lose_request},
-	{"net", 0, 3, do_net},
+	{"net", 0, 4, do_net},
 	{"pause", 1, 1, do_pause},
 	{"resume", 1, 1, do_resume},
 	{"kill", 1, 1, do_kill},
