--- a/src/coordination/budget_plan.c
+++ b/src/coordination/budget_plan.c
@@ -360,6 +360,7 @@
 	struct plan plan = {.bucket = bucket};
 	int64_t flush_us = bucket->agent->env.settings.flush_interval_us;
 	struct tgw_error error;
+	bool is_valid;
 
 	if (budget_witness_plan_closings(bucket, wall_us(bucket)))
 		plan.write_now = true;
@@ -368,10 +369,10 @@
 		plan.write_now = true;
 	ledger_bucket_trim(&bucket->draft);
 	plan_own_line(&plan);
-	if (ledger_bucket_check(&bucket->draft, &error) != TGW_OK) {
-		assert(!"planned ledger bucket violates the ledger invariant");
+	is_valid = ledger_bucket_check(&bucket->draft, &error) == TGW_OK;
+	assert(is_valid);
+	if (!is_valid)
 		return false;
-	}
 	if (plan.write_later &&
 	    budget_now_us(bucket->agent) - bucket->written_us >= flush_us)
 		plan.write_now = true;
--- a/src/coordination/router.c
+++ b/src/coordination/router.c
@@ -231,7 +231,7 @@
 
 static bool start_next(struct tgw_router *router, struct route_pool *pool)
 {
-	for (int u = 0; u < TGW_URGENCY_COUNT; u++) {
+	for (enum tgw_urgency u = 0; u < TGW_URGENCY_COUNT; u++) {
 		struct route_entry *entry = route_queue_peek(&pool->queue, u);
 		struct server_state *server = NULL;
 		enum route_choice_result result;
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -33,7 +33,8 @@
 {
 	buffer_add_text(text,
 			"# TYPE tamarackgw_failed_attempts_total counter\n");
-	for (int i = BACKEND_SERVED + 1; i < BACKEND_OUTCOMES; i++)
+	for (enum backend_outcome i = BACKEND_SERVED + 1; i < BACKEND_OUTCOMES;
+	     i++)
 		buffer_add_format(text,
 				  "tamarackgw_failed_attempts_total"
 				  "{outcome=\"%s\"} %llu\n",
--- a/tests/unit/test_claim_model.c
+++ b/tests/unit/test_claim_model.c
@@ -74,7 +74,7 @@
 
 static uint8_t number_of(enum claim_phase phase, int owner)
 {
-	return (uint8_t)(phase * OWNERS + owner + 1);
+	return (uint8_t)((int)phase * OWNERS + owner + 1);
 }
 
 static struct claim_record record_of(uint8_t number)
@@ -279,7 +279,8 @@
 	if (exploration->fault == WRITE_WITHOUT_COMPARE)
 		for (int old = 0; old < VALUES; old++)
 			if (from->values & (1U << old))
-				claim_in_store(exploration, from, owner, old);
+				claim_in_store(exploration, from, owner,
+					       (uint8_t)old);
 }
 
 static void deliver_end(struct exploration *exploration,
--- a/tests/unit/test_edge_flood.c
+++ b/tests/unit/test_edge_flood.c
@@ -52,7 +52,8 @@
 
 static void send_text(int fd, const char *text)
 {
-	ck_assert_int_eq(send(fd, text, strlen(text), 0), strlen(text));
+	ck_assert_int_eq(send(fd, text, strlen(text), 0),
+			 (ssize_t)strlen(text));
 }
 
 /* @return the number of bytes that had arrived */
