--- a/tests/cram/docs.t
+++ b/tests/cram/docs.t
@@ -17,6 +17,10 @@
 
   $ for page in README.md DEVELOPERS.md CHANGELOG.md $(find docs -name '*.md'); do grep -oE '\]\([^)#]+' $page | cut -c3- | grep -v '^http' | while read link; do [ -e "$(dirname $page)/$link" ] || echo "$page: $link"; done; done
 
+Each name of code on the operators' pages, such as a setting's, stands in the source.
+
+  $ grep -ohE '`[a-z0-9]+(_[a-z0-9]+)+`' $(find docs/operations -name '*.md') | tr -d '`' | grep -v '^tamarackgw_' | sort -u | while read name; do grep -rqw "$name" src platform || echo "$name"; done
+
 Each block of commands that is marked as tested runs against a small fleet.
 
   $ cd "$CRAMTMP"
