--- a/tests/fakes/kv_standin.c
+++ b/tests/fakes/kv_standin.c
@@ -31,10 +31,17 @@
 
 static void answer(struct server_conn *conn, int status, json_t *body)
 {
+	const struct kv_standin *store = conn->owner;
 	struct buffer fields = {0};
 	char *text = body ? json_dumps(body, JSON_COMPACT) : xstrdup("{}");
 
 	buffer_add_text(&fields, "Content-Type: application/json\r\n");
+	if (store->era_text)
+		buffer_add_format(&fields, "Store-Era: %s\r\n",
+				  store->era_text);
+	else if (store->era)
+		buffer_add_format(&fields, "Store-Era: %lld\r\n",
+				  (long long)store->era);
 	server_conn_send_head(conn, status, &fields, (int64_t)strlen(text),
 			      false);
 	server_conn_send_body(conn, text, strlen(text));
@@ -211,6 +218,61 @@
 	free(text);
 }
 
+static void free_items(struct kv_standin_item *items)
+{
+	while (items) {
+		struct kv_standin_item *item = items;
+
+		items = item->next;
+		free(item->key);
+		free(item->value);
+		free(item);
+	}
+}
+
+static struct kv_standin_item *copy_items(const struct kv_standin_item *items)
+{
+	struct kv_standin_item *copy = NULL;
+
+	for (; items; items = items->next) {
+		struct kv_standin_item *item = xcalloc(1, sizeof(*item));
+
+		item->key = xstrdup(items->key);
+		item->value = items->value ? xstrdup(items->value) : NULL;
+		item->revision = items->revision;
+		item->next = copy;
+		copy = item;
+	}
+	return copy;
+}
+
+void kv_standin_copy(struct kv_standin *store)
+{
+	free_items(store->copy.items);
+	store->copy.items = copy_items(store->items);
+	store->copy.revision = store->revision;
+}
+
+static void cut_watches(struct kv_standin *store)
+{
+	while (store->watches) {
+		struct server_conn *conn = store->watches->conn;
+
+		conn->call = NULL;
+		end_watch(store->watches);
+		server_conn_abort(conn);
+	}
+}
+
+void kv_standin_return(struct kv_standin *store)
+{
+	cut_watches(store);
+	free_items(store->items);
+	store->items = copy_items(store->copy.items);
+	store->revision = store->copy.revision;
+	store->era++;
+}
+
 /* Writes the key's value once more, which gives it a new revision. */
 static void race_write(struct kv_standin *store, const char *key)
 {
@@ -339,12 +401,8 @@
 void kv_standin_stop(struct kv_standin *store)
 {
 	uv_close((uv_handle_t *)&store->listener, NULL);
-	while (store->items) {
-		struct kv_standin_item *item = store->items;
-
-		store->items = item->next;
-		free(item->key);
-		free(item->value);
-		free(item);
-	}
+	free_items(store->items);
+	free_items(store->copy.items);
+	store->items = NULL;
+	store->copy.items = NULL;
 }
--- a/tests/fakes/kv_standin.h
+++ b/tests/fakes/kv_standin.h
@@ -20,6 +20,12 @@
 
 struct kv_standin_watch;
 
+/** What the store held at some time. */
+struct kv_standin_copy {
+	struct kv_standin_item *items;
+	int64_t revision;
+};
+
 #define KV_STANDIN_CONFLICTS_MAX 32
 
 struct kv_standin {
@@ -30,6 +36,10 @@
 	int64_t oldest; /**< watches from earlier revisions get 410 */
 	struct kv_standin_item *items;
 	struct kv_standin_watch *watches;
+	/** Sent with each answer, unless it is 0; or this text in its place. */
+	int64_t era;
+	const char *era_text;
+	struct kv_standin_copy copy;
 	bool silent;	   /**< answers no request */
 	int refuse_status; /**< HTTP status of all answers; 0: serve normally */
 	unsigned int calls; /**< requests received */
@@ -53,4 +63,11 @@
 void kv_standin_put(struct kv_standin *store, const char *key,
 		    const char *value);
 
+/** Keeps a copy of all that the store holds, in place of the last one. */
+void kv_standin_copy(struct kv_standin *store);
+
+/** Returns to the copy: what was written since is gone, revisions are given out
+ * again, the era rises, and connections of watches are cut. */
+void kv_standin_return(struct kv_standin *store);
+
 #endif
