Count again what a store that returned from a copy has lost

Each process remembers what it had reported of a budget with each of its latest writes. The sequence of its line in the pool tells which of them the copy has; the rest may not be spent before a write has counted it again, and nobody takes more for 2.5 s, so that all hosts in touch count first. Hosts with a relay hear of the return by the versions that it tells.

test_team_budget_return, copies of 0.1 to 10 s, 288 cases: nothing overspent. Ruled out on the way: an earlier report in place of a removed one, since allotments are lowered, too (13 cases failed).

Not done: takings of hosts that die or are cut off just then.

--- a/include/tamarackgw/store.h
+++ b/include/tamarackgw/store.h
@@ -19,6 +19,16 @@
 /** Version that a key has while it does not exist. */
 #define TGW_STORE_ABSENT INT64_C(0)
 
+/** A store that returns from an earlier copy gives out revisions again, and
+ * starts a new history. Versions hold its number above the revision, so that
+ * those of a later history are higher. */
+#define TGW_STORE_REVISION_BITS 42
+
+static inline int64_t tgw_store_history(int64_t version)
+{
+	return version >> TGW_STORE_REVISION_BITS;
+}
+
 /** Largest value that the store accepts, in bytes. */
 #define TGW_STORE_VALUE_MAX_BYTES (1000 * 1000)
 
--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -448,6 +448,16 @@
 	return mirror->prefix_count > 0;
 }
 
+int64_t store_mirror_version(const struct store_mirror *mirror)
+{
+	int64_t latest = TGW_STORE_ABSENT;
+
+	for (size_t i = 0; i < mirror->prefix_count; i++)
+		if (mirror->prefixes[i].table.revision > latest)
+			latest = mirror->prefixes[i].table.revision;
+	return latest;
+}
+
 size_t store_mirror_follower_count(const struct store_mirror *mirror)
 {
 	return mirror_followers_count(&mirror->followers);
--- a/src/coordination/store_mirror.h
+++ b/src/coordination/store_mirror.h
@@ -77,6 +77,10 @@
 /** @return hosts that follow this one */
 size_t store_mirror_follower_count(const struct store_mirror *mirror);
 
+/** @return the latest version of the store that this host knows of, by itself
+ * or through its relay */
+int64_t store_mirror_version(const struct store_mirror *mirror);
+
 const struct store_mirror_counters *store_mirror_get_counters(
 	const struct store_mirror *mirror);
 
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -22,6 +22,12 @@
 /* A request that exceeds the remaining tokens is refused as EXHAUSTED only if
  * they were read less than this ago. */
 #define VIEW_MAX_AGE_US (3 * TGW_US_PER_S)
+/* After the store returned from a copy, all hosts that reach it have counted
+ * again what they took within this time. */
+#define RECOUNT_US (2500 * TGW_US_PER_MS)
+
+/* Before any version was seen. */
+#define NO_HISTORY INT64_C(-1)
 
 int64_t team_budget_now_us(const struct team_budget *budgets)
 {
@@ -57,6 +63,7 @@
 	budgets->clock = clock;
 	budgets->events = *events;
 	budgets->started_us = tgw_clock_monotonic_us(clock);
+	budgets->history = NO_HISTORY;
 	tgw_random_init(&budgets->random, incarnation);
 	budgets->host_id = budget_pool_host_id(
 		settings->host, (uint32_t)tgw_random_u64(&budgets->random));
@@ -201,6 +208,27 @@
 	}
 }
 
+void team_budget_note_version(struct team_budget *budgets, int64_t version)
+{
+	const struct team_budget_events *events = &budgets->events;
+	int64_t history = tgw_store_history(version);
+	bool is_first = budgets->history == NO_HISTORY;
+
+	if (version == TGW_STORE_ABSENT || history <= budgets->history)
+		return;
+	budgets->history = history;
+	if (is_first)
+		return;
+	budgets->raises_after_us = team_budget_now_us(budgets) + RECOUNT_US;
+	/* The record of caps may be an earlier one, too. */
+	budgets->caps_written_us = 0;
+	for (uint32_t i = 0; i < budgets->key_count; i++)
+		if (budgets->keys[i].version)
+			team_budget_key_set_due(&budgets->keys[i], 0);
+	if (events->store_returned)
+		events->store_returned(events->arg, history);
+}
+
 static void retry_calls(struct team_budget *budgets)
 {
 	cap_writer_retry(&budgets->cap_writer);
@@ -256,6 +284,8 @@
 
 	budgets->probing = false;
 	team_budget_note_store_call(budgets, &evidence);
+	if (result->entry_count)
+		team_budget_note_version(budgets, result->entries[0].version);
 }
 
 static void probe_store(struct team_budget *budgets, int64_t now)
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -90,6 +90,9 @@
 	 * @param lasted_us of the state before */
 	void (*store_changed)(void *arg, bool unreachable, const char *source,
 			      int64_t lasted_us);
+	/** The store returned from an earlier copy: what this process took
+	 * since is counted again. May be NULL. */
+	void (*store_returned)(void *arg, int64_t history);
 	/** This process has returned what it did not spend and has left the
 	 * pools. */
 	void (*closed)(void *arg);
@@ -134,6 +137,9 @@
 void team_budget_on_message(struct team_budget *budgets,
 			    const struct tgw_peer_message *message);
 
+/** A version of the store was seen, by this host or through another one. */
+void team_budget_note_version(struct team_budget *budgets, int64_t version);
+
 /** Reports what another store call of this host found. What it learns through
  * other hosts is not to be reported. */
 void team_budget_set_store_unreachable(struct team_budget *budgets,
--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -68,7 +68,10 @@
 {
 	const struct team_budget_events *events = &key->budgets->events;
 
-	for_each_account(key, team_account_confirm);
+	for (struct team_account *account = key->accounts; account;
+	     account = account->next)
+		team_account_confirm(account, key->sequence,
+				     team_budget_now_us(key->budgets));
 	if (!key->returned_tokens)
 		return;
 	key->budgets->counters.recovered_tokens +=
@@ -81,7 +84,7 @@
 /* Finds out from the pool that was read just now what became of the proposed
  * write. While the key has the version that the write expects, it may still
  * take effect. */
-static void resolve_write(struct team_budget_key *key)
+static void resolve_write(struct team_budget_key *key, bool has_returned)
 {
 	const struct pool_host *host =
 		budget_pool_find_host(&key->pool, key->budgets->host_id);
@@ -94,7 +97,7 @@
 		return;
 	else if (!host && !proposed)
 		confirm_write(key);
-	else if (!host && key->joined)
+	else if (!host && key->joined && !has_returned)
 		/* Another process with the host's name removed this one. */
 		for_each_account(key, team_account_forfeit);
 	else
@@ -113,9 +116,33 @@
 	budgets->recovers = false;
 }
 
+/* @return whether the store has returned from a copy since the key was read */
+static bool has_returned_since(const struct team_budget_key *key)
+{
+	return key->version &&
+	       tgw_store_history(key->version) < key->budgets->history;
+}
+
+/* What this process wrote and the pool does not know any more is counted again
+ * by the next write. */
+static void lose_writes(struct team_budget_key *key)
+{
+	const struct pool_host *host =
+		budget_pool_find_host(&key->pool, key->budgets->host_id);
+
+	for (struct team_account *account = key->accounts; account;
+	     account = account->next)
+		team_account_lose_writes(account, host ? host->sequence : 0,
+					 team_budget_now_us(key->budgets));
+}
+
 static void adopt(struct team_budget_key *key, struct budget_pool *pool,
 		  int64_t version)
 {
+	bool has_returned;
+
+	team_budget_note_version(key->budgets, version);
+	has_returned = has_returned_since(key);
 	budget_pool_clear(&key->pool);
 	key->pool = *pool;
 	memset(pool, 0, sizeof(*pool));
@@ -124,7 +151,9 @@
 	key->store_answers = true;
 	key->backoff_us = 0;
 	if (key->outcome_unknown)
-		resolve_write(key);
+		resolve_write(key, has_returned);
+	if (has_returned)
+		lose_writes(key);
 	key->joined = is_in_pool(key);
 	end_recovery(key->budgets);
 	for (struct team_account *account = key->accounts; account;
@@ -134,6 +163,19 @@
 				  key->read_us);
 }
 
+/* Other hosts may have to count again what they took. */
+static void hold_back(const struct team_account *account,
+		      struct team_account_target *target)
+{
+	int64_t allotted_tokens = account->confirmed.allotted_tokens;
+
+	if (target->allotted_tokens <= allotted_tokens)
+		return;
+	target->allotted_tokens = allotted_tokens;
+	target->urgent = false;
+	target->awaited = false;
+}
+
 void team_budget_key_decide(const struct team_budget_key *key,
 			    const struct team_account *account,
 			    struct team_account_target *target)
@@ -144,6 +186,9 @@
 			    budget_pool_find(&key->pool, account->team),
 			    key->pool.host_count, &budgets->settings.policy,
 			    team_budget_now_us(budgets), target);
+	if (!account->recounts &&
+	    team_budget_now_us(budgets) < budgets->raises_after_us)
+		hold_back(account, target);
 }
 
 /* A process leaves the pools when it stops, or when another host takes tokens
@@ -175,12 +220,15 @@
 	if (!budget)
 		return;
 	team_budget_key_decide(key, account, &target);
-	if (is_leaving(key)) {
+	if (is_leaving(key) && !account->recounts) {
 		target.allotted_tokens = team_account_charged(account) -
 					 account->received_tokens;
 		target.lacking_tokens = 0;
 	}
 	team_account_propose(account, &target, budget);
+	/* Others may have taken what is counted again: it is spent twice. */
+	if (account->recounts && pooled_budget_free_tokens(budget) < 0)
+		budget->taken_tokens = budget->paid_in_tokens;
 }
 
 static void on_written(void *arg, const struct tgw_store_result *result);
@@ -253,6 +301,15 @@
 		events->failed(events->arg, call, status, message);
 }
 
+static bool recounts(const struct team_budget_key *key)
+{
+	for (const struct team_account *account = key->accounts; account;
+	     account = account->next)
+		if (account->recounts)
+			return true;
+	return false;
+}
+
 static void start_write(struct team_budget_key *key)
 {
 	struct tgw_error error;
@@ -268,7 +325,7 @@
 	for (struct team_account *account = key->accounts; account;
 	     account = account->next)
 		propose_allotment(key, account);
-	if (is_leaving(key))
+	if (is_leaving(key) && !recounts(key))
 		budget_pool_remove_host(&key->draft, key->budgets->host_id);
 	if (budget_pool_check(&key->draft, &error) != TGW_OK) {
 		report_failure(key, "write", error.status, error.message);
@@ -306,6 +363,8 @@
  * count, too */
 static bool needs_write(struct team_budget_key *key, bool fresh)
 {
+	if (recounts(key))
+		return true;
 	if (is_leaving(key))
 		return key->joined || holds_any(key);
 	for (struct team_account *account = key->accounts; account;
@@ -596,11 +655,27 @@
 				 (key->accounts || key->joined));
 }
 
+/* @return whether that copy may lack writes of this process */
+static bool may_lack_writes(const struct team_budget_key *key)
+{
+	int64_t now = team_budget_now_us(key->budgets);
+
+	if (recounts(key))
+		return true;
+	if (!has_returned_since(key))
+		return false;
+	for (const struct team_account *account = key->accounts; account;
+	     account = account->next)
+		if (report_history_is_recent(&account->reports, now))
+			return true;
+	return false;
+}
+
 /* Another host takes tokens for this one: its writes end, and it leaves. */
 static bool is_due_without_store(struct team_budget_key *key)
 {
 	if (key->budgets->closing || key->outcome_unknown ||
-	    (key->joined && is_leaving(key)))
+	    may_lack_writes(key) || (key->joined && is_leaving(key)))
 		return true;
 	key->due_us = team_budget_now_us(key->budgets) +
 		      TEAM_BUDGET_CHECK_INTERVAL_US;
@@ -624,7 +699,8 @@
 	if (!team_budget_uses_store(key->budgets))
 		return is_due_without_store(key);
 	if (key->budgets->closing || key->write_lost || key->read_requested ||
-	    !key->store_answers || now - key->read_us >= refresh_us(key))
+	    has_returned_since(key) || !key->store_answers ||
+	    now - key->read_us >= refresh_us(key))
 		return true;
 	if (now - key->read_us >= raise_interval_us(key, now) &&
 	    needs_write(key, false))
--- a/src/coordination/team_budget_key.h
+++ b/src/coordination/team_budget_key.h
@@ -72,6 +72,8 @@
 	struct team_budget_counters counters;
 	int64_t started_us;
 	struct store_belief store_belief;
+	int64_t history;	 /* latest known of the store; -1: none */
+	int64_t raises_after_us; /* no allotment is raised before */
 	bool closing;
 	bool closed_notified;
 	struct cap_writer cap_writer;
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -166,6 +166,16 @@
 		      "key=%s tokens=%lld", key, (long long)tokens);
 }
 
+static void on_store_returned(void *arg, int64_t history)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "budget", "store_returned",
+		      "history=%lld tokens=\"what the store lost is counted "
+		      "again\"",
+		      (long long)history);
+}
+
 static void on_relay_changed(void *arg, const char *relay, const char *reason)
 {
 	struct edge *edge = arg;
@@ -299,6 +309,7 @@
 		.recovered = on_budget_recovered,
 		.relay_changed = on_relay_changed,
 		.store_changed = on_store_changed,
+		.store_returned = on_store_returned,
 		.closed = on_budgets_closed,
 		.arg = edge,
 	};
@@ -389,6 +400,8 @@
 void edge_followers_tick(struct edge *edge)
 {
 	store_mirror_tick(edge->mirror);
+	team_budget_note_version(edge->budgets,
+				 store_mirror_version(edge->mirror));
 	backend_follower_tick(edge->backend_follower);
 	route_follower_tick(edge->route_follower);
 	request_quarantine_tick(edge->quarantine);
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -370,6 +370,19 @@
 	       account->received_tokens;
 }
 
+/* What was spent and given away counts in any case. */
+static void recount(const struct team_account *account,
+		    struct team_account_target *target)
+{
+	target->allotted_tokens = max_tokens(account->lost_allotted_tokens,
+					     team_account_charged(account) -
+						     account->received_tokens);
+	target->wanted_tokens = target->allotted_tokens;
+	target->lacking_tokens = 0;
+	target->urgent = true;
+	target->awaited = true;
+}
+
 void team_account_decide(const struct team_account *account,
 			 const struct pooled_budget *budget, size_t host_count,
 			 const struct team_account_policy *policy,
@@ -399,6 +412,8 @@
 	target->deferrable = raise < 0 ||
 			     (target->lacking_tokens && !is_requested);
 	target->awaited = in.needed_tokens || (raise < 0 && is_requested);
+	if (account->recounts)
+		recount(account, target);
 }
 
 void team_account_propose(struct team_account *account,
@@ -420,9 +435,30 @@
 		budget->requested_tokens = 0;
 }
 
-void team_account_confirm(struct team_account *account)
+void team_account_confirm(struct team_account *account, uint64_t sequence,
+			  int64_t now_us)
 {
 	account->confirmed = account->proposed;
+	account->recounts = false;
+	report_history_add(&account->reports, sequence, &account->confirmed,
+			   now_us);
+}
+
+void team_account_lose_writes(struct team_account *account, uint64_t sequence,
+			      int64_t now_us)
+{
+	const struct team_account_report known =
+		report_history_find(&account->reports, sequence, now_us);
+
+	if (!memcmp(&known, &account->confirmed, sizeof(known)))
+		return;
+	if (!account->recounts)
+		account->lost_allotted_tokens =
+			account->confirmed.allotted_tokens;
+	account->recounts = true;
+	account->confirmed = known;
+	account->proposed = known;
+	report_history_cut(&account->reports, sequence, &known);
 }
 
 void team_account_withdraw(struct team_account *account)
@@ -435,6 +471,9 @@
 	account->proposed.allotted_tokens =
 		team_account_charged(account) - account->received_tokens;
 	account->confirmed = account->proposed;
+	account->recounts = false;
+	memset(&account->reports, 0, sizeof(account->reports));
+	account->reports.base = account->confirmed;
 	team_account_propose_no_cap(account);
 	account->confirmed_cap = account->proposed_cap;
 }
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -10,6 +10,7 @@
 
 #include "state/budget_pool.h"
 #include "state/demand_forecast.h"
+#include "state/report_history.h"
 #include "state/spending_cap.h"
 #include "tamarackgw/host_view.h"
 
@@ -39,13 +40,6 @@
 	bool awaited;	 /**< by requests here, or by other hosts */
 };
 
-/** What this process has reported to the pool. All amounts are cumulative. */
-struct team_account_report {
-	int64_t allotted_tokens;
-	int64_t settled_tokens;
-	int64_t demanded_tokens;
-};
-
 /** What requests used, or were refused. All amounts are cumulative. */
 struct team_account_usage {
 	int64_t settled_tokens;
@@ -69,6 +63,11 @@
 	struct team_account_report confirmed; /**< by the store */
 	/** What the open write says; equal to `confirmed` without one. */
 	struct team_account_report proposed;
+	struct report_history reports;
+	/** The store returned from a copy that lacks writes of this process:
+	 * its allotment was this, and is to be counted again. */
+	bool recounts;
+	int64_t lost_allotted_tokens;
 	/** As recorded in the store, and as in an open write of the record. */
 	struct spending_cap confirmed_cap;
 	struct spending_cap proposed_cap;
@@ -174,8 +173,17 @@
 			  const struct team_account_target *target,
 			  struct pooled_budget *budget);
 
-/** The proposed write took effect. */
-void team_account_confirm(struct team_account *account);
+/** The proposed write took effect.
+ * @param sequence of the write */
+void team_account_confirm(struct team_account *account, uint64_t sequence,
+			  int64_t now_us);
+
+/** The store returned from an earlier copy. Until what that copy lacks is
+ * counted again, none of it may be spent.
+ * @param sequence of the last write of this process that the copy has; 0: none,
+ * or not known */
+void team_account_lose_writes(struct team_account *account, uint64_t sequence,
+			      int64_t now_us);
 
 /** The proposed write had no effect and can have none. */
 void team_account_withdraw(struct team_account *account);
--- a/src/state/team_account_transfer.c
+++ b/src/state/team_account_transfer.c
@@ -66,6 +66,9 @@
 	int64_t requests =
 		account->demanding_requests - account->forwarded.requests;
 
+	/* What is to be counted again may be known to the store. */
+	if (account->recounts)
+		return;
 	account->forwarded.settled_tokens += settled;
 	account->forwarded.demanded_tokens += demanded;
 	account->forwarded.requests += requests;
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -349,13 +349,70 @@
 	server->latency_us = DEFAULT_LATENCY_US;
 }
 
+static void notify_lost(struct fake_store *store)
+{
+	struct fake_store_watch *watch;
+
+	for (watch = store->watches; watch; watch = watch->next)
+		fake_store_send_event(store, watch, true, NULL);
+}
+
+static void clear_keys(struct fake_store_key **keys, size_t *count)
+{
+	for (size_t i = 0; i < *count; i++)
+		fake_store_clear_key(&(*keys)[i]);
+	free(*keys);
+	*keys = NULL;
+	*count = 0;
+}
+
 void fake_store_server_clear(struct fake_store_server *server)
 {
+	clear_keys(&server->keys, &server->key_count);
+	clear_keys(&server->copied, &server->copied_count);
+}
+
+static struct fake_store_key *copy_keys(const struct fake_store_key *keys,
+					size_t count)
+{
+	struct fake_store_key *copy = xcalloc(count + 1, sizeof(*copy));
+
+	for (size_t i = 0; i < count; i++)
+		copy[i] = fake_store_copy_key(&keys[i]);
+	return copy;
+}
+
+void fake_store_server_copy(struct fake_store_server *server)
+{
+	clear_keys(&server->copied, &server->copied_count);
+	server->copied = copy_keys(server->keys, server->key_count);
+	server->copied_count = server->key_count;
+	server->copied_revision = server->revision;
+}
+
+/* @return the same revision in another history */
+static int64_t move_version(int64_t version, int64_t history)
+{
+	int64_t mask = (INT64_C(1) << TGW_STORE_REVISION_BITS) - 1;
+
+	return history << TGW_STORE_REVISION_BITS | (version & mask);
+}
+
+void fake_store_server_return(struct fake_store_server *server)
+{
+	int64_t history = tgw_store_history(server->revision) + 1;
+
+	clear_keys(&server->keys, &server->key_count);
+	server->keys = copy_keys(server->copied, server->copied_count);
+	server->key_count = server->copied_count;
+	server->revision = move_version(server->copied_revision, history);
 	for (size_t i = 0; i < server->key_count; i++)
-		fake_store_clear_key(&server->keys[i]);
-	free(server->keys);
-	server->keys = NULL;
-	server->key_count = 0;
+		server->keys[i].version =
+			move_version(server->keys[i].version, history);
+	for (struct fake_store *client = server->clients; client;
+	     client = client->next)
+		if (!fake_store_is_unreachable(client))
+			notify_lost(client);
 }
 
 void fake_store_init(struct fake_store *store, struct fake_store_server *server)
@@ -394,14 +451,6 @@
 	store->watch_broken = false;
 }
 
-static void notify_lost(struct fake_store *store)
-{
-	struct fake_store_watch *watch;
-
-	for (watch = store->watches; watch; watch = watch->next)
-		fake_store_send_event(store, watch, true, NULL);
-}
-
 static void notify_unreachable(struct fake_store *store)
 {
 	struct fake_store_watch *watch;
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -29,6 +29,10 @@
 	size_t key_count;
 	struct fake_store_key *keys; /**< sorted by name */
 	struct fake_store *clients;
+	/** What it held when fake_store_server_copy() was called. */
+	int64_t copied_revision;
+	size_t copied_count;
+	struct fake_store_key *copied;
 	int64_t latency_us;
 	bool outage; /**< no client reaches the server */
 	uint64_t reads;
@@ -79,6 +83,13 @@
 			      const char *name, const void *value,
 			      size_t value_size);
 
+/** Keeps a copy of all keys, in place of the last one. */
+void fake_store_server_copy(struct fake_store_server *server);
+
+/** Returns to the copy, which starts a new history, and notifies the watchers
+ * that changes may have been missed. */
+void fake_store_server_return(struct fake_store_server *server);
+
 void fake_store_init(struct fake_store *store,
 		     struct fake_store_server *server);
 
--- a/tests/fakes/fleet_keys.c
+++ b/tests/fakes/fleet_keys.c
@@ -87,5 +87,7 @@
 		return;
 	keys->due_us = now_us + TICK_US;
 	store_mirror_tick(keys->mirror);
+	team_budget_note_version(keys->budgets,
+				 store_mirror_version(keys->mirror));
 	backend_follower_tick(keys->follower);
 }
