Let a server pause in the middle of a long request

A backend server that read nothing of a long request for 4 s was cut off, and callers got 502 or a second run, although the server was sound.

Cause: TCP_USER_TIMEOUT on each connection. The kernel applies it to a full receive window as to a link that is cut, so it ends what may still come.

The time of a request is known to the owner of its connection (deadline, silence, connect and idle timeouts), so an open connection has no such limit any more. The option is set when a connection closes, and bounds how long the kernel keeps unsent data of it.

a_server_that_pauses_in_a_long_request_is_not_cut_off failed before (broken after 4 s of a pause of 6 s) and passes now.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -11,8 +11,8 @@
 #include "tamarackgw/clock.h"
 #include "transport/stream_write.h"
 
-/* A connection fails when the peer does not acknowledge data for this long. */
-#define UNACKED_TIMEOUT_MS 4000
+/* The kernel gives up sending the rest of a closed connection after this. */
+#define CLOSED_UNACKED_TIMEOUT_MS 4000
 /* A reset that follows a clean end of the stream arrives within this time. */
 #define RESET_WAIT_MS 2
 /* Maximum size of a response's header fields. */
@@ -37,12 +37,25 @@
 	free(conn);
 }
 
+/* An open connection has no such limit, which a peer that only pauses would
+ * exceed as well: its owner knows how long the request may take. */
+static void limit_unacked_time(struct http_conn *conn)
+{
+	unsigned int unacked_ms = CLOSED_UNACKED_TIMEOUT_MS;
+	uv_os_fd_t descriptor;
+
+	if (!uv_fileno((uv_handle_t *)&conn->tcp, &descriptor))
+		setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+			   &unacked_ms, sizeof(unacked_ms));
+}
+
 void http_conn_close(struct http_conn *conn)
 {
 	if (conn->state == HTTP_CONN_CLOSING)
 		return;
 	conn->state = HTTP_CONN_CLOSING;
 	conn->events = NULL;
+	limit_unacked_time(conn);
 	uv_close((uv_handle_t *)&conn->tcp, on_closed);
 	uv_close((uv_handle_t *)&conn->timer, on_closed);
 }
@@ -297,17 +310,6 @@
 	fail(timer->data, HTTP_CONN_NOT_CONNECTED);
 }
 
-static void set_options(struct http_conn *conn, uv_loop_t *loop)
-{
-	unsigned int unacked_ms = UNACKED_TIMEOUT_MS;
-	uv_os_fd_t descriptor;
-
-	uv_tcp_nodelay(&conn->tcp, 1);
-	if (!uv_fileno((uv_handle_t *)&conn->tcp, &descriptor))
-		setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-			   &unacked_ms, sizeof(unacked_ms));
-}
-
 struct http_conn *http_conn_open(uv_loop_t *loop,
 				 const struct sockaddr *address)
 {
@@ -319,7 +321,7 @@
 	conn->open_handles = 2;
 	conn->tcp.data = conn;
 	conn->parser.data = conn;
-	set_options(conn, loop);
+	uv_tcp_nodelay(&conn->tcp, 1);
 	if (uv_tcp_connect(&conn->connecting, &conn->tcp, address,
 			   on_connected) < 0)
 		uv_timer_start(&conn->timer, on_connect_failed, 0, 0);
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -246,6 +246,7 @@
 
 #define LONG_BODY_BYTES (16 * 1024 * 1024)
 #define PAUSE_MS 200
+#define UNREAD_MS 6000
 
 /* Answers before the request's body is read, and closes with it unread. */
 static void *answer_early(void *arg)
@@ -287,7 +288,8 @@
 	.broken = on_broken,
 };
 
-static void send_long_request(const struct sockaddr_in *address)
+static void send_long_request(const struct sockaddr_in *address,
+			      const struct http_conn_events *long_events)
 {
 	struct http_conn *conn =
 		http_conn_open(&loop, (const struct sockaddr *)address);
@@ -303,7 +305,7 @@
 
 		buffer_add(&long_body, piece, sizeof(piece));
 	}
-	http_conn_send(conn, &pausing_events, NULL, &head, &long_body);
+	http_conn_send(conn, long_events, NULL, &head, &long_body);
 	buffer_free(&head);
 	buffer_free(&long_body);
 	uv_run(&loop, UV_RUN_DEFAULT);
@@ -321,7 +323,7 @@
 	uv_timer_init(&loop, &pause);
 	uv_timer_start(&pause, on_pause_over, 2 * PAUSE_MS, 0);
 	pthread_create(&server, NULL, answer_early, has_length ? &loop : NULL);
-	send_long_request(&address);
+	send_long_request(&address, &pausing_events);
 	ck_assert_int_eq(result, has_length ? RESULT_COMPLETE : RESULT_BROKEN);
 	if (has_length) {
 		ck_assert_uint_eq(body.size, 4);
@@ -334,13 +336,50 @@
 }
 END_TEST
 
+/* Reads nothing for a while, then the whole request, and answers it. */
+static void *read_late(void *arg)
+{
+	int fd = accept(listener, NULL, NULL);
+	size_t left = LONG_BODY_BYTES;
+	static char input[64 * 1024];
+
+	if (fd < 0)
+		return NULL;
+	usleep(UNREAD_MS * 1000);
+	while (left) {
+		ssize_t size = recv(fd, input, sizeof(input), 0);
+
+		if (size <= 0)
+			break;
+		left -= (size_t)size < left ? (size_t)size : left;
+	}
+	if (!left)
+		dprintf(fd, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+	end_connection(fd, KEEP_OPEN);
+	return NULL;
+}
+
+START_TEST(a_server_that_pauses_in_a_long_request_is_not_cut_off)
+{
+	struct sockaddr_in address = listen_on_free_port();
+
+	uv_timer_start(&timeout, on_timeout, 2 * UNREAD_MS, 0);
+	pthread_create(&server, NULL, read_late, NULL);
+	send_long_request(&address, &events);
+	ck_assert_int_eq(result, RESULT_COMPLETE);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	close(listener);
+	pthread_join(server, NULL);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("http_conn");
 	TCase *tcase = tcase_create("responses");
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
-	tcase_set_timeout(tcase, 10);
+	tcase_set_timeout(tcase, 20);
 	tcase_add_loop_test(tcase,
 			    each_response_is_reported_as_complete_or_broken, 0,
 			    sizeof(responses) / sizeof(responses[0]));
@@ -353,6 +392,8 @@
 		tcase,
 		an_early_response_is_read_although_its_request_can_not_be_sent,
 		0, 2);
+	tcase_add_test(tcase,
+		       a_server_that_pauses_in_a_long_request_is_not_cut_off);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
