Refuse a request that neither of two servers ran with 503

A request that was sent to a second server, since the first had fallen silent, was refused with 502 and its tokens were charged, although both servers said that they had not run it.

Cause: the second attempt marked the request as possibly run for good, while the first server could still say that it had not run it.

Whether a server may have run the request is now derived: from the attempts that are open, and from those that ended without such a word. An attempt that is given up counts as the latter, in one place.

a_request_that_neither_server_ran_is_refused_with_503 failed before in both orders (502) and passes; a_request_that_one_server_may_have_run_is_refused_with_502 holds the other side.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -53,7 +53,7 @@
 	call->ended = true;
 	for (size_t i = 0; i < CALL_OPEN_ATTEMPTS_MAX; i++)
 		if (call->attempts[i].backend)
-			call_attempt_end(&call->attempts[i]);
+			call_attempt_abandon(&call->attempts[i]);
 	if (call->reserved_tokens)
 		team_budget_settle(edge->budgets, call->team,
 				   call->reserved_tokens, spent_tokens(call));
@@ -122,7 +122,7 @@
 
 void call_give_up(struct call *call, const char *reason)
 {
-	if (call->may_have_run)
+	if (call_may_have_run(call))
 		call_refuse(call, 504, 0, reason);
 	else
 		call_refuse(call, 503, RETRY_AFTER_DEFAULT_MS, reason);
@@ -369,8 +369,6 @@
 	if (call->route.kind == ROUTE_UNSAFE &&
 	    call_attempt_is_sent(call->current))
 		return;
-	if (call_attempt_is_sent(call->current))
-		call->may_have_run = true;
 	call_end(call);
 }
 
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -57,7 +57,7 @@
 	call->edge->counters.silences_ended++;
 	call_log_attempt_continues(attempt);
 	if (call->current)
-		call_attempt_end(call->current);
+		call_attempt_abandon(call->current);
 	call->current = attempt;
 	call->earlier = NULL;
 	call_schedule(call);
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -141,10 +141,25 @@
 	backend_end(&call->edge->backends, backend);
 }
 
+bool call_may_have_run(const struct call *call)
+{
+	for (size_t i = 0; i < CALL_OPEN_ATTEMPTS_MAX; i++)
+		if (call_attempt_is_sent(&call->attempts[i]))
+			return true;
+	return call->may_have_run;
+}
+
+void call_attempt_abandon(struct call_attempt *attempt)
+{
+	if (call_attempt_is_sent(attempt))
+		attempt->call->may_have_run = true;
+	call_attempt_end(attempt);
+}
+
 void call_end_earlier_attempt(struct call *call)
 {
 	if (!call->earlier)
 		return;
 	call->edge->counters.failed_attempts[BACKEND_TIMED_OUT]++;
-	call_attempt_end(call->earlier);
+	call_attempt_abandon(call->earlier);
 }
--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -23,7 +23,7 @@
 static void refuse_without_server(struct call *call,
 				  enum placement_result result)
 {
-	if (call->head_sent || call->may_have_run)
+	if (call->head_sent || call_may_have_run(call))
 		call_refuse(call, 502, 0, "no server is left to go on at");
 	else if (result == PLACEMENT_ALL_FULL)
 		call_refuse(call, 503, retry_after_full_ms(call),
@@ -43,7 +43,7 @@
 			     "later";
 
 	call->edge->counters.quarantine_refused++;
-	if (call->may_have_run)
+	if (call_may_have_run(call))
 		call_refuse(call, 502, 0, reason);
 	else
 		call_refuse(call, 503, RETRY_AFTER_QUARANTINE_MS, reason);
@@ -73,7 +73,7 @@
 static bool may_run_again(const struct call *call, enum attempt_trigger trigger)
 {
 	return call_may_repeat(call) ||
-	       (trigger != ATTEMPT_SILENT && !call->may_have_run);
+	       (trigger != ATTEMPT_SILENT && !call_may_have_run(call));
 }
 
 /* A plan, and the server that a request is to be sent to. */
@@ -147,7 +147,7 @@
 
 static void end_after_failure(struct call *call, const char *reason)
 {
-	if (call->may_have_run)
+	if (call_may_have_run(call))
 		call_refuse(call, 502, 0, reason);
 	else
 		call_refuse(call, 503, retry_after_full_ms(call), reason);
@@ -298,7 +298,6 @@
 		call_schedule(call);
 		return;
 	}
-	call->may_have_run = true;
 	call_end_earlier_attempt(call);
 	call->earlier = call->current;
 	call->current = NULL;
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -101,7 +101,7 @@
 		"attempts=%u may_have_run=%d events=%llu retry_after_ms=%lld "
 		"age_ms=%lld not_repeated=%s caller=%s",
 		call->request.id, call->team, call->route.name, status, reason,
-		call->attempt_count, call->may_have_run,
+		call->attempt_count, call_may_have_run(call),
 		(unsigned long long)call->events_sent,
 		(long long)retry_after_ms, ms_since(call->arrived_us),
 		attempt_obstacle_name(call->obstacle), caller_state(call));
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -86,7 +86,9 @@
 	uint32_t attempt_count;	      /* all attempts, whether sent or not */
 	uint32_t sent_count;   /* attempts that a server may have received */
 	int64_t first_byte_us; /* of the first response; 0 before it */
-	bool may_have_run;     /* some server may have run the request */
+	/* Some server that no longer has the request may have run it; see
+	 * call_may_have_run(). */
+	bool may_have_run;
 	/* Why the request was not sent to another server, for the log. */
 	enum attempt_obstacle obstacle;
 
@@ -120,6 +122,9 @@
 	return attempt && attempt->conn && attempt->conn->sent;
 }
 
+/** @return whether some server may have run the request, or may run it now */
+bool call_may_have_run(const struct call *call);
+
 /** Sends the request to a server, as the current attempt. */
 void call_attempt_start(struct call *call, struct backend *backend);
 
@@ -127,6 +132,9 @@
  * complete; otherwise it is closed, which the server may notice. */
 void call_attempt_end(struct call_attempt *attempt);
 
+/** Ends an attempt whose server may still be running the request. */
+void call_attempt_abandon(struct call_attempt *attempt);
+
 /** Ends the earlier attempt, after another server has responded. */
 void call_end_earlier_attempt(struct call *call);
 
--- a/src/edge/call_timer.c
+++ b/src/edge/call_timer.c
@@ -68,8 +68,6 @@
 
 static void time_out_call(struct call *call)
 {
-	if (call_attempt_is_sent(call->current))
-		call->may_have_run = true;
 	if (call->current)
 		backend_record_outcome(call->current->backend,
 				       BACKEND_TIMED_OUT, edge_now_us());
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -8,6 +8,7 @@
 #include "fakes/loop_listener.h"
 #include "transport/server_conn.h"
 
+#define NOT_RUN "Tamarackgw-Not-Executed: 1\r\n"
 #define FIRST_BORN_MS 1000
 /* Events of a complete stream; their ids begin with 0. */
 #define STREAM_EVENTS 6
@@ -338,7 +339,7 @@
 	if (expected && strcmp(expected, standin->id))
 		answer(conn, 421, "", "Tamarackgw-Instance-Id: another\r\n");
 	else if (standin->rejects || !strcmp(action, "full"))
-		answer(conn, 503, "", "Tamarackgw-Not-Executed: 1\r\n");
+		answer(conn, 503, "", NOT_RUN);
 	else if (!strcmp(action, "busy"))
 		answer(conn, 503, "", "");
 	else
@@ -354,6 +355,15 @@
 		answer(conn, 200, "done", "");
 }
 
+void backend_standin_reject_waiting(struct backend_standin *standin)
+{
+	struct server_conn *conn = standin->waiting;
+
+	standin->waiting = NULL;
+	if (conn)
+		answer(conn, 503, "", NOT_RUN);
+}
+
 void backend_standin_begin_huge(struct backend_standin *standin, int status)
 {
 	if (standin->waiting)
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -75,6 +75,9 @@
 /** Answers the waiting request, if there is one. */
 void backend_standin_release(struct backend_standin *standin);
 
+/** Answers the waiting request, if there is one, that it was not run. */
+void backend_standin_reject_waiting(struct backend_standin *standin);
+
 /** Sends the head and half of a large body to the waiting request, which stays
  * open. */
 void backend_standin_begin_huge(struct backend_standin *standin, int status);
--- a/tests/unit/test_edge_second_attempt.c
+++ b/tests/unit/test_edge_second_attempt.c
@@ -320,6 +320,32 @@
 }
 END_TEST
 
+START_TEST(a_request_that_neither_server_ran_is_refused_with_503)
+{
+	send_to_both_servers("/long-safe/wait");
+	backend_standin_reject_waiting(&rig.server_standins[_i]);
+	edge_rig_run(&rig, 100);
+	ck_assert(!caller.closed);
+	backend_standin_reject_waiting(&rig.server_standins[1 - _i]);
+	wait_until_closed();
+	ck_assert_msg(begins_with("HTTP/1.1 503 "), "received: %.200s",
+		      caller.received.data);
+	ck_assert(strstr(caller.received.data, "Retry-After: "));
+	ck_assert(no_server_is_busy());
+}
+END_TEST
+
+START_TEST(a_request_that_one_server_may_have_run_is_refused_with_502)
+{
+	send_to_both_servers("/long-safe/wait");
+	backend_standin_reject_waiting(&rig.server_standins[_i]);
+	edge_rig_run(&rig, 100);
+	backend_standin_crash(&rig.server_standins[1 - _i]);
+	wait_until_closed();
+	ck_assert(begins_with("HTTP/1.1 502 "));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_second_attempt");
@@ -354,6 +380,13 @@
 		tcase,
 		requests_at_a_silent_server_leave_retries_to_those_that_failed,
 		0, 2);
+	tcase_add_loop_test(
+		tcase, a_request_that_neither_server_ran_is_refused_with_503, 0,
+		2);
+	tcase_add_loop_test(
+		tcase,
+		a_request_that_one_server_may_have_run_is_refused_with_502, 0,
+		2);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
