Count no attempt and no retry that was never sent

A second attempt that was given up before its connection was made, since the first server went on, still counted as sent: the request was not retried when the first server then failed it. One whose connection was not made in time kept the credit of its retry, which others lacked.

Cause: attempts were counted, and credit spent, when a connection was begun; only one of the ways in which an attempt ends unsent took the count back, and none the credit.

Both ways end in one function now, which takes back count and credit. The next send of a request that some server has received spends a credit again.

an_unsent_second_attempt_counts_as_no_retry failed before in both orders (2 sent in place of 1; 1 credit missing) and passes now.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -79,7 +79,8 @@
 	return NULL;
 }
 
-void call_attempt_start(struct call *call, struct backend *backend)
+void call_attempt_start(struct call *call, struct backend *backend,
+			bool is_retry)
 {
 	struct edge *edge = call->edge;
 	struct call_attempt *attempt = unused_attempt(call);
@@ -93,6 +94,7 @@
 	call->timeout_pending = false;
 	attempt->call = call;
 	attempt->backend = backend;
+	attempt->is_retry = is_retry;
 	attempt->started_us = now_us;
 	attempt->last_received_us = now_us;
 	backend_begin(backend, now_us);
@@ -149,10 +151,23 @@
 	return call->may_have_run;
 }
 
+void call_attempt_not_sent(const struct call_attempt *attempt)
+{
+	struct call *call = attempt->call;
+
+	call->unsent_count++;
+	call->sent_count--;
+	if (attempt->is_retry)
+		retry_budget_return(
+			edge_retry_budget(call->edge, call->route.service));
+}
+
 void call_attempt_abandon(struct call_attempt *attempt)
 {
 	if (call_attempt_is_sent(attempt))
 		attempt->call->may_have_run = true;
+	else
+		call_attempt_not_sent(attempt);
 	call_attempt_end(attempt);
 }
 
--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -125,15 +125,18 @@
 static void send_request(struct call *call, const struct dispatch *dispatch)
 {
 	struct edge *edge = call->edge;
+	/* An unsent retry before this one has returned its credit. */
+	bool is_retry = call->attempt_count > call->unsent_count;
 
-	if (dispatch->plan.spends_retry_credit) {
+	if (is_retry)
 		retry_budget_spend(edge_retry_budget(edge, call->route.service),
 				   edge_now_us());
+	if (dispatch->plan.spends_retry_credit) {
 		edge->counters.retries++;
 		if (call->events_sent)
 			edge->counters.resumed++;
 	}
-	call_attempt_start(call, dispatch->backend);
+	call_attempt_start(call, dispatch->backend, is_retry);
 }
 
 /* The attempt at the server that fell silent is the only one that is left. */
@@ -229,7 +232,9 @@
 						  attempt->backend);
 	if (may_have_run)
 		call->may_have_run = true;
-	else if (outcome != BACKEND_REJECTED && call->sent_count)
+	if (!call_attempt_is_sent(attempt))
+		call_attempt_not_sent(attempt);
+	else if (outcome == BACKEND_ADDRESS_REUSED)
 		call->sent_count--;
 	if (outcome == BACKEND_UNREACHABLE)
 		request_quarantine_on_server_lost(edge->quarantine);
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -43,6 +43,7 @@
 	/* A decision about its silence is not repeated before. */
 	int64_t next_check_us;
 	bool silence_recorded; /* in the server's statistics */
+	bool is_retry;	       /* it spent the credit of a retry */
 	bool paused;	       /* not read while the caller reads too slowly */
 	int status;	       /* of the response */
 	struct response_info response;
@@ -84,7 +85,8 @@
 	struct call_attempt *earlier;
 	uint64_t tried[ATTEMPTS_MAX]; /* run hashes of their servers */
 	uint32_t attempt_count;	      /* all attempts, whether sent or not */
-	uint32_t sent_count;   /* attempts that a server may have received */
+	uint32_t unsent_count;	      /* those of them that never connected */
+	uint32_t sent_count;   /* those that a server may have received */
 	int64_t first_byte_us; /* of the first response; 0 before it */
 	/* Some server that no longer has the request may have run it; see
 	 * call_may_have_run(). */
@@ -125,8 +127,14 @@
 /** @return whether some server may have run the request, or may run it now */
 bool call_may_have_run(const struct call *call);
 
-/** Sends the request to a server, as the current attempt. */
-void call_attempt_start(struct call *call, struct backend *backend);
+/** Sends the request to a server, as the current attempt.
+ * @param is_retry the credit of a retry was spent for it */
+void call_attempt_start(struct call *call, struct backend *backend,
+			bool is_retry);
+
+/** The attempt's request was not sent, so it counts neither as sent nor as a
+ * retry. */
+void call_attempt_not_sent(const struct call_attempt *attempt);
 
 /** Ends an attempt. Its connection is released to the pool if the response is
  * complete; otherwise it is closed, which the server may notice. */
--- a/src/state/retry_budget.c
+++ b/src/state/retry_budget.c
@@ -73,3 +73,8 @@
 	budget->credit_thousandths -= THOUSANDTHS_PER_RETRY;
 	return true;
 }
+
+void retry_budget_return(struct retry_budget *budget)
+{
+	add_credit(budget, THOUSANDTHS_PER_RETRY);
+}
--- a/src/state/retry_budget.h
+++ b/src/state/retry_budget.h
@@ -42,4 +42,7 @@
 /** Spends the credit of one retry. @return false when the credit is too low */
 bool retry_budget_spend(struct retry_budget *budget, int64_t now_us);
 
+/** Takes back the credit of a retry that no server received. */
+void retry_budget_return(struct retry_budget *budget);
+
 #endif
--- a/tests/unit/test_edge_second_attempt.c
+++ b/tests/unit/test_edge_second_attempt.c
@@ -1,7 +1,9 @@
 /* Tests of requests that two backend servers have at once, since the first fell
  * silent, and of responses that end after such a time. */
+#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "edge/call_private.h"
 #include "fakes/edge_rig.h"
@@ -14,6 +16,7 @@
 #define FAILED_REQUESTS 5
 #define SILENT_REQUESTS 40
 #define AMPLE_CREDIT 1000000
+#define BLOCKED_SOCKETS 4
 
 static struct edge_rig rig;
 static struct edge_rig_caller caller;
@@ -346,6 +349,58 @@
 }
 END_TEST
 
+/* A listener that accepts nothing, whose queue is full: connections to it are
+ * neither made nor refused. */
+static void block_second_server(int *sockets)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t size = sizeof(address);
+	char text[32];
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	sockets[0] = socket(AF_INET, SOCK_STREAM, 0);
+	ck_assert_int_eq(bind(sockets[0], (struct sockaddr *)&address,
+			      sizeof(address)),
+			 0);
+	listen(sockets[0], 0);
+	getsockname(sockets[0], (struct sockaddr *)&address, &size);
+	for (int i = 1; i < BLOCKED_SOCKETS; i++) {
+		sockets[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(sockets[i], (struct sockaddr *)&address,
+			      sizeof(address));
+	}
+	snprintf(text, sizeof(text), "127.0.0.1:%d", ntohs(address.sin_port));
+	edge_rig_register_entry(&rig, "worker-1", text, "ready", 1, 5000);
+}
+
+/* The first server goes on before the second one is given up, or after. */
+START_TEST(an_unsent_second_attempt_counts_as_no_retry)
+{
+	struct retry_budget *budget =
+		edge_retry_budget(&rig.hosts[0].edge, "app");
+	const struct call *call;
+	int sockets[BLOCKED_SOCKETS];
+
+	budget->limits.refill_thousandths_per_s = 0;
+	edge_rig_register_server(&rig, 1, "draining", 2);
+	edge_rig_run(&rig, 300);
+	send_request("/long-safe/wait", "Connection: close\r\n");
+	block_second_server(sockets);
+	edge_rig_run_until(&rig, &rig.hosts[0].edge.call_count, 1);
+	call = rig.hosts[0].edge.calls;
+	for (int i = 0; i < WAIT_MS && call->attempt_count < 2; i++)
+		edge_rig_run(&rig, 1);
+	ck_assert_uint_eq(call->attempt_count, 2);
+	edge_rig_run(&rig, _i ? 400 : 100);
+	backend_standin_begin_huge(&rig.server_standins[0], 200);
+	edge_rig_run(&rig, 50);
+	ck_assert_uint_eq(call->sent_count, 1);
+	ck_assert_int_eq(budget->credit_thousandths, AMPLE_CREDIT);
+	for (int i = 0; i < BLOCKED_SOCKETS; i++)
+		close(sockets[i]);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_second_attempt");
@@ -387,6 +442,8 @@
 		tcase,
 		a_request_that_one_server_may_have_run_is_refused_with_502, 0,
 		2);
+	tcase_add_loop_test(tcase, an_unsent_second_attempt_counts_as_no_retry,
+			    0, 2);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
