Record the silence of a server once

A server that stayed silent until the deadline of a request was recorded twice as timed out, so its failure average rose twice as much for one silence.

a_silence_is_recorded_once failed before and passes now.

--- a/src/edge/call_timer.c
+++ b/src/edge/call_timer.c
@@ -68,7 +68,7 @@
 
 static void time_out_call(struct call *call)
 {
-	if (call->current)
+	if (call->current && !call->current->silence_recorded)
 		backend_record_outcome(call->current->backend,
 				       BACKEND_TIMED_OUT, edge_now_us());
 	call_give_up(call, "the time of the request is up");
--- a/tests/unit/test_edge_second_attempt.c
+++ b/tests/unit/test_edge_second_attempt.c
@@ -401,6 +401,29 @@
 }
 END_TEST
 
+/* Its deadline does not tell anything new of a server that was silent before.
+ */
+START_TEST(a_silence_is_recorded_once)
+{
+	struct edge *edge = &rig.hosts[0].edge;
+	const struct backend *backend;
+	double rate;
+
+	edge_rig_register_server(&rig, 1, "draining", 2);
+	edge_rig_run(&rig, 300);
+	send_request("/long-safe/wait", "Connection: close\r\n");
+	edge_rig_run(&rig, SECOND_ATTEMPT_MS);
+	ck_assert_uint_eq(edge->counters.silences, 1);
+	backend = backend_table_find(&edge->backends, "worker-0");
+	rate = backend->failure_rate;
+	edge->calls->deadline_us = edge_now_us();
+	call_schedule(edge->calls);
+	wait_until_closed();
+	ck_assert(begins_with("HTTP/1.1 504 "));
+	ck_assert(backend->failure_rate <= rate);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_second_attempt");
@@ -444,6 +467,7 @@
 		2);
 	tcase_add_loop_test(tcase, an_unsent_second_attempt_counts_as_no_retry,
 			    0, 2);
+	tcase_add_test(tcase, a_silence_is_recorded_once);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
