Ignore an older entry of a server that drained and was removed

After the entry of a draining server was removed, an entry of the same run that it had written earlier brought it back as ready, and it got requests again.

Cause: entries were compared only with the one that is listed. The memory of runs, which keeps what servers say in their answers, knew nothing of their entries.

The memory keeps the sequence of a draining entry when it is removed. An entry of that run with a lower one is ignored, and the table of servers decides which of two entries is the later one.

an_older_entry_does_not_bring_a_drained_server_back failed before and passes now. The mirror already ignores changes that are older by the store's revision; this is about an entry that is written late.

--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -95,14 +95,6 @@
 	follower->missing = missing;
 }
 
-static bool is_older(const struct backend_entry *entry,
-		     const struct backend_entry *current)
-{
-	if (entry->born_ms != current->born_ms)
-		return entry->born_ms < current->born_ms;
-	return entry->sequence < current->sequence;
-}
-
 static void on_entry(struct backend_follower *follower, const char *id,
 		     const struct tgw_store_entry *found)
 {
@@ -118,9 +110,9 @@
 	}
 	text_copy(entry.id, sizeof(entry.id), id);
 	clear_missing_server(follower, id);
-	current = backend_table_find(follower->table, id);
-	if (current && is_older(&entry, &current->entry))
+	if (backend_table_is_outdated(follower->table, &entry))
 		return;
+	current = backend_table_find(follower->table, id);
 	if (!current || current->entry.born_ms != entry.born_ms)
 		follower->events.joined(follower->events.arg, &entry);
 	else if (entry.draining && !current->entry.draining)
--- a/src/state/backend_table.c
+++ b/src/state/backend_table.c
@@ -107,8 +107,22 @@
 			other->address_reused = false;
 }
 
+static uint64_t run_key(const struct backend_entry *run)
+{
+	return run_memory_key(run->id, run->address, run->born_ms);
+}
+
+/* Runs without a time of start look the same: nothing is remembered of them. */
+static bool can_be_remembered(const struct backend_entry *run)
+{
+	return run->born_ms != 0;
+}
+
 static void unlist(struct backend_table *table, struct backend *backend)
 {
+	if (backend->entry.draining && can_be_remembered(&backend->entry))
+		run_memory_obtain(&table->memory, backend->memory_key)
+			->drained_sequence = backend->entry.sequence;
 	backend->listed = false;
 	release_address(table, backend);
 	if (!backend->running)
@@ -137,17 +151,6 @@
 		backend_table_mark_address_reused(table, added);
 }
 
-static uint64_t run_key(const struct backend_entry *run)
-{
-	return run_memory_key(run->id, run->address, run->born_ms);
-}
-
-/* Runs without a time of start look the same: nothing is remembered of them. */
-static bool can_be_remembered(const struct backend_entry *run)
-{
-	return run->born_ms != 0;
-}
-
 bool backend_table_set_leaving(struct backend_table *table,
 			       const struct backend_entry *run,
 			       enum leaving_source source, int64_t now_us)
@@ -160,7 +163,7 @@
 
 	if (can_be_remembered(run)) {
 		struct server_availability *remembered =
-			run_memory_obtain(&table->memory, key);
+			&run_memory_obtain(&table->memory, key)->availability;
 
 		known = server_availability_is_leaving(remembered, now_us);
 		server_availability_set_leaving(remembered, until_us);
@@ -186,8 +189,9 @@
 	uint64_t key = run_key(run);
 
 	if (can_be_remembered(run))
-		server_availability_rest(run_memory_obtain(&table->memory, key),
-					 rest_us, now_us);
+		server_availability_rest(
+			&run_memory_obtain(&table->memory, key)->availability,
+			rest_us, now_us);
 	for (struct backend *backend = table->first; backend;
 	     backend = backend->next)
 		if (backend->memory_key == key)
@@ -197,11 +201,11 @@
 
 static void recall(const struct backend_table *table, struct backend *backend)
 {
-	const struct server_availability *remembered =
+	const struct remembered_run *remembered =
 		run_memory_find(&table->memory, backend->memory_key);
 
 	if (remembered)
-		backend->availability = *remembered;
+		backend->availability = remembered->availability;
 }
 
 bool backend_accepts_requests(const struct backend *backend, int64_t now_us)
@@ -216,6 +220,26 @@
 	return server_availability_free_at_us(&backend->availability, now_us);
 }
 
+static bool is_older(const struct backend_entry *entry,
+		     const struct backend_entry *current)
+{
+	if (entry->born_ms != current->born_ms)
+		return entry->born_ms < current->born_ms;
+	return entry->sequence < current->sequence;
+}
+
+bool backend_table_is_outdated(const struct backend_table *table,
+			       const struct backend_entry *entry)
+{
+	const struct backend *current = backend_table_find(table, entry->id);
+	const struct remembered_run *remembered;
+
+	if (current)
+		return is_older(entry, &current->entry);
+	remembered = run_memory_find(&table->memory, run_key(entry));
+	return remembered && entry->sequence < remembered->drained_sequence;
+}
+
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_entry *entry)
 {
--- a/src/state/backend_table.h
+++ b/src/state/backend_table.h
@@ -91,6 +91,11 @@
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_entry *entry);
 
+/** @return whether a later entry is known, of a server that is listed or of one
+ * that was draining when its entry was removed */
+bool backend_table_is_outdated(const struct backend_table *table,
+			       const struct backend_entry *entry);
+
 /** Marks a server as no longer listed, so that it gets no new requests. The
  * server is freed when its last request ends. */
 void backend_table_remove(struct backend_table *table, const char *id);
--- a/src/state/run_memory.c
+++ b/src/state/run_memory.c
@@ -22,16 +22,16 @@
 	return at;
 }
 
-const struct server_availability *run_memory_find(
-	const struct run_memory *memory, uint64_t key)
+const struct remembered_run *run_memory_find(const struct run_memory *memory,
+					     uint64_t key)
 {
 	size_t at = find(memory, key);
 
-	return at < RUN_MEMORY_RUNS_MAX ? &memory->runs[at].availability : NULL;
+	return at < RUN_MEMORY_RUNS_MAX ? &memory->runs[at] : NULL;
 }
 
-struct server_availability *run_memory_obtain(struct run_memory *memory,
-					      uint64_t key)
+struct remembered_run *run_memory_obtain(struct run_memory *memory,
+					 uint64_t key)
 {
 	size_t at = find(memory, key);
 
@@ -41,5 +41,5 @@
 		memory->runs[at] =
 			(struct remembered_run){.used = true, .key = key};
 	}
-	return &memory->runs[at].availability;
+	return &memory->runs[at];
 }
--- a/src/state/run_memory.h
+++ b/src/state/run_memory.h
@@ -19,6 +19,8 @@
 	bool used;
 	uint64_t key; /**< see run_memory_key() */
 	struct server_availability availability;
+	/** Of a draining entry that was removed; 0: none was. */
+	int64_t drained_sequence;
 };
 
 /** Empty when zeroed. */
@@ -32,11 +34,11 @@
 			int64_t born_ms);
 
 /** @return what is known of the run; NULL for nothing */
-const struct server_availability *run_memory_find(
-	const struct run_memory *memory, uint64_t key);
+const struct remembered_run *run_memory_find(const struct run_memory *memory,
+					     uint64_t key);
 
 /** @return what is known of the run, to be changed by the caller */
-struct server_availability *run_memory_obtain(struct run_memory *memory,
-					      uint64_t key);
+struct remembered_run *run_memory_obtain(struct run_memory *memory,
+					 uint64_t key);
 
 #endif
--- a/tests/unit/test_backend_follower.c
+++ b/tests/unit/test_backend_follower.c
@@ -158,6 +158,25 @@
 }
 END_TEST
 
+START_TEST(an_older_entry_does_not_bring_a_drained_server_back)
+{
+	put("srv/a", "6 100 draining");
+	advance(200 * TGW_US_PER_MS);
+	put("srv/a", NULL);
+	advance(200 * TGW_US_PER_MS);
+	put("srv/a", "5 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_ptr_null(backend_table_find(&table, "a"));
+	put("srv/a", "6 100 draining");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(backend_table_find(&table, "a")->entry.draining);
+	put("srv/a", NULL);
+	put("srv/a", "1 101 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(!backend_table_find(&table, "a")->entry.draining);
+}
+END_TEST
+
 START_TEST(an_invalid_entry_removes_the_server)
 {
 	put("srv/a", "\x01\x02");
@@ -198,6 +217,8 @@
 		       an_entry_that_expired_in_an_outage_may_be_restored);
 	tcase_add_test(tcase, draining_is_applied_at_once_after_an_outage);
 	tcase_add_test(tcase, an_older_entry_is_ignored);
+	tcase_add_test(tcase,
+		       an_older_entry_does_not_bring_a_drained_server_back);
 	tcase_add_test(tcase, an_invalid_entry_removes_the_server);
 	tcase_add_test(tcase, changes_during_a_partition_are_read_afterwards);
 	suite_add_tcase(suite, tcase);
