Don't take a long upload for a silence

A repeatable request whose body a server took longer to read than the limit on silences (0.15 to 1.5 s) was sent to another server as well, body and all.

Cause: the time without bytes of a response was counted from the start of the attempt, not from the end of the request.

While bytes of a request above 16 KB are on their way, the host looks four times a second whether they have become fewer, in its own queue and in the kernel's. If so, the server is not silent. An upload that stalls counts as before.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -379,7 +379,7 @@
 	if (!attempt || !attempt->paused)
 		return;
 	attempt->paused = false;
-	attempt->last_received_us = edge_now_us();
+	attempt->last_progress_us = edge_now_us();
 	http_conn_resume(attempt->conn);
 	call_schedule(call);
 }
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -72,13 +72,6 @@
 		call_end_earlier_attempt(attempt->call);
 }
 
-static void record_received(struct call_attempt *attempt)
-{
-	attempt->last_received_us = edge_now_us();
-	attempt->next_check_us = 0;
-	attempt->silence_recorded = false;
-}
-
 static enum http_conn_verdict on_head(struct http_conn *conn)
 {
 	struct call_attempt *attempt = conn->arg;
@@ -91,14 +84,14 @@
 	if (attempt->response.other_request)
 		return HTTP_CONN_DISCARD;
 	attempt->status = conn->status;
-	record_received(attempt);
+	call_attempt_progress(attempt, edge_now_us());
 	if (!call->first_byte_us)
-		call->first_byte_us = attempt->last_received_us;
+		call->first_byte_us = attempt->last_progress_us;
 	if (attempt->response.has_load)
 		backend_report(attempt->backend, &attempt->response.load,
-			       attempt->last_received_us);
+			       attempt->last_progress_us);
 	server_signals_on_answer(edge, attempt->backend, &attempt->response,
-				 attempt->last_received_us);
+				 attempt->last_progress_us);
 	if (is_success(conn->status) && !attempt->response.has_signature) {
 		call_attempt_failed(attempt, BACKEND_BROKEN,
 				    "the answer bears no signature");
@@ -167,7 +160,7 @@
 {
 	struct call_attempt *attempt = conn->arg;
 
-	record_received(attempt);
+	call_attempt_progress(attempt, edge_now_us());
 	if (is_success(attempt->status))
 		settle_on(attempt);
 	if (refuses_to_go_on(attempt))
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -6,6 +6,10 @@
 #include "edge/call_private.h"
 
 #define FIELD_RESUME "Last-Event-Id"
+/* A longer request may take a server some time to read. */
+#define LONG_REQUEST_BYTES ((size_t)16 * 1024)
+/* Interval at which a host looks how much of it is still on its way. */
+#define UPLOAD_CHECK_US (250 * TGW_US_PER_MS)
 
 static void add_caller_fields(const struct call *call, struct buffer *head,
 			      int64_t last_event_id)
@@ -96,7 +100,7 @@
 	attempt->backend = backend;
 	attempt->is_retry = is_retry;
 	attempt->started_us = now_us;
-	attempt->last_received_us = now_us;
+	attempt->last_progress_us = now_us;
 	backend_begin(backend, now_us);
 	attempt->conn = backend_pool_acquire(edge->loop, backend, now_us);
 	if (!attempt->conn) {
@@ -110,10 +114,27 @@
 		!strcmp(call->caller->request.method, "HEAD");
 	http_conn_send(attempt->conn, &call_response_events, attempt, &head,
 		       &call->caller->request.body);
+	if (head.size + call->caller->request.body.size > LONG_REQUEST_BYTES) {
+		attempt->unsent_bytes = http_conn_unsent(attempt->conn);
+		attempt->unsent_check_us = now_us + UPLOAD_CHECK_US;
+	}
 	buffer_free(&head);
 	call_schedule(call);
 }
 
+void call_attempt_check_upload(struct call_attempt *attempt, int64_t now_us)
+{
+	size_t unsent_bytes;
+
+	if (!attempt->unsent_bytes || now_us < attempt->unsent_check_us)
+		return;
+	unsent_bytes = http_conn_unsent(attempt->conn);
+	if (unsent_bytes < attempt->unsent_bytes)
+		call_attempt_progress(attempt, now_us);
+	attempt->unsent_bytes = unsent_bytes;
+	attempt->unsent_check_us = now_us + UPLOAD_CHECK_US;
+}
+
 static void free_connection(struct call_attempt *attempt)
 {
 	/* A connection whose response is complete closes itself if it can't be
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -55,7 +55,7 @@
 		      call_attempt_is_sent(attempt),
 		      (unsigned long long)call->events_sent,
 		      call->attempt_count, ms_since(attempt->started_us),
-		      ms_since(attempt->last_received_us),
+		      ms_since(attempt->last_progress_us),
 		      backend->reported.running, backend->reported.waiting,
 		      backend->entry.slots, ms_since(backend->reported_us),
 		      backend_failure_rate(backend, edge_now_us()),
@@ -74,7 +74,7 @@
 		      call->request.id, attempt->backend->entry.id,
 		      (unsigned long long)call->events_sent,
 		      call->attempt_count, ms_since(attempt->started_us),
-		      ms_since(attempt->last_received_us),
+		      ms_since(attempt->last_progress_us),
 		      backend_failure_rate(attempt->backend, edge_now_us()),
 		      attempt_obstacle_name(call->obstacle));
 }
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -39,7 +39,13 @@
 	struct backend *backend; /* NULL while this entry is not in use */
 	struct http_conn *conn;
 	int64_t started_us;
-	int64_t last_received_us; /* response bytes; the start before any */
+	/* When bytes of the response arrived, or the server was seen to have
+	 * taken bytes of a long request; the start before any. */
+	int64_t last_progress_us;
+	/* Bytes of a long request that were on their way at the last look; 0
+	 * for none. */
+	size_t unsent_bytes;
+	int64_t unsent_check_us; /* the next look */
 	/* A decision about its silence is not repeated before. */
 	int64_t next_check_us;
 	bool silence_recorded; /* in the server's statistics */
@@ -163,6 +169,19 @@
  * @return whether the request is retried; if not, the response is final */
 bool call_retry_server_error(struct call_attempt *attempt);
 
+/** Looks, in regular intervals, whether the server takes more of a long
+ * request. */
+void call_attempt_check_upload(struct call_attempt *attempt, int64_t now_us);
+
+/** The server sent or took some bytes. */
+static inline void call_attempt_progress(struct call_attempt *attempt,
+					 int64_t now_us)
+{
+	attempt->last_progress_us = now_us;
+	attempt->next_check_us = 0;
+	attempt->silence_recorded = false;
+}
+
 /** Events of the connection to the server. */
 extern const struct http_conn_events call_response_events;
 
--- a/src/edge/call_timer.c
+++ b/src/edge/call_timer.c
@@ -35,9 +35,11 @@
 	if (attempt->paused || !call_may_repeat(call) ||
 	    call->sent_count >= call->route.max_attempts)
 		return call->deadline_us;
-	due_us = attempt->last_received_us + max_silence_us(call);
+	due_us = attempt->last_progress_us + max_silence_us(call);
 	if (due_us < attempt->next_check_us)
 		due_us = attempt->next_check_us;
+	if (attempt->unsent_bytes && due_us > attempt->unsent_check_us)
+		due_us = attempt->unsent_check_us;
 	return due_us < call->deadline_us ? due_us : call->deadline_us;
 }
 
@@ -81,6 +83,8 @@
 
 	if (call->ended)
 		return;
+	if (call->current)
+		call_attempt_check_upload(call->current, now_us);
 	if (now_us < call_due_us(call)) {
 		call->timeout_pending = false;
 		call_schedule(call);
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -2,9 +2,11 @@
 
 #include <assert.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "base/xalloc.h"
@@ -339,6 +341,19 @@
 	       errno == EAGAIN;
 }
 
+size_t http_conn_unsent(const struct http_conn *conn)
+{
+	uv_os_fd_t descriptor;
+	int in_kernel = 0;
+
+	if (uv_fileno((const uv_handle_t *)&conn->tcp, &descriptor) ||
+	    ioctl(descriptor, SIOCOUTQ, &in_kernel) < 0)
+		return 0;
+	return conn->unsent.size +
+	       uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) +
+	       (size_t)in_kernel;
+}
+
 void http_conn_send(struct http_conn *conn,
 		    const struct http_conn_events *events, void *arg,
 		    const struct buffer *head, const struct buffer *body)
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -87,6 +87,10 @@
  * response, not even its end, also if the loop has not read that yet */
 bool http_conn_is_quiet(const struct http_conn *conn);
 
+/** @return bytes of the request that the server's system has not acknowledged;
+ * also 0 if that is not known */
+size_t http_conn_unsent(const struct http_conn *conn);
+
 /** Sends one request. What the socket does not accept at once is copied. */
 void http_conn_send(struct http_conn *conn,
 		    const struct http_conn_events *events, void *arg,
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -389,6 +389,8 @@
 
 	if (conn->call)
 		end_pause(conn->call);
+	if (conn->turns)
+		read_turns_forget(conn->turns, &conn->turn);
 	if (conn->previous)
 		conn->previous->next = conn->next;
 	else
@@ -414,6 +416,7 @@
 	conn = server_conn_accept(listener, &limits, &events, standin);
 	if (!conn)
 		return;
+	conn->turns = standin->turns;
 	conn->next = standin->conns;
 	if (conn->next)
 		conn->next->previous = conn;
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -49,6 +49,8 @@
 	bool rejects;	   /**< reports that it is full, and runs nothing */
 	bool fails;	   /**< answers 500 to each request that it runs */
 	bool fails_huge;   /**< the same, with a large body */
+	/** Bounds the reading of requests; NULL: nothing does. */
+	struct read_turns *turns;
 	/** Header lines, with their ends, that are added to all answers; NULL:
 	 * none. */
 	const char *extra_fields;
