Don't take a silent engine for a crashed one in tamarackgwd

An engine whose connection broke, and that did not answer the status query within 2 s, was recorded as crashed by the request. Two such records quarantine a request, although the engine may only have paused.

Cause: no answer counted like the answer that the request is unknown.

A query that times out is an end of its own: the request goes to another server and is cancelled at the silent one, which may still run it; no crash is recorded. A refused connection and an unknown request count as before.

a_silent_server_does_not_count_as_crashed failed before (1 crash) and passes now.

--- a/src/daemon/model_attempt.c
+++ b/src/daemon/model_attempt.c
@@ -193,15 +193,23 @@
 			      on_cancelled);
 }
 
+/* @return how the attempt ended, by the server's answer to the query */
+static enum attempt_end read_status(const struct backend_fetch_result *result)
+{
+	if (result->outcome == HTTP_TIMED_OUT)
+		return ATTEMPT_ENGINE_SILENT;
+	if (result->outcome == HTTP_COMPLETE && result->status == STATUS_OK &&
+	    !strstr(result->body, "\"unknown\""))
+		return ATTEMPT_BROKEN;
+	return ATTEMPT_ENGINE_DOWN;
+}
+
 static void on_status(void *arg, const struct backend_fetch_result *result)
 {
 	struct model_call *mc = arg;
-	bool request_found = result->outcome == HTTP_COMPLETE &&
-			     result->status == STATUS_OK &&
-			     !strstr(result->body, "\"unknown\"");
 
 	mc->control_requests_pending--;
-	model_call_status_query_done(mc, request_found);
+	model_call_status_query_done(mc, read_status(result));
 	call_unref(&mc->call);
 }
 
--- a/src/daemon/model_call.c
+++ b/src/daemon/model_call.c
@@ -318,6 +318,7 @@
 	[ATTEMPT_OVERTAKEN] = TGW_ROUTE_CANCELLED,
 	[ATTEMPT_BROKEN] = TGW_ROUTE_BROKEN,
 	[ATTEMPT_ENGINE_DOWN] = TGW_ROUTE_BROKEN,
+	[ATTEMPT_ENGINE_SILENT] = TGW_ROUTE_BROKEN,
 	[ATTEMPT_INVALID_EVENTS] = TGW_ROUTE_SERVER_ERROR,
 };
 
@@ -331,20 +332,22 @@
 	[ATTEMPT_OVERTAKEN] = PROBLEM_STILL_RUNNING,
 	[ATTEMPT_BROKEN] = PROBLEM_BACKEND_FAILED,
 	[ATTEMPT_ENGINE_DOWN] = PROBLEM_BACKEND_FAILED,
+	[ATTEMPT_ENGINE_SILENT] = PROBLEM_BACKEND_FAILED,
 	[ATTEMPT_INVALID_EVENTS] = PROBLEM_BACKEND_FAILED,
 };
 
 static const bool engine_may_run_after_end[ATTEMPT_END_COUNT] = {
 	[ATTEMPT_PAST_LIMIT] = true,
 	[ATTEMPT_BROKEN] = true,
+	[ATTEMPT_ENGINE_SILENT] = true,
 	[ATTEMPT_INVALID_EVENTS] = true,
 };
 
 static const bool may_have_run_after_end[ATTEMPT_END_COUNT] = {
-	[ATTEMPT_COMPLETE] = true,	 [ATTEMPT_PAST_LIMIT] = true,
-	[ATTEMPT_ERROR] = true,		 [ATTEMPT_OVERTAKEN] = true,
-	[ATTEMPT_BROKEN] = true,	 [ATTEMPT_ENGINE_DOWN] = true,
-	[ATTEMPT_INVALID_EVENTS] = true,
+	[ATTEMPT_COMPLETE] = true,	[ATTEMPT_PAST_LIMIT] = true,
+	[ATTEMPT_ERROR] = true,		[ATTEMPT_OVERTAKEN] = true,
+	[ATTEMPT_BROKEN] = true,	[ATTEMPT_ENGINE_DOWN] = true,
+	[ATTEMPT_ENGINE_SILENT] = true, [ATTEMPT_INVALID_EVENTS] = true,
 };
 
 static void complete(struct model_call *mc, enum attempt_end end)
@@ -448,21 +451,21 @@
 	model_attempt_query_status(mc);
 }
 
-/* A server counts as crashed if it does not answer the query, or has no record
- * of a request that it was running. */
-void model_call_status_query_done(struct model_call *mc, bool request_found)
+/* A server counts as crashed if it can't be asked, or has no record of a
+ * request that it was running. One that is silent may only be paused. */
+void model_call_status_query_done(struct model_call *mc, enum attempt_end end)
 {
 	if (mc->abandoned) {
 		end_abandoned(mc);
 		return;
 	}
-	if (!request_found) {
+	if (end == ATTEMPT_ENGINE_DOWN) {
 		mc->quarantine_attempt_open = false;
 		tgw_quarantine_on_crash(mc->call.core->runtime->quarantine,
 					&mc->fingerprint, mc->call.team,
 					mc->engine.name, mc->others_running);
 	}
-	recover(mc, request_found ? ATTEMPT_BROKEN : ATTEMPT_ENGINE_DOWN);
+	recover(mc, end);
 }
 
 /* ---- cancellation ---- */
--- a/src/daemon/model_call_private.h
+++ b/src/daemon/model_call_private.h
@@ -78,6 +78,6 @@
 
 void model_call_attempt_ended(struct model_call *mc, enum http_outcome outcome);
 void model_call_cancel_done(struct model_call *mc);
-void model_call_status_query_done(struct model_call *mc, bool request_found);
+void model_call_status_query_done(struct model_call *mc, enum attempt_end end);
 
 #endif
--- a/src/state/stream_recovery.h
+++ b/src/state/stream_recovery.h
@@ -23,6 +23,8 @@
 	ATTEMPT_OVERTAKEN,   /**< a newer attempt runs elsewhere */
 	ATTEMPT_BROKEN,	     /**< connection lost; the engine still knows it */
 	ATTEMPT_ENGINE_DOWN, /**< connection lost; the engine went down */
+	/** Connection lost; the engine is silent, and may still run it. */
+	ATTEMPT_ENGINE_SILENT,
 	ATTEMPT_INVALID_EVENTS, /**< its events violated the protocol */
 	ATTEMPT_END_COUNT
 };
--- a/tests/fakes/agents/fake_backend.c
+++ b/tests/fakes/agents/fake_backend.c
@@ -193,6 +193,10 @@
 			stream(request, backend->last_from);
 	} else {
 		backend->status_queries++;
+		if (request->script.status_hangs) {
+			hang(request);
+			return;
+		}
 		send_answer(request,
 			    request->script.requests_unknown ? 404 : 200,
 			    "{\"state\":\"running\",\"attempt\":1}");
--- a/tests/fakes/agents/fake_backend.h
+++ b/tests/fakes/agents/fake_backend.h
@@ -34,6 +34,7 @@
 	int status;	       /**< HTTP status of streams; 0: 200 */
 	int fault_count;       /**< following streams that have the faults */
 	bool requests_unknown; /**< answers 404 to resumes and status queries */
+	bool status_hangs;     /**< does not answer status queries */
 	int service_status;
 	/** Closes the connection once a service request was received. */
 	bool service_closes;
--- a/tests/unit/test_gateway_streams.c
+++ b/tests/unit/test_gateway_streams.c
@@ -379,6 +379,20 @@
 }
 END_TEST
 
+/* It may be paused: only its other requests tell whether it crashed. */
+START_TEST(a_silent_server_does_not_count_as_crashed)
+{
+	engine->script.break_at = 2;
+	engine->script.status_hangs = true;
+	rig_chat(&rig, "", STREAM, &input);
+	ck_assert_int_eq(engine->status_queries, 1);
+	check_complete_stream();
+	ck_assert_int_eq(second_engine->last_from, 2);
+	ck_assert_int_eq(fake_agents.crashes, 0);
+	check_settled(TGW_SETTLE_USAGE, 10);
+}
+END_TEST
+
 int main(void)
 {
 	int fault_count = (int)(sizeof(faults) / sizeof(faults[0]));
@@ -422,6 +436,7 @@
 	tcase_add_test(tcase,
 		       a_request_with_a_key_is_cancelled_if_no_retry_joins);
 	tcase_add_test(tcase, a_stalled_stream_is_resumed);
+	tcase_add_test(tcase, a_silent_server_does_not_count_as_crashed);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
