Let a planned stop of tamarackgwd wait until responses are written

A planned stop cut off the end of a response, up to 144 KB, if its caller read slowly.

Cause: the stop goes on once no request is open, and a request ended when its response was complete in the host, not when it was written.

The stop waits, within its grace time, until no connection has bytes to write. Connections that only wait for the caller's close don't hold it up.

a_planned_stop_waits_until_responses_are_written failed before (it went on to give back its allotments) and passes now; the agents' fakes got the calls that a stop plan makes.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -413,6 +413,11 @@
 	http_server_disable_keep_alive(gateway->server);
 }
 
+bool gateway_is_writing(const struct gateway *gateway)
+{
+	return http_server_is_writing(gateway->server);
+}
+
 /* Runs after all functions that the gateway posted before. */
 static void run_release(void *arg)
 {
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -37,6 +37,10 @@
  * continue. */
 void gateway_stop_accepting(struct gateway *gateway);
 
+/** @return whether callers still have to be sent parts of responses that are
+ * complete here */
+bool gateway_is_writing(const struct gateway *gateway);
+
 /** Closes the connections at once. The memory is freed later, by a function
  * posted to the coordination thread. */
 void gateway_free(struct gateway *gateway);
--- a/src/daemon/stop_plan.c
+++ b/src/daemon/stop_plan.c
@@ -78,6 +78,13 @@
 	enter_phase(plan, STOP_DONE, now_us);
 }
 
+static bool is_serving(const struct runtime *runtime,
+		       const struct gateway *gateway)
+{
+	return atomic_load(&runtime->open_requests) ||
+	       gateway_is_writing(gateway);
+}
+
 int64_t stop_plan_tick(struct stop_plan *plan, struct runtime *runtime,
 		       struct gateway *gateway)
 {
@@ -92,7 +99,7 @@
 			finish_requests(plan, runtime, gateway, now_us);
 		break;
 	case STOP_FINISH_REQUESTS:
-		if (phase_expired || !atomic_load(&runtime->open_requests))
+		if (phase_expired || !is_serving(runtime, gateway))
 			drain_agents(plan, runtime, now_us);
 		break;
 	case STOP_DRAIN_AGENTS:
--- a/src/daemon/stop_plan.h
+++ b/src/daemon/stop_plan.h
@@ -13,9 +13,10 @@
 
 enum stop_phase {
 	STOP_NOT_REQUESTED,
-	STOP_NOTICE,	      /**< not ready, but still accepts requests */
-	STOP_FINISH_REQUESTS, /**< accepts none; waits for open requests */
-	STOP_DRAIN_AGENTS,    /**< settles reservations, returns allotments */
+	STOP_NOTICE, /**< not ready, but still accepts requests */
+	/** Accepts none; waits until open requests are served and written. */
+	STOP_FINISH_REQUESTS,
+	STOP_DRAIN_AGENTS, /**< settles reservations, returns allotments */
 	STOP_DONE,
 };
 
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -493,6 +493,15 @@
 	atomic_store(&server->stopping, true);
 }
 
+bool http_server_is_writing(const struct http_server *server)
+{
+	for (const struct server_conn *conn = server->conns; conn;
+	     conn = conn->next)
+		if (server_conn_unwritten(conn))
+			return true;
+	return false;
+}
+
 void http_server_free(struct http_server *server)
 {
 	if (!server)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -62,6 +62,10 @@
  * Thread-safe. */
 void http_server_disable_keep_alive(struct http_server *server);
 
+/** @return whether some connection has bytes of a response to write, also of
+ * one that is complete here. To be called on the loop's thread. */
+bool http_server_is_writing(const struct http_server *server);
+
 /** Aborts all connections and frees the server. */
 void http_server_free(struct http_server *server);
 
--- a/tests/fakes/agents/fake_agents.c
+++ b/tests/fakes/agents/fake_agents.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #include "daemon/log.h"
+#include "tamarackgw/config_follower.h"
+#include "tamarackgw/membership.h"
 
 #define TICKET_PREFIX "ticket-"
 #define RETRY_AFTER_US INT64_C(2500000)
@@ -254,8 +256,39 @@
 	fake_agents.entered--;
 }
 
+/* ---- planned stop ---- */
+
+void tgw_budget_drain(struct tgw_budget_agent *agent)
+{
+}
+
+bool tgw_budget_is_drained(const struct tgw_budget_agent *agent)
+{
+	return true;
+}
+
+void tgw_claim_drain(struct tgw_claim_agent *agent)
+{
+}
+
+bool tgw_claim_is_drained(const struct tgw_claim_agent *agent)
+{
+	return true;
+}
+
+void tgw_membership_set_self(struct tgw_membership *membership, bool leaving,
+			     uint64_t config_generation)
+{
+}
+
 /* ---- configuration ---- */
 
+uint64_t tgw_config_follower_generation(
+	const struct tgw_config_follower *follower)
+{
+	return fake_agents.config->generation;
+}
+
 const struct tgw_team *tgw_config_find_team_by_key(
 	const struct tgw_config_snapshot *config, const char *key,
 	size_t key_size)
--- a/tests/unit/test_gateway_limits.c
+++ b/tests/unit/test_gateway_limits.c
@@ -1,12 +1,16 @@
 /* Tests what the gateway refuses and limits: bad requests, malformed and
  * oversized input, idle and slow callers, refusals of the agents, and the
  * number of open requests and connections. */
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "daemon/stop_plan.h"
 #include "fakes/agents/gateway_rig.h"
 #include "unit/unit_main.h"
 
@@ -15,6 +19,10 @@
 #define LONG_IDLE_MS 60000
 #define SHORT_IDLE_MS 300
 #define OVERSIZE_BYTES (128 * 1024)
+/* A response of 5 tokens that the sockets below don't hold. */
+#define PAD_BYTES (25 * 1024)
+#define RECEIVE_BUFFER_BYTES 4096
+#define SEGMENT_BYTES 536
 #define CHAT_HEAD                                           \
 	"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" \
 	"Authorization: Bearer " RIG_TEAM "\r\n"
@@ -396,6 +404,63 @@
 }
 END_TEST
 
+static struct stop_plan plan;
+static atomic_bool plan_ticked;
+
+static void tick_plan(void *arg)
+{
+	stop_plan_tick(&plan, &rig.runtime, rig.gateway);
+	plan_ticked = true;
+}
+
+/* @return the phase after the plan has looked at the gateway */
+static enum stop_phase next_phase(void)
+{
+	plan_ticked = false;
+	executor_post(event_loop_executor(rig.loop), tick_plan, NULL);
+	RIG_WAIT(plan_ticked);
+	return plan.phase;
+}
+
+/* Its socket, and with small segments the gateway's, hold little. */
+static int connect_slow_caller(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	int buffer_bytes = RECEIVE_BUFFER_BYTES;
+	int segment_bytes = SEGMENT_BYTES;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+		   sizeof(buffer_bytes));
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+		   sizeof(segment_bytes));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(gateway_port(rig.gateway));
+	ck_assert_int_eq(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	return fd;
+}
+
+START_TEST(a_planned_stop_waits_until_responses_are_written)
+{
+	int fd = connect_slow_caller();
+
+	rig.engines[0].script.pad_bytes = PAD_BYTES;
+	rig_send_chat(fd, "", STREAM);
+	RIG_WAIT(fake_agents.settles == 1);
+	RIG_WAIT(rig.runtime.open_requests == 0);
+	plan = (struct stop_plan){
+		.phase = STOP_FINISH_REQUESTS,
+		.phase_ends_us = INT64_MAX,
+	};
+	ck_assert_int_eq(next_phase(), STOP_FINISH_REQUESTS);
+	rig_read_all(fd, &input);
+	ck_assert(has("data: [DONE]"));
+	RIG_WAIT(next_phase() == STOP_DONE);
+	close(fd);
+}
+END_TEST
+
 START_TEST(the_metrics_count_calls_and_tokens)
 {
 	struct buffer text = {0};
@@ -441,6 +506,7 @@
 		       connections_above_the_limit_wait_until_others_close);
 	tcase_add_test(tcase,
 		       a_stopping_host_refuses_new_and_completes_open_requests);
+	tcase_add_test(tcase, a_planned_stop_waits_until_responses_are_written);
 	tcase_add_test(tcase, the_metrics_count_calls_and_tokens);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -1,8 +1,15 @@
-/* Tests that the HTTP server waits for a handler that responds late. It must
- * not treat the caller, which has nothing to read until then, as stalled and
- * close its connection. */
+/* Tests that the HTTP server waits for a handler that responds late, whose
+ * caller must not be treated as stalled, and that it tells which responses are
+ * not written yet, for a planned stop. */
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/xalloc.h"
 
 #include "protocol/http.h"
 #include "tamarackgw/clock.h"
@@ -12,6 +19,10 @@
 
 #define IDLE_US (30 * TGW_US_PER_S)
 #define TICK_US (5 * TGW_US_PER_MS)
+/* More than the sockets of both sides hold with the values below. */
+#define LARGE_BYTES ((size_t)120 * 1024)
+#define RECEIVE_BUFFER_BYTES 4096
+#define SEGMENT_BYTES 536
 
 static struct answer *pending_answer;
 static int ticks;
@@ -62,16 +73,17 @@
 	ended = true;
 }
 
+static const struct http_server_settings settings = {
+	.address = "127.0.0.1:0",
+	.max_connections = 8,
+	.max_body_bytes = 1024,
+	.max_header_bytes = 4096,
+	.caller_idle_us = IDLE_US,
+	.tick_us = TICK_US,
+};
+
 START_TEST(a_caller_that_awaits_a_response_stays_connected)
 {
-	const struct http_server_settings settings = {
-		.address = "127.0.0.1:0",
-		.max_connections = 8,
-		.max_body_bytes = 1024,
-		.max_header_bytes = 4096,
-		.caller_idle_us = IDLE_US,
-		.tick_us = TICK_US,
-	};
 	const struct http_server_handler handler = {
 		.head = on_head,
 		.request = on_slow_request,
@@ -105,6 +117,92 @@
 }
 END_TEST
 
+static bool exchange_closed;
+
+static void on_large_request(void *arg, struct server_exchange *exchange)
+{
+	char *body = xmalloc(LARGE_BYTES);
+
+	memset(body, 'x', LARGE_BYTES);
+	answer_set(server_exchange_answer(exchange), 200, "text/plain", body,
+		   LARGE_BYTES);
+	free(body);
+}
+
+static void on_exchange_closed(void *arg, struct server_exchange *exchange)
+{
+	exchange_closed = true;
+}
+
+static void ignore_tick(void *arg)
+{
+}
+
+static int connect_slow_caller(const struct http_server *server)
+{
+	static const char request[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	int buffer_bytes = RECEIVE_BUFFER_BYTES;
+	int segment_bytes = SEGMENT_BYTES;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+		   sizeof(buffer_bytes));
+	setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+		   sizeof(segment_bytes));
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(http_server_port(server));
+	ck_assert_int_eq(
+		connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	ck_assert_int_gt(send(fd, request, strlen(request), 0), 0);
+	return fd;
+}
+
+/* @return bytes that were waiting */
+static size_t read_some(int fd)
+{
+	static char bytes[64 * 1024];
+	ssize_t size = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+	return size > 0 ? (size_t)size : 0;
+}
+
+START_TEST(the_end_of_a_response_is_known_to_be_unwritten)
+{
+	const struct http_server_handler handler = {
+		.head = on_head,
+		.request = on_large_request,
+		.too_large = ignore_exchange,
+		.closed = on_exchange_closed,
+		.tick = ignore_tick,
+	};
+	struct event_loop *loop = event_loop_new();
+	uv_loop_t *uv = event_loop_uv(loop);
+	struct tgw_error error;
+	struct http_server *server =
+		http_server_new(loop, &settings, &handler, &error);
+	int fd = connect_slow_caller(server);
+	size_t received = 0;
+
+	while (!exchange_closed)
+		uv_run(uv, UV_RUN_NOWAIT);
+	ck_assert(http_server_is_writing(server));
+	while (http_server_is_writing(server)) {
+		received += read_some(fd);
+		uv_run(uv, UV_RUN_NOWAIT);
+	}
+	http_server_free(server);
+	uv_run(uv, UV_RUN_NOWAIT);
+	for (size_t size = 1; size; usleep(1000)) {
+		size = read_some(fd);
+		received += size;
+	}
+	ck_assert_uint_gt(received, LARGE_BYTES);
+	close(fd);
+	event_loop_free(loop);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("http_server");
@@ -112,6 +210,7 @@
 
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, a_caller_that_awaits_a_response_stays_connected);
+	tcase_add_test(tcase, the_end_of_a_response_is_known_to_be_unwritten);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
