Read on for a request that runs once after its slow caller has left

The request of a caller that read slowly and then left stayed open until its deadline, if it must not be repeated: its place at the server, its tokens and a planned stop waited for up to 30 s.

Cause: reading from the server was paused for the caller, and only the caller's reading resumed it.

When the caller leaves, reading resumes, and the rest of the response is thrown away.

a_request_that_runs_once_ends_after_its_slow_caller_has_left failed before and passes now.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -358,6 +358,19 @@
 	reserve_and_dispatch(call);
 }
 
+/* Reads on from a server that was paused for a slow caller. */
+static void resume_reading(struct call *call)
+{
+	struct call_attempt *attempt = call->current;
+
+	if (!attempt || !attempt->paused)
+		return;
+	attempt->paused = false;
+	attempt->last_progress_us = edge_now_us();
+	http_conn_resume(attempt->conn);
+	call_schedule(call);
+}
+
 void call_caller_disconnected(struct call *call)
 {
 	call_log_caller_left(call);
@@ -368,18 +381,12 @@
 	 * its effect matters even though nobody receives the response. */
 	if (call->route.kind == ROUTE_UNSAFE &&
 	    call_attempt_is_sent(call->current))
-		return;
-	call_end(call);
+		resume_reading(call);
+	else
+		call_end(call);
 }
 
 void call_caller_drained(struct call *call)
 {
-	struct call_attempt *attempt = call->current;
-
-	if (!attempt || !attempt->paused)
-		return;
-	attempt->paused = false;
-	attempt->last_progress_us = edge_now_us();
-	http_conn_resume(attempt->conn);
-	call_schedule(call);
+	resume_reading(call);
 }
--- a/tests/unit/test_edge_connections.c
+++ b/tests/unit/test_edge_connections.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/xalloc.h"
+#include "edge/call_private.h"
 #include "fakes/edge_rig.h"
 #include "transport/server_conn.h"
 #include "unit/unit_main.h"
@@ -236,6 +237,21 @@
 }
 END_TEST
 
+/* Nobody waits for the rest of its response, but it must still be read. */
+START_TEST(a_request_that_runs_once_ends_after_its_slow_caller_has_left)
+{
+	send_text(GET("/long-unsafe/stream-large"));
+	edge_rig_run(&rig, 500);
+	ck_assert_ptr_nonnull(edge->calls);
+	ck_assert(edge->calls->current->paused);
+	close(caller);
+	edge_rig_run(&rig, 1500);
+	ck_assert_uint_eq(edge->call_count, 0);
+	ck_assert_uint_eq(edge->counters.answered, 1);
+	connect_caller();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_connections");
@@ -260,6 +276,9 @@
 	tcase_add_test(
 		tcase,
 		a_request_that_waits_for_tokens_is_answered_beside_a_change);
+	tcase_add_test(
+		tcase,
+		a_request_that_runs_once_ends_after_its_slow_caller_has_left);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
