Take answers to requests with long ids

A request whose id had 80 bytes or more never got its answer: the host discarded each whole answer as one to another request, sent the request to a second server too, and refused it with 504 at its deadline. The same if a server repeated an id without the space behind it.

Cause: the id that an answer repeats was compared with the beginning of the id that is kept for the log.

The host keeps a hash of the whole id, without space at its end, and compares that.

an_answer_to_a_request_with_a_long_id_is_taken failed before (504 in place of 200) and passes now; an_answer_to_another_request_is_recognized_by_its_id has the table.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -79,7 +79,7 @@
 	struct edge *edge = call->edge;
 
 	edge->sources.dialect->read_response(&conn->head, conn->status,
-					     call->request.id,
+					     call->request.id_hash,
 					     &attempt->response);
 	if (attempt->response.other_request)
 		return HTTP_CONN_DISCARD;
--- a/src/edge/call_dialect.h
+++ b/src/edge/call_dialect.h
@@ -19,7 +19,8 @@
 
 /** What the edge reads from the head of a caller's request. */
 struct request_info {
-	char id[CALL_ID_SIZE];	 /**< as the caller sent it; may be empty */
+	char id[CALL_ID_SIZE]; /**< for the log: its beginning; may be empty */
+	uint64_t id_hash;      /**< of the whole id; 0 for none */
 	char key[CALL_KEY_SIZE]; /**< API key; empty for none */
 	int64_t deadline_ms;	 /**< how long the caller waits; 0 if unknown */
 	int64_t input_tokens;	 /**< of the prompt; 0 without a model */
@@ -65,7 +66,7 @@
 	void (*write_attempt)(struct buffer *fields,
 			      const struct attempt_info *info);
 	void (*read_response)(const struct http_head *head, int status,
-			      const char *request_id,
+			      uint64_t request_id_hash,
 			      struct response_info *info);
 	/** Appends the header fields of an error response of the edge itself.
 	 * @param retry_after_ms value of Retry-After; 0 for none */
--- a/tests/fuzz/fuzz_answer.c
+++ b/tests/fuzz/fuzz_answer.c
@@ -48,7 +48,7 @@
 	status = statuses[data[0] % 4];
 	text = strndup((const char *)data + 1, size - 1);
 	add_fields(&head, text);
-	platform_dialect.read_response(&head, status, "request", &info);
+	platform_dialect.read_response(&head, status, 1, &info);
 	check(&info, status);
 	http_head_free(&head);
 	free(text);
--- a/tests/unit/test_edge_server_answers.c
+++ b/tests/unit/test_edge_server_answers.c
@@ -18,6 +18,7 @@
 #define AT_ONCE_US (250 * TGW_US_PER_MS)
 /* Time for hosts that start together to list each other. */
 #define DISCOVERY_MS 3500
+#define LONG_ID_BYTES 200
 #define LEAVING "Server-Leaving: 1\r\n"
 /* More than all requests of a test need, in thousandths of a retry. */
 #define AMPLE_CREDIT 1000000
@@ -410,6 +411,23 @@
 }
 END_TEST
 
+/* The server repeats it in its answer. */
+START_TEST(an_answer_to_a_request_with_a_long_id_is_taken)
+{
+	static const char format[] = "GET /safe/ok HTTP/1.1\r\n"
+				     "Host: a.example\r\n"
+				     "Authorization: Token key-1\r\n"
+				     "Connection: close\r\n"
+				     "Tamarackgw-Request-Id: %0*d\r\n\r\n";
+	char text[512];
+
+	snprintf(text, sizeof(text), format, LONG_ID_BYTES, 7);
+	received = edge_rig_exchange(&rig, text);
+	ck_assert(!strncmp(received, "HTTP/1.1 200 ", 13));
+	ck_assert_uint_eq(edge_rig_runs(&rig), 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_server_answers");
@@ -452,6 +470,7 @@
 	tcase_add_loop_test(tcase,
 			    a_field_that_asks_for_nothing_changes_nothing, 0,
 			    sizeof(harmless) / sizeof(harmless[0]));
+	tcase_add_test(tcase, an_answer_to_a_request_with_a_long_id_is_taken);
 	tcase_add_loop_test(tcase, only_a_503_asks_for_rest, 0, 2);
 	tcase_add_test(
 		tcase,
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -12,6 +12,10 @@
 	"{\"service\":\"app\",\"address\":\"10.0.0.1:80\",\"zone\":" \
 	"\"east\",\"slots\":4,\"state\":\"ready\",\"sequence\":1" more "}"
 
+#define LONG_ID                                       \
+	"0123456789012345678901234567890123456789012" \
+	"0123456789012345678901234567890123456789012"
+
 static const struct {
 	const char *name;
 	const char *text;
@@ -165,7 +169,7 @@
 
 	add_field(&head, "Tamarackgw-Server-Load", loads[_i].load);
 	add_field(&head, "Tamarackgw-Request-Id", "other");
-	platform_dialect.read_response(&head, 200, "mine", &info);
+	platform_dialect.read_response(&head, 200, 1, &info);
 	ck_assert_int_eq(info.has_load, loads[_i].is_valid);
 	ck_assert(info.other_request);
 	ck_assert(!info.has_signature);
@@ -173,6 +177,38 @@
 }
 END_TEST
 
+/* Each with what a server repeats of it. */
+static const struct {
+	const char *request;
+	const char *response;
+	bool is_other;
+} ids[] = {
+	{"mine", "mine", false},
+	{"mine ", "mine", false},
+	{"mine", "others", true},
+	{"mine", "min", true},
+	{"", "others", false},
+	{LONG_ID "a", LONG_ID "a", false},
+	{LONG_ID "a", LONG_ID "b", true},
+};
+
+START_TEST(an_answer_to_another_request_is_recognized_by_its_id)
+{
+	struct http_head request = {0};
+	struct http_head response = {0};
+	struct request_info asked;
+	struct response_info info;
+
+	add_field(&request, "Tamarackgw-Request-Id", ids[_i].request);
+	add_field(&response, "Tamarackgw-Request-Id", ids[_i].response);
+	platform_dialect.read_request(&request, &asked);
+	platform_dialect.read_response(&response, 200, asked.id_hash, &info);
+	ck_assert_int_eq(info.other_request, ids[_i].is_other);
+	http_head_free(&request);
+	http_head_free(&response);
+}
+END_TEST
+
 static const struct {
 	const char *value;
 	bool leaving;
@@ -189,7 +225,7 @@
 	struct response_info info;
 
 	add_field(&head, "server-leaving", leaving_values[_i].value);
-	platform_dialect.read_response(&head, 200, "", &info);
+	platform_dialect.read_response(&head, 200, 0, &info);
 	ck_assert_int_eq(info.leaving, leaving_values[_i].leaving);
 	ck_assert_int_eq(!*info.unreadable, leaving_values[_i].readable);
 	http_head_free(&head);
@@ -232,11 +268,11 @@
 		rests[_i].rest_us == UNREADABLE ? 0 : rests[_i].rest_us;
 
 	add_field(&head, "retry-after", rests[_i].value);
-	platform_dialect.read_response(&head, 503, "", &info);
+	platform_dialect.read_response(&head, 503, 0, &info);
 	ck_assert_int_eq(info.rest_us, expected_us);
 	ck_assert_int_eq(*info.unreadable != '\0',
 			 rests[_i].rest_us == UNREADABLE);
-	platform_dialect.read_response(&head, 429, "", &info);
+	platform_dialect.read_response(&head, 429, 0, &info);
 	ck_assert_int_eq(info.rest_us, 0);
 	ck_assert_str_eq(info.unreadable, "");
 	http_head_free(&head);
@@ -252,7 +288,7 @@
 	add_field(&head, "Retry-After", "4");
 	add_field(&head, "Retry-After", "soon");
 	add_field(&head, "Retry-After", "2");
-	platform_dialect.read_response(&head, 503, "", &info);
+	platform_dialect.read_response(&head, 503, 0, &info);
 	ck_assert_int_eq(info.rest_us, 4000000);
 	ck_assert_str_eq(info.unreadable, "Retry-After: soon");
 	http_head_free(&head);
@@ -267,7 +303,7 @@
 
 	memset(value + 4, 'x', sizeof(value) - 5);
 	add_field(&head, "Server-Leaving", value);
-	platform_dialect.read_response(&head, 200, "", &info);
+	platform_dialect.read_response(&head, 200, 0, &info);
 	ck_assert_int_eq(
 		strncmp(info.unreadable, "Server-Leaving: \?\?\?\?x", 21), 0);
 	ck_assert_uint_eq(strlen(info.unreadable),
@@ -289,6 +325,9 @@
 			    sizeof(requests) / sizeof(requests[0]));
 	tcase_add_loop_test(tcase, only_valid_load_reports_are_accepted, 0,
 			    sizeof(loads) / sizeof(loads[0]));
+	tcase_add_loop_test(
+		tcase, an_answer_to_another_request_is_recognized_by_its_id, 0,
+		sizeof(ids) / sizeof(ids[0]));
 	tcase_add_loop_test(tcase, a_leaving_server_is_recognized, 0,
 			    sizeof(leaving_values) / sizeof(leaving_values[0]));
 	tcase_add_loop_test(tcase, the_rest_that_a_server_asks_for_is_decoded,
