--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -53,7 +53,7 @@
 	call->ended = true;
 	for (size_t i = 0; i < CALL_OPEN_ATTEMPTS_MAX; i++)
 		if (call->attempts[i].backend)
-			call_attempt_end(&call->attempts[i]);
+			call_attempt_abandon(&call->attempts[i]);
 	if (call->reserved_tokens)
 		team_budget_settle(edge->budgets, call->team,
 				   call->reserved_tokens, spent_tokens(call));
@@ -122,7 +122,7 @@
 
 void call_give_up(struct call *call, const char *reason)
 {
-	if (call->may_have_run)
+	if (call_may_have_run(call))
 		call_refuse(call, 504, 0, reason);
 	else
 		call_refuse(call, 503, RETRY_AFTER_DEFAULT_MS, reason);
@@ -358,6 +358,19 @@
 	reserve_and_dispatch(call);
 }
 
+/* Reads on from a server that was paused for a slow caller. */
+static void resume_reading(struct call *call)
+{
+	struct call_attempt *attempt = call->current;
+
+	if (!attempt || !attempt->paused)
+		return;
+	attempt->paused = false;
+	attempt->last_progress_us = edge_now_us();
+	http_conn_resume(attempt->conn);
+	call_schedule(call);
+}
+
 void call_caller_disconnected(struct call *call)
 {
 	call_log_caller_left(call);
@@ -368,20 +381,12 @@
 	 * its effect matters even though nobody receives the response. */
 	if (call->route.kind == ROUTE_UNSAFE &&
 	    call_attempt_is_sent(call->current))
-		return;
-	if (call_attempt_is_sent(call->current))
-		call->may_have_run = true;
-	call_end(call);
+		resume_reading(call);
+	else
+		call_end(call);
 }
 
 void call_caller_drained(struct call *call)
 {
-	struct call_attempt *attempt = call->current;
-
-	if (!attempt || !attempt->paused)
-		return;
-	attempt->paused = false;
-	attempt->last_received_us = edge_now_us();
-	http_conn_resume(attempt->conn);
-	call_schedule(call);
+	resume_reading(call);
 }
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -6,6 +6,10 @@
 #include "edge/call_private.h"
 
 #define FIELD_RESUME "Last-Event-Id"
+/* A longer request may take a server some time to read. */
+#define LONG_REQUEST_BYTES ((size_t)16 * 1024)
+/* Interval at which a host looks how much of it is still on its way. */
+#define UPLOAD_CHECK_US (250 * TGW_US_PER_MS)
 
 static void add_caller_fields(const struct call *call, struct buffer *head,
 			      int64_t last_event_id)
@@ -79,7 +83,8 @@
 	return NULL;
 }
 
-void call_attempt_start(struct call *call, struct backend *backend)
+void call_attempt_start(struct call *call, struct backend *backend,
+			bool is_retry)
 {
 	struct edge *edge = call->edge;
 	struct call_attempt *attempt = unused_attempt(call);
@@ -93,8 +98,9 @@
 	call->timeout_pending = false;
 	attempt->call = call;
 	attempt->backend = backend;
+	attempt->is_retry = is_retry;
 	attempt->started_us = now_us;
-	attempt->last_received_us = now_us;
+	attempt->last_progress_us = now_us;
 	backend_begin(backend, now_us);
 	attempt->conn = backend_pool_acquire(edge->loop, backend, now_us);
 	if (!attempt->conn) {
@@ -108,10 +114,27 @@
 		!strcmp(call->caller->request.method, "HEAD");
 	http_conn_send(attempt->conn, &call_response_events, attempt, &head,
 		       &call->caller->request.body);
+	if (head.size + call->caller->request.body.size > LONG_REQUEST_BYTES) {
+		attempt->unsent_bytes = http_conn_unsent(attempt->conn);
+		attempt->unsent_check_us = now_us + UPLOAD_CHECK_US;
+	}
 	buffer_free(&head);
 	call_schedule(call);
 }
 
+void call_attempt_check_upload(struct call_attempt *attempt, int64_t now_us)
+{
+	size_t unsent_bytes;
+
+	if (!attempt->unsent_bytes || now_us < attempt->unsent_check_us)
+		return;
+	unsent_bytes = http_conn_unsent(attempt->conn);
+	if (unsent_bytes < attempt->unsent_bytes)
+		call_attempt_progress(attempt, now_us);
+	attempt->unsent_bytes = unsent_bytes;
+	attempt->unsent_check_us = now_us + UPLOAD_CHECK_US;
+}
+
 static void free_connection(struct call_attempt *attempt)
 {
 	/* A connection whose response is complete closes itself if it can't be
@@ -141,10 +164,38 @@
 	backend_end(&call->edge->backends, backend);
 }
 
+bool call_may_have_run(const struct call *call)
+{
+	for (size_t i = 0; i < CALL_OPEN_ATTEMPTS_MAX; i++)
+		if (call_attempt_is_sent(&call->attempts[i]))
+			return true;
+	return call->may_have_run;
+}
+
+void call_attempt_not_sent(const struct call_attempt *attempt)
+{
+	struct call *call = attempt->call;
+
+	call->unsent_count++;
+	call->sent_count--;
+	if (attempt->is_retry)
+		retry_budget_return(
+			edge_retry_budget(call->edge, call->route.service));
+}
+
+void call_attempt_abandon(struct call_attempt *attempt)
+{
+	if (call_attempt_is_sent(attempt))
+		attempt->call->may_have_run = true;
+	else
+		call_attempt_not_sent(attempt);
+	call_attempt_end(attempt);
+}
+
 void call_end_earlier_attempt(struct call *call)
 {
 	if (!call->earlier)
 		return;
 	call->edge->counters.failed_attempts[BACKEND_TIMED_OUT]++;
-	call_attempt_end(call->earlier);
+	call_attempt_abandon(call->earlier);
 }
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -39,10 +39,17 @@
 	struct backend *backend; /* NULL while this entry is not in use */
 	struct http_conn *conn;
 	int64_t started_us;
-	int64_t last_received_us; /* response bytes; the start before any */
+	/* When bytes of the response arrived, or the server was seen to have
+	 * taken bytes of a long request; the start before any. */
+	int64_t last_progress_us;
+	/* Bytes of a long request that were on their way at the last look; 0
+	 * for none. */
+	size_t unsent_bytes;
+	int64_t unsent_check_us; /* the next look */
 	/* A decision about its silence is not repeated before. */
 	int64_t next_check_us;
 	bool silence_recorded; /* in the server's statistics */
+	bool is_retry;	       /* it spent the credit of a retry */
 	bool paused;	       /* not read while the caller reads too slowly */
 	int status;	       /* of the response */
 	struct response_info response;
@@ -84,9 +91,12 @@
 	struct call_attempt *earlier;
 	uint64_t tried[ATTEMPTS_MAX]; /* run hashes of their servers */
 	uint32_t attempt_count;	      /* all attempts, whether sent or not */
-	uint32_t sent_count;   /* attempts that a server may have received */
+	uint32_t unsent_count;	      /* those of them that never connected */
+	uint32_t sent_count;   /* those that a server may have received */
 	int64_t first_byte_us; /* of the first response; 0 before it */
-	bool may_have_run;     /* some server may have run the request */
+	/* Some server that no longer has the request may have run it; see
+	 * call_may_have_run(). */
+	bool may_have_run;
 	/* Why the request was not sent to another server, for the log. */
 	enum attempt_obstacle obstacle;
 
@@ -120,13 +130,25 @@
 	return attempt && attempt->conn && attempt->conn->sent;
 }
 
-/** Sends the request to a server, as the current attempt. */
-void call_attempt_start(struct call *call, struct backend *backend);
+/** @return whether some server may have run the request, or may run it now */
+bool call_may_have_run(const struct call *call);
+
+/** Sends the request to a server, as the current attempt.
+ * @param is_retry the credit of a retry was spent for it */
+void call_attempt_start(struct call *call, struct backend *backend,
+			bool is_retry);
+
+/** The attempt's request was not sent, so it counts neither as sent nor as a
+ * retry. */
+void call_attempt_not_sent(const struct call_attempt *attempt);
 
 /** Ends an attempt. Its connection is released to the pool if the response is
  * complete; otherwise it is closed, which the server may notice. */
 void call_attempt_end(struct call_attempt *attempt);
 
+/** Ends an attempt whose server may still be running the request. */
+void call_attempt_abandon(struct call_attempt *attempt);
+
 /** Ends the earlier attempt, after another server has responded. */
 void call_end_earlier_attempt(struct call *call);
 
@@ -147,6 +169,19 @@
  * @return whether the request is retried; if not, the response is final */
 bool call_retry_server_error(struct call_attempt *attempt);
 
+/** Looks, in regular intervals, whether the server takes more of a long
+ * request. */
+void call_attempt_check_upload(struct call_attempt *attempt, int64_t now_us);
+
+/** The server sent or took some bytes. */
+static inline void call_attempt_progress(struct call_attempt *attempt,
+					 int64_t now_us)
+{
+	attempt->last_progress_us = now_us;
+	attempt->next_check_us = 0;
+	attempt->silence_recorded = false;
+}
+
 /** Events of the connection to the server. */
 extern const struct http_conn_events call_response_events;
 
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -49,6 +49,8 @@
 	bool rejects;	   /**< reports that it is full, and runs nothing */
 	bool fails;	   /**< answers 500 to each request that it runs */
 	bool fails_huge;   /**< the same, with a large body */
+	/** Bounds the reading of requests; NULL: nothing does. */
+	struct read_turns *turns;
 	/** Header lines, with their ends, that are added to all answers; NULL:
 	 * none. */
 	const char *extra_fields;
@@ -75,6 +77,9 @@
 /** Answers the waiting request, if there is one. */
 void backend_standin_release(struct backend_standin *standin);
 
+/** Answers the waiting request, if there is one, that it was not run. */
+void backend_standin_reject_waiting(struct backend_standin *standin);
+
 /** Sends the head and half of a large body to the waiting request, which stays
  * open. */
 void backend_standin_begin_huge(struct backend_standin *standin, int status);
