Borrow what a spending cap withholds while the store is away

Cause: for up to three seconds after a host has lost the store its last spending cap is in force and can't be raised. It refused at once what the cap withheld (by trace with 89,712 tokens left for a request of 2,500), also as the relay of its domain, and asked nobody. What it received was under the same cap, though the record that a successor returns by does not know it.

Change: a host borrows, or asks its relay, also for what its cap withholds. Caps allow at once what is received after they were written; the difference that a successor returns stays the same, and so does the promise not to lower the allotment. So a record is written when much is uncovered, and leaves a surplus out only if that is returned to the pool right after.

--- a/src/coordination/budget_lending.c
+++ b/src/coordination/budget_lending.c
@@ -130,7 +130,6 @@
 	if (!may_come(relay, account, now))
 		return false;
 	account->borrowed_for_tokens += tokens;
-	account->needed_tokens -= min_us(tokens, account->needed_tokens);
 	lending->requested = true;
 	team_budget_wake(relay->budgets);
 	return true;
--- a/src/coordination/budget_transfer_serve.c
+++ b/src/coordination/budget_transfer_serve.c
@@ -40,11 +40,9 @@
 	bool uses_store = team_budget_uses_store(key->budgets);
 	bool is_capped = team_account_is_capped(account, tokens, now);
 
-	if (is_capped && is_store_unreachable(key))
-		return false;
 	if (uses_store && is_store_unreachable(key))
 		return budget_lending_request(relay, account, tokens);
-	if (is_capped) {
+	if (is_capped && !is_store_unreachable(key)) {
 		account->capped_tokens += tokens;
 		team_budget_caps_request(key->budgets);
 		return true;
--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -320,10 +320,12 @@
 					  struct team_account *account,
 					  int64_t tokens, int64_t now)
 {
-	if (!key->store_answers || budgets->store_belief.unreachable)
-		return budget_lending_request(&budgets->relay, account, tokens)
-			       ? TGW_BUSY
-			       : TGW_UNAVAILABLE;
+	if (!key->store_answers || budgets->store_belief.unreachable) {
+		if (!budget_lending_request(&budgets->relay, account, tokens))
+			return TGW_UNAVAILABLE;
+		account->needed_tokens -= tokens;
+		return TGW_BUSY;
+	}
 	if (!account->free_tokens &&
 	    now - account->viewed_us <
 		    team_budget_key_interval_us(
@@ -356,10 +358,12 @@
 		return TGW_EXHAUSTED;
 	}
 	if (team_account_is_capped(account, tokens, now)) {
-		if (unreachable)
-			return TGW_UNAVAILABLE;
-		team_budget_caps_request(budgets);
-		return TGW_BUSY;
+		if (!unreachable) {
+			team_budget_caps_request(budgets);
+			return TGW_BUSY;
+		}
+		/* No higher cap can be recorded, but other hosts may lend. */
+		account->needed_tokens += tokens;
 	}
 	if (uses_store)
 		return request_from_store(budgets, key, account, tokens, now);
--- a/src/coordination/team_budget_caps.c
+++ b/src/coordination/team_budget_caps.c
@@ -18,6 +18,8 @@
 /* A host that holds this multiple of what a cap lets it spend at once, without
  * a cap, writes one. */
 #define UNCAPPED_MULTIPLE 2
+/* Only if that is more than this part of all that it holds. */
+#define UNCAPPED_DIVISOR 4
 /* Minimum time between a read of a key and one that returns tokens, multiplied
  * by the number of hosts. */
 #define RETURN_PER_HOST_US (50 * TGW_US_PER_MS)
@@ -71,15 +73,20 @@
 		 budget_relay_is_settled(&budgets->relay));
 }
 
+/* @return whether the key is read once a cap is recorded, to return what that
+ * does not cover: it is lost with the process until then */
+static bool returns_surplus(const struct team_budget_key *key)
+{
+	return key->joined &&
+	       team_budget_now_us(key->budgets) - key->read_us >=
+		       team_budget_key_interval_us(key, RETURN_PER_HOST_US);
+}
+
 static void end_write(struct team_budget_key *key, struct team_account *account,
 		      void *arg)
 {
 	team_account_end_cap_write(account, *(const bool *)arg);
-	/* What the cap does not cover is lost with the process until it is
-	 * returned. */
-	if (key->joined && team_account_exceeds_cap(account) &&
-	    team_budget_now_us(key->budgets) - key->read_us >=
-		    team_budget_key_interval_us(key, RETURN_PER_HOST_US))
+	if (team_account_exceeds_cap(account) && returns_surplus(key))
 		team_budget_key_request_read(key);
 }
 
@@ -186,6 +193,7 @@
 		return;
 	}
 	team_budget_key_decide(key, account, &target);
+	proposal->inputs.returns_surplus = returns_surplus(key);
 	if (team_account_propose_cap(account, &target, &proposal->inputs))
 		cap_record_add(&proposal->record, account->team,
 			       &account->proposed_cap);
@@ -231,6 +239,20 @@
 	return false;
 }
 
+/* What other hosts returned here, or an account without a cap. */
+static bool is_uncapped(const struct team_account *account, int64_t now_us)
+{
+	int64_t held = team_account_held(account);
+	int64_t uncapped = account->uncovered_tokens;
+
+	if (!account->demanded_tokens)
+		return false;
+	if (!team_account_has_cap(account, now_us))
+		uncapped = held;
+	return uncapped > UNCAPPED_MULTIPLE * account->ahead_tokens &&
+	       uncapped * UNCAPPED_DIVISOR > held;
+}
+
 /* @return whether the host holds more than a cap would let it spend at once, of
  * which nothing would be returned */
 static bool holds_uncapped(const struct team_budget *budgets, int64_t now_us)
@@ -240,10 +262,7 @@
 			     budgets->keys[i].accounts;
 		     account; account = account->next)
 			if (budgets->keys[i].joined &&
-			    account->demanded_tokens &&
-			    !team_account_has_cap(account, now_us) &&
-			    team_account_held(account) >
-				    UNCAPPED_MULTIPLE * account->ahead_tokens)
+			    is_uncapped(account, now_us))
 				return true;
 	return false;
 }
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -72,6 +72,8 @@
 	/** As recorded in the store, and as in an open write of the record. */
 	struct spending_cap confirmed_cap;
 	struct spending_cap proposed_cap;
+	/** Received since, so that no record of caps covers it. */
+	int64_t uncovered_tokens;
 	/** Spendable at once when the proposed cap was made. */
 	int64_t ahead_tokens;
 	int64_t capped_tokens; /**< of requests that wait for a higher cap */
--- a/src/state/team_account_cap.c
+++ b/src/state/team_account_cap.c
@@ -101,13 +101,17 @@
 			      const struct team_account_cap_inputs *in)
 {
 	int64_t charged = team_account_charged(account);
-	int64_t allotted =
-		min_tokens(team_account_limit(account),
-			   target->wanted_tokens + account->received_tokens);
+	int64_t allotted = team_account_limit(account);
 	double ahead = ahead_tokens(account, target->demand_per_s, in);
-	int64_t withheld = allotted - charged - (int64_t)ahead;
 	double rate = CAP_RATE * target->demand_per_s;
-
+	int64_t withheld;
+
+	if (in->returns_surplus)
+		allotted =
+			min_tokens(allotted, target->wanted_tokens +
+						     account->received_tokens);
+	withheld = allotted - charged - (int64_t)ahead;
+	account->uncovered_tokens = 0;
 	account->capped_tokens = 0;
 	account->ahead_tokens = (int64_t)ahead;
 	if (withheld <= 0) {
@@ -124,6 +128,22 @@
 	return true;
 }
 
+static void extend(struct spending_cap *cap, int64_t tokens)
+{
+	if (!cap->written_us)
+		return;
+	cap->spendable_tokens += tokens;
+	cap->allotted_tokens += tokens;
+}
+
+/* A successor returns the difference of both totals, which stays. */
+void team_account_extend_caps(struct team_account *account, int64_t tokens)
+{
+	extend(&account->confirmed_cap, tokens);
+	extend(&account->proposed_cap, tokens);
+	account->uncovered_tokens += tokens;
+}
+
 void team_account_propose_no_cap(struct team_account *account)
 {
 	memset(&account->proposed_cap, 0, sizeof(account->proposed_cap));
--- a/src/state/team_account_cap.h
+++ b/src/state/team_account_cap.h
@@ -13,6 +13,9 @@
 	int64_t written_us;
 	int64_t period_us;
 	int64_t interval_us; /**< expected until the next cap */
+	/** What the account holds above its target is returned as soon as the
+	 * cap is recorded, which must not cover it then. */
+	bool returns_surplus;
 	/** Mean cost of a request here, of all teams; 0 before the first
 	 * one. */
 	double mean_cost_tokens;
@@ -45,6 +48,10 @@
 			      const struct team_account_target *target,
 			      const struct team_account_cap_inputs *in);
 
+/** Lets the caps in force allow tokens that were received after they were
+ * written: they withhold nothing of these. */
+void team_account_extend_caps(struct team_account *account, int64_t tokens);
+
 /** Puts no cap in force once the write of a record without one is confirmed. */
 void team_account_propose_no_cap(struct team_account *account);
 
--- a/src/state/team_account_transfer.c
+++ b/src/state/team_account_transfer.c
@@ -2,6 +2,7 @@
 
 #include <assert.h>
 
+#include "state/team_account_cap.h"
 #include "tamarackgw/clock.h"
 
 /* A host holds a request's tokens ahead of need if at least this fraction of a
@@ -32,6 +33,7 @@
 {
 	assert(tokens >= 0);
 	account->received_tokens += tokens;
+	team_account_extend_caps(account, tokens);
 }
 
 void team_account_collect(struct team_account *account,
--- a/tests/unit/test_budget_lending.c
+++ b/tests/unit/test_budget_lending.c
@@ -81,6 +81,24 @@
 }
 END_TEST
 
+/* A cap of a host that has just lost the store is still in force, and can't be
+ * raised. */
+START_TEST(a_domain_that_loses_the_store_borrows_what_its_caps_withhold)
+{
+	start_fleet(_i);
+	for (size_t host = 0; host < HOSTS; host += DOMAINS) {
+		fake_store_set_partitioned(&team_fleet.hosts[host].store, true);
+		team_budget_set_store_unreachable(
+			team_fleet.hosts[host].budgets, true);
+	}
+	callers_moved = true;
+	team_fleet_reset_tallies();
+	team_fleet_play(3 * TGW_US_PER_S, true);
+	check_served(97);
+	team_fleet_stop();
+}
+END_TEST
+
 START_TEST(hosts_refuse_only_when_the_fleet_has_nothing_left)
 {
 	start_fleet(_i);
@@ -184,6 +202,10 @@
 	TCase *tcase = tcase_create("outages");
 
 	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(
+		tcase,
+		a_domain_that_loses_the_store_borrows_what_its_caps_withhold, 1,
+		1 + SEEDS);
 	tcase_add_loop_test(tcase,
 			    what_other_domains_hold_serves_callers_that_moved,
 			    1, 1 + SEEDS);
--- a/tests/unit/test_spending_cap.c
+++ b/tests/unit/test_spending_cap.c
@@ -7,6 +7,8 @@
 #include "state/budget_pool.h"
 #include "state/cap_record.h"
 #include "state/team_account.h"
+#include "state/team_account_cap.h"
+#include "state/team_account_transfer.h"
 #include "tamarackgw/clock.h"
 #include "unit/unit_main.h"
 
@@ -229,6 +231,27 @@
 }
 END_TEST
 
+/* They may be spent at once, and must not replace what a successor returns. */
+START_TEST(a_cap_counts_tokens_received_after_it_as_spent)
+{
+	struct team_account *account = team_account_new("acme");
+
+	account->paid_in_tokens = 8000;
+	account->confirmed.allotted_tokens = 5000;
+	account->proposed = account->confirmed;
+	account->confirmed_cap = cap;
+	team_account_receive(account, 2000);
+	ck_assert_int_eq(team_account_available(account, WRITTEN_US), 3000);
+	ck_assert_int_eq(team_account_capped_allotment(account, WRITTEN_US) -
+				 account->received_tokens,
+			 5000);
+	ck_assert_int_eq(spending_cap_unspent(&account->confirmed_cap,
+					      WRITTEN_US),
+			 spending_cap_unspent(&cap, WRITTEN_US));
+	free(account);
+}
+END_TEST
+
 START_TEST(a_process_that_was_replaced_keeps_no_cap)
 {
 	struct team_account *account = team_account_new("acme");
@@ -271,6 +294,7 @@
 	tcase_add_test(tcase, the_record_of_another_process_returns_nothing);
 	tcase_add_test(tcase, a_record_of_more_than_was_taken_returns_nothing);
 	tcase_add_test(tcase, an_allotment_is_not_lowered_below_a_cap_in_force);
+	tcase_add_test(tcase, a_cap_counts_tokens_received_after_it_as_spent);
 	tcase_add_test(tcase, a_process_that_was_replaced_keeps_no_cap);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
