Keep the end of a budget that deaths cut short for urgent requests

Change: of what was taken and not settled 0.15 is kept for requests of more urgent ranks, but no larger part of the budget than these demand. Others are refused with 503 when only that is left. A budget that lost little keeps little.

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -270,12 +270,12 @@
 }
 
 void team_budget_record_demand(struct team_budget *budgets, const char *team,
-			       int64_t tokens)
+			       int64_t tokens, int32_t rank)
 {
 	struct team_account *account = team_budget_find_account(budgets, team);
 
 	if (account)
-		team_account_record_demand(account, tokens,
+		team_account_record_demand(account, tokens, rank,
 					   team_budget_now_us(budgets));
 }
 
@@ -350,6 +350,8 @@
 		return TGW_NOT_FOUND;
 	if (budgets->closing)
 		return TGW_UNAVAILABLE;
+	if (!unreachable && team_account_is_kept(account, tokens, rank, now))
+		return TGW_DENIED;
 	if (team_account_reserve(account, tokens, rank,
 				 uses_store && unreachable, now))
 		return TGW_OK;
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -140,9 +140,10 @@
 				       bool unreachable);
 
 /** Counts the maximum cost of a request that arrived, once, before its first
- * reservation. */
+ * reservation.
+ * @param rank urgency rank of the request's route, 0 for the most urgent */
 void team_budget_record_demand(struct team_budget *budgets, const char *team,
-			       int64_t tokens);
+			       int64_t tokens, int32_t rank);
 
 /**
  * Reserves the maximum cost of a request.
@@ -150,7 +151,8 @@
  * @return OK; EXHAUSTED when the budget cannot cover the cost; BUSY while a
  * larger allotment is being requested; CONFLICT when other hosts hold all that
  * is left of the budget; UNAVAILABLE when the store does not answer or the
- * budgets are being closed; NOT_FOUND for a team without a budget
+ * budgets are being closed; DENIED when what is left of the budget is kept for
+ * more urgent requests; NOT_FOUND for a team without a budget
  */
 enum tgw_status team_budget_reserve(struct team_budget *budgets,
 				    const char *team, int64_t tokens,
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -209,6 +209,12 @@
 		edge->counters.budget_refused++;
 		refuse_without_free_tokens(call);
 		return;
+	case TGW_DENIED:
+		edge->counters.budget_refused++;
+		call_refuse(call, 503, RETRY_AFTER_NONE_FREE_MS,
+			    "what is left of the budget is kept for more "
+			    "urgent requests; top up");
+		return;
 	default:
 		edge->counters.budget_refused++;
 		call_refuse(call, 503, retry_after_no_store_ms(call, tokens),
@@ -354,7 +360,7 @@
 	retry_budget_on_first_attempt(
 		edge_retry_budget(edge, call->route.service));
 	team_budget_record_demand(edge->budgets, call->team,
-				  max_cost_tokens(call));
+				  max_cost_tokens(call), call->route.rank);
 	reserve_and_dispatch(call);
 }
 
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -32,6 +32,11 @@
 	.min_age_s = 3.0,
 };
 
+/* A budget that deaths have cut short serves the more urgent requests longer:
+ * this part of what was taken and not settled, most of which is lost then, is
+ * kept for them. */
+#define KEPT_OF_UNSETTLED 0.15
+
 /* Value of fleet_demanded_tokens before the first read. */
 #define NOT_READ INT64_C(-1)
 
@@ -101,8 +106,9 @@
 }
 
 void team_account_record_demand(struct team_account *account, int64_t tokens,
-				int64_t now_us)
+				int32_t rank, int64_t now_us)
 {
+	urgent_demand_add(&account->urgent_demand, rank, tokens, now_us);
 	account->demanded_tokens += tokens;
 	account->demanding_requests++;
 	account->demanded_squares += (double)tokens * (double)tokens;
@@ -130,6 +136,23 @@
 	return tokens_for_urgent(account->held_tokens, rank);
 }
 
+/* Where the more urgent requests demand less than the kept part of all tokens,
+ * less is kept. */
+bool team_account_is_kept(const struct team_account *account, int64_t tokens,
+			  int32_t rank, int64_t now_us)
+{
+	int64_t unsettled = account->remaining_tokens - account->free_tokens;
+	int64_t left = account->free_tokens + team_account_held(account);
+	double urgent;
+
+	if (rank <= 0 || !account->viewed_us)
+		return false;
+	urgent = urgent_demand_fraction(&account->urgent_demand, rank, now_us);
+	return (double)(left - tokens) <
+	       fmin(KEPT_OF_UNSETTLED * (double)unsettled,
+		    urgent * (double)account->paid_in_tokens);
+}
+
 static void add_needed(struct team_account *account, int64_t tokens,
 		       int32_t rank)
 {
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -11,6 +11,7 @@
 #include "state/budget_pool.h"
 #include "state/demand_forecast.h"
 #include "state/spending_cap.h"
+#include "state/urgent_demand.h"
 #include "tamarackgw/host_view.h"
 
 /** How much of a budget a host may hold. */
@@ -94,6 +95,7 @@
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
 	struct demand_forecast own_demand; /**< of requests that arrived here */
+	struct urgent_demand urgent_demand; /**< likewise, by rank */
 	/** Of these, and of those at hosts that this one relays for. */
 	struct demand_forecast demand;
 	/** Of all hosts, in the pool when it was last read; negative before. */
@@ -127,9 +129,15 @@
 
 /** Counts the tokens of a request that arrived, whether they can be reserved
  * or not: a forecast from served requests alone would keep a host that has
- * few tokens from getting more. */
+ * few tokens from getting more.
+ * @param rank of the request's route, 0 for the most urgent */
 void team_account_record_demand(struct team_account *account, int64_t tokens,
-				int64_t now_us);
+				int32_t rank, int64_t now_us);
+
+/** @return whether the last part of the budget is left, which is kept for the
+ * more urgent requests, as far as there are any */
+bool team_account_is_kept(const struct team_account *account, int64_t tokens,
+			  int32_t rank, int64_t now_us);
 
 /**
  * Reserves tokens for a request.
--- a/tests/fakes/budget_rig.c
+++ b/tests/fakes/budget_rig.c
@@ -200,7 +200,7 @@
 
 	if (host->open_count == BUDGET_RIG_OPEN_REQUESTS)
 		return TGW_BUSY;
-	team_budget_record_demand(host->budgets, BUDGET_RIG_TEAM, tokens);
+	team_budget_record_demand(host->budgets, BUDGET_RIG_TEAM, tokens, 0);
 	status = team_budget_reserve(host->budgets, BUDGET_RIG_TEAM, tokens, 0);
 	if (status == TGW_OK)
 		host->open_tokens[host->open_count++] = tokens;
--- a/tests/fakes/team_fleet.c
+++ b/tests/fakes/team_fleet.c
@@ -237,11 +237,12 @@
 {
 	struct team_fleet_tally *tally = &team_fleet.tallies[request->team];
 
-	switch (team_budget_reserve(request->host->budgets,
-				    team_fleet.team_names[request->team],
-				    team_fleet.settings.request_tokens, 0)) {
+	switch (team_budget_reserve(
+		request->host->budgets, team_fleet.team_names[request->team],
+		team_fleet.settings.request_tokens, request->rank)) {
 	case TGW_OK:
 		tally->served++;
+		tally->urgent_served += !request->rank;
 		tally->spent_tokens += team_fleet.settings.request_tokens;
 		fake_world_after_or_release(&team_fleet.world,
 					    TEAM_FLEET_SERVICE_US,
@@ -309,6 +310,15 @@
 						  settings->host_count)];
 }
 
+static int32_t random_rank(void)
+{
+	if (!team_fleet.settings.rank_count)
+		return 0;
+	return (int32_t)tgw_random_below(
+		&team_fleet.world.random,
+		(uint64_t)team_fleet.settings.rank_count);
+}
+
 static void send_request(int team)
 {
 	struct team_fleet_request *request;
@@ -322,8 +332,11 @@
 	request->process = host->process;
 	request->team = team;
 	request->arrived_us = team_fleet.world.now_us;
+	request->rank = random_rank();
+	team_fleet.tallies[team].urgent_asked += !request->rank;
 	team_budget_record_demand(host->budgets, team_fleet.team_names[team],
-				  team_fleet.settings.request_tokens);
+				  team_fleet.settings.request_tokens,
+				  request->rank);
 	if (try_request(request))
 		return;
 	request->next = host->waiting;
@@ -422,6 +435,8 @@
 	for (int i = 0; i < team_fleet.settings.team_count; i++) {
 		team_fleet.tallies[i].asked = 0;
 		team_fleet.tallies[i].served = 0;
+		team_fleet.tallies[i].urgent_asked = 0;
+		team_fleet.tallies[i].urgent_served = 0;
 		team_fleet.tallies[i].waited_us = 0;
 	}
 }
--- a/tests/fakes/team_fleet.h
+++ b/tests/fakes/team_fleet.h
@@ -41,6 +41,8 @@
 	int64_t request_tokens;
 	uint64_t requests_per_s; /**< of each team */
 	int64_t paid_tokens;	 /**< for each team */
+	/** Each request has a random rank below this; 0: all are rank 0. */
+	int32_t rank_count;
 	/** NULL: links without a limit. */
 	int64_t (*link_bytes_per_s)(size_t host);
 	/** The team whose index is below this sends all its requests to one
@@ -62,6 +64,7 @@
 	struct team_fleet_host *host;
 	uint64_t process; /**< of the host, when it arrived */
 	int team;
+	int32_t rank;
 	int64_t arrived_us;
 };
 
@@ -88,6 +91,8 @@
 struct team_fleet_tally {
 	int64_t asked;
 	int64_t served;
+	int64_t urgent_asked; /**< of rank 0 */
+	int64_t urgent_served;
 	int64_t waited_us;    /**< by those that were not served */
 	int64_t spent_tokens; /**< since the start, also after a reset */
 };
--- a/tests/unit/test_team_budget.c
+++ b/tests/unit/test_team_budget.c
@@ -72,7 +72,7 @@
 	fake_store_set_partitioned(&budget_rig.hosts[0].store, true);
 	for (int i = 0; i < 100; i++) {
 		team_budget_record_demand(budget_rig.hosts[0].budgets,
-					  BUDGET_RIG_TEAM, 2000);
+					  BUDGET_RIG_TEAM, 2000, 0);
 		budget_rig_advance(BUDGET_RIG_STEP_US);
 	}
 	fake_store_set_partitioned(&budget_rig.hosts[0].store, false);
--- a/tests/unit/test_team_budget_deaths.c
+++ b/tests/unit/test_team_budget_deaths.c
@@ -28,6 +28,9 @@
 #define LOSS_PERCENT 35
 #define ROOM_PERCENT 70
 #define POWER_LOSSES 10
+#define RANKS 10 /* of requests, all equally often */
+#define END_S 8
+#define URGENT_SERVED_PERCENT 90
 
 static void start_fleet_with(int seed, size_t domain_count, bool follows_keys)
 {
@@ -208,6 +211,42 @@
 }
 END_TEST
 
+/* Budgets of the whole demand, of which three power losses take so much that
+ * the rest does not last. */
+START_TEST(urgent_requests_are_served_to_the_end_of_a_budget_that_was_cut_short)
+{
+	const struct team_fleet_settings settings = {
+		.host_count = HOSTS,
+		.domain_count = DOMAINS,
+		.team_count = TEAMS,
+		.key_count = KEYS,
+		.request_tokens = REQUEST_TOKENS,
+		.requests_per_s = REQUESTS_PER_S,
+		.paid_tokens = REQUEST_TOKENS * REQUESTS_PER_S * DAY_S,
+		.rank_count = RANKS,
+	};
+	int64_t asked = 0;
+	int64_t served = 0;
+
+	team_fleet_start(&settings, (uint64_t)_i);
+	play_s(10);
+	for (int loss = 0; loss < 3; loss++) {
+		team_fleet_power_off_all(DOWN_US);
+		play_s(8);
+	}
+	play_s(DAY_S - 10 - 3 * 8 - END_S);
+	team_fleet_reset_tallies();
+	play_s(END_S);
+	for (int team = 0; team < TEAMS; team++) {
+		asked += team_fleet.tallies[team].urgent_asked;
+		served += team_fleet.tallies[team].urgent_served;
+	}
+	ck_assert_int_ge(served * 100, asked * URGENT_SERVED_PERCENT);
+	team_fleet_check_no_overspending();
+	team_fleet_stop();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("team_budget_deaths");
@@ -237,6 +276,10 @@
 		tcase,
 		any_number_of_power_losses_strands_a_stated_part_of_a_budget, 1,
 		1 + 2 * SEEDS);
+	tcase_add_loop_test(
+		tcase,
+		urgent_requests_are_served_to_the_end_of_a_budget_that_was_cut_short,
+		1, 1 + SEEDS);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
