Test the mean cost of requests that a new relay learns

A host that wrote pools and has a relay now leaves to that what it has not reported: the tokens since its last write, but all its requests. The relay then takes a request to cost 90 tokens in place of 1,000, and holds less for one.

The mending is known: to leave only the requests since the last write.

--- a/tests/unit/test_transfer.c
+++ b/tests/unit/test_transfer.c
@@ -1,13 +1,16 @@
 /* Tests the messages by which hosts move tokens to each other, the totals of a
  * pair of processes, and the order in which hosts are chosen as relays. */
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "base/text.h"
 #include "state/peer_host.h"
 #include "state/peer_key.h"
+#include "state/team_account_transfer.h"
 #include "state/transfer_link.h"
 #include "state/transfer_message.h"
+#include "tamarackgw/clock.h"
 #include "unit/unit_main.h"
 
 /* A message with the least room for its header must fit into a datagram. */
@@ -201,6 +204,29 @@
 }
 END_TEST
 
+/* A host that wrote pools has a relay now: what the pool knows already is not
+ * reported again, neither the tokens nor the requests. */
+START_TEST(a_new_relay_learns_the_mean_cost_of_requests)
+{
+	struct team_account *earlier = team_account_new("acme");
+	struct team_account *relay = team_account_new("acme");
+	struct team_account_target target = {0};
+	struct team_account_usage usage = {0};
+	struct pooled_budget budget = {.name = "acme"};
+
+	for (int i = 0; i < 10; i++)
+		team_account_record_demand(earlier, 1000, 0, TGW_US_PER_S);
+	team_account_propose(earlier, &target, &budget);
+	team_account_confirm(earlier);
+	team_account_record_demand(earlier, 1000, 0, 2 * TGW_US_PER_S);
+	team_account_forward(earlier, &usage);
+	team_account_collect(relay, &usage, true, 2 * TGW_US_PER_S);
+	ck_assert_int_eq(team_account_mean_cost(relay), 1000);
+	free(earlier);
+	free(relay);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("transfer");
@@ -215,6 +241,7 @@
 	tcase_add_test(tcase,
 		       larger_hosts_of_the_domain_relay_and_all_hosts_agree);
 	tcase_add_test(tcase, a_damaged_record_is_refused);
+	tcase_add_test(tcase, a_new_relay_learns_the_mean_cost_of_requests);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
