--- a/tests/unit/test_budget_lending.c
+++ b/tests/unit/test_budget_lending.c
@@ -99,6 +99,19 @@
 }
 END_TEST
 
+/* While the caps of borrowers and lenders are still in force. */
+START_TEST(callers_that_move_as_a_cut_begins_are_served_from_its_start)
+{
+	start_fleet(_i);
+	callers_moved = true;
+	team_fleet_reset_tallies();
+	team_fleet_set_outage(true);
+	team_fleet_play(2 * TGW_US_PER_S, true);
+	check_served(90);
+	team_fleet_stop();
+}
+END_TEST
+
 START_TEST(hosts_refuse_only_when_the_fleet_has_nothing_left)
 {
 	start_fleet(_i);
@@ -202,6 +215,10 @@
 	TCase *tcase = tcase_create("outages");
 
 	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(
+		tcase,
+		callers_that_move_as_a_cut_begins_are_served_from_its_start, 1,
+		1 + SEEDS);
 	tcase_add_loop_test(
 		tcase,
 		a_domain_that_loses_the_store_borrows_what_its_caps_withhold, 1,
