--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -300,12 +300,12 @@
 }
 
 void team_budget_record_demand(struct team_budget *budgets, const char *team,
-			       int64_t tokens)
+			       int64_t tokens, int32_t rank)
 {
 	struct team_account *account = team_budget_find_account(budgets, team);
 
 	if (account)
-		team_account_record_demand(account, tokens,
+		team_account_record_demand(account, tokens, rank,
 					   team_budget_now_us(budgets));
 }
 
@@ -350,10 +350,12 @@
 					  struct team_account *account,
 					  int64_t tokens, int64_t now)
 {
-	if (!key->store_answers || budgets->store_belief.unreachable)
-		return budget_lending_request(&budgets->relay, account, tokens)
-			       ? TGW_BUSY
-			       : TGW_UNAVAILABLE;
+	if (!key->store_answers || budgets->store_belief.unreachable) {
+		if (!budget_lending_request(&budgets->relay, account, tokens))
+			return TGW_UNAVAILABLE;
+		account->needed_tokens -= tokens;
+		return TGW_BUSY;
+	}
 	if (!account->free_tokens &&
 	    now - account->viewed_us <
 		    team_budget_key_interval_us(
@@ -378,6 +380,8 @@
 		return TGW_NOT_FOUND;
 	if (budgets->closing)
 		return TGW_UNAVAILABLE;
+	if (!unreachable && team_account_is_kept(account, tokens, rank, now))
+		return TGW_DENIED;
 	if (team_account_reserve(account, tokens, rank,
 				 uses_store && unreachable, now))
 		return TGW_OK;
@@ -386,10 +390,12 @@
 		return TGW_EXHAUSTED;
 	}
 	if (team_account_is_capped(account, tokens, now)) {
-		if (unreachable)
-			return TGW_UNAVAILABLE;
-		team_budget_caps_request(budgets);
-		return TGW_BUSY;
+		if (!unreachable) {
+			team_budget_caps_request(budgets);
+			return TGW_BUSY;
+		}
+		/* No higher cap can be recorded, but other hosts may lend. */
+		account->needed_tokens += tokens;
 	}
 	if (uses_store)
 		return request_from_store(budgets, key, account, tokens, now);
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -12,6 +12,7 @@
 #include "state/demand_forecast.h"
 #include "state/report_history.h"
 #include "state/spending_cap.h"
+#include "state/urgent_demand.h"
 #include "tamarackgw/host_view.h"
 
 /** How much of a budget a host may hold. */
@@ -71,6 +72,8 @@
 	/** As recorded in the store, and as in an open write of the record. */
 	struct spending_cap confirmed_cap;
 	struct spending_cap proposed_cap;
+	/** Received since, so that no record of caps covers it. */
+	int64_t uncovered_tokens;
 	/** Spendable at once when the proposed cap was made. */
 	int64_t ahead_tokens;
 	int64_t capped_tokens; /**< of requests that wait for a higher cap */
@@ -91,6 +94,7 @@
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
 	struct demand_forecast own_demand; /**< of requests that arrived here */
+	struct urgent_demand urgent_demand; /**< likewise, by rank */
 	/** Of these, and of those at hosts that this one relays for. */
 	struct demand_forecast demand;
 	/** Of all hosts, in the pool when it was last read; negative before. */
@@ -124,9 +128,15 @@
 
 /** Counts the tokens of a request that arrived, whether they can be reserved
  * or not: a forecast from served requests alone would keep a host that has
- * few tokens from getting more. */
+ * few tokens from getting more.
+ * @param rank of the request's route, 0 for the most urgent */
 void team_account_record_demand(struct team_account *account, int64_t tokens,
-				int64_t now_us);
+				int32_t rank, int64_t now_us);
+
+/** @return whether the last part of the budget is left, which is kept for the
+ * more urgent requests, as far as there are any */
+bool team_account_is_kept(const struct team_account *account, int64_t tokens,
+			  int32_t rank, int64_t now_us);
 
 /**
  * Reserves tokens for a request.
