Apply all keys of a mirrored prefix without searching them for each key

Cause: a host that gets all keys of a prefix from its relay looked for each key that it has in the encoded keys, from the first one on: time by the square of the keys. With 3,000 backend servers that is some million reads of an entry on a tenth of a core, at each start.

Change: entries are marked as they are found in the table.

--- a/src/state/mirror_table.c
+++ b/src/state/mirror_table.c
@@ -278,19 +278,20 @@
 	listener->changed(listener->arg, &change);
 }
 
-static bool has_key(const struct changes *changes, const char *wanted)
+static void mark_listed(struct mirror_table *table,
+			const struct changes *changes)
 {
 	struct wire_reader entries = changes->entries;
 
+	for (size_t i = 0; i < table->count; i++)
+		table->entries[i].is_listed = false;
 	while (entries.left) {
 		struct tgw_store_entry entry;
 		char key[KEY_SIZE];
 
 		read_entry(&entries, key, &entry);
-		if (!strcmp(key, wanted))
-			return true;
+		obtain(table, key)->is_listed = true;
 	}
-	return false;
 }
 
 /* Keys that all keys do not include were deleted since, unless they are newer
@@ -299,11 +300,12 @@
 			   const struct changes *changes,
 			   const struct mirror_listener *listener)
 {
+	mark_listed(table, changes);
 	for (size_t i = 0; i < table->count; i++) {
 		struct mirror_entry *entry = &table->entries[i];
 
 		if (!entry->value || entry->version > changes->revision ||
-		    has_key(changes, entry->key))
+		    entry->is_listed)
 			continue;
 		set_value(entry, NULL, 0);
 		set_version(table, entry, changes->revision);
--- a/src/state/mirror_table.h
+++ b/src/state/mirror_table.h
@@ -23,6 +23,7 @@
 	size_t value_size;
 	int64_t version; /**< of the last change, a deletion included */
 	bool dated;	 /**< the version of a deletion is known */
+	bool is_listed;	 /**< by the changes that are being applied */
 };
 
 struct mirror_table {
