Let hosts fetch large lists from their relay once

Cause: hosts fetch a large change in parts, eight a message. A host repeated the message if it was 60 ms old, although the parts waited behind those for other hosts on the relay's link, and got eight more parts each time. And as soon as the relay knew of any other change, all began from the first part again. With 3,000 backend servers, some 600 kB, and 49 hosts a relay this goes on for seconds.

Change: a message is repeated after twice the time that the last response took, doubled each time (a repeated one tells no time); and parts go on with the changes that they began with, which other hosts that begin within a second get, too. What concerns parts is in mirror_pull.

--- a/src/coordination/mirror_followers.c
+++ b/src/coordination/mirror_followers.c
@@ -165,7 +165,8 @@
 
 	if (!prefix->table.revision)
 		return;
-	changes = mirrored_prefix_encode(prefix, request->after_revision);
+	changes = mirrored_prefix_encode_parts(prefix, request->after_revision,
+					       request->revision);
 	if (!changes)
 		return;
 	/* There are newer ones than those that the follower began with. */
--- a/src/coordination/mirror_followers.h
+++ b/src/coordination/mirror_followers.h
@@ -15,9 +15,6 @@
 #include "tamarackgw/host_view.h"
 #include "tamarackgw/peer.h"
 
-/** Parts of larger changes that are sent at a time. */
-#define MIRROR_PULL_PARTS 8
-
 /** A host that follows this one. */
 struct mirror_follower {
 	char host[TGW_NAME_SIZE];
--- a/src/coordination/mirrored_prefix.c
+++ b/src/coordination/mirrored_prefix.c
@@ -5,6 +5,9 @@
 
 #include "base/xalloc.h"
 
+/* Hosts that begin to fetch changes within this time get the same ones. */
+#define ENCODED_FOR_US (1 * TGW_US_PER_S)
+
 static int64_t now_of(const struct mirrored_prefix *prefix)
 {
 	return tgw_clock_monotonic_us(prefix->clock);
@@ -25,7 +28,7 @@
 		prefix->lists = list->next;
 		free(list);
 	}
-	buffer_free(&prefix->pull.bytes);
+	mirror_pull_clear(&prefix->pull);
 	buffer_free(&prefix->encoded);
 	mirror_table_clear(&prefix->table);
 }
@@ -305,9 +308,22 @@
 	}
 	prefix->encoded_after = after_revision;
 	prefix->encoded_revision = prefix->table.revision;
+	prefix->encoded_us = now_of(prefix);
 	return &prefix->encoded;
 }
 
+const struct buffer *mirrored_prefix_encode_parts(
+	struct mirrored_prefix *prefix, int64_t after_revision,
+	int64_t revision)
+{
+	bool is_recent = now_of(prefix) - prefix->encoded_us < ENCODED_FOR_US;
+
+	if (prefix->encoded.size && prefix->encoded_after == after_revision &&
+	    (revision ? prefix->encoded_revision == revision : is_recent))
+		return &prefix->encoded;
+	return mirrored_prefix_encode(prefix, after_revision);
+}
+
 int64_t mirrored_prefix_confirmed_us(const struct mirrored_prefix *prefix)
 {
 	return prefix->store_confirmed_us > prefix->relay_confirmed_us
--- a/src/coordination/mirrored_prefix.h
+++ b/src/coordination/mirrored_prefix.h
@@ -11,7 +11,7 @@
 #include <stdint.h>
 
 #include "base/buffer.h"
-#include "state/change_message.h"
+#include "coordination/mirror_pull.h"
 #include "state/mirror_table.h"
 #include "tamarackgw/clock.h"
 #include "tamarackgw/store.h"
@@ -31,16 +31,6 @@
 	struct mirror_list *next;
 };
 
-/** Changes that are being fetched from the relay. */
-struct mirror_pull {
-	bool active;
-	int64_t after_revision;
-	int64_t revision;
-	size_t total_size;
-	struct buffer bytes;
-	int64_t asked_us;
-};
-
 struct mirrored_prefix {
 	const char *prefix;
 	struct tgw_store *store;
@@ -66,6 +56,7 @@
 	/** Changes as last encoded for other hosts. */
 	int64_t encoded_after;
 	int64_t encoded_revision;
+	int64_t encoded_us; /**< when that was */
 	struct buffer encoded;
 };
 
@@ -101,6 +92,14 @@
 const struct buffer *mirrored_prefix_encode(struct mirrored_prefix *prefix,
 					    int64_t after_revision);
 
+/** As mirrored_prefix_encode(), for hosts that fetch the changes in parts. It
+ * goes on with the changes that were encoded a short time ago, as other changes
+ * may be made all the time.
+ * @param revision of the changes of which parts were fetched; 0: none were */
+const struct buffer *mirrored_prefix_encode_parts(
+	struct mirrored_prefix *prefix, int64_t after_revision,
+	int64_t revision);
+
 /** @return when the table was last confirmed; 0: never */
 int64_t mirrored_prefix_confirmed_us(const struct mirrored_prefix *prefix);
 
--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -21,8 +21,6 @@
 /* Minimum time between two lists of the store while the relay says that it does
  * not answer. */
 #define HELD_LIST_US (2 * TGW_US_PER_S)
-/* A pull without an answer is repeated after this. */
-#define PULL_RETRY_US (60 * TGW_US_PER_MS)
 
 struct store_mirror {
 	struct tgw_store store; /**< first member */
@@ -96,37 +94,41 @@
 }
 
 static void send_pull(struct store_mirror *mirror,
-		      struct mirrored_prefix *prefix)
+		      const struct mirrored_prefix *prefix,
+		      struct change_message *message)
 {
-	struct mirror_pull *pull = &prefix->pull;
-	struct change_message message = {
-		.kind = CHANGE_MESSAGE_PULL,
-		.stamp_us = now_of(mirror),
-		.prefix = (uint32_t)(prefix - mirror->prefixes),
-		.after_revision = pull->after_revision,
-		.revision = pull->revision,
-		.offset = pull->bytes.size,
-		.total_size = pull->total_size,
-	};
-
 	mirror->counters.pulls++;
-	pull->asked_us = message.stamp_us;
-	mirror_followers_send(&mirror->followers, mirror->relay, &message);
+	message->prefix = (uint32_t)(prefix - mirror->prefixes);
+	mirror_followers_send(&mirror->followers, mirror->relay, message);
+}
+
+static void ask_for_parts(struct store_mirror *mirror,
+			  struct mirrored_prefix *prefix)
+{
+	struct change_message message = {0};
+
+	mirror_pull_ask(&prefix->pull, &message, now_of(mirror));
+	send_pull(mirror, prefix, &message);
 }
 
 static void start_pull(struct store_mirror *mirror,
 		       struct mirrored_prefix *prefix)
 {
-	struct mirror_pull *pull = &prefix->pull;
+	if (prefix->pull.active)
+		return;
+	mirror_pull_start(&prefix->pull, prefix->table.revision);
+	ask_for_parts(mirror, prefix);
+}
+
+static void repeat_pull(struct store_mirror *mirror,
+			struct mirrored_prefix *prefix)
+{
+	struct change_message message = {0};
 
-	if (pull->active)
+	if (!mirror_pull_is_late(&prefix->pull, now_of(mirror)))
 		return;
-	pull->active = true;
-	pull->after_revision = prefix->table.revision;
-	pull->revision = 0;
-	pull->total_size = 0;
-	pull->bytes.size = 0;
-	send_pull(mirror, prefix);
+	mirror_pull_repeat(&prefix->pull, &message, now_of(mirror));
+	send_pull(mirror, prefix, &message);
 }
 
 /* Receiving, as a follower. */
@@ -136,28 +138,14 @@
 		     const struct change_message *message)
 {
 	struct mirror_pull *pull = &prefix->pull;
-
-	if (!pull->active)
-		return;
-	if (message->offset == 0) {
-		pull->revision = message->revision;
-		pull->total_size = message->total_size;
-		pull->bytes.size = 0;
-	}
-	if (message->revision != pull->revision ||
-	    message->total_size != pull->total_size ||
-	    message->offset != pull->bytes.size)
-		return;
-	buffer_add(&pull->bytes, message->part, message->part_size);
-	if (pull->bytes.size < pull->total_size) {
-		if (pull->bytes.size / CHANGE_PART_MAX_BYTES %
-			    MIRROR_PULL_PARTS ==
-		    0)
-			send_pull(mirror, prefix);
-		return;
-	}
-	pull->active = false;
-	mirrored_prefix_apply(prefix, pull->bytes.data, pull->bytes.size);
+	enum mirror_pull_step step =
+		mirror_pull_add(pull, message, now_of(mirror));
+
+	if (step == MIRROR_PULL_ASK)
+		ask_for_parts(mirror, prefix);
+	else if (step == MIRROR_PULL_WHOLE)
+		mirrored_prefix_apply(prefix, pull->bytes.data,
+				      pull->bytes.size);
 }
 
 static void on_part(struct store_mirror *mirror,
@@ -422,9 +410,7 @@
 		if (!holds_lists(mirror, prefix))
 			mirrored_prefix_send_lists(prefix);
 	}
-	if (prefix->pull.active &&
-	    now_of(mirror) - prefix->pull.asked_us >= PULL_RETRY_US)
-		send_pull(mirror, prefix);
+	repeat_pull(mirror, prefix);
 }
 
 void store_mirror_tick(struct store_mirror *mirror)
--- a/tests/fakes/fake_net.c
+++ b/tests/fakes/fake_net.c
@@ -64,6 +64,20 @@
 	       tgw_random_below(&net->world->random, 1000) < per_1000;
 }
 
+/* @return how long a message waits for the link and takes on it */
+static int64_t link_delay_us(struct fake_net_end *from, size_t size)
+{
+	int64_t now_us = from->net->world->now_us;
+
+	if (!from->link_bytes_per_s)
+		return 0;
+	if (from->link_busy_until_us < now_us)
+		from->link_busy_until_us = now_us;
+	from->link_busy_until_us +=
+		(int64_t)size * TGW_US_PER_S / from->link_bytes_per_s;
+	return from->link_busy_until_us - now_us;
+}
+
 static void schedule_delivery(struct fake_net_end *from,
 			      struct fake_net_end *to,
 			      enum tgw_peer_topic topic, const void *payload,
@@ -71,7 +85,7 @@
 {
 	struct fake_net *net = from->net;
 	struct packet *packet = xmalloc(sizeof(*packet) + size);
-	int64_t delay_us = net->latency_us;
+	int64_t delay_us = net->latency_us + link_delay_us(from, size);
 
 	packet->from = from;
 	packet->to = to;
--- a/tests/fakes/fake_net.h
+++ b/tests/fakes/fake_net.h
@@ -30,6 +30,9 @@
 	bool receives_nothing;
 	/** One-way partition: messages from the host are lost. */
 	bool sends_nothing;
+	/** Messages from the host wait for each other; 0: no limit. */
+	int64_t link_bytes_per_s;
+	int64_t link_busy_until_us;
 	void (*receive)(void *arg, const struct tgw_peer_message *message);
 	void *arg;
 };
--- a/tests/unit/test_store_mirror.c
+++ b/tests/unit/test_store_mirror.c
@@ -23,6 +23,7 @@
 #define VALUE_SIZE 8
 #define LARGE_SIZE 60000
 #define RANDOM_RUNS 60
+#define CHANGES 20
 
 /** One host and what its owner of the watches was told. */
 struct host {
@@ -448,6 +449,45 @@
 }
 END_TEST
 
+/* With thousands of keys, some of them change all the time. */
+START_TEST(changes_meanwhile_do_not_make_hosts_fetch_a_large_one_anew)
+{
+	uint64_t parts = (HOSTS - 1) * (LARGE_SIZE / CHANGE_PART_MAX_BYTES + 1);
+	uint64_t sent;
+
+	play_ms(3000);
+	hosts[0].end.link_bytes_per_s = 300000;
+	sent = store_mirror_get_counters(hosts[0].mirror)->changes_sent;
+	put_sized(0, 3, 30, LARGE_SIZE);
+	for (int i = 0; i < CHANGES; i++) {
+		play_ms(60);
+		put(0, 1, 100 + i);
+	}
+	play_ms(1200);
+	check_known(0, 3, 30);
+	check_known(0, 1, 100 + CHANGES - 1);
+	sent = store_mirror_get_counters(hosts[0].mirror)->changes_sent - sent;
+	ck_assert_uint_le(sent, parts * 5 / 4 + (HOSTS - 1) * CHANGES * 2);
+}
+END_TEST
+
+/* Parts for some hosts wait behind those for others. */
+START_TEST(a_busy_link_of_the_relay_does_not_lead_to_repeated_parts)
+{
+	uint64_t parts = (HOSTS - 1) * (LARGE_SIZE / CHANGE_PART_MAX_BYTES + 1);
+	uint64_t sent;
+
+	play_ms(3000);
+	hosts[0].end.link_bytes_per_s = 300000;
+	sent = store_mirror_get_counters(hosts[0].mirror)->changes_sent;
+	put_sized(0, 3, 30, LARGE_SIZE);
+	play_ms(1800);
+	check_known(0, 3, 30);
+	sent = store_mirror_get_counters(hosts[0].mirror)->changes_sent - sent;
+	ck_assert_uint_le(sent, parts * 5 / 4);
+}
+END_TEST
+
 /* All is sent at random while messages are lost, repeated and late, and hosts
  * and their paths fail. In the end all hosts know what the store has. */
 START_TEST(all_hosts_agree_in_the_end)
@@ -595,6 +635,12 @@
 		tcase,
 		a_host_without_a_path_to_the_store_learns_through_its_relay);
 	tcase_add_test(tcase, after_an_outage_the_relay_tells_first);
+	tcase_add_test(
+		tcase,
+		changes_meanwhile_do_not_make_hosts_fetch_a_large_one_anew);
+	tcase_add_test(
+		tcase,
+		a_busy_link_of_the_relay_does_not_lead_to_repeated_parts);
 	tcase_add_loop_test(tcase, all_hosts_agree_in_the_end, 0, RANDOM_RUNS);
 	tcase_add_test(tcase, a_late_change_does_not_bring_a_deleted_key_back);
 	tcase_add_test(tcase,
