Let starting hosts get the keys from their relay

Cause: each starting host lists the routes, servers and crash records in the store by itself. When all hosts of a large fleet were killed, their lists fill the store's link: 295 hosts and 3,000 servers need some 300 MB.

Ruled out for the site as it is (160 servers): service is back 0.5 s after the kill; what is refused later is for budgets, of which the kill strands about two seconds of demand, and what requests in flight had reserved.

Change: a prefix that was never listed waits for the relay, with bounds: until the hosts are known (2.5 s at most), 1 s from then, 0.3 s after each part, 4 s in all; not without a relay, nor with one that has lost the store. Lists are answered as its message arrives, and a new relay is told at once that it is followed.

test_store_mirror: six hosts that start together made 12 lists, now 2; with a relay that is silent, breaks off or has lost the store, and with none, each lists in time.

--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -21,6 +21,12 @@
 /* Minimum time between two lists of the store while the relay says that it does
  * not answer. */
 #define HELD_LIST_US (2 * TGW_US_PER_S)
+/* A starting host lists the store by itself if its relay has not told it the
+ * keys this long after it became known, or has stopped sending parts of them
+ * for the second time, and in any case after the third one. */
+#define START_WAIT_US (1 * TGW_US_PER_S)
+#define PART_WAIT_US (300 * TGW_US_PER_MS)
+#define START_WAIT_MAX_US (4 * TGW_US_PER_S)
 
 struct store_mirror {
 	struct tgw_store store; /**< first member */
@@ -33,6 +39,9 @@
 	int64_t hold_us;       /**< of a watch that others follow */
 	int64_t discovered_us; /**< a relay is known by then, or there is none
 				*/
+	int64_t started_us;
+	/** Until then a prefix that was never listed waits for the relay. */
+	int64_t start_wait_until_us;
 	uint64_t last_handle;
 	char relay[TGW_NAME_SIZE]; /**< empty: none */
 	uint64_t relay_process;
@@ -64,6 +73,25 @@
 		       mirror->hold_us + FRESH_MARGIN_US;
 }
 
+/* Hosts that start together would all list the same keys. */
+static bool awaits_relay(const struct store_mirror *mirror,
+			 const struct mirrored_prefix *prefix)
+{
+	return !prefix->table.revision && !mirror->relay_store_unreachable &&
+	       now_of(mirror) < mirror->start_wait_until_us;
+}
+
+static void extend_start_wait(struct store_mirror *mirror)
+{
+	int64_t until_us = now_of(mirror) + PART_WAIT_US;
+	int64_t max_us = mirror->started_us + START_WAIT_MAX_US;
+
+	if (until_us > max_us)
+		until_us = max_us;
+	if (mirror->start_wait_until_us < until_us)
+		mirror->start_wait_until_us = until_us;
+}
+
 static void on_updated(void *arg, struct mirrored_prefix *prefix,
 		       int64_t previous_revision)
 {
@@ -141,6 +169,8 @@
 	enum mirror_pull_step step =
 		mirror_pull_add(pull, message, now_of(mirror));
 
+	if (step != MIRROR_PULL_IGNORED && awaits_relay(mirror, prefix))
+		extend_start_wait(mirror);
 	if (step == MIRROR_PULL_ASK)
 		ask_for_parts(mirror, prefix);
 	else if (step == MIRROR_PULL_WHOLE)
@@ -221,6 +251,8 @@
 			mirror->relay_store_unreachable = true;
 		on_state(mirror, &mirror->prefixes[i], state,
 			 message->stamp_us + message->held_us - state->age_us);
+		if (is_fresh(mirror, &mirror->prefixes[i]))
+			mirrored_prefix_answer_lists(&mirror->prefixes[i]);
 	}
 }
 
@@ -288,7 +320,8 @@
 		return;
 	}
 	mirrored_prefix_add_list(found, callback);
-	if (!is_fresh(mirror, found) && !holds_lists(mirror, found))
+	if (!is_fresh(mirror, found) && !holds_lists(mirror, found) &&
+	    !awaits_relay(mirror, found))
 		mirrored_prefix_send_lists(found);
 }
 
@@ -343,9 +376,11 @@
 	mirror->followers.prefixes = mirror->prefixes;
 	mirror->followers.prefix_count = settings->prefix_count;
 	mirror->hold_us = settings->apply_us * HOLD_PERCENT / 100;
-	mirror->discovered_us = now_of(mirror);
+	mirror->started_us = now_of(mirror);
+	mirror->discovered_us = mirror->started_us;
 	if (settings->peer)
 		mirror->discovered_us += settings->discovery_us;
+	mirror->start_wait_until_us = mirror->discovered_us;
 	mirror->prefix_count = settings->prefix_count;
 	for (size_t i = 0; i < settings->prefix_count; i++) {
 		mirror->prefixes[i].prefix = settings->prefixes[i];
@@ -375,8 +410,14 @@
 
 void store_mirror_set_relay(struct store_mirror *mirror, const char *relay)
 {
-	if (!*relay && mirror->discovered_us > now_of(mirror))
-		mirror->discovered_us = now_of(mirror);
+	int64_t now = now_of(mirror);
+
+	if (!*relay && mirror->discovered_us > now)
+		mirror->discovered_us = now;
+	if (!*relay)
+		mirror->start_wait_until_us = now;
+	else if (!*mirror->relay && mirror->start_wait_until_us > now)
+		mirror->start_wait_until_us = now + START_WAIT_US;
 	if (!strcmp(mirror->relay, relay))
 		return;
 	text_copy(mirror->relay, sizeof(mirror->relay), relay);
@@ -386,6 +427,8 @@
 	mirror->follow_sent_us = 0;
 	for (size_t i = 0; i < mirror->prefix_count; i++)
 		mirror->prefixes[i].pull.active = false;
+	if (*mirror->relay)
+		send_follow(mirror);
 }
 
 static void watch(struct store_mirror *mirror, struct mirrored_prefix *prefix)
@@ -404,7 +447,7 @@
 			mirror->counters.followed_relays++;
 		mirrored_prefix_unwatch(prefix);
 		mirrored_prefix_answer_lists(prefix);
-	} else {
+	} else if (!awaits_relay(mirror, prefix)) {
 		if (now_of(mirror) >= mirror->discovered_us)
 			watch(mirror, prefix);
 		if (!holds_lists(mirror, prefix))
--- a/tests/unit/test_store_mirror.c
+++ b/tests/unit/test_store_mirror.c
@@ -23,6 +23,11 @@
 #define VALUE_SIZE 8
 #define LARGE_SIZE 60000
 #define RANDOM_RUNS 60
+#define PREFIXES 2
+#define DISCOVERY_US (2500 * TGW_US_PER_MS)
+/* Within this time a starting host hears of the keys from its relay, or lists
+ * them itself. */
+#define START_WAIT_MS 1000
 #define CHANGES 20
 
 /** One host and what its owner of the watches was told. */
@@ -45,6 +50,7 @@
 static struct fake_store_server server;
 static struct fake_net net;
 static struct host hosts[HOSTS];
+static int64_t discovery_us; /* of hosts that are started; 0: none */
 
 /** A watch's owner. */
 struct owner {
@@ -133,6 +139,7 @@
 		.prefix_count = 2,
 		.peer = &host->end.peer,
 		.apply_us = APPLY_US,
+		.discovery_us = discovery_us,
 	};
 
 	fake_net_restart(&host->end, tgw_random_u64(&world.random) | 1);
@@ -150,7 +157,7 @@
 			store_mirror_store(host->mirror), prefixes[i], watcher);
 		host->list_needed[i] = true;
 	}
-	if (index)
+	if (index && !discovery_us)
 		store_mirror_set_relay(host->mirror, "host-0");
 }
 
@@ -175,6 +182,7 @@
 static void setup_seeded(uint64_t seed)
 {
 	memset(hosts, 0, sizeof(hosts));
+	discovery_us = 0;
 	fake_world_init(&world, seed);
 	fake_store_server_init(&server, &world);
 	fake_net_init(&net, &world);
@@ -449,6 +457,92 @@
 }
 END_TEST
 
+/* @param relay_us when the relay is known, after the start; negative: never */
+static void restart_all(int64_t relay_us)
+{
+	for (size_t i = 0; i < HOSTS; i++)
+		kill_host(i);
+	discovery_us = DISCOVERY_US;
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(i);
+	if (relay_us < 0)
+		return;
+	play_ms(relay_us / TGW_US_PER_MS);
+	for (size_t i = 0; i < HOSTS; i++)
+		store_mirror_set_relay(hosts[i].mirror, i ? "host-0" : "");
+}
+
+static void put_large_list(void)
+{
+	for (int key = 0; key < KEYS; key++)
+		put_sized(1, key, 1 + key, LARGE_SIZE);
+}
+
+static void check_large_list(void)
+{
+	for (int key = 0; key < KEYS; key++)
+		check_known(1, key, 1 + key);
+}
+
+START_TEST(hosts_that_start_together_do_not_all_list_the_store)
+{
+	uint64_t reads;
+
+	put_large_list();
+	play_ms(3000);
+	reads = server.reads;
+	restart_all(50 * TGW_US_PER_MS);
+	play_ms(1000);
+	check_known(0, 0, 1);
+	check_large_list();
+	ck_assert_uint_eq(server.reads - reads, PREFIXES);
+}
+END_TEST
+
+START_TEST(a_starting_host_lists_the_store_if_its_relay_is_silent)
+{
+	put_large_list();
+	restart_all(50 * TGW_US_PER_MS);
+	hosts[0].hung = true;
+	hosts[0].end.paused = true;
+	play_ms(START_WAIT_MS + 200);
+	check_known(0, 0, 1);
+	check_large_list();
+}
+END_TEST
+
+START_TEST(a_starting_host_lists_the_store_if_the_relay_breaks_off)
+{
+	put_large_list();
+	restart_all(50 * TGW_US_PER_MS);
+	net.loss_per_1000 = 900;
+	play_ms(150);
+	hosts[0].hung = true;
+	hosts[0].end.paused = true;
+	play_ms(START_WAIT_MS + 400);
+	check_known(0, 0, 1);
+	check_large_list();
+}
+END_TEST
+
+START_TEST(a_starting_host_lists_the_store_at_once_if_its_relay_has_lost_it)
+{
+	fake_store_set_partitioned(&hosts[0].store, true);
+	restart_all(50 * TGW_US_PER_MS);
+	play_ms(400);
+	for (size_t i = 1; i < HOSTS; i++)
+		ck_assert_int_eq(hosts[i].values[0][0], 1);
+}
+END_TEST
+
+START_TEST(a_starting_host_without_a_relay_lists_the_store)
+{
+	restart_all(-1);
+	play_ms(DISCOVERY_US / TGW_US_PER_MS + 200);
+	check_known(0, 0, 1);
+}
+END_TEST
+
 /* With thousands of keys, some of them change all the time. */
 START_TEST(changes_meanwhile_do_not_make_hosts_fetch_a_large_one_anew)
 {
@@ -635,6 +729,16 @@
 		tcase,
 		a_host_without_a_path_to_the_store_learns_through_its_relay);
 	tcase_add_test(tcase, after_an_outage_the_relay_tells_first);
+	tcase_add_test(tcase,
+		       hosts_that_start_together_do_not_all_list_the_store);
+	tcase_add_test(tcase,
+		       a_starting_host_lists_the_store_if_its_relay_is_silent);
+	tcase_add_test(tcase,
+		       a_starting_host_lists_the_store_if_the_relay_breaks_off);
+	tcase_add_test(
+		tcase,
+		a_starting_host_lists_the_store_at_once_if_its_relay_has_lost_it);
+	tcase_add_test(tcase, a_starting_host_without_a_relay_lists_the_store);
 	tcase_add_test(
 		tcase,
 		changes_meanwhile_do_not_make_hosts_fetch_a_large_one_anew);
