List the hosts once at the restart of a host

Cause: each host lists the hosts at its start and again 1.5 to 2 s later, for hosts that start together with it and were not registered at first.

Change: a host that finds the fleet's key and its own record is settled. Hosts that are new are found by their messages, as at any time.

test_peer_directory: 20 hosts that restart together list 20 times, 40 before.

--- a/src/coordination/peer_directory.c
+++ b/src/coordination/peer_directory.c
@@ -271,6 +271,9 @@
 		    add_host(directory, hosts, count, entry))
 			count++;
 	}
+	/* In a fleet that has this host already, the others are listed, too. */
+	if (directory->key_known && directory->registered)
+		directory->settled = true;
 	free(directory->records);
 	directory->records = records;
 	directory->record_count = record_count;
--- a/tests/unit/test_peer_directory.c
+++ b/tests/unit/test_peer_directory.c
@@ -177,6 +177,25 @@
 }
 END_TEST
 
+START_TEST(hosts_that_restart_together_list_each_other_once)
+{
+	uint64_t reads;
+
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(i);
+	play_ms(5000);
+	for (size_t i = 0; i < HOSTS; i++)
+		stop_host(i);
+	reads = server.reads;
+	for (size_t i = 0; i < HOSTS; i++)
+		start_host(i);
+	play_ms(5000);
+	for (size_t i = 0; i < HOSTS; i++)
+		ck_assert_uint_eq(count_of(i), HOSTS);
+	ck_assert_uint_eq(server.reads - reads, HOSTS);
+}
+END_TEST
+
 START_TEST(a_host_that_starts_in_an_outage_goes_on_trying)
 {
 	fake_store_server_set_outage(&server, true);
@@ -348,6 +367,7 @@
 	tcase_add_test(tcase,
 		       hosts_that_start_together_know_each_other_and_one_key);
 	tcase_add_test(tcase, a_later_host_knows_the_others_at_once);
+	tcase_add_test(tcase, hosts_that_restart_together_list_each_other_once);
 	tcase_add_test(tcase, a_host_that_starts_in_an_outage_goes_on_trying);
 	tcase_add_test(tcase, a_lost_response_does_not_change_the_key);
 	tcase_add_test(tcase, a_damaged_key_is_reported_and_not_used);
