Compress large lists between hosts

Cause: at a start of all hosts each relay passes the whole list of servers on to some 50 hosts.

Change: changes that do not fit into one message are compressed (zlib, fastest level), once for all that fetch them; what comes in is limited to the same 4 MB as before once it is decompressed.

test_mirror_table: 3,000 entries like those of servers take less than a third of their bytes; damaged ones and ones that grow beyond the limit are rejected.

--- a/src/state/mirror_table.c
+++ b/src/state/mirror_table.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "base/msgpack_guard.h"
+#include "base/packed.h"
 #include "base/xalloc.h"
 #include "state/msgpack_field.h"
 #include "state/wire_reader.h"
@@ -13,6 +14,8 @@
 #define CHANGES_FIELDS 4
 #define ENTRY_FIELDS 4
 #define KEY_SIZE 256
+/* Changes that are larger are compressed; others fit into one message. */
+#define PLAIN_MAX_BYTES 1100
 /* Maximum number of deleted keys that are remembered. */
 #define DELETED_MAX 1000
 /* Value of the first field if the changes are all keys. */
@@ -174,8 +177,8 @@
 				 entry->value_size);
 }
 
-bool mirror_table_encode(const struct mirror_table *table,
-			 int64_t after_revision, struct buffer *bytes)
+static void encode_changes(const struct mirror_table *table,
+			   int64_t after_revision, struct buffer *bytes)
 {
 	msgpack_packer packer;
 	size_t count = 0;
@@ -193,7 +196,22 @@
 	for (size_t i = 0; i < table->count; i++)
 		if (is_sent(&table->entries[i], after_revision))
 			encode_entry(&packer, &table->entries[i]);
-	return bytes->size <= MIRROR_CHANGES_MAX_BYTES;
+}
+
+bool mirror_table_encode(const struct mirror_table *table,
+			 int64_t after_revision, struct buffer *bytes)
+{
+	struct buffer plain = {0};
+	bool fits;
+
+	encode_changes(table, after_revision, &plain);
+	fits = plain.size <= MIRROR_CHANGES_MAX_BYTES;
+	if (plain.size <= PLAIN_MAX_BYTES)
+		buffer_add(bytes, plain.data, plain.size);
+	else if (fits)
+		packed_add(bytes, plain.data, plain.size);
+	buffer_free(&plain);
+	return fits;
 }
 
 /* Encoded changes. */
@@ -334,7 +352,7 @@
 	mirror_table_confirm(table, changes->revision);
 }
 
-enum tgw_status mirror_table_decode(struct mirror_table *table,
+static enum tgw_status decode_plain(struct mirror_table *table,
 				    const void *bytes, size_t size,
 				    const struct mirror_listener *listener)
 {
@@ -358,3 +376,18 @@
 	msgpack_unpacked_destroy(&unpacked);
 	return status;
 }
+
+enum tgw_status mirror_table_decode(struct mirror_table *table,
+				    const void *bytes, size_t size,
+				    const struct mirror_listener *listener)
+{
+	enum tgw_status status = TGW_CORRUPT;
+	struct buffer plain = {0};
+
+	if (!packed_is(bytes, size))
+		return decode_plain(table, bytes, size, listener);
+	if (packed_read(bytes, size, MIRROR_CHANGES_MAX_BYTES, &plain))
+		status = decode_plain(table, plain.data, plain.size, listener);
+	buffer_free(&plain);
+	return status;
+}
--- a/src/state/mirror_table.h
+++ b/src/state/mirror_table.h
@@ -14,7 +14,8 @@
 #include "tamarackgw/status.h"
 #include "tamarackgw/store.h"
 
-/** Largest encoded changes that are sent or accepted, in bytes. */
+/** Largest encoded changes that are sent or accepted, in bytes, before they are
+ * compressed. */
 #define MIRROR_CHANGES_MAX_BYTES (4 * 1024 * 1024)
 
 struct mirror_entry {
@@ -61,7 +62,8 @@
 			  int64_t revision);
 
 /** Appends the changes after a revision, or all keys if those are not known.
- * @return false if they would be too large */
+ * Large ones are compressed.
+ * @return false if they would be too large; then nothing is appended */
 bool mirror_table_encode(const struct mirror_table *table,
 			 int64_t after_revision, struct buffer *bytes);
 
--- a/tests/unit/test_mirror_table.c
+++ b/tests/unit/test_mirror_table.c
@@ -4,11 +4,17 @@
 
 #include <stdio.h>
 
+#include <stdio.h>
+#include <string.h>
+
+#include "base/packed.h"
 #include "tamarackgw/host_view.h"
+#include "tamarackgw/random.h"
 #include "unit/unit_main.h"
 
 #define KEYS 20000
 #define REVISION 7
+#define SERVERS 3000
 /* Time that grows with the square of the keys is many times this one. */
 #define TIMEOUT_S 3
 
@@ -59,6 +65,80 @@
 }
 END_TEST
 
+static size_t put_server(struct mirror_table *table, int server,
+			 struct tgw_random *random)
+{
+	char name[TGW_NAME_SIZE];
+	char value[256];
+	struct tgw_store_entry entry = {
+		.key = name,
+		.value = (const uint8_t *)value,
+		.version = REVISION + server,
+	};
+
+	snprintf(name, sizeof(name), "servers/i-%010llx",
+		 (unsigned long long)tgw_random_below(random, 1ULL << 40));
+	entry.value_size = (size_t)snprintf(
+		value, sizeof(value),
+		"{\"service\":\"llm\",\"address\":\"10.1.%d.%d:8285\","
+		"\"zone\":\"north-a\",\"version\":1,\"slots\":16,\"state\":"
+		"\"ready\",\"sequence\":%d,\"born\":%d}",
+		server / 250, server % 250, (int)tgw_random_below(random, 1000),
+		(int)tgw_random_below(random, 1000000));
+	mirror_table_apply(table, &entry);
+	return entry.value_size + strlen(name);
+}
+
+START_TEST(a_list_of_servers_takes_a_third_of_its_bytes)
+{
+	struct mirror_table table = {0};
+	struct mirror_table follower = {0};
+	struct buffer bytes = {0};
+	struct tgw_random random;
+	int deleted = 0;
+	struct mirror_listener listener = {on_changed, &deleted};
+	size_t size = 0;
+
+	tgw_random_init(&random, 1);
+	for (int server = 0; server < SERVERS; server++)
+		size += put_server(&table, server, &random);
+	mirror_table_confirm(&table, REVISION + SERVERS);
+	ck_assert(mirror_table_encode(&table, 0, &bytes));
+	ck_assert_uint_le(bytes.size, size / 3);
+	ck_assert_int_eq(mirror_table_decode(&follower, bytes.data,
+					     bytes.size - 1, &listener),
+			 TGW_CORRUPT);
+	ck_assert_int_eq(mirror_table_decode(&follower, bytes.data, bytes.size,
+					     &listener),
+			 TGW_OK);
+	ck_assert_uint_eq(follower.count, SERVERS);
+	buffer_free(&bytes);
+	mirror_table_clear(&follower);
+	mirror_table_clear(&table);
+}
+END_TEST
+
+START_TEST(compressed_changes_larger_than_allowed_are_rejected)
+{
+	struct mirror_table follower = {0};
+	struct buffer zeros = {0};
+	struct buffer bytes = {0};
+	struct mirror_listener listener = {on_changed, NULL};
+
+	for (size_t i = 0; i <= MIRROR_CHANGES_MAX_BYTES / KEYS; i++) {
+		static const char block[KEYS];
+
+		buffer_add(&zeros, block, sizeof(block));
+	}
+	packed_add(&bytes, zeros.data, zeros.size);
+	ck_assert_int_eq(mirror_table_decode(&follower, bytes.data, bytes.size,
+					     &listener),
+			 TGW_CORRUPT);
+	buffer_free(&zeros);
+	buffer_free(&bytes);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("mirror_table");
@@ -67,6 +147,9 @@
 	tcase_set_timeout(tcase, TIMEOUT_S);
 	tcase_add_test(tcase,
 		       applying_all_keys_takes_no_time_by_the_square_of_them);
+	tcase_add_test(tcase, a_list_of_servers_takes_a_third_of_its_bytes);
+	tcase_add_test(tcase,
+		       compressed_changes_larger_than_allowed_are_rejected);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
--- a/tests/unit/test_store_mirror.c
+++ b/tests/unit/test_store_mirror.c
@@ -49,6 +49,7 @@
 static struct fake_world world;
 static struct fake_store_server server;
 static struct fake_net net;
+static struct tgw_random fill;
 static struct host hosts[HOSTS];
 static int64_t discovery_us; /* of hosts that are started; 0: none */
 
@@ -120,6 +121,9 @@
 	static char value[LARGE_SIZE];
 	char name[TGW_NAME_SIZE];
 
+	/* Such bytes can't be compressed. */
+	for (size_t i = 0; i < size; i++)
+		value[i] = (char)tgw_random_u64(&fill);
 	memcpy(value, &number, sizeof(number));
 	snprintf(name, sizeof(name), "%skey-%d", prefixes[prefix], key);
 	fake_store_server_put(&server, name, number ? value : NULL,
@@ -183,6 +187,7 @@
 {
 	memset(hosts, 0, sizeof(hosts));
 	discovery_us = 0;
+	tgw_random_init(&fill, seed);
 	fake_world_init(&world, seed);
 	fake_store_server_init(&server, &world);
 	fake_net_init(&net, &world);
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -18,7 +18,7 @@
 mv $dir.cmake.log $dir/cmake.log
 ninja -C $dir --quiet libtamarackgw.a libtgw_net.a libtgw_edge.a \
 	libtgw_platform.a
-modules="apr-1 msgpack libsodium libxxhash inih libzmq libmicrohttpd jansson liburcu liburcu-memb log4c"
+modules="apr-1 msgpack libsodium libxxhash inih zlib libzmq libmicrohttpd jansson liburcu liburcu-memb log4c"
 status=0
 for target in $targets; do
 	clang -g -O1 -fsanitize=fuzzer,address -D_GNU_SOURCE -Iinclude -Isrc \
