Tell a starting relay soon that it is followed

Cause: hosts that start together tell their relay at once that they follow it. One that is not so far yet drops the message, since it does not know the fleet's key, and is told again after a second.

Change: until the relay has answered, it is told each 0.1 s.

test_store_mirror_start: a relay that reads nothing for the first 0.15 s; the hosts know the keys 0.25 s later, without a list of their own.

--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -15,6 +15,9 @@
 /* A host watches by itself once its knowledge is older than that and this. */
 #define FRESH_MARGIN_US (400 * TGW_US_PER_MS)
 #define FOLLOW_INTERVAL_US (1 * TGW_US_PER_S)
+/* Until it has answered: a relay that is starting does not read messages yet.
+ */
+#define FOLLOW_RETRY_US (100 * TGW_US_PER_MS)
 /* A relay was heard of this recently, so it will tell when the store is back.
  */
 #define RELAY_ALIVE_US (2 * TGW_US_PER_S)
@@ -456,6 +459,11 @@
 	repeat_pull(mirror, prefix);
 }
 
+static int64_t follow_interval_us(const struct store_mirror *mirror)
+{
+	return mirror->relay_heard_us ? FOLLOW_INTERVAL_US : FOLLOW_RETRY_US;
+}
+
 void store_mirror_tick(struct store_mirror *mirror)
 {
 	int64_t now = now_of(mirror);
@@ -463,7 +471,7 @@
 	mirror_followers_expire(&mirror->followers);
 	mirror->counters.changes_sent = mirror->followers.changes_sent;
 	if (*mirror->relay &&
-	    now - mirror->follow_sent_us >= FOLLOW_INTERVAL_US)
+	    now - mirror->follow_sent_us >= follow_interval_us(mirror))
 		send_follow(mirror);
 	for (size_t i = 0; i < mirror->prefix_count; i++)
 		tick_prefix(mirror, &mirror->prefixes[i]);
--- a/tests/unit/test_store_mirror_start.c
+++ b/tests/unit/test_store_mirror_start.c
@@ -53,6 +53,20 @@
 }
 END_TEST
 
+START_TEST(a_relay_that_starts_later_is_soon_told_of_its_followers)
+{
+	uint64_t reads = mirror_rig.server.reads;
+
+	restart_all(50 * TGW_US_PER_MS);
+	mirror_rig.hosts[0].end.receives_nothing = true;
+	mirror_rig_play_ms(150);
+	mirror_rig.hosts[0].end.receives_nothing = false;
+	mirror_rig_play_ms(250);
+	mirror_rig_check_known(0, 0, 1);
+	ck_assert_uint_eq(mirror_rig.server.reads - reads, MIRROR_RIG_PREFIXES);
+}
+END_TEST
+
 START_TEST(a_starting_host_lists_the_store_if_its_relay_is_silent)
 {
 	put_large_list();
@@ -154,6 +168,8 @@
 	tcase_add_checked_fixture(tcase, mirror_rig_setup, mirror_rig_teardown);
 	tcase_add_test(tcase,
 		       hosts_that_start_together_do_not_all_list_the_store);
+	tcase_add_test(tcase,
+		       a_relay_that_starts_later_is_soon_told_of_its_followers);
 	tcase_add_test(tcase,
 		       a_starting_host_lists_the_store_if_its_relay_is_silent);
 	tcase_add_test(tcase,
