--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -15,14 +15,21 @@
 /* A host watches by itself once its knowledge is older than that and this. */
 #define FRESH_MARGIN_US (400 * TGW_US_PER_MS)
 #define FOLLOW_INTERVAL_US (1 * TGW_US_PER_S)
+/* Until it has answered: a relay that is starting does not read messages yet.
+ */
+#define FOLLOW_RETRY_US (100 * TGW_US_PER_MS)
 /* A relay was heard of this recently, so it will tell when the store is back.
  */
 #define RELAY_ALIVE_US (2 * TGW_US_PER_S)
 /* Minimum time between two lists of the store while the relay says that it does
  * not answer. */
 #define HELD_LIST_US (2 * TGW_US_PER_S)
-/* A pull without an answer is repeated after this. */
-#define PULL_RETRY_US (60 * TGW_US_PER_MS)
+/* A starting host lists the store by itself if its relay has not told it the
+ * keys this long after it became known, or has stopped sending parts of them
+ * for the second time, and in any case after the third one. */
+#define START_WAIT_US (1 * TGW_US_PER_S)
+#define PART_WAIT_US (300 * TGW_US_PER_MS)
+#define START_WAIT_MAX_US (4 * TGW_US_PER_S)
 
 struct store_mirror {
 	struct tgw_store store; /**< first member */
@@ -35,6 +42,9 @@
 	int64_t hold_us;       /**< of a watch that others follow */
 	int64_t discovered_us; /**< a relay is known by then, or there is none
 				*/
+	int64_t started_us;
+	/** Until then a prefix that was never listed waits for the relay. */
+	int64_t start_wait_until_us;
 	uint64_t last_handle;
 	char relay[TGW_NAME_SIZE]; /**< empty: none */
 	uint64_t relay_process;
@@ -66,6 +76,25 @@
 		       mirror->hold_us + FRESH_MARGIN_US;
 }
 
+/* Hosts that start together would all list the same keys. */
+static bool awaits_relay(const struct store_mirror *mirror,
+			 const struct mirrored_prefix *prefix)
+{
+	return !prefix->table.revision && !mirror->relay_store_unreachable &&
+	       now_of(mirror) < mirror->start_wait_until_us;
+}
+
+static void extend_start_wait(struct store_mirror *mirror)
+{
+	int64_t until_us = now_of(mirror) + PART_WAIT_US;
+	int64_t max_us = mirror->started_us + START_WAIT_MAX_US;
+
+	if (until_us > max_us)
+		until_us = max_us;
+	if (mirror->start_wait_until_us < until_us)
+		mirror->start_wait_until_us = until_us;
+}
+
 static void on_updated(void *arg, struct mirrored_prefix *prefix,
 		       int64_t previous_revision)
 {
@@ -96,37 +125,41 @@
 }
 
 static void send_pull(struct store_mirror *mirror,
-		      struct mirrored_prefix *prefix)
+		      const struct mirrored_prefix *prefix,
+		      struct change_message *message)
 {
-	struct mirror_pull *pull = &prefix->pull;
-	struct change_message message = {
-		.kind = CHANGE_MESSAGE_PULL,
-		.stamp_us = now_of(mirror),
-		.prefix = (uint32_t)(prefix - mirror->prefixes),
-		.after_revision = pull->after_revision,
-		.revision = pull->revision,
-		.offset = pull->bytes.size,
-		.total_size = pull->total_size,
-	};
-
 	mirror->counters.pulls++;
-	pull->asked_us = message.stamp_us;
-	mirror_followers_send(&mirror->followers, mirror->relay, &message);
+	message->prefix = (uint32_t)(prefix - mirror->prefixes);
+	mirror_followers_send(&mirror->followers, mirror->relay, message);
+}
+
+static void ask_for_parts(struct store_mirror *mirror,
+			  struct mirrored_prefix *prefix)
+{
+	struct change_message message = {0};
+
+	mirror_pull_ask(&prefix->pull, &message, now_of(mirror));
+	send_pull(mirror, prefix, &message);
 }
 
 static void start_pull(struct store_mirror *mirror,
 		       struct mirrored_prefix *prefix)
 {
-	struct mirror_pull *pull = &prefix->pull;
+	if (prefix->pull.active)
+		return;
+	mirror_pull_start(&prefix->pull, prefix->table.revision);
+	ask_for_parts(mirror, prefix);
+}
 
-	if (pull->active)
+static void repeat_pull(struct store_mirror *mirror,
+			struct mirrored_prefix *prefix)
+{
+	struct change_message message = {0};
+
+	if (!mirror_pull_is_late(&prefix->pull, now_of(mirror)))
 		return;
-	pull->active = true;
-	pull->after_revision = prefix->table.revision;
-	pull->revision = 0;
-	pull->total_size = 0;
-	pull->bytes.size = 0;
-	send_pull(mirror, prefix);
+	mirror_pull_repeat(&prefix->pull, &message, now_of(mirror));
+	send_pull(mirror, prefix, &message);
 }
 
 /* Receiving, as a follower. */
@@ -136,28 +169,16 @@
 		     const struct change_message *message)
 {
 	struct mirror_pull *pull = &prefix->pull;
+	enum mirror_pull_step step =
+		mirror_pull_add(pull, message, now_of(mirror));
 
-	if (!pull->active)
-		return;
-	if (message->offset == 0) {
-		pull->revision = message->revision;
-		pull->total_size = message->total_size;
-		pull->bytes.size = 0;
-	}
-	if (message->revision != pull->revision ||
-	    message->total_size != pull->total_size ||
-	    message->offset != pull->bytes.size)
-		return;
-	buffer_add(&pull->bytes, message->part, message->part_size);
-	if (pull->bytes.size < pull->total_size) {
-		if (pull->bytes.size / CHANGE_PART_MAX_BYTES %
-			    MIRROR_PULL_PARTS ==
-		    0)
-			send_pull(mirror, prefix);
-		return;
-	}
-	pull->active = false;
-	mirrored_prefix_apply(prefix, pull->bytes.data, pull->bytes.size);
+	if (step != MIRROR_PULL_IGNORED && awaits_relay(mirror, prefix))
+		extend_start_wait(mirror);
+	if (step == MIRROR_PULL_ASK)
+		ask_for_parts(mirror, prefix);
+	else if (step == MIRROR_PULL_WHOLE)
+		mirrored_prefix_apply(prefix, pull->bytes.data,
+				      pull->bytes.size);
 }
 
 static void on_part(struct store_mirror *mirror,
@@ -233,6 +254,8 @@
 			mirror->relay_store_unreachable = true;
 		on_state(mirror, &mirror->prefixes[i], state,
 			 message->stamp_us + message->held_us - state->age_us);
+		if (is_fresh(mirror, &mirror->prefixes[i]))
+			mirrored_prefix_answer_lists(&mirror->prefixes[i]);
 	}
 }
 
@@ -300,7 +323,8 @@
 		return;
 	}
 	mirrored_prefix_add_list(found, callback);
-	if (!is_fresh(mirror, found) && !holds_lists(mirror, found))
+	if (!is_fresh(mirror, found) && !holds_lists(mirror, found) &&
+	    !awaits_relay(mirror, found))
 		mirrored_prefix_send_lists(found);
 }
 
@@ -355,9 +379,11 @@
 	mirror->followers.prefixes = mirror->prefixes;
 	mirror->followers.prefix_count = settings->prefix_count;
 	mirror->hold_us = settings->apply_us * HOLD_PERCENT / 100;
-	mirror->discovered_us = now_of(mirror);
+	mirror->started_us = now_of(mirror);
+	mirror->discovered_us = mirror->started_us;
 	if (settings->peer)
 		mirror->discovered_us += settings->discovery_us;
+	mirror->start_wait_until_us = mirror->discovered_us;
 	mirror->prefix_count = settings->prefix_count;
 	for (size_t i = 0; i < settings->prefix_count; i++) {
 		mirror->prefixes[i].prefix = settings->prefixes[i];
@@ -387,8 +413,14 @@
 
 void store_mirror_set_relay(struct store_mirror *mirror, const char *relay)
 {
-	if (!*relay && mirror->discovered_us > now_of(mirror))
-		mirror->discovered_us = now_of(mirror);
+	int64_t now = now_of(mirror);
+
+	if (!*relay && mirror->discovered_us > now)
+		mirror->discovered_us = now;
+	if (!*relay)
+		mirror->start_wait_until_us = now;
+	else if (!*mirror->relay && mirror->start_wait_until_us > now)
+		mirror->start_wait_until_us = now + START_WAIT_US;
 	if (!strcmp(mirror->relay, relay))
 		return;
 	text_copy(mirror->relay, sizeof(mirror->relay), relay);
@@ -398,6 +430,8 @@
 	mirror->follow_sent_us = 0;
 	for (size_t i = 0; i < mirror->prefix_count; i++)
 		mirror->prefixes[i].pull.active = false;
+	if (*mirror->relay)
+		send_follow(mirror);
 }
 
 static void watch(struct store_mirror *mirror, struct mirrored_prefix *prefix)
@@ -416,15 +450,18 @@
 			mirror->counters.followed_relays++;
 		mirrored_prefix_unwatch(prefix);
 		mirrored_prefix_answer_lists(prefix);
-	} else {
+	} else if (!awaits_relay(mirror, prefix)) {
 		if (now_of(mirror) >= mirror->discovered_us)
 			watch(mirror, prefix);
 		if (!holds_lists(mirror, prefix))
 			mirrored_prefix_send_lists(prefix);
 	}
-	if (prefix->pull.active &&
-	    now_of(mirror) - prefix->pull.asked_us >= PULL_RETRY_US)
-		send_pull(mirror, prefix);
+	repeat_pull(mirror, prefix);
+}
+
+static int64_t follow_interval_us(const struct store_mirror *mirror)
+{
+	return mirror->relay_heard_us ? FOLLOW_INTERVAL_US : FOLLOW_RETRY_US;
 }
 
 void store_mirror_tick(struct store_mirror *mirror)
@@ -434,7 +471,7 @@
 	mirror_followers_expire(&mirror->followers);
 	mirror->counters.changes_sent = mirror->followers.changes_sent;
 	if (*mirror->relay &&
-	    now - mirror->follow_sent_us >= FOLLOW_INTERVAL_US)
+	    now - mirror->follow_sent_us >= follow_interval_us(mirror))
 		send_follow(mirror);
 	for (size_t i = 0; i < mirror->prefix_count; i++)
 		tick_prefix(mirror, &mirror->prefixes[i]);
