Give back callers' idle connections, and keep descriptors for own work

Beyond its limit a process can't open connections to servers or to the store.

state/connection_room.c now leaves an eighth of the descriptors to the host's own work, and callers half of the rest, since each request takes a connection to a server as well. From half of these on, idle connections are closed, the least recently used first; from three quarters on, responses end their connections and the host says that it is not ready. Beyond all, new connections wait. A connection is only closed after one more read, so a request that has arrived is served; one that crosses the close was not read and may be sent again.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -7,6 +7,7 @@
 #include "base/xalloc.h"
 #include "edge/call_log.h"
 #include "edge/call_private.h"
+#include "edge/edge_callers.h"
 
 /* Maximum time that a request waits for an allotment while the store is
  * reachable. */
@@ -77,7 +78,7 @@
 	buffer_add_text(&fields, "Content-Type: application/json\r\n");
 	edge->sources.dialect->write_refusal(&fields, retry_after_ms);
 	server_conn_send_head(conn, status, &fields, (int64_t)body.size,
-			      edge->stopping);
+			      edge_callers_ends_connection(edge));
 	server_conn_send_body(conn, body.data, body.size);
 	conn->call = NULL;
 	server_conn_finish(conn);
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -2,6 +2,7 @@
 
 #include "edge/call_log.h"
 #include "edge/call_private.h"
+#include "edge/edge_callers.h"
 #include "edge/server_signals.h"
 
 /* A larger response is forwarded as it arrives, which rules out a retry. */
@@ -32,7 +33,8 @@
 		return;
 	call->head_sent = true;
 	server_conn_send_head(call->caller, attempt->status, &attempt->fields,
-			      SERVER_LENGTH_UNKNOWN, call->edge->stopping);
+			      SERVER_LENGTH_UNKNOWN,
+			      edge_callers_ends_connection(call->edge));
 }
 
 static bool is_success(int status)
@@ -216,7 +218,7 @@
 	if (caller && !call->head_sent) {
 		server_conn_send_head(caller, attempt->status, &attempt->fields,
 				      (int64_t)attempt->body.size,
-				      edge->stopping);
+				      edge_callers_ends_connection(edge));
 		server_conn_send_body(caller, attempt->body.data,
 				      attempt->body.size);
 	}
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -9,6 +9,7 @@
 #include "edge/backend_pool.h"
 #include "edge/call.h"
 #include "edge/crash_check.h"
+#include "edge/edge_callers.h"
 #include "edge/edge_clock.h"
 #include "edge/edge_followers.h"
 #include "edge/edge_pages.h"
@@ -71,99 +72,9 @@
 	return &found->retry_budget;
 }
 
-static void on_request(struct server_conn *conn)
-{
-	call_start(conn->owner, conn);
-}
-
-static void on_caller_disconnected(struct server_conn *conn)
-{
-	if (conn->call)
-		call_caller_disconnected(conn->call);
-}
-
-static void on_caller_drained(struct server_conn *conn)
-{
-	if (conn->call)
-		call_caller_drained(conn->call);
-}
-
-static void on_caller_closed(struct server_conn *conn)
-{
-	struct edge *edge = conn->owner;
-
-	if (conn->previous)
-		conn->previous->next = conn->next;
-	else
-		edge->conns = conn->next;
-	if (conn->next)
-		conn->next->previous = conn->previous;
-	edge->conn_count--;
-	read_turns_forget(&edge->turns, &conn->turn);
-}
-
-static const struct server_conn_events caller_events = {
-	.request = on_request,
-	.disconnected = on_caller_disconnected,
-	.drained = on_caller_drained,
-	.closed = on_caller_closed,
-};
-
-static void accept_caller(struct edge *edge)
-{
-	struct server_conn *conn;
-
-	conn = server_conn_accept((uv_stream_t *)&edge->caller_listener,
-				  &edge->limits, &caller_events, edge);
-	if (!conn)
-		return;
-	conn->turns = &edge->turns;
-	conn->next = edge->conns;
-	if (conn->next)
-		conn->next->previous = conn;
-	edge->conns = conn;
-	edge->conn_count++;
-}
-
-/* A connection that is not accepted here pauses the listener. */
-static void on_caller(uv_stream_t *listener, int status)
-{
-	struct edge *edge = listener->data;
-
-	if (status < 0)
-		return;
-	if (!edge->accepts_left) {
-		edge->accept_waits = true;
-		return;
-	}
-	edge->accepts_left--;
-	accept_caller(edge);
-}
-
 static void on_poll_begins(uv_prepare_t *prepare)
 {
-	struct edge *edge = prepare->data;
-
-	read_turns_begin(&edge->turns, edge->load.turns,
-			 (int64_t)uv_now(edge->loop) * TGW_US_PER_MS);
-	edge->accepts_left = edge->load.turns;
-	if (!edge->accept_waits || !edge->listening)
-		return;
-	edge->accept_waits = false;
-	edge->accepts_left--;
-	accept_caller(edge);
-}
-
-static void close_idle_callers(struct edge *edge)
-{
-	struct server_conn *conn = edge->conns;
-
-	while (conn) {
-		struct server_conn *next = conn->next;
-
-		server_conn_close_idle(conn);
-		conn = next;
-	}
+	edge_callers_begin_poll(prepare->data);
 }
 
 static void stop_listening(struct edge *edge)
@@ -213,7 +124,7 @@
 	    age_ms < edge->settings->stop_notice_ms + MAX_ACCEPT_WAIT_MS)
 		return;
 	stop_listening(edge);
-	close_idle_callers(edge);
+	edge_callers_close_idle(edge);
 	if (edge->call_count || edge->conn_count)
 		return;
 	team_budget_close(edge->budgets);
@@ -221,12 +132,28 @@
 		end_loop(edge);
 }
 
+static void log_load_change(struct edge *edge,
+			    const struct host_load_view *view)
+{
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "host",
+		      edge->load.overloaded ? "overloaded" : "recovered",
+		      "loop_lag_ms=%lld longest_wait_ms=%lld waiting=%u "
+		      "connections=%u connections_percent=%u turns=%u",
+		      (long long)(view->loop_lag_us / TGW_US_PER_MS),
+		      (long long)(view->longest_wait_us / TGW_US_PER_MS),
+		      edge->turns.waiting, edge->conn_count,
+		      view->connections_percent, edge->load.turns);
+}
+
 static void measure_load(struct edge *edge)
 {
 	uint64_t now_ms = uv_now(edge->loop);
+	int64_t now_us = (int64_t)now_ms * TGW_US_PER_MS;
 	struct host_load_view view = {
-		.now_us = (int64_t)now_ms * TGW_US_PER_MS,
+		.now_us = now_us,
 		.longest_wait_us = read_turns_longest_wait_us(&edge->turns),
+		.connections_percent =
+			connection_room_percent(&edge->room, edge->conn_count),
 	};
 
 	if (edge->tick_due_ms && now_ms > edge->tick_due_ms)
@@ -234,15 +161,7 @@
 			(int64_t)(now_ms - edge->tick_due_ms) * TGW_US_PER_MS;
 	edge->tick_due_ms = now_ms + TICK_MS;
 	if (host_load_update(&edge->load, &view))
-		edge_log_line(&edge->log, EDGE_LOG_STATE, "host",
-			      edge->load.overloaded ? "overloaded"
-						    : "recovered",
-			      "loop_lag_ms=%lld longest_wait_ms=%lld "
-			      "waiting=%u connections=%u turns=%u",
-			      (long long)(view.loop_lag_us / TGW_US_PER_MS),
-			      (long long)(view.longest_wait_us / TGW_US_PER_MS),
-			      edge->turns.waiting, edge->conn_count,
-			      edge->load.turns);
+		log_load_change(edge, &view);
 }
 
 static void on_tick(uv_timer_t *timer)
@@ -251,6 +170,7 @@
 	int64_t now_us = edge_now_us();
 
 	measure_load(edge);
+	edge_callers_close_surplus(edge);
 	edge_followers_tick(edge);
 	for (struct backend *backend = edge->backends.first; backend;
 	     backend = backend->next)
@@ -314,13 +234,14 @@
 		.stall_ms = CALLER_STALL_MS,
 	};
 	host_load_init(&edge->load);
+	edge_callers_init(edge);
 	uv_prepare_init(loop, &edge->poll_begins);
 	edge->poll_begins.data = edge;
 	uv_prepare_start(&edge->poll_begins, on_poll_begins);
 	tgw_random_init(&edge->random, tgw_random_incarnation());
 	edge_log_open(&edge->log, settings->log_lines_per_s);
 	if (listen_at(loop, &edge->caller_listener, settings->caller_address,
-		      on_caller, edge, error) != TGW_OK)
+		      edge_callers_on_connection, edge, error) != TGW_OK)
 		return error->status;
 	edge->listening = true;
 	if (listen_at(loop, &edge->ready_listener, settings->ready_address,
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -21,6 +21,7 @@
 #include "edge/edge_peers.h"
 #include "edge/edge_settings.h"
 #include "state/backend_table.h"
+#include "state/connection_room.h"
 #include "state/host_load.h"
 #include "state/latency_buckets.h"
 #include "state/retry_budget.h"
@@ -99,7 +100,10 @@
 	uv_timer_t budget_timer;
 	int64_t budget_due_us;
 	struct server_limits limits; /* on callers' requests */
+	struct connection_room room;
+	/* Callers' connections, by their last request, the latest first. */
 	struct server_conn *conns;
+	struct server_conn *conns_last;
 	struct server_conn *page_conns;
 	uint32_t conn_count;
 	struct call *calls;
--- /dev/null
+++ b/src/edge/edge_callers.c
@@ -0,0 +1,164 @@
+#include "edge/edge_callers.h"
+
+#include <sys/resource.h>
+
+#include "edge/call.h"
+#include "edge/edge.h"
+
+/* Used if neither the settings nor the system set a limit. */
+#define DEFAULT_DESCRIPTORS 4096
+#define MAX_DESCRIPTORS (1024 * 1024)
+
+static uint32_t max_descriptors(const struct edge_settings *settings)
+{
+	struct rlimit limit;
+
+	if (settings->max_descriptors)
+		return (uint32_t)settings->max_descriptors;
+	if (getrlimit(RLIMIT_NOFILE, &limit) < 0 ||
+	    limit.rlim_cur == RLIM_INFINITY)
+		return DEFAULT_DESCRIPTORS;
+	return limit.rlim_cur > MAX_DESCRIPTORS ? MAX_DESCRIPTORS
+						: (uint32_t)limit.rlim_cur;
+}
+
+void edge_callers_init(struct edge *edge)
+{
+	connection_room_init(&edge->room, max_descriptors(edge->settings));
+}
+
+static void insert_first(struct edge *edge, struct server_conn *conn)
+{
+	conn->previous = NULL;
+	conn->next = edge->conns;
+	if (conn->next)
+		conn->next->previous = conn;
+	else
+		edge->conns_last = conn;
+	edge->conns = conn;
+}
+
+static void remove_conn(struct edge *edge, struct server_conn *conn)
+{
+	if (conn->previous)
+		conn->previous->next = conn->next;
+	else
+		edge->conns = conn->next;
+	if (conn->next)
+		conn->next->previous = conn->previous;
+	else
+		edge->conns_last = conn->previous;
+}
+
+static void on_request(struct server_conn *conn)
+{
+	struct edge *edge = conn->owner;
+
+	remove_conn(edge, conn);
+	insert_first(edge, conn);
+	call_start(edge, conn);
+}
+
+static void on_disconnected(struct server_conn *conn)
+{
+	if (conn->call)
+		call_caller_disconnected(conn->call);
+}
+
+static void on_drained(struct server_conn *conn)
+{
+	if (conn->call)
+		call_caller_drained(conn->call);
+}
+
+static void on_closed(struct server_conn *conn)
+{
+	struct edge *edge = conn->owner;
+
+	remove_conn(edge, conn);
+	edge->conn_count--;
+	read_turns_forget(&edge->turns, &conn->turn);
+}
+
+static const struct server_conn_events caller_events = {
+	.request = on_request,
+	.disconnected = on_disconnected,
+	.drained = on_drained,
+	.closed = on_closed,
+};
+
+static void accept_caller(struct edge *edge)
+{
+	struct server_conn *conn;
+
+	edge->accepts_left--;
+	conn = server_conn_accept((uv_stream_t *)&edge->caller_listener,
+				  &edge->limits, &caller_events, edge);
+	if (!conn)
+		return;
+	conn->turns = &edge->turns;
+	insert_first(edge, conn);
+	edge->conn_count++;
+}
+
+static bool may_accept(const struct edge *edge)
+{
+	return edge->accepts_left &&
+	       connection_room_accepts(&edge->room, edge->conn_count);
+}
+
+/* A connection that is not accepted here pauses the listener. */
+void edge_callers_on_connection(uv_stream_t *listener, int status)
+{
+	struct edge *edge = listener->data;
+
+	if (status < 0)
+		return;
+	if (may_accept(edge))
+		accept_caller(edge);
+	else
+		edge->accept_waits = true;
+}
+
+void edge_callers_begin_poll(struct edge *edge)
+{
+	read_turns_begin(&edge->turns, edge->load.turns,
+			 (int64_t)uv_now(edge->loop) * TGW_US_PER_MS);
+	edge->accepts_left = edge->load.turns;
+	if (!edge->accept_waits || !edge->listening || !may_accept(edge))
+		return;
+	edge->accept_waits = false;
+	accept_caller(edge);
+}
+
+void edge_callers_close_surplus(struct edge *edge)
+{
+	uint32_t surplus =
+		connection_room_surplus(&edge->room, edge->conn_count);
+	struct server_conn *conn = edge->conns_last;
+
+	while (surplus && conn) {
+		struct server_conn *more_recent = conn->previous;
+
+		if (server_conn_close_idle(conn))
+			surplus--;
+		conn = more_recent;
+	}
+}
+
+void edge_callers_close_idle(struct edge *edge)
+{
+	struct server_conn *conn = edge->conns;
+
+	while (conn) {
+		struct server_conn *next = conn->next;
+
+		(void)server_conn_close_idle(conn);
+		conn = next;
+	}
+}
+
+bool edge_callers_ends_connection(struct edge *edge)
+{
+	return edge->stopping || host_load_ends_connection(&edge->load);
+}
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -27,6 +27,9 @@
 	NUMBER("host", "memory_mb", memory_mb, 0, 1000000000, 0,
 	       "memory of this host; larger hosts take tokens of budgets for "
 	       "smaller ones of their failure domain"),
+	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
+	       "file descriptors that the process may have open; 0 for the "
+	       "limit that the system sets"),
 	TEXT("store", "address", store_address, true,
 	     "IP address and port of the platform's store"),
 	NUMBER("store", "timeout_ms", store_timeout_ms, 50, 60000, 1000,
--- /dev/null
+++ b/src/state/connection_room.c
@@ -0,0 +1,37 @@
+#include "state/connection_room.h"
+
+/* The host's own work keeps this part of the descriptors. */
+#define OWN_DIVISOR 8
+/* A request takes two: its caller's connection and one to a server. */
+#define DESCRIPTORS_PER_REQUEST 2
+#define KEEP_IDLE_PERCENT 50
+
+void connection_room_init(struct connection_room *room, uint32_t descriptors)
+{
+	uint32_t others = descriptors - descriptors / OWN_DIVISOR;
+
+	room->max_callers = others / DESCRIPTORS_PER_REQUEST;
+	room->keep_idle_below = (uint32_t)((uint64_t)room->max_callers *
+					   KEEP_IDLE_PERCENT / 100);
+}
+
+bool connection_room_accepts(const struct connection_room *room,
+			     uint32_t callers)
+{
+	return callers < room->max_callers;
+}
+
+uint32_t connection_room_surplus(const struct connection_room *room,
+				 uint32_t callers)
+{
+	return callers > room->keep_idle_below ? callers - room->keep_idle_below
+					       : 0;
+}
+
+uint32_t connection_room_percent(const struct connection_room *room,
+				 uint32_t callers)
+{
+	if (!room->max_callers)
+		return 100;
+	return (uint32_t)((uint64_t)callers * 100 / room->max_callers);
+}
--- a/src/state/host_load.c
+++ b/src/state/host_load.c
@@ -13,6 +13,8 @@
 #define OVERLOADED_WAIT_US (500 * TGW_US_PER_MS)
 #define CALM_WAIT_US (100 * TGW_US_PER_MS)
 #define CALM_FOR_US (1 * TGW_US_PER_S)
+#define OVERLOADED_CONNECTIONS_PERCENT 75
+#define CALM_CONNECTIONS_PERCENT 60
 
 void host_load_init(struct host_load *load)
 {
@@ -29,9 +31,16 @@
 							: turns + TURNS_STEP;
 }
 
+static bool is_pressed(const struct host_load_view *view)
+{
+	return view->longest_wait_us >= OVERLOADED_WAIT_US ||
+	       view->connections_percent >= OVERLOADED_CONNECTIONS_PERCENT;
+}
+
 static bool is_calm(struct host_load *load, const struct host_load_view *view)
 {
-	if (view->longest_wait_us >= CALM_WAIT_US) {
+	if (view->longest_wait_us >= CALM_WAIT_US ||
+	    view->connections_percent >= CALM_CONNECTIONS_PERCENT) {
 		load->calm_since_us = 0;
 		return false;
 	}
@@ -40,6 +49,12 @@
 	return view->now_us - load->calm_since_us >= CALM_FOR_US;
 }
 
+static uint32_t ended_percent(const struct host_load_view *view)
+{
+	return view->connections_percent >= OVERLOADED_CONNECTIONS_PERCENT ? 100
+									   : 0;
+}
+
 bool host_load_update(struct host_load *load, const struct host_load_view *view)
 {
 	bool was_overloaded = load->overloaded;
@@ -47,11 +62,21 @@
 	load->loop_lag_us = view->loop_lag_us;
 	load->longest_wait_us = view->longest_wait_us;
 	load->turns = next_turns(load->turns, view->loop_lag_us);
+	load->ended_percent = ended_percent(view);
 	if (was_overloaded)
 		load->overloaded = !is_calm(load, view);
 	else
-		load->overloaded = view->longest_wait_us >= OVERLOADED_WAIT_US;
+		load->overloaded = is_pressed(view);
 	if (load->overloaded != was_overloaded)
 		load->calm_since_us = 0;
 	return load->overloaded != was_overloaded;
 }
+
+bool host_load_ends_connection(struct host_load *load)
+{
+	load->ended_carry_percent += load->ended_percent;
+	if (load->ended_carry_percent < 100)
+		return false;
+	load->ended_carry_percent -= 100;
+	return true;
+}
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -500,8 +500,10 @@
 		close_now(conn);
 }
 
-void server_conn_close_idle(struct server_conn *conn)
+bool server_conn_close_idle(struct server_conn *conn)
 {
-	if (is_idle(conn))
-		uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
+	if (!is_idle(conn))
+		return false;
+	uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
+	return true;
 }
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -147,7 +147,8 @@
 void server_conn_abort(struct server_conn *conn);
 
 /** Closes the connection if no request is being read or served and its last
- * response is written. A request that has already arrived is served. */
-void server_conn_close_idle(struct server_conn *conn);
+ * response is written. A request that has already arrived is served.
+ * @return whether the connection is idle */
+bool server_conn_close_idle(struct server_conn *conn);
 
 #endif
--- a/tests/unit/test_host_load.c
+++ b/tests/unit/test_host_load.c
@@ -1,6 +1,7 @@
 /* Tests what callers get of a host's time: the decision, and the turns. */
 #include "state/host_load.h"
 
+#include "state/connection_room.h"
 #include "tamarackgw/clock.h"
 #include "transport/read_turns.h"
 #include "unit/unit_main.h"
@@ -88,6 +89,28 @@
 }
 END_TEST
 
+/* A host keeps so many idle connections that it closes no more of them. */
+START_TEST(an_overload_by_connections_ends_although_idle_ones_stay)
+{
+	struct connection_room room;
+	struct host_load_view view = {.now_us = now_us};
+
+	connection_room_init(&room, 4096);
+	view.connections_percent = 75;
+	host_load_update(&load, &view);
+	ck_assert(load.overloaded);
+	ck_assert(host_load_ends_connection(&load));
+	view.connections_percent =
+		connection_room_percent(&room, room.keep_idle_below);
+	for (int i = 0; i < 20; i++) {
+		view.now_us += INTERVAL_US;
+		host_load_update(&load, &view);
+	}
+	ck_assert(!load.overloaded);
+	ck_assert(!host_load_ends_connection(&load));
+}
+END_TEST
+
 #define CONNECTIONS 10
 
 START_TEST(connections_read_in_the_order_of_their_first_try)
@@ -146,6 +169,8 @@
 			    sizeof(rows) / sizeof(rows[0]));
 	tcase_add_test(tcase, callers_get_their_turns_back);
 	tcase_add_test(tcase, an_overload_ends_after_a_calm_second);
+	tcase_add_test(tcase,
+		       an_overload_by_connections_ends_although_idle_ones_stay);
 	tcase_add_test(tcase, connections_read_in_the_order_of_their_first_try);
 	tcase_add_test(tcase, a_connection_that_closes_leaves_its_place);
 	suite_add_tcase(suite, tcase);
