Send callers elsewhere before the host's network link is full

Traced by half seconds: it takes in 2.36 MB/s, 94 in 100 of its link, from the second second of the team's burst on, and then waits for its servers, its relay and the store all at once, 1,885 connections to servers fail, and callers time out. Processor, memory and descriptors are not exhausted, so the host noticed nothing and stayed ready.

Change: hosts know the capacity of their link (link_mbps) and count the bytes of requests and messages. From 75 in 100 on, in the busier direction, they are not ready, and every fourth response ends its connection, until they use less than 55 for a second.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -102,6 +102,7 @@
 				    "the server's address can't be used");
 		return;
 	}
+	attempt->conn->link_bytes = &edge->link_bytes;
 	event_scan_init(&attempt->events);
 	write_head(call, backend, &head);
 	attempt->conn->ignore_body =
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -132,17 +132,31 @@
 		end_loop(edge);
 }
 
+static uint32_t measure_link(struct edge *edge, int64_t now_us)
+{
+	const struct datagram_channel_counters *messages =
+		&edge->peers.channel.counters;
+	struct link_bytes bytes = edge->link_bytes;
+
+	bytes.received_bytes += messages->bytes_received;
+	bytes.sent_bytes += messages->bytes_sent;
+	link_load_update(&edge->link_load, &bytes, now_us);
+	return link_load_percent(&edge->link_load);
+}
+
 static void log_load_change(struct edge *edge,
 			    const struct host_load_view *view)
 {
-	edge_log_line(&edge->log, EDGE_LOG_STATE, "host",
-		      edge->load.overloaded ? "overloaded" : "recovered",
-		      "loop_lag_ms=%lld longest_wait_ms=%lld waiting=%u "
-		      "connections=%u connections_percent=%u turns=%u",
-		      (long long)(view->loop_lag_us / TGW_US_PER_MS),
-		      (long long)(view->longest_wait_us / TGW_US_PER_MS),
-		      edge->turns.waiting, edge->conn_count,
-		      view->connections_percent, edge->load.turns);
+	edge_log_line(
+		&edge->log, EDGE_LOG_STATE, "host",
+		edge->load.overloaded ? "overloaded" : "recovered",
+		"loop_lag_ms=%lld longest_wait_ms=%lld waiting=%u "
+		"connections=%u connections_percent=%u link_percent=%u turns=%u",
+		(long long)(view->loop_lag_us / TGW_US_PER_MS),
+		(long long)(view->longest_wait_us / TGW_US_PER_MS),
+		edge->turns.waiting, edge->conn_count,
+		view->connections_percent, view->link_percent,
+		edge->load.turns);
 }
 
 static void measure_load(struct edge *edge)
@@ -152,6 +166,7 @@
 	struct host_load_view view = {
 		.now_us = now_us,
 		.longest_wait_us = read_turns_longest_wait_us(&edge->turns),
+		.link_percent = measure_link(edge, now_us),
 		.connections_percent =
 			connection_room_percent(&edge->room, edge->conn_count),
 	};
@@ -234,6 +249,7 @@
 		.stall_ms = CALLER_STALL_MS,
 	};
 	host_load_init(&edge->load);
+	link_load_init(&edge->link_load, settings->link_mbps);
 	edge_callers_init(edge);
 	uv_prepare_init(loop, &edge->poll_begins);
 	edge->poll_begins.data = edge;
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -24,6 +24,7 @@
 #include "state/connection_room.h"
 #include "state/host_load.h"
 #include "state/latency_buckets.h"
+#include "state/link_load.h"
 #include "state/retry_budget.h"
 #include "tamarackgw/random.h"
 #include "transport/read_turns.h"
@@ -101,6 +102,8 @@
 	int64_t budget_due_us;
 	struct server_limits limits; /* on callers' requests */
 	struct connection_room room;
+	struct link_bytes link_bytes; /* of requests and their responses */
+	struct link_load link_load;
 	/* Callers' connections, by their last request, the latest first. */
 	struct server_conn *conns;
 	struct server_conn *conns_last;
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -97,6 +97,7 @@
 	if (!conn)
 		return;
 	conn->turns = &edge->turns;
+	conn->link_bytes = &edge->link_bytes;
 	insert_first(edge, conn);
 	edge->conn_count++;
 }
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -170,6 +170,7 @@
 	add_gauge(text, "loop_lag_seconds",
 		  (double)edge->load.loop_lag_us / (double)TGW_US_PER_S);
 	add_gauge(text, "reads_waiting", edge->turns.waiting);
+	add_gauge(text, "link_percent", link_load_percent(&edge->link_load));
 	add_gauge(text, "overloaded", edge->load.overloaded);
 	add_gauge(text, "servers", (double)edge->backends.count);
 	add_gauge(text, "config_version", set ? (double)set->version : 0);
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -30,6 +30,9 @@
 	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
 	       "file descriptors that the process may have open; 0 for the "
 	       "limit that the system sets"),
+	NUMBER("host", "link_mbps", link_mbps, 0, 10000000, 0,
+	       "capacity of this host's network link in each direction; 0 if "
+	       "it is unknown: then a full link is not noticed"),
 	TEXT("store", "address", store_address, true,
 	     "IP address and port of the platform's store"),
 	NUMBER("store", "timeout_ms", store_timeout_ms, 50, 60000, 1000,
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -21,6 +21,7 @@
 					      * empty for none */
 	int64_t memory_mb;
 	int64_t max_descriptors; /**< 0: the system's limit */
+	int64_t link_mbps;	 /**< 0: unknown */
 	/* [store] */
 	char store_address[TGW_NAME_SIZE];
 	int64_t store_timeout_ms;
--- a/src/state/host_load.c
+++ b/src/state/host_load.c
@@ -15,6 +15,10 @@
 #define CALM_FOR_US (1 * TGW_US_PER_S)
 #define OVERLOADED_CONNECTIONS_PERCENT 75
 #define CALM_CONNECTIONS_PERCENT 60
+#define OVERLOADED_LINK_PERCENT 75
+#define CALM_LINK_PERCENT 55
+/* Callers that leave at once would overload the next host together. */
+#define ENDED_FOR_LINK_PERCENT 25
 
 void host_load_init(struct host_load *load)
 {
@@ -34,12 +38,14 @@
 static bool is_pressed(const struct host_load_view *view)
 {
 	return view->longest_wait_us >= OVERLOADED_WAIT_US ||
+	       view->link_percent >= OVERLOADED_LINK_PERCENT ||
 	       view->connections_percent >= OVERLOADED_CONNECTIONS_PERCENT;
 }
 
 static bool is_calm(struct host_load *load, const struct host_load_view *view)
 {
 	if (view->longest_wait_us >= CALM_WAIT_US ||
+	    view->link_percent >= CALM_LINK_PERCENT ||
 	    view->connections_percent >= CALM_CONNECTIONS_PERCENT) {
 		load->calm_since_us = 0;
 		return false;
@@ -51,8 +57,11 @@
 
 static uint32_t ended_percent(const struct host_load_view *view)
 {
-	return view->connections_percent >= OVERLOADED_CONNECTIONS_PERCENT ? 100
-									   : 0;
+	if (view->connections_percent >= OVERLOADED_CONNECTIONS_PERCENT)
+		return 100;
+	return view->link_percent >= OVERLOADED_LINK_PERCENT
+		       ? ENDED_FOR_LINK_PERCENT
+		       : 0;
 }
 
 bool host_load_update(struct host_load *load, const struct host_load_view *view)
--- a/src/state/host_load.h
+++ b/src/state/host_load.h
@@ -22,6 +22,8 @@
 	int64_t loop_lag_us;
 	/** How long a caller's bytes have been waiting at most. */
 	int64_t longest_wait_us;
+	/** Use of the network link, in percent of its capacity. */
+	uint32_t link_percent;
 	/** Callers' connections, in percent of their maximum. */
 	uint32_t connections_percent;
 };
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -229,6 +229,8 @@
 		return;
 	}
 	if (size > 0) {
+		if (conn->link_bytes)
+			conn->link_bytes->received_bytes += (uint64_t)size;
 		parse(conn, buf->base, (size_t)size);
 		return;
 	}
@@ -267,6 +269,8 @@
 			unsigned int count)
 {
 	conn->sent = true;
+	if (conn->link_bytes)
+		conn->link_bytes->sent_bytes += stream_write_size(parts, count);
 	if (stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
 			       on_written))
 		uv_timer_start(&conn->timer, on_write_refused, 0, 0);
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -14,6 +14,7 @@
 
 #include "base/buffer.h"
 #include "protocol/http_head.h"
+#include "state/link_load.h"
 
 struct http_conn;
 
@@ -72,6 +73,7 @@
 	int64_t idle_since_us; /**< for the owner's pool */
 	/** The server's idle limit less a margin; 0 if it announced none. */
 	int64_t idle_limit_us;
+	struct link_bytes *link_bytes; /**< counts its bytes, unless NULL */
 	const struct http_conn_events *events;
 	void *arg;
 	void *owner;		/**< for the owner's pool */
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -350,6 +350,8 @@
 		server_conn_handle_disconnect(conn);
 		return;
 	}
+	if (conn->link_bytes)
+		conn->link_bytes->received_bytes += (uint64_t)size;
 	if (conn->state == SERVER_CONN_SERVING)
 		queue_pipelined(conn, buf->base, (size_t)size);
 	else if (conn->state == SERVER_CONN_READING && !conn->partly_read)
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -14,6 +14,7 @@
 
 #include "base/buffer.h"
 #include "protocol/http_head.h"
+#include "state/link_load.h"
 #include "transport/read_turns.h"
 
 struct server_conn;
@@ -105,6 +106,7 @@
 	 * the turn in `closed`. */
 	struct read_turns *turns;
 	struct read_turn turn;
+	struct link_bytes *link_bytes; /**< counts its bytes, unless NULL */
 	void *call; /**< the owner's data for the current request */
 	struct server_conn *previous;
 	struct server_conn *next;
--- a/src/transport/server_conn_response.c
+++ b/src/transport/server_conn_response.c
@@ -39,6 +39,8 @@
 {
 	if (conn->state == SERVER_CONN_CLOSING || conn->write_failed)
 		return;
+	if (conn->link_bytes)
+		conn->link_bytes->sent_bytes += stream_write_size(parts, count);
 	if (!stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
 				on_written))
 		return;
--- a/src/transport/stream_write.c
+++ b/src/transport/stream_write.c
@@ -38,19 +38,26 @@
 	return at;
 }
 
+size_t stream_write_size(const uv_buf_t *parts, unsigned int count)
+{
+	size_t total = 0;
+
+	for (unsigned int i = 0; i < count; i++)
+		total += parts[i].len;
+	return total;
+}
+
 int stream_write_parts(uv_stream_t *stream, const uv_buf_t *parts,
 		       unsigned int count,
 		       void (*done)(uv_stream_t *stream, int status))
 {
 	struct queued_write *queued;
 	uv_buf_t rest;
-	size_t total = 0;
+	size_t total = stream_write_size(parts, count);
 	size_t accepted = 0;
 	int written;
 	int error;
 
-	for (unsigned int i = 0; i < count; i++)
-		total += parts[i].len;
 	written = uv_try_write(stream, parts, count);
 	if (written > 0)
 		accepted = (size_t)written;
--- a/src/transport/stream_write.h
+++ b/src/transport/stream_write.h
@@ -6,8 +6,12 @@
 #ifndef TRANSPORT_STREAM_WRITE_H
 #define TRANSPORT_STREAM_WRITE_H
 
+#include <stddef.h>
 #include <uv.h>
 
+/** @return the bytes of the parts together */
+size_t stream_write_size(const uv_buf_t *parts, unsigned int count);
+
 /**
  * Writes the parts in order. After an error, bytes are missing: the stream
  * can't be used further.
