Test a host with a small link among callers

Callers read large responses through a host whose link carries 1 Mbit/s: it must say that it is not ready, end some connections, and recover.

--- a/tests/unit/test_edge_idle_callers.c
+++ b/tests/unit/test_edge_caller_load.c
@@ -1,5 +1,6 @@
-/* Tests one edge host with few descriptors and many callers that keep their
- * connections: who is closed, who is served, and which request is lost. */
+/* Tests one edge host with few descriptors, or a small link, and many callers
+ * that keep their connections: who is closed, who is served, and who is sent to
+ * other hosts. */
 #include <arpa/inet.h>
 #include <errno.h>
 #include <stdlib.h>
@@ -26,6 +27,8 @@
 	"GET /open/ok HTTP/1.1\r\nHost: a.example\r\n\r\n";
 static const char waits[] =
 	"GET /open/wait HTTP/1.1\r\nHost: a.example\r\n\r\n";
+static const char large[] =
+	"GET /open/large HTTP/1.1\r\nHost: a.example\r\n\r\n";
 
 static struct edge_rig rig;
 static struct edge *edge;
@@ -224,9 +227,34 @@
 }
 END_TEST
 
+/* Callers read large responses through a host with a small link. */
+START_TEST(a_host_with_a_full_link_sends_callers_elsewhere)
+{
+	char response[4096];
+	bool ended = false;
+
+	link_load_init(&edge->link_load, 1);
+	for (int i = 0; i < 10; i++) {
+		callers[i] = connect_caller();
+		send_text(callers[i], large);
+		edge_rig_run(&rig, 50);
+	}
+	ck_assert(edge->load.overloaded);
+	for (int i = 10; i < 14; i++) {
+		callers[i] = connect_caller();
+		send_text(callers[i], request);
+		ck_assert(is_answered(callers[i], response, sizeof(response)));
+		ended |= strstr(response, "Connection: close\r\n") != NULL;
+	}
+	ck_assert(ended);
+	edge_rig_run(&rig, 2 * RECOVERY_MS);
+	ck_assert(!edge->load.overloaded);
+}
+END_TEST
+
 int main(void)
 {
-	Suite *suite = suite_create("edge_idle_callers");
+	Suite *suite = suite_create("edge_caller_load");
 	TCase *tcase = tcase_create("core");
 
 	tcase_set_timeout(tcase, 60);
@@ -247,6 +275,7 @@
 		a_connection_beyond_the_maximum_is_served_after_others_end);
 	tcase_add_test(tcase,
 		       a_host_is_ready_again_after_idle_connections_filled_it);
+	tcase_add_test(tcase, a_host_with_a_full_link_sends_callers_elsewhere);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
