--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -350,6 +350,8 @@
 		server_conn_handle_disconnect(conn);
 		return;
 	}
+	if (conn->link_bytes)
+		conn->link_bytes->received_bytes += (uint64_t)size;
 	if (conn->state == SERVER_CONN_SERVING)
 		queue_pipelined(conn, buf->base, (size_t)size);
 	else if (conn->state == SERVER_CONN_READING && !conn->partly_read)
@@ -500,8 +502,10 @@
 		close_now(conn);
 }
 
-void server_conn_close_idle(struct server_conn *conn)
+bool server_conn_close_idle(struct server_conn *conn)
 {
-	if (is_idle(conn))
-		uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
+	if (!is_idle(conn))
+		return false;
+	uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
+	return true;
 }
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -14,6 +14,7 @@
 
 #include "base/buffer.h"
 #include "protocol/http_head.h"
+#include "state/link_load.h"
 #include "transport/read_turns.h"
 
 struct server_conn;
@@ -105,6 +106,7 @@
 	 * the turn in `closed`. */
 	struct read_turns *turns;
 	struct read_turn turn;
+	struct link_bytes *link_bytes; /**< counts its bytes, unless NULL */
 	void *call; /**< the owner's data for the current request */
 	struct server_conn *previous;
 	struct server_conn *next;
@@ -147,7 +149,8 @@
 void server_conn_abort(struct server_conn *conn);
 
 /** Closes the connection if no request is being read or served and its last
- * response is written. A request that has already arrived is served. */
-void server_conn_close_idle(struct server_conn *conn);
+ * response is written. A request that has already arrived is served.
+ * @return whether the connection is idle */
+bool server_conn_close_idle(struct server_conn *conn);
 
 #endif
