Let the store's stand-in show each client its own view

A soak with several hosts needs a store that is silent or refuses for one of them, and that names the other hosts by the addresses of a proxy. A view is one more listener with faults of its own. test_edge, test_edge_connections, test_edge_second_attempt and test_edge_server_answers pass as before.

--- a/tests/fakes/kv_standin.c
+++ b/tests/fakes/kv_standin.c
@@ -53,16 +53,24 @@
 	return NULL;
 }
 
-static json_t *describe(const struct kv_standin_item *item)
+static json_t *describe(const struct kv_standin_view *view,
+			const struct kv_standin_item *item)
 {
 	json_t *object = json_object();
+	char *replaced = NULL;
+
+	if (item->value && view->replace)
+		replaced = view->replace(view->arg, item->key, item->value);
 
 	json_object_set_new(object, "key", json_string(item->key));
 	json_object_set_new(object, "revision", json_integer(item->revision));
 	if (item->value)
-		json_object_set_new(object, "value", json_string(item->value));
+		json_object_set_new(object, "value",
+				    json_string(replaced ? replaced
+							 : item->value));
 	else
 		json_object_set_new(object, "tombstone", json_true());
+	free(replaced);
 	return object;
 }
 
@@ -86,9 +94,10 @@
 	}
 }
 
-static json_t *list(struct kv_standin *store, const char *prefix, int64_t after,
-		    bool removed, const char *name)
+static json_t *list(const struct kv_standin_view *view, const char *prefix,
+		    int64_t after, bool removed, const char *name)
 {
+	const struct kv_standin *store = view->store;
 	json_t *body = json_object();
 	json_t *items = json_array();
 
@@ -96,7 +105,7 @@
 	     item = item->next)
 		if (!strncmp(item->key, prefix, strlen(prefix)) &&
 		    item->revision > after && (item->value || removed))
-			json_array_append_new(items, describe(item));
+			json_array_append_new(items, describe(view, item));
 	json_object_set_new(body, name, items);
 	json_object_set_new(body, "storeRevision",
 			    json_integer(store->revision));
@@ -121,12 +130,15 @@
 static void answer_watch(struct kv_standin_watch *watch)
 {
 	struct server_conn *conn = watch->conn;
-	json_t *body =
-		list(watch->store, watch->prefix, watch->after, true, "events");
+	const struct kv_standin_view *view = conn->owner;
+	json_t *body = list(view, watch->prefix, watch->after, true, "events");
 
 	conn->call = NULL;
 	end_watch(watch);
-	answer(conn, 200, body);
+	if (view->silent)
+		json_decref(body);
+	else
+		answer(conn, 200, body);
 }
 
 static void on_watch_timeout(uv_timer_t *timer)
@@ -233,6 +245,7 @@
 	const json_t *row;
 	size_t i;
 	bool revisions_match = true;
+	const struct kv_standin_view *view = conn->owner;
 
 	json_array_foreach(json_object_get(body, "expectedRevision"), i, row)
 	{
@@ -248,7 +261,7 @@
 		    json_integer_value(json_object_get(row, "revision")))
 			revisions_match = false;
 		if (item && item->value)
-			json_array_append_new(items, describe(item));
+			json_array_append_new(items, describe(view, item));
 	}
 	if (revisions_match) {
 		json_array_foreach(json_object_get(body, "writes"), i, row)
@@ -272,26 +285,30 @@
 
 static void on_request(struct server_conn *conn)
 {
-	struct kv_standin *store = conn->owner;
+	struct kv_standin_view *view = conn->owner;
+	struct kv_standin *store = view->store;
 	const char *target = conn->request.target.data;
 	struct kv_standin_item *item;
 	char text[TEXT_SIZE];
 
 	store->calls++;
-	if (store->silent)
+	if (store->silent || view->silent)
 		return;
-	if (store->refuse_status) {
-		answer(conn, store->refuse_status, NULL);
+	if (store->refuse_status || view->refuse_status) {
+		answer(conn,
+		       view->refuse_status ? view->refuse_status
+					   : store->refuse_status,
+		       NULL);
 	} else if (!strncmp(target, "/kv-key", 7)) {
 		query_text(conn, "key", text);
 		item = find(store, text);
 		if (item && item->value)
-			answer(conn, 200, describe(item));
+			answer(conn, 200, describe(view, item));
 		else
 			answer(conn, 404, NULL);
 	} else if (!strncmp(target, "/kv-range", 9)) {
 		query_text(conn, "pathPrefix", text);
-		answer(conn, 200, list(store, text, 0, false, "items"));
+		answer(conn, 200, list(view, text, 0, false, "items"));
 	} else if (!strncmp(target, "/kv-watch", 9)) {
 		query_text(conn, "after", text);
 		if (strtoll(text, NULL, 10) < store->oldest)
@@ -332,13 +349,21 @@
 	memset(store, 0, sizeof(*store));
 	store->loop = loop;
 	store->revision = 1;
-	loop_listener_start(&store->listener, loop, on_connection, store,
-			    store->address, sizeof(store->address));
+	kv_standin_add_view(store, &store->main_view);
+	memmove(store->address, store->main_view.address,
+		sizeof(store->address));
+}
+
+void kv_standin_add_view(struct kv_standin *store, struct kv_standin_view *view)
+{
+	view->store = store;
+	loop_listener_start(&view->listener, store->loop, on_connection, view,
+			    view->address, sizeof(view->address));
 }
 
 void kv_standin_stop(struct kv_standin *store)
 {
-	uv_close((uv_handle_t *)&store->listener, NULL);
+	uv_close((uv_handle_t *)&store->main_view.listener, NULL);
 	while (store->items) {
 		struct kv_standin_item *item = store->items;
 
--- a/tests/fakes/kv_standin.h
+++ b/tests/fakes/kv_standin.h
@@ -18,13 +18,28 @@
 	struct kv_standin_item *next;
 };
 
+struct kv_standin;
 struct kv_standin_watch;
 
+/** One more address of the store, for a client to which it behaves in another
+ * way than to the others. */
+struct kv_standin_view {
+	struct kv_standin *store;
+	uv_tcp_t listener;
+	char address[32];
+	bool silent;	   /**< answers no request */
+	int refuse_status; /**< HTTP status of all answers; 0: serve normally */
+	/** @return another value to show for the key, in base64, which the
+	 * store frees, or NULL; the function may be NULL */
+	char *(*replace)(void *arg, const char *key, const char *value);
+	void *arg;
+};
+
 #define KV_STANDIN_CONFLICTS_MAX 32
 
 struct kv_standin {
 	uv_loop_t *loop;
-	uv_tcp_t listener;
+	struct kv_standin_view main_view; /**< of its listener */
 	char address[32];
 	int64_t revision;
 	int64_t oldest; /**< watches from earlier revisions get 410 */
@@ -46,6 +61,10 @@
 };
 
 void kv_standin_start(struct kv_standin *store, uv_loop_t *loop);
+
+/** Listens at a free address as well. */
+void kv_standin_add_view(struct kv_standin *store,
+			 struct kv_standin_view *view);
 void kv_standin_stop(struct kv_standin *store);
 
 /** Writes a key, as the operator or a backend server would; a NULL value
