Play faults on a fleet of host processes and check the promises

tools/soak.sh plays seeds: hosts run as processes between callers, backend servers, proxies and a store of the program tests/soak. 36 kinds of fault overlap: signals, cuts, resets, silences and delays of links, messages between hosts that are lost, late, repeated or changed, servers that answer badly, and a store that is slow, away, or forgets. Twelve promises are checked as callers and servers see them.

--- /dev/null
+++ b/tests/soak/soak_host.c
@@ -0,0 +1,226 @@
+#include "soak/soak_host.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "base/xalloc.h"
+#include "fakes/edge_rig.h"
+#include "soak/soak.h"
+#include "state/peer_host.h"
+
+/* Without a fault for this long, a host meets its time limits. */
+#define CONTACT_US (3 * SOAK_US_PER_S)
+/* For the exit of a process that has reached its own limit. */
+#define KILL_SLACK_US (1 * SOAK_US_PER_S)
+#define ADDRESS_BYTES 512
+
+/* Shows this host the other hosts' addresses as those of the proxy. */
+static char *replace_peer_address(void *arg, const char *key, const char *value)
+{
+	static const char prefix[] = "tgw/peers/hosts/";
+	const struct soak_host *host = arg;
+	struct buffer record = {0};
+	struct peer_host peer;
+	uint8_t bytes[ADDRESS_BYTES];
+	size_t size = 0;
+	size_t to;
+	char *text = NULL;
+
+	if (strncmp(key, prefix, strlen(prefix)) ||
+	    sodium_base642bin(bytes, sizeof(bytes), value, strlen(value), NULL,
+			      &size, NULL, sodium_base64_VARIANT_ORIGINAL) ||
+	    peer_host_decode(&peer, bytes, size, NULL) != TGW_OK)
+		return NULL;
+	to = strtoul(peer.name + strlen("host-"), NULL, 10);
+	if (to == host->index || to >= host->soak->host_count)
+		return NULL;
+	snprintf(peer.address, sizeof(peer.address), "%s",
+		 soak_peers_address(&host->soak->peers, host->index, to));
+	peer_host_encode(&peer, &record);
+	size = sodium_base64_encoded_len(record.size,
+					 sodium_base64_VARIANT_ORIGINAL);
+	text = xmalloc(size);
+	sodium_bin2base64(text, size, (const uint8_t *)record.data, record.size,
+			  sodium_base64_VARIANT_ORIGINAL);
+	buffer_free(&record);
+	return text;
+}
+
+static void free_address(char *text, size_t size)
+{
+	snprintf(text, size, "127.0.0.1:%d", edge_rig_free_port());
+}
+
+void soak_host_init(struct soak_host *host, struct soak *soak, size_t index)
+{
+	host->soak = soak;
+	host->index = index;
+	snprintf(host->name, sizeof(host->name), "host-%zu", index);
+	snprintf(host->settings_path, sizeof(host->settings_path), "%s/%s.ini",
+		 soak->folder, host->name);
+	snprintf(host->log_path, sizeof(host->log_path), "%s/%s.log",
+		 soak->folder, host->name);
+	free_address(host->caller_address, sizeof(host->caller_address));
+	free_address(host->peer_address, sizeof(host->peer_address));
+	free_address(host->ready_address, sizeof(host->ready_address));
+	host->view.replace = replace_peer_address;
+	host->view.arg = host;
+	kv_standin_add_view(&soak->store, &host->view);
+	soak_link_start(&host->caller_link, &soak->loop, host->caller_address);
+	soak_link_start(&host->store_link, &soak->loop, host->view.address);
+	soak_host_write_settings(host);
+}
+
+void soak_host_write_settings(const struct soak_host *host)
+{
+	FILE *file = fopen(host->settings_path, "w");
+
+	if (!file)
+		abort();
+	fprintf(file,
+		"[host]\nname = %s\nfailure_domain = domain-%zu\n"
+		"caller_address = %s\nready_address = %s\npeer_address = %s\n"
+		"[store]\naddress = %s\napply_ms = %d\ndrain_ms = %d\n"
+		"[budget]\nexpected_hosts = %zu\n"
+		"[stop]\nnotice_ms = 1000\nkill_after_s = %d\n"
+		"[log]\nlines_per_s = 400\n",
+		host->name, host->index % SOAK_DOMAINS, host->caller_address,
+		host->ready_address, host->peer_address,
+		host->store_link.address, SOAK_APPLY_MS, SOAK_DRAIN_MS,
+		host->soak->host_count, SOAK_KILL_AFTER_S);
+	fclose(file);
+}
+
+/* Runs in the child process. */
+static void run_program(const struct soak_host *host)
+{
+	int log = open(host->log_path,
+		       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+
+	/* It must not outlive the soak, however that ends. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	dup2(log, STDOUT_FILENO);
+	dup2(log, STDERR_FILENO);
+	execl(host->soak->program, host->soak->program, "--settings",
+	      host->settings_path, (char *)NULL);
+	_exit(127);
+}
+
+void soak_host_start(struct soak_host *host)
+{
+	host->start_at_us = 0;
+	if (host->pid)
+		return;
+	host->pid = fork();
+	if (host->pid < 0)
+		abort();
+	if (!host->pid)
+		run_program(host);
+	host->starts++;
+	host->stop_us = 0;
+	host->paused = false;
+	host->started_us = soak_now_us();
+	host->version_seen = 0;
+	soak_host_disturb(host);
+}
+
+void soak_host_signal(struct soak_host *host, int number)
+{
+	if (!host->pid)
+		return;
+	soak_host_disturb(host);
+	if (number == SIGKILL)
+		host->killed_us = soak_now_us();
+	if (number == SIGTERM && !host->stop_us)
+		host->stop_us = soak_now_us();
+	if (number == SIGSTOP || number == SIGCONT) {
+		host->paused = number == SIGSTOP;
+		host->paused_us = soak_now_us();
+	}
+	kill(host->pid, number);
+}
+
+static void check_end(struct soak_host *host, int status)
+{
+	bool killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL &&
+		      host->killed_us > host->started_us;
+	bool stopped = host->stop_us && WIFEXITED(status) &&
+		       !WEXITSTATUS(status);
+
+	if (!killed && !stopped)
+		soak_broken(host->soak, "ENDED", "%s ended by itself: %s %d",
+			    host->name,
+			    WIFSIGNALED(status) ? "signal" : "exit code",
+			    WIFSIGNALED(status) ? WTERMSIG(status)
+						: WEXITSTATUS(status));
+}
+
+static void enforce_stop(struct soak_host *host)
+{
+	int64_t limit_us = SOAK_KILL_AFTER_S * SOAK_US_PER_S + KILL_SLACK_US;
+
+	if (!host->stop_us || host->paused ||
+	    soak_now_us() - host->stop_us < limit_us ||
+	    soak_now_us() - host->paused_us < limit_us ||
+	    host->killed_us > host->stop_us)
+		return;
+	soak_broken(host->soak, "STOP", "%s still runs after its stop",
+		    host->name);
+	soak_host_signal(host, SIGKILL);
+}
+
+void soak_host_poll(struct soak_host *host)
+{
+	int status;
+
+	if (host->pid && waitpid(host->pid, &status, WNOHANG) == host->pid) {
+		host->pid = 0;
+		soak_host_disturb(host);
+		check_end(host, status);
+		if (!host->start_at_us)
+			host->start_at_us =
+				soak_now_us() +
+				(int64_t)tgw_random_below(&host->soak->random,
+							  SOAK_US_PER_S);
+	}
+	if (host->pid)
+		enforce_stop(host);
+	else if (host->start_at_us && soak_now_us() >= host->start_at_us &&
+		 !host->soak->ending)
+		soak_host_start(host);
+}
+
+void soak_host_disturb(struct soak_host *host)
+{
+	host->disturbed_us = soak_now_us();
+}
+
+void soak_host_begin_fault(struct soak_host *host)
+{
+	host->faults++;
+	soak_host_disturb(host);
+}
+
+void soak_host_end_fault(struct soak_host *host)
+{
+	host->faults--;
+	soak_host_disturb(host);
+}
+
+bool soak_host_in_touch(const struct soak_host *host)
+{
+	const struct soak *soak = host->soak;
+	int64_t now_us = soak_now_us();
+
+	return host->pid && !host->stop_us && !host->paused && !host->faults &&
+	       !soak->store_faults &&
+	       now_us - host->disturbed_us > CONTACT_US &&
+	       now_us - soak->store_disturbed_us > CONTACT_US;
+}
--- /dev/null
+++ b/tools/soak.sh
@@ -0,0 +1,96 @@
+#!/bin/bash
+# Plays faults on a fleet of host processes and checks what callers and backend
+# servers see:
+#   tools/soak.sh --seeds FROM-TO [--minutes N] [--hosts N] [--jobs N]
+#   tools/soak.sh --kept      plays the seeds of tests/soak/seeds.txt
+#     --minutes N   how long faults are played for each seed, such as 0.5
+#     --build DIR   a finished build; build if not given
+#     --logs DIR    for the logs of seeds that broke a promise
+# Exits with 1 if a seed broke a promise. See docs/testing.md.
+set -u
+cd "$(dirname "$0")/.."
+build=build
+seeds=
+minutes=0.5
+hosts=6
+jobs=1
+logs=
+
+usage() {
+	sed -n 's/^# \{0,1\}//; 2,9p' "$0"
+	exit "$1"
+}
+
+while [ $# -gt 0 ]; do
+	case $1 in
+	--seeds) seeds=$2; shift ;;
+	--minutes) minutes=$2; shift ;;
+	--hosts) hosts=$2; shift ;;
+	--jobs) jobs=$2; shift ;;
+	--build) build=$2; shift ;;
+	--logs) logs=$2; shift ;;
+	--kept) seeds=kept ;;
+	--help | -h) usage 0 ;;
+	*) usage 2 >&2 ;;
+	esac
+	shift
+done
+[ -n "$seeds" ] || usage 2 >&2
+logs=${logs:-$build/soak}
+seconds=$(awk -v minutes="$minutes" 'BEGIN { print int(minutes * 60) }')
+mkdir -p "$logs"
+
+# Each line: SEED HOSTS SECONDS
+list_seeds() {
+	if [ "$seeds" = kept ]; then
+		grep -v '^#' tests/soak/seeds.txt | cut -d' ' -f1-3
+	else
+		seq "${seeds%-*}" "${seeds#*-}" | sed "s/\$/ $hosts $seconds/"
+	fi
+}
+
+# play SEED HOSTS SECONDS: plays a seed; keeps its logs only if it broke one.
+play() {
+	local folder=$logs/seed-$1-$2
+	rm -rf "$folder"
+	mkdir -p "$folder"
+	"$build/tests/soak" --seed "$1" --hosts "$2" --seconds "$3" \
+		--program "$build/tamarackgw-edge" --folder "$folder" \
+		>"$folder/out" 2>&1 </dev/null &
+	trap 'kill -TERM '$!' 2>/dev/null' TERM INT EXIT
+	if wait $!; then
+		tail -n 2 "$folder/out"
+		rm -rf "$folder"
+		trap - EXIT
+		return 0
+	fi
+	trap - EXIT
+	tail -n 2 "$folder/out"
+	grep BROKEN "$folder/out" | head -n 20
+	echo "seed $1: logs are in $folder"
+	return 1
+}
+
+running=0
+status=0
+pids=
+stop() {
+	[ -n "$pids" ] && kill -TERM $pids 2>/dev/null
+	wait
+	exit 130
+}
+trap stop TERM INT
+while read -r seed count length; do
+	if [ $running -ge "$jobs" ]; then
+		wait -n || status=1
+		running=$((running - 1))
+	fi
+	play "$seed" "$count" "$length" &
+	pids="$pids $!"
+	running=$((running + 1))
+done < <(list_seeds)
+while [ $running -gt 0 ]; do
+	wait -n || status=1
+	running=$((running - 1))
+done
+exit $status
