--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -7,6 +7,7 @@
 #ifndef SOAK_H
 #define SOAK_H
 
+#include <signal.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -39,6 +40,7 @@
 struct soak {
 	uv_loop_t loop;
 	uv_timer_t tick;
+	sigset_t signal_mask;
 	struct tgw_random random;
 	const char *program; /**< of the hosts */
 	const char *folder;  /**< for settings and logs */
--- a/tests/soak/soak_checks.c
+++ b/tests/soak/soak_checks.c
@@ -65,6 +65,7 @@
 		return NULL;
 	}
 	request->arrivals++;
+	request->server = server;
 	check_unchanged(soak, request, received);
 	check_drained(soak, server, request);
 	return request;
--- a/tests/soak/soak_request.h
+++ b/tests/soak/soak_request.h
@@ -29,6 +29,7 @@
 };
 
 struct soak_host;
+struct soak_server;
 
 struct soak_request {
 	unsigned int number; /**< its id */
@@ -39,6 +40,7 @@
 	unsigned int host_start; /**< number of the host's process */
 	int64_t sent_us;
 	bool uses_link; /**< came through the proxy before its host */
+	const struct soak_server *server; /**< that it reached last */
 	unsigned int arrivals;
 	unsigned int runs;
 	bool may_break;	       /**< a server broke off, or was cut off */
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -31,6 +31,8 @@
 	int64_t leaving_us; /**< the store accepted that it leaves; 0: no */
 	/** Requests in 100 that it runs badly. */
 	unsigned int fault_percent;
+	/** Answers in 100 that it sends once more, or adds bytes to. */
+	unsigned int copy_percent;
 };
 
 /** Starts a server and writes its entry. */
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -73,9 +73,8 @@
 
 running=0
 status=0
-pids=
 stop() {
-	[ -n "$pids" ] && kill -TERM $pids 2>/dev/null
+	kill -TERM $(jobs -pr) 2>/dev/null
 	wait
 	exit 130
 }
@@ -86,7 +85,6 @@
 		running=$((running - 1))
 	fi
 	play "$seed" "$count" "$length" &
-	pids="$pids $!"
 	running=$((running + 1))
 done < <(list_seeds)
 while [ $running -gt 0 ]; do
