Let the soak's servers pause, come back, and take over addresses

Streams that are slow but sound, with one pause of 1.1 s; a server that starts again under its id, and one that gets the address of another. The last line of a run says how many requests ended at hosts in touch.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -219,7 +219,7 @@
 	kv_standin_start(&soak.store, &soak.loop);
 	soak_configure(&soak);
 	for (size_t i = 0; i < SOAK_SERVERS; i++)
-		soak.servers[i] = soak_server_start(&soak);
+		soak.servers[i] = soak_server_start(&soak, NULL, NULL);
 	start_hosts();
 	start_callers();
 	uv_timer_init(&soak.loop, &soak.tick);
@@ -227,9 +227,9 @@
 	uv_run(&soak.loop, UV_RUN_DEFAULT);
 	kill_hosts();
 	soak_faults_print();
-	printf("seed %llu: %zu requests, %u served, %u refused, %u failed, "
-	       "%u promises broken\n",
-	       seed, soak.requests.count, soak.served, soak.refused,
-	       soak.failed, soak.broken);
+	printf("seed %llu: %zu requests, %u at hosts in touch, %u served, "
+	       "%u refused, %u failed, %u promises broken\n",
+	       seed, soak.requests.count, soak.in_touch, soak.served,
+	       soak.refused, soak.failed, soak.broken);
 	return soak.broken ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -62,6 +62,7 @@
 	long version;
 	int64_t poor_paid_tokens;
 	int64_t poor_spent_tokens;
+	unsigned int in_touch; /**< requests that ended at a host in touch */
 	unsigned int served;
 	unsigned int refused;
 	unsigned int failed;
--- a/tests/soak/soak_checks.c
+++ b/tests/soak/soak_checks.c
@@ -246,6 +246,8 @@
 		     const struct soak_response *response)
 {
 	request->ended = true;
+	if (soak_host_in_touch(request->host))
+		soak->in_touch++;
 	if (response->complete) {
 		check_status(soak, request, response);
 		return;
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -263,15 +263,20 @@
 	soak_server_leave(fault->server, pick(fault, 4) != 0);
 }
 
-/* Another server takes the place of the one that has ended. */
+/* Another server takes the place of the one that has ended, at times its
+ * address, or the same one starts again. */
 static void end_server(struct fault *fault)
 {
 	struct soak *soak = fault->soak;
+	struct soak_server *server = fault->server;
+	unsigned int way = pick(fault, 3);
 
-	if (soak->servers[fault->slot] != fault->server)
+	if (soak->servers[fault->slot] != server)
 		return;
-	soak_server_end(fault->server);
-	soak->servers[fault->slot] = soak_server_start(soak);
+	soak_server_end(server);
+	soak->servers[fault->slot] =
+		soak_server_start(soak, way == 2 ? server->id : NULL,
+				  way ? server->link.address : NULL);
 }
 
 static void begin_server_faults(struct fault *fault)
--- a/tests/soak/soak_host.c
+++ b/tests/soak/soak_host.c
@@ -92,8 +92,11 @@
 
 void soak_host_write_settings(const struct soak_host *host)
 {
-	FILE *file = fopen(host->settings_path, "w");
+	char path[sizeof(host->settings_path) + 8];
+	FILE *file;
 
+	snprintf(path, sizeof(path), "%s.new", host->settings_path);
+	file = fopen(path, "w");
 	if (!file)
 		abort();
 	fprintf(file,
@@ -108,6 +111,9 @@
 		host->store_link.address, SOAK_APPLY_MS, SOAK_DRAIN_MS,
 		host->soak->host_count, SOAK_KILL_AFTER_S);
 	fclose(file);
+	/* A process that starts meanwhile reads the old file or the new one. */
+	if (rename(path, host->settings_path) < 0)
+		abort();
 }
 
 /* Runs in the child process. */
--- a/tests/soak/soak_link.c
+++ b/tests/soak/soak_link.c
@@ -230,7 +230,7 @@
 void soak_link_start(struct soak_link *link, uv_loop_t *loop,
 		     const char *target)
 {
-	*link = (struct soak_link){.loop = loop};
+	link->loop = loop;
 	snprintf(link->target, sizeof(link->target), "%s", target);
 	loop_listener_start(&link->listener, loop, on_connection, link,
 			    link->address, sizeof(link->address));
--- a/tests/soak/soak_link.h
+++ b/tests/soak/soak_link.h
@@ -25,7 +25,7 @@
 	bool refuses; /**< resets new connections */
 };
 
-/** Listens on a free port. */
+/** Listens at `link->address`, or on a free port if that is empty. */
 void soak_link_start(struct soak_link *link, uv_loop_t *loop,
 		     const char *target);
 
--- a/tests/soak/soak_server.c
+++ b/tests/soak/soak_server.c
@@ -16,6 +16,9 @@
 #define WORK_MIN_MS 2
 #define WORK_SPREAD_MS 60
 #define EVENT_MS 12
+/* A stream that works for long is slow, and pauses once. */
+#define SLOW_EVENT_MS 40
+#define PAUSE_MS 1100
 #define TRICKLE_MS 150
 #define COPY_SPREAD_MS 200
 #define LONG_WORK_MS 900
@@ -49,6 +52,7 @@
 	unsigned int next_event;
 	enum behaviour behaviour;
 	bool head_sent;
+	bool slow;
 	bool answered; /* only its extra copy remains */
 	struct soak_run *next;
 };
@@ -176,8 +180,10 @@
 	run->sent += size;
 	if (run->sent == run->answer.size)
 		finish(run);
-	else
+	else if (!run->slow)
 		schedule(run, EVENT_MS);
+	else
+		schedule(run, run->next_event == 2 ? PAUSE_MS : SLOW_EVENT_MS);
 }
 
 static void send_trickle(struct soak_run *run)
@@ -258,12 +264,18 @@
 	return (enum behaviour)tgw_random_below(&soak->random, BEHAVIOURS);
 }
 
-static unsigned int choose_work_ms(struct soak *soak)
+static void schedule_work(struct soak_run *run)
 {
-	if (!tgw_random_below(&soak->random, LONG_EVERY))
-		return LONG_WORK_MS;
-	return WORK_MIN_MS +
-	       (unsigned int)tgw_random_below(&soak->random, WORK_SPREAD_MS);
+	struct soak *soak = run->server->soak;
+
+	if (tgw_random_below(&soak->random, LONG_EVERY)) {
+		schedule(run,
+			 WORK_MIN_MS + (unsigned int)tgw_random_below(
+					       &soak->random, WORK_SPREAD_MS));
+		return;
+	}
+	run->slow = soak_request_is_stream(run->request);
+	schedule(run, run->slow ? WORK_MIN_MS : LONG_WORK_MS);
 }
 
 static void start_run(struct soak_server *server, struct server_conn *conn,
@@ -296,7 +308,7 @@
 		request->may_break = true;
 	uv_timer_init(&server->soak->loop, &run->timer);
 	run->timer.data = run;
-	schedule(run, choose_work_ms(server->soak));
+	schedule_work(run);
 }
 
 static void reject(struct server_conn *conn, int status)
@@ -408,15 +420,22 @@
 		write_entry(server);
 }
 
-struct soak_server *soak_server_start(struct soak *soak)
+struct soak_server *soak_server_start(struct soak *soak, const char *id,
+				      const char *address)
 {
 	struct soak_server *server = xcalloc(1, sizeof(*server));
 
 	server->soak = soak;
 	server->listed = true;
 	server->born_ms = 1000 + soak_now_us() / SOAK_US_PER_MS;
-	snprintf(server->id, sizeof(server->id), "server-%u",
-		 soak->servers_started++);
+	if (id)
+		snprintf(server->id, sizeof(server->id), "%s", id);
+	else
+		snprintf(server->id, sizeof(server->id), "server-%u",
+			 soak->servers_started++);
+	if (address)
+		snprintf(server->link.address, sizeof(server->link.address),
+			 "%s", address);
 	loop_listener_start(&server->listener, &soak->loop, on_connection,
 			    server, server->address, sizeof(server->address));
 	soak_link_start(&server->link, &soak->loop, server->address);
--- a/tests/soak/soak_server.h
+++ b/tests/soak/soak_server.h
@@ -35,8 +35,11 @@
 	unsigned int copy_percent;
 };
 
-/** Starts a server and writes its entry. */
-struct soak_server *soak_server_start(struct soak *soak);
+/** Starts a server and writes its entry.
+ * @param id of an earlier server that starts again, or NULL
+ * @param address of an earlier server, or NULL */
+struct soak_server *soak_server_start(struct soak *soak, const char *id,
+				      const char *address);
 
 /** Ends it at once; its entry remains for a while. */
 void soak_server_crash(struct soak_server *server);
