Don't read a missing server's id after its entry was freed

A host that stops while servers are missing after a store outage frees its list of them by passing each entry's own id to a function that went on comparing after the match. The search now ends with the match. test_backend_follower, a_follower_may_end_while_servers_are_missing: heap-use-after-free before (address sanitizer), 8 checks pass after.

--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -67,17 +67,16 @@
 				 const char *id)
 {
 	struct missing_server **at = &follower->missing;
+	struct missing_server *found;
 
-	while (*at) {
-		struct missing_server *missing = *at;
-
-		if (strcmp(missing->id, id)) {
-			at = &missing->next;
-			continue;
-		}
-		*at = missing->next;
-		free(missing);
-	}
+	while (*at && strcmp((*at)->id, id) != 0)
+		at = &(*at)->next;
+	found = *at;
+	if (!found)
+		return;
+	*at = found->next;
+	/* The id may be the one in the entry that is freed. */
+	free(found);
 }
 
 static void on_entry_missing(struct backend_follower *follower, const char *id)
--- a/tests/unit/test_backend_follower.c
+++ b/tests/unit/test_backend_follower.c
@@ -131,6 +131,21 @@
 }
 END_TEST
 
+/* Shown by the address sanitizer. */
+START_TEST(a_follower_may_end_while_servers_are_missing)
+{
+	fake_store_server_set_outage(&server, true);
+	advance(3 * TGW_US_PER_S);
+	put("srv/a", NULL);
+	put("srv/b", NULL);
+	fake_store_server_set_outage(&server, false);
+	advance(TGW_US_PER_S);
+	ck_assert_uint_eq(table.count, 2);
+	backend_follower_free(follower);
+	follower = NULL;
+}
+END_TEST
+
 START_TEST(draining_is_applied_at_once_after_an_outage)
 {
 	fake_store_server_set_outage(&server, true);
@@ -196,6 +211,7 @@
 	tcase_add_test(tcase, a_removed_entry_removes_the_server_at_once);
 	tcase_add_test(tcase,
 		       an_entry_that_expired_in_an_outage_may_be_restored);
+	tcase_add_test(tcase, a_follower_may_end_while_servers_are_missing);
 	tcase_add_test(tcase, draining_is_applied_at_once_after_an_outage);
 	tcase_add_test(tcase, an_older_entry_is_ignored);
 	tcase_add_test(tcase, an_invalid_entry_removes_the_server);
