--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -15,6 +15,7 @@
 #include "soak/soak_server.h"
 
 #define TICK_MS 10
+#define STALL_US (100 * SOAK_US_PER_MS)
 #define WARM_UP_US (4 * SOAK_US_PER_S)
 /* Mean time between faults with USUAL_HOSTS hosts. */
 #define FAULT_INTERVAL_MS 350
@@ -128,8 +129,22 @@
 	}
 }
 
+static void record_stall(void)
+{
+	int64_t now_us = soak_now_us();
+
+	if (soak.ticked_us && now_us - soak.ticked_us > STALL_US) {
+		soak.stalled_us = now_us;
+		soak_note(&soak, "this process did not run for %lld ms",
+			  (long long)((now_us - soak.ticked_us) /
+				      SOAK_US_PER_MS));
+	}
+	soak.ticked_us = now_us;
+}
+
 static void on_tick(uv_timer_t *timer)
 {
+	record_stall();
 	for (size_t i = 0; i < soak.host_count; i++)
 		soak_host_poll(&soak.hosts[i]);
 	for (size_t i = 0; i < soak.host_count * SOAK_CALLERS_PER_HOST; i++)
@@ -181,6 +196,9 @@
 	case 'p':
 		soak.program = value;
 		break;
+	case 'w':
+		soak.wall_clock = value;
+		break;
 	case 'd':
 		soak.folder = value;
 		break;
@@ -195,6 +213,8 @@
 	{"seconds", 't', "N", 0, "how long faults are played", 0},
 	{"hosts", 'n', "N", 0, "processes of hosts", 0},
 	{"program", 'p', "FILE", 0, "the hosts' program", 0},
+	{"wall-clock", 'w', "FILE", 0,
+	 "library that makes hosts' wall clocks wrong", 0},
 	{"folder", 'd', "PATH", 0, "for settings and logs", 0},
 	{0},
 };
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -43,7 +43,9 @@
 	sigset_t signal_mask;
 	struct tgw_random random;
 	const char *program; /**< of the hosts */
-	const char *folder;  /**< for settings and logs */
+	/** Library that makes a host's wall clock wrong, or NULL. */
+	const char *wall_clock;
+	const char *folder; /**< for settings and logs */
 	struct kv_standin store;
 	struct soak_peers peers;
 	struct soak_requests requests;
@@ -56,6 +58,9 @@
 	int64_t store_disturbed_us;
 	int64_t servers_disturbed_us;
 	int64_t begun_us;
+	/** When this process last went on after it had not run for a while. */
+	int64_t stalled_us;
+	int64_t ticked_us;
 	bool ending; /**< ended hosts are not started again */
 	/** Time at which the store accepted each version. */
 	int64_t version_us[SOAK_VERSIONS_MAX];
--- a/tests/soak/soak_checks.c
+++ b/tests/soak/soak_checks.c
@@ -232,12 +232,14 @@
 	int64_t now_us = soak_now_us();
 
 	return request->may_break || host->killed_us >= request->sent_us ||
+	       host->killed_start == request->host_start ||
 	       (request->uses_link &&
 		(host->caller_link_faulty ||
 		 host->caller_link_us >= request->sent_us)) ||
 	       now_us - request->sent_us >= SOAK_TIMEOUT_MS * SOAK_US_PER_MS ||
 	       (!request->arrivals &&
 		(now_us - request->sent_us < CROSSING_US ||
+		 host->soak->stalled_us >= request->sent_us ||
 		 host->paused_us >= request->sent_us ||
 		 host->soak->servers_disturbed_us >= request->sent_us));
 }
--- a/tests/soak/soak_host.h
+++ b/tests/soak/soak_host.h
@@ -34,8 +34,9 @@
 	pid_t pid; /**< 0: not running */
 	unsigned int starts;
 	int64_t started_us;
-	int64_t killed_us; /**< SIGKILL was last sent */
-	int64_t stop_us;   /**< SIGTERM of this process, or 0 */
+	int64_t killed_us;	   /**< SIGKILL was last sent */
+	unsigned int killed_start; /**< number of the process it was sent to */
+	int64_t stop_us;	   /**< SIGTERM of this process, or 0 */
 	bool paused;
 	int64_t paused_us;    /**< when it was last paused or resumed */
 	int64_t start_at_us;  /**< is started then; 0: not by itself */
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -37,6 +37,8 @@
 done
 [ -n "$seeds" ] || usage 2 >&2
 logs=${logs:-$build/soak}
+build=$(realpath "$build")
+logs=$(realpath -m "$logs")
 seconds=$(awk -v minutes="$minutes" 'BEGIN { print int(minutes * 60) }')
 mkdir -p "$logs"
 
@@ -52,10 +54,15 @@
 # play SEED HOSTS SECONDS: plays a seed; keeps its logs only if it broke one.
 play() {
 	local folder=$logs/seed-$1-$2
+	local clock=$build/tests/soak_wall_clock.so
 	rm -rf "$folder"
 	mkdir -p "$folder"
+	# The sanitizers do not allow another library before theirs.
+	nm -D "$build/tamarackgw-edge" | grep -qE '__[at]san_init' && clock=
+	[ -e "$clock" ] || clock=
 	"$build/tests/soak" --seed "$1" --hosts "$2" --seconds "$3" \
 		--program "$build/tamarackgw-edge" --folder "$folder" \
+		${clock:+--wall-clock "$clock"} \
 		>"$folder/out" 2>&1 </dev/null &
 	trap 'kill -TERM '$!' 2>/dev/null' TERM INT EXIT
 	if wait $!; then
