--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -22,6 +22,7 @@
 
 struct soak_caller_conn {
 	struct soak_caller *caller; /* NULL once it has let go of it */
+	unsigned int host_start;    /* number of the process at the other end */
 	uv_tcp_t tcp;
 	uv_connect_t connecting;
 	http_parser parser;
@@ -232,7 +233,7 @@
 	request->kind =
 		(enum soak_kind)tgw_random_below(&soak->random, SOAK_KINDS);
 	request->host = caller->host;
-	request->host_start = caller->host->starts;
+	request->host_start = caller->conn->host_start;
 	request->sent_us = soak_now_us();
 	request->uses_link = caller->uses_link;
 	request->team = soak_happens(soak, POOR_PERCENT) ? SOAK_POOR_TEAM
@@ -323,6 +324,7 @@
 	union socket_address address;
 
 	conn->caller = caller;
+	conn->host_start = caller->host->starts;
 	caller->conn = conn;
 	socket_address_parse(caller->uses_link
 				     ? caller->host->caller_link.address
