Send malformed requests and entries in the soak, and judge no stall of its own

Bytes that are no HTTP go to hosts, and entries that can't be used, or that name no server, come under servers/ and tgw/.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -135,6 +135,8 @@
 
 	if (soak.ticked_us && now_us - soak.ticked_us > STALL_US) {
 		soak.stalled_us = now_us;
+		/* The store is in this process. */
+		soak.store_disturbed_us = now_us;
 		soak_note(&soak, "this process did not run for %lld ms",
 			  (long long)((now_us - soak.ticked_us) /
 				      SOAK_US_PER_MS));
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "base/xalloc.h"
+#include "soak/soak_garbage.h"
 #include "soak/soak_server.h"
 
 #define FAULT_MIN_MS 100
@@ -12,6 +13,7 @@
 /* Signals follow each other this closely in a series. */
 #define SERIES_SPREAD_MS 400
 #define BURST_CHANGES 4
+#define STRANGE_CALLS 8
 
 /* A fault that lasts, and what it was done to. */
 struct fault {
@@ -349,6 +351,17 @@
 	soak_link_reset(&fault->host->caller_link);
 }
 
+static void begin_strange_calls(struct fault *fault)
+{
+	for (int i = 0; i < STRANGE_CALLS; i++)
+		soak_garbage_call(fault->soak, fault->host);
+}
+
+static void begin_strange_entry(struct fault *fault)
+{
+	soak_garbage_entry(fault->soak);
+}
+
 #define AT_ONCE 0, 0
 #define LASTING FAULT_SPREAD_MS, FAULT_MIN_MS
 #define SERIES SERIES_SPREAD_MS, 1
@@ -392,6 +405,8 @@
 	{"server-silent", 3, begin_server_silent, NULL, AT_ONCE},
 	{"callers-cut", 2, begin_callers_cut, end_callers_cut, LASTING},
 	{"callers-reset", 2, begin_callers_reset, NULL, AT_ONCE},
+	{"strange-calls", 4, begin_strange_calls, NULL, AT_ONCE},
+	{"strange-entry", 4, begin_strange_entry, begin_strange_entry, LASTING},
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
