--- a/tests/unit/test_edge_caller_load.c
+++ b/tests/unit/test_edge_caller_load.c
@@ -69,7 +69,7 @@
 static void send_text(int fd, const char *text)
 {
 	ck_assert_int_eq(send(fd, text, strlen(text), MSG_NOSIGNAL),
-			 strlen(text));
+			 (ssize_t)strlen(text));
 }
 
 /* Waits for a response. @return whether one came before the connection ended */
