Let a late request of tamarackgwd leave the earlier response whole

A caller of tamarackgwd that was slow to read a response, and had begun to send its next request, lost the end of the response when that request timed out.

Cause: a request that is not complete in time aborted its connection, whatever was unwritten.

With bytes of an earlier response unwritten, the late request gets 408 behind them, and the connection closes once both are written or nothing moves.

a_second_request_that_is_late_does_not_cut_the_first_response failed before (110,648 bytes of 122,880 and the head) and passes now.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -262,9 +262,9 @@
 	}
 	if (exchange)
 		end_exchange(exchange);
-	/* A caller that timed out probably would not read a response in time.
-	 */
-	if (status != STATUS_TIMED_OUT)
+	/* A caller that timed out probably would not read a response in time,
+	 * unless it still reads an earlier one. */
+	if (status != STATUS_TIMED_OUT || server_conn_unwritten(conn))
 		return false;
 	server_conn_abort(conn);
 	return true;
--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -23,6 +23,8 @@
 #define LARGE_BYTES ((size_t)120 * 1024)
 #define RECEIVE_BUFFER_BYTES 4096
 #define SEGMENT_BYTES 536
+#define SHORT_IDLE_MS 400
+#define PAUSE_MS 600
 
 static struct answer *pending_answer;
 static int ticks;
@@ -203,6 +205,42 @@
 }
 END_TEST
 
+/* Its caller has not read the response to the first one by then. */
+START_TEST(a_second_request_that_is_late_does_not_cut_the_first_response)
+{
+	const struct http_server_handler handler = {
+		.head = on_head,
+		.request = on_large_request,
+		.too_large = ignore_exchange,
+		.closed = on_exchange_closed,
+		.tick = ignore_tick,
+	};
+	struct http_server_settings short_idle = settings;
+	struct event_loop *loop = event_loop_new();
+	uv_loop_t *uv = event_loop_uv(loop);
+	struct http_server *server;
+	struct tgw_error error;
+	size_t received = 0;
+	int fd;
+
+	short_idle.caller_idle_us = SHORT_IDLE_MS * TGW_US_PER_MS;
+	server = http_server_new(loop, &short_idle, &handler, &error);
+	fd = connect_slow_caller(server);
+	ck_assert_int_eq(send(fd, "GET /", 5, 0), 5);
+	for (int i = 0; i < 2 * PAUSE_MS; i++) {
+		uv_run(uv, UV_RUN_NOWAIT);
+		if (i >= PAUSE_MS)
+			received += read_some(fd);
+		usleep(1000);
+	}
+	ck_assert_uint_gt(received, LARGE_BYTES);
+	http_server_free(server);
+	uv_run(uv, UV_RUN_NOWAIT);
+	close(fd);
+	event_loop_free(loop);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("http_server");
@@ -211,6 +249,9 @@
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, a_caller_that_awaits_a_response_stays_connected);
 	tcase_add_test(tcase, the_end_of_a_response_is_known_to_be_unwritten);
+	tcase_add_test(
+		tcase,
+		a_second_request_that_is_late_does_not_cut_the_first_response);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
