--- a/tests/unit/test_transfer.c
+++ b/tests/unit/test_transfer.c
@@ -217,7 +217,7 @@
 	for (int i = 0; i < 10; i++)
 		team_account_record_demand(earlier, 1000, 0, TGW_US_PER_S);
 	team_account_propose(earlier, &target, &budget);
-	team_account_confirm(earlier);
+	team_account_confirm(earlier, 1, TGW_US_PER_S);
 	team_account_record_demand(earlier, 1000, 0, 2 * TGW_US_PER_S);
 	team_account_forward(earlier, &usage);
 	team_account_collect(relay, &usage, true, 2 * TGW_US_PER_S);
