--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_stored.c
@@ -3,9 +3,9 @@
  * range. The first byte of the input selects the decoder. */
 #include <assert.h>
 
+#include "../../platform/platform_routes.h"
+#include "../../platform/platform_servers.h"
 #include "fuzz/fuzz_target.h"
-#include "platform/platform_routes.h"
-#include "platform/platform_servers.h"
 
 static void check_route(const struct route *route)
 {
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -22,7 +22,7 @@
 status=0
 for target in $targets; do
 	clang -g -O1 -fsanitize=fuzzer,address -D_GNU_SOURCE -Iinclude -Isrc \
-		-Itests -I. $(pkg-config --cflags $modules) \
+		-Itests $(pkg-config --cflags $modules) \
 		"tests/fuzz/fuzz_$target.c" $dir/libtgw_net.a \
 		$dir/libtgw_platform.a $dir/libtgw_edge.a $dir/libtamarackgw.a $(pkg-config --libs $modules) -lm \
 		-lpthread -o "$dir/fuzz_$target"
