--- a/tests/soak/soak_server.c
+++ b/tests/soak/soak_server.c
@@ -452,6 +452,10 @@
 	struct soak *soak = server->soak;
 
 	soak->servers_disturbed_us = soak_now_us();
+	for (struct soak_run *run = server->runs; run; run = run->next)
+		if (!run->answered)
+			run->request->may_break = true;
+	/* What it has sent may not have arrived. */
 	for (size_t i = 0; i < soak->host_count * SOAK_CALLERS_PER_HOST; i++) {
 		struct soak_request *request = soak->callers[i].request;
 
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -78,24 +78,29 @@
 	return 1
 }
 
-running=0
-status=0
 stop() {
 	kill -TERM $(jobs -pr) 2>/dev/null
 	wait
 	exit 130
 }
-trap stop TERM INT
-while read -r seed count length; do
-	if [ $running -ge "$jobs" ]; then
+
+play_all() {
+	local running=0 status=0 seed count length
+	while read -r seed count length; do
+		if [ $running -ge "$jobs" ]; then
+			wait -n || status=1
+			running=$((running - 1))
+		fi
+		play "$seed" "$count" "$length" &
+		running=$((running + 1))
+	done < <(list_seeds)
+	while [ $running -gt 0 ]; do
 		wait -n || status=1
 		running=$((running - 1))
-	fi
-	play "$seed" "$count" "$length" &
-	running=$((running + 1))
-done < <(list_seeds)
-while [ $running -gt 0 ]; do
-	wait -n || status=1
-	running=$((running - 1))
-done
-exit $status
+	done
+	return $status
+}
+
+trap stop TERM INT
+play_all
+exit $?
