Split what a process would write to a key of the budgets from its reads

What the next write of a key says, and whether one is worth it, is a module of its own now; behaviour is unchanged.

--- a/src/coordination/team_budget_key.c
+++ b/src/coordination/team_budget_key.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coordination/team_budget_draft.h"
 #include "state/budget_pool_codec.h"
-#include "state/team_account_cap.h"
 
 /* Backoff after a failed store call; doubles up to the maximum. */
 #define RETRY_MIN_US (100 * TGW_US_PER_MS)
@@ -26,9 +26,6 @@
 #define RAISE_INTERVAL_US (1000 * TGW_US_PER_MS)
 #define RAISE_INTERVAL_PER_HOST_US (45 * TGW_US_PER_MS)
 #define MAIN_HOST_WEIGHT 0.25
-/* A surplus is returned to the pool soon if it exceeds what the host holds
- * divided by this. */
-#define SURPLUS_DIVISOR 4
 /* After a conflict a host retries the write once at once, from the value that
  * the conflict response returned. Then it reads again after a random backoff:
  * hosts that retry in step make nearly all of each other's writes conflict. The
@@ -163,74 +160,6 @@
 				  key->read_us);
 }
 
-/* Other hosts may have to count again what they took. */
-static void hold_back(const struct team_account *account,
-		      struct team_account_target *target)
-{
-	int64_t allotted_tokens = account->confirmed.allotted_tokens;
-
-	if (target->allotted_tokens <= allotted_tokens)
-		return;
-	target->allotted_tokens = allotted_tokens;
-	target->urgent = false;
-	target->awaited = false;
-}
-
-void team_budget_key_decide(const struct team_budget_key *key,
-			    const struct team_account *account,
-			    struct team_account_target *target)
-{
-	const struct team_budget *budgets = key->budgets;
-
-	team_account_decide(account,
-			    budget_pool_find(&key->pool, account->team),
-			    key->pool.host_count, &budgets->settings.policy,
-			    team_budget_now_us(budgets), target);
-	if (!account->recounts &&
-	    team_budget_now_us(budgets) < budgets->raises_after_us)
-		hold_back(account, target);
-}
-
-/* A process leaves the pools when it stops, or when another host takes tokens
- * for it. A cap that is in force promises not to lower the allotment. */
-static bool is_leaving(const struct team_budget_key *key)
-{
-	const struct team_budget *budgets = key->budgets;
-	int64_t now = team_budget_now_us(budgets);
-
-	if (budgets->closing)
-		return true;
-	if (team_budget_uses_store(budgets) ||
-	    !budget_relay_is_settled(&budgets->relay))
-		return false;
-	for (const struct team_account *account = key->accounts; account;
-	     account = account->next)
-		if (team_account_has_cap(account, now))
-			return false;
-	return true;
-}
-
-static void propose_allotment(struct team_budget_key *key,
-			      struct team_account *account)
-{
-	struct team_account_target target;
-	struct pooled_budget *budget = budget_pool_raise_paid_in(
-		&key->draft, account->team, account->paid_in_tokens);
-
-	if (!budget)
-		return;
-	team_budget_key_decide(key, account, &target);
-	if (is_leaving(key) && !account->recounts) {
-		target.allotted_tokens = team_account_charged(account) -
-					 account->received_tokens;
-		target.lacking_tokens = 0;
-	}
-	team_account_propose(account, &target, budget);
-	/* Others may have taken what is counted again: it is spent twice. */
-	if (account->recounts && pooled_budget_free_tokens(budget) < 0)
-		budget->taken_tokens = budget->paid_in_tokens;
-}
-
 static void on_written(void *arg, const struct tgw_store_result *result);
 
 static void send_draft(struct team_budget_key *key)
@@ -243,20 +172,6 @@
 		       (struct tgw_store_callback){on_written, key});
 }
 
-/* Replaces the host's previous process. It was dead when this one started,
- * since both listen at the same addresses. */
-static void return_unspent(struct team_budget_key *key)
-{
-	const struct team_budget *budgets = key->budgets;
-	const struct cap_record *record = &budgets->cap_writer.previous;
-	bool is_same_boot = record->boot == budgets->settings.boot &&
-			    record->boot != CAP_RECORD_BOOT_UNKNOWN;
-
-	key->returned_tokens = budget_pool_replace_earlier(
-		&key->draft, budgets->host_id, is_same_boot ? record : NULL,
-		budgets->started_us);
-}
-
 void team_budget_key_set_due(struct team_budget_key *key, int64_t due_us)
 {
 	const struct team_budget_events *events = &key->budgets->events;
@@ -301,33 +216,11 @@
 		events->failed(events->arg, call, status, message);
 }
 
-static bool recounts(const struct team_budget_key *key)
-{
-	for (const struct team_account *account = key->accounts; account;
-	     account = account->next)
-		if (account->recounts)
-			return true;
-	return false;
-}
-
 static void start_write(struct team_budget_key *key)
 {
 	struct tgw_error error;
 
-	budget_pool_clear(&key->draft);
-	budget_pool_copy(&key->draft, &key->pool);
-	if (!key->draft.key_count)
-		key->draft.key_count = key->budgets->key_count;
-	key->sequence++;
-	return_unspent(key);
-	budget_pool_record_write(&key->draft, key->budgets->host_id,
-				 key->sequence);
-	for (struct team_account *account = key->accounts; account;
-	     account = account->next)
-		propose_allotment(key, account);
-	if (is_leaving(key) && !recounts(key))
-		budget_pool_remove_host(&key->draft, key->budgets->host_id);
-	if (budget_pool_check(&key->draft, &error) != TGW_OK) {
+	if (team_budget_draft_make(key, &error) != TGW_OK) {
 		report_failure(key, "write", error.status, error.message);
 		back_off_after_failure(key);
 		return;
@@ -338,47 +231,6 @@
 	send_draft(key);
 }
 
-static bool holds_any(const struct team_budget_key *key)
-{
-	for (const struct team_account *account = key->accounts; account;
-	     account = account->next)
-		if (team_account_held(account))
-			return true;
-	return false;
-}
-
-/* @return whether the host was given much more than it wants: as a relay that
- * others turned to, which is lost if it dies, since no cap covers it */
-static bool has_surplus(const struct team_account *account,
-			const struct team_account_target *target)
-{
-	int64_t surplus =
-		account->confirmed.allotted_tokens - target->allotted_tokens;
-
-	return account->received_tokens &&
-	       surplus * SURPLUS_DIVISOR > team_account_held(account);
-}
-
-/* @param fresh the pool was read just now, so changes that are not urgent
- * count, too */
-static bool needs_write(struct team_budget_key *key, bool fresh)
-{
-	if (recounts(key))
-		return true;
-	if (is_leaving(key))
-		return key->joined || holds_any(key);
-	for (struct team_account *account = key->accounts; account;
-	     account = account->next) {
-		struct team_account_target target;
-
-		team_budget_key_decide(key, account, &target);
-		if (target.urgent || has_surplus(account, &target) ||
-		    (fresh && target.deferrable))
-			return true;
-	}
-	return fresh && !key->joined;
-}
-
 static void finish_cycle(struct team_budget_key *key)
 {
 	key->conflicts = 0;
@@ -438,7 +290,7 @@
 {
 	if (key->outcome_unknown)
 		send_draft(key);
-	else if (needs_write(key, true))
+	else if (team_budget_draft_is_needed(key, true))
 		start_write(key);
 	else
 		finish_cycle(key);
@@ -660,7 +512,7 @@
 {
 	int64_t now = team_budget_now_us(key->budgets);
 
-	if (recounts(key))
+	if (team_budget_draft_recounts(key))
 		return true;
 	if (!has_returned_since(key))
 		return false;
@@ -675,7 +527,8 @@
 static bool is_due_without_store(struct team_budget_key *key)
 {
 	if (key->budgets->closing || key->outcome_unknown ||
-	    may_lack_writes(key) || (key->joined && is_leaving(key)))
+	    may_lack_writes(key) ||
+	    (key->joined && team_budget_draft_is_leaving(key)))
 		return true;
 	key->due_us = team_budget_now_us(key->budgets) +
 		      TEAM_BUDGET_CHECK_INTERVAL_US;
@@ -686,7 +539,8 @@
 static bool is_closed_without_store(const struct team_budget_key *key)
 {
 	return key->budgets->closing && !key->joined && !key->outcome_unknown &&
-	       !team_budget_uses_store(key->budgets) && !holds_any(key);
+	       !team_budget_uses_store(key->budgets) &&
+	       !team_budget_draft_holds_any(key);
 }
 
 bool team_budget_key_is_due(struct team_budget_key *key, int64_t now)
@@ -703,7 +557,7 @@
 	    now - key->read_us >= refresh_us(key))
 		return true;
 	if (now - key->read_us >= raise_interval_us(key, now) &&
-	    needs_write(key, false))
+	    team_budget_draft_is_needed(key, false))
 		return true;
 	key->due_us = now + TEAM_BUDGET_CHECK_INTERVAL_US;
 	return false;
