--- a/src/state/mirror_table.c
+++ b/src/state/mirror_table.c
@@ -10,6 +10,7 @@
 #include "state/msgpack_field.h"
 #include "state/wire_reader.h"
 
+#define MIN_CAPACITY 16
 #define CHANGES_FORMAT 1
 #define CHANGES_FIELDS 4
 #define ENTRY_FIELDS 4
@@ -69,8 +70,11 @@
 
 	if (entry)
 		return entry;
-	table->entries =
-		xrealloc(table->entries, (table->count + 1) * sizeof(*entry));
+	if (table->count == table->capacity) {
+		table->capacity = 2 * table->capacity + MIN_CAPACITY;
+		table->entries = xrealloc(table->entries,
+					  table->capacity * sizeof(*entry));
+	}
 	entry = &table->entries[at];
 	memmove(entry + 1, entry, (table->count - at) * sizeof(*entry));
 	table->count++;
--- a/src/state/mirror_table.h
+++ b/src/state/mirror_table.h
@@ -35,6 +35,7 @@
 	/** Deletions up to this revision may be unknown. */
 	int64_t base_revision;
 	size_t count;
+	size_t capacity;	      /**< of the array */
 	struct mirror_entry *entries; /**< sorted by key, deleted ones too */
 };
 
