--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -81,7 +81,7 @@
 	soak_note(&soak, "after the faults %u of %u requests were served",
 		  served, ended);
 	if (!ended || served * PERCENT < ended * SERVED_MIN_PERCENT)
-		soak_broken(&soak, "RECOVER", "%u of %u requests served",
+		soak_broken(&soak, "not-recovered", "%u of %u requests served",
 			    served, ended);
 }
 
--- a/tests/soak/soak_caller.c
+++ b/tests/soak/soak_caller.c
@@ -152,7 +152,7 @@
 	bool keeps = http_should_keep_alive(&caller->conn->parser);
 
 	if (more_follows)
-		soak_broken(caller->soak, "MIXED",
+		soak_broken(caller->soak, "wrong-answer",
 			    "%s sent more than one response to r%u",
 			    caller->host->name, caller->request->number);
 	if (more_follows || !keeps)
@@ -166,7 +166,7 @@
 	size_t used;
 
 	if (!caller->request && size) {
-		soak_broken(caller->soak, "MIXED",
+		soak_broken(caller->soak, "wrong-answer",
 			    "%s sent %zu bytes without a request",
 			    caller->host->name, size);
 		drop_conn(caller);
@@ -177,7 +177,7 @@
 		finish_response(caller, used < size);
 	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
 		if (size && !caller->request->may_break)
-			soak_broken(caller->soak, "MIXED",
+			soak_broken(caller->soak, "wrong-answer",
 				    "%s answered r%u with no valid HTTP",
 				    caller->host->name,
 				    caller->request->number);
@@ -385,7 +385,7 @@
 	    soak_now_us() - host->paused_us > limit_us &&
 	    soak_now_us() - caller->soak->stalled_us > limit_us &&
 	    !caller->uses_link) {
-		soak_broken(caller->soak, "HUNG",
+		soak_broken(caller->soak, "late-answer",
 			    "%s left r%u without a final answer for %lld ms; "
 			    "status %d, %zu bytes",
 			    host->name, caller->request->number,
--- a/tests/soak/soak_checks.c
+++ b/tests/soak/soak_checks.c
@@ -20,7 +20,7 @@
 
 	if (server->leaving_us && soak_now_us() > limit_us &&
 	    request->sent_us > limit_us && soak_host_in_touch(request->host))
-		soak_broken(soak, "DRAIN",
+		soak_broken(soak, "sent-to-leaving-server",
 			    "%s sent r%u to %s, which leaves since %lld ms",
 			    request->host->name, request->number, server->id,
 			    (long long)((soak_now_us() - server->leaving_us) /
@@ -42,7 +42,7 @@
 	    (body.size && memcmp(body.data, received->body.data, body.size)) ||
 	    strcmp(team ? team : "", request->team ? request->team : "") ||
 	    http_head_find(&received->head, "Authorization"))
-		soak_broken(soak, "UNASKED",
+		soak_broken(soak, "unknown-request",
 			    "r%u reached a server as %s for team %s with %zu "
 			    "bytes",
 			    request->number, received->target.data,
@@ -60,7 +60,7 @@
 	struct soak_request *request = soak_requests_find(&soak->requests, id);
 
 	if (!request) {
-		soak_broken(soak, "UNASKED", "nobody sent request %s",
+		soak_broken(soak, "unknown-request", "nobody sent request %s",
 			    id ? id : "without an id");
 		return NULL;
 	}
@@ -79,7 +79,8 @@
 		return;
 	soak->poor_spent_tokens += tokens;
 	if (soak->poor_spent_tokens > soak->poor_paid_tokens)
-		soak_broken(soak, "BUDGET", "%lld of %lld tokens spent by r%u",
+		soak_broken(soak, "overspent",
+			    "%lld of %lld tokens spent by r%u",
 			    (long long)soak->poor_spent_tokens,
 			    (long long)soak->poor_paid_tokens, request->number);
 }
@@ -89,11 +90,11 @@
 	if (!request->runs++)
 		spend(soak, request, SOAK_INPUT_TOKENS);
 	if (request->runs > 1 && !soak_request_may_repeat(request))
-		soak_broken(soak, "TWICE", "r%u ran %u times", request->number,
-			    request->runs);
+		soak_broken(soak, "ran-twice", "r%u ran %u times",
+			    request->number, request->runs);
 	if (request->refused)
-		soak_broken(soak, "REFUSED", "r%u ran after its refusal",
-			    request->number);
+		soak_broken(soak, "ran-though-refused",
+			    "r%u ran after its refusal", request->number);
 }
 
 /* @return whether the request was sent so long after the version was replaced,
@@ -116,7 +117,7 @@
 	    (soak_host_in_touch(host) ||
 	     host->started_us > soak->version_us[version + 1] +
 					SOAK_APPLY_MS * SOAK_US_PER_MS))
-		soak_broken(soak, "CONFIG",
+		soak_broken(soak, "old-configuration",
 			    "%s served r%u by version %ld, which was replaced "
 			    "%lld ms before",
 			    host->name, request->number, version,
@@ -125,7 +126,7 @@
 					SOAK_US_PER_MS));
 	if (version < host->version_seen &&
 	    request->sent_us > host->version_seen_us + REGRESS_US)
-		soak_broken(soak, "REGRESS",
+		soak_broken(soak, "reverted-configuration",
 			    "%s served r%u by version %ld after %ld",
 			    host->name, request->number, version,
 			    host->version_seen);
@@ -144,7 +145,7 @@
 	if (version != soak->version)
 		return;
 	if (is_settled(soak, request, version) && soak_host_in_touch(host))
-		soak_broken(soak, "CONFIG",
+		soak_broken(soak, "old-configuration",
 			    "%s denied r%u of version %ld %lld ms after it",
 			    host->name, request->number, version,
 			    (long long)((request->sent_us -
@@ -152,7 +153,7 @@
 					SOAK_US_PER_MS));
 	if (version <= host->version_seen &&
 	    request->sent_us > host->version_seen_us + REGRESS_US)
-		soak_broken(soak, "REGRESS",
+		soak_broken(soak, "reverted-configuration",
 			    "%s denied r%u of version %ld after it had it",
 			    host->name, request->number, version);
 }
@@ -166,7 +167,7 @@
 	if (!response->signed_by_server || !response->id_matches ||
 	    response->body.size != expected.size ||
 	    memcmp(response->body.data, expected.data, expected.size))
-		soak_broken(soak, "MIXED",
+		soak_broken(soak, "wrong-answer",
 			    "r%u got a wrong success: %zu of %zu bytes, %s id, "
 			    "%s",
 			    request->number, response->body.size, expected.size,
@@ -184,8 +185,8 @@
 	soak->refused++;
 	request->refused = true;
 	if (request->runs)
-		soak_broken(soak, "REFUSED", "r%u got %d, and has run",
-			    request->number, status);
+		soak_broken(soak, "ran-though-refused",
+			    "r%u got %d, and has run", request->number, status);
 }
 
 static void check_denial(struct soak *soak, const struct soak_request *request,
@@ -198,7 +199,7 @@
 		if (request->host_start == request->host->starts)
 			check_denied_version(soak, request);
 	} else if (!out_of_budget) {
-		soak_broken(soak, "DENIED", "%s answered r%u with %d",
+		soak_broken(soak, "wrongly-denied", "%s answered r%u with %d",
 			    request->host->name, request->number, status);
 	}
 }
@@ -210,7 +211,7 @@
 
 	if (response->signed_by_server && status >= 300 &&
 	    (status != 500 || !request->failed_by_server))
-		soak_broken(soak, "MIXED",
+		soak_broken(soak, "wrong-answer",
 			    "r%u got a signed %d, which no server sent",
 			    request->number, status);
 	if (status < 300)
@@ -266,7 +267,7 @@
 	}
 	soak->failed++;
 	if (!break_is_excused(request))
-		soak_broken(soak, "LOST",
+		soak_broken(soak, "no-answer",
 			    "%s closed the connection of r%u after %lld ms; "
 			    "%u arrivals, status %d, %zu bytes%s",
 			    request->host->name, request->number,
--- a/tests/soak/soak_host.c
+++ b/tests/soak/soak_host.c
@@ -209,8 +209,8 @@
 				host->stop_us - host->started_us < START_US;
 
 	if (!killed && !stopped && !stopped_in_start)
-		soak_broken(host->soak, "ENDED", "%s ended by itself: %s %d",
-			    host->name,
+		soak_broken(host->soak, "process-died",
+			    "%s ended by itself: %s %d", host->name,
 			    WIFSIGNALED(status) ? "signal" : "exit code",
 			    WIFSIGNALED(status) ? WTERMSIG(status)
 						: WEXITSTATUS(status));
@@ -225,7 +225,7 @@
 	    soak_now_us() - host->paused_us < limit_us ||
 	    host->killed_us > host->stop_us)
 		return;
-	soak_broken(host->soak, "STOP", "%s still runs after its stop",
+	soak_broken(host->soak, "outlived-stop", "%s still runs after its stop",
 		    host->name);
 	soak_host_signal(host, SIGKILL);
 }
