Close a stopped watch whose list a relay answered

What callers saw: a host answered as an old configuration says, for ten seconds, while all others had three later versions.

Cause: a watch of the store that may have missed changes goes on after a list by the store. The mirror may answer that list from what a relay told. If the relay changed before the next tick, the watch stayed open, without a timer or a call, and nobody sent another list.

The mirror now closes a stopped watch when it answers a list from its table, and the next one begins at the table's revision. A watch that tells nothing for longer than a call may last is opened anew, logged and counted, whatever stopped it; the age of each prefix is a metric. The fake store no longer reports changes on a stopped watch, as the users' store does not.

Before: test_store_mirror, a_host_follows_the_store_when_its_relay_goes_after_answering_a_list, 28 of 28 moments: "host 1 knows 0 of routes/1, not 12".

--- a/include/tamarackgw/store.h
+++ b/include/tamarackgw/store.h
@@ -73,8 +73,8 @@
 struct tgw_store_watcher {
 	/** A key was written or deleted (version ABSENT). */
 	void (*changed)(void *arg, const struct tgw_store_entry *entry);
-	/** Changes may have been missed: read the keys again. The watch
-	 * continues. */
+	/** Changes may have been missed: read the keys again. The watch may
+	 * report nothing before its prefix was listed by this store. */
 	void (*lost)(void *arg);
 	void *arg;
 	/** The store does not answer; NULL if this is not of interest. */
--- a/src/coordination/mirrored_prefix.c
+++ b/src/coordination/mirrored_prefix.c
@@ -7,6 +7,9 @@
 
 /* Hosts that begin to fetch changes within this time get the same ones. */
 #define ENCODED_FOR_US (1 * TGW_US_PER_S)
+/* The owners of a watch that stopped list the prefix within this time, also
+ * after a list that failed. */
+#define OWNERS_LIST_US (5 * TGW_US_PER_S)
 
 static int64_t now_of(const struct mirrored_prefix *prefix)
 {
@@ -80,6 +83,7 @@
 {
 	struct mirrored_prefix *prefix = arg;
 
+	prefix->watch_told_us = now_of(prefix);
 	if (mirror_table_apply(&prefix->table, entry))
 		report_change(prefix, entry);
 }
@@ -89,6 +93,7 @@
 	struct mirrored_prefix *prefix = arg;
 	int64_t previous = prefix->table.revision;
 
+	prefix->watch_told_us = now_of(prefix);
 	prefix->called(prefix->arg, true);
 	/* Changes alone don't tell which keys there are. */
 	if (!previous)
@@ -101,9 +106,11 @@
 
 static void on_lost(void *arg)
 {
-	const struct mirrored_prefix *prefix = arg;
+	struct mirrored_prefix *prefix = arg;
 	struct mirror_watcher *watcher = prefix->watchers;
 
+	prefix->watch_stopped = true;
+	prefix->watch_told_us = now_of(prefix);
 	while (watcher) {
 		struct mirror_watcher *next = watcher->next;
 
@@ -118,6 +125,7 @@
 	struct mirror_watcher *watcher = prefix->watchers;
 	bool was_reachable = !prefix->store_unreachable;
 
+	prefix->watch_told_us = now_of(prefix);
 	prefix->store_unreachable = true;
 	prefix->called(prefix->arg, false);
 	while (watcher) {
@@ -143,7 +151,7 @@
 	return longest_us;
 }
 
-void mirrored_prefix_watch(struct mirrored_prefix *prefix, bool prompt,
+bool mirrored_prefix_watch(struct mirrored_prefix *prefix, bool prompt,
 			   int64_t prompt_idle_us)
 {
 	struct tgw_store_watcher watcher = {
@@ -156,12 +164,32 @@
 		.prompt = prompt,
 		.arg = prefix,
 	};
+	bool was_open = prefix->watch != 0;
 
-	if (!prefix->watchers || (prefix->watch && prefix->prompt == prompt))
-		return;
+	if (!prefix->watchers || (was_open && prefix->prompt == prompt))
+		return false;
 	mirrored_prefix_unwatch(prefix);
 	prefix->prompt = prompt;
+	prefix->watch_idle_us = watcher.idle_us;
+	prefix->watch_told_us = now_of(prefix);
 	prefix->watch = tgw_store_watch(prefix->store, prefix->prefix, watcher);
+	return !was_open;
+}
+
+int64_t mirrored_prefix_end_stalled_watch(struct mirrored_prefix *prefix,
+					  int64_t default_hold_us,
+					  int64_t margin_us)
+{
+	int64_t hold_us = prefix->watch_idle_us ? prefix->watch_idle_us
+						: default_hold_us;
+	int64_t silent_us = now_of(prefix) - prefix->watch_told_us;
+	int64_t allowed_us = prefix->watch_stopped ? OWNERS_LIST_US
+						   : hold_us + margin_us;
+
+	if (!prefix->watch || silent_us <= allowed_us)
+		return 0;
+	mirrored_prefix_unwatch(prefix);
+	return silent_us;
 }
 
 void mirrored_prefix_unwatch(struct mirrored_prefix *prefix)
@@ -169,6 +197,7 @@
 	if (prefix->watch)
 		tgw_store_unwatch(prefix->store, prefix->watch);
 	prefix->watch = 0;
+	prefix->watch_stopped = false;
 }
 
 /* Lists. */
@@ -214,6 +243,8 @@
 	return count;
 }
 
+/* Since the store does not see this list, a watch that waits for one would
+ * never go on. The next one begins at the revision of the table. */
 static void answer_list(struct mirror_list *list)
 {
 	const struct mirror_table *table = &list->owner->table;
@@ -228,6 +259,8 @@
 	};
 	struct tgw_store_callback callback = list->callback;
 
+	if (list->owner->watch_stopped)
+		mirrored_prefix_unwatch(list->owner);
 	remove_list(list);
 	callback.done(callback.arg, &result);
 	free(entries);
@@ -258,6 +291,9 @@
 	int64_t previous = prefix->table.revision;
 
 	prefix->called(prefix->arg, result->status == TGW_OK);
+	prefix->watch_told_us = now_of(prefix);
+	if (result->status == TGW_OK)
+		prefix->watch_stopped = false;
 	/* A relay has told of later changes meanwhile. */
 	if (result->status == TGW_OK && result->revision < previous) {
 		answer_list(list);
--- a/src/coordination/mirrored_prefix.h
+++ b/src/coordination/mirrored_prefix.h
@@ -42,8 +42,14 @@
 	void (*called)(void *arg, bool answered);
 	void *arg;
 	struct mirror_table table;
-	uint64_t watch; /**< of the store; 0: none */
-	bool prompt;	/**< the watch is */
+	uint64_t watch;	       /**< of the store; 0: none */
+	bool prompt;	       /**< the watch is */
+	int64_t watch_idle_us; /**< of the watch; 0: the binding's default */
+	/** When the watch was opened, last told something, or was last due to
+	 * go on after a list of the store, which failed. */
+	int64_t watch_told_us;
+	/** The watch reports nothing before the store has listed the prefix. */
+	bool watch_stopped;
 	bool store_unreachable;
 	/** When the store last confirmed the table, by this host's clock; 0:
 	 * never. The second one is a lower bound. */
@@ -73,11 +79,21 @@
 void mirrored_prefix_add_list(struct mirrored_prefix *prefix,
 			      struct tgw_store_callback callback);
 
-/** Opens the watch of the store, or opens it again if it has to be prompt. */
-void mirrored_prefix_watch(struct mirrored_prefix *prefix, bool prompt,
+/** Opens the watch of the store, or opens it again if it has to be prompt.
+ * @return whether a watch was opened where there was none */
+bool mirrored_prefix_watch(struct mirrored_prefix *prefix, bool prompt,
 			   int64_t prompt_idle_us);
 void mirrored_prefix_unwatch(struct mirrored_prefix *prefix);
 
+/** Closes a watch of the store that has told nothing for too long.
+ * @param default_hold_us for which the store holds a call of a watch that does
+ * not say how long
+ * @param margin_us allowed beyond the time for which the store may hold a call
+ * @return for how long it has told nothing; 0 if that is not too long */
+int64_t mirrored_prefix_end_stalled_watch(struct mirrored_prefix *prefix,
+					  int64_t default_hold_us,
+					  int64_t margin_us);
+
 /** Answers the waiting lists from the table. */
 void mirrored_prefix_answer_lists(struct mirrored_prefix *prefix);
 
--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -37,11 +37,15 @@
 	const struct tgw_clock *clock;
 	struct tgw_peer *peer;
 	void (*called)(void *arg, bool answered); /**< may be NULL */
+	/** May be NULL. */
+	void (*stalled)(void *arg, const char *prefix, int64_t silent_us);
 	void *arg;
-	uint64_t sequence;     /**< of the last message */
-	int64_t hold_us;       /**< of a watch that others follow */
-	int64_t discovered_us; /**< a relay is known by then, or there is none
-				*/
+	int64_t watch_hold_us;	 /**< for which the store holds a call */
+	int64_t stall_margin_us; /**< beyond that */
+	uint64_t sequence;	 /**< of the last message */
+	int64_t hold_us;	 /**< of a watch that others follow */
+	int64_t discovered_us;	 /**< a relay is known by then, or there is none
+				  */
 	int64_t started_us;
 	/** Until then a prefix that was never listed waits for the relay. */
 	int64_t start_wait_until_us;
@@ -373,7 +377,10 @@
 	mirror->inner = store;
 	mirror->clock = clock;
 	mirror->called = settings->called;
+	mirror->stalled = settings->stalled;
 	mirror->arg = settings->arg;
+	mirror->watch_hold_us = settings->watch_hold_us;
+	mirror->stall_margin_us = settings->apply_us / 2;
 	mirror->followers.peer = settings->peer;
 	mirror->followers.clock = clock;
 	mirror->followers.prefixes = mirror->prefixes;
@@ -445,10 +452,24 @@
 
 static void watch(struct store_mirror *mirror, struct mirrored_prefix *prefix)
 {
-	if (!prefix->watch && prefix->watchers)
+	if (mirrored_prefix_watch(prefix, mirror->followers.first != NULL,
+				  mirror->hold_us))
 		mirror->counters.watched_store++;
-	mirrored_prefix_watch(prefix, mirror->followers.first != NULL,
-			      mirror->hold_us);
+}
+
+/* A watch tells at least that the store does not answer. One that tells nothing
+ * is opened anew, whatever has stopped it. */
+static void check_watch(struct store_mirror *mirror,
+			struct mirrored_prefix *prefix)
+{
+	int64_t silent_us = mirrored_prefix_end_stalled_watch(
+		prefix, mirror->watch_hold_us, mirror->stall_margin_us);
+
+	if (!silent_us)
+		return;
+	mirror->counters.stalled_watches++;
+	if (mirror->stalled)
+		mirror->stalled(mirror->arg, prefix->prefix, silent_us);
 }
 
 static void tick_prefix(struct store_mirror *mirror,
@@ -460,6 +481,7 @@
 		mirrored_prefix_unwatch(prefix);
 		mirrored_prefix_answer_lists(prefix);
 	} else if (!awaits_relay(mirror, prefix)) {
+		check_watch(mirror, prefix);
 		if (now_of(mirror) >= mirror->discovered_us)
 			watch(mirror, prefix);
 		if (!holds_lists(mirror, prefix))
@@ -494,6 +516,26 @@
 	return mirror->prefix_count > 0;
 }
 
+size_t store_mirror_prefix_count(const struct store_mirror *mirror)
+{
+	return mirror->prefix_count;
+}
+
+const char *store_mirror_prefix(const struct store_mirror *mirror,
+				size_t number)
+{
+	return mirror->prefixes[number].prefix;
+}
+
+int64_t store_mirror_age_us(const struct store_mirror *mirror, size_t number)
+{
+	int64_t confirmed_us =
+		mirrored_prefix_confirmed_us(&mirror->prefixes[number]);
+
+	return confirmed_us ? now_of(mirror) - confirmed_us
+			    : STORE_MIRROR_NEVER_CONFIRMED;
+}
+
 int64_t store_mirror_version(const struct store_mirror *mirror)
 {
 	int64_t latest = TGW_STORE_ABSENT;
--- a/src/coordination/store_mirror.h
+++ b/src/coordination/store_mirror.h
@@ -38,12 +38,19 @@
 	/** A call of this host to follow the prefixes ended; answers through
 	 * another host don't count. May be NULL. */
 	void (*called)(void *arg, bool answered);
+	/** A watch of the store told nothing for longer than a call of it may
+	 * last, and is opened anew. May be NULL. */
+	void (*stalled)(void *arg, const char *prefix, int64_t silent_us);
 	void *arg;
+	/** For which the store holds a call of a watch, unless the watcher says
+	 * how long. */
+	int64_t watch_hold_us;
 };
 
 struct store_mirror_counters {
 	uint64_t followed_relays;  /**< times that another host was followed */
 	uint64_t watched_store;	   /**< times that the store was watched */
+	uint64_t stalled_watches;  /**< that told nothing for too long */
 	uint64_t changes_received; /**< from other hosts */
 	uint64_t changes_sent;
 	uint64_t pulls;
@@ -77,6 +84,16 @@
 /** @return hosts that follow this one */
 size_t store_mirror_follower_count(const struct store_mirror *mirror);
 
+size_t store_mirror_prefix_count(const struct store_mirror *mirror);
+const char *store_mirror_prefix(const struct store_mirror *mirror,
+				size_t number);
+
+#define STORE_MIRROR_NEVER_CONFIRMED INT64_C(-1)
+
+/** @return the time since the store last confirmed a prefix to this host or its
+ * relay, or STORE_MIRROR_NEVER_CONFIRMED */
+int64_t store_mirror_age_us(const struct store_mirror *mirror, size_t number);
+
 /** @return the latest version of the store that this host knows of, by itself
  * or through its relay */
 int64_t store_mirror_version(const struct store_mirror *mirror);
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -256,6 +256,15 @@
 	team_budget_set_store_unreachable(edge->budgets, !answered);
 }
 
+static void on_watch_stalled(void *arg, const char *prefix, int64_t silent_us)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "store", "watch_stalled",
+		      "prefix=%s silent_ms=%lld watch=\"opened anew\"", prefix,
+		      (long long)(silent_us / TGW_US_PER_MS));
+}
+
 /* What all hosts follow is watched by few of them. */
 static void start_mirror(struct edge *edge, struct tgw_peer *peer)
 {
@@ -275,7 +284,9 @@
 			    TGW_US_PER_MS,
 		.discovery_us = PEER_DISCOVERY_US,
 		.called = on_mirror_called,
+		.stalled = on_watch_stalled,
 		.arg = edge,
+		.watch_hold_us = settings->watch_wait_ms * TGW_US_PER_MS,
 	};
 
 	edge->mirror =
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -90,6 +90,23 @@
 	add_gauge(text, "peer_hosts", (double)edge_peers_count(edge));
 }
 
+/* A host that does not follow the store shows here, whatever has stopped it. */
+static void add_mirror_ages(const struct edge *edge, struct buffer *text)
+{
+	buffer_add_text(text, "# TYPE tamarackgw_mirror_age_seconds gauge\n");
+	for (size_t i = 0; i < store_mirror_prefix_count(edge->mirror); i++) {
+		int64_t age_us = store_mirror_age_us(edge->mirror, i);
+
+		if (age_us != STORE_MIRROR_NEVER_CONFIRMED)
+			buffer_add_format(text,
+					  "tamarackgw_mirror_age_seconds"
+					  "{prefix=\"%s\"} %g\n",
+					  store_mirror_prefix(edge->mirror, i),
+					  (double)age_us /
+						  (double)TGW_US_PER_S);
+	}
+}
+
 static void add_mirror(const struct edge *edge, struct buffer *text)
 {
 	const struct store_mirror_counters *counters =
@@ -99,6 +116,8 @@
 		    counters->followed_relays);
 	add_counter(text, "mirror_watched_store_total",
 		    counters->watched_store);
+	add_counter(text, "mirror_stalled_watches_total",
+		    counters->stalled_watches);
 	add_counter(text, "mirror_changes_received_total",
 		    counters->changes_received);
 	add_counter(text, "mirror_changes_sent_total", counters->changes_sent);
@@ -107,6 +126,7 @@
 		  (double)store_mirror_follower_count(edge->mirror));
 	add_gauge(text, "mirror_follows_relay",
 		  store_mirror_follows_relay(edge->mirror));
+	add_mirror_ages(edge, text);
 }
 
 static void add_server_signals(const struct edge *edge, struct buffer *text)
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -192,7 +192,8 @@
 		return;
 	}
 	if (operation->kind == OPERATION_LIST && operation->status == TGW_OK)
-		fake_store_start_watches(client, operation->key);
+		fake_store_start_watches(client, operation->key,
+					 operation->revision);
 	entries = xcalloc(operation->found_count, sizeof(entries[0]));
 	for (size_t i = 0; i < operation->found_count; i++) {
 		entries[i].key = operation->found[i].name;
@@ -249,7 +250,8 @@
 	struct fake_store *client = operation->client;
 	struct fake_store_server *server = client->server;
 
-	if (fake_store_is_unreachable(client)) {
+	if (fake_store_is_unreachable(client) ||
+	    (operation->kind == OPERATION_LIST && client->refuses_lists)) {
 		schedule_response(operation,
 				  operation->kind == OPERATION_SWAP
 					  ? TGW_UNKNOWN
--- a/tests/fakes/fake_store.h
+++ b/tests/fakes/fake_store.h
@@ -16,6 +16,10 @@
 #include "fakes/fake_world.h"
 #include "tamarackgw/store.h"
 
+/** A call of a watch takes this long when nothing changes, unless the watcher
+ * says how long. */
+#define FAKE_STORE_WATCH_CALL_US (INT64_C(500) * TGW_US_PER_MS)
+
 struct fake_store_key {
 	char *name;
 	uint8_t *value; /**< NULL when deleted */
@@ -57,6 +61,7 @@
 	bool paused;
 	/** Watchers are not notified of changes, nor that they miss them. */
 	bool watch_broken;
+	bool refuses_lists;
 	/** Number of following writes that take effect but whose response is
 	 * lost: the client receives UNKNOWN. */
 	unsigned int lose_answers;
--- a/tests/fakes/fake_store_watch.c
+++ b/tests/fakes/fake_store_watch.c
@@ -5,9 +5,6 @@
 
 #include "base/xalloc.h"
 
-/* A call of a watch takes this long when nothing changes. */
-#define WATCH_CALL_US (INT64_C(500) * TGW_US_PER_MS)
-
 struct watch_event {
 	struct fake_store *client;
 	uint64_t client_generation;
@@ -93,7 +90,7 @@
 						 event->revision);
 		else if (event->confirms && fake_store_is_unreachable(client))
 			watch->watcher.unreachable(watch->watcher.arg);
-		else if (!event->confirms && !fake_store_is_unreachable(client))
+		else if (!event->confirms && !watch->missed)
 			watch->watcher.changed(watch->watcher.arg, &entry);
 	}
 	free_watch_event(event);
@@ -141,10 +138,11 @@
 					    deliver_watch_event,
 					    free_watch_event, event);
 	client->server->watch_calls++;
-	fake_world_after_or_release(
-		client->server->world,
-		watch->watcher.idle_us ? watch->watcher.idle_us : WATCH_CALL_US,
-		confirm, free_watch_event, call);
+	fake_world_after_or_release(client->server->world,
+				    watch->watcher.idle_us
+					    ? watch->watcher.idle_us
+					    : FAKE_STORE_WATCH_CALL_US,
+				    confirm, free_watch_event, call);
 }
 
 static void start_confirming(struct fake_store *client,
@@ -189,12 +187,17 @@
 	}
 }
 
-void fake_store_start_watches(struct fake_store *client, const char *prefix)
+void fake_store_start_watches(struct fake_store *client, const char *prefix,
+			      int64_t revision)
 {
 	for (struct fake_store_watch *watch = client->watches; watch;
-	     watch = watch->next)
-		if (!strcmp(watch->prefix, prefix))
-			watch->missed = false;
+	     watch = watch->next) {
+		if (!watch->missed || strcmp(watch->prefix, prefix) != 0)
+			continue;
+		watch->missed = false;
+		watch->watcher.after_revision = revision;
+		report_later(client, watch);
+	}
 }
 
 uint64_t fake_store_watch(struct tgw_store *store, const char *prefix,
--- a/tests/fakes/fake_store_watch.h
+++ b/tests/fakes/fake_store_watch.h
@@ -35,7 +35,8 @@
 				const struct fake_store_key *key);
 
 /** Watches of a prefix go on after it was listed. */
-void fake_store_start_watches(struct fake_store *client, const char *prefix);
+void fake_store_start_watches(struct fake_store *client, const char *prefix,
+			      int64_t revision);
 
 uint64_t fake_store_watch(struct tgw_store *store, const char *prefix,
 			  struct tgw_store_watcher watcher);
--- a/tests/unit/test_store_mirror.c
+++ b/tests/unit/test_store_mirror.c
@@ -214,6 +214,109 @@
 }
 END_TEST
 
+/* The host's watch fails, and so does its list of the keys. Its next list is
+ * answered by a relay that it has only until its next tick. */
+static void have_a_list_answered_between_ticks(struct mirror_rig_host *host)
+{
+	store_mirror_set_relay(host->mirror, "");
+	mirror_rig_play_ms(1000);
+	host->store.refuses_lists = true;
+	fake_store_set_partitioned(&host->store, true);
+	fake_store_set_partitioned(&host->store, false);
+	mirror_rig_play_ms(20);
+	ck_assert(host->listing[0]);
+	while (host->listing[0])
+		mirror_rig_play_ms(10);
+	host->hung = true;
+	store_mirror_set_relay(host->mirror, "host-0");
+	mirror_rig_play_ms(60);
+	host->hung = false;
+	host->tick_us = mirror_rig.world.now_us + 100 * TGW_US_PER_MS;
+	mirror_rig_play_ms(10);
+	store_mirror_set_relay(host->mirror, "");
+	store_mirror_set_relay(host->mirror, "host-0");
+	mirror_rig_play_ms(60);
+	ck_assert(!host->list_needed[0] && !host->listing[0]);
+	store_mirror_set_relay(host->mirror, "");
+	host->store.refuses_lists = false;
+}
+
+START_TEST(a_host_follows_the_store_when_its_relay_goes_after_answering_a_list)
+{
+	mirror_rig_play_ms(3000 + _i * 37);
+	have_a_list_answered_between_ticks(&mirror_rig.hosts[1]);
+	mirror_rig_play_ms(1000);
+	mirror_rig_put(0, 1, 12);
+	mirror_rig_play_ms(MIRROR_RIG_APPLY_US / TGW_US_PER_MS - 200);
+	mirror_rig_check_known(0, 1, 12);
+	ck_assert_uint_eq(store_mirror_get_counters(mirror_rig.hosts[1].mirror)
+				  ->stalled_watches,
+			  0);
+}
+END_TEST
+
+START_TEST(a_change_is_known_in_time_when_the_watch_tells_nothing)
+{
+	struct mirror_rig_host *host = &mirror_rig.hosts[1];
+
+	store_mirror_set_relay(host->mirror, "");
+	mirror_rig_play_ms(3000 + _i * 37);
+	host->store.watch_broken = true;
+	mirror_rig_put(0, 1, 12);
+	mirror_rig_play_ms(MIRROR_RIG_APPLY_US / TGW_US_PER_MS - 200);
+	mirror_rig_check_known(0, 1, 12);
+	ck_assert_uint_gt(
+		store_mirror_get_counters(host->mirror)->stalled_watches, 0);
+}
+END_TEST
+
+/* Fails the host's calls to follow the store, or changes its relay. */
+static void disturb(struct mirror_rig_host *host)
+{
+	static const char *const relays[] = {"", "host-0", "host-1", "host-2"};
+	struct tgw_random *random = &mirror_rig.world.random;
+
+	switch (tgw_random_below(random, 4)) {
+	case 0:
+		host->store.refuses_lists = !host->store.refuses_lists;
+		break;
+	case 1:
+		fake_store_set_partitioned(&host->store, true);
+		mirror_rig_play_ms((int64_t)tgw_random_below(random, 300));
+		fake_store_set_partitioned(&host->store, false);
+		break;
+	default:
+		store_mirror_set_relay(host->mirror,
+				       relays[tgw_random_below(random, 4)]);
+		break;
+	}
+}
+
+/* Nothing but the calls that a host makes by itself brings it back. */
+START_TEST(a_change_is_known_in_time_after_faults_and_changes_of_relays)
+{
+	struct tgw_random *random = &mirror_rig.world.random;
+
+	mirror_rig_teardown();
+	mirror_rig_setup_seeded((uint64_t)_i + 1);
+	mirror_rig_play_ms(3000);
+	for (int step = 1; step <= 40; step++) {
+		for (int i = 0; i < 12; i++) {
+			disturb(&mirror_rig.hosts[tgw_random_below(
+				random, MIRROR_RIG_HOSTS)]);
+			mirror_rig_play_ms(
+				(int64_t)tgw_random_below(random, 80));
+		}
+		for (size_t i = 0; i < MIRROR_RIG_HOSTS; i++)
+			mirror_rig.hosts[i].store.refuses_lists = false;
+		mirror_rig_play_ms(800);
+		mirror_rig_put(0, 1, step);
+		mirror_rig_play_ms(MIRROR_RIG_APPLY_US / TGW_US_PER_MS - 200);
+		mirror_rig_check_known(0, 1, step);
+	}
+}
+END_TEST
+
 /* All is sent at random while messages are lost, repeated and late, and hosts
  * and their paths fail. In the end all mirror_rig.hosts know what the store
  * has. */
@@ -368,6 +471,17 @@
 		tcase,
 		a_host_without_a_path_to_the_store_learns_through_its_relay);
 	tcase_add_test(tcase, after_an_outage_the_relay_tells_first);
+	tcase_add_loop_test(
+		tcase,
+		a_host_follows_the_store_when_its_relay_goes_after_answering_a_list,
+		0, 28);
+	tcase_add_loop_test(
+		tcase, a_change_is_known_in_time_when_the_watch_tells_nothing,
+		0, 28);
+	tcase_add_loop_test(
+		tcase,
+		a_change_is_known_in_time_after_faults_and_changes_of_relays, 0,
+		RANDOM_RUNS);
 	tcase_add_loop_test(tcase, all_hosts_agree_in_the_end, 0, RANDOM_RUNS);
 	tcase_add_test(tcase, a_late_change_does_not_bring_a_deleted_key_back);
 	tcase_add_test(tcase,
