Take no response without an id from a kept connection

What callers saw: a server wrote a copy of an earlier refusal, without the request's id, and then ran an unsafe request and answered it. The host took the copy for the answer: the request ran at both servers, and its caller was told 503. A copied 408, 500 or 200 reached the caller as the server's answer.

Cause: ids were compared only where both the request and the response have one, so a response without an id counted as the current one's.

Evidence, a_copy_of_an_earlier_response_ends_no_request_on_a_kept_connection before the change (8 of its 10 cases fail; the two with another request's id pass): :0: HTTP/1.1 503 Service Unavailable (503 with the not-run field) :1: HTTP/1.1 503 Service Unavailable (421) :2: HTTP/1.1 503 Service Unavailable (429) :3: HTTP/1.1 408 Request Timeout :4: HTTP/1.1 503 Service Unavailable (400 with the not-run field) :5: HTTP/1.1 500 Internal Server Error (the copy's body) :6: Assertion 'strstr(received, "\r\n\r\ndone") != NULL' failed :9: HTTP/1.1 503 Service Unavailable (between interim responses)

Why it works: without an id only the order tells whose response it is, and it does so only for the first response on a connection. Any later one without an id is discarded, and the request waits for its own. A server that leaves ids out gets its later requests on new connections, so that its true refusals count; without that, its second answer on a kept connection ended as 504 (a_refusal_without_an_id_counts_on_a_new_connection, "1 runs, answered: HTTP/1.1 504 Gateway Timeout").

Result: test_edge_server_answers 41 checks, no failure; test_platform_decode 81, test_http_conn 19, test_loop_client 7, none.

--- a/src/edge/backend_pool.c
+++ b/src/edge/backend_pool.c
@@ -24,12 +24,22 @@
 	return http_conn_open(loop, &address.any);
 }
 
-void backend_pool_release(struct backend *backend, struct http_conn *conn,
-			  int64_t now_us)
+static struct http_pool *pool_of(struct backend *backend)
 {
 	if (!backend->pool)
 		backend->pool = xcalloc(1, sizeof(struct http_pool));
-	http_pool_release(backend->pool, conn,
+	return backend->pool;
+}
+
+void backend_pool_keep_none(struct backend *backend)
+{
+	http_pool_keep_none(pool_of(backend));
+}
+
+void backend_pool_release(struct backend *backend, struct http_conn *conn,
+			  int64_t now_us)
+{
+	http_pool_release(pool_of(backend), conn,
 			  backend_accepts_requests(backend, now_us)
 				  ? IDLE_CONNECTIONS_MAX
 				  : 0,
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "edge/backend_pool.h"
 #include "edge/call_log.h"
 #include "edge/call_private.h"
 #include "edge/edge_callers.h"
@@ -74,6 +75,27 @@
 		call_end_earlier_attempt(attempt->call);
 }
 
+/* The server leaves ids out. Which request a later response on a kept
+ * connection belongs to can't be told then. */
+static bool lacks_id(const struct call_attempt *attempt)
+{
+	return attempt->call->request.id_hash &&
+	       !attempt->response.names_request &&
+	       !attempt->response.other_request;
+}
+
+/* A server may send a response late, or once more, where the next one is
+ * expected. Without the request's id, only the first response on a connection
+ * is known to be the request's own. */
+static bool is_own_response(const struct call_attempt *attempt)
+{
+	const struct response_info *response = &attempt->response;
+
+	if (response->other_request)
+		return false;
+	return response->names_request || !attempt->conn->has_responded;
+}
+
 static enum http_conn_verdict on_head(struct http_conn *conn)
 {
 	struct call_attempt *attempt = conn->arg;
@@ -83,8 +105,12 @@
 	edge->sources.dialect->read_response(&conn->head, conn->status,
 					     call->request.id_hash,
 					     &attempt->response);
-	if (attempt->response.other_request)
+	if (lacks_id(attempt))
+		backend_pool_keep_none(attempt->backend);
+	if (!is_own_response(attempt)) {
+		call_log_response_discarded(attempt, conn->status);
 		return HTTP_CONN_DISCARD;
+	}
 	attempt->status = conn->status;
 	call_attempt_progress(attempt, edge_now_us());
 	if (!call->first_byte_us)
--- a/src/edge/call_dialect.h
+++ b/src/edge/call_dialect.h
@@ -43,7 +43,8 @@
 
 /** What the edge reads from the head of a server's response. */
 struct response_info {
-	bool other_request; /**< the response belongs to another request */
+	bool names_request; /**< the response bears the request's id */
+	bool other_request; /**< the response bears another request's id */
 	bool has_signature; /**< bears a signature, which is not verified */
 	bool not_run;	    /**< the server did not run the request */
 	bool misdirected;   /**< another server than the intended one has
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -92,6 +92,22 @@
 		      call->attempt_count, ms_since(attempt->started_us));
 }
 
+void call_log_response_discarded(const struct call_attempt *attempt, int status)
+{
+	const struct call *call = attempt->call;
+
+	edge_log_line(&call->edge->log, EDGE_LOG_NOTICE, "call",
+		      "response_discarded",
+		      "request=%s server=%s status=%d reason=\"%s\" "
+		      "attempt=%u age_ms=%lld",
+		      call->request.id, attempt->backend->entry.id, status,
+		      attempt->response.other_request
+			      ? "it bears another request's id"
+			      : "it bears no id and is not the first one on "
+				"its connection",
+		      call->attempt_count, ms_since(attempt->started_us));
+}
+
 void call_log_refused(const struct call *call, int status,
 		      int64_t retry_after_ms, const char *reason)
 {
--- a/src/edge/call_log.h
+++ b/src/edge/call_log.h
@@ -23,6 +23,11 @@
 /** A server that was silent goes on, before another one has responded. */
 void call_log_attempt_continues(const struct call_attempt *attempt);
 
+/** A server's response is not known to belong to the attempt's request, which
+ * goes on waiting for its own. */
+void call_log_response_discarded(const struct call_attempt *attempt,
+				 int status);
+
 /** The caller gets an error response of the edge itself. */
 void call_log_refused(const struct call *call, int status,
 		      int64_t retry_after_ms, const char *reason);
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -147,6 +147,7 @@
 
 	if (is_interim(conn))
 		return 0;
+	conn->has_responded = true;
 	conn->reusable = http_should_keep_alive(parser) && !conn->discarding;
 	if (conn->discarding)
 		return 0;
@@ -175,7 +176,6 @@
 	/* The last piece of the body may have paused it. */
 	http_conn_resume(conn);
 	conn->state = HTTP_CONN_IDLE;
-	conn->has_served = true;
 	conn->events = NULL;
 	events->complete(conn);
 	if (conn->state == HTTP_CONN_IDLE && !conn->reusable)
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -69,7 +69,8 @@
 	bool discarding;  /**< the current response is skipped */
 	bool ignore_body; /**< the request's method is HEAD */
 	bool response_done;
-	bool has_served;       /**< completed an earlier request */
+	/** A whole response came before the current one, accepted or not. */
+	bool has_responded;
 	int64_t idle_since_us; /**< for the owner's pool */
 	/** The server's idle limit less a margin; 0 if it announced none. */
 	int64_t idle_limit_us;
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -57,7 +57,7 @@
 {
 	if (!conn->reusable)
 		return;
-	if (pool->count >= max_idle) {
+	if (pool->keeps_none || pool->count >= max_idle) {
 		conn->reusable = false;
 		return;
 	}
@@ -91,3 +91,9 @@
 	while (pool->idle)
 		http_conn_close(remove_first(pool));
 }
+
+void http_pool_keep_none(struct http_pool *pool)
+{
+	http_pool_clear(pool);
+	pool->keeps_none = true;
+}
--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -156,7 +156,7 @@
 static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
 {
 	struct http_exchange *exchange = conn->arg;
-	bool was_reused = conn->has_served;
+	bool was_reused = conn->has_responded;
 
 	exchange->conn = NULL;
 	if (exchange->may_resend && was_reused && !exchange->has_response) {
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -40,8 +40,10 @@
 		http_head_find(&conn->request.head, "Tamarackgw-Request-Id");
 	struct buffer fields = {0};
 
-	buffer_add_format(&fields, "Tamarackgw-Request-Id: %s\r\n%s%s",
-			  id ? id : "", more_fields,
+	if (!standin->omits_ids)
+		buffer_add_format(&fields, "Tamarackgw-Request-Id: %s\r\n",
+				  id ? id : "");
+	buffer_add_format(&fields, "%s%s", more_fields,
 			  standin->extra_fields ? standin->extra_fields : "");
 	if (status < 400 || status == 500)
 		buffer_add_format(&fields,
@@ -327,6 +329,18 @@
 		standin->waiting = conn;
 }
 
+static void write_stray_bytes(struct backend_standin *standin,
+			      struct server_conn *conn)
+{
+	uv_buf_t bytes;
+
+	if (!standin->stray_bytes)
+		return;
+	bytes = uv_buf_init((char *)standin->stray_bytes,
+			    (unsigned int)strlen(standin->stray_bytes));
+	uv_try_write((uv_stream_t *)&conn->tcp, &bytes, 1);
+}
+
 static void on_request(struct server_conn *conn)
 {
 	struct backend_standin *standin = conn->owner;
@@ -336,6 +350,7 @@
 
 	standin->arrivals++;
 	record_request(standin, conn);
+	write_stray_bytes(standin, conn);
 	if (expected && strcmp(expected, standin->id))
 		answer(conn, 421, "", "Tamarackgw-Instance-Id: another\r\n");
 	else if (standin->rejects || !strcmp(action, "full"))
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -45,6 +45,7 @@
 	/** Connection of the waiting request, or NULL. */
 	struct server_conn *waiting;
 	bool never_pauses; /**< ignores X-Pause */
+	bool omits_ids;	   /**< answers without the request's id */
 	bool cuts_huge;	   /**< breaks off in the middle of huge */
 	bool rejects;	   /**< reports that it is full, and runs nothing */
 	bool fails;	   /**< answers 500 to each request that it runs */
@@ -54,6 +55,9 @@
 	/** Header lines, with their ends, that are added to all answers; NULL:
 	 * none. */
 	const char *extra_fields;
+	/** Bytes that are written to the connection of each request before the
+	 * request is run or refused; NULL: none. */
+	const char *stray_bytes;
 };
 
 void backend_standin_start(struct backend_standin *standin, uv_loop_t *loop,
--- a/tests/unit/test_edge_server_answers.c
+++ b/tests/unit/test_edge_server_answers.c
@@ -428,6 +428,97 @@
 }
 END_TEST
 
+static void set_stray_bytes(const char *bytes)
+{
+	server(0)->stray_bytes = bytes;
+	server(1)->stray_bytes = bytes;
+}
+
+/* Leaves a kept connection to each server. */
+static void prime_connections(void)
+{
+	request_until_answered_by(0, 0, "ok");
+	request_until_answered_by(0, 1, "ok");
+}
+
+static void expect_one_run_and_its_answer(unsigned int runs_before)
+{
+	unsigned int runs = edge_rig_runs(&rig) - runs_before;
+
+	ck_assert_msg(runs == 1 && !strncmp(received, "HTTP/1.1 200 ", 13),
+		      "%u runs, answered: %s", runs, received);
+	ck_assert_ptr_nonnull(strstr(received, "\r\n\r\ndone"));
+}
+
+/* Copies of earlier responses; none of them names the request. */
+static const char *const copies[] = {
+	"HTTP/1.1 503 Full\r\nTamarackgw-Not-Executed: 1\r\n"
+	"Content-Length: 0\r\n\r\n",
+	"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 429 Busy\r\nTamarackgw-Not-Executed: 1\r\n"
+	"Content-Length: 0\r\n\r\n",
+	"HTTP/1.1 408 Timeout\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 400 Bad\r\nTamarackgw-Not-Executed: 1\r\n"
+	"Content-Length: 0\r\n\r\n",
+	"HTTP/1.1 500 Failed\r\nTamarackgw-Response-Stamp: old\r\n"
+	"Content-Length: 3\r\n\r\nold",
+	"HTTP/1.1 200 OK\r\nTamarackgw-Response-Stamp: old\r\n"
+	"Content-Length: 3\r\n\r\nold",
+	"HTTP/1.1 200 OK\r\nTamarackgw-Response-Stamp: old\r\n"
+	"Tamarackgw-Request-Id: older\r\nContent-Length: 3\r\n\r\nold",
+	"HTTP/1.1 503 Full\r\nTamarackgw-Not-Executed: 1\r\n"
+	"Tamarackgw-Request-Id: older\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\n"
+	"HTTP/1.1 503 Full\r\nTamarackgw-Not-Executed: 1\r\n"
+	"Content-Length: 0\r\n\r\n"
+	"HTTP/1.1 103 Hints\r\nLink: a\r\n\r\n",
+};
+
+START_TEST(a_copy_of_an_earlier_response_ends_no_request_on_a_kept_connection)
+{
+	unsigned int before;
+
+	prime_connections();
+	before = edge_rig_runs(&rig);
+	set_stray_bytes(copies[_i]);
+	request(0, "unsafe", "ok");
+	expect_one_run_and_its_answer(before);
+}
+END_TEST
+
+/* On a new connection the order tells whose response it is. */
+START_TEST(a_refusal_without_an_id_counts_on_a_new_connection)
+{
+	server(0)->omits_ids = true;
+	server(1)->omits_ids = true;
+	server(0)->rejects = true;
+	for (unsigned int i = 0; i < 10; i++) {
+		unsigned int before = edge_rig_runs(&rig);
+
+		request(0, "unsafe", "ok");
+		expect_one_run_and_its_answer(before);
+	}
+	ck_assert_uint_ge(server(0)->arrivals, 1);
+}
+END_TEST
+
+/* What was on a kept connection before can't be told from a copy, once. */
+START_TEST(a_server_that_leaves_ids_out_costs_one_answer_at_most)
+{
+	unsigned int unanswered = 0;
+	unsigned int before;
+
+	prime_connections();
+	server(0)->omits_ids = true;
+	before = edge_rig_runs(&rig);
+	for (unsigned int i = 0; i < 20; i++)
+		if (request(0, "unsafe", "ok") != 200)
+			unanswered++;
+	ck_assert_uint_le(unanswered, 1);
+	ck_assert_uint_eq(edge_rig_runs(&rig) - before, 20);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_server_answers");
@@ -472,6 +563,14 @@
 			    sizeof(harmless) / sizeof(harmless[0]));
 	tcase_add_test(tcase, an_answer_to_a_request_with_a_long_id_is_taken);
 	tcase_add_loop_test(tcase, only_a_503_asks_for_rest, 0, 2);
+	tcase_add_loop_test(
+		tcase,
+		a_copy_of_an_earlier_response_ends_no_request_on_a_kept_connection,
+		0, sizeof(copies) / sizeof(copies[0]));
+	tcase_add_test(tcase,
+		       a_refusal_without_an_id_counts_on_a_new_connection);
+	tcase_add_test(tcase,
+		       a_server_that_leaves_ids_out_costs_one_answer_at_most);
 	tcase_add_test(
 		tcase,
 		a_late_or_wrong_notice_of_a_host_costs_no_server_for_good);
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -241,14 +241,18 @@
 	const char *request;
 	const char *response;
 	bool is_other;
+	bool is_named;
 } ids[] = {
-	{"mine", "mine", false},
-	{"mine ", "mine", false},
-	{"mine", "others", true},
-	{"mine", "min", true},
-	{"", "others", false},
-	{LONG_ID "a", LONG_ID "a", false},
-	{LONG_ID "a", LONG_ID "b", true},
+	{"mine", "mine", false, true},
+	{"mine ", "mine", false, true},
+	{"mine", "others", true, false},
+	{"mine", "min", true, false},
+	{"mine", "", false, false},
+	{"mine", " ", false, false},
+	{"", "others", false, false},
+	{"", "", false, false},
+	{LONG_ID "a", LONG_ID "a", false, true},
+	{LONG_ID "a", LONG_ID "b", true, false},
 };
 
 START_TEST(an_answer_to_another_request_is_recognized_by_its_id)
@@ -263,6 +267,7 @@
 	platform_dialect.read_request(&request, &asked);
 	platform_dialect.read_response(&response, 200, asked.id_hash, &info);
 	ck_assert_int_eq(info.other_request, ids[_i].is_other);
+	ck_assert_int_eq(info.names_request, ids[_i].is_named);
 	http_head_free(&request);
 	http_head_free(&response);
 }
