Use a new connection where an id can't tell whose response it is

What callers saw: a server sent the refusal of an earlier request once more. A later request with the same id on that connection took it for its own: it ran, and its caller was told 503 "no server took the request". Around HEAD a late copy was read with the wrong length, and the request ended with 502.

Cause: a kept connection was used for each request, also where nothing in a late response tells which request it belongs to.

Evidence before, test_edge_server_answers, 16 of 59 checks failed: a_late_copy_ends_no_later_request_with_the_same_id:0 and :1: 1 runs, answered: HTTP/1.1 503 Service Unavailable a_late_copy_ends_no_request_without_an_id:0 to :11: 1 runs, answered: HTTP/1.1 504 Gateway Timeout a_late_copy_ends_no_request_beside_head:0 and :1: HTTP/1.1 502 Bad Gateway, "the answer can't be read"

Why it works: a new connection has no earlier response. A connection remembers the ids that it has carried last, and is closed in place of carrying one of them again; requests without an id and HEAD requests always get a new one, and the connection of a HEAD request is not kept.

Result: 59 checks, no failure; test_http_conn, test_loop_client, test_edge_connections and test_edge_repeats have none either.

--- a/src/edge/backend_pool.c
+++ b/src/edge/backend_pool.c
@@ -10,20 +10,54 @@
  * connections that a server accepts. */
 #define IDLE_CONNECTIONS_MAX 8
 
-struct http_conn *backend_pool_acquire(uv_loop_t *loop, struct backend *backend,
-				       int64_t now_us)
+struct http_conn *backend_pool_open(uv_loop_t *loop,
+				    const struct backend *backend)
 {
-	struct http_pool *pool = backend->pool;
-	struct http_conn *conn = pool ? http_pool_acquire(pool, now_us) : NULL;
 	union socket_address address;
 
-	if (conn)
-		return conn;
 	if (!socket_address_parse(backend->entry.address, &address))
 		return NULL;
 	return http_conn_open(loop, &address.any);
 }
 
+static bool has_carried(const struct http_conn *conn, uint64_t request_id_hash)
+{
+	for (size_t i = 0; i < HTTP_CONN_CARRIED_IDS; i++)
+		if (conn->carried_ids[i] == request_id_hash)
+			return true;
+	return false;
+}
+
+/* A late copy of the response to an earlier request with the same id can't be
+ * told from the response to this one, so its connection is closed. */
+static struct http_conn *take_idle(struct backend *backend,
+				   uint64_t request_id_hash, int64_t now_us)
+{
+	struct http_conn *conn;
+
+	if (!backend->pool)
+		return NULL;
+	while ((conn = http_pool_acquire(backend->pool, now_us))) {
+		if (!has_carried(conn, request_id_hash))
+			return conn;
+		http_conn_close(conn);
+	}
+	return NULL;
+}
+
+struct http_conn *backend_pool_acquire(uv_loop_t *loop, struct backend *backend,
+				       uint64_t request_id_hash, int64_t now_us)
+{
+	struct http_conn *conn = take_idle(backend, request_id_hash, now_us);
+
+	if (!conn)
+		conn = backend_pool_open(loop, backend);
+	if (conn)
+		conn->carried_ids[conn->carried_count++ %
+				  HTTP_CONN_CARRIED_IDS] = request_id_hash;
+	return conn;
+}
+
 static struct http_pool *pool_of(struct backend *backend)
 {
 	if (!backend->pool)
--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -11,9 +11,15 @@
 #include "state/backend_table.h"
 #include "transport/http_conn.h"
 
-/** Takes an idle connection from the pool, or opens a new one.
+/** @return a new connection, or NULL if the server's address can't be parsed */
+struct http_conn *backend_pool_open(uv_loop_t *loop,
+				    const struct backend *backend);
+
+/** Takes an idle connection from the pool that has not carried a request of
+ * this id lately, or opens a new one.
  * @return NULL if the server's address can't be parsed */
 struct http_conn *backend_pool_acquire(uv_loop_t *loop, struct backend *backend,
+				       uint64_t request_id_hash,
 				       int64_t now_us);
 
 /** Releases a connection to the pool for a later request. It is closed if it
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -83,6 +83,25 @@
 	return NULL;
 }
 
+static bool is_head_request(const struct call *call)
+{
+	return !strcmp(call->caller->request.method, "HEAD");
+}
+
+/* A late response on a kept connection is told by its id, and its end by the
+ * request's method. */
+static struct http_conn *connect_to(const struct call_attempt *attempt,
+				    int64_t now_us)
+{
+	const struct call *call = attempt->call;
+	struct backend *backend = attempt->backend;
+
+	if (!call->request.id_hash || is_head_request(call))
+		return backend_pool_open(call->edge->loop, backend);
+	return backend_pool_acquire(call->edge->loop, backend,
+				    call->request.id_hash, now_us);
+}
+
 void call_attempt_start(struct call *call, struct backend *backend,
 			bool is_retry)
 {
@@ -102,7 +121,7 @@
 	attempt->started_us = now_us;
 	attempt->last_progress_us = now_us;
 	backend_begin(backend, now_us);
-	attempt->conn = backend_pool_acquire(edge->loop, backend, now_us);
+	attempt->conn = connect_to(attempt, now_us);
 	if (!attempt->conn) {
 		call_attempt_failed(attempt, BACKEND_UNREACHABLE,
 				    "the server's address can't be used");
@@ -111,8 +130,7 @@
 	attempt->conn->link_bytes = &edge->link_bytes;
 	event_scan_init(&attempt->events);
 	write_head(call, backend, &head);
-	attempt->conn->ignore_body =
-		!strcmp(call->caller->request.method, "HEAD");
+	attempt->conn->ignore_body = is_head_request(call);
 	http_conn_send(attempt->conn, &call_response_events, attempt, &head,
 		       &call->caller->request.body);
 	if (head.size + call->caller->request.body.size > LONG_REQUEST_BYTES) {
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -148,7 +148,10 @@
 	if (is_interim(conn))
 		return 0;
 	conn->has_responded = true;
-	conn->reusable = http_should_keep_alive(parser) && !conn->discarding;
+	/* Whether a late copy of a response to HEAD has a body would be guessed
+	 * from a later request's method. */
+	conn->reusable = http_should_keep_alive(parser) && !conn->discarding &&
+			 !conn->ignore_body;
 	if (conn->discarding)
 		return 0;
 	conn->response_done = true;
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -29,7 +29,8 @@
 /** The owner's decision on a response whose head is complete. */
 enum http_conn_verdict {
 	HTTP_CONN_ACCEPT,
-	HTTP_CONN_DISCARD, /**< not for this request: wait for the next */
+	/** Not for this request: wait for the next. */
+	HTTP_CONN_DISCARD,
 };
 
 /** Callbacks into the owner. They may close the connection. */
@@ -43,6 +44,8 @@
 	void (*broken)(struct http_conn *conn, enum http_conn_fault fault);
 };
 
+#define HTTP_CONN_CARRIED_IDS 8
+
 enum http_conn_state {
 	HTTP_CONN_IDLE,
 	HTTP_CONN_AWAITING, /**< the response is not complete yet */
@@ -79,6 +82,9 @@
 	void *arg;
 	void *owner;		/**< for the owner's pool */
 	struct http_conn *next; /**< for the owner's pool */
+	/** For the owner's pool: hashes of the latest requests' ids, a ring. */
+	uint64_t carried_ids[HTTP_CONN_CARRIED_IDS];
+	uint32_t carried_count;
 };
 
 /** Starts to connect. A failure is reported by `broken` of the request's
--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -299,7 +299,7 @@
 	struct http_conn *reused = NULL;
 	union socket_address address;
 
-	if (!exchange->fresh_connection)
+	if (!exchange->fresh_connection && !exchange->is_head_request)
 		reused = http_pool_acquire(&server->pool, now_us(client));
 	if (reused)
 		send_on(exchange, reused);
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -334,7 +334,7 @@
 {
 	uv_buf_t bytes;
 
-	if (!standin->stray_bytes)
+	if (!standin->stray_bytes || !conn->link_bytes->sent_bytes)
 		return;
 	bytes = uv_buf_init((char *)standin->stray_bytes,
 			    (unsigned int)strlen(standin->stray_bytes));
@@ -404,6 +404,8 @@
 
 	if (conn->call)
 		end_pause(conn->call);
+	free(conn->link_bytes);
+	conn->link_bytes = NULL;
 	if (conn->turns)
 		read_turns_forget(conn->turns, &conn->turn);
 	if (conn->previous)
@@ -432,6 +434,7 @@
 	if (!conn)
 		return;
 	conn->turns = standin->turns;
+	conn->link_bytes = xcalloc(1, sizeof(*conn->link_bytes));
 	conn->next = standin->conns;
 	if (conn->next)
 		conn->next->previous = conn;
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -55,8 +55,8 @@
 	/** Header lines, with their ends, that are added to all answers; NULL:
 	 * none. */
 	const char *extra_fields;
-	/** Bytes that are written to the connection of each request before the
-	 * request is run or refused; NULL: none. */
+	/** Bytes that are written to a connection that has carried a response,
+	 * before its next request is run or refused; NULL: none. */
 	const char *stray_bytes;
 };
 
--- a/tests/unit/test_edge_server_answers.c
+++ b/tests/unit/test_edge_server_answers.c
@@ -468,6 +468,11 @@
 	"Tamarackgw-Request-Id: older\r\nContent-Length: 3\r\n\r\nold",
 	"HTTP/1.1 503 Full\r\nTamarackgw-Not-Executed: 1\r\n"
 	"Tamarackgw-Request-Id: older\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 503 Full\r\nTamarackgw-Not-Executed: 1\r\n"
+	"Connection: close\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTamarackgw-Response-Stamp: old\r\n"
+	"Tamarackgw-Request-Id: older\r\nConnection: close\r\n"
+	"Content-Length: 3\r\n\r\nold",
 	"HTTP/1.1 100 Continue\r\n\r\n"
 	"HTTP/1.1 503 Full\r\nTamarackgw-Not-Executed: 1\r\n"
 	"Content-Length: 0\r\n\r\n"
@@ -519,6 +524,74 @@
 }
 END_TEST
 
+static void request_with_id(const char *method, const char *id)
+{
+	char text[256];
+
+	snprintf(text, sizeof(text),
+		 "%s /unsafe/ok HTTP/1.1\r\nHost: a.example\r\n"
+		 "Authorization: Token key-1\r\n"
+		 "Connection: close\r\n%s%s\r\n\r\n",
+		 method, *id ? "Tamarackgw-Request-Id: " : "X-None: ", id);
+	free(received);
+	received = edge_rig_exchange(&rig, text);
+}
+
+static const char *const ids_between[] = {"twin", "other"};
+
+START_TEST(a_late_copy_ends_no_later_request_with_the_same_id)
+{
+	unsigned int before;
+
+	edge_rig_register_server(&rig, 1, "draining", 2);
+	edge_rig_run(&rig, 3 * BOUND_MS);
+	request_with_id("GET", "twin");
+	request_with_id("GET", ids_between[_i]);
+	before = edge_rig_runs(&rig);
+	server(0)->stray_bytes = "HTTP/1.1 503 Full\r\n"
+				 "Tamarackgw-Request-Id: twin\r\n"
+				 "Tamarackgw-Not-Executed: 1\r\n"
+				 "Content-Length: 0\r\n\r\n";
+	request_with_id("GET", "twin");
+	expect_one_run_and_its_answer(before);
+}
+END_TEST
+
+START_TEST(a_late_copy_ends_no_request_without_an_id)
+{
+	unsigned int before;
+
+	prime_connections();
+	before = edge_rig_runs(&rig);
+	set_stray_bytes(copies[_i]);
+	request_with_id("GET", "");
+	expect_one_run_and_its_answer(before);
+}
+END_TEST
+
+/* Whose response has a body decides where the next response begins. */
+START_TEST(a_late_copy_ends_no_request_beside_head)
+{
+	static const char *const methods[] = {"GET", "HEAD"};
+	static const char *const late_copies[] = {
+		"HTTP/1.1 200 OK\r\nTamarackgw-Request-Id: older\r\n"
+		"Content-Length: 4\r\n\r\ndone",
+		"HTTP/1.1 200 OK\r\nTamarackgw-Request-Id: older\r\n"
+		"Content-Length: 4\r\n\r\n",
+	};
+	unsigned int before;
+
+	edge_rig_register_server(&rig, 1, "draining", 2);
+	edge_rig_run(&rig, 3 * BOUND_MS);
+	request_with_id(methods[_i], "older");
+	before = edge_rig_runs(&rig);
+	server(0)->stray_bytes = late_copies[_i];
+	request_with_id(methods[!_i], "mine");
+	ck_assert_msg(!strncmp(received, "HTTP/1.1 200 ", 13), "%s", received);
+	ck_assert_uint_eq(edge_rig_runs(&rig) - before, 1);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_server_answers");
@@ -571,6 +644,13 @@
 		       a_refusal_without_an_id_counts_on_a_new_connection);
 	tcase_add_test(tcase,
 		       a_server_that_leaves_ids_out_costs_one_answer_at_most);
+	tcase_add_loop_test(tcase,
+			    a_late_copy_ends_no_later_request_with_the_same_id,
+			    0, sizeof(ids_between) / sizeof(ids_between[0]));
+	tcase_add_loop_test(tcase, a_late_copy_ends_no_request_without_an_id, 0,
+			    sizeof(copies) / sizeof(copies[0]));
+	tcase_add_loop_test(tcase, a_late_copy_ends_no_request_beside_head, 0,
+			    2);
 	tcase_add_test(
 		tcase,
 		a_late_or_wrong_notice_of_a_host_costs_no_server_for_good);
