--- a/tests/fakes/kv_standin.c
+++ b/tests/fakes/kv_standin.c
@@ -346,6 +346,18 @@
 	json_decref(body);
 }
 
+static void write_stray_bytes(const struct kv_standin *store,
+			      struct server_conn *conn)
+{
+	uv_buf_t bytes;
+
+	if (!store->stray_bytes)
+		return;
+	bytes = uv_buf_init((char *)store->stray_bytes,
+			    (unsigned int)strlen(store->stray_bytes));
+	uv_try_write((uv_stream_t *)&conn->tcp, &bytes, 1);
+}
+
 static void on_request(struct server_conn *conn)
 {
 	struct kv_standin_view *view = conn->owner;
@@ -357,6 +369,8 @@
 	store->calls++;
 	if (store->silent || view->silent)
 		return;
+	if (strncmp(target, "/kv-watch", 9) != 0)
+		write_stray_bytes(store, conn);
 	if (store->refuse_status || view->refuse_status) {
 		answer(conn,
 		       view->refuse_status ? view->refuse_status
--- a/tests/fakes/kv_standin.h
+++ b/tests/fakes/kv_standin.h
@@ -57,6 +57,9 @@
 	struct kv_standin_copy copy;
 	bool silent;	   /**< answers no request */
 	int refuse_status; /**< HTTP status of all answers; 0: serve normally */
+	/** Bytes that are written to the connection of each call, other than a
+	 * watch, before its answer; NULL: none. */
+	const char *stray_bytes;
 	unsigned int calls; /**< requests received */
 	/** Maximum number of revisions by which a new watch was behind the
 	 * store. */
--- a/tests/unit/test_store_era.c
+++ b/tests/unit/test_store_era.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fakes/edge_rig.h"
+#include "platform_version.h"
 #include "unit/unit_main.h"
 
 #define HOSTS 2
@@ -238,6 +239,86 @@
 }
 END_TEST
 
+static void format_copy(char *text, size_t size, int code, const char *body)
+{
+	snprintf(text, size,
+		 "HTTP/1.1 %d Copy\r\nStore-Era: 2\r\n"
+		 "Content-Length: %zu\r\n\r\n%s",
+		 code, strlen(body), body);
+}
+
+/* The revision is that of the earlier write. */
+static const struct {
+	int code;
+	const char *body_format;
+} copies[] = {
+	{200, "{\"revision\":%lld}"},
+	{200, "{\"key\":\"k\",\"revision\":%lld,\"value\":\"b2xk\"}"},
+	{412, "{\"items\":[{\"key\":\"k\",\"revision\":%lld,"
+	      "\"value\":\"b2xk\"}]}"},
+};
+
+START_TEST(a_copy_of_an_earlier_answer_does_not_tell_how_a_write_ended)
+{
+	struct outcome first = swap("k", TGW_STORE_ABSENT, "ours");
+	char body[128];
+	char copy[256];
+
+	get("k");
+	snprintf(body, sizeof(body), copies[_i].body_format,
+		 (long long)platform_version_revision(first.version));
+	format_copy(copy, sizeof(copy), copies[_i].code, body);
+	server.stray_bytes = copy;
+	ck_assert_int_eq(swap("k", first.version, "next").status, TGW_UNKNOWN);
+	server.stray_bytes = NULL;
+	ck_assert_str_eq(get("k").value, "next");
+}
+END_TEST
+
+/* Nothing that the write was conditional on has changed. */
+START_TEST(a_conflict_without_a_change_does_not_tell_how_a_write_ended)
+{
+	char copy[256];
+
+	format_copy(copy, sizeof(copy), 412, "{\"items\":[]}");
+	server.stray_bytes = copy;
+	ck_assert_int_eq(swap("k", TGW_STORE_ABSENT, "ours").status,
+			 TGW_UNKNOWN);
+	server.stray_bytes = NULL;
+	ck_assert_str_eq(get("k").value, "ours");
+}
+END_TEST
+
+START_TEST(a_store_that_gives_out_revisions_again_without_an_era_is_written)
+{
+	server.era = 0;
+	kv_standin_copy(&server);
+	for (int i = 0; i < 5; i++)
+		kv_standin_put(&server, "filler", "x");
+	swap("high", TGW_STORE_ABSENT, "ours");
+	kv_standin_return(&server);
+	server.era = 0;
+	ck_assert_int_eq(swap("k", TGW_STORE_ABSENT, "ours").status,
+			 TGW_UNKNOWN);
+	ck_assert_int_eq(swap("k", get("k").version, "next").status, TGW_OK);
+}
+END_TEST
+
+START_TEST(an_answer_for_another_key_is_not_used)
+{
+	char copy[256];
+
+	swap("k", TGW_STORE_ABSENT, "ours");
+	swap("other", TGW_STORE_ABSENT, "theirs");
+	format_copy(copy, sizeof(copy), 200,
+		    "{\"key\":\"other\",\"revision\":3,\"value\":\"b2xk\"}");
+	server.stray_bytes = copy;
+	ck_assert_int_eq(get("k").status, TGW_UNAVAILABLE);
+	server.stray_bytes = NULL;
+	ck_assert_str_eq(get("k").value, "ours");
+}
+END_TEST
+
 static Suite *store_era_suite(void)
 {
 	Suite *suite = suite_create("store_era");
@@ -262,6 +343,17 @@
 	tcase_add_test(
 		calls,
 		a_store_that_never_tells_its_era_has_its_plain_revisions);
+	tcase_add_loop_test(
+		calls,
+		a_copy_of_an_earlier_answer_does_not_tell_how_a_write_ended, 0,
+		sizeof(copies) / sizeof(copies[0]));
+	tcase_add_test(
+		calls,
+		a_conflict_without_a_change_does_not_tell_how_a_write_ended);
+	tcase_add_test(
+		calls,
+		a_store_that_gives_out_revisions_again_without_an_era_is_written);
+	tcase_add_test(calls, an_answer_for_another_key_is_not_used);
 	suite_add_tcase(suite, calls);
 	return suite;
 }
