Keep connections again a minute after a response without an id

A response without an id made a host open a new connection for each further request of that server's run. One odd request, to which a server's HTTP library writes a page of its own, would cost all callers their kept connections for that long. The effect now ends a minute after the last such response. A server that always leaves ids out still has no kept connection.

The end of the minute itself has no test.

--- a/src/edge/backend_pool.c
+++ b/src/edge/backend_pool.c
@@ -3,12 +3,16 @@
 #include <stdlib.h>
 
 #include "base/xalloc.h"
+#include "tamarackgw/clock.h"
 #include "transport/http_pool.h"
 #include "transport/socket_address.h"
 
 /* Limit on this host's idle connections to one server. All hosts share the
  * connections that a server accepts. */
 #define IDLE_CONNECTIONS_MAX 8
+/* Limited, so that one request with an odd response does not cost all later
+ * ones their kept connections. */
+#define KEEP_NONE_US (60 * TGW_US_PER_S)
 
 struct http_conn *backend_pool_open(uv_loop_t *loop,
 				    const struct backend *backend)
@@ -65,9 +69,9 @@
 	return backend->pool;
 }
 
-void backend_pool_keep_none(struct backend *backend)
+void backend_pool_keep_none(struct backend *backend, int64_t now_us)
 {
-	http_pool_keep_none(pool_of(backend));
+	http_pool_keep_none(pool_of(backend), now_us + KEEP_NONE_US);
 }
 
 void backend_pool_release(struct backend *backend, struct http_conn *conn,
--- a/src/edge/backend_pool.h
+++ b/src/edge/backend_pool.h
@@ -31,8 +31,9 @@
  * the server accepts no requests. */
 void backend_pool_trim(struct backend *backend, int64_t now_us);
 
-/** Sends each further request to the server on a connection of its own. */
-void backend_pool_keep_none(struct backend *backend);
+/** Sends each request to the server on a connection of its own for some time.
+ */
+void backend_pool_keep_none(struct backend *backend, int64_t now_us);
 
 /** Closes all idle connections and frees the pool. */
 void backend_pool_free(struct backend *backend);
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -106,7 +106,7 @@
 					     call->request.id_hash,
 					     &attempt->response);
 	if (lacks_id(attempt))
-		backend_pool_keep_none(attempt->backend);
+		backend_pool_keep_none(attempt->backend, edge_now_us());
 	if (!is_own_response(attempt)) {
 		call_log_response_discarded(attempt, conn->status);
 		return HTTP_CONN_DISCARD;
--- a/src/transport/http_pool.c
+++ b/src/transport/http_pool.c
@@ -57,7 +57,7 @@
 {
 	if (!conn->reusable)
 		return;
-	if (pool->keeps_none || pool->count >= max_idle) {
+	if (now_us < pool->keeps_none_until_us || pool->count >= max_idle) {
 		conn->reusable = false;
 		return;
 	}
@@ -92,8 +92,8 @@
 		http_conn_close(remove_first(pool));
 }
 
-void http_pool_keep_none(struct http_pool *pool)
+void http_pool_keep_none(struct http_pool *pool, int64_t until_us)
 {
 	http_pool_clear(pool);
-	pool->keeps_none = true;
+	pool->keeps_none_until_us = until_us;
 }
