--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -147,7 +147,11 @@
 
 	if (is_interim(conn))
 		return 0;
-	conn->reusable = http_should_keep_alive(parser) && !conn->discarding;
+	conn->has_responded = true;
+	/* Whether a late copy of a response to HEAD has a body would be guessed
+	 * from a later request's method. */
+	conn->reusable = http_should_keep_alive(parser) && !conn->discarding &&
+			 !conn->ignore_body;
 	if (conn->discarding)
 		return 0;
 	conn->response_done = true;
@@ -175,7 +179,6 @@
 	/* The last piece of the body may have paused it. */
 	http_conn_resume(conn);
 	conn->state = HTTP_CONN_IDLE;
-	conn->has_served = true;
 	conn->events = NULL;
 	events->complete(conn);
 	if (conn->state == HTTP_CONN_IDLE && !conn->reusable)
--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -156,7 +156,7 @@
 static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
 {
 	struct http_exchange *exchange = conn->arg;
-	bool was_reused = conn->has_served;
+	bool was_reused = conn->has_responded;
 
 	exchange->conn = NULL;
 	if (exchange->may_resend && was_reused && !exchange->has_response) {
@@ -299,7 +299,7 @@
 	struct http_conn *reused = NULL;
 	union socket_address address;
 
-	if (!exchange->fresh_connection)
+	if (!exchange->fresh_connection && !exchange->is_head_request)
 		reused = http_pool_acquire(&server->pool, now_us(client));
 	if (reused)
 		send_on(exchange, reused);
