Resume a stream only after an event that has an id

A resumable stream whose last event had no id, or whose ids did not increase, broke off. The host resumed it after the last id that it had seen, and its caller got the events behind that id twice, in a stream that ended as complete.

The scan of a stream kept the id of the last event that had one, also when later events without an id had been forwarded. It also read "1x" as 1 and "+1" as 1, so another id than the server's could be sent back.

A stream now counts as resumable after its last event only: that event must have an id, a number and nothing else, and all ids so far must have increased. Otherwise the stream is cut where it broke off, and its caller may go on by itself.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -131,8 +131,8 @@
 	size_t complete = event_scan_feed(events, data, size);
 
 	call->events_sent += events->events - before;
-	if (events->last_id != EVENT_SCAN_NO_ID)
-		call->last_event_id = events->last_id;
+	if (events->events != before)
+		call->last_event_id = events->resume_id;
 	return complete;
 }
 
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -103,8 +103,10 @@
 	bool head_sent; /* to the caller */
 	/* Parts of a body were sent that no other response can go on from. */
 	bool body_forwarded;
-	uint64_t events_sent;  /* complete events of a stream */
-	int64_t last_event_id; /* of these events */
+	uint64_t events_sent; /* complete events of a stream */
+	/* Of the last of them, if another server can go on after it; otherwise
+	 * EVENT_SCAN_NO_ID. */
+	int64_t last_event_id;
 };
 
 /** @return whether another server may run the request, after what the caller
--- a/src/protocol/event_scan.c
+++ b/src/protocol/event_scan.c
@@ -1,39 +1,73 @@
 #include "protocol/event_scan.h"
 
-#include <stdlib.h>
 #include <string.h>
 
+#define ID_FIELD "id:"
+/* A number of more digits may exceed an int64_t. */
+#define ID_DIGITS_MAX 18
+
 void event_scan_init(struct event_scan *scan)
 {
 	memset(scan, 0, sizeof(*scan));
 	scan->last_id = EVENT_SCAN_NO_ID;
 	scan->pending_id = EVENT_SCAN_NO_ID;
+	scan->resume_id = EVENT_SCAN_NO_ID;
+}
+
+/* @return EVENT_SCAN_NO_ID unless the text is a number, and nothing else */
+static int64_t parse_id(const char *text)
+{
+	int64_t id = 0;
+	const char *at = text;
+
+	for (; *at >= '0' && *at <= '9'; at++) {
+		if (at - text == ID_DIGITS_MAX)
+			return EVENT_SCAN_NO_ID;
+		id = id * 10 + (*at - '0');
+	}
+	if (at == text || (*at && strcmp(at, "\r") != 0))
+		return EVENT_SCAN_NO_ID;
+	return id;
 }
 
-static void read_id(struct event_scan *scan)
+static void read_line(struct event_scan *scan)
 {
-	const char *value;
-	char *end;
-	long long id;
+	const char *value = scan->line + strlen(ID_FIELD);
 
+	if (scan->line[0] != ':')
+		scan->has_field = true;
 	if (scan->line_size >= sizeof(scan->line))
 		return;
 	scan->line[scan->line_size] = '\0';
-	if (strncmp(scan->line, "id:", 3))
-		return;
-	value = scan->line + 3;
-	id = strtoll(value, &end, 10);
-	if (end != value && id >= 0)
-		scan->pending_id = id;
+	if (!strncmp(scan->line, ID_FIELD, strlen(ID_FIELD)))
+		scan->pending_id = parse_id(*value == ' ' ? value + 1 : value);
 }
 
-static void end_event(struct event_scan *scan)
+static void record_id(struct event_scan *scan, int64_t id)
+{
+	if (id != EVENT_SCAN_NO_ID) {
+		scan->ids_decrease |= id <= scan->last_id;
+		scan->last_id = id;
+	}
+	scan->resume_id = scan->ids_decrease ? EVENT_SCAN_NO_ID : id;
+}
+
+/* An event begins with the next byte. */
+static void clear_event(struct event_scan *scan)
 {
-	if (scan->pending_id != EVENT_SCAN_NO_ID)
-		scan->last_id = scan->pending_id;
 	scan->pending_id = EVENT_SCAN_NO_ID;
+	scan->line_size = 0;
 	scan->in_event = false;
-	scan->events++;
+	scan->has_field = false;
+}
+
+static void end_event(struct event_scan *scan)
+{
+	if (scan->has_field) {
+		record_id(scan, scan->pending_id);
+		scan->events++;
+	}
+	clear_event(scan);
 }
 
 static bool line_is_blank(const struct event_scan *scan)
@@ -50,7 +84,7 @@
 	if (ends_event)
 		end_event(scan);
 	else if (!line_is_blank(scan))
-		read_id(scan);
+		read_line(scan);
 	scan->line_size = 0;
 	return ends_event;
 }
@@ -88,7 +122,5 @@
 
 void event_scan_discard_partial(struct event_scan *scan)
 {
-	scan->pending_id = EVENT_SCAN_NO_ID;
-	scan->line_size = 0;
-	scan->in_event = false;
+	clear_event(scan);
 }
--- a/src/protocol/event_scan.h
+++ b/src/protocol/event_scan.h
@@ -19,9 +19,16 @@
 struct event_scan {
 	int64_t last_id;    /**< of the last complete event that has an id */
 	int64_t pending_id; /**< of the incomplete event */
-	uint64_t events;    /**< number of complete events */
-	size_t line_size;   /**< of the incomplete line; may exceed line[] */
-	bool in_event;	    /**< bytes of an incomplete event have been read */
+	/** Of the last complete event, if the stream can be resumed after it:
+	 * that event has an id, and all ids so far have increased. */
+	int64_t resume_id;
+	bool ids_decrease; /**< some id is not greater than the one before */
+	uint64_t events;   /**< number of complete events */
+	size_t line_size;  /**< of the incomplete line; may exceed line[] */
+	bool in_event;	   /**< bytes of an incomplete event have been read */
+	/** The incomplete event has a line that is no comment. Comments alone
+	 * are not an event. */
+	bool has_field;
 	char line[EVENT_SCAN_LINE_SIZE];
 };
 
--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -32,22 +32,31 @@
 	.stall_ms = 10000,
 };
 
-static void send_head(struct server_conn *conn, int status, int64_t body_bytes,
-		      const char *more_fields)
+/* Adds the header lines that all answers have. */
+static void add_fields(const struct server_conn *conn, int status,
+		       struct buffer *fields)
 {
-	struct backend_standin *standin = conn->owner;
+	const struct backend_standin *standin = conn->owner;
 	const char *id =
 		http_head_find(&conn->request.head, "Tamarackgw-Request-Id");
-	struct buffer fields = {0};
 
-	buffer_add_format(&fields, "Tamarackgw-Request-Id: %s\r\n%s%s",
-			  id ? id : "", more_fields,
+	buffer_add_format(fields, "Tamarackgw-Request-Id: %s\r\n%s",
+			  id ? id : "",
 			  standin->extra_fields ? standin->extra_fields : "");
 	if (status < 400 || status == 500)
-		buffer_add_format(&fields,
+		buffer_add_format(fields,
 				  "Tamarackgw-Response-Stamp: by-%s\r\n"
 				  "Tamarackgw-Server-Load: 1,0,4\r\n",
 				  standin->id);
+}
+
+static void send_head(struct server_conn *conn, int status, int64_t body_bytes,
+		      const char *more_fields)
+{
+	struct buffer fields = {0};
+
+	buffer_add_text(&fields, more_fields);
+	add_fields(conn, status, &fields);
 	server_conn_send_head(conn, status, &fields, body_bytes, false);
 	buffer_free(&fields);
 }
@@ -279,6 +288,26 @@
 		   conn->request.body.size);
 }
 
+static void answer_as_scripted(struct server_conn *conn,
+			       const struct backend_standin_answer *scripted)
+{
+	struct buffer bytes = {0};
+
+	buffer_add_format(&bytes, "HTTP/1.1 %d Scripted\r\n", scripted->status);
+	add_fields(conn, scripted->status, &bytes);
+	buffer_add_text(&bytes, scripted->text);
+	conn->chunked = false;
+	server_conn_send_body(conn, bytes.data, bytes.size);
+	buffer_free(&bytes);
+	conn->keep_alive = false;
+	/* Makes an abort reset the connection. */
+	conn->http_1_0 = true;
+	if (scripted->end == BACKEND_STANDIN_CLOSES)
+		server_conn_finish(conn);
+	else if (scripted->end == BACKEND_STANDIN_RESETS)
+		server_conn_abort(conn);
+}
+
 static void run(struct backend_standin *standin, struct server_conn *conn,
 		const char *action)
 {
@@ -286,7 +315,9 @@
 	bool is_stream = !strcmp(action, "stream");
 
 	standin->runs++;
-	if (standin->fails_huge)
+	if (standin->answers && (*standin->answers)->status)
+		answer_as_scripted(conn, (*standin->answers)++);
+	else if (standin->fails_huge)
 		answer_huge(conn, 500, false);
 	else if (standin->fails)
 		answer(conn, 500, "failed", "");
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -29,6 +29,22 @@
 	BACKEND_STANDIN_PAUSE_BEFORE_END, /**< only the last bytes are left */
 };
 
+/** What a server does once it has written a scripted answer. */
+enum backend_standin_end {
+	BACKEND_STANDIN_STAYS_OPEN,
+	BACKEND_STANDIN_CLOSES,
+	BACKEND_STANDIN_RESETS,
+};
+
+/** An answer in place of the one that the request's path selects. */
+struct backend_standin_answer {
+	int status; /**< 0 ends a list of answers */
+	/** After the fields of all answers, written as it is: further header
+	 * lines, an empty line, and the body as it is sent. */
+	const char *text;
+	enum backend_standin_end end;
+};
+
 struct backend_standin {
 	uv_loop_t *loop;
 	uv_tcp_t *listener; /**< NULL after a crash */
@@ -49,6 +65,9 @@
 	bool rejects;	   /**< reports that it is full, and runs nothing */
 	bool fails;	   /**< answers 500 to each request that it runs */
 	bool fails_huge;   /**< the same, with a large body */
+	/** The list of scripted answers from the next one on, which several
+	 * servers may share; NULL: none. */
+	const struct backend_standin_answer **answers;
 	/** Bounds the reading of requests; NULL: nothing does. */
 	struct read_turns *turns;
 	/** Header lines, with their ends, that are added to all answers; NULL:
--- a/tests/unit/test_event_scan.c
+++ b/tests/unit/test_event_scan.c
@@ -71,6 +71,41 @@
 }
 END_TEST
 
+static const struct {
+	const char *text;
+	uint64_t events;
+	int64_t resume_id;
+} ids[] = {
+	{"id: 0\n\nid: 1\n\nid: 2\n\nid: 3\nd", 3, 2},
+	{"id: 5\n\nid: 9\n\n", 2, 9},
+	/* After an event without an id, or with one that is no number. */
+	{"id: 0\n\ndata: a\n\n", 2, -1},
+	{"id: 0\n\ndata: a\n\nid: 1\n\n", 3, 1},
+	{"data: a\n\nid: 1\n\n", 2, 1},
+	{"id: 0\n\nid: 1x\n\n", 2, -1},
+	{"id: 0\n\nid: +1\n\n", 2, -1},
+	{"id: 0\n\nid: \n\n", 2, -1},
+	{"id: 9223372036854775807\n\n", 1, -1},
+	{"id: 0\r\n\r\nid: 1\r\n\r\n", 2, 1},
+	/* After ids that do not increase. */
+	{"id: 0\n\nid: 0\n\n", 2, -1},
+	{"id: 0\n\nid: 1\n\nid: 0\n\nid: 2\n\n", 4, -1},
+	/* Comments are not an event. */
+	{"id: 0\n\n: ping\n\n", 1, 0},
+	{": ping\n\nid: 0\n: ping\ndata: a\n\n", 1, 0},
+};
+
+START_TEST(a_stream_is_resumed_after_an_id_and_only_if_all_ids_increase)
+{
+	struct event_scan scan;
+
+	event_scan_init(&scan);
+	event_scan_feed(&scan, ids[_i].text, strlen(ids[_i].text));
+	ck_assert_uint_eq(scan.events, ids[_i].events);
+	ck_assert_int_eq(scan.resume_id, ids[_i].resume_id);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("event_scan");
@@ -81,6 +116,10 @@
 	tcase_add_loop_test(tcase,
 			    a_stream_fed_byte_by_byte_gives_the_same_result, 0,
 			    count);
+	tcase_add_loop_test(
+		tcase,
+		a_stream_is_resumed_after_an_id_and_only_if_all_ids_increase, 0,
+		sizeof(ids) / sizeof(ids[0]));
 	tcase_add_test(tcase, a_discarded_incomplete_event_has_no_effect);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
