Check that a second server goes on with a broken stream

A resumable stream began, broke off, and went on at a second server, whatever that server answered. Its caller got, as a complete stream, only the first events (second answer: 204, a body without a media type, a head and the end of the connection), events twice (it began again at event 0 or 1), a stream with a missing event, events without ids, events with a content coding, or, joined to the events, a JSON body with an empty line. Each log line said `answered`.

A success of any kind was forwarded from its head on as part of the stream. It also ended the attempt at a first server that was only silent, before the second one had shown anything.

What a second server sends is now kept until its first event is complete. The event's id must be the next one; if the ids of the stream have skipped numbers, a greater one. A server that ignores where to go on runs the request anew, so its earlier events are not dropped but the attempt fails. So does one whose success is not 200 with an event stream without a coding. Until then an attempt at a silent server stays open and may go on.

Nothing in the protocol marks the last event. A server that has nothing left says so by a whole event stream without events, and the stream ends complete; test_edge_silence (another server takes requests from a silent one) relies on that. If only the end of the connection says that such a stream is whole, the attempt fails, since that may be a cut response.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -1,12 +1,17 @@
-#include <string.h>
+#include <stdio.h>
+#include <strings.h>
 
 #include "edge/call_log.h"
 #include "edge/call_private.h"
 #include "edge/edge_callers.h"
 #include "edge/server_signals.h"
+#include "protocol/event_stream_type.h"
 
 /* A larger response is forwarded as it arrives, which rules out a retry. */
 #define MAX_BUFFERED_BYTES (256 * 1024)
+#define STATUS_OK 200
+/* Room for the text of a failed attempt with two ids. */
+#define REASON_SIZE 128
 
 static void copy_fields(struct call_attempt *attempt,
 			const struct http_head *head)
@@ -42,12 +47,19 @@
 	return status >= 200 && status < 300;
 }
 
-/* An error response, to a stream of which the caller has the beginning: this
- * server does not go on with it. */
-static bool refuses_to_go_on(const struct call_attempt *attempt)
+/* The caller has the beginning of a stream, and this server has not gone on
+ * with it. */
+static bool is_to_go_on(const struct call_attempt *attempt)
 {
-	return attempt->call->head_sent && !attempt->forwarding &&
-	       !is_success(attempt->status);
+	return attempt->call->head_sent && !attempt->forwarding;
+}
+
+static bool has_event_stream(const struct http_head *head)
+{
+	const char *coding = http_head_find(head, "Content-Encoding");
+
+	return is_event_stream_type(http_head_find(head, "Content-Type")) &&
+	       (!coding || !strcasecmp(coding, "identity"));
 }
 
 /* Goes on with an attempt whose server was silent, in place of the later one,
@@ -74,6 +86,27 @@
 		call_end_earlier_attempt(attempt->call);
 }
 
+/* Takes the head of a success. */
+static void begin_success(struct call_attempt *attempt,
+			  const struct http_head *head)
+{
+	struct call *call = attempt->call;
+
+	attempt->is_event_stream = has_event_stream(head);
+	if (!call->head_sent) {
+		settle_on(attempt);
+		copy_fields(attempt, head);
+	} else if (!attempt->is_event_stream || attempt->status != STATUS_OK) {
+		call_attempt_failed(attempt, BACKEND_FAILED,
+				    "the server went on with another kind of "
+				    "body");
+		return;
+	}
+	if (!call_is_stream(call) || call->head_sent)
+		return;
+	begin_forwarding(attempt);
+}
+
 static enum http_conn_verdict on_head(struct http_conn *conn)
 {
 	struct call_attempt *attempt = conn->arg;
@@ -100,12 +133,9 @@
 		return HTTP_CONN_ACCEPT;
 	}
 	if (is_success(conn->status))
-		settle_on(attempt);
-	/* A resumed stream keeps the head of its first response. */
-	if (!call->head_sent)
+		begin_success(attempt, &conn->head);
+	else if (!call->head_sent)
 		copy_fields(attempt, &conn->head);
-	if (is_success(conn->status) && call_is_stream(call))
-		begin_forwarding(attempt);
 	return HTTP_CONN_ACCEPT;
 }
 
@@ -122,31 +152,25 @@
 	http_conn_pause(attempt->conn);
 }
 
-static size_t scan_events(struct call_attempt *attempt, const char *data,
-			  size_t size)
+/* Records events that are forwarded.
+ * @param before number of events of the attempt before them */
+static void record_events(struct call_attempt *attempt, uint64_t before)
 {
-	struct event_scan *events = &attempt->events;
+	const struct event_scan *events = &attempt->events;
 	struct call *call = attempt->call;
-	uint64_t before = events->events;
-	size_t complete = event_scan_feed(events, data, size);
 
+	if (events->events == before)
+		return;
 	call->events_sent += events->events - before;
-	if (events->events != before)
-		call->last_event_id = events->resume_id;
-	return complete;
+	call->last_event_id = events->resume_id;
+	call->skips_ids |= events->skips_ids;
 }
 
-/* Forwards only complete events of a resumable stream, so that another server
- * can resume it after the last one. */
-static void forward_events(struct call_attempt *attempt, const char *data,
-			   size_t size)
+/* @param complete how many of these bytes precede the incomplete event */
+static void forward_complete_events(struct call_attempt *attempt,
+				    const char *data, size_t size,
+				    size_t complete)
 {
-	size_t complete = scan_events(attempt, data, size);
-
-	if (attempt->call->route.kind != ROUTE_RESUMABLE) {
-		forward_body(attempt, data, size);
-		return;
-	}
 	if (complete && attempt->partial.size) {
 		buffer_add(&attempt->partial, data, complete);
 		forward_body(attempt, attempt->partial.data,
@@ -158,15 +182,87 @@
 	buffer_add(&attempt->partial, data + complete, size - complete);
 }
 
+/* Forwards only complete events of a resumable stream, so that another server
+ * can resume it after the last one. */
+static void forward_events(struct call_attempt *attempt, const char *data,
+			   size_t size)
+{
+	uint64_t before = attempt->events.events;
+	size_t complete = event_scan_feed(&attempt->events, data, size);
+
+	record_events(attempt, before);
+	if (attempt->call->route.kind == ROUTE_RESUMABLE)
+		forward_complete_events(attempt, data, size, complete);
+	else
+		forward_body(attempt, data, size);
+}
+
+/* Whether the first event of an attempt is the one after those that the caller
+ * has. A server that does not go on there runs the request anew, and its events
+ * may not be those of the first run. */
+static bool goes_on_in_order(const struct call_attempt *attempt)
+{
+	const struct call *call = attempt->call;
+	int64_t first_id = attempt->events.first_id;
+
+	if (!call->events_sent)
+		return true;
+	if (first_id <= call->last_event_id)
+		return false;
+	return call->skips_ids || first_id == call->last_event_id + 1;
+}
+
+static void fail_out_of_order(struct call_attempt *attempt)
+{
+	long long last_id = attempt->call->last_event_id;
+	long long first_id = attempt->events.first_id;
+	char reason[REASON_SIZE];
+
+	if (first_id == EVENT_SCAN_NO_ID)
+		snprintf(reason, sizeof(reason),
+			 "the server went on with an event without an id after "
+			 "event %lld",
+			 last_id);
+	else
+		snprintf(reason, sizeof(reason),
+			 "the server went on with event %lld after event %lld",
+			 first_id, last_id);
+	call_attempt_failed(attempt, BACKEND_FAILED, reason);
+}
+
+/* The server that has begun to answer gets the stream once its first event
+ * shows that it goes on with it. Until then a silent one may still do so. */
+static void go_on_with_stream(struct call_attempt *attempt, const char *data,
+			      size_t size)
+{
+	size_t complete = event_scan_feed(&attempt->events, data, size);
+
+	if (!attempt->events.events) {
+		buffer_add(&attempt->partial, data, size);
+		return;
+	}
+	if (!goes_on_in_order(attempt)) {
+		fail_out_of_order(attempt);
+		return;
+	}
+	settle_on(attempt);
+	begin_forwarding(attempt);
+	record_events(attempt, 0);
+	forward_complete_events(attempt, data, size, complete);
+}
+
 static void on_body(struct http_conn *conn, const char *data, size_t size)
 {
 	struct call_attempt *attempt = conn->arg;
 
 	call_attempt_progress(attempt, edge_now_us());
+	if (is_to_go_on(attempt)) {
+		if (is_success(attempt->status))
+			go_on_with_stream(attempt, data, size);
+		return;
+	}
 	if (is_success(attempt->status))
 		settle_on(attempt);
-	if (refuses_to_go_on(attempt))
-		return;
 	if (attempt->forwarding && call_is_stream(attempt->call)) {
 		forward_events(attempt, data, size);
 		return;
@@ -230,6 +326,15 @@
 	       attempt->events.in_event;
 }
 
+/* An empty stream tells that nothing comes after the events that the caller
+ * has, unless only the end of its connection says that it is whole: that may be
+ * a response that was cut. */
+static bool ends_stream(const struct call_attempt *attempt)
+{
+	return is_success(attempt->status) && !attempt->events.in_event &&
+	       !attempt->conn->eof_seen;
+}
+
 static void on_complete(struct http_conn *conn)
 {
 	struct call_attempt *attempt = conn->arg;
@@ -258,9 +363,12 @@
 	}
 	if (failed && call_retry_server_error(attempt))
 		return;
-	if (refuses_to_go_on(attempt)) {
-		call_attempt_failed(attempt, BACKEND_FAILED,
-				    "the server refused to go on");
+	if (is_to_go_on(attempt) && !ends_stream(attempt)) {
+		call_attempt_failed(
+			attempt, BACKEND_FAILED,
+			is_success(attempt->status)
+				? "the server sent no event to go on with"
+				: "the server refused to go on");
 		return;
 	}
 	backend_record_outcome(attempt->backend,
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -52,11 +52,14 @@
 	bool is_retry;	       /* it spent the credit of a retry */
 	bool paused;	       /* not read while the caller reads too slowly */
 	int status;	       /* of the response */
+	bool is_event_stream;  /* so is its body, without a content coding */
 	struct response_info response;
-	bool forwarding;       /* the body is forwarded as it arrives */
-	struct buffer fields;  /* header lines of the response */
-	struct buffer body;    /* of a response that is buffered */
-	struct buffer partial; /* incomplete last event of a resumable stream */
+	bool forwarding;      /* the body is forwarded as it arrives */
+	struct buffer fields; /* header lines of the response */
+	struct buffer body;   /* of a response that is buffered */
+	/* Incomplete last event of a resumable stream; all that came before its
+	 * first event if the attempt goes on with a stream. */
+	struct buffer partial;
 	struct event_scan events;
 };
 
@@ -107,6 +110,7 @@
 	/* Of the last of them, if another server can go on after it; otherwise
 	 * EVENT_SCAN_NO_ID. */
 	int64_t last_event_id;
+	bool skips_ids; /* the ids of these events are not consecutive */
 };
 
 /** @return whether another server may run the request, after what the caller
--- a/src/protocol/event_scan.c
+++ b/src/protocol/event_scan.c
@@ -9,6 +9,7 @@
 void event_scan_init(struct event_scan *scan)
 {
 	memset(scan, 0, sizeof(*scan));
+	scan->first_id = EVENT_SCAN_NO_ID;
 	scan->last_id = EVENT_SCAN_NO_ID;
 	scan->pending_id = EVENT_SCAN_NO_ID;
 	scan->resume_id = EVENT_SCAN_NO_ID;
@@ -45,7 +46,11 @@
 
 static void record_id(struct event_scan *scan, int64_t id)
 {
+	if (!scan->events)
+		scan->first_id = id;
 	if (id != EVENT_SCAN_NO_ID) {
+		scan->skips_ids |= scan->last_id != EVENT_SCAN_NO_ID &&
+				   id != scan->last_id + 1;
 		scan->ids_decrease |= id <= scan->last_id;
 		scan->last_id = id;
 	}
--- a/src/protocol/event_scan.h
+++ b/src/protocol/event_scan.h
@@ -17,11 +17,13 @@
 #define EVENT_SCAN_NO_ID INT64_C(-1)
 
 struct event_scan {
+	int64_t first_id;   /**< of the first complete event */
 	int64_t last_id;    /**< of the last complete event that has an id */
 	int64_t pending_id; /**< of the incomplete event */
 	/** Of the last complete event, if the stream can be resumed after it:
 	 * that event has an id, and all ids so far have increased. */
 	int64_t resume_id;
+	bool skips_ids;	   /**< some id is not its predecessor's plus one */
 	bool ids_decrease; /**< some id is not greater than the one before */
 	uint64_t events;   /**< number of complete events */
 	size_t line_size;  /**< of the incomplete line; may exceed line[] */
--- a/tests/unit/test_event_scan.c
+++ b/tests/unit/test_event_scan.c
@@ -74,25 +74,27 @@
 static const struct {
 	const char *text;
 	uint64_t events;
+	int64_t first_id;
 	int64_t resume_id;
+	bool skips_ids;
 } ids[] = {
-	{"id: 0\n\nid: 1\n\nid: 2\n\nid: 3\nd", 3, 2},
-	{"id: 5\n\nid: 9\n\n", 2, 9},
+	{"id: 0\n\nid: 1\n\nid: 2\n\nid: 3\nd", 3, 0, 2, false},
+	{"id: 5\n\nid: 9\n\n", 2, 5, 9, true},
 	/* After an event without an id, or with one that is no number. */
-	{"id: 0\n\ndata: a\n\n", 2, -1},
-	{"id: 0\n\ndata: a\n\nid: 1\n\n", 3, 1},
-	{"data: a\n\nid: 1\n\n", 2, 1},
-	{"id: 0\n\nid: 1x\n\n", 2, -1},
-	{"id: 0\n\nid: +1\n\n", 2, -1},
-	{"id: 0\n\nid: \n\n", 2, -1},
-	{"id: 9223372036854775807\n\n", 1, -1},
-	{"id: 0\r\n\r\nid: 1\r\n\r\n", 2, 1},
+	{"id: 0\n\ndata: a\n\n", 2, 0, -1, false},
+	{"id: 0\n\ndata: a\n\nid: 1\n\n", 3, 0, 1, false},
+	{"data: a\n\nid: 1\n\n", 2, -1, 1, false},
+	{"id: 0\n\nid: 1x\n\n", 2, 0, -1, false},
+	{"id: 0\n\nid: +1\n\n", 2, 0, -1, false},
+	{"id: 0\n\nid: \n\n", 2, 0, -1, false},
+	{"id: 9223372036854775807\n\n", 1, -1, -1, false},
+	{"id: 0\r\n\r\nid: 1\r\n\r\n", 2, 0, 1, false},
 	/* After ids that do not increase. */
-	{"id: 0\n\nid: 0\n\n", 2, -1},
-	{"id: 0\n\nid: 1\n\nid: 0\n\nid: 2\n\n", 4, -1},
+	{"id: 0\n\nid: 0\n\n", 2, 0, -1, true},
+	{"id: 0\n\nid: 1\n\nid: 0\n\nid: 2\n\n", 4, 0, -1, true},
 	/* Comments are not an event. */
-	{"id: 0\n\n: ping\n\n", 1, 0},
-	{": ping\n\nid: 0\n: ping\ndata: a\n\n", 1, 0},
+	{"id: 0\n\n: ping\n\n", 1, 0, 0, false},
+	{": ping\n\nid: 0\n: ping\ndata: a\n\n", 1, 0, 0, false},
 };
 
 START_TEST(a_stream_is_resumed_after_an_id_and_only_if_all_ids_increase)
@@ -102,7 +104,9 @@
 	event_scan_init(&scan);
 	event_scan_feed(&scan, ids[_i].text, strlen(ids[_i].text));
 	ck_assert_uint_eq(scan.events, ids[_i].events);
+	ck_assert_int_eq(scan.first_id, ids[_i].first_id);
 	ck_assert_int_eq(scan.resume_id, ids[_i].resume_id);
+	ck_assert_int_eq(scan.skips_ids, ids[_i].skips_ids);
 }
 END_TEST
 
