Forward a first body that is no event stream as it is

On a route whose streams may be resumed, a server answered a request with 200 and a whole body that is no event stream: its caller got the bytes up to the last empty line, and an aborted connection. If that body broke off, the host resumed it after what it took for an id in it.

Every success on such a route was scanned for events, and what came after the last complete one was kept back and counted as truncated.

Without the media type of event streams, or with a content coding, the bytes are now forwarded as they arrive, the response is complete when it is by HTTP, and no other server goes on with it. What looks like events in it is still counted as output of the team.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -104,6 +104,8 @@
 	}
 	if (!call_is_stream(call) || call->head_sent)
 		return;
+	if (!attempt->is_event_stream)
+		call->body_forwarded = true;
 	begin_forwarding(attempt);
 }
 
@@ -191,7 +193,8 @@
 	size_t complete = event_scan_feed(&attempt->events, data, size);
 
 	record_events(attempt, before);
-	if (attempt->call->route.kind == ROUTE_RESUMABLE)
+	if (attempt->call->route.kind == ROUTE_RESUMABLE &&
+	    attempt->is_event_stream)
 		forward_complete_events(attempt, data, size, complete);
 	else
 		forward_body(attempt, data, size);
@@ -322,8 +325,8 @@
  * response is complete. */
 static bool ends_within_event(const struct call_attempt *attempt)
 {
-	return attempt->forwarding && call_is_stream(attempt->call) &&
-	       attempt->events.in_event;
+	return attempt->forwarding && attempt->is_event_stream &&
+	       call_is_stream(attempt->call) && attempt->events.in_event;
 }
 
 /* An empty stream tells that nothing comes after the events that the caller
--- a/tests/unit/test_edge_resumed_streams.c
+++ b/tests/unit/test_edge_resumed_streams.c
@@ -411,6 +411,31 @@
 }
 END_TEST
 
+/* It is forwarded as it is, and nothing can be joined with it. */
+START_TEST(a_first_body_that_is_no_event_stream_is_not_resumed)
+{
+	static const struct backend_standin_answer whole[] = {
+		{200,
+		 "Content-Type: text/plain\r\n" SIZED("10") "a\n\nid: 1\nb", 0},
+		{0},
+	};
+	static const struct backend_standin_answer cut[] = {
+		{200,
+		 "Content-Type: text/plain\r\n" CHUNKED "9\r\na\n\nid: 1\n\r\n",
+		 BACKEND_STANDIN_CLOSES},
+		{200, STREAM CHUNKED CHUNK(2) END, 0},
+		{0},
+	};
+
+	answers = _i ? cut : whole;
+	request("GET", "resume", "scripted", "");
+	ck_assert_msg(!strcmp(body, _i ? "a\n\nid: 1\n" : "a\n\nid: 1\nb"),
+		      "received %d: %s", is_whole, body);
+	ck_assert(is_whole == !_i);
+	ck_assert_uint_eq(edge_rig_runs(&rig), 1);
+}
+END_TEST
+
 START_TEST(a_head_request_to_a_stream_is_answered_with_a_head)
 {
 	request("HEAD", _i ? "stream" : "resume", "stream", "");
@@ -509,6 +534,9 @@
 		2);
 	tcase_add_test(tcase,
 		       an_empty_stream_of_the_first_server_reaches_its_caller);
+	tcase_add_loop_test(tcase,
+			    a_first_body_that_is_no_event_stream_is_not_resumed,
+			    0, 2);
 	tcase_add_loop_test(tcase,
 			    a_head_request_to_a_stream_is_answered_with_a_head,
 			    0, 2);
