Recognize the media type of event streams in one place

tamarackgwd took each type that begins with text/event-stream for an event stream, also text/event-streams.

--- a/src/daemon/model_stream.c
+++ b/src/daemon/model_stream.c
@@ -2,11 +2,11 @@
 
 #include <stdio.h>
 #include <string.h>
-#include <strings.h>
+
+#include "protocol/event_stream_type.h"
 
 #define MAX_EVENT_BYTES (256 * 1024)
 #define STATUS_OK 200
-#define EVENT_STREAM "text/event-stream"
 
 void model_stream_init(struct model_stream *stream, int64_t token_limit)
 {
@@ -69,8 +69,7 @@
 			   const char *content_type)
 {
 	stream->status = status;
-	stream->is_event_stream = strncasecmp(content_type, EVENT_STREAM,
-					      strlen(EVENT_STREAM)) == 0;
+	stream->is_event_stream = is_event_stream_type(content_type);
 }
 
 static void start_answer(struct model_stream *stream)
@@ -78,7 +77,7 @@
 	if (stream->caller_has_tokens)
 		return;
 	stream->caller_has_tokens = true;
-	answer_start(stream->answer, STATUS_OK, EVENT_STREAM);
+	answer_start(stream->answer, STATUS_OK, EVENT_STREAM_TYPE);
 }
 
 static void count_token(struct model_stream *stream)
