tamarackgwd: end a resumed attempt that begins anew

An engine broke off a stream after three tokens, and a second one that was asked to resume it at the fourth began at the first. Its caller got tokens of both runs as one complete answer.

Tokens that had been passed on were dropped as duplicates, whatever they were, and the rest of the new run was joined to the first one.

A token before the one from which an attempt resumes now violates the protocol and ends the attempt (verdict malformed). The stream is resumed elsewhere, or ends with an error event. Duplicates within an attempt are dropped as before.

Shown to be right before, by the same tests: a second engine that answers 204, 404, 500 or JSON, sends no event, breaks off, ends early or leaves a token out.

--- a/src/state/stream_guard.c
+++ b/src/state/stream_guard.c
@@ -31,6 +31,7 @@
 {
 	assert(attempt > guard->attempt);
 	guard->attempt = attempt;
+	guard->first_index = guard->next_index;
 	guard->final_seen = false;
 	guard->done = false;
 	guard->completion_tokens = STREAM_NO_USAGE;
@@ -38,8 +39,8 @@
 
 void stream_guard_restart(struct stream_guard *guard, int64_t attempt)
 {
-	stream_guard_resume(guard, attempt);
 	guard->next_index = 0;
+	stream_guard_resume(guard, attempt);
 }
 
 static enum stream_verdict check_origin(const struct stream_guard *guard,
@@ -61,7 +62,9 @@
 {
 	if (event->index == STREAM_NO_INDEX)
 		return STREAM_DELIVER;
-	if (event->index < 0)
+	/* An engine that ignores where it is to resume runs the request anew:
+	 * its further tokens need not go with those of the first run. */
+	if (event->index < guard->first_index)
 		return STREAM_MALFORMED;
 	if (event->index < guard->next_index)
 		return STREAM_DOUBLED;
--- a/src/state/stream_guard.h
+++ b/src/state/stream_guard.h
@@ -39,6 +39,7 @@
 struct stream_guard {
 	char id[STREAM_ID_SIZE];
 	int64_t attempt;
+	int64_t first_index; /**< of the attempt's tokens */
 	int64_t next_index;
 	int64_t token_limit;
 	int64_t completion_tokens;
--- a/tests/fakes/agents/fake_backend.c
+++ b/tests/fakes/agents/fake_backend.c
@@ -155,7 +155,10 @@
 		return;
 	}
 	send_all(request, head, strlen(head));
-	stream_tokens(request, from);
+	if (from && request->script.resumes_empty)
+		send_chunk(request, "");
+	else
+		stream_tokens(request, from);
 }
 
 static void serve_service(struct fake_request *request)
@@ -189,6 +192,8 @@
 		backend->last_from = (int)strtol(from + 5, NULL, 10);
 		if (request->script.requests_unknown)
 			send_answer(request, 404, "{}");
+		else if (request->script.resumes_from_start)
+			stream(request, 0);
 		else
 			stream(request, backend->last_from);
 	} else {
--- a/tests/fakes/agents/fake_backend.h
+++ b/tests/fakes/agents/fake_backend.h
@@ -30,9 +30,12 @@
 	int skip_at;   /**< leaves out the token */
 	int hang_at;   /**< sends nothing more; closes on a cancel request */
 	int end_at;    /**< sends the end without the remaining tokens */
-	bool ignore_limit;     /**< sends more than max_tokens */
-	int status;	       /**< HTTP status of streams; 0: 200 */
-	int fault_count;       /**< following streams that have the faults */
+	bool ignore_limit;	 /**< sends more than max_tokens */
+	int status;		 /**< HTTP status of streams; 0: 200 */
+	int fault_count;	 /**< following streams that have the faults */
+	bool resumes_from_start; /**< ignores where a stream is to go on */
+	bool resumes_empty; /**< answers a resume with a stream without events
+			     */
 	bool requests_unknown; /**< answers 404 to resumes and status queries */
 	bool status_hangs;     /**< does not answer status queries */
 	int service_status;
--- a/tests/unit/test_gateway_streams.c
+++ b/tests/unit/test_gateway_streams.c
@@ -171,6 +171,57 @@
 }
 END_TEST
 
+struct resume_case {
+	size_t offset; /* of the field that is set in struct fake_script */
+	int value;
+};
+
+static const struct resume_case bad_resumes[] = {
+	{FAULT_OFFSET(status), 204}, {FAULT_OFFSET(status), 200},
+	{FAULT_OFFSET(status), 404}, {FAULT_OFFSET(status), 500},
+	{FAULT_OFFSET(break_at), 3}, {FAULT_OFFSET(end_at), 3},
+	{FAULT_OFFSET(skip_at), 3},
+};
+
+static void check_cut_after_3_tokens(void)
+{
+	for (int i = 0; i < 5; i++) {
+		char token[16];
+
+		snprintf(token, sizeof(token), "\"t%d ", i);
+		ck_assert_msg(count(token) == (i < 3), "%s in %s", token,
+			      input.data);
+	}
+	ck_assert(has("event: error"));
+	ck_assert(!has("[DONE]"));
+}
+
+START_TEST(a_second_engine_that_does_not_resume_a_stream_does_not_end_it)
+{
+	engine->script.break_at = 3;
+	engine->script.requests_unknown = true;
+	second_engine->script.fault_count = 100;
+	*(int *)((char *)&second_engine->script + bad_resumes[_i].offset) =
+		bad_resumes[_i].value;
+	rig_chat(&rig, "", STREAM, &input);
+	check_cut_after_3_tokens();
+	ck_assert_int_ge(second_engine->resumes, 1);
+}
+END_TEST
+
+/* Or sends no events at all. */
+START_TEST(a_second_engine_that_runs_a_request_anew_is_not_joined)
+{
+	engine->script.break_at = 3;
+	engine->script.requests_unknown = true;
+	second_engine->script.resumes_from_start = !_i;
+	second_engine->script.resumes_empty = _i;
+	rig_chat(&rig, "", STREAM, &input);
+	check_cut_after_3_tokens();
+	ck_assert_int_ge(second_engine->resumes, 1);
+}
+END_TEST
+
 START_TEST(a_stream_without_tokens_is_restarted_at_another_server)
 {
 	engine->script.break_at = 0;
@@ -412,6 +463,13 @@
 		tcase,
 		an_unresumable_stream_of_a_crashed_engine_is_charged_its_bound);
 	tcase_add_test(tcase, the_stream_of_a_crashed_engine_resumes_elsewhere);
+	tcase_add_loop_test(
+		tcase,
+		a_second_engine_that_does_not_resume_a_stream_does_not_end_it,
+		0, (int)(sizeof(bad_resumes) / sizeof(bad_resumes[0])));
+	tcase_add_loop_test(
+		tcase, a_second_engine_that_runs_a_request_anew_is_not_joined,
+		0, 2);
 	tcase_add_test(tcase,
 		       a_stream_without_tokens_is_restarted_at_another_server);
 	tcase_add_loop_test(tcase,
--- a/tests/unit/test_stream_guard.c
+++ b/tests/unit/test_stream_guard.c
@@ -148,6 +148,23 @@
 }
 END_TEST
 
+START_TEST(a_resumed_attempt_that_begins_again_is_ended)
+{
+	struct stream_event first = TOKEN(0);
+	struct stream_event second = TOKEN(1);
+	struct stream_guard guard;
+
+	stream_guard_init(&guard, ID, ATTEMPT, LIMIT);
+	stream_guard_check(&guard, &first);
+	stream_guard_resume(&guard, ATTEMPT + 1);
+	first.attempt++;
+	second.attempt++;
+	ck_assert_int_eq(stream_guard_check(&guard, &first), STREAM_MALFORMED);
+	ck_assert_int_eq(stream_guard_check(&guard, &second), STREAM_DELIVER);
+	ck_assert_int_eq(stream_guard_check(&guard, &second), STREAM_DOUBLED);
+}
+END_TEST
+
 struct recovery_case {
 	struct stream_progress progress;
 	enum attempt_end end;
@@ -225,6 +242,7 @@
 		tcase, each_event_gets_its_verdict, 0,
 		(int)(sizeof(guard_cases) / sizeof(guard_cases[0])));
 	tcase_add_test(tcase, a_new_attempt_resumes_or_restarts_the_stream);
+	tcase_add_test(tcase, a_resumed_attempt_that_begins_again_is_ended);
 	tcase_add_loop_test(
 		tcase, each_end_of_an_attempt_has_its_recovery, 0,
 		(int)(sizeof(recovery_cases) / sizeof(recovery_cases[0])));
