Mask control bytes in a host's log lines

A name from the store may hold a line end, as in a server's entry with the service "a\nts=1 part=host": what follows it stood in the log as a line of its own, which a reader takes for the host's.

Before: test_edge_log, a_name_with_a_line_end_adds_no_line: 'count(text, "\nts=1 ") == 0' failed: 1. After: 3 of 3 checks pass. All lines go through edge_log_line(), so the bytes are masked there.

--- a/src/edge/edge_log.c
+++ b/src/edge/edge_log.c
@@ -7,6 +7,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "base/text.h"
 #include "edge/edge_clock.h"
 #include "tamarackgw/clock.h"
 
@@ -91,6 +92,8 @@
 	size += fields_size;
 	if (size > LINE_SIZE - 2)
 		size = LINE_SIZE - 2;
+	/* Names from the store may hold line ends. */
+	text_mask_control(line, (size_t)size);
 	line[size++] = '\n';
 	log->written++;
 	if (!write_line(line, (size_t)size)) {
--- a/tests/unit/test_edge_log.c
+++ b/tests/unit/test_edge_log.c
@@ -158,6 +158,24 @@
 }
 END_TEST
 
+START_TEST(a_name_with_a_line_end_adds_no_line)
+{
+	off_t start = log_end();
+	char *text;
+
+	kv_standin_put(&rig.store, "servers/odd",
+		       "{\"service\":\"a\\nts=1 part=host\",\"address\":"
+		       "\"127.0.0.1:9\",\"zone\":\"\\u001b[2J\",\"slots\":4,"
+		       "\"state\":\"ready\",\"sequence\":1,\"born\":1}");
+	edge_rig_run(&rig, LOW_RATE_PAUSE_MS);
+	text = log_since(start);
+	ck_assert_int_eq(count(text, "event=joined server=odd"), 1);
+	ck_assert_int_eq(count(text, "\nts=1 "), 0);
+	ck_assert_int_eq(count(text, "\x1b"), 0);
+	free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_log");
@@ -165,6 +183,7 @@
 
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, a_name_with_a_line_end_adds_no_line);
 	tcase_add_test(tcase, every_request_is_logged_at_a_low_rate);
 	tcase_add_test(tcase, under_load_the_log_stays_within_its_limit);
 	suite_add_tcase(suite, tcase);
