Take no server id that a header field can't hold

A host sends the id of the chosen server in a header field of the request. The id is the rest of a key that another writer may have written: with "x\r\nX-Injected: yes" it added a header field, with byte 0x7f the server answered 400 and its caller got that, though two sound servers were there.

Now such an id names no server.

--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -100,7 +100,8 @@
 	struct backend_entry entry = {0};
 	const struct backend *current;
 
-	if (!*id || strlen(id) >= sizeof(entry.id))
+	/* The id goes into a header field of each request to the server. */
+	if (!text_is_plain(id) || strlen(id) >= sizeof(entry.id))
 		return;
 	if (!follower->events.decode(found->value, found->value_size, &entry)) {
 		remove_server(follower, id,
