Refuse server entries with fields that no server has

An entry may come from another writer: a field of another type names no server to use. Accepted were port 0, ports with a sign, a space or leading zeros, addresses that no server can have (0.0.0.0, [::], 255.255.255.255, multicast), a negative sequence, and a born that is text, a fraction, null or negative, which counted as absent. Requests went to such servers.

A missing born is accepted as before.

--- a/src/transport/socket_address.h
+++ b/src/transport/socket_address.h
@@ -18,4 +18,8 @@
 /** Reads "127.0.0.1:8080" or "[::1]:8080". @return false when it is neither */
 bool socket_address_parse(const char *text, union socket_address *address);
 
+/** @return whether a server can have the address: a port other than 0, and an
+ * IP address that is neither unspecified nor of a group */
+bool socket_address_is_server(const union socket_address *address);
+
 #endif
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -60,6 +60,117 @@
 	 false},
 };
 
+/* An entry with other values of one field each; "" leaves the field as it is.
+ */
+#define ODD(address, slots, sequence, more)                                   \
+	"{\"service\":\"app\",\"address\":\"" address "\",\"zone\":\"e\","    \
+	"\"slots\":" slots ",\"state\":\"ready\",\"sequence\":" sequence more \
+	"}"
+#define AT(address) ODD(address, "4", "1", "")
+#define SLOTS(slots) ODD("10.0.0.1:80", slots, "1", "")
+#define SEQUENCE(sequence) ODD("10.0.0.1:80", "4", sequence, "")
+#define MORE(more) ODD("10.0.0.1:80", "4", "1", more)
+
+static const struct {
+	const char *text;
+	bool usable;
+} odd_entries[] = {
+	{AT("10.0.0.1:65535"), true},
+	{AT("[::1]:80"), true},
+	{AT("10.0.0.1:0"), false},
+	{AT("10.0.0.1:65536"), false},
+	{AT("10.0.0.1:99999"), false},
+	{AT("10.0.0.1:4294967376"), false},
+	{AT("10.0.0.1:18446744073709551696"), false},
+	{AT("10.0.0.1:-80"), false},
+	{AT("10.0.0.1:-0"), false},
+	{AT("10.0.0.1:+80"), false},
+	{AT("10.0.0.1: 80"), false},
+	{AT("10.0.0.1:80 "), false},
+	{AT("10.0.0.1:080"), false},
+	{AT("10.0.0.1:0x50"), false},
+	{AT("10.0.0.1:8e1"), false},
+	{AT("10.0.0.1:"), false},
+	{AT(":80"), false},
+	{AT("[]:80"), false},
+	{AT("[::1:80"), false},
+	{AT("::1:80"), false},
+	{AT("10.0.1:80"), false},
+	{AT("10.0.0.256:80"), false},
+	{AT("010.0.0.1:80"), false},
+	{AT(" 10.0.0.1:80"), false},
+	{AT("localhost:80"), false},
+	{AT("10.0.0.1:80\\r\\nX: 1"), false},
+	{AT("0.0.0.0:80"), false},
+	{AT("255.255.255.255:80"), false},
+	{AT("224.0.0.1:80"), false},
+	{AT("[::]:80"), false},
+	{SLOTS("1"), true},
+	{SLOTS("0"), false},
+	{SLOTS("-1"), false},
+	{SLOTS("-0"), false},
+	{SLOTS("2147483648"), false},
+	{SLOTS("4294967300"), false},
+	{SLOTS("1000000000"), false},
+	{SLOTS("18446744073709551620"), false},
+	{SLOTS("4.0"), false},
+	{SLOTS("1e400"), false},
+	{SEQUENCE("0"), true},
+	{SEQUENCE("-0"), true},
+	{SEQUENCE("-1"), false},
+	{SEQUENCE("9223372036854775808"), false},
+	{SEQUENCE("1e400"), false},
+	{SEQUENCE("null"), false},
+	{MORE(",\"born\":1700000000000"), true},
+	{MORE(",\"born\":0"), true},
+	{MORE(",\"born\":-1"), false},
+	{MORE(",\"born\":\"7\""), false},
+	{MORE(",\"born\":7.5"), false},
+	{MORE(",\"born\":null"), false},
+	{MORE(",\"born\":9223372036854775808"), false},
+	{MORE(",\"x\":1e400"), false},
+	{MORE(",\"x\":\"\xff\""), false},
+	{MORE(",\"slots\":5"), true},
+	{MORE(",\"slots\":0"), false},
+	{MORE("}{\"slots\":5"), false},
+};
+
+START_TEST(an_odd_server_entry_names_no_server)
+{
+	struct backend_entry entry = {0};
+
+	ck_assert_msg(
+		platform_servers_decode((const uint8_t *)odd_entries[_i].text,
+					strlen(odd_entries[_i].text),
+					&entry) == odd_entries[_i].usable,
+		"%s", odd_entries[_i].text);
+}
+END_TEST
+
+static const struct {
+	size_t depth;
+	bool usable;
+} depths[] = {{2040, true}, {100000, false}};
+
+START_TEST(a_deeply_nested_server_entry_is_decoded_or_refused)
+{
+	struct backend_entry entry = {0};
+	struct buffer text = {0};
+
+	buffer_add_text(&text, "{\"service\":\"a\",\"address\":\"10.0.0.1:80\","
+			       "\"zone\":\"e\",\"slots\":4,\"state\":\"ready\","
+			       "\"sequence\":1,\"more\":");
+	for (size_t i = 0; i < depths[_i].depth; i++)
+		buffer_add_text(&text, "[");
+	for (size_t i = 0; i < depths[_i].depth; i++)
+		buffer_add_text(&text, "]");
+	buffer_add_text(&text, "}");
+	ck_assert(platform_servers_decode((const uint8_t *)text.data, text.size,
+					  &entry) == depths[_i].usable);
+	buffer_free(&text);
+}
+END_TEST
+
 START_TEST(only_valid_server_entries_are_accepted)
 {
 	struct backend_entry entry = {0};
@@ -378,6 +489,11 @@
 
 	tcase_add_loop_test(tcase, only_valid_server_entries_are_accepted, 0,
 			    sizeof(entries) / sizeof(entries[0]));
+	tcase_add_loop_test(tcase, an_odd_server_entry_names_no_server, 0,
+			    sizeof(odd_entries) / sizeof(odd_entries[0]));
+	tcase_add_loop_test(tcase,
+			    a_deeply_nested_server_entry_is_decoded_or_refused,
+			    0, sizeof(depths) / sizeof(depths[0]));
 	tcase_add_loop_test(tcase, invalid_configurations_are_rejected, 0, 5);
 	tcase_add_test(tcase, a_configuration_is_decoded);
 	tcase_add_loop_test(tcase,
