Let no entry with an untrue start or sequence hide later ones

Of two entries of one id the one with the later start held, then the one with the higher sequence, whatever the store's order. One odd entry with a start in the far future or a sequence of 2^63 - 1 was therefore never outdated: the server's own later entries, also the one by which it drains, were ignored for good. At the address of a sound server, such a start also marked that server as gone.

The order by start and sequence is needed, as a write may take effect seconds late. It now rests only on what can be true: a start more than two hours ahead of this host's wall clock, or a sequence above 10^9, orders nothing, and the entry that the store wrote later holds. Where all starts look untrue, as beside a clock that is far behind, they are compared as before, so that such a host loses no server. And a run that drains never gets ready again: its draining entry counts whatever the sequence before.

A key outside of the prefix, as a relay's message may hold, was read beyond its end, and could name a server by its last bytes; it names none now. Deletions of unknown ids are not kept in the grace period.

An untrue start of less than two hours ahead, or a sequence that is too high but below 10^9, still hides entries of the id that are ready.

--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -12,6 +12,8 @@
 /* Pause before a failed list call is retried. */
 #define LIST_RETRY_US (150 * TGW_US_PER_MS)
 #define TICK_US (100 * TGW_US_PER_MS)
+/* Maximum difference of the wall clocks of a server and this host. */
+#define CLOCK_DIFFERENCE_MAX_US (2 * 60 * 60 * TGW_US_PER_S)
 
 /** A server whose entry is missing, but may be restored. */
 struct missing_server {
@@ -41,10 +43,13 @@
 	return tgw_clock_monotonic_us(follower->clock);
 }
 
+/* @return an empty id for a key outside of the prefix */
 static const char *id_of(const struct backend_follower *follower,
 			 const char *key)
 {
-	return key + strlen(follower->prefix);
+	size_t size = strlen(follower->prefix);
+
+	return strncmp(key, follower->prefix, size) ? "" : key + size;
 }
 
 static void remove_server(struct backend_follower *follower, const char *id,
@@ -83,6 +88,8 @@
 {
 	struct missing_server *missing;
 
+	if (!backend_table_find(follower->table, id))
+		return;
 	if (!in_grace_period(follower)) {
 		remove_server(follower, id, "entry removed");
 		return;
@@ -110,6 +117,9 @@
 	}
 	text_copy(entry.id, sizeof(entry.id), id);
 	clear_missing_server(follower, id);
+	follower->table->believed_born_max_ms =
+		(tgw_clock_wall_us(follower->clock) + CLOCK_DIFFERENCE_MAX_US) /
+		TGW_US_PER_MS;
 	if (backend_table_is_outdated(follower->table, &entry))
 		return;
 	current = backend_table_find(follower->table, id);
--- a/src/coordination/backend_follower.h
+++ b/src/coordination/backend_follower.h
@@ -50,11 +50,11 @@
 bool backend_follower_store_is_unreachable(
 	const struct backend_follower *follower);
 
-/** @return whether the entries were read at least once */
 /** @return for how long the store has been reachable; 0 if it is not, or the
  * servers were never listed */
 int64_t backend_follower_reachable_us(const struct backend_follower *follower);
 
+/** @return whether the entries were read at least once */
 bool backend_follower_is_ready(const struct backend_follower *follower);
 
 #endif
--- a/src/state/backend_table.c
+++ b/src/state/backend_table.c
@@ -24,6 +24,9 @@
 /* A load report older than this is ignored. */
 #define MAX_REPORT_AGE_US (2 * TGW_US_PER_S)
 
+/* A heartbeat each millisecond reaches it after eleven days. */
+#define BELIEVED_SEQUENCE_MAX 1000000000
+
 const char *backend_outcome_name(enum backend_outcome outcome)
 {
 	static const char *const names[BACKEND_OUTCOMES] = {
@@ -77,6 +80,27 @@
 	free(backend);
 }
 
+static bool believes_start(const struct backend_table *table, int64_t born_ms)
+{
+	return !table->believed_born_max_ms ||
+	       born_ms <= table->believed_born_max_ms;
+}
+
+/* @return false also if just one of the two times can be true */
+static bool started_earlier(const struct backend_table *table,
+			    const struct backend_entry *a,
+			    const struct backend_entry *b)
+{
+	return believes_start(table, a->born_ms) ==
+		       believes_start(table, b->born_ms) &&
+	       a->born_ms < b->born_ms;
+}
+
+static bool believes_sequence(int64_t sequence)
+{
+	return sequence <= BELIEVED_SEQUENCE_MAX;
+}
+
 static bool shares_address(const struct backend *a, const struct backend *b)
 {
 	return a != b && a->listed && b->listed &&
@@ -89,7 +113,7 @@
 	for (const struct backend *other = table->first; other;
 	     other = other->next)
 		if (shares_address(other, backend) &&
-		    other->entry.born_ms > backend->entry.born_ms)
+		    started_earlier(table, &backend->entry, &other->entry))
 			return true;
 	return false;
 }
@@ -101,7 +125,7 @@
 {
 	for (struct backend *other = table->first; other; other = other->next)
 		if (other->listed &&
-		    other->entry.born_ms < removed->entry.born_ms &&
+		    started_earlier(table, &other->entry, &removed->entry) &&
 		    !strcmp(other->entry.address, removed->entry.address) &&
 		    !has_later_server(table, other))
 			other->address_reused = false;
@@ -120,7 +144,8 @@
 
 static void unlist(struct backend_table *table, struct backend *backend)
 {
-	if (backend->entry.draining && can_be_remembered(&backend->entry))
+	if (backend->entry.draining && can_be_remembered(&backend->entry) &&
+	    believes_sequence(backend->entry.sequence))
 		run_memory_obtain(&table->memory, backend->memory_key)
 			->drained_sequence = backend->entry.sequence;
 	backend->listed = false;
@@ -145,7 +170,7 @@
 {
 	for (struct backend *other = table->first; other; other = other->next)
 		if (shares_address(other, added) &&
-		    other->entry.born_ms < added->entry.born_ms)
+		    started_earlier(table, &other->entry, &added->entry))
 			backend_table_mark_address_reused(table, other);
 	if (has_later_server(table, added))
 		backend_table_mark_address_reused(table, added);
@@ -220,12 +245,20 @@
 	return server_availability_free_at_us(&backend->availability, now_us);
 }
 
-static bool is_older(const struct backend_entry *entry,
+/* What can't be true of an entry orders nothing: the one that was written later
+ * holds. */
+static bool is_older(const struct backend_table *table,
+		     const struct backend_entry *entry,
 		     const struct backend_entry *current)
 {
 	if (entry->born_ms != current->born_ms)
-		return entry->born_ms < current->born_ms;
-	return entry->sequence < current->sequence;
+		return started_earlier(table, entry, current);
+	/* A run that drains does not become ready again. */
+	if (entry->draining && !current->draining)
+		return false;
+	return believes_sequence(entry->sequence) ==
+		       believes_sequence(current->sequence) &&
+	       entry->sequence < current->sequence;
 }
 
 bool backend_table_is_outdated(const struct backend_table *table,
@@ -235,7 +268,7 @@
 	const struct remembered_run *remembered;
 
 	if (current)
-		return is_older(entry, &current->entry);
+		return is_older(table, entry, &current->entry);
 	remembered = run_memory_find(&table->memory, run_key(entry));
 	return remembered && entry->sequence < remembered->drained_sequence;
 }
--- a/src/state/backend_table.h
+++ b/src/state/backend_table.h
@@ -76,6 +76,9 @@
 	struct backend *first;
 	size_t count;
 	struct run_memory memory;
+	/** Latest start of a server that its entry may tell and be believed, as
+	 * wall time; 0: any. */
+	int64_t believed_born_max_ms;
 	/** Called before a server without requests is freed. */
 	void (*freed)(void *arg, struct backend *backend);
 	/** Called when a server is found to have lost its address; may be
@@ -92,7 +95,8 @@
 				  const struct backend_entry *entry);
 
 /** @return whether a later entry is known, of a server that is listed or of one
- * that was draining when its entry was removed */
+ * that was draining when its entry was removed. A start or sequence that can't
+ * be true does not count, so that one odd entry hides no later ones. */
 bool backend_table_is_outdated(const struct backend_table *table,
 			       const struct backend_entry *entry);
 
--- a/tests/unit/test_backend_follower.c
+++ b/tests/unit/test_backend_follower.c
@@ -206,6 +206,131 @@
 }
 END_TEST
 
+/* A start in the year 2286, which no clock tells by mistake. */
+#define FAR_MS "9999999999999"
+#define FARTHER_MS "9223372036854775807"
+
+START_TEST(an_entry_of_the_far_future_hides_no_later_one)
+{
+	put("srv/a", "7 " FARTHER_MS " ready");
+	advance(200 * TGW_US_PER_MS);
+	put("srv/a", "8 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_int_eq(backend_table_find(&table, "a")->entry.born_ms, 100);
+	put("srv/a", "9 100 draining");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(backend_table_find(&table, "a")->entry.draining);
+}
+END_TEST
+
+/* All entries of this test have the same address. */
+START_TEST(an_entry_of_the_far_future_takes_no_address)
+{
+	put("srv/odd", "1 " FAR_MS " ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(!backend_table_find(&table, "a")->address_reused);
+	ck_assert(!backend_table_find(&table, "odd")->address_reused);
+	put("srv/b", "1 101 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(backend_table_find(&table, "a")->address_reused);
+	put("srv/b", NULL);
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(!backend_table_find(&table, "a")->address_reused);
+}
+END_TEST
+
+START_TEST(entries_are_ordered_beside_a_clock_that_is_far_behind)
+{
+	put("srv/a", "7 " FAR_MS " ready");
+	put("srv/b", "7 " FAR_MS " draining");
+	advance(200 * TGW_US_PER_MS);
+	put("srv/a", "1 " FARTHER_MS " ready");
+	put("srv/b", "6 " FAR_MS " ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_int_eq(backend_table_find(&table, "a")->entry.sequence, 1);
+	ck_assert(backend_table_find(&table, "b")->entry.draining);
+	put("srv/a", "8 " FAR_MS " ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_int_eq(backend_table_find(&table, "a")->entry.sequence, 1);
+}
+END_TEST
+
+START_TEST(an_entry_of_a_very_high_sequence_hides_no_later_one)
+{
+	put("srv/a", FARTHER_MS " 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	put("srv/a", "8 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_int_eq(backend_table_find(&table, "a")->entry.sequence, 8);
+	put("srv/b", FARTHER_MS " 100 draining");
+	advance(200 * TGW_US_PER_MS);
+	put("srv/b", NULL);
+	advance(200 * TGW_US_PER_MS);
+	put("srv/b", "8 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_ptr_nonnull(backend_table_find(&table, "b"));
+}
+END_TEST
+
+START_TEST(no_higher_sequence_hides_that_a_server_drains)
+{
+	put("srv/a", "900 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	put("srv/a", "8 100 draining");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert(backend_table_find(&table, "a")->entry.draining);
+}
+END_TEST
+
+static struct tgw_store_watcher direct_watcher;
+
+static uint64_t keep_watcher(struct tgw_store *direct, const char *prefix,
+			     struct tgw_store_watcher watcher)
+{
+	direct_watcher = watcher;
+	return 1;
+}
+
+static void ignore_unwatch(struct tgw_store *direct, uint64_t handle)
+{
+}
+
+/* A relay may tell any key. Shown by the address sanitizer, too. */
+START_TEST(a_key_outside_of_the_prefix_names_no_server)
+{
+	static const struct tgw_store_ops ops = {.watch = keep_watcher,
+						 .unwatch = ignore_unwatch};
+	struct tgw_store direct = {&ops};
+	const char *const keys[] = {"", "s", "srv", "srv/", "else/a", "xxxxa"};
+	struct backend_follower_events events = {
+		.decode = decode,
+		.joined = ignore_entry,
+		.removed = count_removed,
+		.store_outage_end = ignore_event,
+	};
+	struct backend_follower *other = backend_follower_new(
+		"srv/", &direct, &world.clock, &table, &events);
+
+	for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+		char *key = strdup(keys[i]);
+		struct tgw_store_entry entry = {
+			.key = key,
+			.value = (const uint8_t *)"1 7 ready",
+			.value_size = 9,
+			.version = 1,
+		};
+
+		direct_watcher.changed(direct_watcher.arg, &entry);
+		entry.value = NULL;
+		direct_watcher.changed(direct_watcher.arg, &entry);
+		free(key);
+	}
+	ck_assert_uint_eq(table.count, 2);
+	ck_assert_int_eq(removed, 0);
+	backend_follower_free(other);
+}
+END_TEST
+
 START_TEST(changes_during_a_partition_are_read_afterwards)
 {
 	fake_store_set_partitioned(&store, true);
@@ -236,6 +361,14 @@
 	tcase_add_test(tcase,
 		       an_older_entry_does_not_bring_a_drained_server_back);
 	tcase_add_test(tcase, an_invalid_entry_removes_the_server);
+	tcase_add_test(tcase, an_entry_of_the_far_future_hides_no_later_one);
+	tcase_add_test(tcase, an_entry_of_the_far_future_takes_no_address);
+	tcase_add_test(tcase,
+		       entries_are_ordered_beside_a_clock_that_is_far_behind);
+	tcase_add_test(tcase,
+		       an_entry_of_a_very_high_sequence_hides_no_later_one);
+	tcase_add_test(tcase, no_higher_sequence_hides_that_a_server_drains);
+	tcase_add_test(tcase, a_key_outside_of_the_prefix_names_no_server);
 	tcase_add_test(tcase, changes_during_a_partition_are_read_afterwards);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
