Test changes beside entries that no relay can pass on

A key of 300 bytes makes the relay's message undecodable to all of its followers, and five values of 900,000 bytes exceed what a relay encodes. In both cases the followers read the store themselves: test_store_mirror, 20 plays, each change known within 1.8 of 2 s, also to a host that starts again.

--- a/tests/unit/test_store_mirror.c
+++ b/tests/unit/test_store_mirror.c
@@ -337,6 +337,62 @@
 }
 END_TEST
 
+#define LONG_KEY_BYTES 300
+/* Together more than a relay may pass on. */
+#define LARGE_KEYS 5
+#define LARGE_VALUE_BYTES 900000
+
+static void put_long_key(void)
+{
+	char key[LONG_KEY_BYTES + 1] = PREFIX;
+
+	memset(key + strlen(PREFIX), 'x', LONG_KEY_BYTES - strlen(PREFIX));
+	memcpy(key + LONG_KEY_BYTES - 2, "-7", 2);
+	fake_store_server_put(&mirror_rig.server, key, "1234", 4);
+}
+
+static void put_large_values(void)
+{
+	static const char value[LARGE_VALUE_BYTES];
+	char key[] = PREFIX "key-2";
+
+	for (int i = 0; i < LARGE_KEYS; i++) {
+		fake_store_server_put(&mirror_rig.server, key, value,
+				      sizeof(value));
+		key[sizeof(key) - 2]++;
+	}
+}
+
+static void check_odd_entries(void (*put_odd)(void), int offset)
+{
+	mirror_rig_play_ms(3000 + offset * 37);
+	put_odd();
+	mirror_rig_put(0, 1, 13);
+	mirror_rig_play_ms(MIRROR_RIG_APPLY_US / TGW_US_PER_MS - 200);
+	mirror_rig_check_known(0, 1, 13);
+	mirror_rig_put(0, 1, 14);
+	mirror_rig_put(1, 1, 15);
+	mirror_rig_play_ms(MIRROR_RIG_APPLY_US / TGW_US_PER_MS - 200);
+	mirror_rig_check_known(0, 1, 14);
+	mirror_rig_check_known(1, 1, 15);
+	mirror_rig_kill_host(1);
+	mirror_rig_start_host(1);
+	mirror_rig_play_ms(3 * MIRROR_RIG_APPLY_US / TGW_US_PER_MS);
+	mirror_rig_check_known(0, 1, 14);
+}
+
+START_TEST(a_change_is_known_in_time_beside_a_key_that_no_relay_can_tell)
+{
+	check_odd_entries(put_long_key, _i);
+}
+END_TEST
+
+START_TEST(a_change_is_known_in_time_beside_values_too_large_for_a_relay)
+{
+	check_odd_entries(put_large_values, _i);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("store_mirror");
@@ -369,6 +425,14 @@
 		a_host_without_a_path_to_the_store_learns_through_its_relay);
 	tcase_add_test(tcase, after_an_outage_the_relay_tells_first);
 	tcase_add_loop_test(tcase, all_hosts_agree_in_the_end, 0, RANDOM_RUNS);
+	tcase_add_loop_test(
+		tcase,
+		a_change_is_known_in_time_beside_a_key_that_no_relay_can_tell,
+		0, 10);
+	tcase_add_loop_test(
+		tcase,
+		a_change_is_known_in_time_beside_values_too_large_for_a_relay,
+		0, 10);
 	tcase_add_test(tcase, a_late_change_does_not_bring_a_deleted_key_back);
 	tcase_add_test(tcase,
 		       an_earlier_deletion_does_not_remove_a_later_value);
