Follow the platform's host list beside an odd item

tamarackgwd refused the whole list of hosts and servers for one item without a name, with a field of another type or with a name that is too long: it followed the list no more while the item was there. Such items are left out now. A host with a valid name and other odd fields counts as listed and stays as it is known (has_name_only), so that an odd field does not make a silent host count as gone, whose budget others then take over; an unknown one is not added.

A key of the daemon's store with a null byte was cut there and stood for another key, whose value it replaced. It is left out.

--- a/include/tamarackgw/membership.h
+++ b/include/tamarackgw/membership.h
@@ -21,6 +21,9 @@
 	char peer_url[TGW_URL_SIZE];
 	char caller_url[TGW_URL_SIZE];
 	bool leaving;
+	/** The other fields can't be read: a known host counts as listed and
+	 * stays as it is, another one is not added. */
+	bool has_name_only;
 };
 
 struct tgw_membership_env {
--- a/src/coordination/membership.c
+++ b/src/coordination/membership.c
@@ -365,6 +365,8 @@
 	struct member *member = find_member(membership, host->name);
 	bool is_new = !member;
 
+	if (host->has_name_only)
+		return;
 	if (is_new)
 		member = add_member(membership, host->name);
 	member->listed = true;
--- a/src/protocol/etcd_json.c
+++ b/src/protocol/etcd_json.c
@@ -163,13 +163,20 @@
 	const json_t *value = json_object_get(kv, "value");
 	struct tgw_store_entry *entry;
 	size_t key_size = 0;
+	char *name;
 
 	if (!json_is_string(key))
 		return false;
-	entry = add_entry(entries);
-	entry->key = (char *)decode_base64(key, &key_size);
-	if (!entry->key)
+	name = (char *)decode_base64(key, &key_size);
+	if (!name)
 		return false;
+	/* Cut at its null byte, it would stand for another key. */
+	if (strlen(name) != key_size) {
+		free(name);
+		return true;
+	}
+	entry = add_entry(entries);
+	entry->key = name;
 	if (deleted)
 		return true;
 	entry->version = etcd_json_number(json_object_get(kv, "mod_revision"));
--- a/src/protocol/host_list.c
+++ b/src/protocol/host_list.c
@@ -39,17 +39,27 @@
 	return true;
 }
 
+/* Reads a host. If it lacks a field, only its name is known, by which it still
+ * counts as listed.
+ * @return false without a name */
 static bool parse_host(const json_t *object, struct tgw_listed_host *host)
 {
+	struct tgw_listed_host whole;
+
 	memset(host, 0, sizeof(*host));
-	host->leaving = json_is_true(json_object_get(object, "leaving"));
-	return copy_text(object, "name", host->name, sizeof(host->name)) &&
-	       copy_text(object, "failure_domain", host->failure_domain,
-			 sizeof(host->failure_domain)) &&
-	       copy_text(object, "peer_url", host->peer_url,
-			 sizeof(host->peer_url)) &&
-	       copy_text(object, "caller_url", host->caller_url,
-			 sizeof(host->caller_url));
+	if (!copy_text(object, "name", host->name, sizeof(host->name)))
+		return false;
+	whole = *host;
+	host->has_name_only = true;
+	whole.leaving = json_is_true(json_object_get(object, "leaving"));
+	if (copy_text(object, "failure_domain", whole.failure_domain,
+		      sizeof(whole.failure_domain)) &&
+	    copy_text(object, "peer_url", whole.peer_url,
+		      sizeof(whole.peer_url)) &&
+	    copy_text(object, "caller_url", whole.caller_url,
+		      sizeof(whole.caller_url)))
+		*host = whole;
+	return true;
 }
 
 static bool parse_server(const json_t *object, struct listed_server *server)
@@ -63,8 +73,6 @@
 {
 	const json_t *hosts = json_object_get(root, "hosts");
 	const json_t *servers = json_object_get(root, "servers");
-	size_t index;
-	json_t *item;
 
 	if (!json_is_array(hosts))
 		return false;
@@ -72,15 +80,14 @@
 		xcalloc(json_array_size(hosts), sizeof(snapshot->hosts[0]));
 	snapshot->servers =
 		xcalloc(json_array_size(servers), sizeof(snapshot->servers[0]));
-	json_array_foreach(hosts, index, item) if (
-		!parse_host(
-			item,
-			&snapshot->hosts[snapshot->host_count++])) return false;
-	json_array_foreach(servers, index, item) if (
-		!parse_server(
-			item,
-			&snapshot->servers
-				 [snapshot->server_count++])) return false;
+	for (size_t i = 0; i < json_array_size(hosts); i++)
+		if (parse_host(json_array_get(hosts, i),
+			       &snapshot->hosts[snapshot->host_count]))
+			snapshot->host_count++;
+	for (size_t i = 0; i < json_array_size(servers); i++)
+		if (parse_server(json_array_get(servers, i),
+				 &snapshot->servers[snapshot->server_count]))
+			snapshot->server_count++;
 	return true;
 }
 
--- a/src/protocol/host_list.h
+++ b/src/protocol/host_list.h
@@ -27,7 +27,9 @@
 	struct listed_server *servers;
 };
 
-/** Decodes the list. @return TGW_CORRUPT when it is malformed */
+/** Decodes the list, without the hosts and servers that have no valid name. A
+ * host with another odd field has its name alone. @return TGW_CORRUPT when it
+ * is malformed */
 enum tgw_status host_list_decode(struct host_list_snapshot *snapshot,
 				 const char *text, size_t size,
 				 struct tgw_error *error);
--- a/tests/unit/test_membership.c
+++ b/tests/unit/test_membership.c
@@ -126,6 +126,25 @@
 }
 END_TEST
 
+START_TEST(a_host_whose_listing_is_odd_counts_as_listed)
+{
+	size_t others;
+
+	build(2);
+	others = fleet.host_count - 1;
+	for (size_t i = 0; i < fleet.listed_count; i++)
+		fleet.listed[i].has_name_only =
+			!strcmp(fleet.listed[i].name, "h000");
+	config_fleet_set_listed(&fleet, "new", true, false);
+	fleet.listed[fleet.listed_count - 1].has_name_only = true;
+	fleet_host_kill(fleet.hosts[0]);
+	fake_world_advance(&fleet.world, 600 * TGW_US_PER_S);
+	ck_assert_uint_eq(count_seeing("h000", TGW_HOST_SILENT), others);
+	ck_assert_ptr_null(tgw_host_view_find(
+		tgw_membership_view(fleet.hosts[1]->membership), "new"));
+}
+END_TEST
+
 /* Heartbeats count more than the list, which may be wrong. */
 START_TEST(an_alive_host_that_is_not_listed_stays_alive)
 {
@@ -316,6 +335,7 @@
 		       a_short_silence_limit_is_raised_in_a_large_domain);
 	tcase_add_loop_test(tcase, a_dead_host_is_silent_and_gone_once_unlisted,
 			    0, size_count);
+	tcase_add_test(tcase, a_host_whose_listing_is_odd_counts_as_listed);
 	tcase_add_test(tcase, an_alive_host_that_is_not_listed_stays_alive);
 	tcase_add_test(
 		tcase,
