Log a server's entry that is ignored, once for each version of it

An entry of another writer that named no server, and whose id was not known before, left no trace in the log: nobody on call could tell why a key of the store is no server here. A line event=ignored now gives the id and the reason, once for each version of the entry and not each time that it is read; 1,024 are remembered.

--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/text.h"
 #include "base/xalloc.h"
@@ -15,6 +16,9 @@
 /* Maximum difference of the wall clocks of a server and this host. */
 #define CLOCK_DIFFERENCE_MAX_US (2 * 60 * 60 * TGW_US_PER_S)
 
+/* Slots for odd entries that were reported. */
+#define REPORTED_SLOTS 1024
+
 /** A server whose entry is missing, but may be restored. */
 struct missing_server {
 	char id[TGW_NAME_SIZE];
@@ -36,6 +40,8 @@
 	/* When the store was last known to be unreachable; 0 if never. */
 	int64_t last_unreachable_us;
 	struct missing_server *missing;
+	/** Hashes of key and version, each in its slot; 0: none. */
+	uint64_t reported[REPORTED_SLOTS];
 };
 
 static int64_t now_of(const struct backend_follower *follower)
@@ -101,6 +107,31 @@
 	follower->missing = missing;
 }
 
+/* @return whether this version of an entry was not reported, which is noted */
+static bool note_reported(struct backend_follower *follower,
+			  const struct tgw_store_entry *found)
+{
+	uint64_t hash =
+		XXH64(found->key, strlen(found->key), (uint64_t)found->version);
+	uint64_t *slot = &follower->reported[hash % REPORTED_SLOTS];
+	bool is_new = *slot != hash;
+
+	*slot = hash;
+	return is_new;
+}
+
+static void on_odd_entry(struct backend_follower *follower, const char *id,
+			 const struct tgw_store_entry *found,
+			 const char *reason)
+{
+	bool is_new = note_reported(follower, found);
+
+	if (backend_table_find(follower->table, id))
+		remove_server(follower, id, reason);
+	else if (is_new && follower->events.ignored)
+		follower->events.ignored(follower->events.arg, id, reason);
+}
+
 static void on_entry(struct backend_follower *follower, const char *id,
 		     const struct tgw_store_entry *found)
 {
@@ -108,11 +139,13 @@
 	const struct backend *current;
 
 	/* The id goes into a header field of each request to the server. */
-	if (!text_is_plain(id) || strlen(id) >= sizeof(entry.id))
+	if (!text_is_plain(id) || strlen(id) >= sizeof(entry.id)) {
+		on_odd_entry(follower, id, found, "the id can't be used");
 		return;
+	}
 	if (!follower->events.decode(found->value, found->value_size, &entry)) {
-		remove_server(follower, id,
-			      "entry is invalid or names no usable server");
+		on_odd_entry(follower, id, found,
+			     "entry is invalid or names no usable server");
 		return;
 	}
 	text_copy(entry.id, sizeof(entry.id), id);
--- a/src/coordination/backend_follower.h
+++ b/src/coordination/backend_follower.h
@@ -29,6 +29,10 @@
 	void (*draining)(void *arg, const struct backend_entry *entry);
 	/** The server is about to be removed from the table. */
 	void (*removed)(void *arg, const char *id, const char *reason);
+	/** The entry names no server that is known or could be used. Called
+	 * once for each version of it, not each time that it is read, unless
+	 * there are very many. May be NULL. */
+	void (*ignored)(void *arg, const char *id, const char *reason);
 	void (*store_outage_start)(void *arg);
 	void (*store_outage_end)(void *arg);
 	void *arg;
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -73,6 +73,14 @@
 	request_quarantine_on_server_lost(edge->quarantine);
 }
 
+static void on_backend_ignored(void *arg, const char *id, const char *reason)
+{
+	struct edge *edge = arg;
+
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "server", "ignored",
+		      "server=%s reason=\"%s\"", id, reason);
+}
+
 static void on_backend_freed(void *arg, struct backend *backend)
 {
 	backend_pool_free(backend);
@@ -347,6 +355,7 @@
 		.joined = on_backend_joined,
 		.draining = on_backend_draining,
 		.removed = on_backend_removed,
+		.ignored = on_backend_ignored,
 		.store_outage_start = on_store_unreachable,
 		.store_outage_end = on_store_reachable,
 		.arg = edge,
--- a/tests/unit/test_backend_follower.c
+++ b/tests/unit/test_backend_follower.c
@@ -19,6 +19,7 @@
 static struct backend_table table;
 static struct backend_follower *follower;
 static int removed;
+static int ignored;
 
 /* Decodes an entry in the test format "SEQUENCE BORN_MS ready|draining". */
 static bool decode(const uint8_t *value, size_t size,
@@ -46,6 +47,11 @@
 	removed++;
 }
 
+static void count_ignored(void *arg, const char *id, const char *reason)
+{
+	ignored++;
+}
+
 static void ignore_event(void *arg)
 {
 }
@@ -72,6 +78,7 @@
 		.joined = ignore_entry,
 		.draining = ignore_entry,
 		.removed = count_removed,
+		.ignored = count_ignored,
 		.store_outage_start = ignore_event,
 		.store_outage_end = ignore_event,
 	};
@@ -81,6 +88,7 @@
 	fake_store_init(&store, &server);
 	memset(&table, 0, sizeof(table));
 	removed = 0;
+	ignored = 0;
 	put("srv/a", "5 100 ready");
 	put("srv/b", "5 100 ready");
 	follower = backend_follower_new("srv/", &store.store, &world.clock,
@@ -331,6 +339,35 @@
 }
 END_TEST
 
+static void list_again(void)
+{
+	fake_store_set_partitioned(&store, true);
+	advance(5 * TGW_US_PER_S);
+	fake_store_set_partitioned(&store, false);
+	advance(4 * TGW_US_PER_S);
+}
+
+START_TEST(an_odd_entry_is_reported_once_for_each_change)
+{
+	put("srv/odd", "x");
+	put("srv/id with spaces", "5 100 ready");
+	put("srv/0123456789012345678901234567890123456789012345678901234567890123",
+	    "5 100 ready");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_int_eq(ignored, 3);
+	list_again();
+	list_again();
+	ck_assert_int_eq(ignored, 3);
+	put("srv/odd", "y");
+	advance(200 * TGW_US_PER_MS);
+	ck_assert_int_eq(ignored, 4);
+	put("srv/a", "x");
+	list_again();
+	ck_assert_int_eq(ignored, 4);
+	ck_assert_int_eq(removed, 1);
+}
+END_TEST
+
 START_TEST(changes_during_a_partition_are_read_afterwards)
 {
 	fake_store_set_partitioned(&store, true);
@@ -369,6 +406,7 @@
 		       an_entry_of_a_very_high_sequence_hides_no_later_one);
 	tcase_add_test(tcase, no_higher_sequence_hides_that_a_server_drains);
 	tcase_add_test(tcase, a_key_outside_of_the_prefix_names_no_server);
+	tcase_add_test(tcase, an_odd_entry_is_reported_once_for_each_change);
 	tcase_add_test(tcase, changes_during_a_partition_are_read_afterwards);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
