Say truly why a budget's rest is not for a request

A request refused as DENIED was told "what is left of the budget is kept for more urgent requests; top up" and Retry-After 10 s, also where no host died: what is taken and not settled counts, and open requests hold most of it in a burst, whose tokens come back in seconds. The policy stays.

What is unsettled at each read of the pool is watched (unsettled_floor): the part that stayed so for 30 s and more, longer than most requests last, was lost with hosts or is held by very long requests; the rest is held by open ones. If most of it is recent, the caller is told that open requests hold it, and to come back after 1.5 s; if most is old, that it was lost or is held for long, to top up, and 10 s; in the first 30 s that it can't be told, and 1.5 s. The same for CONFLICT once nothing was free for 10 s. The words are in budget_refusal, apart from the call.

Before: test_budget_refusal, a_caller_beside_open_requests_is_not_told_to_top_up failed with Retry-After 10.000 and "...; top up" (2,000 paid in, 1,200 reserved by open requests). After: 4 of 4 pass; the cases of a burst and of a loss are played by reads in virtual time.

--- a/src/coordination/team_budget.c
+++ b/src/coordination/team_budget.c
@@ -524,6 +524,7 @@
 	view->given_tokens = account->given_tokens;
 	view->free_tokens = account->free_tokens;
 	view->none_free_us = account->none_free_us;
+	view->unsettled_cause = unsettled_floor_cause(&account->unsettled);
 	view->read_us = account->viewed_us;
 	return true;
 }
--- a/src/coordination/team_budget.h
+++ b/src/coordination/team_budget.h
@@ -112,6 +112,8 @@
 	int64_t taken_by_all_tokens;
 	int64_t settled_by_all_tokens;
 	int64_t none_free_us; /**< none were free since then; 0: some are */
+	/** Of the tokens of all hosts that are neither free nor settled. */
+	enum unsettled_cause unsettled_cause;
 	/** Monotonic time of that read, by this host or its relay. */
 	int64_t read_us;
 };
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -5,6 +5,7 @@
 
 #include "base/text.h"
 #include "base/xalloc.h"
+#include "edge/budget_refusal.h"
 #include "edge/call_log.h"
 #include "edge/call_private.h"
 #include "edge/edge_callers.h"
@@ -18,12 +19,6 @@
 /* Retry-After when the allotment of this host is spent and the store is
  * unreachable. */
 #define RETRY_AFTER_NO_STORE_MS 600
-/* Retry-After when other hosts hold the tokens. By then they have returned
- * those that they can spare. */
-#define RETRY_AFTER_RECALL_MS 1500
-/* Tokens that other hosts don't need come back within this time. */
-#define RECALL_LASTS_US (10 * TGW_US_PER_S)
-#define RETRY_AFTER_NONE_FREE_MS 10000
 /* Used if neither the caller nor the route sets a timeout. */
 #define DEFAULT_TIMEOUT_MS 30000
 
@@ -145,28 +140,28 @@
 						   : RETRY_AFTER_NO_STORE_MS;
 }
 
-/* Other hosts return what they don't need within seconds. What stays away for
- * longer is in use, or was lost with hosts that died. */
-static void refuse_without_free_tokens(struct call *call)
+static void refuse_with_tokens_left(struct call *call, enum tgw_status status)
 {
 	struct team_budget_view view = {0};
+	struct budget_refusal refusal;
 
 	team_budget_get_view(call->edge->budgets, call->team, &view);
-	if (view.none_free_us &&
-	    edge_now_us() - view.none_free_us > RECALL_LASTS_US)
-		call_refuse(call, 503, RETRY_AFTER_NONE_FREE_MS,
-			    "open requests use what is left of the budget, or "
-			    "it was lost with hosts that died; top up");
+	if (status == TGW_DENIED)
+		refusal = budget_refusal_kept(view.unsettled_cause);
 	else
-		call_refuse(call, 503, RETRY_AFTER_RECALL_MS,
-			    "other hosts hold what is left of the budget");
+		refusal = budget_refusal_none_free(
+			view.unsettled_cause,
+			view.none_free_us ? edge_now_us() - view.none_free_us
+					  : 0);
+	call_refuse(call, 503, refusal.retry_after_ms, refusal.reason);
 }
 
 void call_refuse_without_tokens(struct call *call)
 {
+	struct budget_refusal refusal = budget_refusal_late();
+
 	call->edge->counters.budget_refused++;
-	call_refuse(call, 503, RETRY_AFTER_RECALL_MS,
-		    "no allotment came in time");
+	call_refuse(call, 503, refusal.retry_after_ms, refusal.reason);
 }
 
 static void reserve_and_dispatch(struct call *call)
@@ -207,14 +202,9 @@
 		call_schedule(call);
 		return;
 	case TGW_CONFLICT:
-		edge->counters.budget_refused++;
-		refuse_without_free_tokens(call);
-		return;
 	case TGW_DENIED:
 		edge->counters.budget_refused++;
-		call_refuse(call, 503, RETRY_AFTER_NONE_FREE_MS,
-			    "what is left of the budget is kept for more "
-			    "urgent requests; top up");
+		refuse_with_tokens_left(call, status);
 		return;
 	default:
 		edge->counters.budget_refused++;
--- a/src/state/team_account.c
+++ b/src/state/team_account.c
@@ -524,6 +524,7 @@
 		account->none_free_us = viewed_us;
 	account->remaining_tokens = remaining;
 	account->held_tokens = team_account_held(account);
+	unsettled_floor_add(&account->unsettled, remaining - free, viewed_us);
 }
 
 void team_account_read(struct team_account *account,
--- a/src/state/team_account.h
+++ b/src/state/team_account.h
@@ -12,6 +12,7 @@
 #include "state/demand_forecast.h"
 #include "state/report_history.h"
 #include "state/spending_cap.h"
+#include "state/unsettled_floor.h"
 #include "state/urgent_demand.h"
 #include "tamarackgw/host_view.h"
 
@@ -91,6 +92,7 @@
 	int64_t free_tokens;  /**< taken by no host, when last read */
 	int64_t viewed_us;    /**< when last read; 0 before */
 	int64_t none_free_us; /**< first read without any free; 0: some are */
+	struct unsettled_floor unsettled; /**< of all hosts, by the reads */
 	/** Upper bound of what all hosts can still spend, when last read. */
 	int64_t remaining_tokens;
 	struct demand_forecast own_demand; /**< of requests that arrived here */
