Close the loop of a test of the store's client

The test left its loop and the server's connections open: under AddressSanitizer all 47 checks failed for leaks of the test itself. After: 47 of 47 pass, also under AddressSanitizer and UBSan; all checks of the test are as before.

--- a/tests/unit/test_platform_odd_items.c
+++ b/tests/unit/test_platform_odd_items.c
@@ -110,8 +110,14 @@
 static void teardown(void)
 {
 	platform_store_close(&store);
+	/* Time for the server's connections to end. */
+	for (int i = 0; i < 10; i++) {
+		uv_run(&loop, UV_RUN_NOWAIT);
+		usleep(1000);
+	}
 	uv_walk(&loop, close_handle, NULL);
 	uv_run(&loop, UV_RUN_NOWAIT);
+	ck_assert_int_eq(uv_loop_close(&loop), 0);
 	for (int i = 0; i < CALLS_MAX; i++)
 		buffer_free(&answers[i]);
 }
