--- a/src/coordination/backend_follower.c
+++ b/src/coordination/backend_follower.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/text.h"
 #include "base/xalloc.h"
@@ -12,6 +13,11 @@
 /* Pause before a failed list call is retried. */
 #define LIST_RETRY_US (150 * TGW_US_PER_MS)
 #define TICK_US (100 * TGW_US_PER_MS)
+/* Maximum difference of the wall clocks of a server and this host. */
+#define CLOCK_DIFFERENCE_MAX_US (2 * 60 * 60 * TGW_US_PER_S)
+
+/* Slots for odd entries that were reported. */
+#define REPORTED_SLOTS 1024
 
 /** A server whose entry is missing, but may be restored. */
 struct missing_server {
@@ -34,6 +40,8 @@
 	/* When the store was last known to be unreachable; 0 if never. */
 	int64_t last_unreachable_us;
 	struct missing_server *missing;
+	/** Hashes of key and version, each in its slot; 0: none. */
+	uint64_t reported[REPORTED_SLOTS];
 };
 
 static int64_t now_of(const struct backend_follower *follower)
@@ -41,10 +49,13 @@
 	return tgw_clock_monotonic_us(follower->clock);
 }
 
+/* @return an empty id for a key outside of the prefix */
 static const char *id_of(const struct backend_follower *follower,
 			 const char *key)
 {
-	return key + strlen(follower->prefix);
+	size_t size = strlen(follower->prefix);
+
+	return strncmp(key, follower->prefix, size) ? "" : key + size;
 }
 
 static void remove_server(struct backend_follower *follower, const char *id,
@@ -83,6 +94,8 @@
 {
 	struct missing_server *missing;
 
+	if (!backend_table_find(follower->table, id))
+		return;
 	if (!in_grace_period(follower)) {
 		remove_server(follower, id, "entry removed");
 		return;
@@ -94,21 +107,52 @@
 	follower->missing = missing;
 }
 
+/* @return whether this version of an entry was not reported, which is noted */
+static bool note_reported(struct backend_follower *follower,
+			  const struct tgw_store_entry *found)
+{
+	uint64_t hash =
+		XXH64(found->key, strlen(found->key), (uint64_t)found->version);
+	uint64_t *slot = &follower->reported[hash % REPORTED_SLOTS];
+	bool is_new = *slot != hash;
+
+	*slot = hash;
+	return is_new;
+}
+
+static void on_odd_entry(struct backend_follower *follower, const char *id,
+			 const struct tgw_store_entry *found,
+			 const char *reason)
+{
+	bool is_new = note_reported(follower, found);
+
+	if (backend_table_find(follower->table, id))
+		remove_server(follower, id, reason);
+	else if (is_new && follower->events.ignored)
+		follower->events.ignored(follower->events.arg, id, reason);
+}
+
 static void on_entry(struct backend_follower *follower, const char *id,
 		     const struct tgw_store_entry *found)
 {
 	struct backend_entry entry = {0};
 	const struct backend *current;
 
-	if (!*id || strlen(id) >= sizeof(entry.id))
+	/* The id goes into a header field of each request to the server. */
+	if (!text_is_plain(id) || strlen(id) >= sizeof(entry.id)) {
+		on_odd_entry(follower, id, found, "the id can't be used");
 		return;
+	}
 	if (!follower->events.decode(found->value, found->value_size, &entry)) {
-		remove_server(follower, id,
-			      "entry is invalid or names no usable server");
+		on_odd_entry(follower, id, found,
+			     "entry is invalid or names no usable server");
 		return;
 	}
 	text_copy(entry.id, sizeof(entry.id), id);
 	clear_missing_server(follower, id);
+	follower->table->believed_born_max_ms =
+		(tgw_clock_wall_us(follower->clock) + CLOCK_DIFFERENCE_MAX_US) /
+		TGW_US_PER_MS;
 	if (backend_table_is_outdated(follower->table, &entry))
 		return;
 	current = backend_table_find(follower->table, id);
