Count closes of callers' connections by reason

A close of an idle connection was neither counted nor logged, so a request that crossed one could not be told from a caller that had left. caller_closes_total has the reason of each close, and unread_closes_total, with a line closed_unread, those of the host's own closes where bytes had arrived that nobody had read. http_conn's look into its socket moves to stream_input, which both use.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -68,6 +68,10 @@
 	uint64_t silences;
 	uint64_t silences_ended;
 	uint64_t caller_left;
+	uint64_t caller_closes[SERVER_CLOSE_REASONS];
+	/** Of these, closes for a reason other than SERVER_CLOSE_OTHER, though
+	 * bytes that nobody read had arrived. */
+	uint64_t unread_closes;
 	uint64_t retries;
 	uint64_t resumed;
 	uint64_t budget_refused;
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -71,10 +71,25 @@
 		call_caller_drained(conn->call);
 }
 
+static void count_close(struct edge *edge, const struct server_conn *conn)
+{
+	edge->counters.caller_closes[conn->close_reason]++;
+	if (!conn->unread_at_close)
+		return;
+	edge->counters.unread_closes++;
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "callers", "closed_unread",
+		      "reason=%s waited_ms=%lld idle_limit_ms=%lld "
+		      "connections=%u",
+		      server_close_reason_name(conn->close_reason),
+		      (long long)server_conn_waited_ms(conn),
+		      (long long)edge->limits.idle_ms, edge->conn_count);
+}
+
 static void on_closed(struct server_conn *conn)
 {
 	struct edge *edge = conn->owner;
 
+	count_close(edge, conn);
 	remove_conn(edge, conn);
 	edge->conn_count--;
 	read_turns_forget(&edge->turns, &conn->turn);
@@ -141,7 +156,7 @@
 	while (surplus && conn) {
 		struct server_conn *more_recent = conn->previous;
 
-		if (server_conn_close_idle(conn))
+		if (server_conn_close_idle(conn, SERVER_CLOSE_SURPLUS))
 			surplus--;
 		conn = more_recent;
 	}
@@ -154,7 +169,7 @@
 	while (conn) {
 		struct server_conn *next = conn->next;
 
-		(void)server_conn_close_idle(conn);
+		(void)server_conn_close_idle(conn, SERVER_CLOSE_STOP);
 		conn = next;
 	}
 }
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -42,6 +42,18 @@
 				  (unsigned long long)counts[i]);
 }
 
+static void add_caller_closes(struct buffer *text, const uint64_t *counts)
+{
+	buffer_add_text(text,
+			"# TYPE tamarackgw_caller_closes_total counter\n");
+	for (enum server_close_reason i = 0; i < SERVER_CLOSE_REASONS; i++)
+		buffer_add_format(text,
+				  "tamarackgw_caller_closes_total"
+				  "{reason=\"%s\"} %llu\n",
+				  server_close_reason_name(i),
+				  (unsigned long long)counts[i]);
+}
+
 static void add_gauge(struct buffer *text, const char *name, double value)
 {
 	buffer_add_format(text,
@@ -145,6 +157,8 @@
 	add_counter(text, "retries_total", counters->retries);
 	add_counter(text, "resumed_total", counters->resumed);
 	add_failed_attempts(text, counters->failed_attempts);
+	add_caller_closes(text, counters->caller_closes);
+	add_counter(text, "unread_closes_total", counters->unread_closes);
 	add_counter(text, "budget_refused_total", counters->budget_refused);
 	add_counter(text, "quarantine_refused_total",
 		    counters->quarantine_refused);
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -1,7 +1,6 @@
 #include "transport/http_conn.h"
 
 #include <assert.h>
-#include <errno.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -11,6 +10,7 @@
 
 #include "base/xalloc.h"
 #include "tamarackgw/clock.h"
+#include "transport/stream_input.h"
 #include "transport/stream_write.h"
 
 /* The kernel gives up sending the rest of a closed connection after this. */
@@ -336,13 +336,7 @@
 
 bool http_conn_is_quiet(const struct http_conn *conn)
 {
-	uv_os_fd_t descriptor;
-	char byte;
-
-	if (uv_fileno((const uv_handle_t *)&conn->tcp, &descriptor))
-		return false;
-	return recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-	       errno == EAGAIN;
+	return stream_input_look(&conn->tcp) == STREAM_INPUT_NONE;
 }
 
 size_t http_conn_unsent(const struct http_conn *conn)
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -8,6 +8,7 @@
 
 #include "base/xalloc.h"
 #include "transport/server_conn_private.h"
+#include "transport/stream_input.h"
 
 /* Reading pauses once more than this has arrived after the current request. */
 #define PIPELINED_MAX_BYTES (64 * 1024)
@@ -24,6 +25,20 @@
 /* The loop has one thread, so one buffer serves all reads. */
 static char read_buffer[READ_SIZE_BYTES];
 
+const char *server_close_reason_name(enum server_close_reason reason)
+{
+	static const char *const names[SERVER_CLOSE_REASONS] = {
+		[SERVER_CLOSE_OTHER] = "other",
+		[SERVER_CLOSE_IDLE] = "idle_limit",
+		[SERVER_CLOSE_SURPLUS] = "surplus",
+		[SERVER_CLOSE_STOP] = "planned_stop",
+		[SERVER_CLOSE_LATE_HEAD] = "late_head",
+		[SERVER_CLOSE_STALLED] = "stalled_response",
+	};
+
+	return names[reason];
+}
+
 static void parse(struct server_conn *conn, const char *data, size_t size);
 static void refuse_input(struct server_conn *conn);
 
@@ -50,6 +65,14 @@
 	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 }
 
+static void close_for(struct server_conn *conn, enum server_close_reason reason)
+{
+	conn->close_reason = reason;
+	conn->unread_at_close = stream_input_look(&conn->tcp) ==
+				STREAM_INPUT_BYTES;
+	close_now(conn);
+}
+
 void server_conn_handle_disconnect(struct server_conn *conn)
 {
 	if (conn->state == SERVER_CONN_SERVING)
@@ -83,6 +106,11 @@
 	uv_timer_start(&conn->timer, on_timeout, (uint64_t)delay_ms, 0);
 }
 
+int64_t server_conn_waited_ms(const struct server_conn *conn)
+{
+	return now_ms() - conn->waiting_since_ms;
+}
+
 void server_conn_start_wait(struct server_conn *conn)
 {
 	conn->waiting_since_ms = now_ms();
@@ -96,11 +124,16 @@
 	size_t unwritten = server_conn_unwritten(conn);
 
 	if (conn->state == SERVER_CONN_READING && conn->request_begun) {
+		conn->close_reason = SERVER_CLOSE_LATE_HEAD;
 		conn->refused_status = 408;
 		refuse_input(conn);
 	} else if (unwritten && unwritten < conn->unwritten_before) {
 		server_conn_start_wait(conn);
-	} else if (conn->state != SERVER_CONN_SERVING) {
+	} else if (unwritten) {
+		close_for(conn, SERVER_CLOSE_STALLED);
+	} else if (conn->state == SERVER_CONN_READING) {
+		close_for(conn, SERVER_CLOSE_IDLE);
+	} else {
 		close_now(conn);
 	}
 }
@@ -499,13 +532,15 @@
 	struct server_conn *conn = timer->data;
 
 	if (is_idle(conn) && !conn->turn.waits)
-		close_now(conn);
+		close_for(conn, conn->idle_close_reason);
 }
 
-bool server_conn_close_idle(struct server_conn *conn)
+bool server_conn_close_idle(struct server_conn *conn,
+			    enum server_close_reason reason)
 {
 	if (!is_idle(conn))
 		return false;
+	conn->idle_close_reason = reason;
 	uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
 	return true;
 }
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -35,6 +35,21 @@
 	int64_t stall_ms;
 };
 
+/** Why the host closed a connection. */
+enum server_close_reason {
+	SERVER_CLOSE_OTHER,	/**< its caller left, its last response is
+				 * written, or the owner broke it off */
+	SERVER_CLOSE_IDLE,	/**< no request came within the idle limit */
+	SERVER_CLOSE_SURPLUS,	/**< idle, and there are too many */
+	SERVER_CLOSE_STOP,	/**< idle at a planned stop */
+	SERVER_CLOSE_LATE_HEAD, /**< a request was not complete in time */
+	SERVER_CLOSE_STALLED,	/**< the caller accepted no bytes */
+	SERVER_CLOSE_REASONS
+};
+
+/** @return the name in metrics and logs */
+const char *server_close_reason_name(enum server_close_reason reason);
+
 /** Passed to `refused` in place of a status after `head` returned false. */
 #define SERVER_REFUSED_BY_OWNER 0
 
@@ -98,6 +113,10 @@
 	int64_t waiting_since_ms; /**< what it waits for has a limit */
 	size_t unwritten_before;  /**< unwritten bytes at that time */
 	bool timeout_pending;	  /**< takes effect after one more read */
+	enum server_close_reason idle_close_reason; /**< if it stays idle */
+	enum server_close_reason close_reason;
+	bool unread_at_close; /**< closed for a reason although bytes that
+			       * nobody read had arrived */
 	unsigned int open_handles;
 	const struct server_limits *limits;
 	const struct server_conn_events *events;
@@ -148,9 +167,13 @@
  * truncated. */
 void server_conn_abort(struct server_conn *conn);
 
+/** @return how long the connection has been waiting for what it waits for */
+int64_t server_conn_waited_ms(const struct server_conn *conn);
+
 /** Closes the connection if no request is being read or served and its last
  * response is written. A request that has already arrived is served.
  * @return whether the connection is idle */
-bool server_conn_close_idle(struct server_conn *conn);
+bool server_conn_close_idle(struct server_conn *conn,
+			    enum server_close_reason reason);
 
 #endif
--- a/tests/cram/edge.t
+++ b/tests/cram/edge.t
@@ -60,6 +60,8 @@
   tamarackgw_ready 1
   $ grep -c '_bucket{le=' metrics
   26
+  $ grep -c '^tamarackgw_caller_closes_total{reason=' metrics
+  6
 
 Logging to a full pipe does not delay requests:
 
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -444,6 +444,65 @@
 }
 END_TEST
 
+static void expect_closed_for(enum server_close_reason reason)
+{
+	expect_disconnected();
+	for (int i = 0; i < SERVER_CLOSE_REASONS; i++)
+		ck_assert_uint_eq(edge->counters.caller_closes[i],
+				  i == (int)reason);
+	ck_assert_uint_eq(edge->counters.unread_closes, 0);
+}
+
+START_TEST(a_close_at_the_idle_limit_is_counted)
+{
+	complete_one_request();
+	edge_rig_run(&rig, IDLE_MS);
+	expect_closed_for(SERVER_CLOSE_IDLE);
+}
+END_TEST
+
+START_TEST(a_close_of_an_idle_connection_at_a_planned_stop_is_counted)
+{
+	complete_one_request();
+	edge_stop(edge);
+	expect_closed_for(SERVER_CLOSE_STOP);
+}
+END_TEST
+
+START_TEST(a_close_of_a_surplus_connection_is_counted)
+{
+	complete_one_request();
+	edge->room.keep_idle_below = 0;
+	expect_closed_for(SERVER_CLOSE_SURPLUS);
+}
+END_TEST
+
+START_TEST(a_close_after_a_late_head_is_counted)
+{
+	send_text("GET /safe/ok HT");
+	read_until_end();
+	ck_assert(has_text("HTTP/1.1 408 "));
+	expect_closed_for(SERVER_CLOSE_LATE_HEAD);
+}
+END_TEST
+
+START_TEST(a_close_of_a_stalled_response_is_counted)
+{
+	edge->limits.stall_ms = 300;
+	send_text(GET("/safe/large"));
+	wait_until_answered(1);
+	expect_closed_for(SERVER_CLOSE_STALLED);
+}
+END_TEST
+
+START_TEST(a_connection_that_its_caller_closes_is_counted)
+{
+	complete_one_request();
+	shutdown(caller.fd, SHUT_WR);
+	expect_closed_for(SERVER_CLOSE_OTHER);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -502,6 +561,14 @@
 	tcase_add_test(
 		tcase,
 		a_connection_is_read_again_after_a_response_to_a_slow_caller);
+	tcase_add_test(tcase, a_close_at_the_idle_limit_is_counted);
+	tcase_add_test(
+		tcase,
+		a_close_of_an_idle_connection_at_a_planned_stop_is_counted);
+	tcase_add_test(tcase, a_close_of_a_surplus_connection_is_counted);
+	tcase_add_test(tcase, a_close_after_a_late_head_is_counted);
+	tcase_add_test(tcase, a_close_of_a_stalled_response_is_counted);
+	tcase_add_test(tcase, a_connection_that_its_caller_closes_is_counted);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
