Announce how long a caller's connection is kept, and keep it

What callers saw: a request on a kept connection that met the host's close, after the operator had lowered the idle limit: callers go by the limit that they know.

Cause: no response said how long the connection is kept, and each wait went by the limit in force at its begin.

Each response announces the limit in whole seconds, and the connection keeps what was announced and half a second more, so a request that its caller may send arrives before the close. A limit under a second can't be announced: the earlier one stays for that connection, without time on top, because the existing test of the idle timeout (900 ms) bounds the close to 1.2 s. HTTP/1.0 callers are told that their connection is kept.

--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -27,6 +27,16 @@
 	connection_room_init(&edge->room, max_descriptors(edge->settings));
 }
 
+void edge_callers_set_limits(struct edge *edge,
+			     const struct server_limits *limits)
+{
+	struct server_conn *conn;
+
+	for (conn = edge->conns; conn; conn = conn->next)
+		server_conn_keep_limits(conn);
+	edge->limits = *limits;
+}
+
 static void insert_first(struct edge *edge, struct server_conn *conn)
 {
 	conn->previous = NULL;
--- a/src/edge/edge_callers.h
+++ b/src/edge/edge_callers.h
@@ -10,11 +10,15 @@
 #include <uv.h>
 
 struct edge;
-struct server_conn;
+struct server_limits;
 
 /** Sets how many connections there may be, by the settings. */
 void edge_callers_init(struct edge *edge);
 
+/** Puts changed limits in force. */
+void edge_callers_set_limits(struct edge *edge,
+			     const struct server_limits *limits);
+
 /** For uv_listen(). */
 void edge_callers_on_connection(uv_stream_t *listener, int status);
 
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -6,6 +6,7 @@
 #include "edge/backend_pool.h"
 #include "edge/boot_identity.h"
 #include "edge/call.h"
+#include "edge/edge_callers.h"
 #include "edge/edge_clock.h"
 #include "edge/edge_peers.h"
 #include "edge/server_signals.h"
@@ -16,14 +17,22 @@
 /* The store removes a server's entry after so many heartbeats without one. */
 #define MISSED_HEARTBEATS 3
 
+static void set_limits(struct edge *edge, const struct route_limits *changed)
+{
+	struct server_limits limits = edge->limits;
+
+	limits.head_bytes = changed->head_bytes;
+	limits.body_bytes = changed->body_bytes;
+	limits.head_ms = changed->head_ms;
+	limits.idle_ms = changed->idle_ms;
+	edge_callers_set_limits(edge, &limits);
+}
+
 static void on_routes(void *arg, const struct route_set *set)
 {
 	struct edge *edge = arg;
 
-	edge->limits.head_bytes = set->limits.head_bytes;
-	edge->limits.body_bytes = set->limits.body_bytes;
-	edge->limits.head_ms = set->limits.head_ms;
-	edge->limits.idle_ms = set->limits.idle_ms;
+	set_limits(edge, &set->limits);
 	for (size_t i = 0; i < set->team_count; i++)
 		if (set->teams[i].paid_in_tokens != ROUTE_TEAM_NO_BUDGET)
 			team_budget_raise_paid_in(edge->budgets,
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -21,6 +21,9 @@
  * after this delay, so that bytes that arrived in time are read first. */
 #define READ_ONCE_MS 1
 #define NS_PER_MS 1000000
+/* A connection is kept for longer than announced, for a request that is on its
+ * way by then. */
+#define IDLE_MARGIN_MS 500
 
 /* The loop has one thread, so one buffer serves all reads. */
 static char read_buffer[READ_SIZE_BYTES];
@@ -87,6 +90,26 @@
 	return (int64_t)(uv_hrtime() / NS_PER_MS);
 }
 
+static int64_t max_of(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+void server_conn_keep_limits(struct server_conn *conn)
+{
+	conn->kept_limits.idle_ms =
+		max_of(conn->kept_limits.idle_ms, conn->limits->idle_ms);
+}
+
+static int64_t idle_wait_ms(const struct server_conn *conn)
+{
+	int64_t limit_ms =
+		max_of(conn->kept_limits.idle_ms, conn->limits->idle_ms);
+
+	return limit_ms < SERVER_MIN_ANNOUNCED_MS ? limit_ms
+						  : limit_ms + IDLE_MARGIN_MS;
+}
+
 /* @return the limit on what the connection waits for */
 static int64_t wait_limit_ms(const struct server_conn *conn)
 {
@@ -98,7 +121,7 @@
 		return conn->limits->head_ms;
 	if (server_conn_unwritten(conn))
 		return conn->limits->stall_ms;
-	return conn->limits->idle_ms;
+	return idle_wait_ms(conn);
 }
 
 static void set_timer(struct server_conn *conn, int64_t delay_ms)
@@ -429,6 +452,7 @@
 	struct server_conn *conn = xcalloc(1, sizeof(*conn));
 
 	conn->limits = limits;
+	conn->kept_limits = *limits;
 	conn->events = events;
 	conn->owner = owner;
 	conn->open_handles = 2;
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -19,8 +19,8 @@
 
 struct server_conn;
 
-/** Limits on what a caller sends. A change applies at the latest to requests
- * that begin afterwards; a longer time, also to waits that have begun. */
+/** Limits on what a caller sends. The owner calls server_conn_keep_limits()
+ * before it changes them. */
 struct server_limits {
 	/** Maximum for the request target and the header fields together. */
 	int64_t head_bytes;
@@ -28,7 +28,8 @@
 	/** Time from the first byte of a request until it is complete. */
 	int64_t head_ms;
 	/** Time to wait for the first byte of a request, once the response
-	 * before it is written. */
+	 * before it is written. That response announces it in whole seconds
+	 * (Keep-Alive), and the connection is kept somewhat longer. */
 	int64_t idle_ms;
 	/** Time in which the caller must accept some bytes of a response that
 	 * is complete here. */
@@ -118,7 +119,9 @@
 	bool unread_at_close; /**< closed for a reason although bytes that
 			       * nobody read had arrived */
 	unsigned int open_handles;
-	const struct server_limits *limits;
+	const struct server_limits *limits; /**< in force */
+	/** Earlier limits that the caller may still rely on. */
+	struct server_limits kept_limits;
 	const struct server_conn_events *events;
 	void *owner;
 	/** Bounds the reading of requests; NULL for no bound. The owner forgets
@@ -140,8 +143,12 @@
 				       const struct server_conn_events *events,
 				       void *owner);
 
+/** What the connection does or waits for may also go by the limits that are in
+ * force now, after they are changed. */
+void server_conn_keep_limits(struct server_conn *conn);
+
 /**
- * Writes a response's head.
+ * Writes a response's head, with how long the connection is kept.
  * @param fields header lines, each with its line end
  * @param body_bytes length of the body, or SERVER_LENGTH_UNKNOWN
  * @param closing the connection closes after this response, or after those to
--- a/src/transport/server_conn_private.h
+++ b/src/transport/server_conn_private.h
@@ -8,6 +8,10 @@
 
 #include "transport/server_conn.h"
 
+/** The shortest idle limit that a response can announce: Keep-Alive counts
+ * whole seconds. */
+#define SERVER_MIN_ANNOUNCED_MS 1000
+
 /** Closes the connection, and tells the owner of a request that is served. */
 void server_conn_handle_disconnect(struct server_conn *conn);
 
--- a/src/transport/server_conn_response.c
+++ b/src/transport/server_conn_response.c
@@ -8,6 +8,7 @@
 #define UNWRITTEN_MAX_BYTES (128 * 1024)
 #define CHUNK_HEAD_SIZE 24
 #define SMALL_CHUNK_BYTES 2048
+#define MS_PER_S 1000
 
 size_t server_conn_unwritten(const struct server_conn *conn)
 {
@@ -73,6 +74,31 @@
 	return false;
 }
 
+/* Tells the caller how long the connection is kept, which holds until the next
+ * response. A limit that can't be told does not replace the one before. */
+static void announce_idle_limit(struct server_conn *conn, struct buffer *head)
+{
+	int64_t idle_ms = conn->limits->idle_ms;
+
+	if (idle_ms < SERVER_MIN_ANNOUNCED_MS) {
+		server_conn_keep_limits(conn);
+		return;
+	}
+	conn->kept_limits.idle_ms = idle_ms;
+	buffer_add_format(head, "Keep-Alive: timeout=%lld\r\n",
+			  (long long)(idle_ms / MS_PER_S));
+}
+
+static void add_connection_fields(struct server_conn *conn, struct buffer *head)
+{
+	if (!conn->keep_alive) {
+		buffer_add_text(head, "Connection: close\r\n");
+	} else if (!conn->input_closed) {
+		buffer_add_text(head, "Connection: keep-alive\r\n");
+		announce_idle_limit(conn, head);
+	}
+}
+
 void server_conn_send_head(struct server_conn *conn, int status,
 			   const struct buffer *fields, int64_t body_bytes,
 			   bool closing)
@@ -94,8 +120,7 @@
 	else if (body_bytes >= 0 && !bodiless)
 		buffer_add_format(&head, "Content-Length: %lld\r\n",
 				  (long long)body_bytes);
-	if (!conn->keep_alive)
-		buffer_add_text(&head, "Connection: close\r\n");
+	add_connection_fields(conn, &head);
 	buffer_add_text(&head, "\r\n");
 	part = uv_buf_init(head.data, (unsigned int)head.size);
 	server_conn_write_parts(conn, &part, 1);
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "base/xalloc.h"
+#include "edge/edge_callers.h"
 #include "edge/edge_clock.h"
 #include "fakes/edge_rig.h"
 #include "unit/unit_main.h"
@@ -453,6 +454,133 @@
 	ck_assert_uint_eq(edge->counters.unread_closes, 0);
 }
 
+/* As a change of the configuration does. */
+static void set_idle_limit(int64_t idle_ms)
+{
+	struct server_limits limits = edge->limits;
+
+	limits.idle_ms = idle_ms;
+	edge_callers_set_limits(edge, &limits);
+}
+
+static void complete_a_held_request(int64_t idle_ms)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	set_idle_limit(idle_ms);
+	release_servers();
+	read_until_text("\r\n\r\ndone");
+}
+
+static void expect_served_after(int64_t idle_ms)
+{
+	buffer_clear(&caller.received);
+	edge_rig_run(&rig, idle_ms);
+	send_text(GET("/safe/ok"));
+	read_until_text("\r\n\r\ndone");
+}
+
+START_TEST(a_response_announces_the_idle_limit_in_whole_seconds)
+{
+	static const struct {
+		int64_t idle_ms;
+		const char *field;
+	} cases[] = {
+		{15000, "Keep-Alive: timeout=15\r\n"},
+		{2900, "Keep-Alive: timeout=2\r\n"},
+		{1000, "Keep-Alive: timeout=1\r\n"},
+		{999, NULL},
+		{0, NULL},
+	};
+
+	set_idle_limit(cases[_i].idle_ms);
+	send_text(GET("/safe/ok"));
+	read_until_text("\r\n\r\ndone");
+	ck_assert(has_text("Connection: keep-alive\r\n"));
+	if (cases[_i].field)
+		ck_assert(has_text(cases[_i].field));
+	else
+		ck_assert(!has_text("Keep-Alive:"));
+}
+END_TEST
+
+START_TEST(a_closing_response_announces_no_idle_limit)
+{
+	send_text(LAST_GET("/safe/ok"));
+	read_until_end();
+	ck_assert(has_text("Connection: close\r\n"));
+	ck_assert(!has_text("Keep-Alive"));
+}
+END_TEST
+
+START_TEST(an_http_1_0_caller_is_told_that_its_connection_is_kept)
+{
+	set_idle_limit(1000);
+	send_text("GET /safe/ok HTTP/1.0\r\n" FIELDS
+		  "Connection: keep-alive\r\n\r\n");
+	read_until_text("\r\n\r\ndone");
+	ck_assert(has_text("Connection: keep-alive\r\nKeep-Alive: timeout=1"));
+	expect_served_after(1000);
+}
+END_TEST
+
+START_TEST(a_lowered_idle_limit_does_not_close_an_idle_connection_early)
+{
+	complete_one_request();
+	edge_rig_run(&rig, IDLE_MS / 2);
+	set_idle_limit(IDLE_MS / 3);
+	expect_served_after(IDLE_MS / 4);
+}
+END_TEST
+
+START_TEST(a_limit_lowered_before_the_response_is_announced_and_kept)
+{
+	set_idle_limit(3000);
+	complete_a_held_request(1000);
+	ck_assert(has_text("Keep-Alive: timeout=1\r\n"));
+	expect_served_after(1000);
+}
+END_TEST
+
+START_TEST(a_limit_that_can_not_be_announced_does_not_replace_the_earlier)
+{
+	set_idle_limit(2000);
+	complete_a_held_request(IDLE_MS / 3);
+	ck_assert(!has_text("Keep-Alive:"));
+	expect_served_after(2000);
+}
+END_TEST
+
+START_TEST(an_idle_limit_that_was_raised_and_lowered_is_kept)
+{
+	complete_a_held_request(IDLE_MS / 3);
+	set_idle_limit(2000);
+	set_idle_limit(1000);
+	set_idle_limit(IDLE_MS / 3);
+	expect_served_after(2000);
+}
+END_TEST
+
+START_TEST(the_first_request_goes_by_the_highest_limit_since_the_accept)
+{
+	set_idle_limit(2000);
+	set_idle_limit(IDLE_MS / 3);
+	expect_served_after(2000);
+}
+END_TEST
+
+START_TEST(a_lowered_idle_limit_holds_after_the_next_response)
+{
+	complete_one_request();
+	set_idle_limit(5000);
+	set_idle_limit(1000);
+	complete_one_request();
+	edge_rig_run(&rig, 1000);
+	ck_assert_uint_eq(edge->conn_count, 1);
+	expect_closed_for(SERVER_CLOSE_IDLE);
+}
+END_TEST
+
 START_TEST(a_close_at_the_idle_limit_is_counted)
 {
 	complete_one_request();
@@ -569,6 +697,28 @@
 	tcase_add_test(tcase, a_close_after_a_late_head_is_counted);
 	tcase_add_test(tcase, a_close_of_a_stalled_response_is_counted);
 	tcase_add_test(tcase, a_connection_that_its_caller_closes_is_counted);
+	tcase_add_loop_test(
+		tcase, a_response_announces_the_idle_limit_in_whole_seconds, 0,
+		5);
+	tcase_add_test(tcase, a_closing_response_announces_no_idle_limit);
+	tcase_add_test(tcase,
+		       an_http_1_0_caller_is_told_that_its_connection_is_kept);
+	tcase_add_test(
+		tcase,
+		a_lowered_idle_limit_does_not_close_an_idle_connection_early);
+	tcase_add_test(
+		tcase,
+		a_limit_lowered_before_the_response_is_announced_and_kept);
+	tcase_add_test(tcase,
+		       an_idle_limit_that_was_raised_and_lowered_is_kept);
+	tcase_add_test(
+		tcase,
+		the_first_request_goes_by_the_highest_limit_since_the_accept);
+	tcase_add_test(tcase,
+		       a_lowered_idle_limit_holds_after_the_next_response);
+	tcase_add_test(
+		tcase,
+		a_limit_that_can_not_be_announced_does_not_replace_the_earlier);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
