Look into the socket right before a caller's connection is closed

What callers saw: a request that had arrived was closed unread, or answered 408, by a host whose loop stood still between its last read and the timer that closes the connection. The callbacks of one turn of the loop lie between (decoding a large configuration takes long), not a few microseconds.

Evidence: a check callback that sends the request and takes 10 ms right before the timer. Before, of 46 checks 4 failed, at the idle limit, for a surplus connection, in a planned stop and for the rest of a late request; the first three logged, as in event=closed_unread reason=idle_limit waited_ms=910 idle_limit_ms=900

The timer looks into the socket first, and comes again after one more read if there are bytes, 64 times at most, so that a caller that sends line ends or one byte a millisecond is still ended.

After: test_edge_callers 46 checks, test_edge_caller_load 8, test_http_server 3, test_gateway_limits 41, 0 failures.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -20,6 +20,9 @@
 /* The loop runs timers before it reads from sockets. A timeout takes effect
  * after this delay, so that bytes that arrived in time are read first. */
 #define READ_ONCE_MS 1
+/* A timeout is put off for this many further reads, so that a caller that sends
+ * without an end does not put it off for good. */
+#define MAX_LATE_READS 64
 #define NS_PER_MS 1000000
 /* A connection is kept for longer than announced, for a request that is on its
  * way by then. */
@@ -139,9 +142,20 @@
 	conn->waiting_since_ms = now_ms();
 	conn->unwritten_before = server_conn_unwritten(conn);
 	conn->timeout_pending = false;
+	conn->late_reads = 0;
 	set_timer(conn, wait_limit_ms(conn));
 }
 
+/* Callbacks that run between the last read and a timer may take long. @return
+ * whether bytes have arrived, which are to be read first */
+static bool has_to_read(struct server_conn *conn)
+{
+	if (conn->turn.waits)
+		return true;
+	return stream_input_look(&conn->tcp) == STREAM_INPUT_BYTES &&
+	       conn->late_reads++ < MAX_LATE_READS;
+}
+
 static void time_out(struct server_conn *conn)
 {
 	size_t unwritten = server_conn_unwritten(conn);
@@ -171,18 +185,13 @@
 		server_conn_handle_disconnect(conn);
 		return;
 	}
-	/* It has bytes to read, and waits for its turn. */
-	if (conn->turn.waits) {
-		set_timer(conn, READ_ONCE_MS);
-		return;
-	}
 	/* The limit was raised, or the loop's time was behind at the start. */
 	if (left_ms > 0) {
 		conn->timeout_pending = false;
 		set_timer(conn, left_ms);
 		return;
 	}
-	if (conn->timeout_pending) {
+	if (conn->timeout_pending && !has_to_read(conn)) {
 		time_out(conn);
 		return;
 	}
@@ -555,7 +564,10 @@
 {
 	struct server_conn *conn = timer->data;
 
-	if (is_idle(conn) && !conn->turn.waits)
+	assert(is_idle(conn));
+	if (has_to_read(conn))
+		uv_timer_start(timer, on_idle_read, READ_ONCE_MS, 0);
+	else
 		close_for(conn, conn->idle_close_reason);
 }
 
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -114,6 +114,7 @@
 	int64_t waiting_since_ms; /**< what it waits for has a limit */
 	size_t unwritten_before;  /**< unwritten bytes at that time */
 	bool timeout_pending;	  /**< takes effect after one more read */
+	unsigned int late_reads;  /**< put off the timeout since then */
 	enum server_close_reason idle_close_reason; /**< if it stays idle */
 	enum server_close_reason close_reason;
 	bool unread_at_close; /**< closed for a reason although bytes that
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -631,6 +631,92 @@
 }
 END_TEST
 
+/* A callback takes long right after the last read before a timer closes the
+ * connection, and the caller sends meanwhile. */
+static const char *sent_before_close;
+
+static void on_check(uv_check_t *check)
+{
+	const struct server_conn *conn = edge->conns;
+
+	if (!conn || uv_timer_get_due_in(&conn->timer) > 1)
+		return;
+	if (edge->limits.idle_ms == IDLE_MS && !conn->timeout_pending)
+		return;
+	send_text(sent_before_close);
+	block_loop(10);
+	uv_close((uv_handle_t *)check, NULL);
+}
+
+static void send_before_close(const char *text)
+{
+	static uv_check_t check;
+
+	sent_before_close = text;
+	uv_check_init(&rig.loop, &check);
+	uv_check_start(&check, on_check);
+	read_until_text("\r\n\r\ndone");
+	ck_assert_uint_eq(edge->counters.unread_closes, 0);
+}
+
+START_TEST(a_request_that_arrives_before_the_idle_close_is_served)
+{
+	complete_one_request();
+	send_before_close(GET("/safe/ok"));
+}
+END_TEST
+
+START_TEST(a_request_that_arrives_before_the_close_of_surplus_is_served)
+{
+	complete_one_request();
+	set_idle_limit(2 * IDLE_MS);
+	edge->room.keep_idle_below = 0;
+	send_before_close(GET("/safe/ok"));
+}
+END_TEST
+
+START_TEST(a_request_that_arrives_before_the_close_of_a_stop_is_served)
+{
+	complete_one_request();
+	set_idle_limit(2 * IDLE_MS);
+	edge_stop(edge);
+	send_before_close(GET("/safe/ok"));
+}
+END_TEST
+
+START_TEST(the_rest_of_a_request_that_arrives_before_a_408_is_served)
+{
+	send_text("GET /safe/ok HT");
+	send_before_close("TP/1.1\r\n" FIELDS "\r\n");
+}
+END_TEST
+
+/* Line ends between requests are skipped, and begin none. */
+START_TEST(a_caller_that_sends_no_request_is_closed_at_the_idle_limit)
+{
+	complete_one_request();
+	for (int i = 0; i < 2 * IDLE_MS && !caller.ended; i++) {
+		send(caller.fd, "\r\n", 2, MSG_NOSIGNAL);
+		edge_rig_run(&rig, 1);
+		read_some();
+	}
+	ck_assert(caller.ended);
+	expect_disconnected();
+}
+END_TEST
+
+START_TEST(a_caller_that_sends_its_request_slowly_gets_408)
+{
+	send_text("GET /safe/");
+	for (int i = 0; i < 3 * HEAD_MS && !caller.ended; i++) {
+		send(caller.fd, "x", 1, MSG_NOSIGNAL);
+		edge_rig_run(&rig, 1);
+		read_some();
+	}
+	ck_assert(has_text("HTTP/1.1 408 "));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -719,6 +805,21 @@
 	tcase_add_test(
 		tcase,
 		a_limit_that_can_not_be_announced_does_not_replace_the_earlier);
+	tcase_add_test(tcase,
+		       a_request_that_arrives_before_the_idle_close_is_served);
+	tcase_add_test(
+		tcase,
+		a_request_that_arrives_before_the_close_of_surplus_is_served);
+	tcase_add_test(
+		tcase,
+		a_request_that_arrives_before_the_close_of_a_stop_is_served);
+	tcase_add_test(
+		tcase,
+		the_rest_of_a_request_that_arrives_before_a_408_is_served);
+	tcase_add_test(
+		tcase,
+		a_caller_that_sends_no_request_is_closed_at_the_idle_limit);
+	tcase_add_test(tcase, a_caller_that_sends_its_request_slowly_gets_408);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
