Let a request go by the limits in force when it began

What callers saw: 413 or 431 in the middle of a request, because the operator lowered a limit while it was sent; 408, if the time was raised and lowered again meanwhile.

Cause: each look read the limits in force at that moment.

A connection copies the limits at the first byte of a request, and takes over higher ones that come meanwhile. The next request goes by the lowered ones, which the same tests check.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -100,8 +100,21 @@
 
 void server_conn_keep_limits(struct server_conn *conn)
 {
-	conn->kept_limits.idle_ms =
-		max_of(conn->kept_limits.idle_ms, conn->limits->idle_ms);
+	struct server_limits *kept = &conn->kept_limits;
+	const struct server_limits *now = conn->limits;
+
+	kept->head_bytes = max_of(kept->head_bytes, now->head_bytes);
+	kept->body_bytes = max_of(kept->body_bytes, now->body_bytes);
+	kept->head_ms = max_of(kept->head_ms, now->head_ms);
+	kept->idle_ms = max_of(kept->idle_ms, now->idle_ms);
+}
+
+/* A request may go by the limits in force when it began, and by later ones. */
+static void begin_request_limits(struct server_conn *conn)
+{
+	conn->kept_limits.head_bytes = conn->limits->head_bytes;
+	conn->kept_limits.body_bytes = conn->limits->body_bytes;
+	conn->kept_limits.head_ms = conn->limits->head_ms;
 }
 
 static int64_t idle_wait_ms(const struct server_conn *conn)
@@ -121,7 +134,7 @@
 	if (conn->lingers)
 		return LINGER_MS;
 	if (conn->state == SERVER_CONN_READING && conn->request_begun)
-		return conn->limits->head_ms;
+		return max_of(conn->kept_limits.head_ms, conn->limits->head_ms);
 	if (server_conn_unwritten(conn))
 		return conn->limits->stall_ms;
 	return idle_wait_ms(conn);
@@ -238,6 +251,7 @@
 	struct server_conn *conn = parser->data;
 
 	conn->request_begun = true;
+	begin_request_limits(conn);
 	server_conn_start_wait(conn);
 	return 0;
 }
@@ -247,7 +261,8 @@
 	const struct server_request *request = &conn->request;
 
 	return (int64_t)(request->head.text.size + request->target.size +
-			 more) > conn->limits->head_bytes;
+			 more) >
+	       max_of(conn->kept_limits.head_bytes, conn->limits->head_bytes);
 }
 
 static int on_url(http_parser *parser, const char *data, size_t size)
@@ -296,6 +311,11 @@
 	       !http_head_find(head, "Content-Length");
 }
 
+static int64_t max_body_bytes(const struct server_conn *conn)
+{
+	return max_of(conn->kept_limits.body_bytes, conn->limits->body_bytes);
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct server_conn *conn = parser->data;
@@ -312,7 +332,7 @@
 	if (conn->events->head && !conn->events->head(conn))
 		return refuse(conn, SERVER_REFUSED_BY_OWNER);
 	if (parser->content_length != UINT64_MAX &&
-	    parser->content_length > (uint64_t)conn->limits->body_bytes)
+	    parser->content_length > (uint64_t)max_body_bytes(conn))
 		return refuse(conn, 413);
 	expect = http_head_find(&conn->request.head, "Expect");
 	if (expect && !strcasecmp(expect, "100-continue")) {
@@ -328,8 +348,7 @@
 {
 	struct server_conn *conn = parser->data;
 
-	if ((int64_t)(conn->request.body.size + size) >
-	    conn->limits->body_bytes)
+	if ((int64_t)(conn->request.body.size + size) > max_body_bytes(conn))
 		return refuse(conn, 413);
 	buffer_add(&conn->request.body, data, size);
 	return 0;
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -717,6 +717,107 @@
 }
 END_TEST
 
+#define PART_BYTES 1000
+#define LOW_BYTES 600
+
+static void set_request_limits(int64_t head_bytes, int64_t body_bytes)
+{
+	struct server_limits limits = edge->limits;
+
+	limits.head_bytes = head_bytes;
+	limits.body_bytes = body_bytes;
+	edge_callers_set_limits(edge, &limits);
+	edge_rig_run(&rig, 20);
+}
+
+static void send_filler(void)
+{
+	char filler[PART_BYTES + 1];
+
+	memset(filler, 'x', PART_BYTES);
+	filler[PART_BYTES] = '\0';
+	send_text(filler);
+	edge_rig_run(&rig, 20);
+}
+
+static void begin_body(void)
+{
+	send_text("POST /safe/ok HTTP/1.1\r\n" FIELDS
+		  "Content-Length: 2000\r\n\r\n");
+	send_filler();
+}
+
+START_TEST(a_lowered_body_limit_does_not_refuse_a_request_that_has_begun)
+{
+	begin_body();
+	set_request_limits(4096, LOW_BYTES);
+	send_filler();
+	read_until_text("\r\n\r\ndone");
+	buffer_clear(&caller.received);
+	begin_body();
+	read_until_text("HTTP/1.1 413 ");
+}
+END_TEST
+
+START_TEST(a_lowered_limit_does_not_refuse_a_chunk_of_a_request_that_has_begun)
+{
+	send_text("POST /safe/ok HTTP/1.1\r\n" FIELDS
+		  "Transfer-Encoding: chunked\r\n\r\n7d0\r\n");
+	send_filler();
+	set_request_limits(4096, LOW_BYTES);
+	send_filler();
+	send_text("\r\n0\r\n\r\n");
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
+START_TEST(a_lowered_head_limit_does_not_refuse_a_request_that_has_begun)
+{
+	send_text("GET /safe/ok HTTP/1.1\r\n" FIELDS "X-Filler: ");
+	send_filler();
+	set_request_limits(LOW_BYTES, 5000);
+	send_text("\r\n\r\n");
+	read_until_text("\r\n\r\ndone");
+	buffer_clear(&caller.received);
+	send_text("GET /safe/ok HTTP/1.1\r\n" FIELDS "X-Filler: ");
+	send_filler();
+	read_until_text("HTTP/1.1 431 ");
+}
+END_TEST
+
+START_TEST(a_limit_that_was_raised_and_lowered_holds_for_a_begun_request)
+{
+	set_request_limits(4096, LOW_BYTES);
+	send_text("POST /safe/ok HTTP/1.1\r\n" FIELDS);
+	edge_rig_run(&rig, 20);
+	set_request_limits(4096, 5000);
+	set_request_limits(4096, LOW_BYTES);
+	send_text("Content-Length: 1000\r\n\r\n");
+	send_filler();
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
+static void set_head_time(int64_t head_ms)
+{
+	struct server_limits limits = edge->limits;
+
+	limits.head_ms = head_ms;
+	edge_callers_set_limits(edge, &limits);
+}
+
+START_TEST(a_head_time_that_was_raised_and_lowered_holds_for_a_begun_request)
+{
+	send_text("GET /safe/ok HT");
+	edge_rig_run(&rig, 20);
+	set_head_time(3 * HEAD_MS);
+	set_head_time(HEAD_MS / 3);
+	edge_rig_run(&rig, 2 * HEAD_MS);
+	send_text("TP/1.1\r\n" FIELDS "\r\n");
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -820,6 +921,21 @@
 		tcase,
 		a_caller_that_sends_no_request_is_closed_at_the_idle_limit);
 	tcase_add_test(tcase, a_caller_that_sends_its_request_slowly_gets_408);
+	tcase_add_test(
+		tcase,
+		a_lowered_body_limit_does_not_refuse_a_request_that_has_begun);
+	tcase_add_test(
+		tcase,
+		a_lowered_limit_does_not_refuse_a_chunk_of_a_request_that_has_begun);
+	tcase_add_test(
+		tcase,
+		a_lowered_head_limit_does_not_refuse_a_request_that_has_begun);
+	tcase_add_test(
+		tcase,
+		a_limit_that_was_raised_and_lowered_holds_for_a_begun_request);
+	tcase_add_test(
+		tcase,
+		a_head_time_that_was_raised_and_lowered_holds_for_a_begun_request);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
