Let a host that stood still write before it ends a stalled response

What callers of tamarackgwd saw: a response broken off although they had read all that they were sent, because the event loop had stood still for longer than caller_idle_ms.

Cause: the tick that looks for stalled responses is a timer, and the loop runs timers before it writes to sockets. Before, 1 of 4 checks of test_http_server failed: a_response_whose_host_stood_still_is_not_taken_for_stalled: 'received > ((size_t)512 * 1024)' failed: received == 49873.

A response that is over its time ends at the next tick, if nothing was accepted until then. server_conn's timer already waits for one more turn of the loop.

After: 4 checks, 0 failures.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -27,6 +27,7 @@
 	bool head_sent;	  /* the response's head was written */
 	bool is_blocked;  /* waits for the caller to accept bytes */
 	bool is_pending;  /* in the server's `pending` list */
+	bool is_late;	  /* stalled, if nothing is accepted until a tick */
 	size_t unwritten; /* unwritten bytes at progress_us */
 	/* When the response was blocked, or bytes were last accepted. */
 	int64_t progress_us;
@@ -149,6 +150,7 @@
 {
 	exchange->unwritten = server_conn_unwritten(exchange->conn);
 	exchange->progress_us = now_us(exchange->server);
+	exchange->is_late = false;
 }
 
 static void finish_response(struct server_exchange *exchange, bool complete)
@@ -358,9 +360,12 @@
 
 /* ---- stalled callers ---- */
 
+/* The loop runs timers before it writes, so the time limit takes effect at the
+ * tick after the one that finds it exceeded. */
 static bool is_stalled(struct server_exchange *exchange)
 {
 	struct http_server *server = exchange->server;
+	bool was_late = exchange->is_late;
 
 	if (!exchange->is_blocked)
 		return false;
@@ -368,8 +373,9 @@
 		record_progress(exchange);
 		return false;
 	}
-	return now_us(server) - exchange->progress_us >
-	       server->settings.caller_idle_us;
+	exchange->is_late = now_us(server) - exchange->progress_us >
+			    server->settings.caller_idle_us;
+	return was_late;
 }
 
 static void abort_stalled(struct http_server *server)
--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -21,10 +21,12 @@
 #define TICK_US (5 * TGW_US_PER_MS)
 /* More than the sockets of both sides hold with the values below. */
 #define LARGE_BYTES ((size_t)120 * 1024)
+#define HUGE_BYTES ((size_t)512 * 1024)
 #define RECEIVE_BUFFER_BYTES 4096
 #define SEGMENT_BYTES 536
 #define SHORT_IDLE_MS 400
 #define PAUSE_MS 600
+#define WAIT_MS 10000
 
 static struct answer *pending_answer;
 static int ticks;
@@ -241,6 +243,58 @@
 }
 END_TEST
 
+static void on_huge_request(void *arg, struct server_exchange *exchange)
+{
+	char *body = xmalloc(HUGE_BYTES);
+
+	memset(body, 'x', HUGE_BYTES);
+	answer_set(server_exchange_answer(exchange), 200, "text/plain", body,
+		   HUGE_BYTES);
+	free(body);
+}
+
+/* The loop stands still for longer than the caller may accept nothing; the
+ * caller has read by then. */
+START_TEST(a_response_whose_host_stood_still_is_not_taken_for_stalled)
+{
+	const struct http_server_handler handler = {
+		.head = on_head,
+		.request = on_huge_request,
+		.too_large = ignore_exchange,
+		.closed = ignore_exchange,
+		.tick = ignore_tick,
+	};
+	struct http_server_settings short_idle = settings;
+	struct event_loop *loop = event_loop_new();
+	uv_loop_t *uv = event_loop_uv(loop);
+	struct http_server *server;
+	struct tgw_error error;
+	size_t received = 0;
+	int fd;
+
+	short_idle.caller_idle_us = SHORT_IDLE_MS * TGW_US_PER_MS;
+	server = http_server_new(loop, &short_idle, &handler, &error);
+	fd = connect_slow_caller(server);
+	while (!http_server_is_writing(server))
+		uv_run(uv, UV_RUN_NOWAIT);
+	for (int i = 0; i < PAUSE_MS; i++) {
+		received += read_some(fd);
+		usleep(1000);
+	}
+	ck_assert_uint_lt(received, HUGE_BYTES);
+	for (int i = 0; i < WAIT_MS && received < HUGE_BYTES; i++) {
+		uv_run(uv, UV_RUN_NOWAIT);
+		received += read_some(fd);
+		usleep(1000);
+	}
+	ck_assert_uint_gt(received, HUGE_BYTES);
+	http_server_free(server);
+	uv_run(uv, UV_RUN_NOWAIT);
+	close(fd);
+	event_loop_free(loop);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("http_server");
@@ -252,6 +306,9 @@
 	tcase_add_test(
 		tcase,
 		a_second_request_that_is_late_does_not_cut_the_first_response);
+	tcase_add_test(
+		tcase,
+		a_response_whose_host_stood_still_is_not_taken_for_stalled);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
