Serve the rest of a request that had begun before the close

What callers saw: a pipelined request of which a stopping host had read the beginning got nothing, although its rest arrived seconds before the connection was closed.

Cause: the first response after the stop found bytes of further requests and stopped reading, to serve only what had been read; a request that was read in part was never read to its end.

The close is now announced by the first response behind which nothing has arrived, also not in the socket, and reading goes on until then.

Before: test_edge_callers, the_rest_of_a_request_that_had_begun_at_a_planned_stop_is_served: two responses of three.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -527,16 +527,13 @@
 
 	memset(&conn->pipelined, 0, sizeof(conn->pipelined));
 	await_request(conn);
-	if (conn->read_paused && !conn->input_closed) {
+	if (conn->read_paused) {
 		conn->read_paused = false;
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 	}
 	if (pipelined.size)
 		parse(conn, pipelined.data, pipelined.size);
 	buffer_free(&pipelined);
-	if (conn->input_closed && conn->state == SERVER_CONN_READING &&
-	    !conn->partly_read)
-		flush_and_close(conn);
 }
 
 void server_conn_finish(struct server_conn *conn)
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -106,7 +106,6 @@
 	bool http_1_0;	      /**< the caller does not support chunked coding */
 	bool chunked;	      /**< the response body is sent in chunks */
 	bool read_paused;
-	bool input_closed;  /**< serves only what was read already */
 	int refused_status; /**< HTTP status for input that is refused */
 	bool partly_read;   /**< the current request is not read to its end */
 	bool write_failed;  /**< bytes of a response are missing: closes */
@@ -153,7 +152,7 @@
  * @param fields header lines, each with its line end
  * @param body_bytes length of the body, or SERVER_LENGTH_UNKNOWN
  * @param closing the connection closes after this response, or after those to
- * requests that were read already
+ * requests that have arrived by then
  */
 void server_conn_send_head(struct server_conn *conn, int status,
 			   const struct buffer *fields, int64_t body_bytes,
--- a/src/transport/server_conn_response.c
+++ b/src/transport/server_conn_response.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "transport/server_conn_private.h"
+#include "transport/stream_input.h"
 #include "transport/stream_write.h"
 
 /* server_conn_send_body() returns false while more than this is unwritten. */
@@ -64,14 +65,13 @@
 }
 
 /* After a response that announces the close, no further request may be
- * answered. Those that were read already are served first. */
-static bool may_announce_close(struct server_conn *conn)
+ * answered, so one that has arrived, also in part, comes first. */
+static bool may_announce_close(const struct server_conn *conn)
 {
-	if (!conn->keep_alive || !conn->pipelined.size || conn->partly_read)
+	if (!conn->keep_alive || conn->partly_read)
 		return true;
-	server_conn_pause_reading(conn);
-	conn->input_closed = true;
-	return false;
+	return !conn->pipelined.size &&
+	       stream_input_look(&conn->tcp) != STREAM_INPUT_BYTES;
 }
 
 /* Tells the caller how long the connection is kept, which holds until the next
@@ -89,11 +89,12 @@
 			  (long long)(idle_ms / MS_PER_S));
 }
 
-static void add_connection_fields(struct server_conn *conn, struct buffer *head)
+static void add_connection_fields(struct server_conn *conn, bool closing,
+				  struct buffer *head)
 {
 	if (!conn->keep_alive) {
 		buffer_add_text(head, "Connection: close\r\n");
-	} else if (!conn->input_closed) {
+	} else if (!closing) {
 		buffer_add_text(head, "Connection: keep-alive\r\n");
 		announce_idle_limit(conn, head);
 	}
@@ -120,7 +121,7 @@
 	else if (body_bytes >= 0 && !bodiless)
 		buffer_add_format(&head, "Content-Length: %lld\r\n",
 				  (long long)body_bytes);
-	add_connection_fields(conn, &head);
+	add_connection_fields(conn, closing, &head);
 	buffer_add_text(&head, "\r\n");
 	part = uv_buf_init(head.data, (unsigned int)head.size);
 	server_conn_write_parts(conn, &part, 1);
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -328,6 +328,23 @@
 }
 END_TEST
 
+START_TEST(the_rest_of_a_request_that_had_begun_at_a_planned_stop_is_served)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	send_text(GET("/unsafe/ok") "GET /unsafe/ok HT");
+	edge_rig_run(&rig, 20);
+	edge_stop(edge);
+	release_servers();
+	wait_until_answered(2);
+	send_text("TP/1.1\r\n" FIELDS "\r\n");
+	read_until_end();
+	ck_assert_uint_eq(count_text("HTTP/1.1 200 "), 3);
+	ck_assert_uint_eq(count_text("Connection: close"), 1);
+	expect_disconnected();
+}
+END_TEST
+
 START_TEST(a_part_of_a_request_does_not_keep_a_stopping_host_open)
 {
 	send_text(GET("/unsafe/hold"));
@@ -855,6 +872,9 @@
 	tcase_add_test(
 		tcase,
 		requests_that_were_read_before_a_planned_stop_are_served);
+	tcase_add_test(
+		tcase,
+		the_rest_of_a_request_that_had_begun_at_a_planned_stop_is_served);
 	tcase_add_test(tcase,
 		       a_part_of_a_request_does_not_keep_a_stopping_host_open);
 	tcase_add_test(
