Refuse late requests that a planned stop could cut off

What callers saw: a request that was read more than three seconds after SIGTERM, on a kept connection, got nothing: the host passed it on, its server was silent for two seconds, and the host exited with the request open.

Cause: a stopping host took any request, whatever was left of the stop, and ended open ones by closing their connections.

Once the notice of the stop is over, a request whose time may end after the host exits is refused with 503 (not run) at once; other hosts serve it. What is still open 200 ms before the exit gets 503 or 504.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -24,6 +24,8 @@
 /* Tokens that other hosts don't need come back within this time. */
 #define RECALL_LASTS_US (10 * TGW_US_PER_S)
 #define RETRY_AFTER_NONE_FREE_MS 10000
+/* Retry-After at a stopping host. Other hosts serve the request. */
+#define RETRY_AFTER_STOPPING_MS 50
 /* Used if neither the caller nor the route sets a timeout. */
 #define DEFAULT_TIMEOUT_MS 30000
 
@@ -129,6 +131,19 @@
 		call_refuse(call, 503, RETRY_AFTER_DEFAULT_MS, reason);
 }
 
+void call_give_up_waiting(struct edge *edge, const char *reason)
+{
+	struct call *call = edge->calls;
+
+	while (call) {
+		struct call *next = call->next;
+
+		if (!call->ended && call->caller && !call->head_sent)
+			call_give_up(call, reason);
+		call = next;
+	}
+}
+
 static int64_t max_cost_tokens(const struct call *call)
 {
 	return call->request.input_tokens + call->request.output_tokens;
@@ -358,6 +373,11 @@
 	identify(call);
 	call->deadline_us =
 		call->arrived_us + total_timeout_ms(call) * TGW_US_PER_MS;
+	if (edge_may_be_cut_off(edge, call->deadline_us)) {
+		call_refuse(call, 503, RETRY_AFTER_STOPPING_MS,
+			    "the host stops before the request has to end");
+		return;
+	}
 	retry_budget_on_first_attempt(
 		edge_retry_budget(edge, call->route.service));
 	team_budget_record_demand(edge->budgets, call->team,
--- a/src/edge/call.h
+++ b/src/edge/call.h
@@ -23,6 +23,10 @@
  * connection is finished or aborted by the function that ends the call. */
 void call_end(struct call *call);
 
+/** Answers all requests whose response has not begun: 503 to those that no
+ * server may have run, 504 to the others. */
+void call_give_up_waiting(struct edge *edge, const char *reason);
+
 /** Retries the reservation of each request that waits for an allotment. */
 void call_retry_reservations(struct edge *edge);
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -23,6 +23,8 @@
 #define MAX_ACCEPT_WAIT_MS 1000
 /* A stopping host exits this long before the platform would kill it. */
 #define STOP_MARGIN_MS 600
+/* Requests that it can't complete are answered this long before it exits. */
+#define LAST_RESPONSES_MS 200
 /* Limits on callers' requests before the first configuration is in force. */
 #define DEFAULT_HEAD_BYTES (16 * 1024)
 #define DEFAULT_BODY_BYTES (4 * 1024 * 1024)
@@ -103,6 +105,28 @@
 	uv_stop(edge->loop);
 }
 
+static int64_t stop_age_ms(const struct edge *edge)
+{
+	return (edge_now_us() - edge->stop_requested_us) / TGW_US_PER_MS;
+}
+
+/* @return when a stopping host exits, in milliseconds since the request */
+static int64_t stop_ends_ms(const struct edge *edge)
+{
+	return edge->settings->stop_kill_after_s * MS_PER_S - STOP_MARGIN_MS;
+}
+
+bool edge_may_be_cut_off(const struct edge *edge, int64_t deadline_us)
+{
+	int64_t ends_us =
+		edge->stop_requested_us +
+		(stop_ends_ms(edge) - LAST_RESPONSES_MS) * TGW_US_PER_MS;
+
+	return edge->stopping &&
+	       stop_age_ms(edge) >= edge->settings->stop_notice_ms &&
+	       deadline_us > ends_us;
+}
+
 /* A planned stop has three steps. First, /ready reports 503 and the host still
  * accepts requests, so that the balancer notices the stop. Then the host stops
  * listening and waits until the open requests have ended. Last, it returns the
@@ -110,14 +134,14 @@
  * even if these steps are not complete. */
 static void continue_stop(struct edge *edge)
 {
-	int64_t age_ms =
-		(edge_now_us() - edge->stop_requested_us) / TGW_US_PER_MS;
+	int64_t age_ms = stop_age_ms(edge);
 
-	if (age_ms >=
-	    edge->settings->stop_kill_after_s * MS_PER_S - STOP_MARGIN_MS) {
+	if (age_ms >= stop_ends_ms(edge)) {
 		end_loop(edge);
 		return;
 	}
+	if (age_ms >= stop_ends_ms(edge) - LAST_RESPONSES_MS)
+		call_give_up_waiting(edge, "the host stops");
 	if (age_ms < edge->settings->stop_notice_ms)
 		return;
 	if (edge->listening && has_waiting_callers(edge) &&
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -149,6 +149,10 @@
  * shortly before the platform would kill the host. */
 void edge_stop(struct edge *edge);
 
+/** @return whether the host is to exit, in a planned stop that has been
+ * noticed, before a request with this deadline has surely ended */
+bool edge_may_be_cut_off(const struct edge *edge, int64_t deadline_us);
+
 /** Ends all calls and connections and frees what `edge_start` allocated. The
  * loop has to run once more to close the handles. */
 void edge_free(struct edge *edge);
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -345,6 +345,49 @@
 }
 END_TEST
 
+/* A connection on which a second request is read after the stop was noticed. */
+static void send_late_in_a_stop(const char *second)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	send_text("GET ");
+	edge_rig_run(&rig, 20);
+	edge_stop(edge);
+	edge_rig_run(&rig, STOP_NOTICE_MS + 50);
+	release_servers();
+	wait_until_answered(1);
+	send_text(second);
+	read_until_end();
+	ck_assert_uint_eq(count_text("Connection: close"), 1);
+}
+
+START_TEST(a_late_request_is_refused_if_the_stop_could_cut_it_off)
+{
+	send_late_in_a_stop("/long-unsafe/ok HTTP/1.1\r\n" FIELDS "\r\n");
+	ck_assert(has_text("HTTP/1.1 503 "));
+	ck_assert_uint_eq(edge_rig_runs(&rig), 1);
+}
+END_TEST
+
+START_TEST(a_late_request_that_ends_before_the_stop_is_served)
+{
+	send_late_in_a_stop("/unsafe/ok HTTP/1.1\r\n" FIELDS "\r\n");
+	ck_assert_uint_eq(count_text("HTTP/1.1 200 "), 2);
+	ck_assert_uint_eq(edge_rig_runs(&rig), 2);
+}
+END_TEST
+
+START_TEST(a_request_that_is_open_at_the_end_of_a_stop_gets_an_answer)
+{
+	send_text(GET("/long-unsafe/hold"));
+	wait_for_runs(1);
+	edge_stop(edge);
+	read_until_end();
+	ck_assert(has_text("HTTP/1.1 504 "));
+	ck_assert(has_text("Connection: close"));
+}
+END_TEST
+
 START_TEST(a_part_of_a_request_does_not_keep_a_stopping_host_open)
 {
 	send_text(GET("/unsafe/hold"));
@@ -875,6 +918,13 @@
 	tcase_add_test(
 		tcase,
 		the_rest_of_a_request_that_had_begun_at_a_planned_stop_is_served);
+	tcase_add_test(tcase,
+		       a_late_request_is_refused_if_the_stop_could_cut_it_off);
+	tcase_add_test(tcase,
+		       a_late_request_that_ends_before_the_stop_is_served);
+	tcase_add_test(
+		tcase,
+		a_request_that_is_open_at_the_end_of_a_stop_gets_an_answer);
 	tcase_add_test(tcase,
 		       a_part_of_a_request_does_not_keep_a_stopping_host_open);
 	tcase_add_test(
