Announce less while a host has many connections of callers

What callers saw: while a host had many connections, it closed idle ones within the time that it had announced to them.

Cause: each response announced the whole idle limit, and the connections used least recently were closed whatever they had been told.

From half of the connections that may be idle on, responses announce less, down to a second when the host begins to close them. Those that were kept as long as announced are closed first, the others only if that does not suffice.

--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -27,6 +27,12 @@
 	connection_room_init(&edge->room, max_descriptors(edge->settings));
 }
 
+static void announce_by_room(struct edge *edge)
+{
+	edge->limits.crowded_idle_ms = connection_room_idle_ms(
+		&edge->room, edge->conn_count, edge->limits.idle_ms);
+}
+
 void edge_callers_set_limits(struct edge *edge,
 			     const struct server_limits *limits)
 {
@@ -35,6 +41,7 @@
 	for (conn = edge->conns; conn; conn = conn->next)
 		server_conn_keep_limits(conn);
 	edge->limits = *limits;
+	announce_by_room(edge);
 }
 
 static void insert_first(struct edge *edge, struct server_conn *conn)
@@ -157,19 +164,31 @@
 	accept_caller(edge);
 }
 
-void edge_callers_close_surplus(struct edge *edge)
+/* @return how many are still too many */
+static uint32_t close_least_recent(struct edge *edge, uint32_t surplus,
+				   bool overdue)
 {
-	uint32_t surplus =
-		connection_room_surplus(&edge->room, edge->conn_count);
 	struct server_conn *conn = edge->conns_last;
 
 	while (surplus && conn) {
 		struct server_conn *more_recent = conn->previous;
 
-		if (server_conn_close_idle(conn, SERVER_CLOSE_SURPLUS))
+		if (server_conn_is_overdue(conn) == overdue &&
+		    server_conn_close_idle(conn, SERVER_CLOSE_SURPLUS))
 			surplus--;
 		conn = more_recent;
 	}
+	return surplus;
+}
+
+void edge_callers_close_surplus(struct edge *edge)
+{
+	uint32_t surplus =
+		connection_room_surplus(&edge->room, edge->conn_count);
+
+	announce_by_room(edge);
+	surplus = close_least_recent(edge, surplus, true);
+	(void)close_least_recent(edge, surplus, false);
 }
 
 void edge_callers_close_idle(struct edge *edge)
--- a/src/edge/edge_callers.h
+++ b/src/edge/edge_callers.h
@@ -26,8 +26,9 @@
  * connection that had to wait. */
 void edge_callers_begin_poll(struct edge *edge);
 
-/** Closes the idle connections that are too many, those first that were used
- * least recently. */
+/** Closes the idle connections that are too many: first those that were kept as
+ * long as announced, then the others, the least recently used first. Sets how
+ * long later responses announce. */
 void edge_callers_close_surplus(struct edge *edge);
 
 /** Closes all idle connections. */
--- a/src/state/connection_room.h
+++ b/src/state/connection_room.h
@@ -29,6 +29,11 @@
 uint32_t connection_room_surplus(const struct connection_room *room,
 				 uint32_t callers);
 
+/** @return how long a connection whose response is written now should be kept
+ * idle: the limit while there are few, less the more there are */
+int64_t connection_room_idle_ms(const struct connection_room *room,
+				uint32_t callers, int64_t limit_ms);
+
 /** @return the connections in percent of their maximum */
 uint32_t connection_room_percent(const struct connection_room *room,
 				 uint32_t callers);
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -573,6 +573,12 @@
 	close_now(conn);
 }
 
+bool server_conn_is_overdue(const struct server_conn *conn)
+{
+	return server_conn_waited_ms(conn) >
+	       conn->kept_limits.idle_ms + IDLE_MARGIN_MS;
+}
+
 static bool is_idle(const struct server_conn *conn)
 {
 	return conn->state == SERVER_CONN_READING && !conn->request_begun &&
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -31,6 +31,9 @@
 	 * before it is written. That response announces it in whole seconds
 	 * (Keep-Alive), and the connection is kept somewhat longer. */
 	int64_t idle_ms;
+	/** Announced in place of `idle_ms`, if it is shorter and not 0, while
+	 * the owner has many connections. */
+	int64_t crowded_idle_ms;
 	/** Time in which the caller must accept some bytes of a response that
 	 * is complete here. */
 	int64_t stall_ms;
@@ -184,4 +187,7 @@
 bool server_conn_close_idle(struct server_conn *conn,
 			    enum server_close_reason reason);
 
+/** @return whether the connection has waited for longer than was announced */
+bool server_conn_is_overdue(const struct server_conn *conn);
+
 #endif
--- a/src/transport/server_conn_response.c
+++ b/src/transport/server_conn_response.c
@@ -74,11 +74,19 @@
 	return false;
 }
 
+static int64_t announced_ms(const struct server_limits *limits)
+{
+	if (limits->crowded_idle_ms &&
+	    limits->crowded_idle_ms < limits->idle_ms)
+		return limits->crowded_idle_ms;
+	return limits->idle_ms;
+}
+
 /* Tells the caller how long the connection is kept, which holds until the next
  * response. A limit that can't be told does not replace the one before. */
 static void announce_idle_limit(struct server_conn *conn, struct buffer *head)
 {
-	int64_t idle_ms = conn->limits->idle_ms;
+	int64_t idle_ms = announced_ms(conn->limits);
 
 	if (idle_ms < SERVER_MIN_ANNOUNCED_MS) {
 		server_conn_keep_limits(conn);
--- a/tests/unit/test_connection_room.c
+++ b/tests/unit/test_connection_room.c
@@ -51,6 +51,27 @@
 }
 END_TEST
 
+START_TEST(connections_are_kept_the_shorter_the_more_there_are)
+{
+	struct connection_room room;
+	int64_t before_ms = 15000;
+
+	connection_room_init(&room, DESCRIPTORS);
+	ck_assert_int_eq(
+		connection_room_idle_ms(&room, room.keep_idle_below / 2, 15000),
+		15000);
+	for (uint32_t i = 0; i <= room.max_callers; i++) {
+		int64_t idle_ms = connection_room_idle_ms(&room, i, 15000);
+
+		ck_assert_int_le(idle_ms, before_ms);
+		before_ms = idle_ms;
+	}
+	ck_assert_int_eq(before_ms, 1000);
+	ck_assert_int_eq(connection_room_idle_ms(&room, room.max_callers, 300),
+			 300);
+}
+END_TEST
+
 START_TEST(a_process_without_descriptors_accepts_nothing)
 {
 	struct connection_room room;
@@ -70,6 +91,8 @@
 	tcase_add_test(tcase, idle_connections_leave_room_for_new_ones);
 	tcase_add_test(tcase, a_host_with_few_connections_closes_none);
 	tcase_add_test(tcase, a_process_without_descriptors_accepts_nothing);
+	tcase_add_test(tcase,
+		       connections_are_kept_the_shorter_the_more_there_are);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
--- a/tests/unit/test_edge_caller_load.c
+++ b/tests/unit/test_edge_caller_load.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "edge/edge_callers.h"
 #include "fakes/edge_rig.h"
 #include "unit/unit_main.h"
 
@@ -252,6 +253,53 @@
 }
 END_TEST
 
+static void set_idle_limit(int64_t idle_ms)
+{
+	struct server_limits limits = edge->limits;
+
+	limits.idle_ms = idle_ms;
+	edge_callers_set_limits(edge, &limits);
+}
+
+/* The tick sees each connection before the next one comes. */
+static void fill_slowly(int count)
+{
+	for (int i = 0; i < count; i++) {
+		connect_and_ask(i);
+		edge_rig_run(&rig, 120);
+	}
+}
+
+START_TEST(connections_that_were_kept_as_announced_are_closed_first)
+{
+	set_idle_limit(15000);
+	fill_slowly(KEEP_IDLE);
+	edge_rig_run(&rig, 2500);
+	connect_and_ask(KEEP_IDLE);
+	edge_rig_run(&rig, SETTLE_MS);
+	ck_assert(!is_closed(callers[0]));
+	ck_assert(is_closed(callers[KEEP_IDLE - 1]));
+	ck_assert_uint_eq(edge->conn_count, KEEP_IDLE);
+}
+END_TEST
+
+START_TEST(a_host_with_many_connections_announces_a_shorter_time)
+{
+	char response[4096];
+
+	set_idle_limit(15000);
+	callers[0] = connect_caller();
+	send_text(callers[0], request);
+	ck_assert(is_answered(callers[0], response, sizeof(response)));
+	ck_assert_ptr_nonnull(strstr(response, "Keep-Alive: timeout=15\r\n"));
+	connection_room_init(&edge->room, DESCRIPTORS / 16);
+	edge_rig_run(&rig, 120);
+	send_text(callers[0], request);
+	ck_assert(is_answered(callers[0], response, sizeof(response)));
+	ck_assert_ptr_nonnull(strstr(response, "Keep-Alive: timeout=1\r\n"));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_caller_load");
@@ -276,6 +324,11 @@
 	tcase_add_test(tcase,
 		       a_host_is_ready_again_after_idle_connections_filled_it);
 	tcase_add_test(tcase, a_host_with_a_full_link_sends_callers_elsewhere);
+	tcase_add_test(
+		tcase,
+		connections_that_were_kept_as_announced_are_closed_first);
+	tcase_add_test(tcase,
+		       a_host_with_many_connections_announces_a_shorter_time);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
