--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -295,6 +295,35 @@
 }
 END_TEST
 
+START_TEST(a_response_announces_how_long_the_connection_is_kept)
+{
+	const struct http_server_handler handler = {
+		.head = on_head,
+		.request = on_large_request,
+		.too_large = ignore_exchange,
+		.closed = ignore_exchange,
+		.tick = ignore_tick,
+	};
+	struct event_loop *loop = event_loop_new();
+	struct tgw_error error;
+	struct http_server *server =
+		http_server_new(loop, &settings, &handler, &error);
+	int fd = connect_slow_caller(server);
+	char head[512] = "";
+
+	for (int i = 0; i < PAUSE_MS && !*head; i++) {
+		uv_run(event_loop_uv(loop), UV_RUN_NOWAIT);
+		recv(fd, head, sizeof(head) - 1, MSG_DONTWAIT);
+		usleep(1000);
+	}
+	ck_assert_ptr_nonnull(strstr(head, "Keep-Alive: timeout=30\r\n"));
+	close(fd);
+	http_server_free(server);
+	uv_run(event_loop_uv(loop), UV_RUN_NOWAIT);
+	event_loop_free(loop);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("http_server");
@@ -309,6 +338,8 @@
 	tcase_add_test(
 		tcase,
 		a_response_whose_host_stood_still_is_not_taken_for_stalled);
+	tcase_add_test(tcase,
+		       a_response_announces_how_long_the_connection_is_kept);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
