--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -818,6 +818,17 @@
 }
 END_TEST
 
+START_TEST(a_half_closed_caller_has_left_while_its_request_is_served)
+{
+	send_text(GET("/safe/hold"));
+	wait_for_runs(1);
+	shutdown(caller.fd, SHUT_WR);
+	expect_closed_for(SERVER_CLOSE_OTHER);
+	ck_assert_uint_eq(edge->counters.caller_left, 1);
+	release_servers();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -936,6 +947,9 @@
 	tcase_add_test(
 		tcase,
 		a_head_time_that_was_raised_and_lowered_holds_for_a_begun_request);
+	tcase_add_test(
+		tcase,
+		a_half_closed_caller_has_left_while_its_request_is_served);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
