--- a/tests/soak/lost_server.c
+++ b/tests/soak/lost_server.c
@@ -23,6 +23,8 @@
 /* One pause in this many is longer than the usual ones. */
 #define LONG_PAUSE_EVERY 10
 #define PIECES_MAX 48
+/* Between two silences of a whole server, which would be one otherwise. */
+#define RECOVER_US (1 * SOAK_US_PER_S)
 
 enum pause_point {
 	BEFORE_HEAD,
@@ -357,6 +359,8 @@
 
 void lost_server_pause(struct lost_server *server, unsigned int pause_ms)
 {
+	if (soak_now_us() < server->paused_until_us + RECOVER_US)
+		return;
 	server->paused_until_us = soak_now_us() + pause_ms * SOAK_US_PER_MS;
 	uv_timer_start(&server->resume, on_resume, pause_ms + 1, 0);
 }
