Play more resumable streams and silences, so that the judge sees them cut

Two requests in six are such streams now, and servers pause in 20 to 59 of 100 responses.

The name of a promise was cut to 32 bytes in print.

--- a/tests/soak/lost_play.c
+++ b/tests/soak/lost_play.c
@@ -318,7 +318,7 @@
 	lost_config_write(soak, &config);
 	for (i = 0; i < SERVERS; i++)
 		servers[i] = lost_server_start(soak, (unsigned int)i,
-					       services[i], 10 + below(30));
+					       services[i], 20 + below(40));
 	soak_hosts_start(soak);
 	start_callers();
 	uv_timer_init(&soak->loop, &soak->tick);
--- a/tests/soak/lost_sending.c
+++ b/tests/soak/lost_sending.c
@@ -11,8 +11,8 @@
 #define LONG_HEAD_PERCENT 20
 #define PAD_FIELDS 30
 #define PIECE_DELAY_SPREAD_MS 200
-static const enum soak_kind kinds[] = {SOAK_SAFE, SOAK_SAFE, SOAK_UNSAFE,
-				       SOAK_STREAM, SOAK_RESUME};
+static const enum soak_kind kinds[] = {SOAK_SAFE,   SOAK_SAFE,	 SOAK_UNSAFE,
+				       SOAK_STREAM, SOAK_RESUME, SOAK_RESUME};
 
 static struct soak_request *new_request(struct lost_sending *sending,
 					struct soak_host *host,
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -70,7 +70,7 @@
 void soak_broken(struct soak *soak, const char *rule, const char *format, ...)
 {
 	va_list arguments;
-	char mark[32];
+	char mark[48];
 
 	soak->broken++;
 	snprintf(mark, sizeof(mark), "BROKEN %s: ", rule);
