--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -68,6 +68,10 @@
 	uint64_t silences;
 	uint64_t silences_ended;
 	uint64_t caller_left;
+	uint64_t caller_closes[SERVER_CLOSE_REASONS];
+	/** Of these, closes for a reason other than SERVER_CLOSE_OTHER, though
+	 * bytes that nobody read had arrived. */
+	uint64_t unread_closes;
 	uint64_t retries;
 	uint64_t resumed;
 	uint64_t budget_refused;
@@ -145,6 +149,10 @@
  * shortly before the platform would kill the host. */
 void edge_stop(struct edge *edge);
 
+/** @return whether the host is to exit, in a planned stop that has been
+ * noticed, before a request with this deadline has surely ended */
+bool edge_may_be_cut_off(const struct edge *edge, int64_t deadline_us);
+
 /** Ends all calls and connections and frees what `edge_start` allocated. The
  * loop has to run once more to close the handles. */
 void edge_free(struct edge *edge);
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -27,6 +27,23 @@
 	connection_room_init(&edge->room, max_descriptors(edge->settings));
 }
 
+static void announce_by_room(struct edge *edge)
+{
+	edge->limits.crowded_idle_ms = connection_room_idle_ms(
+		&edge->room, edge->conn_count, edge->limits.idle_ms);
+}
+
+void edge_callers_set_limits(struct edge *edge,
+			     const struct server_limits *limits)
+{
+	struct server_conn *conn;
+
+	for (conn = edge->conns; conn; conn = conn->next)
+		server_conn_keep_limits(conn);
+	edge->limits = *limits;
+	announce_by_room(edge);
+}
+
 static void insert_first(struct edge *edge, struct server_conn *conn)
 {
 	conn->previous = NULL;
@@ -71,10 +88,25 @@
 		call_caller_drained(conn->call);
 }
 
+static void count_close(struct edge *edge, const struct server_conn *conn)
+{
+	edge->counters.caller_closes[conn->close_reason]++;
+	if (!conn->unread_at_close)
+		return;
+	edge->counters.unread_closes++;
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "callers", "closed_unread",
+		      "reason=%s waited_ms=%lld idle_limit_ms=%lld "
+		      "connections=%u",
+		      server_close_reason_name(conn->close_reason),
+		      (long long)server_conn_waited_ms(conn),
+		      (long long)edge->limits.idle_ms, edge->conn_count);
+}
+
 static void on_closed(struct server_conn *conn)
 {
 	struct edge *edge = conn->owner;
 
+	count_close(edge, conn);
 	remove_conn(edge, conn);
 	edge->conn_count--;
 	read_turns_forget(&edge->turns, &conn->turn);
@@ -132,19 +164,31 @@
 	accept_caller(edge);
 }
 
-void edge_callers_close_surplus(struct edge *edge)
+/* @return how many are still too many */
+static uint32_t close_least_recent(struct edge *edge, uint32_t surplus,
+				   bool overdue)
 {
-	uint32_t surplus =
-		connection_room_surplus(&edge->room, edge->conn_count);
 	struct server_conn *conn = edge->conns_last;
 
 	while (surplus && conn) {
 		struct server_conn *more_recent = conn->previous;
 
-		if (server_conn_close_idle(conn))
+		if (server_conn_is_overdue(conn) == overdue &&
+		    server_conn_close_idle(conn, SERVER_CLOSE_SURPLUS))
 			surplus--;
 		conn = more_recent;
 	}
+	return surplus;
+}
+
+void edge_callers_close_surplus(struct edge *edge)
+{
+	uint32_t surplus =
+		connection_room_surplus(&edge->room, edge->conn_count);
+
+	announce_by_room(edge);
+	surplus = close_least_recent(edge, surplus, true);
+	(void)close_least_recent(edge, surplus, false);
 }
 
 void edge_callers_close_idle(struct edge *edge)
@@ -154,7 +198,7 @@
 	while (conn) {
 		struct server_conn *next = conn->next;
 
-		(void)server_conn_close_idle(conn);
+		(void)server_conn_close_idle(conn, SERVER_CLOSE_STOP);
 		conn = next;
 	}
 }
--- a/src/edge/edge_callers.h
+++ b/src/edge/edge_callers.h
@@ -10,11 +10,15 @@
 #include <uv.h>
 
 struct edge;
-struct server_conn;
+struct server_limits;
 
 /** Sets how many connections there may be, by the settings. */
 void edge_callers_init(struct edge *edge);
 
+/** Puts changed limits in force. */
+void edge_callers_set_limits(struct edge *edge,
+			     const struct server_limits *limits);
+
 /** For uv_listen(). */
 void edge_callers_on_connection(uv_stream_t *listener, int status);
 
@@ -22,8 +26,9 @@
  * connection that had to wait. */
 void edge_callers_begin_poll(struct edge *edge);
 
-/** Closes the idle connections that are too many, those first that were used
- * least recently. */
+/** Closes the idle connections that are too many: first those that were kept as
+ * long as announced, then the others, the least recently used first. Sets how
+ * long later responses announce. */
 void edge_callers_close_surplus(struct edge *edge);
 
 /** Closes all idle connections. */
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -8,6 +8,7 @@
 
 #include "base/xalloc.h"
 #include "transport/server_conn_private.h"
+#include "transport/stream_input.h"
 
 /* Reading pauses once more than this has arrived after the current request. */
 #define PIPELINED_MAX_BYTES (64 * 1024)
@@ -19,11 +20,31 @@
 /* The loop runs timers before it reads from sockets. A timeout takes effect
  * after this delay, so that bytes that arrived in time are read first. */
 #define READ_ONCE_MS 1
+/* A timeout is put off for this many further reads, so that a caller that sends
+ * without an end does not put it off for good. */
+#define MAX_LATE_READS 64
 #define NS_PER_MS 1000000
+/* A connection is kept for longer than announced, for a request that is on its
+ * way by then. */
+#define IDLE_MARGIN_MS 500
 
 /* The loop has one thread, so one buffer serves all reads. */
 static char read_buffer[READ_SIZE_BYTES];
 
+const char *server_close_reason_name(enum server_close_reason reason)
+{
+	static const char *const names[SERVER_CLOSE_REASONS] = {
+		[SERVER_CLOSE_OTHER] = "other",
+		[SERVER_CLOSE_IDLE] = "idle_limit",
+		[SERVER_CLOSE_SURPLUS] = "surplus",
+		[SERVER_CLOSE_STOP] = "planned_stop",
+		[SERVER_CLOSE_LATE_HEAD] = "late_head",
+		[SERVER_CLOSE_STALLED] = "stalled_response",
+	};
+
+	return names[reason];
+}
+
 static void parse(struct server_conn *conn, const char *data, size_t size);
 static void refuse_input(struct server_conn *conn);
 
@@ -50,6 +71,14 @@
 	uv_close((uv_handle_t *)&conn->tcp, on_handle_closed);
 }
 
+static void close_for(struct server_conn *conn, enum server_close_reason reason)
+{
+	conn->close_reason = reason;
+	conn->unread_at_close = stream_input_look(&conn->tcp) ==
+				STREAM_INPUT_BYTES;
+	close_now(conn);
+}
+
 void server_conn_handle_disconnect(struct server_conn *conn)
 {
 	if (conn->state == SERVER_CONN_SERVING)
@@ -64,6 +93,39 @@
 	return (int64_t)(uv_hrtime() / NS_PER_MS);
 }
 
+static int64_t max_of(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+void server_conn_keep_limits(struct server_conn *conn)
+{
+	struct server_limits *kept = &conn->kept_limits;
+	const struct server_limits *now = conn->limits;
+
+	kept->head_bytes = max_of(kept->head_bytes, now->head_bytes);
+	kept->body_bytes = max_of(kept->body_bytes, now->body_bytes);
+	kept->head_ms = max_of(kept->head_ms, now->head_ms);
+	kept->idle_ms = max_of(kept->idle_ms, now->idle_ms);
+}
+
+/* A request may go by the limits in force when it began, and by later ones. */
+static void begin_request_limits(struct server_conn *conn)
+{
+	conn->kept_limits.head_bytes = conn->limits->head_bytes;
+	conn->kept_limits.body_bytes = conn->limits->body_bytes;
+	conn->kept_limits.head_ms = conn->limits->head_ms;
+}
+
+static int64_t idle_wait_ms(const struct server_conn *conn)
+{
+	int64_t limit_ms =
+		max_of(conn->kept_limits.idle_ms, conn->limits->idle_ms);
+
+	return limit_ms < SERVER_MIN_ANNOUNCED_MS ? limit_ms
+						  : limit_ms + IDLE_MARGIN_MS;
+}
+
 /* @return the limit on what the connection waits for */
 static int64_t wait_limit_ms(const struct server_conn *conn)
 {
@@ -72,10 +134,10 @@
 	if (conn->lingers)
 		return LINGER_MS;
 	if (conn->state == SERVER_CONN_READING && conn->request_begun)
-		return conn->limits->head_ms;
+		return max_of(conn->kept_limits.head_ms, conn->limits->head_ms);
 	if (server_conn_unwritten(conn))
 		return conn->limits->stall_ms;
-	return conn->limits->idle_ms;
+	return idle_wait_ms(conn);
 }
 
 static void set_timer(struct server_conn *conn, int64_t delay_ms)
@@ -83,24 +145,45 @@
 	uv_timer_start(&conn->timer, on_timeout, (uint64_t)delay_ms, 0);
 }
 
+int64_t server_conn_waited_ms(const struct server_conn *conn)
+{
+	return now_ms() - conn->waiting_since_ms;
+}
+
 void server_conn_start_wait(struct server_conn *conn)
 {
 	conn->waiting_since_ms = now_ms();
 	conn->unwritten_before = server_conn_unwritten(conn);
 	conn->timeout_pending = false;
+	conn->late_reads = 0;
 	set_timer(conn, wait_limit_ms(conn));
 }
 
+/* Callbacks that run between the last read and a timer may take long. @return
+ * whether bytes have arrived, which are to be read first */
+static bool has_to_read(struct server_conn *conn)
+{
+	if (conn->turn.waits)
+		return true;
+	return stream_input_look(&conn->tcp) == STREAM_INPUT_BYTES &&
+	       conn->late_reads++ < MAX_LATE_READS;
+}
+
 static void time_out(struct server_conn *conn)
 {
 	size_t unwritten = server_conn_unwritten(conn);
 
 	if (conn->state == SERVER_CONN_READING && conn->request_begun) {
+		conn->close_reason = SERVER_CLOSE_LATE_HEAD;
 		conn->refused_status = 408;
 		refuse_input(conn);
 	} else if (unwritten && unwritten < conn->unwritten_before) {
 		server_conn_start_wait(conn);
-	} else if (conn->state != SERVER_CONN_SERVING) {
+	} else if (unwritten) {
+		close_for(conn, SERVER_CLOSE_STALLED);
+	} else if (conn->state == SERVER_CONN_READING) {
+		close_for(conn, SERVER_CLOSE_IDLE);
+	} else {
 		close_now(conn);
 	}
 }
@@ -115,18 +198,13 @@
 		server_conn_handle_disconnect(conn);
 		return;
 	}
-	/* It has bytes to read, and waits for its turn. */
-	if (conn->turn.waits) {
-		set_timer(conn, READ_ONCE_MS);
-		return;
-	}
 	/* The limit was raised, or the loop's time was behind at the start. */
 	if (left_ms > 0) {
 		conn->timeout_pending = false;
 		set_timer(conn, left_ms);
 		return;
 	}
-	if (conn->timeout_pending) {
+	if (conn->timeout_pending && !has_to_read(conn)) {
 		time_out(conn);
 		return;
 	}
@@ -173,6 +251,7 @@
 	struct server_conn *conn = parser->data;
 
 	conn->request_begun = true;
+	begin_request_limits(conn);
 	server_conn_start_wait(conn);
 	return 0;
 }
@@ -182,7 +261,8 @@
 	const struct server_request *request = &conn->request;
 
 	return (int64_t)(request->head.text.size + request->target.size +
-			 more) > conn->limits->head_bytes;
+			 more) >
+	       max_of(conn->kept_limits.head_bytes, conn->limits->head_bytes);
 }
 
 static int on_url(http_parser *parser, const char *data, size_t size)
@@ -231,6 +311,11 @@
 	       !http_head_find(head, "Content-Length");
 }
 
+static int64_t max_body_bytes(const struct server_conn *conn)
+{
+	return max_of(conn->kept_limits.body_bytes, conn->limits->body_bytes);
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct server_conn *conn = parser->data;
@@ -247,7 +332,7 @@
 	if (conn->events->head && !conn->events->head(conn))
 		return refuse(conn, SERVER_REFUSED_BY_OWNER);
 	if (parser->content_length != UINT64_MAX &&
-	    parser->content_length > (uint64_t)conn->limits->body_bytes)
+	    parser->content_length > (uint64_t)max_body_bytes(conn))
 		return refuse(conn, 413);
 	expect = http_head_find(&conn->request.head, "Expect");
 	if (expect && !strcasecmp(expect, "100-continue")) {
@@ -263,8 +348,7 @@
 {
 	struct server_conn *conn = parser->data;
 
-	if ((int64_t)(conn->request.body.size + size) >
-	    conn->limits->body_bytes)
+	if ((int64_t)(conn->request.body.size + size) > max_body_bytes(conn))
 		return refuse(conn, 413);
 	buffer_add(&conn->request.body, data, size);
 	return 0;
@@ -396,6 +480,7 @@
 	struct server_conn *conn = xcalloc(1, sizeof(*conn));
 
 	conn->limits = limits;
+	conn->kept_limits = *limits;
 	conn->events = events;
 	conn->owner = owner;
 	conn->open_handles = 2;
@@ -442,16 +527,13 @@
 
 	memset(&conn->pipelined, 0, sizeof(conn->pipelined));
 	await_request(conn);
-	if (conn->read_paused && !conn->input_closed) {
+	if (conn->read_paused) {
 		conn->read_paused = false;
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 	}
 	if (pipelined.size)
 		parse(conn, pipelined.data, pipelined.size);
 	buffer_free(&pipelined);
-	if (conn->input_closed && conn->state == SERVER_CONN_READING &&
-	    !conn->partly_read)
-		flush_and_close(conn);
 }
 
 void server_conn_finish(struct server_conn *conn)
@@ -488,6 +570,12 @@
 	close_now(conn);
 }
 
+bool server_conn_is_overdue(const struct server_conn *conn)
+{
+	return server_conn_waited_ms(conn) >
+	       conn->kept_limits.idle_ms + IDLE_MARGIN_MS;
+}
+
 static bool is_idle(const struct server_conn *conn)
 {
 	return conn->state == SERVER_CONN_READING && !conn->request_begun &&
@@ -498,14 +586,19 @@
 {
 	struct server_conn *conn = timer->data;
 
-	if (is_idle(conn) && !conn->turn.waits)
-		close_now(conn);
+	assert(is_idle(conn));
+	if (has_to_read(conn))
+		uv_timer_start(timer, on_idle_read, READ_ONCE_MS, 0);
+	else
+		close_for(conn, conn->idle_close_reason);
 }
 
-bool server_conn_close_idle(struct server_conn *conn)
+bool server_conn_close_idle(struct server_conn *conn,
+			    enum server_close_reason reason)
 {
 	if (!is_idle(conn))
 		return false;
+	conn->idle_close_reason = reason;
 	uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
 	return true;
 }
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -19,8 +19,8 @@
 
 struct server_conn;
 
-/** Limits on what a caller sends. A change applies at the latest to requests
- * that begin afterwards; a longer time, also to waits that have begun. */
+/** Limits on what a caller sends. The owner calls server_conn_keep_limits()
+ * before it changes them. */
 struct server_limits {
 	/** Maximum for the request target and the header fields together. */
 	int64_t head_bytes;
@@ -28,13 +28,32 @@
 	/** Time from the first byte of a request until it is complete. */
 	int64_t head_ms;
 	/** Time to wait for the first byte of a request, once the response
-	 * before it is written. */
+	 * before it is written. That response announces it in whole seconds
+	 * (Keep-Alive), and the connection is kept somewhat longer. */
 	int64_t idle_ms;
+	/** Announced in place of `idle_ms`, if it is shorter and not 0, while
+	 * the owner has many connections. */
+	int64_t crowded_idle_ms;
 	/** Time in which the caller must accept some bytes of a response that
 	 * is complete here. */
 	int64_t stall_ms;
 };
 
+/** Why the host closed a connection. */
+enum server_close_reason {
+	SERVER_CLOSE_OTHER,	/**< its caller left, its last response is
+				 * written, or the owner broke it off */
+	SERVER_CLOSE_IDLE,	/**< no request came within the idle limit */
+	SERVER_CLOSE_SURPLUS,	/**< idle, and there are too many */
+	SERVER_CLOSE_STOP,	/**< idle at a planned stop */
+	SERVER_CLOSE_LATE_HEAD, /**< a request was not complete in time */
+	SERVER_CLOSE_STALLED,	/**< the caller accepted no bytes */
+	SERVER_CLOSE_REASONS
+};
+
+/** @return the name in metrics and logs */
+const char *server_close_reason_name(enum server_close_reason reason);
+
 /** Passed to `refused` in place of a status after `head` returned false. */
 #define SERVER_REFUSED_BY_OWNER 0
 
@@ -90,7 +109,6 @@
 	bool http_1_0;	      /**< the caller does not support chunked coding */
 	bool chunked;	      /**< the response body is sent in chunks */
 	bool read_paused;
-	bool input_closed;  /**< serves only what was read already */
 	int refused_status; /**< HTTP status for input that is refused */
 	bool partly_read;   /**< the current request is not read to its end */
 	bool write_failed;  /**< bytes of a response are missing: closes */
@@ -98,8 +116,15 @@
 	int64_t waiting_since_ms; /**< what it waits for has a limit */
 	size_t unwritten_before;  /**< unwritten bytes at that time */
 	bool timeout_pending;	  /**< takes effect after one more read */
+	unsigned int late_reads;  /**< put off the timeout since then */
+	enum server_close_reason idle_close_reason; /**< if it stays idle */
+	enum server_close_reason close_reason;
+	bool unread_at_close; /**< closed for a reason although bytes that
+			       * nobody read had arrived */
 	unsigned int open_handles;
-	const struct server_limits *limits;
+	const struct server_limits *limits; /**< in force */
+	/** Earlier limits that the caller may still rely on. */
+	struct server_limits kept_limits;
 	const struct server_conn_events *events;
 	void *owner;
 	/** Bounds the reading of requests; NULL for no bound. The owner forgets
@@ -121,12 +146,16 @@
 				       const struct server_conn_events *events,
 				       void *owner);
 
+/** What the connection does or waits for may also go by the limits that are in
+ * force now, after they are changed. */
+void server_conn_keep_limits(struct server_conn *conn);
+
 /**
- * Writes a response's head.
+ * Writes a response's head, with how long the connection is kept.
  * @param fields header lines, each with its line end
  * @param body_bytes length of the body, or SERVER_LENGTH_UNKNOWN
  * @param closing the connection closes after this response, or after those to
- * requests that were read already
+ * requests that have arrived by then
  */
 void server_conn_send_head(struct server_conn *conn, int status,
 			   const struct buffer *fields, int64_t body_bytes,
@@ -148,9 +177,16 @@
  * truncated. */
 void server_conn_abort(struct server_conn *conn);
 
+/** @return how long the connection has been waiting for what it waits for */
+int64_t server_conn_waited_ms(const struct server_conn *conn);
+
 /** Closes the connection if no request is being read or served and its last
  * response is written. A request that has already arrived is served.
  * @return whether the connection is idle */
-bool server_conn_close_idle(struct server_conn *conn);
+bool server_conn_close_idle(struct server_conn *conn,
+			    enum server_close_reason reason);
+
+/** @return whether the connection has waited for longer than was announced */
+bool server_conn_is_overdue(const struct server_conn *conn);
 
 #endif
--- a/src/transport/server_conn_response.c
+++ b/src/transport/server_conn_response.c
@@ -2,12 +2,14 @@
 #include <string.h>
 
 #include "transport/server_conn_private.h"
+#include "transport/stream_input.h"
 #include "transport/stream_write.h"
 
 /* server_conn_send_body() returns false while more than this is unwritten. */
 #define UNWRITTEN_MAX_BYTES (128 * 1024)
 #define CHUNK_HEAD_SIZE 24
 #define SMALL_CHUNK_BYTES 2048
+#define MS_PER_S 1000
 
 size_t server_conn_unwritten(const struct server_conn *conn)
 {
@@ -63,14 +65,47 @@
 }
 
 /* After a response that announces the close, no further request may be
- * answered. Those that were read already are served first. */
-static bool may_announce_close(struct server_conn *conn)
+ * answered, so one that has arrived, also in part, comes first. */
+static bool may_announce_close(const struct server_conn *conn)
 {
-	if (!conn->keep_alive || !conn->pipelined.size || conn->partly_read)
+	if (!conn->keep_alive || conn->partly_read)
 		return true;
-	server_conn_pause_reading(conn);
-	conn->input_closed = true;
-	return false;
+	return !conn->pipelined.size &&
+	       stream_input_look(&conn->tcp) != STREAM_INPUT_BYTES;
+}
+
+static int64_t announced_ms(const struct server_limits *limits)
+{
+	if (limits->crowded_idle_ms &&
+	    limits->crowded_idle_ms < limits->idle_ms)
+		return limits->crowded_idle_ms;
+	return limits->idle_ms;
+}
+
+/* Tells the caller how long the connection is kept, which holds until the next
+ * response. A limit that can't be told does not replace the one before. */
+static void announce_idle_limit(struct server_conn *conn, struct buffer *head)
+{
+	int64_t idle_ms = announced_ms(conn->limits);
+
+	if (idle_ms < SERVER_MIN_ANNOUNCED_MS) {
+		server_conn_keep_limits(conn);
+		return;
+	}
+	conn->kept_limits.idle_ms = idle_ms;
+	buffer_add_format(head, "Keep-Alive: timeout=%lld\r\n",
+			  (long long)(idle_ms / MS_PER_S));
+}
+
+static void add_connection_fields(struct server_conn *conn, bool closing,
+				  struct buffer *head)
+{
+	if (!conn->keep_alive) {
+		buffer_add_text(head, "Connection: close\r\n");
+	} else if (!closing) {
+		buffer_add_text(head, "Connection: keep-alive\r\n");
+		announce_idle_limit(conn, head);
+	}
 }
 
 void server_conn_send_head(struct server_conn *conn, int status,
@@ -94,8 +129,7 @@
 	else if (body_bytes >= 0 && !bodiless)
 		buffer_add_format(&head, "Content-Length: %lld\r\n",
 				  (long long)body_bytes);
-	if (!conn->keep_alive)
-		buffer_add_text(&head, "Connection: close\r\n");
+	add_connection_fields(conn, closing, &head);
 	buffer_add_text(&head, "\r\n");
 	part = uv_buf_init(head.data, (unsigned int)head.size);
 	server_conn_write_parts(conn, &part, 1);
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "base/xalloc.h"
+#include "edge/edge_callers.h"
 #include "edge/edge_clock.h"
 #include "fakes/edge_rig.h"
 #include "unit/unit_main.h"
@@ -327,6 +328,66 @@
 }
 END_TEST
 
+START_TEST(the_rest_of_a_request_that_had_begun_at_a_planned_stop_is_served)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	send_text(GET("/unsafe/ok") "GET /unsafe/ok HT");
+	edge_rig_run(&rig, 20);
+	edge_stop(edge);
+	release_servers();
+	wait_until_answered(2);
+	send_text("TP/1.1\r\n" FIELDS "\r\n");
+	read_until_end();
+	ck_assert_uint_eq(count_text("HTTP/1.1 200 "), 3);
+	ck_assert_uint_eq(count_text("Connection: close"), 1);
+	expect_disconnected();
+}
+END_TEST
+
+/* A connection on which a second request is read after the stop was noticed. */
+static void send_late_in_a_stop(const char *second)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	send_text("GET ");
+	edge_rig_run(&rig, 20);
+	edge_stop(edge);
+	edge_rig_run(&rig, STOP_NOTICE_MS + 50);
+	release_servers();
+	wait_until_answered(1);
+	send_text(second);
+	read_until_end();
+	ck_assert_uint_eq(count_text("Connection: close"), 1);
+}
+
+START_TEST(a_late_request_is_refused_if_the_stop_could_cut_it_off)
+{
+	send_late_in_a_stop("/long-unsafe/ok HTTP/1.1\r\n" FIELDS "\r\n");
+	ck_assert(has_text("HTTP/1.1 503 "));
+	ck_assert_uint_eq(edge_rig_runs(&rig), 1);
+}
+END_TEST
+
+START_TEST(a_late_request_that_ends_before_the_stop_is_served)
+{
+	send_late_in_a_stop("/unsafe/ok HTTP/1.1\r\n" FIELDS "\r\n");
+	ck_assert_uint_eq(count_text("HTTP/1.1 200 "), 2);
+	ck_assert_uint_eq(edge_rig_runs(&rig), 2);
+}
+END_TEST
+
+START_TEST(a_request_that_is_open_at_the_end_of_a_stop_gets_an_answer)
+{
+	send_text(GET("/long-unsafe/hold"));
+	wait_for_runs(1);
+	edge_stop(edge);
+	read_until_end();
+	ck_assert(has_text("HTTP/1.1 504 "));
+	ck_assert(has_text("Connection: close"));
+}
+END_TEST
+
 START_TEST(a_part_of_a_request_does_not_keep_a_stopping_host_open)
 {
 	send_text(GET("/unsafe/hold"));
@@ -444,6 +505,390 @@
 }
 END_TEST
 
+static void expect_closed_for(enum server_close_reason reason)
+{
+	expect_disconnected();
+	for (int i = 0; i < SERVER_CLOSE_REASONS; i++)
+		ck_assert_uint_eq(edge->counters.caller_closes[i],
+				  i == (int)reason);
+	ck_assert_uint_eq(edge->counters.unread_closes, 0);
+}
+
+/* As a change of the configuration does. */
+static void set_idle_limit(int64_t idle_ms)
+{
+	struct server_limits limits = edge->limits;
+
+	limits.idle_ms = idle_ms;
+	edge_callers_set_limits(edge, &limits);
+}
+
+static void complete_a_held_request(int64_t idle_ms)
+{
+	send_text(GET("/unsafe/hold"));
+	wait_for_runs(1);
+	set_idle_limit(idle_ms);
+	release_servers();
+	read_until_text("\r\n\r\ndone");
+}
+
+static void expect_served_after(int64_t idle_ms)
+{
+	buffer_clear(&caller.received);
+	edge_rig_run(&rig, idle_ms);
+	send_text(GET("/safe/ok"));
+	read_until_text("\r\n\r\ndone");
+}
+
+START_TEST(a_response_announces_the_idle_limit_in_whole_seconds)
+{
+	static const struct {
+		int64_t idle_ms;
+		const char *field;
+	} cases[] = {
+		{15000, "Keep-Alive: timeout=15\r\n"},
+		{2900, "Keep-Alive: timeout=2\r\n"},
+		{1000, "Keep-Alive: timeout=1\r\n"},
+		{999, NULL},
+		{0, NULL},
+	};
+
+	set_idle_limit(cases[_i].idle_ms);
+	send_text(GET("/safe/ok"));
+	read_until_text("\r\n\r\ndone");
+	ck_assert(has_text("Connection: keep-alive\r\n"));
+	if (cases[_i].field)
+		ck_assert(has_text(cases[_i].field));
+	else
+		ck_assert(!has_text("Keep-Alive:"));
+}
+END_TEST
+
+START_TEST(a_closing_response_announces_no_idle_limit)
+{
+	send_text(LAST_GET("/safe/ok"));
+	read_until_end();
+	ck_assert(has_text("Connection: close\r\n"));
+	ck_assert(!has_text("Keep-Alive"));
+}
+END_TEST
+
+START_TEST(an_http_1_0_caller_is_told_that_its_connection_is_kept)
+{
+	set_idle_limit(1000);
+	send_text("GET /safe/ok HTTP/1.0\r\n" FIELDS
+		  "Connection: keep-alive\r\n\r\n");
+	read_until_text("\r\n\r\ndone");
+	ck_assert(has_text("Connection: keep-alive\r\nKeep-Alive: timeout=1"));
+	expect_served_after(1000);
+}
+END_TEST
+
+START_TEST(a_lowered_idle_limit_does_not_close_an_idle_connection_early)
+{
+	complete_one_request();
+	edge_rig_run(&rig, IDLE_MS / 2);
+	set_idle_limit(IDLE_MS / 3);
+	expect_served_after(IDLE_MS / 4);
+}
+END_TEST
+
+START_TEST(a_limit_lowered_before_the_response_is_announced_and_kept)
+{
+	set_idle_limit(3000);
+	complete_a_held_request(1000);
+	ck_assert(has_text("Keep-Alive: timeout=1\r\n"));
+	expect_served_after(1000);
+}
+END_TEST
+
+START_TEST(a_limit_that_can_not_be_announced_does_not_replace_the_earlier)
+{
+	set_idle_limit(2000);
+	complete_a_held_request(IDLE_MS / 3);
+	ck_assert(!has_text("Keep-Alive:"));
+	expect_served_after(2000);
+}
+END_TEST
+
+START_TEST(an_idle_limit_that_was_raised_and_lowered_is_kept)
+{
+	complete_a_held_request(IDLE_MS / 3);
+	set_idle_limit(2000);
+	set_idle_limit(1000);
+	set_idle_limit(IDLE_MS / 3);
+	expect_served_after(2000);
+}
+END_TEST
+
+START_TEST(the_first_request_goes_by_the_highest_limit_since_the_accept)
+{
+	set_idle_limit(2000);
+	set_idle_limit(IDLE_MS / 3);
+	expect_served_after(2000);
+}
+END_TEST
+
+START_TEST(a_lowered_idle_limit_holds_after_the_next_response)
+{
+	complete_one_request();
+	set_idle_limit(5000);
+	set_idle_limit(1000);
+	complete_one_request();
+	edge_rig_run(&rig, 1000);
+	ck_assert_uint_eq(edge->conn_count, 1);
+	expect_closed_for(SERVER_CLOSE_IDLE);
+}
+END_TEST
+
+START_TEST(a_close_at_the_idle_limit_is_counted)
+{
+	complete_one_request();
+	edge_rig_run(&rig, IDLE_MS);
+	expect_closed_for(SERVER_CLOSE_IDLE);
+}
+END_TEST
+
+START_TEST(a_close_of_an_idle_connection_at_a_planned_stop_is_counted)
+{
+	complete_one_request();
+	edge_stop(edge);
+	expect_closed_for(SERVER_CLOSE_STOP);
+}
+END_TEST
+
+START_TEST(a_close_of_a_surplus_connection_is_counted)
+{
+	complete_one_request();
+	edge->room.keep_idle_below = 0;
+	expect_closed_for(SERVER_CLOSE_SURPLUS);
+}
+END_TEST
+
+START_TEST(a_close_after_a_late_head_is_counted)
+{
+	send_text("GET /safe/ok HT");
+	read_until_end();
+	ck_assert(has_text("HTTP/1.1 408 "));
+	expect_closed_for(SERVER_CLOSE_LATE_HEAD);
+}
+END_TEST
+
+START_TEST(a_close_of_a_stalled_response_is_counted)
+{
+	edge->limits.stall_ms = 300;
+	send_text(GET("/safe/large"));
+	wait_until_answered(1);
+	expect_closed_for(SERVER_CLOSE_STALLED);
+}
+END_TEST
+
+START_TEST(a_connection_that_its_caller_closes_is_counted)
+{
+	complete_one_request();
+	shutdown(caller.fd, SHUT_WR);
+	expect_closed_for(SERVER_CLOSE_OTHER);
+}
+END_TEST
+
+/* A callback takes long right after the last read before a timer closes the
+ * connection, and the caller sends meanwhile. */
+static const char *sent_before_close;
+
+static void on_check(uv_check_t *check)
+{
+	const struct server_conn *conn = edge->conns;
+
+	if (!conn || uv_timer_get_due_in(&conn->timer) > 1)
+		return;
+	if (edge->limits.idle_ms == IDLE_MS && !conn->timeout_pending)
+		return;
+	send_text(sent_before_close);
+	block_loop(10);
+	uv_close((uv_handle_t *)check, NULL);
+}
+
+static void send_before_close(const char *text)
+{
+	static uv_check_t check;
+
+	sent_before_close = text;
+	uv_check_init(&rig.loop, &check);
+	uv_check_start(&check, on_check);
+	read_until_text("\r\n\r\ndone");
+	ck_assert_uint_eq(edge->counters.unread_closes, 0);
+}
+
+START_TEST(a_request_that_arrives_before_the_idle_close_is_served)
+{
+	complete_one_request();
+	send_before_close(GET("/safe/ok"));
+}
+END_TEST
+
+START_TEST(a_request_that_arrives_before_the_close_of_surplus_is_served)
+{
+	complete_one_request();
+	set_idle_limit(2 * IDLE_MS);
+	edge->room.keep_idle_below = 0;
+	send_before_close(GET("/safe/ok"));
+}
+END_TEST
+
+START_TEST(a_request_that_arrives_before_the_close_of_a_stop_is_served)
+{
+	complete_one_request();
+	set_idle_limit(2 * IDLE_MS);
+	edge_stop(edge);
+	send_before_close(GET("/safe/ok"));
+}
+END_TEST
+
+START_TEST(the_rest_of_a_request_that_arrives_before_a_408_is_served)
+{
+	send_text("GET /safe/ok HT");
+	send_before_close("TP/1.1\r\n" FIELDS "\r\n");
+}
+END_TEST
+
+/* Line ends between requests are skipped, and begin none. */
+START_TEST(a_caller_that_sends_no_request_is_closed_at_the_idle_limit)
+{
+	complete_one_request();
+	for (int i = 0; i < 2 * IDLE_MS && !caller.ended; i++) {
+		send(caller.fd, "\r\n", 2, MSG_NOSIGNAL);
+		edge_rig_run(&rig, 1);
+		read_some();
+	}
+	ck_assert(caller.ended);
+	expect_disconnected();
+}
+END_TEST
+
+START_TEST(a_caller_that_sends_its_request_slowly_gets_408)
+{
+	send_text("GET /safe/");
+	for (int i = 0; i < 3 * HEAD_MS && !caller.ended; i++) {
+		send(caller.fd, "x", 1, MSG_NOSIGNAL);
+		edge_rig_run(&rig, 1);
+		read_some();
+	}
+	ck_assert(has_text("HTTP/1.1 408 "));
+}
+END_TEST
+
+#define PART_BYTES 1000
+#define LOW_BYTES 600
+
+static void set_request_limits(int64_t head_bytes, int64_t body_bytes)
+{
+	struct server_limits limits = edge->limits;
+
+	limits.head_bytes = head_bytes;
+	limits.body_bytes = body_bytes;
+	edge_callers_set_limits(edge, &limits);
+	edge_rig_run(&rig, 20);
+}
+
+static void send_filler(void)
+{
+	char filler[PART_BYTES + 1];
+
+	memset(filler, 'x', PART_BYTES);
+	filler[PART_BYTES] = '\0';
+	send_text(filler);
+	edge_rig_run(&rig, 20);
+}
+
+static void begin_body(void)
+{
+	send_text("POST /safe/ok HTTP/1.1\r\n" FIELDS
+		  "Content-Length: 2000\r\n\r\n");
+	send_filler();
+}
+
+START_TEST(a_lowered_body_limit_does_not_refuse_a_request_that_has_begun)
+{
+	begin_body();
+	set_request_limits(4096, LOW_BYTES);
+	send_filler();
+	read_until_text("\r\n\r\ndone");
+	buffer_clear(&caller.received);
+	begin_body();
+	read_until_text("HTTP/1.1 413 ");
+}
+END_TEST
+
+START_TEST(a_lowered_limit_does_not_refuse_a_chunk_of_a_request_that_has_begun)
+{
+	send_text("POST /safe/ok HTTP/1.1\r\n" FIELDS
+		  "Transfer-Encoding: chunked\r\n\r\n7d0\r\n");
+	send_filler();
+	set_request_limits(4096, LOW_BYTES);
+	send_filler();
+	send_text("\r\n0\r\n\r\n");
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
+START_TEST(a_lowered_head_limit_does_not_refuse_a_request_that_has_begun)
+{
+	send_text("GET /safe/ok HTTP/1.1\r\n" FIELDS "X-Filler: ");
+	send_filler();
+	set_request_limits(LOW_BYTES, 5000);
+	send_text("\r\n\r\n");
+	read_until_text("\r\n\r\ndone");
+	buffer_clear(&caller.received);
+	send_text("GET /safe/ok HTTP/1.1\r\n" FIELDS "X-Filler: ");
+	send_filler();
+	read_until_text("HTTP/1.1 431 ");
+}
+END_TEST
+
+START_TEST(a_limit_that_was_raised_and_lowered_holds_for_a_begun_request)
+{
+	set_request_limits(4096, LOW_BYTES);
+	send_text("POST /safe/ok HTTP/1.1\r\n" FIELDS);
+	edge_rig_run(&rig, 20);
+	set_request_limits(4096, 5000);
+	set_request_limits(4096, LOW_BYTES);
+	send_text("Content-Length: 1000\r\n\r\n");
+	send_filler();
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
+static void set_head_time(int64_t head_ms)
+{
+	struct server_limits limits = edge->limits;
+
+	limits.head_ms = head_ms;
+	edge_callers_set_limits(edge, &limits);
+}
+
+START_TEST(a_head_time_that_was_raised_and_lowered_holds_for_a_begun_request)
+{
+	send_text("GET /safe/ok HT");
+	edge_rig_run(&rig, 20);
+	set_head_time(3 * HEAD_MS);
+	set_head_time(HEAD_MS / 3);
+	edge_rig_run(&rig, 2 * HEAD_MS);
+	send_text("TP/1.1\r\n" FIELDS "\r\n");
+	read_until_text("\r\n\r\ndone");
+}
+END_TEST
+
+START_TEST(a_half_closed_caller_has_left_while_its_request_is_served)
+{
+	send_text(GET("/safe/hold"));
+	wait_for_runs(1);
+	shutdown(caller.fd, SHUT_WR);
+	expect_closed_for(SERVER_CLOSE_OTHER);
+	ck_assert_uint_eq(edge->counters.caller_left, 1);
+	release_servers();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_callers");
@@ -481,6 +926,16 @@
 	tcase_add_test(
 		tcase,
 		requests_that_were_read_before_a_planned_stop_are_served);
+	tcase_add_test(
+		tcase,
+		the_rest_of_a_request_that_had_begun_at_a_planned_stop_is_served);
+	tcase_add_test(tcase,
+		       a_late_request_is_refused_if_the_stop_could_cut_it_off);
+	tcase_add_test(tcase,
+		       a_late_request_that_ends_before_the_stop_is_served);
+	tcase_add_test(
+		tcase,
+		a_request_that_is_open_at_the_end_of_a_stop_gets_an_answer);
 	tcase_add_test(tcase,
 		       a_part_of_a_request_does_not_keep_a_stopping_host_open);
 	tcase_add_test(
@@ -502,6 +957,69 @@
 	tcase_add_test(
 		tcase,
 		a_connection_is_read_again_after_a_response_to_a_slow_caller);
+	tcase_add_test(tcase, a_close_at_the_idle_limit_is_counted);
+	tcase_add_test(
+		tcase,
+		a_close_of_an_idle_connection_at_a_planned_stop_is_counted);
+	tcase_add_test(tcase, a_close_of_a_surplus_connection_is_counted);
+	tcase_add_test(tcase, a_close_after_a_late_head_is_counted);
+	tcase_add_test(tcase, a_close_of_a_stalled_response_is_counted);
+	tcase_add_test(tcase, a_connection_that_its_caller_closes_is_counted);
+	tcase_add_loop_test(
+		tcase, a_response_announces_the_idle_limit_in_whole_seconds, 0,
+		5);
+	tcase_add_test(tcase, a_closing_response_announces_no_idle_limit);
+	tcase_add_test(tcase,
+		       an_http_1_0_caller_is_told_that_its_connection_is_kept);
+	tcase_add_test(
+		tcase,
+		a_lowered_idle_limit_does_not_close_an_idle_connection_early);
+	tcase_add_test(
+		tcase,
+		a_limit_lowered_before_the_response_is_announced_and_kept);
+	tcase_add_test(tcase,
+		       an_idle_limit_that_was_raised_and_lowered_is_kept);
+	tcase_add_test(
+		tcase,
+		the_first_request_goes_by_the_highest_limit_since_the_accept);
+	tcase_add_test(tcase,
+		       a_lowered_idle_limit_holds_after_the_next_response);
+	tcase_add_test(
+		tcase,
+		a_limit_that_can_not_be_announced_does_not_replace_the_earlier);
+	tcase_add_test(tcase,
+		       a_request_that_arrives_before_the_idle_close_is_served);
+	tcase_add_test(
+		tcase,
+		a_request_that_arrives_before_the_close_of_surplus_is_served);
+	tcase_add_test(
+		tcase,
+		a_request_that_arrives_before_the_close_of_a_stop_is_served);
+	tcase_add_test(
+		tcase,
+		the_rest_of_a_request_that_arrives_before_a_408_is_served);
+	tcase_add_test(
+		tcase,
+		a_caller_that_sends_no_request_is_closed_at_the_idle_limit);
+	tcase_add_test(tcase, a_caller_that_sends_its_request_slowly_gets_408);
+	tcase_add_test(
+		tcase,
+		a_lowered_body_limit_does_not_refuse_a_request_that_has_begun);
+	tcase_add_test(
+		tcase,
+		a_lowered_limit_does_not_refuse_a_chunk_of_a_request_that_has_begun);
+	tcase_add_test(
+		tcase,
+		a_lowered_head_limit_does_not_refuse_a_request_that_has_begun);
+	tcase_add_test(
+		tcase,
+		a_limit_that_was_raised_and_lowered_holds_for_a_begun_request);
+	tcase_add_test(
+		tcase,
+		a_head_time_that_was_raised_and_lowered_holds_for_a_begun_request);
+	tcase_add_test(
+		tcase,
+		a_half_closed_caller_has_left_while_its_request_is_served);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
