Allow a binding to tell of a failed watch call before it counts as stalled

A call of a watch that gets no answer fails 0.4 s after the store should have returned it. With a short bound for changes the mirror opened the watch anew before that, from the revision of its table, in place of the list that follows a failure. test_edge failed: only_the_newest_version_is_read_after_an_outage (49 versions read, 5 allowed) and the_end_of_a_store_outage_is_detected_quickly.

--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -31,6 +31,10 @@
 #define PART_WAIT_US (300 * TGW_US_PER_MS)
 #define START_WAIT_MAX_US (4 * TGW_US_PER_S)
 
+/* Longer than a binding waits for a late answer and then tells of the failure.
+ */
+#define STALL_MARGIN_US (1 * TGW_US_PER_S)
+
 struct store_mirror {
 	struct tgw_store store; /**< first member */
 	struct tgw_store *inner;
@@ -40,12 +44,11 @@
 	/** May be NULL. */
 	void (*stalled)(void *arg, const char *prefix, int64_t silent_us);
 	void *arg;
-	int64_t watch_hold_us;	 /**< for which the store holds a call */
-	int64_t stall_margin_us; /**< beyond that */
-	uint64_t sequence;	 /**< of the last message */
-	int64_t hold_us;	 /**< of a watch that others follow */
-	int64_t discovered_us;	 /**< a relay is known by then, or there is none
-				  */
+	int64_t watch_hold_us; /**< for which the store holds a call */
+	uint64_t sequence;     /**< of the last message */
+	int64_t hold_us;       /**< of a watch that others follow */
+	int64_t discovered_us; /**< a relay is known by then, or there is none
+				*/
 	int64_t started_us;
 	/** Until then a prefix that was never listed waits for the relay. */
 	int64_t start_wait_until_us;
@@ -380,7 +383,6 @@
 	mirror->stalled = settings->stalled;
 	mirror->arg = settings->arg;
 	mirror->watch_hold_us = settings->watch_hold_us;
-	mirror->stall_margin_us = settings->apply_us / 2;
 	mirror->followers.peer = settings->peer;
 	mirror->followers.clock = clock;
 	mirror->followers.prefixes = mirror->prefixes;
@@ -463,7 +465,7 @@
 			struct mirrored_prefix *prefix)
 {
 	int64_t silent_us = mirrored_prefix_end_stalled_watch(
-		prefix, mirror->watch_hold_us, mirror->stall_margin_us);
+		prefix, mirror->watch_hold_us, STALL_MARGIN_US);
 
 	if (!silent_us)
 		return;
