Answer open requests also if the host stood still at the end of a stop

Seen: a caller whose request is open at the end of a planned stop gets neither an answer nor a refusal, if the loop stands still over the 200 ms in which such requests are answered: the tick after them ended the loop at once.

Evidence: a_host_that_stood_still_at_the_end_of_a_stop_answers_before_it_exits failed before, "no answer in 0 bytes" (57 checks, 1 failure).

Fix: the last responses are sent before the end of the stop is looked at.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -136,12 +136,13 @@
 {
 	int64_t age_ms = stop_age_ms(edge);
 
+	/* A loop that stood still may come here only at the exit. */
+	if (age_ms >= stop_ends_ms(edge) - LAST_RESPONSES_MS)
+		call_give_up_waiting(edge, "the host stops");
 	if (age_ms >= stop_ends_ms(edge)) {
 		end_loop(edge);
 		return;
 	}
-	if (age_ms >= stop_ends_ms(edge) - LAST_RESPONSES_MS)
-		call_give_up_waiting(edge, "the host stops");
 	if (age_ms < edge->settings->stop_notice_ms)
 		return;
 	if (edge->listening && has_waiting_callers(edge) &&
--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -23,6 +23,9 @@
 #define IDLE_MS 900
 #define HEAD_MS 300
 #define STOP_NOTICE_MS 300
+/* Of the rig's stop, which the platform would end after 3 s. */
+#define LAST_RESPONSES_DUE_MS 2200
+#define STOP_END_MS 2400
 
 #define FIELDS "Host: a.example\r\nAuthorization: Token key-1\r\n"
 #define GET(path) "GET " path " HTTP/1.1\r\n" FIELDS "\r\n"
@@ -388,6 +391,21 @@
 }
 END_TEST
 
+START_TEST(a_host_that_stood_still_at_the_end_of_a_stop_answers_before_it_exits)
+{
+	send_text(GET("/long-unsafe/hold"));
+	wait_for_runs(1);
+	edge_stop(edge);
+	edge_rig_run(&rig, LAST_RESPONSES_DUE_MS - 100);
+	block_loop(STOP_END_MS - LAST_RESPONSES_DUE_MS + 200);
+	/* The loop ends in the first turn after that. */
+	uv_run(&rig.loop, UV_RUN_DEFAULT);
+	read_some();
+	ck_assert_msg(has_text("HTTP/1.1 504 "), "no answer in %zu bytes",
+		      caller.received.size);
+}
+END_TEST
+
 START_TEST(a_part_of_a_request_does_not_keep_a_stopping_host_open)
 {
 	send_text(GET("/unsafe/hold"));
@@ -936,6 +954,9 @@
 	tcase_add_test(
 		tcase,
 		a_request_that_is_open_at_the_end_of_a_stop_gets_an_answer);
+	tcase_add_test(
+		tcase,
+		a_host_that_stood_still_at_the_end_of_a_stop_answers_before_it_exits);
 	tcase_add_test(tcase,
 		       a_part_of_a_request_does_not_keep_a_stopping_host_open);
 	tcase_add_test(
