Test that an answer that has arrived is forwarded at the end of a stop

The test fails: the last responses of a planned stop are sent by a timer, and the loop runs timers before it reads, so that a response that has arrived gives way to a 504. "HTTP/1.1 504" in place of the server's 200, in 1 run of 1 (test_edge_callers: 58 checks, 1 failure).

--- a/tests/unit/test_edge_callers.c
+++ b/tests/unit/test_edge_callers.c
@@ -406,6 +406,19 @@
 }
 END_TEST
 
+START_TEST(an_answer_that_arrived_before_the_end_of_a_stop_is_forwarded)
+{
+	send_text(GET("/long-unsafe/hold"));
+	wait_for_runs(1);
+	edge_stop(edge);
+	edge_rig_run(&rig, LAST_RESPONSES_DUE_MS - 150);
+	release_servers();
+	block_loop(200);
+	read_until_end();
+	ck_assert_msg(has_text("HTTP/1.1 200 "), "%.12s", caller.received.data);
+}
+END_TEST
+
 START_TEST(a_part_of_a_request_does_not_keep_a_stopping_host_open)
 {
 	send_text(GET("/unsafe/hold"));
@@ -957,6 +970,9 @@
 	tcase_add_test(
 		tcase,
 		a_host_that_stood_still_at_the_end_of_a_stop_answers_before_it_exits);
+	tcase_add_test(
+		tcase,
+		an_answer_that_arrived_before_the_end_of_a_stop_is_forwarded);
 	tcase_add_test(tcase,
 		       a_part_of_a_request_does_not_keep_a_stopping_host_open);
 	tcase_add_test(
