Test that a silent store is no stalled watch

The test fails: a watch that pauses for 42% of apply_ms, calls the store for watch_wait_ms and gives up 400 ms later tells of a silent store 1,840 ms after its last word. The mirror closes it after watch_wait_ms and half of apply_ms, 1,600 ms, by the defaults, and the new one begins anew.

--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -77,6 +77,9 @@
 	return free_port(SOCK_STREAM);
 }
 
+/* As in platform/main.c. */
+#define WATCH_PAUSE_PERCENT 42
+
 /* Writes the address that a listener was given; it listened on port 0. */
 static void read_address(const uv_tcp_t *listener, char *text, size_t size)
 {
@@ -95,7 +98,10 @@
 	struct platform_store_settings store = {
 		.call_timeout_ms = 300,
 		.watch_wait_ms = 600,
-		.watch_pause_ms = 10,
+		.watch_pause_ms =
+			rig->apply_ms
+				? rig->apply_ms * WATCH_PAUSE_PERCENT / 100
+				: 10,
 	};
 	struct edge_sources sources = platform_sources(&host->platform);
 	struct edge_settings *settings = &host->settings;
@@ -114,7 +120,7 @@
 	if (rig->has_peers)
 		snprintf(settings->peer_address, sizeof(settings->peer_address),
 			 "127.0.0.1:%d", free_port(SOCK_DGRAM));
-	settings->apply_ms = 400;
+	settings->apply_ms = rig->apply_ms ? rig->apply_ms : 400;
 	settings->heartbeat_ms = 100;
 	settings->stop_notice_ms = 300;
 	settings->stop_kill_after_s = 3;
--- a/tests/fakes/edge_rig.h
+++ b/tests/fakes/edge_rig.h
@@ -29,6 +29,9 @@
 	size_t host_count;
 	size_t entry_host; /**< index of the host that callers connect to */
 	bool has_peers;	   /**< hosts send messages to each other */
+	/** Time for a change to take effect, of hosts that are started from now
+	 * on, which poll the store as the program does; 0: a short one. */
+	int64_t apply_ms;
 };
 
 /** A caller's connection on a plain socket. */
