Test a stream with skipped ids that breaks off after its first event

The test fails: ids need only increase, but after one event the next id has to be its successor, so that the stream is cut though its second server goes on with it (test_edge_resumed_streams: 65 checks, 1 failure). Not fixed: to accept a later id there could also hide a missing event.

--- a/tests/unit/test_edge_resumed_streams.c
+++ b/tests/unit/test_edge_resumed_streams.c
@@ -394,6 +394,22 @@
 }
 END_TEST
 
+/* One id does not tell yet that the next one is not its successor. */
+START_TEST(a_stream_whose_ids_skip_numbers_is_resumed_after_its_first_event)
+{
+	static const struct backend_standin_answer skipping[] = {
+		{200, STREAM CHUNKED CHUNK(0), BACKEND_STANDIN_CLOSES},
+		{200, STREAM CHUNKED CHUNK(3) CHUNK(5) END, 0},
+		{0},
+	};
+
+	answers = skipping;
+	request("GET", "resume", "scripted", "");
+	ck_assert_str_eq(body, EVENT(0) EVENT(3) EVENT(5));
+	ck_assert(is_whole);
+}
+END_TEST
+
 /* The answer to a caller that goes on with a stream of its own is the server's
  * whole one, also if it is empty. */
 START_TEST(an_empty_stream_of_the_first_server_reaches_its_caller)
@@ -528,6 +544,9 @@
 	tcase_add_loop_test(
 		tcase, a_stream_that_breaks_off_after_its_last_event_ends_whole,
 		0, 3);
+	tcase_add_test(
+		tcase,
+		a_stream_whose_ids_skip_numbers_is_resumed_after_its_first_event);
 	tcase_add_loop_test(
 		tcase,
 		a_stream_whose_ids_skip_numbers_is_resumed_at_a_later_one, 0,
