Read what has arrived before a stop gives up requests

What callers saw: 504 at the end of a planned stop in place of an answer that had arrived. Found by review.

Cause: the last responses are sent by a timer, and the loop runs timers before it reads. The first tick now only notes the end; the next one, one read later, gives up, also if the loop stood still until the exit.

Before: test_edge_callers, an_answer_that_arrived_before_the_end_of_a_stop_is_forwarded: 504 in place of 200.

--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -127,6 +127,19 @@
 	       deadline_us > ends_us;
 }
 
+/* The loop runs timers before it reads: what has arrived is read before the
+ * first tick gives up, also if the loop stood still until the exit.
+ * @return whether nothing waits for a response */
+static bool send_last_responses(struct edge *edge)
+{
+	if (!edge->stop_ends) {
+		edge->stop_ends = true;
+		return false;
+	}
+	call_give_up_waiting(edge, "the host stops");
+	return true;
+}
+
 /* A planned stop has three steps. First, /ready reports 503 and the host still
  * accepts requests, so that the balancer notices the stop. Then the host stops
  * listening and waits until the open requests have ended. Last, it returns the
@@ -136,10 +149,8 @@
 {
 	int64_t age_ms = stop_age_ms(edge);
 
-	/* A loop that stood still may come here only at the exit. */
-	if (age_ms >= stop_ends_ms(edge) - LAST_RESPONSES_MS)
-		call_give_up_waiting(edge, "the host stops");
-	if (age_ms >= stop_ends_ms(edge)) {
+	if (age_ms >= stop_ends_ms(edge) - LAST_RESPONSES_MS &&
+	    send_last_responses(edge) && age_ms >= stop_ends_ms(edge)) {
 		end_loop(edge);
 		return;
 	}
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -37,6 +37,9 @@
  * decoded; set by the platform's adapter. */
 struct edge_sources {
 	struct tgw_store *store;
+	/** Longest time between two answers to a watch of the store, while it
+	 * answers. */
+	int64_t watch_period_us;
 	const struct call_dialect *dialect;
 	const char *routes_prefix;
 	const char *routes_key;
@@ -134,6 +137,7 @@
 	bool stopping;
 	bool listening;
 	bool budgets_closed;
+	bool stop_ends; /* open requests are about to be given up */
 	int64_t stop_requested_us;
 };
 
