Count the pause between a watch's calls before it is stalled

What was seen: a store that falls silent was taken for a stalled watch, since a binding pauses between its calls, and tells of a silent store only after the pause, the call and its margin (1,840 ms by the defaults, 1,600 ms allowed).

The binding says how long a watch may tell nothing while the store answers.

--- a/src/coordination/mirrored_prefix.c
+++ b/src/coordination/mirrored_prefix.c
@@ -177,14 +177,13 @@
 }
 
 int64_t mirrored_prefix_end_stalled_watch(struct mirrored_prefix *prefix,
-					  int64_t default_hold_us,
-					  int64_t margin_us)
+					  int64_t period_us, int64_t margin_us)
 {
-	int64_t hold_us = prefix->watch_idle_us ? prefix->watch_idle_us
-						: default_hold_us;
+	int64_t expected_us = prefix->watch_idle_us ? prefix->watch_idle_us
+						    : period_us;
 	int64_t silent_us = now_of(prefix) - prefix->watch_told_us;
 	int64_t allowed_us = prefix->watch_stopped ? OWNERS_LIST_US
-						   : hold_us + margin_us;
+						   : expected_us + margin_us;
 
 	if (!prefix->watch || silent_us <= allowed_us)
 		return 0;
--- a/src/coordination/mirrored_prefix.h
+++ b/src/coordination/mirrored_prefix.h
@@ -86,13 +86,12 @@
 void mirrored_prefix_unwatch(struct mirrored_prefix *prefix);
 
 /** Closes a watch of the store that has told nothing for too long.
- * @param default_hold_us for which the store holds a call of a watch that does
- * not say how long
- * @param margin_us allowed beyond the time for which the store may hold a call
+ * @param period_us longest time between two answers to a watch that does not
+ * say how long its calls may be held
+ * @param margin_us allowed beyond that, or beyond the time that it says
  * @return for how long it has told nothing; 0 if that is not too long */
 int64_t mirrored_prefix_end_stalled_watch(struct mirrored_prefix *prefix,
-					  int64_t default_hold_us,
-					  int64_t margin_us);
+					  int64_t period_us, int64_t margin_us);
 
 /** Answers the waiting lists from the table. */
 void mirrored_prefix_answer_lists(struct mirrored_prefix *prefix);
--- a/src/coordination/store_mirror.c
+++ b/src/coordination/store_mirror.c
@@ -44,11 +44,11 @@
 	/** May be NULL. */
 	void (*stalled)(void *arg, const char *prefix, int64_t silent_us);
 	void *arg;
-	int64_t watch_hold_us; /**< for which the store holds a call */
-	uint64_t sequence;     /**< of the last message */
-	int64_t hold_us;       /**< of a watch that others follow */
-	int64_t discovered_us; /**< a relay is known by then, or there is none
-				*/
+	int64_t watch_period_us; /**< between two answers to a watch */
+	uint64_t sequence;	 /**< of the last message */
+	int64_t hold_us;	 /**< of a watch that others follow */
+	int64_t discovered_us;	 /**< a relay is known by then, or there is none
+				  */
 	int64_t started_us;
 	/** Until then a prefix that was never listed waits for the relay. */
 	int64_t start_wait_until_us;
@@ -382,7 +382,7 @@
 	mirror->called = settings->called;
 	mirror->stalled = settings->stalled;
 	mirror->arg = settings->arg;
-	mirror->watch_hold_us = settings->watch_hold_us;
+	mirror->watch_period_us = settings->watch_period_us;
 	mirror->followers.peer = settings->peer;
 	mirror->followers.clock = clock;
 	mirror->followers.prefixes = mirror->prefixes;
@@ -465,7 +465,7 @@
 			struct mirrored_prefix *prefix)
 {
 	int64_t silent_us = mirrored_prefix_end_stalled_watch(
-		prefix, mirror->watch_hold_us, STALL_MARGIN_US);
+		prefix, mirror->watch_period_us, STALL_MARGIN_US);
 
 	if (!silent_us)
 		return;
--- a/src/coordination/store_mirror.h
+++ b/src/coordination/store_mirror.h
@@ -42,9 +42,9 @@
 	 * last, and is opened anew. May be NULL. */
 	void (*stalled)(void *arg, const char *prefix, int64_t silent_us);
 	void *arg;
-	/** For which the store holds a call of a watch, unless the watcher says
-	 * how long. */
-	int64_t watch_hold_us;
+	/** Longest time between two answers to a watch while the store answers,
+	 * unless the watcher says how long a call may be held. */
+	int64_t watch_period_us;
 };
 
 struct store_mirror_counters {
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -303,7 +303,7 @@
 		.called = on_mirror_called,
 		.stalled = on_watch_stalled,
 		.arg = edge,
-		.watch_hold_us = settings->watch_wait_ms * TGW_US_PER_MS,
+		.watch_period_us = edge->sources.watch_period_us,
 	};
 
 	edge->mirror =
