--- a/tests/unit/test_store_mirror.c
+++ b/tests/unit/test_store_mirror.c
@@ -447,10 +447,11 @@
 
 static void put_long_key(void)
 {
+	static const char end[] = "-7";
 	char key[LONG_KEY_BYTES + 1] = PREFIX;
 
 	memset(key + strlen(PREFIX), 'x', LONG_KEY_BYTES - strlen(PREFIX));
-	memcpy(key + LONG_KEY_BYTES - 2, "-7", 2);
+	memcpy(key + sizeof(key) - sizeof(end), end, sizeof(end));
 	fake_store_server_put(&mirror_rig.server, key, "1234", 4);
 }
 
