Log the parts of a prompt, and how an answer ended

The logs of the incident can't tell requests that share a part of their prompts from servers that crash for another reason, nor an answer that ended with its connection from one with a length. attempt_failed lines name the shared parts now, answered lines say end=framed or end=closed.

--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -42,24 +42,26 @@
 	const struct call *call = attempt->call;
 	const struct backend *backend = attempt->backend;
 	char fingerprint[REQUEST_FINGERPRINT_TEXT_SIZE];
+	char parts[PROMPT_PARTS_TEXT_SIZE];
 
+	prompt_parts_to_text(&call->request.parts, parts);
 	request_fingerprint_to_text(&call->fingerprint, fingerprint);
 	/* The key failure_share= is the name of failure_rate in the log. */
-	edge_log_line(&call->edge->log, EDGE_LOG_NOTICE, "call",
-		      "attempt_failed",
-		      "request=%s server=%s reason=\"%s\" sent=%d events=%llu "
-		      "attempt=%u age_ms=%lld silent_ms=%lld "
-		      "server_load=%u+%u/%u "
-		      "load_ms_ago=%lld failure_share=%.2f fingerprint=%s",
-		      call->request.id, backend->entry.id, reason,
-		      call_attempt_is_sent(attempt),
-		      (unsigned long long)call->events_sent,
-		      call->attempt_count, ms_since(attempt->started_us),
-		      ms_since(attempt->last_progress_us),
-		      backend->reported.running, backend->reported.waiting,
-		      backend->entry.slots, ms_since(backend->reported_us),
-		      backend_failure_rate(backend, edge_now_us()),
-		      fingerprint);
+	edge_log_line(
+		&call->edge->log, EDGE_LOG_NOTICE, "call", "attempt_failed",
+		"request=%s server=%s reason=\"%s\" sent=%d events=%llu "
+		"attempt=%u age_ms=%lld silent_ms=%lld "
+		"server_load=%u+%u/%u "
+		"load_ms_ago=%lld failure_share=%.2f fingerprint=%s parts=%s",
+		call->request.id, backend->entry.id, reason,
+		call_attempt_is_sent(attempt),
+		(unsigned long long)call->events_sent, call->attempt_count,
+		ms_since(attempt->started_us),
+		ms_since(attempt->last_progress_us), backend->reported.running,
+		backend->reported.waiting, backend->entry.slots,
+		ms_since(backend->reported_us),
+		backend_failure_rate(backend, edge_now_us()), fingerprint,
+		parts);
 }
 
 void call_log_attempt_silent(const struct call_attempt *attempt)
@@ -144,12 +146,13 @@
 	edge_log_line(&call->edge->log, EDGE_LOG_DETAIL, "call", "answered",
 		      "request=%s team=%s route=%s server=%s status=%d "
 		      "attempts=%u events=%llu first_ms=%lld whole_ms=%lld "
-		      "caller=%s",
+		      "end=%s caller=%s",
 		      call->request.id, call->team, call->route.name,
 		      attempt->backend->entry.id, attempt->status,
 		      call->attempt_count,
 		      (unsigned long long)call->events_sent,
 		      (long long)(first_us / TGW_US_PER_MS),
 		      (long long)(total_us / TGW_US_PER_MS),
+		      attempt->conn->eof_seen ? "closed" : "framed",
 		      call->caller ? "served" : "left");
 }
--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -324,6 +324,35 @@
 }
 END_TEST
 
+static const struct {
+	const char *prompt;
+	const char *parts;
+} prompts[] = {
+	{"a:800,b:410,c:250", "a,b"},
+	{"A0:800 , b1:410, c:250", "a0,b1"},
+	{"c:250", "-"},
+	{"", "-"},
+	{",,", "-"},
+	{"a,:5,b", "a"},
+	{"1:1,2:1,3:1,4:1,5:1,6:1,7:1,8:1,9:1,10:1", "1,2,3,4,5,6,7,8"},
+};
+
+START_TEST(the_parts_of_a_prompt_but_the_last_are_decoded)
+{
+	struct http_head head = {0};
+	struct request_info info;
+	char text[PROMPT_PARTS_TEXT_SIZE];
+
+	add_field(&head, "Tamarackgw-Prompt-Prefix", prompts[_i].prompt);
+	add_field(&head, "Tamarackgw-Model", "m-1");
+	platform_dialect.read_request(&head, &info);
+	prompt_parts_to_text(&info.parts, text);
+	ck_assert_str_eq(text, prompts[_i].parts);
+	ck_assert_str_eq(info.model, "m-1");
+	http_head_free(&head);
+}
+END_TEST
+
 static const struct {
 	const char *load;
 	bool is_valid;
@@ -507,6 +536,9 @@
 	tcase_add_test(tcase, a_split_by_fractions_sends_to_both_services);
 	tcase_add_loop_test(tcase, request_fields_are_decoded, 0,
 			    sizeof(requests) / sizeof(requests[0]));
+	tcase_add_loop_test(tcase,
+			    the_parts_of_a_prompt_but_the_last_are_decoded, 0,
+			    sizeof(prompts) / sizeof(prompts[0]));
 	tcase_add_loop_test(tcase, only_valid_load_reports_are_accepted, 0,
 			    sizeof(loads) / sizeof(loads[0]));
 	tcase_add_loop_test(
