--- a/tests/fakes/backend_standin.c
+++ b/tests/fakes/backend_standin.c
@@ -290,6 +290,27 @@
 		   conn->request.body.size);
 }
 
+static void stop_listening(struct backend_standin *standin);
+
+/* The connection closes cleanly, as the end of some responses does. */
+static void crash_after_answer(struct server_conn *conn)
+{
+	struct backend_standin *standin = conn->owner;
+	struct server_conn *other = standin->conns;
+
+	standin->crashes++;
+	standin->waiting = NULL;
+	stop_listening(standin);
+	while (other) {
+		struct server_conn *next = other->next;
+
+		if (other != conn)
+			server_conn_abort(other);
+		other = next;
+	}
+	server_conn_finish(conn);
+}
+
 static void answer_as_scripted(struct server_conn *conn,
 			       const struct backend_standin_answer *scripted)
 {
@@ -308,6 +329,30 @@
 		server_conn_finish(conn);
 	else if (scripted->end == BACKEND_STANDIN_RESETS)
 		server_conn_abort(conn);
+	else if (scripted->end == BACKEND_STANDIN_CRASHES)
+		crash_after_answer(conn);
+}
+
+static bool has_crash_part(const struct backend_standin *standin,
+			   const struct server_conn *conn)
+{
+	const char *prompt =
+		http_head_find(&conn->request.head, "Tamarackgw-Prompt-Prefix");
+	const char *last = prompt ? strrchr(prompt, ',') : NULL;
+	const char *found = last && standin->crash_part
+				    ? strstr(prompt, standin->crash_part)
+				    : NULL;
+
+	return found && found < last;
+}
+
+static void crash_by_part(struct backend_standin *standin,
+			  struct server_conn *conn)
+{
+	if (standin->crash_answer)
+		answer_as_scripted(conn, standin->crash_answer);
+	else
+		backend_standin_crash(standin);
 }
 
 static void run(struct backend_standin *standin, struct server_conn *conn,
@@ -317,7 +362,9 @@
 	bool is_stream = !strcmp(action, "stream");
 
 	standin->runs++;
-	if (standin->answers && (*standin->answers)->status)
+	if (has_crash_part(standin, conn))
+		crash_by_part(standin, conn);
+	else if (standin->answers && (*standin->answers)->status)
 		answer_as_scripted(conn, (*standin->answers)++);
 	else if (standin->fails_huge)
 		answer_huge(conn, 500, false);
--- a/tests/fakes/backend_standin.h
+++ b/tests/fakes/backend_standin.h
@@ -34,6 +34,8 @@
 	BACKEND_STANDIN_STAYS_OPEN,
 	BACKEND_STANDIN_CLOSES,
 	BACKEND_STANDIN_RESETS,
+	/** Closes the connection cleanly, and the server ends. */
+	BACKEND_STANDIN_CRASHES,
 };
 
 /** An answer in place of the one that the request's path selects. */
@@ -69,6 +71,11 @@
 	/** The list of scripted answers from the next one on, which several
 	 * servers may share; NULL: none. */
 	const struct backend_standin_answer **answers;
+	/** The server crashes when it runs a request with this part in its
+	 * prompt, other than as the last one; NULL: none. */
+	const char *crash_part;
+	/** What it has answered by then; NULL: nothing. */
+	const struct backend_standin_answer *crash_answer;
 	/** Bounds the reading of requests; NULL: nothing does. */
 	struct read_turns *turns;
 	/** Header lines, with their ends, that are added to all answers; NULL:
