Pass an answer that ends with its connection on only once its server is known to live

Callers got a short body as a whole 200: a server that crashes after the head, within its JSON, or after a whole event of an answer without a length closes its connection as cleanly as one that has said everything. The crash was not recorded either; worse, the request counted as served, which cleared the records of other hosts.

Cause: the end of such a connection was taken for the end of the answer. Now the end is held back until a new connection to the server is accepted (servers that leave exit as planned and are not asked), and a JSON text or an event that is not closed is cut whatever the server says. Otherwise the attempt has failed, and may be repeated or resumed.

--- a/src/daemon/model_stream.c
+++ b/src/daemon/model_stream.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "protocol/event_stream_type.h"
+#include "protocol/media_type.h"
 
 #define MAX_EVENT_BYTES (256 * 1024)
 #define STATUS_OK 200
@@ -69,7 +69,7 @@
 			   const char *content_type)
 {
 	stream->status = status;
-	stream->is_event_stream = is_event_stream_type(content_type);
+	stream->is_event_stream = media_type_is_event_stream(content_type);
 }
 
 static void start_answer(struct model_stream *stream)
@@ -77,7 +77,7 @@
 	if (stream->caller_has_tokens)
 		return;
 	stream->caller_has_tokens = true;
-	answer_start(stream->answer, STATUS_OK, EVENT_STREAM_TYPE);
+	answer_start(stream->answer, STATUS_OK, MEDIA_TYPE_EVENT_STREAM);
 }
 
 static void count_token(struct model_stream *stream)
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -4,9 +4,10 @@
 #include "edge/backend_pool.h"
 #include "edge/call_log.h"
 #include "edge/call_private.h"
+#include "edge/crash_check.h"
 #include "edge/edge_callers.h"
 #include "edge/server_signals.h"
-#include "protocol/event_stream_type.h"
+#include "protocol/media_type.h"
 
 /* A larger response is forwarded as it arrives, which rules out a retry. */
 #define MAX_BUFFERED_BYTES (256 * 1024)
@@ -55,12 +56,16 @@
 	return attempt->call->head_sent && !attempt->forwarding;
 }
 
-static bool has_event_stream(const struct http_head *head)
+static void find_body_type(struct call_attempt *attempt,
+			   const struct http_head *head)
 {
 	const char *coding = http_head_find(head, "Content-Encoding");
+	const char *type = http_head_find(head, "Content-Type");
 
-	return is_event_stream_type(http_head_find(head, "Content-Type")) &&
-	       (!coding || !strcasecmp(coding, "identity"));
+	if (coding && strcasecmp(coding, "identity") != 0)
+		return;
+	attempt->is_event_stream = media_type_is_event_stream(type);
+	attempt->is_json = media_type_is_json(type);
 }
 
 /* Goes on with an attempt whose server was silent, in place of the later one,
@@ -114,7 +119,7 @@
 {
 	struct call *call = attempt->call;
 
-	attempt->is_event_stream = has_event_stream(head);
+	find_body_type(attempt, head);
 	if (!call->head_sent) {
 		settle_on(attempt);
 		copy_fields(attempt, head);
@@ -280,11 +285,22 @@
 	forward_complete_events(attempt, data, size, complete);
 }
 
+/* Looks for what a body without a length has to end with. */
+static void scan_body(struct call_attempt *attempt, const char *data,
+		      size_t size)
+{
+	if (attempt->is_json)
+		json_scan_feed(&attempt->json, data, size);
+	else if (attempt->is_event_stream && !call_is_stream(attempt->call))
+		event_scan_feed(&attempt->events, data, size);
+}
+
 static void on_body(struct http_conn *conn, const char *data, size_t size)
 {
 	struct call_attempt *attempt = conn->arg;
 
 	call_attempt_progress(attempt, edge_now_us());
+	scan_body(attempt, data, size);
 	if (is_to_go_on(attempt)) {
 		if (is_success(attempt->status))
 			go_on_with_stream(attempt, data, size);
@@ -406,6 +422,49 @@
 	finish(attempt);
 }
 
+static bool content_is_cut(const struct call_attempt *attempt)
+{
+	if (!is_success(attempt->status) || attempt->conn->ignore_body)
+		return false;
+	if (attempt->is_json)
+		return !json_scan_is_whole(&attempt->json);
+	return attempt->is_event_stream && attempt->events.in_event;
+}
+
+static void on_end_checked(void *arg, enum connect_check_result result)
+{
+	struct call_attempt *attempt = arg;
+
+	attempt->end_check = NULL;
+	call_log_end_checked(attempt, result);
+	if (result == CONNECT_CHECK_ACCEPTED)
+		http_conn_confirm_end(attempt->conn);
+	else
+		call_attempt_failed(attempt, BACKEND_BROKEN,
+				    "the server can't be reached since its "
+				    "answer ended with the connection");
+}
+
+/* The end of such a connection looks the same if the server crashed there. */
+static void on_ended(struct http_conn *conn)
+{
+	struct call_attempt *attempt = conn->arg;
+
+	if (content_is_cut(attempt)) {
+		call_attempt_failed(attempt, BACKEND_BROKEN,
+				    "the answer ended within its content");
+		return;
+	}
+	if (!crash_check_may_crash(attempt->backend)) {
+		http_conn_confirm_end(conn);
+		return;
+	}
+	attempt->end_check = crash_check_connect(
+		attempt->backend, attempt->call->edge, on_end_checked, attempt);
+	if (!attempt->end_check)
+		on_end_checked(attempt, CONNECT_CHECK_UNKNOWN);
+}
+
 static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
 {
 	struct call_attempt *attempt = conn->arg;
@@ -425,5 +484,6 @@
 	.head = on_head,
 	.body = on_body,
 	.complete = on_complete,
+	.ended = on_ended,
 	.broken = on_broken,
 };
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -170,6 +170,8 @@
 	struct call *call = attempt->call;
 	struct backend *backend = attempt->backend;
 
+	if (attempt->end_check)
+		connect_check_cancel(attempt->end_check);
 	if (attempt->conn)
 		free_connection(attempt);
 	if (call->current == attempt)
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -1,5 +1,7 @@
 #include "edge/call_log.h"
 
+#include "edge/crash_check.h"
+
 static long long ms_since(int64_t time_us)
 {
 	return (edge_now_us() - time_us) / TGW_US_PER_MS;
@@ -94,6 +96,20 @@
 		      call->attempt_count, ms_since(attempt->started_us));
 }
 
+void call_log_end_checked(const struct call_attempt *attempt,
+			  enum connect_check_result result)
+{
+	const struct call *call = attempt->call;
+
+	edge_log_line(&call->edge->log, EDGE_LOG_DETAIL, "call", "end_checked",
+		      "request=%s server=%s result=%s events=%llu attempt=%u "
+		      "age_ms=%lld",
+		      call->request.id, attempt->backend->entry.id,
+		      crash_check_result_name(result),
+		      (unsigned long long)call->events_sent,
+		      call->attempt_count, ms_since(attempt->started_us));
+}
+
 void call_log_response_discarded(const struct call_attempt *attempt, int status)
 {
 	const struct call *call = attempt->call;
--- a/src/edge/call_log.h
+++ b/src/edge/call_log.h
@@ -23,6 +23,11 @@
 /** A server that was silent goes on, before another one has responded. */
 void call_log_attempt_continues(const struct call_attempt *attempt);
 
+/** Tells whether the server of a response that ended with its connection was
+ * found to accept others. */
+void call_log_end_checked(const struct call_attempt *attempt,
+			  enum connect_check_result result);
+
 /** A server's response is not known to belong to the attempt's request, which
  * goes on waiting for its own. */
 void call_log_response_discarded(const struct call_attempt *attempt,
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -11,10 +11,12 @@
 #include "edge/call.h"
 #include "edge/edge_clock.h"
 #include "protocol/event_scan.h"
+#include "protocol/json_scan.h"
 #include "state/attempt_plan.h"
 #include "state/request_fingerprint.h"
 #include "state/route_set.h"
 #include "tamarackgw/clock.h"
+#include "transport/connect_check.h"
 #include "transport/http_conn.h"
 
 /** The route's settings when the request arrived. They are copied because a
@@ -53,6 +55,7 @@
 	bool paused;	       /* not read while the caller reads too slowly */
 	int status;	       /* of the response */
 	bool is_event_stream;  /* so is its body, without a content coding */
+	bool is_json;	       /* the same */
 	struct response_info response;
 	bool forwarding;      /* the body is forwarded as it arrives */
 	struct buffer fields; /* header lines of the response */
@@ -61,6 +64,10 @@
 	 * first event if the attempt goes on with a stream. */
 	struct buffer partial;
 	struct event_scan events;
+	struct json_scan json;
+	/* Whether its server lives is being checked, since the response has
+	 * ended with its connection; otherwise NULL. */
+	struct connect_check *end_check;
 };
 
 /** A current attempt, and an earlier one at a silent server. */
--- a/src/edge/crash_check.c
+++ b/src/edge/crash_check.c
@@ -40,7 +40,7 @@
 	*link = check->next;
 }
 
-static const char *result_name(enum connect_check_result result)
+const char *crash_check_result_name(enum connect_check_result result)
 {
 	switch (result) {
 	case CONNECT_CHECK_ACCEPTED:
@@ -76,7 +76,7 @@
 
 	edge_log_line(&check->edge->log, EDGE_LOG_NOTICE, "server", "checked",
 		      "server=%s result=%s broken_requests=%zu", check->server,
-		      result_name(result), check->request_count);
+		      crash_check_result_name(result), check->request_count);
 	if (result == CONNECT_CHECK_REFUSED)
 		record_crash(check);
 	unlink_check(check);
@@ -93,28 +93,38 @@
 	return check;
 }
 
-static struct crash_check *start_check(struct edge *edge,
-				       const struct backend *backend)
+struct connect_check *crash_check_connect(
+	const struct backend *backend, struct edge *edge,
+	void (*done)(void *arg, enum connect_check_result result), void *arg)
 {
-	struct crash_check *check;
 	union socket_address address;
 
 	if (!socket_address_parse(backend->entry.address, &address))
 		return NULL;
-	check = xcalloc(1, sizeof(*check));
+	return connect_check_start(edge->loop, &address.any, TIMEOUT_MS, done,
+				   arg);
+}
+
+static struct crash_check *start_check(struct edge *edge,
+				       const struct backend *backend)
+{
+	struct crash_check *check = xcalloc(1, sizeof(*check));
+
+	check->connecting = crash_check_connect(backend, edge, on_done, check);
+	if (!check->connecting) {
+		free(check);
+		return NULL;
+	}
 	check->edge = edge;
 	text_copy(check->server, sizeof(check->server), backend->entry.id);
 	check->run_hash = backend->run_hash;
-	check->connecting = connect_check_start(edge->loop, &address.any,
-						TIMEOUT_MS, on_done, check);
 	check->next = edge->crash_checks;
 	edge->crash_checks = check;
 	return check;
 }
 
-/* A server that leaves exits as planned. What another server does at the
- * address says nothing about this one. */
-static bool may_be_crash(const struct backend *backend)
+/* What another server does at the address says nothing about this one. */
+bool crash_check_may_crash(const struct backend *backend)
 {
 	return backend_accepts_requests(backend, edge_now_us());
 }
@@ -125,7 +135,7 @@
 	struct crash_check *check;
 	struct broken_request *request;
 
-	if (!may_be_crash(attempt->backend))
+	if (!crash_check_may_crash(attempt->backend))
 		return;
 	check = find_check(call->edge, attempt->backend);
 	if (!check)
--- a/src/edge/crash_check.h
+++ b/src/edge/crash_check.h
@@ -17,6 +17,20 @@
  * request to the one that is running. */
 void crash_check_request(const struct call_attempt *attempt);
 
+/** @return whether the end of the server's connections may be a crash: a server
+ * that leaves exits as planned */
+bool crash_check_may_crash(const struct backend *backend);
+
+/** Checks whether the server accepts connections. `done` is called once, unless
+ * the check is cancelled.
+ * @return NULL if its address can't be used */
+struct connect_check *crash_check_connect(
+	const struct backend *backend, struct edge *edge,
+	void (*done)(void *arg, enum connect_check_result result), void *arg);
+
+/** @return the name of a result in the log */
+const char *crash_check_result_name(enum connect_check_result result);
+
 /** Ends all checks without a result. */
 void crash_check_cancel_all(struct edge *edge);
 
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -231,6 +231,15 @@
 		fail(conn, HTTP_CONN_CLOSED);
 		return;
 	}
+	if (conn->events->ended)
+		conn->events->ended(conn);
+	else
+		http_conn_confirm_end(conn);
+}
+
+void http_conn_confirm_end(struct http_conn *conn)
+{
+	assert(conn->state == HTTP_CONN_AWAITING && conn->response_done);
 	conn->reusable = false;
 	finish_response(conn, false);
 }
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -40,6 +40,10 @@
 	/** The response is complete. The connection is idle now if `reusable`;
 	 * otherwise it closes itself after this. */
 	void (*complete)(struct http_conn *conn);
+	/** A response without a length has ended with its connection, which its
+	 * server closed cleanly: call http_conn_confirm_end() if it is whole,
+	 * otherwise http_conn_close(). NULL: it counts as whole. */
+	void (*ended)(struct http_conn *conn);
 	/** The connection failed. It closes itself after this last event. */
 	void (*broken)(struct http_conn *conn, enum http_conn_fault fault);
 };
@@ -105,6 +109,10 @@
 		    const struct http_conn_events *events, void *arg,
 		    const struct buffer *head, const struct buffer *body);
 
+/** The response that has ended with its connection is whole; `complete`
+ * follows from inside this call. */
+void http_conn_confirm_end(struct http_conn *conn);
+
 /** Stop and resume reading, for back-pressure. The end of a response resumes
  * it. */
 void http_conn_pause(struct http_conn *conn);
