Refuse requests by the part of their prompts that crashes servers

A request was known by a hash of its whole content only, so no record ever reached its limit (class: a fault is tied to too narrow an identity).

Now each part of a prompt but the last has records too, by itself and with its service and model. All parts that ran at a crashed server and had not got past four events are suspected; a part that any host sees served since, to the end or past four events, is cleared everywhere. A part is refused after four incidents, where crashes within 250 ms are one, unless something that the request does not have fits all of its crashes as well. Such a request may be sound, and what it does tells the two apart. A request with a suspected part is not repeated after a crash.

A refused part gets a trial 2 s, 60 s, and each half hour after the last crash: one host claims it by a swap of a shared key and lets one request run. Thus a wrong suspicion ends within seconds, and a part that has become sound returns, at the cost of one server.

--- a/src/coordination/request_quarantine.c
+++ b/src/coordination/request_quarantine.c
@@ -6,7 +6,8 @@
 
 #include "base/text.h"
 #include "base/xalloc.h"
-#include "state/crash_records.h"
+#include "coordination/quarantine_trials.h"
+#include "state/crash_suspicion.h"
 
 #define KEY_SIZE (sizeof(REQUEST_QUARANTINE_PREFIX) + TGW_NAME_SIZE)
 /* Minimum time between two writes of the host's key. */
@@ -36,6 +37,7 @@
 	struct request_quarantine_events events;
 	struct request_quarantine_counters counters;
 	struct crash_records records; /* its own report is the host's key */
+	struct quarantine_trials *trials;
 	uint64_t watch;
 	bool listing;
 	bool list_needed;
@@ -72,11 +74,34 @@
 				   now_of(quarantine));
 }
 
-bool request_quarantine_is_refused(const struct request_quarantine *quarantine,
-				   const struct tgw_fingerprint *fingerprint)
+bool request_quarantine_is_refused(struct request_quarantine *quarantine,
+				   const struct request_identity *identity)
 {
-	return request_quarantine_crashes(quarantine, fingerprint) >=
-	       CRASH_RECORDS_UNTIL_REFUSED;
+	const struct quarantine_item *cause;
+
+	if (crash_records_refuse_whole(&quarantine->records, identity,
+				       now_of(quarantine)))
+		return true;
+	cause = crash_suspicion_find_cause(&quarantine->records.all, identity);
+	return cause && !quarantine_trials_may_run(quarantine->trials, cause);
+}
+
+bool request_quarantine_is_suspected(
+	const struct request_quarantine *quarantine,
+	const struct request_identity *identity)
+{
+	return request_quarantine_crashes(quarantine, &identity->whole) ||
+	       crash_suspicion_is_suspected(&quarantine->records.all, identity);
+}
+
+void request_quarantine_on_sent(struct request_quarantine *quarantine,
+				const struct request_identity *identity)
+{
+	const struct quarantine_item *cause =
+		crash_suspicion_find_cause(&quarantine->records.all, identity);
+
+	if (cause && quarantine_trials_on_sent(quarantine->trials, cause))
+		quarantine->counters.trials++;
 }
 
 static void on_deleted(void *arg, const struct tgw_store_result *result)
@@ -196,19 +221,44 @@
 					    REQUEST_QUARANTINE_PREFIX, watcher);
 }
 
+static enum crash_records_server get_server_state(void *arg, uint64_t run)
+{
+	const struct request_quarantine *quarantine = arg;
+	const struct crash_records_events *events = &quarantine->events.records;
+
+	return events->server_state(events->arg, run);
+}
+
+static void on_refusal_changed(void *arg, const struct quarantine_item *item,
+			       bool refused)
+{
+	struct request_quarantine *quarantine = arg;
+	const struct crash_records_events *events = &quarantine->events.records;
+
+	if (!refused)
+		quarantine_trials_end(quarantine->trials, &item->fingerprint);
+	events->changed(events->arg, item, refused);
+}
+
 struct request_quarantine *request_quarantine_new(
 	const struct request_quarantine_settings *settings,
 	struct tgw_store *store, const struct tgw_clock *clock,
 	const struct request_quarantine_events *events)
 {
 	struct request_quarantine *quarantine = xcalloc(1, sizeof(*quarantine));
+	struct crash_records_events records_events = {
+		.server_state = get_server_state,
+	};
 
 	text_copy(quarantine->own_key, sizeof(quarantine->own_key),
 		  REQUEST_QUARANTINE_PREFIX);
 	text_copy(quarantine->own_key + strlen(REQUEST_QUARANTINE_PREFIX),
 		  TGW_NAME_SIZE, settings->host);
-	crash_records_init(&quarantine->records, &events->records,
+	records_events.changed = on_refusal_changed;
+	records_events.arg = quarantine;
+	crash_records_init(&quarantine->records, &records_events,
 			   settings->listed_after_crash_us);
+	quarantine->trials = quarantine_trials_new(store, clock);
 	quarantine->store = store;
 	quarantine->clock = clock;
 	quarantine->events = *events;
@@ -227,31 +277,56 @@
 		return;
 	tgw_store_unwatch(quarantine->store, quarantine->watch);
 	crash_records_free(&quarantine->records);
+	quarantine_trials_free(quarantine->trials);
 	free(quarantine);
 }
 
 void request_quarantine_on_crash(struct request_quarantine *quarantine,
-				 const struct tgw_fingerprint *fingerprint,
-				 const char *team, uint64_t run)
+				 const struct request_identity *identity,
+				 uint64_t run, bool suspects_parts)
 {
 	struct crash_records_time now = time_of(quarantine);
+	bool recorded =
+		crash_records_add(&quarantine->records, identity, run, &now);
 
-	if (!crash_records_add(&quarantine->records, fingerprint, team, run,
-			       &now))
+	if (suspects_parts && identity->part_count) {
+		crash_records_add_parts(&quarantine->records, identity, run,
+					&now);
+		recorded = true;
+	}
+	if (!recorded)
 		return;
 	quarantine->counters.crashes++;
 	quarantine->write_needed = true;
 }
 
+static void record_cleared(struct request_quarantine *quarantine, size_t count)
+{
+	if (!count)
+		return;
+	quarantine->counters.cleared += count;
+	quarantine->write_needed = true;
+}
+
 void request_quarantine_on_served(struct request_quarantine *quarantine,
-				  const struct tgw_fingerprint *fingerprint)
+				  const struct request_identity *identity)
 {
 	struct crash_records_time now = time_of(quarantine);
 
-	if (!crash_records_on_served(&quarantine->records, fingerprint, &now))
-		return;
-	quarantine->counters.cleared++;
-	quarantine->write_needed = true;
+	record_cleared(quarantine,
+		       crash_records_on_served(&quarantine->records,
+					       &identity->whole, &now));
+	request_quarantine_on_progress(quarantine, identity);
+}
+
+void request_quarantine_on_progress(struct request_quarantine *quarantine,
+				    const struct request_identity *identity)
+{
+	struct crash_records_time now = time_of(quarantine);
+
+	record_cleared(quarantine,
+		       crash_records_on_parts_served(&quarantine->records,
+						     identity, &now));
 }
 
 void request_quarantine_on_server_lost(struct request_quarantine *quarantine)
@@ -350,6 +425,7 @@
 	}
 	if (may_write(quarantine))
 		write_own(quarantine, now_us);
+	quarantine_trials_tick(quarantine->trials);
 	return now_us + TICK_US;
 }
 
--- a/src/coordination/request_quarantine.h
+++ b/src/coordination/request_quarantine.h
@@ -1,8 +1,8 @@
 /**
  * @file request_quarantine.h
- * Finds requests that crash the backend servers that run them, and refuses them
- * on all hosts. (The quarantine of tgw_quarantine does this for hosts that send
- * each other messages.)
+ * Finds requests, and parts of prompts, that crash the backend servers that run
+ * them, and refuses them on all hosts. (The quarantine of tgw_quarantine does
+ * this for hosts that send each other messages.)
  *
  * Each host records the servers that crashed while they ran a request (see
  * crash_records.h), and writes these records to a key of its own, so that hosts
@@ -37,7 +37,9 @@
 struct request_quarantine_counters {
 	uint64_t crashes; /**< records of this host */
 	uint64_t dropped; /**< records of servers that are still listed */
-	uint64_t cleared; /**< requests that were served and had records */
+	uint64_t cleared; /**< requests and parts that were served and had
+			   * records */
+	uint64_t trials;  /**< requests that ran though a part is refused */
 	uint64_t writes;
 };
 
@@ -56,19 +58,39 @@
 uint32_t request_quarantine_crashes(const struct request_quarantine *quarantine,
 				    const struct tgw_fingerprint *fingerprint);
 
-bool request_quarantine_is_refused(const struct request_quarantine *quarantine,
-				   const struct tgw_fingerprint *fingerprint);
-
-/** Records that a server crashed while it ran the request of this host. Ignored
- * if this host was served the same request a short time ago.
+/** @return whether the request is refused, and does not run as a trial either;
+ * see quarantine_trials.h */
+bool request_quarantine_is_refused(struct request_quarantine *quarantine,
+				   const struct request_identity *identity);
+
+/** @return whether the request may crash the next server as well: it, or a part
+ * of its prompt, was at others that crashed */
+bool request_quarantine_is_suspected(
+	const struct request_quarantine *quarantine,
+	const struct request_identity *identity);
+
+/** Tells that a request that is not refused is sent to a server. */
+void request_quarantine_on_sent(struct request_quarantine *quarantine,
+				const struct request_identity *identity);
+
+/** Records that a server crashed while it ran the request of this host. The
+ * request as a whole is not suspected if this host was served the same one a
+ * short time ago.
+ * @param suspects_parts whether the server had not got so far with the request
+ * that its parts do not crash it
  * @param run see backend_run_hash() */
 void request_quarantine_on_crash(struct request_quarantine *quarantine,
-				 const struct tgw_fingerprint *fingerprint,
-				 const char *team, uint64_t run);
+				 const struct request_identity *identity,
+				 uint64_t run, bool suspects_parts);
 
 /** Records that a server ran the request and stayed up. */
 void request_quarantine_on_served(struct request_quarantine *quarantine,
-				  const struct tgw_fingerprint *fingerprint);
+				  const struct request_identity *identity);
+
+/** Records that a server has got so far with the request that its parts do not
+ * crash it. */
+void request_quarantine_on_progress(struct request_quarantine *quarantine,
+				    const struct request_identity *identity);
 
 /** Tells that a server may have crashed, by any sign: others may have made
  * records. Reads the keys soon, in case the watch has gone silent. */
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -312,7 +312,10 @@
 		.body_size = request->body.size,
 	};
 
-	request_fingerprint_of(&call->fingerprint, &content);
+	request_fingerprint_of(&call->identity.whole, &content);
+	text_copy(call->identity.team, sizeof(call->identity.team), call->team);
+	request_identity_set_parts(&call->identity, &call->request.parts,
+				   call->route.service, call->request.model);
 }
 
 void call_start(struct edge *edge, struct server_conn *conn)
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -197,6 +197,10 @@
 	call->events_sent += events->events - before;
 	call->last_event_id = events->resume_id;
 	call->skips_ids |= events->skips_ids;
+	if (events->events < CALL_SOUND_EVENTS || call->parts_served)
+		return;
+	call->parts_served = true;
+	request_quarantine_on_progress(call->edge->quarantine, &call->identity);
 }
 
 /* @param complete how many of these bytes precede the incomplete event */
@@ -346,8 +350,7 @@
 
 	call->may_have_run = true;
 	if (is_success(attempt->status))
-		request_quarantine_on_served(edge->quarantine,
-					     &call->fingerprint);
+		request_quarantine_on_served(edge->quarantine, &call->identity);
 	record_response(attempt);
 	if (caller && !call->head_sent) {
 		server_conn_send_head(caller, attempt->status, &attempt->fields,
--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -107,7 +107,7 @@
 		.may_run_again = may_run_again(call, trigger),
 		.crashes_servers = crashes_servers,
 		.is_quarantined = request_quarantine_is_refused(
-			edge->quarantine, &call->fingerprint),
+			edge->quarantine, &call->identity),
 		.attempts = call->attempt_count,
 		.sent = call->sent_count,
 		.sent_max = call->route.max_attempts,
@@ -136,6 +136,7 @@
 		if (call->events_sent)
 			edge->counters.resumed++;
 	}
+	request_quarantine_on_sent(edge->quarantine, &call->identity);
 	call_attempt_start(call, dispatch->backend, is_retry);
 }
 
@@ -208,14 +209,15 @@
 	proceed(call, ATTEMPT_NONE_YET, false, NULL);
 }
 
-/* A server broke the request off, and another one has crashed while it ran it.
- * The host does not repeat it by itself then; its caller may. */
+/* A server broke the request off, and another one has crashed while it ran it,
+ * or others while they ran requests with a part of its prompt. The host does
+ * not repeat it by itself then; its caller may. */
 static bool may_crash_servers(const struct call *call,
 			      enum backend_outcome outcome)
 {
 	return outcome == BACKEND_BROKEN &&
-	       request_quarantine_crashes(call->edge->quarantine,
-					  &call->fingerprint);
+	       request_quarantine_is_suspected(call->edge->quarantine,
+					       &call->identity);
 }
 
 /* Records what the failure says about the server and the request. */
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -47,7 +47,7 @@
 	char parts[PROMPT_PARTS_TEXT_SIZE];
 
 	prompt_parts_to_text(&call->request.parts, parts);
-	request_fingerprint_to_text(&call->fingerprint, fingerprint);
+	request_fingerprint_to_text(&call->identity.whole, fingerprint);
 	/* The key failure_share= is the name of failure_rate in the log. */
 	edge_log_line(
 		&call->edge->log, EDGE_LOG_NOTICE, "call", "attempt_failed",
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -13,7 +13,7 @@
 #include "protocol/event_scan.h"
 #include "protocol/json_scan.h"
 #include "state/attempt_plan.h"
-#include "state/request_fingerprint.h"
+#include "state/request_identity.h"
 #include "state/route_set.h"
 #include "tamarackgw/clock.h"
 #include "transport/connect_check.h"
@@ -80,7 +80,7 @@
 	struct call *next;
 	uv_timer_t timer;
 	struct request_info request;
-	struct tgw_fingerprint fingerprint;
+	struct request_identity identity;
 	struct call_route route;
 	char team[TGW_NAME_SIZE]; /* empty without a team */
 	int64_t arrived_us;
@@ -117,6 +117,8 @@
 	/* Of the last of them, if another server can go on after it; otherwise
 	 * EVENT_SCAN_NO_ID. */
 	int64_t last_event_id;
+	/* A server has run it so far that its parts do not crash servers. */
+	bool parts_served;
 	bool skips_ids; /* the ids of these events are not consecutive */
 };
 
@@ -195,6 +197,11 @@
 	attempt->silence_recorded = false;
 }
 
+/** Complete events of an attempt after which the parts of the request's prompt
+ * are known not to crash its server, which would have done so when it began to
+ * answer. */
+#define CALL_SOUND_EVENTS 4
+
 /** Events of the connection to the server. */
 extern const struct http_conn_events call_response_events;
 
--- a/src/edge/crash_check.c
+++ b/src/edge/crash_check.c
@@ -11,8 +11,8 @@
 
 /* A request that broke off at the server. */
 struct broken_request {
-	struct tgw_fingerprint fingerprint;
-	char team[TGW_NAME_SIZE];
+	struct request_identity identity;
+	bool suspects_parts; /* see request_quarantine_on_crash() */
 };
 
 struct crash_check {
@@ -64,9 +64,9 @@
 				       edge_now_us());
 	for (size_t i = 0; i < check->request_count; i++)
 		request_quarantine_on_crash(edge->quarantine,
-					    &check->requests[i].fingerprint,
-					    check->requests[i].team,
-					    check->run_hash);
+					    &check->requests[i].identity,
+					    check->run_hash,
+					    check->requests[i].suspects_parts);
 	request_quarantine_tick(edge->quarantine);
 }
 
@@ -146,8 +146,8 @@
 		xrealloc(check->requests, (check->request_count + 1) *
 						  sizeof(check->requests[0]));
 	request = &check->requests[check->request_count++];
-	request->fingerprint = call->fingerprint;
-	text_copy(request->team, sizeof(request->team), call->team);
+	request->identity = call->identity;
+	request->suspects_parts = attempt->events.events < CALL_SOUND_EVENTS;
 }
 
 void crash_check_cancel_all(struct edge *edge)
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -185,6 +185,7 @@
 	add_counter(text, "quarantine_crashes_total", quarantine->crashes);
 	add_counter(text, "quarantine_dropped_total", quarantine->dropped);
 	add_counter(text, "quarantine_cleared_total", quarantine->cleared);
+	add_counter(text, "quarantine_trials_total", quarantine->trials);
 	add_counter(text, "quarantine_writes_total", quarantine->writes);
 	add_counter(text, "ledger_reads_total", ledger->reads);
 	add_counter(text, "ledger_writes_total", ledger->writes);
--- a/src/state/crash_records.c
+++ b/src/state/crash_records.c
@@ -3,12 +3,13 @@
 #include <string.h>
 
 #include "base/text.h"
+#include "state/crash_suspicion.h"
 #include "tamarackgw/clock.h"
 
 /* A record is dropped when its newest crash is older than this. */
 #define RECORD_AGE_MAX_US (INT64_C(3600) * TGW_US_PER_S)
 /* Records of one host in its report. All hosts read all reports. */
-#define OWN_RECORDS_MAX 128
+#define OWN_RECORDS_MAX 192
 /* A request that was served within this time before a crash did not cause it:
  * those that do crash each server that runs them. */
 #define SERVED_RECENTLY_US (INT64_C(60) * TGW_US_PER_S)
@@ -57,10 +58,24 @@
 static bool is_refused(const struct crash_records *records,
 		       const struct quarantine_item *item, int64_t now_us)
 {
+	if (item && *item->part)
+		return crash_suspicion_incidents(item) >=
+		       CRASH_SUSPICION_INCIDENTS_MIN;
 	return count_crashes(records, item, now_us) >=
 	       CRASH_RECORDS_UNTIL_REFUSED;
 }
 
+bool crash_records_refuse_whole(const struct crash_records *records,
+				const struct request_identity *identity,
+				int64_t now_us)
+{
+	const struct quarantine_item *item =
+		quarantine_table_find(&records->all, &identity->whole);
+
+	return is_refused(records, item, now_us) &&
+	       !crash_suspicion_is_explained(&records->all, item, identity);
+}
+
 uint32_t crash_records_count(const struct crash_records *records,
 			     const struct tgw_fingerprint *fingerprint,
 			     int64_t now_us)
@@ -162,51 +177,125 @@
 	}
 }
 
-bool crash_records_add(struct crash_records *records,
-		       const struct tgw_fingerprint *fingerprint,
-		       const char *team, uint64_t run,
-		       const struct crash_records_time *now)
+static uint64_t epoch_of(const struct crash_records *records,
+			 const struct tgw_fingerprint *fingerprint)
 {
 	const struct quarantine_item *known =
 		quarantine_table_find(&records->all, fingerprint);
-	struct quarantine_item crashed = {
-		.fingerprint = *fingerprint,
-		.epoch = known ? known->epoch : 0,
-		.crash_count = 1,
-		.crashes = {{
-			.server_hash = run,
-			.wall_us = now->wall_us,
-			.learned_us = now->monotonic_us,
-		}},
+
+	return known ? known->epoch : 0;
+}
+
+/* @param item without its epoch and its crash */
+static void add_crash(struct crash_records *records,
+		      struct quarantine_item *item, uint64_t run,
+		      const struct crash_records_time *now)
+{
+	item->epoch = epoch_of(records, &item->fingerprint);
+	item->crash_count = 1;
+	item->crashes[0] = (struct quarantine_crash){
+		.server_hash = run,
+		.wall_us = now->wall_us,
+		.learned_us = now->monotonic_us,
 	};
+	merge_item(records, item, now);
+	add_to_own(records, item, now);
+}
 
-	if (served_memory_has(&records->served, fingerprint,
+bool crash_records_add(struct crash_records *records,
+		       const struct request_identity *identity, uint64_t run,
+		       const struct crash_records_time *now)
+{
+	struct quarantine_item item = {.fingerprint = identity->whole};
+
+	if (served_memory_has(&records->served, &identity->whole,
 			      now->monotonic_us - SERVED_RECENTLY_US))
 		return false;
-	text_copy(crashed.team, sizeof(crashed.team), team);
-	merge_item(records, &crashed, now);
-	add_to_own(records, &crashed, now);
+	text_copy(item.team, sizeof(item.team), identity->team);
+	add_crash(records, &item, run, now);
 	return true;
 }
 
+static void add_part(struct crash_records *records,
+		     const struct part_identity *part, uint64_t run,
+		     const struct crash_records_time *now)
+{
+	struct quarantine_item item = {.fingerprint = part->fingerprint};
+
+	text_copy(item.part, sizeof(item.part), part->text);
+	add_crash(records, &item, run, now);
+}
+
+/* A part that was served a moment ago may have turned bad since. */
+void crash_records_add_parts(struct crash_records *records,
+			     const struct request_identity *identity,
+			     uint64_t run, const struct crash_records_time *now)
+{
+	for (uint32_t i = 0; i < identity->part_count; i++) {
+		add_part(records, &identity->parts[i].anywhere, run, now);
+		add_part(records, &identity->parts[i].here, run, now);
+	}
+}
+
+static void clear(struct crash_records *records,
+		  const struct quarantine_item *known,
+		  const struct crash_records_time *now)
+{
+	struct quarantine_item cleared = *known;
+
+	quarantine_item_clear(&cleared);
+	merge_item(records, &cleared, now);
+	add_to_own(records, &cleared, now);
+}
+
 bool crash_records_on_served(struct crash_records *records,
 			     const struct tgw_fingerprint *fingerprint,
 			     const struct crash_records_time *now)
 {
 	const struct quarantine_item *known =
 		quarantine_table_find(&records->all, fingerprint);
-	struct quarantine_item cleared;
 
 	served_memory_add(&records->served, fingerprint, now->monotonic_us);
 	if (!known || !known->crash_count)
 		return false;
-	cleared = *known;
-	quarantine_item_clear(&cleared);
-	merge_item(records, &cleared, now);
-	add_to_own(records, &cleared, now);
+	clear(records, known, now);
 	return true;
 }
 
+/* A part that many hosts serve is cleared by those that suspected it, or by any
+ * once it was in a second crash: all of them would write their records. */
+static bool is_to_clear(const struct crash_records *records,
+			const struct quarantine_item *item)
+{
+	const struct quarantine_item *own;
+
+	if (!*item->part || !item->crash_count)
+		return false;
+	if (item->crash_count > 1)
+		return true;
+	own = quarantine_table_find(&records->own.table, &item->fingerprint);
+	return own && own->crash_count;
+}
+
+size_t crash_records_on_parts_served(struct crash_records *records,
+				     const struct request_identity *identity,
+				     const struct crash_records_time *now)
+{
+	size_t cleared = 0;
+
+	for (size_t i = 0; identity->part_count && i < records->all.count;
+	     i++) {
+		const struct quarantine_item *item = &records->all.items[i];
+
+		if (!is_to_clear(records, item) ||
+		    !request_identity_has_part(identity, &item->fingerprint))
+			continue;
+		clear(records, item, now);
+		cleared++;
+	}
+	return cleared;
+}
+
 static void expire(struct quarantine_table *table,
 		   const struct crash_records_time *now)
 {
--- a/src/state/quarantine_table.c
+++ b/src/state/quarantine_table.c
@@ -12,7 +12,9 @@
 /* Exceeds the number of epochs that served attempts can have started without
  * the operator having seen them. */
 #define LIFT_EPOCHS (UINT64_C(1) << 20)
+/* An item about a part of a prompt has one field more. */
 #define ITEM_FIELDS 4
+#define PART_ITEM_FIELDS 5
 #define CRASH_FIELDS 2
 
 void quarantine_table_free(struct quarantine_table *table)
@@ -170,7 +172,8 @@
 void quarantine_item_pack(const struct quarantine_item *item,
 			  msgpack_packer *packer)
 {
-	msgpack_pack_array(packer, ITEM_FIELDS);
+	msgpack_pack_array(packer,
+			   *item->part ? PART_ITEM_FIELDS : ITEM_FIELDS);
 	msgpack_field_pack_bytes(packer, item->fingerprint.bytes,
 				 sizeof(item->fingerprint.bytes));
 	msgpack_field_pack_text(packer, item->team);
@@ -181,6 +184,8 @@
 		msgpack_pack_uint64(packer, item->crashes[i].server_hash);
 		msgpack_pack_int64(packer, item->crashes[i].wall_us);
 	}
+	if (*item->part)
+		msgpack_field_pack_text(packer, item->part);
 }
 
 static bool unpack_crash(struct quarantine_crash *crash,
@@ -197,9 +202,16 @@
 			    const msgpack_object *object)
 {
 	const msgpack_object *fields = msgpack_field_array(object, ITEM_FIELDS);
+	const msgpack_object *with_part =
+		msgpack_field_array(object, PART_ITEM_FIELDS);
 	const msgpack_object *crashes;
 
 	memset(item, 0, sizeof(*item));
+	if (with_part &&
+	    !msgpack_field_text(&with_part[4], item->part, sizeof(item->part)))
+		return false;
+	if (with_part)
+		fields = with_part;
 	if (!fields ||
 	    !msgpack_field_bytes(&fields[0], item->fingerprint.bytes,
 				 sizeof(item->fingerprint.bytes)) ||
--- a/src/state/quarantine_table.h
+++ b/src/state/quarantine_table.h
@@ -16,8 +16,10 @@
 
 #include "tamarackgw/quarantine.h"
 
-#define QUARANTINE_CRASHES_MAX 4
+#define QUARANTINE_CRASHES_MAX 12
 #define QUARANTINE_ENTRIES_MAX 1024
+/** Size of the text that names a part of a prompt. */
+#define QUARANTINE_PART_SIZE 64
 
 /** One crash of a server while the request ran on it. */
 struct quarantine_crash {
@@ -31,6 +33,9 @@
 struct quarantine_item {
 	struct tgw_fingerprint fingerprint;
 	char team[TGW_NAME_SIZE];
+	/** The part of a prompt that the item is about; empty for an item about
+	 * a whole request. */
+	char part[QUARANTINE_PART_SIZE];
 	uint64_t epoch;
 	size_t crash_count;
 	struct quarantine_crash crashes[QUARANTINE_CRASHES_MAX];
