--- a/src/coordination/request_quarantine.c
+++ b/src/coordination/request_quarantine.c
@@ -266,7 +266,8 @@
 	quarantine->list_delay_us =
 		(int64_t)(XXH64(settings->host, strlen(settings->host), 0) %
 			  LIST_SPREAD_US);
-	schedule_list(quarantine, now_of(quarantine));
+	/* Until then the host may run what the others refuse. */
+	quarantine->list_needed = true;
 	open_watch(quarantine);
 	return quarantine;
 }
--- a/src/state/crash_suspicion.c
+++ b/src/state/crash_suspicion.c
@@ -134,7 +134,7 @@
 		const struct quarantine_item *other = &table->items[i];
 
 		if (has_incidents(other, CRASH_SUSPICION_INCIDENTS_MIN) &&
-		    fits_crashes(other, item) &&
+		    fits_crashes(other, item) && !fits_crashes(item, other) &&
 		    !request_identity_has(identity, &other->fingerprint))
 			return true;
 	}
--- a/src/state/crash_suspicion.h
+++ b/src/state/crash_suspicion.h
@@ -40,7 +40,7 @@
 
 /** @param item of the whole request
  * @return whether a part that crashes servers, and that the request does not
- * have, was in all crashes of the item */
+ * have, was in all crashes of the item and in others */
 bool crash_suspicion_is_explained(const struct quarantine_table *table,
 				  const struct quarantine_item *item,
 				  const struct request_identity *identity);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -11,6 +11,7 @@
 
 #include "base/xalloc.h"
 #include "soak/lost_play.h"
+#include "soak/part_play.h"
 #include "soak/soak.h"
 #include "soak/soak_caller.h"
 #include "soak/soak_faults.h"
@@ -51,6 +52,7 @@
 static const struct play plays[] = {
 	{"faults", play_faults},
 	{"lost", lost_play_run},
+	{"parts", part_play_run},
 };
 
 #define PLAYS (sizeof(plays) / sizeof(plays[0]))
@@ -231,7 +233,7 @@
 	{"program", 'p', "FILE", 0, "the hosts' program", 0},
 	{"wall-clock", 'w', "FILE", 0,
 	 "library that makes hosts' wall clocks wrong", 0},
-	{"play", 'y', "NAME", 0, "faults, or lost", 0},
+	{"play", 'y', "NAME", 0, "faults, lost or parts", 0},
 	{"folder", 'd', "PATH", 0, "for settings and logs", 0},
 	{0},
 };
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -4,8 +4,9 @@
 #   tools/soak.sh --seeds FROM-TO [--minutes N] [--hosts N] [--jobs N]
 #   tools/soak.sh --kept      plays the seeds of tests/soak/seeds.txt
 #     --minutes N   how long faults are played for each seed, such as 0.5
-#     --play NAME   faults (the default), or lost: no fault, but sound servers
-#                   that pause, beside planned work
+#     --play NAME   faults (the default); lost: no fault, but sound servers that
+#                   pause, beside planned work; parts: parts of prompts that
+#                   crash servers, beside sound requests and faults
 #     --build DIR   a finished build; build if not given
 #     --logs DIR    for the logs of seeds that broke a promise
 # Exits with 1 if a seed broke a promise that KNOWN-RED.txt does not name. See
@@ -21,7 +22,7 @@
 logs=
 
 usage() {
-	sed -n 's/^# \{0,1\}//; 2,12p' "$0"
+	sed -n 's/^# \{0,1\}//; 2,13p' "$0"
 	exit "$1"
 }
 
