Let a part's crashes settle in place of counting those of 250 ms as one

Now crashes within 30 ms are one incident, a crash counts only once it has been known for 600 ms, in which other hosts can clear the part, and the newest 12 crashes are kept.

--- a/src/coordination/request_quarantine.c
+++ b/src/coordination/request_quarantine.c
@@ -82,7 +82,8 @@
 	if (crash_records_refuse_whole(&quarantine->records, identity,
 				       now_of(quarantine)))
 		return true;
-	cause = crash_suspicion_find_cause(&quarantine->records.all, identity);
+	cause = crash_suspicion_find_cause(&quarantine->records.all, identity,
+					   now_of(quarantine));
 	return cause && !quarantine_trials_may_run(quarantine->trials, cause);
 }
 
@@ -91,14 +92,15 @@
 	const struct request_identity *identity)
 {
 	return request_quarantine_crashes(quarantine, &identity->whole) ||
-	       crash_suspicion_is_suspected(&quarantine->records.all, identity);
+	       crash_suspicion_is_suspected(&quarantine->records.all, identity,
+					    now_of(quarantine));
 }
 
 void request_quarantine_on_sent(struct request_quarantine *quarantine,
 				const struct request_identity *identity)
 {
-	const struct quarantine_item *cause =
-		crash_suspicion_find_cause(&quarantine->records.all, identity);
+	const struct quarantine_item *cause = crash_suspicion_find_cause(
+		&quarantine->records.all, identity, now_of(quarantine));
 
 	if (cause && quarantine_trials_on_sent(quarantine->trials, cause))
 		quarantine->counters.trials++;
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -10,7 +10,6 @@
 #include "edge/edge_clock.h"
 #include "edge/edge_peers.h"
 #include "edge/server_signals.h"
-#include "state/crash_suspicion.h"
 #include "state/request_fingerprint.h"
 
 /* A starting host watches the store by itself if it has no relay by then. */
@@ -253,10 +252,9 @@
 	request_fingerprint_to_text(&item->fingerprint, fingerprint);
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "quarantine",
 		      refused ? "refused" : "cleared",
-		      "fingerprint=%s team=%s part=%s crashes=%zu "
-		      "incidents=%u",
-		      fingerprint, item->team, *item->part ? item->part : "-",
-		      item->crash_count, crash_suspicion_incidents(item));
+		      "fingerprint=%s team=%s part=%s crashes=%zu", fingerprint,
+		      item->team, *item->part ? item->part : "-",
+		      item->crash_count);
 }
 
 static void on_quarantine_failed(void *arg, const char *key,
--- a/src/state/crash_records.c
+++ b/src/state/crash_records.c
@@ -59,7 +59,7 @@
 		       const struct quarantine_item *item, int64_t now_us)
 {
 	if (item && *item->part)
-		return crash_suspicion_incidents(item) >=
+		return crash_suspicion_incidents(item, now_us) >=
 		       CRASH_SUSPICION_INCIDENTS_MIN;
 	return count_crashes(records, item, now_us) >=
 	       CRASH_RECORDS_UNTIL_REFUSED;
@@ -73,7 +73,8 @@
 		quarantine_table_find(&records->all, &identity->whole);
 
 	return is_refused(records, item, now_us) &&
-	       !crash_suspicion_is_explained(&records->all, item, identity);
+	       !crash_suspicion_is_explained(&records->all, item, identity,
+					     now_us);
 }
 
 uint32_t crash_records_count(const struct crash_records *records,
@@ -135,25 +136,33 @@
 	return learned;
 }
 
+/* Tells whether the item is refused if that has changed. */
+static void report_refusal(const struct crash_records *records,
+			   struct quarantine_item *item, int64_t now_us)
+{
+	const struct crash_records_events *events = &records->events;
+	bool refused = is_refused(records, item, now_us);
+
+	if (refused == item->is_refused)
+		return;
+	item->is_refused = refused;
+	events->changed(events->arg, item, refused);
+}
+
 /* @param update as learn() returns it */
 static void merge_item(struct crash_records *records,
 		       const struct quarantine_item *update,
 		       const struct crash_records_time *now)
 {
-	const struct crash_records_events *events = &records->events;
-	const struct tgw_fingerprint *fingerprint = &update->fingerprint;
-	const struct quarantine_item *item =
-		quarantine_table_find(&records->all, fingerprint);
-	bool was_refused = is_refused(records, item, now->monotonic_us);
+	struct quarantine_item *item;
 
 	if (update->crash_count && !has_recent_crash(update, now))
 		return;
 	if (!quarantine_table_merge(&records->all, update, now->monotonic_us))
 		return;
-	item = quarantine_table_find(&records->all, fingerprint);
+	item = quarantine_table_find(&records->all, &update->fingerprint);
 	update_own_epoch(records, item);
-	if (is_refused(records, item, now->monotonic_us) != was_refused)
-		events->changed(events->arg, item, !was_refused);
+	report_refusal(records, item, now->monotonic_us);
 }
 
 static void add_to_own(struct crash_records *records,
@@ -339,6 +348,9 @@
 		drop_disproved(records, &records->own.table, now->monotonic_us);
 
 	*dropped = drop_disproved(records, &records->all, now->monotonic_us);
+	for (size_t i = 0; i < records->all.count; i++)
+		report_refusal(records, &records->all.items[i],
+			       now->monotonic_us);
 	expire(&records->all, now);
 	expire(&records->own.table, now);
 	return own_dropped > 0;
--- a/src/state/quarantine_table.c
+++ b/src/state/quarantine_table.c
@@ -92,15 +92,41 @@
 	       difference_us < SAME_CRASH_US && difference_us > -SAME_CRASH_US;
 }
 
+/* Hosts that learn of crashes in another order have to drop the same ones. */
+static bool is_older(const struct quarantine_crash *a,
+		     const struct quarantine_crash *b)
+{
+	if (a->wall_us != b->wall_us)
+		return a->wall_us < b->wall_us;
+	return a->server_hash < b->server_hash;
+}
+
+static struct quarantine_crash *oldest_crash(struct quarantine_item *item)
+{
+	struct quarantine_crash *oldest = &item->crashes[0];
+
+	for (size_t i = 1; i < item->crash_count; i++)
+		if (is_older(&item->crashes[i], oldest))
+			oldest = &item->crashes[i];
+	return oldest;
+}
+
 bool quarantine_item_add_crash(struct quarantine_item *item,
 			       const struct quarantine_crash *crash)
 {
+	struct quarantine_crash *oldest;
+
 	for (size_t i = 0; i < item->crash_count; i++)
 		if (is_same_crash(&item->crashes[i], crash))
 			return false;
-	if (item->crash_count == QUARANTINE_CRASHES_MAX)
+	if (item->crash_count < QUARANTINE_CRASHES_MAX) {
+		item->crashes[item->crash_count++] = *crash;
+		return true;
+	}
+	oldest = oldest_crash(item);
+	if (is_older(crash, oldest))
 		return false;
-	item->crashes[item->crash_count++] = *crash;
+	*oldest = *crash;
 	return true;
 }
 
@@ -135,6 +161,7 @@
 {
 	struct quarantine_item *item;
 	bool changed = false;
+	bool was_refused;
 
 	item = quarantine_table_find(table, &update->fingerprint);
 	if (item && update->epoch < item->epoch)
@@ -142,7 +169,9 @@
 	if (!item || update->epoch > item->epoch) {
 		item = quarantine_table_find_or_add(table, &update->fingerprint,
 						    now_us);
+		was_refused = item->is_refused;
 		*item = *update;
+		item->is_refused = was_refused;
 		item->changed_us = now_us;
 		return true;
 	}
--- a/src/state/quarantine_table.h
+++ b/src/state/quarantine_table.h
@@ -43,6 +43,7 @@
 	int64_t changed_us;   /**< last change, on this host's monotonic
 			       * clock */
 	bool changed_locally; /**< the change happened at this host */
+	bool is_refused;      /**< as its owner has last told */
 };
 
 struct quarantine_table {
@@ -66,9 +67,9 @@
 	struct quarantine_table *table,
 	const struct tgw_fingerprint *fingerprint, int64_t now_us);
 
-/** Adds a crash unless it is already recorded, or QUARANTINE_CRASHES_MAX are
- * recorded.
- * @return whether it was added */
+/** Adds a crash unless it is already recorded. Of more than
+ * QUARANTINE_CRASHES_MAX the oldest ones are dropped.
+ * @return whether the crashes have changed */
 bool quarantine_item_add_crash(struct quarantine_item *item,
 			       const struct quarantine_crash *crash);
 
