--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -361,7 +361,7 @@
 	free(request);
 }
 
-static void write_text(struct edge_rig_caller *caller, const char *text)
+void edge_rig_send(struct edge_rig_caller *caller, const char *text)
 {
 	uv_write_t *request = xcalloc(1, sizeof(*request));
 	uv_buf_t bytes;
@@ -390,7 +390,7 @@
 	if (caller->closed)
 		return;
 	uv_read_start((uv_stream_t *)&caller->tcp, on_alloc, on_read);
-	write_text(caller, text);
+	edge_rig_send(caller, text);
 }
 
 char *edge_rig_exchange(struct edge_rig *rig, const char *text)
--- a/tests/fakes/edge_rig.h
+++ b/tests/fakes/edge_rig.h
@@ -92,6 +92,9 @@
 void edge_rig_call(struct edge_rig *rig, struct edge_rig_caller *caller,
 		   const char *text);
 
+/** Sends more on a caller's connection. */
+void edge_rig_send(struct edge_rig_caller *caller, const char *text);
+
 /** Reads on after the test has stopped to read from the caller's socket. */
 void edge_rig_resume_caller(struct edge_rig_caller *caller);
 void edge_rig_close_caller(struct edge_rig_caller *caller);
