Check that a server lives when its response ends with its connection, in tamarackgwd too

The same cause as in tamarackgw-edge: loop_client took the end of a connection for the end of the response, so that services' short answers counted as whole. It now asks the server for another connection, and a JSON text that is not closed is cut. test_loop_client failed before.

--- a/src/coordination/request_quarantine.c
+++ b/src/coordination/request_quarantine.c
@@ -87,6 +87,35 @@
 	return cause && !quarantine_trials_may_run(quarantine->trials, cause);
 }
 
+const char *request_quarantine_refused_part(
+	const struct request_quarantine *quarantine,
+	const struct request_identity *identity)
+{
+	const struct quarantine_item *cause = crash_suspicion_find_cause(
+		&quarantine->records.all, identity, now_of(quarantine));
+
+	return cause ? cause->part : NULL;
+}
+
+void request_quarantine_list(const struct request_quarantine *quarantine,
+			     void (*each)(void *arg,
+					  const struct quarantine_item *item,
+					  uint32_t incidents),
+			     void *arg)
+{
+	const struct quarantine_table *table = &quarantine->records.all;
+
+	for (size_t i = 0; i < table->count; i++) {
+		const struct quarantine_item *item = &table->items[i];
+
+		if (item->crash_count)
+			each(arg, item,
+			     *item->part ? crash_suspicion_incidents(
+						   item, now_of(quarantine))
+					 : 0);
+	}
+}
+
 bool request_quarantine_is_suspected(
 	const struct request_quarantine *quarantine,
 	const struct request_identity *identity)
--- a/src/coordination/request_quarantine.h
+++ b/src/coordination/request_quarantine.h
@@ -63,6 +63,20 @@
 bool request_quarantine_is_refused(struct request_quarantine *quarantine,
 				   const struct request_identity *identity);
 
+/** @return the part of its prompt for which the request is refused; NULL if
+ * that is for the request as a whole, or it is not refused */
+const char *request_quarantine_refused_part(
+	const struct request_quarantine *quarantine,
+	const struct request_identity *identity);
+
+/** Calls `each` for all requests and parts that are refused or suspected.
+ * @param incidents 0 for a whole request */
+void request_quarantine_list(const struct request_quarantine *quarantine,
+			     void (*each)(void *arg,
+					  const struct quarantine_item *item,
+					  uint32_t incidents),
+			     void *arg);
+
 /** @return whether the request may crash the next server as well: it, or a part
  * of its prompt, was at others that crashed */
 bool request_quarantine_is_suspected(
--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -1,3 +1,5 @@
+#include <stdio.h>
+
 #include "edge/call_log.h"
 #include "edge/call_private.h"
 #include "edge/crash_check.h"
@@ -8,8 +10,10 @@
 #define RETRY_AFTER_NO_SERVER_MS 400
 #define RETRY_AFTER_FULL_MS 80
 /* Retry-After of a quarantined request, which is refused for an hour after its
- * last crash. */
+ * last crash, and of one with a refused part, which is tried again sooner. */
 #define RETRY_AFTER_QUARANTINE_MS 60000
+#define RETRY_AFTER_PART_MS 10000
+#define REASON_SIZE 192
 /* Interval at which a host checks again whether another server can take the
  * request of a silent one. */
 #define SILENCE_CHECK_US (250 * TGW_US_PER_MS)
@@ -38,15 +42,26 @@
 
 static void refuse_quarantined(struct call *call)
 {
-	const char *reason = "backend servers crashed while they ran "
-			     "this request; change it, or send it again "
-			     "later";
-
+	const struct edge *edge = call->edge;
+	const char *part = request_quarantine_refused_part(edge->quarantine,
+							   &call->identity);
+	int64_t retry_after_ms = part ? RETRY_AFTER_PART_MS
+				      : RETRY_AFTER_QUARANTINE_MS;
+	char reason[REASON_SIZE] = "backend servers crashed while they ran "
+				   "this request; change it, or send it again "
+				   "later";
+
+	if (part)
+		snprintf(reason, sizeof(reason),
+			 "backend servers crashed while they ran requests with "
+			 "part %s of this prompt; change the part, or send the "
+			 "request again later",
+			 part);
 	call->edge->counters.quarantine_refused++;
 	if (call_may_have_run(call))
 		call_refuse(call, 502, 0, reason);
 	else
-		call_refuse(call, 503, RETRY_AFTER_QUARANTINE_MS, reason);
+		call_refuse(call, 503, retry_after_ms, reason);
 }
 
 static enum placement_result choose_server(struct call *call,
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -4,6 +4,7 @@
 
 #include "edge/edge.h"
 #include "edge/server_signals.h"
+#include "state/request_fingerprint.h"
 
 static const struct server_limits page_limits = {
 	.head_bytes = 8 * 1024,
@@ -220,6 +221,36 @@
 	add_histogram(text, "whole_answer", &edge->total_latency);
 }
 
+static void add_quarantined(void *arg, const struct quarantine_item *item,
+			    uint32_t incidents)
+{
+	struct buffer *text = arg;
+	char fingerprint[REQUEST_FINGERPRINT_TEXT_SIZE];
+	int64_t first_us = INT64_MAX;
+	int64_t last_us = 0;
+
+	for (size_t i = 0; i < item->crash_count; i++) {
+		int64_t wall_us = item->crashes[i].wall_us;
+
+		first_us = wall_us < first_us ? wall_us : first_us;
+		last_us = wall_us > last_us ? wall_us : last_us;
+	}
+	request_fingerprint_to_text(&item->fingerprint, fingerprint);
+	buffer_add_format(
+		text,
+		"%s fingerprint=%s team=%s part=%s crashes=%zu "
+		"incidents=%u first_ts=%lld.%03lld last_ts=%lld.%03lld"
+		" epoch=%llu\n",
+		item->is_refused ? "refused" : "suspected", fingerprint,
+		*item->team ? item->team : "-", *item->part ? item->part : "-",
+		item->crash_count, incidents,
+		(long long)(first_us / TGW_US_PER_S),
+		(long long)(first_us / TGW_US_PER_MS % 1000),
+		(long long)(last_us / TGW_US_PER_S),
+		(long long)(last_us / TGW_US_PER_MS % 1000),
+		(unsigned long long)item->epoch);
+}
+
 static void on_request(struct server_conn *conn)
 {
 	const struct edge *edge = conn->owner;
@@ -234,6 +265,11 @@
 		write_metrics(edge, &body);
 		buffer_add_text(&fields,
 				"Content-Type: text/plain; version=0.0.4\r\n");
+	} else if (!strcmp(conn->request.target.data, "/quarantine")) {
+		status = 200;
+		request_quarantine_list(edge->quarantine, add_quarantined,
+					&body);
+		buffer_add_text(&fields, "Content-Type: text/plain\r\n");
 	}
 	server_conn_send_head(conn, status, &fields, (int64_t)body.size, false);
 	server_conn_send_body(conn, body.data, body.size);
--- a/src/edge/edge_pages.h
+++ b/src/edge/edge_pages.h
@@ -1,6 +1,7 @@
 /**
  * @file edge_pages.h
- * The host's own HTTP pages: /ready, which reports readiness, and /metrics.
+ * The host's own HTTP pages: /ready, which reports readiness, /metrics, and
+ * /quarantine, which lists what is held to crash servers.
  */
 #ifndef EDGE_EDGE_PAGES_H
 #define EDGE_EDGE_PAGES_H
--- a/src/state/prompt_parts.c
+++ b/src/state/prompt_parts.c
@@ -3,6 +3,14 @@
 #include <ctype.h>
 #include <string.h>
 
+/* Ids are hexadecimal; any other text must not break a log line up. */
+static char readable(char character)
+{
+	unsigned char byte = (unsigned char)character;
+
+	return isalnum(byte) || strchr("-_.", byte) ? (char)tolower(byte) : '_';
+}
+
 void prompt_parts_add(struct prompt_parts *parts, const char *id, size_t size)
 {
 	char *copy;
@@ -13,7 +21,7 @@
 		size = PROMPT_PART_ID_SIZE - 1;
 	copy = parts->ids[parts->count++];
 	for (size_t i = 0; i < size; i++)
-		copy[i] = (char)tolower((unsigned char)id[i]);
+		copy[i] = readable(id[i]);
 	copy[size] = '\0';
 }
 
--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -9,13 +9,19 @@
 
 #include "base/text.h"
 #include "base/xalloc.h"
+#include "protocol/json_scan.h"
+#include "protocol/media_type.h"
 #include "tamarackgw/clock.h"
+#include "transport/connect_check.h"
 #include "transport/http_pool.h"
 #include "transport/socket_address.h"
 
 #define DEFAULT_CONNECT_TIMEOUT_US (1 * TGW_US_PER_S)
 #define DEFAULT_IDLE_CONNECTIONS 256
 #define TRIM_INTERVAL_MS 1000
+/* For a server to accept a connection once its response has ended with the one
+ * before. */
+#define END_CHECK_TIMEOUT_MS 500
 /* A server without an exchange for this long is removed. */
 #define UNUSED_SERVER_LIMIT_US (60 * TGW_US_PER_S)
 #define HOST_SIZE 256
@@ -46,6 +52,9 @@
 	struct http_conn *conn;
 	uv_timer_t timer;
 	uv_getaddrinfo_t resolver_request;
+	struct connect_check *end_check; /* running, or NULL */
+	struct json_scan json;		 /* of a JSON response */
+	bool is_json;
 	uint32_t references;
 	int64_t connect_timeout_us;
 	int64_t total_timeout_us;
@@ -96,6 +105,8 @@
 	assert(!exchange->ended);
 	exchange->ended = true;
 	LIST_REMOVE(exchange, link);
+	if (exchange->end_check)
+		connect_check_cancel(exchange->end_check);
 	if (exchange->conn)
 		http_conn_close(exchange->conn);
 	exchange->conn = NULL;
@@ -116,6 +127,7 @@
 
 	exchange->progress_us = now_us(exchange->client);
 	exchange->has_response = true;
+	exchange->is_json = media_type_is_json(type);
 	exchange->handler.started(exchange->handler.arg, conn->status,
 				  type ? type : "");
 	return HTTP_CONN_ACCEPT;
@@ -126,6 +138,8 @@
 	struct http_exchange *exchange = conn->arg;
 
 	exchange->progress_us = now_us(exchange->client);
+	if (exchange->is_json)
+		json_scan_feed(&exchange->json, data, size);
 	if (!exchange->paused &&
 	    exchange->handler.data(exchange->handler.arg, data, size))
 		return;
@@ -151,6 +165,42 @@
 		end(exchange, HTTP_COMPLETE, "complete");
 }
 
+static void on_end_checked(void *arg, enum connect_check_result result)
+{
+	struct http_exchange *exchange = arg;
+
+	exchange->end_check = NULL;
+	if (result == CONNECT_CHECK_ACCEPTED)
+		http_conn_confirm_end(exchange->conn);
+	else
+		end(exchange, HTTP_BROKEN,
+		    "the server can't be reached since its response ended with "
+		    "the connection");
+}
+
+/* The end of such a connection looks the same if the server crashed there. */
+static void on_response_ended(struct http_conn *conn)
+{
+	struct http_exchange *exchange = conn->arg;
+	struct sockaddr_storage address;
+	int size = sizeof(address);
+
+	if (exchange->is_json && !exchange->is_head_request &&
+	    !json_scan_is_whole(&exchange->json))
+		end(exchange, HTTP_BROKEN,
+		    "the response ended within its JSON text");
+	else if (uv_tcp_getpeername(&conn->tcp, (struct sockaddr *)&address,
+				    &size))
+		end(exchange, HTTP_BROKEN,
+		    "the server can't be checked since its response ended with "
+		    "the connection");
+	else
+		exchange->end_check = connect_check_start(
+			event_loop_uv(exchange->client->loop),
+			(struct sockaddr *)&address, END_CHECK_TIMEOUT_MS,
+			on_end_checked, exchange);
+}
+
 static void begin(struct http_exchange *exchange);
 
 static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
@@ -180,6 +230,7 @@
 	.head = on_head,
 	.body = on_body,
 	.complete = on_complete,
+	.ended = on_response_ended,
 	.broken = on_broken,
 };
 
--- a/tests/unit/test_loop_client.c
+++ b/tests/unit/test_loop_client.c
@@ -57,6 +57,13 @@
 	if (strstr(request, "/short"))
 		send_text(fd,
 			  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+	if (strstr(request, "/crash"))
+		shutdown(server.listener, SHUT_RDWR);
+	if (strstr(request, "/end"))
+		send_text(fd, "HTTP/1.1 200 OK\r\n\r\nabc");
+	if (strstr(request, "/cut"))
+		send_text(fd, "HTTP/1.1 200 OK\r\n"
+			      "Content-Type: application/json\r\n\r\n{\"a\":");
 	if (strstr(request, "/silent"))
 		send_text(fd,
 			  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
@@ -64,7 +71,8 @@
 		send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
 	if (strstr(request, "/once"))
 		return earlier_requests == 0;
-	return !strstr(request, "/short") && !strstr(request, "/die");
+	return !strstr(request, "/short") && !strstr(request, "/die") &&
+	       !strstr(request, "/end") && !strstr(request, "/cut");
 }
 
 static void *serve_connection(void *arg)
@@ -248,6 +256,17 @@
 }
 END_TEST
 
+START_TEST(a_response_that_ends_with_its_connection_needs_a_living_server)
+{
+	struct http_request request = {0};
+
+	ck_assert_int_eq(run("/end", &request), HTTP_COMPLETE);
+	ck_assert_str_eq(reply.body.data, "abc");
+	ck_assert_int_eq(run("/cut", &request), HTTP_BROKEN);
+	ck_assert_int_eq(run("/end/crash", &request), HTTP_BROKEN);
+}
+END_TEST
+
 START_TEST(truncated_and_stalled_responses_are_reported)
 {
 	struct http_request request = {.idle_timeout_us = TGW_US_PER_S / 20};
@@ -306,6 +325,9 @@
 	tcase_add_test(tcase, a_refused_connection_means_that_nothing_was_sent);
 	tcase_add_test(tcase, a_request_is_not_resent_by_default);
 	tcase_add_test(tcase, a_repeatable_request_is_resent);
+	tcase_add_test(
+		tcase,
+		a_response_that_ends_with_its_connection_needs_a_living_server);
 	tcase_add_test(tcase, truncated_and_stalled_responses_are_reported);
 	tcase_add_test(tcase, a_paused_response_continues_without_loss);
 	tcase_add_test(tcase, cancelling_and_freeing_end_open_exchanges);
