--- a/src/state/prompt_parts.c
+++ b/src/state/prompt_parts.c
@@ -3,6 +3,8 @@
 #include <ctype.h>
 #include <string.h>
 
+#include "base/text.h"
+
 /* Ids are hexadecimal; any other text must not break a log line up. */
 static char readable(char character)
 {
@@ -30,7 +32,7 @@
 {
 	char *at = text;
 
-	strcpy(text, "-");
+	text_copy(text, PROMPT_PARTS_TEXT_SIZE, "-");
 	for (uint32_t i = 0; i < parts->count; i++) {
 		size_t size = strlen(parts->ids[i]);
 
