Judge the age of crash records by one host's clock at a time

In each of these seeds hosts' wall clocks differ by more than an hour: such a host took the records of the others for expired, ignored them, and deleted their keys; and one crash that two hosts reported counted twice.

Now a record's age is what its own host's clock says when it writes the report; records expire by the monotonic clock of the host that knows them; a key is deleted once it has not changed for an hour; and one run of a server crashes once.

--- a/src/coordination/quarantine.c
+++ b/src/coordination/quarantine.c
@@ -225,7 +225,7 @@
 
 	snprintf(item->team, sizeof(item->team), "%s", team);
 	quarantine->counters.crashes++;
-	if (quarantine_item_add_crash(item, &crash))
+	if (quarantine_item_add_crash(item, &crash, false))
 		on_change(quarantine, item);
 	quarantine_probation_end(&quarantine->probation, fingerprint);
 }
--- a/src/coordination/request_quarantine.c
+++ b/src/coordination/request_quarantine.c
@@ -29,6 +29,17 @@
 #define CHECK_INTERVAL_US (500 * TGW_US_PER_MS)
 #define TICK_US (100 * TGW_US_PER_MS)
 #define VERSION_UNKNOWN INT64_C(-1)
+/* A key that its host has not written for this long is deleted: all records
+ * have expired. */
+#define KEY_AGE_MAX_US (INT64_C(3600) * TGW_US_PER_S)
+
+/* The key of another host, as this one has seen it. */
+struct seen_key {
+	char key[KEY_SIZE];
+	int64_t version;
+	int64_t since_us;
+	struct seen_key *next;
+};
 
 struct request_quarantine {
 	char own_key[KEY_SIZE];
@@ -38,6 +49,7 @@
 	struct request_quarantine_counters counters;
 	struct crash_records records; /* its own report is the host's key */
 	struct quarantine_trials *trials;
+	struct seen_key *seen_keys;
 	uint64_t watch;
 	bool listing;
 	bool list_needed;
@@ -137,16 +149,53 @@
 
 static void on_deleted(void *arg, const struct tgw_store_result *result)
 {
-	/* If it fails, a later list of some host finds the key again. */
+	/* If it fails, the key is deleted later. */
 }
 
 /* A host that does not come back leaves its key behind. One that does come back
  * writes it again. */
-static void delete_key(struct request_quarantine *quarantine,
-		       const struct tgw_store_entry *entry)
+static void delete_old_keys(struct request_quarantine *quarantine)
+{
+	int64_t now_us = now_of(quarantine);
+
+	for (struct seen_key *seen = quarantine->seen_keys; seen;
+	     seen = seen->next) {
+		if (seen->version == TGW_STORE_ABSENT ||
+		    now_us - seen->since_us < KEY_AGE_MAX_US)
+			continue;
+		seen->since_us = now_us;
+		tgw_store_swap(
+			quarantine->store, seen->key, seen->version, NULL, 0,
+			(struct tgw_store_callback){on_deleted, quarantine});
+	}
+}
+
+static struct seen_key *find_or_add_seen(struct request_quarantine *quarantine,
+					 const char *key)
+{
+	struct seen_key *seen = quarantine->seen_keys;
+
+	while (seen && strcmp(seen->key, key) != 0)
+		seen = seen->next;
+	if (seen)
+		return seen;
+	seen = xcalloc(1, sizeof(*seen));
+	text_copy(seen->key, sizeof(seen->key), key);
+	seen->version = VERSION_UNKNOWN;
+	seen->next = quarantine->seen_keys;
+	quarantine->seen_keys = seen;
+	return seen;
+}
+
+static void on_seen(struct request_quarantine *quarantine,
+		    const struct tgw_store_entry *entry)
 {
-	tgw_store_swap(quarantine->store, entry->key, entry->version, NULL, 0,
-		       (struct tgw_store_callback){on_deleted, quarantine});
+	struct seen_key *seen = find_or_add_seen(quarantine, entry->key);
+
+	if (seen->version == entry->version)
+		return;
+	seen->version = entry->version;
+	seen->since_us = now_of(quarantine);
 }
 
 static bool is_own_key(const struct request_quarantine *quarantine,
@@ -160,12 +209,9 @@
 			const struct quarantine_report *report)
 {
 	struct crash_records_time now = time_of(quarantine);
-	bool is_own = is_own_key(quarantine, entry->key);
 
-	if (!is_own && crash_records_is_expired(report, &now))
-		delete_key(quarantine, entry);
-	else
-		crash_records_merge(&quarantine->records, report, is_own, &now);
+	crash_records_merge(&quarantine->records, report,
+			    is_own_key(quarantine, entry->key), &now);
 }
 
 /* If the key is not what this host wrote last, it is written again. */
@@ -189,6 +235,8 @@
 
 	if (is_own_key(quarantine, entry->key))
 		on_own_version(quarantine, entry->version);
+	else
+		on_seen(quarantine, entry);
 	if (!entry->value)
 		return;
 	if (quarantine_report_decode(&report, entry->value, entry->value_size,
@@ -310,6 +358,12 @@
 	tgw_store_unwatch(quarantine->store, quarantine->watch);
 	crash_records_free(&quarantine->records);
 	quarantine_trials_free(quarantine->trials);
+	while (quarantine->seen_keys) {
+		struct seen_key *seen = quarantine->seen_keys;
+
+		quarantine->seen_keys = seen->next;
+		free(seen);
+	}
 	free(quarantine);
 }
 
@@ -435,6 +489,7 @@
 	if (crash_records_check(&quarantine->records, &now, &dropped))
 		quarantine->write_needed = true;
 	quarantine->counters.dropped += dropped;
+	delete_old_keys(quarantine);
 }
 
 static bool may_write(const struct request_quarantine *quarantine)
--- a/src/state/crash_records.c
+++ b/src/state/crash_records.c
@@ -6,7 +6,7 @@
 #include "state/crash_suspicion.h"
 #include "tamarackgw/clock.h"
 
-/* A record is dropped when its newest crash is older than this. */
+/* A record is dropped when this host has known its newest crash for longer. */
 #define RECORD_AGE_MAX_US (INT64_C(3600) * TGW_US_PER_S)
 /* Records of one host in its report. All hosts read all reports. */
 #define OWN_RECORDS_MAX 192
@@ -22,6 +22,8 @@
 	records->events = *events;
 	records->listed_after_crash_us = listed_after_crash_us;
 	records->own.table.max_count = OWN_RECORDS_MAX;
+	records->own.table.servers_crash_once = true;
+	records->all.servers_crash_once = true;
 }
 
 void crash_records_free(struct crash_records *records)
@@ -86,29 +88,16 @@
 			     now_us);
 }
 
-static bool has_recent_crash(const struct quarantine_item *item,
-			     const struct crash_records_time *now)
-{
-	for (size_t i = 0; i < item->crash_count; i++)
-		if (item->crashes[i].wall_us >=
-		    now->wall_us - RECORD_AGE_MAX_US)
-			return true;
-	return false;
-}
-
-/* The start of an epoch has no wall time. */
+/* Also of an item that starts an epoch. */
 static bool is_expired(const struct quarantine_item *item,
 		       const struct crash_records_time *now)
 {
-	if (item->crash_count)
-		return !has_recent_crash(item, now);
-	return item->changed_us < now->monotonic_us - RECORD_AGE_MAX_US;
-}
+	int64_t since_us = item->changed_us;
 
-bool crash_records_is_expired(const struct quarantine_report *report,
-			      const struct crash_records_time *now)
-{
-	return report->written_us < now->wall_us - RECORD_AGE_MAX_US;
+	for (size_t i = 0; i < item->crash_count; i++)
+		if (item->crashes[i].learned_us > since_us)
+			since_us = item->crashes[i].learned_us;
+	return since_us < now->monotonic_us - RECORD_AGE_MAX_US;
 }
 
 /* Records of an older epoch count no longer, so this host need not report
@@ -125,14 +114,22 @@
 	own->crash_count = 0;
 }
 
-/* @return the item, whose records this host learns of now */
+/* @param written_us when its host wrote the item, on that host's wall clock
+ * @return the item without old records; this host learns of the others now */
 static struct quarantine_item learn(const struct quarantine_item *update,
-				    int64_t now_us)
+				    int64_t written_us, int64_t now_us)
 {
 	struct quarantine_item learned = *update;
 
-	for (size_t i = 0; i < learned.crash_count; i++)
-		learned.crashes[i].learned_us = now_us;
+	learned.crash_count = 0;
+	for (size_t i = 0; i < update->crash_count; i++) {
+		struct quarantine_crash crash = update->crashes[i];
+
+		if (written_us - crash.wall_us > RECORD_AGE_MAX_US)
+			continue;
+		crash.learned_us = now_us;
+		learned.crashes[learned.crash_count++] = crash;
+	}
 	return learned;
 }
 
@@ -156,8 +153,6 @@
 {
 	struct quarantine_item *item;
 
-	if (update->crash_count && !has_recent_crash(update, now))
-		return;
 	if (!quarantine_table_merge(&records->all, update, now->monotonic_us))
 		return;
 	item = quarantine_table_find(&records->all, &update->fingerprint);
@@ -177,8 +172,9 @@
 			 const struct crash_records_time *now)
 {
 	for (size_t i = 0; i < report->table.count; i++) {
-		struct quarantine_item item =
-			learn(&report->table.items[i], now->monotonic_us);
+		struct quarantine_item item = learn(&report->table.items[i],
+						    report->written_us,
+						    now->monotonic_us);
 
 		merge_item(records, &item, now);
 		if (is_own)
@@ -305,15 +301,18 @@
 	return cleared;
 }
 
-static void expire(struct quarantine_table *table,
+/* @return whether items were dropped */
+static bool expire(struct quarantine_table *table,
 		   const struct crash_records_time *now)
 {
+	size_t before = table->count;
 	size_t kept = 0;
 
 	for (size_t i = 0; i < table->count; i++)
 		if (!is_expired(&table->items[i], now))
 			table->items[kept++] = table->items[i];
 	table->count = kept;
+	return kept < before;
 }
 
 /* @return how many records were dropped */
@@ -352,6 +351,5 @@
 		report_refusal(records, &records->all.items[i],
 			       now->monotonic_us);
 	expire(&records->all, now);
-	expire(&records->own.table, now);
-	return own_dropped > 0;
+	return expire(&records->own.table, now) || own_dropped > 0;
 }
--- a/src/state/crash_records.h
+++ b/src/state/crash_records.h
@@ -49,8 +49,8 @@
 	struct served_memory served;
 };
 
-/** The present time, on both clocks. The wall clock serves for the age of
- * records only. */
+/** The present time, on both clocks. The wall clocks of hosts may differ by any
+ * time: what one wrote is compared only with what the same one wrote. */
 struct crash_records_time {
 	int64_t monotonic_us;
 	int64_t wall_us;
@@ -105,13 +105,9 @@
 			 const struct quarantine_report *report, bool is_own,
 			 const struct crash_records_time *now);
 
-/** @return whether all records of a report have expired */
-bool crash_records_is_expired(const struct quarantine_report *report,
-			      const struct crash_records_time *now);
-
 /** Drops wrong and expired records.
  * @param dropped receives the number of wrong ones
- * @return whether wrong ones of this host were among them */
+ * @return whether the report of this host has changed */
 bool crash_records_check(struct crash_records *records,
 			 const struct crash_records_time *now, size_t *dropped);
 
--- a/src/state/quarantine_table.c
+++ b/src/state/quarantine_table.c
@@ -84,12 +84,15 @@
 }
 
 static bool is_same_crash(const struct quarantine_crash *a,
-			  const struct quarantine_crash *b)
+			  const struct quarantine_crash *b,
+			  bool servers_crash_once)
 {
 	int64_t difference_us = a->wall_us - b->wall_us;
 
-	return a->server_hash == b->server_hash &&
-	       difference_us < SAME_CRASH_US && difference_us > -SAME_CRASH_US;
+	if (a->server_hash != b->server_hash)
+		return false;
+	return servers_crash_once || (difference_us < SAME_CRASH_US &&
+				      difference_us > -SAME_CRASH_US);
 }
 
 /* Hosts that learn of crashes in another order have to drop the same ones. */
@@ -112,12 +115,13 @@
 }
 
 bool quarantine_item_add_crash(struct quarantine_item *item,
-			       const struct quarantine_crash *crash)
+			       const struct quarantine_crash *crash,
+			       bool servers_crash_once)
 {
 	struct quarantine_crash *oldest;
 
 	for (size_t i = 0; i < item->crash_count; i++)
-		if (is_same_crash(&item->crashes[i], crash))
+		if (is_same_crash(&item->crashes[i], crash, servers_crash_once))
 			return false;
 	if (item->crash_count < QUARANTINE_CRASHES_MAX) {
 		item->crashes[item->crash_count++] = *crash;
@@ -176,7 +180,8 @@
 		return true;
 	}
 	for (size_t i = 0; i < update->crash_count; i++)
-		if (quarantine_item_add_crash(item, &update->crashes[i]))
+		if (quarantine_item_add_crash(item, &update->crashes[i],
+					      table->servers_crash_once))
 			changed = true;
 	if (changed)
 		item->changed_us = now_us;
--- a/src/state/quarantine_table.h
+++ b/src/state/quarantine_table.h
@@ -50,6 +50,9 @@
 	size_t count;
 	size_t capacity;
 	size_t max_count; /**< 0: QUARANTINE_ENTRIES_MAX */
+	/** The hash of a server names one run of it, which crashes once,
+	 * whatever the wall clocks of those say that report it. */
+	bool servers_crash_once;
 	struct quarantine_item *items;
 };
 
@@ -71,7 +74,8 @@
  * QUARANTINE_CRASHES_MAX the oldest ones are dropped.
  * @return whether the crashes have changed */
 bool quarantine_item_add_crash(struct quarantine_item *item,
-			       const struct quarantine_crash *crash);
+			       const struct quarantine_crash *crash,
+			       bool servers_crash_once);
 
 /** @return whether the request is refused, because it crashed servers too
  * often; NULL is not refused */
--- a/tests/measure/measure_parts.c
+++ b/tests/measure/measure_parts.c
@@ -207,7 +207,7 @@
 	item = quarantine_table_find_or_add(&play->table, &part->fingerprint,
 					    news->at_us);
 	memcpy(item->part, part->text, sizeof(item->part));
-	quarantine_item_add_crash(item, &crash);
+	quarantine_item_add_crash(item, &crash, true);
 }
 
 static void apply_news(struct play *play, int64_t now_us)
--- a/tests/unit/test_quarantine_parts.c
+++ b/tests/unit/test_quarantine_parts.c
@@ -16,8 +16,15 @@
 /* Incidents are further apart than crashes of one. */
 #define APART_US (300 * TGW_US_PER_MS)
 
+/* A host's clock, whose wall time is wrong by an offset. */
+struct test_clock {
+	struct tgw_clock clock; /* first member */
+	int64_t offset_us;
+};
+
 struct test_host {
 	struct fake_store store;
+	struct test_clock clock;
 	struct request_quarantine *quarantine;
 };
 
@@ -27,6 +34,22 @@
 static unsigned int request_number;
 static uint64_t server_run;
 
+static int64_t get_monotonic_us(const struct tgw_clock *clock)
+{
+	return world.now_us;
+}
+
+static int64_t get_wall_us(const struct tgw_clock *clock)
+{
+	return tgw_clock_wall_us(&world.clock) +
+	       ((const struct test_clock *)clock)->offset_us;
+}
+
+static const struct tgw_clock_ops clock_ops = {
+	.monotonic_us = get_monotonic_us,
+	.wall_us = get_wall_us,
+};
+
 static enum crash_records_server get_server_state(void *arg, uint64_t run)
 {
 	return CRASH_RECORDS_SERVER_UNLISTED;
@@ -53,8 +76,9 @@
 	};
 
 	snprintf(settings.host, sizeof(settings.host), "host-%d", number);
-	hosts[number].quarantine = request_quarantine_new(
-		&settings, &hosts[number].store.store, &world.clock, &events);
+	hosts[number].quarantine =
+		request_quarantine_new(&settings, &hosts[number].store.store,
+				       &hosts[number].clock.clock, &events);
 }
 
 static void stop_host(int number)
@@ -85,6 +109,7 @@
 	fake_store_server_init(&server, &world);
 	for (int i = 0; i < HOSTS; i++) {
 		fake_store_init(&hosts[i].store, &server);
+		hosts[i].clock.clock.ops = &clock_ops;
 		start_host(i);
 	}
 	advance(CONTACT_US);
@@ -274,6 +299,43 @@
 }
 END_TEST
 
+static void set_wrong_clocks(void)
+{
+	hosts[0].clock.offset_us = 5000 * TGW_US_PER_S;
+	hosts[1].clock.offset_us = -4000 * TGW_US_PER_S;
+}
+
+START_TEST(hosts_with_wrong_wall_clocks_refuse_and_clear_alike)
+{
+	set_wrong_clocks();
+	crash_often("bad", 4);
+	ck_assert_int_eq(refusing_hosts("bad"), HOSTS);
+	stop_host(0);
+	start_host(0);
+	/* Before a trial is due. */
+	advance(750 * TGW_US_PER_MS);
+	ck_assert_int_eq(refusing_hosts("bad"), HOSTS);
+	serve(1, "bad", "m");
+	advance(TGW_US_PER_S);
+	ck_assert_int_eq(refusing_hosts("bad"), 0);
+	ck_assert_ptr_nonnull(
+		fake_store_server_find(&server, "tgw/crashes/host-1")->value);
+}
+END_TEST
+
+START_TEST(one_crash_counts_once_whatever_the_clocks_of_its_hosts)
+{
+	set_wrong_clocks();
+	for (int crashes = 0; crashes < 3; crashes++) {
+		for (int i = 0; i < HOSTS; i++)
+			crash_of(i, "part", "m", i == 0);
+		advance(APART_US);
+	}
+	advance(TGW_US_PER_S);
+	ck_assert_int_eq(refusing_hosts("part"), 0);
+}
+END_TEST
+
 /* Nothing tells the two parts apart yet. */
 START_TEST(a_request_without_one_of_two_suspects_may_run)
 {
@@ -421,6 +483,10 @@
 		a_part_that_any_host_saw_served_since_is_cleared_everywhere);
 	tcase_add_test(tcase, what_was_cleared_stays_so_after_restarts);
 	tcase_add_test(tcase, a_host_that_starts_refuses_what_others_refuse);
+	tcase_add_test(tcase,
+		       hosts_with_wrong_wall_clocks_refuse_and_clear_alike);
+	tcase_add_test(tcase,
+		       one_crash_counts_once_whatever_the_clocks_of_its_hosts);
 	tcase_add_test(tcase, a_request_without_one_of_two_suspects_may_run);
 	tcase_add_test(tcase, a_part_that_is_bad_for_one_model_runs_on_another);
 	tcase_add_test(
