--- a/src/coordination/request_quarantine.c
+++ b/src/coordination/request_quarantine.c
@@ -7,6 +7,7 @@
 #include "base/text.h"
 #include "base/xalloc.h"
 #include "coordination/quarantine_trials.h"
+#include "coordination/stale_keys.h"
 #include "state/crash_suspicion.h"
 
 #define KEY_SIZE (sizeof(REQUEST_QUARANTINE_PREFIX) + TGW_NAME_SIZE)
@@ -29,18 +30,6 @@
 #define CHECK_INTERVAL_US (500 * TGW_US_PER_MS)
 #define TICK_US (100 * TGW_US_PER_MS)
 #define VERSION_UNKNOWN INT64_C(-1)
-/* A key that its host has not written for this long is deleted: all records
- * have expired. */
-#define KEY_AGE_MAX_US (INT64_C(3600) * TGW_US_PER_S)
-
-/* The key of another host, as this one has seen it. */
-struct seen_key {
-	char key[KEY_SIZE];
-	int64_t version;
-	int64_t since_us;
-	struct seen_key *next;
-};
-
 struct request_quarantine {
 	char own_key[KEY_SIZE];
 	struct tgw_store *store;
@@ -49,7 +38,7 @@
 	struct request_quarantine_counters counters;
 	struct crash_records records; /* its own report is the host's key */
 	struct quarantine_trials *trials;
-	struct seen_key *seen_keys;
+	struct stale_keys *stale_keys; /* of other hosts */
 	uint64_t watch;
 	bool listing;
 	bool list_needed;
@@ -147,57 +136,6 @@
 		quarantine->counters.trials++;
 }
 
-static void on_deleted(void *arg, const struct tgw_store_result *result)
-{
-	/* If it fails, the key is deleted later. */
-}
-
-/* A host that does not come back leaves its key behind. One that does come back
- * writes it again. */
-static void delete_old_keys(struct request_quarantine *quarantine)
-{
-	int64_t now_us = now_of(quarantine);
-
-	for (struct seen_key *seen = quarantine->seen_keys; seen;
-	     seen = seen->next) {
-		if (seen->version == TGW_STORE_ABSENT ||
-		    now_us - seen->since_us < KEY_AGE_MAX_US)
-			continue;
-		seen->since_us = now_us;
-		tgw_store_swap(
-			quarantine->store, seen->key, seen->version, NULL, 0,
-			(struct tgw_store_callback){on_deleted, quarantine});
-	}
-}
-
-static struct seen_key *find_or_add_seen(struct request_quarantine *quarantine,
-					 const char *key)
-{
-	struct seen_key *seen = quarantine->seen_keys;
-
-	while (seen && strcmp(seen->key, key) != 0)
-		seen = seen->next;
-	if (seen)
-		return seen;
-	seen = xcalloc(1, sizeof(*seen));
-	text_copy(seen->key, sizeof(seen->key), key);
-	seen->version = VERSION_UNKNOWN;
-	seen->next = quarantine->seen_keys;
-	quarantine->seen_keys = seen;
-	return seen;
-}
-
-static void on_seen(struct request_quarantine *quarantine,
-		    const struct tgw_store_entry *entry)
-{
-	struct seen_key *seen = find_or_add_seen(quarantine, entry->key);
-
-	if (seen->version == entry->version)
-		return;
-	seen->version = entry->version;
-	seen->since_us = now_of(quarantine);
-}
-
 static bool is_own_key(const struct request_quarantine *quarantine,
 		       const char *key)
 {
@@ -236,7 +174,7 @@
 	if (is_own_key(quarantine, entry->key))
 		on_own_version(quarantine, entry->version);
 	else
-		on_seen(quarantine, entry);
+		stale_keys_on_entry(quarantine->stale_keys, entry);
 	if (!entry->value)
 		return;
 	if (quarantine_report_decode(&report, entry->value, entry->value_size,
@@ -338,6 +276,7 @@
 	crash_records_init(&quarantine->records, &records_events,
 			   settings->listed_after_crash_us);
 	quarantine->trials = quarantine_trials_new(store, clock);
+	quarantine->stale_keys = stale_keys_new(store, clock);
 	quarantine->store = store;
 	quarantine->clock = clock;
 	quarantine->events = *events;
@@ -357,12 +296,7 @@
 	tgw_store_unwatch(quarantine->store, quarantine->watch);
 	crash_records_free(&quarantine->records);
 	quarantine_trials_free(quarantine->trials);
-	while (quarantine->seen_keys) {
-		struct seen_key *seen = quarantine->seen_keys;
-
-		quarantine->seen_keys = seen->next;
-		free(seen);
-	}
+	stale_keys_free(quarantine->stale_keys);
 	free(quarantine);
 }
 
@@ -487,7 +421,7 @@
 	if (crash_records_check(&quarantine->records, &now, &dropped))
 		quarantine->write_needed = true;
 	quarantine->counters.dropped += dropped;
-	delete_old_keys(quarantine);
+	stale_keys_delete(quarantine->stale_keys);
 }
 
 static bool may_write(const struct request_quarantine *quarantine)
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -4,7 +4,6 @@
 #include "edge/backend_pool.h"
 #include "edge/call_log.h"
 #include "edge/call_private.h"
-#include "edge/crash_check.h"
 #include "edge/edge_callers.h"
 #include "edge/server_signals.h"
 #include "protocol/media_type.h"
@@ -433,49 +432,6 @@
 	finish(attempt);
 }
 
-static bool content_is_cut(const struct call_attempt *attempt)
-{
-	if (!is_success(attempt->status) || attempt->conn->ignore_body)
-		return false;
-	if (attempt->is_json)
-		return !json_scan_is_whole(&attempt->json);
-	return attempt->is_event_stream && attempt->events.in_event;
-}
-
-static void on_end_checked(void *arg, enum connect_check_result result)
-{
-	struct call_attempt *attempt = arg;
-
-	attempt->end_check = NULL;
-	call_log_end_checked(attempt, result);
-	if (result == CONNECT_CHECK_ACCEPTED)
-		http_conn_confirm_end(attempt->conn);
-	else
-		call_attempt_failed(attempt, BACKEND_BROKEN,
-				    "the server can't be reached since its "
-				    "answer ended with the connection");
-}
-
-/* The end of such a connection looks the same if the server crashed there. */
-static void on_ended(struct http_conn *conn)
-{
-	struct call_attempt *attempt = conn->arg;
-
-	if (content_is_cut(attempt)) {
-		call_attempt_failed(attempt, BACKEND_BROKEN,
-				    "the answer ended within its content");
-		return;
-	}
-	if (!crash_check_may_crash(attempt->backend)) {
-		http_conn_confirm_end(conn);
-		return;
-	}
-	attempt->end_check = crash_check_connect(
-		attempt->backend, attempt->call->edge, on_end_checked, attempt);
-	if (!attempt->end_check)
-		on_end_checked(attempt, CONNECT_CHECK_UNKNOWN);
-}
-
 static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
 {
 	struct call_attempt *attempt = conn->arg;
@@ -495,6 +451,6 @@
 	.head = on_head,
 	.body = on_body,
 	.complete = on_complete,
-	.ended = on_ended,
+	.ended = call_answer_on_ended,
 	.broken = on_broken,
 };
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -2,8 +2,9 @@
  * @file call_private.h
  * State of a call, shared by the files that implement it: call.c admits and
  * ends it, call_dispatch.c decides where it goes next, call_attempt.c sends it
- * to a server, call_timer.c watches its times, and call_answer.c forwards the
- * response.
+ * to a server, call_timer.c watches its times, call_answer.c forwards the
+ * response, and call_answer_end.c decides whether one that ended with its
+ * connection is whole.
  */
 #ifndef EDGE_CALL_PRIVATE_H
 #define EDGE_CALL_PRIVATE_H
@@ -205,6 +206,9 @@
 /** Events of the connection to the server. */
 extern const struct http_conn_events call_response_events;
 
+/** Handles a response that has ended with its connection. */
+void call_answer_on_ended(struct http_conn *conn);
+
 /** Sets the timer to the next deadline of the call. */
 void call_schedule(struct call *call);
 
