--- a/src/state/crash_suspicion.c
+++ b/src/state/crash_suspicion.c
@@ -106,8 +106,9 @@
 	for (size_t i = 0; identity->part_count && i < table->count; i++) {
 		const struct quarantine_item *item = &table->items[i];
 
-		if (has_incidents(item, incidents, now_us) &&
-		    request_identity_has_part(identity, &item->fingerprint))
+		if (item->crash_count >= incidents &&
+		    request_identity_has_part(identity, &item->fingerprint) &&
+		    has_incidents(item, incidents, now_us))
 			return true;
 	}
 	return false;
