--- a/src/state/crash_records.c
+++ b/src/state/crash_records.c
@@ -267,8 +267,9 @@
 	return true;
 }
 
-/* A part that many hosts serve is cleared by those that suspected it, or by any
- * once it was in a second crash: all of them would write their records. */
+/* A part that many hosts serve is cleared by those that suspected it, and by
+ * any only if it is about to be refused: all of them would write their records.
+ */
 static bool is_to_clear(const struct crash_records *records,
 			const struct quarantine_item *item)
 {
@@ -276,7 +277,8 @@
 
 	if (!*item->part || !item->crash_count)
 		return false;
-	if (item->crash_count > 1)
+	if (crash_suspicion_incidents(item, INT64_MAX) + 1 >=
+	    CRASH_SUSPICION_INCIDENTS_MIN)
 		return true;
 	own = quarantine_table_find(&records->own.table, &item->fingerprint);
 	return own && own->crash_count;
