Let the first run of the standin's order test last until the third has arrived

The first run lasts 50 tokens of 10 ms: where the shell takes longer than 0.5 s to submit the third one, the second has begun by then. The order is checked as before.

--- a/tests/cram/standins.t
+++ b/tests/cram/standins.t
@@ -179,11 +179,12 @@
   $ E=$(fleet_url narrow)
   $ submit() { chat $1 1 '{"stream":true,"priority":'$2',"model":"m","messages":[{"role":"user","content":"ANSWER-TOKENS='$3'"}]}' >$1.out; echo $1 >>order; }
   $ waiting() { curl -sS $E/load | jq -e ".running + .waiting == $1"; }
-  $ submit first 0 50 & line_1=$!
+  $ submit first 0 300 & line_1=$!
   $ fleet_wait 5 waiting 1
-  $ submit late 3 30 & line_2=$!
+  $ submit late 3 100 & line_2=$!
   $ fleet_wait 5 waiting 2
-  $ submit soon 1 30 & line_3=$!
+  $ submit soon 1 100 & line_3=$!
+  $ fleet_wait 5 waiting 3
   $ wait $line_1 $line_2 $line_3
   $ cat order
   first
