Review case 2: a request that crashes workers after its caller has left

Cause: a crash is recorded only while the call is open; a caller that leaves first ends it, so the request is never suspected and comes again. Change: a script; the case of large bodies is case 3 now. Entries of workers that have ended leave the stand-in's store after three heartbeats, and their ports are closed at once.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-for name in endless_event large_bodies; do
+for name in endless_event left_poison large_bodies cut_watches; do
 	${CC:-cc} -O2 -Wall -o bin/$name standin/site.c standin/case.c \
 		standin/$name.c -ljansson -lpthread
 done
--- a/review/standin/site.c
+++ b/review/standin/site.c
@@ -719,15 +719,29 @@
 	return store_put(key, value);
 }
 
+#define MISSED_HEARTBEATS 3
+
+/* The store removes the entry of one that has ended after three heartbeat
+ * intervals of silence. */
 static void *beat(void *arg)
 {
 	struct worker *worker = arg;
+	double beat_ms = site_ms();
+	char key[64];
 
 	while (!worker->ended) {
-		site_sleep(deployment.heartbeat_ms);
-		if (worker->beats && !worker->ended)
-			write_entry(worker);
+		if (site_ms() - beat_ms >= deployment.heartbeat_ms) {
+			beat_ms += deployment.heartbeat_ms;
+			if (worker->beats)
+				write_entry(worker);
+		}
+		site_sleep(10);
 	}
+	if (worker->left_ms && !worker->draining)
+		return NULL;
+	site_sleep_until(beat_ms + MISSED_HEARTBEATS * deployment.heartbeat_ms);
+	snprintf(key, sizeof(key), "servers/%s", worker->id);
+	store_remove(key);
 	return NULL;
 }
 
@@ -837,8 +851,10 @@
 		if (poll(&listener, 1, 20) <= 0)
 			continue;
 		fd = accept4(worker->listener, NULL, NULL, SOCK_CLOEXEC);
-		if (fd < 0)
+		if (fd < 0) {
+			site_sleep(1);
 			continue;
+		}
 		conn = calloc(1, sizeof(*conn));
 		conn->worker = worker;
 		conn->fd = fd;
@@ -871,6 +887,8 @@
 {
 	worker->beats = false;
 	worker->ended = true;
+	/* From now on connections are refused. */
+	shutdown(worker->listener, SHUT_RDWR);
 	record("worker %s ends", worker->id);
 }
 
