--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <strings.h>
 
 #include "edge/backend_pool.h"
@@ -11,8 +10,6 @@
 /* A larger response is forwarded as it arrives, which rules out a retry. */
 #define MAX_BUFFERED_BYTES (256 * 1024)
 #define STATUS_OK 200
-/* Room for the text of a failed attempt with two ids. */
-#define REASON_SIZE 128
 
 static void copy_fields(struct call_attempt *attempt,
 			const struct http_head *head)
@@ -30,7 +27,7 @@
 	}
 }
 
-static void begin_forwarding(struct call_attempt *attempt)
+void call_attempt_begin_forwarding(struct call_attempt *attempt)
 {
 	struct call *call = attempt->call;
 
@@ -48,13 +45,6 @@
 	return status >= 200 && status < 300;
 }
 
-/* The caller has the beginning of a stream, and this server has not gone on
- * with it. */
-static bool is_to_go_on(const struct call_attempt *attempt)
-{
-	return attempt->call->head_sent && !attempt->forwarding;
-}
-
 static void find_body_type(struct call_attempt *attempt,
 			   const struct http_head *head)
 {
@@ -82,8 +72,7 @@
 	call_schedule(call);
 }
 
-/* A server has begun to answer, so the call needs no other attempt. */
-static void settle_on(struct call_attempt *attempt)
+void call_settle_on(struct call_attempt *attempt)
 {
 	if (attempt == attempt->call->earlier)
 		return_to_earlier_attempt(attempt->call);
@@ -120,7 +109,7 @@
 
 	find_body_type(attempt, head);
 	if (!call->head_sent) {
-		settle_on(attempt);
+		call_settle_on(attempt);
 		copy_fields(attempt, head);
 	} else if (!attempt->is_event_stream || attempt->status != STATUS_OK) {
 		call_attempt_failed(attempt, BACKEND_FAILED,
@@ -132,7 +121,7 @@
 		return;
 	if (!attempt->is_event_stream)
 		call->body_forwarded = true;
-	begin_forwarding(attempt);
+	call_attempt_begin_forwarding(attempt);
 }
 
 static enum http_conn_verdict on_head(struct http_conn *conn)
@@ -171,8 +160,8 @@
 	return HTTP_CONN_ACCEPT;
 }
 
-static void forward_body(struct call_attempt *attempt, const char *data,
-			 size_t size)
+void call_attempt_forward(struct call_attempt *attempt, const char *data,
+			  size_t size)
 {
 	struct call *call = attempt->call;
 
@@ -184,116 +173,6 @@
 	http_conn_pause(attempt->conn);
 }
 
-static void record_sound_parts(struct call *call)
-{
-	if (call->parts_served)
-		return;
-	call->parts_served = true;
-	request_quarantine_on_progress(call->edge->quarantine, &call->identity);
-}
-
-/* Records events that are forwarded.
- * @param before number of events of the attempt before them */
-static void record_events(struct call_attempt *attempt, uint64_t before)
-{
-	const struct event_scan *events = &attempt->events;
-	struct call *call = attempt->call;
-
-	if (events->events == before)
-		return;
-	call->events_sent += events->events - before;
-	call->last_event_id = events->resume_id;
-	call->skips_ids |= events->skips_ids;
-	if (events->events >= CALL_SOUND_EVENTS)
-		record_sound_parts(call);
-}
-
-/* @param complete how many of these bytes precede the incomplete event */
-static void forward_complete_events(struct call_attempt *attempt,
-				    const char *data, size_t size,
-				    size_t complete)
-{
-	if (complete && attempt->partial.size) {
-		buffer_add(&attempt->partial, data, complete);
-		forward_body(attempt, attempt->partial.data,
-			     attempt->partial.size);
-		buffer_clear(&attempt->partial);
-	} else if (complete) {
-		forward_body(attempt, data, complete);
-	}
-	buffer_add(&attempt->partial, data + complete, size - complete);
-}
-
-/* Forwards only complete events of a resumable stream, so that another server
- * can resume it after the last one. */
-static void forward_events(struct call_attempt *attempt, const char *data,
-			   size_t size)
-{
-	uint64_t before = attempt->events.events;
-	size_t complete = event_scan_feed(&attempt->events, data, size);
-
-	record_events(attempt, before);
-	if (attempt->call->route.kind == ROUTE_RESUMABLE &&
-	    attempt->is_event_stream)
-		forward_complete_events(attempt, data, size, complete);
-	else
-		forward_body(attempt, data, size);
-}
-
-/* Whether the first event of an attempt is the one after those that the caller
- * has. A server that does not go on there runs the request anew, and its events
- * may not be those of the first run. */
-static bool goes_on_in_order(const struct call_attempt *attempt)
-{
-	const struct call *call = attempt->call;
-	int64_t first_id = attempt->events.first_id;
-
-	if (!call->events_sent)
-		return true;
-	if (first_id <= call->last_event_id)
-		return false;
-	return call->skips_ids || first_id == call->last_event_id + 1;
-}
-
-static void fail_out_of_order(struct call_attempt *attempt)
-{
-	long long last_id = attempt->call->last_event_id;
-	long long first_id = attempt->events.first_id;
-	char reason[REASON_SIZE];
-
-	if (first_id == EVENT_SCAN_NO_ID)
-		snprintf(reason, sizeof(reason),
-			 "the server went on with an event without an id after "
-			 "event %lld",
-			 last_id);
-	else
-		snprintf(reason, sizeof(reason),
-			 "the server went on with event %lld after event %lld",
-			 first_id, last_id);
-	call_attempt_failed(attempt, BACKEND_FAILED, reason);
-}
-
-/* The server that has begun to answer gets the stream once its first event
- * shows that it goes on with it. Until then a silent one may still do so. */
-static void go_on_with_stream(struct call_attempt *attempt, const char *data,
-			      size_t size)
-{
-	size_t complete = event_scan_feed(&attempt->events, data, size);
-
-	if (!attempt->events.events) {
-		buffer_add(&attempt->partial, data, size);
-		return;
-	}
-	if (!goes_on_in_order(attempt)) {
-		fail_out_of_order(attempt);
-		return;
-	}
-	settle_on(attempt);
-	begin_forwarding(attempt);
-	record_events(attempt, 0);
-	forward_complete_events(attempt, data, size, complete);
-}
-
 /* Looks for what a body without a length has to end with. */
 static void scan_body(struct call_attempt *attempt, const char *data,
 		      size_t size)
@@ -310,15 +189,15 @@
 
 	call_attempt_progress(attempt, edge_now_us());
 	scan_body(attempt, data, size);
-	if (is_to_go_on(attempt)) {
+	if (call_attempt_has_to_go_on(attempt)) {
 		if (is_success(attempt->status))
-			go_on_with_stream(attempt, data, size);
+			call_stream_go_on(attempt, data, size);
 		return;
 	}
 	if (is_success(attempt->status))
-		settle_on(attempt);
+		call_settle_on(attempt);
 	if (attempt->forwarding && call_is_stream(attempt->call)) {
-		forward_events(attempt, data, size);
+		call_stream_forward(attempt, data, size);
 		return;
 	}
 	if (!attempt->forwarding &&
@@ -326,12 +205,12 @@
 		buffer_add(&attempt->body, data, size);
 		return;
 	}
-	settle_on(attempt);
+	call_settle_on(attempt);
 	attempt->call->body_forwarded = true;
-	begin_forwarding(attempt);
-	forward_body(attempt, attempt->body.data, attempt->body.size);
+	call_attempt_begin_forwarding(attempt);
+	call_attempt_forward(attempt, attempt->body.data, attempt->body.size);
 	buffer_clear(&attempt->body);
-	forward_body(attempt, data, size);
+	call_attempt_forward(attempt, data, size);
 }
 
 static void record_response(struct call_attempt *attempt)
@@ -356,7 +235,7 @@
 	call->may_have_run = true;
 	if (is_success(attempt->status)) {
 		request_quarantine_on_served(edge->quarantine, &call->identity);
-		record_sound_parts(call);
+		call_record_sound_parts(call);
 	}
 	record_response(attempt);
 	if (caller && !call->head_sent) {
@@ -418,7 +297,7 @@
 	}
 	if (failed && call_retry_server_error(attempt))
 		return;
-	if (is_to_go_on(attempt) && !ends_stream(attempt)) {
+	if (call_attempt_has_to_go_on(attempt) && !ends_stream(attempt)) {
 		call_attempt_failed(
 			attempt, BACKEND_FAILED,
 			is_success(attempt->status)
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -3,8 +3,8 @@
  * State of a call, shared by the files that implement it: call.c admits and
  * ends it, call_dispatch.c decides where it goes next, call_attempt.c sends it
  * to a server, call_timer.c watches its times, call_answer.c forwards the
- * response, and call_answer_end.c decides whether one that ended with its
- * connection is whole.
+ * response, call_stream.c the events of a stream, and call_answer_end.c decides
+ * whether one that ended with its connection is whole.
  */
 #ifndef EDGE_CALL_PRIVATE_H
 #define EDGE_CALL_PRIVATE_H
@@ -206,6 +206,38 @@
 /** Events of the connection to the server. */
 extern const struct http_conn_events call_response_events;
 
+/** @return whether the caller has the beginning of a stream that this attempt's
+ * server has not gone on with */
+static inline bool call_attempt_has_to_go_on(const struct call_attempt *attempt)
+{
+	return attempt->call->head_sent && !attempt->forwarding;
+}
+
+/** Ends the other attempt, since this one's server has begun to answer. */
+void call_settle_on(struct call_attempt *attempt);
+
+/** Sends the head of the response to the caller, and its body as it arrives. */
+void call_attempt_begin_forwarding(struct call_attempt *attempt);
+
+/** Sends bytes of the body to the caller, and pauses the server if the caller
+ * reads too slowly. */
+void call_attempt_forward(struct call_attempt *attempt, const char *data,
+			  size_t size);
+
+/** Records that the parts of the request's prompt do not crash servers. */
+void call_record_sound_parts(struct call *call);
+
+/** Forwards bytes of a stream. Of a resumable one only complete events are
+ * forwarded, so that another server can go on after the last one. */
+void call_stream_forward(struct call_attempt *attempt, const char *data,
+			 size_t size);
+
+/** Takes bytes of an attempt that has to go on with a stream. Its server gets
+ * the stream once its first event shows that it does. Until then a silent one
+ * may still do so. */
+void call_stream_go_on(struct call_attempt *attempt, const char *data,
+		       size_t size);
+
 /** Handles a response that has ended with its connection. */
 void call_answer_on_ended(struct http_conn *conn);
 
