Count what a host holds of servers' answers

Neither logs nor metrics told what an answer held when it failed, nor what all answers of a host held together: a host that was killed for its memory left no trace of what had taken it. attempt_failed lines say held_bytes (this answer) and held_by_all, the metrics answer_held_bytes and answer_held_peak_bytes the sum and its peak. New setting answer_memory_percent, 25.

The bytes of an incomplete event are given back once it is forwarded, and those of a body once it is forwarded as it arrives; both buffers kept their memory until the answer's end before.

--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -25,6 +25,7 @@
 		buffer_add_text(&attempt->fields, http_head_value(head, i));
 		buffer_add_text(&attempt->fields, "\r\n");
 	}
+	call_attempt_record_held(attempt);
 }
 
 void call_attempt_begin_forwarding(struct call_attempt *attempt)
@@ -203,13 +204,15 @@
 	if (!attempt->forwarding &&
 	    attempt->body.size + size <= MAX_BUFFERED_BYTES) {
 		buffer_add(&attempt->body, data, size);
+		call_attempt_record_held(attempt);
 		return;
 	}
 	call_settle_on(attempt);
 	attempt->call->body_forwarded = true;
 	call_attempt_begin_forwarding(attempt);
 	call_attempt_forward(attempt, attempt->body.data, attempt->body.size);
-	buffer_clear(&attempt->body);
+	buffer_free(&attempt->body);
+	call_attempt_record_held(attempt);
 	call_attempt_forward(attempt, data, size);
 }
 
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -165,6 +165,14 @@
 		http_conn_close(attempt->conn);
 }
 
+void call_attempt_record_held(struct call_attempt *attempt)
+{
+	held_bytes_record(
+		&attempt->call->edge->held_bytes, &attempt->held_bytes,
+		(int64_t)(attempt->fields.capacity + attempt->body.capacity +
+			  attempt->partial.capacity));
+}
+
 void call_attempt_end(struct call_attempt *attempt)
 {
 	struct call *call = attempt->call;
@@ -181,6 +189,7 @@
 	buffer_free(&attempt->fields);
 	buffer_free(&attempt->body);
 	buffer_free(&attempt->partial);
+	call_attempt_record_held(attempt);
 	memset(attempt, 0, sizeof(*attempt));
 	backend_end(&call->edge->backends, backend);
 }
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -49,21 +49,24 @@
 	prompt_parts_to_text(&call->request.parts, parts);
 	request_fingerprint_to_text(&call->identity.whole, fingerprint);
 	/* The key failure_share= is the name of failure_rate in the log. */
-	edge_log_line(
-		&call->edge->log, EDGE_LOG_NOTICE, "call", "attempt_failed",
-		"request=%s server=%s reason=\"%s\" sent=%d events=%llu "
-		"attempt=%u age_ms=%lld silent_ms=%lld "
-		"server_load=%u+%u/%u "
-		"load_ms_ago=%lld failure_share=%.2f fingerprint=%s parts=%s",
-		call->request.id, backend->entry.id, reason,
-		call_attempt_is_sent(attempt),
-		(unsigned long long)call->events_sent, call->attempt_count,
-		ms_since(attempt->started_us),
-		ms_since(attempt->last_progress_us), backend->reported.running,
-		backend->reported.waiting, backend->entry.slots,
-		ms_since(backend->reported_us),
-		backend_failure_rate(backend, edge_now_us()), fingerprint,
-		parts);
+	edge_log_line(&call->edge->log, EDGE_LOG_NOTICE, "call",
+		      "attempt_failed",
+		      "request=%s server=%s reason=\"%s\" sent=%d events=%llu "
+		      "attempt=%u age_ms=%lld silent_ms=%lld "
+		      "server_load=%u+%u/%u "
+		      "load_ms_ago=%lld failure_share=%.2f held_bytes=%lld "
+		      "held_by_all=%lld fingerprint=%s parts=%s",
+		      call->request.id, backend->entry.id, reason,
+		      call_attempt_is_sent(attempt),
+		      (unsigned long long)call->events_sent,
+		      call->attempt_count, ms_since(attempt->started_us),
+		      ms_since(attempt->last_progress_us),
+		      backend->reported.running, backend->reported.waiting,
+		      backend->entry.slots, ms_since(backend->reported_us),
+		      backend_failure_rate(backend, edge_now_us()),
+		      (long long)attempt->held_bytes,
+		      (long long)call->edge->held_bytes.total_bytes,
+		      fingerprint, parts);
 }
 
 void call_log_attempt_silent(const struct call_attempt *attempt)
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -64,6 +64,7 @@
 	/* Incomplete last event of a resumable stream; all that came before its
 	 * first event if the attempt goes on with a stream. */
 	struct buffer partial;
+	int64_t held_bytes; /* recorded for the three buffers above */
 	struct event_scan events;
 	struct json_scan json;
 	/* Whether its server lives is being checked, since the response has
@@ -216,6 +217,9 @@
 /** Ends the other attempt, since this one's server has begun to answer. */
 void call_settle_on(struct call_attempt *attempt);
 
+/** Records what the host holds of the attempt's answer. */
+void call_attempt_record_held(struct call_attempt *attempt);
+
 /** Sends the head of the response to the caller, and its body as it arrives. */
 void call_attempt_begin_forwarding(struct call_attempt *attempt);
 
--- a/src/edge/call_stream.c
+++ b/src/edge/call_stream.c
@@ -31,20 +31,27 @@
 		call_record_sound_parts(call);
 }
 
+static void keep_incomplete(struct call_attempt *attempt, const char *data,
+			    size_t size)
+{
+	buffer_add(&attempt->partial, data, size);
+	call_attempt_record_held(attempt);
+}
+
 /* @param complete how many of these bytes precede the incomplete event */
 static void forward_complete_events(struct call_attempt *attempt,
 				    const char *data, size_t size,
 				    size_t complete)
 {
 	if (complete && attempt->partial.size) {
-		buffer_add(&attempt->partial, data, complete);
 		call_attempt_forward(attempt, attempt->partial.data,
 				     attempt->partial.size);
-		buffer_clear(&attempt->partial);
-	} else if (complete) {
-		call_attempt_forward(attempt, data, complete);
+		buffer_free(&attempt->partial);
+		call_attempt_record_held(attempt);
 	}
-	buffer_add(&attempt->partial, data + complete, size - complete);
+	call_attempt_forward(attempt, data, complete);
+	if (size > complete)
+		keep_incomplete(attempt, data + complete, size - complete);
 }
 
 void call_stream_forward(struct call_attempt *attempt, const char *data,
@@ -100,7 +107,7 @@
 	size_t complete = event_scan_feed(&attempt->events, data, size);
 
 	if (!attempt->events.events) {
-		buffer_add(&attempt->partial, data, size);
+		keep_incomplete(attempt, data, size);
 		return;
 	}
 	if (!goes_on_in_order(attempt)) {
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -22,6 +22,7 @@
 #include "edge/edge_settings.h"
 #include "state/backend_table.h"
 #include "state/connection_room.h"
+#include "state/held_bytes.h"
 #include "state/host_load.h"
 #include "state/latency_buckets.h"
 #include "state/link_load.h"
@@ -109,6 +110,7 @@
 	int64_t budget_due_us;
 	struct server_limits limits; /* on callers' requests */
 	struct connection_room room;
+	struct held_bytes held_bytes; /* of servers' answers */
 	struct link_bytes link_bytes; /* of requests and their responses */
 	struct link_load link_load;
 	/* Callers' connections, by their last request, the latest first. */
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -204,6 +204,10 @@
 	add_counter(text, "log_lines_dropped_total", edge->log.dropped_total);
 	add_gauge(text, "open_requests", edge->call_count);
 	add_gauge(text, "caller_connections", edge->conn_count);
+	add_gauge(text, "answer_held_bytes",
+		  (double)edge->held_bytes.total_bytes);
+	add_gauge(text, "answer_held_peak_bytes",
+		  (double)edge->held_bytes.peak_bytes);
 	add_gauge(text, "loop_lag_seconds",
 		  (double)edge->load.loop_lag_us / (double)TGW_US_PER_S);
 	add_gauge(text, "reads_waiting", edge->turns.waiting);
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -27,6 +27,10 @@
 	NUMBER("host", "memory_mb", memory_mb, 0, 1000000000, 0,
 	       "memory of this host; larger hosts take tokens of budgets for "
 	       "smaller ones of their failure domain"),
+	NUMBER("host", "answer_memory_percent", answer_memory_percent, 1, 50,
+	       25,
+	       "percentage of memory_mb that answers of backend servers may "
+	       "take until they may be passed on; without memory_mb, of 256"),
 	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
 	       "file descriptors that the process may have open; 0 for the "
 	       "limit that the system sets"),
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -20,6 +20,7 @@
 	char peer_address[TGW_NAME_SIZE];    /**< of other hosts' messages;
 					      * empty for none */
 	int64_t memory_mb;
+	int64_t answer_memory_percent;
 	int64_t max_descriptors; /**< 0: the system's limit */
 	int64_t link_mbps;	 /**< 0: unknown */
 	/* [store] */
