Limit what a host holds of an event that has not ended

Cause: of a resumable stream a host passes on complete events only, and kept the incomplete one without a limit, also what comes before the first event of a server that goes on with a stream. All other buffers of an answer had limits; these two had none, and the limits of the others were not added up: 256 KB an answer, 2,000 of which exceed a small host.

Change: state/held_bytes decides before bytes are held. An event and a body may take 256 KB each, what a growing buffer has in reserve included, and all answers together a share of the host's memory (answer_memory_percent); 8 KB of each are always allowed. An event that may not be held ends its attempt as broken: it has no end, since a whole answer of these engines takes some ten KB. The stream goes on at another server where it may, and is cut where not. Passing the bytes on was weighed: the caller would get bytes that are no answer, and could not be given its answer by a sound server any more. A body that may not be held is forwarded as it arrives, as before. A large event of a sound server is treated like one without an end from 256 KB on.

--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -10,16 +10,27 @@
 
 #define BUFFER_INITIAL_BYTES 256
 
-static void buffer_reserve(struct buffer *buffer, size_t more)
+size_t buffer_capacity_with(const struct buffer *buffer, size_t more)
 {
 	size_t needed = buffer->size + more + 1;
+	size_t capacity = buffer->capacity;
+
+	if (needed <= capacity)
+		return capacity;
+	if (!capacity)
+		capacity = BUFFER_INITIAL_BYTES;
+	while (capacity < needed)
+		capacity *= 2;
+	return capacity;
+}
+
+static void buffer_reserve(struct buffer *buffer, size_t more)
+{
+	size_t capacity = buffer_capacity_with(buffer, more);
 
-	if (needed <= buffer->capacity)
+	if (capacity == buffer->capacity)
 		return;
-	if (!buffer->capacity)
-		buffer->capacity = BUFFER_INITIAL_BYTES;
-	while (buffer->capacity < needed)
-		buffer->capacity *= 2;
+	buffer->capacity = capacity;
 	buffer->data = xrealloc(buffer->data, buffer->capacity);
 }
 
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -7,8 +7,6 @@
 #include "edge/server_signals.h"
 #include "protocol/media_type.h"
 
-/* A larger response is forwarded as it arrives, which rules out a retry. */
-#define MAX_BUFFERED_BYTES (256 * 1024)
 #define STATUS_OK 200
 
 static void copy_fields(struct call_attempt *attempt,
@@ -202,11 +200,13 @@
 		return;
 	}
 	if (!attempt->forwarding &&
-	    attempt->body.size + size <= MAX_BUFFERED_BYTES) {
+	    call_attempt_may_hold(attempt, &attempt->body, size) == HELD_FITS) {
 		buffer_add(&attempt->body, data, size);
 		call_attempt_record_held(attempt);
 		return;
 	}
+	/* A body that the host may not hold is forwarded as it arrives, which
+	 * rules out a retry. */
 	call_settle_on(attempt);
 	attempt->call->body_forwarded = true;
 	call_attempt_begin_forwarding(attempt);
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -217,6 +217,16 @@
 /** Ends the other attempt, since this one's server has begun to answer. */
 void call_settle_on(struct call_attempt *attempt);
 
+/** @return whether the host may hold `more` bytes in a buffer of the attempt */
+static inline enum held_verdict call_attempt_may_hold(
+	const struct call_attempt *attempt, const struct buffer *buffer,
+	size_t more)
+{
+	return held_bytes_check(&attempt->call->edge->held_bytes,
+				(int64_t)buffer->capacity,
+				(int64_t)buffer_capacity_with(buffer, more));
+}
+
 /** Records what the host holds of the attempt's answer. */
 void call_attempt_record_held(struct call_attempt *attempt);
 
--- a/src/edge/call_stream.c
+++ b/src/edge/call_stream.c
@@ -4,8 +4,8 @@
 
 #include "edge/call_private.h"
 
-/* Room for the text of a failed attempt with two ids. */
-#define REASON_SIZE 128
+/* Room for the text of a failed attempt with two numbers. */
+#define REASON_SIZE 160
 
 void call_record_sound_parts(struct call *call)
 {
@@ -31,9 +31,36 @@
 		call_record_sound_parts(call);
 }
 
+/* An event that large is not one of a sound server. What the host holds of it
+ * is dropped, and the stream goes on at another server where it may. */
+static void fail_without_end(struct call_attempt *attempt, size_t size,
+			     enum held_verdict verdict)
+{
+	struct edge *edge = attempt->call->edge;
+	char reason[REASON_SIZE];
+
+	edge->counters.events_without_end++;
+	snprintf(
+		reason, sizeof(reason),
+		"the server's event has not ended after %zu bytes; %s may hold "
+		"%lld",
+		attempt->partial.size + size,
+		verdict == HELD_HOST_FULL ? "all answers together"
+					  : "an answer",
+		(long long)held_bytes_limit(&edge->held_bytes, verdict));
+	call_attempt_failed(attempt, BACKEND_BROKEN, reason);
+}
+
 static void keep_incomplete(struct call_attempt *attempt, const char *data,
 			    size_t size)
 {
+	enum held_verdict verdict =
+		call_attempt_may_hold(attempt, &attempt->partial, size);
+
+	if (verdict != HELD_FITS) {
+		fail_without_end(attempt, size, verdict);
+		return;
+	}
 	buffer_add(&attempt->partial, data, size);
 	call_attempt_record_held(attempt);
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -71,6 +71,8 @@
 	 * before another server had responded. */
 	uint64_t silences;
 	uint64_t silences_ended;
+	/** Attempts that were ended since an event did not end. */
+	uint64_t events_without_end;
 	uint64_t caller_left;
 	uint64_t caller_closes[SERVER_CLOSE_REASONS];
 	/** Of these, closes for a reason other than SERVER_CLOSE_OTHER, though
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -175,6 +175,8 @@
 	add_counter(text, "caller_left_total", counters->caller_left);
 	add_counter(text, "silences_total", counters->silences);
 	add_counter(text, "silences_ended_total", counters->silences_ended);
+	add_counter(text, "events_without_end_total",
+		    counters->events_without_end);
 	add_counter(text, "retries_total", counters->retries);
 	add_counter(text, "resumed_total", counters->resumed);
 	add_failed_attempts(text, counters->failed_attempts);
--- a/src/state/held_bytes.h
+++ b/src/state/held_bytes.h
@@ -4,7 +4,8 @@
  * and decides how much more of one answer it may hold. Without I/O.
  *
  * All sizes are those of the memory that is taken, with what a growing buffer
- * has in reserve.
+ * has in reserve. An event of these engines has some hundred bytes and a whole
+ * answer some ten thousand, so an event that reaches a limit has no end.
  */
 #ifndef STATE_HELD_BYTES_H
 #define STATE_HELD_BYTES_H
