See the ends of events whose lines end with CR

Callers of a resumable stream whose sound server ends lines with CR got nothing until its end, and then a cut stream: the scan for events knew LF, and LF after CR, only, so the host held the whole stream as one incomplete event. A field of an event stream may end with LF, CR or both. Bytes are looked at once, however many lines they hold.

--- a/src/protocol/event_scan.c
+++ b/src/protocol/event_scan.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "protocol/event_line.h"
+
 #define ID_FIELD "id:"
 /* A number of more digits may exceed an int64_t. */
 #define ID_DIGITS_MAX 18
@@ -26,7 +28,7 @@
 			return EVENT_SCAN_NO_ID;
 		id = id * 10 + (*at - '0');
 	}
-	if (at == text || (*at && strcmp(at, "\r") != 0))
+	if (at == text || *at)
 		return EVENT_SCAN_NO_ID;
 	return id;
 }
@@ -75,20 +77,14 @@
 	clear_event(scan);
 }
 
-static bool line_is_blank(const struct event_scan *scan)
-{
-	return !scan->line_size ||
-	       (scan->line_size == 1 && scan->line[0] == '\r');
-}
-
 /* @return whether the line ended an event */
 static bool end_line(struct event_scan *scan)
 {
-	bool ends_event = line_is_blank(scan) && scan->in_event;
+	bool ends_event = !scan->line_size && scan->in_event;
 
 	if (ends_event)
 		end_event(scan);
-	else if (!line_is_blank(scan))
+	else if (scan->line_size)
 		read_line(scan);
 	scan->line_size = 0;
 	return ends_event;
@@ -101,25 +97,36 @@
 	for (size_t i = 0; i < size && scan->line_size + i < capacity; i++)
 		scan->line[scan->line_size + i] = data[i];
 	scan->line_size += size;
-	if (!line_is_blank(scan))
+	if (scan->line_size)
 		scan->in_event = true;
 }
 
+/* Takes the end of a line, which a LF after a CR belongs to.
+ * @return whether what comes next belongs to no event yet */
+static bool take_line_end(struct event_scan *scan, char byte)
+{
+	bool ends_line = byte == '\r' || !scan->after_cr;
+
+	scan->after_cr = byte == '\r';
+	return (ends_line && end_line(scan)) || !scan->in_event;
+}
+
 size_t event_scan_feed(struct event_scan *scan, const char *data, size_t size)
 {
 	size_t complete = 0;
 	size_t at = 0;
 
 	while (at < size) {
-		const char *end = memchr(data + at, '\n', size - at);
-		size_t length = end ? (size_t)(end - data) - at : size - at;
+		size_t length = event_line_length(data + at, size - at);
 
-		add_to_line(scan, data + at, length);
+		if (length) {
+			add_to_line(scan, data + at, length);
+			scan->after_cr = false;
+		}
 		at += length;
-		if (!end)
+		if (at == size)
 			break;
-		at++;
-		if (end_line(scan) || !scan->in_event)
+		if (take_line_end(scan, data[at++]))
 			complete = at;
 	}
 	return complete;
--- a/src/protocol/event_scan.h
+++ b/src/protocol/event_scan.h
@@ -1,6 +1,7 @@
 /**
  * @file event_scan.h
- * Finds the ends of events in a text/event-stream, and parses nothing in them
+ * Finds the ends of events in a text/event-stream, whose lines end with LF, CR
+ * or both, and parses nothing in them
  * but their ids.
  */
 #ifndef PROTOCOL_EVENT_SCAN_H
@@ -27,6 +28,7 @@
 	bool ids_decrease; /**< some id is not greater than the one before */
 	uint64_t events;   /**< number of complete events */
 	size_t line_size;  /**< of the incomplete line; may exceed line[] */
+	bool after_cr;	   /**< the last byte was a CR, which ended a line */
 	bool in_event;	   /**< bytes of an incomplete event have been read */
 	/** The incomplete event has a line that is no comment. Comments alone
 	 * are not an event. */
--- a/tests/unit/test_edge_resumed_streams.c
+++ b/tests/unit/test_edge_resumed_streams.c
@@ -412,6 +412,24 @@
 
 /* The answer to a caller that goes on with a stream of its own is the server's
  * whole one, also if it is empty. */
+/* Guards against held events: a host that did not see the ends of a sound
+ * server's lines held the whole stream, and cut it at its end. */
+START_TEST(a_stream_whose_lines_end_with_cr_is_resumed_like_others)
+{
+	static const struct backend_standin_answer returns[] = {
+		{200, STREAM CHUNKED "10\r\nid: 0\rdata: a0\r\r\r\n",
+		 BACKEND_STANDIN_CLOSES},
+		{200, STREAM CHUNKED "10\r\nid: 1\rdata: a1\r\r\r\n" END, 0},
+		{0},
+	};
+
+	answers = returns;
+	request("GET", "resume", "scripted", "");
+	ck_assert(is_whole);
+	ck_assert_str_eq(body, "id: 0\rdata: a0\r\rid: 1\rdata: a1\r\r");
+}
+END_TEST
+
 START_TEST(an_empty_stream_of_the_first_server_reaches_its_caller)
 {
 	static const struct backend_standin_answer empty[] = {
@@ -551,6 +569,8 @@
 		tcase,
 		a_stream_whose_ids_skip_numbers_is_resumed_at_a_later_one, 0,
 		2);
+	tcase_add_test(tcase,
+		       a_stream_whose_lines_end_with_cr_is_resumed_like_others);
 	tcase_add_test(tcase,
 		       an_empty_stream_of_the_first_server_reaches_its_caller);
 	tcase_add_loop_test(tcase,
--- a/tests/unit/test_event_scan.c
+++ b/tests/unit/test_event_scan.c
@@ -17,6 +17,13 @@
 	{"id: 0\ndata: a\n\nid: 1\nda", 1, 0, 15},
 	{"id:7\r\ndata: a\r\n\r\n", 1, 7, 17},
 	{"data: a\n\ndata: b\n\n", 2, -1, 18},
+	/* Lines that end with CR, and a mix of all ends. */
+	{"id: 4\rdata: a\r\r", 1, 4, 15},
+	{"id: 4\rdata: a\r\rid: 5\rda", 1, 4, 15},
+	{"id: 4\rdata: a\r\rid: 5\rdata: b\r\r", 2, 5, 30},
+	{"id: 4\r\ndata: a\n\rid: 5\rdata: b\r\n\n", 2, 5, 32},
+	{"data: a\r\ndata: b\r\n", 0, -1, 0},
+	{"\r\r\n\r", 0, -1, 4},
 	{"id: 3\ndata: a\n\ndata: b\n\n", 2, 3, 24},
 	{"id: x\ndata: a\n\n", 1, -1, 15},
 	{"id: -4\ndata: a\n\n", 1, -1, 16},
