--- a/src/protocol/sse_parser.c
+++ b/src/protocol/sse_parser.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "protocol/event_line.h"
+
 static const char data_field[] = "data";
 
 void sse_parser_init(struct sse_parser *parser, size_t max_event_bytes)
@@ -75,21 +77,11 @@
 	return proceed;
 }
 
-static size_t size_before_line_end(const char *bytes, size_t size)
-{
-	const char *end = memchr(bytes, '\n', size);
-
-	if (end)
-		size = (size_t)(end - bytes);
-	end = memchr(bytes, '\r', size);
-	return end ? (size_t)(end - bytes) : size;
-}
-
 enum sse_result sse_parser_feed(struct sse_parser *parser, const char *bytes,
 				size_t size, struct sse_handler handler)
 {
 	while (size) {
-		size_t length = size_before_line_end(bytes, size);
+		size_t length = event_line_length(bytes, size);
 
 		if (parser->line.size + parser->data.size + length >
 		    parser->max_event_bytes)
