Limit the idle time that a server announces

Keep-Alive: timeout= was multiplied without a bound: an overflow, after which a server that allows any idle time seemed to allow less than none, and none of its connections was kept.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -23,6 +23,9 @@
  * idle limit. */
 #define IDLE_MARGIN_US (700 * TGW_US_PER_MS)
 
+/* A server that announces a longer limit is taken to mean this one. */
+#define IDLE_LIMIT_MAX_S 86400
+
 #define READ_SIZE_BYTES (64 * 1024)
 
 /* The loop has one thread, so one buffer serves all reads. */
@@ -108,23 +111,33 @@
 	return conn->status >= 100 && conn->status < 200;
 }
 
+/* Reads the limit that a server announces for idle connections, at most
+ * IDLE_LIMIT_MAX_S. */
+static void read_idle_limit(struct http_conn *conn)
+{
+	const char *field = http_head_find(&conn->head, "Keep-Alive");
+	const char *timeout = field ? strstr(field, "timeout=") : NULL;
+	long limit_s;
+
+	if (!timeout)
+		return;
+	limit_s = strtol(timeout + strlen("timeout="), NULL, 10);
+	if (limit_s < 0)
+		limit_s = 0;
+	if (limit_s > IDLE_LIMIT_MAX_S)
+		limit_s = IDLE_LIMIT_MAX_S;
+	conn->idle_limit_us = limit_s * TGW_US_PER_S - IDLE_MARGIN_US;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct http_conn *conn = parser->data;
-	const char *keep_alive;
-	const char *timeout;
 
 	conn->status = (int)parser->status_code;
 	conn->discarding = false;
 	if (is_interim(conn))
 		return 0;
-	keep_alive = http_head_find(&conn->head, "Keep-Alive");
-	timeout = keep_alive ? strstr(keep_alive, "timeout=") : NULL;
-	if (timeout)
-		conn->idle_limit_us =
-			strtol(timeout + strlen("timeout="), NULL, 10) *
-				TGW_US_PER_S -
-			IDLE_MARGIN_US;
+	read_idle_limit(conn);
 	if (conn->events->head(conn) == HTTP_CONN_DISCARD)
 		conn->discarding = true;
 	if (conn->state == HTTP_CONN_CLOSING)
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -14,6 +14,8 @@
 
 #define TIMEOUT_MS 3000
 #define BACKLOG 4
+#define SECOND_US INT64_C(1000000)
+#define DAY_US (86400 * SECOND_US)
 
 /* How the server ends the connection after its response. */
 enum ending {
@@ -41,6 +43,14 @@
 	 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"
 	 "0\r\n\r\n",
 	 KEEP_OPEN, RESULT_COMPLETE, 0, "body", true},
+	{"a limit on idleness that no number of microseconds holds",
+	 "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9223372036854775807\r\n"
+	 "Content-Length: 4\r\n\r\nbody",
+	 KEEP_OPEN, RESULT_COMPLETE, 0, "body", true},
+	{"a negative limit on idleness",
+	 "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=-9223372036854775807\r\n"
+	 "Content-Length: 4\r\n\r\nbody",
+	 KEEP_OPEN, RESULT_COMPLETE, 0, "body", true},
 	{"last on its connection",
 	 "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody",
 	 KEEP_OPEN, RESULT_COMPLETE, 0, "body", false},
@@ -82,6 +92,7 @@
 static enum http_conn_fault fault;
 static struct buffer body;
 static bool reusable;
+static int64_t idle_limit_us;
 static int current;
 
 static void end_connection(int fd, enum ending ending)
@@ -132,6 +143,7 @@
 {
 	result = RESULT_COMPLETE;
 	reusable = conn->reusable;
+	idle_limit_us = conn->idle_limit_us;
 	http_conn_close(conn);
 	uv_stop(&loop);
 }
@@ -185,6 +197,7 @@
 static void setup(void)
 {
 	result = RESULT_NONE;
+	idle_limit_us = 0;
 	uv_loop_init(&loop);
 	uv_timer_init(&loop, &timeout);
 	uv_timer_start(&timeout, on_timeout, TIMEOUT_MS, 0);
@@ -211,6 +224,10 @@
 		ck_assert_int_eq(fault, responses[_i].fault);
 	else
 		ck_assert_int_eq(reusable, responses[_i].reusable);
+	/* No announced limit overflows: a day at most, less than a second below
+	 * none at least. */
+	ck_assert_int_le(idle_limit_us, DAY_US);
+	ck_assert_int_gt(idle_limit_us, -SECOND_US);
 	if (responses[_i].body && body.size)
 		ck_assert_str_eq(body.data, responses[_i].body);
 	uv_run(&loop, UV_RUN_NOWAIT);
