--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -45,7 +45,6 @@
 	return names[reason];
 }
 
-static void parse(struct server_conn *conn, const char *data, size_t size);
 static void refuse_input(struct server_conn *conn);
 
 static void on_handle_closed(uv_handle_t *handle)
@@ -384,6 +383,8 @@
 static void queue_pipelined(struct server_conn *conn, const char *data,
 			    size_t size)
 {
+	buffer_consume(&conn->pipelined, conn->pipelined_read);
+	conn->pipelined_read = 0;
 	buffer_add(&conn->pipelined, data, size);
 	if (conn->pipelined.size > PIPELINED_MAX_BYTES)
 		server_conn_pause_reading(conn);
@@ -402,15 +403,17 @@
 	server_conn_finish(conn);
 }
 
-static void parse(struct server_conn *conn, const char *data, size_t size)
+/* Parses up to the end of the current request.
+ * @return how many of these bytes it has taken */
+static size_t parse(struct server_conn *conn, const char *data, size_t size)
 {
-	size_t used;
+	return http_parser_execute(&conn->parser, &parser_settings, data, size);
+}
 
-	used = http_parser_execute(&conn->parser, &parser_settings, data, size);
+static void handle_parsed(struct server_conn *conn)
+{
 	if (conn->state == SERVER_CONN_SERVING) {
 		uv_timer_stop(&conn->timer);
-		if (used < size)
-			queue_pipelined(conn, data + used, size - used);
 		conn->events->request(conn);
 	} else if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
 		if (HTTP_PARSER_ERRNO(&conn->parser) == HPE_HEADER_OVERFLOW)
@@ -419,6 +422,36 @@
 	}
 }
 
+static void parse_read(struct server_conn *conn, const char *data, size_t size)
+{
+	size_t used = parse(conn, data, size);
+
+	if (conn->state == SERVER_CONN_SERVING && used < size)
+		queue_pipelined(conn, data + used, size - used);
+	handle_parsed(conn);
+}
+
+/* Parses what came after the request before, one request after the other: one
+ * that is answered at once does not begin the next one within its answer. */
+static void parse_pipelined(struct server_conn *conn)
+{
+	if (conn->parses_pipelined)
+		return;
+	conn->parses_pipelined = true;
+	while (conn->state == SERVER_CONN_READING && !conn->partly_read &&
+	       server_conn_pipelined(conn)) {
+		conn->pipelined_read +=
+			parse(conn, conn->pipelined.data + conn->pipelined_read,
+			      server_conn_pipelined(conn));
+		handle_parsed(conn);
+	}
+	conn->parses_pipelined = false;
+	if (server_conn_pipelined(conn))
+		return;
+	buffer_free(&conn->pipelined);
+	conn->pipelined_read = 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
 {
 	struct server_conn *conn = stream->data;
@@ -439,7 +472,7 @@
 	if (conn->state == SERVER_CONN_SERVING)
 		queue_pipelined(conn, buf->base, (size_t)size);
 	else if (conn->state == SERVER_CONN_READING && !conn->partly_read)
-		parse(conn, buf->base, (size_t)size);
+		parse_read(conn, buf->base, (size_t)size);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested_size, uv_buf_t *buf)
@@ -523,17 +556,12 @@
 
 static void read_next(struct server_conn *conn)
 {
-	struct buffer pipelined = conn->pipelined;
-
-	memset(&conn->pipelined, 0, sizeof(conn->pipelined));
 	await_request(conn);
 	if (conn->read_paused) {
 		conn->read_paused = false;
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 	}
-	if (pipelined.size)
-		parse(conn, pipelined.data, pipelined.size);
-	buffer_free(&pipelined);
+	parse_pipelined(conn);
 }
 
 void server_conn_finish(struct server_conn *conn)
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -101,6 +101,8 @@
 	http_parser parser;
 	struct server_request request;
 	struct buffer pipelined; /**< received after the current request */
+	size_t pipelined_read;	 /**< of `pipelined`; the rest is to be read */
+	bool parses_pipelined;
 	enum server_conn_state state;
 	bool request_begun;
 	bool keep_alive;
--- a/src/transport/server_conn_private.h
+++ b/src/transport/server_conn_private.h
@@ -18,6 +18,12 @@
 /** Starts the timer of what the connection waits for now. */
 void server_conn_start_wait(struct server_conn *conn);
 
+/** @return bytes received after the current request */
+static inline size_t server_conn_pipelined(const struct server_conn *conn)
+{
+	return conn->pipelined.size - conn->pipelined_read;
+}
+
 void server_conn_pause_reading(struct server_conn *conn);
 
 /** Ends a connection whose last response is written. */
--- a/src/transport/server_conn_response.c
+++ b/src/transport/server_conn_response.c
@@ -70,7 +70,7 @@
 {
 	if (!conn->keep_alive || conn->partly_read)
 		return true;
-	return !conn->pipelined.size &&
+	return !server_conn_pipelined(conn) &&
 	       stream_input_look(&conn->tcp) != STREAM_INPUT_BYTES;
 }
 
