Serve a caller no further until it reads what it was sent

A caller that sends requests one after the other and reads no response filled the host: nothing looked at what was unwritten before the next request was read, only within a body. While more than 128 KB is unwritten no further request of the connection is read, until all is written; a caller that reads nothing is closed as stalled, as before.

--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -439,7 +439,7 @@
 		return;
 	conn->parses_pipelined = true;
 	while (conn->state == SERVER_CONN_READING && !conn->partly_read &&
-	       server_conn_pipelined(conn)) {
+	       !server_conn_is_full(conn) && server_conn_pipelined(conn)) {
 		conn->pipelined_read +=
 			parse(conn, conn->pipelined.data + conn->pipelined_read,
 			      server_conn_pipelined(conn));
@@ -554,13 +554,30 @@
 	server_conn_start_wait(conn);
 }
 
+static void resume_reading(struct server_conn *conn)
+{
+	if (!conn->read_paused)
+		return;
+	conn->read_paused = false;
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
+
 static void read_next(struct server_conn *conn)
 {
 	await_request(conn);
-	if (conn->read_paused) {
-		conn->read_paused = false;
-		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+	if (server_conn_is_full(conn)) {
+		server_conn_pause_reading(conn);
+		return;
 	}
+	resume_reading(conn);
+	parse_pipelined(conn);
+}
+
+void server_conn_read_on(struct server_conn *conn)
+{
+	if (!conn->request_begun)
+		server_conn_start_wait(conn);
+	resume_reading(conn);
 	parse_pipelined(conn);
 }
 
--- a/src/transport/server_conn_private.h
+++ b/src/transport/server_conn_private.h
@@ -24,6 +24,12 @@
 	return conn->pipelined.size - conn->pipelined_read;
 }
 
+/** @return whether the caller has to read before it is served further */
+bool server_conn_is_full(const struct server_conn *conn);
+
+/** Reads requests, after all responses were written. */
+void server_conn_read_on(struct server_conn *conn);
+
 void server_conn_pause_reading(struct server_conn *conn);
 
 /** Ends a connection whose last response is written. */
--- a/src/transport/server_conn_response.c
+++ b/src/transport/server_conn_response.c
@@ -5,7 +5,8 @@
 #include "transport/stream_input.h"
 #include "transport/stream_write.h"
 
-/* server_conn_send_body() returns false while more than this is unwritten. */
+/* While more than this is unwritten, no more of a body is taken, and no further
+ * request is read: a caller that does not read does not fill the host. */
 #define UNWRITTEN_MAX_BYTES (128 * 1024)
 #define CHUNK_HEAD_SIZE 24
 #define SMALL_CHUNK_BYTES 2048
@@ -16,6 +17,11 @@
 	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
 }
 
+bool server_conn_is_full(const struct server_conn *conn)
+{
+	return server_conn_unwritten(conn) > UNWRITTEN_MAX_BYTES;
+}
+
 static void on_written(uv_stream_t *stream, int status)
 {
 	struct server_conn *conn = stream->data;
@@ -32,8 +38,8 @@
 		server_conn_end_flushed(conn);
 	else if (conn->state == SERVER_CONN_SERVING || conn->partly_read)
 		conn->events->drained(conn);
-	else if (!conn->request_begun)
-		server_conn_start_wait(conn);
+	else
+		server_conn_read_on(conn);
 }
 
 void server_conn_write_parts(struct server_conn *conn, const uv_buf_t *parts,
@@ -183,5 +189,5 @@
 		write_small_chunk(conn, data, size);
 	else
 		write_chunk(conn, data, size);
-	return server_conn_unwritten(conn) <= UNWRITTEN_MAX_BYTES;
+	return !server_conn_is_full(conn);
 }
--- a/tests/unit/test_edge_pipelined.c
+++ b/tests/unit/test_edge_pipelined.c
@@ -12,6 +12,10 @@
 /* A request that the host answers by itself, at once. */
 #define REQUEST "GET /missing HTTP/1.1\r\n\r\n"
 #define RUN_MS 6000
+/* More responses than the sockets between host and caller hold. */
+#define UNREAD_REQUESTS 100000
+#define UNREAD_MS 500
+#define UNWRITTEN_MAX_BYTES ((size_t)256 * 1024)
 
 static struct edge_rig rig;
 
@@ -83,6 +87,37 @@
 }
 END_TEST
 
+/* Guards against a host that is filled by responses that nobody reads: a caller
+ * that sends requests and reads nothing is not served further, until it reads.
+ */
+START_TEST(a_caller_that_does_not_read_is_not_served_further)
+{
+	static struct edge_rig_caller caller;
+	char *text = requests(UNREAD_REQUESTS, "GET /last HTTP/1.1\r\n"
+					       "Connection: close\r\n\r\n");
+	size_t unwritten = 0;
+
+	edge_rig_call(&rig, &caller, "");
+	uv_read_stop((uv_stream_t *)&caller.tcp);
+	edge_rig_send(&caller, text);
+	for (int ms = 0; ms < UNREAD_MS; ms++) {
+		edge_rig_run(&rig, 1);
+		ck_assert_ptr_nonnull(rig.hosts[0].edge.conns);
+		if (server_conn_unwritten(rig.hosts[0].edge.conns) > unwritten)
+			unwritten =
+				server_conn_unwritten(rig.hosts[0].edge.conns);
+	}
+	ck_assert_uint_le(unwritten, UNWRITTEN_MAX_BYTES);
+	edge_rig_resume_caller(&caller);
+	for (int ms = 0; ms < RUN_MS && !caller.closed; ms++)
+		edge_rig_run(&rig, 1);
+	ck_assert(caller.closed);
+	ck_assert_int_eq(count_of(caller.received.data, "HTTP/1.1 404"),
+			 UNREAD_REQUESTS + 1);
+	free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_pipelined");
@@ -93,6 +128,8 @@
 	tcase_add_test(
 		tcase,
 		many_small_requests_take_little_memory_and_are_all_answered);
+	tcase_add_test(tcase,
+		       a_caller_that_does_not_read_is_not_served_further);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
