Soak: servers that send without end, and hosts judged by their memory

One answer in 150 has no end: a head, a body, or an event after the first one of a stream, at up to 100 MB/s and 96 MB, from any of the servers, several at once, beside all other faults. Hosts are told 64 MB, and one that uses more has broken a promise (over-memory), as the platform kills it. The proxies of the soak read no further while more than 256 KB waits to be written.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -84,6 +84,17 @@
 	_Exit(EXIT_FAILURE);
 }
 
+static void print_memory(void)
+{
+	long peak_kb = 0;
+
+	for (size_t i = 0; i < soak.host_count; i++)
+		if (soak.hosts[i].peak_kb > peak_kb)
+			peak_kb = soak.hosts[i].peak_kb;
+	soak_note(&soak, "%u answers without end; a host used %ld KB at most",
+		  soak.endless_answers, peak_kb);
+}
+
 static void stop_hosts(void)
 {
 	soak.ending = true;
@@ -254,10 +265,12 @@
 	signal(SIGINT, on_signal);
 	soak.begun_us = soak_now_us();
 	tgw_random_init(&soak.random, seed);
+	tgw_random_init(&soak.endless_random, ~(uint64_t)seed);
 	uv_loop_init(&soak.loop);
 	kv_standin_start(&soak.store, &soak.loop);
 	play->run(&soak, seconds);
 	kill_hosts();
+	print_memory();
 	printf("seed %llu: %zu requests, %u at hosts in touch, %u served, "
 	       "%u refused, %u failed, %u promises broken\n",
 	       seed, soak.requests.count, soak.in_touch, soak.served,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,6 +27,8 @@
 #define SOAK_APPLY_MS 2000
 #define SOAK_DRAIN_MS 2000
 #define SOAK_TIMEOUT_MS 3000
+/** What the platform allows a host; it kills one that exceeds it. */
+#define SOAK_HOST_MEMORY_MB 64
 /** Versions of the configuration that are kept for the checks. */
 #define SOAK_VERSIONS_MAX 4096
 
@@ -42,6 +44,7 @@
 	uv_timer_t tick;
 	sigset_t signal_mask;
 	struct tgw_random random;
+	struct tgw_random endless_random;
 	const char *program; /**< of the hosts */
 	/** Library that makes a host's wall clock wrong, or NULL. */
 	const char *wall_clock;
@@ -68,6 +71,7 @@
 	int64_t poor_paid_tokens;
 	int64_t poor_spent_tokens;
 	unsigned int in_touch; /**< requests that ended at a host in touch */
+	unsigned int endless_answers;
 	unsigned int served;
 	unsigned int refused;
 	unsigned int failed;
--- a/tests/soak/soak_host.c
+++ b/tests/soak/soak_host.c
@@ -79,13 +79,14 @@
 		abort();
 	fprintf(file,
 		"[host]\nname = %s\nfailure_domain = domain-%zu\n"
+		"memory_mb = %d\n"
 		"caller_address = %s\nready_address = %s\npeer_address = %s\n"
 		"[store]\naddress = %s\napply_ms = %d\ndrain_ms = %d\n"
 		"[budget]\nexpected_hosts = %zu\n"
 		"[stop]\nnotice_ms = 1000\nkill_after_s = %d\n"
 		"[log]\nlines_per_s = 400\n",
-		host->name, host->index % SOAK_DOMAINS, host->caller_address,
-		host->ready_address, host->peer_address,
+		host->name, host->index % SOAK_DOMAINS, SOAK_HOST_MEMORY_MB,
+		host->caller_address, host->ready_address, host->peer_address,
 		host->store_link.address, SOAK_APPLY_MS, SOAK_DRAIN_MS,
 		host->soak->host_count, SOAK_KILL_AFTER_S);
 	fclose(file);
@@ -230,6 +231,56 @@
 	soak_host_signal(host, SIGKILL);
 }
 
+/* @return whether a child process has begun the host's program. Until then it
+ * has the memory of this process. */
+static bool runs_program(pid_t pid)
+{
+	char path[64];
+	struct stat self;
+	struct stat other;
+
+	snprintf(path, sizeof(path), "/proc/%d/exe", (int)pid);
+	return !stat("/proc/self/exe", &self) && !stat(path, &other) &&
+	       (self.st_ino != other.st_ino || self.st_dev != other.st_dev);
+}
+
+/* @return the memory of a host in use, in KB; 0 if it can't be told */
+static long memory_kb(pid_t pid)
+{
+	char path[64];
+	FILE *file;
+	long total_pages = 0;
+	long pages = 0;
+
+	if (!runs_program(pid))
+		return 0;
+	snprintf(path, sizeof(path), "/proc/%d/statm", (int)pid);
+	file = fopen(path, "r");
+	if (!file)
+		return 0;
+	if (fscanf(file, "%ld %ld", &total_pages, &pages) != 2)
+		pages = 0;
+	fclose(file);
+	return pages * (sysconf(_SC_PAGESIZE) / 1024);
+}
+
+/* Sanitizers take more than the host, so plain builds only are judged. */
+static void check_memory(struct soak_host *host)
+{
+	long kb = memory_kb(host->pid);
+
+	if (kb > host->peak_kb)
+		host->peak_kb = kb;
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+	if (kb <= SOAK_HOST_MEMORY_MB * 1024 ||
+	    host->killed_us > host->started_us)
+		return;
+	soak_broken(host->soak, "over-memory", "%s uses %ld KB of %d",
+		    host->name, kb, SOAK_HOST_MEMORY_MB * 1024);
+	soak_host_signal(host, SIGKILL);
+#endif
+}
+
 void soak_host_poll(struct soak_host *host)
 {
 	int status;
@@ -244,11 +295,13 @@
 				(int64_t)tgw_random_below(&host->soak->random,
 							  SOAK_US_PER_S);
 	}
-	if (host->pid)
+	if (host->pid) {
 		enforce_stop(host);
-	else if (host->start_at_us && soak_now_us() >= host->start_at_us &&
-		 !host->soak->ending)
+		check_memory(host);
+	} else if (host->start_at_us && soak_now_us() >= host->start_at_us &&
+		   !host->soak->ending) {
 		soak_host_start(host);
+	}
 }
 
 void soak_host_disturb(struct soak_host *host)
--- a/tests/soak/soak_host.h
+++ b/tests/soak/soak_host.h
@@ -42,6 +42,7 @@
 	int64_t start_at_us;  /**< is started then; 0: not by itself */
 	int64_t disturbed_us; /**< last change of a fault at this host */
 	unsigned int faults;  /**< that last */
+	long peak_kb;	      /**< most memory of any of its processes */
 	long version_seen;    /**< highest version whose effect was seen */
 	int64_t version_seen_us;
 	char ready_address[32];
--- a/tests/soak/soak_link.c
+++ b/tests/soak/soak_link.c
@@ -82,6 +82,8 @@
 	free(request);
 	if (status < 0)
 		close_pipe(side->pipe, true);
+	else
+		update_reading(other_side(side));
 }
 
 static void on_ended(uv_shutdown_t *request, int status)
@@ -168,7 +170,11 @@
 
 	if (!side->open || side->ended || side->pipe->closing)
 		return;
-	if (held || other_side(side)->waiting.size > HELD_MAX_BYTES)
+	if (held ||
+	    other_side(side)->waiting.size +
+			    uv_stream_get_write_queue_size(
+				    (uv_stream_t *)&other_side(side)->tcp) >
+		    HELD_MAX_BYTES)
 		uv_read_stop((uv_stream_t *)&side->tcp);
 	else
 		uv_read_start((uv_stream_t *)&side->tcp, on_alloc, on_read);
--- a/tests/soak/soak_server.c
+++ b/tests/soak/soak_server.c
@@ -24,6 +24,12 @@
 #define LONG_WORK_MS 900
 /* One request in this many works for long. */
 #define LONG_EVERY 9
+/* One request in this many gets an answer without end, which is sent at up to
+ * 100 MB/s; one server alone exceeds a host's memory by it. */
+#define ENDLESS_EVERY 150
+#define ENDLESS_MS 10
+#define ENDLESS_PIECE_BYTES ((size_t)1024 * 1024)
+#define ENDLESS_MAX_BYTES ((size_t)3 * SOAK_HOST_MEMORY_MB / 2 * 1024 * 1024)
 
 /* How a server runs a request. */
 enum behaviour {
@@ -39,6 +45,10 @@
 	STALL,	 /* nothing more after the first bytes */
 	CLOSING, /* sound, and closes the connection */
 	BEHAVIOURS,
+	/* More bytes in place of the end: of a head, of a body, or of an event
+	 * after the first one. */
+	ENDLESS_HEAD = BEHAVIOURS,
+	ENDLESS_BODY,
 };
 
 /* A request that runs, and what remains to be sent. */
@@ -158,7 +168,7 @@
 static bool stays_incomplete(const struct soak_run *run)
 {
 	return run->behaviour == TRUNCATE || run->behaviour == TRICKLE ||
-	       run->behaviour == STALL;
+	       run->behaviour == STALL || run->behaviour == ENDLESS_BODY;
 }
 
 /* Sends the next event, or all that is left of a body. */
@@ -194,6 +204,22 @@
 	schedule(run, TRICKLE_MS);
 }
 
+/* Sends on, as fast as the host reads. */
+static void send_without_end(struct soak_run *run)
+{
+	static char piece[ENDLESS_PIECE_BYTES];
+
+	schedule(run, ENDLESS_MS);
+	if (run->sent >= ENDLESS_MAX_BYTES || server_conn_unwritten(run->conn))
+		return;
+	memset(piece, 'x', sizeof(piece));
+	run->sent += sizeof(piece);
+	if (run->behaviour == ENDLESS_HEAD)
+		write_raw(run->conn, piece, sizeof(piece));
+	else
+		server_conn_send_body(run->conn, piece, sizeof(piece));
+}
+
 static void break_off(struct soak_run *run, const char *text)
 {
 	struct server_conn *conn = run->conn;
@@ -220,10 +246,16 @@
 	case GARBAGE:
 		break_off(run, "no response at all\r\n\r\n");
 		return false;
+	case ENDLESS_HEAD:
+		write_raw(conn, "HTTP/1.1 200 OK\r\nX-Long: ", 25);
+		run->head_sent = true;
+		schedule(run, ENDLESS_MS);
+		return false;
 	default:
 		break;
 	}
-	if (soak_request_is_stream(run->request))
+	if (soak_request_is_stream(run->request) ||
+	    run->behaviour == ENDLESS_BODY)
 		size = SERVER_LENGTH_UNKNOWN;
 	send_head(run, 200, size);
 	return true;
@@ -239,6 +271,8 @@
 	} else if (!run->head_sent) {
 		if (begin_answer(run))
 			send_piece(run);
+	} else if (run->behaviour >= BEHAVIOURS) {
+		send_without_end(run);
 	} else if (run->behaviour == TRUNCATE) {
 		break_off(run, "");
 	} else if (run->behaviour == TRICKLE || run->behaviour == STALL) {
@@ -253,7 +287,7 @@
 	uv_timer_start(&run->timer, on_timer, delay_ms, 0);
 }
 
-static enum behaviour choose_behaviour(struct soak_server *server)
+static enum behaviour choose_usual_behaviour(struct soak_server *server)
 {
 	struct soak *soak = server->soak;
 
@@ -264,6 +298,21 @@
 	return (enum behaviour)tgw_random_below(&soak->random, BEHAVIOURS);
 }
 
+/* Answers without end have random numbers of their own, so that the faults of a
+ * seed stay what they are. */
+static enum behaviour choose_behaviour(struct soak_server *server)
+{
+	enum behaviour usual = choose_usual_behaviour(server);
+	struct soak *soak = server->soak;
+
+	if (usual != SOUND ||
+	    tgw_random_below(&soak->endless_random, ENDLESS_EVERY))
+		return usual;
+	soak->endless_answers++;
+	return tgw_random_below(&soak->endless_random, 4) ? ENDLESS_BODY
+							  : ENDLESS_HEAD;
+}
+
 static void schedule_work(struct soak_run *run)
 {
 	struct soak *soak = run->server->soak;
@@ -304,7 +353,7 @@
 	buffer_free(&event);
 	/* What was left over from an earlier answer garbles this one. */
 	if (conn->call || behaviour == NO_ANSWER || behaviour == TRUNCATE ||
-	    behaviour == GARBAGE)
+	    behaviour == GARBAGE || behaviour >= BEHAVIOURS)
 		request->may_break = true;
 	uv_timer_init(&server->soak->loop, &run->timer);
 	run->timer.data = run;
