tamarackgwd: limit the last events that wait for the end mark

An engine that sent events without an index after its last one, without end, was read until the host had no memory left: from the last event on, events are kept until the end mark shows that the answer is whole, and nothing limited them. More than 256 KB of them, the limit of one event, end the attempt; the stream goes on at another server.

--- a/src/daemon/model_stream.c
+++ b/src/daemon/model_stream.c
@@ -6,6 +6,8 @@
 #include "protocol/media_type.h"
 
 #define MAX_EVENT_BYTES (256 * 1024)
+/* Maximum size of the events that are kept until the end mark. */
+#define MAX_TAIL_BYTES MAX_EVENT_BYTES
 #define STATUS_OK 200
 
 void model_stream_init(struct model_stream *stream, int64_t token_limit)
@@ -212,10 +214,14 @@
 	return true;
 }
 
-static void add_to_tail(struct model_stream *stream, const char *data,
+/* @return whether there was room */
+static bool add_to_tail(struct model_stream *stream, const char *data,
 			size_t size)
 {
+	if (stream->tail.size + size > MAX_TAIL_BYTES)
+		return false;
 	add_event(&stream->tail, data, size);
+	return true;
 }
 
 static void record_final_fields(struct model_stream *stream,
@@ -237,8 +243,9 @@
 	if (!add_content(stream, event))
 		return stop_attempt(stream, STREAM_MALFORMED);
 	if (stream->guard.final_seen)
-		add_to_tail(stream, data, size);
-	else if (stream->sends_events)
+		return add_to_tail(stream, data, size) ||
+		       stop_attempt(stream, STREAM_MALFORMED);
+	if (stream->sends_events)
 		send_event(stream, data, size);
 	return true;
 }
--- a/tests/fakes/agents/fake_backend.c
+++ b/tests/fakes/agents/fake_backend.c
@@ -92,7 +92,9 @@
 			  "],\"usage\":{\"prompt_tokens\":5,"
 			  "\"completion_tokens\":%d}}\n\n",
 			  request->id, request->attempt, tokens);
-	send_chunk(request, event.data);
+	for (int i = 0; i <= request->script.last_event_repeats; i++)
+		if (!request->broken)
+			send_chunk(request, event.data);
 	send_chunk(request, "data: [DONE]\n\n");
 	send_chunk(request, "");
 	buffer_free(&event);
@@ -236,6 +238,7 @@
 			script->late_at = script->skip_at = script->hang_at =
 				script->end_at = FAKE_NEVER;
 		script->status = 0;
+		script->last_event_repeats = 0;
 	}
 }
 
--- a/tests/fakes/agents/fake_backend.h
+++ b/tests/fakes/agents/fake_backend.h
@@ -30,6 +30,8 @@
 	int skip_at;   /**< leaves out the token */
 	int hang_at;   /**< sends nothing more; closes on a cancel request */
 	int end_at;    /**< sends the end without the remaining tokens */
+	/** The last event is sent so many more times, before the end mark. */
+	int last_event_repeats;
 	bool ignore_limit;	 /**< sends more than max_tokens */
 	int status;		 /**< HTTP status of streams; 0: 200 */
 	int fault_count;	 /**< following streams that have the faults */
--- a/tests/unit/test_gateway_streams.c
+++ b/tests/unit/test_gateway_streams.c
@@ -15,6 +15,9 @@
  * hold. */
 #define SLOW_TOKENS 400
 #define SLOW_PAD_BYTES (64 * 1024)
+/* More than 60 MB of events; what the sockets on the path take is read, too. */
+#define ENDLESS_REPEATS 400000
+#define ENDLESS_READ_MAX_BYTES (16 * 1024 * 1024)
 #define KEY_HEADER "Idempotency-Key: k1\r\n"
 #define COMPLETE_TEXT "\"content\":\"t0 t1 t2 t3 t4 \""
 
@@ -298,6 +301,19 @@
 }
 END_TEST
 
+/* Guards against a host that is filled: the events from the last one on wait
+ * for the end mark, and an engine that sent such events without end was read
+ * until the host had no memory left. */
+START_TEST(an_engine_whose_last_events_do_not_end_is_left)
+{
+	engine->script.last_event_repeats = ENDLESS_REPEATS;
+	ck_assert_int_eq(rig_chat(&rig, "", STREAM, &input), 200);
+	check_complete_stream();
+	ck_assert_int_eq(count("\"finish_reason\":\"stop\""), 1);
+	ck_assert_int_lt(engine->bytes_sent, ENDLESS_READ_MAX_BYTES);
+}
+END_TEST
+
 /* ---- callers that disconnect, stall, or retry ---- */
 
 START_TEST(a_caller_that_disconnects_is_charged_the_reported_usage)
@@ -486,6 +502,7 @@
 	tcase_add_test(
 		tcase,
 		a_caller_that_disconnects_while_queued_is_charged_nothing);
+	tcase_add_test(tcase, an_engine_whose_last_events_do_not_end_is_left);
 	tcase_add_test(tcase, a_slow_caller_pauses_the_engine);
 	tcase_add_test(tcase, a_caller_that_reads_nothing_is_disconnected);
 	tcase_add_test(tcase, a_retry_joins_the_running_stream_from_its_start);
