Give the test of full claim buckets a time limit of its own

Shown by a run: 24 copies at once all time out, with 0.7 to 1.2 s of processor time in the four slowest; three alone take 1.7 to 2.3 s. What it checks is unchanged.

--- a/tests/unit/test_claim_bucket.c
+++ b/tests/unit/test_claim_bucket.c
@@ -124,6 +124,7 @@
 	Suite *suite = suite_create("claim_bucket");
 	TCase *tcase = tcase_create("size");
 
+	tcase_set_timeout(tcase, 30);
 	tcase_add_test(tcase, a_full_bucket_stays_below_its_limit);
 	tcase_add_test(
 		tcase,
