--- a/tests/soak/soak_host.c
+++ b/tests/soak/soak_host.c
@@ -244,13 +244,14 @@
 	       (self.st_ino != other.st_ino || self.st_dev != other.st_dev);
 }
 
-/* @return the memory of a host in use, in KB; 0 if it can't be told */
+/* The second number of the file is what the process has in memory.
+ * @return the memory of a host in use, in KB; 0 if it can't be told */
 static long memory_kb(pid_t pid)
 {
+	char text[128] = "";
 	char path[64];
+	char *end;
 	FILE *file;
-	long total_pages = 0;
-	long pages = 0;
 
 	if (!runs_program(pid))
 		return 0;
@@ -258,10 +259,11 @@
 	file = fopen(path, "r");
 	if (!file)
 		return 0;
-	if (fscanf(file, "%ld %ld", &total_pages, &pages) != 2)
-		pages = 0;
+	if (!fgets(text, sizeof(text), file))
+		text[0] = '\0';
 	fclose(file);
-	return pages * (sysconf(_SC_PAGESIZE) / 1024);
+	strtol(text, &end, 10);
+	return strtol(end, NULL, 10) * (sysconf(_SC_PAGESIZE) / 1024);
 }
 
 /* Sanitizers take more than the host, so plain builds only are judged. */
