Test a large sound event, and that a stream cut at the limit looks cut

Both held on the code as it is; no test said so. An event of 200 KB of a sound server reaches its caller whole, in one run.

--- a/tests/unit/test_edge_endless.c
+++ b/tests/unit/test_edge_endless.c
@@ -400,6 +400,25 @@
 }
 END_TEST
 
+/* Where no server is left to go on, the caller sees that its stream is cut: the
+ * events that were whole, no byte of the last one, and no end of the body. */
+START_TEST(a_stream_that_is_cut_at_the_limit_looks_cut)
+{
+	static struct edge_rig_caller caller;
+
+	use_endless_server(&event_without_end, 0);
+	send_request(&caller, "resume", "stream", 2000);
+	for (int ms = 0; ms < 2000 && !caller.closed; ms++)
+		edge_rig_run(&rig, 1);
+	ck_assert(caller.closed);
+	ck_assert_uint_eq(rig.hosts[0].edge.counters.events_without_end, 1);
+	ck_assert_uint_eq(rig.hosts[0].edge.counters.aborted, 1);
+	ck_assert_int_eq(count_of(caller.received.data, EVENT_0), 1);
+	ck_assert_ptr_null(strstr(caller.received.data, "data: x"));
+	ck_assert_ptr_null(strstr(caller.received.data, "\r\n0\r\n\r\n"));
+}
+END_TEST
+
 /* Guards against LOST by many servers at once: each event stays below its own
  * limit, all of them together do not stay below that of the host. */
 START_TEST(many_events_without_end_stay_below_the_limit_of_the_host)
@@ -442,6 +461,7 @@
 			    sizeof(cases) / sizeof(cases[0]));
 	tcase_add_test(tcase,
 		       a_stream_whose_event_does_not_end_goes_on_elsewhere);
+	tcase_add_test(tcase, a_stream_that_is_cut_at_the_limit_looks_cut);
 	tcase_add_test(
 		tcase,
 		many_events_without_end_stay_below_the_limit_of_the_host);
--- a/tests/unit/test_edge_resumed_streams.c
+++ b/tests/unit/test_edge_resumed_streams.c
@@ -11,6 +11,8 @@
 
 #define EVENTS 6
 #define AMPLE_CREDIT 1000000
+/* Just below what a host holds of an event, with a growing buffer's reserve. */
+#define LARGE_EVENT_BYTES ((size_t)200 * 1024)
 #define LARGE_BODY_BYTES ((size_t)300 * 1024)
 /* The first server is silent between two events for so long, which is longer
  * than the host waits before it tries the second one as well. */
@@ -412,6 +414,31 @@
 
 /* The answer to a caller that goes on with a stream of its own is the server's
  * whole one, also if it is empty. */
+/* A sound server may send events far larger than those of the model engines. */
+START_TEST(a_large_event_of_a_sound_server_is_passed_on)
+{
+	static struct backend_standin_answer large[2];
+	struct buffer text = {0};
+	char *data = calloc(1, LARGE_EVENT_BYTES + 1);
+
+	memset(data, 'x', LARGE_EVENT_BYTES);
+	buffer_add_format(&text,
+			  STREAM CHUNKED "%zx\r\nid: 0\ndata: %s\n\n\r\n" END,
+			  strlen("id: 0\ndata: \n\n") + LARGE_EVENT_BYTES,
+			  data);
+	large[0].status = 200;
+	large[0].text = text.data;
+	answers = large;
+	request("GET", "resume", "scripted", "");
+	ck_assert(is_whole);
+	ck_assert_uint_eq(strlen(body),
+			  strlen("id: 0\ndata: \n\n") + LARGE_EVENT_BYTES);
+	ck_assert_uint_eq(edge_rig_runs(&rig), 1);
+	buffer_free(&text);
+	free(data);
+}
+END_TEST
+
 /* Guards against held events: a host that did not see the ends of a sound
  * server's lines held the whole stream, and cut it at its end. */
 START_TEST(a_stream_whose_lines_end_with_cr_is_resumed_like_others)
@@ -569,6 +596,7 @@
 		tcase,
 		a_stream_whose_ids_skip_numbers_is_resumed_at_a_later_one, 0,
 		2);
+	tcase_add_test(tcase, a_large_event_of_a_sound_server_is_passed_on);
 	tcase_add_test(tcase,
 		       a_stream_whose_lines_end_with_cr_is_resumed_like_others);
 	tcase_add_test(tcase,
