Soak: servers that pause accept again, also if the loop was late

Cause: the play 'lost' pauses a server's listener until a time of the clock, and resumes it by a timer, which counts from the loop's time. If that was behind, the timer ran before the pause was over: one connection was accepted, the next one was left waiting, and nothing accepted it or any later one until the next pause.

Change: the listener's pause is a module of its own, which looks at the clock before it resumes. The play prints each silence of a server, which its output did not show.

--- a/tests/soak/lost_server.c
+++ b/tests/soak/lost_server.c
@@ -6,6 +6,7 @@
 
 #include "base/xalloc.h"
 #include "fakes/loop_listener.h"
+#include "soak/lost_listener.h"
 #include "soak/soak.h"
 #include "soak/soak_checks.h"
 #include "soak/soak_server.h"
@@ -50,9 +51,7 @@
 	struct soak_server base;
 	const char *service;
 	unsigned int pause_percent;
-	int64_t paused_until_us;
-	bool accept_waits;
-	uv_timer_t resume;
+	struct lost_listener listener;
 	struct lost_run *runs;
 };
 
@@ -133,7 +132,7 @@
 static void on_timer(uv_timer_t *timer)
 {
 	struct lost_run *run = timer->data;
-	int64_t wait_us = run->server->paused_until_us - soak_now_us();
+	int64_t wait_us = lost_listener_pause_left_us(&run->server->listener);
 	size_t end;
 
 	if (wait_us > 0) {
@@ -332,37 +331,28 @@
 	.closed = on_conn_closed,
 };
 
-static void on_connection(uv_stream_t *listener, int status)
+static void accept_one(uv_stream_t *listener)
 {
-	struct lost_server *server = listener->data;
-
-	if (status < 0)
-		return;
-	/* Not accepted, the loop waits with further ones as well. */
-	if (soak_now_us() < server->paused_until_us) {
-		server->accept_waits = true;
-		return;
-	}
-	server_conn_accept(listener, &limits, &events, server);
+	server_conn_accept(listener, &limits, &events, listener->data);
 }
 
-static void on_resume(uv_timer_t *timer)
+static void on_connection(uv_stream_t *listener, int status)
 {
-	struct lost_server *server = timer->data;
+	struct lost_server *server = listener->data;
 
-	if (!server->accept_waits)
-		return;
-	server->accept_waits = false;
-	server_conn_accept((uv_stream_t *)&server->base.listener, &limits,
-			   &events, server);
+	if (status >= 0)
+		lost_listener_on_connection(&server->listener);
 }
 
 void lost_server_pause(struct lost_server *server, unsigned int pause_ms)
 {
-	if (soak_now_us() < server->paused_until_us + RECOVER_US)
+	int64_t left_us = lost_listener_pause_left_us(&server->listener);
+
+	if (left_us > -RECOVER_US)
 		return;
-	server->paused_until_us = soak_now_us() + pause_ms * SOAK_US_PER_MS;
-	uv_timer_start(&server->resume, on_resume, pause_ms + 1, 0);
+	soak_note(server->base.soak, "%s is silent for %u ms", server->base.id,
+		  pause_ms);
+	lost_listener_pause(&server->listener, pause_ms);
 }
 
 static void write_entry(struct lost_server *server)
@@ -399,8 +389,8 @@
 	loop_listener_start(&server->base.listener, &soak->loop, on_connection,
 			    server, server->base.address,
 			    sizeof(server->base.address));
-	uv_timer_init(&soak->loop, &server->resume);
-	server->resume.data = server;
+	lost_listener_init(&server->listener, &soak->loop,
+			   &server->base.listener, accept_one);
 	uv_timer_init(&soak->loop, &server->base.timer);
 	server->base.timer.data = server;
 	uv_timer_start(&server->base.timer, on_heartbeat, HEARTBEAT_MS,
