--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -92,34 +92,23 @@
 	return (int64_t)(uv_hrtime() / NS_PER_MS);
 }
 
-static int64_t max_of(int64_t a, int64_t b)
-{
-	return a > b ? a : b;
-}
-
 void server_conn_keep_limits(struct server_conn *conn)
 {
 	struct server_limits *kept = &conn->kept_limits;
 	const struct server_limits *now = conn->limits;
 
-	kept->head_bytes = max_of(kept->head_bytes, now->head_bytes);
-	kept->body_bytes = max_of(kept->body_bytes, now->body_bytes);
-	kept->head_ms = max_of(kept->head_ms, now->head_ms);
-	kept->idle_ms = max_of(kept->idle_ms, now->idle_ms);
-}
-
-/* A request may go by the limits in force when it began, and by later ones. */
-static void begin_request_limits(struct server_conn *conn)
-{
-	conn->kept_limits.head_bytes = conn->limits->head_bytes;
-	conn->kept_limits.body_bytes = conn->limits->body_bytes;
-	conn->kept_limits.head_ms = conn->limits->head_ms;
+	kept->head_bytes =
+		server_conn_max_of(kept->head_bytes, now->head_bytes);
+	kept->body_bytes =
+		server_conn_max_of(kept->body_bytes, now->body_bytes);
+	kept->head_ms = server_conn_max_of(kept->head_ms, now->head_ms);
+	kept->idle_ms = server_conn_max_of(kept->idle_ms, now->idle_ms);
 }
 
 static int64_t idle_wait_ms(const struct server_conn *conn)
 {
-	int64_t limit_ms =
-		max_of(conn->kept_limits.idle_ms, conn->limits->idle_ms);
+	int64_t limit_ms = server_conn_max_of(conn->kept_limits.idle_ms,
+					      conn->limits->idle_ms);
 
 	return limit_ms < SERVER_MIN_ANNOUNCED_MS ? limit_ms
 						  : limit_ms + IDLE_MARGIN_MS;
@@ -133,7 +122,8 @@
 	if (conn->lingers)
 		return LINGER_MS;
 	if (conn->state == SERVER_CONN_READING && conn->request_begun)
-		return max_of(conn->kept_limits.head_ms, conn->limits->head_ms);
+		return server_conn_max_of(conn->kept_limits.head_ms,
+					  conn->limits->head_ms);
 	if (server_conn_unwritten(conn))
 		return conn->limits->stall_ms;
 	return idle_wait_ms(conn);
@@ -235,145 +225,6 @@
 	flush_and_close(conn);
 }
 
-/* Any value but 0, 1 and 2 stops the parser from every callback: 1 and 2 have
- * a meaning of their own in on_headers_complete(). */
-#define PARSER_ABORT (-1)
-
-static int refuse(struct server_conn *conn, int status)
-{
-	conn->refused_status = status;
-	return PARSER_ABORT;
-}
-
-static int on_message_begin(http_parser *parser)
-{
-	struct server_conn *conn = parser->data;
-
-	conn->request_begun = true;
-	begin_request_limits(conn);
-	server_conn_start_wait(conn);
-	return 0;
-}
-
-static bool head_exceeds_limit(const struct server_conn *conn, size_t more)
-{
-	const struct server_request *request = &conn->request;
-
-	return (int64_t)(request->head.text.size + request->target.size +
-			 more) >
-	       max_of(conn->kept_limits.head_bytes, conn->limits->head_bytes);
-}
-
-static int on_url(http_parser *parser, const char *data, size_t size)
-{
-	struct server_conn *conn = parser->data;
-
-	if (head_exceeds_limit(conn, size))
-		return refuse(conn, 431);
-	buffer_add(&conn->request.target, data, size);
-	return 0;
-}
-
-static int on_header_field(http_parser *parser, const char *data, size_t size)
-{
-	struct server_conn *conn = parser->data;
-
-	if (head_exceeds_limit(conn, size))
-		return refuse(conn, 431);
-	http_head_add_name(&conn->request.head, data, size);
-	return 0;
-}
-
-static int on_header_value(http_parser *parser, const char *data, size_t size)
-{
-	struct server_conn *conn = parser->data;
-
-	if (head_exceeds_limit(conn, size))
-		return refuse(conn, 431);
-	http_head_add_value(&conn->request.head, data, size);
-	return 0;
-}
-
-/* Prevents request smuggling, which relies on a head from which two parties
- * read different body lengths or hosts. */
-static bool framing_is_unambiguous(const struct http_head *head)
-{
-	const char *coding = http_head_find(head, "Transfer-Encoding");
-
-	if (http_head_count(head, "Transfer-Encoding") > 1 ||
-	    http_head_count(head, "Content-Length") > 1 ||
-	    http_head_count(head, "Host") > 1)
-		return false;
-	if (!coding)
-		return true;
-	return !strcasecmp(coding, "chunked") &&
-	       !http_head_find(head, "Content-Length");
-}
-
-static int64_t max_body_bytes(const struct server_conn *conn)
-{
-	return max_of(conn->kept_limits.body_bytes, conn->limits->body_bytes);
-}
-
-static int on_headers_complete(http_parser *parser)
-{
-	struct server_conn *conn = parser->data;
-	const char *expect;
-
-	parser->upgrade = 0;
-	conn->http_1_0 = parser->http_major < 1 ||
-			 (parser->http_major == 1 && parser->http_minor < 1);
-	conn->is_head_request = parser->method == HTTP_HEAD;
-	conn->request.method = http_method_str(parser->method);
-	if (!framing_is_unambiguous(&conn->request.head) ||
-	    parser->method == HTTP_CONNECT)
-		return refuse(conn, 400);
-	if (conn->events->head && !conn->events->head(conn))
-		return refuse(conn, SERVER_REFUSED_BY_OWNER);
-	if (parser->content_length != UINT64_MAX &&
-	    parser->content_length > (uint64_t)max_body_bytes(conn))
-		return refuse(conn, 413);
-	expect = http_head_find(&conn->request.head, "Expect");
-	if (expect && !strcasecmp(expect, "100-continue")) {
-		uv_buf_t interim =
-			uv_buf_init("HTTP/1.1 100 Continue\r\n\r\n", 25);
-
-		server_conn_write_parts(conn, &interim, 1);
-	}
-	return 0;
-}
-
-static int on_body(http_parser *parser, const char *data, size_t size)
-{
-	struct server_conn *conn = parser->data;
-
-	if ((int64_t)(conn->request.body.size + size) > max_body_bytes(conn))
-		return refuse(conn, 413);
-	buffer_add(&conn->request.body, data, size);
-	return 0;
-}
-
-static int on_message_complete(http_parser *parser)
-{
-	struct server_conn *conn = parser->data;
-
-	conn->keep_alive = http_should_keep_alive(parser);
-	conn->caller_closes = !conn->keep_alive;
-	conn->state = SERVER_CONN_SERVING;
-	http_parser_pause(parser, 1);
-	return 0;
-}
-
-static const http_parser_settings parser_settings = {
-	.on_message_begin = on_message_begin,
-	.on_url = on_url,
-	.on_header_field = on_header_field,
-	.on_header_value = on_header_value,
-	.on_headers_complete = on_headers_complete,
-	.on_body = on_body,
-	.on_message_complete = on_message_complete,
-};
-
 void server_conn_pause_reading(struct server_conn *conn)
 {
 	uv_read_stop((uv_stream_t *)&conn->tcp);
@@ -403,13 +254,6 @@
 	server_conn_finish(conn);
 }
 
-/* Parses up to the end of the current request.
- * @return how many of these bytes it has taken */
-static size_t parse(struct server_conn *conn, const char *data, size_t size)
-{
-	return http_parser_execute(&conn->parser, &parser_settings, data, size);
-}
-
 static void handle_parsed(struct server_conn *conn)
 {
 	if (conn->state == SERVER_CONN_SERVING) {
@@ -424,7 +268,7 @@
 
 static void parse_read(struct server_conn *conn, const char *data, size_t size)
 {
-	size_t used = parse(conn, data, size);
+	size_t used = server_conn_parse(conn, data, size);
 
 	if (conn->state == SERVER_CONN_SERVING && used < size)
 		queue_pipelined(conn, data + used, size - used);
@@ -440,9 +284,9 @@
 	conn->parses_pipelined = true;
 	while (conn->state == SERVER_CONN_READING && !conn->partly_read &&
 	       !server_conn_is_full(conn) && server_conn_pipelined(conn)) {
-		conn->pipelined_read +=
-			parse(conn, conn->pipelined.data + conn->pipelined_read,
-			      server_conn_pipelined(conn));
+		conn->pipelined_read += server_conn_parse(
+			conn, conn->pipelined.data + conn->pipelined_read,
+			server_conn_pipelined(conn));
 		handle_parsed(conn);
 	}
 	conn->parses_pipelined = false;
@@ -493,8 +337,7 @@
 	http_head_clear(&conn->request.head);
 	buffer_clear(&conn->request.target);
 	buffer_free(&conn->request.body);
-	http_parser_init(&conn->parser, HTTP_REQUEST);
-	conn->parser.data = conn;
+	server_conn_parse_next(conn);
 	conn->state = SERVER_CONN_READING;
 	conn->request_begun = false;
 	conn->refused_status = 400; /* unless a callback sets another */
--- a/src/transport/server_conn_private.h
+++ b/src/transport/server_conn_private.h
@@ -1,7 +1,8 @@
 /**
  * @file server_conn_private.h
  * Shared by the files that implement a caller's connection: server_conn.c reads
- * requests and ends the connection, server_conn_response.c writes responses.
+ * and ends it, server_conn_request.c parses requests and refuses those that
+ * exceed a limit, server_conn_response.c writes responses.
  */
 #ifndef TRANSPORT_SERVER_CONN_PRIVATE_H
 #define TRANSPORT_SERVER_CONN_PRIVATE_H
@@ -12,6 +13,19 @@
  * whole seconds. */
 #define SERVER_MIN_ANNOUNCED_MS 1000
 
+static inline int64_t server_conn_max_of(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+/** Makes the parser await the head of a request. */
+void server_conn_parse_next(struct server_conn *conn);
+
+/** Parses up to the end of the current request.
+ * @return how many of these bytes it has taken */
+size_t server_conn_parse(struct server_conn *conn, const char *data,
+			 size_t size);
+
 /** Closes the connection, and tells the owner of a request that is served. */
 void server_conn_handle_disconnect(struct server_conn *conn);
 
