Soak: a gateway error at a stop's end is judged as a cut is

The rule of the play says that a stop may cut such a request: sent up to 3 s after the signal, a server at work on it in the last sixth of the grace time. A cut was excused so and an answer was not, although it is worth more to the caller.

The test has the limits of the excuse as a table; a 504 with time left, or from a server that had answered, still breaks the promise.

--- a/tests/soak/lost_judge.h
+++ b/tests/soak/lost_judge.h
@@ -70,6 +70,11 @@
 enum lost_verdict lost_judge_end(struct lost_judge *judge,
 				 const struct lost_end *end);
 
+/** @return whether it was sent soon after a planned stop, and a server still
+ * worked on it when the time of the stop ended: no host can have its answer */
+bool lost_judge_outlasts_stop(const struct lost_judge *judge,
+			      const struct lost_end *end);
+
 bool lost_verdict_is_cut(enum lost_verdict verdict);
 const char *lost_verdict_name(enum lost_verdict verdict);
 
--- a/tests/soak/lost_report.c
+++ b/tests/soak/lost_report.c
@@ -79,6 +79,10 @@
 	    (end->ended_us - end->begun_us) * TENTHS >=
 		    end->limit_us * EARLY_TENTHS)
 		return;
+	if (lost_judge_outlasts_stop(&host->judge, end)) {
+		print_ending(host, ending, "gateway error at a stop's end");
+		return;
+	}
 	host->gateway_errors++;
 	print_ending(host, ending, "gateway error");
 	soak_broken(host->host->soak, "early-gateway-error",
--- a/tests/unit/test_soak_lost.c
+++ b/tests/unit/test_soak_lost.c
@@ -90,6 +90,43 @@
 }
 END_TEST
 
+/* When a request that a host answered at `ended` may have no answer of a
+ * server: as for one that a stop cuts. */
+static const struct {
+	const char *name;
+	int stop_at;
+	int ended_at;
+	int worked_until;
+	bool outlasts;
+} stop_rows[] = {
+	{"a server works to the end of the stop", 7000, 12400, 12400, true},
+	{"the stop has time left", 7000, 11999, 11999, false},
+	{"its server had answered before", 7000, 12400, 11999, false},
+	{"was sent too late in the stop for that", 6999, 12400, 12400, false},
+	{"there was no stop", LONG_AGO, 12400, 12400, false},
+};
+
+START_TEST(only_work_to_the_end_of_a_stop_excuses_a_gateway_error)
+{
+	struct lost_judge judge = {.grace_us = GRACE_MS * MS};
+	struct lost_end end = {
+		.begun_us = BEGUN * MS,
+		.whole_us = BEGUN * MS,
+		.ended_us = stop_rows[_i].ended_at * MS,
+		.limit_us = 8000 * MS,
+		.arrivals = 1,
+		.worked_until_us = stop_rows[_i].worked_until * MS,
+		.complete = true,
+	};
+
+	lost_judge_plan(&judge, LOST_STOP, stop_rows[_i].stop_at * MS);
+	ck_assert_msg(lost_judge_outlasts_stop(&judge, &end) ==
+			      stop_rows[_i].outlasts,
+		      "%s", stop_rows[_i].name);
+	lost_judge_free(&judge);
+}
+END_TEST
+
 static void end_many(struct lost_judge *judge, int at_ms, unsigned int count,
 		     bool complete)
 {
@@ -160,6 +197,9 @@
 
 	tcase_add_loop_test(tcase, each_row_gets_its_verdict, 0,
 			    sizeof(rows) / sizeof(rows[0]));
+	tcase_add_loop_test(
+		tcase, only_work_to_the_end_of_a_stop_excuses_a_gateway_error,
+		0, sizeof(stop_rows) / sizeof(stop_rows[0]));
 	tcase_add_test(
 		tcase,
 		cuts_beside_changes_count_above_three_times_the_other_rate);
