Hold a request's body once, and only while it may be sent

Cause: a body was copied for each server it waited for: into the connection until that was open, and into the queue of what the socket did not take.

Change: state/held_buffer is a byte string with several users. The call takes the request's body; connections to servers and their queues refer to it (stream_write queues the last part by reference). A call whose answer goes out, and that must not be repeated, gives it up; an attempt needs it, so such a call is not sent again.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -52,6 +52,8 @@
 	for (size_t i = 0; i < CALL_OPEN_ATTEMPTS_MAX; i++)
 		if (call->attempts[i].backend)
 			call_attempt_abandon(&call->attempts[i]);
+	held_buffer_unref(call->body);
+	call->body = NULL;
 	if (call->reserved_tokens)
 		team_budget_settle(edge->budgets, call->team,
 				   call->reserved_tokens, spent_tokens(call));
@@ -364,6 +366,7 @@
 			call->route.priority = set->teams[team].priority;
 	}
 	identify(call);
+	call->body = held_buffer_take(&conn->request.body, NULL, NULL);
 	call->deadline_us =
 		call->arrived_us + total_timeout_ms(call) * TGW_US_PER_MS;
 	if (edge_may_be_cut_off(edge, call->deadline_us)) {
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -31,6 +31,7 @@
 	struct call *call = attempt->call;
 
 	attempt->forwarding = true;
+	call_release_sent_body(call);
 	if (call->head_sent || !call->caller)
 		return;
 	call->head_sent = true;
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -32,14 +32,14 @@
 	}
 }
 
-static void add_length(const struct server_request *request,
-		       struct buffer *head)
+static void add_length(const struct call *call, struct buffer *head)
 {
-	if (request->body.size ||
-	    http_head_find(&request->head, "Content-Length") ||
-	    http_head_find(&request->head, "Transfer-Encoding"))
-		buffer_add_format(head, "Content-Length: %zu\r\n",
-				  request->body.size);
+	const struct http_head *fields = &call->caller->request.head;
+	size_t size = call->body->bytes.size;
+
+	if (size || http_head_find(fields, "Content-Length") ||
+	    http_head_find(fields, "Transfer-Encoding"))
+		buffer_add_format(head, "Content-Length: %zu\r\n", size);
 }
 
 static int64_t remaining_ms(const struct call *call)
@@ -70,7 +70,7 @@
 			  request->target.data);
 	add_caller_fields(call, head, info.last_event_id);
 	call->edge->sources.dialect->write_attempt(head, &info);
-	add_length(request, head);
+	add_length(call, head);
 	buffer_add_text(head, "\r\n");
 }
 
@@ -111,6 +111,7 @@
 	int64_t now_us = edge_now_us();
 
 	assert(!call->current && call->attempt_count < ATTEMPTS_MAX);
+	assert(call->body);
 	call->tried[call->attempt_count++] = backend->run_hash;
 	call->sent_count++;
 	call->current = attempt;
@@ -132,8 +133,8 @@
 	write_head(call, backend, &head);
 	attempt->conn->ignore_body = is_head_request(call);
 	http_conn_send(attempt->conn, &call_response_events, attempt, &head,
-		       &call->caller->request.body);
-	if (head.size + call->caller->request.body.size > LONG_REQUEST_BYTES) {
+		       call->body);
+	if (head.size + call->body->bytes.size > LONG_REQUEST_BYTES) {
 		attempt->unsent_bytes = http_conn_unsent(attempt->conn);
 		attempt->unsent_check_us = now_us + UPLOAD_CHECK_US;
 	}
@@ -141,6 +142,14 @@
 	call_schedule(call);
 }
 
+void call_release_sent_body(struct call *call)
+{
+	if (call_may_repeat(call))
+		return;
+	held_buffer_unref(call->body);
+	call->body = NULL;
+}
+
 void call_attempt_check_upload(struct call_attempt *attempt, int64_t now_us)
 {
 	size_t unsent_bytes;
--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -87,6 +87,8 @@
 /* Whether a server may run the request although another one may have. */
 static bool may_run_again(const struct call *call, enum attempt_trigger trigger)
 {
+	if (!call->body)
+		return false;
 	return call_may_repeat(call) ||
 	       (trigger != ATTEMPT_SILENT && !call_may_have_run(call));
 }
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -84,6 +84,8 @@
 	struct request_info request;
 	struct request_identity identity;
 	struct call_route route;
+	/* What is sent to servers; NULL once it can't be sent again. */
+	struct held_buffer *body;
 	char team[TGW_NAME_SIZE]; /* empty without a team */
 	int64_t arrived_us;
 	int64_t deadline_us; /* the response must be complete by then */
@@ -159,6 +161,9 @@
  * retry. */
 void call_attempt_not_sent(const struct call_attempt *attempt);
 
+/** Forgets the request's body, if it will not be sent again. */
+void call_release_sent_body(struct call *call);
+
 /** Ends an attempt. Its connection is released to the pool if the response is
  * complete; otherwise it is closed, which the server may notice. */
 void call_attempt_end(struct call_attempt *attempt);
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -31,6 +31,13 @@
 /* The loop has one thread, so one buffer serves all reads. */
 static char read_buffer[READ_SIZE_BYTES];
 
+static void forget_unsent(struct http_conn *conn)
+{
+	buffer_free(&conn->unsent_head);
+	held_buffer_unref(conn->unsent_body);
+	conn->unsent_body = NULL;
+}
+
 static void on_closed(uv_handle_t *handle)
 {
 	struct http_conn *conn = handle->data;
@@ -38,7 +45,7 @@
 	if (--conn->open_handles)
 		return;
 	http_head_free(&conn->head);
-	buffer_free(&conn->unsent);
+	forget_unsent(conn);
 	free(conn);
 }
 
@@ -305,21 +312,32 @@
 	fail(timer->data, HTTP_CONN_CLOSED);
 }
 
-static void write_parts(struct http_conn *conn, const uv_buf_t *parts,
-			unsigned int count)
+static size_t body_size(const struct held_buffer *body)
 {
+	return body ? body->bytes.size : 0;
+}
+
+static void write_request(struct http_conn *conn, const struct buffer *head,
+			  struct held_buffer *body)
+{
+	uv_buf_t parts[2];
+	unsigned int count = 1;
+
+	parts[0] = uv_buf_init(head->data, (unsigned int)head->size);
+	if (body_size(body))
+		parts[count++] = uv_buf_init(body->bytes.data,
+					     (unsigned int)body->bytes.size);
 	conn->sent = true;
 	if (conn->link_bytes)
 		conn->link_bytes->sent_bytes += stream_write_size(parts, count);
 	if (stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
-			       on_written))
+			       count > 1 ? body : NULL, on_written))
 		uv_timer_start(&conn->timer, on_write_refused, 0, 0);
 }
 
 static void on_connected(uv_connect_t *request, int status)
 {
 	struct http_conn *conn = request->handle->data;
-	uv_buf_t part;
 
 	if (conn->state == HTTP_CONN_CLOSING)
 		return;
@@ -329,11 +347,10 @@
 	}
 	conn->connected = true;
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
-	if (!conn->unsent.size)
+	if (!conn->unsent_head.size)
 		return;
-	part = uv_buf_init(conn->unsent.data, (unsigned int)conn->unsent.size);
-	write_parts(conn, &part, 1);
-	buffer_free(&conn->unsent);
+	write_request(conn, &conn->unsent_head, conn->unsent_body);
+	forget_unsent(conn);
 }
 
 static void on_connect_failed(uv_timer_t *timer)
@@ -372,18 +389,15 @@
 	if (uv_fileno((const uv_handle_t *)&conn->tcp, &descriptor) ||
 	    ioctl(descriptor, SIOCOUTQ, &in_kernel) < 0)
 		return 0;
-	return conn->unsent.size +
+	return conn->unsent_head.size + body_size(conn->unsent_body) +
 	       uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp) +
 	       (size_t)in_kernel;
 }
 
 void http_conn_send(struct http_conn *conn,
 		    const struct http_conn_events *events, void *arg,
-		    const struct buffer *head, const struct buffer *body)
+		    const struct buffer *head, struct held_buffer *body)
 {
-	uv_buf_t parts[2];
-	unsigned int count = 1;
-
 	assert(conn->state == HTTP_CONN_IDLE);
 	conn->state = HTTP_CONN_AWAITING;
 	conn->events = events;
@@ -394,17 +408,12 @@
 	conn->write_failed = false;
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
 	conn->parser.data = conn;
-	if (!conn->connected) {
-		buffer_add(&conn->unsent, head->data, head->size);
-		if (body)
-			buffer_add(&conn->unsent, body->data, body->size);
+	if (conn->connected) {
+		write_request(conn, head, body);
 		return;
 	}
-	parts[0] = uv_buf_init(head->data, (unsigned int)head->size);
-	if (body && body->size)
-		parts[count++] =
-			uv_buf_init(body->data, (unsigned int)body->size);
-	write_parts(conn, parts, count);
+	buffer_add(&conn->unsent_head, head->data, head->size);
+	conn->unsent_body = held_buffer_ref(body);
 }
 
 void http_conn_pause(struct http_conn *conn)
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -14,6 +14,7 @@
 
 #include "base/buffer.h"
 #include "protocol/http_head.h"
+#include "state/held_buffer.h"
 #include "state/link_load.h"
 
 struct http_conn;
@@ -67,7 +68,8 @@
 	http_parser parser;
 	struct http_head head; /**< of the current response */
 	int status;	       /**< of the current response */
-	struct buffer unsent;  /**< the request until connected */
+	struct buffer unsent_head; /**< of the request until connected */
+	struct held_buffer *unsent_body; /**< the same; NULL for none */
 	enum http_conn_state state;
 	bool connected;
 	bool sent;	   /**< writing of the current request has begun */
@@ -104,10 +106,12 @@
  * also 0 if that is not known */
 size_t http_conn_unsent(const struct http_conn *conn);
 
-/** Sends one request. What the socket does not accept at once is copied. */
+/** Sends one request. Of what the socket does not accept at once, the head is
+ * copied and the body is kept by reference.
+ * @param body NULL for none */
 void http_conn_send(struct http_conn *conn,
 		    const struct http_conn_events *events, void *arg,
-		    const struct buffer *head, const struct buffer *body);
+		    const struct buffer *head, struct held_buffer *body);
 
 /** The response that has ended with its connection is whole; `complete`
  * follows from inside this call. */
--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -47,7 +47,7 @@
 	struct server *server; /* NULL if the URL can't be used */
 	struct http_handler handler;
 	struct buffer head;
-	struct buffer body;
+	struct held_buffer *body;  /* NULL for none */
 	struct buffer undelivered; /* not accepted by the handler yet */
 	struct http_conn *conn;
 	uv_timer_t timer;
@@ -89,7 +89,7 @@
 	if (--exchange->references)
 		return;
 	buffer_free(&exchange->head);
-	buffer_free(&exchange->body);
+	held_buffer_unref(exchange->body);
 	buffer_free(&exchange->undelivered);
 	free(exchange);
 }
@@ -303,7 +303,7 @@
 	exchange->conn = conn;
 	conn->ignore_body = exchange->is_head_request;
 	http_conn_send(conn, &response_events, exchange, &exchange->head,
-		       &exchange->body);
+		       exchange->body);
 }
 
 static void connect_to(struct http_exchange *exchange,
@@ -454,6 +454,7 @@
 		       const char *authority, const char *path)
 {
 	struct buffer *head = &exchange->head;
+	struct buffer body = {0};
 	bool is_get_or_head = !strcmp(request->method, "GET") ||
 			      !strcmp(request->method, "HEAD");
 
@@ -467,8 +468,10 @@
 		buffer_add_format(head, "Content-Length: %zu\r\n",
 				  request->body_size);
 	buffer_add_text(head, "\r\n");
-	if (request->body_size)
-		buffer_add(&exchange->body, request->body, request->body_size);
+	if (request->body_size) {
+		buffer_add(&body, request->body, request->body_size);
+		exchange->body = held_buffer_take(&body, NULL, NULL);
+	}
 }
 
 static struct http_exchange *start(struct http_sender *sender,
--- a/src/transport/server_conn_response.c
+++ b/src/transport/server_conn_response.c
@@ -49,7 +49,7 @@
 		return;
 	if (conn->link_bytes)
 		conn->link_bytes->sent_bytes += stream_write_size(parts, count);
-	if (!stream_write_parts((uv_stream_t *)&conn->tcp, parts, count,
+	if (!stream_write_parts((uv_stream_t *)&conn->tcp, parts, count, NULL,
 				on_written))
 		return;
 	/* The owner is in the middle of its response: end it later. */
--- a/tests/soak/part_play.c
+++ b/tests/soak/part_play.c
@@ -202,6 +202,7 @@
 
 static void send_request(struct part_caller *caller)
 {
+	struct held_buffer *sent;
 	struct buffer head = {0};
 	char body[32];
 	struct buffer text = {0};
@@ -226,9 +227,10 @@
 			  request->second, caller->request, text.size);
 	socket_address_parse(caller->host->caller_address, &address);
 	caller->conn = http_conn_open(&soak->loop, &address.any);
-	http_conn_send(caller->conn, &conn_events, caller, &head, &text);
+	sent = held_buffer_take(&text, NULL, NULL);
+	http_conn_send(caller->conn, &conn_events, caller, &head, sent);
 	buffer_free(&head);
-	buffer_free(&text);
+	held_buffer_unref(sent);
 }
 
 static void on_due(uv_timer_t *timer)
--- a/tests/unit/test_edge_uploads.c
+++ b/tests/unit/test_edge_uploads.c
@@ -1,4 +1,5 @@
 /* Tests requests whose bodies backend servers read slowly. */
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,6 +10,8 @@
 #include "unit/unit_main.h"
 
 #define BODY_BYTES ((size_t)3 * 1024 * 1024)
+/* More than the sockets of both sides take. */
+#define HUGE_BODY_BYTES ((size_t)24 * 1024 * 1024)
 #define READ_INTERVAL_MS 50
 /* A request of 10 s goes to another server as well after a silence of 1.5 s. */
 #define STALL_MS 2500
@@ -45,7 +48,7 @@
 	edge_rig_stop(&rig);
 }
 
-static void send_long_request(void)
+static void send_request(size_t body_bytes)
 {
 	static const char head[] = "POST /long-safe/ok HTTP/1.1\r\n"
 				   "Host: a.example\r\n"
@@ -53,11 +56,11 @@
 				   "Connection: close\r\n"
 				   "Content-Length: %zu\r\n\r\n";
 	struct buffer text = {0};
-	char *body = xmalloc(BODY_BYTES);
+	char *body = xmalloc(body_bytes);
 
-	memset(body, 'x', BODY_BYTES);
-	buffer_add_format(&text, head, BODY_BYTES);
-	buffer_add(&text, body, BODY_BYTES);
+	memset(body, 'x', body_bytes);
+	buffer_add_format(&text, head, body_bytes);
+	buffer_add(&text, body, body_bytes);
 	buffer_add(&text, "", 1);
 	edge_rig_call(&rig, &caller, text.data);
 	free(body);
@@ -83,7 +86,7 @@
 {
 	int64_t taken_ms;
 
-	send_long_request();
+	send_request(BODY_BYTES);
 	taken_ms = read_slowly();
 	ck_assert(caller.closed);
 	ck_assert(!strncmp(caller.received.data, "HTTP/1.1 200 ", 13));
@@ -96,7 +99,7 @@
 
 START_TEST(an_upload_that_stalls_is_a_silence)
 {
-	send_long_request();
+	send_request(BODY_BYTES);
 	edge_rig_run(&rig, STALL_MS);
 	ck_assert_uint_eq(rig.hosts[0].edge.counters.silences, 1);
 	ck_assert_uint_eq(rig.server_standins[1].runs, 1);
@@ -105,6 +108,33 @@
 }
 END_TEST
 
+static size_t allocated_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+/* Both servers read too little of it, so that most of it waits here for each.
+ */
+START_TEST(a_body_that_waits_for_two_servers_is_held_once)
+{
+	struct edge *edge = &rig.hosts[0].edge;
+	struct read_turns none;
+	size_t before;
+
+	memset(&none, 0, sizeof(none));
+	rig.server_standins[1].turns = &none;
+	edge->limits.body_bytes = 2 * HUGE_BODY_BYTES;
+	before = allocated_bytes();
+	send_request(HUGE_BODY_BYTES);
+	edge_rig_run(&rig, STALL_MS);
+	ck_assert_uint_eq(edge->counters.silences, 1);
+	ck_assert_uint_eq(edge->call_count, 1);
+	ck_assert_uint_le(allocated_bytes() - before, HUGE_BODY_BYTES * 3 / 2);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_uploads");
@@ -114,6 +144,7 @@
 	tcase_set_timeout(tcase, 30);
 	tcase_add_test(tcase, a_long_upload_is_not_a_silence);
 	tcase_add_test(tcase, an_upload_that_stalls_is_a_silence);
+	tcase_add_test(tcase, a_body_that_waits_for_two_servers_is_held_once);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -312,6 +312,7 @@
 		http_conn_open(&loop, (const struct sockaddr *)address);
 	struct buffer head = {0};
 	struct buffer long_body = {0};
+	struct held_buffer *held;
 
 	buffer_add_format(
 		&head,
@@ -322,9 +323,10 @@
 
 		buffer_add(&long_body, piece, sizeof(piece));
 	}
-	http_conn_send(conn, long_events, NULL, &head, &long_body);
+	held = held_buffer_take(&long_body, NULL, NULL);
+	http_conn_send(conn, long_events, NULL, &head, held);
 	buffer_free(&head);
-	buffer_free(&long_body);
+	held_buffer_unref(held);
 	uv_run(&loop, UV_RUN_DEFAULT);
 }
 
