Callers' bodies stay within a share of the host's memory

Change: state/held_bytes counts what callers' requests take; their share is request_memory_percent (30) of memory_mb, that of answers 15 now. A body of known length is counted before any of it is read, and takes its length. One that finds no room gets 503 and Retry-After, one larger than the share 413; 8 KB of a request always fit, and that much waits behind one at a full host. Each request that is not read to its end has a log line with the figures.

--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -34,6 +34,13 @@
 	buffer->data = xrealloc(buffer->data, buffer->capacity);
 }
 
+void buffer_set_capacity(struct buffer *buffer, size_t size)
+{
+	buffer->capacity = (size > buffer->size ? size : buffer->size) + 1;
+	buffer->data = xrealloc(buffer->data, buffer->capacity);
+	buffer->data[buffer->size] = '\0';
+}
+
 void buffer_add(struct buffer *buffer, const void *data, size_t size)
 {
 	buffer_reserve(buffer, size);
--- a/src/base/buffer.h
+++ b/src/base/buffer.h
@@ -19,6 +19,10 @@
 /** @return the capacity that the buffer has once `more` bytes were added */
 size_t buffer_capacity_with(const struct buffer *buffer, size_t more);
 
+/** Gives the buffer memory for just so many bytes, or for what it has if that
+ * is more. */
+void buffer_set_capacity(struct buffer *buffer, size_t size);
+
 void buffer_add_text(struct buffer *buffer, const char *text);
 void buffer_add_format(struct buffer *buffer, const char *format, ...)
 	__attribute__((format(printf, 2, 3)));
--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -68,7 +68,8 @@
 }
 
 static void send_refusal(struct edge *edge, struct server_conn *conn,
-			 int status, int64_t retry_after_ms, const char *reason)
+			 int status, int64_t retry_after_ms, const char *reason,
+			 bool closing)
 {
 	struct buffer fields = {0};
 	struct buffer body = {0};
@@ -77,7 +78,7 @@
 	buffer_add_text(&fields, "Content-Type: application/json\r\n");
 	edge->sources.dialect->write_refusal(&fields, retry_after_ms);
 	server_conn_send_head(conn, status, &fields, (int64_t)body.size,
-			      edge_callers_ends_connection(edge));
+			      closing);
 	server_conn_send_body(conn, body.data, body.size);
 	conn->call = NULL;
 	server_conn_finish(conn);
@@ -96,7 +97,36 @@
 		      "age_ms=0 caller=done",
 		      info->id, status, reason, (long long)retry_after_ms);
 	edge->counters.refused++;
-	send_refusal(edge, conn, status, retry_after_ms, reason);
+	send_refusal(edge, conn, status, retry_after_ms, reason,
+		     edge_callers_ends_connection(edge));
+}
+
+bool call_refuse_unread(struct edge *edge, struct server_conn *conn, int status)
+{
+	const struct held_bytes *held = &edge->held_requests;
+	const char *length =
+		http_head_find(&conn->request.head, "Content-Length");
+	struct request_info info;
+
+	edge->sources.dialect->read_request(&conn->request.head, &info);
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "callers", "refused_unread",
+		      "request=%s status=%d length=%s read_bytes=%zu "
+		      "waited_ms=%lld body_limit=%lld head_limit=%lld "
+		      "held_by_all=%lld request_memory=%lld",
+		      info.id, status, length ? length : "-",
+		      conn->request.body.size,
+		      (long long)server_conn_waited_ms(conn),
+		      (long long)edge->limits.body_bytes,
+		      (long long)edge->limits.head_bytes,
+		      (long long)held->total_bytes,
+		      (long long)held->limit_bytes);
+	if (status != 503)
+		return false;
+	edge->counters.memory_refused++;
+	edge->counters.refused++;
+	send_refusal(edge, conn, status, RETRY_AFTER_DEFAULT_MS,
+		     "the host has no room for the request's body", true);
+	return true;
 }
 
 void call_refuse(struct call *call, int status, int64_t retry_after_ms,
@@ -117,7 +147,8 @@
 		server_conn_abort(caller);
 		return;
 	}
-	send_refusal(edge, caller, status, retry_after_ms, reason);
+	send_refusal(edge, caller, status, retry_after_ms, reason,
+		     edge_callers_ends_connection(edge));
 }
 
 void call_give_up(struct call *call, const char *reason)
@@ -366,7 +397,7 @@
 			call->route.priority = set->teams[team].priority;
 	}
 	identify(call);
-	call->body = held_buffer_take(&conn->request.body, NULL, NULL);
+	call->body = server_conn_take_body(conn);
 	call->deadline_us =
 		call->arrived_us + total_timeout_ms(call) * TGW_US_PER_MS;
 	if (edge_may_be_cut_off(edge, call->deadline_us)) {
--- a/src/edge/call.h
+++ b/src/edge/call.h
@@ -11,6 +11,12 @@
 /** Starts a call for the request that was read from this connection. */
 void call_start(struct edge *edge, struct server_conn *conn);
 
+/** Logs a request that is not read to its end, and refuses one that finds no
+ * room here: no server has it.
+ * @return whether a response was sent */
+bool call_refuse_unread(struct edge *edge, struct server_conn *conn,
+			int status);
+
 /** Handles the end of the caller's connection before the response was
  * complete. */
 void call_caller_disconnected(struct call *call);
--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -177,7 +177,7 @@
 void call_attempt_record_held(struct call_attempt *attempt)
 {
 	held_bytes_record(
-		&attempt->call->edge->held_bytes, &attempt->held_bytes,
+		&attempt->call->edge->held_answers, &attempt->held_bytes,
 		(int64_t)(attempt->fields.capacity + attempt->body.capacity +
 			  attempt->partial.capacity));
 }
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -65,7 +65,7 @@
 		      backend->entry.slots, ms_since(backend->reported_us),
 		      backend_failure_rate(backend, edge_now_us()),
 		      (long long)attempt->held_bytes,
-		      (long long)call->edge->held_bytes.total_bytes,
+		      (long long)call->edge->held_answers.total_bytes,
 		      fingerprint, parts);
 }
 
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -227,7 +227,7 @@
 	const struct call_attempt *attempt, const struct buffer *buffer,
 	size_t more)
 {
-	return held_bytes_check(&attempt->call->edge->held_bytes,
+	return held_bytes_check(&attempt->call->edge->held_answers,
 				(int64_t)buffer->capacity,
 				(int64_t)buffer_capacity_with(buffer, more));
 }
--- a/src/edge/call_stream.c
+++ b/src/edge/call_stream.c
@@ -47,7 +47,7 @@
 		attempt->partial.size + size,
 		verdict == HELD_HOST_FULL ? "all answers together"
 					  : "an answer",
-		(long long)held_bytes_limit(&edge->held_bytes, verdict));
+		(long long)held_bytes_limit(&edge->held_answers, verdict));
 	call_attempt_failed(attempt, BACKEND_BROKEN, reason);
 }
 
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -285,8 +285,10 @@
 		.stall_ms = CALLER_STALL_MS,
 	};
 	host_load_init(&edge->load);
-	held_bytes_init(&edge->held_bytes, settings->memory_mb,
-			settings->answer_memory_percent);
+	held_bytes_init(&edge->held_answers, settings->memory_mb,
+			settings->answer_memory_percent, HELD_BYTES_ANSWER_MAX);
+	held_bytes_init(&edge->held_requests, settings->memory_mb,
+			settings->request_memory_percent, 0);
 	link_load_init(&edge->link_load, settings->link_mbps);
 	edge_callers_init(edge);
 	uv_prepare_init(loop, &edge->poll_begins);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -73,6 +73,7 @@
 	uint64_t silences_ended;
 	/** Attempts that were ended since an event did not end. */
 	uint64_t events_without_end;
+	uint64_t memory_refused; /* no room for their bodies */
 	uint64_t caller_left;
 	uint64_t caller_closes[SERVER_CLOSE_REASONS];
 	/** Of these, closes for a reason other than SERVER_CLOSE_OTHER, though
@@ -112,8 +113,9 @@
 	int64_t budget_due_us;
 	struct server_limits limits; /* on callers' requests */
 	struct connection_room room;
-	struct held_bytes held_bytes; /* of servers' answers */
-	struct link_bytes link_bytes; /* of requests and their responses */
+	struct held_bytes held_answers;	 /* of servers */
+	struct held_bytes held_requests; /* of callers */
+	struct link_bytes link_bytes;	 /* of requests and their responses */
 	struct link_load link_load;
 	/* Callers' connections, by their last request, the latest first. */
 	struct server_conn *conns;
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -76,6 +76,11 @@
 	call_start(edge, conn);
 }
 
+static bool on_refused(struct server_conn *conn, int status)
+{
+	return call_refuse_unread(conn->owner, conn, status);
+}
+
 static void on_disconnected(struct server_conn *conn)
 {
 	if (conn->call)
@@ -113,6 +118,7 @@
 }
 
 static const struct server_conn_events caller_events = {
+	.refused = on_refused,
 	.request = on_request,
 	.disconnected = on_disconnected,
 	.drained = on_drained,
@@ -130,6 +136,7 @@
 		return;
 	conn->turns = &edge->turns;
 	conn->link_bytes = &edge->link_bytes;
+	conn->held = &edge->held_requests;
 	insert_first(edge, conn);
 	edge->conn_count++;
 }
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -177,6 +177,7 @@
 	add_counter(text, "silences_ended_total", counters->silences_ended);
 	add_counter(text, "events_without_end_total",
 		    counters->events_without_end);
+	add_counter(text, "memory_refused_total", counters->memory_refused);
 	add_counter(text, "retries_total", counters->retries);
 	add_counter(text, "resumed_total", counters->resumed);
 	add_failed_attempts(text, counters->failed_attempts);
@@ -207,9 +208,13 @@
 	add_gauge(text, "open_requests", edge->call_count);
 	add_gauge(text, "caller_connections", edge->conn_count);
 	add_gauge(text, "answer_held_bytes",
-		  (double)edge->held_bytes.total_bytes);
+		  (double)edge->held_answers.total_bytes);
 	add_gauge(text, "answer_held_peak_bytes",
-		  (double)edge->held_bytes.peak_bytes);
+		  (double)edge->held_answers.peak_bytes);
+	add_gauge(text, "request_held_bytes",
+		  (double)edge->held_requests.total_bytes);
+	add_gauge(text, "request_held_peak_bytes",
+		  (double)edge->held_requests.peak_bytes);
 	add_gauge(text, "loop_lag_seconds",
 		  (double)edge->load.loop_lag_us / (double)TGW_US_PER_S);
 	add_gauge(text, "reads_waiting", edge->turns.waiting);
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -28,9 +28,14 @@
 	       "memory of this host; larger hosts take tokens of budgets for "
 	       "smaller ones of their failure domain"),
 	NUMBER("host", "answer_memory_percent", answer_memory_percent, 1, 50,
-	       25,
+	       15,
 	       "percentage of memory_mb that answers of backend servers may "
 	       "take until they may be passed on; without memory_mb, of 256"),
+	NUMBER("host", "request_memory_percent", request_memory_percent, 1, 50,
+	       30,
+	       "percentage of memory_mb that callers' requests may take; a "
+	       "larger body is refused with 413, and one that finds no room "
+	       "with 503; without memory_mb, of 256"),
 	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
 	       "file descriptors that the process may have open; 0 for the "
 	       "limit that the system sets"),
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -21,6 +21,7 @@
 					      * empty for none */
 	int64_t memory_mb;
 	int64_t answer_memory_percent;
+	int64_t request_memory_percent;
 	int64_t max_descriptors; /**< 0: the system's limit */
 	int64_t link_mbps;	 /**< 0: unknown */
 	/* [store] */
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -66,9 +66,9 @@
 	bool eof_seen;
 	unsigned int open_handles;
 	http_parser parser;
-	struct http_head head; /**< of the current response */
-	int status;	       /**< of the current response */
-	struct buffer unsent_head; /**< of the request until connected */
+	struct http_head head;		 /**< of the current response */
+	int status;			 /**< of the current response */
+	struct buffer unsent_head;	 /**< of the request until connected */
 	struct held_buffer *unsent_body; /**< the same; NULL for none */
 	enum http_conn_state state;
 	bool connected;
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -12,7 +12,7 @@
 
 /* Reading pauses once more than this has arrived after the current request. */
 #define PIPELINED_MAX_BYTES (64 * 1024)
-#define READ_SIZE_BYTES (64 * 1024)
+#define READ_SIZE_BYTES PIPELINED_MAX_BYTES
 /* After the last response, further input is discarded for this long, unless
  * the caller has announced that none follows. Closing at once would answer it
  * with a reset, which could overtake the response. */
@@ -57,6 +57,7 @@
 	buffer_free(&conn->request.target);
 	buffer_free(&conn->request.body);
 	buffer_free(&conn->pipelined);
+	server_conn_record_input(conn);
 	free(conn);
 }
 
@@ -231,13 +232,22 @@
 	conn->read_paused = true;
 }
 
+/* A full host reads less at once, so that less waits behind a request. */
+static size_t pipelined_max_bytes(const struct server_conn *conn)
+{
+	return conn->held && held_bytes_is_full(conn->held)
+		       ? HELD_BYTES_ITEM_MIN
+		       : PIPELINED_MAX_BYTES;
+}
+
 static void queue_pipelined(struct server_conn *conn, const char *data,
 			    size_t size)
 {
 	buffer_consume(&conn->pipelined, conn->pipelined_read);
 	conn->pipelined_read = 0;
 	buffer_add(&conn->pipelined, data, size);
-	if (conn->pipelined.size > PIPELINED_MAX_BYTES)
+	server_conn_record_input(conn);
+	if (conn->pipelined.size > pipelined_max_bytes(conn))
 		server_conn_pause_reading(conn);
 }
 
@@ -248,10 +258,12 @@
 
 	conn->partly_read = true;
 	uv_timer_stop(&conn->timer);
-	if (conn->events->refused && conn->events->refused(conn, status))
-		return;
-	server_conn_send_head(conn, status, &none, 0, true);
-	server_conn_finish(conn);
+	if (!conn->events->refused || !conn->events->refused(conn, status)) {
+		server_conn_send_head(conn, status, &none, 0, true);
+		server_conn_finish(conn);
+	}
+	buffer_free(&conn->request.body);
+	server_conn_record_input(conn);
 }
 
 static void handle_parsed(struct server_conn *conn)
@@ -324,7 +336,7 @@
 	struct server_conn *conn = handle->data;
 
 	buf->base = read_buffer;
-	buf->len = sizeof(read_buffer);
+	buf->len = pipelined_max_bytes(conn);
 	/* Without space the loop reads nothing, and comes again. While a
 	 * request is served, reading tells that the caller has left. */
 	if (conn->turns && conn->state == SERVER_CONN_READING &&
@@ -337,6 +349,7 @@
 	http_head_clear(&conn->request.head);
 	buffer_clear(&conn->request.target);
 	buffer_free(&conn->request.body);
+	server_conn_record_input(conn);
 	server_conn_parse_next(conn);
 	conn->state = SERVER_CONN_READING;
 	conn->request_begun = false;
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -14,6 +14,7 @@
 
 #include "base/buffer.h"
 #include "protocol/http_head.h"
+#include "state/held_buffer.h"
 #include "state/link_load.h"
 #include "transport/read_turns.h"
 
@@ -64,7 +65,8 @@
 	bool (*head)(struct server_conn *conn);
 	/**
 	 * The input is refused. May be NULL.
-	 * @param status 400, 408, 413, 431 or SERVER_REFUSED_BY_OWNER
+	 * @param status 400, 408, 413, 431, 503 (there is no room for the
+	 * body) or SERVER_REFUSED_BY_OWNER
 	 * @return whether the owner responds or aborts; otherwise a response
 	 * with this status and no body is sent
 	 */
@@ -134,6 +136,9 @@
 	struct read_turns *turns;
 	struct read_turn turn;
 	struct link_bytes *link_bytes; /**< counts its bytes, unless NULL */
+	/** Limits what it holds of requests; NULL for no limit. */
+	struct held_bytes *held;
+	int64_t held_input_bytes; /**< recorded there */
 	void *call; /**< the owner's data for the current request */
 	struct server_conn *previous;
 	struct server_conn *next;
@@ -148,6 +153,9 @@
 				       const struct server_conn_events *events,
 				       void *owner);
 
+/** Takes the body of the request that is served. */
+struct held_buffer *server_conn_take_body(struct server_conn *conn);
+
 /** What the connection does or waits for may also go by the limits that are in
  * force now, after they are changed. */
 void server_conn_keep_limits(struct server_conn *conn);
--- a/src/transport/server_conn_private.h
+++ b/src/transport/server_conn_private.h
@@ -1,8 +1,9 @@
 /**
  * @file server_conn_private.h
  * Shared by the files that implement a caller's connection: server_conn.c reads
- * and ends it, server_conn_request.c parses requests and refuses those that
- * exceed a limit, server_conn_response.c writes responses.
+ * and ends it, server_conn_request.c parses requests, records what they take
+ * and refuses those that exceed a limit, server_conn_response.c writes
+ * responses.
  */
 #ifndef TRANSPORT_SERVER_CONN_PRIVATE_H
 #define TRANSPORT_SERVER_CONN_PRIVATE_H
@@ -26,6 +27,9 @@
 size_t server_conn_parse(struct server_conn *conn, const char *data,
 			 size_t size);
 
+/** Records what the connection holds of requests. */
+void server_conn_record_input(struct server_conn *conn);
+
 /** Closes the connection, and tells the owner of a request that is served. */
 void server_conn_handle_disconnect(struct server_conn *conn);
 
--- a/src/transport/server_conn_request.c
+++ b/src/transport/server_conn_request.c
@@ -93,10 +93,74 @@
 				  conn->limits->body_bytes);
 }
 
+void server_conn_record_input(struct server_conn *conn)
+{
+	const struct server_request *request = &conn->request;
+
+	if (!conn->held)
+		return;
+	held_bytes_record(conn->held, &conn->held_input_bytes,
+			  (int64_t)(request->head.text.capacity +
+				    request->target.capacity +
+				    request->body.capacity +
+				    conn->pipelined.capacity));
+}
+
+struct held_buffer *server_conn_take_body(struct server_conn *conn)
+{
+	struct buffer *body = &conn->request.body;
+	int64_t body_bytes = 0;
+
+	if (conn->held) {
+		server_conn_record_input(conn);
+		body_bytes = (int64_t)body->capacity;
+		conn->held_input_bytes -= body_bytes;
+	}
+	return held_buffer_take(body, conn->held, &body_bytes);
+}
+
+/* @return 0 if the host may hold a body of this capacity, otherwise the status
+ * of the refusal */
+static int refusal_of_body(struct server_conn *conn, size_t capacity)
+{
+	int64_t more_bytes;
+
+	if (!conn->held)
+		return 0;
+	server_conn_record_input(conn);
+	more_bytes = (int64_t)capacity - (int64_t)conn->request.body.capacity;
+	switch (held_bytes_check(conn->held, conn->held_input_bytes,
+				 conn->held_input_bytes + more_bytes)) {
+	case HELD_FITS:
+		return 0;
+	case HELD_ITEM_TOO_LARGE:
+		return 413;
+	default:
+		return 503;
+	}
+}
+
+/* Makes room for a body whose length is known, before any of it is read.
+ * @return 0, or the status of the refusal */
+static int make_room(struct server_conn *conn, uint64_t length)
+{
+	int status;
+
+	if (length > (uint64_t)max_body_bytes(conn))
+		return 413;
+	status = refusal_of_body(conn, (size_t)length + 1);
+	if (status)
+		return status;
+	buffer_set_capacity(&conn->request.body, (size_t)length);
+	server_conn_record_input(conn);
+	return 0;
+}
+
 static int on_headers_complete(http_parser *parser)
 {
 	struct server_conn *conn = parser->data;
 	const char *expect;
+	int status;
 
 	parser->upgrade = 0;
 	conn->http_1_0 = parser->http_major < 1 ||
@@ -108,9 +172,11 @@
 		return refuse(conn, 400);
 	if (conn->events->head && !conn->events->head(conn))
 		return refuse(conn, SERVER_REFUSED_BY_OWNER);
-	if (parser->content_length != UINT64_MAX &&
-	    parser->content_length > (uint64_t)max_body_bytes(conn))
-		return refuse(conn, 413);
+	if (parser->content_length != UINT64_MAX && parser->content_length) {
+		status = make_room(conn, parser->content_length);
+		if (status)
+			return refuse(conn, status);
+	}
 	expect = http_head_find(&conn->request.head, "Expect");
 	if (expect && !strcasecmp(expect, "100-continue")) {
 		uv_buf_t interim =
@@ -124,10 +190,15 @@
 static int on_body(http_parser *parser, const char *data, size_t size)
 {
 	struct server_conn *conn = parser->data;
+	struct buffer *body = &conn->request.body;
+	int status;
 
-	if ((int64_t)(conn->request.body.size + size) > max_body_bytes(conn))
+	if ((int64_t)(body->size + size) > max_body_bytes(conn))
 		return refuse(conn, 413);
-	buffer_add(&conn->request.body, data, size);
+	status = refusal_of_body(conn, buffer_capacity_with(body, size));
+	if (status)
+		return refuse(conn, status);
+	buffer_add(body, data, size);
 	return 0;
 }
 
@@ -135,6 +206,8 @@
 {
 	struct server_conn *conn = parser->data;
 
+	if (conn->request.body.size)
+		buffer_set_capacity(&conn->request.body, 0);
 	conn->keep_alive = http_should_keep_alive(parser);
 	conn->caller_closes = !conn->keep_alive;
 	conn->state = SERVER_CONN_SERVING;
@@ -161,5 +234,9 @@
 size_t server_conn_parse(struct server_conn *conn, const char *data,
 			 size_t size)
 {
-	return http_parser_execute(&conn->parser, &parser_settings, data, size);
+	size_t used = http_parser_execute(&conn->parser, &parser_settings, data,
+					  size);
+
+	server_conn_record_input(conn);
+	return used;
 }
--- a/tests/unit/test_edge_endless.c
+++ b/tests/unit/test_edge_endless.c
@@ -424,7 +424,7 @@
 START_TEST(many_events_without_end_stay_below_the_limit_of_the_host)
 {
 	static struct edge_rig_caller callers[2 * CALLERS];
-	struct held_bytes *held = &rig.hosts[0].edge.held_bytes;
+	struct held_bytes *held = &rig.hosts[0].edge.held_answers;
 	const struct edge_counters *counters = &rig.hosts[0].edge.counters;
 
 	use_endless_server(&event_without_end, 0);
@@ -439,7 +439,7 @@
 	ck_assert_int_ge(held->peak_bytes, EVENT_LIMIT_BYTES);
 	ck_assert_int_le(held->peak_bytes,
 			 LIMIT_OF_ALL_BYTES +
-				 2 * CALLERS * 2 * HELD_BYTES_ANSWER_MIN);
+				 2 * CALLERS * 2 * HELD_BYTES_ITEM_MIN);
 	for (int i = 0; i < 2 * CALLERS; i++)
 		edge_rig_close_caller(&callers[i]);
 	edge_rig_run(&rig, MARGIN_MS);
--- a/tests/unit/test_held_bytes.c
+++ b/tests/unit/test_held_bytes.c
@@ -12,10 +12,10 @@
 {
 	struct held_bytes held;
 
-	held_bytes_init(&held, 260, 25);
+	held_bytes_init(&held, 260, 25, HELD_BYTES_ANSWER_MAX);
 	ck_assert_int_le(held.limit_bytes, 65 * MB);
 	ck_assert_int_gt(held.limit_bytes, 64 * MB);
-	held_bytes_init(&held, 0, 25);
+	held_bytes_init(&held, 0, 25, HELD_BYTES_ANSWER_MAX);
 	ck_assert_int_eq(held.limit_bytes, 64 * MB);
 }
 END_TEST
@@ -24,11 +24,11 @@
 {
 	struct held_bytes held;
 
-	held_bytes_init(&held, 260, 25);
+	held_bytes_init(&held, 260, 25, HELD_BYTES_ANSWER_MAX);
 	ck_assert_int_eq(held_bytes_check(&held, 0, 256 * KB), HELD_FITS);
 	ck_assert_int_eq(held_bytes_check(&held, 256 * KB, 512 * KB),
-			 HELD_ANSWER_TOO_LARGE);
-	ck_assert_int_eq(held_bytes_limit(&held, HELD_ANSWER_TOO_LARGE),
+			 HELD_ITEM_TOO_LARGE);
+	ck_assert_int_eq(held_bytes_limit(&held, HELD_ITEM_TOO_LARGE),
 			 256 * KB);
 }
 END_TEST
@@ -38,7 +38,7 @@
 	struct held_bytes held;
 	int64_t own_bytes = 0;
 
-	held_bytes_init(&held, 260, 25);
+	held_bytes_init(&held, 260, 25, HELD_BYTES_ANSWER_MAX);
 	held_bytes_record(&held, &own_bytes, 256 * KB);
 	held_bytes_record(&held, &own_bytes, 128 * KB);
 	ck_assert_int_eq(held.total_bytes, 128 * KB);
@@ -57,8 +57,8 @@
 	int64_t most;
 
 	tgw_random_init(&random, (uint64_t)_i);
-	held_bytes_init(&held, 64, 25);
-	most = held.limit_bytes + ANSWERS * HELD_BYTES_ANSWER_MIN;
+	held_bytes_init(&held, 64, 25, HELD_BYTES_ANSWER_MAX);
+	most = held.limit_bytes + ANSWERS * HELD_BYTES_ITEM_MIN;
 	for (int step = 0; step < 20 * ANSWERS; step++) {
 		int64_t *own = &own_bytes[tgw_random_below(&random, ANSWERS)];
 		int64_t next = *own ? 2 * *own : 256;
@@ -82,7 +82,7 @@
 	struct held_bytes held;
 	int64_t others_bytes = 0;
 
-	held_bytes_init(&held, 64, 25);
+	held_bytes_init(&held, 64, 25, HELD_BYTES_ANSWER_MAX);
 	held_bytes_record(&held, &others_bytes, held.limit_bytes);
 	ck_assert_int_eq(held_bytes_check(&held, 0, 8 * KB), HELD_FITS);
 	ck_assert_int_eq(held_bytes_check(&held, 8 * KB, 16 * KB),
