Record a crash by a request that its host has given up

When its caller left, its time was over or another server responded, the host closed the connection and never looked at the server again, which may run the request on.

One check serves all requests at a server. A server that drains, leaves or is another process ends it.

--- a/src/edge/call_attempt.c
+++ b/src/edge/call_attempt.c
@@ -4,6 +4,7 @@
 
 #include "edge/backend_pool.h"
 #include "edge/call_private.h"
+#include "edge/crash_check.h"
 
 #define FIELD_RESUME "Last-Event-Id"
 /* A longer request may take a server some time to read. */
@@ -224,10 +225,13 @@
 
 void call_attempt_abandon(struct call_attempt *attempt)
 {
-	if (call_attempt_is_sent(attempt))
+	if (call_attempt_is_sent(attempt)) {
 		attempt->call->may_have_run = true;
-	else
+		if (attempt->conn->state == HTTP_CONN_AWAITING)
+			crash_check_abandoned(attempt);
+	} else {
 		call_attempt_not_sent(attempt);
+	}
 	call_attempt_end(attempt);
 }
 
--- a/src/edge/crash_check.h
+++ b/src/edge/crash_check.h
@@ -4,7 +4,9 @@
  *
  * After a request broke off, the server is asked for a new connection. If it
  * refuses, no process listens there any more, and all requests of this host
- * that broke off there are recorded in the quarantine.
+ * that broke off there are recorded in the quarantine. A request that the host
+ * gave up, since its caller left or its time was over, may run on at its
+ * server: that is asked again and again for a while.
  */
 #ifndef EDGE_CRASH_CHECK_H
 #define EDGE_CRASH_CHECK_H
@@ -17,6 +19,10 @@
  * request to the one that is running. */
 void crash_check_request(const struct call_attempt *attempt);
 
+/** Watches the server of an attempt that is given up before its response is
+ * complete. */
+void crash_check_abandoned(const struct call_attempt *attempt);
+
 /** @return whether the end of the server's connections may be a crash: a server
  * that leaves exits as planned */
 bool crash_check_may_crash(const struct backend *backend);
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -132,7 +132,7 @@
 	struct store_mirror *mirror;
 	struct team_budget *budgets;
 	struct request_quarantine *quarantine;
-	struct crash_check *crash_checks; /* running */
+	struct crash_check *crash_checks; /* that have not ended */
 	struct edge_service *services;
 	struct edge_counters counters;
 	/* Both are measured from the arrival of the request. */
--- a/tests/unit/test_edge_crashes.c
+++ b/tests/unit/test_edge_crashes.c
@@ -15,6 +15,11 @@
 /* Time for all hosts that reach the store to know. */
 #define CONTACT_MS 3000
 #define LATE_REQUESTS 12
+/* After a host has given a request up, it watches the server for this long, and
+ * asks it at intervals of at most this length. */
+#define WATCH_MS 4000
+#define MAX_INTERVAL_MS 900
+#define WATCHED_MS 60
 
 static struct edge_rig rig;
 static char *received;
@@ -213,6 +218,88 @@
 					  &fingerprint);
 }
 
+/* Sends a request that may be repeated, whose caller leaves while a server has
+ * it. @return that server */
+static struct backend_standin *leave_waiting_request(void)
+{
+	struct edge_rig_caller caller;
+	struct backend_standin *server;
+
+	send_waiting_request(&caller, "safe");
+	server = waiting_server();
+	edge_rig_close_caller(&caller);
+	edge_rig_run(&rig, WATCHED_MS);
+	buffer_free(&caller.received);
+	return server;
+}
+
+/* Guards against BUDGET by requests that no caller waits for any more. */
+START_TEST(a_crash_after_its_caller_has_left_is_recorded)
+{
+	struct backend_standin *server = leave_waiting_request();
+
+	backend_standin_crash(server);
+	for (int ms = 0; ms < MAX_INTERVAL_MS && !recorded_crashes(); ms++)
+		edge_rig_run(&rig, 1);
+	ck_assert_uint_eq(crashes_of_waiting_request("/safe/hold"), 1);
+}
+END_TEST
+
+START_TEST(a_crash_after_its_time_was_over_is_recorded)
+{
+	struct backend_standin *server;
+
+	request(0, "safe", "hold");
+	ck_assert(has_status(504));
+	server = waiting_server();
+	backend_standin_crash(server);
+	edge_rig_run(&rig, MAX_INTERVAL_MS);
+	ck_assert_uint_eq(recorded_crashes(), 1);
+}
+END_TEST
+
+/* It has long ended by then. */
+START_TEST(a_crash_long_after_its_caller_has_left_says_nothing_of_it)
+{
+	struct backend_standin *server = leave_waiting_request();
+
+	edge_rig_run(&rig, WATCH_MS);
+	backend_standin_crash(server);
+	edge_rig_run(&rig, MAX_INTERVAL_MS);
+	ck_assert_uint_eq(recorded_crashes(), 0);
+}
+END_TEST
+
+START_TEST(a_server_that_leaves_after_a_caller_has_left_is_no_crash)
+{
+	struct backend_standin *server = leave_waiting_request();
+
+	edge_rig_register_server(&rig, server == &rig.server_standins[1],
+				 "draining", 2);
+	edge_rig_run(&rig, 300);
+	backend_standin_crash(server);
+	edge_rig_run(&rig, MAX_INTERVAL_MS);
+	ck_assert_uint_eq(recorded_crashes(), 0);
+}
+END_TEST
+
+/* Callers that leave one after the other do not put the look off. */
+START_TEST(a_crash_is_seen_while_callers_keep_leaving)
+{
+	struct backend_standin *server = leave_waiting_request();
+
+	edge_rig_register_server(&rig, server != &rig.server_standins[1],
+				 "draining", 2);
+	edge_rig_run(&rig, 300);
+	for (int i = 0; i < 2 * MAX_INTERVAL_MS / WATCHED_MS; i++) {
+		if (i == MAX_INTERVAL_MS / WATCHED_MS)
+			backend_standin_crash(server);
+		(void)leave_waiting_request();
+	}
+	ck_assert_uint_ge(recorded_crashes(), 1);
+}
+END_TEST
+
 /* A partition that refuses connections looks like a crash. */
 START_TEST(a_server_that_was_only_partitioned_is_no_crash)
 {
@@ -267,6 +354,15 @@
 	tcase_add_test(
 		tcase,
 		a_request_that_is_served_later_is_not_held_to_crash_servers);
+	tcase_add_test(tcase, a_crash_after_its_caller_has_left_is_recorded);
+	tcase_add_test(tcase, a_crash_after_its_time_was_over_is_recorded);
+	tcase_add_test(
+		tcase,
+		a_crash_long_after_its_caller_has_left_says_nothing_of_it);
+	tcase_add_test(
+		tcase,
+		a_server_that_leaves_after_a_caller_has_left_is_no_crash);
+	tcase_add_test(tcase, a_crash_is_seen_while_callers_keep_leaving);
 	tcase_add_test(tcase, a_server_that_was_only_partitioned_is_no_crash);
 	tcase_add_test(tcase,
 		       a_host_that_restarts_refuses_what_was_refused_before);
--- a/tests/unit/test_soak_lost_listener.c
+++ b/tests/unit/test_soak_lost_listener.c
@@ -52,7 +52,8 @@
 	struct sockaddr_in to;
 	unsigned int i = caller_count++;
 
-	uv_ip4_addr("127.0.0.1", atoi(strchr(address, ':') + 1), &to);
+	uv_ip4_addr("127.0.0.1",
+		    (int)strtol(strchr(address, ':') + 1, NULL, 10), &to);
 	uv_tcp_init(&loop, &callers[i]);
 	uv_tcp_connect(&connecting[i], &callers[i], (struct sockaddr *)&to,
 		       on_connected);
