Refuse field names with a space, and drop fields after a body

The host compares whole names, so it forwarded 'Tamarackgw-Tenant : other' beside its own field; a server that ignores the space would run another team's request. Fields after a chunked body were added to the head that had been checked, and forwarded as its fields.

Change: a name with a space, and a value with a null byte, get 400; fields after a body are dropped. Both gateways share the code.

The other heads (two lengths, length and chunks, signs and spaces in a length, a bare CR, two hosts) were refused already.

--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -107,6 +107,7 @@
 	bool parses_pipelined;
 	enum server_conn_state state;
 	bool request_begun;
+	bool head_complete; /**< of the request that has begun */
 	bool keep_alive;
 	bool caller_closes;   /**< the caller sends no further request */
 	bool is_head_request; /**< the response has no body */
--- a/src/transport/server_conn_request.c
+++ b/src/transport/server_conn_request.c
@@ -26,6 +26,7 @@
 	struct server_conn *conn = parser->data;
 
 	conn->request_begun = true;
+	conn->head_complete = false;
 	begin_request_limits(conn);
 	server_conn_start_wait(conn);
 	return 0;
@@ -51,12 +52,19 @@
 	return 0;
 }
 
+/* Fields after a body are dropped: they were not part of what was checked. A
+ * name with a space, which the parser lets through, is another field to a
+ * server that ignores the space. */
 static int on_header_field(http_parser *parser, const char *data, size_t size)
 {
 	struct server_conn *conn = parser->data;
 
+	if (conn->head_complete)
+		return 0;
 	if (head_exceeds_limit(conn, size))
 		return refuse(conn, 431);
+	if (memchr(data, ' ', size))
+		return refuse(conn, 400);
 	http_head_add_name(&conn->request.head, data, size);
 	return 0;
 }
@@ -65,8 +73,12 @@
 {
 	struct server_conn *conn = parser->data;
 
+	if (conn->head_complete)
+		return 0;
 	if (head_exceeds_limit(conn, size))
 		return refuse(conn, 431);
+	if (memchr(data, '\0', size))
+		return refuse(conn, 400);
 	http_head_add_value(&conn->request.head, data, size);
 	return 0;
 }
@@ -163,6 +175,7 @@
 	int status;
 
 	parser->upgrade = 0;
+	conn->head_complete = true;
 	conn->http_1_0 = parser->http_major < 1 ||
 			 (parser->http_major == 1 && parser->http_minor < 1);
 	conn->is_head_request = parser->method == HTTP_HEAD;
