Log the length of an unread request as the parser read it

Cause: the line refused_unread had the text of Content-Length, which a caller chooses: spaces and quotes in it would read as other fields. Change: the number, or -1 if the request names none that is valid.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -104,16 +104,14 @@
 bool call_refuse_unread(struct edge *edge, struct server_conn *conn, int status)
 {
 	const struct held_bytes *held = &edge->held_requests;
-	const char *length =
-		http_head_find(&conn->request.head, "Content-Length");
 	struct request_info info;
 
 	edge->sources.dialect->read_request(&conn->request.head, &info);
 	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "callers", "refused_unread",
-		      "request=%s status=%d length=%s read_bytes=%zu "
+		      "request=%s status=%d length=%lld read_bytes=%zu "
 		      "waited_ms=%lld body_limit=%lld head_limit=%lld "
 		      "held_by_all=%lld request_memory=%lld",
-		      info.id, status, length ? length : "-",
+		      info.id, status, server_conn_body_length(conn),
 		      conn->request.body.size,
 		      (long long)server_conn_waited_ms(conn),
 		      (long long)edge->limits.body_bytes,
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -154,6 +154,10 @@
 				       const struct server_conn_events *events,
 				       void *owner);
 
+/** @return the body's length that the request names, or
+ * SERVER_LENGTH_UNKNOWN */
+long long server_conn_body_length(const struct server_conn *conn);
+
 /** Takes the body of the request that is served. */
 struct held_buffer *server_conn_take_body(struct server_conn *conn);
 
--- a/src/transport/server_conn_request.c
+++ b/src/transport/server_conn_request.c
@@ -118,6 +118,16 @@
 				    conn->pipelined.capacity));
 }
 
+long long server_conn_body_length(const struct server_conn *conn)
+{
+	uint64_t length = conn->parser.content_length;
+	bool is_chunked = conn->parser.flags & F_CHUNKED;
+
+	return conn->head_complete && !is_chunked && length <= INT64_MAX
+		       ? (long long)length
+		       : SERVER_LENGTH_UNKNOWN;
+}
+
 struct held_buffer *server_conn_take_body(struct server_conn *conn)
 {
 	struct buffer *body = &conn->request.body;
