--- a/tests/soak/soak_checks.c
+++ b/tests/soak/soak_checks.c
@@ -256,6 +256,13 @@
 		 host->soak->servers_disturbed_us >= request->sent_us));
 }
 
+/* @return -1 for a time that has not come yet */
+static long long ms_since(int64_t at_us)
+{
+	return at_us ? (long long)((soak_now_us() - at_us) / SOAK_US_PER_MS)
+		     : -1;
+}
+
 void soak_checks_end(struct soak *soak, struct soak_request *request,
 		     const struct soak_response *response)
 {
@@ -269,12 +276,17 @@
 	if (!break_is_excused(request))
 		soak_broken(soak, "no-answer",
 			    "%s closed the connection of r%u after %lld ms; "
-			    "%u arrivals, status %d, %zu bytes%s",
+			    "%u arrivals, status %d, %zu bytes; through the "
+			    "link: %s, whose last fault was %lld ms ago; this "
+			    "process last stood still %lld ms ago%s",
 			    request->host->name, request->number,
 			    (long long)((soak_now_us() - request->sent_us) /
 					SOAK_US_PER_MS),
 			    request->arrivals, response->status,
 			    response->body.size,
+			    request->uses_link ? "yes" : "no",
+			    ms_since(request->host->caller_link_us),
+			    ms_since(soak->stalled_us),
 			    request->host->stop_us ? ", while it stops" : "");
 }
 
