--- a/tests/unit/test_edge_heads.c
+++ b/tests/unit/test_edge_heads.c
@@ -8,6 +8,9 @@
 #include "unit/unit_main.h"
 
 #define WAIT_MS 3000
+/* Many times the 4,096 bytes that a head may have here. */
+#define FLOOD_BYTES ((size_t)4 * 1024 * 1024)
+#define HELD_MAX_BYTES (64 * 1024)
 
 static struct edge_rig rig;
 static struct edge_rig_caller caller;
@@ -97,6 +100,29 @@
 }
 END_TEST
 
+/* Fields after a body, and one such field, without end. Neither is kept, and
+ * the request is refused, not read on. */
+START_TEST(fields_after_a_body_without_end_are_refused)
+{
+	static const char *const fillers[] = {"X-Late: b\r\n", "bbbbbbbb"};
+	struct edge *edge = &rig.hosts[0].edge;
+	struct buffer text = {0};
+
+	buffer_add_text(&text, "Transfer-Encoding: chunked\r\n\r\n"
+			       "3\r\nabc\r\n0\r\nX-Long: ");
+	if (!_i)
+		buffer_add_text(&text, "a\r\n");
+	while (text.size < FLOOD_BYTES)
+		buffer_add_text(&text, fillers[_i]);
+	send_head(text.data, text.size);
+	ck_assert_msg(has_status("431") || has_status("400"), "%.40s",
+		      caller.received.size ? caller.received.data : "");
+	ck_assert_int_le(edge->held_requests.peak_bytes, HELD_MAX_BYTES);
+	ck_assert_uint_eq(edge_rig_runs(&rig), 0);
+	buffer_free(&text);
+}
+END_TEST
+
 /* A continued line is forwarded as one line, so that no server reads a field in
  * it. */
 START_TEST(a_continued_line_is_forwarded_as_one_field)
@@ -126,6 +152,8 @@
 			    a_head_that_can_be_read_in_two_ways_is_refused, 0,
 			    sizeof(ambiguous) / sizeof(ambiguous[0]));
 	tcase_add_test(tcase, fields_after_a_body_are_not_forwarded);
+	tcase_add_loop_test(tcase, fields_after_a_body_without_end_are_refused,
+			    0, 2);
 	tcase_add_test(tcase, a_continued_line_is_forwarded_as_one_field);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
