Send nothing to the servers of an evacuated failure domain

Cause: no host read the evacuations that operators write beside the configuration, so requests went on to the servers of such a domain. Change: the follower of the routes, which watches their prefix already, follows the evacuations too; the table of servers takes the servers of these domains out of the choice, and crash checks go on. A host has no routes in force until the prefix was listed once, so it knows the evacuations before its first request. The pause between watch calls follows the shortest of apply_ms, drain_ms and the new evacuate_ms.

--- a/src/coordination/route_follower.c
+++ b/src/coordination/route_follower.c
@@ -11,26 +11,27 @@
 #define TICK_US (100 * TGW_US_PER_MS)
 
 struct route_follower {
-	char prefix[TGW_NAME_SIZE];
-	char key[TGW_NAME_SIZE];
+	struct route_follower_keys keys;
 	struct tgw_store *store;
 	const struct tgw_clock *clock;
 	struct route_follower_events events;
 	uint64_t watch;
+	bool listed; /* all keys, at least once */
 	bool reading;
 	bool read_needed;
 	int64_t read_due_us;
 	struct route_set *set;
+	struct evacuations evacuations;
 };
 
-static void apply_entry(struct route_follower *follower,
-			const struct tgw_store_entry *entry)
+static void apply_routes(struct route_follower *follower,
+			 const struct tgw_store_entry *entry)
 {
 	struct route_set *previous = follower->set;
 	struct route_set *set;
 	struct tgw_error error;
 
-	if (!entry->value || strcmp(entry->key, follower->key))
+	if (!entry->value)
 		return;
 	tgw_error_clear(&error);
 	set = follower->events.decode(entry->value, entry->value_size, &error);
@@ -47,11 +48,99 @@
 	route_set_free(previous);
 }
 
+static void set_evacuated(struct route_follower *follower,
+			  const char *failure_domain, bool active,
+			  int64_t version)
+{
+	switch (evacuations_set(&follower->evacuations, failure_domain, active,
+				version)) {
+	case EVACUATIONS_UNCHANGED:
+		return;
+	case EVACUATIONS_CHANGED:
+		follower->events.evacuated(follower->events.arg, failure_domain,
+					   active);
+		return;
+	case EVACUATIONS_FULL:
+		follower->events.evacuation_ignored(
+			follower->events.arg, failure_domain,
+			"too many failure domains were evacuated; restart the "
+			"host to forget those that no longer are");
+		return;
+	}
+}
+
+/* @return the failure domain that a key of the prefix of evacuations names;
+ * NULL for another key */
+static const char *evacuated_domain(const struct route_follower *follower,
+				    const char *key)
+{
+	size_t size = strlen(follower->keys.evacuations);
+
+	return strncmp(key, follower->keys.evacuations, size) ? NULL
+							      : key + size;
+}
+
+/* The key alone counts: whatever its value, its writer wants the domain
+ * evacuated. */
+static void apply_evacuation(struct route_follower *follower,
+			     const struct tgw_store_entry *entry,
+			     const char *failure_domain)
+{
+	if (!*failure_domain || strlen(failure_domain) >= TGW_NAME_SIZE ||
+	    !text_is_plain(failure_domain)) {
+		follower->events.evacuation_ignored(
+			follower->events.arg, entry->key,
+			"the key names no failure domain; delete it");
+		return;
+	}
+	set_evacuated(follower, failure_domain, entry->value != NULL,
+		      entry->value ? entry->version : entry->deleted_version);
+}
+
+static void apply_entry(struct route_follower *follower,
+			const struct tgw_store_entry *entry)
+{
+	const char *failure_domain = evacuated_domain(follower, entry->key);
+
+	if (!strcmp(entry->key, follower->keys.routes))
+		apply_routes(follower, entry);
+	else if (failure_domain)
+		apply_evacuation(follower, entry, failure_domain);
+}
+
 static void on_changed(void *arg, const struct tgw_store_entry *entry)
 {
 	apply_entry(arg, entry);
 }
 
+static bool is_listed(const struct route_follower *follower,
+		      const struct tgw_store_result *result,
+		      const char *failure_domain)
+{
+	for (size_t i = 0; i < result->entry_count; i++) {
+		const char *listed =
+			evacuated_domain(follower, result->entries[i].key);
+
+		if (listed && !strcmp(listed, failure_domain))
+			return true;
+	}
+	return false;
+}
+
+/* Ends the evacuations whose keys were deleted while nobody watched. */
+static void end_missing_evacuations(struct route_follower *follower,
+				    const struct tgw_store_result *result)
+{
+	for (size_t i = 0; i < follower->evacuations.count; i++) {
+		const struct evacuation *item = &follower->evacuations.items[i];
+
+		if (item->active &&
+		    !is_listed(follower, result, item->failure_domain))
+			set_evacuated(follower, item->failure_domain, false,
+				      result->revision);
+	}
+}
+
 static void on_list(void *arg, const struct tgw_store_result *result)
 {
 	struct route_follower *follower = arg;
@@ -63,8 +152,10 @@
 			tgw_clock_monotonic_us(follower->clock) + READ_RETRY_US;
 		return;
 	}
+	end_missing_evacuations(follower, result);
 	for (size_t i = 0; i < result->entry_count; i++)
 		apply_entry(follower, &result->entries[i]);
+	follower->listed = true;
 }
 
 static void on_watch_lost(void *arg)
@@ -77,7 +168,7 @@
 }
 
 struct route_follower *route_follower_new(
-	const char *prefix, const char *key, struct tgw_store *store,
+	const struct route_follower_keys *keys, struct tgw_store *store,
 	const struct tgw_clock *clock,
 	const struct route_follower_events *events)
 {
@@ -88,13 +179,12 @@
 		.arg = follower,
 	};
 
-	text_copy(follower->prefix, sizeof(follower->prefix), prefix);
-	text_copy(follower->key, sizeof(follower->key), key);
+	follower->keys = *keys;
 	follower->store = store;
 	follower->clock = clock;
 	follower->events = *events;
 	follower->read_needed = true;
-	follower->watch = tgw_store_watch(store, prefix, watcher);
+	follower->watch = tgw_store_watch(store, keys->prefix, watcher);
 	return follower;
 }
 
@@ -115,7 +205,7 @@
 	    now_us >= follower->read_due_us) {
 		follower->read_needed = false;
 		follower->reading = true;
-		tgw_store_list(follower->store, follower->prefix,
+		tgw_store_list(follower->store, follower->keys.prefix,
 			       (struct tgw_store_callback){on_list, follower});
 	}
 	return now_us + TICK_US;
@@ -124,5 +214,11 @@
 const struct route_set *route_follower_set(
 	const struct route_follower *follower)
 {
-	return follower->set;
+	return follower->listed ? follower->set : NULL;
+}
+
+const struct evacuations *route_follower_evacuations(
+	const struct route_follower *follower)
+{
+	return &follower->evacuations;
 }
--- a/src/edge/crash_check.c
+++ b/src/edge/crash_check.c
@@ -225,7 +225,7 @@
 /* What another server does at the address says nothing about this one. */
 bool crash_check_may_crash(const struct backend *backend)
 {
-	return backend_accepts_requests(backend, edge_now_us());
+	return backend_is_in_service(backend, edge_now_us());
 }
 
 static struct crash_check *add_suspect(const struct call_attempt *attempt,
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -42,8 +42,7 @@
 	 * answers. */
 	int64_t watch_period_us;
 	const struct call_dialect *dialect;
-	const char *routes_prefix;
-	const char *routes_key;
+	struct route_follower_keys operator_keys;
 	struct route_set *(*decode_routes)(const uint8_t *value, size_t size,
 					   struct tgw_error *error);
 	const char *backends_prefix;
@@ -87,8 +86,9 @@
 	 * hosts' word. */
 	uint64_t servers_left;
 	uint64_t servers_left_by_hosts;
-	uint64_t server_rests;	    /**< rests that servers asked for */
-	uint64_t unreadable_fields; /**< of servers' answers */
+	uint64_t server_rests;	      /**< rests that servers asked for */
+	uint64_t evacuations_ignored; /**< keys that name no failure domain */
+	uint64_t unreadable_fields;   /**< of servers' answers */
 };
 
 struct edge {
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -52,6 +52,48 @@
 		      "reason=\"%s\"", reason);
 }
 
+/* Without a server in another domain there is nowhere to go on. */
+static bool has_servers_elsewhere(const struct edge *edge)
+{
+	int64_t now_us = edge_now_us();
+
+	for (const struct backend *backend = edge->backends.first; backend;
+	     backend = backend->next)
+		if (backend_accepts_requests(backend, now_us))
+			return true;
+	return false;
+}
+
+static void on_evacuated(void *arg, const char *failure_domain, bool active)
+{
+	struct edge *edge = arg;
+	size_t servers = backend_table_set_evacuated(&edge->backends,
+						     failure_domain, active);
+
+	edge_log_line(&edge->log, EDGE_LOG_STATE, "domain",
+		      active ? "evacuated" : "evacuation_ended",
+		      "domain=%s servers=%zu evacuated_domains=%zu",
+		      failure_domain, servers,
+		      evacuations_count(route_follower_evacuations(
+			      edge->route_follower)));
+	if (active && servers && !has_servers_elsewhere(edge))
+		edge_log_line(&edge->log, EDGE_LOG_STATE, "domain", "none_left",
+			      "domain=%s requests=\"refused: no server of "
+			      "another domain accepts them\"",
+			      failure_domain);
+}
+
+static void on_evacuation_ignored(void *arg, const char *key,
+				  const char *reason)
+{
+	struct edge *edge = arg;
+
+	edge->counters.evacuations_ignored++;
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "domain",
+		      "evacuation_ignored", "key=\"%.80s\" reason=\"%s\"", key,
+		      reason);
+}
+
 static void on_backend_joined(void *arg, const struct backend_entry *entry)
 {
 	struct edge *edge = arg;
@@ -288,7 +330,7 @@
 {
 	const struct edge_settings *settings = edge->settings;
 	const char *const prefixes[] = {
-		edge->sources.routes_prefix,
+		edge->sources.operator_keys.prefix,
 		edge->sources.backends_prefix,
 		REQUEST_QUARANTINE_PREFIX,
 	};
@@ -296,10 +338,7 @@
 		.prefixes = prefixes,
 		.prefix_count = sizeof(prefixes) / sizeof(prefixes[0]),
 		.peer = peer,
-		.apply_us = (settings->apply_ms < settings->drain_ms
-				     ? settings->apply_ms
-				     : settings->drain_ms) *
-			    TGW_US_PER_MS,
+		.apply_us = edge_settings_follow_ms(settings) * TGW_US_PER_MS,
 		.discovery_us = PEER_DISCOVERY_US,
 		.called = on_mirror_called,
 		.stalled = on_watch_stalled,
@@ -360,12 +399,16 @@
 		.decode = sources->decode_routes,
 		.in_force = on_routes,
 		.refused = on_routes_refused,
+		.evacuated = on_evacuated,
+		.evacuation_ignored = on_evacuation_ignored,
 		.arg = edge,
 	};
 
 	edge->route_follower = route_follower_new(
-		sources->routes_prefix, sources->routes_key,
-		store_mirror_store(edge->mirror), &edge_clock, &events);
+		&sources->operator_keys, store_mirror_store(edge->mirror),
+		&edge_clock, &events);
+	edge->backends.evacuations =
+		route_follower_evacuations(edge->route_follower);
 }
 
 static void start_backends(struct edge *edge)
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -155,6 +155,11 @@
 	add_counter(text, "server_rests_total", counters->server_rests);
 	add_counter(text, "unreadable_fields_total",
 		    counters->unreadable_fields);
+	add_counter(text, "evacuations_ignored_total",
+		    counters->evacuations_ignored);
+	add_gauge(text, "evacuated_domains",
+		  (double)evacuations_count(
+			  route_follower_evacuations(edge->route_follower)));
 	add_gauge(text, "servers_leaving", leaving);
 	add_gauge(text, "servers_resting", resting);
 }
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -54,6 +54,9 @@
 	       "host; the pause between watch calls is a fraction of it"),
 	NUMBER("store", "drain_ms", drain_ms, 100, 60000, 2000,
 	       "as apply_ms, for a backend server that starts to drain"),
+	NUMBER("store", "evacuate_ms", evacuate_ms, 0, 60000, 0,
+	       "as apply_ms, for the evacuation of a failure domain; 0 for "
+	       "apply_ms"),
 	NUMBER("store", "heartbeat_ms", heartbeat_ms, 50, 60000, 1200,
 	       "interval of the backend servers' heartbeats; after three "
 	       "without one the store removes a server's entry"),
@@ -141,6 +144,17 @@
 	return check_together(settings, path, error);
 }
 
+int64_t edge_settings_follow_ms(const struct edge_settings *settings)
+{
+	int64_t shortest_ms = settings->apply_ms;
+
+	if (settings->drain_ms < shortest_ms)
+		shortest_ms = settings->drain_ms;
+	if (settings->evacuate_ms && settings->evacuate_ms < shortest_ms)
+		shortest_ms = settings->evacuate_ms;
+	return shortest_ms;
+}
+
 void edge_settings_print(const struct edge_settings *settings)
 {
 	settings_table_print(&table, settings);
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -30,6 +30,7 @@
 	int64_t watch_wait_ms;
 	int64_t apply_ms;
 	int64_t drain_ms;
+	int64_t evacuate_ms; /**< 0: as apply_ms */
 	int64_t heartbeat_ms;
 	/* [budget] */
 	int64_t ledger_keys;
@@ -55,6 +56,10 @@
 enum tgw_status edge_settings_read(struct edge_settings *settings,
 				   const char *path, struct tgw_error *error);
 
+/** @return the shortest time within which some change in the store has to take
+ * effect */
+int64_t edge_settings_follow_ms(const struct edge_settings *settings);
+
 /** Prints all settings with their explanations, as a sample file. */
 void edge_settings_print(const struct edge_settings *settings);
 
--- a/src/state/backend_table.c
+++ b/src/state/backend_table.c
@@ -233,13 +233,33 @@
 		backend->availability = remembered->availability;
 }
 
-bool backend_accepts_requests(const struct backend *backend, int64_t now_us)
+bool backend_is_in_service(const struct backend *backend, int64_t now_us)
 {
 	return backend->listed && !backend->entry.draining &&
 	       !backend->address_reused &&
 	       !server_availability_is_leaving(&backend->availability, now_us);
 }
 
+bool backend_accepts_requests(const struct backend *backend, int64_t now_us)
+{
+	return !backend->evacuated && backend_is_in_service(backend, now_us);
+}
+
+size_t backend_table_set_evacuated(struct backend_table *table,
+				   const char *failure_domain, bool evacuated)
+{
+	size_t count = 0;
+
+	for (struct backend *backend = table->first; backend;
+	     backend = backend->next) {
+		if (strcmp(backend->entry.failure_domain, failure_domain))
+			continue;
+		backend->evacuated = evacuated;
+		count += backend->listed;
+	}
+	return count;
+}
+
 int64_t backend_free_at_us(const struct backend *backend, int64_t now_us)
 {
 	return server_availability_free_at_us(&backend->availability, now_us);
@@ -273,6 +293,13 @@
 	return remembered && entry->sequence < remembered->drained_sequence;
 }
 
+static bool is_evacuated(const struct backend_table *table,
+			 const struct backend_entry *entry)
+{
+	return table->evacuations &&
+	       evacuations_has(table->evacuations, entry->failure_domain);
+}
+
 struct backend *backend_table_put(struct backend_table *table,
 				  const struct backend_entry *entry)
 {
@@ -285,6 +312,7 @@
 	}
 	if (backend) {
 		backend->entry = *entry;
+		backend->evacuated = is_evacuated(table, entry);
 		return backend;
 	}
 	backend = xcalloc(1, sizeof(*backend));
@@ -293,6 +321,7 @@
 	backend->run_hash = backend_run_hash(entry);
 	backend->memory_key = run_key(entry);
 	recall(table, backend);
+	backend->evacuated = is_evacuated(table, entry);
 	backend->listed = true;
 	backend->next = table->first;
 	table->first = backend;
--- a/src/state/backend_table.h
+++ b/src/state/backend_table.h
@@ -10,6 +10,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "state/evacuations.h"
 #include "state/run_memory.h"
 #include "state/server_availability.h"
 #include "tamarackgw/host_view.h"
@@ -67,8 +68,9 @@
 	/** Another server has its address, by that server's response or by a
 	 * later entry: it is gone, and gets no requests. */
 	bool address_reused;
-	bool listed; /**< still in the store */
-	void *pool;  /**< connections, owned by the edge */
+	bool evacuated; /**< its failure domain is */
+	bool listed;	/**< still in the store */
+	void *pool;	/**< connections, owned by the edge */
 	struct backend *next;
 };
 
@@ -76,6 +78,8 @@
 	struct backend *first;
 	size_t count;
 	struct run_memory memory;
+	/** Failure domains that are evacuated; NULL: none ever is. */
+	const struct evacuations *evacuations;
 	/** Latest start of a server that its entry may tell and be believed, as
 	 * wall time; 0: any. */
 	int64_t believed_born_max_ms;
@@ -139,8 +143,17 @@
 			    const struct backend_entry *run, int64_t rest_us,
 			    int64_t now_us);
 
-/** @return whether the server may get new requests, now or after a rest: it is
- * listed, and neither leaves nor has lost its address */
+/** Records that a failure domain is evacuated, or no longer.
+ * @return the number of its listed servers */
+size_t backend_table_set_evacuated(struct backend_table *table,
+				   const char *failure_domain, bool evacuated);
+
+/** @return whether the server stays in service: it is listed, and neither
+ * leaves nor has lost its address */
+bool backend_is_in_service(const struct backend *backend, int64_t now_us);
+
+/** @return whether the server may get new requests, now or after a rest: it
+ * stays in service, and its failure domain is not evacuated */
 bool backend_accepts_requests(const struct backend *backend, int64_t now_us);
 
 /** @return when a server that accepts requests may get the next one; not later
--- /dev/null
+++ b/src/state/evacuations.c
@@ -0,0 +1,70 @@
+#include "state/evacuations.h"
+
+#include <string.h>
+
+#include "base/text.h"
+
+static struct evacuation *find(struct evacuations *evacuations,
+			       const char *failure_domain)
+{
+	for (size_t i = 0; i < evacuations->count; i++)
+		if (!strcmp(evacuations->items[i].failure_domain,
+			    failure_domain))
+			return &evacuations->items[i];
+	return NULL;
+}
+
+/* @return NULL if there is no room */
+static struct evacuation *add(struct evacuations *evacuations,
+			      const char *failure_domain)
+{
+	struct evacuation *added;
+
+	if (evacuations->count == EVACUATIONS_MAX)
+		return NULL;
+	added = &evacuations->items[evacuations->count++];
+	memset(added, 0, sizeof(*added));
+	text_copy(added->failure_domain, sizeof(added->failure_domain),
+		  failure_domain);
+	return added;
+}
+
+enum evacuations_result evacuations_set(struct evacuations *evacuations,
+					const char *failure_domain, bool active,
+					int64_t version)
+{
+	struct evacuation *found = find(evacuations, failure_domain);
+	bool changed;
+
+	if (!found)
+		found = add(evacuations, failure_domain);
+	if (!found)
+		return EVACUATIONS_FULL;
+	if (version && version < found->version)
+		return EVACUATIONS_UNCHANGED;
+	changed = found->active != active;
+	found->active = active;
+	if (version)
+		found->version = version;
+	return changed ? EVACUATIONS_CHANGED : EVACUATIONS_UNCHANGED;
+}
+
+bool evacuations_has(const struct evacuations *evacuations,
+		     const char *failure_domain)
+{
+	for (size_t i = 0; i < evacuations->count; i++)
+		if (evacuations->items[i].active &&
+		    !strcmp(evacuations->items[i].failure_domain,
+			    failure_domain))
+			return true;
+	return false;
+}
+
+size_t evacuations_count(const struct evacuations *evacuations)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < evacuations->count; i++)
+		count += evacuations->items[i].active;
+	return count;
+}
