Tell other hosts what servers report of their load

Cause: a host hears of each of many servers only now and then: with 140 servers before 79 hosts once in 15 s, while a report counts for 2 s. So it chose almost blindly. The fourth figure of a load report, how long work takes at the server, was not read. Change: the figure is read, its lowest value of the last half minute is the server's usual time of work. Hosts send the reports that they got to the relay of their failure domain, which answers with all it has heard, and relays tell each other. Only servers that report the figure are told of.

--- a/include/tamarackgw/peer.h
+++ b/include/tamarackgw/peer.h
@@ -24,6 +24,7 @@
 	TGW_PEER_TRANSFER = 6,
 	TGW_PEER_CHANGES = 7,
 	TGW_PEER_SERVERS = 8,
+	TGW_PEER_LOADS = 9,
 	TGW_PEER_TOPIC_END
 };
 
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -67,6 +67,7 @@
 	case TGW_PEER_TRANSFER: /* of edge hosts */
 	case TGW_PEER_CHANGES:
 	case TGW_PEER_SERVERS:
+	case TGW_PEER_LOADS:
 	case TGW_PEER_TOPIC_END:
 		break;
 	}
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -12,6 +12,7 @@
 
 #include "coordination/backend_follower.h"
 #include "coordination/leaving_announcer.h"
+#include "coordination/load_exchange.h"
 #include "coordination/request_quarantine.h"
 #include "coordination/route_follower.h"
 #include "coordination/store_mirror.h"
@@ -26,6 +27,7 @@
 #include "state/host_load.h"
 #include "state/latency_buckets.h"
 #include "state/link_load.h"
+#include "state/pause_model.h"
 #include "state/retry_budget.h"
 #include "tamarackgw/random.h"
 #include "transport/read_turns.h"
@@ -132,6 +134,8 @@
 	struct edge_peers peers;
 	bool knows_hosts; /* the list of the fleet is complete */
 	struct leaving_announcer leaving_announcer;
+	struct load_exchange loads;
+	struct pause_model pauses;
 	struct store_mirror *mirror;
 	struct team_budget *budgets;
 	struct request_quarantine *quarantine;
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -251,6 +251,7 @@
 	bool is_self = !strcmp(relay, edge->settings->name);
 
 	store_mirror_set_relay(edge->mirror, is_self ? "" : relay);
+	load_exchange_set_relay(&edge->loads, relay, is_self);
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "budget", "relay",
 		      "relay=%s reason=\"%s\"", *relay ? relay : "-", reason);
 }
@@ -476,6 +477,8 @@
 	/* The settings were checked when they were read. */
 	region_map_parse(&edge->regions, edge->settings->regions);
 	server_signals_start(edge, peer);
+	load_exchange_init(&edge->loads, peer, &edge_clock, &edge->backends,
+			   edge->settings->failure_domain);
 	start_mirror(edge, peer);
 	start_budgets(edge, peer, incarnation);
 	start_routes(edge);
@@ -495,6 +498,7 @@
 	edge_peers_tick(edge);
 	server_warmup_tick(edge);
 	server_signals_tick(edge);
+	load_exchange_tick(&edge->loads);
 }
 
 void edge_followers_free(struct edge *edge)
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -101,6 +101,10 @@
 		    counters->messages_dropped);
 	add_counter(text, "peer_messages_rejected_total",
 		    counters->messages_rejected);
+	add_counter(text, "load_messages_sent_total",
+		    edge->loads.messages_sent);
+	add_counter(text, "load_reports_received_total",
+		    edge->loads.reports_received);
 	add_gauge(text, "peer_hosts", (double)edge_peers_count(edge));
 }
 
--- a/src/edge/edge_peers.c
+++ b/src/edge/edge_peers.c
@@ -30,6 +30,8 @@
 		store_mirror_on_message(edge->mirror, message);
 	else if (message->topic == TGW_PEER_SERVERS)
 		server_signals_on_message(edge, message);
+	else if (message->topic == TGW_PEER_LOADS)
+		load_exchange_on_message(&edge->loads, message);
 }
 
 static void on_key(void *arg, const struct peer_key *key)
@@ -47,6 +49,7 @@
 
 	hosts = peer_directory_hosts(edge->peers.directory, &count);
 	team_budget_set_hosts(edge->budgets, hosts, count);
+	load_exchange_set_hosts(&edge->loads, hosts, count);
 	server_warmup_on_hosts(edge);
 	edge_log_line(&edge->log, EDGE_LOG_STATE, "peers", "listed",
 		      "hosts=%zu", count);
--- a/src/state/backend_table.c
+++ b/src/state/backend_table.c
@@ -424,12 +424,38 @@
 	return backend->failure_rate * exp2(-half_lives);
 }
 
-void backend_report(struct backend *backend, const struct backend_load *load,
-		    int64_t now_us)
+static void store_report(struct backend *backend,
+			 const struct backend_load *load, int64_t reported_us,
+			 int64_t now_us)
 {
+	backend->heard_us = now_us;
 	backend->reported = *load;
-	backend->reported_us = now_us;
+	backend->reported_us = reported_us;
 	backend->running_at_report = backend->running;
+	server_speed_report(&backend->speed, load->work_percent, reported_us);
+}
+
+void backend_report(struct backend *backend, const struct backend_load *load,
+		    int64_t now_us)
+{
+	store_report(backend, load, now_us, now_us);
+	backend->reported_to_self = true;
+}
+
+void backend_report_of_host(struct backend *backend,
+			    const struct backend_load *load,
+			    int64_t reported_us, int64_t now_us)
+{
+	if (reported_us <= backend->reported_us)
+		return;
+	store_report(backend, load, reported_us, now_us);
+	backend->reported_to_self = false;
+}
+
+bool backend_has_recent_report(const struct backend *backend, int64_t now_us)
+{
+	return backend->reported_us &&
+	       now_us - backend->reported_us <= MAX_REPORT_AGE_US;
 }
 
 double backend_expected_load(const struct backend *backend, int64_t now_us)
@@ -437,8 +463,7 @@
 	double reported;
 	double started_since_report;
 
-	if (!backend->reported_us ||
-	    now_us - backend->reported_us > MAX_REPORT_AGE_US)
+	if (!backend_has_recent_report(backend, now_us))
 		return backend->running;
 	reported =
 		(double)backend->reported.running + backend->reported.waiting;
--- a/src/state/backend_table.h
+++ b/src/state/backend_table.h
@@ -14,6 +14,7 @@
 #include "state/region_map.h"
 #include "state/run_memory.h"
 #include "state/server_availability.h"
+#include "state/server_speed.h"
 #include "state/warmup.h"
 #include "tamarackgw/host_view.h"
 
@@ -35,6 +36,9 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	/** Time that work takes now, 100 as the service expects it; 0 if the
+	 * server does not report it. */
+	uint32_t work_percent;
 };
 
 /** How one request at a server ended. */
@@ -61,7 +65,9 @@
 	uint32_t running_at_report; /**< `running` at the report; at most the
 				     * present value */
 	struct backend_load reported;
-	int64_t reported_us; /**< 0 before the first report */
+	int64_t reported_us;   /**< 0 before the first report */
+	int64_t heard_us;      /**< when this host heard of that report */
+	bool reported_to_self; /**< and not to another host */
 	double failure_rate; /**< at `outcome_us`; see backend_failure_rate() */
 	int64_t outcome_us;  /**< of the last outcome in `failure_rate` */
 	uint32_t failures_in_a_row;
@@ -69,6 +75,7 @@
 				 * server is healthy */
 	struct server_availability availability;
 	struct warmup warmup;
+	struct server_speed speed;
 	/** Another server has its address, by that server's response or by a
 	 * later entry: it is gone, and gets no requests. */
 	bool address_reused;
@@ -186,6 +193,15 @@
 void backend_report(struct backend *backend, const struct backend_load *load,
 		    int64_t now_us);
 
+/** Stores a load report that the server made to another host, unless a later
+ * one is known. */
+void backend_report_of_host(struct backend *backend,
+			    const struct backend_load *load,
+			    int64_t reported_us, int64_t now_us);
+
+/** @return whether the last load report is recent enough to count */
+bool backend_has_recent_report(const struct backend *backend, int64_t now_us);
+
 /** @return the estimated number of requests of all hosts at the server; only
  * this host's without a recent load report */
 double backend_expected_load(const struct backend *backend, int64_t now_us);
