Choose servers by how long work takes there

Cause: placement counted requests, so servers of a third of the speed got an equal part of the requests, and a server of which nothing was heard counted as idle. Change: where servers report how long work takes, rendezvous hashing is in proportion to their speeds; the load bound follows speed and slots and the mean of known loads; one of unknown load has the mean; streams of a route avoid servers at which one in ten of them would pause for longer than the route wants, as the host has seen on its own streams; costs follow the present time of work. Services without such reports are placed as before.

--- a/src/edge/call.c
+++ b/src/edge/call.c
@@ -285,6 +285,7 @@
 	copy->max_attempts = route->max_attempts;
 	copy->timeout_ms = route->timeout_ms;
 	copy->target_latency_ms = route->target_latency_ms;
+	copy->target_pause_ms = route->target_pause_ms;
 	copy->priority = route->priority;
 	copy->rank = route->priority;
 	copy->regions =
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -273,6 +273,15 @@
 	       !attempt->conn->eof_seen;
 }
 
+static void record_pauses(const struct call_attempt *attempt)
+{
+	const struct call *call = attempt->call;
+
+	pause_model_add(&call->edge->pauses, call->route.name,
+			attempt->longest_pause_us / TGW_US_PER_MS,
+			server_speed_usual_percent(&attempt->backend->speed));
+}
+
 static void on_complete(struct http_conn *conn)
 {
 	struct call_attempt *attempt = conn->arg;
@@ -312,6 +321,8 @@
 	backend_record_outcome(attempt->backend,
 			       failed ? BACKEND_FAILED : BACKEND_SERVED,
 			       edge_now_us());
+	if (attempt->longest_pause_us)
+		record_pauses(attempt);
 	finish(attempt);
 }
 
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -29,6 +29,7 @@
 	uint32_t max_attempts;
 	int64_t timeout_ms;
 	int64_t target_latency_ms;
+	int64_t target_pause_ms;
 	int32_t priority; /* the team's if it has one, else the route's */
 	int32_t rank;	  /* the route's priority, for budget reservations */
 	uint32_t regions; /* set of those that the request may go to */
@@ -67,6 +68,8 @@
 	struct buffer partial;
 	int64_t held_bytes; /* recorded for the three buffers above */
 	struct event_scan events;
+	int64_t last_event_us; /* 0 before the first event */
+	int64_t longest_pause_us;
 	struct json_scan json;
 	/* Whether its server lives is being checked, since the response has
 	 * ended with its connection; otherwise NULL. */
--- a/src/edge/call_stream.c
+++ b/src/edge/call_stream.c
@@ -15,6 +15,16 @@
 	request_quarantine_on_progress(call->edge->quarantine, &call->identity);
 }
 
+static void record_pause(struct call_attempt *attempt)
+{
+	int64_t now_us = edge_now_us();
+	int64_t pause_us = now_us - attempt->last_event_us;
+
+	if (attempt->last_event_us && pause_us > attempt->longest_pause_us)
+		attempt->longest_pause_us = pause_us;
+	attempt->last_event_us = now_us;
+}
+
 /* Records events that are forwarded.
  * @param before number of events of the attempt before them */
 static void record_events(struct call_attempt *attempt, uint64_t before)
@@ -24,6 +34,7 @@
 
 	if (events->events == before)
 		return;
+	record_pause(attempt);
 	call->events_sent += events->events - before;
 	call->last_event_id = events->resume_id;
 	call->skips_ids |= events->skips_ids;
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -1,5 +1,6 @@
 #include "state/placement.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -10,6 +11,13 @@
  * share parts of their prompts on one server while the load is light. */
 #define LOAD_BOUND_FACTOR 2.0
 #define LOAD_BOUND_SLACK_REQUESTS 5.0
+/* The same where servers report how long work takes, so that hosts know their
+ * loads: a server gets its part by its speed and little more. */
+#define RATED_BOUND_FACTOR 1.3
+#define RATED_BOUND_SLACK_REQUESTS 1.5
+/* While a request waits for one that is served in each slot, it is read
+ * elsewhere in less time. */
+#define RATED_BOUND_SLOTS 2.0
 /* Additional cost, in requests per slot, of a server in another failure
  * domain, and of a server whose requests all fail (in proportion for a lower
  * failure rate). */
@@ -42,7 +50,12 @@
 	uint32_t untried;
 	uint32_t usable;
 	double load_total;
+	double recent_load_total; /* of those with a recent report */
+	uint32_t recent;
 	bool any_healthy; /* an untried one is neither avoided nor full */
+	/* Servers whose speed is known, and the sum of these speeds. */
+	uint32_t rated;
+	double speed_total;
 };
 
 static bool was_tried(const struct placement_request *request,
@@ -75,6 +88,74 @@
 	       !is_full(request, backend);
 }
 
+/* @return work in the time in which a server as the service expects it does 1;
+ * 0 if that is not known */
+static double usual_speed(const struct backend *backend)
+{
+	uint32_t percent = server_speed_usual_percent(&backend->speed);
+
+	return percent ? 100.0 / percent : 0;
+}
+
+/* @return the speed of a server compared with the mean of the service, which
+ * stands for those that have reported none; 1 if no server reports any */
+static double relative_speed(const struct server_counts *counts,
+			     const struct backend *backend)
+{
+	double speed = usual_speed(backend);
+
+	if (!counts->rated || speed <= 0)
+		return 1;
+	return speed * counts->rated / counts->speed_total;
+}
+
+static void count_speed(const struct backend *backend,
+			struct server_counts *counts)
+{
+	double speed = usual_speed(backend);
+
+	if (speed <= 0)
+		return;
+	counts->rated++;
+	counts->speed_total += speed;
+}
+
+static void count_load(const struct placement_request *request,
+		       const struct backend *backend,
+		       struct server_counts *counts)
+{
+	double load = backend_expected_load(backend, request->now_us);
+
+	counts->load_total += load;
+	if (!backend_has_recent_report(backend, request->now_us))
+		return;
+	counts->recent_load_total += load;
+	counts->recent++;
+}
+
+/* @return the mean load of the service's servers. Where they are rated, hosts
+ * tell each other their loads, so that those of most are known. */
+static double mean_load(const struct server_counts *counts)
+{
+	if (counts->rated && counts->recent)
+		return counts->recent_load_total / counts->recent;
+	return counts->load_total / counts->listed;
+}
+
+/* A rated server of which nothing was heard lately has the mean load of one as
+ * fast, not none. */
+static double expected_load(const struct placement_request *request,
+			    const struct server_counts *counts,
+			    const struct backend *backend)
+{
+	double load = backend_expected_load(backend, request->now_us);
+
+	if (!counts->rated ||
+	    backend_has_recent_report(backend, request->now_us))
+		return load;
+	return fmax(load, mean_load(counts) * relative_speed(counts, backend));
+}
+
 static void count_servers(const struct backend_table *table,
 			  const struct placement_request *request,
 			  struct server_counts *counts)
@@ -85,8 +166,8 @@
 		if (!accepts_requests(request, backend))
 			continue;
 		counts->listed++;
-		counts->load_total +=
-			backend_expected_load(backend, request->now_us);
+		count_load(request, backend, counts);
+		count_speed(backend, counts);
 		if (was_tried(request, backend))
 			continue;
 		counts->untried++;
@@ -108,13 +189,29 @@
 	return x ^ (x >> 31);
 }
 
+/* @return the time that work takes at a server now, compared with the mean of
+ * the service */
+static double relative_time(const struct placement_request *request,
+			    const struct server_counts *counts,
+			    const struct backend *backend)
+{
+	uint32_t usual = server_speed_usual_percent(&backend->speed);
+	uint32_t present =
+		server_speed_present_percent(&backend->speed, request->now_us);
+
+	if (!usual)
+		return 1;
+	return (double)present / usual / relative_speed(counts, backend);
+}
+
 /* The server with the lowest cost is chosen. */
 static double cost_of(const struct placement_request *request,
+		      const struct server_counts *counts,
 		      const struct backend *backend)
 {
 	double slots = backend->entry.slots ? backend->entry.slots : 1;
-	double cost =
-		(backend_expected_load(backend, request->now_us) + 1) / slots;
+	double cost = (expected_load(request, counts, backend) + 1) / slots *
+		      relative_time(request, counts, backend);
 
 	if (strcmp(backend->entry.failure_domain, request->failure_domain))
 		cost += REMOTE_DOMAIN_COST;
@@ -126,12 +223,25 @@
 }
 
 static bool allows_affinity(const struct placement_request *request,
+			    const struct server_counts *counts,
 			    const struct backend *backend, double bound)
 {
 	return is_healthy(request, backend) &&
 	       backend_failure_rate(backend, request->now_us) <=
 		       MAX_AFFINITY_FAILURE_RATE &&
-	       backend_expected_load(backend, request->now_us) <= bound;
+	       expected_load(request, counts, backend) <= bound;
+}
+
+/* A server at which one stream in ten pauses for longer than the route wants
+ * gets none of them while others have room. */
+static bool pauses_too_long(const struct placement_request *request,
+			    const struct backend *backend)
+{
+	uint32_t percent = server_speed_usual_percent(&backend->speed);
+
+	return request->target_pause_ms && percent &&
+	       request->long_pause_ms * percent / 100 >
+		       (double)request->target_pause_ms;
 }
 
 static int compare_hashes(const void *a, const void *b)
@@ -172,25 +282,55 @@
 	return split->enabled && reads_long != is_long;
 }
 
+/* Rendezvous hashing in proportion to the servers' speeds: all hosts that know
+ * the same speeds agree, and one server's speed moves only its own requests. */
+static double rank_of(const struct placement_request *request,
+		      const struct server_counts *counts,
+		      const struct backend *backend)
+{
+	uint64_t hash = mix(backend->hash, request->affinity);
+	/* More than 0 and less than 1, without rounding. */
+	double unit =
+		((double)(hash >> 12) + 0.5) / (double)(UINT64_C(1) << 52);
+
+	return relative_speed(counts, backend) / -log(unit);
+}
+
+/* @return the load beyond which a ranked server is skipped */
+static double load_bound(const struct server_counts *counts,
+			 const struct backend *backend)
+{
+	double mean = mean_load(counts);
+	double fair;
+
+	if (!counts->rated)
+		return LOAD_BOUND_FACTOR * mean + LOAD_BOUND_SLACK_REQUESTS;
+	fair = RATED_BOUND_FACTOR * mean * relative_speed(counts, backend) +
+	       RATED_BOUND_SLACK_REQUESTS;
+	return fmin(fair, RATED_BOUND_SLOTS * backend->entry.slots);
+}
+
 static struct backend *choose_ranked(const struct backend_table *table,
 				     const struct placement_request *request,
 				     const struct server_counts *counts,
-				     const struct prompt_split *split)
+				     const struct prompt_split *split,
+				     bool steady_only)
 {
 	struct backend *best = NULL;
-	uint64_t best_rank = 0;
-	double bound = LOAD_BOUND_FACTOR * counts->load_total / counts->listed +
-		       LOAD_BOUND_SLACK_REQUESTS;
+	double best_rank = 0;
 
 	for (struct backend *backend = table->first; backend;
 	     backend = backend->next) {
-		uint64_t rank = mix(backend->hash, request->affinity);
+		double bound = load_bound(counts, backend);
+		double rank;
 
 		if (!accepts_requests(request, backend) ||
 		    was_tried(request, backend) ||
 		    is_excluded_by_split(request, backend, split) ||
-		    !allows_affinity(request, backend, bound))
+		    !allows_affinity(request, counts, backend, bound) ||
+		    (steady_only && pauses_too_long(request, backend)))
 			continue;
+		rank = rank_of(request, counts, backend);
 		if (!best || rank > best_rank) {
 			best = backend;
 			best_rank = rank;
@@ -199,8 +339,24 @@
 	return best;
 }
 
+static struct backend *choose_by_affinity(
+	const struct backend_table *table,
+	const struct placement_request *request,
+	const struct server_counts *counts)
+{
+	struct prompt_split split;
+	struct backend *chosen;
+
+	split_servers(table, request, &split);
+	chosen = choose_ranked(table, request, counts, &split, true);
+	if (!chosen)
+		chosen = choose_ranked(table, request, counts, &split, false);
+	return chosen;
+}
+
 static struct backend *choose_cheapest(const struct backend_table *table,
 				       const struct placement_request *request,
+				       const struct server_counts *counts,
 				       bool healthy_only)
 {
 	struct backend *best = NULL;
@@ -215,7 +371,7 @@
 			continue;
 		if (healthy_only && !is_healthy(request, backend))
 			continue;
-		cost = cost_of(request, backend);
+		cost = cost_of(request, counts, backend);
 		if (!best || cost < best_cost) {
 			best = backend;
 			best_cost = cost;
@@ -238,14 +394,11 @@
 		return PLACEMENT_ALL_TRIED;
 	if (!counts.usable)
 		return PLACEMENT_ALL_FULL;
-	if (request->affinity) {
-		struct prompt_split split;
-
-		split_servers(table, request, &split);
-		*chosen = choose_ranked(table, request, &counts, &split);
-	}
+	if (request->affinity)
+		*chosen = choose_by_affinity(table, request, &counts);
 	if (!*chosen)
-		*chosen = choose_cheapest(table, request, counts.any_healthy);
+		*chosen = choose_cheapest(table, request, &counts,
+					  counts.any_healthy);
 	return PLACEMENT_FOUND;
 }
 
--- a/src/state/placement.h
+++ b/src/state/placement.h
@@ -26,6 +26,11 @@
 	uint32_t regions;	    /**< set of those that it may go to */
 	uint64_t affinity;	    /**< hash of the shared parts; 0 for none */
 	int64_t prompt_tokens; /**< for the server to read, unless cached */
+	/** Longest pause between events that the route wants, and the one to
+	 * be expected at a server that works as the service expects; 0: not
+	 * known. */
+	int64_t target_pause_ms;
+	double long_pause_ms;
 	uint64_t draw;	       /**< random; breaks ties */
 	const uint64_t *tried; /**< run hashes of servers that it was already
 				* sent to */
--- a/src/state/route_set.h
+++ b/src/state/route_set.h
@@ -46,6 +46,7 @@
 	uint32_t max_attempts;
 	int64_t timeout_ms;
 	int64_t target_latency_ms;
+	int64_t target_pause_ms; /**< between events of a stream; 0: any */
 	struct route_regions regions;
 	size_t target_count;
 	struct route_target *targets;
