--- a/src/ctl/explain_commands.c
+++ b/src/ctl/explain_commands.c
@@ -43,8 +43,9 @@
 	{"all servers are full",
 	 "every server of the service was full, or had asked for rest"},
 	{"the service has no server",
-	 "no server of the service is listed that stays: see the servers' "
-	 "entries, and part=server event=leaving"},
+	 "no server of the service is listed that stays, in a failure domain "
+	 "that is not evacuated: see the servers' entries, part=server "
+	 "event=leaving, and part=domain event=evacuated"},
 	{"no server took the request", "each server refused the request"},
 };
 
@@ -62,8 +63,8 @@
 
 static bool is_state_change(const struct log_line *line)
 {
-	static const char *const parts[] = {"config", "server", "store",
-					    "host"};
+	static const char *const parts[] = {"config", "server", "domain",
+					    "store", "host"};
 
 	for (size_t i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
 		if (log_line_field_is(line, "part", parts[i]))
