Plan attempts while the host itself is late

A silence is no reason to send the request to another server then. A request whose connection timed out has not been sent: it goes to another server, or waits for the connection if there is none. Nothing asks for this yet.

--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -158,13 +158,19 @@
 	call_attempt_start(call, dispatch->backend, is_retry);
 }
 
+/* Goes on with the current attempt until the next check. */
+static void wait_for_current_attempt(struct call *call)
+{
+	call->current->next_check_us = edge_now_us() + SILENCE_CHECK_US;
+	call_schedule(call);
+}
+
 /* The attempt at the server that fell silent is the only one that is left. */
 static void wait_for_earlier_attempt(struct call *call)
 {
 	call->current = call->earlier;
 	call->earlier = NULL;
-	call->current->next_check_us = edge_now_us() + SILENCE_CHECK_US;
-	call_schedule(call);
+	wait_for_current_attempt(call);
 }
 
 static void end_after_failure(struct call *call, const char *reason)
@@ -216,6 +222,9 @@
 	case ATTEMPT_STEP_WAIT:
 		wait_for_earlier_attempt(call);
 		return;
+	case ATTEMPT_STEP_CONNECT:
+		wait_for_current_attempt(call);
+		return;
 	case ATTEMPT_STEP_END:
 		end_without_server(call, &dispatch, reason);
 		return;
@@ -319,8 +328,7 @@
 	make_plan(call, ATTEMPT_SILENT, false, &dispatch);
 	record_silence(call);
 	if (dispatch.plan.step != ATTEMPT_STEP_SEND) {
-		call->current->next_check_us = edge_now_us() + SILENCE_CHECK_US;
-		call_schedule(call);
+		wait_for_current_attempt(call);
 		return;
 	}
 	call_end_earlier_attempt(call);
--- a/src/state/attempt_plan.c
+++ b/src/state/attempt_plan.c
@@ -25,6 +25,8 @@
 		return ATTEMPT_KIND;
 	if (facts->crashes_servers)
 		return ATTEMPT_CRASHES;
+	if (facts->trigger == ATTEMPT_SILENT && facts->own_delay)
+		return ATTEMPT_OWN_DELAY;
 	if (facts->attempts >= ATTEMPTS_MAX ||
 	    (is_retry(facts) && facts->sent >= facts->sent_max))
 		return ATTEMPT_LIMIT;
@@ -35,6 +37,15 @@
 	return ATTEMPT_NO_OBSTACLE;
 }
 
+/* A delayed connection may still be made, which is better than to refuse the
+ * request because no other server is left. */
+static bool may_still_connect(const struct attempt_facts *facts,
+			      enum attempt_obstacle obstacle)
+{
+	return facts->trigger == ATTEMPT_CONNECT_DELAYED &&
+	       (obstacle == ATTEMPT_LIMIT || obstacle == ATTEMPT_NO_SERVER);
+}
+
 struct attempt_plan attempt_plan_make(const struct attempt_facts *facts)
 {
 	struct attempt_plan plan = {
@@ -46,6 +57,8 @@
 
 	if (plan.obstacle == ATTEMPT_NO_OBSTACLE)
 		plan.spends_retry_credit = is_retry(facts);
+	else if (may_still_connect(facts, plan.obstacle))
+		plan.step = ATTEMPT_STEP_CONNECT;
 	else if (any_open && !facts->caller_left && facts->left_us > 0)
 		plan.step = ATTEMPT_STEP_WAIT;
 	else
@@ -62,6 +75,7 @@
 		[ATTEMPT_QUARANTINED] = "quarantine",
 		[ATTEMPT_KIND] = "kind",
 		[ATTEMPT_CRASHES] = "crashes",
+		[ATTEMPT_OWN_DELAY] = "own_delay",
 		[ATTEMPT_LIMIT] = "attempts",
 		[ATTEMPT_NO_SERVER] = "no_server",
 		[ATTEMPT_NO_RETRY_CREDIT] = "retry_budget",
--- a/src/state/attempt_plan.h
+++ b/src/state/attempt_plan.h
@@ -23,8 +23,11 @@
 enum attempt_trigger {
 	ATTEMPT_NONE_YET, /**< the request has not been sent */
 	ATTEMPT_NOT_SENT, /**< no connection to the server could be made */
-	ATTEMPT_FAILED,	  /**< a server received the request and failed it */
-	ATTEMPT_SILENT,	  /**< the server has sent nothing for some time */
+	/** The same, by its timeout; the host itself delays what it receives.
+	 */
+	ATTEMPT_CONNECT_DELAYED,
+	ATTEMPT_FAILED, /**< a server received the request and failed it */
+	ATTEMPT_SILENT, /**< the server has sent nothing for some time */
 };
 
 /** What the decision is based on. */
@@ -42,6 +45,7 @@
 	int64_t left_us;   /**< until the request's deadline */
 	enum placement_result placement;
 	bool has_retry_credit;
+	bool own_delay; /**< the host itself delays what it receives */
 	/** Another attempt is open, at a server that has fallen silent. */
 	bool other_is_open;
 };
@@ -54,6 +58,7 @@
 	ATTEMPT_QUARANTINED,
 	ATTEMPT_KIND,		/**< it must not run again */
 	ATTEMPT_CRASHES,	/**< it crashes servers */
+	ATTEMPT_OWN_DELAY,	/**< the host may be the cause of a silence */
 	ATTEMPT_LIMIT,		/**< the maximum number of attempts was made */
 	ATTEMPT_NO_SERVER,	/**< see attempt_facts.placement */
 	ATTEMPT_NO_RETRY_CREDIT /**< the retry budget is spent */
@@ -62,6 +67,8 @@
 enum attempt_step {
 	ATTEMPT_STEP_SEND,
 	ATTEMPT_STEP_WAIT, /**< for an attempt that is open */
+	/** Go on with the attempt whose connection has been delayed. */
+	ATTEMPT_STEP_CONNECT,
 	ATTEMPT_STEP_END,
 };
 
--- a/tests/unit/test_attempt_plan.c
+++ b/tests/unit/test_attempt_plan.c
@@ -5,6 +5,7 @@
 
 #define SEND ATTEMPT_STEP_SEND
 #define WAIT ATTEMPT_STEP_WAIT
+#define CONNECT ATTEMPT_STEP_CONNECT
 #define END ATTEMPT_STEP_END
 
 /* How the facts of a row differ from those under which any request may be sent
@@ -20,6 +21,7 @@
 	LITTLE_TIME = 128,
 	LEFT = 256,
 	OTHER_OPEN = 512,
+	OWN_DELAY = 1024,
 };
 
 struct row {
@@ -55,6 +57,7 @@
 		.left_us = left_us(changes),
 		.placement = row->placement,
 		.has_retry_credit = !(changes & NO_CREDIT),
+		.own_delay = changes & OWN_DELAY,
 		.other_is_open = changes & OTHER_OPEN,
 	};
 }
@@ -117,6 +120,31 @@
 	 QUARANTINED, PLACEMENT_FOUND, WAIT, ATTEMPT_QUARANTINED, false},
 	{"a silent server with too little time for a retry", ATTEMPT_SILENT,
 	 LITTLE_TIME, PLACEMENT_FOUND, WAIT, ATTEMPT_NO_TIME, false},
+	{"a silent server while the host itself is late", ATTEMPT_SILENT,
+	 OWN_DELAY, PLACEMENT_FOUND, WAIT, ATTEMPT_OWN_DELAY, false},
+	{"a failed attempt while the host itself is late", ATTEMPT_FAILED,
+	 OWN_DELAY, PLACEMENT_FOUND, SEND, ATTEMPT_NO_OBSTACLE, true},
+	{"a refused connection while the host itself is late", ATTEMPT_NOT_SENT,
+	 OWN_DELAY, PLACEMENT_ALL_TRIED, END, ATTEMPT_NO_SERVER, false},
+	{"a delayed connection, another server is left",
+	 ATTEMPT_CONNECT_DELAYED, OWN_DELAY | NO_CREDIT | ALL_SENT,
+	 PLACEMENT_FOUND, SEND, ATTEMPT_NO_OBSTACLE, false},
+	{"a delayed connection, all others tried", ATTEMPT_CONNECT_DELAYED,
+	 OWN_DELAY, PLACEMENT_ALL_TRIED, CONNECT, ATTEMPT_NO_SERVER, false},
+	{"a delayed connection, all others tried, another attempt is open",
+	 ATTEMPT_CONNECT_DELAYED, OWN_DELAY | OTHER_OPEN, PLACEMENT_ALL_TRIED,
+	 CONNECT, ATTEMPT_NO_SERVER, false},
+	{"a delayed connection after all attempts", ATTEMPT_CONNECT_DELAYED,
+	 OWN_DELAY | ALL_ATTEMPTS_MADE, PLACEMENT_FOUND, CONNECT, ATTEMPT_LIMIT,
+	 false},
+	{"a delayed connection of a quarantined request",
+	 ATTEMPT_CONNECT_DELAYED, OWN_DELAY | QUARANTINED, PLACEMENT_FOUND, END,
+	 ATTEMPT_QUARANTINED, false},
+	{"a delayed connection when the time is up", ATTEMPT_CONNECT_DELAYED,
+	 OWN_DELAY | TIME_IS_UP, PLACEMENT_FOUND, END, ATTEMPT_NO_TIME, false},
+	{"a delayed connection whose caller has left", ATTEMPT_CONNECT_DELAYED,
+	 OWN_DELAY | LEFT, PLACEMENT_ALL_TRIED, END, ATTEMPT_CALLER_LEFT,
+	 false},
 };
 
 START_TEST(each_row_gets_its_step)
@@ -143,7 +171,7 @@
 {
 	struct row row = {.trigger = ATTEMPT_SILENT};
 
-	for (row.changes = 0; row.changes < 2 * OTHER_OPEN; row.changes++)
+	for (row.changes = 0; row.changes < 2 * OWN_DELAY; row.changes++)
 		for (int placement = PLACEMENT_FOUND;
 		     placement <= PLACEMENT_ALL_FULL; placement++) {
 			struct attempt_facts facts;
