--- a/tests/unit/test_edge_silence.c
+++ b/tests/unit/test_edge_silence.c
@@ -1,8 +1,6 @@
 /* Tests that callers get whole responses from backend servers that fall silent
  * for a while and go on: at each point of a response, for each kind of route,
  * whether or not another server can take the request. */
-#include <arpa/inet.h>
-#include <errno.h>
 #include <fcntl.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,12 +10,11 @@
 #include "base/xalloc.h"
 #include "edge/call_private.h"
 #include "fakes/edge_rig.h"
+#include "unit/deaf_server.h"
 #include "unit/unit_main.h"
 
 #define WAIT_MS 8000
 #define CALLERS_MAX 64
-/* Connections that fill the queue of a listener without a backlog. */
-#define QUEUE_FILLERS 3
 /* More than all requests of a test need, in thousandths of a retry. */
 #define AMPLE_CREDIT 1000000
 
@@ -51,7 +48,6 @@
 static struct edge_rig rig;
 static struct paused_call calls[CALLERS_MAX];
 static size_t call_count;
-static int fillers[QUEUE_FILLERS];
 
 static void setup(void)
 {
@@ -293,34 +289,6 @@
 }
 END_TEST
 
-/* A server that is silent from the start: its kernel accepts no connection,
- * since the queue is full. */
-static int start_deaf_server(char *address, size_t size)
-{
-	struct sockaddr_in in = {.sin_family = AF_INET};
-	socklen_t length = sizeof(in);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&in, sizeof(in)), 0);
-	ck_assert_int_eq(listen(fd, 0), 0);
-	getsockname(fd, (struct sockaddr *)&in, &length);
-	for (int i = 0; i < QUEUE_FILLERS; i++) {
-		fillers[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-		if (connect(fillers[i], (struct sockaddr *)&in, sizeof(in)))
-			ck_assert_int_eq(errno, EINPROGRESS);
-	}
-	snprintf(address, size, "127.0.0.1:%d", ntohs(in.sin_port));
-	return fd;
-}
-
-static void stop_deaf_server(int fd)
-{
-	for (int i = 0; i < QUEUE_FILLERS; i++)
-		close(fillers[i]);
-	close(fd);
-}
-
 /* Drains all servers but the deaf one and, if `keeps_one`, worker-1. */
 static int leave_deaf_server(bool keeps_one)
 {
