Hold no timeout against a server while the host itself is late

A host whose link was at 75 to 91 percent took fourteen healthy servers for unreachable within 12 ms and others for silent; the retries used up the retry budget and the link. While the delay is the host's own, a silence and a connection timeout are not recorded as failures, and nothing is sent a second time for a silence. Refused connections, resets and malformed responses count as before. The lines of such attempts have own_delay=1, and two metrics count them.

A connection that was delayed stays excused when the delay has ended, since the kernel sends a lost SYN again only after 1 s.

--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -17,6 +17,7 @@
 /* Interval at which a host checks again whether another server can take the
  * request of a silent one. */
 #define SILENCE_CHECK_US (250 * TGW_US_PER_MS)
+#define REASON_UNREACHABLE "the server can't be reached"
 
 static int64_t retry_after_full_ms(const struct call *call)
 {
@@ -132,6 +133,7 @@
 		.left_us = call->deadline_us - now_us,
 		.placement = choose_server(call, &dispatch->backend),
 		.has_retry_credit = has_retry_credit(call, trigger, now_us),
+		.own_delay = edge->own_delay.active,
 		.other_is_open = call->earlier != NULL,
 	};
 
@@ -209,15 +211,12 @@
 }
 
 /* Sends the call to a server, waits for one that has it, or ends it. */
-static void proceed(struct call *call, enum attempt_trigger trigger,
-		    bool crashes_servers, const char *reason)
+static void carry_out(struct call *call, const struct dispatch *dispatch,
+		      const char *reason)
 {
-	struct dispatch dispatch;
-
-	make_plan(call, trigger, crashes_servers, &dispatch);
-	switch (dispatch.plan.step) {
+	switch (dispatch->plan.step) {
 	case ATTEMPT_STEP_SEND:
-		send_request(call, &dispatch);
+		send_request(call, dispatch);
 		return;
 	case ATTEMPT_STEP_WAIT:
 		wait_for_earlier_attempt(call);
@@ -226,11 +225,20 @@
 		wait_for_current_attempt(call);
 		return;
 	case ATTEMPT_STEP_END:
-		end_without_server(call, &dispatch, reason);
+		end_without_server(call, dispatch, reason);
 		return;
 	}
 }
 
+static void proceed(struct call *call, enum attempt_trigger trigger,
+		    bool crashes_servers, const char *reason)
+{
+	struct dispatch dispatch;
+
+	make_plan(call, trigger, crashes_servers, &dispatch);
+	carry_out(call, &dispatch, reason);
+}
+
 void call_dispatch(struct call *call)
 {
 	proceed(call, ATTEMPT_NONE_YET, false, NULL);
@@ -280,6 +288,7 @@
 	bool may_have_run = sent && outcome != BACKEND_REJECTED &&
 			    outcome != BACKEND_ADDRESS_REUSED;
 
+	attempt->own_delay = false;
 	call_log_attempt_failed(attempt, reason);
 	record_failure(attempt, outcome, may_have_run);
 	call_attempt_end(attempt);
@@ -308,12 +317,73 @@
 	return true;
 }
 
+/* Whether the timeout of an attempt is no evidence against its server. A
+ * connection that the host has delayed stays so when the delay has ended: the
+ * kernel sends a lost SYN again only after 1 s. */
+static bool is_own_delay(const struct call_attempt *attempt)
+{
+	return attempt->call->edge->own_delay.active ||
+	       (attempt->own_delay && !attempt->conn->connected);
+}
+
+static void record_own_delay(struct call_attempt *attempt)
+{
+	struct edge_counters *counters = &attempt->call->edge->counters;
+
+	if (attempt->own_delay)
+		return;
+	attempt->own_delay = true;
+	if (attempt->conn->connected)
+		counters->own_delay_silences++;
+	else
+		counters->own_delay_connects++;
+	call_log_attempt_silent(attempt);
+}
+
+void call_attempt_record_timeout(struct call_attempt *attempt)
+{
+	if (is_own_delay(attempt)) {
+		record_own_delay(attempt);
+		return;
+	}
+	if (!attempt->silence_recorded)
+		backend_record_outcome(attempt->backend, BACKEND_TIMED_OUT,
+				       edge_now_us());
+}
+
+void call_attempt_connect_timed_out(struct call *call)
+{
+	struct call_attempt *attempt = call->current;
+	struct dispatch dispatch;
+
+	if (!is_own_delay(attempt)) {
+		call_attempt_failed(attempt, BACKEND_UNREACHABLE,
+				    REASON_UNREACHABLE);
+		return;
+	}
+	make_plan(call, ATTEMPT_CONNECT_DELAYED, false, &dispatch);
+	record_own_delay(attempt);
+	if (dispatch.plan.step == ATTEMPT_STEP_CONNECT) {
+		/* A server can't be silent before it is connected. */
+		attempt->last_progress_us = edge_now_us();
+	} else {
+		call_attempt_not_sent(attempt);
+		call_attempt_end(attempt);
+	}
+	carry_out(call, &dispatch, REASON_UNREACHABLE);
+}
+
 static void record_silence(struct call *call)
 {
 	struct call_attempt *attempt = call->current;
 
+	if (is_own_delay(attempt)) {
+		record_own_delay(attempt);
+		return;
+	}
 	if (attempt->silence_recorded)
 		return;
+	attempt->own_delay = false;
 	attempt->silence_recorded = true;
 	call->edge->counters.silences++;
 	backend_record_outcome(attempt->backend, BACKEND_TIMED_OUT,
--- a/src/edge/call_log.c
+++ b/src/edge/call_log.c
@@ -7,6 +7,12 @@
 	return (edge_now_us() - time_us) / TGW_US_PER_MS;
 }
 
+/* The end of a line, for an attempt that the host itself has delayed. */
+static const char *delay_field(const struct call_attempt *attempt)
+{
+	return attempt->own_delay ? " own_delay=1" : "";
+}
+
 /* What the caller of a refused call gets. */
 static const char *caller_state(const struct call *call)
 {
@@ -55,7 +61,7 @@
 		      "attempt=%u age_ms=%lld silent_ms=%lld "
 		      "server_load=%u+%u/%u "
 		      "load_ms_ago=%lld failure_share=%.2f held_bytes=%lld "
-		      "held_by_all=%lld fingerprint=%s parts=%s",
+		      "held_by_all=%lld fingerprint=%s parts=%s%s",
 		      call->request.id, backend->entry.id, reason,
 		      call_attempt_is_sent(attempt),
 		      (unsigned long long)call->events_sent,
@@ -66,7 +72,7 @@
 		      backend_failure_rate(backend, edge_now_us()),
 		      (long long)attempt->held_bytes,
 		      (long long)call->edge->held_answers.total_bytes,
-		      fingerprint, parts);
+		      fingerprint, parts, delay_field(attempt));
 }
 
 void call_log_attempt_silent(const struct call_attempt *attempt)
@@ -75,15 +81,18 @@
 
 	edge_log_line(&call->edge->log, EDGE_LOG_NOTICE, "call",
 		      "attempt_silent",
-		      "request=%s server=%s reason=\"the server is silent\" "
+		      "request=%s server=%s reason=\"%s\" "
 		      "events=%llu attempt=%u age_ms=%lld silent_ms=%lld "
-		      "failure_share=%.2f not_repeated=%s",
+		      "failure_share=%.2f not_repeated=%s%s",
 		      call->request.id, attempt->backend->entry.id,
+		      attempt->conn->connected ? "the server is silent"
+					       : "the server can't be reached",
 		      (unsigned long long)call->events_sent,
 		      call->attempt_count, ms_since(attempt->started_us),
 		      ms_since(attempt->last_progress_us),
 		      backend_failure_rate(attempt->backend, edge_now_us()),
-		      attempt_obstacle_name(call->obstacle));
+		      attempt_obstacle_name(call->obstacle),
+		      delay_field(attempt));
 }
 
 void call_log_attempt_continues(const struct call_attempt *attempt)
--- a/src/edge/call_private.h
+++ b/src/edge/call_private.h
@@ -53,11 +53,12 @@
 	/* A decision about its silence is not repeated before. */
 	int64_t next_check_us;
 	bool silence_recorded; /* in the server's statistics */
-	bool is_retry;	       /* it spent the credit of a retry */
-	bool paused;	       /* not read while the caller reads too slowly */
-	int status;	       /* of the response */
-	bool is_event_stream;  /* so is its body, without a content coding */
-	bool is_json;	       /* the same */
+	bool own_delay; /* its timeout is recorded as the host's own delay */
+	bool is_retry;	/* it spent the credit of a retry */
+	bool paused;	/* not read while the caller reads too slowly */
+	int status;	/* of the response */
+	bool is_event_stream; /* so is its body, without a content coding */
+	bool is_json;	      /* the same */
 	struct response_info response;
 	bool forwarding;      /* the body is forwarded as it arrives */
 	struct buffer fields; /* header lines of the response */
@@ -188,6 +189,14 @@
  * another server as well if that is allowed. */
 void call_attempt_silent(struct call *call);
 
+/** Handles the timeout of the current attempt's connection: sends the request
+ * to another server if that is allowed. */
+void call_attempt_connect_timed_out(struct call *call);
+
+/** Records that the request's time is over before its current attempt has
+ * ended. */
+void call_attempt_record_timeout(struct call_attempt *attempt);
+
 /** Handles a 5xx response: retries at another server if that is allowed.
  * @return whether the request is retried; if not, the response is final */
 bool call_retry_server_error(struct call_attempt *attempt);
@@ -203,6 +212,7 @@
 	attempt->last_progress_us = now_us;
 	attempt->next_check_us = 0;
 	attempt->silence_recorded = false;
+	attempt->own_delay = false;
 }
 
 /** Complete events of an attempt after which the parts of the request's prompt
--- a/src/edge/call_timer.c
+++ b/src/edge/call_timer.c
@@ -30,8 +30,11 @@
 
 	if (!attempt)
 		return call->deadline_us;
-	if (!attempt->conn->connected)
-		return attempt->started_us + CONNECT_TIMEOUT_US;
+	if (!attempt->conn->connected) {
+		due_us = attempt->started_us + CONNECT_TIMEOUT_US;
+		return due_us < attempt->next_check_us ? attempt->next_check_us
+						       : due_us;
+	}
 	if (attempt->paused || !call_may_repeat(call) ||
 	    call->sent_count >= call->route.max_attempts)
 		return call->deadline_us;
@@ -70,9 +73,8 @@
 
 static void time_out_call(struct call *call)
 {
-	if (call->current && !call->current->silence_recorded)
-		backend_record_outcome(call->current->backend,
-				       BACKEND_TIMED_OUT, edge_now_us());
+	if (call->current)
+		call_attempt_record_timeout(call->current);
 	call_give_up(call, "the time of the request is up");
 }
 
@@ -106,6 +108,5 @@
 	else if (call->current->conn->connected)
 		call_attempt_silent(call);
 	else
-		call_attempt_failed(call->current, BACKEND_UNREACHABLE,
-				    "the server can't be reached");
+		call_attempt_connect_timed_out(call);
 }
--- a/src/edge/edge.c
+++ b/src/edge/edge.c
@@ -195,6 +195,26 @@
 		edge->load.turns);
 }
 
+static void update_own_delay(struct edge *edge,
+			     const struct host_load_view *view)
+{
+	struct own_delay_facts facts = {
+		.now_us = view->now_us,
+		.link_percent = view->link_percent,
+		.loop_lag_us = view->loop_lag_us,
+		.longest_wait_us = view->longest_wait_us,
+	};
+
+	if (!own_delay_update(&edge->own_delay, &facts))
+		return;
+	edge_log_line(&edge->log, EDGE_LOG_NOTICE, "host",
+		      edge->own_delay.active ? "delay_began" : "delay_ended",
+		      "loop_lag_ms=%lld longest_wait_ms=%lld link_percent=%u",
+		      (long long)(view->loop_lag_us / TGW_US_PER_MS),
+		      (long long)(view->longest_wait_us / TGW_US_PER_MS),
+		      view->link_percent);
+}
+
 static void measure_load(struct edge *edge)
 {
 	uint64_t now_ms = uv_now(edge->loop);
@@ -213,6 +233,7 @@
 	edge->tick_due_ms = now_ms + TICK_MS;
 	if (host_load_update(&edge->load, &view))
 		log_load_change(edge, &view);
+	update_own_delay(edge, &view);
 }
 
 static void on_tick(uv_timer_t *timer)
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -26,6 +26,7 @@
 #include "state/host_load.h"
 #include "state/latency_buckets.h"
 #include "state/link_load.h"
+#include "state/own_delay.h"
 #include "state/retry_budget.h"
 #include "tamarackgw/random.h"
 #include "transport/read_turns.h"
@@ -70,6 +71,10 @@
 	 * before another server had responded. */
 	uint64_t silences;
 	uint64_t silences_ended;
+	/** Silences, ends of the request's time, and connection timeouts that
+	 * did not count as failures, since the host itself was late. */
+	uint64_t own_delay_silences;
+	uint64_t own_delay_connects;
 	/** Attempts that were ended since an event did not end. */
 	uint64_t events_without_end;
 	uint64_t memory_refused; /* no room for their bodies */
@@ -118,6 +123,7 @@
 	struct held_bytes held_requests; /* of callers */
 	struct link_bytes link_bytes;	 /* of requests and their responses */
 	struct link_load link_load;
+	struct own_delay own_delay;
 	/* Callers' connections, by their last request, the latest first. */
 	struct server_conn *conns;
 	struct server_conn *conns_last;
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -183,6 +183,10 @@
 	add_counter(text, "caller_left_total", counters->caller_left);
 	add_counter(text, "silences_total", counters->silences);
 	add_counter(text, "silences_ended_total", counters->silences_ended);
+	add_counter(text, "own_delay_silences_total",
+		    counters->own_delay_silences);
+	add_counter(text, "own_delay_connects_total",
+		    counters->own_delay_connects);
 	add_counter(text, "events_without_end_total",
 		    counters->events_without_end);
 	add_counter(text, "memory_refused_total", counters->memory_refused);
@@ -228,6 +232,7 @@
 	add_gauge(text, "reads_waiting", edge->turns.waiting);
 	add_gauge(text, "link_percent", link_load_percent(&edge->link_load));
 	add_gauge(text, "overloaded", edge->load.overloaded);
+	add_gauge(text, "own_delay", edge->own_delay.active);
 	add_gauge(text, "servers", (double)edge->backends.count);
 	add_gauge(text, "config_version", set ? (double)set->version : 0);
 	add_gauge(text, "ready", is_ready(edge));
