Test that a server's second warm-up starts without a burst

Fails: 79 hosts that only estimate their number send 79 requests at once when a server of which their share was decided earlier warms up again; 30 are accepted. The hosts' first times to send are drawn once per run only, and have passed by then.

--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -157,6 +157,36 @@
 }
 END_TEST
 
+/* Guards against a burst at the second warm-up of a run: hosts that do not know
+ * each other would all send at its start. */
+START_TEST(a_server_that_warms_up_again_is_not_flooded)
+{
+	struct tgw_random random;
+	size_t count = 79;
+	double limit = 17;
+	struct warmup_share share = {.hosts = 1000, .is_estimate = true};
+	int64_t earlier_us = START_US - 2 * 1000 * TGW_US_PER_S;
+
+	tgw_random_init(&random, (uint64_t)_i + 1);
+	begin(count, limit);
+	for (size_t i = 0; i < count; i++) {
+		warmup_report(&warmups[i], WARMUP_US, earlier_us);
+		warmup_set_share(&warmups[i], &share, tgw_random_u64(&random),
+				 earlier_us);
+		if (_i % 2)
+			warmup_report(&warmups[i], WARMUP_US, START_US);
+		else
+			warmup_assume(&warmups[i], START_US);
+		if (warmup_needs_share(&warmups[i], START_US))
+			warmup_set_share(&warmups[i], &share,
+					 tgw_random_u64(&random), START_US);
+	}
+	play_greedy(count);
+	ck_assert_uint_le(most_in_a_second(sent),
+			  (uint32_t)(limit * ACCEPTED_FACTOR + ACCEPTED_SLACK));
+}
+END_TEST
+
 START_TEST(no_request_is_sent_before_the_share_is_decided)
 {
 	begin(1, 17);
@@ -294,6 +324,8 @@
 		tcase,
 		hosts_that_only_estimate_their_number_stay_within_what_is_accepted,
 		0, 20);
+	tcase_add_loop_test(tcase, a_server_that_warms_up_again_is_not_flooded,
+			    0, 2);
 	tcase_add_test(tcase, no_request_is_sent_before_the_share_is_decided);
 	tcase_add_test(tcase, without_a_limit_a_server_is_free_at_once);
 	tcase_add_test(tcase,
