Decide the share of a server anew each time it warms up

Cause: the share of a run was decided once, with the time of the first request, which has passed at the next warm-up; hosts that only estimate their number then all sent at once. Change: a warm-up that begins after the last one has ended starts without a share. Result: test_warmup, a_server_that_warms_up_again_is_not_flooded: at most 30 in a second for 79 hosts, before 79.

--- a/src/state/warmup.c
+++ b/src/state/warmup.c
@@ -17,14 +17,24 @@
 		       : warmup->assumed_until_us;
 }
 
+/* A share of an earlier warm-up would let all hosts send at once: the times
+ * that they drew have passed. */
+static void forget_earlier_share(struct warmup *warmup, int64_t now_us)
+{
+	if (!warmup_is_active(warmup, now_us))
+		warmup->interval_us = 0;
+}
+
 void warmup_report(struct warmup *warmup, int64_t remaining_us, int64_t now_us)
 {
+	forget_earlier_share(warmup, now_us);
 	warmup->reported_until_us = remaining_us > 0 ? now_us + remaining_us
 						     : 0;
 }
 
 void warmup_assume(struct warmup *warmup, int64_t now_us)
 {
+	forget_earlier_share(warmup, now_us);
 	warmup->assumed_until_us = now_us + warmup->limit.duration_us;
 }
 
