Test that a known list of hosts ends the wait of an estimate

Fails: a host that assumed 1,000 hosts and then learns that it is alone sends nothing for the rest of the warm-up: the time of its first request, up to a minute away, is kept. It holds in later warm-ups as well.

--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -187,6 +187,24 @@
 }
 END_TEST
 
+/* Guards against a quota that goes unused: an estimate puts the first request
+ * off by up to a minute, which must not hold once the hosts are known. */
+START_TEST(a_true_share_ends_the_wait_of_an_estimate)
+{
+	struct warmup *warmup = &warmups[0];
+	struct warmup_share estimate = {.hosts = 1000, .is_estimate = true};
+	struct warmup_share known = {.hosts = 1};
+
+	begin(1, 17);
+	warmup_set_share(warmup, &estimate, 1023, START_US);
+	ck_assert_int_gt(warmup_free_at_us(warmup, START_US),
+			 START_US + TGW_US_PER_S);
+	warmup_set_share(warmup, &known, 0, START_US);
+	ck_assert_int_le(warmup_free_at_us(warmup, START_US),
+			 START_US + warmup->interval_us);
+}
+END_TEST
+
 START_TEST(no_request_is_sent_before_the_share_is_decided)
 {
 	begin(1, 17);
@@ -326,6 +344,7 @@
 		0, 20);
 	tcase_add_loop_test(tcase, a_server_that_warms_up_again_is_not_flooded,
 			    0, 2);
+	tcase_add_test(tcase, a_true_share_ends_the_wait_of_an_estimate);
 	tcase_add_test(tcase, no_request_is_sent_before_the_share_is_decided);
 	tcase_add_test(tcase, without_a_limit_a_server_is_free_at_once);
 	tcase_add_test(tcase,
