--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -205,6 +205,30 @@
 }
 END_TEST
 
+static const double small_limits[] = {1e-9, 1e-12, 1e-15, 1e-300};
+
+/* Guards against an interval that does not fit its type: a host would send
+ * without a limit. */
+START_TEST(a_tiny_limit_is_a_limit)
+{
+	struct warmup_share shares[] = {
+		{.hosts = 1},
+		{.hosts = 1000, .is_estimate = true},
+	};
+
+	for (size_t i = 0; i < 2; i++) {
+		struct warmup *warmup = &warmups[i];
+
+		warmup->limit.requests_per_s = small_limits[_i];
+		warmup_report(warmup, WARMUP_US, START_US);
+		warmup_set_share(warmup, &shares[i], 0, START_US);
+		warmup_on_request(warmup, START_US);
+		ck_assert_int_eq(warmup_free_at_us(warmup, START_US),
+				 START_US + WARMUP_US);
+	}
+}
+END_TEST
+
 START_TEST(no_request_is_sent_before_the_share_is_decided)
 {
 	begin(1, 17);
@@ -345,6 +369,8 @@
 	tcase_add_loop_test(tcase, a_server_that_warms_up_again_is_not_flooded,
 			    0, 2);
 	tcase_add_test(tcase, a_true_share_ends_the_wait_of_an_estimate);
+	tcase_add_loop_test(tcase, a_tiny_limit_is_a_limit, 0,
+			    sizeof(small_limits) / sizeof(small_limits[0]));
 	tcase_add_test(tcase, no_request_is_sent_before_the_share_is_decided);
 	tcase_add_test(tcase, without_a_limit_a_server_is_free_at_once);
 	tcase_add_test(tcase,
