End the wait of an estimated share once the hosts are known

Cause: the time of the next request was kept when the share was decided again; with 1,000 assumed hosts it is up to a minute away, longer than a warm-up. Change: it is at most one interval of the new share away. Result: test_warmup, a_true_share_ends_the_wait_of_an_estimate: 62 ms, before the end of the warm-up.

--- a/src/state/warmup.c
+++ b/src/state/warmup.c
@@ -78,6 +78,10 @@
 		return;
 	}
 	warmup->interval_us = spacing_us(rate);
+	/* What was due after the longer interval of an estimate is due sooner
+	 * now. */
+	if (warmup->due_us > now_us + warmup->interval_us)
+		warmup->due_us = now_us + warmup->interval_us;
 	if (share->is_estimate && warmup->due_us <= now_us)
 		warmup->due_us = now_us + warmup->interval_us / DRAW_STEPS *
 						  (int64_t)(draw % DRAW_STEPS);
