Keep the interval of a tiny limit within its type

Cause: coldPerS may be any number from 0; below 1e-12 the interval overflows, and the host sends without a limit. Change: a host whose interval exceeds a year sends nothing.

--- a/src/state/warmup.c
+++ b/src/state/warmup.c
@@ -9,6 +9,9 @@
  * closer to each other than they were sent. */
 #define SPACING_PERCENT 105
 #define DRAW_STEPS 1024
+/* A host whose interval exceeds a year sends nothing: the interval of a tiny
+ * limit does not fit its type. */
+#define INTERVAL_MAX_US (365 * 24 * 3600 * TGW_US_PER_S)
 
 static int64_t until_us(const struct warmup *warmup)
 {
@@ -48,10 +51,17 @@
 	return !warmup->interval_us && warmup_is_active(warmup, now_us);
 }
 
+/* @return INT64_MAX for a host that may send nothing */
 static int64_t spacing_us(double requests_per_s)
 {
-	return (int64_t)((double)TGW_US_PER_S * SPACING_PERCENT / 100 /
-			 requests_per_s);
+	double interval_us;
+
+	if (requests_per_s <= 0)
+		return INT64_MAX;
+	interval_us =
+		(double)TGW_US_PER_S * SPACING_PERCENT / 100 / requests_per_s;
+	return interval_us < (double)INTERVAL_MAX_US ? (int64_t)interval_us
+						     : INT64_MAX;
 }
 
 /* @return the requests a second of one host; 0 if it may send none */
@@ -71,13 +81,10 @@
 void warmup_set_share(struct warmup *warmup, const struct warmup_share *share,
 		      uint64_t draw, int64_t now_us)
 {
-	double rate = rate_of(warmup->limit.requests_per_s, share);
-
-	if (rate <= 0) {
-		warmup->interval_us = INT64_MAX;
+	warmup->interval_us =
+		spacing_us(rate_of(warmup->limit.requests_per_s, share));
+	if (warmup->interval_us == INT64_MAX)
 		return;
-	}
-	warmup->interval_us = spacing_us(rate);
 	/* What was due after the longer interval of an estimate is due sooner
 	 * now. */
 	if (warmup->due_us > now_us + warmup->interval_us)
