Test that ended evacuations make room for others

Fails: the 65th failure domain that was ever named, over the life of a host, is ignored when its evacuation is requested, although all earlier evacuations have ended.

--- a/tests/unit/test_evacuations.c
+++ b/tests/unit/test_evacuations.c
@@ -73,6 +73,29 @@
 }
 END_TEST
 
+/* Guards against an evacuation that is ignored because of many earlier ones
+ * that have ended. */
+START_TEST(ended_evacuations_make_room_for_others)
+{
+	char name[TGW_NAME_SIZE];
+
+	for (int i = 0; i < 2 * EVACUATIONS_MAX; i++) {
+		snprintf(name, sizeof(name), "domain-%d", i);
+		ck_assert_int_eq(evacuations_set(&evacuations, name, true,
+						 2 * i + 1),
+				 EVACUATIONS_CHANGED);
+		ck_assert_int_eq(evacuations_set(&evacuations, name, false,
+						 2 * i + 2),
+				 EVACUATIONS_CHANGED);
+	}
+	/* A late repetition of the last evacuation does not begin it again. */
+	ck_assert_int_eq(evacuations_set(&evacuations, name, true,
+					 2 * (2 * EVACUATIONS_MAX - 1) + 1),
+			 EVACUATIONS_UNCHANGED);
+	ck_assert_uint_eq(evacuations_count(&evacuations), 0);
+}
+END_TEST
+
 static void setup(void)
 {
 	evacuations = (struct evacuations){0};
@@ -88,6 +111,7 @@
 			    sizeof(cases) / sizeof(cases[0]));
 	tcase_add_test(tcase, only_changes_are_reported);
 	tcase_add_test(tcase, too_many_domains_are_refused);
+	tcase_add_test(tcase, ended_evacuations_make_room_for_others);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
