Forget ended evacuations when room is needed for another

Cause: the 64 remembered failure domains were never forgotten, so a host ignored evacuations of further ones until its restart. Change: the domain whose evacuation ended first gives way.

--- a/src/coordination/route_follower.c
+++ b/src/coordination/route_follower.c
@@ -63,8 +63,7 @@
 	case EVACUATIONS_FULL:
 		follower->events.evacuation_ignored(
 			follower->events.arg, failure_domain,
-			"too many failure domains were evacuated; restart the "
-			"host to forget those that no longer are");
+			"too many failure domains are evacuated");
 		return;
 	}
 }
--- a/src/state/evacuations.c
+++ b/src/state/evacuations.c
@@ -14,15 +14,33 @@
 	return NULL;
 }
 
+/* @return the one whose evacuation ended first; NULL if none has */
+static struct evacuation *find_oldest_ended(struct evacuations *evacuations)
+{
+	struct evacuation *oldest = NULL;
+
+	for (size_t i = 0; i < evacuations->count; i++) {
+		struct evacuation *item = &evacuations->items[i];
+
+		if (!item->active &&
+		    (!oldest || item->version < oldest->version))
+			oldest = item;
+	}
+	return oldest;
+}
+
 /* @return NULL if there is no room */
 static struct evacuation *add(struct evacuations *evacuations,
 			      const char *failure_domain)
 {
 	struct evacuation *added;
 
-	if (evacuations->count == EVACUATIONS_MAX)
+	if (evacuations->count < EVACUATIONS_MAX)
+		added = &evacuations->items[evacuations->count++];
+	else
+		added = find_oldest_ended(evacuations);
+	if (!added)
 		return NULL;
-	added = &evacuations->items[evacuations->count++];
 	memset(added, 0, sizeof(*added));
 	text_copy(added->failure_domain, sizeof(added->failure_domain),
 		  failure_domain);
--- a/src/state/evacuations.h
+++ b/src/state/evacuations.h
@@ -15,7 +15,8 @@
 
 #include "tamarackgw/host_view.h"
 
-/** Domains that are remembered, those whose evacuation has ended included. */
+/** Domains that are remembered. Those whose evacuation has ended make room for
+ * others. */
 #define EVACUATIONS_MAX 64
 
 struct evacuation {
@@ -34,7 +35,7 @@
 enum evacuations_result {
 	EVACUATIONS_UNCHANGED, /**< known, or older than what is known */
 	EVACUATIONS_CHANGED,
-	EVACUATIONS_FULL, /**< too many domains are remembered */
+	EVACUATIONS_FULL, /**< too many domains are evacuated */
 };
 
 /** Records whether a domain is evacuated.
