Report routes once the prefix is listed

Cause: the routes' event could come while route_follower_set() was still NULL, so servers that joined before the list got no warm-up limit, and kept none. Change: the event of the first set follows the first list, when the evacuations are known as well. Result: test_route_follower (2), test_edge_warmup (6), test_edge_evacuation (14) pass.

--- a/src/coordination/route_follower.c
+++ b/src/coordination/route_follower.c
@@ -44,7 +44,8 @@
 		return;
 	}
 	follower->set = set;
-	follower->events.in_force(follower->events.arg, set);
+	if (follower->listed)
+		follower->events.in_force(follower->events.arg, set);
 	route_set_free(previous);
 }
 
@@ -140,6 +141,16 @@
 	}
 }
 
+/* All evacuations are known from the first list on. */
+static void bring_into_force(struct route_follower *follower)
+{
+	if (follower->listed)
+		return;
+	follower->listed = true;
+	if (follower->set)
+		follower->events.in_force(follower->events.arg, follower->set);
+}
+
 static void on_list(void *arg, const struct tgw_store_result *result)
 {
 	struct route_follower *follower = arg;
@@ -154,7 +165,7 @@
 	end_missing_evacuations(follower, result);
 	for (size_t i = 0; i < result->entry_count; i++)
 		apply_entry(follower, &result->entries[i]);
-	follower->listed = true;
+	bring_into_force(follower);
 }
 
 static void on_watch_lost(void *arg)
