--- a/tests/unit/test_edge_warmup.c
+++ b/tests/unit/test_edge_warmup.c
@@ -87,6 +87,19 @@
 }
 END_TEST
 
+/* Guards against a burst: an entry may have been written before the server
+ * became slow again, and arrive after its response. */
+START_TEST(an_old_entry_does_not_end_what_a_response_says)
+{
+	rig.server_standins[0].extra_fields = "Tamarackgw-Cold-Ms: 2900\r\n";
+	send_requests(200);
+	rig.server_standins[0].extra_fields = "";
+	put_server(0, "east", 0);
+	edge_rig_run(&rig, APPLY_MS);
+	ck_assert_uint_le(send_requests(200), 1);
+}
+END_TEST
+
 /* It may have started again under the same id, before its entry tells. */
 START_TEST(a_server_that_refused_connections_gets_few_requests)
 {
@@ -151,6 +164,7 @@
 	tcase_add_test(tcase, a_server_whose_entry_says_so_gets_few_requests);
 	tcase_add_test(tcase,
 		       a_server_whose_response_says_so_gets_few_requests);
+	tcase_add_test(tcase, an_old_entry_does_not_end_what_a_response_says);
 	tcase_add_test(tcase,
 		       a_server_that_refused_connections_gets_few_requests);
 	tcase_add_test(tcase,
