Keep what a response says of a warm-up when an older entry arrives

Cause: entries and responses set the same time, but an entry may have been written long before. Change: the times are kept apart; a response overrides the entry that arrived before it, and an entry does not shorten what a response said.

--- a/src/edge/server_warmup.c
+++ b/src/edge/server_warmup.c
@@ -55,9 +55,10 @@
 	edge->counters.warmups++;
 	edge_log_line(
 		&edge->log, EDGE_LOG_NOTICE, "server", "warming_up",
-		"server=%s reported_ms=%lld assumed_ms=%lld hosts=%u rank=%d "
+		"server=%s listed_ms=%lld reported_ms=%lld assumed_ms=%lld hosts=%u rank=%d "
 		"interval_ms=%lld",
 		backend->entry.id,
+		(long long)((warmup->listed_until_us - now_us) / TGW_US_PER_MS),
 		(long long)((warmup->reported_until_us - now_us) /
 			    TGW_US_PER_MS),
 		(long long)((warmup->assumed_until_us - now_us) /
@@ -83,8 +84,8 @@
 	int64_t now_us = edge_now_us();
 
 	set_limit(backend, route_follower_set(edge->route_follower));
-	warmup_report(&backend->warmup,
-		      backend->entry.warmup_ms * TGW_US_PER_MS, now_us);
+	warmup_list(&backend->warmup, backend->entry.warmup_ms * TGW_US_PER_MS,
+		    now_us);
 	decide_share(edge, backend, now_us);
 }
 
--- a/src/state/warmup.c
+++ b/src/state/warmup.c
@@ -13,11 +13,16 @@
  * limit does not fit its type. */
 #define INTERVAL_MAX_US (365 * 24 * 3600 * TGW_US_PER_S)
 
+static int64_t later_of(int64_t a_us, int64_t b_us)
+{
+	return a_us > b_us ? a_us : b_us;
+}
+
 static int64_t until_us(const struct warmup *warmup)
 {
-	return warmup->reported_until_us > warmup->assumed_until_us
-		       ? warmup->reported_until_us
-		       : warmup->assumed_until_us;
+	return later_of(warmup->assumed_until_us,
+			later_of(warmup->listed_until_us,
+				 warmup->reported_until_us));
 }
 
 /* A share of an earlier warm-up would let all hosts send at once: the times
@@ -28,11 +33,22 @@
 		warmup->interval_us = 0;
 }
 
+static int64_t end_us(int64_t remaining_us, int64_t now_us)
+{
+	return remaining_us > 0 ? now_us + remaining_us : 0;
+}
+
+void warmup_list(struct warmup *warmup, int64_t remaining_us, int64_t now_us)
+{
+	forget_earlier_share(warmup, now_us);
+	warmup->listed_until_us = end_us(remaining_us, now_us);
+}
+
 void warmup_report(struct warmup *warmup, int64_t remaining_us, int64_t now_us)
 {
 	forget_earlier_share(warmup, now_us);
-	warmup->reported_until_us = remaining_us > 0 ? now_us + remaining_us
-						     : 0;
+	warmup->listed_until_us = 0;
+	warmup->reported_until_us = end_us(remaining_us, now_us);
 }
 
 void warmup_assume(struct warmup *warmup, int64_t now_us)
@@ -103,13 +119,13 @@
 
 int64_t warmup_free_at_us(const struct warmup *warmup, int64_t now_us)
 {
-	int64_t end_us = until_us(warmup);
+	int64_t last_us = until_us(warmup);
 
 	if (!warmup_is_active(warmup, now_us))
 		return now_us;
 	if (!warmup->interval_us || warmup->interval_us == INT64_MAX)
-		return end_us;
-	return warmup->due_us < end_us ? warmup->due_us : end_us;
+		return last_us;
+	return warmup->due_us < last_us ? warmup->due_us : last_us;
 }
 
 static uint64_t hash_of(const char *name, uint64_t run_hash)
--- a/src/state/warmup.h
+++ b/src/state/warmup.h
@@ -39,7 +39,8 @@
 /** Warm-up of one run of a server; zeroed: without a limit. */
 struct warmup {
 	struct warmup_limit limit;
-	int64_t reported_until_us; /**< by the server's own word */
+	int64_t listed_until_us;   /**< by the server's entry */
+	int64_t reported_until_us; /**< by its latest response */
 	int64_t assumed_until_us;  /**< since it may have started again */
 	/** Time between two requests of this host; 0: not decided yet, so that
 	 * it sends none. */
@@ -47,7 +48,11 @@
 	int64_t due_us; /**< no request of this host before */
 };
 
-/** The server said how long it warms up from now on. */
+/** A new entry of the server says how long it warmed up when it was written,
+ * which may be long ago: it does not shorten what a response said. */
+void warmup_list(struct warmup *warmup, int64_t remaining_us, int64_t now_us);
+
+/** A response of the server says how long it warms up from now on. */
 void warmup_report(struct warmup *warmup, int64_t remaining_us, int64_t now_us);
 
 /** The server may have started just now. */
