--- a/tests/unit/test_edge_warmup.c
+++ b/tests/unit/test_edge_warmup.c
@@ -12,6 +12,8 @@
 #define APPLY_MS 400 /* of the rig's hosts */
 /* One request a second for the eight hosts that the rig's host expects. */
 #define LIMIT ",\"coldStartS\":3.0,\"coldPerS\":1.0"
+/* No request at all during a test. */
+#define TINY_LIMIT ",\"coldStartS\":60.0,\"coldPerS\":0.001"
 #define NO_LIMIT ",\"coldStartS\":0.0,\"coldPerS\":0.0"
 
 static struct edge_rig rig;
@@ -143,6 +145,40 @@
 }
 END_TEST
 
+/* Two servers, of which the free one lies in a region that the route does not
+ * allow. */
+static const char config_of_north[] =
+	"{\"version\":2,\"routes\":[{\"name\":\"safe\","
+	"\"host\":\"a.example\",\"pathPrefix\":\"/safe/\","
+	"\"kind\":\"safe\",\"timeoutMs\":1000,\"service\":\"app\","
+	"\"maxAttempts\":2,\"public\":true,"
+	"\"allowedRegions\":[\"north\"]}],"
+	"\"services\":[{\"name\":\"app\"" TINY_LIMIT "}],\"tenants\":[]}";
+
+START_TEST(retry_after_is_the_time_of_a_server_that_the_route_allows)
+{
+	char *received;
+	const char *field;
+	unsigned int others = rig.server_standins[1].arrivals;
+
+	ck_assert(region_map_parse(&rig.hosts[0].edge.regions,
+				   "east:north,west:south"));
+	kv_standin_put(&rig.store, "op/config", config_of_north);
+	put_server(0, "east", 60000);
+	put_server(1, "west", 0);
+	edge_rig_run(&rig, APPLY_MS);
+	free(edge_rig_request(&rig, "GET", "safe", "ok", "", ""));
+	received = edge_rig_request(&rig, "GET", "safe", "ok", "", "");
+	ck_assert_msg(!strncmp(received, "HTTP/1.1 503 ", 13), "%.300s",
+		      received);
+	field = strstr(received, "Retry-After: ");
+	ck_assert_ptr_nonnull(field);
+	ck_assert_msg(strtod(strchr(field, ' '), NULL) >= 1, "%.60s", field);
+	ck_assert_uint_eq(rig.server_standins[1].arrivals, others);
+	free(received);
+}
+END_TEST
+
 START_TEST(without_a_limit_a_server_that_warms_up_is_used_as_any_other)
 {
 	start(NO_LIMIT);
@@ -172,6 +208,9 @@
 	tcase_add_test(
 		tcase,
 		beyond_the_limit_of_all_servers_requests_are_refused_as_not_run);
+	tcase_add_test(
+		tcase,
+		retry_after_is_the_time_of_a_server_that_the_route_allows);
 	tcase_add_test(
 		off,
 		without_a_limit_a_server_that_warms_up_is_used_as_any_other);
