Count servers of allowed regions only in Retry-After

Cause: the time until a server is free was taken over all servers of the service, so a request that is kept to some regions was told to return while its own servers still warmed up. Change: placement_free_at_us() takes the regions.

--- a/src/edge/call_dispatch.c
+++ b/src/edge/call_dispatch.c
@@ -21,6 +21,7 @@
 static int64_t retry_after_full_ms(const struct call *call)
 {
 	return server_signals_retry_after_ms(call->edge, call->route.service,
+					     call->route.regions,
 					     RETRY_AFTER_FULL_MS);
 }
 
--- a/src/edge/server_signals.c
+++ b/src/edge/server_signals.c
@@ -121,11 +121,11 @@
 }
 
 int64_t server_signals_retry_after_ms(struct edge *edge, const char *service,
-				      int64_t min_ms)
+				      uint32_t regions, int64_t min_ms)
 {
 	int64_t now_us = edge_now_us();
 	int64_t free_at_us =
-		placement_free_at_us(&edge->backends, service, now_us);
+		placement_free_at_us(&edge->backends, service, regions, now_us);
 	int64_t left_ms;
 	int64_t spread_ms;
 
--- a/src/edge/server_signals.h
+++ b/src/edge/server_signals.h
@@ -30,7 +30,7 @@
  * least the minimum, and until one is free again, with a random addition so
  * that not all callers return at one moment */
 int64_t server_signals_retry_after_ms(struct edge *edge, const char *service,
-				      int64_t min_ms);
+				      uint32_t regions, int64_t min_ms);
 
 /** Counts the listed servers that are leaving by their own or another host's
  * word, and those that rest. */
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -250,7 +250,8 @@
 }
 
 int64_t placement_free_at_us(const struct backend_table *table,
-			     const char *service, int64_t now_us)
+			     const char *service, uint32_t regions,
+			     int64_t now_us)
 {
 	int64_t first_us = SERVER_AVAILABILITY_NEVER_US;
 
@@ -259,6 +260,7 @@
 		int64_t free_at_us = backend_free_at_us(backend, now_us);
 
 		if (backend_accepts_requests(backend, now_us) &&
+		    region_set_allows(regions, backend->region) &&
 		    !strcmp(backend->entry.service, service) &&
 		    free_at_us < first_us)
 			first_us = free_at_us;
--- a/src/state/placement.h
+++ b/src/state/placement.h
@@ -48,10 +48,12 @@
 				       const struct placement_request *request,
 				       struct backend **chosen);
 
-/** @return when the first server of the service may get a request, whichever
+/** @param regions set of those that count
+ * @return when the first server of the service may get a request, whichever
  * were tried: not later than now if one may at once,
  * SERVER_AVAILABILITY_NEVER_US if none accepts requests */
 int64_t placement_free_at_us(const struct backend_table *table,
-			     const char *service, int64_t now_us);
+			     const char *service, uint32_t regions,
+			     int64_t now_us);
 
 #endif
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -444,9 +444,11 @@
 				       number-- * TGW_US_PER_S, NOW_US);
 	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
 			 PLACEMENT_ALL_FULL);
-	ck_assert_int_eq(placement_free_at_us(&table, "model", NOW_US),
+	ck_assert_int_eq(placement_free_at_us(&table, "model", REGION_SET_ANY,
+					      NOW_US),
 			 NOW_US + TGW_US_PER_S);
-	ck_assert_int_eq(placement_free_at_us(&table, "other", NOW_US),
+	ck_assert_int_eq(placement_free_at_us(&table, "other", REGION_SET_ANY,
+					      NOW_US),
 			 SERVER_AVAILABILITY_NEVER_US);
 	request.now_us = NOW_US + TGW_US_PER_S;
 	backend_begin(choose(), request.now_us);
@@ -466,7 +468,8 @@
 					  LEAVING_BY_HOST, NOW_US);
 	ck_assert_int_eq(placement_choose(&table, &request, &chosen),
 			 PLACEMENT_NO_SERVER);
-	ck_assert_int_eq(placement_free_at_us(&table, "model", NOW_US),
+	ck_assert_int_eq(placement_free_at_us(&table, "model", REGION_SET_ANY,
+					      NOW_US),
 			 SERVER_AVAILABILITY_NEVER_US);
 }
 END_TEST
