Test that a failure domain has one region

Fails: of two regions of a failure domain the second is ignored, and a name with a colon is cut in two: "a:north:south" reads as region north:south of a. Requests could leave the regions that they are kept to.

--- a/tests/unit/test_region_map.c
+++ b/tests/unit/test_region_map.c
@@ -16,11 +16,18 @@
 	const char *text;
 	bool valid;
 } texts[] = {
-	{"", true},	      {"a:north", true},
-	{"a:north,", true},   {domains, true},
-	{"a", false},	      {":north", false},
-	{"a:", false},	      {"a:north,,b:south", false},
+	{"", true},
+	{"a:north", true},
+	{"a:north,", true},
+	{domains, true},
+	{"a", false},
+	{":north", false},
+	{"a:", false},
+	{"a:north,,b:south", false},
 	{"a:north,b", false},
+	/* One of the two regions would be ignored. */
+	{"a:north,a:south", false},
+	{"a:north:south", false},
 };
 
 START_TEST(only_pairs_of_domain_and_region_are_read)
