Refuse a failure domain with two regions

Cause: the first pair of a failure domain counted, and further colons were part of the region's name. Change: both are refused when the settings are read.

--- a/src/state/region_map.c
+++ b/src/state/region_map.c
@@ -23,13 +23,23 @@
 	return (int)map->region_count++;
 }
 
+static const struct region_map_domain *find_domain(const struct region_map *map,
+						   const char *failure_domain)
+{
+	for (size_t i = 0; i < map->domain_count; i++)
+		if (!strcmp(map->domains[i].name, failure_domain))
+			return &map->domains[i];
+	return NULL;
+}
+
 static bool add_domain(struct region_map *map, const char *failure_domain,
 		       const char *region)
 {
 	struct region_map_domain *added;
 	int index = add_region(map, region);
 
-	if (index < 0 || map->domain_count == REGION_MAP_DOMAINS_MAX)
+	if (index < 0 || find_domain(map, failure_domain) ||
+	    map->domain_count == REGION_MAP_DOMAINS_MAX)
 		return false;
 	added = &map->domains[map->domain_count++];
 	text_copy(added->name, sizeof(added->name), failure_domain);
@@ -38,10 +48,10 @@
 }
 
 /* Copies a name of `size` characters.
- * @return false if it is empty or too long */
+ * @return false if it is empty, too long or contains a colon */
 static bool copy_name(char *name, const char *text, size_t size)
 {
-	if (!size || size >= TGW_NAME_SIZE)
+	if (!size || size >= TGW_NAME_SIZE || memchr(text, ':', size))
 		return false;
 	memcpy(name, text, size);
 	name[size] = '\0';
@@ -73,10 +83,10 @@
 uint32_t region_map_of_domain(const struct region_map *map,
 			      const char *failure_domain)
 {
-	for (size_t i = 0; i < map->domain_count; i++)
-		if (!strcmp(map->domains[i].name, failure_domain))
-			return UINT32_C(1) << map->domains[i].region;
-	return REGION_SET_NONE;
+	const struct region_map_domain *found =
+		find_domain(map, failure_domain);
+
+	return found ? UINT32_C(1) << found->region : REGION_SET_NONE;
 }
 
 uint32_t region_map_of_region(const struct region_map *map, const char *region)
--- a/src/state/region_map.h
+++ b/src/state/region_map.h
@@ -34,7 +34,8 @@
 };
 
 /** Reads DOMAIN:REGION pairs, separated by commas.
- * @return false if the text has another form or there are too many */
+ * @return false if the text has another form, a domain is named twice, or there
+ * are too many */
 bool region_map_parse(struct region_map *map, const char *text);
 
 /** @return the set of the one region that the domain lies in; REGION_SET_NONE
