--- a/tests/unit/test_platform_decode.c
+++ b/tests/unit/test_platform_decode.c
@@ -498,6 +498,41 @@
 
 #define UNREADABLE (-1)
 
+static const struct {
+	const char *value;
+	int64_t warmup_us;
+} warmups[] = {
+	{"2900", 2900000},
+	{"0", 0},
+	{"2900 ", 2900000},
+	{"2999.5", 2999000},
+	{"9999999999999999999999", 600000000},
+	{"", UNREADABLE},
+	{"-1", UNREADABLE},
+	{"+1", UNREADABLE},
+	{"x", UNREADABLE},
+	{"1e4", UNREADABLE},
+	{"0x10", UNREADABLE},
+	{"3 s", UNREADABLE},
+};
+
+/* Guards against the end of a warm-up by a value that only begins with 0. */
+START_TEST(the_remaining_warm_up_is_read_or_kept_for_the_log)
+{
+	struct http_head head = {0};
+	struct response_info info;
+
+	add_field(&head, "Tamarackgw-Cold-Ms", warmups[_i].value);
+	platform_dialect.read_response(&head, 200, 0, &info);
+	ck_assert_msg(info.has_warmup == (warmups[_i].warmup_us != UNREADABLE),
+		      "'%s'", warmups[_i].value);
+	ck_assert_int_eq(*info.unreadable != '\0', !info.has_warmup);
+	if (info.has_warmup)
+		ck_assert_int_eq(info.warmup_us, warmups[_i].warmup_us);
+	http_head_free(&head);
+}
+END_TEST
+
 static const struct {
 	const char *value;
 	int64_t rest_us;
@@ -597,6 +632,9 @@
 	tcase_add_test(tcase, a_services_warm_up_may_be_given_in_fractions);
 	tcase_add_loop_test(tcase, a_list_of_regions_limits_a_route_and_a_team,
 			    0, sizeof(region_lists) / sizeof(region_lists[0]));
+	tcase_add_loop_test(tcase,
+			    the_remaining_warm_up_is_read_or_kept_for_the_log,
+			    0, sizeof(warmups) / sizeof(warmups[0]));
 	tcase_add_loop_test(tcase, request_fields_are_decoded, 0,
 			    sizeof(requests) / sizeof(requests[0]));
 	tcase_add_loop_test(tcase,
