Test that a host does not rely on its first list of hosts

When a fleet starts while the store is away, each host sees only those that wrote their records before it.

--- a/tests/unit/test_edge_warmup.c
+++ b/tests/unit/test_edge_warmup.c
@@ -14,6 +14,9 @@
 #define LIMIT ",\"coldStartS\":3.0,\"coldPerS\":1.0"
 /* No request at all during a test. */
 #define TINY_LIMIT ",\"coldStartS\":60.0,\"coldPerS\":0.001"
+#define START_MS 4000 /* hosts know each other by then */
+/* Less than of a host that assumes 1,000 others. */
+#define ESTIMATE_INTERVAL_US (1000 * TGW_US_PER_S)
 #define NO_LIMIT ",\"coldStartS\":0.0,\"coldPerS\":0.0"
 
 static struct edge_rig rig;
@@ -179,6 +182,57 @@
 }
 END_TEST
 
+static const struct warmup *warmup_of(size_t host, int server)
+{
+	const struct backend *backend = backend_table_find(
+		&rig.hosts[host].edge.backends, rig.server_standins[server].id);
+
+	ck_assert_ptr_nonnull(backend);
+	return &backend->warmup;
+}
+
+/* @return whether the host divides the limit among hosts that it knows */
+static bool relies_on_list(size_t host)
+{
+	int64_t interval_us = warmup_of(host, 0)->interval_us;
+
+	return interval_us &&
+	       (interval_us < ESTIMATE_INTERVAL_US || interval_us == INT64_MAX);
+}
+
+/* Guards against a share of a part of the fleet: hosts that wait for the store
+ * list each other one by one when it returns. */
+START_TEST(a_host_does_not_rely_on_its_first_list_of_hosts)
+{
+	edge_rig_start_fleet(&rig, 1);
+	rig.store.silent = true;
+	rig.service_fields = LIMIT;
+	edge_rig_configure(&rig, 1, 1000, "key-1");
+	put_server(0, "east", 60000);
+	for (int i = 1; i < EDGE_RIG_HOSTS_MAX; i++) {
+		edge_rig_run(&rig, START_MS / 2 + 330 * i);
+		edge_rig_add_host(&rig);
+	}
+	rig.store.silent = false;
+	for (int i = 0; i < START_MS; i++) {
+		edge_rig_run(&rig, 1);
+		for (size_t host = 0; host < rig.host_count; host++) {
+			size_t known = edge_peers_count(&rig.hosts[host].edge);
+
+			if (known == rig.host_count ||
+			    !backend_table_find(&rig.hosts[host].edge.backends,
+						rig.server_standins[0].id))
+				continue;
+			ck_assert_msg(!relies_on_list(host),
+				      "host %zu knows %zu hosts", host, known);
+		}
+	}
+	for (size_t host = 0; host < rig.host_count; host++)
+		ck_assert(relies_on_list(host));
+	teardown();
+}
+END_TEST
+
 START_TEST(without_a_limit_a_server_that_warms_up_is_used_as_any_other)
 {
 	start(NO_LIMIT);
@@ -193,6 +247,7 @@
 {
 	Suite *suite = suite_create("edge_warmup");
 	TCase *tcase = tcase_create("limit");
+	TCase *fleet = tcase_create("fleet");
 	TCase *off = tcase_create("no limit");
 
 	tcase_set_timeout(tcase, 60);
@@ -214,7 +269,10 @@
 	tcase_add_test(
 		off,
 		without_a_limit_a_server_that_warms_up_is_used_as_any_other);
+	tcase_set_timeout(fleet, 60);
+	tcase_add_test(fleet, a_host_does_not_rely_on_its_first_list_of_hosts);
 	suite_add_tcase(suite, tcase);
+	suite_add_tcase(suite, fleet);
 	suite_add_tcase(suite, off);
 	return unit_main(suite);
 }
