Rely on the list of hosts 3 s after the first list

Cause: the time in which hosts get to know each other counted from the start of a host, also while the store was away and nobody could be listed. Change: it counts from the first list. The test waits longer for the last host to know all others; its checks are as before.

--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -130,7 +130,8 @@
 	struct backend_follower *backend_follower;
 	struct route_follower *route_follower;
 	struct edge_peers peers;
-	bool knows_hosts; /* the list of the fleet is complete */
+	int64_t hosts_listed_us; /* first list of the fleet; 0: none yet */
+	bool knows_hosts;	 /* the list of the fleet is complete */
 	struct leaving_announcer leaving_announcer;
 	struct store_mirror *mirror;
 	struct team_budget *budgets;
@@ -143,7 +144,6 @@
 	struct latency_buckets total_latency;
 	struct edge_log log;
 	struct tgw_random random;
-	int64_t started_us;
 	bool stopping;
 	bool listening;
 	bool budgets_closed;
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -472,7 +472,6 @@
 	uint64_t incarnation = tgw_random_incarnation();
 	struct tgw_peer *peer = edge_peers_start(edge, incarnation);
 
-	edge->started_us = edge_now_us();
 	/* The settings were checked when they were read. */
 	region_map_parse(&edge->regions, edge->settings->regions);
 	server_signals_start(edge, peer);
--- a/src/edge/server_warmup.c
+++ b/src/edge/server_warmup.c
@@ -4,15 +4,16 @@
 
 #include "edge/edge_clock.h"
 
-/* Hosts of a fleet that starts as a whole know each other by then. */
+/* Hosts that start together, or get the store back together, list each other
+ * within this time after their first list. */
 #define DISCOVERY_US (3 * TGW_US_PER_S)
 /* Number of hosts that a host assumes while it does not know the others. */
 #define UNKNOWN_HOSTS 1000
 
 static bool knows_hosts(const struct edge *edge, int64_t now_us)
 {
-	return edge_peers_count(edge) > 0 &&
-	       now_us - edge->started_us >= DISCOVERY_US;
+	return edge->hosts_listed_us &&
+	       now_us - edge->hosts_listed_us >= DISCOVERY_US;
 }
 
 /* Without peers there is no list of hosts: they are as many as the settings
@@ -123,20 +124,27 @@
 	}
 }
 
-void server_warmup_on_hosts(struct edge *edge)
+static void forget_shares(struct edge *edge)
 {
 	for (struct backend *backend = edge->backends.first; backend;
 	     backend = backend->next)
 		backend->warmup.interval_us = 0;
 }
 
+void server_warmup_on_hosts(struct edge *edge)
+{
+	if (!edge->hosts_listed_us)
+		edge->hosts_listed_us = edge_now_us();
+	forget_shares(edge);
+}
+
 /* An estimated share gives way to the true one. */
 static void replace_estimates(struct edge *edge, int64_t now_us)
 {
 	if (edge->knows_hosts || !knows_hosts(edge, now_us))
 		return;
 	edge->knows_hosts = true;
-	server_warmup_on_hosts(edge);
+	forget_shares(edge);
 }
 
 void server_warmup_tick(struct edge *edge)
--- a/tests/unit/test_edge_warmup.c
+++ b/tests/unit/test_edge_warmup.c
@@ -227,6 +227,8 @@
 				      "host %zu knows %zu hosts", host, known);
 		}
 	}
+	/* Lists follow the store's return within some seconds. */
+	edge_rig_run(&rig, START_MS);
 	for (size_t host = 0; host < rig.host_count; host++)
 		ck_assert(relies_on_list(host));
 	teardown();
