--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -229,6 +229,43 @@
 }
 END_TEST
 
+/* Guards against a burst while hosts get to know each other: each new one that
+ * ranks among the first would send at once, beside the one that it displaces,
+ * which just did. */
+START_TEST(a_list_of_hosts_that_grows_stays_within_what_is_accepted)
+{
+	size_t first = 20;
+	size_t last = 79;
+	size_t count = first;
+	struct warmup_share estimate = {.hosts = 1000, .is_estimate = true};
+	struct tgw_random random;
+
+	tgw_random_init(&random, (uint64_t)_i + 1);
+	begin(last, 17);
+	for (size_t i = first; i < last; i++)
+		warmup_set_share(&warmups[i], &estimate,
+				 tgw_random_u64(&random), START_US);
+	for (int step = 0; step < PLAY_STEPS; step++) {
+		int64_t now_us = START_US + step * STEP_US;
+		size_t grown = first + (size_t)step / 4;
+
+		count = grown < last ? grown : last;
+		for (size_t i = 0; i < count; i++) {
+			struct warmup_share share = warmup_share_of(
+				hosts, count, hosts[i].name, 42 + (uint64_t)_i);
+
+			warmup_set_share(&warmups[i], &share, 0, now_us);
+			if (warmup_free_at_us(&warmups[i], now_us) > now_us)
+				continue;
+			warmup_on_request(&warmups[i], now_us);
+			sent[step]++;
+		}
+	}
+	ck_assert_uint_le(most_in_a_second(sent),
+			  (uint32_t)(17 * ACCEPTED_FACTOR + ACCEPTED_SLACK));
+}
+END_TEST
+
 START_TEST(no_request_is_sent_before_the_share_is_decided)
 {
 	begin(1, 17);
@@ -371,6 +408,9 @@
 	tcase_add_test(tcase, a_true_share_ends_the_wait_of_an_estimate);
 	tcase_add_loop_test(tcase, a_tiny_limit_is_a_limit, 0,
 			    sizeof(small_limits) / sizeof(small_limits[0]));
+	tcase_add_loop_test(
+		tcase, a_list_of_hosts_that_grows_stays_within_what_is_accepted,
+		0, 20);
 	tcase_add_test(tcase, no_request_is_sent_before_the_share_is_decided);
 	tcase_add_test(tcase, without_a_limit_a_server_is_free_at_once);
 	tcase_add_test(tcase,
