Test that a broken request is not repeated in an evacuated domain

The stream of a_broken_stream_goes_on_in_another_domain does not break, and its domain is evacuated before it begins, so nothing tested a retry after an evacuation.

--- a/tests/unit/test_edge_evacuation.c
+++ b/tests/unit/test_edge_evacuation.c
@@ -216,6 +216,52 @@
 }
 END_TEST
 
+/* A stream and a repeatable request break off at one of two servers of the same
+ * domain, which is evacuated or not. */
+static const struct {
+	const char *route;
+	bool evacuated;
+} broken[] = {
+	{"long-resume", false},
+	{"long-resume", true},
+	{"long-safe", false},
+	{"long-safe", true},
+};
+
+/* Guards against a retry at a server that was a choice when the request
+ * arrived. */
+START_TEST(a_request_that_breaks_off_is_not_repeated_in_an_evacuated_domain)
+{
+	struct edge_rig_caller caller;
+	char *text = xasprintf("GET /%s/wait HTTP/1.1\r\nHost: a.example\r\n"
+			       "Authorization: Token key-1\r\n"
+			       "Connection: close\r\n"
+			       "Tamarackgw-Request-Id: breaks\r\n\r\n",
+			       broken[_i].route);
+	unsigned int before;
+	int server;
+
+	put_server(1, "east");
+	edge_rig_run(&rig, APPLY_MS);
+	edge_rig_call(&rig, &caller, text);
+	edge_rig_run(&rig, 50);
+	server = rig.server_standins[0].waiting ? 0 : 1;
+	if (broken[_i].evacuated)
+		evacuate("east");
+	edge_rig_run(&rig, APPLY_MS);
+	before = rig.server_standins[1 - server].arrivals;
+	ck_assert_uint_eq(before, 0);
+	backend_standin_crash(&rig.server_standins[server]);
+	edge_rig_run(&rig, 200);
+	ck_assert_uint_eq(rig.server_standins[1 - server].arrivals,
+			  broken[_i].evacuated ? 0 : 1);
+	edge_rig_close_caller(&caller);
+	edge_rig_run(&rig, 20);
+	buffer_free(&caller.received);
+	free(text);
+}
+END_TEST
+
 START_TEST(without_a_domain_left_requests_are_refused_as_not_run)
 {
 	unsigned int runs;
@@ -305,6 +351,10 @@
 		an_evacuation_that_ends_unseen_is_over_after_the_next_list);
 	tcase_add_test(alone, a_broken_stream_goes_on_in_another_domain);
 	tcase_add_test(alone, a_running_request_ends_where_it_is);
+	tcase_add_loop_test(
+		alone,
+		a_request_that_breaks_off_is_not_repeated_in_an_evacuated_domain,
+		0, sizeof(broken) / sizeof(broken[0]));
 	tcase_add_test(alone,
 		       without_a_domain_left_requests_are_refused_as_not_run);
 	tcase_add_test(alone, odd_keys_change_nothing_and_are_counted);
