Test that a host without peers assumes a thousand hosts

Fails: a host without a peer address, or one whose peer channel does not open, takes [budget] expected_hosts, 8 by default, for the number of hosts that send to a server that warms up. 79 such hosts may send ten times its limit. The limit in the test is larger, so that the intervals of a host that assumes 1,000 hosts are what they were.

--- a/tests/unit/test_edge_warmup.c
+++ b/tests/unit/test_edge_warmup.c
@@ -10,13 +10,13 @@
 
 #define REQUESTS 12
 #define APPLY_MS 400 /* of the rig's hosts */
-/* One request a second for the eight hosts that the rig's host expects. */
-#define LIMIT ",\"coldStartS\":3.0,\"coldPerS\":1.0"
+/* One request in 8 s for a host that assumes 1,000 hosts. */
+#define LIMIT ",\"coldStartS\":3.0,\"coldPerS\":125.0"
 /* No request at all during a test. */
 #define TINY_LIMIT ",\"coldStartS\":60.0,\"coldPerS\":0.001"
 #define START_MS 4000 /* hosts know each other by then */
-/* Less than of a host that assumes 1,000 others. */
-#define ESTIMATE_INTERVAL_US (1000 * TGW_US_PER_S)
+/* At least of a host that assumes 1,000 hosts, with LIMIT. */
+#define ESTIMATE_INTERVAL_US (8 * TGW_US_PER_S)
 #define NO_LIMIT ",\"coldStartS\":0.0,\"coldPerS\":0.0"
 
 static struct edge_rig rig;
@@ -200,6 +200,16 @@
 	       (interval_us < ESTIMATE_INTERVAL_US || interval_us == INT64_MAX);
 }
 
+/* Guards against a share that is too large: the number of hosts that share
+ * budgets is a default that a fleet may exceed. */
+START_TEST(a_host_without_peers_assumes_a_thousand_hosts)
+{
+	put_server(0, "east", 3000);
+	edge_rig_run(&rig, APPLY_MS);
+	ck_assert_int_ge(warmup_of(0, 0)->interval_us, ESTIMATE_INTERVAL_US);
+}
+END_TEST
+
 /* Guards against a share of a part of the fleet: hosts that wait for the store
  * list each other one by one when it returns. */
 START_TEST(a_host_does_not_rely_on_its_first_list_of_hosts)
@@ -268,6 +278,7 @@
 	tcase_add_test(
 		tcase,
 		retry_after_is_the_time_of_a_server_that_the_route_allows);
+	tcase_add_test(tcase, a_host_without_peers_assumes_a_thousand_hosts);
 	tcase_add_test(
 		off,
 		without_a_limit_a_server_that_warms_up_is_used_as_any_other);
