Assume a thousand hosts without a list of hosts

Cause: without a peer channel the number of hosts was [budget] expected_hosts, a default of 8. Change: a host that does not know the others assumes 1,000, as the requirements say. A deployment of one host then sends a server that warms up next to nothing.

--- a/src/edge/server_warmup.c
+++ b/src/edge/server_warmup.c
@@ -16,21 +16,12 @@
 	       now_us - edge->hosts_listed_us >= DISCOVERY_US;
 }
 
-/* Without peers there is no list of hosts: they are as many as the settings
- * say. */
-static uint32_t estimated_hosts(const struct edge *edge)
-{
-	if (edge->peers.directory)
-		return UNKNOWN_HOSTS;
-	return (uint32_t)edge->settings->expected_hosts;
-}
-
 static struct warmup_share own_share(const struct edge *edge,
 				     const struct backend *backend,
 				     int64_t now_us)
 {
 	struct warmup_share share = {
-		.hosts = estimated_hosts(edge),
+		.hosts = UNKNOWN_HOSTS,
 		.is_estimate = true,
 	};
 	const struct peer_host *hosts;
