--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -138,7 +138,8 @@
 	struct backend_follower *backend_follower;
 	struct route_follower *route_follower;
 	struct edge_peers peers;
-	bool knows_hosts; /* the list of the fleet is complete */
+	int64_t hosts_listed_us; /* first list of the fleet; 0: none yet */
+	bool knows_hosts;	 /* the list of the fleet is complete */
 	struct leaving_announcer leaving_announcer;
 	struct load_exchange loads;
 	struct pause_model pauses;
@@ -153,7 +154,6 @@
 	struct latency_buckets total_latency;
 	struct edge_log log;
 	struct tgw_random random;
-	int64_t started_us;
 	bool stopping;
 	bool listening;
 	bool budgets_closed;
--- a/src/edge/server_warmup.c
+++ b/src/edge/server_warmup.c
@@ -4,24 +4,16 @@
 
 #include "edge/edge_clock.h"
 
-/* Hosts of a fleet that starts as a whole know each other by then. */
+/* Hosts that start together, or get the store back together, list each other
+ * within this time after their first list. */
 #define DISCOVERY_US (3 * TGW_US_PER_S)
 /* Number of hosts that a host assumes while it does not know the others. */
 #define UNKNOWN_HOSTS 1000
 
 static bool knows_hosts(const struct edge *edge, int64_t now_us)
 {
-	return edge_peers_count(edge) > 0 &&
-	       now_us - edge->started_us >= DISCOVERY_US;
-}
-
-/* Without peers there is no list of hosts: they are as many as the settings
- * say. */
-static uint32_t estimated_hosts(const struct edge *edge)
-{
-	if (edge->peers.directory)
-		return UNKNOWN_HOSTS;
-	return (uint32_t)edge->settings->expected_hosts;
+	return edge->hosts_listed_us &&
+	       now_us - edge->hosts_listed_us >= DISCOVERY_US;
 }
 
 static struct warmup_share own_share(const struct edge *edge,
@@ -29,7 +21,7 @@
 				     int64_t now_us)
 {
 	struct warmup_share share = {
-		.hosts = estimated_hosts(edge),
+		.hosts = UNKNOWN_HOSTS,
 		.is_estimate = true,
 	};
 	const struct peer_host *hosts;
@@ -55,9 +47,10 @@
 	edge->counters.warmups++;
 	edge_log_line(
 		&edge->log, EDGE_LOG_NOTICE, "server", "warming_up",
-		"server=%s reported_ms=%lld assumed_ms=%lld hosts=%u rank=%d "
+		"server=%s listed_ms=%lld reported_ms=%lld assumed_ms=%lld hosts=%u rank=%d "
 		"interval_ms=%lld",
 		backend->entry.id,
+		(long long)((warmup->listed_until_us - now_us) / TGW_US_PER_MS),
 		(long long)((warmup->reported_until_us - now_us) /
 			    TGW_US_PER_MS),
 		(long long)((warmup->assumed_until_us - now_us) /
@@ -83,8 +76,8 @@
 	int64_t now_us = edge_now_us();
 
 	set_limit(backend, route_follower_set(edge->route_follower));
-	warmup_report(&backend->warmup,
-		      backend->entry.warmup_ms * TGW_US_PER_MS, now_us);
+	warmup_list(&backend->warmup, backend->entry.warmup_ms * TGW_US_PER_MS,
+		    now_us);
 	decide_share(edge, backend, now_us);
 }
 
@@ -122,20 +115,27 @@
 	}
 }
 
-void server_warmup_on_hosts(struct edge *edge)
+static void forget_shares(struct edge *edge)
 {
 	for (struct backend *backend = edge->backends.first; backend;
 	     backend = backend->next)
 		backend->warmup.interval_us = 0;
 }
 
+void server_warmup_on_hosts(struct edge *edge)
+{
+	if (!edge->hosts_listed_us)
+		edge->hosts_listed_us = edge_now_us();
+	forget_shares(edge);
+}
+
 /* An estimated share gives way to the true one. */
 static void replace_estimates(struct edge *edge, int64_t now_us)
 {
 	if (edge->knows_hosts || !knows_hosts(edge, now_us))
 		return;
 	edge->knows_hosts = true;
-	server_warmup_on_hosts(edge);
+	forget_shares(edge);
 }
 
 void server_warmup_tick(struct edge *edge)
--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -157,6 +157,115 @@
 }
 END_TEST
 
+/* Guards against a burst at the second warm-up of a run: hosts that do not know
+ * each other would all send at its start. */
+START_TEST(a_server_that_warms_up_again_is_not_flooded)
+{
+	struct tgw_random random;
+	size_t count = 79;
+	double limit = 17;
+	struct warmup_share share = {.hosts = 1000, .is_estimate = true};
+	int64_t earlier_us = START_US - 2 * 1000 * TGW_US_PER_S;
+
+	tgw_random_init(&random, (uint64_t)_i + 1);
+	begin(count, limit);
+	for (size_t i = 0; i < count; i++) {
+		warmup_report(&warmups[i], WARMUP_US, earlier_us);
+		warmup_set_share(&warmups[i], &share, tgw_random_u64(&random),
+				 earlier_us);
+		if (_i % 2)
+			warmup_report(&warmups[i], WARMUP_US, START_US);
+		else
+			warmup_assume(&warmups[i], START_US);
+		if (warmup_needs_share(&warmups[i], START_US))
+			warmup_set_share(&warmups[i], &share,
+					 tgw_random_u64(&random), START_US);
+	}
+	play_greedy(count);
+	ck_assert_uint_le(most_in_a_second(sent),
+			  (uint32_t)(limit * ACCEPTED_FACTOR + ACCEPTED_SLACK));
+}
+END_TEST
+
+/* Guards against a quota that goes unused: an estimate puts the first request
+ * off by up to a minute, which must not hold once the hosts are known. */
+START_TEST(a_true_share_ends_the_wait_of_an_estimate)
+{
+	struct warmup *warmup = &warmups[0];
+	struct warmup_share estimate = {.hosts = 1000, .is_estimate = true};
+	struct warmup_share known = {.hosts = 1};
+
+	begin(1, 17);
+	warmup_set_share(warmup, &estimate, 1023, START_US);
+	ck_assert_int_gt(warmup_free_at_us(warmup, START_US),
+			 START_US + TGW_US_PER_S);
+	warmup_set_share(warmup, &known, 0, START_US);
+	ck_assert_int_le(warmup_free_at_us(warmup, START_US),
+			 START_US + warmup->interval_us);
+}
+END_TEST
+
+static const double small_limits[] = {1e-9, 1e-12, 1e-15, 1e-300};
+
+/* Guards against an interval that does not fit its type: a host would send
+ * without a limit. */
+START_TEST(a_tiny_limit_is_a_limit)
+{
+	struct warmup_share shares[] = {
+		{.hosts = 1},
+		{.hosts = 1000, .is_estimate = true},
+	};
+
+	for (size_t i = 0; i < 2; i++) {
+		struct warmup *warmup = &warmups[i];
+
+		warmup->limit.requests_per_s = small_limits[_i];
+		warmup_report(warmup, WARMUP_US, START_US);
+		warmup_set_share(warmup, &shares[i], 0, START_US);
+		warmup_on_request(warmup, START_US);
+		ck_assert_int_eq(warmup_free_at_us(warmup, START_US),
+				 START_US + WARMUP_US);
+	}
+}
+END_TEST
+
+/* Guards against a burst while hosts get to know each other: each new one that
+ * ranks among the first would send at once, beside the one that it displaces,
+ * which just did. */
+START_TEST(a_list_of_hosts_that_grows_stays_within_what_is_accepted)
+{
+	size_t first = 20;
+	size_t last = 79;
+	size_t count = first;
+	struct warmup_share estimate = {.hosts = 1000, .is_estimate = true};
+	struct tgw_random random;
+
+	tgw_random_init(&random, (uint64_t)_i + 1);
+	begin(last, 17);
+	for (size_t i = first; i < last; i++)
+		warmup_set_share(&warmups[i], &estimate,
+				 tgw_random_u64(&random), START_US);
+	for (int step = 0; step < PLAY_STEPS; step++) {
+		int64_t now_us = START_US + step * STEP_US;
+		size_t grown = first + (size_t)step / 4;
+
+		count = grown < last ? grown : last;
+		for (size_t i = 0; i < count; i++) {
+			struct warmup_share share = warmup_share_of(
+				hosts, count, hosts[i].name, 42 + (uint64_t)_i);
+
+			warmup_set_share(&warmups[i], &share, 0, now_us);
+			if (warmup_free_at_us(&warmups[i], now_us) > now_us)
+				continue;
+			warmup_on_request(&warmups[i], now_us);
+			sent[step]++;
+		}
+	}
+	ck_assert_uint_le(most_in_a_second(sent),
+			  (uint32_t)(17 * ACCEPTED_FACTOR + ACCEPTED_SLACK));
+}
+END_TEST
+
 START_TEST(no_request_is_sent_before_the_share_is_decided)
 {
 	begin(1, 17);
@@ -294,6 +403,14 @@
 		tcase,
 		hosts_that_only_estimate_their_number_stay_within_what_is_accepted,
 		0, 20);
+	tcase_add_loop_test(tcase, a_server_that_warms_up_again_is_not_flooded,
+			    0, 2);
+	tcase_add_test(tcase, a_true_share_ends_the_wait_of_an_estimate);
+	tcase_add_loop_test(tcase, a_tiny_limit_is_a_limit, 0,
+			    sizeof(small_limits) / sizeof(small_limits[0]));
+	tcase_add_loop_test(
+		tcase, a_list_of_hosts_that_grows_stays_within_what_is_accepted,
+		0, 20);
 	tcase_add_test(tcase, no_request_is_sent_before_the_share_is_decided);
 	tcase_add_test(tcase, without_a_limit_a_server_is_free_at_once);
 	tcase_add_test(tcase,
