--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -236,7 +236,6 @@
 {
 	size_t first = 20;
 	size_t last = 79;
-	size_t count = first;
 	struct warmup_share estimate = {.hosts = 1000, .is_estimate = true};
 	struct tgw_random random;
 
@@ -248,8 +247,7 @@
 	for (int step = 0; step < PLAY_STEPS; step++) {
 		int64_t now_us = START_US + step * STEP_US;
 		size_t grown = first + (size_t)step / 4;
-
-		count = grown < last ? grown : last;
+		size_t count = grown < last ? grown : last;
 		for (size_t i = 0; i < count; i++) {
 			struct warmup_share share = warmup_share_of(
 				hosts, count, hosts[i].name, 42 + (uint64_t)_i);
