Soak: let servers of the play "parts" warm up, in a domain of their choice

Cause: the soak's servers were all in one failure domain and were at full speed from their start, so no play could cover evacuations and warm-ups. Change: part_server takes a failure domain and the time of its warm-up, says the rest of it in its entry and its responses, can become slow again, and tells its play of starts and crashes. Without a warm-up nothing changes.

--- a/tests/soak/part_play.c
+++ b/tests/soak/part_play.c
@@ -85,7 +85,7 @@
 	return (unsigned int)tgw_random_below(&soak->random, bound);
 }
 
-static bool on_arrived(unsigned int number)
+static bool on_arrived(const struct part_server *server, unsigned int number)
 {
 	const struct part_request *request = &requests[number];
 	bool in_touch = request->host_start == request->host->starts &&
@@ -439,6 +439,9 @@
 		.timeout_ms = 8000,
 		.prepaid_tokens = 1000000000,
 	};
+	const struct part_server_options options = {
+		.failure_domain = "domain-0",
+	};
 
 	soak = played;
 	end_us = soak_now_us() + WARM_UP_US + seconds * SOAK_US_PER_S;
@@ -447,7 +450,7 @@
 	route = routes[below(sizeof(routes) / sizeof(routes[0]))];
 	lost_config_write(soak, &config);
 	for (unsigned int i = 0; i < SERVERS; i++)
-		servers[i] = part_server_start(soak, &server_events);
+		servers[i] = part_server_start(soak, &server_events, &options);
 	soak_hosts_start(soak);
 	start_callers();
 	uv_timer_init(&soak->loop, &soak->tick);
--- a/tests/soak/part_server.c
+++ b/tests/soak/part_server.c
@@ -15,6 +15,8 @@
 #define LEASE_MS 2500
 #define BACK_MIN_MS 3200
 #define BACK_SPREAD_MS 1200
+/* One entry in this many is not written again when a warm-up ends. */
+#define OLD_ENTRY_SHARE 4
 #define WORK_MIN_MS 20
 #define WORK_SPREAD_MS 200
 #define EVENT_MS 30
@@ -37,6 +39,8 @@
 struct part_server {
 	struct soak *soak;
 	const struct part_server_events *events;
+	struct part_server_options options;
+	int64_t warm_us; /* end of the warm-up */
 	enum part_crash crash;
 	char id[32];
 	char address[32];
@@ -106,6 +110,8 @@
 	uv_timer_stop(&server->heartbeat);
 	uv_close((uv_handle_t *)server->listener, on_listener_closed);
 	server->listener = NULL;
+	if (server->events->running)
+		server->events->running(server, false);
 	for (struct server_conn *conn = server->conns; conn; conn = next) {
 		next = conn->next;
 		if (conn != last)
@@ -121,15 +127,27 @@
 	crash_except(server, NULL);
 }
 
+static int remaining_ms(const struct part_server *server)
+{
+	int64_t remaining_us = server->warm_us - soak_now_us();
+
+	return remaining_us > 0 ? (int)(remaining_us / SOAK_US_PER_MS) : 0;
+}
+
 static void add_head(const struct part_run *run, const char *more,
 		     struct buffer *bytes)
 {
+	char warmup[48] = "";
+
+	if (run->server->options.warmup_ms)
+		snprintf(warmup, sizeof(warmup), "Tamarackgw-Cold-Ms: %d\r\n",
+			 remaining_ms(run->server));
 	buffer_add_format(bytes,
 			  "HTTP/1.1 200 OK\r\n"
 			  "Tamarackgw-Request-Id: p%u\r\n"
 			  "Tamarackgw-Response-Stamp: by-%s\r\n"
-			  "Tamarackgw-Server-Load: 1,0,%d\r\n%s\r\n",
-			  run->number, run->server->id, SLOTS, more);
+			  "Tamarackgw-Server-Load: 1,0,%d\r\n%s%s\r\n",
+			  run->number, run->server->id, SLOTS, warmup, more);
 }
 
 static void add_event(int number, bool chunked, struct buffer *bytes)
@@ -248,7 +266,7 @@
 	run->server = server;
 	run->conn = conn;
 	run->number = (unsigned int)strtoul(id + 1, NULL, 10);
-	run->crashes = server->events->arrived(run->number);
+	run->crashes = server->events->arrived(server, run->number);
 	run->is_stream = !strncmp(conn->request.target.data, "/stream/", 8) ||
 			 !strncmp(conn->request.target.data, "/resume/", 8);
 	run->next_event = -1;
@@ -312,16 +330,26 @@
 {
 	struct part_server *server = timer->data;
 	char *key = xasprintf("servers/%s", server->id);
-	char *text = xasprintf(
-		"{\"service\":\"app\",\"address\":\"%s\",\"zone\":"
-		"\"domain-0\",\"slots\":%d,\"state\":\"ready\",\"sequence\":%d,"
-		"\"born\":%lld}",
-		server->address, SLOTS, ++server->sequence,
-		(long long)server->born_ms);
-
-	kv_standin_put(&server->soak->store, key, text);
+	struct buffer text = {0};
+
+	buffer_add_format(
+		&text,
+		"{\"service\":\"app\",\"address\":\"%s\",\"zone\":\"%s\","
+		"\"slots\":%d,\"state\":\"ready\",\"sequence\":%d,"
+		"\"born\":%lld",
+		server->address, server->options.failure_domain, SLOTS,
+		++server->sequence, (long long)server->born_ms);
+	if (server->options.warmup_ms)
+		buffer_add_format(&text, ",\"coldRemainingMs\":%d",
+				  remaining_ms(server));
+	buffer_add_text(&text, "}");
+
+	kv_standin_put(&server->soak->store, key, text.data);
+	if (remaining_ms(server) && below(server, OLD_ENTRY_SHARE))
+		uv_timer_start(timer, write_entry,
+			       (uint64_t)remaining_ms(server) + 1, 0);
 	free(key);
-	free(text);
+	buffer_free(&text);
 }
 
 static void begin(struct part_server *server)
@@ -333,7 +361,12 @@
 	loop_listener_start(server->listener, &server->soak->loop,
 			    on_connection, server, server->address,
 			    sizeof(server->address));
-	uv_timer_start(&server->heartbeat, write_entry, 0, HEARTBEAT_MS);
+	server->warm_us =
+		soak_now_us() + server->options.warmup_ms * SOAK_US_PER_MS;
+	if (server->events->running)
+		server->events->running(server, true);
+	uv_timer_start(&server->heartbeat, write_entry, 0,
+		       server->options.warmup_ms ? 0 : HEARTBEAT_MS);
 }
 
 static void on_back(uv_timer_t *timer)
@@ -342,7 +375,8 @@
 }
 
 struct part_server *part_server_start(struct soak *soak,
-				      const struct part_server_events *events)
+				      const struct part_server_events *events,
+				      const struct part_server_options *options)
 {
 	struct part_server *server = xcalloc(1, sizeof(*server));
 	uv_timer_t *const timers[] = {&server->heartbeat, &server->lease,
@@ -350,6 +384,7 @@
 
 	server->soak = soak;
 	server->events = events;
+	server->options = *options;
 	for (size_t i = 0; i < sizeof(timers) / sizeof(timers[0]); i++) {
 		uv_timer_init(&soak->loop, timers[i]);
 		timers[i]->data = server;
@@ -362,3 +397,16 @@
 {
 	server->crash = crash;
 }
+
+void part_server_slow(struct part_server *server, int duration_ms)
+{
+	if (!server->listener)
+		return;
+	server->warm_us = soak_now_us() + duration_ms * SOAK_US_PER_MS;
+	write_entry(&server->heartbeat);
+}
+
+const char *part_server_id(const struct part_server *server)
+{
+	return server->id;
+}
--- a/tests/soak/part_server.h
+++ b/tests/soak/part_server.h
@@ -26,13 +26,24 @@
 	/** A request has arrived.
 	 * @param number its id
 	 * @return whether the server crashes as it begins to answer */
-	bool (*arrived)(unsigned int number);
+	bool (*arrived)(const struct part_server *server, unsigned int number);
 	/** The server has begun to answer, or has crashed there. */
 	void (*begun)(unsigned int number, bool crashed);
+	/** The server has started, or crashed. May be NULL. */
+	void (*running)(const struct part_server *server, bool running);
 };
 
-struct part_server *part_server_start(struct soak *soak,
-				      const struct part_server_events *events);
+struct part_server_options {
+	const char *failure_domain;
+	/** Time after a start during which the server warms up. If it is not 0,
+	 * the entry has no heartbeat: it is written when a warm-up begins, and
+	 * mostly when it ends. */
+	int warmup_ms;
+};
+
+struct part_server *part_server_start(
+	struct soak *soak, const struct part_server_events *events,
+	const struct part_server_options *options);
 
 /** Where it crashes from now on. */
 void part_server_set_crash(struct part_server *server, enum part_crash crash);
@@ -40,4 +51,10 @@
 /** Crashes for a reason of its own. */
 void part_server_crash(struct part_server *server);
 
+/** Warms up again from now on, for the given time. */
+void part_server_slow(struct part_server *server, int duration_ms);
+
+/** @return its name in the store, which changes at each start */
+const char *part_server_id(const struct part_server *server);
+
 #endif
