Soak: play the faults of hosts and store without the play's own servers

Cause: the faults of signals, store and messages between hosts could only be played with the servers and callers of the play "faults". Change: kinds of faults say whether they need these; plays with other servers get the rest.

--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -32,6 +32,8 @@
 	void (*end)(struct fault *fault); /* NULL: it happens at once */
 	unsigned int spread_ms;		  /* of its length */
 	unsigned int min_ms;
+	/** Needs the servers, callers or configuration of the play "faults". */
+	bool is_own;
 };
 
 static unsigned int pick(const struct fault *fault, unsigned int bound)
@@ -367,52 +369,68 @@
 #define SERIES SERIES_SPREAD_MS, 1
 
 static const struct fault_kind kinds[] = {
-	{"kill", 6, begin_kill, NULL, AT_ONCE},
-	{"kill-in-start", 3, begin_kill_in_start, begin_kill, SERIES},
-	{"kill-all", 1, begin_kill_all, NULL, AT_ONCE},
-	{"stop", 8, begin_stop, NULL, AT_ONCE},
-	{"stop-twice", 4, begin_stop, begin_stop, SERIES},
-	{"stop-then-kill", 3, begin_stop, begin_kill, LASTING},
-	{"stop-some", 2, begin_stop_some, begin_stop_some, SERIES},
-	{"stop-in-start", 2, begin_kill_in_start, begin_stop, SERIES},
-	{"pause", 5, begin_pause, end_pause, LASTING},
-	{"pause-and-stop", 2, begin_pause_and_stop, end_pause, LASTING},
-	{"reload", 3, begin_reload, begin_reload, SERIES},
-	{"change", 10, begin_change, NULL, AT_ONCE},
-	{"changes", 4, begin_changes, begin_change, SERIES},
-	{"change-at-restart", 4, begin_change_at_restart, begin_change, SERIES},
-	{"store-silent", 2, begin_store_silent, end_store_fault, LASTING},
-	{"store-errors", 2, begin_store_errors, end_store_fault, LASTING},
-	{"store-loses", 3, begin_store_loses, NULL, AT_ONCE},
-	{"store-conflicts", 3, begin_store_conflicts, NULL, AT_ONCE},
-	{"store-forgets", 3, begin_store_forgets, NULL, AT_ONCE},
-	{"store-silent-to-one", 3, begin_view_silent, end_host_fault, LASTING},
-	{"store-errors-to-one", 3, begin_view_errors, end_host_fault, LASTING},
-	{"store-cut", 4, begin_store_cut, end_host_fault, LASTING},
-	{"store-delay", 3, begin_store_delay, end_host_fault, LASTING},
-	{"store-reset", 2, begin_store_reset, NULL, AT_ONCE},
-	{"store-link-silent", 3, begin_store_link_silent, NULL, AT_ONCE},
-	{"peers-cut", 5, begin_peers_cut, end_peers_cut, LASTING},
-	{"peers-noise", 5, begin_peers_noise, end_peers_noise, LASTING},
-	{"server-crash", 4, begin_server_crash, end_server, LASTING},
+	{"kill", 6, begin_kill, NULL, AT_ONCE, false},
+	{"kill-in-start", 3, begin_kill_in_start, begin_kill, SERIES, false},
+	{"kill-all", 1, begin_kill_all, NULL, AT_ONCE, false},
+	{"stop", 8, begin_stop, NULL, AT_ONCE, false},
+	{"stop-twice", 4, begin_stop, begin_stop, SERIES, false},
+	{"stop-then-kill", 3, begin_stop, begin_kill, LASTING, false},
+	{"stop-some", 2, begin_stop_some, begin_stop_some, SERIES, false},
+	{"stop-in-start", 2, begin_kill_in_start, begin_stop, SERIES, false},
+	{"pause", 5, begin_pause, end_pause, LASTING, false},
+	{"pause-and-stop", 2, begin_pause_and_stop, end_pause, LASTING, false},
+	{"reload", 3, begin_reload, begin_reload, SERIES, false},
+	{"change", 10, begin_change, NULL, AT_ONCE, true},
+	{"changes", 4, begin_changes, begin_change, SERIES, true},
+	{"change-at-restart", 4, begin_change_at_restart, begin_change, SERIES,
+	 true},
+	{"store-silent", 2, begin_store_silent, end_store_fault, LASTING,
+	 false},
+	{"store-errors", 2, begin_store_errors, end_store_fault, LASTING,
+	 false},
+	{"store-loses", 3, begin_store_loses, NULL, AT_ONCE, false},
+	{"store-conflicts", 3, begin_store_conflicts, NULL, AT_ONCE, false},
+	{"store-forgets", 3, begin_store_forgets, NULL, AT_ONCE, false},
+	{"store-silent-to-one", 3, begin_view_silent, end_host_fault, LASTING,
+	 false},
+	{"store-errors-to-one", 3, begin_view_errors, end_host_fault, LASTING,
+	 false},
+	{"store-cut", 4, begin_store_cut, end_host_fault, LASTING, false},
+	{"store-delay", 3, begin_store_delay, end_host_fault, LASTING, false},
+	{"store-reset", 2, begin_store_reset, NULL, AT_ONCE, false},
+	{"store-link-silent", 3, begin_store_link_silent, NULL, AT_ONCE, false},
+	{"peers-cut", 5, begin_peers_cut, end_peers_cut, LASTING, false},
+	{"peers-noise", 5, begin_peers_noise, end_peers_noise, LASTING, false},
+	{"server-crash", 4, begin_server_crash, end_server, LASTING, true},
 	{"server-leaves", 6, begin_server_leave, end_server, FAULT_SPREAD_MS,
-	 2 * SOAK_DRAIN_MS},
-	{"server-faults", 8, begin_server_faults, end_server_faults, LASTING},
-	{"server-copies", 5, begin_server_copies, end_server_faults, LASTING},
-	{"server-cut", 3, begin_server_cut, end_server_link_fault, LASTING},
-	{"server-delay", 3, begin_server_delay, end_server_link_fault, LASTING},
-	{"server-reset", 3, begin_server_reset, NULL, AT_ONCE},
-	{"server-silent", 3, begin_server_silent, NULL, AT_ONCE},
-	{"callers-cut", 2, begin_callers_cut, end_callers_cut, LASTING},
-	{"callers-reset", 2, begin_callers_reset, NULL, AT_ONCE},
-	{"strange-calls", 4, begin_strange_calls, NULL, AT_ONCE},
-	{"strange-entry", 4, begin_strange_entry, begin_strange_entry, LASTING},
+	 2 * SOAK_DRAIN_MS, true},
+	{"server-faults", 8, begin_server_faults, end_server_faults, LASTING,
+	 true},
+	{"server-copies", 5, begin_server_copies, end_server_faults, LASTING,
+	 true},
+	{"server-cut", 3, begin_server_cut, end_server_link_fault, LASTING,
+	 true},
+	{"server-delay", 3, begin_server_delay, end_server_link_fault, LASTING,
+	 true},
+	{"server-reset", 3, begin_server_reset, NULL, AT_ONCE, true},
+	{"server-silent", 3, begin_server_silent, NULL, AT_ONCE, true},
+	{"callers-cut", 2, begin_callers_cut, end_callers_cut, LASTING, true},
+	{"callers-reset", 2, begin_callers_reset, NULL, AT_ONCE, true},
+	{"strange-calls", 4, begin_strange_calls, NULL, AT_ONCE, true},
+	{"strange-entry", 4, begin_strange_entry, begin_strange_entry, LASTING,
+	 true},
 };
 
 #define KINDS (sizeof(kinds) / sizeof(kinds[0]))
 
 static unsigned int played[KINDS];
 
+/* Plays with their own servers have none of the play "faults". */
+static unsigned int weight_of(const struct soak *soak, size_t kind)
+{
+	return kinds[kind].is_own && !soak->servers[0] ? 0 : kinds[kind].weight;
+}
+
 static const struct fault_kind *choose_kind(struct soak *soak)
 {
 	unsigned int total = 0;
@@ -420,10 +438,10 @@
 	size_t i;
 
 	for (i = 0; i < KINDS; i++)
-		total += kinds[i].weight;
+		total += weight_of(soak, i);
 	at = (unsigned int)tgw_random_below(&soak->random, total);
-	for (i = 0; at >= kinds[i].weight; i++)
-		at -= kinds[i].weight;
+	for (i = 0; at >= weight_of(soak, i); i++)
+		at -= weight_of(soak, i);
 	return &kinds[i];
 }
 
@@ -432,12 +450,17 @@
 	free(handle->data);
 }
 
+static const char *server_id(const struct fault *fault)
+{
+	return fault->server ? fault->server->id : "";
+}
+
 static void on_over(uv_timer_t *timer)
 {
 	struct fault *fault = timer->data;
 
 	soak_note(fault->soak, "end of %s %s %s", fault->kind->name,
-		  fault->host->name, fault->server->id);
+		  fault->host->name, server_id(fault));
 	if (fault->kind->end)
 		fault->kind->end(fault);
 	uv_close((uv_handle_t *)timer, on_fault_closed);
@@ -458,7 +481,7 @@
 		length_ms += pick(fault, kind->spread_ms);
 	played[kind - kinds]++;
 	soak_note(soak, "%s %s %s for %u ms", kind->name, fault->host->name,
-		  fault->server->id, length_ms);
+		  server_id(fault), length_ms);
 	kind->begin(fault);
 	uv_timer_init(&soak->loop, &fault->timer);
 	fault->timer.data = fault;
