Soak: play evacuations and warm-ups of servers

Cause: nothing but unit tests showed what hosts as processes do while an operator evacuates failure domains, and while servers warm up. Change: the play "evacuate" writes and deletes the keys of evacuations, also in series within a second and for two domains at once, and lets servers become slow and crash, beside the faults of hosts, store and messages. It judges by what the servers get: late requests to an evacuated domain, domains that do not come back into use, too many requests within a second to a server that warms up, and none at all.

--- a/tests/soak/lost_config.c
+++ b/tests/soak/lost_config.c
@@ -66,21 +66,26 @@
 void lost_config_write(struct soak *soak, const struct lost_config *config)
 {
 	struct buffer text = {0};
+	char warmup[64] = "";
 
 	if (soak->version + 1 == SOAK_VERSIONS_MAX)
 		return;
 	buffer_add_format(&text, "{\"version\":%ld,\"routes\":[",
 			  ++soak->version);
 	add_routes(config, &text);
+	if (config->warmup_s)
+		snprintf(warmup, sizeof(warmup),
+			 ",\"coldStartS\":%d,\"coldPerS\":%d", config->warmup_s,
+			 config->warmup_per_s);
 	buffer_add_format(
 		&text,
 		"],\"services\":[{\"name\":\"app\",\"maxConnections\":400,"
-		"\"engine\":{\"stride\":%d,\"kvCapacity\":1000000}},"
+		"\"engine\":{\"stride\":%d,\"kvCapacity\":1000000}%s},"
 		"{\"name\":\"second\",\"maxConnections\":400,"
 		"\"engine\":{\"stride\":%d,\"kvCapacity\":1000000}}],"
 		"\"limits\":{\"maxHeaderBytes\":8192,\"maxBodyBytes\":5000,"
 		"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":%d},\"tenants\":[",
-		SOAK_EVENT_TOKENS, SOAK_EVENT_TOKENS, config->idle_ms);
+		SOAK_EVENT_TOKENS, warmup, SOAK_EVENT_TOKENS, config->idle_ms);
 	add_teams(config, &text);
 	buffer_add_text(&text, "]}");
 	versions[version_count++] = (struct version){
--- a/tests/soak/lost_config.h
+++ b/tests/soak/lost_config.h
@@ -19,6 +19,9 @@
 	unsigned int extra_routes;
 	unsigned int extra_teams;
 	int64_t prepaid_tokens;
+	/** Warm-up of the servers of "app"; 0: none. */
+	int warmup_s;
+	int warmup_per_s;
 };
 
 /** Writes the next version. */
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -10,6 +10,7 @@
 #include <sys/prctl.h>
 
 #include "base/xalloc.h"
+#include "soak/evac_play.h"
 #include "soak/lost_play.h"
 #include "soak/part_play.h"
 #include "soak/soak.h"
@@ -53,6 +54,7 @@
 	{"faults", play_faults},
 	{"lost", lost_play_run},
 	{"parts", part_play_run},
+	{"evacuate", evac_play_run},
 };
 
 #define PLAYS (sizeof(plays) / sizeof(plays[0]))
@@ -244,7 +246,7 @@
 	{"program", 'p', "FILE", 0, "the hosts' program", 0},
 	{"wall-clock", 'w', "FILE", 0,
 	 "library that makes hosts' wall clocks wrong", 0},
-	{"play", 'y', "NAME", 0, "faults, lost or parts", 0},
+	{"play", 'y', "NAME", 0, "faults, lost, parts or evacuate", 0},
 	{"folder", 'd', "PATH", 0, "for settings and logs", 0},
 	{0},
 };
@@ -255,6 +257,7 @@
 					      NULL,    NULL,	    NULL};
 
 	soak.host_count = DEFAULT_HOSTS;
+	soak.domain_count = SOAK_DOMAINS;
 	soak.program = "build/tamarackgw-edge";
 	soak.folder = ".";
 	if (argp_parse(&arguments, argc, argv, 0, NULL, NULL))
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -53,6 +53,8 @@
 	struct soak_peers peers;
 	struct soak_requests requests;
 	size_t host_count;
+	size_t domain_count; /**< failure domains of hosts */
+	int evacuate_ms;     /**< in the hosts' settings; 0: as apply_ms */
 	struct soak_host *hosts;
 	struct soak_server *servers[SOAK_SERVERS];
 	struct soak_caller *callers;
--- a/tests/soak/soak_host.c
+++ b/tests/soak/soak_host.c
@@ -82,13 +82,15 @@
 		"memory_mb = %d\n"
 		"caller_address = %s\nready_address = %s\npeer_address = %s\n"
 		"[store]\naddress = %s\napply_ms = %d\ndrain_ms = %d\n"
+		"evacuate_ms = %d\n"
 		"[budget]\nexpected_hosts = %zu\n"
 		"[stop]\nnotice_ms = 1000\nkill_after_s = %d\n"
 		"[log]\nlines_per_s = 400\n",
-		host->name, host->index % SOAK_DOMAINS, SOAK_HOST_MEMORY_MB,
-		host->caller_address, host->ready_address, host->peer_address,
-		host->store_link.address, SOAK_APPLY_MS, SOAK_DRAIN_MS,
-		host->soak->host_count, SOAK_KILL_AFTER_S);
+		host->name, host->index % host->soak->domain_count,
+		SOAK_HOST_MEMORY_MB, host->caller_address, host->ready_address,
+		host->peer_address, host->store_link.address, SOAK_APPLY_MS,
+		SOAK_DRAIN_MS, host->soak->evacuate_ms, host->soak->host_count,
+		SOAK_KILL_AFTER_S);
 	fclose(file);
 }
 
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -6,7 +6,8 @@
 #     --minutes N   how long faults are played for each seed, such as 0.5
 #     --play NAME   faults (the default); lost: no fault, but sound servers that
 #                   pause, beside planned work; parts: parts of prompts that
-#                   crash servers, beside sound requests and faults
+#                   crash servers, beside sound requests and faults; evacuate:
+#                   evacuations and warm-ups of servers, beside faults
 #     --build DIR   a finished build; build if not given
 #     --logs DIR    for the logs of seeds that broke a promise
 # Exits with 1 if a seed broke a promise that KNOWN-RED.txt does not name. See
@@ -22,7 +23,7 @@
 logs=
 
 usage() {
-	sed -n 's/^# \{0,1\}//; 2,13p' "$0"
+	sed -n 's/^# \{0,1\}//; 2,14p' "$0"
 	exit "$1"
 }
 
