--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -157,6 +157,22 @@
 }
 END_TEST
 
+/* Guards against a host that sends nothing to a server that warms up, as it
+ * waits out an interval that it chose before it knew the other hosts. */
+START_TEST(a_share_that_becomes_known_ends_the_wait_of_an_estimate)
+{
+	struct warmup_share estimate = {.hosts = 1000, .is_estimate = true};
+	struct warmup_share known = {.hosts = 3};
+	int64_t known_us = START_US + 200 * TGW_US_PER_MS;
+
+	begin(1, 17);
+	warmup_set_share(&warmups[0], &estimate, UINT64_MAX, START_US);
+	warmup_set_share(&warmups[0], &known, 0, known_us);
+	ck_assert_int_le(warmup_free_at_us(&warmups[0], known_us),
+			 known_us + TGW_US_PER_S);
+}
+END_TEST
+
 START_TEST(no_request_is_sent_before_the_share_is_decided)
 {
 	begin(1, 17);
@@ -294,6 +310,8 @@
 		tcase,
 		hosts_that_only_estimate_their_number_stay_within_what_is_accepted,
 		0, 20);
+	tcase_add_test(tcase,
+		       a_share_that_becomes_known_ends_the_wait_of_an_estimate);
 	tcase_add_test(tcase, no_request_is_sent_before_the_share_is_decided);
 	tcase_add_test(tcase, without_a_limit_a_server_is_free_at_once);
 	tcase_add_test(tcase,
