--- a/tests/soak/part_server.c
+++ b/tests/soak/part_server.c
@@ -343,7 +343,6 @@
 		buffer_add_format(&text, ",\"coldRemainingMs\":%d",
 				  remaining_ms(server));
 	buffer_add_text(&text, "}");
-
 	kv_standin_put(&server->soak->store, key, text.data);
 	if (remaining_ms(server) && below(server, OLD_ENTRY_SHARE))
 		uv_timer_start(timer, write_entry,
