--- a/tests/cram/lib/edge-site.sh
+++ b/tests/cram/lib/edge-site.sh
@@ -1,5 +1,6 @@
 # Runs the stand-in for the users' site and one edge host as processes. Set
-# BUILD and SOURCE, source this file, then call site_up.
+# BUILD and SOURCE, source this file, then call site_up. LIMITS, if set, are the
+# limits on callers (see standin_usersite), EXTRA_HOST further lines of [host].
 
 PATH=$BUILD:$BUILD/tests:$PATH
 trap 'kill $EDGE $SITE 2>/dev/null' EXIT
@@ -39,6 +40,7 @@
 	caller_address = $FRONT
 	ready_address = $READY
 	metrics_address = $METRICS
+	${EXTRA_HOST:-}
 	[store]
 	address = $STORE
 	apply_ms = 400
@@ -46,6 +48,7 @@
 	notice_ms = 300
 	kill_after_s = 3.0
 	END
+	[ -z "${LIMITS:-}" ] || site_say limits "$LIMITS"
 	site_say config 1 "${PREPAID:-1000000}"
 	site_say server 0 ready 1
 	site_say server 1 ready 1
--- a/tests/fakes/edge_rig.c
+++ b/tests/fakes/edge_rig.c
@@ -53,11 +53,14 @@
 	"\"maxAttempts\":1,\"public\":true}],"
 	"\"services\":[{\"name\":\"app\",\"maxConnections\":100,"
 	"\"engine\":{\"stride\":4,\"kvCapacity\":100000}%s}],"
-	"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":5000,"
-	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":900},"
+	"\"limits\":{%s},"
 	"\"tenants\":[{\"name\":\"acme\",\"apiKeys\":[\"%s\"],"
 	"\"prepaid\":%ld}]}";
 
+static const char default_limits[] =
+	"\"maxHeaderBytes\":4096,\"maxBodyBytes\":5000,"
+	"\"headerTimeoutMs\":300,\"idleTimeoutMs\":900";
+
 static int free_port(int type)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
@@ -216,7 +219,8 @@
 {
 	char *text = xasprintf(config_format, version,
 			       rig->service_fields ? rig->service_fields : "",
-			       key, prepaid);
+			       rig->limits ? rig->limits : default_limits, key,
+			       prepaid);
 
 	kv_standin_put(&rig->store, "op/config", text);
 	free(text);
--- a/tests/fakes/edge_rig.h
+++ b/tests/fakes/edge_rig.h
@@ -35,6 +35,9 @@
 	/** Further members of the service in configurations that are written
 	 * from now on, each after a comma; NULL: none. */
 	const char *service_fields;
+	/** Members of the limits in configurations that are written from now
+	 * on; NULL: the default ones. */
+	const char *limits;
 };
 
 /** A caller's connection on a plain socket. */
--- a/tests/standins/usersite/main.c
+++ b/tests/standins/usersite/main.c
@@ -3,6 +3,9 @@
  * Stand-in for the users' site on loopback, for tests of the edge as a process:
  * the store and two backend servers. It prints the store's address and three
  * free ones, then reads commands from standard input, one a line:
+ *   limits HEAD BODY HEAD_MS IDLE_MS  maxHeaderBytes, maxBodyBytes,
+ *                            headerTimeoutMs and idleTimeoutMs of later
+ *                            configurations
  *   config VERSION PREPAID   writes the standard configuration
  *   server N STATE SEQUENCE  writes the entry of backend server 0 or 1
  *   silent 0|1               1: the store ignores requests; 0: it answers
@@ -19,13 +22,39 @@
 static uv_pipe_t input;
 static struct buffer input_text;
 
+static void set_limits(const char *values)
+{
+	static char limits[256];
+	long head;
+	long body;
+	long head_ms;
+	long idle_ms;
+
+	if (sscanf(values, "%ld %ld %ld %ld", &head, &body, &head_ms,
+		   &idle_ms) != 4)
+		abort();
+	snprintf(limits, sizeof(limits),
+		 "\"maxHeaderBytes\":%ld,\"maxBodyBytes\":%ld,"
+		 "\"headerTimeoutMs\":%ld,\"idleTimeoutMs\":%ld",
+		 head, body, head_ms, idle_ms);
+	rig.limits = limits;
+}
+
 static void run_command(char *line)
 {
 	char *rest;
 	char *word = strtok_r(line, " ", &rest);
-	const char *first = strtok_r(NULL, " ", &rest);
-	const char *second = strtok_r(NULL, " ", &rest);
-	const char *third = strtok_r(NULL, " ", &rest);
+	const char *first;
+	const char *second;
+	const char *third;
+
+	if (word && !strcmp(word, "limits")) {
+		set_limits(rest);
+		return;
+	}
+	first = strtok_r(NULL, " ", &rest);
+	second = strtok_r(NULL, " ", &rest);
+	third = strtok_r(NULL, " ", &rest);
 
 	if (!word || !strcmp(word, "end"))
 		uv_stop(&rig.loop);
