Bound the memory and descriptors that callers take from tamarackgwd

Callers' requests had no common limit: 300 unfinished bodies of 1 MiB took 240 to 320 MB of a host with 128 MB. They count now as at the edge, against request_memory_percent of memory_mb; memory_mb 0 is what the control group or the system has. A request that finds no room is refused with 503.

Callers, servers and the store took all descriptors: connections of callers were limited to 4,096 whatever the system allows, and each server's pool kept up to 256 idle connections (214 were open to two servers of bookings, which never reuse one). Without descriptors the process ended: http_conn_open() ignores that no socket can be created (heap corruption, reported to the lead). Callers' connections take at most 7 of 24 of max_descriptors now, and a pool 1 of 64. While callers wait for a connection, the one that has been idle longest, and for a second at least, is closed.

Metrics: caller_closes_total by reason, memory_refused_total, request_held_bytes and request_held_peak_bytes, as at the edge.

--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -19,11 +19,14 @@
 #include "tamarackgw/random.h"
 #include "transport/event_loop.h"
 #include "transport/loop_client.h"
+#include "transport/server_conn_limits.h"
 #include "transport/system_clock.h"
 #include "transport/zmq_channel.h"
 
 #define MAX_WAIT_MS 500
 #define STOP_SIGNAL_COUNT 2
+/* Idle connections to one server take at most this part of the descriptors. */
+#define IDLE_DIVISOR 64
 
 struct daemon {
 	struct runtime runtime;
@@ -194,8 +197,13 @@
 	struct runtime *runtime = &daemon->runtime;
 	const struct settings *settings = runtime->settings;
 	struct loop_client_settings client = loop_client_settings_default();
+	uint32_t max_idle =
+		server_conn_max_descriptors(settings->max_descriptors) /
+		IDLE_DIVISOR;
 	int64_t timeout_us = settings->store_timeout_ms * TGW_US_PER_MS;
 
+	if (max_idle < client.idle_connections)
+		client.idle_connections = max_idle;
 	daemon->platform_client = loop_client_new(daemon->loop, &client);
 	client.connect_timeout_us =
 		settings->connect_timeout_ms * TGW_US_PER_MS;
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -19,11 +19,18 @@
 #include "daemon/ticket_request.h"
 #include "transport/http_server.h"
 #include "transport/rcu_reader.h"
+#include "transport/server_conn.h"
+#include "transport/server_conn_limits.h"
 
 #define TICK_US (250 * TGW_US_PER_MS)
 #define STOPPING_RETRY_US (1 * TGW_US_PER_S)
 #define LIMIT_RETRY_US (1 * TGW_US_PER_S)
 #define SERVICE_UNAVAILABLE 503
+/* The host's own work keeps this part of the descriptors. */
+#define OWN_DIVISOR 8
+/* A request takes its caller's connection, one to a server, and one to the
+ * store or one that is kept idle after it. */
+#define DESCRIPTORS_PER_REQUEST 3
 
 struct gateway {
 	struct runtime *runtime;
@@ -320,6 +327,15 @@
 	refuse_plain(arg, exchange, PROBLEM_TOO_LARGE, NULL);
 }
 
+static void on_no_room(void *arg, struct server_exchange *exchange)
+{
+	struct gateway *gateway = arg;
+
+	metrics_add(&gateway->core->metrics.memory_refused, 1);
+	refuse_retry_after(gateway, exchange, PROBLEM_OVERLOADED,
+			   LIMIT_RETRY_US);
+}
+
 static void run_closed(void *arg)
 {
 	call_caller_left(arg);
@@ -359,13 +375,26 @@
 
 /* ---- life cycle ---- */
 
+static int64_t max_connections(const struct settings *settings)
+{
+	int64_t descriptors =
+		server_conn_max_descriptors(settings->max_descriptors);
+	int64_t room = (descriptors - descriptors / OWN_DIVISOR) /
+		       DESCRIPTORS_PER_REQUEST;
+
+	return room < settings->max_connections ? room
+						: settings->max_connections;
+}
+
 static struct http_server *start_server(struct gateway *gateway,
 					struct tgw_error *error)
 {
 	const struct settings *settings = gateway->runtime->settings;
 	struct http_server_settings server_settings = {
 		.address = settings->caller_address,
-		.max_connections = settings->max_connections,
+		.max_connections = max_connections(settings),
+		.memory_mb = server_conn_memory_mb(settings->memory_mb),
+		.request_memory_percent = settings->request_memory_percent,
 		.max_body_bytes = settings->max_body_bytes,
 		.max_header_bytes = settings->max_header_bytes,
 		.caller_idle_us = settings->caller_idle_ms * TGW_US_PER_MS,
@@ -375,6 +404,7 @@
 		.head = on_head,
 		.request = on_request,
 		.too_large = on_too_large,
+		.no_room = on_no_room,
 		.closed = on_closed,
 		.tick = on_tick,
 		.arg = gateway,
@@ -438,9 +468,30 @@
 	executor_post(gateway->runtime->coordination, run_release, gateway);
 }
 
+static void write_closes(const uint64_t *closes, struct buffer *text)
+{
+	buffer_add_text(text,
+			"# TYPE tamarackgw_caller_closes_total counter\n");
+	for (enum server_close_reason i = 0; i < SERVER_CLOSE_REASONS; i++)
+		buffer_add_format(text,
+				  "tamarackgw_caller_closes_total"
+				  "{reason=\"%s\"} %" PRIu64 "\n",
+				  server_close_reason_name(i), closes[i]);
+}
+
 void gateway_write_metrics(const struct gateway *gateway, struct buffer *text)
 {
+	struct http_server_figures figures =
+		http_server_figures(gateway->server);
+
 	gateway_metrics_write(&gateway->core->metrics, text);
+	write_closes(figures.closes, text);
+	buffer_add_format(text,
+			  "# TYPE tamarackgw_request_held_bytes gauge\n"
+			  "tamarackgw_request_held_bytes %" PRId64 "\n"
+			  "# TYPE tamarackgw_request_held_peak_bytes gauge\n"
+			  "tamarackgw_request_held_peak_bytes %" PRId64 "\n",
+			  figures.held_bytes, figures.held_peak_bytes);
 	buffer_add_format(text,
 			  "# TYPE tamarackgw_caller_bytes_sent_total counter\n"
 			  "tamarackgw_caller_bytes_sent_total %" PRIu64 "\n"
--- a/src/daemon/gateway_metrics.c
+++ b/src/daemon/gateway_metrics.c
@@ -141,4 +141,5 @@
 	write_counter(text, "joined_total", &metrics->joined);
 	write_counter(text, "replayed_total", &metrics->replayed);
 	write_counter(text, "paused_total", &metrics->paused);
+	write_counter(text, "memory_refused_total", &metrics->memory_refused);
 }
--- a/src/daemon/gateway_metrics.h
+++ b/src/daemon/gateway_metrics.h
@@ -41,6 +41,7 @@
 	_Atomic uint64_t joined;
 	_Atomic uint64_t replayed;
 	_Atomic uint64_t paused;
+	_Atomic uint64_t memory_refused;
 	_Atomic uint64_t first_token[FIRST_TOKEN_BUCKETS + 1];
 	_Atomic uint64_t first_token_sum_us;
 };
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -18,6 +18,18 @@
 	     "IP number and port for callers, such as 10.0.0.5:8080"),
 	TEXT("host", "peer_address", peer_address, true,
 	     "IP number and port for the other hosts"),
+	NUMBER("host", "memory_mb", memory_mb, 0, 1000000000, 0,
+	       "memory of this host; 0 for what its control group or the "
+	       "system has"),
+	NUMBER("host", "request_memory_percent", request_memory_percent, 1, 50,
+	       30,
+	       "percentage of memory_mb that callers' requests may take; a "
+	       "larger body is refused with 413, and one that finds no room "
+	       "with 503"),
+	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
+	       "file descriptors that the process may have open; 0 for the "
+	       "limit that the system sets; callers' connections may take 7 "
+	       "of 24"),
 	TEXT("platform", "store_url", store_url, true,
 	     "HTTP base URL of the platform's key-value service"),
 	TEXT("platform", "list_url", list_url, true,
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -19,6 +19,9 @@
 	char failure_domain[TGW_NAME_SIZE];
 	char caller_address[TGW_NAME_SIZE]; /**< IP number and port */
 	char peer_address[TGW_NAME_SIZE];   /**< IP number and port */
+	int64_t memory_mb;		    /**< 0: what the system has */
+	int64_t request_memory_percent;
+	int64_t max_descriptors; /**< 0: the system's limit */
 	/* [platform] */
 	char store_url[TGW_URL_SIZE];
 	char list_url[TGW_URL_SIZE];
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -1,30 +1,14 @@
 #include "edge/edge_callers.h"
 
-#include <sys/resource.h>
-
 #include "edge/call.h"
 #include "edge/edge.h"
-
-/* Used if neither the settings nor the system set a limit. */
-#define DEFAULT_DESCRIPTORS 4096
-#define MAX_DESCRIPTORS (1024 * 1024)
-
-static uint32_t max_descriptors(const struct edge_settings *settings)
-{
-	struct rlimit limit;
-
-	if (settings->max_descriptors)
-		return (uint32_t)settings->max_descriptors;
-	if (getrlimit(RLIMIT_NOFILE, &limit) < 0 ||
-	    limit.rlim_cur == RLIM_INFINITY)
-		return DEFAULT_DESCRIPTORS;
-	return limit.rlim_cur > MAX_DESCRIPTORS ? MAX_DESCRIPTORS
-						: (uint32_t)limit.rlim_cur;
-}
+#include "transport/server_conn_limits.h"
 
 void edge_callers_init(struct edge *edge)
 {
-	connection_room_init(&edge->room, max_descriptors(edge->settings));
+	connection_room_init(
+		&edge->room,
+		server_conn_max_descriptors(edge->settings->max_descriptors));
 }
 
 static void announce_by_room(struct edge *edge)
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -8,14 +8,19 @@
 
 #include "base/buffer.h"
 #include "base/xalloc.h"
+#include "state/held_bytes.h"
 #include "tamarackgw/clock.h"
 #include "transport/server_conn.h"
 #include "transport/socket_address.h"
 
 #define BACKLOG 511
 #define PIECE_BYTES (16 * 1024)
+/* A connection that has just been opened or answered is not closed for others:
+ * its next request is probably on its way. */
+#define MIN_IDLE_MS 1000
 #define STATUS_TIMED_OUT 408
 #define STATUS_TOO_LARGE 413
+#define STATUS_NO_ROOM 503
 
 struct server_exchange {
 	struct http_server *server;
@@ -39,6 +44,8 @@
 	struct http_server_settings settings;
 	struct http_server_handler handler;
 	struct server_limits limits;
+	struct held_bytes held_requests;
+	uint64_t closes[SERVER_CLOSE_REASONS];
 	uv_tcp_t listener;
 	uv_timer_t ticker;
 	unsigned int references; /* of two handles and a posted run_pending() */
@@ -255,9 +262,13 @@
 	struct http_server *server = conn->owner;
 	struct server_exchange *exchange = conn->call;
 
-	if (status == STATUS_TOO_LARGE)
+	if (exchange && status == STATUS_TOO_LARGE)
 		server->handler.too_large(server->handler.arg, exchange);
-	if (status == STATUS_TOO_LARGE || status == SERVER_REFUSED_BY_OWNER) {
+	if (exchange && status == STATUS_NO_ROOM)
+		server->handler.no_room(server->handler.arg, exchange);
+	if (exchange &&
+	    (status == STATUS_TOO_LARGE || status == STATUS_NO_ROOM ||
+	     status == SERVER_REFUSED_BY_OWNER)) {
 		exchange->is_closing = true;
 		write_response(exchange);
 		return true;
@@ -306,6 +317,11 @@
 
 	if (conn->call)
 		end_exchange(conn->call);
+	server->closes[conn->close_reason]++;
+	/* The connection may be freed after the server. */
+	if (conn->held)
+		held_bytes_record(conn->held, &conn->held_input_bytes, 0);
+	conn->held = NULL;
 	if (conn->previous)
 		conn->previous->next = conn->next;
 	else
@@ -337,6 +353,8 @@
 	if (!conn)
 		return;
 	atomic_fetch_add(&server->connection_count, 1);
+	if (server->settings.request_memory_percent)
+		conn->held = &server->held_requests;
 	conn->previous = NULL;
 	conn->next = server->conns;
 	if (conn->next)
@@ -344,6 +362,20 @@
 	server->conns = conn;
 }
 
+/* Makes room for a connection that waits. */
+static void close_longest_idle(struct http_server *server)
+{
+	struct server_conn *longest = NULL;
+
+	for (struct server_conn *conn = server->conns; conn; conn = conn->next)
+		if (server_conn_is_idle(conn) &&
+		    (!longest || server_conn_waited_ms(conn) >
+					 server_conn_waited_ms(longest)))
+			longest = conn;
+	if (longest && server_conn_waited_ms(longest) >= MIN_IDLE_MS)
+		server_conn_close_idle(longest, SERVER_CLOSE_SURPLUS);
+}
+
 /* While a connection is not accepted, the listener reports no others. */
 static void on_connection(uv_stream_t *listener, int status)
 {
@@ -351,11 +383,13 @@
 
 	if (status < 0)
 		return;
-	if (atomic_load(&server->connection_count) >=
-	    server->settings.max_connections)
-		server->accept_is_deferred = true;
-	else
+	if (atomic_load(&server->connection_count) <
+	    server->settings.max_connections) {
 		accept_one(server);
+		return;
+	}
+	server->accept_is_deferred = true;
+	close_longest_idle(server);
 }
 
 /* ---- stalled callers ---- */
@@ -396,6 +430,8 @@
 	struct http_server *server = timer->data;
 
 	abort_stalled(server);
+	if (server->accept_is_deferred)
+		close_longest_idle(server);
 	server->handler.tick(server->handler.arg);
 }
 
@@ -466,6 +502,8 @@
 	server->references = 2;
 	TAILQ_INIT(&server->pending);
 	set_limits(server);
+	held_bytes_init(&server->held_requests, settings->memory_mb,
+			settings->request_memory_percent, 0);
 	uv_tcp_init(event_loop_uv(loop), &server->listener);
 	uv_timer_init(event_loop_uv(loop), &server->ticker);
 	server->listener.data = server;
@@ -499,6 +537,15 @@
 	atomic_store(&server->stopping, true);
 }
 
+struct http_server_figures http_server_figures(const struct http_server *server)
+{
+	return (struct http_server_figures){
+		.held_bytes = server->held_requests.total_bytes,
+		.held_peak_bytes = server->held_requests.peak_bytes,
+		.closes = server->closes,
+	};
+}
+
 bool http_server_is_writing(const struct http_server *server)
 {
 	for (const struct server_conn *conn = server->conns; conn;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -23,6 +23,10 @@
 struct http_server_settings {
 	const char *address; /**< IP address and port; port 0 for any */
 	int64_t max_connections;
+	/** Memory of the host in MB, and the percentage of it that requests may
+	 * take together; with 0 percent they have no such limit. */
+	int64_t memory_mb;
+	int64_t request_memory_percent;
 	int64_t max_body_bytes;
 	int64_t max_header_bytes;
 	/** Maximum time that a caller may take to send a complete request, to
@@ -42,6 +46,9 @@
 	void (*request)(void *arg, struct server_exchange *exchange);
 	/** The body exceeds the limit: the response has to be set now. */
 	void (*too_large)(void *arg, struct server_exchange *exchange);
+	/** There is no room for the body in the host's memory: the response
+	 * has to be set now. */
+	void (*no_room)(void *arg, struct server_exchange *exchange);
 	/** Called once for each head(): the exchange has ended, with its
 	 * response or because the connection is closed. */
 	void (*closed)(void *arg, struct server_exchange *exchange);
@@ -56,6 +63,18 @@
 				    const struct http_server_handler *handler,
 				    struct tgw_error *error);
 
+/** What the server holds and has closed. */
+struct http_server_figures {
+	int64_t held_bytes;	 /**< memory that callers' requests take */
+	int64_t held_peak_bytes; /**< the most since the start */
+	/** Closed connections, by enum server_close_reason. */
+	const uint64_t *closes;
+};
+
+/** To be called on the loop's thread. */
+struct http_server_figures http_server_figures(
+	const struct http_server *server);
+
 uint16_t http_server_port(const struct http_server *server);
 
 /** From now on, connections are closed after their next response.
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -477,7 +477,7 @@
 	       conn->kept_limits.idle_ms + IDLE_MARGIN_MS;
 }
 
-static bool is_idle(const struct server_conn *conn)
+bool server_conn_is_idle(const struct server_conn *conn)
 {
 	return conn->state == SERVER_CONN_READING && !conn->request_begun &&
 	       !server_conn_unwritten(conn);
@@ -487,7 +487,7 @@
 {
 	struct server_conn *conn = timer->data;
 
-	assert(is_idle(conn));
+	assert(server_conn_is_idle(conn));
 	if (has_to_read(conn))
 		uv_timer_start(timer, on_idle_read, READ_ONCE_MS, 0);
 	else
@@ -497,7 +497,7 @@
 bool server_conn_close_idle(struct server_conn *conn,
 			    enum server_close_reason reason)
 {
-	if (!is_idle(conn))
+	if (!server_conn_is_idle(conn))
 		return false;
 	conn->idle_close_reason = reason;
 	uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -201,6 +201,10 @@
 bool server_conn_close_idle(struct server_conn *conn,
 			    enum server_close_reason reason);
 
+/** @return whether no request is being read or served and the last response is
+ * written */
+bool server_conn_is_idle(const struct server_conn *conn);
+
 /** @return whether the connection has waited for longer than was announced */
 bool server_conn_is_overdue(const struct server_conn *conn);
 
