Refuse requests at a tamarackgwd that has no configuration yet

A request with a key that came before the first configuration ended the process: the key was looked up in an index that is not there.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -103,6 +103,19 @@
 	       caller_request_is_service(target);
 }
 
+/* Until it has read its first configuration, a host knows no team. */
+static bool has_configuration(struct gateway *gateway)
+{
+	const struct tgw_config_snapshot *config;
+	bool has_one;
+
+	rcu_reader_enter();
+	config = rcu_dereference(gateway->runtime->config);
+	has_one = config && config->generation > 0;
+	rcu_reader_exit();
+	return has_one;
+}
+
 static bool is_authorized(struct gateway *gateway,
 			  struct server_exchange *exchange)
 {
@@ -133,6 +146,11 @@
 				   STOPPING_RETRY_US);
 		return false;
 	}
+	if (!has_configuration(gateway)) {
+		refuse_retry_after(gateway, exchange, PROBLEM_OVERLOADED,
+				   LIMIT_RETRY_US);
+		return false;
+	}
 	if (!is_authorized(gateway, exchange)) {
 		refuse_plain(gateway, exchange, PROBLEM_UNAUTHORIZED, NULL);
 		return false;
