Stop reading from callers that send on after their refusal

After its last response a connection read on for a second and discarded what came, up to 2 MB at a time, so a caller whose body or trailer was refused took the host's time and link for as fast as it could send. Beyond discard_bytes (default 65,536) the host stops reading; the connection stays open for the rest of the second, so that a reset does not overtake the response. A caller that was refused although its body is within its limit may send all of it.

test_edge_bodies: the_rest_of_a_refused_body_is_not_read.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -415,6 +415,7 @@
 		.request_memory_percent = settings->request_memory_percent,
 		.max_body_bytes = settings->max_body_bytes,
 		.max_header_bytes = settings->max_header_bytes,
+		.discard_bytes = settings->discard_bytes,
 		.caller_idle_us = settings->caller_idle_ms * TGW_US_PER_MS,
 		.tick_us = TICK_US,
 	};
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -46,6 +46,11 @@
 	       4194304, "largest request body"),
 	NUMBER("limits", "max_header_bytes", max_header_bytes, 1024, 1048576,
 	       32768, "largest request head"),
+	NUMBER("limits", "discard_bytes", discard_bytes, 4096, 67108864, 65536,
+	       "bytes of a refused request's body that are read on and "
+	       "discarded before the host stops reading; callers that were "
+	       "refused although their body is within its limit may send all "
+	       "of it"),
 	NUMBER("limits", "max_answer_bytes", max_answer_bytes, 1024, 67108864,
 	       4194304, "largest answer that is kept in memory as a whole"),
 	NUMBER("limits", "stream_buffer_bytes", stream_buffer_bytes, 4096,
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -6,6 +6,7 @@
 
 void edge_callers_init(struct edge *edge)
 {
+	edge->limits.discard_bytes = edge->settings->discard_bytes;
 	connection_room_init(
 		&edge->room,
 		server_conn_max_descriptors(edge->settings->max_descriptors));
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -42,6 +42,11 @@
 	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
 	       "file descriptors that the process may have open; 0 for the "
 	       "limit that the system sets"),
+	NUMBER("host", "discard_bytes", discard_bytes, 4096, 67108864, 65536,
+	       "bytes of a refused request's body that are read on and "
+	       "discarded before the host stops reading; callers that were "
+	       "refused although their body is within its limit may send all "
+	       "of it"),
 	NUMBER("host", "link_mbps", link_mbps, 0, 10000000, 0,
 	       "capacity of this host's network link in each direction; 0 if "
 	       "it is unknown: then a full link is not noticed"),
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -443,6 +443,7 @@
 
 	server->limits = (struct server_limits){
 		.head_bytes = settings->max_header_bytes,
+		.discard_bytes = settings->discard_bytes,
 		.body_bytes = settings->max_body_bytes,
 		.head_ms = settings->caller_idle_us / TGW_US_PER_MS,
 		.idle_ms = settings->caller_idle_us / TGW_US_PER_MS,
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -40,6 +40,7 @@
 		[SERVER_CLOSE_STOP] = "planned_stop",
 		[SERVER_CLOSE_LATE_HEAD] = "late_head",
 		[SERVER_CLOSE_STALLED] = "stalled_response",
+		[SERVER_CLOSE_SENDS_ON] = "sends_on",
 	};
 
 	return names[reason];
@@ -153,6 +154,8 @@
  * whether bytes have arrived, which are to be read first */
 static bool has_to_read(struct server_conn *conn)
 {
+	if (conn->stopped_discarding)
+		return false;
 	if (conn->turn.waits)
 		return true;
 	return stream_input_look(&conn->tcp) == STREAM_INPUT_BYTES &&
@@ -173,6 +176,8 @@
 		close_for(conn, SERVER_CLOSE_STALLED);
 	} else if (conn->state == SERVER_CONN_READING) {
 		close_for(conn, SERVER_CLOSE_IDLE);
+	} else if (conn->stopped_discarding) {
+		close_for(conn, SERVER_CLOSE_SENDS_ON);
 	} else {
 		close_now(conn);
 	}
@@ -308,6 +313,32 @@
 	conn->pipelined_read = 0;
 }
 
+/* A caller that was refused for want of room may send the rest of a body that
+ * is within the limit. */
+static int64_t max_discarded_bytes(const struct server_conn *conn)
+{
+	int64_t body_bytes = server_conn_max_of(conn->kept_limits.body_bytes,
+						conn->limits->body_bytes);
+	long long announced = server_conn_body_length(conn);
+
+	if (conn->refused_status == 413 || conn->refused_status == 431 ||
+	    announced > body_bytes)
+		return conn->limits->discard_bytes;
+	return server_conn_max_of(body_bytes, conn->limits->discard_bytes);
+}
+
+/* Reading on would cost the host's time and link. The connection stays open for
+ * a while, so that the caller gets its response. */
+static void discard(struct server_conn *conn, size_t size)
+{
+	conn->discarded_bytes += (int64_t)size;
+	if (!conn->limits->discard_bytes ||
+	    conn->discarded_bytes < max_discarded_bytes(conn))
+		return;
+	conn->stopped_discarding = true;
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
 {
 	struct server_conn *conn = stream->data;
@@ -329,6 +360,8 @@
 		queue_pipelined(conn, buf->base, (size_t)size);
 	else if (conn->state == SERVER_CONN_READING && !conn->partly_read)
 		parse_read(conn, buf->base, (size_t)size);
+	else
+		discard(conn, (size_t)size);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested_size, uv_buf_t *buf)
@@ -405,7 +438,7 @@
 		return;
 	}
 	conn->lingers = true;
-	if (conn->read_paused)
+	if (conn->read_paused && !conn->stopped_discarding)
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 	server_conn_start_wait(conn);
 }
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -38,6 +38,10 @@
 	/** Time in which the caller must accept some bytes of a response that
 	 * is complete here. */
 	int64_t stall_ms;
+	/** Bytes that are read on and discarded after the request that ends the
+	 * connection, so that its response is not overtaken by a reset; more
+	 * if the rest of its body is within the limit. 0: no limit. */
+	int64_t discard_bytes;
 };
 
 /** Why the host closed a connection. */
@@ -49,6 +53,8 @@
 	SERVER_CLOSE_STOP,	/**< idle at a planned stop */
 	SERVER_CLOSE_LATE_HEAD, /**< a request was not complete in time */
 	SERVER_CLOSE_STALLED,	/**< the caller accepted no bytes */
+	SERVER_CLOSE_SENDS_ON,	/**< the caller sent on after its last response
+				 */
 	SERVER_CLOSE_REASONS
 };
 
@@ -118,6 +124,8 @@
 	bool partly_read;   /**< the current request is not read to its end */
 	bool write_failed;  /**< bytes of a response are missing: closes */
 	bool lingers;	    /**< discards input after its last response */
+	int64_t discarded_bytes;
+	bool stopped_discarding;  /**< they reached their limit */
 	int64_t waiting_since_ms; /**< what it waits for has a limit */
 	size_t unwritten_before;  /**< unwritten bytes at that time */
 	bool timeout_pending;	  /**< takes effect after one more read */
--- a/tests/unit/test_edge_bodies.c
+++ b/tests/unit/test_edge_bodies.c
@@ -3,10 +3,13 @@
  * answered. */
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/xalloc.h"
 #include "fakes/edge_rig.h"
 #include "transport/read_turns.h"
+#include "transport/socket_address.h"
 #include "unit/unit_main.h"
 
 #define BODY_BYTES ((size_t)1024 * 1024)
@@ -239,6 +242,45 @@
 }
 END_TEST
 
+/* A caller on a plain socket, which goes on after the end of the response. */
+static int connect_plainly(void)
+{
+	union socket_address address;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (!socket_address_parse(rig.hosts[0].settings.caller_address,
+				  &address) ||
+	    connect(fd, &address.any, sizeof(address.v4)) < 0)
+		abort();
+	return fd;
+}
+
+/* Guards against a host that spends its time and its link on bodies that it has
+ * refused. */
+START_TEST(the_rest_of_a_refused_body_is_not_read)
+{
+	struct edge *edge = &rig.hosts[0].edge;
+	struct buffer text = {0};
+	int fd = connect_plainly();
+
+	edge->limits.discard_bytes = 2 * CHUNK_BYTES;
+	add_head(&text, "unsafe/ok", 0, "Content-Length: 1000000000");
+	add_filler(&text, CHUNK_BYTES);
+	for (int ms = 0; ms < WAIT_MS &&
+			 !edge->counters.caller_closes[SERVER_CLOSE_SENDS_ON];
+	     ms++) {
+		(void)send(fd, text.data, text.size,
+			   MSG_DONTWAIT | MSG_NOSIGNAL);
+		edge_rig_run(&rig, 1);
+	}
+	ck_assert_uint_eq(edge->counters.caller_closes[SERVER_CLOSE_SENDS_ON],
+			  1);
+	ck_assert_uint_le(edge->link_bytes.received_bytes, 6 * CHUNK_BYTES);
+	close(fd);
+	buffer_free(&text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_bodies");
@@ -256,6 +298,7 @@
 	tcase_add_test(tcase, a_body_is_given_up_when_its_answer_begins);
 	tcase_add_test(tcase,
 		       what_waits_on_connections_is_little_at_a_full_host);
+	tcase_add_test(tcase, the_rest_of_a_refused_body_is_not_read);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
