Refuse stalled requests first when a host is full

A body that finds no room now has the largest incomplete request refused, with 503, of which nothing arrived for stall_room_ms (default 1,000; 0 for none). One whose bytes arrive, or wait in its socket, is never chosen. Both gateways count it as caller_closes_total{reason="made_room"}; at the edge the refusal also has its line refused_unread.

test_edge_bodies: a_stalled_body_makes_room_for_another.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -416,6 +416,7 @@
 		.max_body_bytes = settings->max_body_bytes,
 		.max_header_bytes = settings->max_header_bytes,
 		.discard_bytes = settings->discard_bytes,
+		.stall_room_ms = settings->stall_room_ms,
 		.caller_idle_us = settings->caller_idle_ms * TGW_US_PER_MS,
 		.tick_us = TICK_US,
 	};
--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -26,6 +26,10 @@
 	       "percentage of memory_mb that callers' requests may take; a "
 	       "larger body is refused with 413, and one that finds no room "
 	       "with 503"),
+	NUMBER("host", "stall_room_ms", stall_room_ms, 0, 60000, 1000,
+	       "while requests hold request_memory_percent, an incomplete one "
+	       "of which nothing arrived for this long is refused with 503 to "
+	       "make room, the largest first; 0 for none"),
 	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
 	       "file descriptors that the process may have open; 0 for the "
 	       "limit that the system sets; callers' connections may take 7 "
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -21,6 +21,7 @@
 	char peer_address[TGW_NAME_SIZE];   /**< IP number and port */
 	int64_t memory_mb;		    /**< 0: what the system has */
 	int64_t request_memory_percent;
+	int64_t stall_room_ms;
 	int64_t max_descriptors; /**< 0: the system's limit */
 	/* [platform] */
 	char store_url[TGW_URL_SIZE];
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -7,6 +7,7 @@
 void edge_callers_init(struct edge *edge)
 {
 	edge->limits.discard_bytes = edge->settings->discard_bytes;
+	edge->limits.stall_room_ms = edge->settings->stall_room_ms;
 	connection_room_init(
 		&edge->room,
 		server_conn_max_descriptors(edge->settings->max_descriptors));
@@ -66,6 +67,13 @@
 	return call_refuse_unread(conn->owner, conn, status);
 }
 
+static bool on_no_room(struct server_conn *conn)
+{
+	const struct edge *edge = conn->owner;
+
+	return server_conn_make_room(edge->conns);
+}
+
 static void on_disconnected(struct server_conn *conn)
 {
 	if (conn->call)
@@ -104,6 +112,7 @@
 
 static const struct server_conn_events caller_events = {
 	.refused = on_refused,
+	.make_room = on_no_room,
 	.request = on_request,
 	.disconnected = on_disconnected,
 	.drained = on_drained,
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -335,7 +335,15 @@
 	accept_one(server);
 }
 
+static bool on_no_room(struct server_conn *conn)
+{
+	const struct http_server *server = conn->owner;
+
+	return server_conn_make_room(server->conns);
+}
+
 static const struct server_conn_events conn_events = {
+	.make_room = on_no_room,
 	.head = on_head,
 	.refused = on_refused,
 	.request = on_request,
@@ -444,6 +452,7 @@
 	server->limits = (struct server_limits){
 		.head_bytes = settings->max_header_bytes,
 		.discard_bytes = settings->discard_bytes,
+		.stall_room_ms = settings->stall_room_ms,
 		.body_bytes = settings->max_body_bytes,
 		.head_ms = settings->caller_idle_us / TGW_US_PER_MS,
 		.idle_ms = settings->caller_idle_us / TGW_US_PER_MS,
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -40,6 +40,7 @@
 		[SERVER_CLOSE_STOP] = "planned_stop",
 		[SERVER_CLOSE_LATE_HEAD] = "late_head",
 		[SERVER_CLOSE_STALLED] = "stalled_response",
+		[SERVER_CLOSE_MADE_ROOM] = "made_room",
 		[SERVER_CLOSE_SENDS_ON] = "sends_on",
 	};
 
@@ -354,6 +355,7 @@
 		server_conn_handle_disconnect(conn);
 		return;
 	}
+	conn->received_at_ms = now_ms();
 	if (conn->link_bytes)
 		conn->link_bytes->received_bytes += (uint64_t)size;
 	if (conn->state == SERVER_CONN_SERVING)
@@ -504,6 +506,34 @@
 	close_now(conn);
 }
 
+/* Bytes that wait in the socket count as progress. */
+static bool has_stalled(struct server_conn *conn)
+{
+	return conn->state == SERVER_CONN_READING && conn->request_begun &&
+	       !conn->partly_read && !conn->parses_pipelined &&
+	       now_ms() - conn->received_at_ms >= conn->limits->stall_room_ms &&
+	       stream_input_look(&conn->tcp) == STREAM_INPUT_NONE;
+}
+
+bool server_conn_make_room(struct server_conn *conns)
+{
+	struct server_conn *most = NULL;
+
+	for (struct server_conn *conn = conns; conn; conn = conn->next)
+		if (conn->limits->stall_room_ms &&
+		    conn->held_input_bytes > HELD_BYTES_ITEM_MIN &&
+		    (!most ||
+		     conn->held_input_bytes > most->held_input_bytes) &&
+		    has_stalled(conn))
+			most = conn;
+	if (!most)
+		return false;
+	most->close_reason = SERVER_CLOSE_MADE_ROOM;
+	most->refused_status = 503;
+	refuse_input(most);
+	return true;
+}
+
 bool server_conn_is_overdue(const struct server_conn *conn)
 {
 	return server_conn_waited_ms(conn) >
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -42,6 +42,9 @@
 	 * connection, so that its response is not overtaken by a reset; more
 	 * if the rest of its body is within the limit. 0: no limit. */
 	int64_t discard_bytes;
+	/** While there is no room for a request's body, requests of which
+	 * nothing arrived for this long are refused. 0: none are. */
+	int64_t stall_room_ms;
 };
 
 /** Why the host closed a connection. */
@@ -53,6 +56,7 @@
 	SERVER_CLOSE_STOP,	/**< idle at a planned stop */
 	SERVER_CLOSE_LATE_HEAD, /**< a request was not complete in time */
 	SERVER_CLOSE_STALLED,	/**< the caller accepted no bytes */
+	SERVER_CLOSE_MADE_ROOM, /**< its request stalled at a full host */
 	SERVER_CLOSE_SENDS_ON,	/**< the caller sent on after its last response
 				 */
 	SERVER_CLOSE_REASONS
@@ -77,6 +81,9 @@
 	 * with this status and no body is sent
 	 */
 	bool (*refused)(struct server_conn *conn, int status);
+	/** There is no room for a body. May be NULL. The owner may refuse other
+	 * requests, see server_conn_make_room(). @return whether it did */
+	bool (*make_room)(struct server_conn *conn);
 	/** A complete request is in `conn->request`. */
 	void (*request)(struct server_conn *conn);
 	/** The caller disconnected while its request was being served. */
@@ -126,6 +133,7 @@
 	bool lingers;	    /**< discards input after its last response */
 	int64_t discarded_bytes;
 	bool stopped_discarding;  /**< they reached their limit */
+	int64_t received_at_ms;	  /**< when the last bytes arrived */
 	int64_t waiting_since_ms; /**< what it waits for has a limit */
 	size_t unwritten_before;  /**< unwritten bytes at that time */
 	bool timeout_pending;	  /**< takes effect after one more read */
@@ -213,6 +221,13 @@
  * written */
 bool server_conn_is_idle(const struct server_conn *conn);
 
+/** Refuses the request that holds the most of those that are not complete and
+ * of which nothing arrived for a while: one that sends steadily is never
+ * refused.
+ * @param conns first of the owner's connections
+ * @return whether there was one */
+bool server_conn_make_room(struct server_conn *conns);
+
 /** @return whether the connection has waited for longer than was announced */
 bool server_conn_is_overdue(const struct server_conn *conn);
 
--- a/src/transport/server_conn_request.c
+++ b/src/transport/server_conn_request.c
@@ -141,18 +141,29 @@
 	return held_buffer_take(body, conn->held, &body_bytes);
 }
 
+static enum held_verdict check_more(const struct server_conn *conn,
+				    int64_t more_bytes)
+{
+	return held_bytes_check(conn->held, conn->held_input_bytes,
+				conn->held_input_bytes + more_bytes);
+}
+
 /* @return 0 if the host may hold a body of this capacity, otherwise the status
  * of the refusal */
 static int refusal_of_body(struct server_conn *conn, size_t capacity)
 {
+	enum held_verdict verdict;
 	int64_t more_bytes;
 
 	if (!conn->held)
 		return 0;
 	server_conn_record_input(conn);
 	more_bytes = (int64_t)capacity - (int64_t)conn->request.body.capacity;
-	switch (held_bytes_check(conn->held, conn->held_input_bytes,
-				 conn->held_input_bytes + more_bytes)) {
+	verdict = check_more(conn, more_bytes);
+	while (verdict == HELD_HOST_FULL && conn->events->make_room &&
+	       conn->events->make_room(conn))
+		verdict = check_more(conn, more_bytes);
+	switch (verdict) {
 	case HELD_FITS:
 		return 0;
 	case HELD_ITEM_TOO_LARGE:
--- a/tests/unit/test_edge_bodies.c
+++ b/tests/unit/test_edge_bodies.c
@@ -242,6 +242,43 @@
 }
 END_TEST
 
+/* Sends a body but for its last byte. */
+static void send_part(int number, size_t size)
+{
+	struct buffer text = {0};
+	char *framing = xasprintf("Content-Length: %zu", size);
+
+	add_head(&text, "unsafe/ok", number, framing);
+	add_filler(&text, size - 1);
+	edge_rig_call(&rig, &callers[number], text.data);
+	edge_rig_run(&rig, 20);
+	free(framing);
+	buffer_free(&text);
+}
+
+/* Guards against a few callers that stop short of their ends and keep all
+ * others out; and against a refusal of one that sends steadily. */
+START_TEST(a_stalled_body_makes_room_for_another)
+{
+	struct edge *edge = &rig.hosts[0].edge;
+
+	edge->limits.stall_room_ms = 100;
+	edge->limits.head_ms = 10000;
+	send_part(0, BODY_BYTES);
+	send_part(1, BODY_BYTES + CHUNK_BYTES);
+	edge_rig_run(&rig, 150);
+	send_part(2, BODY_BYTES / 2);
+	send_body(3, "unsafe/ok", BODY_BYTES);
+	wait_for_answers(1, "200");
+	ck_assert(was_answered(&callers[3], "200"));
+	ck_assert(was_answered(&callers[1], "503"));
+	ck_assert_uint_eq(callers[0].received.size, 0);
+	ck_assert_uint_eq(callers[2].received.size, 0);
+	edge_rig_send(&callers[2], "x");
+	wait_for_answers(2, "200");
+}
+END_TEST
+
 /* A caller on a plain socket, which goes on after the end of the response. */
 static int connect_plainly(void)
 {
@@ -298,6 +335,7 @@
 	tcase_add_test(tcase, a_body_is_given_up_when_its_answer_begins);
 	tcase_add_test(tcase,
 		       what_waits_on_connections_is_little_at_a_full_host);
+	tcase_add_test(tcase, a_stalled_body_makes_room_for_another);
 	tcase_add_test(tcase, the_rest_of_a_refused_body_is_not_read);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
