Limit the chunk extensions and trailer fields of a request

Each chunk could have an extension of 80 KB, the parser's limit on one line, so a body of a few bytes could take as much reading as its time limit allowed. What a request has after its head beside its body may take framing_bytes (default 131,072) and 16 bytes for each byte of the body, which leaves room for one-byte chunks. More is refused with 431 and counted as caller_closes_total{reason="long_framing"}.

test_edge_bodies: long_chunk_extensions_are_refused.

--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -50,6 +50,10 @@
 	       4194304, "largest request body"),
 	NUMBER("limits", "max_header_bytes", max_header_bytes, 1024, 1048576,
 	       32768, "largest request head"),
+	NUMBER("limits", "framing_bytes", framing_bytes, 4096, 67108864, 131072,
+	       "chunk extensions and trailer fields that one request may have, "
+	       "beside 16 bytes for each byte of its body; more is refused "
+	       "with 431"),
 	NUMBER("limits", "discard_bytes", discard_bytes, 4096, 67108864, 65536,
 	       "bytes of a refused request's body that are read on and "
 	       "discarded before the host stops reading; callers that were "
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -33,6 +33,7 @@
 	int64_t max_open_requests;
 	int64_t max_body_bytes;
 	int64_t max_header_bytes;
+	int64_t framing_bytes;
 	int64_t discard_bytes; /**< of callers that were refused */
 	/** Maximum size of an answer that is kept in memory as a whole. */
 	int64_t max_answer_bytes;
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -6,6 +6,7 @@
 
 void edge_callers_init(struct edge *edge)
 {
+	edge->limits.framing_bytes = edge->settings->framing_bytes;
 	edge->limits.discard_bytes = edge->settings->discard_bytes;
 	edge->limits.stall_room_ms = edge->settings->stall_room_ms;
 	connection_room_init(
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -46,6 +46,10 @@
 	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
 	       "file descriptors that the process may have open; 0 for the "
 	       "limit that the system sets"),
+	NUMBER("host", "framing_bytes", framing_bytes, 4096, 67108864, 131072,
+	       "chunk extensions and trailer fields that one request may have, "
+	       "beside 16 bytes for each byte of its body; more is refused "
+	       "with 431"),
 	NUMBER("host", "discard_bytes", discard_bytes, 4096, 67108864, 65536,
 	       "bytes of a refused request's body that are read on and "
 	       "discarded before the host stops reading; callers that were "
--- a/src/edge/edge_settings.h
+++ b/src/edge/edge_settings.h
@@ -25,6 +25,7 @@
 	int64_t answer_memory_percent;
 	int64_t request_memory_percent;
 	int64_t stall_room_ms;
+	int64_t framing_bytes;	 /**< of one request's chunks and trailer */
 	int64_t discard_bytes;	 /**< of callers that were refused */
 	int64_t max_descriptors; /**< 0: the system's limit */
 	int64_t link_mbps;	 /**< 0: unknown */
--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -451,6 +451,7 @@
 
 	server->limits = (struct server_limits){
 		.head_bytes = settings->max_header_bytes,
+		.framing_bytes = settings->framing_bytes,
 		.discard_bytes = settings->discard_bytes,
 		.stall_room_ms = settings->stall_room_ms,
 		.body_bytes = settings->max_body_bytes,
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -30,6 +30,7 @@
 	int64_t max_body_bytes;
 	int64_t max_header_bytes;
 	int64_t stall_room_ms; /**< see struct server_limits */
+	int64_t framing_bytes; /**< see struct server_limits */
 	int64_t discard_bytes; /**< see struct server_limits */
 	/** Maximum time that a caller may take to send a complete request, to
 	 * accept the next bytes of a response, or to begin the next request. */
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -41,6 +41,7 @@
 		[SERVER_CLOSE_LATE_HEAD] = "late_head",
 		[SERVER_CLOSE_STALLED] = "stalled_response",
 		[SERVER_CLOSE_MADE_ROOM] = "made_room",
+		[SERVER_CLOSE_FRAMING] = "long_framing",
 		[SERVER_CLOSE_SENDS_ON] = "sends_on",
 	};
 
@@ -178,7 +179,10 @@
 	} else if (conn->state == SERVER_CONN_READING) {
 		close_for(conn, SERVER_CLOSE_IDLE);
 	} else if (conn->stopped_discarding) {
-		close_for(conn, SERVER_CLOSE_SENDS_ON);
+		/* A request that was refused for a reason keeps that. */
+		close_for(conn, conn->close_reason == SERVER_CLOSE_OTHER
+					? SERVER_CLOSE_SENDS_ON
+					: conn->close_reason);
 	} else {
 		close_now(conn);
 	}
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -26,6 +26,9 @@
 	/** Maximum for the request target and the header fields together. */
 	int64_t head_bytes;
 	int64_t body_bytes;
+	/** Maximum for chunk extensions and trailer fields of one request. 0:
+	 * only the parser's limit on each. */
+	int64_t framing_bytes;
 	/** Time from the first byte of a request until it is complete. */
 	int64_t head_ms;
 	/** Time to wait for the first byte of a request, once the response
@@ -57,6 +60,7 @@
 	SERVER_CLOSE_LATE_HEAD, /**< a request was not complete in time */
 	SERVER_CLOSE_STALLED,	/**< the caller accepted no bytes */
 	SERVER_CLOSE_MADE_ROOM, /**< its request stalled at a full host */
+	SERVER_CLOSE_FRAMING,	/**< too long extensions and trailer fields */
 	SERVER_CLOSE_SENDS_ON,	/**< the caller sent on after its last response
 				 */
 	SERVER_CLOSE_REASONS
@@ -120,7 +124,8 @@
 	bool parses_pipelined;
 	enum server_conn_state state;
 	bool request_begun;
-	bool head_complete; /**< of the request that has begun */
+	bool head_complete;    /**< of the request that has begun */
+	int64_t framing_bytes; /**< received after its head, but for the body */
 	bool keep_alive;
 	bool caller_closes;   /**< the caller sends no further request */
 	bool is_head_request; /**< the response has no body */
--- a/src/transport/server_conn_request.c
+++ b/src/transport/server_conn_request.c
@@ -6,6 +6,9 @@
 /* Any value but 0, 1 and 2 stops the parser from every callback: 1 and 2 have
  * a meaning of their own in on_headers_complete(). */
 #define PARSER_ABORT (-1)
+/* Framing that each byte of a body may have: a chunk of one byte takes 5 bytes
+ * beside it, more with leading zeros. */
+#define CHUNK_FRAMING_BYTES 16
 
 static int refuse(struct server_conn *conn, int status)
 {
@@ -27,6 +30,7 @@
 
 	conn->request_begun = true;
 	conn->head_complete = false;
+	conn->framing_bytes = 0;
 	begin_request_limits(conn);
 	server_conn_start_wait(conn);
 	return 0;
@@ -233,6 +237,7 @@
 	if (status)
 		return refuse(conn, status);
 	buffer_add(body, data, size);
+	conn->framing_bytes -= (int64_t)size;
 	return 0;
 }
 
@@ -265,12 +270,34 @@
 	conn->parser.data = conn;
 }
 
+/* Without a limit, each chunk may have an extension as long as the parser
+ * allows, however little of the body it carries. */
+static void check_framing(struct server_conn *conn, bool had_head, size_t used)
+{
+	int64_t max_bytes =
+		conn->limits->framing_bytes +
+		CHUNK_FRAMING_BYTES * (int64_t)conn->request.body.size;
+
+	if (!had_head || conn->state != SERVER_CONN_READING ||
+	    HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
+		return;
+	conn->framing_bytes += (int64_t)used;
+	if (!conn->limits->framing_bytes || conn->framing_bytes <= max_bytes)
+		return;
+	conn->refused_status = 431;
+	conn->close_reason = SERVER_CLOSE_FRAMING;
+	/* As if a callback had stopped the parser. */
+	conn->parser.http_errno = HPE_CB_chunk_header;
+}
+
 size_t server_conn_parse(struct server_conn *conn, const char *data,
 			 size_t size)
 {
+	bool had_head = conn->request_begun && conn->head_complete;
 	size_t used = http_parser_execute(&conn->parser, &parser_settings, data,
 					  size);
 
+	check_framing(conn, had_head, used);
 	server_conn_record_input(conn);
 	return used;
 }
--- a/tests/unit/test_edge_bodies.c
+++ b/tests/unit/test_edge_bodies.c
@@ -279,6 +279,37 @@
 }
 END_TEST
 
+/* Sends chunks of one byte, each with an extension. */
+static void send_chunks(int number, int count, int extension_bytes)
+{
+	struct buffer text = {0};
+
+	add_head(&text, "unsafe/ok", number, "Transfer-Encoding: chunked");
+	for (int i = 0; i < count; i++)
+		buffer_add_format(&text, "1;%0*d\r\nx\r\n", extension_bytes, 0);
+	buffer_add_text(&text, "0\r\n\r\n");
+	edge_rig_call(&rig, &callers[number], text.data);
+	buffer_free(&text);
+}
+
+/* Guards against a small body that takes as long to read as a large one. */
+START_TEST(long_chunk_extensions_are_refused)
+{
+	const uint64_t *closes = rig.hosts[0].edge.counters.caller_closes;
+
+	send_chunks(0, 200, 4000);
+	wait_for_answers(1, "431");
+	for (int ms = 0; ms < WAIT_MS && !closes[SERVER_CLOSE_FRAMING]; ms++)
+		edge_rig_run(&rig, 1);
+	ck_assert_uint_eq(closes[SERVER_CLOSE_FRAMING], 1);
+	send_chunks(1, 20, 4000);
+	wait_for_answers(1, "200");
+	send_chunks(2, 100000, 1);
+	wait_for_answers(2, "200");
+	ck_assert(was_answered(&callers[2], "200"));
+}
+END_TEST
+
 /* A caller on a plain socket, which goes on after the end of the response. */
 static int connect_plainly(void)
 {
@@ -336,6 +367,7 @@
 	tcase_add_test(tcase,
 		       what_waits_on_connections_is_little_at_a_full_host);
 	tcase_add_test(tcase, a_stalled_body_makes_room_for_another);
+	tcase_add_test(tcase, long_chunk_extensions_are_refused);
 	tcase_add_test(tcase, the_rest_of_a_refused_body_is_not_read);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
