--- a/tests/standins/usersite/main.c
+++ b/tests/standins/usersite/main.c
@@ -25,18 +25,20 @@
 static void set_limits(const char *values)
 {
 	static char limits[256];
-	long head;
-	long body;
-	long head_ms;
-	long idle_ms;
+	long numbers[4];
 
-	if (sscanf(values, "%ld %ld %ld %ld", &head, &body, &head_ms,
-		   &idle_ms) != 4)
-		abort();
+	for (size_t i = 0; i < 4; i++) {
+		char *end;
+
+		numbers[i] = strtol(values, &end, 10);
+		if (end == values)
+			abort();
+		values = end;
+	}
 	snprintf(limits, sizeof(limits),
 		 "\"maxHeaderBytes\":%ld,\"maxBodyBytes\":%ld,"
 		 "\"headerTimeoutMs\":%ld,\"idleTimeoutMs\":%ld",
-		 head, body, head_ms, idle_ms);
+		 numbers[0], numbers[1], numbers[2], numbers[3]);
 	rig.limits = limits;
 }
 
