--- a/src/daemon/settings.c
+++ b/src/daemon/settings.c
@@ -18,6 +18,22 @@
 	     "IP number and port for callers, such as 10.0.0.5:8080"),
 	TEXT("host", "peer_address", peer_address, true,
 	     "IP number and port for the other hosts"),
+	NUMBER("host", "memory_mb", memory_mb, 0, 1000000000, 0,
+	       "memory of this host; 0 for what its control group or the "
+	       "system has"),
+	NUMBER("host", "request_memory_percent", request_memory_percent, 1, 50,
+	       30,
+	       "percentage of memory_mb that callers' requests may take; a "
+	       "larger body is refused with 413, and one that finds no room "
+	       "with 503"),
+	NUMBER("host", "stall_room_ms", stall_room_ms, 0, 60000, 1000,
+	       "while requests hold request_memory_percent, an incomplete one "
+	       "of which nothing arrived for this long is refused with 503 to "
+	       "make room, the largest first; 0 for none"),
+	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
+	       "file descriptors that the process may have open; 0 for the "
+	       "limit that the system sets; callers' connections may take 7 "
+	       "of 24"),
 	TEXT("platform", "store_url", store_url, true,
 	     "HTTP base URL of the platform's key-value service"),
 	TEXT("platform", "list_url", list_url, true,
@@ -34,6 +50,15 @@
 	       4194304, "largest request body"),
 	NUMBER("limits", "max_header_bytes", max_header_bytes, 1024, 1048576,
 	       32768, "largest request head"),
+	NUMBER("limits", "framing_bytes", framing_bytes, 4096, 67108864, 131072,
+	       "chunk extensions and trailer fields that one request may have, "
+	       "beside 16 bytes for each byte of its body; more is refused "
+	       "with 431"),
+	NUMBER("limits", "discard_bytes", discard_bytes, 4096, 67108864, 65536,
+	       "bytes of a refused request's body that are read on and "
+	       "discarded before the host stops reading; callers that were "
+	       "refused although their body is within its limit may send all "
+	       "of it"),
 	NUMBER("limits", "max_answer_bytes", max_answer_bytes, 1024, 67108864,
 	       4194304, "largest answer that is kept in memory as a whole"),
 	NUMBER("limits", "stream_buffer_bytes", stream_buffer_bytes, 4096,
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -19,6 +19,10 @@
 	char failure_domain[TGW_NAME_SIZE];
 	char caller_address[TGW_NAME_SIZE]; /**< IP number and port */
 	char peer_address[TGW_NAME_SIZE];   /**< IP number and port */
+	int64_t memory_mb;		    /**< 0: what the system has */
+	int64_t request_memory_percent;
+	int64_t stall_room_ms;
+	int64_t max_descriptors; /**< 0: the system's limit */
 	/* [platform] */
 	char store_url[TGW_URL_SIZE];
 	char list_url[TGW_URL_SIZE];
@@ -29,6 +33,8 @@
 	int64_t max_open_requests;
 	int64_t max_body_bytes;
 	int64_t max_header_bytes;
+	int64_t framing_bytes;
+	int64_t discard_bytes; /**< of callers that were refused */
 	/** Maximum size of an answer that is kept in memory as a whole. */
 	int64_t max_answer_bytes;
 	/** Unread bytes of an answer at which its backend server is paused. */
--- a/src/edge/edge_callers.c
+++ b/src/edge/edge_callers.c
@@ -1,30 +1,17 @@
 #include "edge/edge_callers.h"
 
-#include <sys/resource.h>
-
 #include "edge/call.h"
 #include "edge/edge.h"
-
-/* Used if neither the settings nor the system set a limit. */
-#define DEFAULT_DESCRIPTORS 4096
-#define MAX_DESCRIPTORS (1024 * 1024)
-
-static uint32_t max_descriptors(const struct edge_settings *settings)
-{
-	struct rlimit limit;
-
-	if (settings->max_descriptors)
-		return (uint32_t)settings->max_descriptors;
-	if (getrlimit(RLIMIT_NOFILE, &limit) < 0 ||
-	    limit.rlim_cur == RLIM_INFINITY)
-		return DEFAULT_DESCRIPTORS;
-	return limit.rlim_cur > MAX_DESCRIPTORS ? MAX_DESCRIPTORS
-						: (uint32_t)limit.rlim_cur;
-}
+#include "transport/server_conn_limits.h"
 
 void edge_callers_init(struct edge *edge)
 {
-	connection_room_init(&edge->room, max_descriptors(edge->settings));
+	edge->limits.framing_bytes = edge->settings->framing_bytes;
+	edge->limits.discard_bytes = edge->settings->discard_bytes;
+	edge->limits.stall_room_ms = edge->settings->stall_room_ms;
+	connection_room_init(
+		&edge->room,
+		server_conn_max_descriptors(edge->settings->max_descriptors));
 }
 
 static void announce_by_room(struct edge *edge)
@@ -81,6 +68,13 @@
 	return call_refuse_unread(conn->owner, conn, status);
 }
 
+static bool on_no_room(struct server_conn *conn)
+{
+	const struct edge *edge = conn->owner;
+
+	return server_conn_make_room(edge->conns);
+}
+
 static void on_disconnected(struct server_conn *conn)
 {
 	if (conn->call)
@@ -119,6 +113,7 @@
 
 static const struct server_conn_events caller_events = {
 	.refused = on_refused,
+	.make_room = on_no_room,
 	.request = on_request,
 	.disconnected = on_disconnected,
 	.drained = on_drained,
--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -39,9 +39,22 @@
 	       "percentage of memory_mb that callers' requests may take; a "
 	       "larger body is refused with 413, and one that finds no room "
 	       "with 503; without memory_mb, of 256"),
+	NUMBER("host", "stall_room_ms", stall_room_ms, 0, 60000, 1000,
+	       "while requests hold request_memory_percent, an incomplete one "
+	       "of which nothing arrived for this long is refused with 503 to "
+	       "make room, the largest first; 0 for none"),
 	NUMBER("host", "max_descriptors", max_descriptors, 0, 1048576, 0,
 	       "file descriptors that the process may have open; 0 for the "
 	       "limit that the system sets"),
+	NUMBER("host", "framing_bytes", framing_bytes, 4096, 67108864, 131072,
+	       "chunk extensions and trailer fields that one request may have, "
+	       "beside 16 bytes for each byte of its body; more is refused "
+	       "with 431"),
+	NUMBER("host", "discard_bytes", discard_bytes, 4096, 67108864, 65536,
+	       "bytes of a refused request's body that are read on and "
+	       "discarded before the host stops reading; callers that were "
+	       "refused although their body is within its limit may send all "
+	       "of it"),
 	NUMBER("host", "link_mbps", link_mbps, 0, 10000000, 0,
 	       "capacity of this host's network link in each direction; 0 if "
 	       "it is unknown: then a full link is not noticed"),
--- a/src/transport/server_conn.c
+++ b/src/transport/server_conn.c
@@ -40,6 +40,9 @@
 		[SERVER_CLOSE_STOP] = "planned_stop",
 		[SERVER_CLOSE_LATE_HEAD] = "late_head",
 		[SERVER_CLOSE_STALLED] = "stalled_response",
+		[SERVER_CLOSE_MADE_ROOM] = "made_room",
+		[SERVER_CLOSE_FRAMING] = "long_framing",
+		[SERVER_CLOSE_SENDS_ON] = "sends_on",
 	};
 
 	return names[reason];
@@ -153,6 +156,8 @@
  * whether bytes have arrived, which are to be read first */
 static bool has_to_read(struct server_conn *conn)
 {
+	if (conn->stopped_discarding)
+		return false;
 	if (conn->turn.waits)
 		return true;
 	return stream_input_look(&conn->tcp) == STREAM_INPUT_BYTES &&
@@ -173,6 +178,11 @@
 		close_for(conn, SERVER_CLOSE_STALLED);
 	} else if (conn->state == SERVER_CONN_READING) {
 		close_for(conn, SERVER_CLOSE_IDLE);
+	} else if (conn->stopped_discarding) {
+		/* A request that was refused for a reason keeps that. */
+		close_for(conn, conn->close_reason == SERVER_CLOSE_OTHER
+					? SERVER_CLOSE_SENDS_ON
+					: conn->close_reason);
 	} else {
 		close_now(conn);
 	}
@@ -308,6 +318,32 @@
 	conn->pipelined_read = 0;
 }
 
+/* A caller that was refused for want of room may send the rest of a body that
+ * is within the limit. */
+static int64_t max_discarded_bytes(const struct server_conn *conn)
+{
+	int64_t body_bytes = server_conn_max_of(conn->kept_limits.body_bytes,
+						conn->limits->body_bytes);
+	long long announced = server_conn_body_length(conn);
+
+	if (conn->refused_status == 413 || conn->refused_status == 431 ||
+	    announced > body_bytes)
+		return conn->limits->discard_bytes;
+	return server_conn_max_of(body_bytes, conn->limits->discard_bytes);
+}
+
+/* Reading on would cost the host's time and link. The connection stays open for
+ * a while, so that the caller gets its response. */
+static void discard(struct server_conn *conn, size_t size)
+{
+	conn->discarded_bytes += (int64_t)size;
+	if (!conn->limits->discard_bytes ||
+	    conn->discarded_bytes < max_discarded_bytes(conn))
+		return;
+	conn->stopped_discarding = true;
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buf)
 {
 	struct server_conn *conn = stream->data;
@@ -323,12 +359,15 @@
 		server_conn_handle_disconnect(conn);
 		return;
 	}
+	conn->received_at_ms = now_ms();
 	if (conn->link_bytes)
 		conn->link_bytes->received_bytes += (uint64_t)size;
 	if (conn->state == SERVER_CONN_SERVING)
 		queue_pipelined(conn, buf->base, (size_t)size);
 	else if (conn->state == SERVER_CONN_READING && !conn->partly_read)
 		parse_read(conn, buf->base, (size_t)size);
+	else
+		discard(conn, (size_t)size);
 }
 
 static void on_alloc(uv_handle_t *handle, size_t suggested_size, uv_buf_t *buf)
@@ -405,7 +444,7 @@
 		return;
 	}
 	conn->lingers = true;
-	if (conn->read_paused)
+	if (conn->read_paused && !conn->stopped_discarding)
 		uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 	server_conn_start_wait(conn);
 }
@@ -471,13 +510,41 @@
 	close_now(conn);
 }
 
+/* Bytes that wait in the socket count as progress. */
+static bool has_stalled(struct server_conn *conn)
+{
+	return conn->state == SERVER_CONN_READING && conn->request_begun &&
+	       !conn->partly_read && !conn->parses_pipelined &&
+	       now_ms() - conn->received_at_ms >= conn->limits->stall_room_ms &&
+	       stream_input_look(&conn->tcp) == STREAM_INPUT_NONE;
+}
+
+bool server_conn_make_room(struct server_conn *conns)
+{
+	struct server_conn *most = NULL;
+
+	for (struct server_conn *conn = conns; conn; conn = conn->next)
+		if (conn->limits->stall_room_ms &&
+		    conn->held_input_bytes > HELD_BYTES_ITEM_MIN &&
+		    (!most ||
+		     conn->held_input_bytes > most->held_input_bytes) &&
+		    has_stalled(conn))
+			most = conn;
+	if (!most)
+		return false;
+	most->close_reason = SERVER_CLOSE_MADE_ROOM;
+	most->refused_status = 503;
+	refuse_input(most);
+	return true;
+}
+
 bool server_conn_is_overdue(const struct server_conn *conn)
 {
 	return server_conn_waited_ms(conn) >
 	       conn->kept_limits.idle_ms + IDLE_MARGIN_MS;
 }
 
-static bool is_idle(const struct server_conn *conn)
+bool server_conn_is_idle(const struct server_conn *conn)
 {
 	return conn->state == SERVER_CONN_READING && !conn->request_begun &&
 	       !server_conn_unwritten(conn);
@@ -487,7 +554,7 @@
 {
 	struct server_conn *conn = timer->data;
 
-	assert(is_idle(conn));
+	assert(server_conn_is_idle(conn));
 	if (has_to_read(conn))
 		uv_timer_start(timer, on_idle_read, READ_ONCE_MS, 0);
 	else
@@ -497,7 +564,7 @@
 bool server_conn_close_idle(struct server_conn *conn,
 			    enum server_close_reason reason)
 {
-	if (!is_idle(conn))
+	if (!server_conn_is_idle(conn))
 		return false;
 	conn->idle_close_reason = reason;
 	uv_timer_start(&conn->timer, on_idle_read, READ_ONCE_MS, 0);
--- a/src/transport/server_conn.h
+++ b/src/transport/server_conn.h
@@ -26,6 +26,9 @@
 	/** Maximum for the request target and the header fields together. */
 	int64_t head_bytes;
 	int64_t body_bytes;
+	/** Maximum for chunk extensions and trailer fields of one request. 0:
+	 * only the parser's limit on each. */
+	int64_t framing_bytes;
 	/** Time from the first byte of a request until it is complete. */
 	int64_t head_ms;
 	/** Time to wait for the first byte of a request, once the response
@@ -38,6 +41,13 @@
 	/** Time in which the caller must accept some bytes of a response that
 	 * is complete here. */
 	int64_t stall_ms;
+	/** Bytes that are read on and discarded after the request that ends the
+	 * connection, so that its response is not overtaken by a reset; more
+	 * if the rest of its body is within the limit. 0: no limit. */
+	int64_t discard_bytes;
+	/** While there is no room for a request's body, requests of which
+	 * nothing arrived for this long are refused. 0: none are. */
+	int64_t stall_room_ms;
 };
 
 /** Why the host closed a connection. */
@@ -49,6 +59,10 @@
 	SERVER_CLOSE_STOP,	/**< idle at a planned stop */
 	SERVER_CLOSE_LATE_HEAD, /**< a request was not complete in time */
 	SERVER_CLOSE_STALLED,	/**< the caller accepted no bytes */
+	SERVER_CLOSE_MADE_ROOM, /**< its request stalled at a full host */
+	SERVER_CLOSE_FRAMING,	/**< too long extensions and trailer fields */
+	SERVER_CLOSE_SENDS_ON,	/**< the caller sent on after its last response
+				 */
 	SERVER_CLOSE_REASONS
 };
 
@@ -71,6 +85,9 @@
 	 * with this status and no body is sent
 	 */
 	bool (*refused)(struct server_conn *conn, int status);
+	/** There is no room for a body. May be NULL. The owner may refuse other
+	 * requests, see server_conn_make_room(). @return whether it did */
+	bool (*make_room)(struct server_conn *conn);
 	/** A complete request is in `conn->request`. */
 	void (*request)(struct server_conn *conn);
 	/** The caller disconnected while its request was being served. */
@@ -107,7 +124,8 @@
 	bool parses_pipelined;
 	enum server_conn_state state;
 	bool request_begun;
-	bool head_complete; /**< of the request that has begun */
+	bool head_complete;    /**< of the request that has begun */
+	int64_t framing_bytes; /**< received after its head, but for the body */
 	bool keep_alive;
 	bool caller_closes;   /**< the caller sends no further request */
 	bool is_head_request; /**< the response has no body */
@@ -118,6 +136,9 @@
 	bool partly_read;   /**< the current request is not read to its end */
 	bool write_failed;  /**< bytes of a response are missing: closes */
 	bool lingers;	    /**< discards input after its last response */
+	int64_t discarded_bytes;
+	bool stopped_discarding;  /**< they reached their limit */
+	int64_t received_at_ms;	  /**< when the last bytes arrived */
 	int64_t waiting_since_ms; /**< what it waits for has a limit */
 	size_t unwritten_before;  /**< unwritten bytes at that time */
 	bool timeout_pending;	  /**< takes effect after one more read */
@@ -201,6 +222,17 @@
 bool server_conn_close_idle(struct server_conn *conn,
 			    enum server_close_reason reason);
 
+/** @return whether no request is being read or served and the last response is
+ * written */
+bool server_conn_is_idle(const struct server_conn *conn);
+
+/** Refuses the request that holds the most of those that are not complete and
+ * of which nothing arrived for a while: one that sends steadily is never
+ * refused.
+ * @param conns first of the owner's connections
+ * @return whether there was one */
+bool server_conn_make_room(struct server_conn *conns);
+
 /** @return whether the connection has waited for longer than was announced */
 bool server_conn_is_overdue(const struct server_conn *conn);
 
--- a/src/transport/server_conn_request.c
+++ b/src/transport/server_conn_request.c
@@ -6,6 +6,9 @@
 /* Any value but 0, 1 and 2 stops the parser from every callback: 1 and 2 have
  * a meaning of their own in on_headers_complete(). */
 #define PARSER_ABORT (-1)
+/* Framing that each byte of a body may have: a chunk of one byte takes 5 bytes
+ * beside it, more with leading zeros. */
+#define CHUNK_FRAMING_BYTES 16
 
 static int refuse(struct server_conn *conn, int status)
 {
@@ -27,6 +30,7 @@
 
 	conn->request_begun = true;
 	conn->head_complete = false;
+	conn->framing_bytes = 0;
 	begin_request_limits(conn);
 	server_conn_start_wait(conn);
 	return 0;
@@ -141,18 +145,29 @@
 	return held_buffer_take(body, conn->held, &body_bytes);
 }
 
+static enum held_verdict check_more(const struct server_conn *conn,
+				    int64_t more_bytes)
+{
+	return held_bytes_check(conn->held, conn->held_input_bytes,
+				conn->held_input_bytes + more_bytes);
+}
+
 /* @return 0 if the host may hold a body of this capacity, otherwise the status
  * of the refusal */
 static int refusal_of_body(struct server_conn *conn, size_t capacity)
 {
+	enum held_verdict verdict;
 	int64_t more_bytes;
 
 	if (!conn->held)
 		return 0;
 	server_conn_record_input(conn);
 	more_bytes = (int64_t)capacity - (int64_t)conn->request.body.capacity;
-	switch (held_bytes_check(conn->held, conn->held_input_bytes,
-				 conn->held_input_bytes + more_bytes)) {
+	verdict = check_more(conn, more_bytes);
+	while (verdict == HELD_HOST_FULL && conn->events->make_room &&
+	       conn->events->make_room(conn))
+		verdict = check_more(conn, more_bytes);
+	switch (verdict) {
 	case HELD_FITS:
 		return 0;
 	case HELD_ITEM_TOO_LARGE:
@@ -222,6 +237,7 @@
 	if (status)
 		return refuse(conn, status);
 	buffer_add(body, data, size);
+	conn->framing_bytes -= (int64_t)size;
 	return 0;
 }
 
@@ -254,12 +270,34 @@
 	conn->parser.data = conn;
 }
 
+/* Without a limit, each chunk may have an extension as long as the parser
+ * allows, however little of the body it carries. */
+static void check_framing(struct server_conn *conn, bool had_head, size_t used)
+{
+	int64_t max_bytes =
+		conn->limits->framing_bytes +
+		CHUNK_FRAMING_BYTES * (int64_t)conn->request.body.size;
+
+	if (!had_head || conn->state != SERVER_CONN_READING ||
+	    HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
+		return;
+	conn->framing_bytes += (int64_t)used;
+	if (!conn->limits->framing_bytes || conn->framing_bytes <= max_bytes)
+		return;
+	conn->refused_status = 431;
+	conn->close_reason = SERVER_CLOSE_FRAMING;
+	/* As if a callback had stopped the parser. */
+	conn->parser.http_errno = HPE_CB_chunk_header;
+}
+
 size_t server_conn_parse(struct server_conn *conn, const char *data,
 			 size_t size)
 {
+	bool had_head = conn->request_begun && conn->head_complete;
 	size_t used = http_parser_execute(&conn->parser, &parser_settings, data,
 					  size);
 
+	check_framing(conn, had_head, used);
 	server_conn_record_input(conn);
 	return used;
 }
--- a/tests/unit/test_edge_bodies.c
+++ b/tests/unit/test_edge_bodies.c
@@ -3,10 +3,13 @@
  * answered. */
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/xalloc.h"
 #include "fakes/edge_rig.h"
 #include "transport/read_turns.h"
+#include "transport/socket_address.h"
 #include "unit/unit_main.h"
 
 #define BODY_BYTES ((size_t)1024 * 1024)
@@ -239,6 +242,113 @@
 }
 END_TEST
 
+/* Sends a body but for its last byte. */
+static void send_part(int number, size_t size)
+{
+	struct buffer text = {0};
+	char *framing = xasprintf("Content-Length: %zu", size);
+
+	add_head(&text, "unsafe/ok", number, framing);
+	add_filler(&text, size - 1);
+	edge_rig_call(&rig, &callers[number], text.data);
+	edge_rig_run(&rig, 20);
+	free(framing);
+	buffer_free(&text);
+}
+
+/* Guards against a few callers that stop short of their ends and keep all
+ * others out; and against a refusal of one that sends steadily. */
+START_TEST(a_stalled_body_makes_room_for_another)
+{
+	struct edge *edge = &rig.hosts[0].edge;
+
+	edge->limits.stall_room_ms = 100;
+	edge->limits.head_ms = 10000;
+	send_part(0, BODY_BYTES);
+	send_part(1, BODY_BYTES + CHUNK_BYTES);
+	edge_rig_run(&rig, 150);
+	send_part(2, BODY_BYTES / 2);
+	send_body(3, "unsafe/ok", BODY_BYTES);
+	wait_for_answers(1, "200");
+	ck_assert(was_answered(&callers[3], "200"));
+	ck_assert(was_answered(&callers[1], "503"));
+	ck_assert_uint_eq(callers[0].received.size, 0);
+	ck_assert_uint_eq(callers[2].received.size, 0);
+	edge_rig_send(&callers[2], "x");
+	wait_for_answers(2, "200");
+}
+END_TEST
+
+/* Sends chunks of one byte, each with an extension. */
+static void send_chunks(int number, int count, int extension_bytes)
+{
+	struct buffer text = {0};
+
+	add_head(&text, "unsafe/ok", number, "Transfer-Encoding: chunked");
+	for (int i = 0; i < count; i++)
+		buffer_add_format(&text, "1;%0*d\r\nx\r\n", extension_bytes, 0);
+	buffer_add_text(&text, "0\r\n\r\n");
+	edge_rig_call(&rig, &callers[number], text.data);
+	buffer_free(&text);
+}
+
+/* Guards against a small body that takes as long to read as a large one. */
+START_TEST(long_chunk_extensions_are_refused)
+{
+	const uint64_t *closes = rig.hosts[0].edge.counters.caller_closes;
+
+	send_chunks(0, 200, 4000);
+	wait_for_answers(1, "431");
+	for (int ms = 0; ms < WAIT_MS && !closes[SERVER_CLOSE_FRAMING]; ms++)
+		edge_rig_run(&rig, 1);
+	ck_assert_uint_eq(closes[SERVER_CLOSE_FRAMING], 1);
+	send_chunks(1, 20, 4000);
+	wait_for_answers(1, "200");
+	send_chunks(2, 100000, 1);
+	wait_for_answers(2, "200");
+	ck_assert(was_answered(&callers[2], "200"));
+}
+END_TEST
+
+/* A caller on a plain socket, which goes on after the end of the response. */
+static int connect_plainly(void)
+{
+	union socket_address address;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	if (!socket_address_parse(rig.hosts[0].settings.caller_address,
+				  &address) ||
+	    connect(fd, &address.any, sizeof(address.v4)) < 0)
+		abort();
+	return fd;
+}
+
+/* Guards against a host that spends its time and its link on bodies that it has
+ * refused. */
+START_TEST(the_rest_of_a_refused_body_is_not_read)
+{
+	struct edge *edge = &rig.hosts[0].edge;
+	struct buffer text = {0};
+	int fd = connect_plainly();
+
+	edge->limits.discard_bytes = 2 * CHUNK_BYTES;
+	add_head(&text, "unsafe/ok", 0, "Content-Length: 1000000000");
+	add_filler(&text, CHUNK_BYTES);
+	for (int ms = 0; ms < WAIT_MS &&
+			 !edge->counters.caller_closes[SERVER_CLOSE_SENDS_ON];
+	     ms++) {
+		(void)send(fd, text.data, text.size,
+			   MSG_DONTWAIT | MSG_NOSIGNAL);
+		edge_rig_run(&rig, 1);
+	}
+	ck_assert_uint_eq(edge->counters.caller_closes[SERVER_CLOSE_SENDS_ON],
+			  1);
+	ck_assert_uint_le(edge->link_bytes.received_bytes, 6 * CHUNK_BYTES);
+	close(fd);
+	buffer_free(&text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_bodies");
@@ -256,6 +366,9 @@
 	tcase_add_test(tcase, a_body_is_given_up_when_its_answer_begins);
 	tcase_add_test(tcase,
 		       what_waits_on_connections_is_little_at_a_full_host);
+	tcase_add_test(tcase, a_stalled_body_makes_room_for_another);
+	tcase_add_test(tcase, long_chunk_extensions_are_refused);
+	tcase_add_test(tcase, the_rest_of_a_refused_body_is_not_read);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
