Open the socket of a connection to a server when it connects

A crowd of callers used up a process's descriptors, and the process ended with a corrupted heap. By reading, not shown: uv_tcp_init_ex() takes a handle whose socket it can't open off the loop's list, and closing the handle takes it off again. uv_tcp_init() opens no socket, and uv_tcp_connect() reports the failure. The new test holds without this change, also under ASan.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -363,7 +363,8 @@
 {
 	struct http_conn *conn = xcalloc(1, sizeof(*conn));
 
-	uv_tcp_init_ex(loop, &conn->tcp, address->sa_family);
+	/* The socket is opened by uv_tcp_connect(), which reports a failure. */
+	uv_tcp_init(loop, &conn->tcp);
 	uv_timer_init(loop, &conn->timer);
 	conn->timer.data = conn;
 	conn->open_handles = 2;
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -7,6 +7,7 @@
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -261,6 +262,50 @@
 }
 END_TEST
 
+static struct http_conn *earlier;
+
+static void begin_without_descriptor(uv_prepare_t *prepare)
+{
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_port = htons(1),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	struct buffer head = {0};
+	struct http_conn *conn =
+		http_conn_open(&loop, (const struct sockaddr *)&address);
+
+	buffer_add_text(&head, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+	http_conn_send(conn, &events, NULL, &head, NULL);
+	buffer_free(&head);
+	http_conn_close(earlier);
+	uv_close((uv_handle_t *)prepare, NULL);
+}
+
+/* Guards against a process that ends, or a request that waits, since no socket
+ * could be opened. */
+START_TEST(without_a_descriptor_a_connection_is_reported_as_not_connected)
+{
+	struct sockaddr_in address = listen_on_free_port();
+	struct rlimit limit;
+	uv_prepare_t prepare;
+	int first_free;
+
+	uv_prepare_init(&loop, &prepare);
+	earlier = http_conn_open(&loop, (const struct sockaddr *)&address);
+	uv_prepare_start(&prepare, begin_without_descriptor);
+	first_free = dup(STDIN_FILENO);
+	close(first_free);
+	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+	limit.rlim_cur = (rlim_t)first_free;
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	ck_assert_int_eq(result, RESULT_BROKEN);
+	ck_assert_int_eq(fault, HTTP_CONN_NOT_CONNECTED);
+	close(listener);
+}
+END_TEST
+
 #define LONG_BODY_BYTES (16 * 1024 * 1024)
 #define PAUSE_MS 200
 #define UNREAD_MS 6000
@@ -407,6 +452,9 @@
 	tcase_add_test(
 		tcase,
 		an_address_that_nothing_can_connect_to_is_reported_at_once);
+	tcase_add_test(
+		tcase,
+		without_a_descriptor_a_connection_is_reported_as_not_connected);
 	tcase_add_loop_test(
 		tcase,
 		an_early_response_is_read_although_its_request_can_not_be_sent,
