Reword what the reviewers of warm-up and regions stumbled on

The line warming_up shows 0 for times that are not set; the error about [regions] says what a line looks like.

--- a/src/edge/edge_settings.c
+++ b/src/edge/edge_settings.c
@@ -149,12 +149,12 @@
 				     "form IP:PORT, or be left out",
 				     path);
 	if (!region_map_parse(&regions, settings->regions))
-		return tgw_error_set(error, TGW_INVALID,
-				     "%s: [regions] must name one region for "
-				     "each failure domain, of at most %d and "
-				     "%d",
-				     path, REGION_MAP_REGIONS_MAX,
-				     REGION_MAP_DOMAINS_MAX);
+		return tgw_error_set(
+			error, TGW_INVALID,
+			"%s: [regions] must have one line DOMAIN = "
+			"REGION for each failure domain, at most "
+			"%d domains in at most %d regions",
+			path, REGION_MAP_DOMAINS_MAX, REGION_MAP_REGIONS_MAX);
 	if (settings->stop_notice_ms > settings->stop_kill_after_s * 1000)
 		return tgw_error_set(error, TGW_INVALID,
 				     "%s: [stop] notice_ms must not exceed "
--- a/src/edge/server_warmup.c
+++ b/src/edge/server_warmup.c
@@ -34,6 +34,12 @@
 			       backend->run_hash);
 }
 
+/* @return how long the time is ahead, for the log; 0 if it has passed */
+static long long left_ms(int64_t until_us, int64_t now_us)
+{
+	return until_us > now_us ? (until_us - now_us) / TGW_US_PER_MS : 0;
+}
+
 static void decide_share(struct edge *edge, struct backend *backend,
 			 int64_t now_us)
 {
@@ -47,15 +53,12 @@
 	edge->counters.warmups++;
 	edge_log_line(
 		&edge->log, EDGE_LOG_NOTICE, "server", "warming_up",
-		"server=%s listed_ms=%lld reported_ms=%lld assumed_ms=%lld hosts=%u rank=%d "
-		"interval_ms=%lld",
-		backend->entry.id,
-		(long long)((warmup->listed_until_us - now_us) / TGW_US_PER_MS),
-		(long long)((warmup->reported_until_us - now_us) /
-			    TGW_US_PER_MS),
-		(long long)((warmup->assumed_until_us - now_us) /
-			    TGW_US_PER_MS),
-		share.hosts, share.is_estimate ? -1 : (int)share.rank,
+		"server=%s listed_ms=%lld reported_ms=%lld assumed_ms=%lld "
+		"hosts=%u rank=%d interval_ms=%lld",
+		backend->entry.id, left_ms(warmup->listed_until_us, now_us),
+		left_ms(warmup->reported_until_us, now_us),
+		left_ms(warmup->assumed_until_us, now_us), share.hosts,
+		share.is_estimate ? -1 : (int)share.rank,
 		warmup->interval_us == INT64_MAX
 			? -1LL
 			: (long long)(warmup->interval_us / TGW_US_PER_MS));
--- a/src/state/backend_table.c
+++ b/src/state/backend_table.c
@@ -297,8 +297,9 @@
 	return remembered && entry->sequence < remembered->drained_sequence;
 }
 
-/* What the server's failure domain says of it. */
-static void locate(const struct backend_table *table, struct backend *backend)
+/* Sets what follows from the server's failure domain. */
+static void apply_failure_domain(const struct backend_table *table,
+				 struct backend *backend)
 {
 	const char *failure_domain = backend->entry.failure_domain;
 
@@ -322,7 +323,7 @@
 	}
 	if (backend) {
 		backend->entry = *entry;
-		locate(table, backend);
+		apply_failure_domain(table, backend);
 		return backend;
 	}
 	backend = xcalloc(1, sizeof(*backend));
@@ -331,7 +332,7 @@
 	backend->run_hash = backend_run_hash(entry);
 	backend->memory_key = run_key(entry);
 	recall(table, backend);
-	locate(table, backend);
+	apply_failure_domain(table, backend);
 	backend->listed = true;
 	backend->next = table->first;
 	table->first = backend;
--- a/src/state/warmup.h
+++ b/src/state/warmup.h
@@ -8,10 +8,11 @@
  * and idle: each host would send them its next requests.
  *
  * Hosts exchange no messages for it. All hosts rank each other by a hash of
- * their names and of the server's run. The limit is divided among the first
- * ones, and each of these sends at an interval, so that hosts that know the
- * same list of hosts stay within it in any second, also while they can't reach
- * each other.
+ * their names and of the server's run. With a limit of 17 requests a second and
+ * 79 hosts, the first 17 send one a second each, and the others none; with 7
+ * hosts, the first 3 send three a second and the others two. So hosts that know
+ * the same list of hosts stay within the limit in any second, also while they
+ * can't reach each other.
  */
 #ifndef STATE_WARMUP_H
 #define STATE_WARMUP_H
