Mend what a newcomer stumbled on in the load and warm-up code

A new entry of a server, one each heartbeat while it warms up, no longer has the host's share decided and logged again.

--- a/src/coordination/route_follower.c
+++ b/src/coordination/route_follower.c
@@ -64,7 +64,8 @@
 	case EVACUATIONS_FULL:
 		follower->events.evacuation_ignored(
 			follower->events.arg, failure_domain,
-			"too many failure domains are evacuated");
+			"64 failure domains are evacuated already; this one "
+			"stays in use");
 		return;
 	}
 }
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -94,7 +94,7 @@
 	uint64_t servers_left;
 	uint64_t servers_left_by_hosts;
 	uint64_t server_rests; /**< rests that servers asked for */
-	uint64_t warmups;      /**< of servers, whose share was decided */
+	uint64_t warmups;      /**< shares of warm-ups that were decided */
 	uint64_t evacuations_ignored; /**< keys that name no failure domain */
 	uint64_t unreadable_fields;   /**< of servers' answers */
 };
--- a/src/edge/edge_followers.c
+++ b/src/edge/edge_followers.c
@@ -54,8 +54,7 @@
 		      "reason=\"%s\"", reason);
 }
 
-/* Without a server in another domain there is nowhere to go on. */
-static bool has_servers_elsewhere(const struct edge *edge)
+static bool any_server_accepts(const struct edge *edge)
 {
 	int64_t now_us = edge_now_us();
 
@@ -80,7 +79,7 @@
 			      edge->route_follower)));
 	if (!active)
 		server_warmup_on_evacuation_ended(edge, failure_domain);
-	if (active && servers && !has_servers_elsewhere(edge))
+	if (active && servers && !any_server_accepts(edge))
 		edge_log_line(&edge->log, EDGE_LOG_STATE, "domain", "none_left",
 			      "domain=%s requests=\"refused: no server of "
 			      "another domain accepts them\"",
--- a/src/edge/server_warmup.c
+++ b/src/edge/server_warmup.c
@@ -68,10 +68,14 @@
 {
 	int index = set ? route_set_find_service(set, backend->entry.service)
 			: -1;
-	struct warmup_limit none = {0};
+	struct warmup_limit limit = {0};
 
-	backend->warmup.limit = index >= 0 ? set->services[index].warmup : none;
-	backend->warmup.interval_us = 0;
+	if (index >= 0)
+		limit = set->services[index].warmup;
+	/* The share that was decided for this limit holds on. */
+	if (backend->warmup.limit.requests_per_s != limit.requests_per_s)
+		backend->warmup.interval_us = 0;
+	backend->warmup.limit = limit;
 }
 
 void server_warmup_on_entry(struct edge *edge, struct backend *backend)
--- a/src/state/pause_model.h
+++ b/src/state/pause_model.h
@@ -1,6 +1,6 @@
 /**
  * @file pause_model.h
- * Expects how long the pauses between the events of streams get, by route and
+ * Estimates how long the pauses between the events of streams get, by route and
  * by the speed of the server, from the streams that a host has forwarded.
  *
  * A server reads the prompts of other requests between the events of a stream,
@@ -15,7 +15,7 @@
 
 #include "tamarackgw/host_view.h"
 
-/** Routes that are remembered; more replace each other. */
+/** Routes that are remembered. */
 #define PAUSE_MODEL_ROUTES 64
 
 struct pause_model_route {
--- a/src/state/placement.c
+++ b/src/state/placement.c
@@ -12,11 +12,12 @@
 #define LOAD_BOUND_FACTOR 2.0
 #define LOAD_BOUND_SLACK_REQUESTS 5.0
 /* The same where servers report how long work takes, so that hosts know their
- * loads: a server gets its part by its speed and little more. */
+ * loads: a server's load may exceed a share in proportion to its speed by
+ * little. */
 #define RATED_BOUND_FACTOR 1.3
 #define RATED_BOUND_SLACK_REQUESTS 1.5
-/* While a request waits for one that is served in each slot, it is read
- * elsewhere in less time. */
+/* With one request served and one waiting in each slot, it takes less time to
+ * read a prompt again at another server than to wait. */
 #define RATED_BOUND_SLOTS 2.0
 /* Additional cost, in requests per slot, of a server in another failure
  * domain, and of a server whose requests all fail (in proportion for a lower
--- a/src/state/region_map.h
+++ b/src/state/region_map.h
@@ -17,8 +17,8 @@
 
 /** A set of regions that a request may go to, one bit for each. */
 #define REGION_SET_ANY UINT32_C(0)
-/** The bit of no region. Limited sets contain it, so that one that allows no
- * region differs from REGION_SET_ANY. */
+/** The bit of no region: a set that is limited and allows no region, and that
+ * of a failure domain whose region is unknown. */
 #define REGION_SET_NONE (UINT32_C(1) << REGION_MAP_REGIONS_MAX)
 
 struct region_map_domain {
