--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -2,7 +2,8 @@
 # Runs every test of a finished build: tools/run-tests.sh BUILD_DIR
 #   unit tests       BUILD_DIR/tests/test_*      exit code 0 is a pass
 #   scenarios        tests/scenarios/AREA/*.scn  output equals the .expected
-#   command lines    tests/cram/*.t              run by cram
+#   command lines    tests/cram/*.t              run by cram; crowds_*.t one
+#                                                after the other, at the end
 # A failure of a test that KNOWN-RED.txt names is printed, but not counted.
 set -u
 cd "$(dirname "$0")/.."
@@ -55,11 +56,17 @@
 export -f run_one is_known
 export work build
 
+# Tests of crowds of clients judge what one process takes: each runs alone.
+is_crowd() { case $1 in */crowds_*.t) true ;; *) false ;; esac; }
+
 {
 	for t in "$build"/tests/test_*; do [ -x "$t" ] && [ ! -d "$t" ] && echo "unit $t"; done
 	for t in tests/scenarios/*/*.scn; do [ -e "$t" ] && echo "scenario $t"; done
-	for t in tests/cram/*.t; do [ -e "$t" ] && echo "cram $t"; done
+	for t in tests/cram/*.t; do
+		[ -e "$t" ] && ! is_crowd "$t" && echo "cram $t"
+	done
 } | xargs -P "$jobs" -L 1 bash -c 'run_one "$0" "$1"'
+for t in tests/cram/*.t; do is_crowd "$t" && run_one cram "$t"; done
 
 touch "$work/results"
 passed=$(grep -c '^pass ' "$work/results")
