--- a/tests/cram/edge.t
+++ b/tests/cram/edge.t
@@ -61,7 +61,7 @@
   $ grep -c '_bucket{le=' metrics
   26
   $ grep -c '^tamarackgw_caller_closes_total{reason=' metrics
-  6
+  9
 
 Logging to a full pipe does not delay requests:
 
