Read the figures of the HTTP server safely from any thread

Cause: tests-tsan found that the metrics page read counts of closed connections that the loop's thread was writing (test_gateway_limits, two cases). In the program both are on one thread. Change: the counts are atomic, as the server's other figures are, and the held bytes are copied to atomics at each request and close.

--- a/src/transport/http_server.c
+++ b/src/transport/http_server.c
@@ -45,7 +45,10 @@
 	struct http_server_handler handler;
 	struct server_limits limits;
 	struct held_bytes held_requests;
-	uint64_t closes[SERVER_CLOSE_REASONS];
+	/* Copies of what `held_requests` holds, for other threads. */
+	_Atomic int64_t held_bytes;
+	_Atomic int64_t held_peak_bytes;
+	_Atomic uint64_t closes[SERVER_CLOSE_REASONS];
 	uv_tcp_t listener;
 	uv_timer_t ticker;
 	unsigned int references; /* of two handles and a posted run_pending() */
@@ -283,11 +286,19 @@
 	return true;
 }
 
+static void publish_held(struct http_server *server)
+{
+	atomic_store(&server->held_bytes, server->held_requests.total_bytes);
+	atomic_store(&server->held_peak_bytes,
+		     server->held_requests.peak_bytes);
+}
+
 static void on_request(struct server_conn *conn)
 {
 	struct http_server *server = conn->owner;
 	struct server_exchange *exchange = conn->call;
 
+	publish_held(server);
 	server->handler.request(server->handler.arg, exchange);
 	write_response(exchange);
 }
@@ -317,11 +328,12 @@
 
 	if (conn->call)
 		end_exchange(conn->call);
-	server->closes[conn->close_reason]++;
+	atomic_fetch_add(&server->closes[conn->close_reason], 1);
 	/* The connection may be freed after the server. */
 	if (conn->held)
 		held_bytes_record(conn->held, &conn->held_input_bytes, 0);
 	conn->held = NULL;
+	publish_held(server);
 	if (conn->previous)
 		conn->previous->next = conn->next;
 	else
@@ -550,11 +562,14 @@
 
 struct http_server_figures http_server_figures(const struct http_server *server)
 {
-	return (struct http_server_figures){
-		.held_bytes = server->held_requests.total_bytes,
-		.held_peak_bytes = server->held_requests.peak_bytes,
-		.closes = server->closes,
+	struct http_server_figures figures = {
+		.held_bytes = atomic_load(&server->held_bytes),
+		.held_peak_bytes = atomic_load(&server->held_peak_bytes),
 	};
+
+	for (size_t i = 0; i < SERVER_CLOSE_REASONS; i++)
+		figures.closes[i] = atomic_load(&server->closes[i]);
+	return figures;
 }
 
 bool http_server_is_writing(const struct http_server *server)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -14,6 +14,7 @@
 #include "tamarackgw/status.h"
 #include "transport/answer.h"
 #include "transport/event_loop.h"
+#include "transport/server_conn.h"
 
 struct http_server;
 
@@ -71,10 +72,10 @@
 	int64_t held_bytes;	 /**< memory that callers' requests take */
 	int64_t held_peak_bytes; /**< the most since the start */
 	/** Closed connections, by enum server_close_reason. */
-	const uint64_t *closes;
+	uint64_t closes[SERVER_CLOSE_REASONS];
 };
 
-/** To be called on the loop's thread. */
+/** Thread-safe. The memory is that of the last request or close. */
 struct http_server_figures http_server_figures(
 	const struct http_server *server);
 
