--- a/src/state/own_delay.c
+++ b/src/state/own_delay.c
@@ -2,8 +2,8 @@
 
 #include "tamarackgw/clock.h"
 
-/* On links with an average use of 75 to 91 percent, connections to healthy
- * servers were seen to take more than 250 ms. */
+/* From this average use on, the host also says that it is not ready: bursts
+ * queue on the link for longer than a connection's timeout. */
 #define FULL_LINK_PERCENT 75
 /* A measurement moves the average by a quarter: one full moment raises an
  * average below this to less than FULL_LINK_PERCENT. */
