--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -38,9 +38,11 @@
 	cannot_run "timed out: $*"
 }
 
-# worker ID SERVICE MODE PORT: starts a worker and sets WORKER to its process.
+# worker ID SERVICE MODE PORT [LISTEN_PORT]: starts a worker and sets WORKER to
+# its process.
 worker() {
-	"$SITE" worker "$4" "$STORE" "$1" "$2" "$3" "$RECORD" 2>>"$FOLDER/err" &
+	"$SITE" worker "$4" "$STORE" "$1" "$2" "$3" "$RECORD" ${5:+"$5"} \
+		2>>"$FOLDER/err" &
 	WORKER=$!
 	PIDS="$PIDS $WORKER"
 }
@@ -85,7 +87,7 @@
 	: >"$RECORD"
 	[ -x "$SITE" ] && [ -x "$EDGE" ] ||
 		cannot_run "build the deploy file and review/build-2.sh first"
-	PORTS=$("$SITE" ports 10)
+	PORTS=$("$SITE" ports 12)
 	set -- "$1" $PORTS
 	STORE=$2 FRONT=$3 READY=$4 METRICS=$5 PEER=$6
 	shift 6
--- a/review/standin-2/site.c
+++ b/review/standin-2/site.c
@@ -2,9 +2,14 @@
  *
  *   site store PORT
  *       the platform's metadata store, as far as a host uses it
- *   site worker PORT STORE_PORT ID SERVICE MODE RECORD
- *       a worker that registers itself; MODE says how it answers, see below.
+ *   site worker PORT STORE_PORT ID SERVICE MODE RECORD [LISTEN_PORT]
+ *       a worker that registers itself at PORT, and listens there or behind a
+ *       link at LISTEN_PORT; MODE says how it answers, see below.
  *       SIGUSR1: it reports that it drains and serves on
+ *   site link PORT WORKER_PORT
+ *       the network between hosts and a worker, which listens at WORKER_PORT:
+ *       forwards both ways. SIGUSR1 cuts it, so that nothing passes and what is
+ *       on its way is held up; SIGUSR2 ends the cut
  *   site put STORE_PORT KEY < VALUE
  *       writes an item as the operator
  *   site send FRONT_PORT HOST PATH KEY ID DEADLINE_MS OUT
@@ -786,7 +791,87 @@
 		exit(2);
 	signal(SIGUSR1, on_drain);
 	pthread_create(&thread, NULL, beat, NULL);
-	accept_all(worker.port, serve_worker);
+	accept_all(argv[8] ? argv[8] : worker.port, serve_worker);
+}
+
+/* ---- the network to a worker ---- */
+
+static const char *link_target;
+static volatile sig_atomic_t link_is_cut;
+
+/* One direction of a connection. */
+struct flow {
+	int from;
+	int to;
+};
+
+static void on_cut(int number)
+{
+	link_is_cut = number == SIGUSR1;
+}
+
+static void wait_for_link(void)
+{
+	while (link_is_cut)
+		pause_ms(5);
+}
+
+static void *carry(void *arg)
+{
+	struct flow *flow = arg;
+	char bytes[16 * 1024];
+	ssize_t size;
+
+	while ((size = recv(flow->from, bytes, sizeof(bytes), 0)) > 0) {
+		wait_for_link();
+		if (!write_all(flow->to, bytes, (size_t)size))
+			break;
+	}
+	wait_for_link();
+	shutdown(flow->to, SHUT_WR);
+	free(flow);
+	return NULL;
+}
+
+static pthread_t start_carrying(int from, int to)
+{
+	struct flow *flow = malloc(sizeof(*flow));
+	pthread_t thread;
+
+	flow->from = from;
+	flow->to = to;
+	pthread_create(&thread, NULL, carry, flow);
+	return thread;
+}
+
+static void *serve_link(void *arg)
+{
+	int host = (int)(intptr_t)arg;
+	int worker_end;
+	pthread_t there;
+	pthread_t back;
+
+	wait_for_link();
+	worker_end = connect_to(link_target);
+	if (worker_end < 0) {
+		close(host);
+		return NULL;
+	}
+	there = start_carrying(host, worker_end);
+	back = start_carrying(worker_end, host);
+	pthread_join(there, NULL);
+	pthread_join(back, NULL);
+	close(worker_end);
+	close(host);
+	return NULL;
+}
+
+static void run_link(char **argv)
+{
+	link_target = argv[3];
+	signal(SIGUSR1, on_cut);
+	signal(SIGUSR2, on_cut);
+	accept_all(argv[2], serve_link);
 }
 
 /* ---- a client ---- */
@@ -858,8 +943,10 @@
 	if (argc == 3 && !strcmp(argv[1], "store")) {
 		pthread_create(&thread, NULL, expire_all, NULL);
 		accept_all(argv[2], serve_store);
-	} else if (argc == 8 && !strcmp(argv[1], "worker")) {
+	} else if ((argc == 8 || argc == 9) && !strcmp(argv[1], "worker")) {
 		run_worker(argv);
+	} else if (argc == 4 && !strcmp(argv[1], "link")) {
+		run_link(argv);
 	} else if (argc == 4 && !strcmp(argv[1], "put")) {
 		return put_item(argv[2], argv[3]);
 	} else if (argc == 9 && !strcmp(argv[1], "send")) {
