--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -103,12 +103,12 @@
 
 put_configuration() { "$SITE" put "$STORE" op/config <"$FOLDER/config.json"; }
 
-# request ID PATH DEADLINE_MS: sends a request; its answer goes to
+# request ID PATH DEADLINE_MS [TOKENS]: sends a request; its answer goes to
 # $FOLDER/ID.body, what the client saw to $FOLDER/ID.seen and the record.
 request() {
 	say "request $1 is sent to $2"
 	"$SITE" send "$FRONT" "$HOST" "$2" "$KEY" "$1" "$3" "$FOLDER/$1.body" \
-		>"$FOLDER/$1.seen" 2>>"$FOLDER/err"
+		${4:+"$4"} >"$FOLDER/$1.seen" 2>>"$FOLDER/err"
 	say "request $1: $(cat "$FOLDER/$1.seen")"
 }
 
--- a/review/standin-2/site.c
+++ b/review/standin-2/site.c
@@ -12,13 +12,11 @@
  *       on its way is held up; SIGUSR2 ends the cut
  *   site put STORE_PORT KEY < VALUE
  *       writes an item as the operator
- *   site send FRONT_PORT HOST PATH KEY ID DEADLINE_MS OUT
- *       sends one request as a client; prints the status, the stamp and
- *       whether the answer is whole, and writes the body to OUT
- *   site ready READY_PORT
- *       exits with 0 if the host says that it is ready
- *   site ports COUNT
- *       prints so many free ports
+ *   site send FRONT_PORT HOST PATH KEY ID DEADLINE_MS OUT [TOKENS]
+ *       sends one request as a client, with this Tamarackgw-Token-Count; prints
+ * the status, the stamp and whether the answer is whole, and writes the body to
+ * OUT site ready READY_PORT exits with 0 if the host says that it is ready site
+ * ports COUNT prints so many free ports
  *
  * All addresses are loopback addresses. */
 #include <arpa/inet.h>
@@ -719,12 +717,26 @@
 		record("request %s answered 200", id);
 }
 
-/* It has done the work, and fails on the way to its answer. */
-static void answer_failed(int fd, const char *id)
+/* As many words as the request allows tokens, one a word, not as a stream. */
+static void answer_as_model(int fd, const struct message *request,
+			    const char *id)
 {
-	if (send_head(fd, "503 Service Unavailable", id,
-		      "Content-Length: 0\r\n"))
-		record("request %s answered 503 after it has run", id);
+	const char *text = field(request, "Tamarackgw-Token-Count");
+	const char *comma = text ? strchr(text, ',') : NULL;
+	int words = comma ? atoi(comma + 1) : 0;
+	char *body = calloc(1, (size_t)words * 5 + 64);
+	char fields[64];
+
+	strcpy(body, "{\"text\":\"");
+	for (int i = 0; i < words; i++)
+		strcat(body, "word ");
+	strcat(body, "\"}\n");
+	snprintf(fields, sizeof(fields), "Content-Length: %zu\r\n",
+		 strlen(body));
+	if (send_head(fd, "200 OK", id, fields) &&
+	    write_all(fd, body, strlen(body)))
+		record("request %s answered 200 with %d tokens", id, words);
+	free(body);
 }
 
 static bool is_this_worker(int fd, const struct message *request,
@@ -755,8 +767,8 @@
 		answer_in_pieces(fd, id);
 		return false;
 	}
-	if (!strcmp(worker.mode, "fails"))
-		answer_failed(fd, id);
+	if (!strcmp(worker.mode, "model"))
+		answer_as_model(fd, request, id);
 	else
 		answer_at_once(fd, id);
 	return true;
@@ -890,8 +902,12 @@
 	say(fd,
 	    "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\n"
 	    "Tamarackgw-Request-Id: %s\r\nTamarackgw-Deadline-Ms: %s\r\n"
-	    "Content-Length: 4\r\n\r\nbody",
-	    argv[4], argv[3], argv[5], argv[6], argv[7]);
+	    "%s%s%sContent-Length: 4\r\n\r\nbody",
+	    argv[4], argv[3], argv[5], argv[6], argv[7],
+	    argv[9] ? "Tamarackgw-Model: m\r\nTamarackgw-Prompt-Prefix: "
+		      "5c1e07a2:60\r\nTamarackgw-Token-Count: "
+		    : "",
+	    argv[9] ? argv[9] : "", argv[9] ? "\r\n" : "");
 	if (!read_message(in, &response)) {
 		printf("no answer\n");
 		return 0;
@@ -949,7 +965,7 @@
 		run_link(argv);
 	} else if (argc == 4 && !strcmp(argv[1], "put")) {
 		return put_item(argv[2], argv[3]);
-	} else if (argc == 9 && !strcmp(argv[1], "send")) {
+	} else if ((argc == 9 || argc == 10) && !strcmp(argv[1], "send")) {
 		return send_request(argv);
 	} else if (argc == 3 && !strcmp(argv[1], "ready")) {
 		return ask_ready(argv[2]);
