--- a/review/standin-2/site.c
+++ b/review/standin-2/site.c
@@ -43,6 +43,9 @@
 /* An answer in pieces: so many lines, with this pause between them. */
 #define LINES 60
 #define LINE_PAUSE_MS 50
+#define CRASH_AFTER_MS 4000
+/* The "stride" of the model service. */
+#define TOKENS_IN_EVENT 9
 
 struct message {
 	char head[16 * 1024];
@@ -717,26 +720,49 @@
 		record("request %s answered 200", id);
 }
 
-/* As many words as the request allows tokens, one a word, not as a stream. */
+/* As many words as the request allows tokens, one a word, TOKENS_IN_EVENT in
+ * each event of a stream. */
 static void answer_as_model(int fd, const struct message *request,
 			    const char *id)
 {
 	const char *text = field(request, "Tamarackgw-Token-Count");
 	const char *comma = text ? strchr(text, ',') : NULL;
 	int words = comma ? atoi(comma + 1) : 0;
-	char *body = calloc(1, (size_t)words * 5 + 64);
-	char fields[64];
-
-	strcpy(body, "{\"text\":\"");
-	for (int i = 0; i < words; i++)
-		strcat(body, "word ");
-	strcat(body, "\"}\n");
-	snprintf(fields, sizeof(fields), "Content-Length: %zu\r\n",
-		 strlen(body));
-	if (send_head(fd, "200 OK", id, fields) &&
-	    write_all(fd, body, strlen(body)))
+	bool sent = say(fd,
+			"HTTP/1.1 200 OK\r\nTamarackgw-Request-Id: %s\r\n"
+			"Tamarackgw-Response-Stamp: stamp.%s.%s\r\n"
+			"Content-Type: text/event-stream\r\n"
+			"Transfer-Encoding: chunked\r\n\r\n",
+			id, worker.id, id);
+
+	for (int event = 1, left = words; sent && left > 0; event++) {
+		char body[256] = "";
+		int in_event = left < TOKENS_IN_EVENT ? left : TOKENS_IN_EVENT;
+
+		snprintf(body, sizeof(body), "id: %d\ndata:", event);
+		for (int i = 0; i < in_event; i++)
+			strcat(body, " word");
+		strcat(body, "\n\n");
+		left -= in_event;
+		sent = say(fd, "%zx\r\n%s\r\n", strlen(body), body);
+	}
+	if (sent && say(fd, "0\r\n\r\n"))
 		record("request %s answered 200 with %d tokens", id, words);
-	free(body);
+}
+
+/* Requests to /bad/ crash the worker some time after they began to run, whoever
+ * waits for them; others take half a second. */
+static void answer_fragile(int fd, const struct message *request,
+			   const char *id)
+{
+	if (strncmp(request->head, "GET /bad/", 9) != 0) {
+		pause_ms(500);
+		answer_at_once(fd, id);
+		return;
+	}
+	pause_ms(CRASH_AFTER_MS);
+	record("request %s crashes it", id);
+	_exit(1);
 }
 
 static bool is_this_worker(int fd, const struct message *request,
@@ -767,7 +793,9 @@
 		answer_in_pieces(fd, id);
 		return false;
 	}
-	if (!strcmp(worker.mode, "model"))
+	if (!strcmp(worker.mode, "fragile"))
+		answer_fragile(fd, request, id);
+	else if (!strcmp(worker.mode, "model"))
 		answer_as_model(fd, request, id);
 	else
 		answer_at_once(fd, id);
@@ -922,6 +950,27 @@
 	return 0;
 }
 
+static int send_and_leave(char **argv)
+{
+	struct timeval stay;
+	char byte;
+	int fd = connect_to(argv[2]);
+	int ms = atoi(argv[8]);
+
+	if (fd < 0)
+		return 2;
+	stay.tv_sec = ms / 1000;
+	stay.tv_usec = ms % 1000 * 1000;
+	setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &stay, sizeof(stay));
+	say(fd,
+	    "GET %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\n"
+	    "Tamarackgw-Request-Id: %s\r\nTamarackgw-Deadline-Ms: %s\r\n\r\n",
+	    argv[4], argv[3], argv[5], argv[6], argv[7]);
+	puts(recv(fd, &byte, 1, 0) > 0 ? "an answer" : "left");
+	close(fd);
+	return 0;
+}
+
 static int ask_ready(const char *port)
 {
 	struct message response = {0};
@@ -967,6 +1016,8 @@
 		return put_item(argv[2], argv[3]);
 	} else if ((argc == 9 || argc == 10) && !strcmp(argv[1], "send")) {
 		return send_request(argv);
+	} else if (argc == 9 && !strcmp(argv[1], "leave")) {
+		return send_and_leave(argv);
 	} else if (argc == 3 && !strcmp(argv[1], "ready")) {
 		return ask_ready(argv[2]);
 	} else if (argc == 3 && !strcmp(argv[1], "ports")) {
