An answer with a blank in a field's name is no answer

A server in trouble sent a field whose name has a blank. Its caller got a 200 with that line passed on ("Bad Name: v", "Name : v", a line that begins with a blank), and where the field was a length or a coding, with a body that was not the server's: "Content-Length : 2" cut it short, and "Transfer-Encoding : chunked" was obeyed. A line that goes on with the value of the one before was joined to it without the blank, and any byte after a CR ended the head.

Cause: as for the status. http_parser, as the distribution builds it, takes a blank for a character of a name, and its callbacks do not see where a line begins.

Fix: http_response_check reads header lines as well: names of token characters up to the colon, values without control characters, no folded lines (RFC 9112, 5). RFC 9112 lets a client replace a fold by blanks instead; no server may send one, so it is taken for what it is.

--- a/src/protocol/http_response_check.c
+++ b/src/protocol/http_response_check.c
@@ -29,7 +29,21 @@
 	return c >= '0' && c <= '9';
 }
 
-/* What a reason may have: all but control characters other than a tab. */
+static bool is_blank(char c)
+{
+	return c == ' ' || c == '\t';
+}
+
+/* RFC 9110, 5.6.2. */
+static bool is_token(char c)
+{
+	if (is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'))
+		return true;
+	return c && strchr("!#$%&'*+-.^_`|~", c);
+}
+
+/* What a value or reason may have: all but control characters other than a
+ * tab. */
 static bool is_text(char c)
 {
 	unsigned char byte = (unsigned char)c;
@@ -107,20 +121,42 @@
 	return enter(check, HTTP_RESPONSE_LINE_START);
 }
 
-static bool check_line(struct http_response_check *check, char c)
+static bool check_name(struct http_response_check *check, char c)
+{
+	if (c == ':')
+		return enter(check, HTTP_RESPONSE_VALUE);
+	return is_token(c) || refuse(check, HTTP_DEFECT_FIELD_NAME);
+}
+
+static bool check_value(struct http_response_check *check, char c)
 {
+	if (c == '\r')
+		return enter(check, HTTP_RESPONSE_LINE_LF);
 	if (c == '\n')
-		enter(check, HTTP_RESPONSE_LINE_START);
-	return true;
+		return enter(check, HTTP_RESPONSE_LINE_START);
+	return is_text(c) || refuse(check, HTTP_DEFECT_FIELD_VALUE);
+}
+
+static bool check_line_lf(struct http_response_check *check, char c)
+{
+	if (c != '\n')
+		return refuse(check, HTTP_DEFECT_FIELD_VALUE);
+	return enter(check, HTTP_RESPONSE_LINE_START);
 }
 
+/* A line that goes on with the value of the one before may not be sent (RFC
+ * 9112, 5.2). */
 static bool check_line_start(struct http_response_check *check, char c)
 {
 	if (c == '\r')
 		return enter(check, HTTP_RESPONSE_EMPTY_LINE_LF);
 	if (c == '\n')
 		return enter(check, HTTP_RESPONSE_AFTER_HEAD);
-	return enter(check, HTTP_RESPONSE_LINE);
+	if (is_blank(c))
+		return refuse(check, HTTP_DEFECT_FOLDED_LINE);
+	if (!is_token(c))
+		return refuse(check, HTTP_DEFECT_FIELD_NAME);
+	return enter(check, HTTP_RESPONSE_NAME);
 }
 
 static bool check_empty_line_lf(struct http_response_check *check, char c)
@@ -141,7 +177,9 @@
 	[HTTP_RESPONSE_REASON] = check_reason,
 	[HTTP_RESPONSE_STATUS_LINE_LF] = check_status_line_lf,
 	[HTTP_RESPONSE_LINE_START] = check_line_start,
-	[HTTP_RESPONSE_LINE] = check_line,
+	[HTTP_RESPONSE_NAME] = check_name,
+	[HTTP_RESPONSE_VALUE] = check_value,
+	[HTTP_RESPONSE_LINE_LF] = check_line_lf,
 	[HTTP_RESPONSE_EMPTY_LINE_LF] = check_empty_line_lf,
 };
 
--- a/src/protocol/http_response_check.h
+++ b/src/protocol/http_response_check.h
@@ -3,8 +3,8 @@
  * Checks that the bytes that a server sends are HTTP/1 responses (RFC 9112), in
  * front of a parser that is more lenient: what is no valid HTTP is no answer.
  *
- * It covers status lines, of interim responses as well. What else a response
- * may be is left to the parser.
+ * It covers status lines and header fields, of interim responses as well. What
+ * else a response may be is left to the parser.
  */
 #ifndef PROTOCOL_HTTP_RESPONSE_CHECK_H
 #define PROTOCOL_HTTP_RESPONSE_CHECK_H
@@ -19,7 +19,10 @@
 	HTTP_DEFECT_STATUS_LINE,
 	/** The status has not three digits, or is none that may be sent. */
 	HTTP_DEFECT_STATUS,
-	HTTP_DEFECT_FRAMING, /**< another one, found by the parser */
+	HTTP_DEFECT_FIELD_NAME,	 /**< not a token, or a blank follows it */
+	HTTP_DEFECT_FIELD_VALUE, /**< a control character */
+	HTTP_DEFECT_FOLDED_LINE, /**< it begins with a blank */
+	HTTP_DEFECT_FRAMING,	 /**< another one, found by the parser */
 };
 
 /** What the next byte belongs to. */
@@ -32,7 +35,9 @@
 	HTTP_RESPONSE_REASON,
 	HTTP_RESPONSE_STATUS_LINE_LF,
 	HTTP_RESPONSE_LINE_START,
-	HTTP_RESPONSE_LINE,
+	HTTP_RESPONSE_NAME,
+	HTTP_RESPONSE_VALUE,
+	HTTP_RESPONSE_LINE_LF,
 	HTTP_RESPONSE_EMPTY_LINE_LF,
 	HTTP_RESPONSE_AFTER_HEAD, /**< see http_response_check_feed() */
 	HTTP_RESPONSE_BODY,
--- a/tests/unit/test_edge_broken_answers.c
+++ b/tests/unit/test_edge_broken_answers.c
@@ -11,6 +11,7 @@
 	"Tamarackgw-Request-Id: broken-1\r\n" \
 	"Tamarackgw-Response-Stamp: by-raw\r\n"
 #define BODY "Content-Length: 4\r\n\r\nbody"
+#define SUCCESS "HTTP/1.1 200 OK\r\n" FIELDS
 #define STATUS_000 "HTTP/1.1 000 Broken\r\n" FIELDS
 
 static const char *const broken_answers[] = {
@@ -18,6 +19,9 @@
 	"HTTP/1.1 099 Broken\r\n" FIELDS BODY,
 	"HTTP/1.1 100 Continue\r\n\r\n" STATUS_000 BODY,
 	STATUS_000 "Tamarackgw-Not-Executed: 1\r\n" BODY,
+	SUCCESS "Bad Name: v\r\n" BODY,
+	SUCCESS "Content-Length : 2\r\n\r\nbody",
+	SUCCESS "Bad\x01Name: v\r\n" BODY,
 };
 
 #define BROKEN_ANSWERS \
