A body in a coding that hosts can't take off is no answer

A server that sent "Transfer-Encoding: gzip", "xchunked" or "chunked, identity" had its coded body passed on as if it were plain, up to the end of the connection, where it ends for certain only with chunks; HTTP/1.0 does not know the field at all, and "xchunked" was read so.

Cause: the same as for the status: http_parser reads a body whose last coding is not chunked until the connection ends, and the field itself ends at the host, so no caller could tell.

Fix: once a head is complete, and before its owner sees it, http_response_check_codings() allows "chunked" alone, in one field, of HTTP/1.1, and only if the parser takes it for chunked as well.

--- a/src/protocol/http_response_check.c
+++ b/src/protocol/http_response_check.c
@@ -2,12 +2,15 @@
 
 #include <assert.h>
 #include <string.h>
+#include <strings.h>
 
 #define STATUS_DIGITS 3
 #define STATUS_MIN 100
 #define STATUS_MAX 599
 #define STATUS_SWITCHING_PROTOCOLS 101
 
+#define TRANSFER_CODING "Transfer-Encoding"
+
 static const char version[] = "HTTP/1.";
 
 static bool refuse(struct http_response_check *check, enum http_defect defect)
@@ -64,6 +67,7 @@
 {
 	if (!is_digit(c))
 		return refuse(check, HTTP_DEFECT_STATUS_LINE);
+	check->is_http_1_0 = c == '0';
 	return enter(check, HTTP_RESPONSE_STATUS_BLANK);
 }
 
@@ -196,6 +200,30 @@
 	return valid;
 }
 
+/* @return whether a value is this word, maybe with blanks after it */
+static bool is_word(const char *value, const char *word)
+{
+	size_t size = strlen(word);
+
+	return !strncasecmp(value, word, size) &&
+	       !value[size + strspn(value + size, " \t")];
+}
+
+/* What has another coding can't be told from content, since its field ends at
+ * the host (RFC 9112, 6.1). */
+bool http_response_check_codings(struct http_response_check *check,
+				 const struct http_head *head, bool is_chunked)
+{
+	const char *coding = http_head_find(head, TRANSFER_CODING);
+
+	if (!coding)
+		return true;
+	if (is_chunked && !check->is_http_1_0 && is_word(coding, "chunked") &&
+	    http_head_count(head, TRANSFER_CODING) == 1)
+		return true;
+	return refuse(check, HTTP_DEFECT_TRANSFER_CODING);
+}
+
 void http_response_check_begin_body(struct http_response_check *check)
 {
 	assert(check->state == HTTP_RESPONSE_AFTER_HEAD);
--- a/src/protocol/http_response_check.h
+++ b/src/protocol/http_response_check.h
@@ -13,6 +13,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "protocol/http_head.h"
+
 /** What is wrong with a response. */
 enum http_defect {
 	HTTP_DEFECT_NONE,
@@ -22,7 +24,9 @@
 	HTTP_DEFECT_FIELD_NAME,	 /**< not a token, or a blank follows it */
 	HTTP_DEFECT_FIELD_VALUE, /**< a control character */
 	HTTP_DEFECT_FOLDED_LINE, /**< it begins with a blank */
-	HTTP_DEFECT_FRAMING,	 /**< another one, found by the parser */
+	/** A coding that hosts can't take off, or HTTP/1.0 does not know. */
+	HTTP_DEFECT_TRANSFER_CODING,
+	HTTP_DEFECT_FRAMING, /**< another one, found by the parser */
 };
 
 /** What the next byte belongs to. */
@@ -48,6 +52,7 @@
 	enum http_response_state state;
 	uint32_t count; /**< of characters in this state */
 	int status;	/**< of the present response */
+	bool is_http_1_0;
 	enum http_defect defect;
 };
 
@@ -58,6 +63,12 @@
 size_t http_response_check_feed(struct http_response_check *check,
 				const char *data, size_t size);
 
+/** Checks how the body is coded, once the fields of the head are known.
+ * @param is_chunked whether the parser will read it in chunks
+ * @return false for a defect */
+bool http_response_check_codings(struct http_response_check *check,
+				 const struct http_head *head, bool is_chunked);
+
 /** A body follows the head. */
 void http_response_check_begin_body(struct http_response_check *check);
 
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -142,6 +142,9 @@
 
 	conn->status = (int)parser->status_code;
 	conn->discarding = false;
+	if (!http_response_check_codings(&conn->check, &conn->head,
+					 parser->flags & F_CHUNKED))
+		return -1;
 	if (is_interim(conn))
 		return 0;
 	read_idle_limit(conn);
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -90,6 +90,9 @@
 #define LENGTH "Content-Length: 4\r\n\r\nbody"
 #define OK_LINE "HTTP/1.1 200 OK\r\n"
 
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define CHUNKS "4\r\nbody\r\n0\r\n\r\n"
+
 /* What is no valid HTTP although a lenient reader takes it. */
 static const struct {
 	const char *response;
@@ -134,6 +137,18 @@
 	{OK_LINE "Name: v\x01\r\n" LENGTH, HTTP_DEFECT_FIELD_VALUE},
 	{OK_LINE "Name: v\rw\r\n" LENGTH, HTTP_DEFECT_FIELD_VALUE},
 	{OK_LINE "Content-Length: 4\r\n\rXbody", HTTP_DEFECT_FRAMING},
+	{OK_LINE "Transfer-Encoding: gzip\r\n\r\nbody",
+	 HTTP_DEFECT_TRANSFER_CODING},
+	{OK_LINE "Transfer-Encoding: xchunked\r\n\r\n" CHUNKS,
+	 HTTP_DEFECT_TRANSFER_CODING},
+	{OK_LINE "Transfer-Encoding: gzip, chunked\r\n\r\n" CHUNKS,
+	 HTTP_DEFECT_TRANSFER_CODING},
+	{OK_LINE "Transfer-Encoding: chunked, identity\r\n\r\n" CHUNKS,
+	 HTTP_DEFECT_TRANSFER_CODING},
+	{OK_LINE "Transfer-Encoding: gzip\r\n" CHUNKED CHUNKS,
+	 HTTP_DEFECT_TRANSFER_CODING},
+	{OK_LINE "Transfer-Encoding:\r\n\r\nbody", HTTP_DEFECT_TRANSFER_CODING},
+	{"HTTP/1.0 200 OK\r\n" CHUNKED CHUNKS, HTTP_DEFECT_TRANSFER_CODING},
 	{"HTTP/1.1 103 Early\r\nBad Name: v\r\n\r\n" OK_LINE LENGTH,
 	 HTTP_DEFECT_FIELD_NAME},
 };
@@ -146,6 +161,7 @@
 	"HTTP/1.1 200 \r\n" LENGTH,
 	"HTTP/1.1 599 \xc3\xa4\t(odd) \r\n" LENGTH,
 	OK_LINE "!#$%&'*+-.^_`|~0aZ: \t a\tb \xff\"(,;=\t\r\nEmpty:\r\n" LENGTH,
+	OK_LINE "transfer-encoding: Chunked \r\n\r\n" CHUNKS,
 	"HTTP/1.0 404 Not Found\nContent-Length: 4\n\nbody",
 	"HTTP/1.1 199 Interim\r\n\r\nHTTP/1.1 100\r\nX-A: b\r\n\r\n" OK_LINE
 		LENGTH,
