Responses 1xx, 204 and 304 end with their heads

A server that sent "100 Continue" with a length and as many bytes had them delivered in front of its answer: the caller got 200 "evilbody" for "evil" and then 200 "body". A 304 with the length of what it does not send, which is valid, was waited for until the request's time was up.

Cause: on_headers_complete() told http_parser only for HEAD that no body follows; the parser goes by the length that the head announces, and on_body() handed an interim response's content to the owner.

Fix: no body is read after these statuses, whatever they announce (RFC 9112, 6.3). Bytes that follow an interim response are checked as the next head, bytes after a final one rule out the connection's reuse.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -26,6 +26,12 @@
 /* A server that announces a longer limit is taken to mean this one. */
 #define IDLE_LIMIT_MAX_S 86400
 
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
+/* Tells the parser that no body follows a head. */
+#define SKIP_BODY 1
+
 #define READ_SIZE_BYTES (64 * 1024)
 
 /* The loop has one thread, so one buffer serves all reads. */
@@ -118,6 +124,14 @@
 	return conn->status >= 100 && conn->status < 200;
 }
 
+/* Such a response ends with its head, whatever length it announces (RFC 9112,
+ * 6.3). */
+static bool has_no_body(const struct http_conn *conn)
+{
+	return conn->ignore_body || conn->status == STATUS_NO_CONTENT ||
+	       conn->status == STATUS_NOT_MODIFIED;
+}
+
 /* Reads the limit that a server announces for idle connections, at most
  * IDLE_LIMIT_MAX_S. */
 static void read_idle_limit(struct http_conn *conn)
@@ -146,13 +160,13 @@
 					 parser->flags & F_CHUNKED))
 		return -1;
 	if (is_interim(conn))
-		return 0;
+		return SKIP_BODY;
 	read_idle_limit(conn);
 	if (conn->events->head(conn) == HTTP_CONN_DISCARD)
 		conn->discarding = true;
 	if (conn->state == HTTP_CONN_CLOSING)
 		return -1;
-	return conn->ignore_body ? 1 : 0;
+	return has_no_body(conn) ? SKIP_BODY : 0;
 }
 
 static int on_body(http_parser *parser, const char *data, size_t size)
--- a/tests/unit/test_edge_broken_answers.c
+++ b/tests/unit/test_edge_broken_answers.c
@@ -22,6 +22,7 @@
 	SUCCESS "Bad Name: v\r\n" BODY,
 	SUCCESS "Content-Length : 2\r\n\r\nbody",
 	SUCCESS "Bad\x01Name: v\r\n" BODY,
+	"HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nevil" SUCCESS BODY,
 	SUCCESS "Transfer-Encoding: gzip\r\n\r\nbody",
 };
 
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -74,6 +74,20 @@
 	 "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
 	 "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nbody",
 	 KEEP_OPEN, RESULT_COMPLETE, 0, "body", true},
+	{"interim response that announces a body",
+	 "HTTP/1.1 102 Processing\r\nContent-Length: 45\r\n\r\n"
+	 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	 KEEP_OPEN, RESULT_COMPLETE, 0, "body", true},
+	{"interim response with a body",
+	 "HTTP/1.1 102 Processing\r\nContent-Length: 4\r\n\r\nnone"
+	 "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+	 KEEP_OPEN, RESULT_BROKEN, HTTP_CONN_MALFORMED, "", false},
+	{"no content, with a body",
+	 "HTTP/1.1 204 No Content\r\nContent-Length: 4\r\n\r\nbody", KEEP_OPEN,
+	 RESULT_COMPLETE, 0, "", false},
+	{"not modified, with the length of what is not sent",
+	 "HTTP/1.1 304 Not Modified\r\nContent-Length: 4\r\n\r\n", KEEP_OPEN,
+	 RESULT_COMPLETE, 0, "", true},
 	{"interim response",
 	 "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n"
 	 "Content-Length: 4\r\n\r\nbody",
@@ -349,8 +363,9 @@
 	 * none at least. */
 	ck_assert_int_le(idle_limit_us, DAY_US);
 	ck_assert_int_gt(idle_limit_us, -SECOND_US);
-	if (responses[_i].body && body.size)
-		ck_assert_str_eq(body.data, responses[_i].body);
+	if (responses[_i].body)
+		ck_assert_str_eq(body.size ? body.data : "",
+				 responses[_i].body);
 }
 END_TEST
 
