A body whose chunks or trailer are broken is no answer

A server that sent any two bytes in place of the line end after a chunk ("bodyXX"), any byte after the CR of a chunk's size or of the last line, or a line feed within a chunk's extension, had its body passed on as a whole one: chunks whose sizes are wrong by up to two bytes count as sound then. So did a trailer with a blank in a name or a folded line.

Cause: http_parser checks these ends only where it is built strict, which the distribution's is not.

Fix: http_response_check follows the chunks of a body (sizes, extensions, line ends; content is skipped at once) and checks a trailer as header lines. Where a stream's head had gone out, its caller is cut; others get 502, or the answer of another server.

--- a/src/protocol/http_response_check.c
+++ b/src/protocol/http_response_check.c
@@ -9,6 +9,8 @@
 #define STATUS_MAX 599
 #define STATUS_SWITCHING_PROTOCOLS 101
 
+/* Of a size of 64 bits. */
+#define CHUNK_SIZE_DIGITS_MAX 16
 #define TRANSFER_CODING "Transfer-Encoding"
 
 static const char version[] = "HTTP/1.";
@@ -45,8 +47,8 @@
 	return c && strchr("!#$%&'*+-.^_`|~", c);
 }
 
-/* What a value or reason may have: all but control characters other than a
- * tab. */
+/* What a value, reason or extension may have: all but control characters other
+ * than a tab. */
 static bool is_text(char c)
 {
 	unsigned char byte = (unsigned char)c;
@@ -148,6 +150,12 @@
 	return enter(check, HTTP_RESPONSE_LINE_START);
 }
 
+static bool end_fields(struct http_response_check *check)
+{
+	return enter(check, check->in_trailer ? HTTP_RESPONSE_AFTER_TRAILER
+					      : HTTP_RESPONSE_AFTER_HEAD);
+}
+
 /* A line that goes on with the value of the one before may not be sent (RFC
  * 9112, 5.2). */
 static bool check_line_start(struct http_response_check *check, char c)
@@ -155,7 +163,7 @@
 	if (c == '\r')
 		return enter(check, HTTP_RESPONSE_EMPTY_LINE_LF);
 	if (c == '\n')
-		return enter(check, HTTP_RESPONSE_AFTER_HEAD);
+		return end_fields(check);
 	if (is_blank(c))
 		return refuse(check, HTTP_DEFECT_FOLDED_LINE);
 	if (!is_token(c))
@@ -167,7 +175,68 @@
 {
 	if (c != '\n')
 		return refuse(check, HTTP_DEFECT_FRAMING);
-	return enter(check, HTTP_RESPONSE_AFTER_HEAD);
+	return end_fields(check);
+}
+
+/* @return the value of a hexadecimal digit, or -1 */
+static int hex_value(char c)
+{
+	if (is_digit(c))
+		return c - '0';
+	if (c >= 'a' && c <= 'f')
+		return c - 'a' + 10;
+	if (c >= 'A' && c <= 'F')
+		return c - 'A' + 10;
+	return -1;
+}
+
+static bool check_chunk_size(struct http_response_check *check, char c)
+{
+	int digit = hex_value(c);
+
+	if (digit >= 0 && check->count < CHUNK_SIZE_DIGITS_MAX) {
+		check->chunk_bytes = check->chunk_bytes * 16 + (uint64_t)digit;
+		check->count++;
+		return true;
+	}
+	if (digit >= 0 || !check->count)
+		return refuse(check, HTTP_DEFECT_CHUNK);
+	if (c == '\r')
+		return enter(check, HTTP_RESPONSE_CHUNK_SIZE_LF);
+	if (c == ';' || is_blank(c))
+		return enter(check, HTTP_RESPONSE_CHUNK_EXTENSION);
+	return refuse(check, HTTP_DEFECT_CHUNK);
+}
+
+static bool check_chunk_extension(struct http_response_check *check, char c)
+{
+	if (c == '\r')
+		return enter(check, HTTP_RESPONSE_CHUNK_SIZE_LF);
+	return is_text(c) || refuse(check, HTTP_DEFECT_CHUNK);
+}
+
+/* The last chunk is empty, and a trailer follows it. */
+static bool check_chunk_size_lf(struct http_response_check *check, char c)
+{
+	if (c != '\n')
+		return refuse(check, HTTP_DEFECT_CHUNK);
+	check->in_trailer = !check->chunk_bytes;
+	return enter(check, check->in_trailer ? HTTP_RESPONSE_LINE_START
+					      : HTTP_RESPONSE_CHUNK);
+}
+
+static bool check_chunk_cr(struct http_response_check *check, char c)
+{
+	if (c != '\r')
+		return refuse(check, HTTP_DEFECT_CHUNK);
+	return enter(check, HTTP_RESPONSE_CHUNK_LF);
+}
+
+static bool check_chunk_lf(struct http_response_check *check, char c)
+{
+	if (c != '\n')
+		return refuse(check, HTTP_DEFECT_CHUNK);
+	return enter(check, HTTP_RESPONSE_CHUNK_SIZE);
 }
 
 /* Each checks one byte in a state, and enters the next state.
@@ -185,8 +254,30 @@
 	[HTTP_RESPONSE_VALUE] = check_value,
 	[HTTP_RESPONSE_LINE_LF] = check_line_lf,
 	[HTTP_RESPONSE_EMPTY_LINE_LF] = check_empty_line_lf,
+	[HTTP_RESPONSE_CHUNK_SIZE] = check_chunk_size,
+	[HTTP_RESPONSE_CHUNK_EXTENSION] = check_chunk_extension,
+	[HTTP_RESPONSE_CHUNK_SIZE_LF] = check_chunk_size_lf,
+	[HTTP_RESPONSE_CHUNK_CR] = check_chunk_cr,
+	[HTTP_RESPONSE_CHUNK_LF] = check_chunk_lf,
 };
 
+/* @return how many of the bytes are content of the present chunk */
+static size_t skip_chunk(struct http_response_check *check, size_t size)
+{
+	size_t content = size < check->chunk_bytes ? size : check->chunk_bytes;
+
+	check->chunk_bytes -= content;
+	if (!check->chunk_bytes)
+		enter(check, HTTP_RESPONSE_CHUNK_CR);
+	return content;
+}
+
+static bool is_at_end(const struct http_response_check *check)
+{
+	return check->state == HTTP_RESPONSE_AFTER_HEAD ||
+	       check->state == HTTP_RESPONSE_AFTER_TRAILER;
+}
+
 size_t http_response_check_feed(struct http_response_check *check,
 				const char *data, size_t size)
 {
@@ -194,9 +285,14 @@
 
 	if (check->state == HTTP_RESPONSE_BODY)
 		return size;
-	while (valid < size && check->state != HTTP_RESPONSE_AFTER_HEAD &&
-	       checks[check->state](check, data[valid]))
-		valid++;
+	while (valid < size && !is_at_end(check)) {
+		if (check->state == HTTP_RESPONSE_CHUNK)
+			valid += skip_chunk(check, size - valid);
+		else if (checks[check->state](check, data[valid]))
+			valid++;
+		else
+			break;
+	}
 	return valid;
 }
 
@@ -224,13 +320,17 @@
 	return refuse(check, HTTP_DEFECT_TRANSFER_CODING);
 }
 
-void http_response_check_begin_body(struct http_response_check *check)
+void http_response_check_begin_body(struct http_response_check *check,
+				    bool is_chunked)
 {
 	assert(check->state == HTTP_RESPONSE_AFTER_HEAD);
-	enter(check, HTTP_RESPONSE_BODY);
+	check->chunk_bytes = 0;
+	enter(check,
+	      is_chunked ? HTTP_RESPONSE_CHUNK_SIZE : HTTP_RESPONSE_BODY);
 }
 
 void http_response_check_begin_head(struct http_response_check *check)
 {
+	check->in_trailer = false;
 	enter(check, HTTP_RESPONSE_VERSION);
 }
--- a/src/protocol/http_response_check.h
+++ b/src/protocol/http_response_check.h
@@ -3,8 +3,9 @@
  * Checks that the bytes that a server sends are HTTP/1 responses (RFC 9112), in
  * front of a parser that is more lenient: what is no valid HTTP is no answer.
  *
- * It covers status lines and header fields, of interim responses as well. What
- * else a response may be is left to the parser.
+ * It covers status lines and header fields, of interim responses as well, and
+ * the chunks and trailers of bodies. What a length may be is left to the
+ * parser.
  */
 #ifndef PROTOCOL_HTTP_RESPONSE_CHECK_H
 #define PROTOCOL_HTTP_RESPONSE_CHECK_H
@@ -26,6 +27,7 @@
 	HTTP_DEFECT_FOLDED_LINE, /**< it begins with a blank */
 	/** A coding that hosts can't take off, or HTTP/1.0 does not know. */
 	HTTP_DEFECT_TRANSFER_CODING,
+	HTTP_DEFECT_CHUNK,   /**< its size, or what follows it */
 	HTTP_DEFECT_FRAMING, /**< another one, found by the parser */
 };
 
@@ -44,7 +46,14 @@
 	HTTP_RESPONSE_LINE_LF,
 	HTTP_RESPONSE_EMPTY_LINE_LF,
 	HTTP_RESPONSE_AFTER_HEAD, /**< see http_response_check_feed() */
-	HTTP_RESPONSE_BODY,
+	HTTP_RESPONSE_BODY,	  /**< not in chunks: all of it is content */
+	HTTP_RESPONSE_CHUNK_SIZE,
+	HTTP_RESPONSE_CHUNK_EXTENSION,
+	HTTP_RESPONSE_CHUNK_SIZE_LF,
+	HTTP_RESPONSE_CHUNK,
+	HTTP_RESPONSE_CHUNK_CR,
+	HTTP_RESPONSE_CHUNK_LF,
+	HTTP_RESPONSE_AFTER_TRAILER,
 };
 
 /** The responses to one request; zeroed before their first byte. */
@@ -53,13 +62,16 @@
 	uint32_t count; /**< of characters in this state */
 	int status;	/**< of the present response */
 	bool is_http_1_0;
+	bool in_trailer;
+	uint64_t chunk_bytes; /**< of the present chunk, to come */
 	enum http_defect defect;
 };
 
 /** Checks the next bytes.
  * @return how many of them are valid. The check stops after a head: the owner
  * says by http_response_check_begin_body() or http_response_check_begin_head()
- * what follows. If it stops elsewhere, `defect` says why. */
+ * what follows. It stops after a trailer as well. If it stops elsewhere,
+ * `defect` says why. */
 size_t http_response_check_feed(struct http_response_check *check,
 				const char *data, size_t size);
 
@@ -70,7 +82,8 @@
 				 const struct http_head *head, bool is_chunked);
 
 /** A body follows the head. */
-void http_response_check_begin_body(struct http_response_check *check);
+void http_response_check_begin_body(struct http_response_check *check,
+				    bool is_chunked);
 
 /** The head of another response to the request follows. */
 void http_response_check_begin_head(struct http_response_check *check);
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -234,7 +234,8 @@
 	if (error != HPE_OK || conn->parser.upgrade)
 		return false;
 	if (conn->check.state == HTTP_RESPONSE_AFTER_HEAD)
-		http_response_check_begin_body(&conn->check);
+		http_response_check_begin_body(&conn->check,
+					       conn->parser.flags & F_CHUNKED);
 	return true;
 }
 
@@ -245,7 +246,8 @@
 	fail(conn, HTTP_CONN_MALFORMED);
 }
 
-/* The parser gets a head, or the rest of the bytes, once it is checked. */
+/* The parser gets what is checked: the bytes up to the end of a head, of a
+ * trailer, or of the input. */
 static void parse(struct http_conn *conn, const char *data, size_t size)
 {
 	while (size) {
--- a/tests/unit/test_edge_broken_answers.c
+++ b/tests/unit/test_edge_broken_answers.c
@@ -11,6 +11,7 @@
 	"Tamarackgw-Request-Id: broken-1\r\n" \
 	"Tamarackgw-Response-Stamp: by-raw\r\n"
 #define BODY "Content-Length: 4\r\n\r\nbody"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define SUCCESS "HTTP/1.1 200 OK\r\n" FIELDS
 #define STATUS_000 "HTTP/1.1 000 Broken\r\n" FIELDS
 
@@ -29,6 +30,14 @@
 #define BROKEN_ANSWERS \
 	((int)(sizeof(broken_answers) / sizeof(broken_answers[0])))
 
+/* Valid up to a place in the body. */
+static const char *const broken_bodies[] = {
+	SUCCESS CHUNKED "4\r\nbodyXX0\r\n\r\n",
+	SUCCESS CHUNKED "4\r\nbody\r\n0\r\nBad Name: v\r\n\r\n",
+};
+
+#define BROKEN_BODIES ((int)(sizeof(broken_bodies) / sizeof(broken_bodies[0])))
+
 static const char *const routes[] = {"unsafe", "safe", "stream", "resume"};
 
 #define ROUTES ((int)(sizeof(routes) / sizeof(routes[0])))
@@ -141,6 +150,24 @@
 }
 END_TEST
 
+/* The head of a stream has gone to its caller by then. */
+START_TEST(an_answer_with_a_broken_body_is_refused_or_cut)
+{
+	const char *route = routes[_i / BROKEN_BODIES];
+	const char *answer;
+
+	start_raw_server(broken_bodies[_i % BROKEN_BODIES], 0);
+	list_raw_server();
+	answer = answer_to(route);
+	ck_assert_uint_ge(raw.requests, 1);
+	if (!has(route, "stream") && !has(route, "resume"))
+		ck_assert(!strncmp(answer, "HTTP/1.1 502 ", 13));
+	ck_assert(!strncmp(answer, "HTTP/1.1 502 ", 13) ||
+		  !has(answer, "\r\n0\r\n"));
+	ck_assert(!has(answer, "Retry-After"));
+}
+END_TEST
+
 START_TEST(an_idempotent_request_goes_to_another_server)
 {
 	start_raw_server(broken_answers[0], 1);
@@ -214,6 +241,9 @@
 	tcase_set_timeout(tcase, 30);
 	tcase_add_loop_test(tcase, an_answer_that_is_no_valid_http_is_no_answer,
 			    0, BROKEN_ANSWERS * ROUTES);
+	tcase_add_loop_test(tcase,
+			    an_answer_with_a_broken_body_is_refused_or_cut, 0,
+			    BROKEN_BODIES * ROUTES);
 	tcase_add_test(tcase, an_idempotent_request_goes_to_another_server);
 	tcase_add_test(tcase,
 		       a_stream_that_another_server_does_not_go_on_with_is_cut);
