Fields of a trailer are no header fields

The field of a trailer was taken for one of the head: of the store's answers the era is read once the body is complete, so a trailer could name the era that a head did not name, and a second one in the trailer made a named one unreadable.

Cause: http_parser reports both by the same callbacks, which added both to the response's head.

Fix: fields of a trailer are checked, and dropped (RFC 9110, 6.5.1): no host looks for any, and none were passed on.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -99,13 +99,16 @@
 	return 0;
 }
 
+/* Fields of a trailer are no header fields (RFC 9110, 6.5.1), and are dropped:
+ * no host looks for any. */
 static int on_header_field(http_parser *parser, const char *data, size_t size)
 {
 	struct http_conn *conn = parser->data;
 
 	if (conn->head.text.size + size > HEAD_MAX_BYTES)
 		return 1;
-	http_head_add_name(&conn->head, data, size);
+	if (!conn->check.in_trailer)
+		http_head_add_name(&conn->head, data, size);
 	return 0;
 }
 
@@ -115,7 +118,8 @@
 
 	if (conn->head.text.size + size > HEAD_MAX_BYTES)
 		return 1;
-	http_head_add_value(&conn->head, data, size);
+	if (!conn->check.in_trailer)
+		http_head_add_value(&conn->head, data, size);
 	return 0;
 }
 
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -105,6 +105,7 @@
 #define OK_LINE "HTTP/1.1 200 OK\r\n"
 
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define TRAILER "X-Trailer: v\r\n"
 #define CHUNKS "4\r\nbody\r\n0\r\n\r\n"
 
 /* What is no valid HTTP although a lenient reader takes it. */
@@ -188,8 +189,8 @@
 	"HTTP/1.1 599 \xc3\xa4\t(odd) \r\n" LENGTH,
 	OK_LINE "!#$%&'*+-.^_`|~0aZ: \t a\tb \xff\"(,;=\t\r\nEmpty:\r\n" LENGTH,
 	OK_LINE "transfer-encoding: Chunked \r\n\r\n" CHUNKS,
-	OK_LINE CHUNKED "1;a=\"b c\";d\r\nb\r\n003 ;e\r\nody\r\n000\r\n"
-			"X-Id: v\r\nEmpty:\r\n\r\n",
+	OK_LINE CHUNKED "1;a=\"b c\";d\r\nb\r\n003 ;e\r\nody\r\n000\r\n" TRAILER
+			"Empty:\r\n\r\n",
 	"HTTP/1.0 404 Not Found\nContent-Length: 4\n\nbody",
 	"HTTP/1.1 199 Interim\r\n\r\nHTTP/1.1 100\r\nX-A: b\r\n\r\n" OK_LINE
 		LENGTH,
@@ -279,6 +280,7 @@
 static void on_complete(struct http_conn *conn)
 {
 	result = RESULT_COMPLETE;
+	ck_assert_ptr_null(http_head_find(&conn->head, "X-Trailer"));
 	reusable = conn->reusable;
 	idle_limit_us = conn->idle_limit_us;
 	http_conn_close(conn);
