Interim responses without end are left

A server that sent one interim response after the other kept the host reading until the request's deadline; only what one head may have was limited, to 64 kB of its fields by http_conn and 80 kB in all by http_parser.

Fix: http_response_check counts the lines of all responses to a request together, interim ones included, and refuses more than 64 kB. The same limit holds for the extension of a chunk and for a trailer, and replaces the one in http_conn's callbacks, so that each of these ends with a defect that names it.

Evidence: of seven answers without end in test_http_conn the interim responses were waited for until the test's time was up, and the parser ended five by its own limit, without a name for the defect; the seventh, digits of a chunk's size, was refused before.

--- a/src/protocol/http_response_check.c
+++ b/src/protocol/http_response_check.c
@@ -232,11 +232,18 @@
 	return enter(check, HTTP_RESPONSE_CHUNK_LF);
 }
 
+static bool begin_chunk(struct http_response_check *check)
+{
+	check->chunk_bytes = 0;
+	check->line_bytes = 0;
+	return enter(check, HTTP_RESPONSE_CHUNK_SIZE);
+}
+
 static bool check_chunk_lf(struct http_response_check *check, char c)
 {
 	if (c != '\n')
 		return refuse(check, HTTP_DEFECT_CHUNK);
-	return enter(check, HTTP_RESPONSE_CHUNK_SIZE);
+	return begin_chunk(check);
 }
 
 /* Each checks one byte in a state, and enters the next state.
@@ -278,6 +285,20 @@
 	       check->state == HTTP_RESPONSE_AFTER_TRAILER;
 }
 
+static bool counts_bytes(enum http_response_state state)
+{
+	return state < HTTP_RESPONSE_AFTER_HEAD ||
+	       state == HTTP_RESPONSE_CHUNK_EXTENSION;
+}
+
+static bool check_byte(struct http_response_check *check, char c)
+{
+	if (counts_bytes(check->state) &&
+	    ++check->line_bytes > HTTP_RESPONSE_LINES_MAX_BYTES)
+		return refuse(check, HTTP_DEFECT_TOO_LONG);
+	return checks[check->state](check, c);
+}
+
 size_t http_response_check_feed(struct http_response_check *check,
 				const char *data, size_t size)
 {
@@ -288,7 +309,7 @@
 	while (valid < size && !is_at_end(check)) {
 		if (check->state == HTTP_RESPONSE_CHUNK)
 			valid += skip_chunk(check, size - valid);
-		else if (checks[check->state](check, data[valid]))
+		else if (check_byte(check, data[valid]))
 			valid++;
 		else
 			break;
--- a/src/protocol/http_response_check.h
+++ b/src/protocol/http_response_check.h
@@ -27,8 +27,9 @@
 	HTTP_DEFECT_FOLDED_LINE, /**< it begins with a blank */
 	/** A coding that hosts can't take off, or HTTP/1.0 does not know. */
 	HTTP_DEFECT_TRANSFER_CODING,
-	HTTP_DEFECT_CHUNK,   /**< its size, or what follows it */
-	HTTP_DEFECT_FRAMING, /**< another one, found by the parser */
+	HTTP_DEFECT_CHUNK,    /**< its size, or what follows it */
+	HTTP_DEFECT_TOO_LONG, /**< see HTTP_RESPONSE_LINES_MAX_BYTES */
+	HTTP_DEFECT_FRAMING,  /**< another one, found by the parser */
 };
 
 /** What the next byte belongs to. */
@@ -56,6 +57,11 @@
 	HTTP_RESPONSE_AFTER_TRAILER,
 };
 
+/** The heads of all responses to one request, interim ones included, have
+ * together at most so many bytes. So have the extension of one chunk, and a
+ * trailer. */
+#define HTTP_RESPONSE_LINES_MAX_BYTES (64 * 1024)
+
 /** The responses to one request; zeroed before their first byte. */
 struct http_response_check {
 	enum http_response_state state;
@@ -63,6 +69,7 @@
 	int status;	/**< of the present response */
 	bool is_http_1_0;
 	bool in_trailer;
+	uint32_t line_bytes;  /**< see HTTP_RESPONSE_LINES_MAX_BYTES */
 	uint64_t chunk_bytes; /**< of the present chunk, to come */
 	enum http_defect defect;
 };
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -17,8 +17,6 @@
 #define CLOSED_UNACKED_TIMEOUT_MS 4000
 /* A reset that follows a clean end of the stream arrives within this time. */
 #define RESET_WAIT_MS 2
-/* Maximum size of a response's header fields. */
-#define HEAD_MAX_BYTES (64 * 1024)
 /* An idle connection is not reused when less than this is left of its server's
  * idle limit. */
 #define IDLE_MARGIN_US (700 * TGW_US_PER_MS)
@@ -105,8 +103,6 @@
 {
 	struct http_conn *conn = parser->data;
 
-	if (conn->head.text.size + size > HEAD_MAX_BYTES)
-		return 1;
 	if (!conn->check.in_trailer)
 		http_head_add_name(&conn->head, data, size);
 	return 0;
@@ -116,8 +112,6 @@
 {
 	struct http_conn *conn = parser->data;
 
-	if (conn->head.text.size + size > HEAD_MAX_BYTES)
-		return 1;
 	if (!conn->check.in_trailer)
 		http_head_add_value(&conn->head, data, size);
 	return 0;
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -400,6 +400,36 @@
 }
 END_TEST
 
+/* What is valid HTTP, but does not end. */
+static const struct {
+	const char *start;
+	const char *filler;
+	enum http_defect defect;
+} endless[] = {
+	{"", "HTTP/1.1 100 Continue\r\n\r\n", HTTP_DEFECT_TOO_LONG},
+	{"HTTP/1.1 200 ", "OK", HTTP_DEFECT_TOO_LONG},
+	{OK_LINE, "Name: v\r\n", HTTP_DEFECT_TOO_LONG},
+	{OK_LINE "Name: v", "v", HTTP_DEFECT_TOO_LONG},
+	{OK_LINE CHUNKED "1;", "a=b;", HTTP_DEFECT_TOO_LONG},
+	{OK_LINE CHUNKED "0\r\n", "Name: v\r\n", HTTP_DEFECT_TOO_LONG},
+	{OK_LINE CHUNKED, "0", HTTP_DEFECT_CHUNK},
+};
+
+START_TEST(what_does_not_end_is_left)
+{
+	struct buffer response = {0};
+
+	buffer_add_text(&response, endless[_i].start);
+	while (response.size < 4 * HTTP_RESPONSE_LINES_MAX_BYTES)
+		buffer_add_text(&response, endless[_i].filler);
+	exchange(response.data, KEEP_OPEN, false);
+	ck_assert_msg(result == RESULT_BROKEN, "%s", endless[_i].filler);
+	ck_assert_int_eq(fault, HTTP_CONN_MALFORMED);
+	ck_assert_int_eq(defect, endless[_i].defect);
+	buffer_free(&response);
+}
+END_TEST
+
 START_TEST(what_is_valid_http_is_a_response)
 {
 	const char *response = unusual[_i % UNUSUAL];
@@ -622,6 +652,8 @@
 			    sizeof(responses) / sizeof(responses[0]));
 	tcase_add_loop_test(tcase, what_is_no_valid_http_is_no_response, 0,
 			    2 * MALFORMED);
+	tcase_add_loop_test(tcase, what_does_not_end_is_left, 0,
+			    sizeof(endless) / sizeof(endless[0]));
 	tcase_add_loop_test(tcase, what_is_valid_http_is_a_response, 0,
 			    2 * UNUSUAL);
 	tcase_add_test(tcase,
