A request whose answer is no valid HTTP is not sent again by itself

loop_client, which tamarackgwd sends with, sent an idempotent request a second time to the same server, on a new connection and beside its count of attempts, when the answer on a kept connection was no valid HTTP.

Cause: it resends what a server may not have got, since it closes kept connections; a malformed answer was reported by the same event before any head, and counted as such a close.

Fix: a server that answered has got the request: the exchange is broken, and its owner decides what the request may become.

--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -203,13 +203,21 @@
 
 static void begin(struct http_exchange *exchange);
 
+/* A server may close a kept connection while a request is on its way to it. One
+ * that answered, even if it was no HTTP, has got the request. */
+static bool may_resend(const struct http_exchange *exchange,
+		       const struct http_conn *conn, enum http_conn_fault fault)
+{
+	return exchange->may_resend && conn->has_responded &&
+	       !exchange->has_response && fault != HTTP_CONN_MALFORMED;
+}
+
 static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
 {
 	struct http_exchange *exchange = conn->arg;
-	bool was_reused = conn->has_responded;
 
 	exchange->conn = NULL;
-	if (exchange->may_resend && was_reused && !exchange->has_response) {
+	if (may_resend(exchange, conn, fault)) {
 		exchange->may_resend = false;
 		exchange->fresh_connection = true;
 		begin(exchange);
--- a/tests/unit/test_loop_client.c
+++ b/tests/unit/test_loop_client.c
@@ -17,8 +17,8 @@
 #define PAUSES 3
 
 /* A server that handles each request as its path says: /whole is served, /short
- * truncated, /silent left incomplete, /die not served, and /once served only as
- * the first request of a test. */
+ * truncated, /silent left incomplete, /die not served, /once served only as the
+ * first request of a test, and /odd answered by what is no HTTP after it. */
 struct server {
 	int listener;
 	uint16_t port;
@@ -69,6 +69,11 @@
 			  "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
 	if (strstr(request, "/once") && earlier_requests == 0)
 		send_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	if (strstr(request, "/odd"))
+		send_text(fd, earlier_requests ? "HTTP/1.1 000 Odd\r\n"
+						 "Content-Length: 0\r\n\r\n"
+					       : "HTTP/1.1 200 OK\r\n"
+						 "Content-Length: 0\r\n\r\n");
 	if (strstr(request, "/once"))
 		return earlier_requests == 0;
 	return !strstr(request, "/short") && !strstr(request, "/die") &&
@@ -256,6 +261,17 @@
 }
 END_TEST
 
+/* Its server has got it, and may have run it. */
+START_TEST(a_request_whose_answer_is_no_http_is_not_resent)
+{
+	struct http_request request = {.may_resend = true};
+
+	ck_assert_int_eq(run("/odd", &request), HTTP_COMPLETE);
+	ck_assert_int_eq(run("/odd", &request), HTTP_BROKEN);
+	ck_assert_int_eq(atomic_load(&server.requests), 2);
+}
+END_TEST
+
 START_TEST(a_response_that_ends_with_its_connection_needs_a_living_server)
 {
 	struct http_request request = {0};
@@ -325,6 +341,7 @@
 	tcase_add_test(tcase, a_refused_connection_means_that_nothing_was_sent);
 	tcase_add_test(tcase, a_request_is_not_resent_by_default);
 	tcase_add_test(tcase, a_repeatable_request_is_resent);
+	tcase_add_test(tcase, a_request_whose_answer_is_no_http_is_not_resent);
 	tcase_add_test(
 		tcase,
 		a_response_that_ends_with_its_connection_needs_a_living_server);
