Say what was wrong with an answer that is no valid HTTP

A caller's 502, and the log, said "the answer can't be read"; of an answer of the store nothing was said, and tamarackgwd logged a number.

Names that leave the process stay.

--- a/src/daemon/backend_exchange.c
+++ b/src/daemon/backend_exchange.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include "base/xalloc.h"
+#include "daemon/log.h"
 
 struct backend_exchange {
 	const struct backend_exchange_ops *ops;
@@ -10,6 +11,7 @@
 	struct http_sender *sender;
 	struct executor *coordination;
 	struct http_exchange *http; /* NULL after the end */
+	char *url;
 	enum http_outcome outcome;
 };
 
@@ -40,6 +42,7 @@
 	struct backend_exchange *exchange = arg;
 
 	exchange->ops->ended(exchange->arg, exchange->outcome);
+	free(exchange->url);
 	free(exchange);
 }
 
@@ -47,6 +50,10 @@
 {
 	struct backend_exchange *exchange = arg;
 
+	if (outcome == HTTP_BROKEN)
+		log_line(LOG_BACKEND, LOG_INFO, NULL,
+			 "The exchange of %s broke: %s.", exchange->url,
+			 message);
 	if (exchange->ops->closing)
 		exchange->ops->closing(exchange->arg);
 	exchange->http = NULL;
@@ -69,6 +76,7 @@
 	exchange->arg = arg;
 	exchange->sender = sender;
 	exchange->coordination = coordination;
+	exchange->url = xstrdup(request->url);
 	exchange->http = http_start(sender, request, handler);
 	return exchange;
 }
--- a/src/edge/call_answer.c
+++ b/src/edge/call_answer.c
@@ -326,6 +326,14 @@
 	finish(attempt);
 }
 
+/* What is no valid HTTP is no answer, but its server may have run the request.
+ */
+static void fail_invalid(struct call_attempt *attempt, enum http_defect defect)
+{
+	attempt->call->edge->counters.invalid_answers[defect]++;
+	call_attempt_failed(attempt, BACKEND_BROKEN, http_defect_text(defect));
+}
+
 static void on_broken(struct http_conn *conn, enum http_conn_fault fault)
 {
 	struct call_attempt *attempt = conn->arg;
@@ -334,8 +342,7 @@
 		call_attempt_failed(attempt, BACKEND_UNREACHABLE,
 				    "the server can't be reached");
 	else if (fault == HTTP_CONN_MALFORMED)
-		call_attempt_failed(attempt, BACKEND_BROKEN,
-				    "the answer can't be read");
+		fail_invalid(attempt, conn->check.defect);
 	else
 		call_attempt_failed(attempt, BACKEND_BROKEN,
 				    "the server broke the connection off");
--- a/src/edge/edge.h
+++ b/src/edge/edge.h
@@ -21,6 +21,7 @@
 #include "edge/edge_log.h"
 #include "edge/edge_peers.h"
 #include "edge/edge_settings.h"
+#include "protocol/http_response_check.h"
 #include "state/backend_table.h"
 #include "state/connection_room.h"
 #include "state/held_bytes.h"
@@ -79,6 +80,8 @@
 	uint64_t own_delay_connects;
 	/** Attempts that were ended since an event did not end. */
 	uint64_t events_without_end;
+	/** Answers of servers that were no valid HTTP. */
+	uint64_t invalid_answers[HTTP_DEFECTS];
 	uint64_t memory_refused; /* no room for their bodies */
 	uint64_t caller_left;
 	uint64_t caller_closes[SERVER_CLOSE_REASONS];
--- a/src/edge/edge_pages.c
+++ b/src/edge/edge_pages.c
@@ -44,6 +44,18 @@
 				  (unsigned long long)counts[i]);
 }
 
+static void add_invalid_answers(struct buffer *text, const uint64_t *counts)
+{
+	buffer_add_text(text,
+			"# TYPE tamarackgw_invalid_answers_total counter\n");
+	for (enum http_defect i = HTTP_DEFECT_NONE + 1; i < HTTP_DEFECTS; i++)
+		buffer_add_format(text,
+				  "tamarackgw_invalid_answers_total"
+				  "{defect=\"%s\"} %llu\n",
+				  http_defect_name(i),
+				  (unsigned long long)counts[i]);
+}
+
 static void add_caller_closes(struct buffer *text, const uint64_t *counts)
 {
 	buffer_add_text(text,
@@ -197,6 +209,7 @@
 	add_counter(text, "retries_total", counters->retries);
 	add_counter(text, "resumed_total", counters->resumed);
 	add_failed_attempts(text, counters->failed_attempts);
+	add_invalid_answers(text, counters->invalid_answers);
 	add_caller_closes(text, counters->caller_closes);
 	add_counter(text, "unread_closes_total", counters->unread_closes);
 	add_counter(text, "budget_refused_total", counters->budget_refused);
--- a/src/protocol/http_response_check.c
+++ b/src/protocol/http_response_check.c
@@ -15,6 +15,49 @@
 
 static const char version[] = "HTTP/1.";
 
+#define INVALID "the answer is no valid HTTP: "
+
+static const struct {
+	const char *name;
+	const char *text;
+} defects[HTTP_DEFECTS] = {
+	[HTTP_DEFECT_NONE] = {"none", "the answer is valid HTTP"},
+	[HTTP_DEFECT_STATUS_LINE] = {"status_line",
+				     INVALID "its status line can't be read"},
+	[HTTP_DEFECT_STATUS] = {"status", INVALID "its status is none from 100 "
+						  "to 599 that may be sent"},
+	[HTTP_DEFECT_FIELD_NAME] = {"field_name",
+				    INVALID "the name of a field has a blank "
+					    "or another byte that none has"},
+	[HTTP_DEFECT_FIELD_VALUE] = {"field_value",
+				     INVALID "the value of a field has a "
+					     "control character"},
+	[HTTP_DEFECT_FOLDED_LINE] = {"folded_line",
+				     INVALID "a line of a field begins with a "
+					     "blank"},
+	[HTTP_DEFECT_TRANSFER_CODING] = {"transfer_coding",
+					 INVALID "its transfer coding is not "
+						 "chunked alone"},
+	[HTTP_DEFECT_CHUNK] = {"chunk",
+			       INVALID "a chunk has no valid size or end"},
+	[HTTP_DEFECT_TOO_LONG] = {"too_long",
+				  INVALID "its heads, a trailer or a chunk "
+					  "extension have over 64 KB"},
+	[HTTP_DEFECT_FRAMING] = {"framing",
+				 INVALID "its length, or the end of its "
+					 "fields, can't be read"},
+};
+
+const char *http_defect_name(enum http_defect defect)
+{
+	return defects[defect].name;
+}
+
+const char *http_defect_text(enum http_defect defect)
+{
+	return defects[defect].text;
+}
+
 static bool refuse(struct http_response_check *check, enum http_defect defect)
 {
 	check->defect = defect;
--- a/src/protocol/http_response_check.h
+++ b/src/protocol/http_response_check.h
@@ -30,8 +30,16 @@
 	HTTP_DEFECT_CHUNK,    /**< its size, or what follows it */
 	HTTP_DEFECT_TOO_LONG, /**< see HTTP_RESPONSE_LINES_MAX_BYTES */
 	HTTP_DEFECT_FRAMING,  /**< another one, found by the parser */
+	HTTP_DEFECTS
 };
 
+/** @return the name of the defect in metrics */
+const char *http_defect_name(enum http_defect defect);
+
+/** @return what is wrong with such an answer, for logs and callers; a static
+ * text without quotation marks */
+const char *http_defect_text(enum http_defect defect);
+
 /** What the next byte belongs to. */
 enum http_response_state {
 	HTTP_RESPONSE_VERSION,
--- a/src/transport/loop_client.c
+++ b/src/transport/loop_client.c
@@ -226,7 +226,7 @@
 		    "could not connect to the server");
 	} else if (fault == HTTP_CONN_MALFORMED) {
 		end(exchange, HTTP_BROKEN,
-		    "the server sent an invalid HTTP response");
+		    http_defect_text(conn->check.defect));
 	} else {
 		end(exchange, HTTP_BROKEN,
 		    "the server closed the connection before the "
--- a/tests/unit/test_edge_broken_answers.c
+++ b/tests/unit/test_edge_broken_answers.c
@@ -143,8 +143,10 @@
 	ck_assert(!has(answer, "Retry-After"));
 	ck_assert(!has(answer, "Not-Executed"));
 	/* A request that runs at most once is sent to no other server. */
-	if (!strcmp(route, "unsafe") || !strcmp(route, "stream"))
+	if (!strcmp(route, "unsafe") || !strcmp(route, "stream")) {
 		ck_assert_uint_eq(raw.requests, 1);
+		ck_assert(has(answer, "the answer is no valid HTTP"));
+	}
 	edge_rig_run(&rig, 20);
 	ck_assert_uint_eq(raw.closed, raw.accepted);
 }
@@ -229,6 +231,8 @@
 	/* It is a failure of the server, as a reset is. */
 	ck_assert_uint_eq(edge->counters.failed_attempts[BACKEND_BROKEN], 1);
 	ck_assert(backend->failure_rate > 0);
+	ck_assert_uint_eq(edge->counters.invalid_answers[HTTP_DEFECT_STATUS],
+			  1);
 }
 END_TEST
 
--- a/tests/unit/test_gateway_services.c
+++ b/tests/unit/test_gateway_services.c
@@ -96,6 +96,18 @@
 }
 END_TEST
 
+/* A status of 0 is none, and the service may have run the call. */
+START_TEST(a_call_whose_answer_is_no_valid_http_is_never_resent)
+{
+	service->script.service_status = _i ? 600 : 0;
+	ck_assert_int_eq(book(KEY_HEADER, "{}"), 502);
+	ck_assert(has("outcome-unknown"));
+	ck_assert(has("\"not_run\":\"unknown\""));
+	ck_assert_int_eq(service->service_runs, 1);
+	ck_assert_int_eq(fake_agents.last_claim_outcome, TGW_CLAIM_NO_RESPONSE);
+}
+END_TEST
+
 START_TEST(a_repeatable_call_is_retried)
 {
 	service->script.service_closes = true;
@@ -263,6 +275,9 @@
 	tcase_add_checked_fixture(tcase, setup, teardown);
 	tcase_add_loop_test(tcase, a_claim_decides_whether_the_call_runs, 0,
 			    (int)(sizeof(claims) / sizeof(claims[0])));
+	tcase_add_loop_test(
+		tcase, a_call_whose_answer_is_no_valid_http_is_never_resent, 0,
+		2);
 	tcase_add_test(tcase, a_call_whose_response_is_lost_is_never_resent);
 	tcase_add_test(tcase, a_repeatable_call_is_retried);
 	tcase_add_test(tcase,
--- a/tests/unit/test_gateway_streams.c
+++ b/tests/unit/test_gateway_streams.c
@@ -259,6 +259,8 @@
 	{503, 200, COMPLETE_TEXT, 1},
 	{500, 200, COMPLETE_TEXT, 1},
 	{429, 200, COMPLETE_TEXT, 1},
+	/* No valid HTTP. */
+	{600, 200, COMPLETE_TEXT, 1},
 	{400, 502, "backend-refused", 0},
 };
 
--- a/tests/unit/test_platform_call.c
+++ b/tests/unit/test_platform_call.c
@@ -1,4 +1,4 @@
-/* Tests calls to a store that sends a response without end. */
+/* Tests calls to a store whose responses do not end, or are no valid HTTP. */
 #include "platform_call.h"
 
 #include <arpa/inet.h>
@@ -117,6 +117,54 @@
 }
 END_TEST
 
+/* The store's era is not read from what is no answer. */
+static void *answer_invalid(void *arg)
+{
+	static const char answer[] = "HTTP/1.1 000 Odd\r\n"
+				     "Store-Era: 7\r\n"
+				     "Content-Length: 2\r\n\r\n{}";
+	char input[512];
+	int fd = accept(listener, NULL, NULL);
+
+	if (fd < 0)
+		return NULL;
+	if (recv(fd, input, sizeof(input), 0) > 0)
+		send(fd, answer, strlen(answer), MSG_NOSIGNAL);
+	recv(fd, input, sizeof(input), 0);
+	close(fd);
+	return NULL;
+}
+
+static const char *ignored_for;
+
+static void on_answer_ignored(void *arg, const char *era_text,
+			      const char *reason)
+{
+	ignored_for = reason;
+}
+
+START_TEST(an_answer_that_is_no_valid_http_is_ignored)
+{
+	struct platform_reply_callback callback = {.done = on_done};
+	pthread_t server;
+
+	calls_ended = 0;
+	ignored_for = "";
+	client.answer_ignored = on_answer_ignored;
+	pthread_create(&server, NULL, answer_invalid, NULL);
+	platform_call(&client, "POST", "/kv-txn", NULL, CALL_TIMEOUT_MS,
+		      callback);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	ck_assert_uint_eq(calls_ended, 1);
+	/* The store may have done what it was told. */
+	ck_assert_int_eq(status, TGW_UNKNOWN);
+	ck_assert(!client.answered);
+	ck_assert(strstr(ignored_for, "the answer is no valid HTTP"));
+	uv_run(&loop, UV_RUN_NOWAIT);
+	pthread_join(server, NULL);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("platform_call");
@@ -126,6 +174,7 @@
 	tcase_set_timeout(tcase, 30);
 	tcase_add_loop_test(tcase, a_call_ends_although_its_response_does_not,
 			    0, sizeof(heads) / sizeof(heads[0]));
+	tcase_add_test(tcase, an_answer_that_is_no_valid_http_is_ignored);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
