Test answers that are reset while their upload is being written

For a reset by itself it does not, and nothing is changed for it: 50 cases of a reset at once, later, with or without reading on, by a close with unread bytes, and right after an end of the stream; before the head, within it, after it and after a part of the body; HTTP/1.0; uploads that fit into the buffers of the kernels and that do not; and five more on a kept connection.

--- a/tests/fakes/raw_server.c
+++ b/tests/fakes/raw_server.c
@@ -16,6 +16,7 @@
 	struct raw_conn *previous;
 	struct raw_conn *next;
 	struct buffer request;
+	bool has_answered;
 	bool has_ended; /* its own stream */
 };
 
@@ -81,6 +82,8 @@
 				     (unsigned int)strlen(server->answer));
 
 	server->requests++;
+	server->kept_requests += conn->has_answered;
+	conn->has_answered = true;
 	uv_try_write((uv_stream_t *)&conn->tcp, &bytes, 1);
 	if (!server->reads_on && server->end != RAW_SERVER_STAYS_OPEN)
 		uv_read_stop((uv_stream_t *)&conn->tcp);
--- a/tests/fakes/raw_server.h
+++ b/tests/fakes/raw_server.h
@@ -34,6 +34,8 @@
 	/** Reads what follows the head of a request as well. */
 	bool reads_on;
 	unsigned int requests; /**< heads received */
+	/** Of them, those on a connection that has carried one before. */
+	unsigned int kept_requests;
 	unsigned int accepted; /**< connections */
 	unsigned int closed;   /**< of them */
 };
--- a/tests/unit/test_edge_broken_answers.c
+++ b/tests/unit/test_edge_broken_answers.c
@@ -1,8 +1,10 @@
 /* Tests what a host makes of answers that are no valid HTTP (RFC 9112), of a
  * server on a plain socket: no caller gets them, and the request counts as one
  * that may have run. */
+#include <stdlib.h>
 #include <string.h>
 
+#include "base/xalloc.h"
 #include "fakes/edge_rig.h"
 #include "fakes/raw_server.h"
 #include "unit/unit_main.h"
@@ -93,20 +95,29 @@
 	edge_rig_run(&rig, 100);
 }
 
-static void send_request(const char *route, const char *action)
+static void send_upload(const char *id, const char *route, const char *action,
+			size_t body_bytes)
 {
+	char *body = xcalloc(1, body_bytes + 1);
 	struct buffer text = {0};
 
+	memset(body, 'x', body_bytes);
 	release_caller();
 	buffer_add_format(&text,
 			  "POST /%s/%s HTTP/1.1\r\nHost: a.example\r\n"
-			  "Tamarackgw-Request-Id: broken-1\r\n"
+			  "Tamarackgw-Request-Id: %s\r\n"
 			  "Authorization: Token key-1\r\n"
-			  "Content-Length: 1\r\nConnection: close\r\n\r\nx",
-			  route, action);
+			  "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+			  route, action, id, body_bytes, body);
 	edge_rig_call(&rig, &caller, text.data);
 	has_caller = true;
 	buffer_free(&text);
+	free(body);
+}
+
+static void send_request(const char *route, const char *action)
+{
+	send_upload("broken-1", route, action, 1);
 }
 
 /* @return what the caller has received when the host closes its connection */
@@ -236,6 +247,96 @@
 }
 END_TEST
 
+/* What a server sends of an answer without a length while it is still being
+ * sent the request. */
+static const char *const cut_answers[] = {
+	SUCCESS "\r\npart",
+	"HTTP/1.0 200 OK\r\n" FIELDS "\r\npart",
+	SUCCESS "\r\n",
+	SUCCESS,
+	"",
+};
+
+#define CUT_ANSWERS ((int)(sizeof(cut_answers) / sizeof(cut_answers[0])))
+
+/* Of an upload that fits into the buffers of both kernels, and of one that does
+ * not. */
+#define SMALL_UPLOAD_BYTES ((size_t)20 * 1024)
+#define LARGE_UPLOAD_BYTES ((size_t)24 * 1024 * 1024)
+#define END_MS 50
+
+static const struct {
+	const char *name;
+	enum raw_server_end end;
+	uint64_t end_ms;
+	uint64_t reset_ms;
+	bool reads_on;
+} resets[] = {
+	{"at once", RAW_SERVER_RESETS, 0, 0, false},
+	{"later", RAW_SERVER_RESETS, END_MS, 0, false},
+	{"later, reading on", RAW_SERVER_RESETS, END_MS, 0, true},
+	{"with unread bytes", RAW_SERVER_CLOSES, END_MS, 0, false},
+	{"right after an end", RAW_SERVER_ENDS, END_MS, 1, false},
+};
+
+#define RESETS ((int)(sizeof(resets) / sizeof(resets[0])))
+
+static void use_reset(int index)
+{
+	raw.end = resets[index].end;
+	raw.end_ms = resets[index].end_ms;
+	raw.reset_ms = resets[index].reset_ms;
+	raw.reads_on = resets[index].reads_on;
+}
+
+/* @return what the caller gets */
+static const char *upload(const char *bytes, size_t size)
+{
+	rig.hosts[0].edge.limits.body_bytes = 2 * (int64_t)LARGE_UPLOAD_BYTES;
+	raw.answer = bytes;
+	send_upload("broken-1", "long-unsafe", "ok", size);
+	return wait_for_answer();
+}
+
+START_TEST(an_answer_that_is_reset_during_its_upload_is_not_whole)
+{
+	const char *bytes = cut_answers[_i % CUT_ANSWERS];
+	int reset = _i / CUT_ANSWERS % RESETS;
+	size_t size = _i < CUT_ANSWERS * RESETS ? SMALL_UPLOAD_BYTES
+						: LARGE_UPLOAD_BYTES;
+	const char *answer;
+
+	use_reset(reset);
+	start_raw_server(bytes, 0);
+	list_raw_server();
+	answer = upload(bytes, size);
+	ck_assert_uint_eq(raw.requests, 1);
+	ck_assert_msg(!strncmp(answer, "HTTP/1.1 502 ", 13),
+		      "%s, %zu bytes, %s: %s", resets[reset].name, size, bytes,
+		      answer);
+}
+END_TEST
+
+/* The server answers one request in full before. */
+START_TEST(so_it_is_on_a_kept_connection)
+{
+	const char *answer;
+
+	start_raw_server("HTTP/1.1 200 OK\r\nTamarackgw-Request-Id: first\r\n"
+			 "Tamarackgw-Response-Stamp: by-raw\r\n" BODY,
+			 0);
+	list_raw_server();
+	send_upload("first", "unsafe", "ok", 1);
+	ck_assert(has(wait_for_answer(), "body"));
+	use_reset(_i);
+	answer = upload(cut_answers[0], LARGE_UPLOAD_BYTES);
+	ck_assert_uint_eq(raw.requests, 2);
+	ck_assert_uint_eq(raw.kept_requests, 1);
+	ck_assert_msg(!strncmp(answer, "HTTP/1.1 502 ", 13), "%s: %s",
+		      resets[_i].name, answer);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("edge_broken_answers");
@@ -252,6 +353,10 @@
 	tcase_add_test(tcase,
 		       a_stream_that_another_server_does_not_go_on_with_is_cut);
 	tcase_add_test(tcase, nothing_in_a_broken_head_counts);
+	tcase_add_loop_test(
+		tcase, an_answer_that_is_reset_during_its_upload_is_not_whole,
+		0, 2 * CUT_ANSWERS * RESETS);
+	tcase_add_loop_test(tcase, so_it_is_on_a_kept_connection, 0, RESETS);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
 }
