An answer that ended before its upload is whole only with it

A server answered a long upload at once with a 200 without a length, sent a part of the body, ended its stream, and reset the connection 100 or 600 ms later, while the upload was still being written. The caller got the part as a complete answer.

Cause: http_conn waited 2 ms for a reset that follows the end of the stream. That is a round trip between near machines, but what is still on its way of the request can meet the reset any time later: a process that dies with nothing unread ends the stream, and only what reaches its system afterwards is answered by a reset.

Fix: such an answer is whole once the server's system has acknowledged the whole request. Until then http_conn goes on writing and looks for a reset; if nothing is acknowledged for a second, the answer counts as broken off. An early answer of a server that takes the rest of the request is whole as before, and so is any whose request had been acknowledged at its end, since then nothing on its way can be reset.

Evidence: in test_edge_broken_answers 5 of the 7 new cases failed (the part of HTTP/1.1 and HTTP/1.0, reset after 100 and 600 ms; and a server that takes no more), 2 held and still do (early answers whose upload is taken). Now 109 of 109 hold, and 159 of test_http_conn.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -17,6 +17,9 @@
 #define CLOSED_UNACKED_TIMEOUT_MS 4000
 /* A reset that follows a clean end of the stream arrives within this time. */
 #define RESET_WAIT_MS 2
+/* A server that has ended its response and acknowledges nothing for so long
+ * does not take the rest of the request. */
+#define UNTAKEN_REQUEST_MS 1000
 /* An idle connection is not reused when less than this is left of its server's
  * idle limit. */
 #define IDLE_MARGIN_US (700 * TGW_US_PER_MS)
@@ -290,21 +293,45 @@
 	return socket_error != 0;
 }
 
+/* @param unsent bytes of the request that are on their way
+ * @return whether the server still takes the request */
+static bool takes_request(struct http_conn *conn, size_t unsent)
+{
+	uint64_t now_ms = uv_now(conn->tcp.loop);
+
+	if (!conn->unsent_since_ms || unsent < conn->unsent_after_eof) {
+		conn->unsent_after_eof = unsent;
+		conn->unsent_since_ms = now_ms;
+	}
+	return now_ms - conn->unsent_since_ms < UNTAKEN_REQUEST_MS;
+}
+
+/* A response without a length that ended before its server had the whole
+ * request is whole only once it has: until then the rest of the request may be
+ * answered by a reset, as it is after a crash. */
 static void on_eof_timer(uv_timer_t *timer)
 {
 	struct http_conn *conn = timer->data;
+	size_t unsent;
+	bool reset;
 
 	if (conn->state == HTTP_CONN_CLOSING)
 		return;
-	if (!was_reset(conn))
+	/* In this order, since the rest of the request may cause the reset. */
+	unsent = http_conn_unsent(conn);
+	reset = was_reset(conn);
+	if (!reset && !conn->response_done)
 		http_parser_execute(&conn->parser, &parser_settings, NULL, 0);
 	if (conn->state == HTTP_CONN_CLOSING)
 		return;
-	if (!conn->response_done) {
+	if (reset || !conn->response_done ||
+	    (unsent && !takes_request(conn, unsent))) {
 		fail(conn, HTTP_CONN_CLOSED);
 		return;
 	}
-	if (conn->events->ended)
+	if (unsent)
+		uv_timer_start(timer, on_eof_timer, RESET_WAIT_MS, 0);
+	else if (conn->events->ended)
 		conn->events->ended(conn);
 	else
 		http_conn_confirm_end(conn);
--- a/tests/unit/test_edge_broken_answers.c
+++ b/tests/unit/test_edge_broken_answers.c
@@ -317,6 +317,54 @@
 }
 END_TEST
 
+/* The caller must not get the part as a whole answer because the reset comes
+ * some time after the end of the stream. */
+START_TEST(an_answer_that_ends_before_its_upload_waits_for_it)
+{
+	static const uint64_t reset_ms[] = {100, 600};
+	const char *answer;
+
+	raw.end = RAW_SERVER_ENDS;
+	raw.end_ms = END_MS;
+	raw.reset_ms = reset_ms[_i % 2];
+	start_raw_server(cut_answers[_i / 2], 0);
+	list_raw_server();
+	answer = upload(cut_answers[_i / 2], LARGE_UPLOAD_BYTES);
+	ck_assert_uint_eq(raw.requests, 1);
+	ck_assert_msg(!strncmp(answer, "HTTP/1.1 502 ", 13), "%s", answer);
+}
+END_TEST
+
+/* Nothing resets the connection, but the server takes no more. */
+START_TEST(an_answer_whose_upload_is_never_taken_is_not_whole)
+{
+	const char *answer;
+
+	raw.end = RAW_SERVER_ENDS;
+	raw.end_ms = END_MS;
+	start_raw_server(cut_answers[0], 0);
+	list_raw_server();
+	answer = upload(cut_answers[0], LARGE_UPLOAD_BYTES);
+	ck_assert_msg(!strncmp(answer, "HTTP/1.1 502 ", 13), "%s", answer);
+}
+END_TEST
+
+/* A server may answer early, and take the rest of the request. */
+START_TEST(an_early_answer_whose_upload_is_taken_is_whole)
+{
+	const char *answer;
+
+	raw.end = RAW_SERVER_ENDS;
+	raw.reads_on = true;
+	start_raw_server(cut_answers[0], 0);
+	list_raw_server();
+	answer = upload(cut_answers[0],
+			_i ? LARGE_UPLOAD_BYTES : SMALL_UPLOAD_BYTES);
+	ck_assert_msg(!strncmp(answer, "HTTP/1.1 200 ", 13), "%s", answer);
+	ck_assert(has(answer, "part"));
+}
+END_TEST
+
 /* The server answers one request in full before. */
 START_TEST(so_it_is_on_a_kept_connection)
 {
@@ -356,6 +404,13 @@
 	tcase_add_loop_test(
 		tcase, an_answer_that_is_reset_during_its_upload_is_not_whole,
 		0, 2 * CUT_ANSWERS * RESETS);
+	tcase_add_loop_test(tcase,
+			    an_answer_that_ends_before_its_upload_waits_for_it,
+			    0, 2 * 2);
+	tcase_add_test(tcase,
+		       an_answer_whose_upload_is_never_taken_is_not_whole);
+	tcase_add_loop_test(
+		tcase, an_early_answer_whose_upload_is_taken_is_whole, 0, 2);
 	tcase_add_loop_test(tcase, so_it_is_on_a_kept_connection, 0, RESETS);
 	suite_add_tcase(suite, tcase);
 	return unit_main(suite);
