A late loop waits for a reset as long as another

An answer without a length whose end was followed by a reset within 2 ms counted as broken off, unless the host's loop was late when it read the end: then the reset was not waited for at all, and the caller could get the part as a whole answer.

Cause: the timer counts from the loop's time, which is that of the last poll. Events of the same poll that take longer than 2 ms use it up before it starts.

Fix: the loop's time is updated when the end is read.

Evidence: in the new case of test_http_conn another event of the same poll takes 30 ms; the wait after it was 27 and 35 us in two runs, and is at least 1 ms now (three runs of 160 cases). That a caller got a part in this way was not played.

--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -365,6 +365,8 @@
 	if (size == UV_EOF && conn->sent && !conn->eof_seen) {
 		conn->eof_seen = true;
 		uv_read_stop(stream);
+		/* The loop's time is older than the end if the loop is late. */
+		uv_update_time(stream->loop);
 		uv_timer_start(&conn->timer, on_eof_timer, RESET_WAIT_MS, 0);
 		return;
 	}
--- a/tests/unit/test_http_conn.c
+++ b/tests/unit/test_http_conn.c
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
@@ -322,18 +323,24 @@
 	return address;
 }
 
-static void send_request(const struct sockaddr_in *address)
+static void send_short_request(const struct sockaddr_in *address,
+			       const struct http_conn_events *short_events)
 {
 	struct http_conn *conn =
 		http_conn_open(&loop, (const struct sockaddr *)address);
 	struct buffer head = {0};
 
 	buffer_add_text(&head, "GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-	http_conn_send(conn, &events, NULL, &head, NULL);
+	http_conn_send(conn, short_events, NULL, &head, NULL);
 	buffer_free(&head);
 	uv_run(&loop, UV_RUN_DEFAULT);
 }
 
+static void send_request(const struct sockaddr_in *address)
+{
+	send_short_request(address, &events);
+}
+
 static void setup(void)
 {
 	result = RESULT_NONE;
@@ -603,6 +610,93 @@
 }
 END_TEST
 
+#define LATE_MS 30
+#define MIN_RESET_WAIT_US 1000
+
+static atomic_bool may_end;
+static atomic_bool has_ended;
+static uint64_t late_until_us;
+static uint64_t ended_us;
+
+static void *answer_and_end(void *arg)
+{
+	int fd = accept(listener, NULL, NULL);
+	char input[512];
+
+	if (fd < 0)
+		return NULL;
+	if (recv(fd, input, sizeof(input), 0) > 0)
+		dprintf(fd, OK_LINE "\r\nbody");
+	while (!atomic_load(&may_end))
+		usleep(100);
+	shutdown(fd, SHUT_WR);
+	atomic_store(&has_ended, true);
+	end_connection(fd, KEEP_OPEN);
+	return NULL;
+}
+
+/* Another event, which takes the loop long. */
+static int other_pipe[2];
+static uv_poll_t other_event;
+static uv_idle_t before_poll;
+static int polls_with_body;
+
+static void be_late(uv_poll_t *poll, int status, int ready)
+{
+	uv_close((uv_handle_t *)poll, NULL);
+	usleep(LATE_MS * 1000);
+	late_until_us = uv_hrtime() / 1000;
+}
+
+/* Lets the next poll find the other event, and the end after it. A poll that
+ * found nothing comes before, or the connection would be looked at first. */
+static void wait_for_end(uv_idle_t *idle)
+{
+	if (!body.size || ++polls_with_body < 3)
+		return;
+	uv_close((uv_handle_t *)idle, NULL);
+	ck_assert_int_eq(write(other_pipe[1], "x", 1), 1);
+	atomic_store(&may_end, true);
+	while (!atomic_load(&has_ended))
+		usleep(100);
+}
+
+static void on_ended(struct http_conn *conn)
+{
+	ended_us = uv_hrtime() / 1000;
+	http_conn_confirm_end(conn);
+}
+
+static const struct http_conn_events late_events = {
+	.head = on_head,
+	.body = on_body,
+	.complete = on_complete,
+	.ended = on_ended,
+	.broken = on_broken,
+};
+
+/* A reset that follows the end needs its time on a late loop as well. */
+START_TEST(a_late_loop_waits_for_a_reset_as_long_as_another)
+{
+	struct sockaddr_in address = listen_on_free_port();
+
+	atomic_store(&may_end, false);
+	atomic_store(&has_ended, false);
+	ck_assert_int_eq(pipe(other_pipe), 0);
+	uv_poll_init(&loop, &other_event, other_pipe[0]);
+	uv_poll_start(&other_event, UV_READABLE, be_late);
+	uv_idle_init(&loop, &before_poll);
+	uv_idle_start(&before_poll, wait_for_end);
+	pthread_create(&server, NULL, answer_and_end, NULL);
+	send_short_request(&address, &late_events);
+	ck_assert_int_eq(result, RESULT_COMPLETE);
+	ck_assert_uint_ge(ended_us - late_until_us, MIN_RESET_WAIT_US);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	close(listener);
+	pthread_join(server, NULL);
+}
+END_TEST
+
 /* Reads nothing for a while, then the whole request, and answers it. */
 static void *read_late(void *arg)
 {
@@ -668,6 +762,7 @@
 		tcase,
 		an_early_response_is_read_although_its_request_can_not_be_sent,
 		0, 2);
+	tcase_add_test(tcase, a_late_loop_waits_for_a_reset_as_long_as_another);
 	tcase_add_test(tcase,
 		       a_server_that_pauses_in_a_long_request_is_not_cut_off);
 	suite_add_tcase(suite, tcase);
