A defect of an answer stays one when its byte is fed again

An answer with status 020 was still taken for a whole one, although its status had been found to be none.

Cause: http_conn gives the parser the valid bytes before a defect, and feeds the rest again, which begins with the byte of the defect. The check of the status had counted its third digit by then, took it for one more of 200, and went on.

Fix: http_response_check_feed() takes nothing any more after a defect.

With it the checks of a single expected byte share one function.

--- a/src/protocol/http_response_check.c
+++ b/src/protocol/http_response_check.c
@@ -72,6 +72,13 @@
 	return true;
 }
 
+/* Enters a state after the one byte that may precede it. */
+static bool expect(struct http_response_check *check, char c, char expected,
+		   enum http_response_state next, enum http_defect defect)
+{
+	return c == expected ? enter(check, next) : refuse(check, defect);
+}
+
 static bool is_digit(char c)
 {
 	return c >= '0' && c <= '9';
@@ -165,9 +172,8 @@
 
 static bool check_status_line_lf(struct http_response_check *check, char c)
 {
-	if (c != '\n')
-		return refuse(check, HTTP_DEFECT_STATUS_LINE);
-	return enter(check, HTTP_RESPONSE_LINE_START);
+	return expect(check, c, '\n', HTTP_RESPONSE_LINE_START,
+		      HTTP_DEFECT_STATUS_LINE);
 }
 
 static bool check_name(struct http_response_check *check, char c)
@@ -188,9 +194,8 @@
 
 static bool check_line_lf(struct http_response_check *check, char c)
 {
-	if (c != '\n')
-		return refuse(check, HTTP_DEFECT_FIELD_VALUE);
-	return enter(check, HTTP_RESPONSE_LINE_START);
+	return expect(check, c, '\n', HTTP_RESPONSE_LINE_START,
+		      HTTP_DEFECT_FIELD_VALUE);
 }
 
 static bool end_fields(struct http_response_check *check)
@@ -270,9 +275,8 @@
 
 static bool check_chunk_cr(struct http_response_check *check, char c)
 {
-	if (c != '\r')
-		return refuse(check, HTTP_DEFECT_CHUNK);
-	return enter(check, HTTP_RESPONSE_CHUNK_LF);
+	return expect(check, c, '\r', HTTP_RESPONSE_CHUNK_LF,
+		      HTTP_DEFECT_CHUNK);
 }
 
 static bool begin_chunk(struct http_response_check *check)
@@ -349,7 +353,8 @@
 
 	if (check->state == HTTP_RESPONSE_BODY)
 		return size;
-	while (valid < size && !is_at_end(check)) {
+	/* The byte of a defect may be fed again, and is one again. */
+	while (valid < size && !is_at_end(check) && !check->defect) {
 		if (check->state == HTTP_RESPONSE_CHUNK)
 			valid += skip_chunk(check, size - valid);
 		else if (check_byte(check, data[valid]))
