--- a/tests/unit/test_edge_broken_answers.c
+++ b/tests/unit/test_edge_broken_answers.c
@@ -406,7 +406,7 @@
 		0, 2 * CUT_ANSWERS * RESETS);
 	tcase_add_loop_test(tcase,
 			    an_answer_that_ends_before_its_upload_waits_for_it,
-			    0, 2 * 2);
+			    0, 2 * 3);
 	tcase_add_test(tcase,
 		       an_answer_whose_upload_is_never_taken_is_not_whole);
 	tcase_add_loop_test(
