Mend what a newcomer stumbled on in the check of answers

Names say that characters are meant, comments say what follows a part and why, and the limit of lines starts anew at the first chunk as its comment says. tamarackgwd's line on a broken exchange names the server only, not the path, which may have what a caller sent. A condition on upgrades is gone that no answer can meet any more.

--- a/src/daemon/backend_exchange.c
+++ b/src/daemon/backend_exchange.c
@@ -1,6 +1,7 @@
 #include "daemon/backend_exchange.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/xalloc.h"
 #include "daemon/log.h"
@@ -11,7 +12,7 @@
 	struct http_sender *sender;
 	struct executor *coordination;
 	struct http_exchange *http; /* NULL after the end */
-	char *url;
+	char *server;		    /* SCHEME://HOST:PORT, for the log */
 	enum http_outcome outcome;
 };
 
@@ -42,7 +43,7 @@
 	struct backend_exchange *exchange = arg;
 
 	exchange->ops->ended(exchange->arg, exchange->outcome);
-	free(exchange->url);
+	free(exchange->server);
 	free(exchange);
 }
 
@@ -52,7 +53,7 @@
 
 	if (outcome == HTTP_BROKEN)
 		log_line(LOG_BACKEND, LOG_INFO, NULL,
-			 "The exchange of %s broke: %s.", exchange->url,
+			 "An exchange with %s broke: %s.", exchange->server,
 			 message);
 	if (exchange->ops->closing)
 		exchange->ops->closing(exchange->arg);
@@ -61,6 +62,16 @@
 	executor_post(exchange->coordination, run_ended, exchange);
 }
 
+/* Paths may have what callers sent. */
+static char *server_of(const char *url)
+{
+	const char *host = strstr(url, "://");
+	size_t before_host = host ? (size_t)(host - url) + strlen("://") : 0;
+	size_t size = before_host + strcspn(url + before_host, "/?#");
+
+	return xasprintf("%.*s", (int)size, url);
+}
+
 struct backend_exchange *backend_exchange_start(
 	struct http_sender *sender, struct executor *coordination,
 	const struct http_request *request,
@@ -76,7 +87,7 @@
 	exchange->arg = arg;
 	exchange->sender = sender;
 	exchange->coordination = coordination;
-	exchange->url = xstrdup(request->url);
+	exchange->server = server_of(request->url);
 	exchange->http = http_start(sender, request, handler);
 	return exchange;
 }
--- a/src/protocol/http_response_check.c
+++ b/src/protocol/http_response_check.c
@@ -15,6 +15,7 @@
 
 static const char version[] = "HTTP/1.";
 
+/* `tamarackgwctl explain` knows the texts by this beginning. */
 #define INVALID "the answer is no valid HTTP: "
 
 static const struct {
@@ -89,8 +90,8 @@
 	return c == ' ' || c == '\t';
 }
 
-/* RFC 9110, 5.6.2. */
-static bool is_token(char c)
+/* Whether a token may have the character (RFC 9110, 5.6.2). */
+static bool is_token_char(char c)
 {
 	if (is_digit(c) || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'))
 		return true;
@@ -99,7 +100,7 @@
 
 /* What a value, reason or extension may have: all but control characters other
  * than a tab. */
-static bool is_text(char c)
+static bool is_text_char(char c)
 {
 	unsigned char byte = (unsigned char)c;
 
@@ -157,7 +158,7 @@
 		return enter(check, HTTP_RESPONSE_STATUS_LINE_LF);
 	if (c == '\n')
 		return enter(check, HTTP_RESPONSE_LINE_START);
-	return is_text(c) || refuse(check, HTTP_DEFECT_STATUS_LINE);
+	return is_text_char(c) || refuse(check, HTTP_DEFECT_STATUS_LINE);
 }
 
 /* Servers leave out the blank before a reason that is empty. */
@@ -180,7 +181,7 @@
 {
 	if (c == ':')
 		return enter(check, HTTP_RESPONSE_VALUE);
-	return is_token(c) || refuse(check, HTTP_DEFECT_FIELD_NAME);
+	return is_token_char(c) || refuse(check, HTTP_DEFECT_FIELD_NAME);
 }
 
 static bool check_value(struct http_response_check *check, char c)
@@ -189,7 +190,7 @@
 		return enter(check, HTTP_RESPONSE_LINE_LF);
 	if (c == '\n')
 		return enter(check, HTTP_RESPONSE_LINE_START);
-	return is_text(c) || refuse(check, HTTP_DEFECT_FIELD_VALUE);
+	return is_text_char(c) || refuse(check, HTTP_DEFECT_FIELD_VALUE);
 }
 
 static bool check_line_lf(struct http_response_check *check, char c)
@@ -214,7 +215,7 @@
 		return end_fields(check);
 	if (is_blank(c))
 		return refuse(check, HTTP_DEFECT_FOLDED_LINE);
-	if (!is_token(c))
+	if (!is_token_char(c))
 		return refuse(check, HTTP_DEFECT_FIELD_NAME);
 	return enter(check, HTTP_RESPONSE_NAME);
 }
@@ -260,7 +261,7 @@
 {
 	if (c == '\r')
 		return enter(check, HTTP_RESPONSE_CHUNK_SIZE_LF);
-	return is_text(c) || refuse(check, HTTP_DEFECT_CHUNK);
+	return is_text_char(c) || refuse(check, HTTP_DEFECT_CHUNK);
 }
 
 /* The last chunk is empty, and a trailer follows it. */
@@ -353,7 +354,7 @@
 
 	if (check->state == HTTP_RESPONSE_BODY)
 		return size;
-	/* The byte of a defect may be fed again, and is one again. */
+	/* An owner may feed the byte of a defect again. */
 	while (valid < size && !is_at_end(check) && !check->defect) {
 		if (check->state == HTTP_RESPONSE_CHUNK)
 			valid += skip_chunk(check, size - valid);
@@ -393,9 +394,10 @@
 				    bool is_chunked)
 {
 	assert(check->state == HTTP_RESPONSE_AFTER_HEAD);
-	check->chunk_bytes = 0;
-	enter(check,
-	      is_chunked ? HTTP_RESPONSE_CHUNK_SIZE : HTTP_RESPONSE_BODY);
+	if (is_chunked)
+		begin_chunk(check);
+	else
+		enter(check, HTTP_RESPONSE_BODY);
 }
 
 void http_response_check_begin_head(struct http_response_check *check)
--- a/src/transport/http_conn.c
+++ b/src/transport/http_conn.c
@@ -125,8 +125,8 @@
 	return conn->status >= 100 && conn->status < 200;
 }
 
-/* Such a response ends with its head, whatever length it announces (RFC 9112,
- * 6.3). */
+/* Such a final response ends with its head, whatever length it announces (RFC
+ * 9112, 6.3), as interim ones do. */
 static bool has_no_body(const struct http_conn *conn)
 {
 	return conn->ignore_body || conn->status == STATUS_NO_CONTENT ||
@@ -183,7 +183,7 @@
 {
 	struct http_conn *conn = parser->data;
 
-	/* What follows an interim response is checked as a head. */
+	/* What follows, also an interim response, is checked as a head. */
 	http_parser_pause(parser, 1);
 	if (is_interim(conn))
 		return 0;
@@ -222,7 +222,8 @@
 		http_conn_close(conn);
 }
 
-/* @return whether a head or body may follow what the parser got */
+/* Prepares the check for what follows the bytes that the parser got.
+ * @return false if the parser has refused them */
 static bool begin_next_part(struct http_conn *conn)
 {
 	enum http_errno error = HTTP_PARSER_ERRNO(&conn->parser);
@@ -232,7 +233,7 @@
 		http_response_check_begin_head(&conn->check);
 		return true;
 	}
-	if (error != HPE_OK || conn->parser.upgrade)
+	if (error != HPE_OK)
 		return false;
 	if (conn->check.state == HTTP_RESPONSE_AFTER_HEAD)
 		http_response_check_begin_body(&conn->check,
--- a/src/transport/http_conn.h
+++ b/src/transport/http_conn.h
@@ -66,9 +66,9 @@
 	/** The server ended the stream cleanly; a reset may still follow, which
 	 * `timer` waits for. */
 	bool eof_seen;
-	/** Bytes of the request that the server's system had not acknowledged
-	 * then, or later, and the loop's time at which they last became fewer.
-	 */
+	/** Since then: bytes of the request that the server's system had not
+	 * acknowledged at the last look, and the loop's time at which they
+	 * last became fewer. */
 	size_t unsent_after_eof;
 	uint64_t unsent_since_ms;
 	unsigned int open_handles;
