--- a/src/ctl/explain_commands.c
+++ b/src/ctl/explain_commands.c
@@ -32,8 +32,8 @@
 	{"the server broke the connection off",
 	 "the server crashed, or its answer was lost; it may have run the "
 	 "request"},
-	{"the answer is no valid HTTP",
-	 "the server sent what is no answer; it may have run the request: its "
+	{"the answer can't be read",
+	 "the server sent what is no valid HTTP; it may have run the request: its "
 	 "owners have to know"},
 	{"the server is silent",
 	 "the server paused; the request goes to another server as well, or "
--- a/src/protocol/http_response_check.c
+++ b/src/protocol/http_response_check.c
@@ -16,15 +16,15 @@
 static const char version[] = "HTTP/1.";
 
 /* `tamarackgwctl explain` knows the texts by this beginning. */
-#define INVALID "the answer is no valid HTTP: "
+#define INVALID "the answer can't be read: "
 
 static const struct {
 	const char *name;
 	const char *text;
 } defects[HTTP_DEFECTS] = {
 	[HTTP_DEFECT_NONE] = {"none", "the answer is valid HTTP"},
-	[HTTP_DEFECT_STATUS_LINE] = {"status_line",
-				     INVALID "its status line can't be read"},
+	[HTTP_DEFECT_STATUS_LINE] = {"status_line", INVALID
+				     "its status line is none of HTTP/1"},
 	[HTTP_DEFECT_STATUS] = {"status", INVALID "its status is none from 100 "
 						  "to 599 that may be sent"},
 	[HTTP_DEFECT_FIELD_NAME] = {"field_name",
@@ -46,7 +46,7 @@
 					  "extension have over 64 KB"},
 	[HTTP_DEFECT_FRAMING] = {"framing",
 				 INVALID "its length, or the end of its "
-					 "fields, can't be read"},
+					 "fields, is not valid"},
 };
 
 const char *http_defect_name(enum http_defect defect)
--- a/tests/unit/test_edge_broken_answers.c
+++ b/tests/unit/test_edge_broken_answers.c
@@ -156,7 +156,7 @@
 	/* A request that runs at most once is sent to no other server. */
 	if (!strcmp(route, "unsafe") || !strcmp(route, "stream")) {
 		ck_assert_uint_eq(raw.requests, 1);
-		ck_assert(has(answer, "the answer is no valid HTTP"));
+		ck_assert(has(answer, "the answer can't be read: "));
 	}
 	edge_rig_run(&rig, 20);
 	ck_assert_uint_eq(raw.closed, raw.accepted);
--- a/tests/unit/test_edge_resumed_streams.c
+++ b/tests/unit/test_edge_resumed_streams.c
@@ -142,7 +142,7 @@
 	 "the stream ended within an event"},
 	{{CUT_AFTER_2, {200, "no head at all\r\n\r\n", BACKEND_STANDIN_CLOSES}},
 	 3,
-	 "the answer is no valid HTTP"},
+	 "can't be read"},
 	/* It goes on as it should. */
 	{{CUT_AFTER_2, {200, STREAM CHUNKED CHUNKS_FROM_3 END, 0}},
 	 EVENTS,
--- a/tests/unit/test_platform_call.c
+++ b/tests/unit/test_platform_call.c
@@ -159,7 +159,7 @@
 	/* The store may have done what it was told. */
 	ck_assert_int_eq(status, TGW_UNKNOWN);
 	ck_assert(!client.answered);
-	ck_assert(strstr(ignored_for, "the answer is no valid HTTP"));
+	ck_assert(strstr(ignored_for, "the answer can't be read: "));
 	uv_run(&loop, UV_RUN_NOWAIT);
 	pthread_join(server, NULL);
 }
