--- a/review/standin-3/site.c
+++ b/review/standin-3/site.c
@@ -8,6 +8,8 @@
  *   site remove STORE_PORT KEY
  *   site ports COUNT                 prints free ports
  *   site worker PORT_FILE ID LOG MODE [FLAG_FILE]
+ *     MODE: ok, tokens (answers with as many tokens as the request allows at
+ *     most), crash (once FLAG_FILE is there, /read/board crashes it)
  *   site call PORT PATH REQUEST_ID KEY DEADLINE_MS [INPUT OUTPUT]
  *   site ready PORT                  exits with 0 if GET /ready gives 200
  */
@@ -33,8 +35,7 @@
 #define STORE_PAGE_ITEMS 500
 #define STORE_ANSWER_US 4000
 #define TOKENS_PER_EVENT 9
-#define STREAM_EVENTS 60
-#define EVENT_INTERVAL_US 100000
+#define KV_CAPACITY 444000
 #define RUN_US 15000
 
 static long long wall_ms(void)
@@ -71,8 +72,8 @@
 	text->data[text->size] = '\0';
 }
 
-__attribute__((format(printf, 2, 3))) static void
-text_format(struct text *text, const char *format, ...)
+__attribute__((format(printf, 2, 3))) static void text_format(
+	struct text *text, const char *format, ...)
 {
 	char buffer[8192];
 	va_list args;
@@ -170,7 +171,8 @@
 	const char *line = strstr(head, "\r\n");
 
 	*value = '\0';
-	for (; line && line[2] && line[2] != '\r'; line = strstr(line, "\r\n")) {
+	for (; line && line[2] && line[2] != '\r';
+	     line = strstr(line, "\r\n")) {
 		line += 2;
 		if (strncasecmp(line, name, length) || line[length] != ':')
 			continue;
@@ -305,7 +307,8 @@
 	size_t at = 0;
 
 	for (size_t i = 0; i < size; i += 3) {
-		unsigned long bits = (unsigned long)(unsigned char)data[i] << 16;
+		unsigned long bits = (unsigned long)(unsigned char)data[i]
+				     << 16;
 		size_t left = size - i;
 
 		if (left > 1)
@@ -420,8 +423,8 @@
 		     i-- > 0 && changes[i].revision > after;)
 			found |= !strncmp(changes[i].key, prefix,
 					  strlen(prefix));
-	} while (!found && !pthread_cond_timedwait(&store_changed, &store_lock,
-						   &end));
+	} while (!found &&
+		 !pthread_cond_timedwait(&store_changed, &store_lock, &end));
 	text_format(body, "{\"events\":[");
 	found = false;
 	for (size_t i = 0; i < change_count; i++) {
@@ -641,32 +644,6 @@
 	return send_text(fd, &answer);
 }
 
-/* An answer without a length: it ends with its connection. */
-static void answer_slowly(int fd, const char *id, bool events)
-{
-	struct text answer = {0};
-	int sent = 0;
-
-	begin_answer(&answer, id, 200);
-	text_format(&answer, "Content-Type: %s\r\nConnection: close\r\n\r\n",
-		    events ? "text/event-stream" : "text/plain");
-	if (!send_text(fd, &answer))
-		return;
-	while (sent < STREAM_EVENTS) {
-		sent++;
-		if (events)
-			text_format(&answer, "id: %d\ndata: part-%d of %d\n\n",
-				    sent, sent, STREAM_EVENTS);
-		else
-			text_format(&answer, "line %d of %d\n", sent,
-				    STREAM_EVENTS);
-		if (!send_text(fd, &answer))
-			return;
-		usleep(EVENT_INTERVAL_US);
-	}
-	note("request=%s made=%d of=%d ended", id, sent, STREAM_EVENTS);
-}
-
 /* A generation of as many tokens as the request allows at most. */
 static bool answer_tokens(int fd, const char *id, const char *target,
 			  int output)
@@ -697,7 +674,7 @@
 static bool answer_request(int fd, const struct message *request)
 {
 	char id[128], expected[128], tenant[256], tokens[64];
-	int input = 0, output = 0;
+	long long input = 0, output = 0;
 
 	find_field(request->head, "Tamarackgw-Request-Id", id, sizeof(id));
 	find_field(request->head, "Tamarackgw-Expect-Instance", expected,
@@ -705,10 +682,13 @@
 	find_field(request->head, "Tamarackgw-Tenant", tenant, sizeof(tenant));
 	find_field(request->head, "Tamarackgw-Token-Count", tokens,
 		   sizeof(tokens));
-	if (sscanf(tokens, "%d,%d", &input, &output) != 2)
-		output = 0;
+	if (sscanf(tokens, "%lld,%lld", &input, &output) != 2)
+		input = output = 0;
 	if (*expected && strcmp(expected, worker_id))
 		return refuse(fd, id, 421);
+	/* Larger than the memory: rejected as if the worker were full. */
+	if (input > KV_CAPACITY || output > KV_CAPACITY - input)
+		return refuse(fd, id, 503);
 	note("request=%s runs target=%s tokens=%s tenant=\"%s\"", id,
 	     request->target, *tokens ? tokens : "-", tenant);
 	if (!strcmp(worker_mode, "crash") &&
@@ -717,14 +697,8 @@
 		note("request=%s crashes", id);
 		_exit(1);
 	}
-	if (!strcmp(worker_mode, "slow")) {
-		answer_slowly(fd, id, !strncmp(request->target, "/stream/", 8) ||
-					      !strncmp(request->target,
-						       "/resume/", 8));
-		return false;
-	}
 	if (!strcmp(worker_mode, "tokens"))
-		return answer_tokens(fd, id, request->target, output);
+		return answer_tokens(fd, id, request->target, (int)output);
 	usleep(RUN_US);
 	return answer_whole(fd, id, "text/plain", "done\n");
 }
@@ -862,10 +836,10 @@
 		*stamp = '\0';
 	}
 	printf("%lld request=%s status=%d complete=%d reset=%d events=%d "
-	       "lines=%d bytes=%zu stamp=%s\n",
+	       "bytes=%zu stamp=%s\n",
 	       wall_ms(), id, status, complete, received.reset,
-	       count(content.data, "data: "), count(content.data, "line "),
-	       content.size, *stamp ? stamp : "-");
+	       count(content.data, "data: "), content.size,
+	       *stamp ? stamp : "-");
 	return 0;
 }
 
@@ -914,7 +888,9 @@
 		worker_id = argv[3];
 		worker_mode = argv[5];
 		worker_flag = argc > 6 ? argv[6] : NULL;
-		worker_log = open(argv[4], O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0644);
+		worker_log = open(argv[4],
+				  O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC,
+				  0644);
 		if (worker_log < 0)
 			die(argv[4]);
 		listener = listen_on(&port);
